--- a/samphirevale/errors.py
+++ b/samphirevale/errors.py
@@ -63,7 +63,16 @@
 
 
 class StoreUnavailableError(StoreError):
-    """The store did not do it: refused, unreachable or over its rate."""
+    """The store did not do it: refused, unreachable or over its rate.
+
+    Attributes:
+        retry_after_seconds: when the store asks to be called again; 0 if it
+            did not say.
+    """
+
+    def __init__(self, text: str = "", retry_after_seconds: float = 0.0):
+        super().__init__(text)
+        self.retry_after_seconds = retry_after_seconds
 
 
 class StoreUnknownError(StoreError):
@@ -74,5 +83,9 @@
     """The condition of a write did not hold: another write came first."""
 
 
+class StoreWatchExpiredError(StoreError):
+    """The version to watch from is too old: list the kind afresh."""
+
+
 class FencedError(SamphirevaleError):
     """An endpoint refused an order that carries an old fencing number."""
