--- a/samphirevale/adapters/link.py
+++ b/samphirevale/adapters/link.py
@@ -4,6 +4,7 @@
 from any task; one task of each side reads.
 """
 
+import collections
 import contextlib
 import hmac
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -28,24 +29,36 @@
 # The longest wait for the other side to read, in seconds.
 WRITE_SECONDS = 5.0
 
+# The longest wait for the last frames to leave at the end, in seconds.
+CLOSE_SECONDS = 0.5
+
+# The most bytes that wait for the other side to read.
+PENDING_BYTES_LIMIT = 16 * 1024 * 1024
+
 
 class Link:
-    """One connection that carries messages both ways."""
+    """One connection that carries messages both ways.
+
+    A task of its own writes, so that a sender that is cancelled leaves no
+    half-written frame, and frames sent together leave in one write.
+    """
 
     def __init__(self, stream: Any, protocol: Any):
         self._stream = stream
         self._protocol = protocol
-        self._write_lock = curio.Lock()
-        self._received: list[bytes] = []
+        self._pending = bytearray()
+        self._wake_writer = curio.Event()
+        self._received: collections.deque[bytes] = collections.deque()
         self._broken = False
         self.bytes_sent = 0
         self.bytes_received = 0
 
     async def send(self, message: Any, revision: int) -> None:
-        """Sends one message.
+        """Queues one message for the writer.
 
         Raises:
-            errors.PeerClosedError: the connection has ended.
+            errors.PeerClosedError: the connection has ended, or the other
+                side reads too slowly.
         """
         data = messages.encode_frame(message, revision)
         if self._broken:
@@ -54,7 +67,7 @@
             self._protocol.send_binary(data)
         except websocket_exceptions.InvalidState as error:
             raise errors.PeerClosedError(str(error)) from error
-        await self._flush()
+        await self._queue_output()
 
     async def receive(self) -> messages.Frame:
         """Returns the next frame.
@@ -66,7 +79,7 @@
         """
         while not self._received:
             await self._read_more()
-        data = self._received.pop(0)
+        data = self._received.popleft()
         try:
             return messages.decode_frame(data)
         except errors.ProtocolError as error:
@@ -80,15 +93,32 @@
         code: int = websocket_frames.CloseCode.NORMAL_CLOSURE,
         reason: str = "",
     ) -> None:
-        """Closes the connection; repeated calls do nothing."""
+        """Sends what is queued and a close frame; more calls do nothing."""
         if self._broken:
             return
-        with contextlib.suppress(Exception):
+        with contextlib.suppress(websocket_exceptions.InvalidState):
             self._protocol.send_close(code, reason)
-            await self._flush()
+        self._pending += b"".join(self._protocol.data_to_send())
         self._broken = True
-        with contextlib.suppress(OSError):
-            await self._stream.close()
+        await self._wake_writer.set()
+
+    async def write_queued(self) -> None:
+        """Writes what is queued, until the connection has ended."""
+        try:
+            while self._pending or not self._broken:
+                await self._wake_writer.wait()
+                self._wake_writer.clear()
+                await self._write_pending()
+        except (OSError, curio.TaskTimeout):
+            self._broken = True
+
+    async def _write_pending(self) -> None:
+        while self._pending:
+            data = bytes(self._pending)
+            self._pending.clear()
+            async with curio.timeout_after(WRITE_SECONDS):
+                await self._stream.sendall(data)
+            self.bytes_sent += len(data)
 
     async def _read_more(self) -> None:
         if self._broken:
@@ -103,8 +133,8 @@
         self._protocol.receive_data(data)
         for event in self._protocol.events_received():
             self._take_event(event)
-        await self._flush()
-        if self._protocol.close_expected():
+        await self._queue_output()
+        if self._protocol.close_expected() and not self._received:
             raise errors.PeerClosedError("the other side closed")
 
     def _take_event(self, event: Any) -> None:
@@ -119,19 +149,28 @@
                 "whole binary frames only",
             )
 
-    async def _flush(self) -> None:
-        async with self._write_lock:
-            # Taken under the lock, so that frames leave in their order.
-            data = b"".join(self._protocol.data_to_send())
-            if not data:
-                return
-            try:
-                async with curio.timeout_after(WRITE_SECONDS):
-                    await self._stream.sendall(data)
-            except (OSError, curio.TaskTimeout) as error:
-                self._broken = True
-                raise errors.PeerClosedError(str(error)) from error
-            self.bytes_sent += len(data)
+    async def _queue_output(self) -> None:
+        self._pending += b"".join(self._protocol.data_to_send())
+        if len(self._pending) > PENDING_BYTES_LIMIT:
+            self._broken = True
+            raise errors.PeerClosedError("the other side reads too slowly")
+        if self._pending:
+            await self._wake_writer.set()
+
+
+@contextlib.asynccontextmanager
+async def _own_link(stream: Any, protocol: Any) -> AsyncIterator[Link]:
+    """Runs the writer of a link, and closes the link at the end."""
+    link = Link(stream, protocol)
+    writer = await curio.spawn(link.write_queued, daemon=True)
+    try:
+        yield link
+    finally:
+        await link.close()
+        await curio.ignore_after(CLOSE_SECONDS, writer.wait)
+        await writer.cancel()
+        with contextlib.suppress(OSError):
+            await stream.close()
 
 
 @contextlib.asynccontextmanager
@@ -151,11 +190,8 @@
                 raise
     except (OSError, curio.TaskTimeout) as error:
         raise errors.ConnectError(f"{host}:{port}: {error}") from error
-    link = Link(stream, protocol)
-    try:
+    async with _own_link(stream, protocol) as link:
         yield link
-    finally:
-        await link.close()
 
 
 async def _shake_hands(
@@ -198,14 +234,10 @@
             return
         if protocol is None:
             return
-        link = Link(stream, protocol)
-        try:
-            await handler(link)
-        except errors.TransportError:
-            # The handler has counted it; the next connection is served.
-            return
-        finally:
-            await link.close()
+        # The handler has counted its errors; the next connection is served.
+        with contextlib.suppress(errors.TransportError):
+            async with _own_link(stream, protocol) as link:
+                await handler(link)
 
     await curio.tcp_server(
         host, port, run_connection, backlog=1024, reuse_address=True
--- a/samphirevale/errors.py
+++ b/samphirevale/errors.py
@@ -1,6 +1,6 @@
 """The exception tree of the package."""
 
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 
 class Finding(NamedTuple):
@@ -89,3 +89,11 @@
 
 class FencedError(SamphirevaleError):
     """An endpoint refused an order that carries an old fencing number."""
+
+
+class RequestRefusedError(SamphirevaleError):
+    """A request ends without a whole answer; carries callers.Refused."""
+
+    def __init__(self, refusal: Any):
+        super().__init__(f"{refusal.outcome}: {refusal.reason}")
+        self.refusal = refusal
--- /dev/null
+++ b/samphirevale/handovers.py
@@ -0,0 +1,406 @@
+"""Runs one stage of a request: hands attempts over until one has a result."""
+
+import hashlib
+import json
+import secrets
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+from samphirevale import (
+    callers,
+    configuration,
+    errors,
+    messages,
+    node,
+    peers,
+    streams,
+)
+
+# Sends tokens to the caller: the first one's number, and the tokens.
+Emit = Callable[[int, list[str]], Awaitable[None]]
+
+# When to come back after a refusal whose cause tells nothing better.
+DEFAULT_RETRY_SECONDS = 1.0
+
+# The first characters of a prompt, whose digest names its cached prefix.
+PREFIX_CHARACTERS = 64
+
+# The most attempts of one stage of one request.
+ATTEMPTS_LIMIT = 3
+
+
+class StageOutcome(NamedTuple):
+    """The result of a stage.
+
+    Attributes:
+        payload: what the next stage gets as `prior`.
+        count: tokens generated; 0 for a stage that generates none.
+        digest: their digest; empty for a stage that generates none.
+        use: what it took.
+    """
+
+    payload: Any
+    count: int
+    digest: str
+    use: callers.StageUse
+
+
+class Progress:
+    """Which parts of a request endpoints were handed, for honest refusals."""
+
+    def __init__(self):
+        self._handed = 0
+        self._handed_once = 0
+
+    def note_handed(self, repeatable: bool) -> None:
+        """Notes that an attempt is about to be handed over."""
+        if repeatable:
+            self._handed += 1
+        else:
+            self._handed_once += 1
+
+    def note_not_run(self, repeatable: bool) -> None:
+        """Notes that an attempt that was handed over certainly did not run."""
+        if repeatable:
+            self._handed -= 1
+        else:
+            self._handed_once -= 1
+
+    def read_outcome(self) -> str:
+        """Returns the outcome that a refusal has to tell now."""
+        if self._handed_once:
+            return "unknown"
+        return "not_completed" if self._handed else "not_run"
+
+    def build_refusal(
+        self, reason: str, detail: str, retry_after_seconds: float
+    ) -> callers.Refused:
+        """Returns the refusal that is true now."""
+        outcome = self.read_outcome()
+        if reason == "late":
+            status = 504
+        else:
+            status = 502 if outcome == "unknown" else 503
+        return callers.Refused(
+            outcome, status, reason, detail, retry_after_seconds
+        )
+
+
+def is_repeatable(
+    stage: configuration.StageConfiguration, idempotent: bool
+) -> bool:
+    """Tells whether a stage of a request may be run more than once."""
+    if stage["repeatable"] is None:
+        return idempotent
+    return stage["repeatable"]
+
+
+def digest_prefix(value: Any) -> str:
+    """Returns the name of a prompt's prefix in engines' cache events."""
+    prompt = value if isinstance(value, str) else json.dumps(value)
+    return hashlib.sha256(prompt[:PREFIX_CHARACTERS].encode()).hexdigest()
+
+
+class StageRun:
+    """One stage of one request."""
+
+    def __init__(
+        self,
+        entry_node: node.Node,
+        request: callers.CallerRequest,
+        stage: configuration.StageConfiguration,
+        payload: dict,
+        deadline_at: float,
+        progress: Progress,
+        emit: Emit | None,
+    ):
+        """Prepares the stage.
+
+        Args:
+            entry_node: what the entry knows and holds.
+            request: the checked request.
+            stage: the stage's configuration.
+            payload: `{"input": ..., "prior": ...}` for the endpoint.
+            deadline_at: the request's deadline, in monotonic seconds.
+            progress: shared by the request's stages.
+            emit: called with tokens as they come; None to keep them.
+        """
+        self._node = entry_node
+        self._request = request
+        self._stage = stage
+        self._payload = payload
+        self._deadline_at = deadline_at
+        self._progress = progress
+        self._emit = emit
+        self._repeatable = is_repeatable(stage, request.idempotent)
+        self._buffer = streams.TokenBuffer()
+        self._batch = ""
+        self._tried: set[str] = set()
+        self._wasted_ms = 0.0
+        self._attempts = 0
+
+    async def run(self) -> StageOutcome:
+        """Returns the stage's outcome.
+
+        Raises:
+            errors.RequestRefusedError: there will be none.
+        """
+        started_at = self._node.clock()
+        ending = None
+        while not isinstance(ending, messages.Result):
+            endpoint = self._choose_endpoint(ending)
+            ending = await self._run_attempt(endpoint)
+            if isinstance(ending, messages.Refusal):
+                self._take_refusal(endpoint, ending)
+        use = callers.StageUse(
+            self._stage["name"],
+            self._node.clock() - started_at,
+            ending.busy_ms,
+            self._wasted_ms,
+            self._attempts,
+        )
+        if self._stage["kind"] != "engine":
+            return StageOutcome(ending.payload, 0, "", use)
+        payload = {"text": " ".join(self._buffer.tokens)}
+        return StageOutcome(payload, ending.count, ending.digest, use)
+
+    def _choose_endpoint(self, last: messages.Refusal | None) -> str:
+        now = self._node.clock()
+        names = self._list_candidates(now)
+        choice = self._node.router.choose(
+            names,
+            now,
+            prefix=self._read_prefix(),
+            exclude=self._tried,
+            remaining_seconds=self._deadline_at - now,
+        )
+        if choice is not None:
+            return choice.endpoint
+        if last is not None:
+            self._refuse(last.reason, last.detail, last.retry_after_ms / 1000)
+        self._refuse(
+            "no_endpoint",
+            f"no endpoint of {self._stage['pool']} takes work",
+            DEFAULT_RETRY_SECONDS,
+        )
+        raise AssertionError
+
+    def _list_candidates(self, now: float) -> list[str]:
+        value = self._node.holder.held.value
+        ready = [
+            peer
+            for peer in self._node.peers.list_ready(self._stage["pool"], now)
+            if peer.endpoint not in value["draining"]
+        ]
+        if self._stage["kind"] != "engine":
+            return [peer.endpoint for peer in ready]
+        self._choose_batch(ready, value)
+        return [
+            peer.endpoint
+            for peer in ready
+            if self._batch in peer.heartbeat.batches
+        ]
+
+    def _choose_batch(self, ready: list[peers.Peer], value: Any) -> None:
+        """Takes the newest batch that serves; tokens held bind to theirs."""
+        serving = {
+            name: batch["order"]
+            for name, batch in value["batches"].items()
+            if batch["model"] == self._stage["model"]
+            and batch["state"] == "serving"
+            and any(name in peer.heartbeat.batches for peer in ready)
+        }
+        if self._buffer.tokens:
+            if self._batch in serving:
+                return
+            self._drop_tokens("the batch that began the answer is gone")
+        self._batch = max(serving, key=serving.__getitem__, default="")
+
+    def _drop_tokens(self, reason: str) -> None:
+        """Starts the answer anew, which only works unseen by the caller."""
+        if self._emit is not None:
+            self._refuse("broken_answer", reason, DEFAULT_RETRY_SECONDS)
+        self._buffer = streams.TokenBuffer()
+
+    def _read_prefix(self) -> str:
+        if self._stage["kind"] != "engine":
+            return ""
+        return digest_prefix(self._payload["input"])
+
+    async def _run_attempt(
+        self, endpoint: str
+    ) -> messages.Result | messages.Refusal:
+        now = self._node.clock()
+        handover = self._build_handover(now)
+        peer = self._node.peers.find(endpoint)
+        self._attempts += 1
+        self._node.router.note_sent(
+            endpoint, handover.attempt, now, prefix=self._read_prefix()
+        )
+        self._progress.note_handed(self._repeatable)
+        # What holds if this block is left by the deadline.
+        noted = "slow"
+        busy_seconds = None
+        try:
+            async with peer.open_exchange(handover) as exchange:
+                ending = await self._follow(exchange)
+            noted = _name_ending(ending)
+            busy_seconds = ending.busy_ms / 1000 or None
+        except errors.PeerClosedError as error:
+            noted = "failed"
+            return self._build_refusal(
+                handover, "not_run", "unreachable", str(error)
+            )
+        finally:
+            self._node.router.note_ended(
+                endpoint,
+                handover.attempt,
+                self._node.clock(),
+                busy_seconds,
+                noted,
+            )
+        return ending
+
+    def _build_handover(self, now: float) -> messages.Handover:
+        request = self._request
+        return messages.Handover(
+            request=request.id,
+            stage=self._stage["name"],
+            attempt=secrets.token_hex(8),
+            pipeline=request.pipeline,
+            account=request.account,
+            payload=self._payload,
+            remaining_ms=int((self._deadline_at - now) * 1000),
+            priority=request.priority,
+            repeatable=self._repeatable,
+            key=request.key,
+            batch=self._batch,
+            offset=len(self._buffer.tokens),
+            fingerprint=request.fingerprint,
+            stream=self._stage["kind"] == "engine",
+        )
+
+    async def _follow(
+        self, exchange: peers.Exchange
+    ) -> messages.Result | messages.Refusal:
+        """Takes in an attempt's messages until it has ended."""
+        while True:
+            message = await exchange.receive()
+            match message:
+                case messages.Refusal():
+                    return message
+                case messages.Chunk() | messages.Result():
+                    try:
+                        if await self._take_answer(message):
+                            return message
+                    except streams.BrokenStreamError as error:
+                        return self._build_broken(exchange, str(error))
+                case peers.LinkLost() if not self._repeatable:
+                    if not await self._reattach(exchange):
+                        return self._build_lost(exchange)
+                case peers.LinkLost():
+                    return self._build_lost(exchange)
+                case peers.PeerSuspected() if self._repeatable:
+                    return self._build_lost(exchange)
+
+    async def _take_answer(
+        self, message: messages.Chunk | messages.Result
+    ) -> bool:
+        """Takes in a part of the answer; returns whether it is whole."""
+        if self._is_recalled():
+            raise streams.BrokenStreamError(f"{self._batch} was recalled")
+        if isinstance(message, messages.Chunk):
+            first = len(self._buffer.tokens)
+            fresh = self._buffer.add(message.sequence, message.tokens)
+            if self._emit is not None and fresh:
+                await self._emit(first, fresh)
+            return False
+        if self._stage["kind"] == "engine":
+            self._buffer.check_whole(message.count, message.digest)
+        return True
+
+    def _is_recalled(self) -> bool:
+        batch = self._node.holder.held.value["batches"].get(self._batch)
+        return batch is not None and batch["state"] == "recalled"
+
+    async def _reattach(self, exchange: peers.Exchange) -> bool:
+        """Asks the same process again for an attempt's ending.
+
+        The sidecar accepts an attempt once, so that handing the same one
+        over again runs nothing twice. Ends by the request's deadline.
+        """
+        while True:
+            await exchange.peer.connected.wait()
+            if exchange.peer.incarnation != exchange.incarnation:
+                return False
+            try:
+                await exchange.send_again()
+            except errors.PeerClosedError:
+                continue
+            return True
+
+    def _take_refusal(self, endpoint: str, refusal: messages.Refusal) -> None:
+        """Notes a refusal; raises if it ends the request."""
+        self._tried.add(endpoint)
+        self._wasted_ms += refusal.busy_ms
+        if refusal.outcome == "not_run":
+            self._progress.note_not_run(self._repeatable)
+        final = self._attempts >= ATTEMPTS_LIMIT
+        if refusal.outcome != "not_run" and not self._repeatable:
+            final = True
+        if final:
+            retry_after = refusal.retry_after_ms / 1000
+            self._refuse(
+                refusal.reason,
+                refusal.detail,
+                retry_after or DEFAULT_RETRY_SECONDS,
+            )
+
+    def _build_lost(self, exchange: peers.Exchange) -> messages.Refusal:
+        return self._build_refusal(
+            exchange.handover,
+            "failed" if self._repeatable else "unknown",
+            "unreachable",
+            f"lost the connection to {exchange.peer.address}",
+        )
+
+    def _build_broken(
+        self, exchange: peers.Exchange, detail: str
+    ) -> messages.Refusal:
+        if self._buffer.tokens:
+            self._drop_tokens(detail)
+        return self._build_refusal(
+            exchange.handover, "failed", "endpoint_failed", detail
+        )
+
+    def _build_refusal(
+        self,
+        handover: messages.Handover,
+        outcome: str,
+        reason: str,
+        detail: str,
+    ) -> messages.Refusal:
+        return messages.Refusal(
+            handover.request,
+            handover.stage,
+            handover.attempt,
+            outcome,
+            reason,
+            detail,
+            0,
+            0.0,
+        )
+
+    def _refuse(
+        self, reason: str, detail: str, retry_after_seconds: float
+    ) -> None:
+        raise errors.RequestRefusedError(
+            self._progress.build_refusal(reason, detail, retry_after_seconds)
+        )
+
+
+def _name_ending(ending: messages.Result | messages.Refusal) -> str:
+    """Returns the router's word for how an attempt ended."""
+    if isinstance(ending, messages.Result):
+        return "ok"
+    return "refused" if ending.outcome == "not_run" else "failed"
