--- a/samphirevale/settings.py
+++ b/samphirevale/settings.py
@@ -1,10 +1,30 @@
-"""The settings of the two roles, as typed values.
+"""The settings of the two roles: typed, loaded and checked as a whole.
 
-Each field is a flag (`--entry-port` for `entry_port`) and an environment
-variable (`SAMPHIREVALE_ENTRY_PORT`).
+Each field is a flag (`--caller-port` for `caller_port`) and an environment
+variable (`SAMPHIREVALE_CALLER_PORT`); the flag goes first. A secret has no
+flag: it comes by its variable or from the file that the variable with
+`_FILE` at its end names. Lists are separated by commas.
 """
 
-from typing import NamedTuple
+import inspect
+import re
+import typing
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+from samphirevale import errors, rules
+
+# The environment variable of a field is this and its name in upper case.
+ENVIRONMENT_PREFIX = "SAMPHIREVALE_"
+
+# What stands in a dump in place of a secret.
+REDACTED = "[redacted]"
+
+# Fields that are never a flag and never shown.
+SECRET_FIELDS = frozenset({"peer_secret", "operator_token"})
+
+# The most characters of a wrong value that a finding repeats.
+SHOWN_CHARACTERS = 60
 
 
 class CommonSettings(NamedTuple):
@@ -21,6 +41,7 @@
         suspect_seconds: silence after which a peer is suspected.
         drain_seconds: longest time that a graceful stop waits.
         fatal_invariants: end the process when an invariant is violated.
+        log_level: `debug`, `info`, `warning` or `error`.
     """
 
     instance: str
@@ -33,6 +54,7 @@
     suspect_seconds: float = 1.5
     drain_seconds: float = 30.0
     fatal_invariants: bool = False
+    log_level: str = "info"
 
 
 class EntrySettings(NamedTuple):
@@ -96,3 +118,196 @@
     lease_seconds: float = 5.0
     order_seconds: float = 2.0
     load_seconds: float = 0.2
+
+
+Settings = EntrySettings | SidecarSettings
+
+
+class Field(NamedTuple):
+    """One setting, as the command line and the documentation need it.
+
+    Attributes:
+        name: the field's name.
+        type: its type.
+        default: its default; inspect.Parameter.empty if it must be given.
+        doc: what the field's class says of it.
+    """
+
+    name: str
+    type: Any
+    default: Any
+    doc: str
+
+    @property
+    def is_secret(self) -> bool:
+        """Whether it has no flag and is never shown."""
+        return self.name in SECRET_FIELDS
+
+    @property
+    def variable(self) -> str:
+        """The name of its environment variable."""
+        return ENVIRONMENT_PREFIX + self.name.upper()
+
+    @property
+    def flag(self) -> str:
+        """Its flag."""
+        return "--" + self.name.replace("_", "-")
+
+
+def list_fields(settings_type: type) -> list[Field]:
+    """Returns the fields of a role's settings, those of both roles first."""
+    fields = []
+    docs = _read_docs(settings_type)
+    for name, field_type in typing.get_type_hints(settings_type).items():
+        if field_type is CommonSettings:
+            fields.extend(list_fields(CommonSettings))
+            continue
+        default = settings_type._field_defaults.get(
+            name, inspect.Parameter.empty
+        )
+        fields.append(Field(name, field_type, default, docs[name]))
+    return fields
+
+
+def _read_docs(settings_type: type) -> dict[str, str]:
+    text = inspect.getdoc(settings_type).partition("Attributes:")[2]
+    items = re.findall(r"^    (\w+): (.*(?:\n {8}.*)*)", text, re.MULTILINE)
+    return {name: " ".join(doc.split()) for name, doc in items}
+
+
+def load_entry_settings(
+    flags: Mapping[str, str | None], environment: Mapping[str, str]
+) -> EntrySettings:
+    """Returns the settings of an entry.
+
+    Args:
+        flags: the flags' texts by field name; None where one is not given.
+        environment: the environment variables.
+
+    Raises:
+        errors.InvalidInputError: with every finding.
+    """
+    return _load(EntrySettings, flags, environment)
+
+
+def load_sidecar_settings(
+    flags: Mapping[str, str | None], environment: Mapping[str, str]
+) -> SidecarSettings:
+    """Returns the settings of a sidecar; as load_entry_settings."""
+    return _load(SidecarSettings, flags, environment)
+
+
+def redact(settings: Settings) -> dict[str, Any]:
+    """Returns all settings as one flat map without the secrets."""
+    flat = settings.common._asdict() | settings._asdict()
+    del flat["common"]
+    for name in SECRET_FIELDS & flat.keys():
+        flat[name] = REDACTED
+    return flat
+
+
+def list_secrets(settings: Settings) -> list[str]:
+    """Returns the values that must never be shown."""
+    flat = settings.common._asdict() | settings._asdict()
+    return [flat[name] for name in SECRET_FIELDS if flat.get(name)]
+
+
+def _load(
+    settings_type: type,
+    flags: Mapping[str, str | None],
+    environment: Mapping[str, str],
+) -> Any:
+    values: dict[str, Any] = {}
+    findings: list[errors.Finding] = []
+    for field in list_fields(settings_type):
+        try:
+            value = _load_field(field, flags, environment)
+        except errors.InvalidInputError as error:
+            findings.extend(error.findings)
+        else:
+            values[field.name] = value
+    for check in rules.RELATIONS:
+        findings.extend(check(values))
+    if findings:
+        raise errors.InvalidInputError(findings)
+    common = CommonSettings(
+        **{name: values.pop(name) for name in CommonSettings._fields}
+    )
+    return settings_type(common=common, **values)
+
+
+class _Given(NamedTuple):
+    """A setting's text and where it came from."""
+
+    place: str
+    text: str
+
+
+def _load_field(
+    field: Field,
+    flags: Mapping[str, str | None],
+    environment: Mapping[str, str],
+) -> Any:
+    rule = rules.VALUES[field.name]
+    given = _find_text(field, flags, environment)
+    if given is None:
+        if field.default is inspect.Parameter.empty:
+            _fail(_name_place(field), f"{rule.expected}; it must be given")
+        return field.default
+    try:
+        value = rules.convert(field.type, given.text)
+        accepted = rule.accepts(value)
+    except ValueError:
+        accepted = False
+    if not accepted:
+        got = "" if field.is_secret else _shorten(given.text)
+        _fail(given.place, rule.expected, got)
+    return value
+
+
+def _find_text(
+    field: Field,
+    flags: Mapping[str, str | None],
+    environment: Mapping[str, str],
+) -> _Given | None:
+    if field.is_secret:
+        return _find_secret(field, environment)
+    text = flags.get(field.name)
+    if text is not None:
+        return _Given(field.flag, text)
+    text = environment.get(field.variable)
+    if text is not None:
+        return _Given(field.variable, text)
+    return None
+
+
+def _find_secret(field: Field, environment: Mapping[str, str]) -> _Given | None:
+    text = environment.get(field.variable)
+    file_variable = field.variable + "_FILE"
+    path = environment.get(file_variable)
+    if path is None:
+        return None if text is None else _Given(field.variable, text)
+    if text is not None:
+        _fail(file_variable, f"not to be given with {field.variable}")
+    try:
+        with open(path, encoding="utf-8") as file:
+            return _Given(file_variable, file.read().strip())
+    except (OSError, UnicodeDecodeError) as error:
+        reason = getattr(error, "strerror", None) or "not UTF-8 text"
+        _fail(file_variable, "a readable file", f"{path} ({reason})")
+
+
+def _fail(place: str, expected: str, got: str = "") -> typing.NoReturn:
+    raise errors.InvalidInputError([errors.Finding(place, expected, got)])
+
+
+def _name_place(field: Field) -> str:
+    if field.is_secret:
+        return f"{field.variable} or {field.variable}_FILE"
+    return f"{field.flag} or {field.variable}"
+
+
+def _shorten(text: str) -> str:
+    if len(text) <= SHOWN_CHARACTERS:
+        return repr(text)
+    return repr(text[:SHOWN_CHARACTERS]) + "..."
