--- /dev/null
+++ b/samphirevale/adapters/caller_api.py
@@ -0,0 +1,188 @@
+"""The HTTP interface for callers."""
+
+import json
+import math
+import re
+from collections.abc import AsyncIterator
+from typing import Any
+
+import curio
+
+from samphirevale import callers, errors
+from samphirevale.adapters import web
+from samphirevale.ports import requests
+
+REQUESTS_PATH = re.compile(r"/v1/pipelines/([^/]+)/requests")
+OUTCOME_PATH = re.compile(r"/v1/requests/([^/]+)")
+
+JSON_TYPE = ("Content-Type", "application/json")
+PROBLEM_TYPE = ("Content-Type", "application/problem+json")
+EVENTS_TYPE = ("Content-Type", "text/event-stream")
+
+
+class CallerApi:
+    """Answers the requests on an entry's caller port."""
+
+    def __init__(self, desk: requests.RequestDesk):
+        self._desk = desk
+
+    async def handle(
+        self, request: web.Request
+    ) -> web.Response | web.StreamedResponse:
+        """Answers one HTTP request."""
+        if request.path == "/healthz":
+            return web.build_json(200, {"healthy": True})
+        if request.path == "/readyz":
+            return self._answer_ready()
+        if found := REQUESTS_PATH.fullmatch(request.path):
+            if request.method != "POST":
+                return _refuse_method("POST")
+            return await self._take_request(request, found.group(1))
+        if found := OUTCOME_PATH.fullmatch(request.path):
+            if request.method != "GET":
+                return _refuse_method("GET")
+            return await self._tell_outcome(request, found.group(1))
+        return _build_invalid(404, "path", "a path of this interface", "")
+
+    def _answer_ready(self) -> web.Response:
+        refusal = self._desk.refuse_early()
+        if refusal is None:
+            return web.build_json(200, {"ready": True})
+        return web.build_json(503, {"ready": False, "reason": refusal.reason})
+
+    async def _take_request(
+        self, request: web.Request, pipeline: str
+    ) -> web.Response | web.StreamedResponse:
+        request_id = self._desk.create_request_id()
+        refusal = self._desk.refuse_early()
+        if refusal is not None:
+            return build_problem(request_id, refusal)
+        held = self._desk.read_configuration()
+        account = callers.find_account(request.headers, held)
+        if account is None:
+            return _build_unauthorized(request_id)
+        try:
+            checked = callers.read_request(
+                request, request_id, account, pipeline, held
+            )
+        except errors.InvalidInputError as error:
+            unknown = pipeline not in held.value["pipelines"]
+            return _build_findings(
+                request_id, 404 if unknown else 400, error.findings
+            )
+        if checked.stream:
+            return await self._answer_stream(checked)
+        answer = await self._desk.execute(checked, None)
+        return build_answer(checked.id, answer)
+
+    async def _answer_stream(
+        self, request: callers.CallerRequest
+    ) -> web.Response | web.StreamedResponse:
+        """Answers with events, or with a problem if it ends without any."""
+        events = curio.Queue()
+        task = await curio.spawn(self._execute_into, request, events)
+        first = await events.get()
+        if isinstance(first, callers.Refused):
+            await task.join()
+            return build_problem(request.id, first)
+        body = _write_events(request.id, first, events, task)
+        return web.StreamedResponse(200, body, (EVENTS_TYPE,))
+
+    async def _execute_into(
+        self, request: callers.CallerRequest, events: curio.Queue
+    ) -> None:
+        async def emit(sequence: int, tokens: list[str]) -> None:
+            await events.put({"sequence": sequence, "tokens": tokens})
+
+        await events.put(await self._desk.execute(request, emit))
+
+    async def _tell_outcome(
+        self, request: web.Request, key: str
+    ) -> web.Response:
+        refusal = self._desk.refuse_early()
+        if refusal is not None:
+            return build_problem("", refusal)
+        held = self._desk.read_configuration()
+        account = callers.find_account(request.headers, held)
+        if account is None:
+            return _build_unauthorized("")
+        found = await self._desk.find_outcome(account, key)
+        if found is None:
+            return _build_invalid(404, "key", "the key of a request", key)
+        status, value = found
+        return web.build_json(status, value)
+
+
+async def _write_events(
+    request_id: str, first: Any, events: curio.Queue, task: curio.Task
+) -> AsyncIterator[bytes]:
+    """Yields server-sent events; a caller that leaves ends the execution."""
+    try:
+        event = first
+        while isinstance(event, dict):
+            yield _format_event("chunk", event)
+            event = await events.get()
+        if isinstance(event, callers.Whole):
+            value = callers.describe_whole(request_id, event)
+            yield _format_event("end", value)
+        else:
+            value = callers.describe_refusal(request_id, event)
+            yield _format_event("error", value)
+    finally:
+        await task.cancel()
+
+
+def _format_event(name: str, value: Any) -> bytes:
+    return f"event: {name}\ndata: {json.dumps(value)}\n\n".encode()
+
+
+def build_answer(request_id: str, answer: callers.Answer) -> web.Response:
+    """Returns the response for a final answer."""
+    if isinstance(answer, callers.Refused):
+        return build_problem(request_id, answer)
+    return web.build_json(200, callers.describe_whole(request_id, answer))
+
+
+def build_problem(request_id: str, refusal: callers.Refused) -> web.Response:
+    """Returns problem details (RFC 9457), with when to come back."""
+    value = callers.describe_refusal(request_id, refusal)
+    headers = [PROBLEM_TYPE]
+    if refusal.retry_after_seconds:
+        # Whole seconds are all that the header can say.
+        seconds = math.ceil(refusal.retry_after_seconds)
+        headers.append(("Retry-After", str(seconds)))
+    body = json.dumps(value).encode()
+    return web.Response(refusal.status, body, tuple(headers))
+
+
+def _build_findings(
+    request_id: str, status: int, findings: list[errors.Finding]
+) -> web.Response:
+    refusal = callers.Refused(
+        "invalid",
+        status,
+        "invalid",
+        f"{len(findings)} findings",
+        findings=tuple(findings),
+    )
+    return build_problem(request_id, refusal)
+
+
+def _build_invalid(
+    status: int, place: str, expected: str, got: str
+) -> web.Response:
+    return _build_findings("", status, [errors.Finding(place, expected, got)])
+
+
+def _build_unauthorized(request_id: str) -> web.Response:
+    finding = errors.Finding(
+        "header Authorization", "the bearer token of an account"
+    )
+    response = _build_findings(request_id, 401, [finding])
+    challenge = ("WWW-Authenticate", "Bearer")
+    return response._replace(headers=(*response.headers, challenge))
+
+
+def _refuse_method(allowed: str) -> web.Response:
+    response = _build_invalid(405, "method", allowed, "")
+    return response._replace(headers=(*response.headers, ("Allow", allowed)))
--- a/samphirevale/adapters/web.py
+++ b/samphirevale/adapters/web.py
@@ -88,12 +88,25 @@
     return parts.hostname, parts.port
 
 
+class ServerState:
+    """What a server and the one that stops it tell each other.
+
+    Attributes:
+        draining: once set, each connection ends after its next answer.
+        busy: requests that have been read and not yet wholly answered.
+    """
+
+    def __init__(self):
+        self.draining = False
+        self.busy = 0
+
+
 async def serve(
     handler: Handler,
     host: str,
     port: int,
     limits: Limits = DEFAULT_LIMITS,
-    draining: curio.Event | None = None,
+    state: ServerState | None = None,
 ) -> None:
     """Serves HTTP until cancelled; one task a connection.
 
@@ -102,8 +115,9 @@
         host: the address to listen on.
         port: the port to listen on.
         limits: bounds on what is read and kept.
-        draining: once set, each connection ends after its next answer.
+        state: shared with the one that stops the server.
     """
+    shared = state or ServerState()
     connections = 0
 
     async def run_connection(client: Any, _: Any) -> None:
@@ -113,7 +127,7 @@
             return
         connections += 1
         try:
-            await _ServerConnection(client, handler, limits, draining).run()
+            await _ServerConnection(client, handler, limits, shared).run()
         finally:
             connections -= 1
 
@@ -143,12 +157,12 @@
         client: Any,
         handler: Handler,
         limits: Limits,
-        draining: curio.Event | None,
+        state: ServerState,
     ):
         self._client = client
         self._handler = handler
         self._limits = limits
-        self._draining = draining
+        self._state = state
         self._protocol = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.head_bytes
         )
@@ -180,16 +194,23 @@
             return False
         if request is None:
             return False
+        self._state.busy += 1
+        try:
+            await self._answer(request)
+        finally:
+            self._state.busy -= 1
+        return (
+            self._protocol.our_state is h11.DONE
+            and self._protocol.their_state is h11.DONE
+        )
+
+    async def _answer(self, request: Request) -> None:
         try:
             response = await self._handler(request)
         except Exception as error:
             await self._refuse(500, f"{type(error).__name__}: {error}")
             raise
         await self._send_response(response)
-        return (
-            self._protocol.our_state is h11.DONE
-            and self._protocol.their_state is h11.DONE
-        )
 
     async def _read_request(self) -> Request | None:
         async with curio.timeout_after(self._limits.idle_seconds):
@@ -229,7 +250,7 @@
         self, response: Response | StreamedResponse
     ) -> None:
         headers = list(response.headers)
-        if self._draining is not None and self._draining.is_set():
+        if self._state.draining:
             headers.append(("Connection", "close"))
         if isinstance(response, Response):
             headers.append(("Content-Length", str(len(response.body))))
--- a/samphirevale/callers.py
+++ b/samphirevale/callers.py
@@ -202,7 +202,9 @@
     for name in ("stream", "idempotent"):
         if not isinstance(body.get(name, True), bool):
             findings.append(
-                errors.Finding(f"body.{name}", "true or false", _shorten(body[name]))
+                errors.Finding(
+                    f"body.{name}", "true or false", _shorten(body[name])
+                )
             )
     _check_integer(body, "priority", 0, LOWEST_PRIORITY, findings)
     if longest_ms:
--- /dev/null
+++ b/samphirevale/entry.py
@@ -0,0 +1,251 @@
+"""The entry role: takes requests of callers and drives them."""
+
+import contextlib
+import random
+import secrets
+import time
+from collections.abc import AsyncIterator
+from typing import Any
+
+import curio
+
+from samphirevale import (
+    callers,
+    configuration,
+    errors,
+    execution,
+    handovers,
+    lifecycle,
+    messages,
+    node,
+    routing,
+    settings,
+    sidecars,
+    snapshots,
+)
+from samphirevale.adapters import caller_api, objects, web
+from samphirevale.ports import objects as object_port
+
+# The longest wait of one watch on the store, in seconds.
+WATCH_SECONDS = 20.0
+
+# The wait after a failed call to the store, in seconds, doubled up to the
+# limit and drawn between half of it and the whole.
+STORE_RETRY_SECONDS = 0.2
+STORE_RETRY_SECONDS_LIMIT = 3.0
+
+# A peer that is neither listed nor connected is dropped after this long.
+FORGET_SECONDS = 30.0
+
+# The interval between looks for a condition that nothing signals, in seconds.
+CHECK_SECONDS = 0.02
+
+
+class Entry:
+    """An entry: implements ports.requests.RequestDesk."""
+
+    def __init__(
+        self, loaded: settings.EntrySettings, life: lifecycle.Lifecycle
+    ):
+        self._settings = loaded
+        self._life = life
+        self._server = web.ServerState()
+        rng = random.Random(secrets.randbits(64))
+        holder = snapshots.SnapshotHolder()
+        hello = messages.Hello(
+            instance=loaded.common.instance,
+            incarnation=secrets.token_hex(8),
+            role="entry",
+            data_centre=loaded.common.data_centre,
+            endpoint="",
+            pool="",
+        )
+        events = sidecars.PeerEvents(
+            heartbeat=self._note_heartbeat,
+            lost=self._note_lost,
+            crash=self._note_crash,
+        )
+        table = sidecars.PeerTable(
+            hello, loaded.common, holder, events, rng, time.monotonic
+        )
+        self.node = node.Node(
+            settings=loaded,
+            holder=holder,
+            peers=table,
+            router=routing.Router(
+                loaded.routing_policy, loaded.common.data_centre, rng
+            ),
+            store=objects.HttpObjectStore(loaded.common.store_url),
+            rng=rng,
+            clock=time.monotonic,
+        )
+
+    def read_configuration(self) -> configuration.Configuration:
+        """Returns the configuration in force here."""
+        return self.node.holder.held
+
+    def refuse_early(self) -> callers.Refused | None:
+        """Returns why no request at all is taken now, or None."""
+        if self._life.stop.is_set():
+            reason, detail = "leaving", "this instance is stopping"
+        elif self.node.holder.revision == 0:
+            reason, detail = "no_configuration", "no configuration yet"
+        else:
+            return None
+        return callers.Refused(
+            "not_run", 503, reason, detail, handovers.DEFAULT_RETRY_SECONDS
+        )
+
+    def create_request_id(self) -> str:
+        """Returns an id that is unique over all entries."""
+        return f"{self._settings.common.instance}-{secrets.token_hex(8)}"
+
+    async def execute(
+        self, request: callers.CallerRequest, emit: handovers.Emit | None
+    ) -> callers.Answer:
+        """Returns the request's one final answer, by its deadline."""
+        deadline_at = self.node.clock() + request.deadline_ms / 1000
+        run = execution.Execution(self.node, request, deadline_at, emit)
+        return await run.run()
+
+    async def find_outcome(
+        self, account: str, key: str
+    ) -> tuple[int, dict] | None:
+        """Returns HTTP status and value of a keyed request, or None."""
+        return None
+
+    def _note_heartbeat(self, peer: sidecars.Peer) -> None:
+        self.node.router.note_report(
+            peer.endpoint,
+            peer.hello.pool,
+            peer.hello.data_centre,
+            peer.heartbeat,
+            self.node.clock(),
+        )
+
+    def _note_lost(self, peer: sidecars.Peer) -> None:
+        if peer.endpoint:
+            self.node.router.forget(peer.endpoint)
+
+    async def _note_crash(self, notice: messages.CrashNotice) -> None:
+        pass
+
+    async def follow_configuration(self) -> None:
+        """Reads the configuration and watches it, for ever."""
+        wait = STORE_RETRY_SECONDS
+        while True:
+            try:
+                version = await self._read_stored()
+                while True:
+                    wait = STORE_RETRY_SECONDS
+                    version = await self._watch_stored(version)
+            except errors.StoreError:
+                await curio.sleep(self.node.rng.uniform(wait / 2, wait))
+                wait = min(wait * 2, STORE_RETRY_SECONDS_LIMIT)
+
+    async def _read_stored(self) -> int:
+        stored = await self.node.store.get(
+            configuration.OBJECT_KIND, configuration.OBJECT_NAME
+        )
+        if stored is None:
+            return 0
+        self._adopt_stored(stored)
+        return stored.version
+
+    async def _watch_stored(self, version: int) -> int:
+        events = await self.node.store.watch(
+            configuration.OBJECT_KIND, version, WATCH_SECONDS
+        )
+        for stored in events.objects:
+            if stored.name == configuration.OBJECT_NAME and stored.value:
+                self._adopt_stored(stored)
+        return events.version
+
+    def _adopt_stored(self, stored: object_port.StoredObject) -> None:
+        seen = configuration.Configuration(
+            stored.value["revision"], stored.value
+        )
+        self.node.holder.adopt(seen)
+
+    async def follow_list(self) -> None:
+        """Reads the platform's list and keeps its sidecars, for ever."""
+        for address in self._settings.peers:
+            await self.node.peers.keep(address)
+        while True:
+            with contextlib.suppress(errors.StoreError):
+                listed = await self.node.store.list_instances()
+                await self._take_list(listed)
+            await curio.sleep(self._settings.list_seconds)
+
+    async def _take_list(
+        self, listed: list[object_port.ListedInstance]
+    ) -> None:
+        by_address = {f"{item.host}:{item.peer_port}": item for item in listed}
+        for address, item in by_address.items():
+            peer = await self.node.peers.keep(address)
+            peer.listed_leaving = item.state == "leaving"
+        now = self.node.clock()
+        for address, peer in list(self.node.peers.peers.items()):
+            gone = address not in by_address and not peer.connected.is_set()
+            if address in self._settings.peers or not gone:
+                continue
+            if now - peer.heard_at > FORGET_SECONDS:
+                await self.node.peers.drop(address)
+
+    async def serve_callers(self) -> None:
+        """Serves the callers' port until cancelled."""
+        limits = web.Limits(
+            body_bytes=self._settings.body_bytes_limit,
+            connections=self._settings.connections_limit,
+            idle_seconds=self._settings.idle_seconds,
+        )
+        api = caller_api.CallerApi(self)
+        await web.serve(
+            api.handle,
+            self._settings.common.host,
+            self._settings.caller_port,
+            limits,
+            self._server,
+        )
+
+    async def wait_configuration(self) -> None:
+        """Returns once there is a configuration, or on the order to stop."""
+        while not self.node.holder.is_known() and not self._life.stop.is_set():
+            await curio.sleep(CHECK_SECONDS)
+
+    async def drain(self) -> None:
+        """Waits until what is in flight has been answered, or for too long."""
+        self._server.draining = True
+        self.node.peers.leaving = True
+        async with curio.ignore_after(self._settings.common.drain_seconds):
+            while self._server.busy:
+                await curio.sleep(CHECK_SECONDS)
+
+
+@contextlib.asynccontextmanager
+async def run_task(function: Any, *args: Any) -> AsyncIterator[None]:
+    """Runs a task for as long as the block lasts."""
+    task = await curio.spawn(function, *args, daemon=True)
+    try:
+        yield
+    finally:
+        await task.cancel()
+
+
+async def run(
+    loaded: settings.EntrySettings, life: lifecycle.Lifecycle
+) -> None:
+    """Runs an entry until it has stopped gracefully."""
+    entry = Entry(loaded, life)
+    async with contextlib.AsyncExitStack() as stack:
+        for function in (
+            entry.follow_configuration,
+            entry.follow_list,
+            entry.serve_callers,
+        ):
+            await stack.enter_async_context(run_task(function))
+        stack.push_async_callback(entry.node.peers.close)
+        await entry.wait_configuration()
+        life.report_ready()
+        await life.stop.wait()
+        await entry.drain()
--- a/samphirevale/handovers.py
+++ b/samphirevale/handovers.py
@@ -7,13 +7,13 @@
 from typing import Any, NamedTuple
 
 from samphirevale import (
+    answers,
     callers,
     configuration,
     errors,
     messages,
     node,
-    peers,
-    streams,
+    sidecars,
 )
 
 # Sends tokens to the caller: the first one's number, and the tokens.
@@ -133,7 +133,7 @@
         self._progress = progress
         self._emit = emit
         self._repeatable = is_repeatable(stage, request.idempotent)
-        self._buffer = streams.TokenBuffer()
+        self._buffer = answers.TokenBuffer()
         self._batch = ""
         self._tried: set[str] = set()
         self._wasted_ms = 0.0
@@ -201,7 +201,7 @@
             if self._batch in peer.heartbeat.batches
         ]
 
-    def _choose_batch(self, ready: list[peers.Peer], value: Any) -> None:
+    def _choose_batch(self, ready: list[sidecars.Peer], value: Any) -> None:
         """Takes the newest batch that serves; tokens held bind to theirs."""
         serving = {
             name: batch["order"]
@@ -220,7 +220,7 @@
         """Starts the answer anew, which only works unseen by the caller."""
         if self._emit is not None:
             self._refuse("broken_answer", reason, DEFAULT_RETRY_SECONDS)
-        self._buffer = streams.TokenBuffer()
+        self._buffer = answers.TokenBuffer()
 
     def _read_prefix(self) -> str:
         if self._stage["kind"] != "engine":
@@ -281,7 +281,7 @@
         )
 
     async def _follow(
-        self, exchange: peers.Exchange
+        self, exchange: sidecars.Exchange
     ) -> messages.Result | messages.Refusal:
         """Takes in an attempt's messages until it has ended."""
         while True:
@@ -293,14 +293,14 @@
                     try:
                         if await self._take_answer(message):
                             return message
-                    except streams.BrokenStreamError as error:
+                    except answers.BrokenStreamError as error:
                         return self._build_broken(exchange, str(error))
-                case peers.LinkLost() if not self._repeatable:
+                case sidecars.LinkLost() if not self._repeatable:
                     if not await self._reattach(exchange):
                         return self._build_lost(exchange)
-                case peers.LinkLost():
+                case sidecars.LinkLost():
                     return self._build_lost(exchange)
-                case peers.PeerSuspected() if self._repeatable:
+                case sidecars.PeerSuspected() if self._repeatable:
                     return self._build_lost(exchange)
 
     async def _take_answer(
@@ -308,7 +308,7 @@
     ) -> bool:
         """Takes in a part of the answer; returns whether it is whole."""
         if self._is_recalled():
-            raise streams.BrokenStreamError(f"{self._batch} was recalled")
+            raise answers.BrokenStreamError(f"{self._batch} was recalled")
         if isinstance(message, messages.Chunk):
             first = len(self._buffer.tokens)
             fresh = self._buffer.add(message.sequence, message.tokens)
@@ -323,7 +323,7 @@
         batch = self._node.holder.held.value["batches"].get(self._batch)
         return batch is not None and batch["state"] == "recalled"
 
-    async def _reattach(self, exchange: peers.Exchange) -> bool:
+    async def _reattach(self, exchange: sidecars.Exchange) -> bool:
         """Asks the same process again for an attempt's ending.
 
         The sidecar accepts an attempt once, so that handing the same one
@@ -356,7 +356,7 @@
                 retry_after or DEFAULT_RETRY_SECONDS,
             )
 
-    def _build_lost(self, exchange: peers.Exchange) -> messages.Refusal:
+    def _build_lost(self, exchange: sidecars.Exchange) -> messages.Refusal:
         return self._build_refusal(
             exchange.handover,
             "failed" if self._repeatable else "unknown",
@@ -365,7 +365,7 @@
         )
 
     def _build_broken(
-        self, exchange: peers.Exchange, detail: str
+        self, exchange: sidecars.Exchange, detail: str
     ) -> messages.Refusal:
         if self._buffer.tokens:
             self._drop_tokens(detail)
--- a/samphirevale/node.py
+++ b/samphirevale/node.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from samphirevale import peers, routing, settings, snapshots
+from samphirevale import routing, settings, sidecars, snapshots
 from samphirevale.ports import objects
 
 
@@ -23,7 +23,7 @@
 
     settings: settings.EntrySettings
     holder: snapshots.SnapshotHolder
-    peers: peers.PeerTable
+    peers: sidecars.PeerTable
     router: routing.Router
     store: objects.ObjectStore
     rng: random.Random
--- a/samphirevale/peers.py
+++ b/samphirevale/sidecars.py
@@ -316,10 +316,8 @@
             case messages.CrashNotice():
                 await self._events.crash(message)
             case messages.Snapshot():
-                await self._holder.adopt(
-                    configuration.Configuration(
-                        message.revision, message.value
-                    )
+                self._holder.adopt(
+                    configuration.Configuration(message.revision, message.value)
                 )
             case messages.SnapshotRequest():
                 held = self._holder.held
