--- /dev/null
+++ b/samphirevale/adapters/endpoints.py
@@ -0,0 +1,363 @@
+"""The endpoints over HTTP, by kind.
+
+A repeatable call may go over a connection that is kept alive; one that may
+not be repeated always goes over a fresh connection, so that a connection
+that the endpoint closed meanwhile cannot make its outcome unknown.
+"""
+
+import contextlib
+import json
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+from samphirevale import errors, messages
+from samphirevale.adapters import web
+from samphirevale.ports import endpoints
+
+# The most idle connections that are kept to one endpoint.
+IDLE_CONNECTIONS_LIMIT = 16
+
+# The longest time for a probe or a report, in seconds.
+REPORT_SECONDS = 1.0
+
+# The longest time to tell an engine of a cancelled attempt, in seconds.
+CANCEL_SECONDS = 1.0
+
+# The largest result, in bytes; it has to fit into a frame.
+RESULT_BYTES_LIMIT = messages.FRAME_BYTES_LIMIT // 2
+
+_kinds: dict[str, type] = {}
+
+
+def register(kind: str) -> Callable[[type], type]:
+    """Makes a class the adapter for endpoints of `kind`."""
+
+    def add(adapter: type) -> type:
+        _kinds[kind] = adapter
+        return adapter
+
+    return add
+
+
+def build_endpoint(
+    kind: str, url: str, order_seconds: float
+) -> endpoints.Endpoint:
+    """Returns the adapter for an endpoint of `kind` at `url`."""
+    return _kinds[kind](url, order_seconds)
+
+
+class _HttpEndpoint:
+    """What the kinds share: connections, probes, failures by phase."""
+
+    streams = False
+    takes_orders = False
+    target = ""
+
+    # The statuses with which it says that it ran nothing, to the phase.
+    not_run_statuses = {503: "refused"}
+
+    def __init__(self, url: str, order_seconds: float):
+        self._url = url
+        self._order_seconds = order_seconds
+        self._idle: list[web.ClientConnection] = []
+
+    async def run(
+        self, call: endpoints.Call
+    ) -> AsyncIterator[
+        endpoints.Tokens | endpoints.Completed | endpoints.Failed
+    ]:
+        """Runs one attempt; the last item is Completed or Failed."""
+        try:
+            connection = await self._open(call.repeatable)
+        except errors.ConnectError as error:
+            yield endpoints.Failed("nothing_sent", str(error))
+            return
+        kept = False
+        try:
+            answer = await connection.request(
+                "POST", self.target, _encode(self._build_body(call))
+            )
+            if answer.status != 200:
+                yield await self._read_failure(answer)
+            else:
+                async with contextlib.aclosing(self._read(answer)) as items:
+                    async for item in items:
+                        yield item
+            kept = self._keep(connection)
+        except (errors.AnswerLostError, errors.ProtocolError) as error:
+            yield endpoints.Failed("lost", str(error))
+        finally:
+            if not kept:
+                await connection.close()
+
+    async def cancel(self, attempt: str) -> None:
+        """Does nothing: only engines can stop an attempt."""
+
+    async def read_health(self) -> endpoints.Health:
+        """Probes it on a fresh connection."""
+        status, value, _ = await self._report("/health")
+        incarnation = ""
+        if isinstance(value, dict):
+            incarnation = str(value.get("incarnation", ""))
+        return endpoints.Health(status == 200, incarnation)
+
+    async def read_load(self) -> endpoints.LoadReport | None:
+        """Returns its load, or None where it does not report it."""
+        status, value, _ = await self._report("/load")
+        if status != 200:
+            return None
+        return _parse(_build_load_report, value)
+
+    async def read_cache_events(
+        self, after: int
+    ) -> list[endpoints.CacheEvent]:
+        """Returns nothing: only engines cache prefixes."""
+        return []
+
+    async def read_state(self) -> endpoints.EndpointState:
+        """Returns an empty state: only engines load batches."""
+        return endpoints.EndpointState(frozenset(), "", 0)
+
+    async def send_order(self, order: endpoints.Order) -> None:
+        """Refuses it: only engines take orders."""
+        raise NotImplementedError
+
+    def _build_body(self, call: endpoints.Call) -> dict:
+        return {
+            "request": call.request,
+            "attempt": call.attempt,
+            "input": call.input,
+            "prior": call.prior,
+        }
+
+    async def _read(self, answer: web.Answer) -> AsyncIterator[Any]:
+        value = web.read_json(await answer.read_body(RESULT_BYTES_LIMIT))
+        yield _parse(_build_completed, value)
+
+    async def _read_failure(self, answer: web.Answer) -> endpoints.Failed:
+        # A status that says that nothing ran stays true if its body is lost.
+        phase = self.not_run_statuses.get(answer.status, "failed")
+        retry_after_ms = int(_read_retry_after(answer.headers) * 1000)
+        detail = f"status {answer.status}"
+        with contextlib.suppress(errors.TransportError):
+            body = await answer.read_body()
+            detail += f": {body[:200].decode('utf-8', 'replace')}"
+        return endpoints.Failed(phase, detail, retry_after_ms)
+
+    async def _open(self, repeatable: bool) -> web.ClientConnection:
+        while repeatable and self._idle:
+            connection = self._idle.pop()
+            if not connection.is_stale():
+                return connection
+            await connection.close()
+        return await web.open_connection(*web.split_address(self._url))
+
+    def _keep(self, connection: web.ClientConnection) -> bool:
+        if len(self._idle) >= IDLE_CONNECTIONS_LIMIT:
+            return False
+        if not connection.is_reusable():
+            return False
+        self._idle.append(connection)
+        return True
+
+    async def _report(self, target: str) -> tuple[int, Any, dict[str, str]]:
+        return await web.call_json(
+            self._url, "GET", target, timeout_seconds=REPORT_SECONDS
+        )
+
+
+@register("stage")
+class StageEndpoint(_HttpEndpoint):
+    """An encoder, retriever or reranker."""
+
+    target = "/run"
+
+
+@register("service")
+class ServiceEndpoint(_HttpEndpoint):
+    """A plain service."""
+
+    target = "/call"
+
+    def _build_body(self, call: endpoints.Call) -> dict:
+        return {**super()._build_body(call), "key": call.key}
+
+
+@register("engine")
+class EngineEndpoint(_HttpEndpoint):
+    """A model engine."""
+
+    streams = True
+    takes_orders = True
+    target = "/generate"
+    not_run_statuses = {503: "refused", 409: "not_loaded"}
+
+    async def cancel(self, attempt: str) -> None:
+        """Tells the engine to stop; an engine that is gone has stopped."""
+        with contextlib.suppress(errors.TransportError):
+            await web.call_json(
+                self._url,
+                "POST",
+                "/cancel",
+                {"attempt": attempt},
+                timeout_seconds=CANCEL_SECONDS,
+            )
+
+    async def read_cache_events(
+        self, after: int
+    ) -> list[endpoints.CacheEvent]:
+        """Returns the events numbered above `after`."""
+        status, value, _ = await self._report(f"/cache-events?after={after}")
+        if status != 200:
+            return []
+        return _parse(_build_cache_events, value)
+
+    async def read_state(self) -> endpoints.EndpointState:
+        """Returns what it has loaded."""
+        status, value, _ = await self._report("/state")
+        if status != 200:
+            raise errors.ProtocolError(f"/state answered {status}")
+        return _parse(_build_state, value)
+
+    async def send_order(self, order: endpoints.Order) -> None:
+        """Gives it an order and waits until it is done."""
+        status, value, headers = await web.call_json(
+            self._url,
+            "POST",
+            "/orders",
+            order._asdict(),
+            timeout_seconds=self._order_seconds,
+        )
+        if status == 409:
+            raise errors.FencedError(f"{order.order}: {value}")
+        if status in (429, 503):
+            raise errors.EndpointBusyError(
+                f"{order.order}: {value}", _read_retry_after(headers)
+            )
+        if status != 200:
+            raise errors.ProtocolError(f"/orders answered {status}: {value}")
+
+    def _build_body(self, call: endpoints.Call) -> dict:
+        return {
+            "request": call.request,
+            "attempt": call.attempt,
+            "prompt": build_prompt(call.input),
+            "prior": call.prior,
+            "batch": call.batch,
+            "offset": call.offset,
+            "priority": call.priority,
+        }
+
+    async def _read(self, answer: web.Answer) -> AsyncIterator[Any]:
+        rest = b""
+        completed = None
+        # Read to the end of the body, so that the connection can be kept.
+        async for part in answer.read_parts():
+            *lines, rest = (rest + part).split(b"\n")
+            if len(rest) > RESULT_BYTES_LIMIT:
+                raise errors.ProtocolError("a line over the limit")
+            items = [_parse_line(line) for line in lines if line]
+            for item in merge_tokens(items):
+                if isinstance(item, endpoints.Completed):
+                    completed = item
+                else:
+                    yield item
+        if completed is None:
+            raise errors.AnswerLostError("the stream ended early")
+        yield completed
+
+
+def merge_tokens(items: list[Any]) -> list[Any]:
+    """Joins tokens that follow each other, so that they are sent as one."""
+    merged: list[Any] = []
+    for item in items:
+        last = merged[-1] if merged else None
+        if (
+            isinstance(item, endpoints.Tokens)
+            and isinstance(last, endpoints.Tokens)
+            and item.sequence == last.sequence + len(last.tokens)
+        ):
+            merged[-1] = last._replace(tokens=last.tokens + item.tokens)
+        else:
+            merged.append(item)
+    return merged
+
+
+def build_prompt(value: Any) -> str:
+    """Returns the prompt for an input: text itself, or its JSON."""
+    if isinstance(value, str):
+        return value
+    return json.dumps(value, sort_keys=True, ensure_ascii=False)
+
+
+def _encode(value: Any) -> bytes:
+    return json.dumps(value).encode()
+
+
+def _read_retry_after(headers: dict[str, str]) -> float:
+    try:
+        return max(0.0, float(headers.get("retry-after", "0")))
+    except ValueError:
+        return 0.0
+
+
+def _parse(build: Callable[[Any], Any], value: Any) -> Any:
+    """Builds a typed value from an endpoint's JSON."""
+    try:
+        return build(value)
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise errors.ProtocolError(
+            f"an answer of another form: {str(value)[:200]}"
+        ) from error
+
+
+def _build_completed(value: Any) -> endpoints.Completed:
+    return endpoints.Completed(
+        payload=value["result"],
+        count=0,
+        digest="",
+        busy_ms=float(value.get("busy_ms", 0.0)),
+    )
+
+
+def _parse_line(line: bytes) -> endpoints.Tokens | endpoints.Completed:
+    return _parse(_build_stream_item, web.read_json(line))
+
+
+def _build_stream_item(value: Any) -> endpoints.Tokens | endpoints.Completed:
+    if not value.get("done"):
+        return endpoints.Tokens(
+            int(value["sequence"]), [str(token) for token in value["tokens"]]
+        )
+    return endpoints.Completed(
+        payload=None,
+        count=int(value["count"]),
+        digest=str(value["digest"]),
+        busy_ms=float(value.get("busy_ms", 0.0)),
+    )
+
+
+def _build_load_report(value: Any) -> endpoints.LoadReport:
+    return endpoints.LoadReport(
+        running=int(value["running"]),
+        waiting=int(value["waiting"]),
+        slots=int(value.get("slots", 0)),
+        age_ms=float(value.get("age_ms", 0.0)),
+    )
+
+
+def _build_cache_events(value: Any) -> list[endpoints.CacheEvent]:
+    return [
+        endpoints.CacheEvent(
+            int(event["number"]), str(event["prefix"]), bool(event["cached"])
+        )
+        for event in value["events"]
+    ]
+
+
+def _build_state(value: Any) -> endpoints.EndpointState:
+    return endpoints.EndpointState(
+        batches=frozenset(str(batch) for batch in value["batches"]),
+        role=str(value.get("role", "")),
+        fencing=int(value.get("fencing", 0)),
+    )
--- a/samphirevale/adapters/web.py
+++ b/samphirevale/adapters/web.py
@@ -7,6 +7,7 @@
 
 import contextlib
 import json
+import select
 import urllib.parse
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any, NamedTuple
@@ -372,6 +373,16 @@
                 raise errors.AnswerLostError(str(error)) from error
             self._protocol.receive_data(data)
 
+    def is_stale(self) -> bool:
+        """Tells whether the other side has closed it while it was idle.
+
+        Nothing may arrive between two exchanges, so that anything to read
+        is the connection's end.
+        """
+        poll = select.poll()
+        poll.register(self._stream.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def is_reusable(self) -> bool:
         """Tells whether the last exchange is over and the next may begin."""
         if self._protocol.our_state is not h11.DONE:
--- a/samphirevale/errors.py
+++ b/samphirevale/errors.py
@@ -76,3 +76,11 @@
 
 class FencedError(SamphirevaleError):
     """An endpoint refused an order that carries an old fencing number."""
+
+
+class EndpointBusyError(SamphirevaleError):
+    """An endpoint cannot take an order now; says when to try again."""
+
+    def __init__(self, text: str, retry_after_seconds: float):
+        super().__init__(text)
+        self.retry_after_seconds = retry_after_seconds
