--- a/samphirevale/errors.py
+++ b/samphirevale/errors.py
@@ -97,3 +97,11 @@
     def __init__(self, refusal: Any):
         super().__init__(f"{refusal.outcome}: {refusal.reason}")
         self.refusal = refusal
+
+
+class EndpointBusyError(SamphirevaleError):
+    """An endpoint cannot take an order now; says when to try again."""
+
+    def __init__(self, text: str, retry_after_seconds: float):
+        super().__init__(text)
+        self.retry_after_seconds = retry_after_seconds
--- a/samphirevale/sidecars.py
+++ b/samphirevale/sidecars.py
@@ -333,10 +333,10 @@
         """Gives an answer to the attempt that it names, or drops it."""
         exchange = peer.exchanges.get(message.attempt)
         if exchange is None:
-            metrics.count_dropped("late")
+            metrics.ANSWERS_DROPPED.labels(reason="late").inc()
             return
         wanted = exchange.handover
         if (message.request, message.stage) != (wanted.request, wanted.stage):
-            metrics.count_dropped("foreign")
+            metrics.ANSWERS_DROPPED.labels(reason="foreign").inc()
             return
         await exchange.deliver(message)
