--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,424 @@
+"""A stand-in for a model engine with continuous batching."""
+
+import contextlib
+import json
+import math
+import time
+from collections.abc import AsyncIterator
+from typing import Any, NamedTuple
+
+import defopt
+
+from samphirevale import errors
+from samphirevale.adapters import web
+from standins import endpoints, faults, generation, programs
+
+# The share of the prefill time that is left when the prefix is cached.
+CACHED_PREFILL_SHARE = 0.25
+
+# Characters of a prompt that make one token of it.
+CHARACTERS_PER_TOKEN = 4
+
+
+class Settings(NamedTuple):
+    """How an engine behaves; `main` describes the fields."""
+
+    slots: int
+    waiting_limit: int
+    prefill_seconds_per_token: float
+    seconds_per_token: float
+    growth_per_running: float
+    tokens_per_chunk: int
+    tokens_least: int
+    tokens_most: int
+    load_lag_seconds: float
+    load_seconds: float
+    weights_url: str
+    checks_fencing: bool
+
+
+class _Job(endpoints.Ticket):
+    """One request that runs or waits."""
+
+    def __init__(self, fields: dict[str, Any], batch: generation.Batch):
+        super().__init__(fields.get("priority", 0))
+        self.fields = fields
+        self.batch = batch
+        self.prompt: str = fields["prompt"]
+        self.offset: int = fields.get("offset", 0)
+
+
+class _Chunk(NamedTuple):
+    sequence: int
+    tokens: list[str]
+
+
+class _BrokenStreamError(OSError):
+    """Ends the connection in the middle of a stream."""
+
+
+class Engine(endpoints.Endpoint):
+    """A model engine."""
+
+    ROUTES = programs.Routes(endpoints.Endpoint.ROUTES)
+    FAULTS = faults.Registry(endpoints.Endpoint.FAULTS)
+    FAULTS.declare("break_stream_after", faults.COUNT)
+    FAULTS.declare("duplicate_chunks", faults.FLAG)
+    FAULTS.declare("reorder_chunks", faults.FLAG)
+
+    def __init__(
+        self,
+        settings: Settings,
+        batches: list[generation.Batch],
+        cache: generation.PrefixCache,
+    ):
+        super().__init__()
+        self._settings = settings
+        self._batches = {batch.id: batch for batch in batches}
+        self._cache = cache
+        self._places = endpoints.Places(settings.slots, settings.waiting_limit)
+        self._jobs: dict[str, _Job] = {}
+        self._role = "generate"
+        self._fencing = 0
+
+    @ROUTES.add("POST", "/generate")
+    async def generate(
+        self, request: web.Request
+    ) -> web.Response | web.StreamedResponse:
+        """Streams an answer."""
+        programs.read_fields(
+            request, request=str, attempt=str, prompt=str, batch=str
+        )
+        fields = web.read_json(request.body)
+        batch = self._batches.get(fields["batch"])
+        if batch is None:
+            return programs.build_error(409, "the batch is not loaded")
+        if self._places.is_full():
+            return programs.build_error(503, "the queue is full")
+        job = _Job(fields, batch)
+        if self.read_fault("fail"):
+            return self._fail(job)
+        return web.StreamedResponse(
+            200,
+            self._run_when_placed(job),
+            (("Content-Type", "application/x-ndjson"),),
+        )
+
+    def _begin(self, job: _Job) -> endpoints.Run:
+        return self.record.begin(
+            job.fields, job.prompt, job.batch.id, time.monotonic()
+        )
+
+    def _fail(self, job: _Job) -> web.Response:
+        run = self._begin(job)
+        run["status"] = "failed"
+        run["ended"] = run["started"]
+        return programs.build_error(500, "failed by a fault switch")
+
+    async def _run_when_placed(self, job: _Job) -> AsyncIterator[bytes]:
+        try:
+            async with self._hold_place(job), self._record_run(job) as run:
+                lines = self._run(job, run)
+                async with contextlib.aclosing(lines):
+                    async for line in lines:
+                        yield line
+        except endpoints.WaitCancelledError:
+            yield _build_line(cancelled=True, count=0)
+        except endpoints.PlacesFullError:
+            raise _BrokenStreamError("the queue is full") from None
+
+    @contextlib.asynccontextmanager
+    async def _hold_place(self, job: _Job) -> AsyncIterator[None]:
+        attempt = job.fields["attempt"]
+        self._jobs[attempt] = job
+        try:
+            async with self._places.hold(job):
+                yield
+        finally:
+            if self._jobs.get(attempt) is job:
+                del self._jobs[attempt]
+
+    @contextlib.asynccontextmanager
+    async def _record_run(self, job: _Job) -> AsyncIterator[endpoints.Run]:
+        run = self._begin(job)
+        try:
+            yield run
+        finally:
+            if run["status"] == "running":
+                run["status"] = "broken"
+            run["ended"] = time.monotonic()
+
+    async def _run(self, job: _Job, run: endpoints.Run) -> AsyncIterator[bytes]:
+        tokens = generation.compute_answer(
+            job.batch,
+            job.prompt,
+            self._settings.tokens_least,
+            self._settings.tokens_most,
+        )
+        await self._prefill(job)
+        chunks = self._arrange_chunks(job, tokens)
+        lost = self.read_fault("lose_answer")
+        sent = 0
+        for index, chunk in enumerate(chunks):
+            await self._decode(len(chunk.tokens))
+            if index >= len(chunks) // 2:
+                self.crash_if_told(job.prompt)
+            if job.cancelled:
+                run["status"] = "cancelled"
+                yield _build_line(cancelled=True, count=chunk.sequence)
+                return
+            if not lost:
+                yield _build_line(**chunk._asdict())
+            sent += len(chunk.tokens)
+            if sent >= (self.read_fault("break_stream_after") or math.inf):
+                raise _BrokenStreamError
+        run["count"] = len(tokens)
+        run["digest"] = generation.compute_tokens_digest(tokens)
+        if lost:
+            run["status"] = "lost"
+            raise _BrokenStreamError
+        run["status"] = "done"
+        busy_ms = (time.monotonic() - run["started"]) * 1000
+        yield _build_line(
+            done=True,
+            count=run["count"],
+            digest=run["digest"],
+            busy_ms=busy_ms,
+        )
+
+    async def _prefill(self, job: _Job) -> None:
+        length = len(job.prompt) / CHARACTERS_PER_TOKEN + job.offset
+        seconds = length * self._settings.prefill_seconds_per_token
+        prefix = generation.compute_prefix(job.prompt)
+        if self._cache.use(prefix, time.monotonic()):
+            seconds *= CACHED_PREFILL_SHARE
+        await self.pace(seconds)
+
+    async def _decode(self, count: int) -> None:
+        others = self._places.loads.latest.running - 1
+        growth = 1 + self._settings.growth_per_running * others
+        await self.pace(count * self._settings.seconds_per_token * growth)
+
+    def _arrange_chunks(self, job: _Job, tokens: list[str]) -> list[_Chunk]:
+        size = self._settings.tokens_per_chunk
+        chunks = [
+            _Chunk(start, tokens[start : start + size])
+            for start in range(job.offset, len(tokens), size)
+        ]
+        if self.read_fault("reorder_chunks"):
+            pairs = [chunks[i : i + 2] for i in range(0, len(chunks), 2)]
+            chunks = [chunk for pair in pairs for chunk in reversed(pair)]
+        if self.read_fault("duplicate_chunks"):
+            chunks = [chunk for chunk in chunks for _ in range(2)]
+        return chunks
+
+    @ROUTES.add("POST", "/cancel")
+    async def cancel(self, request: web.Request) -> web.Response:
+        """Ends an attempt that runs or waits."""
+        (attempt,) = programs.read_fields(request, attempt=str)
+        job = self._jobs.get(attempt)
+        if job is not None:
+            await self._places.cancel_wait(job)
+        return web.build_json(200, {"cancelled": job is not None})
+
+    @ROUTES.add("GET", "/load")
+    async def show_load(self, request: web.Request) -> web.Response:
+        """Answers the load as it was some time ago."""
+        lag_seconds = self._settings.load_lag_seconds
+        load = self._places.loads.get(time.monotonic() - lag_seconds)
+        return web.build_json(
+            200,
+            {
+                **load._asdict(),
+                "slots": self._places.count,
+                "age_ms": lag_seconds * 1000,
+            },
+        )
+
+    @ROUTES.add("GET", "/cache-events")
+    async def show_cache_events(self, request: web.Request) -> web.Response:
+        """Answers cache events, late and with gaps."""
+        after = programs.read_integer(request, "after", 0)
+        events = [
+            {"number": e.number, "prefix": e.prefix, "cached": e.cached}
+            for e in self._cache.list_events(after, time.monotonic())
+        ]
+        return web.build_json(200, {"events": events})
+
+    @ROUTES.add("GET", "/state")
+    async def show_state(self, request: web.Request) -> web.Response:
+        """Answers what is loaded, the role, and the highest number seen."""
+        return web.build_json(
+            200,
+            {
+                "batches": sorted(self._batches),
+                "role": self._role,
+                "fencing": self._fencing,
+            },
+        )
+
+    @ROUTES.add("POST", "/orders")
+    async def take_order(self, request: web.Request) -> web.Response:
+        """Carries out an order, unless its fencing number is old."""
+        order, fencing = programs.read_fields(request, order=str, fencing=int)
+        body = web.read_json(request.body)
+        carry_out = _orders.get(order)
+        if carry_out is None:
+            known = ", ".join(sorted(_orders))
+            raise errors.InvalidInputError(
+                [errors.Finding("order", f"one of {known}", order[:80])]
+            )
+        if self._is_fenced(fencing):
+            response = programs.build_error(409, "fenced")
+        else:
+            self._fencing = max(self._fencing, fencing)
+            response = await carry_out(self, body)
+        self.record.add_order(
+            order,
+            (body.get("batch") or {}).get("id", ""),
+            fencing,
+            response.status == 200,
+            time.monotonic(),
+        )
+        return response
+
+    def _is_fenced(self, fencing: int) -> bool:
+        return self._settings.checks_fencing and fencing < self._fencing
+
+    async def load(self, body: dict[str, Any]) -> web.Response:
+        """Loads a batch, which takes time and the weight store."""
+        batch = _read_order_batch(body)
+        if self._batches.get(batch.id) == batch:
+            return web.build_json(200, {})
+        refusal = await self._fetch_weights(batch)
+        if refusal is not None:
+            return refusal
+        await self.pace(self._settings.load_seconds)
+        if self._is_fenced(body["fencing"]):
+            return programs.build_error(409, "fenced")
+        self._batches[batch.id] = batch
+        return web.build_json(200, {})
+
+    async def _fetch_weights(
+        self, batch: generation.Batch
+    ) -> web.Response | None:
+        url = self._settings.weights_url
+        if not url:
+            return None
+        target = f"/weights/{batch.model}/{batch.version}"
+        try:
+            status, _, headers = await web.call_json(url, "GET", target)
+        except errors.TransportError as error:
+            return programs.build_error(503, f"weight store: {error}")
+        if status == 200:
+            return None
+        if status != 429:
+            return programs.build_error(503, f"weight store: {status}")
+        retry_after = ("Retry-After", headers.get("retry-after", "1"))
+        return programs.build_error(429, "weight store", retry_after)
+
+    async def unload(self, body: dict[str, Any]) -> web.Response:
+        """Unloads a batch; what runs on it goes on to its end."""
+        self._batches.pop(_read_order_batch(body).id, None)
+        return web.build_json(200, {})
+
+    async def change_role(self, body: dict[str, Any]) -> web.Response:
+        """Takes another role."""
+        self._role = str(body.get("role", ""))
+        return web.build_json(200, {})
+
+
+_orders = {
+    "load": Engine.load,
+    "unload": Engine.unload,
+    "role": Engine.change_role,
+}
+
+
+def _build_line(**fields: Any) -> bytes:
+    return json.dumps(fields).encode() + b"\n"
+
+
+def _read_order_batch(body: dict[str, Any]) -> generation.Batch:
+    given = body.get("batch")
+    fields = given if isinstance(given, dict) else {}
+    findings = [
+        errors.Finding(f"batch.{name}", "a text", repr(fields.get(name))[:80])
+        for name in generation.Batch._fields
+        if not isinstance(fields.get(name), str)
+    ]
+    if findings:
+        raise errors.InvalidInputError(findings)
+    return generation.Batch(*map(fields.get, generation.Batch._fields))
+
+
+def main(
+    *,
+    port: int,
+    host: str = "127.0.0.1",
+    batches: list[str] = [],  # noqa: B006  defopt makes it a flag
+    slots: int = 8,
+    waiting_limit: int = 32,
+    prefill_seconds_per_token: float = 0.0002,
+    seconds_per_token: float = 0.002,
+    growth_per_running: float = 0.05,
+    tokens_per_chunk: int = 4,
+    tokens: int = 0,
+    tokens_least: int = 24,
+    tokens_most: int = 64,
+    cache_prefixes: int = 64,
+    cache_event_lag_seconds: float = 0.5,
+    cache_event_loss: float = 0.05,
+    load_lag_seconds: float = 0.3,
+    load_seconds: float = 0.3,
+    weights_url: str = "",
+    checks_fencing: bool = True,
+    seed: int = 1,
+) -> None:
+    """Runs a model engine.
+
+    Args:
+        port: the port to listen on.
+        host: the address to listen on.
+        batches: batches loaded at the start, `id=model/version[/adapter]`.
+        slots: requests that run at once.
+        waiting_limit: requests that wait at most; others are refused.
+        prefill_seconds_per_token: time of prefill for a token of the prompt.
+        seconds_per_token: time of a token when one request runs.
+        growth_per_running: share by which each other one slows it.
+        tokens_per_chunk: tokens sent at once.
+        tokens: tokens of every answer; 0 draws the number by the prompt.
+        tokens_least: least number that is drawn.
+        tokens_most: largest number that is drawn.
+        cache_prefixes: prefixes that the cache holds.
+        cache_event_lag_seconds: age at which cache events are published.
+        cache_event_loss: share of cache events that never are.
+        load_lag_seconds: age of load reports.
+        load_seconds: time that a load takes.
+        weights_url: the weight store; none is asked if it is empty.
+        checks_fencing: refuse orders with an old fencing number.
+        seed: seed of what is drawn, but for the answers.
+    """
+    settings = Settings(
+        slots=slots,
+        waiting_limit=waiting_limit,
+        prefill_seconds_per_token=prefill_seconds_per_token,
+        seconds_per_token=seconds_per_token,
+        growth_per_running=growth_per_running,
+        tokens_per_chunk=tokens_per_chunk,
+        tokens_least=tokens or tokens_least,
+        tokens_most=tokens or tokens_most,
+        load_lag_seconds=load_lag_seconds,
+        load_seconds=load_seconds,
+        weights_url=weights_url,
+        checks_fencing=checks_fencing,
+    )
+    cache = generation.PrefixCache(
+        cache_prefixes, cache_event_loss, cache_event_lag_seconds, seed
+    )
+    loaded = [generation.read_batch(text) for text in batches]
+    programs.run(Engine(settings, loaded, cache), host, port)
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- /dev/null
+++ b/standins/faults.py
@@ -0,0 +1,140 @@
+"""Fault switches: what they are called, what they accept, when they end."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+from samphirevale import errors
+from samphirevale.adapters import web
+
+# The key that limits how long the switches of one call stay on.
+SECONDS = "seconds"
+
+
+class Form(NamedTuple):
+    """The values that a switch accepts.
+
+    Attributes:
+        expected: says so for people.
+        accepts: tells whether a value is one of them.
+    """
+
+    expected: str
+    accepts: Callable[[Any], bool]
+
+
+def _is_number(value: Any) -> bool:
+    return isinstance(value, int | float) and not isinstance(value, bool)
+
+
+FLAG = Form("true or false", lambda value: isinstance(value, bool))
+POSITIVE = Form("a number over 0", lambda v: _is_number(v) and v > 0)
+SHARE = Form("a number from 0 to 1", lambda v: _is_number(v) and 0 <= v <= 1)
+COUNT = Form(
+    "an integer of 0 or more",
+    lambda v: isinstance(v, int) and not isinstance(v, bool) and v >= 0,
+)
+TEXT = Form("a text that is not empty", lambda v: isinstance(v, str) and v)
+
+Guard = Callable[[Any], Awaitable[web.Response | None]]
+
+
+class Registry:
+    """The switches that a program knows."""
+
+    def __init__(self, *parents: "Registry"):
+        self.forms: dict[str, Form] = {}
+        self.guards: dict[str, Guard] = {}
+        for parent in parents:
+            self.forms |= parent.forms
+            self.guards |= parent.guards
+
+    def declare(self, name: str, form: Form) -> None:
+        """Adds a switch that the program reads where it matters."""
+        self.forms[name] = form
+
+    def guard(self, name: str, form: Form) -> Callable[[Guard], Guard]:
+        """Makes a coroutine run before each call while the switch is on.
+
+        It gets the switch's value; a response that it returns is sent in
+        place of the program's own.
+        """
+
+        def add(guard: Guard) -> Guard:
+            self.declare(name, form)
+            self.guards[name] = guard
+            return guard
+
+        return add
+
+
+class _Setting(NamedTuple):
+    value: Any
+    ends_at: float
+
+
+class Switches:
+    """The switches of one process. Times are monotonic, in seconds."""
+
+    def __init__(self, registry: Registry):
+        self._registry = registry
+        self._settings: dict[str, _Setting] = {}
+
+    def change(self, values: Any, now: float) -> None:
+        """Sets the named switches; null, false and 0 turn one off.
+
+        Raises:
+            errors.InvalidInputError: nothing was changed.
+        """
+        if not isinstance(values, dict):
+            raise errors.InvalidInputError(
+                [errors.Finding("body", "a JSON object")]
+            )
+        findings = [
+            finding
+            for name, value in values.items()
+            if (finding := self._check(name, value))
+        ]
+        if findings:
+            raise errors.InvalidInputError(findings)
+        ends_at = now + values.get(SECONDS, float("inf"))
+        for name, value in values.items():
+            if name != SECONDS:
+                self._settings[name] = _Setting(value, ends_at)
+
+    def _check(self, name: str, value: Any) -> errors.Finding | None:
+        if name == SECONDS:
+            form = POSITIVE
+        elif name in self._registry.forms:
+            form = self._registry.forms[name]
+        else:
+            known = ", ".join(sorted(self._registry.forms))
+            return errors.Finding(name, f"one of {known}")
+        if form.accepts(value) or (value is None and name != SECONDS):
+            return None
+        return errors.Finding(name, form.expected, repr(value)[:80])
+
+    def clear(self) -> None:
+        """Turns all switches off."""
+        self._settings.clear()
+
+    def get(self, name: str, now: float) -> Any:
+        """Returns the switch's value, or None while it is off."""
+        setting = self._settings.get(name)
+        if setting is None or now >= setting.ends_at:
+            return None
+        return setting.value or None
+
+    def describe(self, now: float) -> dict[str, Any]:
+        """Returns the values of all switches."""
+        return {name: self.get(name, now) for name in self._registry.forms}
+
+    async def run_guards(self, now: float) -> web.Response | None:
+        """Runs the guards of the switches that are on."""
+        for name, guard in self._registry.guards.items():
+            value = self.get(name, now)
+            if value is None:
+                continue
+            response = await guard(value)
+            if response is not None:
+                return response
+        return None
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,356 @@
+"""A stand-in for the platform: object API, instance list, weight store."""
+
+import collections
+import math
+import random
+import time
+from typing import Any, NamedTuple
+
+import curio
+import defopt
+
+from samphirevale.adapters import web
+from standins import buckets, faults, histories, programs
+
+# How many changes a watch can look back on.
+CHANGES_KEPT = 20_000
+
+# The longest value of an object, in bytes of JSON.
+VALUE_BYTES_LIMIT = 1024 * 1024
+
+# The longest wait of a watch that names none, in milliseconds.
+WATCH_TIMEOUT_MS = 10_000
+
+
+class StoredObject(NamedTuple):
+    """An object; a deleted one has the value None."""
+
+    kind: str
+    name: str
+    version: int
+    value: Any
+
+
+class Store:
+    """The objects, their past, and the changes that watches follow."""
+
+    def __init__(self):
+        self.version = 0
+        self._histories: dict[tuple[str, str], histories.History] = {}
+        self._changes: collections.deque[StoredObject] = collections.deque()
+        self._changed = curio.Event()
+
+    def get(self, kind: str, name: str, at: float) -> StoredObject | None:
+        """Returns the object as it was at `at`."""
+        history = self._histories.get((kind, name))
+        found = history.get(at) if history else None
+        return None if found is None or found.value is None else found
+
+    def list_kind(self, kind: str, at: float) -> list[StoredObject]:
+        """Returns the objects of a kind as they were at `at`."""
+        names = sorted(name for k, name in self._histories if k == kind)
+        found = [self.get(kind, name, at) for name in names]
+        return [stored for stored in found if stored is not None]
+
+    async def put(
+        self, kind: str, name: str, value: Any, now: float
+    ) -> StoredObject:
+        """Writes a new version; the value None deletes."""
+        self.version += 1
+        stored = StoredObject(kind, name, self.version, value)
+        history = self._histories.get((kind, name))
+        if history is None:
+            absent = StoredObject(kind, name, 0, None)
+            history = histories.History(absent, -math.inf)
+            self._histories[kind, name] = history
+        history.put(stored, now)
+        self._changes.append(stored)
+        if len(self._changes) > CHANGES_KEPT:
+            self._forget(self._changes.popleft())
+        changed, self._changed = self._changed, curio.Event()
+        await changed.set()
+        return stored
+
+    def _forget(self, change: StoredObject) -> None:
+        history = self._histories.get((change.kind, change.name))
+        if history and history.latest is change and change.value is None:
+            del self._histories[change.kind, change.name]
+
+    def can_follow(self, version: int) -> bool:
+        """Tells whether all changes after `version` are still known."""
+        oldest = self.version - len(self._changes)
+        return oldest <= version <= self.version
+
+    def list_changes(self, kind: str, version: int) -> list[StoredObject]:
+        """Returns the objects of a kind that changed after `version`."""
+        latest = {}
+        for change in reversed(self._changes):
+            if change.version <= version:
+                break
+            if change.kind == kind:
+                latest.setdefault(change.name, change)
+        return sorted(latest.values(), key=lambda change: change.version)
+
+    async def wait_for_change(self) -> None:
+        """Waits for the next write of any kind."""
+        await self._changed.wait()
+
+
+class Rates(NamedTuple):
+    """What the platform allows.
+
+    Attributes:
+        writes: writes a second.
+        reads: reads a second; a waiting watch counts as one.
+        weights: loads of weights a second.
+        weights_burst: loads of weights at once.
+    """
+
+    writes: float
+    reads: float
+    weights: float
+    weights_burst: float
+
+
+class Platform(programs.Program):
+    """The platform's service."""
+
+    ROUTES = programs.Routes(programs.Program.ROUTES)
+    FAULTS = faults.Registry(programs.Program.FAULTS)
+    FAULTS.declare("lose_answers", faults.SHARE)
+    FAULTS.declare("refuse_writes", faults.FLAG)
+    FAULTS.declare("stale_reads", faults.POSITIVE)
+
+    def __init__(self, rates: Rates, list_lag_seconds: float, seed: int):
+        super().__init__()
+        now = time.monotonic()
+        self._store = Store()
+        self._instances = histories.History([], -math.inf)
+        self._list_lag_seconds = list_lag_seconds
+        self._generator = random.Random(seed)
+        self._counts = collections.Counter()
+        self._buckets = {
+            "write": buckets.TokenBucket(rates.writes, rates.writes, now),
+            "read": buckets.TokenBucket(rates.reads, rates.reads, now),
+            "weights": buckets.TokenBucket(
+                rates.weights, rates.weights_burst, now
+            ),
+        }
+
+    @staticmethod
+    @FAULTS.guard("outage", faults.FLAG)
+    async def refuse(value: Any) -> web.Response:
+        """Refuses all calls."""
+        return programs.build_error(503, "outage")
+
+    @staticmethod
+    @FAULTS.guard("blackhole", faults.FLAG)
+    async def hang(value: Any) -> None:
+        """Never answers."""
+        await programs.hang()
+
+    @staticmethod
+    @FAULTS.guard("slow_seconds", faults.POSITIVE)
+    async def delay(value: Any) -> None:
+        """Makes each call slower."""
+        await curio.sleep(value)
+
+    def _count(self, call: str, bucket: str) -> web.Response | None:
+        """Counts a call; returns the refusal if it is over the rate."""
+        self._counts[call] += 1
+        wait = self._buckets[bucket].take(1, time.monotonic())
+        if not wait:
+            return None
+        self._counts[f"{call}_limited"] += 1
+        return programs.build_error(
+            429, f"over the rate of {bucket}", _build_retry_after(wait)
+        )
+
+    def _read_view_time(self) -> float:
+        return time.monotonic() - (self.read_fault("stale_reads") or 0)
+
+    @ROUTES.add("GET", "/objects/{kind}/{name}")
+    async def get_object(
+        self, request: web.Request, kind: str, name: str
+    ) -> web.Response:
+        """Answers one object."""
+        refusal = self._count("get", "read")
+        if refusal:
+            return refusal
+        stored = self._store.get(kind, name, self._read_view_time())
+        if stored is None:
+            return programs.build_error(404, f"no {kind}/{name}")
+        return web.build_json(200, stored._asdict())
+
+    @ROUTES.add("GET", "/objects/{kind}")
+    async def list_objects(
+        self, request: web.Request, kind: str
+    ) -> web.Response:
+        """Answers all objects of a kind."""
+        refusal = self._count("list", "read")
+        if refusal:
+            return refusal
+        found = self._store.list_kind(kind, self._read_view_time())
+        return web.build_json(200, self._build_list(found))
+
+    def _build_list(self, objects: list[StoredObject]) -> dict[str, Any]:
+        return {
+            "objects": [stored._asdict() for stored in objects],
+            "version": self._store.version,
+        }
+
+    @ROUTES.add("PUT", "/objects/{kind}/{name}")
+    async def put_object(
+        self, request: web.Request, kind: str, name: str
+    ) -> web.Response:
+        """Creates or replaces an object, if the condition holds."""
+        refusal = self._count("put", "write") or self._refuse_write()
+        if refusal:
+            return refusal
+        value = web.read_json(request.body)
+        if value is None or len(request.body) > VALUE_BYTES_LIMIT:
+            return programs.build_error(400, "a value, of at most 1 MiB")
+        held = self._store.get(kind, name, math.inf)
+        if request.headers.get("if-none-match") == "*":
+            status = 201 if held is None else 412
+        else:
+            status = _check_version(request, held)
+        if status >= 400:
+            return _build_conflict(status, held)
+        stored = await self._store.put(kind, name, value, time.monotonic())
+        self._lose_answer()
+        return web.build_json(status, stored._asdict())
+
+    @ROUTES.add("DELETE", "/objects/{kind}/{name}")
+    async def delete_object(
+        self, request: web.Request, kind: str, name: str
+    ) -> web.Response:
+        """Deletes an object, if the condition holds."""
+        refusal = self._count("delete", "write") or self._refuse_write()
+        if refusal:
+            return refusal
+        held = self._store.get(kind, name, math.inf)
+        status = _check_version(request, held)
+        if status >= 400:
+            return _build_conflict(status, held)
+        stored = await self._store.put(kind, name, None, time.monotonic())
+        self._lose_answer()
+        return web.build_json(200, stored._asdict())
+
+    def _refuse_write(self) -> web.Response | None:
+        if not self.read_fault("refuse_writes"):
+            return None
+        return programs.build_error(503, "writes are refused")
+
+    def _lose_answer(self) -> None:
+        share = self.read_fault("lose_answers") or 0
+        if self._generator.random() < share:
+            self._counts["lost_answers"] += 1
+            raise programs.AnswerDroppedError
+
+    @ROUTES.add("GET", "/watch/{kind}")
+    async def watch(self, request: web.Request, kind: str) -> web.Response:
+        """Answers the changes of a kind, once there are any."""
+        refusal = self._count("watch", "read")
+        if refusal:
+            return refusal
+        version = programs.read_integer(request, "version", 0)
+        timeout_ms = programs.read_integer(
+            request, "timeout_ms", WATCH_TIMEOUT_MS
+        )
+        async with curio.ignore_after(timeout_ms / 1000):
+            while self._store.can_follow(version):
+                if self._store.list_changes(kind, version):
+                    break
+                await self._store.wait_for_change()
+        refusal = await self.faults.run_guards(time.monotonic())
+        if refusal:
+            return refusal
+        if not self._store.can_follow(version):
+            return programs.build_error(410, "list again and watch from there")
+        changes = self._store.list_changes(kind, version)
+        return web.build_json(200, self._build_list(changes))
+
+    @ROUTES.add("GET", "/instances")
+    async def list_instances(self, request: web.Request) -> web.Response:
+        """Answers the instances as they were some time ago."""
+        refusal = self._count("instances", "read")
+        if refusal:
+            return refusal
+        at = time.monotonic() - self._list_lag_seconds
+        return web.build_json(200, {"instances": self._instances.get(at)})
+
+    @ROUTES.add("POST", "/instances", control=True)
+    async def change_instances(self, request: web.Request) -> web.Response:
+        """Replaces the true list of instances."""
+        (instances,) = programs.read_fields(request, instances=list)
+        self._instances.put(instances, time.monotonic())
+        return web.build_json(200, {"instances": instances})
+
+    @ROUTES.add("GET", "/weights/{model}/{version}")
+    async def get_weights(
+        self, request: web.Request, model: str, version: str
+    ) -> web.Response:
+        """Allows a load of weights, at a limited rate."""
+        refusal = self._count("weights", "weights")
+        if refusal:
+            return refusal
+        return web.build_json(200, {"model": model, "version": version})
+
+    @ROUTES.add("GET", "/counts", control=True)
+    async def show_counts(self, request: web.Request) -> web.Response:
+        """Answers how many calls of each kind came."""
+        return web.build_json(200, dict(self._counts))
+
+
+def _build_retry_after(seconds: float) -> tuple[str, str]:
+    return "Retry-After", str(max(1, math.ceil(seconds)))
+
+
+def _check_version(request: web.Request, held: StoredObject | None) -> int:
+    expected = request.headers.get("if-match")
+    if expected is None:
+        return 400
+    if held is None:
+        return 404
+    return 200 if expected.strip('"') == str(held.version) else 412
+
+
+def _build_conflict(status: int, held: StoredObject | None) -> web.Response:
+    if status == 400:
+        return programs.build_error(400, "If-Match or If-None-Match: *")
+    found = "nothing" if held is None else f"version {held.version}"
+    return programs.build_error(status, f"found {found}")
+
+
+def main(
+    *,
+    port: int,
+    host: str = "127.0.0.1",
+    writes_per_second: float = 400.0,
+    reads_per_second: float = 2000.0,
+    weights_per_second: float = 2.0,
+    weights_burst: float = 4.0,
+    list_lag_seconds: float = 1.0,
+    seed: int = 1,
+) -> None:
+    """Runs the platform's service, all in memory.
+
+    Args:
+        port: the port to listen on.
+        host: the address to listen on.
+        writes_per_second: rate of writes to objects.
+        reads_per_second: rate of reads; a waiting watch counts as one.
+        weights_per_second: rate of loads from the weight store.
+        weights_burst: loads that the weight store allows at once.
+        list_lag_seconds: age of the list of instances.
+        seed: seed of the faults that are drawn.
+    """
+    rates = Rates(
+        writes_per_second, reads_per_second, weights_per_second, weights_burst
+    )
+    programs.run(Platform(rates, list_lag_seconds, seed), host, port)
+
+
+if __name__ == "__main__":
+    defopt.run(main)
