--- /dev/null
+++ b/tests/test_invariants.py
@@ -0,0 +1,45 @@
+"""Tests of invariants."""
+
+import prometheus_client
+from absl import logging
+
+from samphirevale import errors, invariants
+from tests import base
+
+
+class CheckTest(base.TestCase):
+    """Counting, logging and raising of violations."""
+
+    def setUp(self):
+        self.addCleanup(invariants.set_fatal, False)
+        self.before = invariants.count_violations()[invariants.OWN_RESULT]
+
+    def test_a_violation_is_counted_and_logged(self):
+        with self.assertLogs(logging.get_absl_logger()) as logs:
+            held = invariants.check(invariants.OWN_RESULT, False, request="r1")
+        self.assertFalse(held)
+        self.assertIn("request='r1'", logs.output[0])
+        count = invariants.count_violations()[invariants.OWN_RESULT]
+        self.assertEqual(count, self.before + 1)
+        sample = prometheus_client.REGISTRY.get_sample_value(
+            "samphirevale_invariant_violations_total",
+            {"invariant": invariants.OWN_RESULT},
+        )
+        self.assertEqual(sample, count)
+
+    def test_fatal_mode_raises(self):
+        invariants.set_fatal(True)
+        with (
+            self.assertLogs(logging.get_absl_logger()),
+            self.assertRaises(errors.InvariantError),
+        ):
+            invariants.check(invariants.OWN_RESULT, False)
+
+    def test_what_holds_is_not_counted(self):
+        self.assertTrue(invariants.check(invariants.OWN_RESULT, True))
+        count = invariants.count_violations()[invariants.OWN_RESULT]
+        self.assertEqual(count, self.before)
+
+    def test_an_undeclared_name_is_an_error(self):
+        with self.assertRaises(KeyError):
+            invariants.check("misspelt", True)
