--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,151 @@
+"""Fakes of the ports: virtual time, and a store with faults from a seed."""
+
+import contextlib
+import copy
+import heapq
+import random
+import types
+from typing import Any, NamedTuple
+
+from samphirevale import errors
+from samphirevale.ports import objects
+
+
+class Simulation:
+    """Runs coroutines in virtual time; implements ports.clock.Clock."""
+
+    def __init__(self, seed: int = 0):
+        self.rng = random.Random(seed)
+        self._now = 0.0
+        self._waiting = []
+
+    def now(self) -> float:
+        return self._now
+
+    @types.coroutine
+    def sleep(self, seconds: float):
+        yield seconds
+
+    @contextlib.asynccontextmanager
+    async def limit(self, seconds: float):
+        # Only between calls of the store: drivers check the time themselves.
+        yield
+
+    def spawn(self, coroutine: Any, at: float = 0.0) -> None:
+        entry = (max(at, self._now), self.rng.random(), coroutine)
+        heapq.heappush(self._waiting, entry)
+
+    def run(self) -> None:
+        while self._waiting:
+            self._now, _, coroutine = heapq.heappop(self._waiting)
+            with contextlib.suppress(StopIteration):
+                self.spawn(coroutine, self._now + coroutine.send(None))
+
+    def call(self, coroutine: Any) -> Any:
+        """Runs one coroutine, and all others, and returns its result."""
+        results = []
+
+        async def keep_result():
+            results.append(await coroutine)
+
+        self.spawn(keep_result(), self._now)
+        self.run()
+        return results[0]
+
+
+class Faults(NamedTuple):
+    """Probabilities by call, and times in seconds.
+
+    `lost` writes take effect, `dropped` ones never do and `delayed` ones do
+    later; none of the three is answered.
+    """
+
+    unavailable: float = 0.0
+    lost: float = 0.0
+    dropped: float = 0.0
+    delayed: float = 0.0
+    delay_seconds: float = 2.0
+    latency_seconds: float = 0.01
+
+
+class FakeStore:
+    """An ObjectStore in memory. `down` refuses every call."""
+
+    def __init__(self, clock: Any = None, faults: Faults = Faults()):  # noqa: B008
+        self.objects: dict[tuple[str, str], objects.StoredObject] = {}
+        self.version = 0
+        self.down = False
+        self.faults = faults
+        self.instances: list[objects.ListedInstance] = []
+        self.writes = 0
+        self._clock = clock
+        self._delayed = []
+
+    async def get(self, kind, name):
+        await self._begin()
+        return copy.deepcopy(self.objects.get((kind, name)))
+
+    async def list_kind(self, kind):
+        await self._begin()
+        found = [item for key, item in self.objects.items() if key[0] == kind]
+        return copy.deepcopy(found)
+
+    async def create(self, kind, name, value):
+        return await self._write(kind, name, value, None)
+
+    async def update(self, kind, name, value, version):
+        return await self._write(kind, name, value, version)
+
+    async def delete(self, kind, name, version):
+        await self._write(kind, name, None, version)
+
+    async def list_instances(self):
+        await self._begin()
+        return list(self.instances)
+
+    async def _begin(self) -> None:
+        if self._clock is not None:
+            spread = self._clock.rng.uniform(0.5, 1.5)
+            await self._clock.sleep(self.faults.latency_seconds * spread)
+            self._land_delayed()
+        if self.down or self._draw(self.faults.unavailable):
+            raise errors.StoreUnavailableError("down", 1.0)
+
+    async def _write(self, kind, name, value, version):
+        await self._begin()
+        self.writes += 1
+        value = copy.deepcopy(value)
+        if self._draw(self.faults.dropped):
+            raise errors.StoreUnknownError("dropped")
+        if self._draw(self.faults.delayed):
+            delay = self._clock.rng.uniform(0, self.faults.delay_seconds)
+            write = (self._clock.now() + delay, (kind, name, value, version))
+            self._delayed.append(write)
+            raise errors.StoreUnknownError("delayed")
+        stored = self._apply(kind, name, value, version)
+        if self._draw(self.faults.lost):
+            raise errors.StoreUnknownError("lost")
+        return copy.deepcopy(stored)
+
+    def _draw(self, probability: float) -> bool:
+        return probability > 0 and self._clock.rng.random() < probability
+
+    def _apply(self, kind, name, value, version):
+        held = self.objects.get((kind, name))
+        if (held.version if held else None) != version:
+            raise errors.StoreConflictError(f"{kind}/{name}")
+        self.version += 1
+        stored = objects.StoredObject(kind, name, self.version, value)
+        if value is None:
+            del self.objects[(kind, name)]
+        else:
+            self.objects[(kind, name)] = stored
+        return stored
+
+    def _land_delayed(self) -> None:
+        now = self._clock.now()
+        due = [write for at, write in self._delayed if at <= now]
+        self._delayed = [item for item in self._delayed if item[0] > now]
+        for write in due:
+            with contextlib.suppress(errors.StoreConflictError):
+                self._apply(*write)
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,144 @@
+"""Tests of claims."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from samphirevale import claims, errors
+from tests import base, fakes
+
+CLAIM = claims.build_claim("a", "k", "d", "t0", 1000.0, 5.0, 3600.0)
+NAME = claims.name_claim("a", "k")
+OTHER = {**CLAIM, "token": "t1"}
+
+PROBABILITY = st.sampled_from([0.0, 0.1, 0.4])
+FAULTS = st.builds(
+    fakes.Faults,
+    unavailable=PROBABILITY,
+    lost=PROBABILITY,
+    dropped=PROBABILITY,
+    delayed=PROBABILITY,
+    delay_seconds=st.just(2.0),
+    latency_seconds=st.just(0.01),
+)
+
+
+class ClaimRunTest(base.TestCase):
+    """Attempts for one key race over a store with faults."""
+
+    async def attempt(self, token, seconds):
+        claim = {**CLAIM, "token": token}
+        deadline = self.simulation.now() + seconds
+        decision = await claims.acquire_claim(
+            self.store, claim, deadline, self.simulation
+        )
+        if isinstance(decision, claims.Won):
+            self.runs.append(token)
+            await claims.write_outcome(
+                self.store, decision, "done", token, 1e9, self.simulation
+            )
+        elif isinstance(decision, claims.Held):
+            self.assertNotEqual(decision.claim["token"], token)
+        elif decision.outstanding:
+            release = claims.release_claim(self.store, claim, self.simulation)
+            self.simulation.spawn(release, self.simulation.now())
+
+    @settings(derandomize=True, max_examples=400, deadline=None)
+    @given(st.integers(0, 2**32), FAULTS, st.integers(2, 3))
+    def test_at_most_one_wins_and_no_key_stays_blocked(
+        self, seed, faults, count
+    ):
+        self.simulation = fakes.Simulation(seed)
+        self.store = fakes.FakeStore(self.simulation, faults)
+        self.runs = []
+        rng = self.simulation.rng
+        for number in range(count):
+            attempt = self.attempt(f"t{number}", rng.uniform(0.02, 3))
+            self.simulation.spawn(attempt, rng.uniform(0, 0.5))
+        self.simulation.run()
+        self.assertLessEqual(len(self.runs), 1)
+        self.store.faults = fakes.Faults()
+        self.simulation.call(self.simulation.sleep(10.0))
+        last = claims.acquire_claim(
+            self.store,
+            {**CLAIM, "token": "last"},
+            self.simulation.now() + 5,
+            self.simulation,
+        )
+        decision = self.simulation.call(last)
+        if not self.runs:
+            self.assertIsInstance(decision, claims.Won)
+            return
+        answer = claims.answer_held(decision.claim, "d", 1000.0)
+        self.assertEqual(answer, claims.Replay(self.runs[0]))
+
+
+class ClaimDecisionTest(base.TestCase):
+    """Single cases, on a store without chance."""
+
+    def setUp(self):
+        self.clock = fakes.Simulation()
+        self.store = fakes.FakeStore(self.clock)
+
+    def acquire(self, claim=CLAIM, seconds=5.0):
+        deadline = self.clock.now() + seconds
+        return self.clock.call(
+            claims.acquire_claim(self.store, claim, deadline, self.clock)
+        )
+
+    def test_a_store_that_is_down_refuses_at_once(self):
+        self.store.down = True
+        self.assertEqual(self.acquire(), claims.GiveUp(False, 1.0))
+        self.assertLess(self.clock.now(), 0.1)
+
+    def test_a_win_after_the_deadline_does_not_count(self):
+        self.assertEqual(self.acquire(seconds=0.001), claims.GiveUp(True))
+
+    def test_a_released_claim_is_not_won_again_by_its_attempt(self):
+        self.clock.call(
+            claims.release_claim(self.store, dict(CLAIM), self.clock)
+        )
+        self.assertEqual(self.acquire(), claims.GiveUp(False))
+        self.assertIsInstance(self.acquire(OTHER), claims.Won)
+
+    def test_a_late_replacement_cannot_follow_its_release(self):
+        self.clock.call(claims.release_claim(self.store, OTHER, self.clock))
+        seen = self.store.objects[("claims", NAME)].version
+        self.clock.call(claims.release_claim(self.store, CLAIM, self.clock))
+        late = self.store.update("claims", NAME, CLAIM, seen)
+        with self.assertRaises(errors.StoreConflictError):
+            self.clock.call(late)
+
+    def test_answers_from_a_held_claim(self):
+        done = {**CLAIM, "state": "done", "outcome": 7}
+        for held, digest, wall_now, expected in (
+            (CLAIM, "d", 1001.0, claims.Running()),
+            (CLAIM, "d", 2000.0, claims.OutcomeUnknown()),
+            (CLAIM, "other", 1001.0, claims.KeyReused()),
+            (done, "d", 2000.0, claims.Replay(7)),
+            ({**CLAIM, "state": "unknown"}, "d", 1.0, claims.OutcomeUnknown()),
+        ):
+            answer = claims.answer_held(held, digest, wall_now)
+            self.assertEqual(answer, expected)
+
+    def test_done_is_not_replaced_by_unknown(self):
+        won = self.acquire()
+        for state, kept in (("done", True), ("unknown", False)):
+            stored = self.clock.call(
+                claims.write_outcome(
+                    self.store, won, state, 7, 100.0, self.clock
+                )
+            )
+            self.assertEqual(stored, kept)
+        held = self.store.objects[("claims", NAME)].value
+        self.assertEqual((held["state"], held["outcome"]), ("done", 7))
+
+    def test_the_sweep_keeps_an_unknown_outcome_through_its_window(self):
+        self.acquire({**CLAIM, "state": "unknown"})
+        for wall_now, swept in (
+            (CLAIM["expires_at"] + claims.CLOCK_SKEW_SECONDS, 0),
+            (CLAIM["expires_at"] + claims.CLOCK_SKEW_SECONDS + 1, 1),
+        ):
+            count = self.clock.call(
+                claims.sweep_claims(self.store, wall_now, self.clock)
+            )
+            self.assertEqual(count, swept)
