--- /dev/null
+++ b/samphirevale/admin.py
@@ -0,0 +1,283 @@
+"""The admin port of both roles: metrics, health, state dump, statements.
+
+`/metrics`, `/healthz` and `/readyz` are open. The rest needs a bearer token:
+on an entry the operators' token, on a sidecar the peer secret.
+"""
+
+import hmac
+import json
+import re
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+from samphirevale import (
+    dump,
+    errors,
+    language,
+    lifecycle,
+    metrics,
+    settings,
+)
+from samphirevale.adapters import web
+from samphirevale.ports import operators as ports
+
+# The form of an order's id.
+ORDER_ID = re.compile(r"[A-Za-z0-9._-]{1,64}")
+
+# Bounds of the admin port's server.
+LIMITS = web.Limits(body_bytes=64 * 1024, connections=100)
+
+METRICS_TYPE = ("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+PROBLEM_TYPE = ("Content-Type", "application/problem+json")
+
+
+class Admin(NamedTuple):
+    """What the admin port answers from.
+
+    Attributes:
+        settings: the process's settings.
+        life: the role's lifecycle.
+        operators: the work behind statements; None on a sidecar.
+    """
+
+    settings: settings.Settings
+    life: lifecycle.Lifecycle
+    operators: ports.Operators | None
+
+
+Answer = Callable[[Admin, web.Request], Awaitable[web.Response]]
+
+
+class Route(NamedTuple):
+    """How one path is answered.
+
+    Attributes:
+        method: the only method that it takes.
+        is_open: no token is needed.
+        answer: builds the response.
+    """
+
+    method: str
+    is_open: bool
+    answer: Answer
+
+
+_routes: dict[str, Route] = {}
+
+
+def _route(
+    method: str, path: str, *, is_open: bool = False
+) -> Callable[[Answer], Answer]:
+    """Registers a function as the answer to a path."""
+
+    def add(answer: Answer) -> Answer:
+        _routes[path] = Route(method, is_open, answer)
+        return answer
+
+    return add
+
+
+def build_handler(
+    process_settings: settings.Settings,
+    life: lifecycle.Lifecycle,
+    operators: ports.Operators | None = None,
+) -> web.Handler:
+    """Returns the handler of the admin port, for adapters.web.serve."""
+    admin = Admin(process_settings, life, operators)
+
+    async def handle(request: web.Request) -> web.Response:
+        route = _routes.get(request.path)
+        if route is None:
+            return _build_problem(404, "no such path")
+        if request.method != route.method:
+            allow = ("Allow", route.method)
+            return _build_problem(405, f"{route.method} only", (), allow)
+        if not route.is_open and not _is_authorized(admin, request):
+            challenge = ("WWW-Authenticate", "Bearer")
+            return _build_problem(401, "a bearer token", (), challenge)
+        return await route.answer(admin, request)
+
+    return handle
+
+
+async def serve(
+    process_settings: settings.Settings,
+    life: lifecycle.Lifecycle,
+    operators: ports.Operators | None = None,
+) -> None:
+    """Serves the admin port until cancelled."""
+    common = process_settings.common
+    handler = build_handler(process_settings, life, operators)
+    await web.serve(handler, common.host, common.admin_port, LIMITS)
+
+
+def _is_authorized(admin: Admin, request: web.Request) -> bool:
+    if isinstance(admin.settings, settings.EntrySettings):
+        expected = admin.settings.operator_token
+    else:
+        expected = admin.settings.common.peer_secret
+    scheme, _, token = request.headers.get("authorization", "").partition(" ")
+    # Compared as bytes, which may hold anything, and in constant time.
+    is_same = hmac.compare_digest(token.encode(), expected.encode())
+    return scheme.lower() == "bearer" and is_same
+
+
+@_route("GET", "/metrics", is_open=True)
+async def _answer_metrics(admin: Admin, request: web.Request) -> web.Response:
+    return web.Response(200, metrics.render(), (METRICS_TYPE,))
+
+
+@_route("GET", "/healthz", is_open=True)
+async def _answer_health(admin: Admin, request: web.Request) -> web.Response:
+    return web.build_json(200, {"healthy": True})
+
+
+@_route("GET", "/readyz", is_open=True)
+async def _answer_ready(admin: Admin, request: web.Request) -> web.Response:
+    ready = admin.life.is_ready()
+    return web.build_json(200 if ready else 503, {"ready": ready})
+
+
+@_route("GET", "/dump")
+async def _answer_dump(admin: Admin, request: web.Request) -> web.Response:
+    built = dump.build_dump(admin.life.sections, admin.settings)
+    return web.build_json(200, built)
+
+
+@_route("POST", "/query")
+async def _answer_query(admin: Admin, request: web.Request) -> web.Response:
+    """Answers statements in turn; a failed one ends the run.
+
+    One statement is answered by its own value, several by a list
+    `{"answers": [...]}`. The status is that of the last one answered.
+    """
+    if admin.operators is None:
+        return _build_problem(404, "statements are answered by entries")
+    try:
+        orders = _read_statements(request.body)
+    except errors.InvalidInputError as error:
+        findings = tuple(error.findings)
+        return _build_problem(400, "wrong statements", findings)
+    answers: list[dict[str, Any]] = []
+    status = 200
+    for order in orders:
+        status, answer = await _run_statement(admin.operators, order)
+        answers.append(answer)
+        if status != 200:
+            break
+    value = answers[0] if len(orders) == 1 else {"answers": answers}
+    return web.build_json(status, value)
+
+
+def _read_statements(body: bytes) -> list[ports.Order]:
+    """Returns the statements as orders; those of queries have no id."""
+    value = _read_object(body)
+    findings = []
+    statements = []
+    try:
+        statements = language.parse(value.get("text", ""))
+    except errors.InvalidInputError as error:
+        findings.extend(error.findings)
+    order_id = value.get("order_id") or ""
+    if any(statement.is_order() for statement in statements):
+        findings.extend(_check_order_id(order_id))
+    if findings:
+        raise errors.InvalidInputError(findings)
+    return [
+        ports.Order(
+            _build_id(order_id, number, statements),
+            statement.text,
+            statement.action,
+        )
+        for number, statement in enumerate(statements, start=1)
+    ]
+
+
+def _read_object(body: bytes) -> dict[str, Any]:
+    try:
+        value = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        finding = errors.Finding("body", "JSON", str(error))
+        raise errors.InvalidInputError([finding]) from error
+    if not isinstance(value, dict) or not isinstance(value.get("text"), str):
+        finding = errors.Finding("body", 'an object with a text in "text"')
+        raise errors.InvalidInputError([finding])
+    return value
+
+
+def _check_order_id(order_id: Any) -> list[errors.Finding]:
+    if isinstance(order_id, str) and ORDER_ID.fullmatch(order_id):
+        return []
+    expected = f"a text like {ORDER_ID.pattern}, as there is an order"
+    return [errors.Finding("order_id", expected, str(order_id)[:80])]
+
+
+def _build_id(
+    order_id: str, number: int, statements: list[language.Statement]
+) -> str:
+    """Returns the id of the statement; the text's own if it is alone."""
+    if not statements[number - 1].is_order():
+        return ""
+    return order_id if len(statements) == 1 else f"{order_id}.{number}"
+
+
+async def _run_statement(
+    operators: ports.Operators, order: ports.Order
+) -> tuple[int, dict[str, Any]]:
+    """Returns HTTP status and value of one statement's answer."""
+    if order.id:
+        result = await operators.submit(order)
+        status = ports.ORDER_STATUSES[result.outcome]
+        return status, {"order": result._asdict()}
+    try:
+        table = await operators.answer(order.action)
+    except errors.SamphirevaleError as error:
+        return 503, {"status": 503, "title": str(error)}
+    rows = select_rows(table, order.action.filters)
+    return 200, {"columns": list(table.columns), "rows": rows}
+
+
+def select_rows(
+    table: ports.Table, filters: tuple[language.Filter, ...]
+) -> list[list[Any]]:
+    """Returns the rows for which every filter holds."""
+    wanted = [(table.columns.index(item.field), item.value) for item in filters]
+    return [
+        list(row)
+        for row in table.rows
+        if all(_matches(row[index], value) for index, value in wanted)
+    ]
+
+
+def _matches(cell: Any, value: str) -> bool:
+    if isinstance(cell, list | tuple):
+        return any(_matches(item, value) for item in cell)
+    return format_cell(cell) == value
+
+
+def format_cell(cell: Any) -> str:
+    """Returns a cell as people read it, and as filters compare it."""
+    if cell is None:
+        return ""
+    if isinstance(cell, bool):
+        return str(cell).lower()
+    if isinstance(cell, float):
+        return f"{cell:.6g}"
+    if isinstance(cell, list | tuple):
+        return ",".join(format_cell(item) for item in cell)
+    return str(cell)
+
+
+def _build_problem(
+    status: int,
+    title: str,
+    findings: tuple[errors.Finding, ...] = (),
+    *headers: tuple[str, str],
+) -> web.Response:
+    """Returns problem details (RFC 9457)."""
+    value: dict[str, Any] = {"status": status, "title": title}
+    if findings:
+        value["outcome"] = "invalid"
+        value["findings"] = [finding._asdict() for finding in findings]
+    body = json.dumps(value).encode()
+    return web.Response(status, body, (PROBLEM_TYPE, *headers))
