Give each order its verb, and say wrong, undone and unknown orders apart

Cause: the driver of orders takes a verb and named arguments. Ruled out: a second table from types to verbs; the type carries it. Conclusion: Operators.submit may raise; the port maps the errors.

--- a/samphirevale/admin.py
+++ b/samphirevale/admin.py
@@ -7,7 +7,7 @@
 import hmac
 import json
 import re
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Any, NamedTuple
 
 from samphirevale import (
@@ -156,8 +156,7 @@
     try:
         orders = _read_statements(request.body)
     except errors.InvalidInputError as error:
-        findings = tuple(error.findings)
-        return _build_problem(400, "wrong statements", findings)
+        return _build_problem(400, "wrong statements", error.findings)
     answers: list[dict[str, Any]] = []
     status = 200
     for order in orders:
@@ -225,18 +224,31 @@
     operators: ports.Operators, order: ports.Order
 ) -> tuple[int, dict[str, Any]]:
     """Returns HTTP status and value of one statement's answer."""
-    if order.id:
-        result = await operators.submit(order)
-        status = ports.ORDER_STATUSES[result.outcome]
-        return status, {"order": result._asdict()}
     try:
+        if order.id:
+            return await _run_order(operators, order)
         table = await operators.answer(order.action)
+    except errors.InvalidInputError as error:
+        return 400, _describe_problem(400, "wrong statement", error.findings)
     except errors.SamphirevaleError as error:
-        return 503, {"status": 503, "title": str(error)}
+        return 503, _describe_problem(503, str(error))
     rows = select_rows(table, order.action.filters)
     return 200, {"columns": list(table.columns), "rows": rows}
 
 
+async def _run_order(
+    operators: ports.Operators, order: ports.Order
+) -> tuple[int, dict[str, Any]]:
+    try:
+        result = await operators.submit(order)
+    except errors.StoreUnavailableError as error:
+        result = ports.OrderResult(order.id, "not_run", 0, str(error))
+    except errors.StoreUnknownError as error:
+        result = ports.OrderResult(order.id, "unknown", 0, str(error))
+    status = ports.ORDER_STATUSES[result.outcome]
+    return status, {"order": result._asdict()}
+
+
 def select_rows(
     table: ports.Table, filters: tuple[language.Filter, ...]
 ) -> list[list[Any]]:
@@ -271,13 +283,20 @@
 def _build_problem(
     status: int,
     title: str,
-    findings: tuple[errors.Finding, ...] = (),
+    findings: Sequence[errors.Finding] = (),
     *headers: tuple[str, str],
 ) -> web.Response:
+    value = _describe_problem(status, title, findings)
+    body = json.dumps(value).encode()
+    return web.Response(status, body, (PROBLEM_TYPE, *headers))
+
+
+def _describe_problem(
+    status: int, title: str, findings: Sequence[errors.Finding] = ()
+) -> dict[str, Any]:
     """Returns problem details (RFC 9457)."""
     value: dict[str, Any] = {"status": status, "title": title}
     if findings:
         value["outcome"] = "invalid"
         value["findings"] = [finding._asdict() for finding in findings]
-    body = json.dumps(value).encode()
-    return web.Response(status, body, (PROBLEM_TYPE, *headers))
+    return value
--- a/samphirevale/language.py
+++ b/samphirevale/language.py
@@ -22,7 +22,7 @@
 TEXT_CHARACTERS = 10_000
 
 # The most characters of a name in a statement.
-NAME_CHARACTERS = 63
+NAME_CHARACTERS = 64
 
 # Characters of a word that needs no quotes, as a class of a regexp.
 _WORD_CLASS = r"[A-Za-z0-9._:\/@+-]"
@@ -34,8 +34,8 @@
 )
 
 GRAMMAR = r"""
-start: (show | show_recall | roll_out | recall | drain | resume
-       | stop_pipeline | start_pipeline)
+statement: (show | show_recall
+           | roll_out | recall | drain | resume | stop | start)
 
 show: _SHOW WORD clause*
 show_recall: _SHOW _RECALL name clause*
@@ -48,8 +48,8 @@
 recall: _RECALL name
 drain: _DRAIN name
 resume: _RESUME name
-stop_pipeline: _STOP _PIPELINE name
-start_pipeline: _START _PIPELINE name
+stop: _STOP _PIPELINE name
+start: _START _PIPELINE name
 
 name: WORD | STRING
 
@@ -150,15 +150,19 @@
     batch: str = ""
 
 
-# The types of orders by the names of their rules in the grammar.
+# The types of orders by their verbs, which are also their grammar rules.
 ORDER_TYPES: dict[str, type] = {}
 
 
-def _register(rule: str) -> Callable[[type], type]:
-    """Makes a NamedTuple the order of a rule; its fields are the names."""
+def _register(verb: str) -> Callable[[type], type]:
+    """Makes a NamedTuple the order of a verb, with `verb` as attribute.
+
+    Its fields are the names that follow in the grammar, in their order.
+    """
 
     def add(order_type: type) -> type:
-        ORDER_TYPES[rule] = order_type
+        ORDER_TYPES[verb] = order_type
+        order_type.verb = verb
         return order_type
 
     return add
@@ -204,14 +208,14 @@
     endpoint: str
 
 
-@_register("stop_pipeline")
+@_register("stop")
 class StopPipeline(NamedTuple):
     """Refuses new requests of a pipeline."""
 
     pipeline: str
 
 
-@_register("start_pipeline")
+@_register("start")
 class StartPipeline(NamedTuple):
     """Takes new requests of a stopped pipeline again."""
 
@@ -278,7 +282,9 @@
         start = match.end()
 
 
-_parser = lark.Lark(GRAMMAR, parser="lalr", maybe_placeholders=True)
+_parser = lark.Lark(
+    GRAMMAR, parser="lalr", start="statement", maybe_placeholders=True
+)
 
 
 class _Reader:
--- a/samphirevale/ports/operators.py
+++ b/samphirevale/ports/operators.py
@@ -37,7 +37,8 @@
     Attributes:
         id: chosen by the operator; sent again, it takes effect once.
         text: as the operator wrote it.
-        action: one of the order types of language.
+        action: one of the order types of language; its `verb` and fields
+            say what to do.
     """
 
     id: str
@@ -72,4 +73,10 @@
         """
 
     async def submit(self, order: Order) -> OrderResult:
-        """Brings an order into force, at most once for each id."""
+        """Brings an order into force, at most once for each id.
+
+        Raises:
+            errors.InvalidInputError: it makes no sense, with all findings.
+            errors.StoreUnavailableError: answered as `not_run`.
+            errors.StoreUnknownError: answered as `unknown`.
+        """
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -17,6 +17,7 @@
     def __init__(self):
         self.orders: list[ports.Order] = []
         self.outcome = "accepted"
+        self.error = None
 
     async def answer(self, query: language.Show) -> ports.Table:
         if query.subject == "accounts":
@@ -35,6 +36,8 @@
 
     async def submit(self, order: ports.Order) -> ports.OrderResult:
         self.orders.append(order)
+        if self.error is not None:
+            raise self.error
         return ports.OrderResult(order.id, self.outcome, 7)
 
 
@@ -138,6 +141,20 @@
         self.assertEqual(2, len(value["answers"]))
         self.assertEqual(["o-1.2"], [o.id for o in self.operators.orders])
 
+    async def test_order_that_fails(self):
+        finding = errors.Finding("batch", "a batch that was rolled out", "b")
+        for error, status, outcome in (
+            (errors.StoreUnavailableError("outage"), 503, "not_run"),
+            (errors.StoreUnknownError("lost"), 504, "unknown"),
+            (errors.InvalidInputError([finding]), 400, "invalid"),
+        ):
+            with self.subTest(outcome):
+                self.operators.error = error
+                got, value = await self.query("recall b", order_id="o-1")
+                self.assertEqual(status, got)
+                told = value.get("order", value)
+                self.assertEqual(outcome, told["outcome"])
+
     async def test_findings(self):
         status, value = await self.query("drain; show x")
         self.assertEqual(400, status)
