Check configurations whole and adopt them without going back

Cause: an accepted configuration never reverts, and operators are told everything that is wrong at once.

Change: configuration.check_configuration collects findings by rules per field, with places such as pipelines.harvest.stages[2].pool; adopt keeps the higher revision and every recall that the held one has; a recall that a higher revision takes back is a violation of configuration_never_reverts. Order records carry what they changed.

Failing first (trial edits, reverted): without the comparison of revisions test_snapshots_in_any_order fails (1 != 2); without merge_recalled it fails ('serving' != 'recalled') and the violation is not logged; without the uniqueness check two of CheckTest fail.

--- a/samphirevale/configuration.py
+++ b/samphirevale/configuration.py
@@ -4,12 +4,32 @@
 it, so that one conditional update decides between two operators.
 """
 
+import math
+import re
+from collections.abc import Callable
 from typing import Any, NamedTuple, TypedDict
 
+from samphirevale import errors, invariants
+
 # The kind and name of the object that holds the configuration.
 OBJECT_KIND = "configuration"
 OBJECT_NAME = "current"
 
+# The most orders that the configuration records.
+ORDERS_LIMIT = 256
+
+# The longest deadline of a pipeline, in milliseconds.
+DEADLINE_LIMIT_MS = 3_600_000
+
+# The most characters of a wrong value that a finding shows.
+GOT_CHARACTERS = 60
+
+STAGE_KINDS = ("engine", "stage", "service")
+BATCH_STATES = ("serving", "recalled")
+
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.:-]{0,63}")
+_DIGEST = re.compile(r"[0-9a-f]{64}")
+
 
 class StageConfiguration(TypedDict):
     """One stage of a pipeline.
@@ -71,10 +91,18 @@
 
 
 class OrderRecord(TypedDict):
-    """An order that took effect: its id, text and revision."""
+    """An order that took effect.
+
+    Keys:
+        id: the order's own id.
+        text: the command as the operator gave it.
+        target: what it changed, such as `pipelines.harvest`.
+        revision: the revision that it made.
+    """
 
     id: str
     text: str
+    target: str
     revision: int
 
 
@@ -109,3 +137,311 @@
 def choose_newer(held: Configuration, seen: Configuration) -> Configuration:
     """Returns the one with the higher revision; the held one if equal."""
     return seen if seen.revision > held.revision else held
+
+
+def adopt(held: Configuration, seen: Configuration) -> Configuration:
+    """Returns what a node that holds one holds after it has seen another.
+
+    The revision never falls, and a batch that is recalled in the held one
+    stays recalled, whatever the other says.
+    """
+    if seen.revision <= held.revision:
+        return held
+    if held.value is None:
+        return seen
+    value = merge_recalled(held.value, seen.value)
+    invariants.check(
+        invariants.CONFIGURATION_NEVER_REVERTS,
+        value is seen.value,
+        held=held.revision,
+        seen=seen.revision,
+    )
+    return Configuration(seen.revision, value)
+
+
+def merge_recalled(
+    held: ConfigurationValue, seen: ConfigurationValue
+) -> ConfigurationValue:
+    """Returns `seen` with every batch recalled that `held` has recalled.
+
+    Returns `seen` itself where it says so already.
+    """
+    missing = {
+        name: batch
+        for name, batch in held["batches"].items()
+        if batch["state"] == "recalled"
+        and seen["batches"].get(name, {}).get("state") != "recalled"
+    }
+    if not missing:
+        return seen
+    batches = {**seen["batches"], **missing}
+    return ConfigurationValue(**{**seen, "batches": batches})
+
+
+def build_empty_value() -> ConfigurationValue:
+    """Returns the value before the first order."""
+    return ConfigurationValue(
+        revision=0,
+        pipelines={},
+        accounts={},
+        batches={},
+        draining=[],
+        orders=[],
+    )
+
+
+class _Rule(NamedTuple):
+    """What one field must be: a test, and its words for people."""
+
+    test: Callable[[Any], bool]
+    expected: str
+
+
+def _is_integer(value: Any) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
+def _is_positive(value: Any) -> bool:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return False
+    return math.isfinite(value) and value > 0
+
+
+def _is_name(value: Any) -> bool:
+    return isinstance(value, str) and _NAME.fullmatch(value) is not None
+
+
+def _is_digest(value: Any) -> bool:
+    return isinstance(value, str) and _DIGEST.fullmatch(value) is not None
+
+
+_NAME_RULE = _Rule(_is_name, "a name of letters, digits and _ . : -")
+_NAME_OR_EMPTY = _Rule(
+    lambda value: value == "" or _is_name(value), "a name, or empty"
+)
+_TEXT = _Rule(lambda value: isinstance(value, str), "a text")
+_BOOLEAN = _Rule(lambda value: isinstance(value, bool), "true or false")
+_POSITIVE = _Rule(_is_positive, "a number over 0")
+_COUNT = _Rule(
+    lambda value: _is_integer(value) and value > 0, "an integer over 0"
+)
+_NATURAL = _Rule(
+    lambda value: _is_integer(value) and value >= 0, "an integer of at least 0"
+)
+_MAP = _Rule(lambda value: isinstance(value, dict), "a map")
+_LIST = _Rule(lambda value: isinstance(value, list), "a list")
+
+_VALUE_RULES = {
+    "revision": _NATURAL,
+    "pipelines": _MAP,
+    "accounts": _MAP,
+    "batches": _MAP,
+    "draining": _LIST,
+    "orders": _LIST,
+}
+_STAGE_RULES = {
+    "name": _NAME_RULE,
+    "pool": _NAME_RULE,
+    "kind": _Rule(
+        lambda value: value in STAGE_KINDS, "one of " + ", ".join(STAGE_KINDS)
+    ),
+    "repeatable": _Rule(
+        lambda value: value is None or isinstance(value, bool),
+        "true, false or null",
+    ),
+    "model": _NAME_OR_EMPTY,
+    "limit": _COUNT,
+    "expected_ms": _POSITIVE,
+}
+_PIPELINE_RULES = {
+    "stages": _Rule(
+        lambda value: isinstance(value, list) and bool(value),
+        "a list of at least one stage",
+    ),
+    "deadline_ms": _Rule(
+        lambda value: _is_integer(value) and 0 < value <= DEADLINE_LIMIT_MS,
+        f"an integer from 1 to {DEADLINE_LIMIT_MS}",
+    ),
+    "stopped": _BOOLEAN,
+}
+_ACCOUNT_RULES = {
+    "token_digest": _Rule(_is_digest, "64 digits of lower-case hex"),
+    "share": _POSITIVE,
+}
+_BATCH_RULES = {
+    "model": _NAME_RULE,
+    "version": _NAME_RULE,
+    "adapter": _NAME_OR_EMPTY,
+    "pool": _NAME_RULE,
+    "state": _Rule(
+        lambda value: value in BATCH_STATES, "one of " + ", ".join(BATCH_STATES)
+    ),
+    "order": _COUNT,
+}
+_ORDER_RULES = {
+    "id": _TEXT,
+    "text": _TEXT,
+    "target": _TEXT,
+    "revision": _COUNT,
+}
+
+
+def check_configuration(value: Any) -> list[errors.Finding]:
+    """Returns everything that is wrong with a value; nothing if it is valid.
+
+    Places are such as `pipelines.harvest.stages[2].pool`.
+    """
+    findings: list[errors.Finding] = []
+    _check_fields(findings, "", value, _VALUE_RULES)
+    if not isinstance(value, dict):
+        return findings
+    revision = value.get("revision")
+    _check_pipelines(findings, _get(value, "pipelines", dict))
+    _check_accounts(findings, _get(value, "accounts", dict))
+    _check_batches(findings, _get(value, "batches", dict), revision)
+    _check_draining(findings, _get(value, "draining", list))
+    _check_orders(findings, _get(value, "orders", list), revision)
+    return findings
+
+
+def check_pipeline(value: Any, place: str) -> list[errors.Finding]:
+    """Returns everything that is wrong with a pipeline at `place`."""
+    findings: list[errors.Finding] = []
+    _check_fields(findings, place, value, _PIPELINE_RULES)
+    stages = _get(value, "stages", list) if isinstance(value, dict) else []
+    names: set[str] = set()
+    for number, stage in enumerate(stages):
+        stage_place = f"{place}.stages[{number}]"
+        if not _check_fields(findings, stage_place, stage, _STAGE_RULES):
+            continue
+        _check_model(findings, stage_place, stage)
+        _check_unique(findings, f"{stage_place}.name", stage["name"], names)
+    return findings
+
+
+def check_account(value: Any, place: str) -> list[errors.Finding]:
+    """Returns everything that is wrong with an account at `place`."""
+    findings: list[errors.Finding] = []
+    _check_fields(findings, place, value, _ACCOUNT_RULES)
+    return findings
+
+
+def _get(value: dict, name: str, form: type) -> Any:
+    """Returns the field, or an empty one where it is of another form."""
+    found = value.get(name)
+    return found if isinstance(found, form) else form()
+
+
+def _check_pipelines(findings: list[errors.Finding], pipelines: dict) -> None:
+    for name, pipeline in pipelines.items():
+        place = f"pipelines.{name}"
+        _check_rule(findings, place, name, _NAME_RULE)
+        findings += check_pipeline(pipeline, place)
+
+
+def _check_model(
+    findings: list[errors.Finding], place: str, stage: StageConfiguration
+) -> None:
+    if stage["kind"] == "engine" and not stage["model"]:
+        _add(findings, f"{place}.model", "a model, as the kind is engine", "")
+    if stage["kind"] != "engine" and stage["model"]:
+        expected = f"nothing, as the kind is {stage['kind']}"
+        _add(findings, f"{place}.model", expected, stage["model"])
+
+
+def _check_accounts(findings: list[errors.Finding], accounts: dict) -> None:
+    digests: set[str] = set()
+    for name, account in accounts.items():
+        place = f"accounts.{name}"
+        _check_rule(findings, place, name, _NAME_RULE)
+        if _check_fields(findings, place, account, _ACCOUNT_RULES):
+            digest = account["token_digest"]
+            _check_unique(findings, f"{place}.token_digest", digest, digests)
+
+
+def _check_batches(
+    findings: list[errors.Finding], batches: dict, revision: Any
+) -> None:
+    for name, batch in batches.items():
+        place = f"batches.{name}"
+        _check_rule(findings, place, name, _NAME_RULE)
+        if _check_fields(findings, place, batch, _BATCH_RULES):
+            _check_revision(
+                findings, f"{place}.order", batch["order"], revision
+            )
+
+
+def _check_draining(findings: list[errors.Finding], draining: list) -> None:
+    names: set[str] = set()
+    for number, name in enumerate(draining):
+        place = f"draining[{number}]"
+        if _check_rule(findings, place, name, _NAME_RULE):
+            _check_unique(findings, place, name, names)
+
+
+def _check_orders(
+    findings: list[errors.Finding], orders: list, revision: Any
+) -> None:
+    if len(orders) > ORDERS_LIMIT:
+        expected = f"at most {ORDERS_LIMIT} orders"
+        _add(findings, "orders", expected, len(orders))
+    ids: set[str] = set()
+    for number, order in enumerate(orders):
+        place = f"orders[{number}]"
+        if _check_fields(findings, place, order, _ORDER_RULES):
+            _check_unique(findings, f"{place}.id", order["id"], ids)
+            _check_revision(
+                findings, f"{place}.revision", order["revision"], revision
+            )
+
+
+def _check_revision(
+    findings: list[errors.Finding], place: str, value: int, revision: Any
+) -> None:
+    if _is_integer(revision) and value > revision:
+        _add(findings, place, f"at most the revision {revision}", value)
+
+
+def _check_unique(
+    findings: list[errors.Finding], place: str, value: str, seen: set[str]
+) -> None:
+    if value in seen:
+        _add(findings, place, "one that is not used twice", value)
+    seen.add(value)
+
+
+def _check_fields(
+    findings: list[errors.Finding],
+    place: str,
+    value: Any,
+    rules: dict[str, _Rule],
+) -> bool:
+    """Checks a map by its fields; returns whether all of them are right."""
+    if not _check_rule(findings, place or "configuration", value, _MAP):
+        return False
+    before = len(findings)
+    prefix = f"{place}." if place else ""
+    for name, rule in rules.items():
+        if name not in value:
+            _add(findings, prefix + name, rule.expected, None)
+        else:
+            _check_rule(findings, prefix + name, value[name], rule)
+    for name in sorted(value.keys() - rules.keys(), key=str):
+        _add(findings, f"{prefix}{name}", "no such field", value[name])
+    return len(findings) == before
+
+
+def _check_rule(
+    findings: list[errors.Finding], place: str, value: Any, rule: _Rule
+) -> bool:
+    if rule.test(value):
+        return True
+    _add(findings, place, rule.expected, value)
+    return False
+
+
+def _add(
+    findings: list[errors.Finding], place: str, expected: str, got: Any
+) -> None:
+    text = "" if got is None else repr(got)[:GOT_CHARACTERS]
+    findings.append(errors.Finding(place, expected, text))
