Apply operators' orders by conditional update, and tell what won

Cause: two operators may give conflicting orders at one moment, and the answer to a write may be lost.

Change: orders.apply_order, pure, over a registry of eight verbs; orders.submit_order reads, applies and writes under the version read; finds its own id after a lost answer; rejects with the winning record when an order on the same target came first. A recall commutes with any order. Two roll-outs for one model collide, as only the later takes new requests.

Ruled out: rejection on any conflict (orders on different objects would refuse each other without need).

--- /dev/null
+++ b/samphirevale/orders.py
@@ -0,0 +1,400 @@
+"""Operators' orders: what each changes, and who wins when two collide.
+
+An order is a pure function from one configuration value to the next. The
+driver writes the next value under the version that it read, so that of two
+operators one wins. The order's id in the written value tells after a lost
+answer whether it took effect.
+"""
+
+import copy
+import json
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from samphirevale import configuration, errors
+from samphirevale.ports import clock as clocks
+from samphirevale.ports import objects
+
+# The largest configuration that the store holds, in bytes of JSON.
+VALUE_BYTES_LIMIT = 1_000_000
+
+# Stands for the version of an object that does not exist.
+ABSENT_VERSION = 0
+
+# The first and the longest pause between two tries, in seconds.
+FIRST_PAUSE_SECONDS = 0.05
+LONGEST_PAUSE_SECONDS = 1.0
+
+
+class Order(NamedTuple):
+    """An order as it was parsed.
+
+    Attributes:
+        id: unique over all operators; the same when it is sent again.
+        verb: a registered verb, such as `roll_out`.
+        arguments: by name; which ones depends on the verb.
+        text: the command as the operator gave it.
+    """
+
+    id: str
+    verb: str
+    arguments: dict[str, Any]
+    text: str
+
+
+class Accepted(NamedTuple):
+    """The order is in the configuration since this revision."""
+
+    revision: int
+
+
+class Rejected(NamedTuple):
+    """Another order came first, and this one no longer makes sense."""
+
+    winner: configuration.OrderRecord
+    detail: str
+
+
+class Undecided(NamedTuple):
+    """A write was sent whose effect is not known; ask by the order's id."""
+
+
+Submission = Accepted | Rejected | Undecided
+
+Change = Callable[
+    [configuration.ConfigurationValue, dict[str, Any]], list[errors.Finding]
+]
+
+
+class Rule(NamedTuple):
+    """A registered verb.
+
+    Attributes:
+        change: changes the value in place; returns findings instead when
+            the order makes no sense there.
+        arguments: the names of its arguments.
+        target: what it changes, as a format of its arguments.
+        commutes: applies as well after any other order on its target.
+    """
+
+    change: Change
+    arguments: tuple[str, ...]
+    target: str
+    commutes: bool
+
+
+_rules: dict[str, Rule] = {}
+
+
+def register(
+    verb: str, arguments: str, target: str, commutes: bool = False
+) -> Callable[[Change], Change]:
+    """Makes a function the meaning of a verb; see `Rule`."""
+
+    def add(change: Change) -> Change:
+        _rules[verb] = Rule(change, tuple(arguments.split()), target, commutes)
+        return change
+
+    return add
+
+
+def list_verbs() -> dict[str, Rule]:
+    """Returns every registered verb with its rule."""
+    return dict(_rules)
+
+
+def name_target(order: Order) -> str:
+    """Returns what an order changes, such as `pipelines.harvest`."""
+    return _rules[order.verb].target.format(**order.arguments)
+
+
+def apply_order(
+    value: configuration.ConfigurationValue | None, order: Order
+) -> configuration.ConfigurationValue:
+    """Returns the configuration after an order; None stands for none yet.
+
+    Raises:
+        errors.InvalidInputError: it makes no sense, with all findings.
+    """
+    findings = _check_arguments(order)
+    if findings:
+        raise errors.InvalidInputError(findings)
+    after = copy.deepcopy(value or configuration.build_empty_value())
+    after["revision"] += 1
+    findings = _rules[order.verb].change(after, order.arguments)
+    record = configuration.OrderRecord(
+        id=order.id,
+        text=order.text,
+        target=name_target(order),
+        revision=after["revision"],
+    )
+    orders = [*after["orders"], record]
+    after["orders"] = orders[-configuration.ORDERS_LIMIT :]
+    findings = findings or configuration.check_configuration(after)
+    findings = findings or _check_size(after)
+    if findings:
+        raise errors.InvalidInputError(findings)
+    return after
+
+
+def _check_size(
+    value: configuration.ConfigurationValue,
+) -> list[errors.Finding]:
+    size = len(json.dumps(value))
+    if size <= VALUE_BYTES_LIMIT:
+        return []
+    expected = f"at most {VALUE_BYTES_LIMIT} bytes"
+    return [errors.Finding("configuration", expected, str(size))]
+
+
+def _check_arguments(order: Order) -> list[errors.Finding]:
+    rule = _rules.get(order.verb)
+    if rule is None:
+        verbs = "one of " + ", ".join(sorted(_rules))
+        return [errors.Finding("verb", verbs, repr(order.verb))]
+    missing = [
+        errors.Finding(name, "a value")
+        for name in rule.arguments
+        if name not in order.arguments
+    ]
+    unknown = [
+        errors.Finding(name, f"no argument of {order.verb}", name)
+        for name in order.arguments
+        if name not in rule.arguments
+    ]
+    wrong = [
+        errors.Finding(name, "a text", repr(value))
+        for name, value in order.arguments.items()
+        if name != "value" and not isinstance(value, str)
+    ]
+    return missing + unknown + wrong
+
+
+@register(
+    "roll_out", "batch model version adapter pool", target="models.{model}"
+)
+def _roll_out(
+    value: configuration.ConfigurationValue, arguments: dict[str, Any]
+) -> list[errors.Finding]:
+    name = arguments["batch"]
+    if name in value["batches"]:
+        state = value["batches"][name]["state"]
+        return [
+            errors.Finding("batch", "an id not used yet", f"{name} {state}")
+        ]
+    value["batches"][name] = configuration.BatchConfiguration(
+        model=arguments["model"],
+        version=arguments["version"],
+        adapter=arguments["adapter"],
+        pool=arguments["pool"],
+        state="serving",
+        order=value["revision"],
+    )
+    return []
+
+
+@register("recall", "batch", target="batches.{batch}", commutes=True)
+def _recall(
+    value: configuration.ConfigurationValue, arguments: dict[str, Any]
+) -> list[errors.Finding]:
+    name = arguments["batch"]
+    if name not in value["batches"]:
+        return [errors.Finding("batch", "a batch that was rolled out", name)]
+    value["batches"][name]["state"] = "recalled"
+    return []
+
+
+@register("drain", "endpoint", target="endpoints.{endpoint}")
+def _drain(
+    value: configuration.ConfigurationValue, arguments: dict[str, Any]
+) -> list[errors.Finding]:
+    name = arguments["endpoint"]
+    if name in value["draining"]:
+        expected = "an endpoint that is not draining"
+        return [errors.Finding("endpoint", expected, name)]
+    value["draining"].append(name)
+    return []
+
+
+@register("resume", "endpoint", target="endpoints.{endpoint}")
+def _resume(
+    value: configuration.ConfigurationValue, arguments: dict[str, Any]
+) -> list[errors.Finding]:
+    name = arguments["endpoint"]
+    if name not in value["draining"]:
+        expected = "an endpoint that is draining"
+        return [errors.Finding("endpoint", expected, name)]
+    value["draining"].remove(name)
+    return []
+
+
+@register("stop", "pipeline", target="pipelines.{pipeline}")
+def _stop(
+    value: configuration.ConfigurationValue, arguments: dict[str, Any]
+) -> list[errors.Finding]:
+    return _set_stopped(value, arguments["pipeline"], True)
+
+
+@register("start", "pipeline", target="pipelines.{pipeline}")
+def _start(
+    value: configuration.ConfigurationValue, arguments: dict[str, Any]
+) -> list[errors.Finding]:
+    return _set_stopped(value, arguments["pipeline"], False)
+
+
+def _set_stopped(
+    value: configuration.ConfigurationValue, name: str, stopped: bool
+) -> list[errors.Finding]:
+    if name not in value["pipelines"]:
+        return [errors.Finding("pipeline", "a pipeline that exists", name)]
+    value["pipelines"][name]["stopped"] = stopped
+    return []
+
+
+@register("set_pipeline", "pipeline value", target="pipelines.{pipeline}")
+def _set_pipeline(
+    value: configuration.ConfigurationValue, arguments: dict[str, Any]
+) -> list[errors.Finding]:
+    value["pipelines"][arguments["pipeline"]] = copy.deepcopy(
+        arguments["value"]
+    )
+    return []
+
+
+@register("set_account", "account value", target="accounts.{account}")
+def _set_account(
+    value: configuration.ConfigurationValue, arguments: dict[str, Any]
+) -> list[errors.Finding]:
+    value["accounts"][arguments["account"]] = copy.deepcopy(arguments["value"])
+    return []
+
+
+def find_record(
+    value: configuration.ConfigurationValue | None, order_id: str
+) -> configuration.OrderRecord | None:
+    """Returns the record of an order that took effect, or None."""
+    records = value["orders"] if value else []
+    return next((item for item in records if item["id"] == order_id), None)
+
+
+def find_winner(
+    value: configuration.ConfigurationValue, order: Order, base_revision: int
+) -> configuration.OrderRecord | None:
+    """Returns the order that keeps this one from being applied again.
+
+    Args:
+        value: the present configuration.
+        order: an order that was meant for an earlier one.
+        base_revision: the revision of that one.
+    """
+    if _rules[order.verb].commutes:
+        return None
+    target = name_target(order)
+    for record in reversed(value["orders"]):
+        if record["revision"] > base_revision and record["target"] == target:
+            return record
+    return None
+
+
+async def submit_order(
+    store: objects.ObjectStore,
+    order: Order,
+    deadline: float,
+    clock: clocks.Clock,
+    base_revision: int | None = None,
+) -> Submission:
+    """Brings an order into the configuration, or tells what won.
+
+    Args:
+        store: the platform's store.
+        order: the order; with the same id when it is sent again.
+        deadline: monotonic seconds after which it stops trying.
+        clock: the present time and sleeps.
+        base_revision: the configuration that the operator saw; None for the
+            one that is read first.
+
+    Raises:
+        errors.InvalidInputError: it makes no sense, with all findings.
+        errors.StoreUnavailableError: it did not take effect and will not.
+    """
+    # The version under which a write was sent that may still take effect.
+    outstanding = None
+    version = ABSENT_VERSION
+    pause = FIRST_PAUSE_SECONDS
+    while True:
+        try:
+            stored = await _read_current(store)
+            value = stored.value if stored else None
+            version = stored.version if stored else ABSENT_VERSION
+            if base_revision is None:
+                base_revision = value["revision"] if value else 0
+            if version != outstanding:
+                outstanding = None
+            decided = _decide_submission(value, order, base_revision)
+            if decided is not None:
+                return decided
+            return await _write_next(store, stored, order)
+        except errors.StoreUnknownError:
+            outstanding = version
+        except errors.StoreConflictError:
+            # The own earlier write or another's: the next reading tells.
+            pass
+        except errors.StoreUnavailableError:
+            if outstanding is None:
+                raise
+        if clock.now() + pause >= deadline:
+            return _give_up(outstanding)
+        await clock.sleep(pause)
+        pause = min(2 * pause, LONGEST_PAUSE_SECONDS)
+
+
+def _give_up(outstanding: int | None) -> Undecided:
+    if outstanding is None:
+        raise errors.StoreUnavailableError("other orders kept coming first")
+    return Undecided()
+
+
+async def _read_current(
+    store: objects.ObjectStore,
+) -> objects.StoredObject | None:
+    return await store.get(configuration.OBJECT_KIND, configuration.OBJECT_NAME)
+
+
+def _decide_submission(
+    value: configuration.ConfigurationValue | None,
+    order: Order,
+    base_revision: int,
+) -> Submission | None:
+    """Returns the end of a submission, or None if it is to be written."""
+    record = find_record(value, order.id)
+    if record is not None and record["text"] != order.text:
+        finding = errors.Finding("id", "one that is not used yet", order.id)
+        raise errors.InvalidInputError([finding])
+    if record is not None:
+        return Accepted(record["revision"])
+    if value is None or value["revision"] == base_revision:
+        return None
+    winner = find_winner(value, order, base_revision)
+    if winner is not None:
+        return Rejected(winner, "an order on the same object came first")
+    try:
+        apply_order(value, order)
+    except errors.InvalidInputError as error:
+        return Rejected(value["orders"][-1], str(error))
+    return None
+
+
+async def _write_next(
+    store: objects.ObjectStore,
+    stored: objects.StoredObject | None,
+    order: Order,
+) -> Accepted:
+    """Writes the value after the order, under the version that was read."""
+    kind, name = configuration.OBJECT_KIND, configuration.OBJECT_NAME
+    if stored is None:
+        after = apply_order(None, order)
+        await store.create(kind, name, after)
+    else:
+        after = apply_order(stored.value, order)
+        await store.update(kind, name, after, stored.version)
+    return Accepted(after["revision"])
