Add the tool samphirevale: send, outcome, query, order, dump, checks

Ruled out: re-sending a request whose answer is lost; the tool says that it is unknown. An order is sent again under its id, as it takes effect once. Invariants now count in metrics.py, where all metrics are declared. Conclusion: every answer is checked by count and digest.

--- a/samphirevale/admin.py
+++ b/samphirevale/admin.py
@@ -17,6 +17,7 @@
     lifecycle,
     metrics,
     settings,
+    tables,
 )
 from samphirevale.adapters import web
 from samphirevale.ports import operators as ports
@@ -264,20 +265,7 @@
 def _matches(cell: Any, value: str) -> bool:
     if isinstance(cell, list | tuple):
         return any(_matches(item, value) for item in cell)
-    return format_cell(cell) == value
-
-
-def format_cell(cell: Any) -> str:
-    """Returns a cell as people read it, and as filters compare it."""
-    if cell is None:
-        return ""
-    if isinstance(cell, bool):
-        return str(cell).lower()
-    if isinstance(cell, float):
-        return f"{cell:.6g}"
-    if isinstance(cell, list | tuple):
-        return ",".join(format_cell(item) for item in cell)
-    return str(cell)
+    return tables.format_cell(cell) == value
 
 
 def _build_problem(
--- /dev/null
+++ b/samphirevale/client.py
@@ -0,0 +1,243 @@
+"""The calls that the tool makes: to callers' port and to the admin port."""
+
+import json
+import secrets
+import urllib.parse
+from collections.abc import AsyncIterator, Callable
+from typing import Any, NamedTuple
+
+import curio
+
+from samphirevale import answers, errors
+from samphirevale.adapters import web
+
+# The longest wait for an answer of the admin port, in seconds.
+ADMIN_SECONDS = 10.0
+
+# How much longer than its deadline the answer to a request may take.
+ANSWER_MARGIN_SECONDS = 5.0
+
+# The wait for the answer to a request without a deadline, in seconds.
+ANSWER_SECONDS = 60.0
+
+# How often an order whose answer is lost is asked for and sent again, and
+# the pause between two tries, in seconds.
+ORDER_TRIES = 5
+ORDER_PAUSE_SECONDS = 0.5
+
+
+class Reply(NamedTuple):
+    """An answer over HTTP: its status and its JSON value."""
+
+    status: int
+    value: Any
+
+
+class Request(NamedTuple):
+    """A request to send.
+
+    Attributes:
+        pipeline: the pipeline's name.
+        key: the idempotency key; empty for none.
+        body: the JSON body.
+    """
+
+    pipeline: str
+    key: str
+    body: dict[str, Any]
+
+
+async def send_request(
+    url: str, token: str, request: Request, emit: Callable[[list[str]], None]
+) -> Reply:
+    """Sends a request and returns its whole answer, checked, or a problem.
+
+    Args:
+        url: the callers' port.
+        token: the account's token.
+        request: what to send.
+        emit: called with the tokens of a streamed answer as they come.
+
+    Raises:
+        answers.BrokenStreamError: the answer is not whole.
+        errors.ConnectError: nothing was sent.
+        errors.AnswerLostError: it may have been taken.
+    """
+    limit = find_limit(request)
+    try:
+        async with curio.timeout_after(limit):
+            return await _exchange(url, token, request, emit)
+    except curio.TaskTimeout as error:
+        raise errors.AnswerLostError(f"no answer in {limit:g} s") from error
+
+
+def find_limit(request: Request) -> float:
+    """Returns how long to wait for an answer, in seconds."""
+    deadline_ms = request.body.get("deadline_ms")
+    if not isinstance(deadline_ms, int):
+        return ANSWER_SECONDS
+    return max(deadline_ms, 0) / 1000 + ANSWER_MARGIN_SECONDS
+
+
+async def _exchange(
+    url: str, token: str, request: Request, emit: Callable[[list[str]], None]
+) -> Reply:
+    host, port = web.split_address(url)
+    path = urllib.parse.quote(request.pipeline, safe="")
+    headers = _build_headers(token)
+    if request.key:
+        headers += (("Idempotency-Key", request.key),)
+    body = json.dumps(request.body).encode()
+    async with web.connect(host, port) as connection:
+        answer = await connection.request(
+            "POST", f"/v1/pipelines/{path}/requests", body, headers
+        )
+        kind = answer.headers.get("content-type", "")
+        if kind.startswith("text/event-stream"):
+            return await _read_stream(answer, emit)
+        value = web.read_json(await answer.read_body())
+    if answer.status == 200:
+        check_whole(value, read_tokens(value))
+    return Reply(answer.status, value)
+
+
+def read_tokens(value: Any) -> list[str]:
+    """Returns the tokens of a plain answer; empty if none were generated."""
+    result = value.get("result")
+    if not value.get("count") or not isinstance(result, dict):
+        return []
+    return result.get("tokens") or result.get("text", "").split(" ")
+
+
+def check_whole(value: Any, tokens: list[str]) -> None:
+    """Checks tokens against the answer's own count and digest.
+
+    Raises:
+        answers.BrokenStreamError: they are others.
+    """
+    count, digest = value.get("count", 0), value.get("digest", "")
+    if not count and not digest and not tokens:
+        return
+    buffer = answers.TokenBuffer()
+    buffer.add(0, tokens)
+    buffer.check_whole(count, digest)
+
+
+async def _read_stream(
+    answer: web.Answer, emit: Callable[[list[str]], None]
+) -> Reply:
+    buffer = answers.TokenBuffer()
+    async for name, value in read_events(answer):
+        if name == "chunk":
+            emit(_add_chunk(buffer, value))
+        elif name == "end":
+            check_whole(value, buffer.tokens)
+            return Reply(200, value)
+        elif name == "error":
+            return Reply(value.get("status", 500), value)
+    raise errors.AnswerLostError("the stream ended before its last event")
+
+
+def _add_chunk(buffer: answers.TokenBuffer, value: Any) -> list[str]:
+    if value["sequence"] != len(buffer.tokens):
+        raise answers.BrokenStreamError(
+            f"a chunk from token {value['sequence']} on, "
+            f"after {len(buffer.tokens)} tokens"
+        )
+    return buffer.add(value["sequence"], value["tokens"])
+
+
+async def read_events(answer: web.Answer) -> AsyncIterator[tuple[str, Any]]:
+    """Yields name and JSON data of each server-sent event."""
+    name, data = "", ""
+    async for line in answer.read_lines():
+        field, _, text = line.decode().partition(":")
+        text = text.strip()
+        if field == "event":
+            name = text
+        elif field == "data":
+            data += text
+        elif not line.strip() and data:
+            yield name, web.read_json(data.encode())
+            name, data = "", ""
+
+
+async def get_outcome(url: str, token: str, key: str) -> Reply:
+    """Returns what has become of a keyed request."""
+    path = urllib.parse.quote(key, safe="")
+    return await _call(url, token, "GET", f"/v1/requests/{path}")
+
+
+async def get_dump(url: str, token: str) -> Reply:
+    """Returns a process's state dump."""
+    return await _call(url, token, "GET", "/dump")
+
+
+async def run_query(
+    url: str, token: str, text: str, order_id: str = ""
+) -> Reply:
+    """Runs statements once; an order only with an id."""
+    value = {"text": text, "order_id": order_id}
+    return await _call(url, token, "POST", "/query", value)
+
+
+async def run_order(url: str, token: str, text: str, order_id: str) -> Reply:
+    """Brings one order into force, also when an answer is lost.
+
+    What is not known is read back by the order's id. An order that is not
+    there may still land, so it is sent again under the same id, under which
+    it takes effect once.
+    """
+    reply = Reply(504, _describe_unknown(order_id, "no answer"))
+    for number in range(ORDER_TRIES):
+        if number:
+            await curio.sleep(ORDER_PAUSE_SECONDS)
+        try:
+            if number and (found := await _find_order(url, token, order_id)):
+                return found
+            reply = await run_query(url, token, text, order_id)
+        except errors.TransportError as error:
+            reply = Reply(504, _describe_unknown(order_id, str(error)))
+        if reply.status not in (503, 504):
+            return reply
+    return reply
+
+
+async def _find_order(url: str, token: str, order_id: str) -> Reply | None:
+    reply = await run_query(url, token, f'show orders where id = "{order_id}"')
+    if reply.status != 200 or not reply.value["rows"]:
+        return None
+    row = dict(zip(reply.value["columns"], reply.value["rows"][0], strict=True))
+    value = {
+        "id": order_id,
+        "outcome": "accepted",
+        "revision": row["revision"],
+        "detail": "read back",
+    }
+    return Reply(200, {"order": value})
+
+
+def _describe_unknown(order_id: str, detail: str) -> dict[str, Any]:
+    value = {"id": order_id, "outcome": "unknown", "revision": 0}
+    return {"order": value | {"detail": detail}}
+
+
+def create_order_id() -> str:
+    """Returns an id that no other order has."""
+    return secrets.token_hex(8)
+
+
+def _build_headers(token: str) -> tuple[tuple[str, str], ...]:
+    return (
+        ("Authorization", f"Bearer {token}"),
+        ("Content-Type", "application/json"),
+    )
+
+
+async def _call(
+    url: str, token: str, method: str, target: str, value: Any = None
+) -> Reply:
+    status, answer, _ = await web.call_json(
+        url, method, target, value, _build_headers(token), ADMIN_SECONDS
+    )
+    return Reply(status, answer)
--- /dev/null
+++ b/samphirevale/cmdline.py
@@ -0,0 +1,440 @@
+"""The tool `samphirevale`, for callers and operators.
+
+Addresses come by flag or environment, tokens by environment alone:
+SAMPHIREVALE_URL (callers' port), SAMPHIREVALE_ADMIN_URL (admin port),
+SAMPHIREVALE_STORE_URL (the platform's object API), SAMPHIREVALE_TOKEN (an
+account's token), SAMPHIREVALE_OPERATOR_TOKEN (on a sidecar's admin port, the
+peer secret).
+
+Exit codes: 0 done; 1 failed; 2 wrong input, every finding printed; 3 refused
+and safe to send again; 4 not known whether it ran; 5 an answer that is not
+whole.
+"""
+
+import functools
+import json
+import os
+import sys
+from collections.abc import Callable
+from typing import Any
+
+import curio
+import defopt
+
+from samphirevale import (
+    answers,
+    client,
+    configuration,
+    daemon,
+    errors,
+    language,
+    rules,
+    settings,
+    tables,
+)
+
+EXIT_DONE = 0
+EXIT_FAILED = 1
+EXIT_INVALID = 2
+EXIT_REFUSED = 3
+EXIT_UNKNOWN = 4
+EXIT_BROKEN = 5
+
+# The exit code of each outcome that an answer may name.
+OUTCOME_EXITS = {
+    "whole": EXIT_DONE,
+    "accepted": EXIT_DONE,
+    "invalid": EXIT_INVALID,
+    "refused": EXIT_REFUSED,
+    "not_run": EXIT_REFUSED,
+    "not_completed": EXIT_REFUSED,
+    "unknown": EXIT_UNKNOWN,
+}
+
+# What a request's file may hold beside the fields of the body.
+FILE_FIELDS = ("pipeline", "key")
+
+
+def main(argv: list[str] | None = None) -> None:
+    """Runs `samphirevale` and exits with its code."""
+    commands: dict[str, Any] = dict(_commands)
+    commands["check-settings"] = {
+        role.name: daemon.build_command(role, check_settings)
+        for role in daemon.ROLES
+    }
+    code = defopt.run(
+        commands,
+        argv=argv,
+        short={},
+        cli_options="has_default",
+        show_defaults=False,
+        no_negated_flags=True,
+    )
+    sys.exit(code)
+
+
+_commands: dict[str, Callable[..., int]] = {}
+
+
+def _command(name: str) -> Callable[[Callable[..., int]], Callable[..., int]]:
+    """Registers a subcommand; its errors are printed and become its code."""
+
+    def add(function: Callable[..., int]) -> Callable[..., int]:
+        @functools.wraps(function)
+        def run(*args: Any, **flags: Any) -> int:
+            try:
+                return function(*args, **flags)
+            except errors.SamphirevaleError as error:
+                return _report_error(error)
+
+        _commands[name] = run
+        return run
+
+    return add
+
+
+def _report_error(error: errors.SamphirevaleError) -> int:
+    """Prints what went wrong and returns the exit code."""
+    if isinstance(error, errors.InvalidInputError):
+        for finding in error.findings:
+            print(finding, file=sys.stderr)
+        return EXIT_INVALID
+    print(f"{_name_failure(error)}: {error}", file=sys.stderr)
+    if isinstance(error, errors.AnswerLostError | errors.StoreUnknownError):
+        return EXIT_UNKNOWN
+    if isinstance(error, answers.BrokenStreamError):
+        return EXIT_BROKEN
+    return EXIT_FAILED
+
+
+def _name_failure(error: errors.SamphirevaleError) -> str:
+    if isinstance(error, errors.ConnectError):
+        return "nothing was sent"
+    if isinstance(error, errors.AnswerLostError | errors.StoreUnknownError):
+        return "the answer is lost"
+    if isinstance(error, answers.BrokenStreamError):
+        return "the answer is not whole"
+    return "failed"
+
+
+@_command("send")
+def send(
+    *,
+    file: str | None = None,
+    pipeline: str | None = None,
+    input: str | None = None,  # noqa: A002
+    key: str | None = None,
+    deadline_ms: int | None = None,
+    stream: bool = False,
+    once: bool = False,
+    url: str | None = None,
+    json: bool = False,  # noqa: A002
+) -> int:
+    """Send a request and print its whole answer, checked.
+
+    Args:
+        file: a JSON file with `pipeline`, `key` and the fields of the body;
+            `-` is stdin. Flags go before it.
+        pipeline: the pipeline.
+        input: the input, as JSON.
+        key: the idempotency key.
+        deadline_ms: the whole time that the request is given.
+        stream: print the tokens as they come.
+        once: mark it as non-idempotent: it runs at most once. Needs a key.
+        url: the callers' port.
+        json: print the answer as JSON.
+    """
+    given = {"pipeline": pipeline, "key": key, "deadline_ms": deadline_ms}
+    if input is not None:
+        given["input"] = _parse_json("--input", input)
+    if stream:
+        given["stream"] = True
+    if once:
+        given["idempotent"] = False
+    fields = _read_object(file) if file else {}
+    fields |= {
+        name: value for name, value in given.items() if value is not None
+    }
+    request = _build_request(fields)
+    emit = _ignore_tokens if json else _print_tokens
+    address = _find_url(url, "--url", "SAMPHIREVALE_URL")
+    token = _find_token("SAMPHIREVALE_TOKEN")
+    reply = curio.run(client.send_request, address, token, request, emit)
+    return _print_answer(reply, request.body.get("stream", False), json)
+
+
+@_command("outcome")
+def show_outcome(
+    key: str,
+    *,
+    url: str | None = None,
+    json: bool = False,  # noqa: A002
+) -> int:
+    """Tell what has become of a request that had an idempotency key.
+
+    Args:
+        key: the request's idempotency key.
+        url: the callers' port.
+        json: print the answer as JSON.
+    """
+    address = _find_url(url, "--url", "SAMPHIREVALE_URL")
+    token = _find_token("SAMPHIREVALE_TOKEN")
+    reply = curio.run(client.get_outcome, address, token, key)
+    return _print_answer(reply, False, json)
+
+
+@_command("query")
+def query(
+    text: str,
+    *,
+    admin_url: str | None = None,
+    json: bool = False,  # noqa: A002
+) -> int:
+    """Ask what runs where and how requests fare.
+
+    Args:
+        text: one or several `show` statements, separated by `;`.
+        admin_url: an entry's admin port.
+        json: print the tables as JSON.
+    """
+    for statement in language.parse(text):
+        if statement.is_order():
+            _fail("text", "only `show`; use `order`", statement.text)
+    reply = _call_admin(client.run_query, admin_url, text)
+    return _print_statements(reply, json)
+
+
+@_command("order")
+def order(
+    text: str,
+    *,
+    order_id: str | None = None,
+    admin_url: str | None = None,
+    json: bool = False,  # noqa: A002
+) -> int:
+    """Roll out, recall, drain, resume, stop or start.
+
+    An order whose answer is lost is read back by its id.
+
+    Args:
+        text: one order.
+        order_id: the id of an order that is sent again; else a new one.
+        admin_url: an entry's admin port.
+        json: print the result as JSON.
+    """
+    statements = language.parse(text)
+    if len(statements) != 1 or not statements[0].is_order():
+        _fail("text", "exactly one order", text)
+    order_id = order_id or client.create_order_id()
+    reply = _call_admin(client.run_order, admin_url, text, order_id)
+    return _print_statements(reply, json)
+
+
+@_command("dump")
+def dump(*, admin_url: str | None = None) -> int:
+    """Print the state dump of a process as JSON.
+
+    Args:
+        admin_url: the admin port of an entry or a sidecar.
+    """
+    reply = _call_admin(client.get_dump, admin_url)
+    _print_json(reply.value)
+    return EXIT_DONE if reply.status == 200 else EXIT_FAILED
+
+
+def check_settings(role: daemon.Role, flags: dict[str, str | None]) -> int:
+    """Loads a role's settings and prints them without the secrets."""
+    try:
+        loaded = role.load(flags, os.environ)
+    except errors.InvalidInputError as error:
+        return _report_error(error)
+    rows = [
+        (name, daemon.format_default(value))
+        for name, value in settings.redact(loaded).items()
+    ]
+    print(tables.format_table(("setting", "value"), rows))
+    return EXIT_DONE
+
+
+@_command("check-configuration")
+def check_configuration(file: str) -> int:
+    """Check a configuration and print every finding.
+
+    Args:
+        file: a JSON file; `-` is stdin.
+    """
+    value = _read_object(file)
+    _check_configuration(value)
+    for name in ("pipelines", "accounts", "batches"):
+        print(f"{name}: {len(value[name])}")
+    return EXIT_DONE
+
+
+def _check_configuration(value: dict[str, Any]) -> None:
+    findings = configuration.check_configuration(value)
+    if findings:
+        raise errors.InvalidInputError(findings)
+
+
+def _fail(place: str, expected: str, got: str = "") -> None:
+    raise errors.InvalidInputError([errors.Finding(place, expected, got)])
+
+
+def _read_object(file: str) -> dict[str, Any]:
+    """Returns the JSON object of a file."""
+    try:
+        if file == "-":
+            text = sys.stdin.read()
+        else:
+            with open(file, encoding="utf-8") as stream:
+                text = stream.read()
+    except (OSError, UnicodeDecodeError) as error:
+        _fail(file, "a readable file", str(error))
+    value = _parse_json(file, text)
+    if not isinstance(value, dict):
+        _fail(file, "a JSON object", type(value).__name__)
+    return value
+
+
+def _parse_json(place: str, text: str) -> Any:
+    try:
+        return json.loads(text)
+    except ValueError as error:
+        _fail(place, "JSON", str(error))
+
+
+def _build_request(fields: dict[str, Any]) -> client.Request:
+    body = {
+        name: value for name, value in fields.items() if name not in FILE_FIELDS
+    }
+    findings = [
+        errors.Finding(name, f"`{name}` in the file or --{name}")
+        for name in ("pipeline", "input")
+        if name not in fields
+    ]
+    if findings:
+        raise errors.InvalidInputError(findings)
+    return client.Request(
+        str(fields["pipeline"]), str(fields.get("key", "")), body
+    )
+
+
+def _find_url(given: str | None, flag: str, variable: str) -> str:
+    place = variable if given is None else flag
+    url = os.environ.get(variable, "") if given is None else given
+    if not rules.is_url(url):
+        _fail(place, f"http://IP:PORT by {flag} or {variable}", url)
+    return url
+
+
+def _find_token(variable: str) -> str:
+    token = os.environ.get(variable, "")
+    if not token:
+        _fail(variable, "a token")
+    return token
+
+
+def _call_admin(
+    call: Callable[..., Any], admin_url: str | None, *args: str
+) -> client.Reply:
+    url = _find_url(admin_url, "--admin-url", "SAMPHIREVALE_ADMIN_URL")
+    token = _find_token("SAMPHIREVALE_OPERATOR_TOKEN")
+    return curio.run(call, url, token, *args)
+
+
+def _ignore_tokens(tokens: list[str]) -> None:
+    """Does nothing: the answer is printed as JSON at its end."""
+
+
+def _print_tokens(tokens: list[str]) -> None:
+    print(*tokens, end=" ", flush=True)
+
+
+def _print_json(value: Any) -> None:
+    print(json.dumps(value, indent=2))
+
+
+def _print_answer(reply: client.Reply, streamed: bool, as_json: bool) -> int:
+    """Prints an answer to a request and returns the exit code."""
+    if as_json:
+        _print_json(reply.value)
+        return _choose_exit(reply.value)
+    if reply.status != 200:
+        return _print_problem(reply.value)
+    if streamed:
+        print()
+    else:
+        _print_result(reply.value)
+    _print_stages(reply.value)
+    return _choose_exit(reply.value)
+
+
+def _print_result(value: dict[str, Any]) -> None:
+    result = value.get("result")
+    if isinstance(result, dict) and isinstance(result.get("text"), str):
+        print(result["text"])
+    else:
+        _print_json(result)
+
+
+def _print_stages(value: dict[str, Any]) -> None:
+    """Prints each stage's time and cost, and that the answer is whole."""
+    stages = value.get("stages") or []
+    if stages:
+        rows = [list(stage.values()) for stage in stages]
+        print(tables.format_table(list(stages[0]), rows))
+    if value.get("digest"):
+        print(f"whole: {value['count']} tokens, digest {value['digest']}")
+
+
+def _print_problem(value: Any) -> int:
+    """Prints problem details and returns the exit code."""
+    if not isinstance(value, dict):
+        print(f"failed: {value}", file=sys.stderr)
+        return EXIT_FAILED
+    outcome = value.get("outcome", "failed")
+    text = value.get("detail") or value.get("title", "")
+    print(f"{outcome}: {text}", file=sys.stderr)
+    if "retry_after_seconds" in value:
+        print(f"come back in {value['retry_after_seconds']} s", file=sys.stderr)
+    for item in value.get("findings", ()):
+        print(errors.Finding(**item), file=sys.stderr)
+    return _choose_exit(value)
+
+
+def _choose_exit(value: Any) -> int:
+    outcome = value.get("outcome") if isinstance(value, dict) else None
+    return OUTCOME_EXITS.get(outcome, EXIT_FAILED)
+
+
+def _print_statements(reply: client.Reply, as_json: bool) -> int:
+    """Prints the answers of statements; the worst code is the exit code."""
+    several = reply.value.get("answers")
+    if as_json:
+        _print_json(reply.value)
+    codes = [
+        _choose_statement_exit(value) if as_json else _print_statement(value)
+        for value in (several or [reply.value])
+    ]
+    return max(codes)
+
+
+def _choose_statement_exit(value: dict[str, Any]) -> int:
+    if "columns" in value:
+        return EXIT_DONE
+    return _choose_exit(value.get("order", value))
+
+
+def _print_statement(value: dict[str, Any]) -> int:
+    if "columns" in value:
+        print(tables.format_table(value["columns"], value["rows"]))
+    elif "order" in value:
+        columns = list(value["order"])
+        print(tables.format_table(columns, [list(value["order"].values())]))
+    else:
+        return _print_problem(value)
+    return _choose_statement_exit(value)
+
+
+if __name__ == "__main__":
+    main()
--- a/samphirevale/invariants.py
+++ b/samphirevale/invariants.py
@@ -7,16 +7,9 @@
 import collections
 from typing import Any
 
-import prometheus_client
 from absl import logging
 
-from samphirevale import errors
-
-_VIOLATIONS = prometheus_client.Counter(
-    "samphirevale_invariant_violations",
-    "Violations of the invariants that the program asserts.",
-    ["invariant"],
-)
+from samphirevale import errors, metrics
 
 _descriptions: dict[str, str] = {}
 _violations: collections.Counter[str] = collections.Counter()
@@ -28,7 +21,7 @@
     if name in _descriptions:
         raise ValueError(f"invariant {name} is declared twice")
     _descriptions[name] = description
-    _VIOLATIONS.labels(name)
+    metrics.INVARIANT_VIOLATIONS.labels(invariant=name)
     return name
 
 
@@ -87,7 +80,7 @@
     if condition:
         return True
     _violations[name] += 1
-    _VIOLATIONS.labels(name).inc()
+    metrics.INVARIANT_VIOLATIONS.labels(invariant=name).inc()
     text = ", ".join(f"{key}={value!r}" for key, value in detail.items())
     logging.error("invariant %s is violated: %s", name, text)
     if _fatal:
--- a/samphirevale/metrics.py
+++ b/samphirevale/metrics.py
@@ -7,11 +7,6 @@
 from typing import Any
 
 import prometheus_client
-from prometheus_client import (
-    gc_collector,
-    platform_collector,
-    process_collector,
-)
 
 # The value under which a label's values over its bound are counted.
 OTHER = "other"
@@ -49,10 +44,8 @@
     10.0,
 )
 
-REGISTRY = prometheus_client.CollectorRegistry()
-process_collector.ProcessCollector(registry=REGISTRY)
-platform_collector.PlatformCollector(registry=REGISTRY)
-gc_collector.GCCollector(registry=REGISTRY)
+# The library's own registry, which has the process's memory and time too.
+REGISTRY = prometheus_client.REGISTRY
 
 
 class Family:
--- a/samphirevale/rules.py
+++ b/samphirevale/rules.py
@@ -91,10 +91,13 @@
     return True
 
 
-def _is_url(text: str) -> bool:
-    parts = urllib.parse.urlsplit(text)
-    rebuilt = f"http://{parts.netloc}"
-    return text == rebuilt and _is_address(parts.netloc)
+def is_url(text: str) -> bool:
+    """Tells whether a text is `http://IP:PORT` and nothing more."""
+    try:
+        parts = urllib.parse.urlsplit(text)
+        return text == f"http://{parts.netloc}" and _is_address(parts.netloc)
+    except ValueError:
+        return False
 
 
 def _is_address(text: str) -> bool:
@@ -118,7 +121,7 @@
     "the first a letter or digit",
     _is_name,
 )
-_URL = Rule("http://IP:PORT with nothing after it", _is_url)
+_URL = Rule("http://IP:PORT with nothing after it", is_url)
 _PORT = _bound(1, 65535)
 _SECONDS = _bound(0.01, SECONDS_LIMIT, "seconds")
 _SECRET = Rule(
