--- a/samphirevale/claims.py
+++ b/samphirevale/claims.py
@@ -12,26 +12,15 @@
 
 import hashlib
 import json
-from collections.abc import Iterable
 from typing import Any, NamedTuple, TypedDict
 
-from samphirevale import errors, invariants
+from samphirevale import backoff, errors, expiry, invariants
 from samphirevale.ports import clock as clocks
 from samphirevale.ports import objects
 
 # The kind of the objects that hold claims.
 OBJECT_KIND = "claims"
 
-# The first and the longest pause between two tries, in seconds.
-FIRST_PAUSE_SECONDS = 0.05
-LONGEST_PAUSE_SECONDS = 1.0
-
-# The most that the wall clocks of two instances differ, in seconds.
-CLOCK_SKEW_SECONDS = 60.0
-
-# The most deletions of one sweep in a second.
-SWEEP_RATE_PER_SECOND = 20.0
-
 
 class Claim(TypedDict):
     """The stored value.
@@ -240,7 +229,7 @@
         return KeyReused()
     if held["state"] == "done":
         return Replay(held["outcome"])
-    late = wall_now > held["deadline_at"] + CLOCK_SKEW_SECONDS
+    late = wall_now > held["deadline_at"] + expiry.CLOCK_SKEW_SECONDS
     if held["state"] == "claimed" and not late:
         return Running()
     return OutcomeUnknown()
@@ -278,19 +267,17 @@
 ) -> Won | Held | GiveUp:
     outstanding = False
     version = None
-    pause = FIRST_PAUSE_SECONDS
+    tries = 0
     while True:
         seen = await _try_write(store, claim, version)
-        # The first write of a call is the only one that cannot have been
-        # preceded by one that is still on its way.
         outstanding = outstanding or isinstance(seen, Unanswered)
         decision = decide_claim(claim, seen, outstanding, clock.now(), deadline)
         if not isinstance(decision, Retry):
             return decision
         if isinstance(seen, Conflicted):
             version = decision.version
-        await clock.sleep(pause)
-        pause = min(2 * pause, LONGEST_PAUSE_SECONDS)
+        await clock.sleep(backoff.compute_pause(tries))
+        tries += 1
 
 
 async def _try_write(
@@ -325,15 +312,15 @@
     Runs until the store has decided, through outages of any length: once it
     returns, no write of this attempt can take effect any more.
     """
-    pause = FIRST_PAUSE_SECONDS
+    tries = 0
     while True:
         try:
             if await _release_once(store, claim):
                 return
         except errors.StoreError:
             pass
-        await clock.sleep(pause)
-        pause = min(2 * pause, LONGEST_PAUSE_SECONDS)
+        await clock.sleep(backoff.compute_pause(tries))
+        tries += 1
 
 
 async def _release_once(store: objects.ObjectStore, claim: Claim) -> bool:
@@ -380,7 +367,7 @@
     name = name_claim(won.claim["account"], won.claim["key"])
     wanted = Claim(**{**won.claim, "state": state, "outcome": outcome})
     version = won.version
-    pause = FIRST_PAUSE_SECONDS
+    tries = 0
     while clock.now() < deadline:
         try:
             await store.update(OBJECT_KIND, name, wanted, version)
@@ -393,8 +380,8 @@
                 version = found.version
         except errors.StoreError:
             pass
-        await clock.sleep(pause)
-        pause = min(2 * pause, LONGEST_PAUSE_SECONDS)
+        await clock.sleep(backoff.compute_pause(tries))
+        tries += 1
     return False
 
 
@@ -418,35 +405,3 @@
     if not own or stored["state"] == "done":
         return False
     return stored["state"] != wanted["state"]
-
-
-def choose_expired(
-    stored: Iterable[objects.StoredObject], wall_now: float
-) -> list[objects.StoredObject]:
-    """Returns the claims that no instance's clock counts as alive."""
-    limit = wall_now - CLOCK_SKEW_SECONDS
-    return [item for item in stored if item.value["expires_at"] < limit]
-
-
-async def sweep_claims(
-    store: objects.ObjectStore,
-    wall_now: float,
-    clock: clocks.Clock,
-    rate_per_second: float = SWEEP_RATE_PER_SECOND,
-) -> int:
-    """Deletes expired claims, at a bounded rate; returns how many.
-
-    Raises:
-        errors.StoreUnavailableError: the claims could not be listed.
-    """
-    deleted = 0
-    for item in choose_expired(await store.list_kind(OBJECT_KIND), wall_now):
-        try:
-            await store.delete(OBJECT_KIND, item.name, item.version)
-            deleted += 1
-        except errors.StoreConflictError:
-            pass
-        except errors.StoreError:
-            break
-        await clock.sleep(1.0 / rate_per_second)
-    return deleted
--- a/samphirevale/orders.py
+++ b/samphirevale/orders.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from samphirevale import configuration, errors
+from samphirevale import backoff, configuration, errors
 from samphirevale.ports import clock as clocks
 from samphirevale.ports import objects
 
@@ -21,10 +21,6 @@
 # Stands for the version of an object that does not exist.
 ABSENT_VERSION = 0
 
-# The first and the longest pause between two tries, in seconds.
-FIRST_PAUSE_SECONDS = 0.05
-LONGEST_PAUSE_SECONDS = 1.0
-
 
 class Order(NamedTuple):
     """An order as it was parsed.
@@ -320,7 +316,7 @@
     # The version under which a write was sent that may still take effect.
     outstanding = None
     version = ABSENT_VERSION
-    pause = FIRST_PAUSE_SECONDS
+    tries = 0
     while True:
         try:
             stored = await _read_current(store)
@@ -342,10 +338,11 @@
         except errors.StoreUnavailableError:
             if outstanding is None:
                 raise
+        pause = backoff.compute_pause(tries)
         if clock.now() + pause >= deadline:
             return _give_up(outstanding)
         await clock.sleep(pause)
-        pause = min(2 * pause, LONGEST_PAUSE_SECONDS)
+        tries += 1
 
 
 def _give_up(outstanding: int | None) -> Undecided:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -131,14 +131,3 @@
             self.assertEqual(stored, kept)
         held = self.store.objects[("claims", NAME)].value
         self.assertEqual((held["state"], held["outcome"]), ("done", 7))
-
-    def test_the_sweep_keeps_an_unknown_outcome_through_its_window(self):
-        self.acquire({**CLAIM, "state": "unknown"})
-        for wall_now, swept in (
-            (CLAIM["expires_at"] + claims.CLOCK_SKEW_SECONDS, 0),
-            (CLAIM["expires_at"] + claims.CLOCK_SKEW_SECONDS + 1, 1),
-        ):
-            count = self.clock.call(
-                claims.sweep_claims(self.store, wall_now, self.clock)
-            )
-            self.assertEqual(count, swept)
--- /dev/null
+++ b/tests/test_expiry.py
@@ -0,0 +1,36 @@
+"""Tests of expiry."""
+
+from samphirevale import expiry
+from tests import base, fakes
+
+EXPIRES_AT = 5000.0
+
+
+class SweepTest(base.TestCase):
+    """What a sweep deletes, and how fast."""
+
+    def setUp(self):
+        self.clock = fakes.Simulation()
+        self.store = fakes.FakeStore(self.clock)
+
+    def sweep(self, wall_now):
+        return self.clock.call(
+            expiry.sweep_expired(self.store, "claims", wall_now, self.clock)
+        )
+
+    def test_an_object_is_kept_through_its_window_and_the_skew(self):
+        value = {"state": "unknown", "expires_at": EXPIRES_AT}
+        self.clock.call(self.store.create("claims", "n", value))
+        last = EXPIRES_AT + expiry.CLOCK_SKEW_SECONDS
+        self.assertEqual(self.sweep(last), 0)
+        self.assertEqual(self.sweep(last + 1), 1)
+        self.assertEqual(self.store.objects, {})
+
+    def test_the_rate_is_bounded(self):
+        for name in range(40):
+            value = {"expires_at": EXPIRES_AT}
+            self.clock.call(self.store.create("claims", str(name), value))
+        began = self.clock.now()
+        self.assertEqual(self.sweep(9000.0), 40)
+        rate = 40 / (self.clock.now() - began)
+        self.assertLessEqual(rate, expiry.SWEEP_RATE_PER_SECOND)
