--- a/samphirevale/client.py
+++ b/samphirevale/client.py
@@ -188,7 +188,6 @@
     there may still land, so it is sent again under the same id, under which
     it takes effect once.
     """
-    reply = Reply(504, _describe_unknown(order_id, "no answer"))
     for number in range(ORDER_TRIES):
         if number:
             await curio.sleep(ORDER_PAUSE_SECONDS)
@@ -197,9 +196,11 @@
                 return found
             reply = await run_query(url, token, text, order_id)
         except errors.TransportError as error:
-            reply = Reply(504, _describe_unknown(order_id, str(error)))
-        if reply.status not in (503, 504):
+            reply = _build_unknown(order_id, str(error))
+        if reply.status < 500:
             return reply
+    if "order" not in reply.value:
+        return _build_unknown(order_id, reply.value.get("title", ""))
     return reply
 
 
@@ -217,9 +218,9 @@
     return Reply(200, {"order": value})
 
 
-def _describe_unknown(order_id: str, detail: str) -> dict[str, Any]:
+def _build_unknown(order_id: str, detail: str) -> Reply:
     value = {"id": order_id, "outcome": "unknown", "revision": 0}
-    return {"order": value | {"detail": detail}}
+    return Reply(504, {"order": value | {"detail": detail}})
 
 
 def create_order_id() -> str:
--- a/samphirevale/cmdline.py
+++ b/samphirevale/cmdline.py
@@ -28,10 +28,13 @@
     daemon,
     errors,
     language,
+    loading,
+    orders,
     rules,
     settings,
     tables,
 )
+from samphirevale.adapters import clock, objects
 
 EXIT_DONE = 0
 EXIT_FAILED = 1
@@ -51,6 +54,9 @@
     "unknown": EXIT_UNKNOWN,
 }
 
+# How long a load may take against a store that fails, in seconds.
+LOAD_SECONDS = 30.0
+
 # What a request's file may hold beside the fields of the body.
 FILE_FIELDS = ("pipeline", "key")
 
@@ -263,17 +269,77 @@
     Args:
         file: a JSON file; `-` is stdin.
     """
-    value = _read_object(file)
-    _check_configuration(value)
+    value = _read_configuration(file)
     for name in ("pipelines", "accounts", "batches"):
         print(f"{name}: {len(value[name])}")
     return EXIT_DONE
 
 
-def _check_configuration(value: dict[str, Any]) -> None:
+def _read_configuration(file: str) -> configuration.ConfigurationValue:
+    value = loading.complete(_read_object(file))
     findings = configuration.check_configuration(value)
     if findings:
         raise errors.InvalidInputError(findings)
+    return value
+
+
+@_command("load-configuration")
+def load_configuration(
+    file: str,
+    *,
+    order_id: str | None = None,
+    store_url: str | None = None,
+) -> int:
+    """Check a configuration and load it into the platform's store.
+
+    It replaces the one that is there, unless another order comes between;
+    then the tool tells which. Recalled batches stay recalled.
+
+    Args:
+        file: a JSON file; `-` is stdin.
+        order_id: the id of a load that is done again; else a new one.
+        store_url: the platform's object API.
+    """
+    value = _read_configuration(file)
+    url = _find_url(store_url, "--store-url", "SAMPHIREVALE_STORE_URL")
+    store = objects.HttpObjectStore(url)
+    order_id = order_id or client.create_order_id()
+    result = curio.run(_load, store, order_id, value)
+    return _print_submission(order_id, result)
+
+
+async def _load(
+    store: objects.HttpObjectStore,
+    order_id: str,
+    value: configuration.ConfigurationValue,
+) -> orders.Submission:
+    now = clock.MonotonicClock()
+    held = await store.get(configuration.OBJECT_KIND, configuration.OBJECT_NAME)
+    base = held.value["revision"] if held else 0
+    load = loading.build_order(order_id, value, base)
+    try:
+        return await orders.submit_order(
+            store, load, now.now() + LOAD_SECONDS, now
+        )
+    finally:
+        await store.close()
+
+
+def _print_submission(order_id: str, result: orders.Submission) -> int:
+    """Prints how a load has ended and returns the exit code."""
+    if isinstance(result, orders.Accepted):
+        print(f"accepted: revision {result.revision}")
+        return EXIT_DONE
+    if isinstance(result, orders.Rejected):
+        winner = result.winner
+        print(
+            f"refused: order {winner['id']} ({winner['text']}) came first: "
+            f"{result.detail}",
+            file=sys.stderr,
+        )
+        return EXIT_REFUSED
+    print(f"unknown: try again with --order-id {order_id}", file=sys.stderr)
+    return EXIT_UNKNOWN
 
 
 def _fail(place: str, expected: str, got: str = "") -> None:
--- a/samphirevale/signals.py
+++ b/samphirevale/signals.py
@@ -11,17 +11,43 @@
 
 from curio import io
 
+# The most signals that are read at once, one byte each.
+READ_BYTES = 64
+
+
+class SignalStream:
+    """An asynchronous iterator of the signals that have come."""
+
+    def __init__(self, stream: io.Socket, numbers: frozenset[signal.Signals]):
+        self._stream = stream
+        self._numbers = numbers
+        self._pending: list[signal.Signals] = []
+
+    def __aiter__(self) -> "SignalStream":
+        """Returns itself."""
+        return self
+
+    async def __anext__(self) -> signal.Signals:
+        """Returns the next signal, waiting for it."""
+        while not self._pending:
+            data = await self._stream.recv(READ_BYTES)
+            self._pending = [
+                signal.Signals(number)
+                for number in data
+                if number in self._numbers
+            ]
+        return self._pending.pop(0)
+
 
 @contextlib.asynccontextmanager
 async def open_signals(
     numbers: Iterable[signal.Signals],
-) -> AsyncIterator[AsyncIterator[signal.Signals]]:
+) -> AsyncIterator[SignalStream]:
     """Gives the signals of `numbers` as they come; for the main thread only.
 
     The handlers from before are put back at the end of the block.
     """
     receiver, sender = socket.socketpair()
-    receiver.setblocking(False)
     sender.setblocking(False)
     # A handler must be there, or the signal keeps its default action.
     previous = {number: signal.signal(number, _ignore) for number in numbers}
@@ -30,7 +56,7 @@
     )
     async with io.Socket(receiver) as stream:
         try:
-            yield _read_signals(stream, frozenset(previous))
+            yield SignalStream(stream, frozenset(previous))
         finally:
             signal.set_wakeup_fd(previous_descriptor)
             for number, handler in previous.items():
@@ -38,14 +64,5 @@
             sender.close()
 
 
-async def _read_signals(
-    stream: io.Socket, numbers: frozenset[signal.Signals]
-) -> AsyncIterator[signal.Signals]:
-    while data := await stream.recv(64):
-        for number in data:
-            if number in numbers:
-                yield signal.Signals(number)
-
-
 def _ignore(number: int, frame: object) -> None:
     """Does nothing: the wake-up descriptor carries the number."""
--- /dev/null
+++ b/tests/test_loading.py
@@ -0,0 +1,75 @@
+"""Tests of loading a configuration as an order."""
+
+import copy
+from typing import Any
+
+from samphirevale import errors, loading, orders
+from tests import base, test_configuration
+
+
+class LoadingTest(base.TestCase):
+    """What a load replaces, and what it leaves alone."""
+
+    def setUp(self):
+        self.held = test_configuration.build_value()
+        self.loaded = copy.deepcopy(self.held)
+
+    def load(self, base_revision: int | None = None) -> Any:
+        if base_revision is None:
+            base_revision = self.held["revision"]
+        order = loading.build_order("o-9", self.loaded, base_revision)
+        return orders.apply_order(self.held, order)
+
+    def find_places(self, base_revision: int | None = None) -> list[str]:
+        with self.assertRaises(errors.InvalidInputError) as caught:
+            self.load(base_revision)
+        return [finding.place for finding in caught.exception.findings]
+
+    def test_replaces_pipelines(self):
+        self.loaded["pipelines"]["harvest"]["deadline_ms"] = 77
+        self.loaded["draining"] = []
+        after = self.load()
+        self.assertEqual(77, after["pipelines"]["harvest"]["deadline_ms"])
+        self.assertEqual([], after["draining"])
+        self.assertEqual(self.held["revision"] + 1, after["revision"])
+        self.assertEqual("o-9", after["orders"][-1]["id"])
+        self.assertEqual(len(self.held["orders"]) + 1, len(after["orders"]))
+
+    def test_first_load(self):
+        order = loading.build_order("o-1", self.loaded, 0)
+        after = orders.apply_order(None, order)
+        self.assertEqual(1, after["revision"])
+        self.assertEqual({1}, {b["order"] for b in after["batches"].values()})
+
+    def test_refuses_another_base(self):
+        revision = self.held["revision"]
+        self.assertEqual(["revision"], self.find_places(revision - 1))
+
+    def test_batches_are_kept(self):
+        name, batch = next(iter(self.loaded["batches"].items()))
+        self.held["batches"][name]["state"] = "recalled"
+        batch["version"] = "other"
+        self.held["batches"]["gone"] = dict(batch)
+        self.assertEqual(
+            [
+                f"batches.{name}.version",
+                f"batches.{name}.state",
+                "batches.gone",
+            ],
+            self.find_places(),
+        )
+
+    def test_new_batch_is_the_latest(self):
+        name, batch = next(iter(self.loaded["batches"].items()))
+        self.loaded["batches"]["new"] = batch | {"order": 1}
+        after = self.load()
+        self.assertEqual(after["revision"], after["batches"]["new"]["order"])
+        self.assertEqual(
+            self.held["batches"][name]["order"],
+            after["batches"][name]["order"],
+        )
+
+    def test_complete(self):
+        self.assertEqual(
+            {"revision": 1, "orders": [], "x": 1}, loading.complete({"x": 1})
+        )
