--- a/samphirevale/adapters/endpoints.py
+++ b/samphirevale/adapters/endpoints.py
@@ -108,9 +108,7 @@
             return None
         return _parse(_build_load_report, value)
 
-    async def read_cache_events(
-        self, after: int
-    ) -> list[endpoints.CacheEvent]:
+    async def read_cache_events(self, after: int) -> list[endpoints.CacheEvent]:
         """Returns nothing: only engines cache prefixes."""
         return []
 
@@ -203,9 +201,7 @@
                 timeout_seconds=CANCEL_SECONDS,
             )
 
-    async def read_cache_events(
-        self, after: int
-    ) -> list[endpoints.CacheEvent]:
+    async def read_cache_events(self, after: int) -> list[endpoints.CacheEvent]:
         """Returns the events numbered above `after`."""
         status, value, _ = await self._report(f"/cache-events?after={after}")
         if status != 200:
--- a/samphirevale/attempts.py
+++ b/samphirevale/attempts.py
@@ -40,6 +40,8 @@
         started_at: when the endpoint was handed it, in monotonic seconds.
         turn: set when the queue lets it start.
         dropped: the refusal of the queue, where it dropped the attempt.
+        service_seconds: the time of a completed call; None otherwise.
+        ended: set once it has ended.
         cancel_reason: why it is being cancelled; empty if it is not.
         task: the task that runs it.
     """
@@ -59,6 +61,8 @@
         self.chunks_missed = False
         self.turn = curio.Event()
         self.dropped: Any = None
+        self.service_seconds: float | None = None
+        self.ended = curio.Event()
         self.cancel_reason = ""
         self.task: curio.Task | None = None
 
