--- a/samphirevale/peers.py
+++ b/samphirevale/peers.py
@@ -16,6 +16,9 @@
 # The longest wait for the last messages to one entry, in seconds.
 FLUSH_SECONDS = 1.0
 
+# Interval between looks at whether they are sent, in seconds.
+FLUSH_CHECK_SECONDS = 0.01
+
 # The shortest time between two snapshot requests to one entry, in seconds.
 REQUEST_SECONDS = 0.2
 
@@ -38,15 +41,17 @@
         self.requested_at = float("-inf")
         self.sequences = itertools.count()
         self._outbox = curio.Queue()
+        self._unsent = 0
         self._closed = False
 
     async def post(self, message: Any) -> bool:
         """Queues a message; returns False if the connection has ended."""
         if self._closed:
             return False
-        if self._outbox.qsize() >= OUTBOX_LIMIT:
+        if self._unsent >= OUTBOX_LIMIT:
             self._closed = True
             return False
+        self._unsent += 1
         await self._outbox.put(message)
         return True
 
@@ -56,7 +61,7 @@
             while not self._closed:
                 message = await self._outbox.get()
                 await self._link.send(message, read_revision())
-                await self._outbox.task_done()
+                self._unsent -= 1
         except errors.PeerClosedError:
             return
         finally:
@@ -64,8 +69,9 @@
 
     async def flush(self) -> None:
         """Waits until all that was posted is sent, for a short time."""
-        if not self._closed:
-            await curio.ignore_after(FLUSH_SECONDS, self._outbox.join)
+        async with curio.ignore_after(FLUSH_SECONDS):
+            while self._unsent and not self._closed:
+                await curio.sleep(FLUSH_CHECK_SECONDS)
 
     def is_closed(self) -> bool:
         """Tells whether nothing more can be sent."""
--- a/samphirevale/sidecar.py
+++ b/samphirevale/sidecar.py
@@ -1,7 +1,7 @@
 """The sidecar: the only way to the endpoint that it stands beside.
 
 One task for each connected entry reads its messages; each hand-over runs in
-a task of its own (execution.py). The rest of the tasks probe the endpoint,
+a task of its own (executors.py). The rest of the tasks probe the endpoint,
 give it its orders and do what is due by time.
 """
 
@@ -15,7 +15,7 @@
 from samphirevale import (
     configuration,
     errors,
-    execution,
+    executors,
     limits,
     logs,
     messages,
@@ -68,7 +68,7 @@
             LIMIT_POLICY, sidecar.concurrency_limit, sidecar.queue_limit
         )
         self._store = objects.HttpObjectStore(sidecar.common.store_url)
-        self._executor = execution.Executor(
+        self._executor = executors.Executor(
             sidecar,
             self._endpoint,
             self._monitor,
