--- a/samphirevale/errors.py
+++ b/samphirevale/errors.py
@@ -1,6 +1,6 @@
 """The exception tree of the package."""
 
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 
 class Finding(NamedTuple):
@@ -91,6 +91,14 @@
     """An endpoint refused an order that carries an old fencing number."""
 
 
+class RequestRefusedError(SamphirevaleError):
+    """A request ends without a whole answer; carries callers.Refused."""
+
+    def __init__(self, refusal: Any):
+        super().__init__(f"{refusal.outcome}: {refusal.reason}")
+        self.refusal = refusal
+
+
 class EndpointBusyError(SamphirevaleError):
     """An endpoint cannot take an order now; says when to try again."""
 
