Assert the sidecar's invariants; read reports over kept connections

Cause: a violation has to be seen, and a report each 0.2 s on a fresh connection would cost more than the calls.

Evidence: tests.test_sidecar pass with fatal invariants.

--- a/samphirevale/adapters/endpoints.py
+++ b/samphirevale/adapters/endpoints.py
@@ -10,6 +10,8 @@
 from collections.abc import AsyncIterator, Callable
 from typing import Any
 
+import curio
+
 from samphirevale import errors, messages
 from samphirevale.adapters import web
 from samphirevale.ports import endpoints
@@ -95,7 +97,9 @@
 
     async def read_health(self) -> endpoints.Health:
         """Probes it on a fresh connection."""
-        status, value, _ = await self._report("/health")
+        status, value, _ = await web.call_json(
+            self._url, "GET", "/health", timeout_seconds=REPORT_SECONDS
+        )
         incarnation = ""
         if isinstance(value, dict):
             incarnation = str(value.get("incarnation", ""))
@@ -103,7 +107,7 @@
 
     async def read_load(self) -> endpoints.LoadReport | None:
         """Returns its load, or None where it does not report it."""
-        status, value, _ = await self._report("/load")
+        status, value = await self._report("/load")
         if status != 200:
             return None
         return _parse(_build_load_report, value)
@@ -158,10 +162,23 @@
         self._idle.append(connection)
         return True
 
-    async def _report(self, target: str) -> tuple[int, Any, dict[str, str]]:
-        return await web.call_json(
-            self._url, "GET", target, timeout_seconds=REPORT_SECONDS
-        )
+    async def _report(self, target: str) -> tuple[int, Any]:
+        """Reads a report over a connection that is kept alive."""
+        connection = await self._open(repeatable=True)
+        kept = False
+        try:
+            async with curio.timeout_after(REPORT_SECONDS):
+                answer = await connection.request("GET", target)
+                data = await answer.read_body(RESULT_BYTES_LIMIT)
+            kept = self._keep(connection)
+        except curio.TaskTimeout as error:
+            raise errors.AnswerLostError(
+                f"no answer in {REPORT_SECONDS} s"
+            ) from error
+        finally:
+            if not kept:
+                await connection.close()
+        return answer.status, web.read_json(data)
 
 
 @register("stage")
@@ -203,14 +220,14 @@
 
     async def read_cache_events(self, after: int) -> list[endpoints.CacheEvent]:
         """Returns the events numbered above `after`."""
-        status, value, _ = await self._report(f"/cache-events?after={after}")
+        status, value = await self._report(f"/cache-events?after={after}")
         if status != 200:
             return []
         return _parse(_build_cache_events, value)
 
     async def read_state(self) -> endpoints.EndpointState:
         """Returns what it has loaded."""
-        status, value, _ = await self._report("/state")
+        status, value = await self._report("/state")
         if status != 200:
             raise errors.ProtocolError(f"/state answered {status}")
         return _parse(_build_state, value)
@@ -237,7 +254,7 @@
         return {
             "request": call.request,
             "attempt": call.attempt,
-            "prompt": build_prompt(call.input),
+            "prompt": endpoints.build_prompt(call.input),
             "prior": call.prior,
             "batch": call.batch,
             "offset": call.offset,
@@ -246,7 +263,7 @@
 
     async def _read(self, answer: web.Answer) -> AsyncIterator[Any]:
         rest = b""
-        completed = None
+        ending = None
         # Read to the end of the body, so that the connection can be kept.
         async for part in answer.read_parts():
             *lines, rest = (rest + part).split(b"\n")
@@ -254,13 +271,13 @@
                 raise errors.ProtocolError("a line over the limit")
             items = [_parse_line(line) for line in lines if line]
             for item in merge_tokens(items):
-                if isinstance(item, endpoints.Completed):
-                    completed = item
-                else:
+                if isinstance(item, endpoints.Tokens):
                     yield item
-        if completed is None:
+                else:
+                    ending = item
+        if ending is None:
             raise errors.AnswerLostError("the stream ended early")
-        yield completed
+        yield ending
 
 
 def merge_tokens(items: list[Any]) -> list[Any]:
@@ -279,13 +296,6 @@
     return merged
 
 
-def build_prompt(value: Any) -> str:
-    """Returns the prompt for an input: text itself, or its JSON."""
-    if isinstance(value, str):
-        return value
-    return json.dumps(value, sort_keys=True, ensure_ascii=False)
-
-
 def _encode(value: Any) -> bytes:
     return json.dumps(value).encode()
 
@@ -316,11 +326,15 @@
     )
 
 
-def _parse_line(line: bytes) -> endpoints.Tokens | endpoints.Completed:
+def _parse_line(line: bytes) -> Any:
     return _parse(_build_stream_item, web.read_json(line))
 
 
-def _build_stream_item(value: Any) -> endpoints.Tokens | endpoints.Completed:
+def _build_stream_item(
+    value: Any,
+) -> endpoints.Tokens | endpoints.Completed | endpoints.Failed:
+    if value.get("cancelled"):
+        return endpoints.Failed("failed", "cancelled by the engine")
     if not value.get("done"):
         return endpoints.Tokens(
             int(value["sequence"]), [str(token) for token in value["tokens"]]
--- a/samphirevale/attempts.py
+++ b/samphirevale/attempts.py
@@ -40,6 +40,8 @@
         started_at: when the endpoint was handed it, in monotonic seconds.
         turn: set when the queue lets it start.
         dropped: the refusal of the queue, where it dropped the attempt.
+        endpoint_ran_nothing: the endpoint was handed it and certainly
+            refused it.
         service_seconds: the time of a completed call; None otherwise.
         ended: set once it has ended.
         cancel_reason: why it is being cancelled; empty if it is not.
@@ -61,6 +63,7 @@
         self.chunks_missed = False
         self.turn = curio.Event()
         self.dropped: Any = None
+        self.endpoint_ran_nothing = False
         self.service_seconds: float | None = None
         self.ended = curio.Event()
         self.cancel_reason = ""
--- a/samphirevale/executors.py
+++ b/samphirevale/executors.py
@@ -10,6 +10,7 @@
     arrivals,
     attempts,
     errors,
+    invariants,
     limits,
     logs,
     messages,
@@ -23,7 +24,7 @@
 
 # How long a cut connection's repeatable attempts go on, so that the entry
 # can connect again and wait for them, in seconds.
-REATTACH_SECONDS = 2.0
+REATTACH_SECONDS = 1.0
 
 # How long past its deadline a call that may not be repeated is waited for,
 # so that its outcome becomes known, in seconds.
@@ -32,6 +33,19 @@
 # When to ask again after an endpoint's refusal without a time, in ms.
 REFUSED_RETRY_MS = 100
 
+ATTEMPT_RUNS_ONCE = invariants.declare(
+    "attempt_runs_once",
+    "A sidecar hands one attempt to its endpoint at most once.",
+)
+ATTEMPT_ENDS_ONCE = invariants.declare(
+    "attempt_ends_once",
+    "An attempt ends exactly once in a sidecar.",
+)
+RUNNING_WITHIN_LIMIT = invariants.declare(
+    "running_within_limit",
+    "An endpoint is handed no more attempts at once than its limit.",
+)
+
 
 class Counts:
     """What the executor counts, for metrics and the dump."""
@@ -71,6 +85,7 @@
         connected: peers.PeerSet,
     ):
         self._name = sidecar.endpoint
+        self._concurrency_limit = sidecar.concurrency_limit
         self._endpoint = endpoint
         self._monitor = monitor
         self._queue = queue
@@ -79,6 +94,7 @@
         self.table = attempts.AttemptTable()
         self.counts = Counts()
         self.leaving_at: float | None = None
+        self._violations = curio.Queue()
 
     async def accept(
         self, handover: messages.Handover, peer: peers.Peer
@@ -134,6 +150,10 @@
         for attempt in self.table.list_active():
             await attempt.ended.wait()
 
+    async def raise_violation(self) -> None:
+        """Waits for a fatal violation of an invariant and raises it."""
+        raise await self._violations.get()
+
     async def _reattach(
         self, attempt: attempts.Attempt, peer: peers.Peer
     ) -> None:
@@ -152,11 +172,20 @@
             # Its effect cannot be taken back: its outcome is worth more.
             return
         attempt.cancel_reason = reason
+        # A task that has not begun is cancelled at its first wait.
         await attempt.task.cancel(blocking=False)
 
     async def _run(self, attempt: attempts.Attempt) -> None:
+        try:
+            await self._run_to_ending(attempt)
+        except errors.InvariantError as error:
+            await self._violations.put(error)
+
+    async def _run_to_ending(self, attempt: attempts.Attempt) -> None:
         try:
             ending = await self._reach_ending(attempt)
+        except errors.InvariantError:
+            raise
         except curio.TaskCancelled:
             ending = self._end_early(attempt, attempt.cancel_reason, "")
         except Exception as error:
@@ -174,6 +203,7 @@
     async def _finish(
         self, attempt: attempts.Attempt, ending: attempts.Ending
     ) -> None:
+        _check_ending(attempt, ending)
         peer = attempt.peer
         self.table.record_ending(attempt, ending)
         if isinstance(ending, messages.Refusal):
@@ -275,6 +305,7 @@
             await attempt.turn.set()
 
     async def _call(self, attempt: attempts.Attempt) -> attempts.Ending:
+        self._check_call(attempt)
         attempt.phase = "running"
         attempt.started_at = time.monotonic()
         if not attempt.handover.repeatable:
@@ -288,6 +319,22 @@
                 "late", "its time ran out", self._read_busy_ms(attempt)
             )
 
+    def _check_call(self, attempt: attempts.Attempt) -> None:
+        name = attempt.handover.attempt
+        invariants.check(
+            ATTEMPT_RUNS_ONCE, attempt.phase == "waiting", attempt=name
+        )
+        invariants.check(
+            invariants.LEAVING_GETS_NO_WORK,
+            self.leaving_at is None or attempt.accepted_at <= self.leaving_at,
+            attempt=name,
+        )
+        invariants.check(
+            RUNNING_WITHIN_LIMIT,
+            len(self.table.list_running()) < self._concurrency_limit,
+            attempt=name,
+        )
+
     async def _call_once(self, attempt: attempts.Attempt) -> attempts.Ending:
         """Runs a call that may not be repeated, past its deadline if need be.
 
@@ -346,6 +393,7 @@
         if failed.phase == "nothing_sent":
             self._monitor.note_unreachable(failed.detail)
         if failed.phase in endpoints.NOT_RUN_PHASES:
+            attempt.endpoint_ran_nothing = True
             return attempt.build_refusal(
                 "not_run",
                 _NOT_RUN_REASONS[failed.phase],
@@ -471,6 +519,17 @@
         )
 
 
+def _check_ending(attempt: attempts.Attempt, ending: attempts.Ending) -> None:
+    name = attempt.handover.attempt
+    invariants.check(ATTEMPT_ENDS_ONCE, attempt.ending is None, attempt=name)
+    if isinstance(ending, messages.Refusal) and ending.outcome == "not_run":
+        invariants.check(
+            invariants.NOT_RUN_IS_TRUE,
+            attempt.phase == "waiting" or attempt.endpoint_ran_nothing,
+            attempt=name,
+        )
+
+
 def _build_call(handover: messages.Handover) -> endpoints.Call:
     payload = handover.payload if isinstance(handover.payload, dict) else {}
     return endpoints.Call(
--- a/samphirevale/ports/endpoints.py
+++ b/samphirevale/ports/endpoints.py
@@ -1,5 +1,6 @@
 """The endpoints: model engines, pipeline stages and plain services."""
 
+import json
 from collections.abc import AsyncIterator
 from typing import Any, NamedTuple, Protocol
 
@@ -151,6 +152,13 @@
     fencing: int
 
 
+def build_prompt(value: Any) -> str:
+    """Returns the prompt for an input: text itself, or its JSON."""
+    if isinstance(value, str):
+        return value
+    return json.dumps(value, sort_keys=True, ensure_ascii=False)
+
+
 class Endpoint(Protocol):
     """One endpoint, as its sidecar drives it."""
 
--- a/samphirevale/sidecar.py
+++ b/samphirevale/sidecar.py
@@ -36,6 +36,9 @@
 # The longest wait for an entry's first message, in seconds.
 HELLO_SECONDS = 2.0
 
+# A silent connection is closed after this many times `suspect_seconds`.
+CLOSE_FACTOR = 3.0
+
 # The name of the registered limit policy.
 LIMIT_POLICY = "aimd"
 
@@ -99,6 +102,7 @@
         return [
             self._monitor.run,
             self._run_tending,
+            self._executor.raise_violation,
             self._read_first_configuration,
         ]
 
@@ -165,7 +169,7 @@
     async def _read_entry(
         self, connection: link.Link, peer: peers.Peer
     ) -> None:
-        silence = self._settings.common.suspect_seconds
+        silence = CLOSE_FACTOR * self._settings.common.suspect_seconds
         while not peer.is_closed():
             try:
                 async with curio.timeout_after(silence):
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -6,7 +6,14 @@
 
 import curio
 
-from samphirevale import configuration, lifecycle, messages, settings, sidecar
+from samphirevale import (
+    configuration,
+    invariants,
+    lifecycle,
+    messages,
+    settings,
+    sidecar,
+)
 from samphirevale.adapters import link, web
 from tests import base
 
@@ -134,6 +141,7 @@
             load_seconds=0.05,
             **changes,
         )
+        invariants.set_fatal(True)
         self.life = lifecycle.Lifecycle()
         self.sidecar = sidecar.Sidecar(self.settings)
         task = await curio.spawn(self.sidecar.run, self.life)
