--- a/lab/deployments.py
+++ b/lab/deployments.py
@@ -104,7 +104,7 @@
 def build_configuration() -> configuration.ConfigurationValue:
     """Returns the configuration of both users' pipelines."""
     assistant = [build_stage(*stage) for stage in ASSISTANT_STAGES]
-    pipelines = {name: assistant for name in DRAFT_PIPELINES}
+    pipelines = dict.fromkeys(DRAFT_PIPELINES, assistant)
     for name, pool in FINAL_SERVICES.items():
         pipelines[name] = [*assistant, build_stage(pool, pool, "service", 40.0)]
     return configuration.ConfigurationValue(
@@ -150,7 +150,14 @@
                 )
             )
     for number in range(sizes.engines):
-        plans.append(EndpointPlan(f"engine-{number}", "engines", "engine"))
+        plans.append(
+            EndpointPlan(
+                f"engine-{number}",
+                "engines",
+                "engine",
+                ("--batches", f"{FIRST_BATCH}={MODEL}/1"),
+            )
+        )
     for pool in FINAL_SERVICES.values():
         for number in range(sizes.services):
             plans.append(
@@ -374,7 +381,7 @@
     """
     wanted = set(deployment.endpoints)
     give_up_at = time.monotonic() + JOIN_SECONDS
-    missing = {name: wanted for name in deployment.entries}
+    missing = dict.fromkeys(deployment.entries, wanted)
     while missing:
         if time.monotonic() > give_up_at:
             raise processes.ProcessError(f"entries lack endpoints: {missing}")
--- a/samphirevale/entry.py
+++ b/samphirevale/entry.py
@@ -10,6 +10,7 @@
 import curio
 
 from samphirevale import (
+    admin,
     callers,
     configuration,
     errors,
@@ -213,6 +214,36 @@
         while not self.node.holder.is_known() and not self._life.stop.is_set():
             await curio.sleep(CHECK_SECONDS)
 
+    async def serve_admin(self) -> None:
+        """Serves the admin port until cancelled."""
+        await admin.serve(self._settings, self._life)
+
+    def register_dump(self) -> None:
+        """Adds the entry's sections to the state dump."""
+        sections = self._life.sections
+        sections.register("revision")(lambda: self.node.holder.revision)
+        sections.register("requests_busy")(lambda: self._server.busy)
+        sections.register("peers")(self._dump_peers)
+        sections.register("routing")(
+            lambda: self.node.router.dump(self.node.clock())
+        )
+
+    def _dump_peers(self) -> list[dict]:
+        now = self.node.clock()
+        suspect_seconds = self._settings.common.suspect_seconds
+        return [
+            {
+                "address": peer.address,
+                "endpoint": peer.endpoint,
+                "pool": peer.hello.pool if peer.hello else "",
+                "revision": peer.revision,
+                "ready": peer.may_take_work(now, suspect_seconds),
+                "batches": peer.heartbeat.batches if peer.heartbeat else [],
+                "in_flight": len(peer.exchanges),
+            }
+            for peer in self.node.peers.peers.values()
+        ]
+
     async def drain(self) -> None:
         """Waits until what is in flight has been answered, or for too long."""
         self._server.draining = True
@@ -237,11 +268,13 @@
 ) -> None:
     """Runs an entry until it has stopped gracefully."""
     entry = Entry(loaded, life)
+    entry.register_dump()
     async with contextlib.AsyncExitStack() as stack:
         for function in (
             entry.follow_configuration,
             entry.follow_list,
             entry.serve_callers,
+            entry.serve_admin,
         ):
             await stack.enter_async_context(run_task(function))
         stack.push_async_callback(entry.node.peers.close)
--- a/samphirevale/handovers.py
+++ b/samphirevale/handovers.py
@@ -161,7 +161,9 @@
         )
         if self._stage["kind"] != "engine":
             return StageOutcome(ending.payload, 0, "", use)
-        payload = {"text": " ".join(self._buffer.tokens)}
+        # The tokens are told too, so that a caller can check the digest.
+        tokens = self._buffer.tokens
+        payload = {"text": "".join(tokens), "tokens": tokens}
         return StageOutcome(payload, ending.count, ending.digest, use)
 
     def _choose_endpoint(self, last: messages.Refusal | None) -> str:
