--- a/lab/deployments.py
+++ b/lab/deployments.py
@@ -94,7 +94,7 @@
         name=name,
         pool=pool,
         kind=kind,
-        repeatable=False if kind == "service" else True,
+        repeatable=kind != "service",
         model=MODEL if kind == "engine" else "",
         limit=64,
         expected_ms=expected_ms,
