Read the stand-ins' settings from one type each, split their modules

Cause: each program listed its flags twice, once for defopt and once for itself, and endpoints.py held three jobs. A list read stale named the store's newest version, so a watch from there would have missed changes. A cancelled stream had no stated ending.

Ruled out: one settings type for stage and service; NamedTuples do not inherit, and their flags differ. A protocol names the fields they share.

--- a/lab/processes.py
+++ b/lab/processes.py
@@ -106,6 +106,10 @@
         except subprocess.TimeoutExpired:
             raise self._build_error("did not end") from None
 
+    def close_log(self) -> None:
+        """Closes its log; the file stays."""
+        self._log.close()
+
     def _build_error(self, what: str) -> ProcessError:
         tail = self.read_log()[-LOG_TAIL_CHARACTERS:]
         return ProcessError(
@@ -189,7 +193,7 @@
             process.kill()
         for process in self.processes:
             process.wait()
-            process._log.close()
+            process.close_log()
 
 
 @contextlib.contextmanager
--- a/standins/endpoints.py
+++ b/standins/endpoints.py
@@ -1,219 +1,16 @@
-"""What the endpoints share: record of runs, places to run, faults."""
+"""What the endpoints share: faults, a record, workers."""
 
-import collections
-import contextlib
-import hashlib
-import heapq
-import itertools
 import json
 import os
 import random
 import time
-from collections.abc import AsyncIterator
-from typing import Any, NamedTuple, TypedDict
+from typing import Any, Protocol
 
 import curio
 
 from samphirevale import errors
 from samphirevale.adapters import web
-from standins import faults, histories, programs
-
-# The most runs, and the most orders, that a record keeps.
-RECORD_LIMIT = 200_000
-
-
-class Run(TypedDict):
-    """One run, as the record shows it.
-
-    Keys:
-        request, attempt, key, batch: as the caller gave them.
-        input_digest: SHA-256 in hex of the input's canonical JSON.
-        started, ended: on the machine's monotonic clock, in seconds.
-        status: `running`, `done`, `failed`, `cancelled`, `lost` (the answer
-            was not sent on purpose) or `broken` (it could not be sent).
-        count: tokens in the whole answer; 0 where it has none.
-        digest: SHA-256 in hex over the answer.
-    """
-
-    request: str
-    attempt: str
-    key: str
-    input_digest: str
-    batch: str
-    started: float
-    ended: float | None
-    status: str
-    count: int
-    digest: str
-
-
-class OrderRecord(TypedDict):
-    """One order, as the record shows it; `at` as in Run."""
-
-    order: str
-    batch: str
-    fencing: int
-    accepted: bool
-    at: float
-
-
-def compute_digest(value: Any) -> str:
-    """Returns SHA-256 in hex of a JSON value in canonical form."""
-    text = json.dumps(
-        value, sort_keys=True, separators=(",", ":"), ensure_ascii=False
-    )
-    return hashlib.sha256(text.encode()).hexdigest()
-
-
-class Record:
-    """Everything that an endpoint ran."""
-
-    def __init__(self):
-        self.clear()
-
-    def clear(self) -> None:
-        """Forgets all."""
-        self._runs = collections.deque(maxlen=RECORD_LIMIT)
-        self._orders = collections.deque(maxlen=RECORD_LIMIT)
-
-    def begin(
-        self, fields: dict[str, Any], value: Any, batch: str, now: float
-    ) -> Run:
-        """Adds a run of the input `value` that begins now."""
-        run = Run(
-            request=fields.get("request", ""),
-            attempt=fields.get("attempt", ""),
-            key=fields.get("key", ""),
-            input_digest=compute_digest(value),
-            batch=batch,
-            started=now,
-            ended=None,
-            status="running",
-            count=0,
-            digest="",
-        )
-        self._runs.append(run)
-        return run
-
-    def add_order(
-        self, order: str, batch: str, fencing: int, accepted: bool, now: float
-    ) -> None:
-        """Adds an order."""
-        self._orders.append(
-            OrderRecord(
-                order=order,
-                batch=batch,
-                fencing=fencing,
-                accepted=accepted,
-                at=now,
-            )
-        )
-
-    def describe(self) -> dict[str, list]:
-        """Returns all of it as JSON."""
-        return {"runs": list(self._runs), "orders": list(self._orders)}
-
-
-class PlacesFullError(Exception):
-    """As many wait as may."""
-
-
-class WaitCancelledError(Exception):
-    """The wait for a place was cancelled."""
-
-
-class Load(NamedTuple):
-    """How many run and wait."""
-
-    running: int
-    waiting: int
-
-
-class Ticket:
-    """One wait for a place; priority 0 is the most urgent."""
-
-    def __init__(self, priority: int = 0):
-        self.priority = priority
-        self.cancelled = False
-        self.called = curio.Event()
-
-
-class Places:
-    """A number of places to run in, and a queue by priority before them."""
-
-    def __init__(self, count: int, waiting_limit: int):
-        self.count = count
-        self.loads = histories.History(Load(0, 0), time.monotonic())
-        self._waiting_limit = waiting_limit
-        self._running = 0
-        self._queue: list[tuple[int, int, Ticket]] = []
-        self._numbers = itertools.count()
-
-    def is_full(self) -> bool:
-        """Tells whether nothing more may wait."""
-        return (
-            self._running >= self.count
-            and len(self._queue) >= self._waiting_limit
-        )
-
-    @contextlib.asynccontextmanager
-    async def hold(self, ticket: Ticket) -> AsyncIterator[None]:
-        """Holds a place for the block; waits for one if there is none.
-
-        Raises:
-            PlacesFullError: too many wait already.
-            WaitCancelledError: `cancel_wait` was called.
-        """
-        if self.is_full():
-            raise PlacesFullError
-        await self._take(ticket)
-        try:
-            yield
-        finally:
-            await self._give_back()
-
-    async def cancel_wait(self, ticket: Ticket) -> None:
-        """Ends the ticket's wait, if it waits."""
-        ticket.cancelled = True
-        if self._leave_queue(ticket):
-            await ticket.called.set()
-
-    async def _take(self, ticket: Ticket) -> None:
-        if self._running < self.count:
-            self._running += 1
-            self._note_load()
-            return
-        entry = (ticket.priority, next(self._numbers), ticket)
-        heapq.heappush(self._queue, entry)
-        self._note_load()
-        try:
-            await ticket.called.wait()
-        except BaseException:
-            if not self._leave_queue(ticket) and not ticket.cancelled:
-                await self._give_back()
-            raise
-        if ticket.cancelled:
-            raise WaitCancelledError
-
-    def _leave_queue(self, ticket: Ticket) -> bool:
-        rest = [entry for entry in self._queue if entry[2] is not ticket]
-        found = len(rest) < len(self._queue)
-        self._queue = rest
-        heapq.heapify(self._queue)
-        self._note_load()
-        return found
-
-    async def _give_back(self) -> None:
-        if self._queue:
-            _, _, ticket = heapq.heappop(self._queue)
-            await ticket.called.set()
-        else:
-            self._running -= 1
-        self._note_load()
-
-    def _note_load(self) -> None:
-        load = Load(self._running, len(self._queue))
-        self.loads.put(load, time.monotonic())
+from standins import faults, places, programs, records
 
 
 class Endpoint(programs.Program):
@@ -228,7 +25,7 @@
 
     def __init__(self):
         super().__init__()
-        self.record = Record()
+        self.record = records.Record()
 
     @staticmethod
     @FAULTS.guard("refuse", faults.FLAG)
@@ -264,7 +61,7 @@
         return web.build_json(200, self.record.describe())
 
 
-class Pool(NamedTuple):
+class Pool(Protocol):
     """The workers of an endpoint and how long they take.
 
     Attributes:
@@ -289,7 +86,7 @@
 
     def __init__(self, pool: Pool):
         super().__init__()
-        self.places = Places(pool.workers, pool.waiting_limit)
+        self.places = places.Places(pool.workers, pool.waiting_limit)
         self._pool = pool
         self._generator = random.Random(pool.seed)
 
@@ -306,9 +103,9 @@
                 [errors.Finding("input", "a JSON value")]
             )
         try:
-            async with self.places.hold(Ticket()):
+            async with self.places.hold(places.Ticket()):
                 return await self._run_held(fields)
-        except PlacesFullError:
+        except places.PlacesFullError:
             return programs.build_error(503, "the queue is full")
 
     def _draw_seconds(self) -> float:
@@ -328,7 +125,7 @@
             run["status"] = "failed"
             return programs.build_error(500, "failed by a fault switch")
         result = self.build_result(fields)
-        run["digest"] = compute_digest(result)
+        run["digest"] = records.compute_digest(result)
         if self.read_fault("lose_answer"):
             run["status"] = "lost"
             raise programs.AnswerDroppedError
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -4,14 +4,19 @@
 import json
 import math
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any, NamedTuple
 
-import defopt
-
 from samphirevale import errors
 from samphirevale.adapters import web
-from standins import endpoints, faults, generation, programs
+from standins import (
+    endpoints,
+    faults,
+    generation,
+    places,
+    programs,
+    records,
+)
 
 # The share of the prefill time that is left when the prefix is cached.
 CACHED_PREFILL_SHARE = 0.25
@@ -21,23 +26,54 @@
 
 
 class Settings(NamedTuple):
-    """How an engine behaves; `main` describes the fields."""
-
-    slots: int
-    waiting_limit: int
-    prefill_seconds_per_token: float
-    seconds_per_token: float
-    growth_per_running: float
-    tokens_per_chunk: int
-    tokens_least: int
-    tokens_most: int
-    load_lag_seconds: float
-    load_seconds: float
-    weights_url: str
-    checks_fencing: bool
-
-
-class _Job(endpoints.Ticket):
+    """Runs a model engine.
+
+    Args:
+        port: the port to listen on.
+        host: the address to listen on.
+        batches: batches loaded at the start, `id=model/version[/adapter]`.
+        slots: requests that run at once.
+        waiting_limit: requests that wait at most; others are refused.
+        prefill_seconds_per_token: time of prefill for a token of the prompt.
+        seconds_per_token: time of a token when one request runs.
+        growth_per_running: share by which each other one slows it.
+        tokens_per_chunk: tokens sent at once.
+        tokens: tokens of every answer; 0 draws the number by the prompt.
+        tokens_least: least number that is drawn.
+        tokens_most: largest number that is drawn.
+        cache_prefixes: prefixes that the cache holds.
+        cache_event_lag_seconds: age at which cache events are published.
+        cache_event_loss: share of cache events that never are.
+        load_lag_seconds: age of load reports.
+        load_seconds: time that a load takes.
+        weights_url: the weight store; none is asked if it is empty.
+        checks_fencing: refuse orders with an old fencing number.
+        seed: seed of what is drawn, but for the answers.
+    """
+
+    port: int
+    host: str = "127.0.0.1"
+    batches: list[str] = []
+    slots: int = 8
+    waiting_limit: int = 32
+    prefill_seconds_per_token: float = 0.0002
+    seconds_per_token: float = 0.002
+    growth_per_running: float = 0.05
+    tokens_per_chunk: int = 4
+    tokens: int = 0
+    tokens_least: int = 24
+    tokens_most: int = 64
+    cache_prefixes: int = 64
+    cache_event_lag_seconds: float = 0.5
+    cache_event_loss: float = 0.05
+    load_lag_seconds: float = 0.3
+    load_seconds: float = 0.3
+    weights_url: str = ""
+    checks_fencing: bool = True
+    seed: int = 1
+
+
+class _Job(places.Ticket):
     """One request that runs or waits."""
 
     def __init__(self, fields: dict[str, Any], batch: generation.Batch):
@@ -57,6 +93,19 @@
     """Ends the connection in the middle of a stream."""
 
 
+_Order = Callable[["Engine", dict[str, Any]], Awaitable[web.Response]]
+
+_orders: dict[str, _Order] = {}
+
+
+def _register_order(name: str) -> Callable[[_Order], _Order]:
+    def add(order: _Order) -> _Order:
+        _orders[name] = order
+        return order
+
+    return add
+
+
 class Engine(endpoints.Endpoint):
     """A model engine."""
 
@@ -66,17 +115,18 @@
     FAULTS.declare("duplicate_chunks", faults.FLAG)
     FAULTS.declare("reorder_chunks", faults.FLAG)
 
-    def __init__(
-        self,
-        settings: Settings,
-        batches: list[generation.Batch],
-        cache: generation.PrefixCache,
-    ):
+    def __init__(self, settings: Settings):
         super().__init__()
         self._settings = settings
-        self._batches = {batch.id: batch for batch in batches}
-        self._cache = cache
-        self._places = endpoints.Places(settings.slots, settings.waiting_limit)
+        loaded = map(generation.read_batch, settings.batches)
+        self._batches = {batch.id: batch for batch in loaded}
+        self._cache = generation.PrefixCache(
+            settings.cache_prefixes,
+            settings.cache_event_loss,
+            settings.cache_event_lag_seconds,
+            settings.seed,
+        )
+        self._places = places.Places(settings.slots, settings.waiting_limit)
         self._jobs: dict[str, _Job] = {}
         self._role = "generate"
         self._fencing = 0
@@ -104,7 +154,7 @@
             (("Content-Type", "application/x-ndjson"),),
         )
 
-    def _begin(self, job: _Job) -> endpoints.Run:
+    def _begin(self, job: _Job) -> records.Run:
         return self.record.begin(
             job.fields, job.prompt, job.batch.id, time.monotonic()
         )
@@ -122,9 +172,9 @@
                 async with contextlib.aclosing(lines):
                     async for line in lines:
                         yield line
-        except endpoints.WaitCancelledError:
-            yield _build_line(cancelled=True, count=0)
-        except endpoints.PlacesFullError:
+        except places.WaitCancelledError:
+            yield _build_line(cancelled=True)
+        except places.PlacesFullError:
             raise _BrokenStreamError("the queue is full") from None
 
     @contextlib.asynccontextmanager
@@ -139,7 +189,7 @@
                 del self._jobs[attempt]
 
     @contextlib.asynccontextmanager
-    async def _record_run(self, job: _Job) -> AsyncIterator[endpoints.Run]:
+    async def _record_run(self, job: _Job) -> AsyncIterator[records.Run]:
         run = self._begin(job)
         try:
             yield run
@@ -148,43 +198,49 @@
                 run["status"] = "broken"
             run["ended"] = time.monotonic()
 
-    async def _run(self, job: _Job, run: endpoints.Run) -> AsyncIterator[bytes]:
-        tokens = generation.compute_answer(
+    async def _run(self, job: _Job, run: records.Run) -> AsyncIterator[bytes]:
+        tokens = self._compute_tokens(job)
+        await self._prefill(job)
+        loses_answer = self.read_fault("lose_answer")
+        async for chunk in self._decode_chunks(job, tokens):
+            if not loses_answer:
+                yield _build_line(**chunk._asdict())
+        if job.cancelled:
+            run["status"] = "cancelled"
+            yield _build_line(cancelled=True)
+            return
+        run["count"] = len(tokens)
+        run["digest"] = generation.compute_tokens_digest(tokens)
+        if loses_answer:
+            run["status"] = "lost"
+            raise _BrokenStreamError
+        run["status"] = "done"
+        yield _build_ending(run, time.monotonic())
+
+    def _compute_tokens(self, job: _Job) -> list[str]:
+        settings = self._settings
+        return generation.compute_answer(
             job.batch,
             job.prompt,
-            self._settings.tokens_least,
-            self._settings.tokens_most,
+            settings.tokens or settings.tokens_least,
+            settings.tokens or settings.tokens_most,
         )
-        await self._prefill(job)
+
+    async def _decode_chunks(
+        self, job: _Job, tokens: list[str]
+    ) -> AsyncIterator[_Chunk]:
         chunks = self._arrange_chunks(job, tokens)
-        lost = self.read_fault("lose_answer")
         sent = 0
         for index, chunk in enumerate(chunks):
             await self._decode(len(chunk.tokens))
             if index >= len(chunks) // 2:
                 self.crash_if_told(job.prompt)
             if job.cancelled:
-                run["status"] = "cancelled"
-                yield _build_line(cancelled=True, count=chunk.sequence)
                 return
-            if not lost:
-                yield _build_line(**chunk._asdict())
+            yield chunk
             sent += len(chunk.tokens)
             if sent >= (self.read_fault("break_stream_after") or math.inf):
                 raise _BrokenStreamError
-        run["count"] = len(tokens)
-        run["digest"] = generation.compute_tokens_digest(tokens)
-        if lost:
-            run["status"] = "lost"
-            raise _BrokenStreamError
-        run["status"] = "done"
-        busy_ms = (time.monotonic() - run["started"]) * 1000
-        yield _build_line(
-            done=True,
-            count=run["count"],
-            digest=run["digest"],
-            busy_ms=busy_ms,
-        )
 
     async def _prefill(self, job: _Job) -> None:
         length = len(job.prompt) / CHARACTERS_PER_TOKEN + job.offset
@@ -285,6 +341,7 @@
     def _is_fenced(self, fencing: int) -> bool:
         return self._settings.checks_fencing and fencing < self._fencing
 
+    @_register_order("load")
     async def load(self, body: dict[str, Any]) -> web.Response:
         """Loads a batch, which takes time and the weight store."""
         batch = _read_order_batch(body)
@@ -317,28 +374,32 @@
         retry_after = ("Retry-After", headers.get("retry-after", "1"))
         return programs.build_error(429, "weight store", retry_after)
 
+    @_register_order("unload")
     async def unload(self, body: dict[str, Any]) -> web.Response:
         """Unloads a batch; what runs on it goes on to its end."""
         self._batches.pop(_read_order_batch(body).id, None)
         return web.build_json(200, {})
 
+    @_register_order("role")
     async def change_role(self, body: dict[str, Any]) -> web.Response:
         """Takes another role."""
         self._role = str(body.get("role", ""))
         return web.build_json(200, {})
 
 
-_orders = {
-    "load": Engine.load,
-    "unload": Engine.unload,
-    "role": Engine.change_role,
-}
-
-
 def _build_line(**fields: Any) -> bytes:
     return json.dumps(fields).encode() + b"\n"
 
 
+def _build_ending(run: records.Run, now: float) -> bytes:
+    return _build_line(
+        done=True,
+        count=run["count"],
+        digest=run["digest"],
+        busy_ms=(now - run["started"]) * 1000,
+    )
+
+
 def _read_order_batch(body: dict[str, Any]) -> generation.Batch:
     given = body.get("batch")
     fields = given if isinstance(given, dict) else {}
@@ -352,73 +413,5 @@
     return generation.Batch(*map(fields.get, generation.Batch._fields))
 
 
-def main(
-    *,
-    port: int,
-    host: str = "127.0.0.1",
-    batches: list[str] = [],  # noqa: B006  defopt makes it a flag
-    slots: int = 8,
-    waiting_limit: int = 32,
-    prefill_seconds_per_token: float = 0.0002,
-    seconds_per_token: float = 0.002,
-    growth_per_running: float = 0.05,
-    tokens_per_chunk: int = 4,
-    tokens: int = 0,
-    tokens_least: int = 24,
-    tokens_most: int = 64,
-    cache_prefixes: int = 64,
-    cache_event_lag_seconds: float = 0.5,
-    cache_event_loss: float = 0.05,
-    load_lag_seconds: float = 0.3,
-    load_seconds: float = 0.3,
-    weights_url: str = "",
-    checks_fencing: bool = True,
-    seed: int = 1,
-) -> None:
-    """Runs a model engine.
-
-    Args:
-        port: the port to listen on.
-        host: the address to listen on.
-        batches: batches loaded at the start, `id=model/version[/adapter]`.
-        slots: requests that run at once.
-        waiting_limit: requests that wait at most; others are refused.
-        prefill_seconds_per_token: time of prefill for a token of the prompt.
-        seconds_per_token: time of a token when one request runs.
-        growth_per_running: share by which each other one slows it.
-        tokens_per_chunk: tokens sent at once.
-        tokens: tokens of every answer; 0 draws the number by the prompt.
-        tokens_least: least number that is drawn.
-        tokens_most: largest number that is drawn.
-        cache_prefixes: prefixes that the cache holds.
-        cache_event_lag_seconds: age at which cache events are published.
-        cache_event_loss: share of cache events that never are.
-        load_lag_seconds: age of load reports.
-        load_seconds: time that a load takes.
-        weights_url: the weight store; none is asked if it is empty.
-        checks_fencing: refuse orders with an old fencing number.
-        seed: seed of what is drawn, but for the answers.
-    """
-    settings = Settings(
-        slots=slots,
-        waiting_limit=waiting_limit,
-        prefill_seconds_per_token=prefill_seconds_per_token,
-        seconds_per_token=seconds_per_token,
-        growth_per_running=growth_per_running,
-        tokens_per_chunk=tokens_per_chunk,
-        tokens_least=tokens or tokens_least,
-        tokens_most=tokens or tokens_most,
-        load_lag_seconds=load_lag_seconds,
-        load_seconds=load_seconds,
-        weights_url=weights_url,
-        checks_fencing=checks_fencing,
-    )
-    cache = generation.PrefixCache(
-        cache_prefixes, cache_event_loss, cache_event_lag_seconds, seed
-    )
-    loaded = [generation.read_batch(text) for text in batches]
-    programs.run(Engine(settings, loaded, cache), host, port)
-
-
 if __name__ == "__main__":
-    defopt.run(main)
+    programs.run(Engine, Settings)
--- a/standins/generation.py
+++ b/standins/generation.py
@@ -11,22 +11,7 @@
 # The most cache events that are kept.
 EVENTS_KEPT = 10_000
 
-_SYLLABLES = [
-    "ba",
-    "ce",
-    "di",
-    "fo",
-    "gu",
-    "la",
-    "me",
-    "ni",
-    "po",
-    "ru",
-    "sa",
-    "te",
-    "vi",
-    "zo",
-]
+_SYLLABLES = ("ba", "ce", "di", "fo", "gu", "la", "me", "ni", "po", "ru", "sa")
 
 
 class Batch(NamedTuple):
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -7,7 +7,6 @@
 from typing import Any, NamedTuple
 
 import curio
-import defopt
 
 from samphirevale.adapters import web
 from standins import buckets, faults, histories, programs
@@ -35,20 +34,26 @@
     """The objects, their past, and the changes that watches follow."""
 
     def __init__(self):
-        self.version = 0
-        self._histories: dict[tuple[str, str], histories.History] = {}
+        self._versions = histories.History(0, -math.inf)
+        self._histories: dict[str, dict[str, histories.History]] = {}
         self._changes: collections.deque[StoredObject] = collections.deque()
         self._changed = curio.Event()
 
-    def get(self, kind: str, name: str, at: float) -> StoredObject | None:
+    def get_version(self, at: float = math.inf) -> int:
+        """Returns the version of the whole store as of `at`."""
+        return self._versions.get(at)
+
+    def get(
+        self, kind: str, name: str, at: float = math.inf
+    ) -> StoredObject | None:
         """Returns the object as it was at `at`."""
-        history = self._histories.get((kind, name))
+        history = self._histories.get(kind, {}).get(name)
         found = history.get(at) if history else None
         return None if found is None or found.value is None else found
 
     def list_kind(self, kind: str, at: float) -> list[StoredObject]:
         """Returns the objects of a kind as they were at `at`."""
-        names = sorted(name for k, name in self._histories if k == kind)
+        names = sorted(self._histories.get(kind, {}))
         found = [self.get(kind, name, at) for name in names]
         return [stored for stored in found if stored is not None]
 
@@ -56,14 +61,13 @@
         self, kind: str, name: str, value: Any, now: float
     ) -> StoredObject:
         """Writes a new version; the value None deletes."""
-        self.version += 1
-        stored = StoredObject(kind, name, self.version, value)
-        history = self._histories.get((kind, name))
-        if history is None:
+        self._versions.put(self.get_version() + 1, now)
+        stored = StoredObject(kind, name, self.get_version(), value)
+        of_kind = self._histories.setdefault(kind, {})
+        if name not in of_kind:
             absent = StoredObject(kind, name, 0, None)
-            history = histories.History(absent, -math.inf)
-            self._histories[kind, name] = history
-        history.put(stored, now)
+            of_kind[name] = histories.History(absent, -math.inf)
+        of_kind[name].put(stored, now)
         self._changes.append(stored)
         if len(self._changes) > CHANGES_KEPT:
             self._forget(self._changes.popleft())
@@ -72,14 +76,15 @@
         return stored
 
     def _forget(self, change: StoredObject) -> None:
-        history = self._histories.get((change.kind, change.name))
+        of_kind = self._histories[change.kind]
+        history = of_kind.get(change.name)
         if history and history.latest is change and change.value is None:
-            del self._histories[change.kind, change.name]
+            del of_kind[change.name]
 
     def can_follow(self, version: int) -> bool:
         """Tells whether all changes after `version` are still known."""
-        oldest = self.version - len(self._changes)
-        return oldest <= version <= self.version
+        newest = self.get_version()
+        return newest - len(self._changes) <= version <= newest
 
     def list_changes(self, kind: str, version: int) -> list[StoredObject]:
         """Returns the objects of a kind that changed after `version`."""
@@ -96,20 +101,28 @@
         await self._changed.wait()
 
 
-class Rates(NamedTuple):
-    """What the platform allows.
+class Settings(NamedTuple):
+    """Runs the platform's service, all in memory.
 
-    Attributes:
-        writes: writes a second.
-        reads: reads a second; a waiting watch counts as one.
-        weights: loads of weights a second.
-        weights_burst: loads of weights at once.
+    Args:
+        port: the port to listen on.
+        host: the address to listen on.
+        writes_per_second: rate of writes to objects.
+        reads_per_second: rate of reads; a waiting watch counts as one.
+        weights_per_second: rate of loads from the weight store.
+        weights_burst: loads that the weight store allows at once.
+        list_lag_seconds: age of the list of instances.
+        seed: seed of the faults that are drawn.
     """
 
-    writes: float
-    reads: float
-    weights: float
-    weights_burst: float
+    port: int
+    host: str = "127.0.0.1"
+    writes_per_second: float = 400.0
+    reads_per_second: float = 2000.0
+    weights_per_second: float = 2.0
+    weights_burst: float = 4.0
+    list_lag_seconds: float = 1.0
+    seed: int = 1
 
 
 class Platform(programs.Program):
@@ -121,19 +134,23 @@
     FAULTS.declare("refuse_writes", faults.FLAG)
     FAULTS.declare("stale_reads", faults.POSITIVE)
 
-    def __init__(self, rates: Rates, list_lag_seconds: float, seed: int):
+    def __init__(self, settings: Settings):
         super().__init__()
-        now = time.monotonic()
+        self._settings = settings
         self._store = Store()
         self._instances = histories.History([], -math.inf)
-        self._list_lag_seconds = list_lag_seconds
-        self._generator = random.Random(seed)
+        self._generator = random.Random(settings.seed)
         self._counts = collections.Counter()
+        now = time.monotonic()
         self._buckets = {
-            "write": buckets.TokenBucket(rates.writes, rates.writes, now),
-            "read": buckets.TokenBucket(rates.reads, rates.reads, now),
+            "write": buckets.TokenBucket(
+                settings.writes_per_second, settings.writes_per_second, now
+            ),
+            "read": buckets.TokenBucket(
+                settings.reads_per_second, settings.reads_per_second, now
+            ),
             "weights": buckets.TokenBucket(
-                rates.weights, rates.weights_burst, now
+                settings.weights_per_second, settings.weights_burst, now
             ),
         }
 
@@ -190,14 +207,9 @@
         refusal = self._count("list", "read")
         if refusal:
             return refusal
-        found = self._store.list_kind(kind, self._read_view_time())
-        return web.build_json(200, self._build_list(found))
-
-    def _build_list(self, objects: list[StoredObject]) -> dict[str, Any]:
-        return {
-            "objects": [stored._asdict() for stored in objects],
-            "version": self._store.version,
-        }
+        at = self._read_view_time()
+        found = self._store.list_kind(kind, at)
+        return _build_list(found, self._store.get_version(at))
 
     @ROUTES.add("PUT", "/objects/{kind}/{name}")
     async def put_object(
@@ -210,7 +222,7 @@
         value = web.read_json(request.body)
         if value is None or len(request.body) > VALUE_BYTES_LIMIT:
             return programs.build_error(400, "a value, of at most 1 MiB")
-        held = self._store.get(kind, name, math.inf)
+        held = self._store.get(kind, name)
         if request.headers.get("if-none-match") == "*":
             status = 201 if held is None else 412
         else:
@@ -229,7 +241,7 @@
         refusal = self._count("delete", "write") or self._refuse_write()
         if refusal:
             return refusal
-        held = self._store.get(kind, name, math.inf)
+        held = self._store.get(kind, name)
         status = _check_version(request, held)
         if status >= 400:
             return _build_conflict(status, held)
@@ -269,7 +281,7 @@
         if not self._store.can_follow(version):
             return programs.build_error(410, "list again and watch from there")
         changes = self._store.list_changes(kind, version)
-        return web.build_json(200, self._build_list(changes))
+        return _build_list(changes, self._store.get_version())
 
     @ROUTES.add("GET", "/instances")
     async def list_instances(self, request: web.Request) -> web.Response:
@@ -277,7 +289,7 @@
         refusal = self._count("instances", "read")
         if refusal:
             return refusal
-        at = time.monotonic() - self._list_lag_seconds
+        at = time.monotonic() - self._settings.list_lag_seconds
         return web.build_json(200, {"instances": self._instances.get(at)})
 
     @ROUTES.add("POST", "/instances", control=True)
@@ -303,6 +315,11 @@
         return web.build_json(200, dict(self._counts))
 
 
+def _build_list(objects: list[StoredObject], version: int) -> web.Response:
+    found = [stored._asdict() for stored in objects]
+    return web.build_json(200, {"objects": found, "version": version})
+
+
 def _build_retry_after(seconds: float) -> tuple[str, str]:
     return "Retry-After", str(max(1, math.ceil(seconds)))
 
@@ -323,34 +340,5 @@
     return programs.build_error(status, f"found {found}")
 
 
-def main(
-    *,
-    port: int,
-    host: str = "127.0.0.1",
-    writes_per_second: float = 400.0,
-    reads_per_second: float = 2000.0,
-    weights_per_second: float = 2.0,
-    weights_burst: float = 4.0,
-    list_lag_seconds: float = 1.0,
-    seed: int = 1,
-) -> None:
-    """Runs the platform's service, all in memory.
-
-    Args:
-        port: the port to listen on.
-        host: the address to listen on.
-        writes_per_second: rate of writes to objects.
-        reads_per_second: rate of reads; a waiting watch counts as one.
-        weights_per_second: rate of loads from the weight store.
-        weights_burst: loads that the weight store allows at once.
-        list_lag_seconds: age of the list of instances.
-        seed: seed of the faults that are drawn.
-    """
-    rates = Rates(
-        writes_per_second, reads_per_second, weights_per_second, weights_burst
-    )
-    programs.run(Platform(rates, list_lag_seconds, seed), host, port)
-
-
 if __name__ == "__main__":
-    defopt.run(main)
+    programs.run(Platform, Settings)
--- a/standins/programs.py
+++ b/standins/programs.py
@@ -10,6 +10,7 @@
 
 import curio
 import curio.io
+import defopt
 
 from samphirevale import errors
 from samphirevale.adapters import web
@@ -214,6 +215,14 @@
         await server.cancel()
 
 
-def run(program: Program, host: str, port: int) -> None:
-    """Serves until SIGTERM or SIGINT; prints `ready` once it listens."""
-    curio.run(_serve, program, host, port)
+def run(program_type: Callable[[Any], Program], settings_type: type) -> None:
+    """Serves until SIGTERM or SIGINT; prints `ready` once it listens.
+
+    Args:
+        program_type: called with the settings.
+        settings_type: a NamedTuple, with `host` and `port`; its fields are
+            the flags of the command line.
+    """
+    settings = defopt.run(settings_type, cli_options="all", short={})
+    program = program_type(settings)
+    curio.run(_serve, program, settings.host, settings.port)
--- a/standins/service.py
+++ b/standins/service.py
@@ -4,28 +4,51 @@
 """
 
 import itertools
-from typing import Any
-
-import defopt
+from typing import Any, NamedTuple
 
 from samphirevale.adapters import web
 from standins import endpoints, programs
 
 
+class Settings(NamedTuple):
+    """Runs a plain service.
+
+    Args:
+        port: the port to listen on.
+        host: the address to listen on.
+        name: the beginning of the confirmations' ids.
+        workers: calls that run at once.
+        waiting_limit: calls that wait at most; others are refused.
+        base_seconds: least time of one call.
+        jitter_seconds: most that is added to it.
+        seed: seed of what is drawn.
+        reports_load: answer `GET /load`.
+    """
+
+    port: int
+    host: str = "127.0.0.1"
+    name: str = "service"
+    workers: int = 4
+    waiting_limit: int = 8
+    base_seconds: float = 0.03
+    jitter_seconds: float = 0.005
+    seed: int = 1
+    reports_load: bool = True
+
+
 class Service(endpoints.PooledEndpoint):
     """A service such as booking or filing."""
 
     ROUTES = programs.Routes(endpoints.PooledEndpoint.ROUTES)
 
-    def __init__(self, name: str, pool: endpoints.Pool, reports_load: bool):
-        super().__init__(pool)
-        self._name = name
-        self._reports_load = reports_load
+    def __init__(self, settings: Settings):
+        super().__init__(settings)
+        self._settings = settings
         self._numbers = itertools.count(1)
 
     def build_result(self, fields: dict[str, Any]) -> dict[str, Any]:
         """Returns a confirmation with a new id."""
-        confirmation = f"{self._name}-{next(self._numbers)}"
+        confirmation = f"{self._settings.name}-{next(self._numbers)}"
         return {"confirmation": confirmation, "key": fields.get("key", "")}
 
     @ROUTES.add("POST", "/call")
@@ -36,42 +59,11 @@
     @ROUTES.add("GET", "/load")
     async def show_load(self, request: web.Request) -> web.Response:
         """Answers the load, or 404 where the service reports none."""
-        if not self._reports_load:
+        if not self._settings.reports_load:
             return programs.build_error(404, "no load is reported")
         load = self.places.loads.latest._asdict()
         return web.build_json(200, {**load, "age_ms": 0})
 
 
-def main(
-    *,
-    port: int,
-    host: str = "127.0.0.1",
-    name: str = "service",
-    workers: int = 4,
-    waiting_limit: int = 8,
-    base_seconds: float = 0.03,
-    jitter_seconds: float = 0.005,
-    seed: int = 1,
-    reports_load: bool = True,
-) -> None:
-    """Runs a plain service.
-
-    Args:
-        port: the port to listen on.
-        host: the address to listen on.
-        name: the beginning of the confirmations' ids.
-        workers: calls that run at once.
-        waiting_limit: calls that wait at most; others are refused.
-        base_seconds: least time of one call.
-        jitter_seconds: most that is added to it.
-        seed: seed of what is drawn.
-        reports_load: answer `GET /load`.
-    """
-    pool = endpoints.Pool(
-        workers, waiting_limit, base_seconds, jitter_seconds, seed
-    )
-    programs.run(Service(name, pool, reports_load), host, port)
-
-
 if __name__ == "__main__":
-    defopt.run(main)
+    programs.run(Service, Settings)
--- a/standins/stage.py
+++ b/standins/stage.py
@@ -1,14 +1,11 @@
 """A stand-in for an encoder, a retriever or a reranker."""
 
-import hashlib
 import random
 from collections.abc import Callable
-from typing import Any, Literal
-
-import defopt
+from typing import Any, Literal, NamedTuple
 
 from samphirevale.adapters import web
-from standins import endpoints, programs
+from standins import endpoints, programs, records
 
 # Sizes of the results.
 VECTOR_LENGTH = 8
@@ -32,7 +29,7 @@
 
 
 def _draw_generator(*values: Any) -> random.Random:
-    return random.Random(endpoints.compute_digest(list(values)))
+    return random.Random(records.compute_digest(list(values)))
 
 
 @_register("encoder")
@@ -59,19 +56,13 @@
 def build_ranking(value: Any, prior: Any) -> Result:
     """Returns the ids of the best documents among those of `prior`."""
     scores = {
-        document["id"]: _score(value, document["id"])
+        document["id"]: _draw_generator(value, document["id"]).random()
         for document in _find_documents(prior)
     }
     best = sorted(scores, key=scores.get, reverse=True)[:DOCUMENTS_KEPT]
     return {"ranking": [{"id": name, "score": scores[name]} for name in best]}
 
 
-def _score(value: Any, name: str) -> float:
-    text = endpoints.compute_digest([value, name])
-    digest = hashlib.sha256(text.encode()).digest()
-    return round(int.from_bytes(digest[:4], "big") / 2**32, 6)
-
-
 def _find_documents(prior: Any) -> list[dict[str, Any]]:
     if isinstance(prior, list):
         return [found for item in prior for found in _find_documents(item)]
@@ -82,14 +73,38 @@
     return _find_documents(list(prior.values()))
 
 
+class Settings(NamedTuple):
+    """Runs an encoder, a retriever or a reranker.
+
+    Args:
+        port: the port to listen on.
+        kind: what it is.
+        host: the address to listen on.
+        workers: calls that run at once.
+        waiting_limit: calls that wait at most; others are refused.
+        base_seconds: least time of one call.
+        jitter_seconds: most that is added to it.
+        seed: seed of what is drawn.
+    """
+
+    port: int
+    kind: Literal["encoder", "retriever", "reranker"]
+    host: str = "127.0.0.1"
+    workers: int = 4
+    waiting_limit: int = 8
+    base_seconds: float = 0.02
+    jitter_seconds: float = 0.005
+    seed: int = 1
+
+
 class Stage(endpoints.PooledEndpoint):
     """An encoder, retriever or reranker."""
 
     ROUTES = programs.Routes(endpoints.PooledEndpoint.ROUTES)
 
-    def __init__(self, kind: str, pool: endpoints.Pool):
-        super().__init__(pool)
-        self._kind = kind
+    def __init__(self, settings: Settings):
+        super().__init__(settings)
+        self._kind = settings.kind
 
     def build_result(self, fields: dict[str, Any]) -> Result:
         """Returns the result of a run."""
@@ -101,34 +116,5 @@
         return await self.run_call(request)
 
 
-def main(
-    *,
-    port: int,
-    kind: Literal["encoder", "retriever", "reranker"],
-    host: str = "127.0.0.1",
-    workers: int = 4,
-    waiting_limit: int = 8,
-    base_seconds: float = 0.02,
-    jitter_seconds: float = 0.005,
-    seed: int = 1,
-) -> None:
-    """Runs an encoder, a retriever or a reranker.
-
-    Args:
-        port: the port to listen on.
-        kind: what it is.
-        host: the address to listen on.
-        workers: calls that run at once.
-        waiting_limit: calls that wait at most; others are refused.
-        base_seconds: least time of one call.
-        jitter_seconds: most that is added to it.
-        seed: seed of what is drawn.
-    """
-    pool = endpoints.Pool(
-        workers, waiting_limit, base_seconds, jitter_seconds, seed
-    )
-    programs.run(Stage(kind, pool), host, port)
-
-
 if __name__ == "__main__":
-    defopt.run(main)
+    programs.run(Stage, Settings)
