--- a/samphirevale/adapters/endpoints.py
+++ b/samphirevale/adapters/endpoints.py
@@ -262,19 +262,19 @@
         }
 
     async def _read(self, answer: web.Answer) -> AsyncIterator[Any]:
-        rest = b""
         ending = None
         # Read to the end of the body, so that the connection can be kept.
-        async for part in answer.read_parts():
-            *lines, rest = (rest + part).split(b"\n")
-            if len(rest) > RESULT_BYTES_LIMIT:
-                raise errors.ProtocolError("a line over the limit")
-            items = [_parse_line(line) for line in lines if line]
-            for item in merge_tokens(items):
-                if isinstance(item, endpoints.Tokens):
-                    yield item
-                else:
-                    ending = item
+        async with contextlib.aclosing(answer.read_parts()) as parts:
+            rest = b""
+            async for part in parts:
+                *lines, rest = (rest + part).split(b"\n")
+                if len(rest) > RESULT_BYTES_LIMIT:
+                    raise errors.ProtocolError("a line over the limit")
+                for item in _parse_lines(lines):
+                    if isinstance(item, endpoints.Tokens):
+                        yield item
+                    else:
+                        ending = item
         if ending is None:
             raise errors.AnswerLostError("the stream ended early")
         yield ending
@@ -326,8 +326,13 @@
     )
 
 
-def _parse_line(line: bytes) -> Any:
-    return _parse(_build_stream_item, web.read_json(line))
+def _parse_lines(lines: list[bytes]) -> list[Any]:
+    items = [
+        _parse(_build_stream_item, web.read_json(line))
+        for line in lines
+        if line
+    ]
+    return merge_tokens(items)
 
 
 def _build_stream_item(
--- a/samphirevale/adapters/web.py
+++ b/samphirevale/adapters/web.py
@@ -315,20 +315,22 @@
     async def read_lines(self) -> AsyncIterator[bytes]:
         """Yields the body's lines as they come, without their ends."""
         rest = b""
-        async for part in self.read_parts():
-            *lines, rest = (rest + part).split(b"\n")
-            for line in lines:
-                yield line
+        async with contextlib.aclosing(self.read_parts()) as parts:
+            async for part in parts:
+                *lines, rest = (rest + part).split(b"\n")
+                for line in lines:
+                    yield line
         if rest:
             yield rest
 
     async def read_body(self, limit: int = 16 * 1024 * 1024) -> bytes:
         """Returns the whole body, of at most `limit` bytes."""
         body = bytearray()
-        async for part in self.read_parts():
-            body += part
-            if len(body) > limit:
-                raise errors.ProtocolError(f"a body over {limit} bytes")
+        async with contextlib.aclosing(self.read_parts()) as parts:
+            async for part in parts:
+                body += part
+                if len(body) > limit:
+                    raise errors.ProtocolError(f"a body over {limit} bytes")
         return bytes(body)
 
 
--- /dev/null
+++ b/samphirevale/readers.py
@@ -0,0 +1,114 @@
+"""Reads one answer of an endpoint, checks it and passes its chunks on."""
+
+from collections.abc import AsyncIterator
+
+from samphirevale import attempts, errors, messages, snapshots, streams
+from samphirevale.ports import endpoints
+
+
+class Counts:
+    """What the executor counts, for metrics and the dump."""
+
+    def __init__(self):
+        self.accepted = 0
+        self.reattached = 0
+        self.completed = 0
+        self.refused: dict[str, int] = {}
+        self.duplicate_tokens = 0
+        self.reordered_tokens = 0
+        self.crashes = 0
+
+    def note_refusal(self, refusal: messages.Refusal) -> None:
+        """Counts a refusal by outcome and reason."""
+        key = f"{refusal.outcome}/{refusal.reason}"
+        self.refused[key] = self.refused.get(key, 0) + 1
+
+
+class AnswerReader:
+    """Reads one answer, checks it and passes its chunks on.
+
+    Attributes:
+        is_over: the endpoint has ended the attempt itself, or is gone.
+    """
+
+    def __init__(
+        self,
+        attempt: attempts.Attempt,
+        holder: snapshots.SnapshotHolder,
+        counts: Counts,
+    ):
+        self._attempt = attempt
+        self._holder = holder
+        self._counts = counts
+        self._stream = streams.TokenStream(attempt.handover.offset)
+        self._tokens: list[str] = []
+        self.is_over = False
+
+    async def read(
+        self, items: AsyncIterator
+    ) -> attempts.Ending | endpoints.Failed:
+        """Returns the result, the refusal or the endpoint's failure."""
+        try:
+            async for item in items:
+                if self._holder.is_recalled(self._attempt.handover.batch):
+                    return self._attempt.refuse_lost(
+                        "recalled", "its batch was recalled meanwhile"
+                    )
+                if isinstance(item, endpoints.Tokens):
+                    await self._take_tokens(item)
+                    continue
+                self.is_over = True
+                if isinstance(item, endpoints.Completed):
+                    return self._build_result(item)
+                return item
+        except errors.ProtocolError as error:
+            return self._attempt.refuse_lost("endpoint_failed", str(error))
+        finally:
+            self._counts.duplicate_tokens += self._stream.duplicates
+            self._counts.reordered_tokens += self._stream.reordered
+        return endpoints.Failed("lost", "the answer has no end")
+
+    async def _take_tokens(self, item: endpoints.Tokens) -> None:
+        ready = self._stream.add(item.sequence, item.tokens)
+        if not ready:
+            return
+        if not self._attempt.handover.stream:
+            self._tokens += ready
+            return
+        sequence = self._stream.next_sequence - len(ready)
+        await self._send_chunk(sequence, ready)
+
+    async def _send_chunk(self, sequence: int, tokens: list[str]) -> None:
+        attempt = self._attempt
+        if attempt.peer is None or attempt.chunks_missed:
+            # Chunks are not kept. After a missed one only the ending is
+            # sent; its count tells the entry that it lacks some.
+            attempt.chunks_missed = True
+            return
+        await attempt.peer.post(
+            messages.Chunk(
+                attempt.handover.request,
+                attempt.handover.stage,
+                attempt.handover.attempt,
+                sequence,
+                tokens,
+            )
+        )
+
+    def _build_result(self, item: endpoints.Completed) -> messages.Result:
+        handover = self._attempt.handover
+        payload = item.payload
+        if item.digest:
+            self._stream.check_whole(item.count, item.digest)
+            if not handover.stream:
+                payload = {"tokens": self._tokens}
+        return messages.Result(
+            handover.request,
+            handover.stage,
+            handover.attempt,
+            payload,
+            item.count,
+            item.digest,
+            item.busy_ms,
+            handover.batch,
+        )
--- a/samphirevale/sidecar.py
+++ b/samphirevale/sidecar.py
@@ -13,12 +13,14 @@
 import curio
 
 from samphirevale import (
+    admin,
     configuration,
     errors,
     executors,
     limits,
     logs,
     messages,
+    metrics,
     monitors,
     peers,
     settings,
@@ -94,6 +96,7 @@
                 self._settings.peer_port,
                 common.peer_secret,
             )
+            await group.spawn(admin.serve, self._settings, life)
             await group.spawn(self._run_life, life)
         if group.exception is not None:
             raise group.exception
@@ -219,6 +222,7 @@
             await curio.sleep(self._settings.common.heartbeat_seconds)
 
     async def _post_heartbeat(self, peer: peers.Peer) -> bool:
+        metrics.HEARTBEATS.labels(direction="sent").inc()
         return await peer.post(self._build_heartbeat(next(peer.sequences)))
 
     def _build_heartbeat(self, sequence: int) -> messages.Heartbeat:
@@ -249,8 +253,17 @@
     async def _run_tending(self) -> None:
         while True:
             await self._executor.tend(time.monotonic())
+            self._set_gauges()
             await curio.sleep(TEND_SECONDS)
 
+    def _set_gauges(self) -> None:
+        pool = self._settings.pool
+        metrics.QUEUE_WAITING.labels(pool=pool).set(self._queue.waiting)
+        metrics.QUEUE_RUNNING.labels(pool=pool).set(self._queue.running)
+        metrics.QUEUE_LIMIT.labels(pool=pool).set(self._queue.limit)
+        metrics.PEERS.labels(kind="connected").set(len(self._peers))
+        metrics.REVISION.set(self._holder.revision)
+
     async def _read_first_configuration(self) -> None:
         while True:
             if not self._holder.is_known():
--- a/samphirevale/snapshots.py
+++ b/samphirevale/snapshots.py
@@ -1,23 +1,17 @@
 """The configuration that a node holds: never older, never less recalled."""
 
-from collections.abc import Iterator
-
-from samphirevale import configuration
+from samphirevale import configuration, logs
 
 
 class SnapshotHolder:
     """Holds the newest configuration seen.
 
-    Recalled batches are remembered beside it: a recall stays in force even
-    if a later configuration were to lose it.
-
     Attributes:
         held: the configuration; revision 0 until the first is adopted.
     """
 
     def __init__(self):
         self.held = configuration.EMPTY
-        self._recalled: set[str] = set()
 
     @property
     def revision(self) -> int:
@@ -25,16 +19,21 @@
         return self.held.revision
 
     def adopt(self, seen: configuration.Configuration) -> bool:
-        """Takes a configuration if it is newer; returns whether it was."""
-        newer = configuration.choose_newer(self.held, seen)
-        if newer is self.held:
+        """Takes a configuration if it is newer; returns whether it was.
+
+        One that is not valid is left aside: what is held goes on to serve.
+        """
+        if seen.revision <= self.held.revision:
             return False
-        self.held = newer
-        self._recalled.update(
-            batch
-            for batch, value in self._batches()
-            if value["state"] == "recalled"
-        )
+        findings = configuration.check_configuration(seen.value)
+        if findings:
+            logs.log_change(
+                "configuration_rejected",
+                revision=seen.revision,
+                finding=findings[0],
+            )
+            return False
+        self.held = configuration.adopt(self.held, seen)
         return True
 
     def is_known(self) -> bool:
@@ -43,7 +42,8 @@
 
     def is_recalled(self, batch: str) -> bool:
         """Tells whether a batch has been recalled."""
-        return batch in self._recalled
+        found = self._read_batches().get(batch)
+        return found is not None and found["state"] == "recalled"
 
     def is_draining(self, endpoint: str) -> bool:
         """Tells whether an endpoint is to take no new work."""
@@ -51,20 +51,17 @@
             return False
         return endpoint in self.held.value["draining"]
 
-    def list_serving(
+    def list_pool(
         self, pool: str
     ) -> dict[str, configuration.BatchConfiguration]:
-        """Returns the batches by id that a pool is to have loaded."""
+        """Returns the batches by id that belong to a pool."""
         return {
             batch: value
-            for batch, value in self._batches()
+            for batch, value in self._read_batches().items()
             if value["pool"] == pool
-            and value["state"] == "serving"
-            and batch not in self._recalled
         }
 
-    def _batches(
-        self,
-    ) -> Iterator[tuple[str, configuration.BatchConfiguration]]:
-        if self.held.value is not None:
-            yield from self.held.value["batches"].items()
+    def _read_batches(self) -> dict[str, configuration.BatchConfiguration]:
+        if self.held.value is None:
+            return {}
+        return self.held.value["batches"]
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -230,13 +230,13 @@
             if isinstance(frame.message, types):
                 return frame.message
 
-    async def receive_ending(self, entry):
+    async def receive_ending(self, entry, offset=0):
         """Returns the tokens that came, and the result or the refusal."""
         tokens = []
         while True:
             message = (await entry.receive()).message
             if isinstance(message, messages.Chunk):
-                self.assertEqual(message.sequence, len(tokens))
+                self.assertEqual(message.sequence, offset + len(tokens))
                 tokens += message.tokens
             if isinstance(message, messages.Result | messages.Refusal):
                 return tokens, message
@@ -264,3 +264,338 @@
             await self.hand_over(entry, batch="")
             _, ending = await self.receive_ending(entry)
             self.assertEqual(ending.payload, "hello")
+
+    async def test_gives_a_batched_answer_to_an_entry_that_streams_nothing(
+        self,
+    ):
+        async with self.running(), self.connected() as entry:
+            await self.endpoint.gate.set()
+            await self.hand_over(entry, stream=False)
+            tokens, ending = await self.receive_ending(entry)
+            self.assertEqual(tokens, [])
+            self.assertEqual(ending.payload, {"tokens": ANSWER})
+
+    async def test_resumes_at_an_offset(self):
+        async with self.running(), self.connected() as entry:
+            self.endpoint.lines = build_lines(ANSWER, offset=2)
+            await self.endpoint.gate.set()
+            await self.hand_over(entry, offset=2)
+            tokens, ending = await self.receive_ending(entry, offset=2)
+            self.assertEqual(tokens, ["c", "d"])
+            self.assertEqual(ending.count, 4)
+
+
+class OnceTest(SidecarTestCase):
+    """An attempt is run once, and its ending is given to who asks again."""
+
+    async def test_an_attempt_handed_over_twice_runs_once(self):
+        async with self.running(), self.connected() as entry:
+            await self.hand_over(entry)
+            await self.wait_for_runs(1)
+            await self.hand_over(entry)
+            await self.endpoint.gate.set()
+            await self.receive_ending(entry)
+            await self.hand_over(entry)
+            _, ending = await self.receive_ending(entry)
+            self.assertIsInstance(ending, messages.Result)
+            self.assertEqual(self.endpoint.runs, ["a1"])
+
+    async def test_a_reconnected_entry_gets_the_ending(self):
+        async with self.running("service"):
+            async with self.connected() as entry:
+                await self.hand_over(entry, repeatable=False, batch="")
+                await self.wait_for_runs(1)
+            async with self.connected() as entry:
+                await self.hand_over(entry, repeatable=False, batch="")
+                await self.endpoint.gate.set()
+                _, ending = await self.receive_ending(entry)
+            self.assertIsInstance(ending, messages.Result)
+            self.assertEqual(self.endpoint.runs, ["a1"])
+
+    async def test_repeatable_work_of_a_cut_entry_is_cancelled(self):
+        async with self.running():
+            self.endpoint.gate_after_first = True
+            async with self.connected() as entry:
+                await self.hand_over(entry)
+                await self.receive(entry, messages.Chunk)
+            while not self.endpoint.cancelled:
+                await curio.sleep(0.02)
+            self.assertEqual(self.endpoint.cancelled, ["a1"])
+
+    async def test_a_cancel_frees_the_place(self):
+        async with self.running(concurrency_limit=1), self.connected() as entry:
+            await self.hand_over(entry)
+            await self.wait_for_runs(1)
+            await self.hand_over(entry, attempt="a2")
+            await entry.send(messages.Cancel("r1", "generate", "a1"), 1)
+            _, ending = await self.receive_ending(entry)
+            self.assertEqual(
+                (ending.attempt, ending.outcome, ending.reason),
+                ("a1", "failed", "cancelled"),
+            )
+            await self.wait_for_runs(2)
+
+    async def test_a_waiting_attempt_is_cancelled_as_not_run(self):
+        async with self.running(concurrency_limit=1), self.connected() as entry:
+            await self.hand_over(entry)
+            await self.wait_for_runs(1)
+            await self.hand_over(entry, attempt="a2")
+            await entry.send(messages.Cancel("r1", "generate", "a2"), 1)
+            _, ending = await self.receive_ending(entry)
+            self.assertEqual(
+                (ending.attempt, ending.outcome), ("a2", "not_run")
+            )
+            self.assertEqual(self.endpoint.runs, ["a1"])
+
+
+class RefusalTest(SidecarTestCase):
+    """What a refusal says of whether the endpoint ran it."""
+
+    async def refuse(self, entry, **changes):
+        await self.hand_over(entry, **changes)
+        _, ending = await self.receive_ending(entry)
+        return ending.outcome, ending.reason
+
+    async def test_an_endpoints_503_is_not_run(self):
+        async with self.running("service"), self.connected() as entry:
+            self.endpoint.status = 503
+            self.assertEqual(
+                await self.refuse(entry, batch="", repeatable=False),
+                ("not_run", "endpoint_refused"),
+            )
+
+    async def test_a_500_of_a_call_that_may_not_be_repeated_is_unknown(self):
+        async with self.running("service"), self.connected() as entry:
+            self.endpoint.status = 500
+            self.assertEqual(
+                await self.refuse(entry, batch="", repeatable=False),
+                ("unknown", "endpoint_failed"),
+            )
+            self.assertEqual(
+                await self.refuse(entry, batch="", attempt="a2"),
+                ("failed", "endpoint_failed"),
+            )
+
+    async def test_a_broken_answer_is_unknown(self):
+        async with self.running("service"), self.connected() as entry:
+            self.endpoint.break_runs = True
+            await self.endpoint.gate.set()
+            self.assertEqual(
+                await self.refuse(entry, batch="", repeatable=False),
+                ("unknown", "endpoint_failed"),
+            )
+
+    async def test_an_unreachable_endpoint_is_not_run(self):
+        async with self.running("service"), self.connected() as entry:
+            await self.endpoint.stop()
+            self.assertEqual(
+                await self.refuse(entry, batch="", repeatable=False),
+                ("not_run", "unreachable"),
+            )
+
+    async def test_late_work_is_refused_on_arrival(self):
+        async with self.running(), self.connected() as entry:
+            self.assertEqual(
+                await self.refuse(entry, remaining_ms=0), ("not_run", "late")
+            )
+            self.assertEqual(self.endpoint.runs, [])
+
+    async def test_work_past_its_time_is_cancelled_at_the_engine(self):
+        async with self.running(), self.connected() as entry:
+            self.assertEqual(
+                await self.refuse(entry, remaining_ms=200), ("failed", "late")
+            )
+            while not self.endpoint.cancelled:
+                await curio.sleep(0.02)
+
+    async def test_the_outcome_of_a_late_call_is_kept(self):
+        async with self.running("service"), self.connected() as entry:
+            changes = {"batch": "", "repeatable": False}
+            self.assertEqual(
+                await self.refuse(entry, remaining_ms=200, **changes),
+                ("unknown", "late"),
+            )
+            await self.endpoint.gate.set()
+            await self.hand_over(entry, **changes)
+            _, ending = await self.receive_ending(entry)
+            self.assertIsInstance(ending, messages.Result)
+            self.assertEqual(self.endpoint.runs, ["a1"])
+
+    async def test_a_batch_that_is_not_loaded_is_not_run(self):
+        async with self.running(), self.connected() as entry:
+            self.assertEqual(
+                await self.refuse(entry, batch="b2"),
+                ("not_run", "not_loaded"),
+            )
+            self.assertEqual(self.endpoint.runs, [])
+
+
+class RecallTest(SidecarTestCase):
+    """A recalled batch serves nothing more, whatever is in flight."""
+
+    async def recall(self, entry):
+        value = self.build_configuration(2, state="recalled")
+        await entry.send(messages.Snapshot(2, value), 2)
+
+    async def test_a_recalled_batch_is_refused_on_arrival(self):
+        async with self.running(), self.connected() as entry:
+            await self.recall(entry)
+            await self.hand_over(entry)
+            _, ending = await self.receive_ending(entry)
+            self.assertEqual(
+                (ending.outcome, ending.reason), ("not_run", "recalled")
+            )
+
+    async def test_a_recall_stops_an_answer_in_flight(self):
+        async with self.running(), self.connected() as entry:
+            self.endpoint.gate_after_first = True
+            await self.hand_over(entry)
+            await self.receive(entry, messages.Chunk)
+            await self.recall(entry)
+            tokens, ending = (
+                [],
+                await self.receive(entry, messages.Refusal, messages.Chunk),
+            )
+            self.assertEqual(tokens, [])
+            self.assertEqual(
+                (ending.outcome, ending.reason), ("failed", "recalled")
+            )
+            while not self.endpoint.cancelled:
+                await curio.sleep(0.02)
+
+    async def test_a_recalled_answer_that_may_not_be_repeated_is_withheld(
+        self,
+    ):
+        async with self.running(), self.connected() as entry:
+            self.endpoint.gate_after_first = True
+            await self.hand_over(entry, repeatable=False)
+            await self.receive(entry, messages.Chunk)
+            await self.recall(entry)
+            await curio.sleep(0.05)
+            await self.endpoint.gate.set()
+            ending = await self.receive(
+                entry, messages.Refusal, messages.Chunk, messages.Result
+            )
+            self.assertEqual(
+                (ending.outcome, ending.reason), ("unknown", "recalled")
+            )
+
+    async def test_an_older_configuration_is_not_taken(self):
+        async with self.running(), self.connected() as entry:
+            await self.recall(entry)
+            old = self.build_configuration(1)
+            await entry.send(messages.Snapshot(1, old), 2)
+            await self.hand_over(entry)
+            _, ending = await self.receive_ending(entry)
+            self.assertEqual(ending.reason, "recalled")
+
+    async def test_a_higher_revision_is_asked_for(self):
+        async with self.running(), self.connected() as entry:
+            await entry.send(messages.Heartbeat(1, False), 7)
+            request = await self.receive(entry, messages.SnapshotRequest)
+            self.assertEqual(request.known_revision, 1)
+
+
+class LeavingTest(SidecarTestCase):
+    """A sidecar that leaves takes nothing new and finishes what it has."""
+
+    async def test_a_stop_finishes_what_runs_and_refuses_the_rest(self):
+        async with self.running(), self.connected() as entry:
+            self.endpoint.gate_after_first = True
+            await self.hand_over(entry)
+            await self.receive(entry, messages.Chunk)
+            await self.life.request_stop("test")
+            while not (await self.receive(entry, messages.Heartbeat)).leaving:
+                pass
+            await self.hand_over(entry, attempt="a2")
+            refusal = await self.receive(entry, messages.Refusal)
+            self.assertEqual(
+                (refusal.attempt, refusal.outcome, refusal.reason),
+                ("a2", "not_run", "leaving"),
+            )
+            await self.endpoint.gate.set()
+            result = await self.receive(entry, messages.Result)
+            self.assertEqual((result.attempt, result.count), ("a1", 4))
+            self.assertEqual(self.endpoint.runs, ["a1"])
+
+    async def test_a_drained_endpoint_takes_nothing_new(self):
+        async with self.running(), self.connected() as entry:
+            value = self.build_configuration(2, draining=["endpoint-1"])
+            await entry.send(messages.Snapshot(2, value), 2)
+            await self.hand_over(entry)
+            refusal = await self.receive(entry, messages.Refusal)
+            self.assertEqual(refusal.reason, "leaving")
+            heartbeat = await self.receive(entry, messages.Heartbeat)
+            self.assertTrue(heartbeat.leaving)
+
+
+class CrashTest(SidecarTestCase):
+    """An endpoint that dies under an attempt is told of to every entry."""
+
+    async def test_a_crash_is_noticed_with_the_fingerprint(self):
+        async with self.running("service"), self.connected() as entry:
+            await self.hand_over(entry, batch="")
+            await self.wait_for_runs(1)
+            await self.endpoint.stop()
+            notice = await self.receive(entry, messages.CrashNotice)
+            self.assertEqual(notice, messages.CrashNotice("f1", "a1"))
+            ending = await self.receive(entry, messages.Refusal)
+            self.assertEqual(
+                (ending.outcome, ending.reason), ("failed", "crashed")
+            )
+            heartbeat = await self.receive(entry, messages.Heartbeat)
+            self.assertFalse(heartbeat.healthy)
+
+    async def test_a_broken_answer_of_a_live_endpoint_is_no_crash(self):
+        async with self.running(), self.connected() as entry:
+            self.endpoint.break_runs = True
+            self.endpoint.lines = build_lines(ANSWER)[:2]
+            await self.endpoint.gate.set()
+            await self.hand_over(entry)
+            ending = await self.receive(
+                entry, messages.Refusal, messages.CrashNotice
+            )
+            self.assertEqual(
+                (ending.outcome, ending.reason), ("failed", "endpoint_failed")
+            )
+
+
+class ChunkTest(SidecarTestCase):
+    """Chunks reach the entry once, in order, and whole."""
+
+    async def test_doubled_and_reordered_chunks_are_put_right(self):
+        async with self.running(), self.connected() as entry:
+            first, second, third, fourth, end = build_lines(ANSWER)
+            self.endpoint.lines = [
+                second,
+                first,
+                first,
+                fourth,
+                second,
+                third,
+                end,
+            ]
+            await self.endpoint.gate.set()
+            await self.hand_over(entry)
+            tokens, ending = await self.receive_ending(entry)
+            self.assertEqual(tokens, ANSWER)
+            self.assertIsInstance(ending, messages.Result)
+
+    async def test_a_missing_chunk_is_a_failure(self):
+        async with self.running(), self.connected() as entry:
+            first, _, third, fourth, end = build_lines(ANSWER)
+            self.endpoint.lines = [first, third, fourth, end]
+            await self.endpoint.gate.set()
+            await self.hand_over(entry)
+            tokens, ending = await self.receive_ending(entry)
+            self.assertEqual(tokens, ["a"])
+            self.assertEqual(ending.outcome, "failed")
+
+    async def test_another_answers_digest_is_a_failure(self):
+        async with self.running(), self.connected() as entry:
+            self.endpoint.lines = build_lines(ANSWER)
+            self.endpoint.lines[-1]["digest"] = digest_tokens(["z"])
+            await self.endpoint.gate.set()
+            await self.hand_over(entry)
+            _, ending = await self.receive_ending(entry)
+            self.assertEqual(ending.outcome, "failed")
