Read the examples' form of a request, and tokens as the entry gives them

Cause: a request's file has request and idempotency_key, and an answer now has its tokens as a list; joining by blanks was wrong. Ruled out: keeping both forms.

--- a/samphirevale/client.py
+++ b/samphirevale/client.py
@@ -106,7 +106,7 @@
     result = value.get("result")
     if not value.get("count") or not isinstance(result, dict):
         return []
-    return result.get("tokens") or result.get("text", "").split(" ")
+    return result.get("tokens", [])
 
 
 def check_whole(value: Any, tokens: list[str]) -> None:
--- a/samphirevale/cmdline.py
+++ b/samphirevale/cmdline.py
@@ -57,8 +57,9 @@
 # How long a load may take against a store that fails, in seconds.
 LOAD_SECONDS = 30.0
 
-# What a request's file may hold beside the fields of the body.
-FILE_FIELDS = ("pipeline", "key")
+# What a request's file may hold; the account is for the reader, as the token
+# tells it.
+FILE_FIELDS = ("account", "pipeline", "idempotency_key", "request")
 
 
 def main(argv: list[str] | None = None) -> None:
@@ -139,8 +140,8 @@
     """Send a request and print its whole answer, checked.
 
     Args:
-        file: a JSON file with `pipeline`, `key` and the fields of the body;
-            `-` is stdin. Flags go before it.
+        file: a JSON file with pipeline, idempotency_key and request (the
+            body); "-" is stdin. Flags go before it.
         pipeline: the pipeline.
         input: the input, as JSON.
         key: the idempotency key.
@@ -150,18 +151,16 @@
         url: the callers' port.
         json: print the answer as JSON.
     """
-    given = {"pipeline": pipeline, "key": key, "deadline_ms": deadline_ms}
+    body: dict[str, Any] = {}
     if input is not None:
-        given["input"] = _parse_json("--input", input)
+        body["input"] = _parse_json("--input", input)
+    if deadline_ms is not None:
+        body["deadline_ms"] = deadline_ms
     if stream:
-        given["stream"] = True
+        body["stream"] = True
     if once:
-        given["idempotent"] = False
-    fields = _read_object(file) if file else {}
-    fields |= {
-        name: value for name, value in given.items() if value is not None
-    }
-    request = _build_request(fields)
+        body["idempotent"] = False
+    request = _build_request(file, pipeline, key, body)
     emit = _ignore_tokens if json else _print_tokens
     address = _find_url(url, "--url", "SAMPHIREVALE_URL")
     token = _find_token("SAMPHIREVALE_TOKEN")
@@ -267,7 +266,7 @@
     """Check a configuration and print every finding.
 
     Args:
-        file: a JSON file; `-` is stdin.
+        file: a JSON file; "-" is stdin.
     """
     value = _read_configuration(file)
     for name in ("pipelines", "accounts", "batches"):
@@ -296,7 +295,7 @@
     then the tool tells which. Recalled batches stay recalled.
 
     Args:
-        file: a JSON file; `-` is stdin.
+        file: a JSON file; "-" is stdin.
         order_id: the id of a load that is done again; else a new one.
         store_url: the platform's object API.
     """
@@ -369,20 +368,33 @@
         _fail(place, "JSON", str(error))
 
 
-def _build_request(fields: dict[str, Any]) -> client.Request:
-    body = {
-        name: value for name, value in fields.items() if name not in FILE_FIELDS
-    }
+def _build_request(
+    file: str | None,
+    pipeline: str | None,
+    key: str | None,
+    body: dict[str, Any],
+) -> client.Request:
+    """Returns the file's request with the flags' values over its own."""
+    fields = _read_object(file) if file else {}
     findings = [
-        errors.Finding(name, f"`{name}` in the file or --{name}")
-        for name in ("pipeline", "input")
-        if name not in fields
+        errors.Finding(f"{file}: {name}", "one of " + ", ".join(FILE_FIELDS))
+        for name in fields
+        if name not in FILE_FIELDS
     ]
+    own_body = fields.get("request", {})
+    if not isinstance(own_body, dict):
+        findings.append(errors.Finding(f"{file}: request", "a JSON object"))
+        own_body = {}
+    whole = own_body | body
+    pipeline = pipeline or fields.get("pipeline")
+    if not isinstance(pipeline, str):
+        findings.append(errors.Finding("--pipeline", "a name, or in the file"))
+    if "input" not in whole:
+        findings.append(errors.Finding("--input", "JSON, or in the file"))
     if findings:
         raise errors.InvalidInputError(findings)
-    return client.Request(
-        str(fields["pipeline"]), str(fields.get("key", "")), body
-    )
+    key = key or fields.get("idempotency_key", "")
+    return client.Request(pipeline, str(key), whole)
 
 
 def _find_url(given: str | None, flag: str, variable: str) -> str:
@@ -413,7 +425,7 @@
 
 
 def _print_tokens(tokens: list[str]) -> None:
-    print(*tokens, end=" ", flush=True)
+    print(*tokens, sep="", end="", flush=True)
 
 
 def _print_json(value: Any) -> None:
