--- a/samphirevale/cmdline.py
+++ b/samphirevale/cmdline.py
@@ -64,13 +64,12 @@
 
 def main(argv: list[str] | None = None) -> None:
     """Runs `samphirevale` and exits with its code."""
-    commands: dict[str, Any] = dict(_commands)
-    commands["check-settings"] = {
+    check_commands = {
         role.name: daemon.build_command(role, check_settings)
         for role in daemon.ROLES
     }
     code = defopt.run(
-        commands,
+        {**COMMANDS, "check-settings": check_commands},
         argv=argv,
         short={},
         cli_options="has_default",
@@ -80,7 +79,8 @@
     sys.exit(code)
 
 
-_commands: dict[str, Callable[..., int]] = {}
+# The subcommands by name.
+COMMANDS: dict[str, Callable[..., int]] = {}
 
 
 def _command(name: str) -> Callable[[Callable[..., int]], Callable[..., int]]:
@@ -94,7 +94,7 @@
             except errors.SamphirevaleError as error:
                 return _report_error(error)
 
-        _commands[name] = run
+        COMMANDS[name] = run
         return run
 
     return add
--- a/samphirevale/metrics.py
+++ b/samphirevale/metrics.py
@@ -49,13 +49,18 @@
 
 
 class Family:
-    """A metric whose labels are bounded."""
+    """A metric whose labels are bounded.
+
+    Attributes:
+        name: its name in Prometheus, without the `_total` of a counter.
+    """
 
     def __init__(
         self, metric_type: type, name: str, doc: str, *labels: str, **options
     ):
+        self.name = f"samphirevale_{name}"
         self._metric = metric_type(
-            f"samphirevale_{name}", doc, labels, registry=REGISTRY, **options
+            self.name, doc, labels, registry=REGISTRY, **options
         )
         self._seen: dict[str, set[str]] = {label: set() for label in labels}
 
--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,39 @@
+"""Tests that the pages name what the code has."""
+
+import pathlib
+
+from samphirevale import cmdline, language, metrics, settings
+from tests import base
+
+DOCS = pathlib.Path(__file__).resolve().parent.parent / "docs"
+
+
+class OperatingTest(base.TestCase):
+    """docs/OPERATING.md."""
+
+    def setUp(self):
+        self.text = (DOCS / "OPERATING.md").read_text(encoding="utf-8")
+
+    def check_named(self, names):
+        missing = [name for name in names if f"`{name}" not in self.text]
+        self.assertEqual([], missing)
+
+    def test_settings(self):
+        for settings_type in (settings.EntrySettings, settings.SidecarSettings):
+            fields = settings.list_fields(settings_type)
+            self.check_named(field.name + "`" for field in fields)
+
+    def test_metrics(self):
+        self.check_named(
+            family.name
+            for family in vars(metrics).values()
+            if isinstance(family, metrics.Family)
+        )
+
+    def test_language(self):
+        self.check_named(language.SUBJECTS)
+        for columns in (language.SUBJECTS | language.GROUPS).values():
+            self.assertIn(f"| {', '.join(columns)} |", self.text)
+
+    def test_commands(self):
+        self.check_named(cmdline.COMMANDS)
