Quarantine inputs that crash what runs them

Cause: now and then one request crashes each endpoint that runs it, and its caller sends it again, through any entry.

Change: quarantine.Quarantine decides by the crashes that an entry knows, in bounded memory; record_crash writes a crash to the store, once an attempt; begin_trial reserves the run of an input that has crashed once, so that crashes and reserved runs together are at most two over all entries. No reservation while the store is down, so that one crash is enough to refuse.

Ruled out: re-running once the crash is recorded, without a reservation (two entries would each re-run it: three lost); forgetting crashes after a good run (an input that crashes now and then would lose more than two). Not covered: copies already running when the first crash becomes known.

--- /dev/null
+++ b/tests/test_quarantine.py
@@ -0,0 +1,123 @@
+"""Tests of quarantine."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from samphirevale import quarantine
+from samphirevale.quarantine import Verdict
+from tests import base, fakes, test_claims
+
+PRINT = quarantine.compute_fingerprint("a", {"x": 1, "y": 2})
+
+
+class QuarantineTest(base.TestCase):
+    """What one entry decides by itself."""
+
+    def setUp(self):
+        self.quarantine = quarantine.Quarantine(10.0, fingerprints_limit=2)
+
+    def test_two_distinct_crashes_refuse(self):
+        self.assertEqual(self.quarantine.decide(PRINT, 0.0), Verdict.ALLOWED)
+        self.quarantine.add_crashes(PRINT, ["a1"], 0.0)
+        self.quarantine.add_crashes(PRINT, ["a1"], 1.0)
+        self.assertEqual(self.quarantine.decide(PRINT, 1.0), Verdict.TRIAL)
+        self.quarantine.add_crashes(PRINT, ["a2"], 1.0)
+        self.assertEqual(self.quarantine.decide(PRINT, 1.0), Verdict.REFUSED)
+
+    def test_one_trial_at_a_time(self):
+        self.quarantine.add_crashes(PRINT, ["a1"], 0.0)
+        with self.quarantine.hold_trial(PRINT):
+            self.assertEqual(self.quarantine.decide(PRINT, 0.0), Verdict.BUSY)
+        self.assertEqual(self.quarantine.decide(PRINT, 0.0), Verdict.TRIAL)
+
+    def test_memory_is_bounded_and_crashes_expire(self):
+        for name in ("p1", "p2", "p3"):
+            self.quarantine.add_crashes(name, ["a1", "a2"], 0.0)
+        self.assertEqual(self.quarantine.count(), 2)
+        self.assertEqual(self.quarantine.decide("p1", 0.0), Verdict.ALLOWED)
+        self.assertEqual(self.quarantine.decide("p3", 10.0), Verdict.REFUSED)
+        self.assertEqual(self.quarantine.decide("p3", 10.1), Verdict.ALLOWED)
+
+    def test_the_fingerprint_is_of_account_and_canonical_input(self):
+        same = quarantine.compute_fingerprint("a", {"y": 2, "x": 1})
+        self.assertEqual(same, PRINT)
+        other = quarantine.compute_fingerprint("b", {"x": 1, "y": 2})
+        self.assertNotEqual(other, PRINT)
+
+
+class CrashRunTest(base.TestCase):
+    """Entries re-send one input that crashes whatever runs it."""
+
+    def start(self, seed, faults):
+        self.clock = fakes.Simulation(seed)
+        self.store = fakes.FakeStore(self.clock, faults)
+        self.entries = [quarantine.Quarantine() for _ in range(3)]
+        self.crashed = []
+
+    async def send(self, number, attempt):
+        entry = self.entries[number]
+        verdict = entry.decide(PRINT, self.clock.now())
+        if verdict is Verdict.ALLOWED:
+            await self.run_attempt(attempt)
+        if verdict is not Verdict.TRIAL:
+            return
+        with entry.hold_trial(PRINT):
+            crashes = entry.list_crashes(PRINT, self.clock.now())
+            deadline = self.clock.now() + 2.0
+            if await quarantine.begin_trial(
+                self.store, PRINT, attempt, crashes, 0.0, deadline, self.clock
+            ):
+                await self.run_attempt(attempt)
+
+    async def run_attempt(self, attempt):
+        self.crashed.append(attempt)
+        for entry in self.entries:
+            entry.add_crashes(PRINT, [attempt], self.clock.now())
+        deadline = self.clock.now() + 100
+        await quarantine.record_crash(
+            self.store, PRINT, attempt, 0.0, deadline, self.clock
+        )
+
+    @settings(derandomize=True, max_examples=300, deadline=None)
+    @given(st.integers(0, 2**32), test_claims.FAULTS, st.booleans())
+    def test_at_most_two_endpoints_are_lost(self, seed, faults, down):
+        self.start(seed, faults)
+        self.clock.call(self.send(0, "first"))
+        self.store.down = down
+        for count in range(12):
+            at = self.clock.now() + self.clock.rng.uniform(0, 3)
+            number = self.clock.rng.randrange(3)
+            self.clock.spawn(self.send(number, f"a{count}"), at)
+        self.clock.spawn(self.restore_store(), self.clock.now() + 1)
+        self.clock.run()
+        self.assertLessEqual(len(self.crashed), 2)
+
+    async def restore_store(self):
+        self.store.down = False
+
+    def test_no_trial_while_the_store_is_down(self):
+        self.start(1, fakes.Faults())
+        self.clock.call(self.send(0, "first"))
+        self.store.down = True
+        self.clock.call(self.send(1, "second"))
+        self.assertEqual(self.crashed, ["first"])
+        self.store.down = False
+        self.clock.call(self.send(1, "third"))
+        self.assertEqual(self.crashed, ["first", "third"])
+        stored = self.store.objects[("quarantine", PRINT)].value
+        self.assertEqual(stored["attempts"], ["first", "third"])
+
+    def test_a_trial_that_ends_well_makes_room_for_the_next(self):
+        self.start(1, fakes.Faults())
+        for attempt, allowed in (("t1", True), ("t2", False)):
+            begun = quarantine.begin_trial(
+                self.store, PRINT, attempt, ["first"], 0.0, 99.0, self.clock
+            )
+            self.assertEqual(self.clock.call(begun), allowed)
+        self.clock.call(
+            quarantine.end_trial(self.store, PRINT, "t1", 0.0, 99.0, self.clock)
+        )
+        begun = quarantine.begin_trial(
+            self.store, PRINT, "t2", ["first"], 0.0, 99.0, self.clock
+        )
+        self.assertTrue(self.clock.call(begun))
