--- a/samphirevale/adapters/web.py
+++ b/samphirevale/adapters/web.py
@@ -7,6 +7,7 @@
 
 import contextlib
 import json
+import select
 import urllib.parse
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any, NamedTuple
@@ -88,12 +89,25 @@
     return parts.hostname, parts.port
 
 
+class ServerState:
+    """What a server and the one that stops it tell each other.
+
+    Attributes:
+        draining: once set, each connection ends after its next answer.
+        busy: requests that have been read and not yet wholly answered.
+    """
+
+    def __init__(self):
+        self.draining = False
+        self.busy = 0
+
+
 async def serve(
     handler: Handler,
     host: str,
     port: int,
     limits: Limits = DEFAULT_LIMITS,
-    draining: curio.Event | None = None,
+    state: ServerState | None = None,
 ) -> None:
     """Serves HTTP until cancelled; one task a connection.
 
@@ -102,8 +116,9 @@
         host: the address to listen on.
         port: the port to listen on.
         limits: bounds on what is read and kept.
-        draining: once set, each connection ends after its next answer.
+        state: shared with the one that stops the server.
     """
+    shared = state or ServerState()
     connections = 0
 
     async def run_connection(client: Any, _: Any) -> None:
@@ -113,7 +128,7 @@
             return
         connections += 1
         try:
-            await _ServerConnection(client, handler, limits, draining).run()
+            await _ServerConnection(client, handler, limits, shared).run()
         finally:
             connections -= 1
 
@@ -143,12 +158,12 @@
         client: Any,
         handler: Handler,
         limits: Limits,
-        draining: curio.Event | None,
+        state: ServerState,
     ):
         self._client = client
         self._handler = handler
         self._limits = limits
-        self._draining = draining
+        self._state = state
         self._protocol = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.head_bytes
         )
@@ -180,16 +195,23 @@
             return False
         if request is None:
             return False
+        self._state.busy += 1
+        try:
+            await self._answer(request)
+        finally:
+            self._state.busy -= 1
+        return (
+            self._protocol.our_state is h11.DONE
+            and self._protocol.their_state is h11.DONE
+        )
+
+    async def _answer(self, request: Request) -> None:
         try:
             response = await self._handler(request)
         except Exception as error:
             await self._refuse(500, f"{type(error).__name__}: {error}")
             raise
         await self._send_response(response)
-        return (
-            self._protocol.our_state is h11.DONE
-            and self._protocol.their_state is h11.DONE
-        )
 
     async def _read_request(self) -> Request | None:
         async with curio.timeout_after(self._limits.idle_seconds):
@@ -229,7 +251,7 @@
         self, response: Response | StreamedResponse
     ) -> None:
         headers = list(response.headers)
-        if self._draining is not None and self._draining.is_set():
+        if self._state.draining:
             headers.append(("Connection", "close"))
         if isinstance(response, Response):
             headers.append(("Content-Length", str(len(response.body))))
@@ -293,20 +315,22 @@
     async def read_lines(self) -> AsyncIterator[bytes]:
         """Yields the body's lines as they come, without their ends."""
         rest = b""
-        async for part in self.read_parts():
-            *lines, rest = (rest + part).split(b"\n")
-            for line in lines:
-                yield line
+        async with contextlib.aclosing(self.read_parts()) as parts:
+            async for part in parts:
+                *lines, rest = (rest + part).split(b"\n")
+                for line in lines:
+                    yield line
         if rest:
             yield rest
 
     async def read_body(self, limit: int = 16 * 1024 * 1024) -> bytes:
         """Returns the whole body, of at most `limit` bytes."""
         body = bytearray()
-        async for part in self.read_parts():
-            body += part
-            if len(body) > limit:
-                raise errors.ProtocolError(f"a body over {limit} bytes")
+        async with contextlib.aclosing(self.read_parts()) as parts:
+            async for part in parts:
+                body += part
+                if len(body) > limit:
+                    raise errors.ProtocolError(f"a body over {limit} bytes")
         return bytes(body)
 
 
@@ -372,6 +396,16 @@
                 raise errors.AnswerLostError(str(error)) from error
             self._protocol.receive_data(data)
 
+    def is_stale(self) -> bool:
+        """Tells whether the other side has closed it while it was idle.
+
+        Nothing may arrive between two exchanges, so that anything to read
+        is the connection's end.
+        """
+        poll = select.poll()
+        poll.register(self._stream.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def is_reusable(self) -> bool:
         """Tells whether the last exchange is over and the next may begin."""
         if self._protocol.our_state is not h11.DONE:
--- /dev/null
+++ b/standins/endpoints.py
@@ -0,0 +1,134 @@
+"""What the endpoints share: faults, a record, workers."""
+
+import json
+import os
+import random
+import time
+from typing import Any, Protocol
+
+import curio
+
+from samphirevale import errors
+from samphirevale.adapters import web
+from standins import faults, places, programs, records
+
+
+class Endpoint(programs.Program):
+    """An endpoint: keeps a record and has the faults that all share."""
+
+    ROUTES = programs.Routes(programs.Program.ROUTES)
+    FAULTS = faults.Registry(programs.Program.FAULTS)
+    FAULTS.declare("slow_factor", faults.POSITIVE)
+    FAULTS.declare("fail", faults.FLAG)
+    FAULTS.declare("crash_on", faults.TEXT)
+    FAULTS.declare("lose_answer", faults.FLAG)
+
+    def __init__(self):
+        super().__init__()
+        self.record = records.Record()
+
+    @staticmethod
+    @FAULTS.guard("refuse", faults.FLAG)
+    async def refuse(value: Any) -> web.Response:
+        """Refuses all calls."""
+        return programs.build_error(503, "refused by a fault switch")
+
+    @staticmethod
+    @FAULTS.guard("hang", faults.FLAG)
+    async def hang(value: Any) -> None:
+        """Never answers."""
+        await programs.hang()
+
+    async def pace(self, seconds: float) -> None:
+        """Sleeps, longer while the endpoint is slowed."""
+        await curio.sleep(seconds * (self.read_fault("slow_factor") or 1))
+
+    def crash_if_told(self, value: Any) -> None:
+        """Ends the process at once if the input holds the fatal text."""
+        text = self.read_fault("crash_on")
+        if text and text in json.dumps(value, ensure_ascii=False):
+            os._exit(1)
+
+    @ROUTES.add("GET", "/record", control=True)
+    async def show_record(self, request: web.Request) -> web.Response:
+        """Answers everything that was run."""
+        return web.build_json(200, self.record.describe())
+
+    @ROUTES.add("DELETE", "/record", control=True)
+    async def clear_record(self, request: web.Request) -> web.Response:
+        """Forgets what was run."""
+        self.record.clear()
+        return web.build_json(200, self.record.describe())
+
+
+class Pool(Protocol):
+    """The workers of an endpoint and how long they take.
+
+    Attributes:
+        workers: calls that run at once.
+        waiting_limit: calls that wait at most; others are refused.
+        base_seconds: least time of one call.
+        jitter_seconds: most that is added to it.
+        seed: seed of what is drawn.
+    """
+
+    workers: int
+    waiting_limit: int
+    base_seconds: float
+    jitter_seconds: float
+    seed: int
+
+
+class PooledEndpoint(Endpoint):
+    """An endpoint whose calls each take a worker for a time."""
+
+    ROUTES = programs.Routes(Endpoint.ROUTES)
+
+    def __init__(self, pool: Pool):
+        super().__init__()
+        self.places = places.Places(pool.workers, pool.waiting_limit)
+        self._pool = pool
+        self._generator = random.Random(pool.seed)
+
+    def build_result(self, fields: dict[str, Any]) -> Any:
+        """Returns the result of a run."""
+        raise NotImplementedError
+
+    async def run_call(self, request: web.Request) -> web.Response:
+        """Runs a call when a worker is free, or refuses it."""
+        programs.read_fields(request, request=str, attempt=str)
+        fields = web.read_json(request.body)
+        if "input" not in fields:
+            raise errors.InvalidInputError(
+                [errors.Finding("input", "a JSON value")]
+            )
+        try:
+            async with self.places.hold(places.Ticket()):
+                return await self._run_held(fields)
+        except places.PlacesFullError:
+            return programs.build_error(503, "the queue is full")
+
+    def _draw_seconds(self) -> float:
+        jitter = self._generator.uniform(0, self._pool.jitter_seconds)
+        return self._pool.base_seconds + jitter
+
+    async def _run_held(self, fields: dict[str, Any]) -> web.Response:
+        started = time.monotonic()
+        run = self.record.begin(fields, fields["input"], "", started)
+        half_seconds = self._draw_seconds() / 2
+        await self.pace(half_seconds)
+        self.crash_if_told(fields["input"])
+        await self.pace(half_seconds)
+        now = time.monotonic()
+        run["ended"] = now
+        if self.read_fault("fail"):
+            run["status"] = "failed"
+            return programs.build_error(500, "failed by a fault switch")
+        result = self.build_result(fields)
+        run["digest"] = records.compute_digest(result)
+        if self.read_fault("lose_answer"):
+            run["status"] = "lost"
+            raise programs.AnswerDroppedError
+        run["status"] = "done"
+        busy_ms = (now - started) * 1000
+        return web.build_json(200, {"result": result, "busy_ms": busy_ms})
