--- a/samphirevale/metrics.py
+++ b/samphirevale/metrics.py
@@ -47,6 +47,9 @@
 # The library's own registry, which has the process's memory and time too.
 REGISTRY = prometheus_client.REGISTRY
 
+# When each child was created says nothing that a restart does not.
+prometheus_client.disable_created_metrics()
+
 
 class Family:
     """A metric whose labels are bounded.
