--- /dev/null
+++ b/lab/endpoints.py
@@ -0,0 +1,304 @@
+"""Fake endpoints, and the sidecars beside them, in virtual time."""
+
+import functools
+import heapq
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+from lab import loop, sites, workload
+from samphirevale import limits, messages
+
+# Interval between heartbeats, in seconds.
+HEARTBEAT_SECONDS = 0.5
+
+# How late cache events are, in seconds, and the share that is lost.
+CACHE_EVENT_SECONDS = 1.0
+CACHE_EVENT_LOSS = 0.2
+
+# How soon a failing endpoint fails, in seconds.
+FAILURE_SECONDS = 0.005
+
+# How long an endpoint that leaves may finish its work, in seconds.
+LEAVING_SECONDS = 3.0
+
+
+class Job(NamedTuple):
+    """One attempt, as an entry hands it over.
+
+    Attributes:
+        attempt: its id.
+        request: the request that it belongs to.
+        deadline_at: until when it is of use.
+        on_first: called at the first token.
+        on_end: called at the end with outcome, reason and busy seconds.
+    """
+
+    attempt: str
+    request: workload.Request
+    deadline_at: float
+    on_first: Callable[[], None]
+    on_end: Callable[[str, str, float], None]
+
+
+class Ledger:
+    """What the endpoints did for each request.
+
+    Attributes:
+        work: by request and pool, in seconds alone at full speed.
+        busy: the same in seconds at the endpoint.
+    """
+
+    def __init__(self):
+        self.work: dict[tuple[str, str], float] = {}
+        self.busy: dict[tuple[str, str], float] = {}
+
+    def note(self, request: str, pool: str, work: float, busy: float) -> None:
+        """Adds what was done for one attempt."""
+        key = (request, pool)
+        self.work[key] = self.work.get(key, 0.0) + work
+        self.busy[key] = self.busy.get(key, 0.0) + busy
+
+
+class Server:
+    """Runs attempts that share one machine.
+
+    All attempts advance at the same speed, so one running total tells how
+    far each is.
+
+    Attributes:
+        speed: a factor on its usual speed; 0 fails everything.
+    """
+
+    def __init__(self, clock: loop.Loop, pool: str):
+        self.speed = 1.0
+        self._clock = clock
+        self._pool = pool
+        self._total = 0.0
+        self._at = 0.0
+        self._started: dict[str, float] = {}
+        self._marks: list[tuple[float, str, Callable[[], None]]] = []
+        self._turn = 0
+
+    def start(
+        self, attempt: str, marks: list[tuple[float, Callable[[], None]]]
+    ) -> None:
+        """Starts an attempt; each mark is called after so much work."""
+        self._advance()
+        self._started[attempt] = self._total
+        for work, call in marks:
+            heapq.heappush(self._marks, (self._total + work, attempt, call))
+        self._plan()
+
+    def stop(self, attempt: str) -> float:
+        """Ends an attempt and returns the work done for it."""
+        self._advance()
+        work = self._total - self._started.pop(attempt)
+        self._plan()
+        return work
+
+    def set_speed(self, speed: float) -> None:
+        """Changes the speed from now on."""
+        self._advance()
+        self.speed = speed
+        self._plan()
+
+    def _read_rate(self) -> float:
+        if not self._started:
+            return 0.0
+        return self.speed * sites.read_rate(self._pool, len(self._started))
+
+    def _advance(self) -> None:
+        elapsed = self._clock.now - self._at
+        self._total += elapsed * self._read_rate()
+        self._at = self._clock.now
+
+    def _plan(self) -> None:
+        self._turn += 1
+        while self._marks and self._marks[0][1] not in self._started:
+            heapq.heappop(self._marks)
+        rate = self._read_rate()
+        if self._marks and rate > 0:
+            delay = max(0.0, self._marks[0][0] - self._total) / rate
+            self._clock.call_later(delay, self._reach, self._turn)
+
+    def _reach(self, turn: int) -> None:
+        if turn != self._turn:
+            return
+        self._advance()
+        target, _, call = heapq.heappop(self._marks)
+        self._total = max(self._total, target)
+        self._plan()
+        call()
+
+
+class Sidecar:
+    """One endpoint with its sidecar.
+
+    Args:
+        clock: the virtual time.
+        name: the endpoint's name.
+        pool: its pool.
+        data_centre: where it runs.
+        limiter: the limit policy.
+        queue_limit: most attempts that wait.
+        rng: for the loss of cache events.
+        ledger: where the work for each request is written down.
+    """
+
+    def __init__(
+        self,
+        clock: loop.Loop,
+        name: str,
+        pool: str,
+        data_centre: str,
+        limiter: str,
+        queue_limit: int,
+        rng: random.Random,
+        ledger: "Ledger",
+    ):
+        self.name = name
+        self.pool = pool
+        self.data_centre = data_centre
+        self.leaving = False
+        self.server = Server(clock, pool)
+        self._clock = clock
+        self._rng = rng
+        self._ledger = ledger
+        slots = sites.read_slots(pool)
+        self.queue = limits.AttemptQueue(limiter, slots, queue_limit)
+        self._jobs: dict[str, Job] = {}
+        self._started_at: dict[str, float] = {}
+        self._cached: dict[int, None] = {}
+        self._events: list[tuple[float, str, bool]] = []
+        self._told: dict[str, None] = {}
+        self._sequence = 0
+
+    def offer(self, job: Job, *, checks_deadline: bool, fair: bool) -> None:
+        """Takes an attempt from an entry."""
+        now = self._clock.now
+        if self.leaving:
+            job.on_end("not_run", "leaving", 0.0)
+            return
+        answer = self.queue.offer(
+            job.attempt,
+            job.request.account if fair else "",
+            0,
+            job.deadline_at if checks_deadline else float("inf"),
+            now,
+        )
+        if isinstance(answer, limits.Refused):
+            job.on_end("not_run", answer.reason, 0.0)
+            return
+        self._jobs[job.attempt] = job
+        self._serve()
+
+    def cancel(self, attempt: str) -> None:
+        """Frees an attempt's place."""
+        job = self._jobs.get(attempt)
+        if job is None:
+            return
+        if not self.queue.cancel(attempt):
+            self._end_running(attempt, None)
+        del self._jobs[attempt]
+        job.on_end("failed", "cancelled", 0.0)
+        self._serve()
+
+    def set_speed(self, speed: float) -> None:
+        """Changes the endpoint's speed; 0 fails what it runs."""
+        self.server.set_speed(speed)
+        if speed == 0:
+            for attempt in list(self._started_at):
+                self._fail(attempt)
+
+    def build_heartbeat(self) -> messages.Heartbeat:
+        """Returns what the sidecar would report now."""
+        now = self._clock.now
+        self._sequence += 1
+        return messages.Heartbeat(
+            sequence=self._sequence,
+            leaving=self.leaving,
+            running=self.queue.running,
+            waiting=self.queue.waiting,
+            limit=self.queue.limit,
+            service_ms=self.queue.service_ms,
+            wait_ms=self.queue.estimate_wait_ms(now),
+            prefixes=self._read_prefixes(),
+        )
+
+    def _serve(self) -> None:
+        now = self._clock.now
+        while (attempt := self.queue.take(now)) is not None:
+            self._start(self._jobs[attempt])
+        for dropped in self.queue.expire(now):
+            job = self._jobs.pop(dropped.attempt)
+            job.on_end("not_run", dropped.reason, 0.0)
+
+    def _start(self, job: Job) -> None:
+        self._started_at[job.attempt] = self._clock.now
+        if self.server.speed == 0:
+            self.server.start(job.attempt, [])
+            self._clock.call_later(FAILURE_SECONDS, self._fail, job.attempt)
+            return
+        done = functools.partial(self._finish, job.attempt)
+        if self.pool == "engines":
+            prompt = self._read_prompt_seconds(job.request.prefix)
+            first = prompt + sites.TOKEN_SECONDS
+            work = prompt + job.request.tokens * sites.TOKEN_SECONDS
+            marks = [(first, job.on_first), (work + 1e-9, done)]
+        else:
+            marks = [(job.request.work[self.pool], done)]
+        self.server.start(job.attempt, marks)
+
+    def _finish(self, attempt: str) -> None:
+        busy = self._end_running(attempt, self._clock.now)
+        job = self._jobs.pop(attempt)
+        job.on_end("ok", "", busy)
+        self._serve()
+
+    def _fail(self, attempt: str) -> None:
+        if attempt not in self._jobs:
+            return
+        busy = self._end_running(attempt, None)
+        job = self._jobs.pop(attempt)
+        job.on_end("failed", "endpoint_failed", busy)
+        self._serve()
+
+    def _end_running(self, attempt: str, ended_at: float | None) -> float:
+        now = self._clock.now
+        work = self.server.stop(attempt)
+        busy = now - self._started_at.pop(attempt)
+        request = self._jobs[attempt].request.id
+        self._ledger.note(request, self.pool, work, busy)
+        measured = None if ended_at is None else busy
+        self.queue.note_ended(attempt, now, measured)
+        return busy
+
+    def _read_prompt_seconds(self, prefix: int) -> float:
+        hit = prefix in self._cached
+        self._cached.pop(prefix, None)
+        self._cached[prefix] = None
+        if not hit:
+            self._publish(prefix, True)
+        if len(self._cached) > sites.CACHED_PREFIXES:
+            oldest = next(iter(self._cached))
+            del self._cached[oldest]
+            self._publish(oldest, False)
+        if hit:
+            return sites.CACHED_PROMPT_SECONDS
+        return sites.PROMPT_SECONDS
+
+    def _publish(self, prefix: int, cached: bool) -> None:
+        if self._rng.random() < CACHE_EVENT_LOSS:
+            return
+        at = self._clock.now + CACHE_EVENT_SECONDS
+        self._events.append((at, str(prefix), cached))
+
+    def _read_prefixes(self) -> list[str]:
+        while self._events and self._events[0][0] <= self._clock.now:
+            _, prefix, cached = self._events.pop(0)
+            if cached:
+                self._told[prefix] = None
+            else:
+                self._told.pop(prefix, None)
+        return list(self._told)
--- /dev/null
+++ b/lab/measure.py
@@ -0,0 +1,525 @@
+"""Measures the decisions under load against baselines.
+
+    python -m lab.measure --seed 1 [--scenario steady] [--quick]
+
+Drives the decision modules with fakes in virtual time, at the sizes of both
+deployments. All systems of policies get the same arrivals in one run
+(paired), in an order that rotates with each repeat. Prints tables, draws
+pictures under build/, and ends with one line of JSON.
+"""
+
+import argparse
+import collections
+import json
+import multiprocessing
+import pathlib
+import statistics
+from typing import Any, NamedTuple
+
+from lab import bound, sites, system, workload
+
+# Runs of each scenario with fresh arrivals.
+REPEATS = 3
+
+# Processes that share the work.
+PROCESSES = 4
+
+# Targets, from what the users promise.
+BOUND_SHARE = 0.95
+SHARE_TOLERANCE = 0.05
+
+# A difference in attainment that counts as none: one request in 500.
+ATTAINMENT_NOISE = 0.002
+
+# A difference in cost that counts as none.
+COST_NOISE = 0.01
+
+PICTURES = pathlib.Path("build")
+
+CHOSEN = "chosen"
+
+SYSTEMS = {
+    CHOSEN: system.System(
+        "expected_completion", "deadline", "fixed", "budget", 32, True
+    ),
+    "unadjusted": system.System(
+        "expected_completion_unadjusted",
+        "deadline",
+        "fixed",
+        "budget",
+        32,
+        True,
+    ),
+    "least_reported": system.System(
+        "least_reported", "none", "fixed", "naive", 32, False
+    ),
+    "power_of_two": system.System(
+        "power_of_two", "none", "fixed", "naive", 32, False
+    ),
+    "round_robin": system.System(
+        "round_robin", "none", "fixed", "naive", 32, False
+    ),
+    "random": system.System("random", "none", "fixed", "naive", 32, False),
+    "short_queue": system.System(
+        "power_of_two", "none", "fixed", "naive", 8, False
+    ),
+}
+
+# Variants of the chosen system; they are no baselines.
+VARIANTS = {"unadjusted"}
+
+# Scenarios that ask for more than the endpoints hold.
+OVERLOADS = (
+    "friday_burst",
+    "month_end",
+    "retrieval_burst",
+    "generation_burst",
+    "slow_stage",
+    "greedy_account",
+)
+
+# Bursts, and the kinds of requests that do not use the burst's stage.
+ISOLATED = {
+    "retrieval_burst": ("draft", "confirm"),
+    "generation_burst": ("search", "confirm"),
+}
+
+GREEDY_ACCOUNT = "e"
+
+
+class Task(NamedTuple):
+    """One repeat of one scenario at one site, for all systems."""
+
+    site: sites.Site
+    scenario: str
+    seed: int
+    repeat: int
+    systems: dict[str, system.System]
+
+
+class Record(NamedTuple):
+    """What one system did in one repeat.
+
+    Attributes:
+        site, scenario, policy: what was run.
+        requests: how many arrived.
+        whole: how many were answered whole in time.
+        bound: the most that could have been.
+        work: work by pool in seconds alone.
+        wasted: the part of it that was for answers not whole.
+        busy: seconds at the endpoints by pool.
+        first: seconds to the first token, of whole answers.
+        end: seconds to the end, of whole answers.
+        refused: how many were not whole, by reason.
+        known: seconds until the callers of those knew.
+        groups: arrived and whole, by `account:` and `kind:`, without the
+            extra ones of a burst or an excess.
+    """
+
+    site: str
+    scenario: str
+    policy: str
+    requests: int
+    whole: int
+    bound: float
+    work: dict[str, float]
+    wasted: dict[str, float]
+    busy: dict[str, float]
+    first: list[float]
+    end: list[float]
+    refused: dict[str, int]
+    known: list[float]
+    groups: dict[str, tuple[int, int]]
+
+
+def run_task(task: Task) -> list[Record]:
+    """Runs every system on the same arrivals, and without the extra ones."""
+    scenario = workload.scenarios[task.scenario](task.site)
+    seed = f"{task.seed}/{task.site.name}/{task.scenario}/{task.repeat}"
+    requests = workload.draw_requests(scenario, seed)
+    best = bound.bound_attainment(task.site, scenario, requests)
+    names = list(task.systems)
+    turn = task.repeat % len(names)
+    records = []
+    for name in names[turn:] + names[:turn]:
+        chosen = task.systems[name]
+        world = system.World(task.site, scenario, chosen, seed)
+        world.run(requests)
+        records.append(_summarise(task, name, world, best))
+    usual = [request for request in requests if not request.extra]
+    if len(usual) < len(requests):
+        world = system.World(task.site, scenario, task.systems[CHOSEN], seed)
+        world.run(usual)
+        records.append(_summarise(task, "without_extra", world, 1.0))
+    return records
+
+
+def _summarise(
+    task: Task, policy: str, world: system.World, best: float
+) -> Record:
+    whole = [item for item in world.outcomes if item.whole]
+    failed = [item for item in world.outcomes if not item.whole]
+    good = {item.request.id for item in whole}
+    work: collections.Counter[str] = collections.Counter()
+    wasted: collections.Counter[str] = collections.Counter()
+    busy: collections.Counter[str] = collections.Counter()
+    for (request, pool), seconds in world.ledger.work.items():
+        work[pool] += seconds
+        busy[pool] += world.ledger.busy[request, pool]
+        if request not in good:
+            wasted[pool] += seconds
+    return Record(
+        site=task.site.name,
+        scenario=task.scenario,
+        policy=policy,
+        requests=len(world.outcomes),
+        whole=len(whole),
+        bound=best,
+        work=dict(work),
+        wasted=dict(wasted),
+        busy=dict(busy),
+        first=[item.first_seconds for item in whole],
+        end=[item.end_seconds for item in whole],
+        refused=dict(collections.Counter(item.reason for item in failed)),
+        known=[item.end_seconds for item in failed],
+        groups=_count_groups(world.outcomes),
+    )
+
+
+def _count_groups(
+    outcomes: list[system.Outcome],
+) -> dict[str, tuple[int, int]]:
+    groups: dict[str, tuple[int, int]] = {}
+    for item in outcomes:
+        if item.request.extra:
+            continue
+        names = (f"kind:{item.request.kind}", f"account:{item.request.account}")
+        for name in names:
+            asked, whole = groups.get(name, (0, 0))
+            groups[name] = (asked + 1, whole + item.whole)
+    return groups
+
+
+def join_records(records: list[Record]) -> Record:
+    """Returns the repeats of one system and scenario as one record."""
+    first = records[0]
+    asked = sum(item.requests for item in records)
+    best = sum(item.bound * item.requests for item in records) / asked
+    groups: dict[str, tuple[int, int]] = {}
+    for item in records:
+        for name, (count, whole) in item.groups.items():
+            old = groups.get(name, (0, 0))
+            groups[name] = (old[0] + count, old[1] + whole)
+    return first._replace(
+        requests=asked,
+        whole=sum(item.whole for item in records),
+        bound=best,
+        work=_add_up([item.work for item in records]),
+        wasted=_add_up([item.wasted for item in records]),
+        busy=_add_up([item.busy for item in records]),
+        first=[value for item in records for value in item.first],
+        end=[value for item in records for value in item.end],
+        refused=_add_up([item.refused for item in records]),
+        known=[value for item in records for value in item.known],
+        groups=groups,
+    )
+
+
+def _add_up(maps: list[dict[str, Any]]) -> dict[str, Any]:
+    total: collections.Counter[str] = collections.Counter()
+    for item in maps:
+        total.update(item)
+    return dict(total)
+
+
+def read_attainment(record: Record) -> float:
+    """Returns the share of requests that were whole in time."""
+    return record.whole / record.requests
+
+
+def read_cost(record: Record) -> float:
+    """Returns the work for one whole answer, in seconds alone."""
+    return sum(record.work.values()) / max(1, record.whole)
+
+
+def read_wasted_share(record: Record) -> float:
+    """Returns the share of all work that was for answers not whole."""
+    return sum(record.wasted.values()) / max(1e-9, sum(record.work.values()))
+
+
+def read_group(record: Record, name: str) -> float:
+    """Returns the attainment of one account or kind."""
+    asked, whole = record.groups.get(name, (0, 0))
+    return whole / asked if asked else 1.0
+
+
+def read_quantile(values: list[float], share: float) -> float:
+    """Returns a quantile; 0 if there are no values."""
+    if not values:
+        return 0.0
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+Joined = dict[tuple[str, str, str], Record]
+
+
+def run_all(
+    seed: int,
+    names: list[str],
+    repeats: int,
+    systems: dict[str, system.System],
+) -> Joined:
+    """Runs scenarios at both sites; keys are site, scenario and policy."""
+    tasks = [
+        Task(site, name, seed, repeat, systems)
+        for name in names
+        for site in sites.SITES
+        for repeat in range(repeats)
+    ]
+    with multiprocessing.Pool(PROCESSES) as pool:
+        results = pool.map(run_task, tasks, chunksize=1)
+    grouped: dict[tuple[str, str, str], list[Record]] = {}
+    for record in (item for result in results for item in result):
+        key = (record.site, record.scenario, record.policy)
+        grouped.setdefault(key, []).append(record)
+    return {key: join_records(items) for key, items in grouped.items()}
+
+
+class Check(NamedTuple):
+    """One target, and whether it was met."""
+
+    target: str
+    place: str
+    passed: bool
+    figures: str
+
+
+def check_targets(joined: Joined) -> list[Check]:
+    """Returns every target for every site and scenario that was run."""
+    checks = []
+    for site, scenario, policy in joined:
+        if policy != CHOSEN:
+            continue
+        runs = {
+            name: record
+            for (place, work, name), record in joined.items()
+            if (place, work) == (site, scenario)
+        }
+        place = f"{site} {scenario}"
+        checks += _check_bound(place, scenario, runs)
+        checks += _check_baselines(place, scenario, runs)
+        checks += _check_isolation(place, scenario, runs)
+        checks += _check_shares(place, scenario, runs)
+    return checks
+
+
+def _check_bound(
+    place: str, scenario: str, runs: dict[str, Record]
+) -> list[Check]:
+    if scenario not in OVERLOADS:
+        return []
+    record = runs[CHOSEN]
+    share = read_attainment(record) / record.bound
+    figures = f"{share:.4f} of the bound {record.bound:.4f}"
+    return [Check("bound", place, share >= BOUND_SHARE, figures)]
+
+
+def _check_baselines(
+    place: str, scenario: str, runs: dict[str, Record]
+) -> list[Check]:
+    others = {
+        name: record
+        for name, record in runs.items()
+        if name not in VARIANTS | {CHOSEN, "without_extra"}
+    }
+    if not others:
+        return []
+    best = max(others, key=lambda name: read_attainment(others[name]))
+    own = read_attainment(runs[CHOSEN])
+    other = read_attainment(others[best])
+    checks = [
+        Check(
+            "attainment",
+            place,
+            own >= other - ATTAINMENT_NOISE,
+            f"{own:.4f}, best baseline {best} {other:.4f}",
+        )
+    ]
+    if scenario == "steady":
+        own = read_cost(runs[CHOSEN])
+        other = min(read_cost(record) for record in others.values())
+        passed = own <= other * (1 + COST_NOISE)
+        figures = f"{own:.4f} s, cheapest baseline {other:.4f} s"
+        checks.append(Check("cost", place, passed, figures))
+    return checks
+
+
+def _check_isolation(
+    place: str, scenario: str, runs: dict[str, Record]
+) -> list[Check]:
+    checks = []
+    for kind in ISOLATED.get(scenario, ()):
+        own = read_group(runs[CHOSEN], f"kind:{kind}")
+        alone = read_group(runs["without_extra"], f"kind:{kind}")
+        passed = own >= alone - ATTAINMENT_NOISE
+        figures = f"{kind} {own:.4f}, without the burst {alone:.4f}"
+        checks.append(Check("isolation", place, passed, figures))
+    return checks
+
+
+def _check_shares(
+    place: str, scenario: str, runs: dict[str, Record]
+) -> list[Check]:
+    if scenario != "greedy_account":
+        return []
+    checks = []
+    for account in sites.ACCOUNTS:
+        if account == GREEDY_ACCOUNT:
+            continue
+        own = read_group(runs[CHOSEN], f"account:{account}")
+        alone = read_group(runs["without_extra"], f"account:{account}")
+        passed = own >= alone * (1 - SHARE_TOLERANCE)
+        figures = f"{account} {own:.4f}, without the excess {alone:.4f}"
+        checks.append(Check("shares", place, passed, figures))
+    return checks
+
+
+def print_tables(joined: Joined) -> None:
+    """Prints one line for each site, scenario and policy."""
+    head = (
+        f"{'site':9}{'scenario':17}{'policy':15}{'attain':>7}{'bound':>7}"
+        f"{'cost':>7}{'waste':>7}{'first p50/p95/p99':>18}"
+        f"{'end p50/p95/p99':>18}{'known':>6}{'acct':>6}{'kind':>6}  refused"
+    )
+    print(head)
+    for record in joined.values():
+        print(_format_record(record))
+
+
+def _format_record(record: Record) -> str:
+    first = _format_quantiles(record.first)
+    end = _format_quantiles(record.end)
+    known = read_quantile(record.known, 0.5)
+    accounts = _read_lowest(record, "account:")
+    kinds = _read_lowest(record, "kind:")
+    refused = " ".join(f"{k}={v}" for k, v in sorted(record.refused.items()))
+    return (
+        f"{record.site:9}{record.scenario:17}{record.policy:15}"
+        f"{read_attainment(record):7.4f}{record.bound:7.4f}"
+        f"{read_cost(record):7.4f}{read_wasted_share(record):7.4f}"
+        f"{first:>18}{end:>18}{known:6.2f}{accounts:6.3f}{kinds:6.3f}"
+        f"  {refused}"
+    )
+
+
+def _format_quantiles(values: list[float]) -> str:
+    shares = (0.5, 0.95, 0.99)
+    return "/".join(f"{read_quantile(values, share):.2f}" for share in shares)
+
+
+def _read_lowest(record: Record, prefix: str) -> float:
+    names = [name for name in record.groups if name.startswith(prefix)]
+    return min((read_group(record, name) for name in names), default=1.0)
+
+
+def print_costs(joined: Joined) -> None:
+    """Prints cost by stage: busy seconds and work for one whole answer."""
+    print("\ncost by stage for one whole answer: work s (busy s) wasted share")
+    for record in joined.values():
+        parts = []
+        for pool in sorted(record.work):
+            whole = max(1, record.whole)
+            work = record.work[pool] / whole
+            busy = record.busy[pool] / whole
+            wasted = record.wasted.get(pool, 0.0) / max(1e-9, record.work[pool])
+            parts.append(f"{pool} {work:.3f} ({busy:.3f}) {wasted:.3f}")
+        place = f"{record.site:9}{record.scenario:17}{record.policy:15}"
+        print(place + "; ".join(parts))
+
+
+def print_checks(checks: list[Check]) -> None:
+    """Prints each target with its figures."""
+    print()
+    for check in checks:
+        word = "pass" if check.passed else "FAIL"
+        print(f"{word} {check.target:11}{check.place:28}{check.figures}")
+    passed = sum(check.passed for check in checks)
+    print(f"targets: {passed} of {len(checks)} pass")
+
+
+def draw_pictures(joined: Joined) -> None:
+    """Draws attainment by scenario and policy, one picture a site."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    PICTURES.mkdir(exist_ok=True)
+    for site in sites.SITES:
+        figure, axes = pyplot.subplots(figsize=(12, 5))
+        names = sorted({key[1] for key in joined if key[0] == site.name})
+        policies = list(SYSTEMS)
+        width = 0.8 / len(policies)
+        for number, policy in enumerate(policies):
+            records = [joined.get((site.name, name, policy)) for name in names]
+            values = [read_attainment(r) if r else 0.0 for r in records]
+            places = [place + number * width for place in range(len(names))]
+            axes.bar(places, values, width, label=policy)
+        axes.set_xticks(range(len(names)), names, rotation=30, ha="right")
+        axes.set_ylabel("attainment")
+        axes.set_title(site.name)
+        axes.legend(fontsize=7, ncol=4)
+        figure.tight_layout()
+        figure.savefig(PICTURES / f"attainment-{site.name}.png")
+        pyplot.close(figure)
+
+
+def build_summary(joined: Joined, checks: list[Check]) -> dict[str, Any]:
+    """Returns the last line: scenario, policy and their three figures."""
+    summary: dict[str, Any] = {}
+    for (site, scenario, policy), record in joined.items():
+        cell = summary.setdefault(f"{site}/{scenario}", {})
+        cell[policy] = {
+            "attainment": round(read_attainment(record), 4),
+            "cost_per_whole_answer": round(read_cost(record), 4),
+            "wasted_share": round(read_wasted_share(record), 4),
+        }
+    return summary
+
+
+def print_means(joined: Joined) -> None:
+    """Prints each policy's mean attainment over all scenarios."""
+    print()
+    for policy in SYSTEMS:
+        values = [
+            read_attainment(record)
+            for key, record in joined.items()
+            if key[2] == policy
+        ]
+        mean = statistics.fmean(values)
+        print(f"mean attainment {policy:15}{mean:.4f}")
+
+
+def main() -> None:
+    """Runs the measurement."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--scenario", choices=sorted(workload.scenarios))
+    parser.add_argument("--quick", action="store_true", help="one repeat")
+    options = parser.parse_args()
+    names = [options.scenario] if options.scenario else []
+    names = names or list(workload.scenarios)
+    repeats = 1 if options.quick else REPEATS
+    joined = run_all(options.seed, names, repeats, SYSTEMS)
+    print_tables(joined)
+    print_costs(joined)
+    print_means(joined)
+    checks = check_targets(joined)
+    print_checks(checks)
+    draw_pictures(joined)
+    print(json.dumps(build_summary(joined, checks)))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/lab/system.py
@@ -0,0 +1,392 @@
+"""Entries that drive requests through the stages, in virtual time.
+
+Only the decisions are the product's own; what carries them out is fake.
+"""
+
+import itertools
+import random
+from typing import NamedTuple
+
+from lab import endpoints, loop, sites, workload
+from samphirevale import admission, deadlines, retries, routing
+
+# How late the platform's list of instances is, in seconds.
+LIST_SECONDS = 1.0
+
+
+class System(NamedTuple):
+    """One set of policies.
+
+    Attributes:
+        routing: name of the routing policy.
+        admission: name of the admission policy.
+        limiter: name of the limit policy.
+        retries: name of the retry policy.
+        queue_limit: most attempts that wait at an endpoint.
+        aware: sidecars know deadlines and accounts.
+    """
+
+    routing: str
+    admission: str
+    limiter: str
+    retries: str
+    queue_limit: int
+    aware: bool
+
+
+class Outcome(NamedTuple):
+    """How one request ended.
+
+    Attributes:
+        request: the request.
+        whole: its caller got the whole answer in time.
+        reason: why not; empty if whole.
+        first_seconds: time to the first token (or to the end, where
+            nothing is generated); None if there was none.
+        end_seconds: time until the caller knew the outcome.
+    """
+
+    request: workload.Request
+    whole: bool
+    reason: str
+    first_seconds: float | None
+    end_seconds: float
+
+
+class World:
+    """One run: a site under a scenario with one system of policies.
+
+    Attributes:
+        outcomes: how the requests ended.
+        ledger: what the endpoints did.
+        pools: the sidecars that the platform's list names, by pool.
+    """
+
+    def __init__(
+        self,
+        site: sites.Site,
+        scenario: workload.Scenario,
+        system: System,
+        seed: str,
+    ):
+        self.clock = loop.Loop()
+        self.scenario = scenario
+        self.system = system
+        self.outcomes: list[Outcome] = []
+        self.ledger = endpoints.Ledger()
+        self.sidecars: dict[str, endpoints.Sidecar] = {}
+        self.pools: dict[str, list[str]] = {}
+        self._site = site
+        self._rng = random.Random(f"{seed}/endpoints")
+        self.entries = [
+            Entry(self, f"dc{number % site.data_centres}", f"{seed}/{number}")
+            for number in range(site.entries)
+        ]
+        for pool in ("engines", *sites.STAGE_SECONDS):
+            self.pools[pool] = []
+            for number in range(sites.count_endpoints(site, pool)):
+                self._add_sidecar(pool, number, f"{pool}-{number}")
+        for fault in scenario.faults:
+            self.clock.call_at(fault.at, self._apply_fault, fault)
+
+    def run(self, requests: list[workload.Request]) -> None:
+        """Runs all requests to their ends."""
+        choose_entry = itertools.cycle(self.entries)
+        for request in requests:
+            entry = next(choose_entry)
+            self.clock.call_at(request.at, entry.receive, request)
+        last = workload.RUN_SECONDS + sites.DEADLINE_SECONDS
+        self.clock.run(last + 0.1)
+
+    def _add_sidecar(self, pool: str, number: int, name: str) -> None:
+        sidecar = endpoints.Sidecar(
+            self.clock,
+            name,
+            pool,
+            f"dc{number % self._site.data_centres}",
+            self.system.limiter,
+            self.system.queue_limit,
+            self._rng,
+            self.ledger,
+        )
+        self.sidecars[name] = sidecar
+        self.pools[pool].append(name)
+        offset = self._rng.random() * endpoints.HEARTBEAT_SECONDS
+        self.clock.call_later(0.0, self._report, sidecar)
+        self.clock.call_later(offset, self._beat, sidecar)
+
+    def _beat(self, sidecar: endpoints.Sidecar) -> None:
+        if sidecar.name not in self.sidecars:
+            return
+        self._report(sidecar)
+        self.clock.call_later(endpoints.HEARTBEAT_SECONDS, self._beat, sidecar)
+
+    def _report(self, sidecar: endpoints.Sidecar) -> None:
+        delay = self.scenario.report_seconds
+        heartbeat = sidecar.build_heartbeat()
+        heartbeat = heartbeat._replace(load_age_ms=1000 * delay)
+        for entry in self.entries:
+            distance = measure_distance(entry.data_centre, sidecar)
+            self.clock.call_later(
+                delay + distance, entry.note_report, sidecar, heartbeat
+            )
+
+    def _apply_fault(self, fault: workload.Fault) -> None:
+        name = f"{fault.pool}-{fault.number}"
+        sidecar = self.sidecars[name]
+        if not fault.leaves:
+            sidecar.set_speed(fault.speed)
+            return
+        sidecar.leaving = True
+        self._report(sidecar)
+        self.clock.call_later(LIST_SECONDS, self._unlist, sidecar)
+        self.clock.call_later(
+            endpoints.LEAVING_SECONDS,
+            self._add_sidecar,
+            fault.pool,
+            fault.number,
+            f"{name}b",
+        )
+
+    def _unlist(self, sidecar: endpoints.Sidecar) -> None:
+        self.pools[sidecar.pool].remove(sidecar.name)
+
+
+class Entry:
+    """One entry with its own decisions."""
+
+    def __init__(self, world: World, data_centre: str, seed: str):
+        self.world = world
+        self.data_centre = data_centre
+        rng = random.Random(f"{seed}/entry")
+        system = world.system
+        self.router = routing.Router(system.routing, data_centre, rng)
+        self.admission = admission.Admission(system.admission, sites.ACCOUNTS)
+        self.retries = retries.Retries(system.retries)
+
+    def note_report(
+        self, sidecar: endpoints.Sidecar, heartbeat: routing.messages.Heartbeat
+    ) -> None:
+        """Takes in a heartbeat that has arrived."""
+        self.router.note_report(
+            sidecar.name,
+            sidecar.pool,
+            sidecar.data_centre,
+            heartbeat,
+            self.world.clock.now,
+        )
+
+    def receive(self, request: workload.Request) -> None:
+        """Takes in a caller's request."""
+        Drive(self, request).start()
+
+    def expect(self, pools: list[str], prefix: str) -> list[float]:
+        """Returns what each pool's attempt should take now."""
+        now = self.world.clock.now
+        return [
+            self.router.expect_seconds(
+                self.world.pools[pool],
+                now,
+                prefix=prefix if pool == "engines" else "",
+            )
+            for pool in pools
+        ]
+
+
+class Drive:
+    """One request on its way through its stages."""
+
+    def __init__(self, entry: Entry, request: workload.Request):
+        self._entry = entry
+        self._clock = entry.world.clock
+        self._request = request
+        self._stages = sites.build_stages(request.kind)
+        self._deadline_at = request.at + sites.DEADLINE_SECONDS
+        self._position = 0
+        self._tried: list[str] = []
+        self._attempt = ""
+        self._sidecar: endpoints.Sidecar | None = None
+        self._first_seconds: float | None = None
+        self._ended = False
+        self._inside = False
+        self._admitted = False
+
+    def start(self) -> None:
+        """Decides whether to take the request, and begins it."""
+        if self._entry.world.scenario.store_down and (
+            self._request.kind == "confirm"
+        ):
+            self._end("store")
+            return
+        decision = self._entry.admission.admit(
+            self._request.id,
+            self._request.account,
+            self._stages,
+            sites.DEADLINE_SECONDS,
+            self._expect(0),
+            self._clock.now,
+        )
+        if not decision.admitted:
+            self._end(decision.reason)
+            return
+        self._admitted = True
+        self._clock.call_at(self._deadline_at, self._give_up)
+        self._start_stage()
+
+    def _expect(self, position: int) -> list[float]:
+        pools = [stage["pool"] for stage in self._stages[position:]]
+        return self._entry.expect(pools, str(self._request.prefix))
+
+    def _start_stage(self) -> None:
+        stage = self._stages[self._position]
+        if not self._entry.admission.enter_stage(stage, self._clock.now):
+            self._end("stage_limit")
+            return
+        self._inside = True
+        self._tried = []
+        self._entry.retries.note_first(stage["name"])
+        self._send()
+
+    def _send(self) -> None:
+        now = self._clock.now
+        world = self._entry.world
+        pool = self._stages[self._position]["pool"]
+        prefix = str(self._request.prefix) if pool == "engines" else ""
+        choice = self._entry.router.choose(
+            world.pools[pool],
+            now,
+            prefix=prefix,
+            exclude=self._tried,
+            remaining_seconds=self._deadline_at - now,
+        )
+        if choice is None:
+            self._end("unavailable")
+            return
+        self._tried.append(choice.endpoint)
+        attempt = f"{self._request.id}/{self._position}/{len(self._tried)}"
+        self._attempt = attempt
+        self._sidecar = world.sidecars[choice.endpoint]
+        self._entry.router.note_sent(
+            choice.endpoint, attempt, now, prefix=prefix
+        )
+        self._clock.call_later(self._measure(), self._offer, attempt)
+
+    def _offer(self, attempt: str) -> None:
+        later = self._stages[self._position + 1 :]
+        needed = [stage["expected_ms"] / 1000 for stage in later]
+        job = endpoints.Job(
+            attempt,
+            self._request,
+            deadlines.reserve_for_later(self._deadline_at, needed),
+            self._note_first,
+            self._build_end(attempt, self._sidecar),
+        )
+        aware = self._entry.world.system.aware
+        self._sidecar.offer(job, checks_deadline=aware, fair=aware)
+
+    def _build_end(self, attempt: str, sidecar: endpoints.Sidecar):
+        distance = self._measure()
+
+        def end(outcome: str, reason: str, busy: float) -> None:
+            self._clock.call_later(
+                distance,
+                self._note_ended,
+                attempt,
+                sidecar,
+                outcome,
+                reason,
+                busy,
+            )
+
+        return end
+
+    def _note_first(self) -> None:
+        if self._first_seconds is None and not self._ended:
+            self._first_seconds = self._clock.now - self._request.at
+
+    def _note_ended(
+        self,
+        attempt: str,
+        sidecar: endpoints.Sidecar,
+        outcome: str,
+        reason: str,
+        busy: float,
+    ) -> None:
+        now = self._clock.now
+        word = {"ok": "ok", "not_run": "refused"}.get(outcome, "failed")
+        if reason == "cancelled":
+            word = "slow"
+        self._entry.router.note_ended(
+            sidecar.name, attempt, now, busy or None, word
+        )
+        if self._ended or attempt != self._attempt:
+            return
+        if outcome == "ok":
+            self._finish_stage()
+        else:
+            self._consider_retry(outcome, reason)
+
+    def _finish_stage(self) -> None:
+        self._leave_stage()
+        self._position += 1
+        if self._position == len(self._stages):
+            self._end("")
+        else:
+            self._start_stage()
+
+    def _consider_retry(self, outcome: str, reason: str) -> None:
+        stage = self._stages[self._position]
+        ending = retries.Ending(
+            stage["name"],
+            bool(stage["repeatable"]),
+            outcome,
+            reason,
+            len(self._tried),
+        )
+        remaining = self._deadline_at - self._clock.now
+        expected = sum(self._expect(self._position))
+        if self._entry.retries.decide(ending, expected, remaining).retry:
+            self._send()
+        else:
+            self._end(reason)
+
+    def _give_up(self) -> None:
+        if self._ended:
+            return
+        if self._sidecar is not None:
+            self._clock.call_later(
+                self._measure(), self._sidecar.cancel, self._attempt
+            )
+        self._end("deadline")
+
+    def _leave_stage(self) -> None:
+        stage = self._stages[self._position]
+        self._entry.admission.leave_stage(stage, self._clock.now)
+        self._inside = False
+
+    def _measure(self) -> float:
+        return measure_distance(self._entry.data_centre, self._sidecar)
+
+    def _end(self, reason: str) -> None:
+        now = self._clock.now
+        self._ended = True
+        if self._inside:
+            self._leave_stage()
+        if self._admitted:
+            self._entry.admission.note_finished(
+                self._request.id, now, whole=not reason
+            )
+        seconds = now - self._request.at
+        first = self._first_seconds if not reason else None
+        if not reason and first is None:
+            first = seconds
+        self._entry.world.outcomes.append(
+            Outcome(self._request, not reason, reason, first, seconds)
+        )
+
+
+def measure_distance(data_centre: str, sidecar: endpoints.Sidecar) -> float:
+    """Returns the one-way time between an entry and a sidecar."""
+    if sidecar.data_centre == data_centre:
+        return routing.LOCAL_DISTANCE_SECONDS
+    return routing.REMOTE_DISTANCE_SECONDS
--- /dev/null
+++ b/lab/workload.py
@@ -0,0 +1,260 @@
+"""Scenarios: what arrives, and what goes wrong, from a seed."""
+
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+from lab import sites
+
+# Length of a run's arrivals, and of the burst in it, in seconds.
+RUN_SECONDS = 14.0
+BURST_START = 4.0
+BURST_END = 9.0
+
+# Load of the usual mix, as a share of what the engines hold.
+STEADY_LOAD = 0.7
+
+
+class Request(NamedTuple):
+    """One request of a caller.
+
+    Attributes:
+        id: unique in the run.
+        at: when it arrives.
+        kind: one of sites.KINDS.
+        account: whose it is.
+        prefix: number of its prompt prefix.
+        tokens: length of its generated answer.
+        work: work of each of its stages without tokens, in seconds.
+        extra: it belongs to a burst or to an account's excess.
+    """
+
+    id: str
+    at: float
+    kind: str
+    account: str
+    prefix: int
+    tokens: int
+    work: dict[str, float]
+    extra: bool
+
+
+class Flow(NamedTuple):
+    """Poisson arrivals.
+
+    Attributes:
+        rate: requests a second.
+        start: from when.
+        end: until when.
+        kinds: weights of the kinds of requests.
+        accounts: weights of the accounts.
+        extra: they come on top of the usual load.
+    """
+
+    rate: float
+    start: float
+    end: float
+    kinds: dict[str, float]
+    accounts: dict[str, float]
+    extra: bool = False
+
+
+class Fault(NamedTuple):
+    """Something that happens to an endpoint.
+
+    Attributes:
+        at: when.
+        pool: the pool.
+        number: which endpoint of the pool.
+        speed: its speed from then on, as a factor; 0 fails at once.
+        leaves: it leaves, and another takes its place.
+    """
+
+    at: float
+    pool: str
+    number: int
+    speed: float = 1.0
+    leaves: bool = False
+
+
+class Scenario(NamedTuple):
+    """What one run is given.
+
+    Attributes:
+        flows: what arrives.
+        faults: what goes wrong.
+        report_seconds: age of the load reports when they arrive.
+        store_down: nothing that needs a claim can run.
+    """
+
+    flows: list[Flow]
+    faults: list[Fault] = []
+    report_seconds: float = 0.0
+    store_down: bool = False
+
+
+Builder = Callable[[sites.Site], Scenario]
+
+scenarios: dict[str, Builder] = {}
+
+
+def register(name: str) -> Callable[[Builder], Builder]:
+    """Makes a function the builder of a scenario."""
+
+    def add(builder: Builder) -> Builder:
+        scenarios[name] = builder
+        return builder
+
+    return add
+
+
+def _flow(site: sites.Site, load: float) -> Flow:
+    rate = load * sites.read_engine_capacity(site)
+    return Flow(rate, 0.0, RUN_SECONDS, sites.MIX, sites.ACCOUNTS)
+
+
+def _burst(rate: float, kinds: dict[str, float]) -> Flow:
+    accounts = sites.ACCOUNTS
+    return Flow(rate, BURST_START, BURST_END, kinds, accounts, extra=True)
+
+
+@register("steady")
+def build_steady(site: sites.Site) -> Scenario:
+    """The usual load."""
+    return Scenario([_flow(site, STEADY_LOAD)])
+
+
+@register("friday_burst")
+def build_friday(site: sites.Site) -> Scenario:
+    """Twice what the engines hold, for some seconds."""
+    rate = (2 - STEADY_LOAD) * sites.read_engine_capacity(site)
+    flows = [_flow(site, STEADY_LOAD), _burst(rate, sites.MIX)]
+    return Scenario(flows)
+
+
+@register("month_end")
+def build_month_end(site: sites.Site) -> Scenario:
+    """A little more than the engines hold, all the time."""
+    return Scenario([_flow(site, 1.2)])
+
+
+@register("retrieval_burst")
+def build_retrieval_burst(site: sites.Site) -> Scenario:
+    """Searches for twice what the retrievers hold."""
+    per_endpoint = sites.read_capacity("retrievers")
+    held = site.endpoints * per_endpoint / sites.STAGE_SECONDS["retrievers"]
+    flows = [_flow(site, STEADY_LOAD), _burst(2 * held, {"search": 1.0})]
+    return Scenario(flows)
+
+
+@register("generation_burst")
+def build_generation_burst(site: sites.Site) -> Scenario:
+    """Drafts for one and a half times what the engines hold."""
+    work = sites.read_work_seconds("engines")
+    held = site.engines * sites.read_capacity("engines") / work
+    flows = [_flow(site, STEADY_LOAD), _burst(1.5 * held, {"draft": 1.0})]
+    return Scenario(flows)
+
+
+@register("slow_stage")
+def build_slow_stage(site: sites.Site) -> Scenario:
+    """All rerankers at a third of their speed."""
+    faults = [
+        Fault(BURST_START, "rerankers", number, speed=1 / 3)
+        for number in range(site.endpoints)
+    ]
+    return Scenario([_flow(site, STEADY_LOAD)], faults)
+
+
+@register("slow_endpoint")
+def build_slow_endpoint(site: sites.Site) -> Scenario:
+    """One engine at a sixth of its speed; it does not fail."""
+    faults = [Fault(BURST_START, "engines", 0, speed=1 / 6)]
+    return Scenario([_flow(site, STEADY_LOAD)], faults)
+
+
+@register("fast_failure")
+def build_fast_failure(site: sites.Site) -> Scenario:
+    """One engine fails everything at once."""
+    faults = [Fault(BURST_START, "engines", 0, speed=0.0)]
+    return Scenario([_flow(site, STEADY_LOAD)], faults)
+
+
+@register("stale_reports")
+def build_stale_reports(site: sites.Site) -> Scenario:
+    """Load reports are 1 s old when they arrive, near full load."""
+    return Scenario([_flow(site, 0.9)], report_seconds=1.0)
+
+
+@register("rolling")
+def build_rolling(site: sites.Site) -> Scenario:
+    """Half of the endpoints are replaced, one after the other."""
+    faults = []
+    for pool in ("engines", *sites.STAGE_SECONDS):
+        half = max(1, sites.count_endpoints(site, pool) // 2)
+        step = (RUN_SECONDS - 4.0) / half
+        faults += [
+            Fault(2.0 + step * number, pool, number, leaves=True)
+            for number in range(half)
+        ]
+    return Scenario([_flow(site, STEADY_LOAD)], faults)
+
+
+@register("greedy_account")
+def build_greedy_account(site: sites.Site) -> Scenario:
+    """One account sends ten times its share."""
+    usual = _flow(site, STEADY_LOAD)
+    share = sites.ACCOUNTS["e"] / sum(sites.ACCOUNTS.values())
+    excess = usual._replace(
+        rate=9 * share * usual.rate, accounts={"e": 1.0}, extra=True
+    )
+    return Scenario([usual, excess])
+
+
+@register("store_down")
+def build_store_down(site: sites.Site) -> Scenario:
+    """The platform's store is down throughout: no claims."""
+    return Scenario([_flow(site, STEADY_LOAD)], store_down=True)
+
+
+def draw_requests(scenario: Scenario, seed: str) -> list[Request]:
+    """Returns the arrivals in order; each flow draws from its own seed."""
+    requests: list[Request] = []
+    for number, flow in enumerate(scenario.flows):
+        rng = random.Random(f"{seed}/{number}")
+        requests += _draw_flow(flow, f"{number}", rng)
+    return sorted(requests, key=lambda request: request.at)
+
+
+def _draw_flow(flow: Flow, name: str, rng: random.Random) -> list[Request]:
+    requests = []
+    at = flow.start + rng.expovariate(flow.rate)
+    while at < flow.end:
+        request_id = f"{name}-{len(requests)}"
+        requests.append(_draw_request(flow, request_id, at, rng))
+        at += rng.expovariate(flow.rate)
+    return requests
+
+
+def _draw_request(
+    flow: Flow, request_id: str, at: float, rng: random.Random
+) -> Request:
+    scale = sites.TOKENS_MEAN / sites.TOKENS_SHAPE
+    work = {
+        pool: rng.gammavariate(sites.STAGE_SHAPE, mean / sites.STAGE_SHAPE)
+        for pool, mean in sites.STAGE_SECONDS.items()
+    }
+    return Request(
+        id=request_id,
+        at=at,
+        kind=_draw_weighted(flow.kinds, rng),
+        account=_draw_weighted(flow.accounts, rng),
+        prefix=min(int(rng.expovariate(4 / sites.PREFIXES)), sites.PREFIXES),
+        tokens=max(1, round(rng.gammavariate(sites.TOKENS_SHAPE, scale))),
+        work=work,
+        extra=flow.extra,
+    )
+
+
+def _draw_weighted(weights: dict[str, float], rng: random.Random) -> str:
+    return rng.choices(list(weights), list(weights.values()))[0]
