Close the tool's event stream where it leaves it early

Cause: a streamed answer printed 'Exception ignored' tracebacks, as curio refuses to finalise generators that are left. Ruled out: reading on to the natural end, as a broken answer may have none. Conclusion: generators are closed with contextlib.aclosing.

--- a/samphirevale/client.py
+++ b/samphirevale/client.py
@@ -1,5 +1,6 @@
 """The calls that the tool makes: to callers' port and to the admin port."""
 
+import contextlib
 import json
 import secrets
 import urllib.parse
@@ -127,14 +128,15 @@
     answer: web.Answer, emit: Callable[[list[str]], None]
 ) -> Reply:
     buffer = answers.TokenBuffer()
-    async for name, value in read_events(answer):
-        if name == "chunk":
-            emit(_add_chunk(buffer, value))
-        elif name == "end":
-            check_whole(value, buffer.tokens)
-            return Reply(200, value)
-        elif name == "error":
-            return Reply(value.get("status", 500), value)
+    async with contextlib.aclosing(read_events(answer)) as events:
+        async for name, value in events:
+            if name == "chunk":
+                emit(_add_chunk(buffer, value))
+            elif name == "end":
+                check_whole(value, buffer.tokens)
+                return Reply(200, value)
+            elif name == "error":
+                return Reply(value.get("status", 500), value)
     raise errors.AnswerLostError("the stream ended before its last event")
 
 
@@ -150,16 +152,18 @@
 async def read_events(answer: web.Answer) -> AsyncIterator[tuple[str, Any]]:
     """Yields name and JSON data of each server-sent event."""
     name, data = "", ""
-    async for line in answer.read_lines():
-        field, _, text = line.decode().partition(":")
-        text = text.strip()
-        if field == "event":
-            name = text
-        elif field == "data":
-            data += text
-        elif not line.strip() and data:
-            yield name, web.read_json(data.encode())
-            name, data = "", ""
+    # Closed here, as curio refuses to finalise a generator that is left.
+    async with contextlib.aclosing(answer.read_lines()) as lines:
+        async for line in lines:
+            field, _, text = line.decode().partition(":")
+            text = text.strip()
+            if field == "event":
+                name = text
+            elif field == "data":
+                data += text
+            elif not line.strip() and data:
+                yield name, web.read_json(data.encode())
+                name, data = "", ""
 
 
 async def get_outcome(url: str, token: str, key: str) -> Reply:
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -233,6 +233,7 @@
             with self.subTest(events):
                 self.put_request(build_events(*events))
                 self.assertEqual(code, self.send("--stream"))
+        self.assertNotIn("Exception ignored", self.err.getvalue())
 
     def test_refusals(self):
         finding = {"place": "body.input", "expected": "a value", "got": ""}
