Show a keyed request's kept outcome by its state

Cause: the entry answers with state and outcome; the tool failed on it. Conclusion: running and unknown exit with 4, done with the answer's code.

--- a/samphirevale/cmdline.py
+++ b/samphirevale/cmdline.py
@@ -177,6 +177,8 @@
 ) -> int:
     """Tell what has become of a request that had an idempotency key.
 
+    Prints the kept answer if it is done, else "running" or "unknown".
+
     Args:
         key: the request's idempotency key.
         url: the callers' port.
@@ -185,7 +187,13 @@
     address = _find_url(url, "--url", "SAMPHIREVALE_URL")
     token = _find_token("SAMPHIREVALE_TOKEN")
     reply = curio.run(client.get_outcome, address, token, key)
-    return _print_answer(reply, False, json)
+    if reply.status != 200:
+        return _print_answer(reply, False, json)
+    if reply.value["state"] != "done":
+        print(reply.value["state"])
+        return EXIT_UNKNOWN
+    kept = client.Reply(200, reply.value["outcome"])
+    return _print_answer(kept, False, json)
 
 
 @_command("query")
@@ -482,6 +490,8 @@
 
 def _choose_exit(value: Any) -> int:
     outcome = value.get("outcome") if isinstance(value, dict) else None
+    if not isinstance(outcome, str):
+        return EXIT_FAILED
     return OUTCOME_EXITS.get(outcome, EXIT_FAILED)
 
 
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -277,8 +277,18 @@
         self.assertEqual([], self.server.requests)
 
     def test_outcome(self):
-        self.put("/v1/requests/k1", web.build_json(200, WHOLE))
-        self.assertEqual(0, self.run_tool("outcome", "k1"))
+        for state, outcome, code, text in (
+            ("done", WHOLE, 0, "ripe grapes in row 4\n"),
+            ("running", None, 4, "running\n"),
+            ("unknown", None, 4, "unknown\n"),
+        ):
+            with self.subTest(state):
+                self.out.truncate(0)
+                self.out.seek(0)
+                kept = {"key": "k1", "state": state, "outcome": outcome}
+                self.put("/v1/requests/k1", web.build_json(200, kept))
+                self.assertEqual(code, self.run_tool("outcome", "k1"))
+                self.assertTrue(self.out.getvalue().startswith(text))
         self.assertEqual(1, self.run_tool("outcome", "k2"))
 
     def test_query(self):
