Know the policies in the settings, and part the tool's output from it

Ruled out: checking the name by its form alone, as before. Conclusion: rules.py asks the registries; output.py prints and chooses the exit code.

--- a/samphirevale/cmdline.py
+++ b/samphirevale/cmdline.py
@@ -22,7 +22,6 @@
 import defopt
 
 from samphirevale import (
-    answers,
     client,
     configuration,
     daemon,
@@ -30,30 +29,13 @@
     language,
     loading,
     orders,
+    output,
     rules,
     settings,
     tables,
 )
 from samphirevale.adapters import clock, objects
 
-EXIT_DONE = 0
-EXIT_FAILED = 1
-EXIT_INVALID = 2
-EXIT_REFUSED = 3
-EXIT_UNKNOWN = 4
-EXIT_BROKEN = 5
-
-# The exit code of each outcome that an answer may name.
-OUTCOME_EXITS = {
-    "whole": EXIT_DONE,
-    "accepted": EXIT_DONE,
-    "invalid": EXIT_INVALID,
-    "refused": EXIT_REFUSED,
-    "not_run": EXIT_REFUSED,
-    "not_completed": EXIT_REFUSED,
-    "unknown": EXIT_UNKNOWN,
-}
-
 # How long a load may take against a store that fails, in seconds.
 LOAD_SECONDS = 30.0
 
@@ -92,7 +74,7 @@
             try:
                 return function(*args, **flags)
             except errors.SamphirevaleError as error:
-                return _report_error(error)
+                return output.report_error(error)
 
         COMMANDS[name] = run
         return run
@@ -100,30 +82,6 @@
     return add
 
 
-def _report_error(error: errors.SamphirevaleError) -> int:
-    """Prints what went wrong and returns the exit code."""
-    if isinstance(error, errors.InvalidInputError):
-        for finding in error.findings:
-            print(finding, file=sys.stderr)
-        return EXIT_INVALID
-    print(f"{_name_failure(error)}: {error}", file=sys.stderr)
-    if isinstance(error, errors.AnswerLostError | errors.StoreUnknownError):
-        return EXIT_UNKNOWN
-    if isinstance(error, answers.BrokenStreamError):
-        return EXIT_BROKEN
-    return EXIT_FAILED
-
-
-def _name_failure(error: errors.SamphirevaleError) -> str:
-    if isinstance(error, errors.ConnectError):
-        return "nothing was sent"
-    if isinstance(error, errors.AnswerLostError | errors.StoreUnknownError):
-        return "the answer is lost"
-    if isinstance(error, answers.BrokenStreamError):
-        return "the answer is not whole"
-    return "failed"
-
-
 @_command("send")
 def send(
     *,
@@ -161,11 +119,11 @@
     if once:
         body["idempotent"] = False
     request = _build_request(file, pipeline, key, body)
-    emit = _ignore_tokens if json else _print_tokens
+    emit = output.ignore_tokens if json else output.print_tokens
     address = _find_url(url, "--url", "SAMPHIREVALE_URL")
     token = _find_token("SAMPHIREVALE_TOKEN")
     reply = curio.run(client.send_request, address, token, request, emit)
-    return _print_answer(reply, request.body.get("stream", False), json)
+    return output.print_answer(reply, request.body.get("stream", False), json)
 
 
 @_command("outcome")
@@ -188,12 +146,12 @@
     token = _find_token("SAMPHIREVALE_TOKEN")
     reply = curio.run(client.get_outcome, address, token, key)
     if reply.status != 200:
-        return _print_answer(reply, False, json)
+        return output.print_answer(reply, False, json)
     if reply.value["state"] != "done":
         print(reply.value["state"])
-        return EXIT_UNKNOWN
+        return output.EXIT_UNKNOWN
     kept = client.Reply(200, reply.value["outcome"])
-    return _print_answer(kept, False, json)
+    return output.print_answer(kept, False, json)
 
 
 @_command("query")
@@ -214,7 +172,7 @@
         if statement.is_order():
             _fail("text", "only `show`; use `order`", statement.text)
     reply = _call_admin(client.run_query, admin_url, text)
-    return _print_statements(reply, json)
+    return output.print_statements(reply, json)
 
 
 @_command("order")
@@ -240,7 +198,7 @@
         _fail("text", "exactly one order", text)
     order_id = order_id or client.create_order_id()
     reply = _call_admin(client.run_order, admin_url, text, order_id)
-    return _print_statements(reply, json)
+    return output.print_statements(reply, json)
 
 
 @_command("dump")
@@ -251,8 +209,8 @@
         admin_url: the admin port of an entry or a sidecar.
     """
     reply = _call_admin(client.get_dump, admin_url)
-    _print_json(reply.value)
-    return EXIT_DONE if reply.status == 200 else EXIT_FAILED
+    output.print_json(reply.value)
+    return output.EXIT_DONE if reply.status == 200 else output.EXIT_FAILED
 
 
 def check_settings(role: daemon.Role, flags: dict[str, str | None]) -> int:
@@ -260,13 +218,13 @@
     try:
         loaded = role.load(flags, os.environ)
     except errors.InvalidInputError as error:
-        return _report_error(error)
+        return output.report_error(error)
     rows = [
         (name, daemon.format_default(value))
         for name, value in settings.redact(loaded).items()
     ]
     print(tables.format_table(("setting", "value"), rows))
-    return EXIT_DONE
+    return output.EXIT_DONE
 
 
 @_command("check-configuration")
@@ -279,7 +237,7 @@
     value = _read_configuration(file)
     for name in ("pipelines", "accounts", "batches"):
         print(f"{name}: {len(value[name])}")
-    return EXIT_DONE
+    return output.EXIT_DONE
 
 
 def _read_configuration(file: str) -> configuration.ConfigurationValue:
@@ -312,7 +270,7 @@
     store = objects.HttpObjectStore(url)
     order_id = order_id or client.create_order_id()
     result = curio.run(_load, store, order_id, value)
-    return _print_submission(order_id, result)
+    return output.print_submission(order_id, result)
 
 
 async def _load(
@@ -332,23 +290,6 @@
         await store.close()
 
 
-def _print_submission(order_id: str, result: orders.Submission) -> int:
-    """Prints how a load has ended and returns the exit code."""
-    if isinstance(result, orders.Accepted):
-        print(f"accepted: revision {result.revision}")
-        return EXIT_DONE
-    if isinstance(result, orders.Rejected):
-        winner = result.winner
-        print(
-            f"refused: order {winner['id']} ({winner['text']}) came first: "
-            f"{result.detail}",
-            file=sys.stderr,
-        )
-        return EXIT_REFUSED
-    print(f"unknown: try again with --order-id {order_id}", file=sys.stderr)
-    return EXIT_UNKNOWN
-
-
 def _fail(place: str, expected: str, got: str = "") -> None:
     raise errors.InvalidInputError([errors.Finding(place, expected, got)])
 
@@ -428,101 +369,5 @@
     return curio.run(call, url, token, *args)
 
 
-def _ignore_tokens(tokens: list[str]) -> None:
-    """Does nothing: the answer is printed as JSON at its end."""
-
-
-def _print_tokens(tokens: list[str]) -> None:
-    print(*tokens, sep="", end="", flush=True)
-
-
-def _print_json(value: Any) -> None:
-    print(json.dumps(value, indent=2))
-
-
-def _print_answer(reply: client.Reply, streamed: bool, as_json: bool) -> int:
-    """Prints an answer to a request and returns the exit code."""
-    if as_json:
-        _print_json(reply.value)
-        return _choose_exit(reply.value)
-    if reply.status != 200:
-        return _print_problem(reply.value)
-    if streamed:
-        print()
-    else:
-        _print_result(reply.value)
-    _print_stages(reply.value)
-    return _choose_exit(reply.value)
-
-
-def _print_result(value: dict[str, Any]) -> None:
-    result = value.get("result")
-    if isinstance(result, dict) and isinstance(result.get("text"), str):
-        print(result["text"])
-    else:
-        _print_json(result)
-
-
-def _print_stages(value: dict[str, Any]) -> None:
-    """Prints each stage's time and cost, and that the answer is whole."""
-    stages = value.get("stages") or []
-    if stages:
-        rows = [list(stage.values()) for stage in stages]
-        print(tables.format_table(list(stages[0]), rows))
-    if value.get("digest"):
-        print(f"whole: {value['count']} tokens, digest {value['digest']}")
-
-
-def _print_problem(value: Any) -> int:
-    """Prints problem details and returns the exit code."""
-    if not isinstance(value, dict):
-        print(f"failed: {value}", file=sys.stderr)
-        return EXIT_FAILED
-    outcome = value.get("outcome", "failed")
-    text = value.get("detail") or value.get("title", "")
-    print(f"{outcome}: {text}", file=sys.stderr)
-    if "retry_after_seconds" in value:
-        print(f"come back in {value['retry_after_seconds']} s", file=sys.stderr)
-    for item in value.get("findings", ()):
-        print(errors.Finding(**item), file=sys.stderr)
-    return _choose_exit(value)
-
-
-def _choose_exit(value: Any) -> int:
-    outcome = value.get("outcome") if isinstance(value, dict) else None
-    if not isinstance(outcome, str):
-        return EXIT_FAILED
-    return OUTCOME_EXITS.get(outcome, EXIT_FAILED)
-
-
-def _print_statements(reply: client.Reply, as_json: bool) -> int:
-    """Prints the answers of statements; the worst code is the exit code."""
-    several = reply.value.get("answers")
-    if as_json:
-        _print_json(reply.value)
-    codes = [
-        _choose_statement_exit(value) if as_json else _print_statement(value)
-        for value in (several or [reply.value])
-    ]
-    return max(codes)
-
-
-def _choose_statement_exit(value: dict[str, Any]) -> int:
-    if "columns" in value:
-        return EXIT_DONE
-    return _choose_exit(value.get("order", value))
-
-
-def _print_statement(value: dict[str, Any]) -> int:
-    if "columns" in value:
-        print(tables.format_table(value["columns"], value["rows"]))
-    elif "order" in value:
-        columns = list(value["order"])
-        print(tables.format_table(columns, [list(value["order"].values())]))
-    else:
-        return _print_problem(value)
-    return _choose_statement_exit(value)
-
-
 if __name__ == "__main__":
     main()
--- a/samphirevale/rules.py
+++ b/samphirevale/rules.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterator, Mapping
 from typing import Any, NamedTuple
 
-from samphirevale import errors
+from samphirevale import admission, errors, routing
 
 # The fewest characters of a secret.
 SECRET_CHARACTERS = 16
@@ -129,11 +129,6 @@
     _is_secret,
 )
 _COUNT = _bound(1, 1_000_000)
-_POLICY = Rule(
-    "a policy's name: lower-case words joined by '_'",
-    lambda text: re.fullmatch(r"[a-z][a-z0-9_]*", text) is not None,
-)
-
 # The rule of each setting by its name.
 VALUES: dict[str, Rule] = {
     "instance": _NAME,
@@ -158,8 +153,8 @@
     "connections_limit": _COUNT,
     "idle_seconds": _SECONDS,
     "claim_window_seconds": _SECONDS,
-    "routing_policy": _POLICY,
-    "admission_policy": _POLICY,
+    "routing_policy": _choose(tuple(routing.list_policies())),
+    "admission_policy": _choose(tuple(admission.list_policies())),
     "peer_port": _PORT,
     "endpoint": _NAME,
     "endpoint_url": _URL,
