--- a/samphirevale/adapters/caller_api.py
+++ b/samphirevale/adapters/caller_api.py
@@ -58,7 +58,7 @@
         if refusal is not None:
             return build_problem(request_id, refusal)
         held = self._desk.read_configuration()
-        account = callers.find_account(request.headers, held)
+        account = self._desk.find_account(request.headers)
         if account is None:
             return _build_unauthorized(request_id)
         try:
@@ -102,8 +102,7 @@
         refusal = self._desk.refuse_early()
         if refusal is not None:
             return build_problem("", refusal)
-        held = self._desk.read_configuration()
-        account = callers.find_account(request.headers, held)
+        account = self._desk.find_account(request.headers)
         if account is None:
             return _build_unauthorized("")
         found = await self._desk.find_outcome(account, key)
--- a/samphirevale/callers.py
+++ b/samphirevale/callers.py
@@ -1,7 +1,6 @@
 """What a caller asks for, read and checked, and what it is answered."""
 
 import hashlib
-import hmac
 import json
 import re
 from typing import Any, NamedTuple
@@ -109,23 +108,32 @@
 Answer = Whole | Refused
 
 
+def index_accounts(
+    value: configuration.ConfigurationValue,
+) -> dict[str, str]:
+    """Returns the accounts' names by the digests of their tokens."""
+    return {
+        account["token_digest"]: name
+        for name, account in value["accounts"].items()
+    }
+
+
 def find_account(
-    headers: dict[str, str], held: configuration.Configuration
+    headers: dict[str, str], accounts: dict[str, str]
 ) -> str | None:
     """Returns the account whose token the request bears, or None.
 
-    All accounts are compared, each in constant time, so that the time taken
-    tells nothing about the tokens.
+    The look-up is by the token's digest: whoever measures how long it takes
+    learns of digests that no token can be made to fit.
+
+    Args:
+        headers: the request's headers.
+        accounts: as index_accounts gives them.
     """
     scheme, _, token = headers.get("authorization", "").partition(" ")
     if scheme.lower() != "bearer" or not token:
         return None
-    digest = hashlib.sha256(token.encode()).hexdigest()
-    found = None
-    for name, account in held.value["accounts"].items():
-        if hmac.compare_digest(digest, account["token_digest"]):
-            found = name
-    return found
+    return accounts.get(hashlib.sha256(token.encode()).hexdigest())
 
 
 def read_request(
--- a/samphirevale/daemon.py
+++ b/samphirevale/daemon.py
@@ -19,6 +19,7 @@
 from samphirevale import (
     dump,
     errors,
+    invariants,
     lifecycle,
     logs,
     settings,
@@ -138,6 +139,7 @@
             print(finding, file=sys.stderr)
         return EXIT_SETTINGS
     logs.set_up_logs(loaded.common.instance, loaded.common.log_level)
+    invariants.set_fatal(loaded.common.fatal_invariants)
     run = importlib.import_module(f"samphirevale.{role.name}").run
     try:
         curio.run(run_until_stopped, run, loaded)
--- a/samphirevale/entry.py
+++ b/samphirevale/entry.py
@@ -13,13 +13,18 @@
     admin,
     admission,
     callers,
+    claims,
     configuration,
     errors,
     execution,
+    expiry,
     handovers,
+    invariants,
     keyed,
     lifecycle,
+    logs,
     messages,
+    metrics,
     node,
     quarantine,
     retries,
@@ -45,6 +50,9 @@
 # How long a crash is tried to be recorded in the store, in seconds.
 RECORD_SECONDS = 600.0
 
+# The mean interval between sweeps of expired objects, in seconds.
+SWEEP_SECONDS = 1800.0
+
 # The interval between looks for a condition that nothing signals, in seconds.
 CHECK_SECONDS = 0.02
 
@@ -58,8 +66,9 @@
         self._settings = loaded
         self._life = life
         self._server = web.ServerState()
+        self._accounts: dict[str, str] = {}
         rng = random.Random(secrets.randbits(64))
-        holder = snapshots.SnapshotHolder()
+        holder = snapshots.SnapshotHolder(self._use_configuration)
         hello = messages.Hello(
             instance=loaded.common.instance,
             incarnation=secrets.token_hex(8),
@@ -100,6 +109,10 @@
         """Returns the configuration in force here."""
         return self.node.holder.held
 
+    def find_account(self, headers: dict[str, str]) -> str | None:
+        """Returns the account whose token the headers bear, or None."""
+        return callers.find_account(headers, self._accounts)
+
     def refuse_early(self) -> callers.Refused | None:
         """Returns why no request at all is taken now, or None."""
         if self._life.stop.is_set():
@@ -137,6 +150,18 @@
             return None
         return 200, {"key": key, **kept._asdict()}
 
+    def _use_configuration(self, held: configuration.Configuration) -> None:
+        """Takes over what is derived from a newer configuration."""
+        self._accounts = callers.index_accounts(held.value)
+        self.node.admission.set_weights(
+            {
+                name: account["share"]
+                for name, account in held.value["accounts"].items()
+            }
+        )
+        metrics.REVISION.set(held.revision)
+        logs.log_change("configuration_adopted", revision=held.revision)
+
     def _note_heartbeat(self, peer: sidecars.Peer) -> None:
         self.node.router.note_report(
             peer.endpoint,
@@ -245,6 +270,23 @@
             if now - peer.heard_at > FORGET_SECONDS:
                 await self.node.peers.drop(address)
 
+    async def sweep(self) -> None:
+        """Deletes expired claims and crash records, for ever.
+
+        Every entry sweeps at random times; one that finds an object gone
+        has lost nothing but the call.
+        """
+        while True:
+            seconds = self.node.rng.uniform(
+                SWEEP_SECONDS / 2, SWEEP_SECONDS * 3 / 2
+            )
+            await curio.sleep(seconds)
+            for kind in (claims.OBJECT_KIND, quarantine.OBJECT_KIND):
+                with contextlib.suppress(errors.StoreError):
+                    await expiry.sweep_expired(
+                        self.node.store, kind, time.time(), self.node.clock
+                    )
+
     async def serve_callers(self) -> None:
         """Serves the callers' port until cancelled."""
         limits = web.Limits(
@@ -261,6 +303,18 @@
             self._server,
         )
 
+    async def wait_stop(self) -> None:
+        """Returns on the order to stop.
+
+        Raises:
+            errors.InvariantError: an invariant was violated in fatal mode;
+                the task that found it may be one of many connections'.
+        """
+        while not self._life.stop.is_set():
+            await curio.ignore_after(CHECK_SECONDS, self._life.stop.wait)
+            if violated := invariants.read_fatal():
+                raise errors.InvariantError(violated)
+
     async def wait_configuration(self) -> None:
         """Returns once there is a configuration, or on the order to stop."""
         while not self.node.holder.is_known() and not self._life.stop.is_set():
@@ -327,6 +381,7 @@
             entry.follow_configuration,
             entry.follow_quarantine,
             entry.follow_list,
+            entry.sweep,
             entry.serve_callers,
             entry.serve_admin,
         ):
@@ -334,5 +389,5 @@
         stack.push_async_callback(entry.node.peers.close)
         await entry.wait_configuration()
         life.report_ready()
-        await life.stop.wait()
+        await entry.wait_stop()
         await entry.drain()
--- a/samphirevale/handovers.py
+++ b/samphirevale/handovers.py
@@ -13,6 +13,7 @@
     candidates,
     configuration,
     errors,
+    invariants,
     messages,
     metrics,
     node,
@@ -151,6 +152,8 @@
         self._wasted_ms = 0.0
         self._attempts = 0
         self._asked_late = False
+        # An attempt was handed over and is not known not to have run.
+        self._is_open = False
 
     async def run(self) -> StageOutcome:
         """Returns the stage's outcome.
@@ -308,6 +311,7 @@
         self._node.router.note_sent(
             endpoint, handover.attempt, now, prefix=self._read_prefix()
         )
+        self._check_handover(peer, now)
         self._progress.note_handed(self._repeatable)
         # What holds if this block is left by the deadline.
         noted = "slow"
@@ -332,6 +336,28 @@
             )
         return ending
 
+    def _check_handover(self, peer: sidecars.Peer, now: float) -> None:
+        suspect_seconds = self._node.settings.common.suspect_seconds
+        invariants.check(
+            invariants.LEAVING_GETS_NO_WORK,
+            peer.may_take_work(now, suspect_seconds),
+            request=self._request.id,
+            endpoint=peer.endpoint,
+        )
+        invariants.check(
+            invariants.RECALLED_IS_NOT_SERVED,
+            not self._is_recalled(),
+            request=self._request.id,
+            batch=self._batch,
+        )
+        invariants.check(
+            invariants.AT_MOST_ONCE,
+            self._repeatable or not self._is_open,
+            request=self._request.id,
+            stage=self._stage["name"],
+        )
+        self._is_open = True
+
     def _build_handover(self, attempt: str, now: float) -> messages.Handover:
         request = self._request
         return messages.Handover(
@@ -401,6 +427,13 @@
             return False
         if self._stage["kind"] == "engine":
             self._buffer.check_whole(message.count, message.digest)
+            invariants.check(
+                invariants.WHOLE_ANSWER,
+                message.batch == self._batch,
+                request=self._request.id,
+                batch=message.batch,
+                wanted=self._batch,
+            )
         return True
 
     def _is_recalled(self) -> bool:
@@ -430,6 +463,7 @@
             stage=self._stage["name"], reason=refusal.reason
         ).inc()
         if refusal.outcome == "not_run":
+            self._is_open = False
             self._progress.note_not_run(self._repeatable)
         if refusal.reason == "recalled":
             # This entry may not know of the recall yet.
--- a/samphirevale/invariants.py
+++ b/samphirevale/invariants.py
@@ -54,6 +54,11 @@
     "A node's revision never falls, and a recalled batch stays recalled.",
 )
 
+RECALLED_IS_NOT_SERVED = declare(
+    "recalled_is_not_served",
+    "No answer of a batch that is known to be recalled is told as whole.",
+)
+
 
 def set_fatal(fatal: bool) -> None:
     """Sets whether a violation raises errors.InvariantError."""
@@ -93,6 +98,11 @@
     return {name: _violations[name] for name in _descriptions}
 
 
+def read_fatal() -> str:
+    """Returns a violated invariant in fatal mode, else an empty text."""
+    return next(iter(_violations), "") if _fatal else ""
+
+
 def describe_all() -> dict[str, str]:
     """Returns what each invariant says, by name."""
     return dict(_descriptions)
--- a/samphirevale/ports/requests.py
+++ b/samphirevale/ports/requests.py
@@ -11,6 +11,9 @@
     def read_configuration(self) -> configuration.Configuration:
         """Returns the configuration in force here."""
 
+    def find_account(self, headers: dict[str, str]) -> str | None:
+        """Returns the account whose token the headers bear, or None."""
+
     def refuse_early(self) -> callers.Refused | None:
         """Returns why no request at all is taken now, or None."""
 
--- a/samphirevale/snapshots.py
+++ b/samphirevale/snapshots.py
@@ -1,5 +1,7 @@
 """The configuration that a node holds: never older, never less recalled."""
 
+from collections.abc import Callable
+
 from samphirevale import configuration, logs
 
 
@@ -10,7 +12,16 @@
         held: the configuration; revision 0 until the first is adopted.
     """
 
-    def __init__(self):
+    def __init__(
+        self,
+        use: Callable[[configuration.Configuration], None] | None = None,
+    ):
+        """Starts with no configuration.
+
+        Args:
+            use: called with each configuration that is adopted.
+        """
+        self._use = use
         self.held = configuration.EMPTY
 
     @property
@@ -34,6 +45,8 @@
             )
             return False
         self.held = configuration.adopt(self.held, seen)
+        if self._use is not None:
+            self._use(self.held)
         return True
 
     def is_known(self) -> bool:
