Lose no place of a stand-in when a wait is cancelled late

Cause: a wait that was cancelled after its ticket had been given a place raised without giving the place back. A queue that filled between an engine's check and its stream cut a stream that had run nothing. Streams that callers left early made curio complain about generators that nobody closed.

Ruled out: checking the queue again when the stream starts; the head with status 200 is out by then, so a refusal could no longer be told.

Conclusion: a ticket knows whether it was given a place, and only its holder gives it back.

--- a/standins/endpoints.py
+++ b/standins/endpoints.py
@@ -102,11 +102,10 @@
             raise errors.InvalidInputError(
                 [errors.Finding("input", "a JSON value")]
             )
-        try:
-            async with self.places.hold(places.Ticket()):
-                return await self._run_held(fields)
-        except places.PlacesFullError:
+        if self.places.is_full():
             return programs.build_error(503, "the queue is full")
+        async with self.places.hold(places.Ticket()):
+            return await self._run_held(fields)
 
     def _draw_seconds(self) -> float:
         jitter = self._generator.uniform(0, self._pool.jitter_seconds)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -174,8 +174,6 @@
                         yield line
         except places.WaitCancelledError:
             yield _build_line(cancelled=True)
-        except places.PlacesFullError:
-            raise _BrokenStreamError("the queue is full") from None
 
     @contextlib.asynccontextmanager
     async def _hold_place(self, job: _Job) -> AsyncIterator[None]:
@@ -202,9 +200,11 @@
         tokens = self._compute_tokens(job)
         await self._prefill(job)
         loses_answer = self.read_fault("lose_answer")
-        async for chunk in self._decode_chunks(job, tokens):
-            if not loses_answer:
-                yield _build_line(**chunk._asdict())
+        chunks = self._decode_chunks(job, tokens)
+        async with contextlib.aclosing(chunks):
+            async for chunk in chunks:
+                if not loses_answer:
+                    yield _build_line(**chunk._asdict())
         if job.cancelled:
             run["status"] = "cancelled"
             yield _build_line(cancelled=True)
--- a/standins/places.py
+++ b/standins/places.py
@@ -12,10 +12,6 @@
 from standins import histories
 
 
-class PlacesFullError(Exception):
-    """As many wait as may."""
-
-
 class WaitCancelledError(Exception):
     """The wait for a place was cancelled."""
 
@@ -33,6 +29,7 @@
     def __init__(self, priority: int = 0):
         self.priority = priority
         self.cancelled = False
+        self.placed = False
         self.called = curio.Event()
 
 
@@ -58,12 +55,11 @@
     async def hold(self, ticket: Ticket) -> AsyncIterator[None]:
         """Holds a place for the block; waits for one if there is none.
 
+        Whoever is to be refused while the queue is full asks `is_full` first.
+
         Raises:
-            PlacesFullError: too many wait already.
             WaitCancelledError: `cancel_wait` was called.
         """
-        if self.is_full():
-            raise PlacesFullError
         await self._take(ticket)
         try:
             yield
@@ -87,10 +83,13 @@
         try:
             await ticket.called.wait()
         except BaseException:
-            if not self._leave_queue(ticket) and not ticket.cancelled:
+            self._leave_queue(ticket)
+            if ticket.placed:
                 await self._give_back()
             raise
-        if ticket.cancelled:
+        # A ticket that was placed before its wait was cancelled owns the
+        # place, and its holder gives it back.
+        if not ticket.placed:
             raise WaitCancelledError
 
     def _leave_queue(self, ticket: Ticket) -> bool:
@@ -104,6 +103,7 @@
     async def _give_back(self) -> None:
         if self._queue:
             _, _, ticket = heapq.heappop(self._queue)
+            ticket.placed = True
             await ticket.called.set()
         else:
             self._running -= 1
