--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -3,6 +3,7 @@
 import contextlib
 import copy
 import heapq
+import math
 import random
 import types
 from typing import Any, NamedTuple
@@ -35,11 +36,15 @@
         entry = (max(at, self._now), self.rng.random(), coroutine)
         heapq.heappush(self._waiting, entry)
 
-    def run(self) -> None:
-        while self._waiting:
+    def run(self, until: float = math.inf) -> None:
+        """Runs until all have ended; ends what is left at `until`."""
+        while self._waiting and self._waiting[0][0] <= until:
             self._now, _, coroutine = heapq.heappop(self._waiting)
             with contextlib.suppress(StopIteration):
                 self.spawn(coroutine, self._now + coroutine.send(None))
+        for _, _, coroutine in self._waiting:
+            coroutine.close()
+        self._waiting.clear()
 
     def call(self, coroutine: Any) -> Any:
         """Runs one coroutine, and all others, and returns its result."""
