Decide which peers take new work and when to dial them

Cause: an endpoint that is leaving gets no new work after a few seconds, while the platform's list lags both ways and connections break.

Change: membership.Peer and pure functions of the present time: a peer takes new work while it is connected, heard lately, not leaving by its own word and not probed after a silence or a broken connection; dialling backs off with jitter; the list adds peers and moves addresses, and ends nothing.

Ruled out: taking the list's leaving state alone as an end of work (it lags); trusting a peer at its first heartbeat after a silence (it may be the last).

--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,135 @@
+"""Tests of membership."""
+
+import random
+
+from absl import logging
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from samphirevale import invariants, membership
+from samphirevale.ports import objects
+from tests import base
+
+SUSPECT_SECONDS = 1.5
+NEW = membership.Peer("s1", "127.0.0.1", 1)
+PEER = membership.mark_connected(NEW, "x", 10.0)
+ITEM = objects.ListedInstance("s1", "127.0.0.1", 1, "live")
+
+
+def may(peer, now):
+    return membership.may_take_new_work(peer, now, SUSPECT_SECONDS)
+
+
+def beat(peer, now, leaving=False):
+    return membership.mark_heartbeat(peer, leaving, now, SUSPECT_SECONDS)
+
+
+class WorkTest(base.TestCase):
+    """Who may take new work."""
+
+    def test_only_the_connected_may(self):
+        self.assertFalse(may(NEW, 10.0))
+        self.assertTrue(may(PEER, 10.0))
+        gone = membership.mark_disconnected(PEER, 10.0, random.Random(1))
+        self.assertFalse(may(gone, 10.0))
+
+    def test_silence_is_suspected_and_probed(self):
+        self.assertTrue(may(PEER, 11.4))
+        self.assertFalse(may(PEER, 11.5))
+        heard = beat(PEER, 12.0)
+        self.assertFalse(may(heard, 12.0))
+        self.assertTrue(may(beat(heard, 12.5), 12.5))
+
+    def test_a_reconnected_incarnation_is_probed(self):
+        gone = membership.mark_disconnected(PEER, 10.0, random.Random(1))
+        back = membership.mark_connected(gone, "x", 11.0)
+        self.assertFalse(may(back, 11.0))
+        self.assertTrue(may(beat(beat(back, 11.1), 11.2), 11.2))
+        self.assertTrue(may(membership.mark_connected(gone, "y", 11), 11.0))
+
+    def test_its_own_word_lasts_as_long_as_its_incarnation(self):
+        leaving = beat(PEER, 10.5, leaving=True)
+        self.assertFalse(may(beat(leaving, 11.0), 11.0))
+        again = membership.mark_connected(leaving, "x", 11.0)
+        self.assertFalse(may(again, 11.0))
+        self.assertTrue(may(membership.mark_connected(leaving, "y", 11), 11))
+
+    def test_the_list_only_proposes(self):
+        item = ITEM._replace(state="leaving")
+        peers = membership.adopt_list({"s1": PEER}, [item], 10.0)
+        self.assertTrue(may(peers["s1"], 10.1))
+        self.assertFalse(may(peers["s1"], 10.8))
+        peers = membership.adopt_list({"s1": PEER}, [], 10.0)
+        self.assertTrue(may(peers["s1"], 10.1))
+
+    def test_a_hand_over_to_a_leaving_peer_is_a_violation(self):
+        name = invariants.LEAVING_GETS_NO_WORK
+        before = invariants.count_violations()[name]
+        self.assertTrue(membership.check_hand_over(PEER, 10.0))
+        with self.assertLogs(logging.get_absl_logger()):
+            membership.check_hand_over(beat(PEER, 10.0, leaving=True), 10.0)
+        self.assertEqual(invariants.count_violations()[name], before + 1)
+
+    @settings(derandomize=True, max_examples=200)
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(["beat", "leave", "cut", "hello", "list"]),
+                st.floats(0.01, 3.0),
+            )
+        )
+    )
+    def test_no_work_once_it_said_that_it_leaves(self, events):
+        peer, now, said, rng = PEER, 10.0, False, random.Random(1)
+        for event, pause in events:
+            now += pause
+            if event in ("beat", "leave"):
+                peer = beat(peer, now, event == "leave")
+                said = said or event == "leave"
+            elif event == "cut":
+                peer = membership.mark_disconnected(peer, now, rng)
+            elif event == "hello":
+                peer = membership.mark_connected(peer, "x", now)
+            else:
+                peer = membership.adopt_list({"s1": peer}, [ITEM], now)["s1"]
+            if may(peer, now):
+                self.assertFalse(said)
+                self.assertLess(now - peer.heard_at, SUSPECT_SECONDS)
+
+
+class DialTest(base.TestCase):
+    """When to dial, to dial again and to forget."""
+
+    def test_redials_back_off_with_jitter(self):
+        rng = random.Random(1)
+        peer, now, pauses = NEW, 0.0, []
+        for _ in range(10):
+            self.assertTrue(membership.should_dial(peer, now))
+            peer = membership.mark_dial_failed(peer, now, rng)
+            self.assertFalse(membership.should_dial(peer, now))
+            pauses.append(peer.dial_at - now)
+            now = peer.dial_at
+        self.assertGreater(len(set(pauses)), 8)
+        self.assertLessEqual(pauses[0], membership.FIRST_DIAL_SECONDS)
+        longest = membership.LONGEST_DIAL_SECONDS
+        self.assertTrue(longest / 2 <= pauses[-1] <= longest)
+
+    def test_a_new_address_is_dialled_at_once(self):
+        peer = membership.mark_dial_failed(NEW, 0.0, random.Random(1))
+        moved = ITEM._replace(peer_port=2)
+        peers = membership.adopt_list({"s1": peer}, [moved], 0.0)
+        self.assertTrue(membership.should_dial(peers["s1"], 0.0))
+
+    def test_forgotten_once_unlisted_and_disconnected_for_long(self):
+        rng = random.Random(1)
+        peers = membership.adopt_list({"s1": PEER}, [], 10.0)
+        peers = membership.adopt_list(peers, [], 100.0)
+        peer = membership.mark_disconnected(peers["s1"], 100.0, rng)
+        last = 100.0 + membership.FORGET_SECONDS
+        self.assertFalse(membership.should_forget(peer, last - 0.1))
+        self.assertTrue(membership.should_forget(peer, last))
+        self.assertEqual(membership.adopt_list({"s1": peer}, [], last), {})
+
+    def test_the_list_adds(self):
+        peers = membership.adopt_list({}, [ITEM], 0.0)
+        self.assertEqual(peers, {"s1": NEW})
