--- a/tests/adapters/test_objects.py
+++ b/tests/adapters/test_objects.py
@@ -3,7 +3,7 @@
 import curio
 
 from samphirevale import errors
-from samphirevale.adapters import objects, web
+from samphirevale.adapters import clock, objects, web
 from tests import base
 
 OBJECT = {"kind": "k", "name": "a/b", "version": 3, "value": {"x": 1}}
@@ -101,3 +101,21 @@
         with self.assertRaises(errors.StoreUnavailableError):
             await store.get("k", "n")
         await server.cancel()
+
+    async def test_an_outer_limit_ends_a_write_that_hangs(self):
+        async def hang(_):
+            await curio.sleep(100)
+
+        port = base.find_free_port()
+        server = await curio.spawn(web.serve, hang, "127.0.0.1", port)
+        await curio.sleep(0.05)
+        store = objects.HttpObjectStore(f"http://127.0.0.1:{port}")
+        monotonic = clock.MonotonicClock()
+        with self.assertRaises(TimeoutError):
+            async with monotonic.limit(0.1):
+                await store.create("k", "n", 1)
+        with self.assertRaises(TimeoutError):
+            async with monotonic.limit(0.1):
+                await store.get("k", "n")
+        self.assertEqual(store._idle, [])
+        await server.cancel()
