Draw other entries' load towards the mean as reports age

Cause: with stale reports the chosen routing herded: every entry sent to the endpoints that a second-old report called idle; service times within their noise and a prefix counted for more than the queue. Change: own attempts are known exactly (the paper's delay adjustment), the other entries' part of the load is drawn to the pool's mean with the age of the report and scaled by own growth; unknown and near-equal service times are taken from the median; 2 instead of 3 sampled candidates.

--- a/samphirevale/routing.py
+++ b/samphirevale/routing.py
@@ -10,6 +10,7 @@
 with the known part of the change: this entry's own sends and returns.
 """
 
+import math
 import random
 from collections.abc import Callable, Collection, Sequence
 from typing import NamedTuple
@@ -21,7 +22,7 @@
 REMOTE_DISTANCE_SECONDS = 0.0015
 
 # How many candidates `expected_completion` compares.
-SAMPLE_SIZE = 3
+SAMPLE_SIZE = 2
 
 # What is taken for an endpoint that has not told it yet.
 DEFAULT_LIMIT = 8
@@ -30,8 +31,20 @@
 # Weight of a new measurement in the smoothed service time.
 SERVICE_WEIGHT = 0.2
 
+# The share of its service time by which an attempt is faster on an endpoint
+# that is idle than on one at its limit.
+CONCURRENCY_SLOWDOWN = 0.3
+
+# Service times that differ by less than this factor are taken as equal.
+SPEED_NOISE_FACTOR = 1.5
+
+# Attempts added to both sides when own load is compared with what it was,
+# and the most that other entries' load is raised by.
+GROWTH_PRIOR = 8
+GROWTH_LIMIT = 2.0
+
 # The share of an attempt's service time that a cached prefix saves.
-PREFIX_SAVING_SHARE = 0.3
+PREFIX_SAVING_SHARE = 0.08
 
 # How long an own send with a prefix is taken as a sign of it being cached.
 PREFIX_MEMORY_SECONDS = 20.0
@@ -144,24 +157,26 @@
             return len(self.in_flight)
         return self.heartbeat.running + self.heartbeat.waiting
 
-    def estimate_load(self) -> int:
-        """Returns the reported load, adjusted by own sends and returns."""
-        if self.heartbeat is None:
-            return len(self.in_flight)
-        sent = sum(at > self.made_at for at in self.in_flight.values())
+    def count_reported_own(self) -> int:
+        """Returns how many own attempts its last report has counted."""
+        sent = sum(at <= self.made_at for at in self.in_flight.values())
         returned = sum(
             item.sent_at <= self.made_at < item.ended_at
             for item in self._returns
         )
-        return max(0, self.read_load() + sent - returned)
+        return sent + returned
+
+    def read_others_load(self) -> int:
+        """Returns the other entries' part of the reported load."""
+        if self.heartbeat is None:
+            return 0
+        return max(0, self.read_load() - self.count_reported_own())
 
-    def read_service_seconds(self) -> float:
-        """Returns the measured time of one attempt at the endpoint."""
+    def read_service_seconds(self) -> float | None:
+        """Returns the measured time of one attempt there; None if unknown."""
         if self.heartbeat is not None and self.heartbeat.service_ms > 0:
             return self.heartbeat.service_ms / 1000
-        if self._samples:
-            return self._service_seconds
-        return DEFAULT_SERVICE_SECONDS
+        return self._service_seconds if self._samples else None
 
     def has_enough_samples(self) -> bool:
         """Returns whether its speed may be compared with others'."""
@@ -297,7 +312,8 @@
     question: Question, now: float, rng: random.Random
 ) -> EndpointView:
     """The earliest expected completion among a few candidates."""
-    return _choose_earliest(question, now, rng, adjusted=True)
+    estimates = estimate_endpoints(question.views, now)
+    return _choose_earliest(question, estimates, now, rng)
 
 
 @register("expected_completion_unadjusted")
@@ -305,22 +321,68 @@
     question: Question, now: float, rng: random.Random
 ) -> EndpointView:
     """The same without the delay adjustment, to measure what it gives."""
-    return _choose_earliest(question, now, rng, adjusted=False)
+    estimates = read_endpoints(question.views)
+    return _choose_earliest(question, estimates, now, rng)
+
+
+class Estimate(NamedTuple):
+    """What is expected of an endpoint.
+
+    Attributes:
+        view: the endpoint.
+        load: attempts that it has now, running and waiting.
+        service_seconds: the time of one attempt.
+    """
+
+    view: EndpointView
+    load: float
+    service_seconds: float
+
+
+def estimate_endpoints(
+    views: Sequence[EndpointView], now: float
+) -> list[Estimate]:
+    """Returns what is expected of each endpoint of a pool at present.
+
+    Own attempts are known exactly: the report is adjusted by those sent and
+    returned since it was made. The other entries' part of the load can only
+    be as old as the report. With its age it is drawn towards the pool's
+    mean, as what one endpoint had too many of has been served by then, and
+    it grows as this entry's own load has grown.
+    """
+    services = _estimate_services(views)
+    others = [view.read_others_load() for view in views]
+    mean = sum(others) / max(1, len(others))
+    growth = _estimate_growth(views)
+    estimates = []
+    for view, service, other in zip(views, services, others, strict=True):
+        age = max(0.0, now - view.made_at)
+        trust = math.exp(-age / service) if view.heartbeat else 0.0
+        part = mean + trust * (other - mean)
+        load = len(view.in_flight) + growth * part
+        estimates.append(Estimate(view, load, service))
+    return estimates
+
+
+def read_endpoints(views: Sequence[EndpointView]) -> list[Estimate]:
+    """Returns the same as the last reports have it, without adjustment."""
+    services = _estimate_services(views)
+    return [
+        Estimate(view, float(view.read_load()), service)
+        for view, service in zip(views, services, strict=True)
+    ]
 
 
 def estimate_seconds(
-    view: EndpointView,
-    data_centre: str,
-    prefix: str,
-    now: float,
-    *,
-    adjusted: bool = True,
+    estimate: Estimate, data_centre: str, prefix: str, now: float
 ) -> float:
     """Returns when an attempt sent now would be complete, in seconds."""
-    load = view.estimate_load() if adjusted else view.read_load()
+    view = estimate.view
     limit = view.read_limit()
-    service = view.read_service_seconds()
-    wait = max(0, load - limit + 1) * service / limit
+    service = estimate.service_seconds
+    wait = max(0.0, estimate.load - limit + 1) * service / limit
+    busy = min(1.0, estimate.load / limit)
+    service *= 1 + CONCURRENCY_SLOWDOWN * (busy - 1)
     if view.has_prefix(prefix, now):
         service *= 1 - PREFIX_SAVING_SHARE
     if view.data_centre == data_centre:
@@ -330,6 +392,32 @@
     return wait + service + 2 * distance
 
 
+def _estimate_services(views: Sequence[EndpointView]) -> list[float]:
+    """Returns service times, with what is unknown taken from the others.
+
+    Differences within the noise count as none.
+    """
+    times = [view.read_service_seconds() for view in views]
+    known = sorted(seconds for seconds in times if seconds is not None)
+    median = known[len(known) // 2] if known else DEFAULT_SERVICE_SECONDS
+    return [
+        median if seconds is None or _is_noise(seconds / median) else seconds
+        for seconds in times
+    ]
+
+
+def _is_noise(ratio: float) -> bool:
+    return 1 / SPEED_NOISE_FACTOR <= ratio <= SPEED_NOISE_FACTOR
+
+
+def _estimate_growth(views: Sequence[EndpointView]) -> float:
+    """Returns this entry's load as a factor on what was last reported."""
+    present = sum(len(view.in_flight) for view in views)
+    reported = sum(view.count_reported_own() for view in views)
+    growth = (present + GROWTH_PRIOR) / (reported + GROWTH_PRIOR)
+    return min(GROWTH_LIMIT, growth)
+
+
 class Router:
     """Chooses endpoints for one entry.
 
@@ -429,7 +517,7 @@
         question = Question(views, self._data_centre, prefix, self._turn)
         self._turn += 1
         view = self._policy(question, now, self._rng)
-        return Choice(view.name, self._estimate(view, prefix, now))
+        return Choice(view.name, self._estimate(views, prefix, now)[view.name])
 
     def expect_seconds(
         self, candidates: Sequence[str], now: float, *, prefix: str = ""
@@ -439,7 +527,7 @@
         Infinite if nothing takes work.
         """
         views = self._select(candidates, now)
-        times = (self._estimate(view, prefix, now) for view in views)
+        times = self._estimate(views, prefix, now).values()
         return min(times, default=float("inf"))
 
     def dump(self, now: float) -> dict[str, dict]:
@@ -448,16 +536,23 @@
             view.name: {
                 "pool": view.pool,
                 "data_centre": view.data_centre,
-                "load": view.estimate_load(),
+                "reported_load": view.read_load(),
                 "in_flight": len(view.in_flight),
-                "expected_seconds": self._estimate(view, "", now),
+                "service_seconds": view.read_service_seconds(),
                 "ejected": view.is_ejected(now),
             }
             for view in self._views.values()
         }
 
-    def _estimate(self, view: EndpointView, prefix: str, now: float) -> float:
-        return estimate_seconds(view, self._data_centre, prefix, now)
+    def _estimate(
+        self, views: Sequence[EndpointView], prefix: str, now: float
+    ) -> dict[str, float]:
+        return {
+            estimate.view.name: estimate_seconds(
+                estimate, self._data_centre, prefix, now
+            )
+            for estimate in estimate_endpoints(views, now)
+        }
 
     def _get_view(self, endpoint: str) -> EndpointView:
         view = self._views.get(endpoint)
@@ -478,31 +573,33 @@
 
     def _eject_if_slow(self, view: EndpointView, now: float) -> None:
         peers = sorted(
-            other.read_service_seconds()
+            other.read_service_seconds() or 0.0
             for other in self._views.values()
             if other.pool == view.pool and other.has_enough_samples()
         )
         if len(peers) < 3 or not view.has_enough_samples():
             return
         median = peers[len(peers) // 2]
-        if view.read_service_seconds() > SLOW_FACTOR * median:
+        if (view.read_service_seconds() or 0.0) > SLOW_FACTOR * median:
             view.eject(now)
 
 
 def _choose_earliest(
-    question: Question, now: float, rng: random.Random, *, adjusted: bool
+    question: Question,
+    estimates: Sequence[Estimate],
+    now: float,
+    rng: random.Random,
 ) -> EndpointView:
     sampled = _sample(question, now, rng)
-    return min(
-        sampled,
-        key=lambda view: estimate_seconds(
-            view,
-            question.data_centre,
-            question.prefix,
-            now,
-            adjusted=adjusted,
+    places = (item for item in estimates if item.view in sampled)
+    earliest = min(
+        places,
+        key=lambda item: (
+            estimate_seconds(item, question.data_centre, question.prefix, now),
+            rng.random(),
         ),
     )
+    return earliest.view
 
 
 def _sample(
