Make the sidecar's tests fail without their mechanisms

Change: longer deadline for the cut entry; a call that may not be repeated is left alone past the time to connect again; a gap in a resumed answer, whose digest is not recomputed.

--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -3,11 +3,13 @@
 import contextlib
 import hashlib
 import json
+from unittest import mock
 
 import curio
 
 from samphirevale import (
     configuration,
+    executors,
     invariants,
     lifecycle,
     messages,
@@ -300,11 +302,13 @@
             self.assertIsInstance(ending, messages.Result)
             self.assertEqual(self.endpoint.runs, ["a1"])
 
+    @mock.patch.object(executors, "REATTACH_SECONDS", 0.1)
     async def test_a_reconnected_entry_gets_the_ending(self):
         async with self.running("service"):
             async with self.connected() as entry:
                 await self.hand_over(entry, repeatable=False, batch="")
                 await self.wait_for_runs(1)
+            await curio.sleep(0.3)
             async with self.connected() as entry:
                 await self.hand_over(entry, repeatable=False, batch="")
                 await self.endpoint.gate.set()
@@ -316,7 +320,7 @@
         async with self.running():
             self.endpoint.gate_after_first = True
             async with self.connected() as entry:
-                await self.hand_over(entry)
+                await self.hand_over(entry, remaining_ms=60_000)
                 await self.receive(entry, messages.Chunk)
             while not self.endpoint.cancelled:
                 await curio.sleep(0.02)
@@ -591,6 +595,14 @@
             self.assertEqual(tokens, ["a"])
             self.assertEqual(ending.outcome, "failed")
 
+    async def test_a_missing_chunk_of_a_resumed_answer_is_a_failure(self):
+        async with self.running(), self.connected() as entry:
+            self.endpoint.lines = build_lines(ANSWER, offset=3)
+            await self.endpoint.gate.set()
+            await self.hand_over(entry, offset=2)
+            _, ending = await self.receive_ending(entry, offset=2)
+            self.assertEqual(ending.outcome, "failed")
+
     async def test_another_answers_digest_is_a_failure(self):
         async with self.running(), self.connected() as entry:
             self.endpoint.lines = build_lines(ANSWER)
