Give the endpoint its orders under a lease, until it is as configured

Cause: engines have to load what serves and unload what is recalled, and a holder that wakes past its lease must give no order.

Cache events count from 1 (docs/PROTOCOL.md said nothing, and the first reading asked for after=-1, which the stand-in refuses, so that no prefix was ever known).

Ruled out: a lease held all the time, which costs 0.6 writes/s an engine.

--- a/samphirevale/monitors.py
+++ b/samphirevale/monitors.py
@@ -27,12 +27,12 @@
     """The prompt prefixes that an engine has cached, as its events tell.
 
     Attributes:
-        last_number: the number of the last event seen.
+        last_number: the number of the last event seen; they count from 1.
         gaps: how often event numbers were missing.
     """
 
     def __init__(self):
-        self.last_number = -1
+        self.last_number = 0
         self.gaps = 0
         self._prefixes: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
--- a/samphirevale/ports/endpoints.py
+++ b/samphirevale/ports/endpoints.py
@@ -112,7 +112,7 @@
     """A prompt prefix has entered or left the endpoint's cache.
 
     Attributes:
-        number: counts the events from 0; a gap means that some are lost.
+        number: counts the events from 1; a gap means that some are lost.
         prefix: the prefix's digest.
         cached: whether it is in the cache now.
     """
--- a/samphirevale/sidecar.py
+++ b/samphirevale/sidecar.py
@@ -23,10 +23,11 @@
     metrics,
     monitors,
     peers,
+    reconciler,
     settings,
     snapshots,
 )
-from samphirevale.adapters import endpoints, link, objects
+from samphirevale.adapters import clock, endpoints, link, objects
 
 # Interval of the work that is due by time, in seconds.
 TEND_SECONDS = 0.05
@@ -82,6 +83,17 @@
             self._peers,
         )
 
+        self._reconciler = reconciler.Reconciler(
+            sidecar,
+            self._incarnation,
+            self._endpoint,
+            self._monitor,
+            self._holder,
+            self._store,
+            clock.MonotonicClock(),
+            self._announce,
+        )
+
     async def run(self, life: Any) -> None:
         """Serves until `life.stop` is set, then drains and returns."""
         common = self._settings.common
@@ -106,6 +118,7 @@
             self._monitor.run,
             self._run_tending,
             self._executor.raise_violation,
+            self._reconciler.run,
             self._read_first_configuration,
         ]
 
@@ -118,6 +131,7 @@
         """Takes nothing new and finishes what is in flight."""
         self._executor.leaving_at = time.monotonic()
         await self._announce()
+        await self._reconciler.stop()
         seconds = self._settings.common.drain_seconds
         finished = await curio.ignore_after(
             seconds, self._executor.wait_until_idle, timeout_result=False
@@ -293,6 +307,7 @@
             "revision": self._holder.revision,
             "entries": self._peers.list_names(),
             "heartbeat": self._build_heartbeat(0),
+            "lease": self._reconciler.lease,
             "remembered": len(self._executor.table),
             "counts": vars(self._executor.counts),
             "attempts": [
--- /dev/null
+++ b/tests/test_reconciler.py
@@ -0,0 +1,167 @@
+"""Orders to a stand-in engine, with leases in a stand-in store."""
+
+import contextlib
+
+import curio
+
+from samphirevale import (
+    configuration,
+    errors,
+    invariants,
+    monitors,
+    reconciler,
+    settings,
+    snapshots,
+)
+from samphirevale.adapters import clock, endpoints, objects, web
+from standins import engine, platform
+from tests import base
+
+
+class ReconcilerTest(base.TestCase):
+    """What the reconciler orders, and under which lease."""
+
+    @contextlib.asynccontextmanager
+    async def running(self, **changes):
+        invariants.set_fatal(True)
+        self.platform = platform.Platform(platform.Settings(port=0))
+        store_url = await self._serve(self.platform)
+        self.engine = engine.Engine(
+            engine.Settings(port=0, load_seconds=0.05, **changes)
+        )
+        self.engine_url = await self._serve(self.engine)
+        self.store = objects.HttpObjectStore(store_url)
+        self.holder = snapshots.SnapshotHolder()
+        self.tasks = []
+        try:
+            yield
+        finally:
+            for task in [*self.tasks, *self._servers]:
+                await task.cancel()
+
+    async def _serve(self, program):
+        port = base.find_free_port()
+        task = await curio.spawn(
+            web.serve, program.handle, "127.0.0.1", port, daemon=True
+        )
+        self._servers = [*getattr(self, "_servers", []), task]
+        return f"http://127.0.0.1:{port}"
+
+    async def start(self, token="t1", checks_fencing=True):
+        """Starts a monitor and a reconciler, as one sidecar has them."""
+        sidecar = settings.SidecarSettings(
+            common=settings.CommonSettings(
+                f"sidecar-{token}", "dc1", "127.0.0.1", 0, "", ""
+            ),
+            peer_port=0,
+            endpoint="engine-1",
+            endpoint_url=self.engine_url,
+            endpoint_kind="engine",
+            pool="engines",
+            checks_fencing=checks_fencing,
+            lease_seconds=1.0,
+            order_seconds=0.5,
+        )
+        endpoint = endpoints.build_endpoint("engine", self.engine_url, 0.5)
+        monitor = monitors.EndpointMonitor(endpoint, 0.05)
+        started = reconciler.Reconciler(
+            sidecar,
+            token,
+            endpoint,
+            monitor,
+            self.holder,
+            self.store,
+            clock.MonotonicClock(),
+            self._announce,
+        )
+        for job in (monitor.run, started.run):
+            self.tasks.append(await curio.spawn(job, daemon=True))
+        return started
+
+    async def _announce(self):
+        pass
+
+    def adopt(self, revision, **states):
+        batches = {
+            name: configuration.BatchConfiguration(
+                model="m",
+                version=name,
+                adapter="",
+                pool="engines",
+                state=state,
+                order=1,
+            )
+            for name, state in states.items()
+        }
+        value = {**configuration.build_empty_value(), "batches": batches}
+        value["revision"] = revision
+        self.holder.adopt(configuration.Configuration(revision, value))
+
+    async def wait_for(self, condition):
+        while not condition():
+            await curio.sleep(0.02)
+
+    def list_orders(self):
+        return [
+            (order["order"], order["batch"], order["accepted"])
+            for order in self.engine.record.describe()["orders"]
+        ]
+
+    async def test_loads_what_serves_and_unloads_what_is_recalled(self):
+        async with self.running():
+            await self.start()
+            self.adopt(1, b1="serving", b2="serving")
+            await self.wait_for(lambda: len(self.list_orders()) == 2)
+            self.adopt(2, b1="recalled", b2="serving")
+            await self.wait_for(lambda: len(self.list_orders()) == 3)
+            await curio.sleep(0.6)
+            self.assertEqual(
+                sorted(self.list_orders()[:2]),
+                [("load", "b1", True), ("load", "b2", True)],
+            )
+            self.assertEqual(self.list_orders()[2:], [("unload", "b1", True)])
+
+    async def test_the_lease_is_given_back_when_all_is_as_configured(self):
+        async with self.running():
+            started = await self.start()
+            self.adopt(1, b1="serving")
+            await self.wait_for(lambda: self.list_orders())
+            await self.wait_for(lambda: started.lease is None)
+            await curio.sleep(0.3)
+            lease = await self.store.get("leases", "engine-1")
+            self.assertTrue(lease.value["released"])
+
+    async def test_no_order_without_a_lease(self):
+        async with self.running():
+            self.platform.faults.change({"outage": True}, 0.0)
+            await self.start()
+            self.adopt(1, b1="serving")
+            await curio.sleep(0.5)
+            self.assertEqual(self.list_orders(), [])
+
+    async def test_no_order_after_the_lease_has_run_out(self):
+        async with self.running():
+            started = await self.start(checks_fencing=False)
+            self.adopt(1, b1="serving")
+            await self.wait_for(lambda: started.lease is not None)
+            self.platform.faults.change({"outage": True}, 0.0)
+            lease = started.lease
+            # As if this process had been frozen past the lease's end.
+            started.lease = lease._replace(valid_until=0.0)
+            self.assertFalse(started._may_order())
+            with self.assertRaises(errors.InvariantError):
+                await started._give(
+                    reconciler.choose_order(
+                        self.holder.list_pool("engines"), frozenset()
+                    )
+                )
+
+    async def test_a_fenced_holder_takes_a_higher_number(self):
+        async with self.running():
+            self.engine._fencing = 2
+            await self.start()
+            self.adopt(1, b1="serving")
+            await self.wait_for(
+                lambda: ("load", "b1", True) in self.list_orders()
+            )
+            self.assertIn(("load", "b1", False), self.list_orders())
