Answer operators at entries: queries, orders, statuses

Cause: an entry's admin port had no desk, so every statement was answered 404 and `make run` failed at its first query.

Ruled out: asking the other entries directly, as they hold no connections among themselves; they tell each other by `status/{instance}` instead. A status at each request's end was ruled out for its writes: its cost is stated as a formula in statuses.py.

--- a/lab/run.py
+++ b/lab/run.py
@@ -142,6 +142,7 @@
             print_answer(name, answer, time.monotonic() - started_at)
         run_tool(deployment, "query", "show endpoints")
         run_tool(deployment, "query", "show requests by pipeline")
+        run_tool(deployment, "query", "show requests by stage")
         if keep:
             show_addresses(deployment)
         statuses: dict[str, Any] = deployment.group.stop_all()
--- a/samphirevale/callers.py
+++ b/samphirevale/callers.py
@@ -58,6 +58,9 @@
         busy_ms: the time that endpoints worked for the result.
         wasted_ms: the time that endpoints worked on failed attempts.
         attempts: how many attempts were handed over.
+        failed: how many of them ended without a result.
+        tokens: the tokens that the result was generated with.
+        wasted_tokens: tokens of failed attempts that the result lacks.
     """
 
     stage: str
@@ -65,6 +68,9 @@
     busy_ms: float
     wasted_ms: float
     attempts: int
+    failed: int = 0
+    tokens: int = 0
+    wasted_tokens: int = 0
 
 
 class Whole(NamedTuple):
--- a/samphirevale/entry.py
+++ b/samphirevale/entry.py
@@ -19,12 +19,16 @@
     lifecycle,
     messages,
     node,
+    operations,
     routing,
     settings,
     sidecars,
     snapshots,
+    statistics,
+    statuses,
 )
 from samphirevale.adapters import caller_api, objects, web
+from samphirevale.adapters import clock as clocks
 from samphirevale.ports import objects as object_port
 
 # The longest wait of one watch on the store, in seconds.
@@ -77,9 +81,20 @@
                 loaded.routing_policy, loaded.common.data_centre, rng
             ),
             store=objects.HttpObjectStore(loaded.common.store_url),
+            statistics=statistics.Statistics(),
             rng=rng,
             clock=time.monotonic,
         )
+        self.desk = operations.OperatorDesk(
+            self.node,
+            statuses.Identity(
+                hello.instance,
+                hello.incarnation,
+                hello.data_centre,
+                time.time(),
+            ),
+            clocks.MonotonicClock(),
+        )
 
     def read_configuration(self) -> configuration.Configuration:
         """Returns the configuration in force here."""
@@ -216,7 +231,16 @@
 
     async def serve_admin(self) -> None:
         """Serves the admin port until cancelled."""
-        await admin.serve(self._settings, self._life)
+        await admin.serve(self._settings, self._life, self.desk)
+
+    def build_writer(self) -> statuses.StatusWriter:
+        """Returns what keeps the entry's status in the store."""
+        return statuses.StatusWriter(
+            self.node.store,
+            self.desk.build_status,
+            self.node.rng,
+            clocks.MonotonicClock(),
+        )
 
     def register_dump(self) -> None:
         """Adds the entry's sections to the state dump."""
@@ -279,6 +303,9 @@
             await stack.enter_async_context(run_task(function))
         stack.push_async_callback(entry.node.peers.close)
         await entry.wait_configuration()
+        await stack.enter_async_context(
+            statuses.publish_status(entry.build_writer())
+        )
         life.report_ready()
         await life.stop.wait()
         await entry.drain()
--- a/samphirevale/execution.py
+++ b/samphirevale/execution.py
@@ -32,6 +32,15 @@
 
     async def run(self) -> callers.Answer:
         """Returns the whole answer or an honest refusal, by the deadline."""
+        started_at = self._node.clock()
+        answer = await self._run_limited()
+        seconds = self._node.clock() - started_at
+        self._node.statistics.note_request(
+            self._request, answer, self._uses, seconds
+        )
+        return answer
+
+    async def _run_limited(self) -> callers.Answer:
         remaining = self._deadline_at - self._node.clock()
         try:
             async with curio.timeout_after(max(remaining, 0)):
@@ -61,8 +70,10 @@
                 self._progress,
                 self._emit if index == last else None,
             )
-            outcome = await run.run()
-            self._uses.append(outcome.use)
+            try:
+                outcome = await run.run()
+            finally:
+                self._uses.append(run.read_use())
             prior = outcome.payload
         return callers.Whole(
             prior, outcome.count, outcome.digest, tuple(self._uses)
--- a/samphirevale/handovers.py
+++ b/samphirevale/handovers.py
@@ -136,8 +136,12 @@
         self._buffer = answers.TokenBuffer()
         self._batch = ""
         self._tried: set[str] = set()
+        self._started_at = entry_node.clock()
+        self._busy_ms = 0.0
         self._wasted_ms = 0.0
+        self._wasted_tokens = 0
         self._attempts = 0
+        self._completed = 0
 
     async def run(self) -> StageOutcome:
         """Returns the stage's outcome.
@@ -145,20 +149,15 @@
         Raises:
             errors.RequestRefusedError: there will be none.
         """
-        started_at = self._node.clock()
         ending = None
         while not isinstance(ending, messages.Result):
             endpoint = self._choose_endpoint(ending)
             ending = await self._run_attempt(endpoint)
             if isinstance(ending, messages.Refusal):
                 self._take_refusal(endpoint, ending)
-        use = callers.StageUse(
-            self._stage["name"],
-            self._node.clock() - started_at,
-            ending.busy_ms,
-            self._wasted_ms,
-            self._attempts,
-        )
+        self._busy_ms = ending.busy_ms
+        self._completed = 1
+        use = self.read_use()
         if self._stage["kind"] != "engine":
             return StageOutcome(ending.payload, 0, "", use)
         # The tokens are told too, so that a caller can check the digest.
@@ -166,6 +165,19 @@
         payload = {"text": "".join(tokens), "tokens": tokens}
         return StageOutcome(payload, ending.count, ending.digest, use)
 
+    def read_use(self) -> callers.StageUse:
+        """Returns what the stage has taken so far, also if it failed."""
+        return callers.StageUse(
+            self._stage["name"],
+            self._node.clock() - self._started_at,
+            self._busy_ms,
+            self._wasted_ms,
+            self._attempts,
+            self._attempts - self._completed,
+            len(self._buffer.tokens),
+            self._wasted_tokens,
+        )
+
     def _choose_endpoint(self, last: messages.Refusal | None) -> str:
         now = self._node.clock()
         names = self._list_candidates(now)
@@ -222,6 +234,7 @@
         """Starts the answer anew, which only works unseen by the caller."""
         if self._emit is not None:
             self._refuse("broken_answer", reason, DEFAULT_RETRY_SECONDS)
+        self._wasted_tokens += len(self._buffer.tokens)
         self._buffer = answers.TokenBuffer()
 
     def _read_prefix(self) -> str:
--- a/samphirevale/language.py
+++ b/samphirevale/language.py
@@ -110,6 +110,8 @@
         "not_run",
         "not_completed",
         "unknown",
+        "heard",
+        "age_ms",
     ),
     "accounts": ("name", "share"),
     "orders": ("id", "text", "revision"),
@@ -121,7 +123,11 @@
 _REQUEST_COLUMNS = SUBJECTS["requests"]
 _COST_COLUMNS = ("busy_ms", "wasted_ms", "tokens", "wasted_tokens")
 GROUPS = {
-    "stage": ("stage", "attempts", "failed", *_COST_COLUMNS),
+    "stage": (
+        *("stage", "attempts", "failed"),
+        *_COST_COLUMNS,
+        *("heard", "age_ms"),
+    ),
     "account": ("account", *_REQUEST_COLUMNS, *_COST_COLUMNS),
     "pipeline": ("pipeline", *_REQUEST_COLUMNS),
 }
--- a/samphirevale/metrics.py
+++ b/samphirevale/metrics.py
@@ -127,7 +127,7 @@
 # Stages. `use` is `whole` if the request got its whole answer in time, else
 # `wasted`.
 STAGE_SECONDS = _histogram(
-    "stage_seconds", "Time of one attempt of a stage, waiting in.", "stage"
+    "stage_seconds", "Time of a stage of a request, its retries in.", "stage"
 )
 BUSY_MILLISECONDS = _count(
     "busy_milliseconds",
--- a/samphirevale/node.py
+++ b/samphirevale/node.py
@@ -4,7 +4,13 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from samphirevale import routing, settings, sidecars, snapshots
+from samphirevale import (
+    routing,
+    settings,
+    sidecars,
+    snapshots,
+    statistics,
+)
 from samphirevale.ports import objects
 
 
@@ -17,6 +23,7 @@
         peers: its connections to sidecars.
         router: chooses endpoints.
         store: the platform's object API.
+        statistics: the counts of the requests that it has ended.
         rng: the source of every random draw.
         clock: returns the present time in monotonic seconds.
     """
@@ -26,5 +33,6 @@
     peers: sidecars.PeerTable
     router: routing.Router
     store: objects.ObjectStore
+    statistics: statistics.Statistics
     rng: random.Random
     clock: Callable[[], float]
--- /dev/null
+++ b/samphirevale/statistics.py
@@ -0,0 +1,257 @@
+"""Counts of ended requests: attainment, outcomes and cost by stage.
+
+Each entry counts what it has answered since it started. The counts of
+several entries add up, so that any of them can tell the whole.
+"""
+
+from collections.abc import Callable, Sequence
+from typing import Any, NamedTuple, TypedDict
+
+from samphirevale import callers, errors, metrics
+
+# The most pairs of names of each table. Later ones are counted together.
+KEYS_LIMIT = 512
+
+# The name under which they are.
+OTHER = "other"
+
+# A refusal as invalid is the caller's own; it counts in the metrics only.
+INVALID = "invalid"
+
+
+class OutcomeCounts(NamedTuple):
+    """How requests have ended.
+
+    Attributes:
+        requests: those that ended, but for invalid ones.
+        in_time: answered whole within their deadline.
+        not_run: refused as `not_run`.
+        not_completed: refused as `not_completed`.
+        unknown: ended as `unknown`.
+    """
+
+    requests: int = 0
+    in_time: int = 0
+    not_run: int = 0
+    not_completed: int = 0
+    unknown: int = 0
+
+    @property
+    def attainment(self) -> float | None:
+        """The share answered in time; None if no request has ended."""
+        return self.in_time / self.requests if self.requests else None
+
+
+class StageCost(NamedTuple):
+    """What a stage has cost.
+
+    Attributes:
+        attempts: attempts handed over.
+        failed: those of them that ended without a result.
+        busy_ms: time that endpoints worked for answers given in time.
+        wasted_ms: time that they worked for nothing.
+        tokens: tokens of answers given in time.
+        wasted_tokens: tokens generated for nothing.
+    """
+
+    attempts: int = 0
+    failed: int = 0
+    busy_ms: float = 0.0
+    wasted_ms: float = 0.0
+    tokens: int = 0
+    wasted_tokens: int = 0
+
+
+class StatisticsValue(TypedDict):
+    """The counts as JSON.
+
+    Keys:
+        outcomes: rows of pipeline, account and the OutcomeCounts.
+        costs: rows of stage, account and the StageCost.
+    """
+
+    outcomes: list[list[Any]]
+    costs: list[list[Any]]
+
+
+# Counts by pipeline and account, or by stage and account.
+_Table = dict[tuple[str, str], Any]
+
+
+class Statistics:
+    """The counts of one entry, or of several together."""
+
+    def __init__(self) -> None:
+        self._outcomes: _Table = {}
+        self._costs: _Table = {}
+
+    def note_request(
+        self,
+        request: callers.CallerRequest,
+        answer: callers.Answer,
+        uses: Sequence[callers.StageUse],
+        seconds: float,
+    ) -> None:
+        """Counts a request that has ended.
+
+        Args:
+            request: the request.
+            answer: its final answer.
+            uses: what its stages took, those that failed included; none for
+                an answer that was kept from an earlier run.
+            seconds: from its arrival to its answer.
+        """
+        in_time = is_in_time(request, answer, seconds)
+        _count_request(request, answer, in_time, seconds)
+        counts = _build_counts(answer, in_time)
+        _add(self._outcomes, (request.pipeline, request.account), counts)
+        for use in uses:
+            cost = _build_cost(use, in_time)
+            _add(self._costs, (use.stage, request.account), cost)
+            _count_use(request.account, use, cost)
+
+    def merge(self, other: "Statistics") -> None:
+        """Adds the counts of another entry."""
+        for table, added in (
+            (self._outcomes, other._outcomes),
+            (self._costs, other._costs),
+        ):
+            for key, counts in added.items():
+                _add(table, key, counts)
+
+    def to_value(self) -> StatisticsValue:
+        """Returns the counts as JSON, of bounded size."""
+        return StatisticsValue(
+            outcomes=[[*key, *item] for key, item in self._outcomes.items()],
+            costs=[[*key, *item] for key, item in self._costs.items()],
+        )
+
+    @classmethod
+    def from_value(cls, value: Any) -> "Statistics":
+        """Returns the counts that another entry wrote.
+
+        Raises:
+            errors.InvalidInputError: it is no StatisticsValue.
+        """
+        built = cls()
+        try:
+            _read_rows(built._outcomes, OutcomeCounts, value["outcomes"])
+            _read_rows(built._costs, StageCost, value["costs"])
+        except (KeyError, TypeError, ValueError) as error:
+            finding = errors.Finding("statistics", "rows of counts", str(error))
+            raise errors.InvalidInputError([finding]) from error
+        return built
+
+    def sum_outcomes(self) -> OutcomeCounts:
+        """Returns the counts over all requests."""
+        whole = _sum_by(self._outcomes, lambda first, account: "")
+        return whole.get("", OutcomeCounts())
+
+    def sum_by_pipeline(self) -> dict[str, OutcomeCounts]:
+        """Returns the outcomes by pipeline."""
+        return _sum_by(self._outcomes, lambda pipeline, account: pipeline)
+
+    def sum_by_account(self) -> dict[str, OutcomeCounts]:
+        """Returns the outcomes by account."""
+        return _sum_by(self._outcomes, lambda pipeline, account: account)
+
+    def sum_cost_by_stage(self) -> dict[str, StageCost]:
+        """Returns the cost by stage."""
+        return _sum_by(self._costs, lambda stage, account: stage)
+
+    def sum_cost_by_account(self) -> dict[str, StageCost]:
+        """Returns the cost by account."""
+        return _sum_by(self._costs, lambda stage, account: account)
+
+
+def is_in_time(
+    request: callers.CallerRequest, answer: callers.Answer, seconds: float
+) -> bool:
+    """Tells whether a request was answered whole within its deadline."""
+    is_whole = isinstance(answer, callers.Whole)
+    return is_whole and seconds * 1000 <= request.deadline_ms
+
+
+def _build_counts(answer: callers.Answer, in_time: bool) -> OutcomeCounts:
+    if isinstance(answer, callers.Whole):
+        return OutcomeCounts(requests=1, in_time=int(in_time))
+    if answer.outcome == INVALID:
+        return OutcomeCounts()
+    return OutcomeCounts(requests=1)._replace(**{answer.outcome: 1})
+
+
+def _build_cost(use: callers.StageUse, in_time: bool) -> StageCost:
+    cost = StageCost(
+        use.attempts,
+        use.failed,
+        use.busy_ms,
+        use.wasted_ms,
+        use.tokens,
+        use.wasted_tokens,
+    )
+    if in_time:
+        return cost
+    return cost._replace(
+        busy_ms=0.0,
+        wasted_ms=cost.wasted_ms + cost.busy_ms,
+        tokens=0,
+        wasted_tokens=cost.wasted_tokens + cost.tokens,
+    )
+
+
+def _count_request(
+    request: callers.CallerRequest,
+    answer: callers.Answer,
+    in_time: bool,
+    seconds: float,
+) -> None:
+    """Counts a request in the process's metrics."""
+    is_whole = isinstance(answer, callers.Whole)
+    outcome = "whole" if is_whole else answer.outcome
+    pipeline = request.pipeline
+    metrics.REQUESTS.labels(pipeline=pipeline, outcome=outcome).inc()
+    metrics.REQUEST_SECONDS.labels(pipeline=pipeline).observe(seconds)
+    if in_time:
+        metrics.REQUESTS_IN_TIME.labels(pipeline=pipeline).inc()
+
+
+def _count_use(account: str, use: callers.StageUse, cost: StageCost) -> None:
+    """Counts what a stage took in the process's metrics."""
+    stage = use.stage
+    metrics.HANDOVERS.labels(stage=stage).inc(use.attempts)
+    metrics.RETRIES.labels(stage=stage).inc(max(use.attempts - 1, 0))
+    metrics.STAGE_SECONDS.labels(stage=stage).observe(use.seconds)
+    metrics.count_cost(stage, account, "whole", cost.busy_ms, cost.tokens)
+    metrics.count_cost(
+        stage, account, "wasted", cost.wasted_ms, cost.wasted_tokens
+    )
+
+
+def _add(table: _Table, key: tuple[str, str], counts: Any) -> None:
+    if key not in table and len(table) >= KEYS_LIMIT:
+        key = (OTHER, OTHER)
+    held = table.get(key)
+    table[key] = counts if held is None else _sum_pair(held, counts)
+
+
+def _sum_pair(left: Any, right: Any) -> Any:
+    return type(left)(*(a + b for a, b in zip(left, right, strict=True)))
+
+
+def _sum_by(
+    table: _Table, choose_name: Callable[[str, str], str]
+) -> dict[str, Any]:
+    sums: dict[str, Any] = {}
+    for key, counts in table.items():
+        name = choose_name(*key)
+        held = sums.get(name)
+        sums[name] = counts if held is None else _sum_pair(held, counts)
+    return sums
+
+
+def _read_rows(table: _Table, row_type: type, rows: list[list[Any]]) -> None:
+    for first, account, *numbers in rows:
+        counts = row_type(*numbers)
+        if not all(isinstance(number, int | float) for number in counts):
+            raise ValueError(f"no numbers: {numbers}"[:80])
+        _add(table, (str(first), str(account)), counts)
--- /dev/null
+++ b/samphirevale/statuses.py
@@ -0,0 +1,367 @@
+"""What each entry writes into the store for operators at the others.
+
+An entry writes one object, `status/{instance}`, and removes it when it stops
+gracefully. Store calls a second, with E entries, S statuses in the store and
+Q queries of operators a second:
+
+    E / (0.75 * (INTERVAL_SECONDS + CHANGE_SECONDS))  writes at rest, mean
+    E / (0.5 * CHANGE_SECONDS)    writes at most, while revisions change
+    E / (0.75 * SWEEP_SECONDS)    lists to find old ones, and their deletions
+    2 * Q                         reads: the configuration, and a list
+    E / (0.5 * RETRY_SECONDS)     reads at most, while the store is down
+"""
+
+import contextlib
+import random
+import time
+from collections.abc import AsyncIterator, Callable
+from typing import Any, NamedTuple, TypedDict
+
+import curio
+
+from samphirevale import errors, expiry, node, sidecars, statistics
+from samphirevale.ports import clock as clocks
+from samphirevale.ports import objects
+
+OBJECT_KIND = "status"
+
+# The interval between two writes while nothing changes, and the shortest one
+# when something does, in seconds; drawn between half of it and the whole.
+INTERVAL_SECONDS = 10.0
+CHANGE_SECONDS = 1.0
+
+# The wait after a failed write, in seconds; drawn in the same way.
+RETRY_SECONDS = 3.0
+
+# The interval between looks for a change, in seconds.
+CHECK_SECONDS = 0.25
+
+# A status that was not rewritten for this long tells nothing of the present,
+# in seconds. Wall clocks of two instances differ by less.
+NOT_HEARD_SECONDS = 120.0
+
+# A status is deleted this long after its last write, in seconds, and looked
+# for at this interval.
+KEEP_SECONDS = 3600.0
+SWEEP_SECONDS = 1800.0
+
+# The most sidecars of a status, and batches of a sidecar. With them and the
+# bound of the statistics a status stays far below the store's limit.
+SIDECARS_LIMIT = 500
+BATCHES_LIMIT = 16
+
+# The longest wait for the removal of the own status, in seconds.
+REMOVE_SECONDS = 3.0
+
+
+class SidecarStatus(TypedDict):
+    """A sidecar as one entry sees it.
+
+    Keys:
+        instance: its instance name; its address until it was connected once.
+        endpoint, pool, data_centre: what it said of itself.
+        revision: the configuration revision of its latest frame.
+        heard_age_ms: time since its latest frame; None if there was none.
+        connected: the entry holds a connection, with a heartbeat.
+        leaving: it or the platform's list says that it is leaving.
+        healthy: it reaches its endpoint.
+        running, waiting, limit, service_ms, wait_ms: as its heartbeat says.
+        batches: the batches that its endpoint has loaded.
+    """
+
+    instance: str
+    endpoint: str
+    pool: str
+    data_centre: str
+    revision: int
+    heard_age_ms: float | None
+    connected: bool
+    leaving: bool
+    healthy: bool
+    running: int
+    waiting: int
+    limit: int
+    service_ms: float
+    wait_ms: float
+    batches: list[str]
+
+
+class EntryStatus(TypedDict):
+    """An entry's status.
+
+    Keys:
+        instance: its instance name.
+        incarnation: its process's token.
+        data_centre: where it runs.
+        leaving: it is stopping.
+        revision: the configuration revision that it holds.
+        sidecars: those that it knows.
+        statistics: a statistics.StatisticsValue.
+        started_at, written_at: wall-clock seconds.
+        expires_at: when it may be deleted, in wall-clock seconds.
+    """
+
+    instance: str
+    incarnation: str
+    data_centre: str
+    leaving: bool
+    revision: int
+    sidecars: list[SidecarStatus]
+    statistics: statistics.StatisticsValue
+    started_at: float
+    written_at: float
+    expires_at: float
+
+
+class Identity(NamedTuple):
+    """Who writes a status.
+
+    Attributes:
+        instance: the entry's instance name.
+        incarnation: its process's token.
+        data_centre: where it runs.
+        started_at: when it started, in wall-clock seconds.
+    """
+
+    instance: str
+    incarnation: str
+    data_centre: str
+    started_at: float
+
+
+def build_status(
+    entry_node: node.Node, identity: Identity, now: float, wall_now: float
+) -> EntryStatus:
+    """Returns what an entry knows itself.
+
+    Args:
+        entry_node: what the entry knows and holds.
+        identity: who it is.
+        now: monotonic seconds.
+        wall_now: wall-clock seconds.
+    """
+    known = [
+        _build_sidecar(peer, now) for peer in entry_node.peers.peers.values()
+    ]
+    return EntryStatus(
+        instance=identity.instance,
+        incarnation=identity.incarnation,
+        data_centre=identity.data_centre,
+        leaving=entry_node.peers.leaving,
+        revision=entry_node.holder.revision,
+        sidecars=known[:SIDECARS_LIMIT],
+        statistics=entry_node.statistics.to_value(),
+        started_at=identity.started_at,
+        written_at=wall_now,
+        expires_at=wall_now + KEEP_SECONDS,
+    )
+
+
+def _build_sidecar(peer: sidecars.Peer, now: float) -> SidecarStatus:
+    hello, beat = peer.hello, peer.heartbeat
+    age_ms = (now - peer.heard_at) * 1000 if hello else None
+    leaving = peer.listed_leaving or bool(beat and beat.leaving)
+    return SidecarStatus(
+        instance=hello.instance if hello else peer.address,
+        endpoint=peer.endpoint,
+        pool=hello.pool if hello else "",
+        data_centre=hello.data_centre if hello else "",
+        revision=peer.revision,
+        heard_age_ms=age_ms,
+        connected=beat is not None,
+        leaving=leaving,
+        healthy=bool(beat and beat.healthy),
+        running=beat.running if beat else 0,
+        waiting=beat.waiting if beat else 0,
+        limit=beat.limit if beat else 0,
+        service_ms=beat.service_ms if beat else 0.0,
+        wait_ms=beat.wait_ms if beat else 0.0,
+        batches=beat.batches[:BATCHES_LIMIT] if beat else [],
+    )
+
+
+def read_status(value: Any) -> EntryStatus:
+    """Returns the status that another entry wrote.
+
+    Raises:
+        errors.InvalidInputError: it is no EntryStatus.
+    """
+    findings = _check_fields(value, EntryStatus, "status")
+    if not findings:
+        for item in value["sidecars"]:
+            findings += _check_fields(item, SidecarStatus, "status.sidecars")
+    if findings:
+        raise errors.InvalidInputError(findings)
+    statistics.Statistics.from_value(value["statistics"])
+    return value
+
+
+def _check_fields(
+    value: Any, value_type: type, place: str
+) -> list[errors.Finding]:
+    if not isinstance(value, dict):
+        return [errors.Finding(place, "an object", type(value).__name__)]
+    missing = value_type.__required_keys__ - set(value)
+    return [
+        errors.Finding(f"{place}.{name}", "a value") for name in sorted(missing)
+    ]
+
+
+def read_revisions(status: EntryStatus) -> tuple[Any, ...]:
+    """Returns what makes an entry write at once when it changes."""
+    return (
+        status["revision"],
+        status["leaving"],
+        *sorted(
+            (item["instance"], item["revision"], item["connected"])
+            for item in status["sidecars"]
+        ),
+    )
+
+
+class StatusWriter:
+    """Keeps an entry's own status in the store."""
+
+    def __init__(
+        self,
+        store: objects.ObjectStore,
+        build: Callable[[], EntryStatus],
+        rng: random.Random,
+        clock: clocks.Clock,
+        read_wall_clock: Callable[[], float] = time.time,
+    ):
+        """Prepares the writer.
+
+        Args:
+            store: the platform's store.
+            build: returns the present status.
+            rng: draws the intervals.
+            clock: monotonic time and sleeps.
+            read_wall_clock: returns wall-clock seconds.
+        """
+        self._store = store
+        self._build = build
+        self._rng = rng
+        self._clock = clock
+        self._read_wall_clock = read_wall_clock
+        # The version of the stored status; None if that is not known.
+        self._version: int | None = None
+        self._is_superseded = False
+
+    async def follow(self) -> None:
+        """Writes the status until another process takes the name over."""
+        while not self._is_superseded:
+            written = await self._write_or_skip()
+            if written is None:
+                await self._sleep(RETRY_SECONDS)
+            else:
+                await self._wait_for_change(written)
+
+    async def sweep(self) -> None:
+        """Deletes the statuses of entries that are long gone, for ever."""
+        while True:
+            await self._sleep(SWEEP_SECONDS)
+            with contextlib.suppress(errors.StoreError):
+                await expiry.sweep_expired(
+                    self._store,
+                    OBJECT_KIND,
+                    self._read_wall_clock(),
+                    self._clock,
+                )
+
+    async def _write_or_skip(self) -> EntryStatus | None:
+        """Returns the status that was written, or None."""
+        status = self._build()
+        try:
+            await self._write(status)
+        except errors.StoreError:
+            # The version is read afresh, as a write may have taken effect.
+            self._version = None
+            return None
+        return status
+
+    async def _write(self, status: EntryStatus) -> None:
+        name = status["instance"]
+        if self._version is None:
+            stored = await self._store.get(OBJECT_KIND, name)
+            if stored is None:
+                made = await self._store.create(OBJECT_KIND, name, status)
+                self._version = made.version
+                return
+            self._is_superseded = _is_newer(stored.value, status)
+            if self._is_superseded:
+                return
+            self._version = stored.version
+        made = await self._store.update(
+            OBJECT_KIND, name, status, self._version
+        )
+        self._version = made.version
+
+    async def _wait_for_change(self, written: EntryStatus) -> None:
+        """Returns when the next write is due."""
+        await self._sleep(CHANGE_SECONDS)
+        spread = self._rng.uniform(0.5, 1.0)
+        due_at = self._clock.now() + INTERVAL_SECONDS * spread
+        revisions = read_revisions(written)
+        while self._clock.now() < due_at:
+            if read_revisions(self._build()) != revisions:
+                return
+            await self._clock.sleep(CHECK_SECONDS)
+
+    async def _sleep(self, seconds: float) -> None:
+        await self._clock.sleep(self._rng.uniform(seconds / 2, seconds))
+
+    async def remove(self) -> None:
+        """Deletes the own status; one that stays is deleted once it is old."""
+        status = self._build()
+        with contextlib.suppress(errors.StoreError):
+            stored = await self._store.get(OBJECT_KIND, status["instance"])
+            if stored is None:
+                return
+            if stored.value.get("incarnation") == status["incarnation"]:
+                await self._store.delete(
+                    OBJECT_KIND, status["instance"], stored.version
+                )
+
+
+def _is_newer(stored: Any, status: EntryStatus) -> bool:
+    """Tells whether a later process has taken the instance's name over."""
+    if stored.get("incarnation") == status["incarnation"]:
+        return False
+    return stored.get("started_at", 0.0) > status["started_at"]
+
+
+@contextlib.asynccontextmanager
+async def publish_status(writer: StatusWriter) -> AsyncIterator[None]:
+    """Keeps the status in the store for as long as the block lasts."""
+    tasks = [
+        await curio.spawn(function, daemon=True)
+        for function in (writer.follow, writer.sweep)
+    ]
+    try:
+        yield
+    finally:
+        for task in tasks:
+            await task.cancel()
+        async with curio.ignore_after(REMOVE_SECONDS):
+            await writer.remove()
+
+
+async def list_statuses(
+    store: objects.ObjectStore, but_instance: str
+) -> list[EntryStatus]:
+    """Returns the statuses of the other entries.
+
+    One that cannot be read, as an entry of another version may write it, is
+    left out.
+
+    Raises:
+        errors.StoreError: the store does not tell now.
+    """
+    found = []
+    for stored in await store.list_kind(OBJECT_KIND):
+        if stored.name == but_instance:
+            continue
+        with contextlib.suppress(errors.InvalidInputError):
+            found.append(read_status(stored.value))
+    return found
