--- a/samphirevale/entry.py
+++ b/samphirevale/entry.py
@@ -26,12 +26,15 @@
     messages,
     metrics,
     node,
+    operations,
     quarantine,
     retries,
     routing,
     settings,
     sidecars,
     snapshots,
+    statistics,
+    statuses,
 )
 from samphirevale.adapters import caller_api, clock, objects, web
 from samphirevale.ports import objects as object_port
@@ -101,9 +104,20 @@
                 store, machine_clock, loaded.claim_window_seconds
             ),
             store=store,
+            statistics=statistics.Statistics(),
             rng=rng,
             clock=machine_clock,
         )
+        self.desk = operations.OperatorDesk(
+            self.node,
+            statuses.Identity(
+                hello.instance,
+                hello.incarnation,
+                hello.data_centre,
+                time.time(),
+            ),
+            machine_clock,
+        )
 
     def read_configuration(self) -> configuration.Configuration:
         """Returns the configuration in force here."""
@@ -322,7 +336,16 @@
 
     async def serve_admin(self) -> None:
         """Serves the admin port until cancelled."""
-        await admin.serve(self._settings, self._life)
+        await admin.serve(self._settings, self._life, self.desk)
+
+    def build_writer(self) -> statuses.StatusWriter:
+        """Returns what keeps the entry's status in the store."""
+        return statuses.StatusWriter(
+            self.node.store,
+            self.desk.build_status,
+            self.node.rng,
+            self.node.clock,
+        )
 
     def register_dump(self) -> None:
         """Adds the entry's sections to the state dump."""
@@ -388,6 +411,9 @@
             await stack.enter_async_context(run_task(function))
         stack.push_async_callback(entry.node.peers.close)
         await entry.wait_configuration()
+        await stack.enter_async_context(
+            statuses.publish_status(entry.build_writer())
+        )
         life.report_ready()
         await entry.wait_stop()
         await entry.drain()
--- a/samphirevale/execution.py
+++ b/samphirevale/execution.py
@@ -50,10 +50,19 @@
         pipeline = self._value["pipelines"][request.pipeline]
         self._stages = pipeline["stages"]
         self._stopped = pipeline["stopped"]
-        self.uses: list[callers.StageUse] = []
+        self._uses: list[callers.StageUse] = []
 
     async def run(self) -> callers.Answer:
         """Returns the whole answer or an honest refusal, by the deadline."""
+        started_at = self._node.clock.now()
+        answer = await self._run_limited()
+        seconds = self._node.clock.now() - started_at
+        self._node.statistics.note_request(
+            self._request, answer, self._uses, seconds
+        )
+        return answer
+
+    async def _run_limited(self) -> callers.Answer:
         try:
             async with curio.timeout_after(max(self._read_remaining(), 0)):
                 return await self._run_admitted()
@@ -180,10 +189,9 @@
         for stage in self._stages:
             async with self._holding_place(stage):
                 outcome = await self._run_stage(stage, prior)
-            self.uses.append(outcome.use)
             prior = outcome.payload
         return callers.Whole(
-            prior, outcome.count, outcome.digest, tuple(self.uses)
+            prior, outcome.count, outcome.digest, tuple(self._uses)
         )
 
     @contextlib.asynccontextmanager
@@ -219,7 +227,10 @@
             self._progress,
             self._emit if stage is self._stages[-1] else None,
         )
-        return await run.run()
+        try:
+            return await run.run()
+        finally:
+            self._uses.append(run.read_use())
 
     def _needs_claim(self) -> bool:
         return not all(self._is_repeatable(stage) for stage in self._stages)
--- a/samphirevale/handovers.py
+++ b/samphirevale/handovers.py
@@ -149,8 +149,12 @@
         self._batch = ""
         self._tried: set[str] = set()
         self._refused_batches: set[str] = set()
+        self._started_at = entry_node.clock.now()
+        self._busy_ms = 0.0
         self._wasted_ms = 0.0
+        self._wasted_tokens = 0
         self._attempts = 0
+        self._completed = 0
         self._asked_late = False
         # An attempt was handed over and is not known not to have run.
         self._is_open = False
@@ -161,7 +165,6 @@
         Raises:
             errors.RequestRefusedError: there will be none.
         """
-        started_at = self._node.clock.now()
         self._node.retries.note_first(self._stage["name"])
         ending = None
         while not isinstance(ending, messages.Result):
@@ -169,13 +172,9 @@
             ending = await self._run_checked(endpoint)
             if isinstance(ending, messages.Refusal):
                 self._take_refusal(endpoint, ending)
-        use = callers.StageUse(
-            self._stage["name"],
-            self._node.clock.now() - started_at,
-            ending.busy_ms,
-            self._wasted_ms,
-            self._attempts,
-        )
+        self._busy_ms = ending.busy_ms
+        self._completed = 1
+        use = self.read_use()
         if self._stage["kind"] != "engine":
             return StageOutcome(ending.payload, 0, "", use)
         # The tokens are told too, so that a caller can check the digest.
@@ -183,6 +182,19 @@
         payload = {"text": "".join(tokens), "tokens": tokens}
         return StageOutcome(payload, ending.count, ending.digest, use)
 
+    def read_use(self) -> callers.StageUse:
+        """Returns what the stage has taken so far, also if it failed."""
+        return callers.StageUse(
+            self._stage["name"],
+            self._node.clock.now() - self._started_at,
+            self._busy_ms,
+            self._wasted_ms,
+            self._attempts,
+            self._attempts - self._completed,
+            len(self._buffer.tokens),
+            self._wasted_tokens,
+        )
+
     def _choose_endpoint(self, last: messages.Refusal | None) -> str:
         now = self._node.clock.now()
         names = self._list_candidates(now)
@@ -237,6 +249,7 @@
             self._progress.refuse(
                 "broken_answer", reason, DEFAULT_RETRY_SECONDS
             )
+        self._wasted_tokens += len(self._buffer.tokens)
         self._buffer = answers.TokenBuffer()
 
     def _read_prefix(self) -> str:
