Tell operators the order that stands in the way; test the desk

Ruled out: telling apart by the heartbeat whether a sidecar drains or leaves, as it says the same for both; the configuration tells. A load of a whole configuration may recall too, so that without a recall's record its revision bounds the confirmation.

Conclusion: refused orders name the order on the same batch, endpoint or pipeline; wrong ones stay invalid.

--- a/samphirevale/operations.py
+++ b/samphirevale/operations.py
@@ -164,7 +164,7 @@
             errors.InvalidInputError: none does; the order itself is wrong.
         """
         value = self._node.holder.held.value
-        record = find_latest(value, orders.name_target(request))
+        record = find_cause(value, request)
         is_taken = orders.find_record(value, request.id) is not None
         if record is None or is_taken:
             raise error
@@ -188,12 +188,44 @@
     )
 
 
-def find_latest(
-    value: configuration.ConfigurationValue | None, target: str
+def find_cause(
+    value: configuration.ConfigurationValue | None, request: orders.Order
+) -> configuration.OrderRecord | None:
+    """Returns the recorded order after which this one makes no sense.
+
+    Returns:
+        None if there is none: the order was never right.
+    """
+    if value is None:
+        return None
+    if request.verb == "roll_out":
+        return _find_batch_record(value, request.arguments["batch"])
+    return _find_latest(value, orders.name_target(request))
+
+
+def _find_batch_record(
+    value: configuration.ConfigurationValue, name: str
+) -> configuration.OrderRecord | None:
+    """Returns the order that has used a batch's id, or has recalled it."""
+    batch = value["batches"].get(name)
+    if batch is None:
+        return None
+    if batch["state"] == "recalled":
+        recall = orders.Order("", "recall", {"batch": name}, "")
+        return _find_latest(value, orders.name_target(recall))
+    found = [
+        record
+        for record in value["orders"]
+        if record["revision"] == batch["order"]
+    ]
+    return found[0] if found else None
+
+
+def _find_latest(
+    value: configuration.ConfigurationValue, target: str
 ) -> configuration.OrderRecord | None:
     """Returns the latest recorded order on a target, or None."""
-    records = value["orders"] if value else []
-    found = [record for record in records if record["target"] == target]
+    found = [item for item in value["orders"] if item["target"] == target]
     return found[-1] if found else None
 
 
--- a/samphirevale/views.py
+++ b/samphirevale/views.py
@@ -19,6 +19,9 @@
 # Stands for the entries whose names are not known while the store is down.
 OTHER_ENTRIES = "other entries"
 
+# The target of the order that loads a whole configuration.
+LOAD_TARGET = "configuration"
+
 # What the column `heard` of counts says: whether all entries are in them.
 HEARD_ALL = "all"
 HEARD_PART = "part"
@@ -56,6 +59,7 @@
         age_ms: time since it was heard; None if it never was.
         is_heard: what is known of it holds for the present.
         leaving: it takes no new work.
+        draining: it takes none because an order says so.
         sidecar: the sidecar's status; None for an entry.
     """
 
@@ -66,6 +70,7 @@
     age_ms: float | None
     is_heard: bool
     leaving: bool
+    draining: bool
     sidecar: statuses.SidecarStatus | None
 
     @property
@@ -73,6 +78,9 @@
         """What operators are told of it, in one word or two."""
         if not self.is_heard:
             return NOT_HEARD
+        # A sidecar that drains says that it is leaving, for the same effect.
+        if self.draining:
+            return "draining"
         if self.leaving:
             return "leaving"
         if self.sidecar is not None and not self.sidecar["healthy"]:
@@ -140,12 +148,15 @@
         age_ms,
         is_heard,
         status["leaving"],
+        False,
         None,
     )
 
 
 def _sight_nobody() -> Sighting:
-    return Sighting(OTHER_ENTRIES, "entry", "", None, None, False, False, None)
+    return Sighting(
+        OTHER_ENTRIES, "entry", "", None, None, False, False, False, None
+    )
 
 
 def list_sidecars(view: View) -> list[Sighting]:
@@ -160,22 +171,22 @@
 
 def _iterate_sidecars(view: View) -> Iterator[Sighting]:
     for item in view.own["sidecars"]:
-        yield _sight_sidecar(item, 0.0, view.suspect_ms, True)
+        yield _sight_sidecar(view, item, 0.0, True)
     for status in view.others:
         age_ms = max(view.wall_now - status["written_at"], 0.0) * 1000
         is_fresh = view.is_current and _is_fresh(status, view.wall_now)
         for item in status["sidecars"]:
-            yield _sight_sidecar(item, age_ms, view.suspect_ms, is_fresh)
+            yield _sight_sidecar(view, item, age_ms, is_fresh)
 
 
 def _sight_sidecar(
+    view: View,
     item: statuses.SidecarStatus,
     written_age_ms: float,
-    suspect_ms: float,
     is_fresh: bool,
 ) -> Sighting:
     heard_ms = item["heard_age_ms"]
-    is_heard = heard_ms is not None and heard_ms <= suspect_ms
+    is_heard = heard_ms is not None and heard_ms <= view.suspect_ms
     return Sighting(
         item["instance"],
         "sidecar",
@@ -184,6 +195,7 @@
         None if heard_ms is None else heard_ms + written_age_ms,
         is_fresh and is_heard and item["connected"],
         item["leaving"],
+        item["endpoint"] in view.value["draining"],
         item,
     )
 
@@ -197,8 +209,9 @@
 def find_recall(value: configuration.ConfigurationValue, batch: str) -> int:
     """Returns a revision from which on a batch is recalled.
 
-    That is the revision of its first recall that is still recorded, or else
-    that of the oldest record, which is later than the recall.
+    That is the revision of its first recall that is still recorded. Without
+    one it is that of the oldest record, which is later than the recall, or
+    that of the latest load of a whole configuration.
 
     Raises:
         errors.InvalidInputError: the batch is not recalled.
@@ -211,11 +224,17 @@
         )
     recall = orders.Order("", "recall", {"batch": batch}, "")
     target = orders.name_target(recall)
-    for record in value["orders"]:
+    records = value["orders"]
+    for record in records:
         if record["target"] == target:
             return record["revision"]
-    records = value["orders"]
-    return records[0]["revision"] if records else value["revision"]
+    # A load of a whole configuration may have recalled it too.
+    later = [
+        record["revision"]
+        for record in records
+        if record["target"] == LOAD_TARGET or record is records[0]
+    ]
+    return max(later, default=value["revision"])
 
 
 def _round_ms(age_ms: float | None) -> int | None:
@@ -263,19 +282,16 @@
 @register("endpoints")
 def _build_endpoints(view: View, query: language.Show) -> list[Row]:
     rows = [
-        _build_endpoint(seen, view.value["draining"])
+        _build_endpoint(seen)
         for seen in list_sidecars(view)
         if seen.sidecar["endpoint"]
     ]
     return sorted(rows, key=lambda row: (row[1], row[0]))
 
 
-def _build_endpoint(seen: Sighting, draining: list[str]) -> Row:
+def _build_endpoint(seen: Sighting) -> Row:
     item = seen.sidecar
-    state = seen.state
-    if item["endpoint"] in draining and state in ("serving", "unhealthy"):
-        state = "draining"
-    head = (item["endpoint"], item["pool"], item["data_centre"], state)
+    head = (item["endpoint"], item["pool"], item["data_centre"], seen.state)
     if not seen.is_heard:
         return (*head, None, None, None, None, None, [])
     return (
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -3,6 +3,7 @@
 import contextlib
 import copy
 import heapq
+import math
 import random
 import types
 from typing import Any, NamedTuple
@@ -35,8 +36,9 @@
         entry = (max(at, self._now), self.rng.random(), coroutine)
         heapq.heappush(self._waiting, entry)
 
-    def run(self) -> None:
-        while self._waiting:
+    def run(self, until: float = math.inf) -> None:
+        """Runs all to their ends, or to a time for those that have none."""
+        while self._waiting and self._waiting[0][0] <= until:
             self._now, _, coroutine = heapq.heappop(self._waiting)
             with contextlib.suppress(StopIteration):
                 self.spawn(coroutine, self._now + coroutine.send(None))
--- /dev/null
+++ b/tests/test_statistics.py
@@ -0,0 +1,79 @@
+"""Tests of the counts of ended requests."""
+
+from samphirevale import callers, errors, statistics
+from tests import base
+
+WHOLE = callers.Whole({}, 3, "", ())
+USE = callers.StageUse("generation", 0.1, 40.0, 5.0, 2, 1, 3, 2)
+
+
+def build_request(account="farm", pipeline="harvest"):
+    return callers.CallerRequest(
+        "r1", account, pipeline, {}, 1000, False, True, "", 9, "f"
+    )
+
+
+def build_refused(outcome):
+    return callers.Refused(outcome, 503, "overloaded", "")
+
+
+class StatisticsTest(base.TestCase):
+    """What is counted for which request, and what adds up."""
+
+    def setUp(self):
+        self.counts = statistics.Statistics()
+
+    def note(self, answer, seconds=0.5, uses=(USE,), **names):
+        request = build_request(**names)
+        self.counts.note_request(request, answer, uses, seconds)
+
+    def test_outcomes(self):
+        self.note(WHOLE)
+        self.note(WHOLE, seconds=1.5)
+        for outcome in ("not_run", "not_completed", "unknown", "invalid"):
+            self.note(build_refused(outcome))
+        counts = self.counts.sum_outcomes()
+        self.assertEqual(counts, (5, 1, 1, 1, 1))
+        self.assertEqual(counts.attainment, 0.2)
+        self.assertIsNone(statistics.OutcomeCounts().attainment)
+
+    def test_work_for_no_answer_in_time_is_wasted(self):
+        self.note(WHOLE)
+        cost = self.counts.sum_cost_by_stage()["generation"]
+        self.assertEqual(cost, (2, 1, 40.0, 5.0, 3, 2))
+        for answer, seconds in ((WHOLE, 1.5), (build_refused("unknown"), 0.5)):
+            self.note(answer, seconds, account="other farm")
+        cost = self.counts.sum_cost_by_account()["other farm"]
+        self.assertEqual(cost, (4, 2, 0.0, 90.0, 0, 10))
+
+    def test_entries_add_up(self):
+        self.note(WHOLE)
+        self.note(WHOLE, account="brewer", pipeline="filing")
+        value = self.counts.to_value()
+        merged = statistics.Statistics.from_value(value)
+        self.assertEqual(merged.to_value(), value)
+        merged.merge(self.counts)
+        self.assertEqual(merged.sum_outcomes().requests, 4)
+        self.assertEqual(merged.sum_by_pipeline()["filing"].in_time, 2)
+        self.assertEqual(merged.sum_by_account()["brewer"].requests, 2)
+        self.assertEqual(merged.sum_cost_by_stage()["generation"].attempts, 8)
+
+    def test_memory_is_bounded(self):
+        limit = statistics.KEYS_LIMIT
+        for number in range(limit + 10):
+            self.note(WHOLE, account=f"account-{number}")
+        value = self.counts.to_value()
+        self.assertEqual(len(value["outcomes"]), limit + 1)
+        self.assertEqual(self.counts.sum_outcomes().requests, limit + 10)
+        self.assertEqual(self.counts.sum_by_account()["other"].requests, 10)
+
+    def test_wrong_values_are_told(self):
+        for value in (
+            None,
+            {},
+            {"outcomes": [["a", "b", "c"]], "costs": []},
+            {"outcomes": [], "costs": [["a", "b"] + ["1"] * 6]},
+            {"outcomes": [["a", "b"] + [1] * 9], "costs": []},
+        ):
+            with self.assertRaises(errors.InvalidInputError):
+                statistics.Statistics.from_value(value)
--- /dev/null
+++ b/tests/test_statuses.py
@@ -0,0 +1,110 @@
+"""Tests of the statuses that entries write into the store."""
+
+import random
+
+from samphirevale import errors, statistics, statuses
+from tests import base, fakes
+
+KEY = (statuses.OBJECT_KIND, "entry-0")
+
+
+def build_status(instance="entry-0", revision=5, written_at=0.0, **changes):
+    return statuses.EntryStatus(
+        instance=instance,
+        incarnation="i1",
+        data_centre="dc1",
+        leaving=False,
+        revision=revision,
+        sidecars=[],
+        statistics=statistics.Statistics().to_value(),
+        started_at=1.0,
+        written_at=written_at,
+        expires_at=written_at + statuses.KEEP_SECONDS,
+    ) | {**changes}
+
+
+class StatusWriterTest(base.TestCase):
+    """When the writer writes, and what it does about the store's faults."""
+
+    def setUp(self):
+        self.clock = fakes.Simulation(1)
+        self.store = fakes.FakeStore(self.clock)
+        self.revision = 5
+        self.leaving = False
+
+    def build(self, **changes):
+        return statuses.StatusWriter(
+            self.store,
+            lambda: build_status(
+                revision=self.revision, written_at=self.clock.now(), **changes
+            ),
+            random.Random(1),
+            self.clock,
+            self.clock.now,
+        )
+
+    def start(self, **changes):
+        writer = self.build(**changes)
+        self.clock.spawn(writer.follow())
+        return writer
+
+    def read(self):
+        return self.store.objects[KEY].value
+
+    def test_slow_at_rest_and_at_once_for_a_change(self):
+        self.start()
+        self.clock.run(200.0)
+        least = 200 / (statuses.INTERVAL_SECONDS + statuses.CHANGE_SECONDS + 1)
+        self.assertGreater(self.store.writes, least)
+        self.assertLess(self.store.writes, 2 * least + 2)
+        self.revision = 6
+        self.clock.run(202.0)
+        self.assertEqual(self.read()["revision"], 6)
+
+    def test_changes_are_written_at_a_bounded_rate(self):
+        self.start()
+        for step in range(100):
+            self.revision += 1
+            self.clock.run(step * 0.1)
+        self.assertLess(self.store.writes, 25)
+
+    def test_goes_on_after_outages_and_lost_answers(self):
+        self.start()
+        for faults in (
+            fakes.Faults(unavailable=1.0),
+            fakes.Faults(lost=1.0),
+            fakes.Faults(dropped=1.0),
+            fakes.Faults(),
+        ):
+            self.store.faults = faults
+            self.clock.run(self.clock.now() + 40.0)
+        self.assertLess(self.clock.now() - self.read()["written_at"], 12.0)
+
+    def test_of_two_processes_of_one_name_the_later_goes_on(self):
+        self.start(incarnation="i2", started_at=2.0)
+        self.start(incarnation="i1", started_at=1.0)
+        self.clock.run(60.0)
+        self.assertEqual(self.read()["incarnation"], "i2")
+        writes = self.store.writes
+        self.clock.run(120.0)
+        self.assertLess(self.store.writes - writes, 15)
+
+    def test_only_the_own_status_is_removed(self):
+        mine = self.start()
+        self.clock.run(0.5)
+        other = self.build(incarnation="i2")
+        self.clock.spawn(other.remove())
+        self.clock.run(0.6)
+        self.assertEqual(self.read()["incarnation"], "i1")
+        self.clock.spawn(mine.remove())
+        self.clock.run(0.7)
+        self.assertNotIn(KEY, self.store.objects)
+
+    def test_statuses_of_others_are_listed(self):
+        old = build_status("entry-1")
+        self.clock.call(self.store.create("status", "entry-1", old))
+        self.clock.call(self.store.create("status", "entry-2", {"x": 1}))
+        listed = self.clock.call(statuses.list_statuses(self.store, "entry-0"))
+        self.assertEqual(listed, [old])
+        with self.assertRaises(errors.InvalidInputError):
+            statuses.read_status(old | {"sidecars": [{}]})
