--- a/samphirevale/entry.py
+++ b/samphirevale/entry.py
@@ -11,15 +11,24 @@
 
 from samphirevale import (
     admin,
+    admission,
     callers,
+    claims,
     configuration,
     errors,
     execution,
+    expiry,
     handovers,
+    invariants,
+    keyed,
     lifecycle,
+    logs,
     messages,
+    metrics,
     node,
     operations,
+    quarantine,
+    retries,
     routing,
     settings,
     sidecars,
@@ -27,8 +36,7 @@
     statistics,
     statuses,
 )
-from samphirevale.adapters import caller_api, objects, web
-from samphirevale.adapters import clock as clocks
+from samphirevale.adapters import caller_api, clock, objects, web
 from samphirevale.ports import objects as object_port
 
 # The longest wait of one watch on the store, in seconds.
@@ -42,6 +50,19 @@
 # A peer that is neither listed nor connected is dropped after this long.
 FORGET_SECONDS = 30.0
 
+# How long a crash is tried to be recorded in the store, in seconds.
+RECORD_SECONDS = 600.0
+
+# The mean interval between sweeps of expired objects, in seconds.
+SWEEP_SECONDS = 1800.0
+
+# The kinds of objects that are swept.
+SWEPT_KINDS = (
+    claims.OBJECT_KIND,
+    quarantine.OBJECT_KIND,
+    statuses.OBJECT_KIND,
+)
+
 # The interval between looks for a condition that nothing signals, in seconds.
 CHECK_SECONDS = 0.02
 
@@ -55,8 +76,9 @@
         self._settings = loaded
         self._life = life
         self._server = web.ServerState()
+        self._accounts: dict[str, str] = {}
         rng = random.Random(secrets.randbits(64))
-        holder = snapshots.SnapshotHolder()
+        holder = snapshots.SnapshotHolder(self._use_configuration)
         hello = messages.Hello(
             instance=loaded.common.instance,
             incarnation=secrets.token_hex(8),
@@ -73,6 +95,8 @@
         table = sidecars.PeerTable(
             hello, loaded.common, holder, events, rng, time.monotonic
         )
+        store = objects.HttpObjectStore(loaded.common.store_url)
+        machine_clock = clock.MonotonicClock()
         self.node = node.Node(
             settings=loaded,
             holder=holder,
@@ -80,26 +104,29 @@
             router=routing.Router(
                 loaded.routing_policy, loaded.common.data_centre, rng
             ),
-            store=objects.HttpObjectStore(loaded.common.store_url),
+            admission=admission.Admission(loaded.admission_policy),
+            retries=retries.Retries(),
+            quarantine=quarantine.Quarantine(),
+            keeper=keyed.Keeper(
+                store, machine_clock, loaded.claim_window_seconds
+            ),
+            store=store,
             statistics=statistics.Statistics(),
             rng=rng,
-            clock=time.monotonic,
+            clock=machine_clock,
         )
         self.desk = operations.OperatorDesk(
-            self.node,
-            statuses.Identity(
-                hello.instance,
-                hello.incarnation,
-                hello.data_centre,
-                time.time(),
-            ),
-            clocks.MonotonicClock(),
+            self.node, statuses.build_identity(hello, time.time())
         )
 
     def read_configuration(self) -> configuration.Configuration:
         """Returns the configuration in force here."""
         return self.node.holder.held
 
+    def find_account(self, headers: dict[str, str]) -> str | None:
+        """Returns the account whose token the headers bear, or None."""
+        return callers.find_account(headers, self._accounts)
+
     def refuse_early(self) -> callers.Refused | None:
         """Returns why no request at all is taken now, or None."""
         if self._life.stop.is_set():
@@ -120,15 +147,38 @@
         self, request: callers.CallerRequest, emit: handovers.Emit | None
     ) -> callers.Answer:
         """Returns the request's one final answer, by its deadline."""
-        deadline_at = self.node.clock() + request.deadline_ms / 1000
+        deadline_at = self.node.clock.now() + request.deadline_ms / 1000
         run = execution.Execution(self.node, request, deadline_at, emit)
-        return await run.run()
+        started_at = self.node.clock.now()
+        answer = await run.run()
+        seconds = self.node.clock.now() - started_at
+        self.node.statistics.note_request(request, answer, run.uses, seconds)
+        return answer
 
     async def find_outcome(
         self, account: str, key: str
     ) -> tuple[int, dict] | None:
         """Returns HTTP status and value of a keyed request, or None."""
-        return None
+        try:
+            kept = await self.node.keeper.find(account, key)
+        except errors.StoreError as error:
+            refusal = keyed.refuse_store(str(error))
+            return refusal.status, callers.describe_refusal("", refusal)
+        if kept is None:
+            return None
+        return 200, {"key": key, **kept._asdict()}
+
+    def _use_configuration(self, held: configuration.Configuration) -> None:
+        """Takes over what is derived from a newer configuration."""
+        self._accounts = callers.index_accounts(held.value)
+        self.node.admission.set_weights(
+            {
+                name: account["share"]
+                for name, account in held.value["accounts"].items()
+            }
+        )
+        metrics.REVISION.set(held.revision)
+        logs.log_change("configuration_adopted", revision=held.revision)
 
     def _note_heartbeat(self, peer: sidecars.Peer) -> None:
         self.node.router.note_report(
@@ -136,7 +186,7 @@
             peer.hello.pool,
             peer.hello.data_centre,
             peer.heartbeat,
-            self.node.clock(),
+            self.node.clock.now(),
         )
 
     def _note_lost(self, peer: sidecars.Peer) -> None:
@@ -144,7 +194,37 @@
             self.node.router.forget(peer.endpoint)
 
     async def _note_crash(self, notice: messages.CrashNotice) -> None:
-        pass
+        """Counts a crash at once, and records it for every entry."""
+        now = self.node.clock.now()
+        self.node.quarantine.add_crashes(
+            notice.fingerprint, [notice.attempt], now
+        )
+        await self.node.keeper.spawn(
+            quarantine.record_crash,
+            self.node.store,
+            notice.fingerprint,
+            notice.attempt,
+            time.time(),
+            now + RECORD_SECONDS,
+            self.node.clock,
+        )
+
+    async def follow_quarantine(self) -> None:
+        """Takes over the crashes that other entries record, for ever."""
+        version = 0
+        while True:
+            try:
+                events = await self.node.store.watch(
+                    quarantine.OBJECT_KIND, version, WATCH_SECONDS
+                )
+                version = events.version
+                for stored in events.objects:
+                    self.node.quarantine.adopt_record(
+                        stored, self.node.clock.now()
+                    )
+            except errors.StoreError:
+                version = 0
+                await curio.sleep(STORE_RETRY_SECONDS_LIMIT)
 
     async def follow_configuration(self) -> None:
         """Reads the configuration and watches it, for ever."""
@@ -200,7 +280,7 @@
         for address, item in by_address.items():
             peer = await self.node.peers.keep(address)
             peer.listed_leaving = item.state == "leaving"
-        now = self.node.clock()
+        now = self.node.clock.now()
         for address, peer in list(self.node.peers.peers.items()):
             gone = address not in by_address and not peer.connected.is_set()
             if address in self._settings.peers or not gone:
@@ -208,6 +288,23 @@
             if now - peer.heard_at > FORGET_SECONDS:
                 await self.node.peers.drop(address)
 
+    async def sweep(self) -> None:
+        """Deletes expired claims, crash records and statuses, for ever.
+
+        Every entry sweeps at random times; one that finds an object gone
+        has lost nothing but the call.
+        """
+        while True:
+            seconds = self.node.rng.uniform(
+                SWEEP_SECONDS / 2, SWEEP_SECONDS * 3 / 2
+            )
+            await curio.sleep(seconds)
+            for kind in SWEPT_KINDS:
+                with contextlib.suppress(errors.StoreError):
+                    await expiry.sweep_expired(
+                        self.node.store, kind, time.time(), self.node.clock
+                    )
+
     async def serve_callers(self) -> None:
         """Serves the callers' port until cancelled."""
         limits = web.Limits(
@@ -224,6 +321,18 @@
             self._server,
         )
 
+    async def wait_stop(self) -> None:
+        """Returns on the order to stop.
+
+        Raises:
+            errors.InvariantError: an invariant was violated in fatal mode;
+                the task that found it may be one of many connections'.
+        """
+        while not self._life.stop.is_set():
+            await curio.ignore_after(CHECK_SECONDS, self._life.stop.wait)
+            if violated := invariants.read_fatal():
+                raise errors.InvariantError(violated)
+
     async def wait_configuration(self) -> None:
         """Returns once there is a configuration, or on the order to stop."""
         while not self.node.holder.is_known() and not self._life.stop.is_set():
@@ -233,15 +342,6 @@
         """Serves the admin port until cancelled."""
         await admin.serve(self._settings, self._life, self.desk)
 
-    def build_writer(self) -> statuses.StatusWriter:
-        """Returns what keeps the entry's status in the store."""
-        return statuses.StatusWriter(
-            self.node.store,
-            self.desk.build_status,
-            self.node.rng,
-            clocks.MonotonicClock(),
-        )
-
     def register_dump(self) -> None:
         """Adds the entry's sections to the state dump."""
         sections = self._life.sections
@@ -249,11 +349,11 @@
         sections.register("requests_busy")(lambda: self._server.busy)
         sections.register("peers")(self._dump_peers)
         sections.register("routing")(
-            lambda: self.node.router.dump(self.node.clock())
+            lambda: self.node.router.dump(self.node.clock.now())
         )
 
     def _dump_peers(self) -> list[dict]:
-        now = self.node.clock()
+        now = self.node.clock.now()
         suspect_seconds = self._settings.common.suspect_seconds
         return [
             {
@@ -275,6 +375,7 @@
         async with curio.ignore_after(self._settings.common.drain_seconds):
             while self._server.busy:
                 await curio.sleep(CHECK_SECONDS)
+            await self.node.keeper.finish()
 
 
 @contextlib.asynccontextmanager
@@ -296,7 +397,9 @@
     async with contextlib.AsyncExitStack() as stack:
         for function in (
             entry.follow_configuration,
+            entry.follow_quarantine,
             entry.follow_list,
+            entry.sweep,
             entry.serve_callers,
             entry.serve_admin,
         ):
@@ -304,8 +407,10 @@
         stack.push_async_callback(entry.node.peers.close)
         await entry.wait_configuration()
         await stack.enter_async_context(
-            statuses.publish_status(entry.build_writer())
+            statuses.publish_status(
+                statuses.StatusWriter(entry.node, entry.desk.build_status)
+            )
         )
         life.report_ready()
-        await life.stop.wait()
+        await entry.wait_stop()
         await entry.drain()
--- a/samphirevale/operations.py
+++ b/samphirevale/operations.py
@@ -13,7 +13,6 @@
     statuses,
     views,
 )
-from samphirevale.ports import clock as clocks
 from samphirevale.ports import operators as ports
 
 # The longest time for bringing an order in, in seconds. The store's last
@@ -37,7 +36,6 @@
         self,
         entry_node: node.Node,
         identity: statuses.Identity,
-        clock: clocks.Clock,
         read_wall_clock: Callable[[], float] = time.time,
     ):
         """Prepares the desk.
@@ -45,12 +43,11 @@
         Args:
             entry_node: what the entry knows and holds.
             identity: who the entry is.
-            clock: monotonic time, sleeps and time limits.
             read_wall_clock: returns wall-clock seconds.
         """
         self._node = entry_node
         self._identity = identity
-        self._clock = clock
+        self._clock = entry_node.clock
         self._read_wall_clock = read_wall_clock
         # The other entries' statuses as the store last told them.
         self._others: list[statuses.EntryStatus] = []
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -37,7 +37,14 @@
         heapq.heappush(self._waiting, entry)
 
     def run(self, until: float = math.inf) -> None:
-        """Runs all to their ends, or to a time for those that have none."""
+        """Runs until all have ended; ends what is left at `until`."""
+        self.advance(until)
+        for _, _, coroutine in self._waiting:
+            coroutine.close()
+        self._waiting.clear()
+
+    def advance(self, until: float) -> None:
+        """Runs until a time; what is left goes on later."""
         while self._waiting and self._waiting[0][0] <= until:
             self._now, _, coroutine = heapq.heappop(self._waiting)
             with contextlib.suppress(StopIteration):
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -60,16 +60,14 @@
             loaded,
             snapshots.SnapshotHolder(),
             FakePeers(),
-            None,
+            *[None] * 5,
             self.store,
             statistics.Statistics(),
             random.Random(1),
-            self.clock.now,
+            self.clock,
         )
         identity = statuses.Identity("entry-0", "i1", "dc1", 0.0)
-        self.desk = operations.OperatorDesk(
-            self.node, identity, self.clock, self.clock.now
-        )
+        self.desk = operations.OperatorDesk(self.node, identity, self.clock.now)
 
     def ask(self, text):
         (statement,) = language.parse(text)
