--- a/samphirevale/operations.py
+++ b/samphirevale/operations.py
@@ -13,7 +13,6 @@
     statuses,
     views,
 )
-from samphirevale.ports import clock as clocks
 from samphirevale.ports import operators as ports
 
 # The longest time for bringing an order in, in seconds. The store's last
@@ -37,7 +36,6 @@
         self,
         entry_node: node.Node,
         identity: statuses.Identity,
-        clock: clocks.Clock,
         read_wall_clock: Callable[[], float] = time.time,
     ):
         """Prepares the desk.
@@ -45,12 +43,11 @@
         Args:
             entry_node: what the entry knows and holds.
             identity: who the entry is.
-            clock: monotonic time, sleeps and time limits.
             read_wall_clock: returns wall-clock seconds.
         """
         self._node = entry_node
         self._identity = identity
-        self._clock = clock
+        self._clock = entry_node.clock
         self._read_wall_clock = read_wall_clock
         # The other entries' statuses as the store last told them.
         self._others: list[statuses.EntryStatus] = []
@@ -164,7 +161,7 @@
             errors.InvalidInputError: none does; the order itself is wrong.
         """
         value = self._node.holder.held.value
-        record = find_latest(value, orders.name_target(request))
+        record = find_cause(value, request)
         is_taken = orders.find_record(value, request.id) is not None
         if record is None or is_taken:
             raise error
@@ -188,12 +185,44 @@
     )
 
 
-def find_latest(
-    value: configuration.ConfigurationValue | None, target: str
+def find_cause(
+    value: configuration.ConfigurationValue | None, request: orders.Order
+) -> configuration.OrderRecord | None:
+    """Returns the recorded order after which this one makes no sense.
+
+    Returns:
+        None if there is none: the order was never right.
+    """
+    if value is None:
+        return None
+    if request.verb == "roll_out":
+        return _find_batch_record(value, request.arguments["batch"])
+    return _find_latest(value, orders.name_target(request))
+
+
+def _find_batch_record(
+    value: configuration.ConfigurationValue, name: str
+) -> configuration.OrderRecord | None:
+    """Returns the order that has used a batch's id, or has recalled it."""
+    batch = value["batches"].get(name)
+    if batch is None:
+        return None
+    if batch["state"] == "recalled":
+        recall = orders.Order("", "recall", {"batch": name}, "")
+        return _find_latest(value, orders.name_target(recall))
+    found = [
+        record
+        for record in value["orders"]
+        if record["revision"] == batch["order"]
+    ]
+    return found[0] if found else None
+
+
+def _find_latest(
+    value: configuration.ConfigurationValue, target: str
 ) -> configuration.OrderRecord | None:
     """Returns the latest recorded order on a target, or None."""
-    records = value["orders"] if value else []
-    found = [record for record in records if record["target"] == target]
+    found = [item for item in value["orders"] if item["target"] == target]
     return found[-1] if found else None
 
 
--- a/samphirevale/statistics.py
+++ b/samphirevale/statistics.py
@@ -219,7 +219,6 @@
     """Counts what a stage took in the process's metrics."""
     stage = use.stage
     metrics.HANDOVERS.labels(stage=stage).inc(use.attempts)
-    metrics.RETRIES.labels(stage=stage).inc(max(use.attempts - 1, 0))
     metrics.STAGE_SECONDS.labels(stage=stage).observe(use.seconds)
     metrics.count_cost(stage, account, "whole", cost.busy_ms, cost.tokens)
     metrics.count_cost(
--- a/samphirevale/statuses.py
+++ b/samphirevale/statuses.py
@@ -6,21 +6,19 @@
 
     E / (0.75 * (INTERVAL_SECONDS + CHANGE_SECONDS))  writes at rest, mean
     E / (0.5 * CHANGE_SECONDS)    writes at most, while revisions change
-    E / (0.75 * SWEEP_SECONDS)    lists to find old ones, and their deletions
     2 * Q                         reads: the configuration, and a list
     E / (0.5 * RETRY_SECONDS)     reads at most, while the store is down
+
+Old ones are deleted by the entries' sweep of expired objects.
 """
 
 import contextlib
-import random
-import time
 from collections.abc import AsyncIterator, Callable
 from typing import Any, NamedTuple, TypedDict
 
 import curio
 
-from samphirevale import errors, expiry, node, sidecars, statistics
-from samphirevale.ports import clock as clocks
+from samphirevale import errors, messages, node, sidecars, statistics
 from samphirevale.ports import objects
 
 OBJECT_KIND = "status"
@@ -40,10 +38,8 @@
 # in seconds. Wall clocks of two instances differ by less.
 NOT_HEARD_SECONDS = 120.0
 
-# A status is deleted this long after its last write, in seconds, and looked
-# for at this interval.
+# A status is deleted this long after its last write, in seconds.
 KEEP_SECONDS = 3600.0
-SWEEP_SECONDS = 1800.0
 
 # The most sidecars of a status, and batches of a sidecar. With them and the
 # bound of the statistics a status stays far below the store's limit.
@@ -129,6 +125,13 @@
     started_at: float
 
 
+def build_identity(hello: messages.Hello, started_at: float) -> Identity:
+    """Returns who an entry is, as it also tells its sidecars."""
+    return Identity(
+        hello.instance, hello.incarnation, hello.data_centre, started_at
+    )
+
+
 def build_status(
     entry_node: node.Node, identity: Identity, now: float, wall_now: float
 ) -> EntryStatus:
@@ -224,26 +227,19 @@
 
     def __init__(
         self,
-        store: objects.ObjectStore,
+        entry_node: node.Node,
         build: Callable[[], EntryStatus],
-        rng: random.Random,
-        clock: clocks.Clock,
-        read_wall_clock: Callable[[], float] = time.time,
     ):
         """Prepares the writer.
 
         Args:
-            store: the platform's store.
+            entry_node: what the entry knows and holds.
             build: returns the present status.
-            rng: draws the intervals.
-            clock: monotonic time and sleeps.
-            read_wall_clock: returns wall-clock seconds.
         """
-        self._store = store
+        self._store = entry_node.store
         self._build = build
-        self._rng = rng
-        self._clock = clock
-        self._read_wall_clock = read_wall_clock
+        self._rng = entry_node.rng
+        self._clock = entry_node.clock
         # The version of the stored status; None if that is not known.
         self._version: int | None = None
         self._is_superseded = False
@@ -257,18 +253,6 @@
             else:
                 await self._wait_for_change(written)
 
-    async def sweep(self) -> None:
-        """Deletes the statuses of entries that are long gone, for ever."""
-        while True:
-            await self._sleep(SWEEP_SECONDS)
-            with contextlib.suppress(errors.StoreError):
-                await expiry.sweep_expired(
-                    self._store,
-                    OBJECT_KIND,
-                    self._read_wall_clock(),
-                    self._clock,
-                )
-
     async def _write_or_skip(self) -> EntryStatus | None:
         """Returns the status that was written, or None."""
         status = self._build()
@@ -334,15 +318,11 @@
 @contextlib.asynccontextmanager
 async def publish_status(writer: StatusWriter) -> AsyncIterator[None]:
     """Keeps the status in the store for as long as the block lasts."""
-    tasks = [
-        await curio.spawn(function, daemon=True)
-        for function in (writer.follow, writer.sweep)
-    ]
+    task = await curio.spawn(writer.follow, daemon=True)
     try:
         yield
     finally:
-        for task in tasks:
-            await task.cancel()
+        await task.cancel()
         async with curio.ignore_after(REMOVE_SECONDS):
             await writer.remove()
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -38,13 +38,17 @@
 
     def run(self, until: float = math.inf) -> None:
         """Runs until all have ended; ends what is left at `until`."""
+        self.advance(until)
+        for _, _, coroutine in self._waiting:
+            coroutine.close()
+        self._waiting.clear()
+
+    def advance(self, until: float) -> None:
+        """Runs until a time; what is left goes on later."""
         while self._waiting and self._waiting[0][0] <= until:
             self._now, _, coroutine = heapq.heappop(self._waiting)
             with contextlib.suppress(StopIteration):
                 self.spawn(coroutine, self._now + coroutine.send(None))
-        for _, _, coroutine in self._waiting:
-            coroutine.close()
-        self._waiting.clear()
 
     def call(self, coroutine: Any) -> Any:
         """Runs one coroutine, and all others, and returns its result."""
