Stand stale readings of the store

Cause: with readings of the fake store that are up to 2 s old, test_every_answer_is_true failed: an order was told as not done and was found in the configuration. The same fault could keep a trial's reservation until it expired, and report a violation of at_most_once that was none.

Change: submit_order never goes back to a version older than one it has read, nor to a revision older than the operator's; end_trial reads on until it has seen the reservation; write_outcome ignores readings that are older than its own version.

Failing first (trial edits, reverted): without each of the three changes test_every_answer_is_true, test_stale_readings_do_not_keep_a_reservation and test_a_stale_reading_is_not_taken_for_another_holder fail.

--- a/samphirevale/claims.py
+++ b/samphirevale/claims.py
@@ -374,7 +374,8 @@
             return True
         except errors.StoreConflictError:
             found = await _read_quietly(store, name)
-            if found is not None:
+            # An older version than one known is a stale reading.
+            if found is not None and found.version >= version:
                 if not _may_replace(found.value, wanted):
                     return found.value["state"] == state
                 version = found.version
--- a/samphirevale/orders.py
+++ b/samphirevale/orders.py
@@ -57,6 +57,11 @@
 
 Submission = Accepted | Rejected | Undecided
 
+
+class _StaleReadError(errors.StoreError):
+    """The store showed an older state than one that was seen before."""
+
+
 Change = Callable[
     [configuration.ConfigurationValue, dict[str, Any]], list[errors.Finding]
 ]
@@ -319,7 +324,7 @@
     tries = 0
     while True:
         try:
-            stored = await _read_current(store)
+            stored = await _read_current(store, version, base_revision)
             value = stored.value if stored else None
             version = stored.version if stored else ABSENT_VERSION
             if base_revision is None:
@@ -332,8 +337,8 @@
             return await _write_next(store, stored, order)
         except errors.StoreUnknownError:
             outstanding = version
-        except errors.StoreConflictError:
-            # The own earlier write or another's: the next reading tells.
+        except (errors.StoreConflictError, _StaleReadError):
+            # The own earlier write or another's: a later reading tells.
             pass
         except errors.StoreUnavailableError:
             if outstanding is None:
@@ -347,14 +352,31 @@
 
 def _give_up(outstanding: int | None) -> Undecided:
     if outstanding is None:
-        raise errors.StoreUnavailableError("other orders kept coming first")
+        raise errors.StoreUnavailableError("no present state, or no turn")
     return Undecided()
 
 
 async def _read_current(
-    store: objects.ObjectStore,
+    store: objects.ObjectStore, version: int, revision: int | None
 ) -> objects.StoredObject | None:
-    return await store.get(configuration.OBJECT_KIND, configuration.OBJECT_NAME)
+    """Reads the configuration.
+
+    Args:
+        store: the platform's store.
+        version: the highest version that was read before.
+        revision: a revision that is known to have been there.
+
+    Raises:
+        _StaleReadError: the store answered with an older one.
+    """
+    stored = await store.get(
+        configuration.OBJECT_KIND, configuration.OBJECT_NAME
+    )
+    read_version = stored.version if stored else ABSENT_VERSION
+    read_revision = stored.value["revision"] if stored else 0
+    if read_version < version or read_revision < (revision or 0):
+        raise _StaleReadError(f"version {read_version} after {version}")
+    return stored
 
 
 def _decide_submission(
--- a/samphirevale/quarantine.py
+++ b/samphirevale/quarantine.py
@@ -242,12 +242,17 @@
     clock: clocks.Clock,
 ) -> None:
     """Frees the reservation of a trial that has not crashed its endpoint."""
+    sent = False
 
     def remove(record: CrashRecord) -> CrashRecord | None:
-        if attempt not in record["trials"]:
-            return None
-        trials = set(record["trials"]) - {attempt}
-        return _build_record(set(record["attempts"]), trials, wall_now)
+        nonlocal sent
+        if attempt in record["trials"]:
+            sent = True
+            trials = set(record["trials"]) - {attempt}
+            return _build_record(set(record["attempts"]), trials, wall_now)
+        if not sent:
+            raise errors.StoreConflictError("a state before the trial began")
+        return None
 
     patience = _Patience(deadline, through_outages=True)
     await _change_record(store, fingerprint, remove, patience, clock)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -62,13 +62,15 @@
     """Probabilities by call, and times in seconds.
 
     `lost` writes take effect, `dropped` ones never do and `delayed` ones do
-    later; none of the three is answered.
+    later; none of the three is answered. A `stale` reading of one object
+    shows it as it was up to `delay_seconds` ago.
     """
 
     unavailable: float = 0.0
     lost: float = 0.0
     dropped: float = 0.0
     delayed: float = 0.0
+    stale: float = 0.0
     delay_seconds: float = 2.0
     latency_seconds: float = 0.01
 
@@ -85,10 +87,15 @@
         self.writes = 0
         self._clock = clock
         self._delayed = []
+        self._past = {}
 
     async def get(self, kind, name):
         await self._begin()
-        return copy.deepcopy(self.objects.get((kind, name)))
+        found = self.objects.get((kind, name))
+        if self._draw(self.faults.stale):
+            age = self._clock.rng.uniform(0, self.faults.delay_seconds)
+            found = self._find_past(kind, name, self._clock.now() - age)
+        return copy.deepcopy(found)
 
     async def list_kind(self, kind):
         await self._begin()
@@ -132,6 +139,12 @@
             raise errors.StoreUnknownError("lost")
         return copy.deepcopy(stored)
 
+    def _find_past(self, kind, name, at):
+        past = self._past.get((kind, name), [])
+        return next(
+            (held for since, held in reversed(past) if since <= at), None
+        )
+
     def _draw(self, probability: float) -> bool:
         return probability > 0 and self._clock.rng.random() < probability
 
@@ -145,6 +158,10 @@
             del self.objects[(kind, name)]
         else:
             self.objects[(kind, name)] = stored
+        if self._clock is not None:
+            held = None if value is None else stored
+            past = self._past.setdefault((kind, name), [])
+            past.append((self._clock.now(), held))
         return stored
 
     def _land_delayed(self) -> None:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -3,7 +3,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from samphirevale import claims, errors
+from samphirevale import claims, errors, invariants
 from tests import base, fakes
 
 CLAIM = claims.build_claim("a", "k", "d", "t0", 1000.0, 5.0, 3600.0)
@@ -17,6 +17,7 @@
     lost=PROBABILITY,
     dropped=PROBABILITY,
     delayed=PROBABILITY,
+    stale=PROBABILITY,
     delay_seconds=st.just(2.0),
     latency_seconds=st.just(0.01),
 )
@@ -131,3 +132,21 @@
             self.assertEqual(stored, kept)
         held = self.store.objects[("claims", NAME)].value
         self.assertEqual((held["state"], held["outcome"]), ("done", 7))
+
+    def test_a_stale_reading_is_not_taken_for_another_holder(self):
+        self.clock.call(claims.release_claim(self.store, OTHER, self.clock))
+        stale = [self.store.objects[("claims", NAME)]]
+        won = self.acquire()
+        read = self.store.get
+
+        async def read_stale_once(kind, name):
+            return stale.pop() if stale else await read(kind, name)
+
+        self.store.get = read_stale_once
+        self.store.faults = fakes.Faults(lost=1.0)
+        before = invariants.count_violations()
+        written = claims.write_outcome(
+            self.store, won, "done", 7, 100.0, self.clock
+        )
+        self.assertTrue(self.clock.call(written))
+        self.assertEqual(invariants.count_violations(), before)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -121,3 +121,17 @@
             self.store, PRINT, "t2", ["first"], 0.0, 99.0, self.clock
         )
         self.assertTrue(self.clock.call(begun))
+
+    def test_stale_readings_do_not_keep_a_reservation(self):
+        for seed in range(20):
+            self.start(seed, fakes.Faults(stale=0.5))
+            begun = quarantine.begin_trial(
+                self.store, PRINT, "t1", ["c"], 0.0, 99.0, self.clock
+            )
+            self.assertTrue(self.clock.call(begun))
+            end = quarantine.end_trial(
+                self.store, PRINT, "t1", 0.0, 99.0, self.clock
+            )
+            self.clock.call(end)
+            stored = self.store.objects[("quarantine", PRINT)].value
+            self.assertEqual(stored["trials"], [])
