Let many operators have their turn within the deadline

Change: a conflict shows that the store is up, and starts the pauses again.

Failing first: with the pauses doubling on, test_many_operators_at_once_all_have_their_turn fails.

--- a/samphirevale/orders.py
+++ b/samphirevale/orders.py
@@ -338,8 +338,9 @@
         except errors.StoreUnknownError:
             outstanding = version
         except (errors.StoreConflictError, _StaleReadError):
-            # The own earlier write or another's: a later reading tells.
-            pass
+            # The own earlier write or another's: a later reading tells. The
+            # store is up, so that the next try need not wait for long.
+            tries = 0
         except errors.StoreUnavailableError:
             if outstanding is None:
                 raise
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -164,6 +164,12 @@
         revisions = sorted(result.revision for result in results)
         self.assertEqual(revisions, [6, 7, 8])
 
+    def test_many_operators_at_once_all_have_their_turn(self):
+        self.start()
+        raced = [build(f"o{n}", "recall", batch="b1") for n in range(20)]
+        for result in self.race(*raced):
+            self.assertIsInstance(result, orders.Accepted)
+
     def test_a_lost_answer_is_resolved_by_reading(self):
         self.start(faults=fakes.Faults(lost=1.0))
         (result,) = self.race(build("o1", "drain", endpoint="e2"))
