--- a/samphirevale/attempts.py
+++ b/samphirevale/attempts.py
@@ -15,6 +15,9 @@
 # hand-over after the deadline is refused as late, known or not.
 KEEP_SECONDS = 30.0
 
+# Interval between looks for attempts to forget, in seconds.
+FORGET_SECONDS = 1.0
+
 # The most endings that are kept whole; of older ones only the id is kept.
 ENDINGS_LIMIT = 1024
 
@@ -36,6 +39,7 @@
         detached_at: since when no entry waits for it.
         ending: what it ended with; None while it has not.
         reported: a final answer has gone out already.
+        delivered: its ending has been queued to an entry.
         chunks_missed: some chunks found no entry connected.
         started_at: when the endpoint was handed it, in monotonic seconds.
         turn: set when the queue lets it start.
@@ -60,6 +64,7 @@
         self.detached_at: float | None = None
         self.ending: Ending | None = None
         self.reported = False
+        self.delivered = False
         self.chunks_missed = False
         self.turn = curio.Event()
         self.dropped: Any = None
@@ -107,6 +112,7 @@
         self._attempts: dict[str, Attempt] = {}
         self._active: dict[str, Attempt] = {}
         self._kept: list[Attempt] = []
+        self._forgot_at = float("-inf")
 
     def __len__(self) -> int:
         """Returns how many ids are held."""
@@ -141,6 +147,13 @@
             if attempt.phase == "running"
         ]
 
+    def has_undelivered(self) -> bool:
+        """Tells whether an outcome that may not be lost waits for an entry."""
+        return any(
+            not attempt.delivered and not attempt.handover.repeatable
+            for attempt in self._kept
+        )
+
     def list_of_peer(self, peer: Any) -> list[Attempt]:
         """Returns the attempts that have not ended of a connected entry."""
         return [item for item in self.list_active() if item.peer is peer]
@@ -159,6 +172,9 @@
 
     def forget_old(self, now: float) -> None:
         """Forgets the attempts that can no longer be handed over again."""
+        if now - self._forgot_at < FORGET_SECONDS:
+            return
+        self._forgot_at = now
         old = [
             attempt_id
             for attempt_id, attempt in self._attempts.items()
--- a/samphirevale/executors.py
+++ b/samphirevale/executors.py
@@ -31,6 +31,13 @@
 # so that its outcome becomes known, in seconds.
 OUTCOME_SECONDS = 30.0
 
+# How long a sidecar that stops keeps outcomes for entries that were cut off,
+# in seconds: longer than an entry waits before it connects again.
+FETCH_SECONDS = 3.0
+
+# Interval between looks at whether they have been fetched, in seconds.
+FETCH_CHECK_SECONDS = 0.02
+
 # When to ask again after an endpoint's refusal without a time, in ms.
 REFUSED_RETRY_MS = 100
 
@@ -129,9 +136,16 @@
         self.table.forget_old(now)
 
     async def wait_until_idle(self) -> None:
-        """Returns once no attempt is waiting or running."""
+        """Returns once no attempt is waiting or running.
+
+        Then waits a while for entries that were cut off to fetch the
+        outcomes of calls that may not be repeated.
+        """
         for attempt in self.table.list_active():
             await attempt.ended.wait()
+        async with curio.ignore_after(FETCH_SECONDS):
+            while self.table.has_undelivered():
+                await curio.sleep(FETCH_CHECK_SECONDS)
 
     async def raise_violation(self) -> None:
         """Waits for a fatal violation of an invariant and raises it."""
@@ -142,7 +156,7 @@
     ) -> None:
         self.counts.reattached += 1
         if attempt.ending is not None:
-            await peer.post(attempt.ending)
+            attempt.delivered = await peer.post(attempt.ending)
             return
         attempt.peer = peer
         attempt.detached_at = None
@@ -197,7 +211,7 @@
         else:
             self.counts.completed += 1
         if peer is not None and not attempt.reported:
-            await peer.post(ending)
+            attempt.delivered = await peer.post(ending)
         await attempt.ended.set()
 
     async def _reach_ending(self, attempt: attempts.Attempt) -> attempts.Ending:
@@ -346,7 +360,7 @@
         await curio.sleep(seconds)
         if attempt.peer is not None:
             attempt.reported = True
-            await attempt.peer.post(
+            attempt.delivered = await attempt.peer.post(
                 attempt.refuse_lost("late", "its time ran out")
             )
 
--- a/samphirevale/sidecar.py
+++ b/samphirevale/sidecar.py
@@ -17,6 +17,7 @@
     configuration,
     errors,
     executors,
+    invariants,
     limits,
     logs,
     messages,
@@ -32,6 +33,10 @@
 # Interval of the work that is due by time, in seconds.
 TEND_SECONDS = 0.05
 
+# How long hand-overs are still refused after the last work has ended, in
+# seconds: those that were on their way when the entries were told.
+LINGER_SECONDS = 0.5
+
 # Interval between readings of the configuration while none is held, in
 # seconds. Once one is held, entries bring the newer ones.
 START_SECONDS = 1.0
@@ -132,17 +137,18 @@
         self._executor.leaving_at = time.monotonic()
         await self._announce()
         await self._reconciler.stop()
-        seconds = self._settings.common.drain_seconds
-        finished = await curio.ignore_after(
-            seconds, self._executor.wait_until_idle, timeout_result=False
-        )
-        if finished is False:
-            logs.log_change(
-                "drain_incomplete",
-                active=len(self._executor.table.list_active()),
-            )
+        await self._drain()
+        await curio.sleep(LINGER_SECONDS)
         await self._peers.flush()
 
+    async def _drain(self) -> None:
+        async with curio.ignore_after(self._settings.common.drain_seconds):
+            await self._executor.wait_until_idle()
+        active = len(self._executor.table.list_active())
+        invariants.check(
+            invariants.SHUTDOWN_CUTS_NOTHING, not active, active=active
+        )
+
     async def _serve_entry(self, connection: link.Link) -> None:
         hello = await self._exchange_hello(connection)
         peer = peers.Peer(connection, hello)
--- /dev/null
+++ b/tests/test_monitors.py
@@ -0,0 +1,44 @@
+"""The view of an engine's cache, from events with gaps."""
+
+from samphirevale import monitors
+from samphirevale.ports import endpoints
+from tests import base
+
+
+def build_events(*items):
+    return [endpoints.CacheEvent(*item) for item in items]
+
+
+class CacheViewTest(base.TestCase):
+    """What is taken to be cached."""
+
+    def setUp(self):
+        super().setUp()
+        self.view = monitors.CacheView()
+
+    def test_follows_what_enters_and_leaves(self):
+        self.view.take_events(
+            build_events((1, "a", True), (2, "b", True), (3, "a", False))
+        )
+        self.assertEqual(self.view.list_prefixes(), ["b"])
+
+    def test_sorts_events_and_drops_known_ones(self):
+        self.view.take_events(build_events((2, "a", False), (1, "a", True)))
+        self.view.take_events(build_events((1, "a", True)))
+        self.assertEqual(self.view.list_prefixes(), [])
+        self.assertEqual(self.view.gaps, 0)
+
+    def test_knows_nothing_from_before_a_gap(self):
+        self.view.take_events(build_events((1, "a", True)))
+        self.view.take_events(build_events((3, "b", True)))
+        self.assertEqual(self.view.list_prefixes(), ["b"])
+        self.assertEqual(self.view.gaps, 1)
+
+    def test_is_bounded_to_the_newest(self):
+        count = monitors.PREFIXES_LIMIT + 5
+        self.view.take_events(
+            build_events(*((n, f"p{n}", True) for n in range(1, count + 1)))
+        )
+        prefixes = self.view.list_prefixes()
+        self.assertEqual(len(prefixes), monitors.PREFIXES_LIMIT)
+        self.assertEqual(prefixes[-1], f"p{count}")
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -118,7 +118,7 @@
     """Starts a sidecar beside a fake endpoint."""
 
     @contextlib.asynccontextmanager
-    async def running(self, kind="engine", **changes):
+    async def running(self, kind="engine", linger_seconds=0.02, **changes):
         self.endpoint = FakeEndpoint()
         await self.endpoint.start()
         common = settings.CommonSettings(
@@ -144,6 +144,10 @@
             **changes,
         )
         invariants.set_fatal(True)
+        self.enterContext(
+            mock.patch.object(sidecar, "LINGER_SECONDS", linger_seconds)
+        )
+        self.enterContext(mock.patch.object(executors, "FETCH_SECONDS", 0.5))
         self.life = lifecycle.Lifecycle()
         self.sidecar = sidecar.Sidecar(self.settings)
         task = await curio.spawn(self.sidecar.run, self.life)
@@ -532,6 +536,32 @@
             heartbeat = await self.receive(entry, messages.Heartbeat)
             self.assertTrue(heartbeat.leaving)
 
+    async def test_a_stop_waits_for_a_cut_entry_to_fetch_an_outcome(self):
+        async with self.running("service"):
+            changes = {"repeatable": False, "batch": ""}
+            async with self.connected() as entry:
+                await self.hand_over(entry, **changes)
+                await self.wait_for_runs(1)
+            await self.life.request_stop("test")
+            await self.endpoint.gate.set()
+            await curio.sleep(0.2)
+            async with await self._dial() as entry:
+                await entry.send(
+                    messages.Hello("entry-1", "t", "entry", "dc1", "", ""), 1
+                )
+                await self.hand_over(entry, **changes)
+                _, ending = await self.receive_ending(entry)
+            self.assertIsInstance(ending, messages.Result)
+
+    async def test_a_hand_over_on_its_way_at_the_stop_is_refused(self):
+        running = self.running(linger_seconds=0.5)
+        async with running, self.connected() as entry:
+            await self.life.request_stop("test")
+            await curio.sleep(0.1)
+            await self.hand_over(entry)
+            refusal = await self.receive(entry, messages.Refusal)
+            self.assertEqual(refusal.reason, "leaving")
+
 
 class CrashTest(SidecarTestCase):
     """An endpoint that dies under an attempt is told of to every entry."""
@@ -550,6 +580,22 @@
             heartbeat = await self.receive(entry, messages.Heartbeat)
             self.assertFalse(heartbeat.healthy)
 
+    async def test_all_that_ran_at_a_crash_are_suspects(self):
+        async with self.running("service"), self.connected() as entry:
+            for attempt, fingerprint in (("a1", "f1"), ("a2", "f2")):
+                await self.hand_over(
+                    entry, attempt=attempt, fingerprint=fingerprint, batch=""
+                )
+            await self.wait_for_runs(2)
+            await self.endpoint.stop()
+            notices = {
+                await self.receive(entry, messages.CrashNotice)
+                for _ in range(2)
+            }
+            self.assertEqual(
+                {notice.fingerprint for notice in notices}, {"f1", "f2"}
+            )
+
     async def test_a_broken_answer_of_a_live_endpoint_is_no_crash(self):
         async with self.running(), self.connected() as entry:
             self.endpoint.break_runs = True
