--- a/samphirevale/leases.py
+++ b/samphirevale/leases.py
@@ -165,13 +165,19 @@
 ) -> LeaseValue:
     """Returns what a new holder writes."""
     fencing = stored.value["fencing"] if stored else 0
+    return _build_value(contender, fencing + 1, renewal=0)
+
+
+def _build_value(
+    contender: Contender, fencing: int, renewal: int, released: bool = False
+) -> LeaseValue:
     return LeaseValue(
         holder=contender.holder,
         token=contender.token,
-        fencing=fencing + 1,
+        fencing=fencing,
         duration_ms=round(contender.duration_seconds * 1000),
-        renewal=0,
-        released=False,
+        renewal=renewal,
+        released=released,
     )
 
 
@@ -227,14 +233,7 @@
         answer or refused (try again while it is valid); None when another
         holds it.
     """
-    value = LeaseValue(
-        holder=contender.holder,
-        token=contender.token,
-        fencing=lease.fencing,
-        duration_ms=round(contender.duration_seconds * 1000),
-        renewal=lease.renewal + 1,
-        released=False,
-    )
+    value = _build_value(contender, lease.fencing, lease.renewal + 1)
     sent_at = clock.now()
     try:
         written = await _update(store, contender, value, lease.version, clock)
@@ -312,14 +311,7 @@
     Returns:
         Whether it is known to be given up. If not, it runs out by itself.
     """
-    value = LeaseValue(
-        holder=contender.holder,
-        token=contender.token,
-        fencing=lease.fencing,
-        duration_ms=round(contender.duration_seconds * 1000),
-        renewal=lease.renewal,
-        released=True,
-    )
+    value = _build_value(contender, lease.fencing, lease.renewal, released=True)
     try:
         await _update(store, contender, value, lease.version, clock)
         return True
