Decide membership and batches in their modules, stop processes in waves

Cause: the entry kept its own, thinner rules beside membership.py and batches.py: a peer that came back after a silence was trusted at once, and the platform's list alone could keep a live peer from work. Change: sidecars.Peer holds a membership.Peer; the list is adopted by adopt_list; candidates.py asks batches.choose_batch. The lab stops entries, then all sidecars at once, then the rest. Ruled out: peers keyed by the listed name; one that the settings name too would then be dialled twice. Tests changed: test_operations sets the peer's state where it stands now.

--- a/lab/deployments.py
+++ b/lab/deployments.py
@@ -292,6 +292,24 @@
         for process in self.group.processes:
             process.wait_until_ready()
 
+    def stop(self) -> dict[str, int]:
+        """Stops all gracefully: entries, then sidecars, then the rest.
+
+        Returns:
+            The exit status of each process that was running, by name.
+        """
+        entries = [node.process for node in self.entries.values()]
+        sidecars = [node.process for node in self.sidecars.values()]
+        ours = [*entries, *sidecars]
+        others = [item for item in self.group.processes if item not in ours]
+        statuses = {}
+        for wave in (entries, sidecars, others):
+            for process in wave:
+                process.resume()
+                process.stop()
+            statuses |= {process.name: process.wait() for process in wave}
+        return statuses
+
     def list_sidecars(self, leaving: frozenset[str] = frozenset()) -> None:
         """Puts the sidecars into the platform's list."""
         instances = [
--- a/lab/run.py
+++ b/lab/run.py
@@ -12,7 +12,6 @@
 import subprocess
 import sys
 import time
-from typing import Any
 
 from lab import deployments, processes
 
@@ -145,7 +144,7 @@
         run_tool(deployment, "query", "show requests by stage")
         if keep:
             show_addresses(deployment)
-        statuses: dict[str, Any] = deployment.group.stop_all()
+        statuses = deployment.stop()
     failed = {name: status for name, status in statuses.items() if status}
     if failed:
         raise RunError(f"did not stop gracefully: {failed}")
--- a/samphirevale/candidates.py
+++ b/samphirevale/candidates.py
@@ -3,7 +3,7 @@
 from collections.abc import Collection
 from typing import Any
 
-from samphirevale import configuration, sidecars
+from samphirevale import batches, configuration, sidecars
 
 
 def list_ready(
@@ -23,23 +23,19 @@
 def choose_batch(
     ready: Collection[sidecars.Peer],
     value: configuration.ConfigurationValue,
-    model: str,
+    stage: configuration.StageConfiguration,
     exclude: Collection[str] = frozenset(),
 ) -> str:
-    """Returns the newest batch of a model that serves and is loaded.
+    """Returns the newest batch of a stage's model that serves and is loaded.
 
     Returns:
         The batch's id; empty if there is none.
     """
-    serving = {
-        name: batch["order"]
-        for name, batch in value["batches"].items()
-        if batch["model"] == model
-        and batch["state"] == "serving"
-        and name not in exclude
-        and any(name in peer.heartbeat.batches for peer in ready)
-    }
-    return max(serving, key=serving.__getitem__, default="")
+    loaded = {name for peer in ready for name in peer.heartbeat.batches}
+    chosen = batches.choose_batch(
+        value, stage["model"], stage["pool"], loaded.difference(exclude)
+    )
+    return chosen or ""
 
 
 def list_endpoints(
@@ -69,5 +65,5 @@
     ready = list_ready(table, value, stage["pool"], now)
     batch: Any = None
     if stage["kind"] == "engine":
-        batch = choose_batch(ready, value, stage["model"])
+        batch = choose_batch(ready, value, stage)
     return list_endpoints(ready, batch)
--- a/samphirevale/entry.py
+++ b/samphirevale/entry.py
@@ -47,9 +47,6 @@
 STORE_RETRY_SECONDS = 0.2
 STORE_RETRY_SECONDS_LIMIT = 3.0
 
-# A peer that is neither listed nor connected is dropped after this long.
-FORGET_SECONDS = 30.0
-
 # How long a crash is tried to be recorded in the store, in seconds.
 RECORD_SECONDS = 600.0
 
@@ -265,29 +262,13 @@
 
     async def follow_list(self) -> None:
         """Reads the platform's list and keeps its sidecars, for ever."""
-        for address in self._settings.peers:
-            await self.node.peers.keep(address)
+        await self.node.peers.add_known(self._settings.peers)
         while True:
             with contextlib.suppress(errors.StoreError):
                 listed = await self.node.store.list_instances()
-                await self._take_list(listed)
+                await self.node.peers.adopt_list(listed)
             await curio.sleep(self._settings.list_seconds)
 
-    async def _take_list(
-        self, listed: list[object_port.ListedInstance]
-    ) -> None:
-        by_address = {f"{item.host}:{item.peer_port}": item for item in listed}
-        for address, item in by_address.items():
-            peer = await self.node.peers.keep(address)
-            peer.listed_leaving = item.state == "leaving"
-        now = self.node.clock.now()
-        for address, peer in list(self.node.peers.peers.items()):
-            gone = address not in by_address and not peer.connected.is_set()
-            if address in self._settings.peers or not gone:
-                continue
-            if now - peer.heard_at > FORGET_SECONDS:
-                await self.node.peers.drop(address)
-
     async def sweep(self) -> None:
         """Deletes expired claims, crash records and statuses, for ever.
 
--- a/samphirevale/handovers.py
+++ b/samphirevale/handovers.py
@@ -240,7 +240,7 @@
                 return
             self._drop_tokens("the batch that began the answer is recalled")
         self._batch = candidates.choose_batch(
-            ready, value, self._stage["model"], self._refused_batches
+            ready, value, self._stage, self._refused_batches
         )
 
     def _drop_tokens(self, reason: str) -> None:
--- a/samphirevale/logs.py
+++ b/samphirevale/logs.py
@@ -52,6 +52,9 @@
     handler.setFormatter(LineFormatter(instance))
     absl_logging.set_verbosity(level)
     absl_logging.set_stderrthreshold(level)
+    # Its warnings tell of late timers under load, which is no change of
+    # state; a failed task is logged as an error.
+    logging.getLogger("curio").setLevel(logging.ERROR)
 
 
 def log_change(event: str, **fields: Any) -> None:
--- a/samphirevale/sidecars.py
+++ b/samphirevale/sidecars.py
@@ -2,18 +2,21 @@
 
 import contextlib
 import random
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterable
 from typing import Any, NamedTuple
 
 import curio
 
-from samphirevale import configuration, errors, messages, metrics, snapshots
+from samphirevale import (
+    configuration,
+    errors,
+    membership,
+    messages,
+    metrics,
+    snapshots,
+)
 from samphirevale.adapters import link as links
-
-# Waits between attempts to dial, in seconds: doubled from the first to the
-# last, each drawn between half of it and the whole.
-FIRST_REDIAL_SECONDS = 0.1
-LAST_REDIAL_SECONDS = 2.0
+from samphirevale.ports import objects
 
 # A silent connection is closed after this many times `suspect_seconds`.
 CLOSE_FACTOR = 3.0
@@ -64,17 +67,17 @@
         address: `host:port`, as listed.
         hello: its first message; None until it was connected once.
         heartbeat: its latest heartbeat on this connection, or None.
-        heard_at: when it was last heard of, in monotonic seconds.
-        listed_leaving: the platform's list says that it is leaving.
+        revision: the configuration revision that its last frame told.
+        member: what membership.py decides from.
     """
 
     def __init__(self, address: str, holder: snapshots.SnapshotHolder):
         self.address = address
         self.hello: messages.Hello | None = None
         self.heartbeat: messages.Heartbeat | None = None
-        self.heard_at = 0.0
         self.revision = 0
-        self.listed_leaving = False
+        host, _, port = address.rpartition(":")
+        self.member = membership.Peer(address, host, int(port or 0))
         self.exchanges: dict[str, Exchange] = {}
         self.connected = curio.Event()
         self._link: links.Link | None = None
@@ -90,16 +93,38 @@
         """The token of its process; empty until it was connected once."""
         return self.hello.incarnation if self.hello else ""
 
+    @property
+    def heard_at(self) -> float:
+        """When it was last heard of, in monotonic seconds."""
+        return self.member.heard_at
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether it, or the platform's list, says that it is leaving."""
+        return self.member.leaving or self.member.list_leaving
+
     def may_take_work(self, now: float, suspect_seconds: float) -> bool:
         """Tells whether new attempts may be handed to it."""
         if self._link is None or self.heartbeat is None:
             return False
-        if now - self.heard_at > suspect_seconds:
-            return False
-        if self.listed_leaving or self.heartbeat.leaving:
+        if not membership.may_take_new_work(self.member, now, suspect_seconds):
             return False
         return self.heartbeat.healthy
 
+    def note_frame(
+        self, message: Any, now: float, suspect_seconds: float
+    ) -> None:
+        """Takes in that a frame has come.
+
+        After a silence only heartbeats make the peer trusted again.
+        """
+        if isinstance(message, messages.Heartbeat):
+            self.member = membership.mark_heartbeat(
+                self.member, message.leaving, now, suspect_seconds
+            )
+        elif not membership.is_suspected(self.member, now, suspect_seconds):
+            self.member = self.member._replace(heard_at=now)
+
     async def send(self, message: Any) -> None:
         """Sends a message.
 
@@ -143,8 +168,13 @@
         with contextlib.suppress(errors.PeerClosedError):
             await self.send(cancel)
 
-    async def attach(self, link: links.Link, hello: messages.Hello) -> None:
+    async def attach(
+        self, link: links.Link, hello: messages.Hello, now: float
+    ) -> None:
         """Takes a new connection whose first message was `hello`."""
+        self.member = membership.mark_connected(
+            self.member, hello.incarnation, now
+        )
         self._link = link
         self.hello = hello
         self.heartbeat = None
@@ -216,17 +246,40 @@
             and peer.hello.pool == pool
         ]
 
-    async def keep(self, address: str) -> Peer:
-        """Returns the peer at `address`; starts to dial it if it is new."""
-        if address not in self.peers:
-            peer = Peer(address, self._holder)
-            self.peers[address] = peer
-            self._tasks[address] = await curio.spawn(
-                self._keep_connected, peer, daemon=True
-            )
-        return self.peers[address]
+    async def adopt_list(
+        self, listed: Iterable[objects.ListedInstance]
+    ) -> None:
+        """Takes over a reading of the platform's list.
+
+        Peers are told apart by their addresses, so that one that is known
+        from the settings and from the list is dialled once.
+        """
+        by_address = [
+            item._replace(name=f"{item.host}:{item.peer_port}")
+            for item in listed
+        ]
+        members = {name: peer.member for name, peer in self.peers.items()}
+        adopted = membership.adopt_list(members, by_address, self._clock())
+        for address in set(self.peers) - set(adopted):
+            await self._drop(address)
+        for address, member in adopted.items():
+            if address not in self.peers:
+                await self._add(address)
+            self.peers[address].member = member
+
+    async def add_known(self, addresses: Iterable[str]) -> None:
+        """Dials sidecars that the settings name."""
+        for address in addresses:
+            await self._add(address)
+
+    async def _add(self, address: str) -> None:
+        peer = Peer(address, self._holder)
+        self.peers[address] = peer
+        self._tasks[address] = await curio.spawn(
+            self._keep_connected, peer, daemon=True
+        )
 
-    async def drop(self, address: str) -> None:
+    async def _drop(self, address: str) -> None:
         """Ends the connection to a peer and forgets it."""
         task = self._tasks.pop(address)
         await task.cancel()
@@ -236,20 +289,26 @@
     async def close(self) -> None:
         """Ends all connections."""
         for address in list(self._tasks):
-            await self.drop(address)
+            await self._drop(address)
 
     async def _keep_connected(self, peer: Peer) -> None:
-        wait = FIRST_REDIAL_SECONDS
-        host, _, port = peer.address.rpartition(":")
+        secret = self._settings.peer_secret
         while True:
-            with contextlib.suppress(errors.TransportError, curio.TaskTimeout):
-                async with links.dial(
-                    host, int(port), self._settings.peer_secret
-                ) as link:
+            member = peer.member
+            try:
+                async with links.dial(member.host, member.port, secret) as link:
                     await self._serve_link(peer, link)
-                    wait = FIRST_REDIAL_SECONDS
-            await curio.sleep(self._rng.uniform(wait / 2, wait))
-            wait = min(wait * 2, LAST_REDIAL_SECONDS)
+            except (errors.TransportError, curio.TaskTimeout):
+                pass
+            if not peer.member.connected:
+                peer.member = membership.mark_dial_failed(
+                    peer.member, self._clock(), self._rng
+                )
+            else:
+                peer.member = membership.mark_disconnected(
+                    peer.member, self._clock(), self._rng
+                )
+            await curio.sleep(max(peer.member.dial_at - self._clock(), 0))
 
     async def _serve_link(self, peer: Peer, link: links.Link) -> None:
         await link.send(self._hello, self._holder.revision)
@@ -257,8 +316,7 @@
             frame = await link.receive()
         if not isinstance(frame.message, messages.Hello):
             raise errors.ProtocolError("the first message is a hello")
-        peer.heard_at = self._clock()
-        await peer.attach(link, frame.message)
+        await peer.attach(link, frame.message, self._clock())
         beating = await curio.spawn(self._send_heartbeats, link, daemon=True)
         watching = await curio.spawn(self._watch_silence, peer, daemon=True)
         try:
@@ -284,19 +342,22 @@
         suspected = False
         while True:
             await curio.sleep(self._settings.heartbeat_seconds)
-            silent = self._clock() - peer.heard_at > suspect_seconds
+            silent = membership.is_suspected(
+                peer.member, self._clock(), suspect_seconds
+            )
             if silent and not suspected:
                 await peer.suspect()
             suspected = silent
 
     async def _read_frames(self, peer: Peer, link: links.Link) -> None:
         asked_revision = 0
-        longest_silence = CLOSE_FACTOR * self._settings.suspect_seconds
+        suspect_seconds = self._settings.suspect_seconds
+        longest_silence = CLOSE_FACTOR * suspect_seconds
         while True:
             async with curio.timeout_after(longest_silence):
                 frame = await link.receive()
-            peer.heard_at = self._clock()
             peer.revision = frame.revision
+            peer.note_frame(frame.message, self._clock(), suspect_seconds)
             newest = max(self._holder.revision, asked_revision)
             if frame.revision > newest:
                 asked_revision = frame.revision
--- a/samphirevale/statuses.py
+++ b/samphirevale/statuses.py
@@ -163,7 +163,7 @@
 def _build_sidecar(peer: sidecars.Peer, now: float) -> SidecarStatus:
     hello, beat = peer.hello, peer.heartbeat
     age_ms = (now - peer.heard_at) * 1000 if hello else None
-    leaving = peer.listed_leaving or bool(beat and beat.leaving)
+    leaving = peer.is_leaving
     return SidecarStatus(
         instance=hello.instance if hello else peer.address,
         endpoint=peer.endpoint,
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -39,7 +39,9 @@
             0, batches=list(batches), **{"leaving": False, **beat}
         )
         peer.revision = revision
-        peer.heard_at = heard_at
+        peer.member = peer.member._replace(
+            heard_at=heard_at, leaving=peer.heartbeat.leaving
+        )
         self.peers[peer.address] = peer
         return peer
 
