Decide orders and refusals by batches.py, and load under a ticket

Change: the reconciler asks decide_engine_order and holds one of the pool's tickets for a load; it drops its wait for a ticket when the plan turns, so that a recall is not held up by it. All sidecars use TICKETS_LIMIT tickets, as one sidecar does not know how many engines its pool has.

--- a/samphirevale/arrivals.py
+++ b/samphirevale/arrivals.py
@@ -5,7 +5,7 @@
 
 from typing import NamedTuple
 
-from samphirevale import messages, snapshots
+from samphirevale import batches, messages, snapshots
 
 # When to ask again after refusals that last for a short time, in ms.
 RETRY_MS = 500
@@ -61,8 +61,10 @@
 
     What was accepted before a drain or a stop is still started.
     """
-    if holder.is_recalled(handover.batch):
-        return Refused("recalled", f"batch {handover.batch} is recalled")
+    if handover.batch:
+        reason = batches.find_refusal(holder.held.value, handover.batch)
+        if reason:
+            return Refused(reason, f"batch {handover.batch}")
     if now >= deadline_at:
         return Refused("late", "no time is left")
     if not situation.healthy:
--- a/samphirevale/reconciler.py
+++ b/samphirevale/reconciler.py
@@ -10,6 +10,7 @@
 import curio
 
 from samphirevale import (
+    batches,
     configuration,
     errors,
     invariants,
@@ -26,6 +27,9 @@
 # Interval between looks at what is loaded, in seconds.
 LOOK_SECONDS = 0.25
 
+# Interval between looks whether the ticket to load is there, in seconds.
+TICKET_LOOK_SECONDS = 0.02
+
 # The wait after an order that failed, in seconds.
 RETRY_SECONDS = 0.5
 
@@ -74,6 +78,14 @@
             duration_seconds=sidecar.lease_seconds,
             order_seconds=sidecar.order_seconds,
         )
+        self._ticket_contender = batches.build_ticket(
+            sidecar.pool,
+            sidecar.endpoint,
+            sidecar.common.instance,
+            token,
+            batches.TICKETS_LIMIT,
+        )
+        self._ticket: leases.Lease | None = None
         self._endpoint = endpoint
         self._monitor = monitor
         self._holder = holder
@@ -88,9 +100,10 @@
     async def run(self) -> None:
         """Reconciles until cancelled."""
         while True:
-            if self._endpoint.takes_orders and self._plan() is not None:
-                async with self._holding_lease():
-                    await self._give_orders()
+            order = self._plan()
+            if order is not None:
+                async with self._holding_ticket(order):
+                    await self._give_orders_under_lease()
             await self._clock.sleep(LOOK_SECONDS)
 
     async def stop(self) -> None:
@@ -101,17 +114,37 @@
 
     def _plan(self) -> endpoints.Order | None:
         """Returns the next order, without a fencing number, or None."""
-        if self._stopping or not self._monitor.healthy:
+        if self._stopping or not self._endpoint.takes_orders:
+            return None
+        if not self._monitor.healthy or not self._holder.is_known():
             return None
         if self._clock.now() < self._wait_until:
             return None
-        return choose_order(
-            self._holder.list_pool(self._pool), self._monitor.batches
+        value = self._holder.held.value
+        decided = batches.decide_engine_order(
+            value, self._pool, self._monitor.batches
         )
+        if decided is None:
+            return None
+        batch = value["batches"][decided.batch]
+        return build_order(decided.verb, decided.batch, batch)
+
+    async def _give_orders_under_lease(self) -> None:
+        if self._plan_permitted() is None:
+            return
+        async with self._holding_lease():
+            await self._give_orders()
+
+    def _plan_permitted(self) -> endpoints.Order | None:
+        """Returns the next order; None if it lacks the ticket to load."""
+        order = self._plan()
+        if order is None or order.order != "load" or self._ticket is not None:
+            return order
+        return None
 
     async def _give_orders(self) -> None:
         while self.lease is not None:
-            order = self._plan()
+            order = self._plan_permitted()
             if order is None:
                 return
             if not self._may_order():
@@ -172,28 +205,81 @@
     def _pause(self, seconds: float) -> None:
         self._wait_until = self._clock.now() + max(seconds, RETRY_SECONDS)
 
+    @contextlib.asynccontextmanager
+    async def _holding_ticket(
+        self, order: endpoints.Order
+    ) -> AsyncIterator[None]:
+        """Holds the ticket for a load, if there is one before the plan turns.
+
+        The wait for a ticket may be long, and no recall waits behind it.
+        """
+        if order.order != "load":
+            yield
+            return
+        acquiring = await curio.spawn(
+            leases.acquire_lease,
+            self._store,
+            self._ticket_contender,
+            self._clock,
+            daemon=True,
+        )
+        while not acquiring.terminated and self._plan() == order:
+            await self._clock.sleep(TICKET_LOOK_SECONDS)
+        if not acquiring.terminated:
+            await acquiring.cancel()
+            yield
+            return
+        async with self._keeping(
+            self._ticket_contender, acquiring.result, self._set_ticket
+        ):
+            yield
+        if self._ticket is not None:
+            await leases.release_lease(
+                self._store, self._ticket_contender, self._ticket, self._clock
+            )
+        self._ticket = None
+
     @contextlib.asynccontextmanager
     async def _holding_lease(self) -> AsyncIterator[None]:
         lease = await leases.acquire_lease(
             self._store, self._contender, self._clock
         )
         logs.log_change("lease_taken", fencing=lease.fencing)
-        self.lease = lease
-        keeper = await curio.spawn(self._keep, lease, daemon=True)
         try:
-            yield
+            async with self._keeping(self._contender, lease, self._set_lease):
+                yield
         finally:
-            await keeper.cancel()
             await self._release()
 
-    async def _keep(self, lease: leases.Lease) -> None:
-        await leases.hold_lease(
-            self._store, self._contender, lease, self._clock, self._publish
+    @contextlib.asynccontextmanager
+    async def _keeping(
+        self,
+        contender: leases.Contender,
+        lease: leases.Lease,
+        publish: Callable[[leases.Lease | None], None],
+    ) -> AsyncIterator[None]:
+        """Renews a lease during the block."""
+        publish(lease)
+        keeper = await curio.spawn(
+            leases.hold_lease,
+            self._store,
+            contender,
+            lease,
+            self._clock,
+            publish,
+            daemon=True,
         )
+        try:
+            yield
+        finally:
+            await keeper.cancel()
 
-    def _publish(self, lease: leases.Lease | None) -> None:
+    def _set_lease(self, lease: leases.Lease | None) -> None:
         self.lease = lease
 
+    def _set_ticket(self, lease: leases.Lease | None) -> None:
+        self._ticket = lease
+
     async def _release(self) -> None:
         lease = self.lease
         self.lease = None
@@ -206,32 +292,11 @@
         logs.log_change("lease_released", fencing=lease.fencing, known=released)
 
 
-def choose_order(
-    configured: dict[str, configuration.BatchConfiguration],
-    loaded: frozenset[str],
-) -> endpoints.Order | None:
-    """Returns the next order, without a fencing number, or None.
-
-    Recalled batches are unloaded first, then the newest is loaded.
-    """
-    for batch in sorted(loaded & configured.keys()):
-        if configured[batch]["state"] == "recalled":
-            return _build_order("unload", batch, configured[batch])
-    missing = [
-        batch
-        for batch, value in configured.items()
-        if value["state"] == "serving" and batch not in loaded
-    ]
-    if not missing:
-        return None
-    batch = max(missing, key=lambda name: configured[name]["order"])
-    return _build_order("load", batch, configured[batch])
-
-
-def _build_order(
-    order: str, batch: str, value: configuration.BatchConfiguration
+def build_order(
+    verb: str, batch: str, value: configuration.BatchConfiguration
 ) -> endpoints.Order:
+    """Returns an order about a batch, without a fencing number."""
     fields = {"id": batch}
     for name in ("model", "version", "adapter"):
         fields[name] = value[name]
-    return endpoints.Order(order, fields, "", 0)
+    return endpoints.Order(verb, fields, "", 0)
--- a/samphirevale/snapshots.py
+++ b/samphirevale/snapshots.py
@@ -64,16 +64,6 @@
             return False
         return endpoint in self.held.value["draining"]
 
-    def list_pool(
-        self, pool: str
-    ) -> dict[str, configuration.BatchConfiguration]:
-        """Returns the batches by id that belong to a pool."""
-        return {
-            batch: value
-            for batch, value in self._read_batches().items()
-            if value["pool"] == pool
-        }
-
     def _read_batches(self) -> dict[str, configuration.BatchConfiguration]:
         if self.held.value is None:
             return {}
--- a/tests/test_reconciler.py
+++ b/tests/test_reconciler.py
@@ -5,9 +5,11 @@
 import curio
 
 from samphirevale import (
+    batches,
     configuration,
     errors,
     invariants,
+    leases,
     monitors,
     reconciler,
     settings,
@@ -132,10 +134,10 @@
             self.assertTrue(lease.value["released"])
 
     async def test_no_order_without_a_lease(self):
-        async with self.running():
+        async with self.running(batches=["b1=m/b1"]):
             self.platform.faults.change({"outage": True}, 0.0)
             await self.start()
-            self.adopt(1, b1="serving")
+            self.adopt(1, b1="recalled")
             await curio.sleep(0.5)
             self.assertEqual(self.list_orders(), [])
 
@@ -149,12 +151,10 @@
             # As if this process had been frozen past the lease's end.
             started.lease = lease._replace(valid_until=0.0)
             self.assertFalse(started._may_order())
+            batch = self.holder.held.value["batches"]["b1"]
+            order = reconciler.build_order("load", "b1", batch)
             with self.assertRaises(errors.InvariantError):
-                await started._give(
-                    reconciler.choose_order(
-                        self.holder.list_pool("engines"), frozenset()
-                    )
-                )
+                await started._give(order)
 
     async def test_a_fenced_holder_takes_a_higher_number(self):
         async with self.running():
@@ -165,3 +165,28 @@
                 lambda: ("load", "b1", True) in self.list_orders()
             )
             self.assertIn(("load", "b1", False), self.list_orders())
+
+    async def test_a_recall_does_not_wait_for_the_ticket_of_a_load(self):
+        async with self.running(batches=["b1=m/b1"]):
+            for number in range(batches.TICKETS_LIMIT):
+                await self.store.create(
+                    "leases", f"rollout:engines:{number}", self.build_lease()
+                )
+            await self.start()
+            self.adopt(1, b1="serving", b2="serving")
+            await curio.sleep(0.3)
+            self.assertEqual(self.list_orders(), [])
+            self.adopt(2, b1="recalled", b2="serving")
+            await self.wait_for(lambda: self.list_orders())
+            await curio.sleep(0.4)
+            self.assertEqual(self.list_orders(), [("unload", "b1", True)])
+
+    def build_lease(self):
+        return leases.LeaseValue(
+            holder="another",
+            token="another",
+            fencing=1,
+            duration_ms=60_000,
+            renewal=0,
+            released=False,
+        )
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -195,19 +195,23 @@
             pipelines={},
             accounts={},
             batches={
-                "b1": configuration.BatchConfiguration(
-                    model="m",
-                    version="1",
-                    adapter="",
-                    pool="pool-1",
-                    state=state,
-                    order=1,
-                )
+                "b1": self.build_batch(state),
+                "b2": self.build_batch("serving"),
             },
             draining=list(draining),
             orders=[],
         )
 
+    def build_batch(self, state):
+        return configuration.BatchConfiguration(
+            model="m",
+            version="1",
+            adapter="",
+            pool="pool-1",
+            state=state,
+            order=1,
+        )
+
     def build_handover(self, attempt="a1", **changes):
         handover = messages.Handover(
             request="r1",
@@ -437,6 +441,14 @@
             )
             self.assertEqual(self.endpoint.runs, [])
 
+    async def test_an_unknown_batch_is_not_run(self):
+        async with self.running(), self.connected() as entry:
+            self.endpoint.batches = ["b1", "b3"]
+            self.assertEqual(
+                await self.refuse(entry, batch="b3"),
+                ("not_run", "no_configuration"),
+            )
+
 
 class RecallTest(SidecarTestCase):
     """A recalled batch serves nothing more, whatever is in flight."""
