--- a/samphirevale/execution.py
+++ b/samphirevale/execution.py
@@ -180,7 +180,6 @@
         for stage in self._stages:
             async with self._holding_place(stage):
                 outcome = await self._run_stage(stage, prior)
-            self.uses.append(outcome.use)
             prior = outcome.payload
         return callers.Whole(
             prior, outcome.count, outcome.digest, tuple(self.uses)
@@ -219,7 +218,10 @@
             self._progress,
             self._emit if stage is self._stages[-1] else None,
         )
-        return await run.run()
+        try:
+            return await run.run()
+        finally:
+            self.uses.append(run.read_use())
 
     def _needs_claim(self) -> bool:
         return not all(self._is_repeatable(stage) for stage in self._stages)
--- a/samphirevale/node.py
+++ b/samphirevale/node.py
@@ -12,6 +12,7 @@
     settings,
     sidecars,
     snapshots,
+    statistics,
 )
 from samphirevale.ports import clock as clocks
 from samphirevale.ports import objects
@@ -30,6 +31,7 @@
         quarantine: the inputs that have crashed endpoints.
         keeper: the claims, and what outlives its request.
         store: the platform's object API.
+        statistics: the counts of the requests that it has ended.
         rng: the source of every random draw.
         clock: monotonic time and sleeps.
     """
@@ -43,5 +45,6 @@
     quarantine: quarantine.Quarantine
     keeper: keyed.Keeper
     store: objects.ObjectStore
+    statistics: statistics.Statistics
     rng: random.Random
     clock: clocks.Clock
