--- a/samphirevale/executors.py
+++ b/samphirevale/executors.py
@@ -368,7 +368,7 @@
         reader = readers.AnswerReader(attempt, self._holder, self.counts)
         incarnation = self._monitor.incarnation
         try:
-            items = self._endpoint.run(_build_call(attempt.handover))
+            items = self._endpoint.run(readers.build_call(attempt.handover))
             async with contextlib.aclosing(items):
                 ending = await reader.read(items)
         finally:
@@ -439,18 +439,3 @@
             attempt.phase == "waiting" or attempt.endpoint_ran_nothing,
             attempt=name,
         )
-
-
-def _build_call(handover: messages.Handover) -> endpoints.Call:
-    payload = handover.payload if isinstance(handover.payload, dict) else {}
-    return endpoints.Call(
-        request=handover.request,
-        attempt=handover.attempt,
-        input=payload.get("input"),
-        prior=payload.get("prior"),
-        key=handover.key,
-        batch=handover.batch,
-        offset=handover.offset,
-        priority=handover.priority,
-        repeatable=handover.repeatable,
-    )
--- a/samphirevale/readers.py
+++ b/samphirevale/readers.py
@@ -1,4 +1,4 @@
-"""Reads one answer of an endpoint, checks it and passes its chunks on."""
+"""Builds a call for the endpoint, and reads and checks its answer."""
 
 from collections.abc import AsyncIterator
 
@@ -112,3 +112,19 @@
             item.busy_ms,
             handover.batch,
         )
+
+
+def build_call(handover: messages.Handover) -> endpoints.Call:
+    """Returns what an endpoint is handed for a hand-over."""
+    payload = handover.payload if isinstance(handover.payload, dict) else {}
+    return endpoints.Call(
+        request=handover.request,
+        attempt=handover.attempt,
+        input=payload.get("input"),
+        prior=payload.get("prior"),
+        key=handover.key,
+        batch=handover.batch,
+        offset=handover.offset,
+        priority=handover.priority,
+        repeatable=handover.repeatable,
+    )
