Look for the prefix of the prompt that the engine is given

Cause: for an input that is no text the entry digested another JSON form than the sidecar sends as the prompt, so that its cached prefix was never found.

Evidence: tests.test_handovers passes, and fails with the old line.

--- a/samphirevale/handovers.py
+++ b/samphirevale/handovers.py
@@ -1,7 +1,6 @@
 """Runs one stage of a request: hands attempts over until one has a result."""
 
 import hashlib
-import json
 import secrets
 import time
 from collections.abc import Awaitable, Callable
@@ -21,6 +20,7 @@
     retries,
     sidecars,
 )
+from samphirevale.ports import endpoints
 
 # Sends tokens to the caller: the first one's number, and the tokens.
 Emit = Callable[[int, list[str]], Awaitable[None]]
@@ -109,7 +109,7 @@
 
 def digest_prefix(value: Any) -> str:
     """Returns the name of a prompt's prefix in engines' cache events."""
-    prompt = value if isinstance(value, str) else json.dumps(value)
+    prompt = endpoints.build_prompt(value)
     return hashlib.sha256(prompt[:PREFIX_CHARACTERS].encode()).hexdigest()
 
 
