--- /dev/null
+++ b/lab/callers.py
@@ -0,0 +1,295 @@
+"""Callers of a run: their requests from a seed, and a thin client."""
+
+import contextlib
+import json
+import random
+import time
+from collections.abc import AsyncIterator
+from typing import Any
+
+import curio
+
+from lab import deployments, evidence
+from samphirevale import errors
+from samphirevale.adapters import web
+
+# Requests a second; those sent again come on top.
+REQUESTS_PER_SECOND = 25.0
+
+# The shares of the sorts of requests.
+SORTS = {"plain": 0.40, "streamed": 0.25, "keyed": 0.28, "leaver": 0.07}
+
+# Deadlines are drawn between these, in milliseconds.
+DEADLINE_LEAST_MS = 1500
+DEADLINE_MOST_MS = 5000
+
+# When a key is sent again, in seconds after the first time.
+AGAIN_SECONDS = (0.0, 0.01, 0.2, 1.0, 3.0, 6.0)
+
+# The share of keys that are sent more than once, and how often at most.
+AGAIN_SHARE = 0.5
+AGAIN_MOST = 3
+
+# Crash inputs: one in so many seconds, each sent so often, so far apart.
+CRASH_SECONDS = 9.0
+CRASH_SENDS = 6
+CRASH_PAUSE_SECONDS = 0.8
+
+# The pools whose endpoints crash inputs end.
+CRASH_POOLS = ("engines", "encoders", "rerankers", "booking")
+
+# How often a caller sends a request again that was refused as not run, and
+# the longest that it waits before, in seconds.
+RETRIES = 2
+RETRY_SECONDS_MOST = 1.5
+
+# How long past its deadline a caller waits for an answer, in seconds.
+PATIENCE_SECONDS = 3.0
+
+OWNERS = {
+    "harvest-notice": "colheita",
+    "slot-confirmation": "colheita",
+    "removal-record": "hoppyard",
+    "filing": "hoppyard",
+}
+
+
+def name_crash_text(pool: str) -> str:
+    """Returns the text that ends the endpoints of a pool."""
+    return f"fatal-to-{pool}"
+
+
+def plan_sends(
+    seed: int, seconds: float, entries: list[str]
+) -> list[evidence.Send]:
+    """Returns the requests of a run, in the order of time."""
+    rng = random.Random(f"sends {seed}")
+    sends: list[evidence.Send] = []
+    at = 0.0
+    while (at := at + rng.expovariate(REQUESTS_PER_SECOND)) < seconds:
+        sends += _plan_request(rng, seed, at, entries, len(sends))
+    for number in range(max(1, int(seconds / CRASH_SECONDS))):
+        sends += _plan_crash(rng, seed, number, seconds, entries, len(sends))
+    return sorted(sends, key=lambda send: (send.at, send.number))
+
+
+def _plan_request(
+    rng: random.Random, seed: int, at: float, entries: list[str], number: int
+) -> list[evidence.Send]:
+    sort = rng.choices(list(SORTS), list(SORTS.values()))[0]
+    finals = list(deployments.FINAL_SERVICES)
+    keyed = sort == "keyed" or (sort == "leaver" and rng.random() < 0.5)
+    pipeline = rng.choice(
+        finals if keyed else list(deployments.DRAFT_PIPELINES)
+    )
+    send = evidence.Send(
+        number=number,
+        at=at,
+        sort=sort,
+        entry=rng.choice(entries),
+        account=OWNERS[pipeline],
+        pipeline=pipeline,
+        text=f"Request {seed}-{number} for {pipeline}. {rng.random()}",
+        key=f"key-{seed}-{number}" if keyed else "",
+        deadline_ms=rng.randint(DEADLINE_LEAST_MS, DEADLINE_MOST_MS),
+        leaves_after=rng.uniform(0.01, 0.3) if sort == "leaver" else 0.0,
+    )
+    sends = [send]
+    if keyed and rng.random() < AGAIN_SHARE:
+        for _ in range(rng.randint(1, AGAIN_MOST)):
+            again = send._replace(
+                number=number + len(sends),
+                sort="keyed",
+                at=at + rng.choice(AGAIN_SECONDS),
+                entry=rng.choice(entries),
+                leaves_after=0.0,
+            )
+            sends.append(again)
+    return sends
+
+
+def _plan_crash(
+    rng: random.Random,
+    seed: int,
+    input_number: int,
+    seconds: float,
+    entries: list[str],
+    number: int,
+) -> list[evidence.Send]:
+    pool = CRASH_POOLS[(seed + input_number) % len(CRASH_POOLS)]
+    pipeline = "slot-confirmation" if pool == "booking" else "harvest-notice"
+    first_at = rng.uniform(0, max(0.1, seconds - 5.0))
+    text = f"Request {seed}-crash-{input_number}: {name_crash_text(pool)}"
+    key = f"crash-{seed}-{input_number}" if pool == "booking" else ""
+    return [
+        evidence.Send(
+            number=number + turn,
+            at=first_at + turn * CRASH_PAUSE_SECONDS,
+            sort="crash",
+            entry=rng.choice(entries),
+            account=OWNERS[pipeline],
+            pipeline=pipeline,
+            text=text,
+            key=key,
+            deadline_ms=DEADLINE_MOST_MS,
+            leaves_after=0.0,
+        )
+        for turn in range(CRASH_SENDS)
+    ]
+
+
+class Callers:
+    """Sends the requests of a plan and keeps the answers.
+
+    Attributes:
+        answers: what was told, one for each time that a request was sent.
+        retried: requests that were sent again as they had not run.
+    """
+
+    def __init__(
+        self, deployment: deployments.Deployment, log: evidence.EventLog
+    ):
+        self.answers: list[evidence.Answer] = []
+        self.retried = 0
+        self._deployment = deployment
+        self._log = log
+
+    async def run(self, sends: list[evidence.Send]) -> None:
+        """Sends each request when it is due, and waits for all answers."""
+        started_at = time.monotonic()
+        async with curio.TaskGroup() as group:
+            for send in sends:
+                delay = started_at + send.at - time.monotonic()
+                if delay > 0:
+                    await curio.sleep(delay)
+                await group.spawn(self._call, send)
+
+    async def _call(self, send: evidence.Send) -> None:
+        """Sends a request, and again where it has not run."""
+        names = list(self._deployment.entries)
+        first = names.index(send.entry)
+        for tries in range(RETRIES + 1):
+            entry = names[(first + tries) % len(names)]
+            answer = await self._send_once(send, tries, entry)
+            self._keep(answer)
+            if answer.outcome not in ("not_run", "unreached"):
+                return
+            if send.sort in ("leaver", "crash") or tries == RETRIES:
+                return
+            self.retried += 1
+            value = answer.value or {}
+            pause = value.get("retry_after_seconds", 0.2)
+            await curio.sleep(min(pause, RETRY_SECONDS_MOST))
+
+    def _keep(self, answer: evidence.Answer) -> None:
+        self.answers.append(answer)
+        self._log.write(
+            "answer",
+            number=answer.send.number,
+            tries=answer.tries,
+            entry=answer.entry,
+            key=answer.send.key,
+            request=answer.request,
+            sent_at=answer.sent_at,
+            outcome=answer.outcome,
+            reason=(answer.value or {}).get("title", ""),
+        )
+
+    async def _send_once(
+        self, send: evidence.Send, tries: int, entry: str
+    ) -> evidence.Answer:
+        sent_at = time.monotonic()
+        streamed: list[str] = []
+        longest = send.deadline_ms / 1000 + PATIENCE_SECONDS
+        outcome, value = "none", None
+        if send.leaves_after:
+            outcome, longest = "left", send.leaves_after
+        try:
+            async with curio.timeout_after(longest):
+                outcome, value = await self._exchange(send, entry, streamed)
+        except errors.ConnectError:
+            outcome = "unreached"
+        except errors.AnswerLostError:
+            outcome = "cut"
+        except errors.ProtocolError:
+            outcome = "malformed"
+        except curio.TaskTimeout:
+            pass
+        return evidence.Answer(
+            send,
+            tries,
+            entry,
+            sent_at,
+            time.monotonic(),
+            outcome,
+            value,
+            streamed,
+        )
+
+    async def _exchange(
+        self, send: evidence.Send, entry: str, streamed: list[str]
+    ) -> tuple[str, dict | None]:
+        url = self._deployment.entries[entry].process.url
+        body = {
+            "input": send.text,
+            "deadline_ms": send.deadline_ms,
+            "stream": send.sort == "streamed",
+            "idempotent": not send.key,
+        }
+        async with web.connect(*web.split_address(url)) as connection:
+            answer = await connection.request(
+                "POST",
+                f"/v1/pipelines/{send.pipeline}/requests",
+                json.dumps(body).encode(),
+                _build_headers(send),
+            )
+            if answer.headers.get("content-type") == "text/event-stream":
+                return await _read_stream(answer, streamed)
+            value = web.read_json(await answer.read_body())
+            return value.get("outcome", "malformed"), value
+
+
+def _build_headers(send: evidence.Send) -> tuple[tuple[str, str], ...]:
+    token = deployments.ACCOUNT_TOKENS[send.account]
+    headers = [("Authorization", f"Bearer {token}")]
+    if send.key:
+        headers.append(("Idempotency-Key", send.key))
+    return tuple(headers)
+
+
+async def _read_stream(
+    answer: web.Answer, streamed: list[str]
+) -> tuple[str, dict | None]:
+    """Returns a stream's outcome; `streamed` gets its tokens."""
+    events = _read_events(answer)
+    async with contextlib.aclosing(events):
+        async for name, value in events:
+            if name != "chunk":
+                return value.get("outcome", "malformed"), value
+            if value["sequence"] != len(streamed):
+                return "malformed", value
+            streamed += value["tokens"]
+    # It ended without its closing event.
+    return "cut", None
+
+
+async def _read_events(answer: web.Answer) -> AsyncIterator[tuple[str, Any]]:
+    name = ""
+    lines = answer.read_lines()
+    async with contextlib.aclosing(lines):
+        async for line in lines:
+            field, _, text = line.decode().partition(": ")
+            if field == "event":
+                name = text
+            elif field == "data":
+                yield name, json.loads(text)
+
+
+async def ask_outcome(url: str, account: str, key: str) -> Any:
+    """Returns what an entry tells of a key: its value, or None for a 404."""
+    token = deployments.ACCOUNT_TOKENS[account]
+    headers = (("Authorization", f"Bearer {token}"),)
+    status, value, _ = await web.call_json(
+        url, "GET", f"/v1/requests/{key}", None, headers
+    )
+    return None if status == 404 else value
--- a/lab/deployments.py
+++ b/lab/deployments.py
@@ -6,7 +6,7 @@
 import pathlib
 import secrets
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any, NamedTuple
 
 import curio
@@ -45,6 +45,10 @@
 DRAFT_PIPELINES = ("harvest-notice", "removal-record")
 
 
+# Returns the port that is listed for a sidecar, by its name and own port.
+Relay = Callable[[str, int], int]
+
+
 class EndpointPlan(NamedTuple):
     """An endpoint to be started, with the sidecar beside it.
 
@@ -53,12 +57,14 @@
         pool: its pool.
         kind: `engine`, `stage` or `service`.
         arguments: the stand-in's command line.
+        sidecar_flags: flags of its sidecar besides the usual ones.
     """
 
     name: str
     pool: str
     kind: str
     arguments: tuple[str, ...] = ()
+    sidecar_flags: tuple[str, ...] = ()
 
 
 class Node(NamedTuple):
@@ -176,9 +182,16 @@
         endpoints: the stand-ins of endpoints, by name.
         sidecars: their sidecars, by the endpoint's name.
         entries: the entries, by instance name.
+        listed_ports: what the platform's list names for each sidecar.
+        plans: the endpoints as planned, by name.
     """
 
-    def __init__(self, group: processes.Group, environment: dict[str, str]):
+    def __init__(
+        self,
+        group: processes.Group,
+        environment: dict[str, str],
+        relay: Relay | None = None,
+    ):
         self.group = group
         self.environment = environment
         self.platform: processes.Process | None = None
@@ -187,8 +200,9 @@
         self.entries: dict[str, Node] = {}
         self.operator_token = environment["SAMPHIREVALE_OPERATOR_TOKEN"]
         self.peer_secret = environment["SAMPHIREVALE_PEER_SECRET"]
-        self._plans: dict[str, EndpointPlan] = {}
-        self._peer_ports: dict[str, int] = {}
+        self.plans: dict[str, EndpointPlan] = {}
+        self.listed_ports: dict[str, int] = {}
+        self._relay = relay
 
     def start_platform(self, *arguments: str) -> None:
         """Starts the stand-in of the platform."""
@@ -198,20 +212,33 @@
 
     def start_endpoint(self, plan: EndpointPlan) -> None:
         """Starts an endpoint; the caller waits until it is ready."""
-        arguments = plan.arguments
+        self.plans[plan.name] = plan
+        self._run_endpoint(plan, processes.choose_port())
+
+    def start_endpoint_again(self, name: str) -> None:
+        """Starts an endpoint that has ended again, on its port."""
+        self._run_endpoint(self.plans[name], self.endpoints[name].port)
+
+    def _run_endpoint(self, plan: EndpointPlan, port: int) -> None:
+        arguments = ("--port", str(port), *plan.arguments)
         if plan.kind == "engine":
             arguments = ("--weights-url", self.platform.url, *arguments)
-        self._plans[plan.name] = plan
-        self.endpoints[plan.name] = self.group.start_standin(
-            plan.name, plan.kind, *arguments, wait=False
+        self.endpoints[plan.name] = self.group.start(
+            plan.name,
+            f"standins.{plan.kind}",
+            *arguments,
+            port=port,
+            wait=False,
         )
 
     def start_sidecar(self, name: str, number: int) -> None:
         """Starts the sidecar beside an endpoint."""
-        plan = self._plans[name]
+        plan = self.plans[name]
         admin_port = processes.choose_port()
         peer_port = processes.choose_port()
-        self._peer_ports[name] = peer_port
+        self.listed_ports[name] = peer_port
+        if self._relay is not None:
+            self.listed_ports[name] = self._relay(name, peer_port)
         arguments = (
             "sidecar",
             *self._build_common(f"sidecar-{name}", number, admin_port),
@@ -220,6 +247,7 @@
             *("--endpoint-url", self.endpoints[name].url),
             *("--endpoint-kind", plan.kind),
             *("--pool", plan.pool),
+            *plan.sidecar_flags,
         )
         self.sidecars[name] = self._start_node(
             f"sidecar-{name}", arguments, admin_port, peer_port
@@ -294,16 +322,25 @@
 
     def list_sidecars(self, leaving: frozenset[str] = frozenset()) -> None:
         """Puts the sidecars into the platform's list."""
-        instances = [
+        instances = self.build_list(leaving)
+        call(self.platform.url, "POST", "/instances", {"instances": instances})
+
+    def build_list(
+        self,
+        leaving: frozenset[str] = frozenset(),
+        absent: frozenset[str] = frozenset(),
+    ) -> list[dict]:
+        """Returns the platform's list, but for the absent ones."""
+        return [
             {
                 "name": f"sidecar-{name}",
                 "host": HOST,
-                "peer_port": self._peer_ports[name],
+                "peer_port": self.listed_ports[name],
                 "state": "leaving" if name in leaving else "live",
             }
             for name in self.sidecars
+            if name not in absent
         ]
-        call(self.platform.url, "POST", "/instances", {"instances": instances})
 
     def read_dump(self, node: Node) -> dict:
         """Returns the state dump of one of our processes."""
@@ -344,13 +381,14 @@
     platform_arguments: tuple[str, ...] = (),
     plans: list[EndpointPlan] | None = None,
     entry_flags: tuple[str, ...] = (),
+    relay: Relay | None = None,
 ) -> Iterator[Deployment]:
     """Yields a running deployment; whatever still runs at the end is ended."""
     environment = dict(os.environ)
     environment["SAMPHIREVALE_PEER_SECRET"] = secrets.token_hex(16)
     environment["SAMPHIREVALE_OPERATOR_TOKEN"] = secrets.token_hex(16)
     with processes.open_group(directory) as group:
-        deployment = Deployment(group, environment)
+        deployment = Deployment(group, environment, relay)
         deployment.start_platform(*platform_arguments)
         call(
             deployment.platform.url,
--- /dev/null
+++ b/lab/faults.py
@@ -0,0 +1,658 @@
+"""The faults of a run: a registry of kinds, and a plan from a seed.
+
+A kind is a coroutine that brings the fault about and ends it, and returns
+whether it took effect.
+"""
+
+import contextlib
+import pathlib
+import random
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+import curio
+
+from lab import deployments, relays, trials
+from samphirevale import errors
+from samphirevale.adapters import web
+
+# The mean pause between the beginnings of two faults, in seconds.
+PAUSE_SECONDS = 1.2
+
+# The share of faults that begin at one moment with the one before.
+TOGETHER_SHARE = 0.3
+
+# The load runs without faults for so long at first, in seconds.
+FIRST_SECONDS = 1.0
+
+# The longest wait of a probe, in seconds.
+PROBE_SECONDS = 0.5
+
+# How slow a slowed store is in each call, in seconds.
+STORE_SLOW_SECONDS = 0.4
+
+# How old a stale reading is, in seconds.
+STALE_SECONDS = 3.0
+
+# The share of writes whose answer is lost.
+LOST_SHARE = 0.5
+
+# How much later a delaying relay passes on each part, in seconds.
+DELAY_SECONDS = 0.15
+
+# How much slower a slowed endpoint is.
+SLOW_FACTOR = 8.0
+
+# After how many tokens a broken stream ends.
+BREAK_TOKENS = 9
+
+
+class Fault(NamedTuple):
+    """A fault that is due.
+
+    Attributes:
+        number: its place in the plan; unique.
+        kind: a registered kind.
+        at: when, in seconds from the start of the load.
+        seconds: how long it lasts.
+        choice: draws its target, from 0 to 1.
+    """
+
+    number: int
+    kind: str
+    at: float
+    seconds: float
+    choice: float
+
+
+class Outcome(NamedTuple):
+    """A fault and whether it took effect."""
+
+    fault: Fault
+    took_effect: bool
+
+
+Action = Callable[[trials.Trial, Fault], Awaitable[bool]]
+
+
+class Kind(NamedTuple):
+    """A registered kind of fault.
+
+    Attributes:
+        action: brings it about.
+        least: the shortest that it lasts, in seconds.
+        most: the longest.
+    """
+
+    action: Action
+    least: float
+    most: float
+
+
+KINDS: dict[str, Kind] = {}
+
+
+def register(
+    name: str, least: float = 0.0, most: float = 0.0
+) -> Callable[[Action], Action]:
+    """Makes a coroutine a kind of fault."""
+
+    def add(action: Action) -> Action:
+        KINDS[name] = Kind(action, least, most)
+        return action
+
+    return add
+
+
+def plan_faults(seed: int, seconds: float) -> list[Fault]:
+    """Returns the faults of a run in the order of time.
+
+    Every kind has had its turn before one comes again.
+    """
+    rng = random.Random(f"faults {seed}")
+    plan: list[Fault] = []
+    rest: list[str] = []
+    at = FIRST_SECONDS
+    while at < seconds:
+        if not rest:
+            rest = sorted(KINDS)
+            rng.shuffle(rest)
+        name = rest.pop()
+        kind = KINDS[name]
+        plan.append(
+            Fault(
+                len(plan),
+                name,
+                at,
+                rng.uniform(kind.least, kind.most),
+                rng.random(),
+            )
+        )
+        if rng.random() >= TOGETHER_SHARE:
+            # Such that the mean pause is as said, those together included.
+            mean = PAUSE_SECONDS / (1 - TOGETHER_SHARE)
+            at += rng.uniform(0.5 * mean, 1.5 * mean)
+    return plan
+
+
+async def run_faults(trial: trials.Trial, plan: list[Fault]) -> list[Outcome]:
+    """Brings each fault about when it is due; returns what became of them."""
+    started_at = time.monotonic()
+    outcomes: list[Outcome] = []
+
+    async def run_one(fault: Fault) -> None:
+        trial.log.write("fault", **fault._asdict())
+        took_effect = await KINDS[fault.kind].action(trial, fault)
+        trial.log.write(
+            "fault_over", number=fault.number, took_effect=took_effect
+        )
+        outcomes.append(Outcome(fault, took_effect))
+
+    async with curio.TaskGroup() as group:
+        for fault in plan:
+            delay = started_at + fault.at - time.monotonic()
+            if delay > 0:
+                await curio.sleep(delay)
+            await group.spawn(run_one, fault)
+    return outcomes
+
+
+class _Hold:
+    """Holds one free process of several while a fault acts on it.
+
+    Attributes:
+        name: its name; empty if none is free.
+    """
+
+    def __init__(self, trial: trials.Trial, names: list[str], choice: float):
+        self._trial = trial
+        first = int(choice * len(names)) if names else 0
+        turned = names[first:] + names[:first]
+        free = [name for name in turned if name not in trial.busy]
+        self.name = free[0] if free else ""
+
+    async def __aenter__(self) -> str:
+        if self.name:
+            self._trial.busy.add(self.name)
+            self._trial.log.write("target", name=self.name)
+        return self.name
+
+    async def __aexit__(self, *_: Any) -> None:
+        self._trial.busy.discard(self.name)
+
+
+def _list_entries(trial: trials.Trial) -> list[str]:
+    return list(trial.deployment.entries)
+
+
+def _list_sidecars(trial: trials.Trial, pool: str = "") -> list[str]:
+    return [f"sidecar-{name}" for name in _list_endpoints(trial, pool)]
+
+
+def _list_endpoints(trial: trials.Trial, pool: str = "") -> list[str]:
+    return [
+        name for name, own in trial.pools.items() if not pool or own == pool
+    ]
+
+
+async def _kill(trial: trials.Trial, fault: Fault, names: list[str]) -> bool:
+    async with _Hold(trial, names, fault.choice) as name:
+        if not name:
+            return False
+        process = trial.find_process(name)
+        if process.exit_status is not None:
+            return False
+        span = trial.begin_span("down", name)
+        trial.expect_end(process, "killed")
+        process.kill()
+        await trial.wait_ended(process)
+        await curio.sleep(fault.seconds)
+        await trial.start_again(name)
+        trial.end_span(span)
+        return True
+
+
+@register("kill_entry", 0.1, 1.5)
+async def kill_entry(trial: trials.Trial, fault: Fault) -> bool:
+    """Kills an entry and starts it again."""
+    return await _kill(trial, fault, _list_entries(trial))
+
+
+@register("kill_sidecar", 0.1, 1.5)
+async def kill_sidecar(trial: trials.Trial, fault: Fault) -> bool:
+    """Kills a sidecar and starts it again."""
+    return await _kill(trial, fault, _list_sidecars(trial))
+
+
+@register("kill_endpoint", 0.1, 1.5)
+async def kill_endpoint(trial: trials.Trial, fault: Fault) -> bool:
+    """Kills an endpoint and starts it again."""
+    return await _kill(trial, fault, _list_endpoints(trial))
+
+
+async def _freeze(trial: trials.Trial, fault: Fault, names: list[str]) -> bool:
+    async with _Hold(trial, names, fault.choice) as name:
+        if not name:
+            return False
+        process = trial.find_process(name)
+        if process.exit_status is not None:
+            return False
+        span = trial.begin_span("frozen", name)
+        process.freeze()
+        try:
+            await curio.sleep(fault.seconds)
+            status = pathlib.Path(f"/proc/{process.pid}/stat").read_text()
+        finally:
+            process.resume()
+            trial.end_span(span)
+        return status.rpartition(")")[2].split()[0] == "T"
+
+
+@register("freeze_entry", 1.0, 4.0)
+async def freeze_entry(trial: trials.Trial, fault: Fault) -> bool:
+    """Stops an entry where it is for a while."""
+    return await _freeze(trial, fault, _list_entries(trial))
+
+
+@register("freeze_sidecar", 1.0, 4.0)
+async def freeze_sidecar(trial: trials.Trial, fault: Fault) -> bool:
+    """Stops a sidecar where it is for a while."""
+    return await _freeze(trial, fault, _list_sidecars(trial))
+
+
+@register("freeze_sidecar_past_lease", 5.5, 7.0)
+async def freeze_past_lease(trial: trials.Trial, fault: Fault) -> bool:
+    """Stops an engine's sidecar for longer than its lease."""
+    return await _freeze(trial, fault, _list_sidecars(trial, "engines"))
+
+
+@register("freeze_endpoint", 1.0, 4.0)
+async def freeze_endpoint(trial: trials.Trial, fault: Fault) -> bool:
+    """Stops an endpoint where it is for a while."""
+    return await _freeze(trial, fault, _list_endpoints(trial))
+
+
+async def _stop_and_start(
+    trial: trials.Trial, fault: Fault, names: list[str]
+) -> bool:
+    async with _Hold(trial, names, fault.choice) as name:
+        if not name:
+            return False
+        process = trial.find_process(name)
+        if process.exit_status is not None:
+            return False
+        stopping = trial.begin_span("stopping", name)
+        trial.expect_end(process, "stopped")
+        process.stop()
+        await trial.wait_ended(process)
+        trial.end_span(stopping)
+        span = trial.begin_span("down", name)
+        await trial.start_again(name)
+        trial.end_span(span)
+        return True
+
+
+@register("replace_sidecar")
+async def replace_sidecar(trial: trials.Trial, fault: Fault) -> bool:
+    """Stops a sidecar gracefully and starts it again."""
+    return await _stop_and_start(trial, fault, _list_sidecars(trial))
+
+
+@register("replace_entry")
+async def replace_entry(trial: trials.Trial, fault: Fault) -> bool:
+    """Stops an entry gracefully and starts it again."""
+    return await _stop_and_start(trial, fault, _list_entries(trial))
+
+
+def _choose_relay(trial: trials.Trial, fault: Fault) -> relays.Relay:
+    names = list(trial.relays)
+    name = names[int(fault.choice * len(names))]
+    trial.log.write("target", name=name)
+    return trial.relays[name]
+
+
+@register("cut_link", 0.5, 3.0)
+async def cut_link(trial: trials.Trial, fault: Fault) -> bool:
+    """Cuts a sidecar's connections both ways."""
+    relay = _choose_relay(trial, fault)
+    before = relay.cuts
+    relay.cut()
+    await curio.sleep(fault.seconds)
+    relay.mend()
+    return relay.cuts > before
+
+
+async def _stall(trial: trials.Trial, fault: Fault, direction: str) -> bool:
+    relay = _choose_relay(trial, fault)
+    before = relay.held
+    relay.stalled |= {direction}
+    await curio.sleep(fault.seconds)
+    relay.mend()
+    return relay.held > before
+
+
+@register("stall_to_sidecar", 0.5, 4.0)
+async def stall_to_sidecar(trial: trials.Trial, fault: Fault) -> bool:
+    """Passes nothing on from entries to a sidecar."""
+    return await _stall(trial, fault, relays.TO_SIDECAR)
+
+
+@register("stall_to_entry", 0.5, 4.0)
+async def stall_to_entry(trial: trials.Trial, fault: Fault) -> bool:
+    """Passes nothing on from a sidecar to entries."""
+    return await _stall(trial, fault, relays.TO_ENTRY)
+
+
+@register("delay_link", 1.0, 4.0)
+async def delay_link(trial: trials.Trial, fault: Fault) -> bool:
+    """Passes everything on late, both ways."""
+    relay = _choose_relay(trial, fault)
+    before = relay.delayed
+    relay.delay_seconds = DELAY_SECONDS
+    await curio.sleep(fault.seconds)
+    relay.mend()
+    return relay.delayed > before
+
+
+async def _probe(url: str, path: str) -> tuple[int, float]:
+    """Returns status (0 for none) and seconds of a call."""
+    started_at = time.monotonic()
+    status = 0
+    with contextlib.suppress(errors.TransportError):
+        status, _, _ = await web.call_json(
+            url, "GET", path, timeout_seconds=PROBE_SECONDS
+        )
+    return status, time.monotonic() - started_at
+
+
+_STORE_PATH = "/objects/configuration/current"
+
+
+async def _trouble_store(
+    trial: trials.Trial, fault: Fault, **values: Any
+) -> tuple[int, float]:
+    """Sets switches of the store for the fault's time; probes it then."""
+    url = trial.deployment.platform.url
+    await trial.set_faults(url, seconds=fault.seconds, **values)
+    probed = await _probe(url, _STORE_PATH)
+    await curio.sleep(max(0.0, fault.seconds - probed[1]))
+    return probed
+
+
+@register("store_outage", 1.0, 6.0)
+async def store_outage(trial: trials.Trial, fault: Fault) -> bool:
+    """The store refuses all calls."""
+    return (await _trouble_store(trial, fault, outage=True))[0] == 503
+
+
+@register("store_blackhole", 1.0, 4.0)
+async def store_blackhole(trial: trials.Trial, fault: Fault) -> bool:
+    """The store answers nothing."""
+    return (await _trouble_store(trial, fault, blackhole=True))[0] == 0
+
+
+@register("store_slow", 1.0, 4.0)
+async def store_slow(trial: trials.Trial, fault: Fault) -> bool:
+    """Each call to the store takes longer."""
+    _, seconds = await _trouble_store(
+        trial, fault, slow_seconds=STORE_SLOW_SECONDS
+    )
+    return seconds >= STORE_SLOW_SECONDS
+
+
+async def _read_count(trial: trials.Trial, name: str) -> int:
+    url = trial.deployment.platform.url
+    _, counts, _ = await web.call_json(url, "GET", "/counts")
+    return counts.get(name, 0)
+
+
+@register("store_loses_answers", 1.0, 4.0)
+async def store_loses_answers(trial: trials.Trial, fault: Fault) -> bool:
+    """Writes take effect and their answers are lost."""
+    before = await _read_count(trial, "lost_answers")
+    await _trouble_store(trial, fault, lose_answers=LOST_SHARE)
+    return await _read_count(trial, "lost_answers") > before
+
+
+@register("store_refuses_writes", 1.0, 4.0)
+async def store_refuses_writes(trial: trials.Trial, fault: Fault) -> bool:
+    """The store can be read and not written."""
+    before = await _read_count(trial, "put")
+    await _trouble_store(trial, fault, refuse_writes=True)
+    return await _read_count(trial, "put") > before
+
+
+@register("store_stale_reads", 2.0, 5.0)
+async def store_stale_reads(trial: trials.Trial, fault: Fault) -> bool:
+    """The store's readings are old."""
+    before = await _read_count(trial, "get")
+    await _trouble_store(trial, fault, stale_reads=STALE_SECONDS)
+    # The probe is one of them.
+    return await _read_count(trial, "get") > before + 1
+
+
+@register("list_lacks_instances", 2.0, 5.0)
+async def list_lacks_instances(trial: trials.Trial, fault: Fault) -> bool:
+    """The platform's list lacks some live instances and marks others."""
+    names = list(trial.deployment.sidecars)
+    rng = random.Random(fault.choice)
+    rng.shuffle(names)
+    absent, leaving = frozenset(names[:3]), frozenset(names[3:4])
+    url = trial.deployment.platform.url
+    wrong = trial.deployment.build_list(leaving, absent)
+    await web.call_json(url, "POST", "/instances", {"instances": wrong})
+    await curio.sleep(fault.seconds)
+    _, shown, _ = await web.call_json(url, "GET", "/instances")
+    right = trial.deployment.build_list()
+    await web.call_json(url, "POST", "/instances", {"instances": right})
+    return len((shown or {}).get("instances", right)) < len(right)
+
+
+async def _switch_endpoint(
+    trial: trials.Trial,
+    fault: Fault,
+    pool: str,
+    is_effect: Callable[[dict], bool],
+    **values: Any,
+) -> bool:
+    """Sets switches of an endpoint; tells whether a run shows the effect."""
+    async with _Hold(trial, _list_endpoints(trial, pool), fault.choice) as name:
+        if not name:
+            return False
+        url = trial.deployment.endpoints[name].url
+        began = time.monotonic()
+        await trial.set_faults(url, seconds=fault.seconds, **values)
+        await curio.sleep(fault.seconds)
+        try:
+            _, record, _ = await web.call_json(url, "GET", "/record")
+        except errors.TransportError:
+            return False
+    return any(
+        is_effect(run)
+        for run in record["runs"]
+        if run["ended"] and run["ended"] > began
+    )
+
+
+async def _block_endpoint(
+    trial: trials.Trial, fault: Fault, blocked: int, **values: Any
+) -> bool:
+    """Sets switches of an endpoint; tells whether it answers `blocked`."""
+    async with _Hold(trial, _list_endpoints(trial), fault.choice) as name:
+        if not name:
+            return False
+        url = trial.deployment.endpoints[name].url
+        await trial.set_faults(url, seconds=fault.seconds, **values)
+        status, seconds = await _probe(url, "/health")
+        await curio.sleep(max(0.0, fault.seconds - seconds))
+        return status == blocked
+
+
+@register("endpoint_refuses", 1.0, 4.0)
+async def endpoint_refuses(trial: trials.Trial, fault: Fault) -> bool:
+    """An endpoint refuses all calls."""
+    return await _block_endpoint(trial, fault, 503, refuse=True)
+
+
+@register("endpoint_hangs", 1.0, 4.0)
+async def endpoint_hangs(trial: trials.Trial, fault: Fault) -> bool:
+    """An endpoint answers nothing."""
+    return await _block_endpoint(trial, fault, 0, hang=True)
+
+
+@register("endpoint_slow", 2.0, 5.0)
+async def endpoint_slow(trial: trials.Trial, fault: Fault) -> bool:
+    """An endpoint is slow."""
+    return await _switch_endpoint(
+        trial,
+        fault,
+        "",
+        lambda run: run["status"] == "done",
+        slow_factor=SLOW_FACTOR,
+    )
+
+
+@register("endpoint_fails", 1.0, 4.0)
+async def endpoint_fails(trial: trials.Trial, fault: Fault) -> bool:
+    """An endpoint fails what it runs."""
+    return await _switch_endpoint(
+        trial, fault, "", lambda run: run["status"] == "failed", fail=True
+    )
+
+
+@register("endpoint_loses_answers", 1.0, 4.0)
+async def endpoint_loses_answers(trial: trials.Trial, fault: Fault) -> bool:
+    """An endpoint runs, and gives no answer."""
+    return await _switch_endpoint(
+        trial, fault, "", lambda run: run["status"] == "lost", lose_answer=True
+    )
+
+
+@register("service_loses_answers", 1.0, 4.0)
+async def service_loses_answers(trial: trials.Trial, fault: Fault) -> bool:
+    """A service runs calls that may not be repeated, and does not answer."""
+    pool = ("booking", "filing")[fault.number % 2]
+    return await _switch_endpoint(
+        trial,
+        fault,
+        pool,
+        lambda run: run["status"] == "lost",
+        lose_answer=True,
+    )
+
+
+@register("engine_breaks_streams", 1.0, 4.0)
+async def engine_breaks_streams(trial: trials.Trial, fault: Fault) -> bool:
+    """An engine's streams end before their time."""
+    return await _switch_endpoint(
+        trial,
+        fault,
+        "engines",
+        lambda run: run["status"] == "broken",
+        break_stream_after=BREAK_TOKENS,
+    )
+
+
+@register("engine_duplicates_chunks", 1.0, 4.0)
+async def engine_duplicates_chunks(trial: trials.Trial, fault: Fault) -> bool:
+    """An engine sends each part of a stream twice."""
+    return await _switch_endpoint(
+        trial,
+        fault,
+        "engines",
+        lambda run: run["status"] == "done",
+        duplicate_chunks=True,
+    )
+
+
+@register("engine_reorders_chunks", 1.0, 4.0)
+async def engine_reorders_chunks(trial: trials.Trial, fault: Fault) -> bool:
+    """An engine sends the parts of a stream out of order."""
+    return await _switch_endpoint(
+        trial,
+        fault,
+        "engines",
+        lambda run: run["status"] != "running",
+        reorder_chunks=True,
+    )
+
+
+@register("drain_endpoint", 4.5, 6.0)
+async def drain_endpoint(trial: trials.Trial, fault: Fault) -> bool:
+    """An operator drains an endpoint, and takes it in again."""
+    names = _list_endpoints(trial)
+    name = names[int(fault.choice * len(names))]
+    drained = await trial.order(f"drain-{fault.number}", "drain", endpoint=name)
+    await curio.sleep(fault.seconds)
+    await trial.order(f"resume-{fault.number}", "resume", endpoint=name)
+    return drained.outcome == "accepted"
+
+
+@register("race_operators", 2.0, 3.0)
+async def race_operators(trial: trials.Trial, fault: Fault) -> bool:
+    """Two operators give conflicting orders at one moment."""
+    ids = [f"race-{fault.number}-{turn}" for turn in range(2)]
+    async with curio.TaskGroup() as group:
+        for turn, order_id in enumerate(ids):
+            await group.spawn(
+                _race, trial, fault, order_id, ids[1 - turn], turn
+            )
+    told = {order.order_id: order.outcome for order in trial.orders}
+    return all(told[order_id] != "not_run" for order_id in ids)
+
+
+async def _race(
+    trial: trials.Trial, fault: Fault, order_id: str, rival: str, turn: int
+) -> None:
+    """Rolls out one batch id with a version that only one may win."""
+    batch, version = f"race-{fault.number}", f"{fault.number}-{turn}"
+    await trial.order(
+        order_id,
+        "roll_out",
+        rival,
+        batch=batch,
+        model=deployments.MODEL,
+        version=version,
+        adapter="",
+        pool="engines",
+    )
+
+
+@register("roll_out_batch")
+async def roll_out_batch(trial: trials.Trial, fault: Fault) -> bool:
+    """An operator rolls out a batch; it takes effect once it is loaded."""
+    batch, version = f"b-{fault.number}", str(fault.number + 2)
+    told = await trial.order(
+        f"roll-out-{fault.number}",
+        "roll_out",
+        batch=batch,
+        model=deployments.MODEL,
+        version=version,
+        adapter="",
+        pool="engines",
+    )
+    return told.outcome == "accepted"
+
+
+@register("recall_batch")
+async def recall_batch(trial: trials.Trial, fault: Fault) -> bool:
+    """An operator recalls a batch of several that serve."""
+    try:
+        value = await trial.read_configuration()
+        loaded = await trial.list_loaded()
+    except (errors.TransportError, KeyError, TypeError):
+        return False
+    serving = [
+        name
+        for name, batch in value["batches"].items()
+        if batch["state"] == "serving"
+    ]
+    if len(serving) < 2:
+        return False
+    batch = serving[0 if fault.choice < 0.5 else -1]
+    if not loaded & (set(serving) - {batch}):
+        # Nothing would serve until another is loaded.
+        batch = serving[-1]
+    told = await trial.order(f"recall-{fault.number}", "recall", batch=batch)
+    return told.outcome == "accepted"
--- /dev/null
+++ b/lab/prove.py
@@ -0,0 +1,313 @@
+"""`make prove`: real processes under load and faults, held to their word.
+
+Starts a small deployment, sends the requests and brings about the faults
+that the seed draws, and judges at the end what endpoints ran against what
+callers and operators were told. The last line is one JSON object. Exit
+status 1 on any violation.
+"""
+
+import argparse
+import collections
+import json
+import pathlib
+import shutil
+import sys
+import time
+from typing import Any
+
+import curio
+
+from lab import (
+    callers,
+    deployments,
+    evidence,
+    faults,
+    processes,
+    relays,
+    trials,
+    verdicts,
+)
+from samphirevale import errors
+
+SIZES = deployments.Sizes(entries=3, engines=3, stages=2, services=2)
+
+# What the deployment is given to become quiet, in seconds.
+QUIET_SECONDS = 8.0
+
+# The longest wait for the end of a process that was asked to end, in seconds.
+STOP_SECONDS = 45.0
+
+# The longest wait for the outcome of a key, in seconds.
+ASK_SECONDS = 20.0
+
+# The pause before a question for a key is asked again, in seconds.
+ASK_PAUSE_SECONDS = 0.5
+
+# The most violations of one invariant that are printed.
+SHOWN_VIOLATIONS = 3
+
+# The most characters of one violation that are printed.
+SHOWN_CHARACTERS = 700
+
+# Outcomes that are refusals.
+REFUSALS = ("not_run", "not_completed", "invalid")
+
+
+def plan_deployment(directory: pathlib.Path) -> list[deployments.EndpointPlan]:
+    """Returns the endpoints; one engine ignores fencing numbers."""
+    plans = []
+    for plan in deployments.plan_endpoints(SIZES):
+        journal = trials.name_journal(directory, plan.name)
+        arguments = (*plan.arguments, "--journal", str(journal))
+        flags: tuple[str, ...] = ()
+        if plan.name == "engine-0":
+            arguments = (*arguments, "--no-checks-fencing")
+            flags = ("--checks-fencing", "false")
+        plans.append(plan._replace(arguments=arguments, sidecar_flags=flags))
+    return plans
+
+
+class Result:
+    """What the run came to, as it is printed."""
+
+    def __init__(
+        self,
+        seed: int,
+        found: evidence.Evidence,
+        outcomes: list[faults.Outcome],
+        due: collections.Counter,
+        retried: int,
+    ):
+        self.violations = verdicts.judge(found)
+        self.found = found
+        self._seed = seed
+        self._due = due
+        self._retried = retried
+        self._took_effect = collections.Counter(
+            item.fault.kind for item in outcomes if item.took_effect
+        )
+
+    def build_summary(self) -> dict[str, Any]:
+        """Returns the last line's object."""
+        told = collections.Counter(a.outcome for a in self.found.answers)
+        by_invariant = collections.Counter(
+            item.invariant for item in self.violations
+        )
+        return {
+            "seed": self._seed,
+            "requests": len(self.found.answers),
+            "outcomes": dict(sorted(told.items())),
+            "retried": self._retried,
+            "faults": {
+                kind: {"due": due, "took_effect": self._took_effect[kind]}
+                for kind, due in sorted(self._due.items())
+            },
+            "never_took_effect": self.list_without_effect(),
+            "violations": len(self.violations),
+            "violations_by_invariant": dict(by_invariant),
+        }
+
+    def list_without_effect(self) -> list[str]:
+        """Returns the kinds that were due and never took effect."""
+        return [
+            kind for kind in sorted(self._due) if not self._took_effect[kind]
+        ]
+
+    def print_table(self) -> None:
+        """Prints requests, faults and violations."""
+        told = collections.Counter(a.outcome for a in self.found.answers)
+        print(f"\n{'requests':<36}{len(self.found.answers):>8}")
+        for outcome, count in sorted(told.items()):
+            print(f"  {outcome:<34}{count:>8}")
+        reasons = collections.Counter(
+            f"{a.outcome} {(a.value or {}).get('title', '')}"
+            for a in self.found.answers
+            if a.outcome in (*REFUSALS, "unknown")
+        )
+        for reason, count in sorted(reasons.items()):
+            print(f"    {reason:<32}{count:>8}")
+        print(f"{'retried':<36}{self._retried:>8}")
+        print(f"\n{'faults':<36}{'due':>8}{'in effect':>12}")
+        for kind, due in sorted(self._due.items()):
+            print(f"  {kind:<34}{due:>8}{self._took_effect[kind]:>12}")
+        print(f"\n{'violations':<36}{len(self.violations):>8}")
+        by_invariant = collections.Counter(v.invariant for v in self.violations)
+        for name in verdicts.list_invariants():
+            print(f"  {name:<34}{by_invariant[name]:>8}")
+
+    def print_violations(self) -> None:
+        """Prints the first violations of each invariant."""
+        shown: collections.Counter[str] = collections.Counter()
+        for item in self.violations:
+            shown[item.invariant] += 1
+            if shown[item.invariant] <= SHOWN_VIOLATIONS:
+                text = json.dumps(item.evidence, default=str)
+                print(f"\n{item.invariant}: {text[:SHOWN_CHARACTERS]}")
+
+
+class Proof:
+    """One run."""
+
+    def __init__(
+        self,
+        seed: int,
+        seconds: float,
+        trial: trials.Trial,
+        directory: pathlib.Path,
+    ):
+        self._seed = seed
+        self._trial = trial
+        self._directory = directory
+        self._deployment = trial.deployment
+        self._callers = callers.Callers(trial.deployment, trial.log)
+        self._sends = callers.plan_sends(
+            seed, seconds, list(trial.deployment.entries)
+        )
+        self._plan = faults.plan_faults(seed, seconds)
+
+    async def run(self) -> Result:
+        """Runs load and faults, and judges what came of them."""
+        trial = self._trial
+        for name in self._deployment.endpoints:
+            await trial.arm_endpoint(name)
+        watcher = await curio.spawn(trial.watch_exits, daemon=True)
+        sampler = await curio.spawn(trial.sample_revisions, daemon=True)
+        async with curio.TaskGroup() as group:
+            await group.spawn(self._callers.run, self._sends)
+            troubles = await group.spawn(faults.run_faults, trial, self._plan)
+        await curio.sleep(QUIET_SECONDS)
+        outcomes = await self._ask_outcomes()
+        configuration = await trial.read_configuration()
+        engines = await trial.read_engines()
+        await sampler.cancel()
+        await self._stop_nodes()
+        await curio.sleep(trials.CHECK_SECONDS * 5)
+        await watcher.cancel()
+        found = self._collect(outcomes, configuration, engines)
+        return self._conclude(found, troubles.result)
+
+    async def _ask_outcomes(self) -> dict[str, Any]:
+        """Returns what the entries tell of every key."""
+        owners = {send.key: send.account for send in self._sends if send.key}
+        urls = [node.process.url for node in self._deployment.entries.values()]
+        kept = {}
+        for number, (key, account) in enumerate(owners.items()):
+            kept[key] = await self._ask(urls[number % len(urls)], account, key)
+        return kept
+
+    async def _ask(self, url: str, account: str, key: str) -> Any:
+        give_up_at = time.monotonic() + ASK_SECONDS
+        while time.monotonic() < give_up_at:
+            try:
+                value = await callers.ask_outcome(url, account, key)
+            except errors.TransportError as error:
+                value = {"state": f"not answered: {error}"}
+            if value is None or value.get("state") in ("done", "unknown"):
+                break
+            await curio.sleep(ASK_PAUSE_SECONDS)
+        return value
+
+    async def _stop_nodes(self) -> None:
+        """Stops entries and then sidecars gracefully."""
+        for table in (self._deployment.entries, self._deployment.sidecars):
+            async with curio.TaskGroup() as group:
+                for node in table.values():
+                    await group.spawn(self._stop, node.process)
+
+    async def _stop(self, process: processes.Process) -> None:
+        trial = self._trial
+        span = trial.begin_span("stopping", process.name)
+        trial.expect_end(process, "stopped")
+        process.stop()
+        async with curio.ignore_after(STOP_SECONDS):
+            await trial.wait_ended(process)
+        trial.end_span(span)
+
+    def _collect(
+        self,
+        outcomes: dict[str, Any],
+        configuration: dict,
+        engines: dict[str, dict],
+    ) -> evidence.Evidence:
+        trial = self._trial
+        return evidence.Evidence(
+            answers=self._callers.answers,
+            runs=trials.read_runs(self._directory, trial.pools),
+            orders=trial.orders,
+            spans=trial.spans,
+            samples=trial.samples,
+            exits=trial.exits,
+            outcomes=outcomes,
+            configuration=configuration,
+            engines=engines,
+            log_lines=trials.read_violations(self._directory),
+            batches={
+                name: (batch["model"], batch["version"], batch["adapter"])
+                for name, batch in configuration["batches"].items()
+            },
+            pools=trial.pools,
+        )
+
+    def _conclude(
+        self, found: evidence.Evidence, outcomes: list[faults.Outcome]
+    ) -> Result:
+        due = collections.Counter(fault.kind for fault in self._plan)
+        sends = [send for send in self._sends if send.sort == "crash"]
+        due["crash_input"] = len({send.text for send in sends})
+        crashed = {
+            run.began["input_digest"] for run in found.runs if run.crashed
+        }
+        for number in range(len(crashed)):
+            fault = faults.Fault(-number, "crash_input", 0.0, 0.0, 0.0)
+            outcomes.append(faults.Outcome(fault, True))
+        return Result(self._seed, found, outcomes, due, self._callers.retried)
+
+
+def run(seed: int, seconds: float, directory: pathlib.Path) -> Result:
+    """Runs a proof; its events and logs go into the directory."""
+    fatal_texts = {
+        pool: callers.name_crash_text(pool) for pool in callers.CRASH_POOLS
+    }
+    with (
+        relays.open_relays() as own,
+        deployments.open_deployment(
+            SIZES,
+            directory,
+            plans=plan_deployment(directory),
+            relay=own.add,
+        ) as deployment,
+    ):
+        log = evidence.EventLog(directory / "events.jsonl")
+        trial = trials.Trial(deployment, own.by_name, log, fatal_texts)
+        try:
+            result = curio.run(Proof(seed, seconds, trial, directory).run)
+            for violation in result.violations:
+                log.write("violation", **violation._asdict())
+        finally:
+            log.close()
+    return result
+
+
+def main() -> int:
+    """Runs the command line; returns the exit status."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=60.0)
+    arguments = parser.parse_args()
+    name = f"seed-{arguments.seed}"
+    directory = processes.ROOT / "build" / "prove" / name
+    shutil.rmtree(directory, ignore_errors=True)
+    directory.mkdir(parents=True)
+    result = run(arguments.seed, arguments.seconds, directory)
+    result.print_table()
+    result.print_violations()
+    for kind in result.list_without_effect():
+        print(f"\nwarning: {kind} was due and never took effect")
+    if result.violations:
+        print(f"\nevents, journals and logs are under build/prove/{name}")
+    print(json.dumps(result.build_summary()))
+    return 1 if result.violations else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/lab/trials.py
@@ -0,0 +1,317 @@
+"""A deployment under trial: what faults act on, and what is noted of it."""
+
+import pathlib
+import time
+from typing import Any
+
+import curio
+
+from lab import deployments, evidence, processes, relays
+from samphirevale import configuration, errors, orders
+from samphirevale.adapters import clock, objects, web
+
+# The interval between looks at processes that start or end, in seconds.
+CHECK_SECONDS = 0.02
+
+# The interval between readings of all nodes' revisions, in seconds.
+SAMPLE_SECONDS = 0.4
+
+# The longest wait for a node's dump, in seconds.
+DUMP_SECONDS = 1.0
+
+# The pause before an endpoint that crashed is started again, in seconds.
+CRASH_PAUSE_SECONDS = 0.5
+
+# The longest time that an operator's order may take, in seconds.
+ORDER_SECONDS = 10.0
+
+# How much of a log is kept of a process that ended by itself, in characters.
+DETAIL_CHARACTERS = 3000
+
+
+class Trial:
+    """A deployment that faults act on.
+
+    Attributes:
+        deployment: its processes.
+        relays: between entries and sidecars, by endpoint.
+        log: the events.
+        busy: the processes that a fault holds now.
+        spans: when processes were not as usual.
+        exits: the processes that ended.
+        orders: what operators were told.
+        samples: the nodes' revisions.
+        crashes: endpoints that a crash input ended.
+        fatal_texts: by pool; what ends its endpoints.
+    """
+
+    def __init__(
+        self,
+        deployment: deployments.Deployment,
+        relays_by_name: dict[str, relays.Relay],
+        log: evidence.EventLog,
+        fatal_texts: dict[str, str],
+    ):
+        self.deployment = deployment
+        self.relays = relays_by_name
+        self.log = log
+        self.busy: set[str] = set()
+        self.spans: list[evidence.Span] = []
+        self.exits: list[evidence.Exit] = []
+        self.orders: list[evidence.OrderAnswer] = []
+        self.samples: list[evidence.Sample] = []
+        self.crashes = 0
+        self.fatal_texts = fatal_texts
+        self.pools = {
+            name: plan.pool for name, plan in deployment.plans.items()
+        }
+        self._expected: dict[int, str] = {}
+        self._seen_exits: set[int] = set()
+
+    def find_node(self, name: str) -> deployments.Node:
+        """Returns an entry or a sidecar by its process's name."""
+        if name in self.deployment.entries:
+            return self.deployment.entries[name]
+        return self.deployment.sidecars[name.removeprefix("sidecar-")]
+
+    def find_process(self, name: str) -> processes.Process:
+        """Returns any process by its name."""
+        if name in self.deployment.endpoints:
+            return self.deployment.endpoints[name]
+        return self.find_node(name).process
+
+    def list_nodes(self) -> dict[str, deployments.Node]:
+        """Returns all entries and sidecars by their processes' names."""
+        nodes = dict(self.deployment.entries)
+        for name, node in self.deployment.sidecars.items():
+            nodes[f"sidecar-{name}"] = node
+        return nodes
+
+    def expect_end(self, process: processes.Process, how: str) -> None:
+        """Notes that a process will end: `killed` or `stopped`."""
+        self._expected[process.pid] = how
+
+    def begin_span(self, kind: str, target: str) -> int:
+        """Opens a span; returns its number for `end_span`."""
+        span = evidence.Span(kind, target, time.monotonic(), float("inf"))
+        self.spans.append(span)
+        self.log.write("span_began", kind=kind, target=target)
+        return len(self.spans) - 1
+
+    def end_span(self, number: int) -> None:
+        """Closes a span."""
+        span = self.spans[number]._replace(ended=time.monotonic())
+        self.spans[number] = span
+        self.log.write("span_ended", kind=span.kind, target=span.target)
+
+    async def wait_ended(self, process: processes.Process) -> int:
+        """Returns the exit status of a process that ends."""
+        while process.exit_status is None:
+            await curio.sleep(CHECK_SECONDS)
+        return process.exit_status
+
+    async def wait_ready(self, process: processes.Process) -> bool:
+        """Waits until a process serves; returns whether it does."""
+        give_up_at = time.monotonic() + processes.START_SECONDS
+        while processes.READY not in process.read_log().splitlines():
+            gone = process.exit_status is not None
+            if gone or time.monotonic() > give_up_at:
+                return False
+            await curio.sleep(CHECK_SECONDS)
+        return True
+
+    async def start_again(self, name: str) -> bool:
+        """Starts a process that has ended again; returns if it serves."""
+        if name not in self.deployment.endpoints:
+            node = self.deployment.start_again(self.find_node(name))
+            return await self.wait_ready(node.process)
+        self.deployment.start_endpoint_again(name)
+        process = self.deployment.endpoints[name]
+        ready = await self.wait_ready(process)
+        if ready:
+            await self.arm_endpoint(name)
+        return ready
+
+    async def arm_endpoint(self, name: str) -> None:
+        """Sets the text that ends an endpoint."""
+        text = self.fatal_texts.get(self.pools[name])
+        if text is not None:
+            url = self.deployment.endpoints[name].url
+            await self.set_faults(url, crash_on=text)
+
+    async def set_faults(self, url: str, **values: Any) -> None:
+        """Sets switches of a stand-in; one that is gone has none."""
+        try:
+            await web.call_json(url, "POST", "/faults", values)
+        except errors.TransportError as error:
+            self.log.write("faults_not_set", url=url, error=str(error))
+
+    async def watch_exits(self) -> None:
+        """Notes each process that ends, for ever; starts it again."""
+        while True:
+            for process in list(self.deployment.group.processes):
+                ended = process.exit_status is not None
+                if ended and process.pid not in self._seen_exits:
+                    self._seen_exits.add(process.pid)
+                    await self._note_exit(process)
+            await curio.sleep(CHECK_SECONDS)
+
+    async def _note_exit(self, process: processes.Process) -> None:
+        expected = self._expected.get(process.pid, "")
+        name = process.name
+        if name not in self.deployment.endpoints:
+            detail = "" if expected else process.read_log()
+            self.exits.append(
+                evidence.Exit(
+                    name,
+                    process.exit_status,
+                    expected,
+                    time.monotonic(),
+                    detail[-DETAIL_CHARACTERS:],
+                )
+            )
+        self.log.write(
+            "exit", name=name, status=process.exit_status, expected=expected
+        )
+        if expected or name == "platform":
+            return
+        if name in self.deployment.endpoints:
+            self.crashes += 1
+        await curio.spawn(self._replace_ended, name, daemon=True)
+
+    async def _replace_ended(self, name: str) -> None:
+        span = self.begin_span("down", name)
+        await curio.sleep(CRASH_PAUSE_SECONDS)
+        await self.start_again(name)
+        self.end_span(span)
+
+    async def read_dump(self, node: deployments.Node) -> dict | None:
+        """Returns a node's state dump, or None if it does not answer."""
+        secret = self.deployment.operator_token
+        if node.arguments[0] == "sidecar":
+            secret = self.deployment.peer_secret
+        headers = (("Authorization", f"Bearer {secret}"),)
+        try:
+            status, value, _ = await web.call_json(
+                node.admin_url, "GET", "/dump", None, headers, DUMP_SECONDS
+            )
+        except errors.TransportError:
+            return None
+        return value if status == 200 else None
+
+    async def sample_revisions(self) -> None:
+        """Notes the nodes' revisions, for ever."""
+        while True:
+            async with curio.TaskGroup() as group:
+                for name, node in self.list_nodes().items():
+                    await group.spawn(self._sample, name, node)
+            await curio.sleep(SAMPLE_SECONDS)
+
+    async def _sample(self, name: str, node: deployments.Node) -> None:
+        asked_at = time.monotonic()
+        value = await self.read_dump(node)
+        if value is None:
+            return
+        held = value.get("sidecar", value)["revision"]
+        if held:
+            pid = value["process"]["pid"]
+            sample = evidence.Sample(name, pid, asked_at, held)
+            self.samples.append(sample)
+
+    async def order(
+        self, order_id: str, verb: str, rival: str = "", **arguments: str
+    ) -> evidence.OrderAnswer:
+        """Submits an order as an operator would, and notes the answer."""
+        text = " ".join([verb, *arguments.values()])
+        order = orders.Order(order_id, verb, arguments, text)
+        sent_at = time.monotonic()
+        outcome, revision = await self._submit(order)
+        answer = evidence.OrderAnswer(
+            order_id,
+            verb,
+            arguments,
+            outcome,
+            revision,
+            sent_at,
+            time.monotonic(),
+            rival,
+        )
+        self.orders.append(answer)
+        self.log.write("order", **answer._asdict())
+        return answer
+
+    async def _submit(self, order: orders.Order) -> tuple[str, int]:
+        store = objects.HttpObjectStore(self.deployment.platform.url)
+        deadline = time.monotonic() + ORDER_SECONDS
+        try:
+            told = await orders.submit_order(
+                store, order, deadline, clock.MonotonicClock()
+            )
+        except errors.InvalidInputError:
+            return "rejected", 0
+        except errors.StoreUnavailableError:
+            return "not_run", 0
+        except errors.StoreError:
+            return "unknown", 0
+        finally:
+            await store.close()
+        if isinstance(told, orders.Accepted):
+            return "accepted", told.revision
+        return "rejected" if isinstance(told, orders.Rejected) else "unknown", 0
+
+    async def read_configuration(self) -> dict:
+        """Returns the store's configuration."""
+        path = f"/objects/{configuration.OBJECT_KIND}"
+        path = f"{path}/{configuration.OBJECT_NAME}"
+        url = self.deployment.platform.url
+        _, value, _ = await web.call_json(url, "GET", path)
+        return value["value"]
+
+    async def list_loaded(self) -> set[str]:
+        """Returns the batches that some engine has loaded."""
+        states = await self.read_engines()
+        return {name for state in states.values() for name in state["batches"]}
+
+    async def read_engines(self) -> dict[str, dict]:
+        """Returns the state of each engine that answers."""
+        states = {}
+        for name, pool in self.pools.items():
+            if pool != "engines":
+                continue
+            url = self.deployment.endpoints[name].url
+            try:
+                _, state, _ = await web.call_json(
+                    url, "GET", "/state", timeout_seconds=DUMP_SECONDS
+                )
+            except errors.TransportError:
+                continue
+            if "batches" in state:
+                states[name] = state
+        return states
+
+
+def read_runs(
+    directory: pathlib.Path, pools: dict[str, str]
+) -> list[evidence.Run]:
+    """Returns the runs in all endpoints' journals."""
+    runs = []
+    for name, pool in pools.items():
+        path = name_journal(directory, name)
+        if path.exists():
+            runs += evidence.read_journal(path, name, pool)
+    return runs
+
+
+def name_journal(directory: pathlib.Path, endpoint: str) -> pathlib.Path:
+    """Returns the path of an endpoint's journal."""
+    return directory / f"journal-{endpoint}.jsonl"
+
+
+def read_violations(directory: pathlib.Path) -> list[str]:
+    """Returns the logs' lines that tell of a violated invariant."""
+    lines = []
+    for path in sorted(directory.glob("*.log")):
+        for line in path.read_text(errors="replace").splitlines():
+            if "is violated" in line:
+                lines.append(f"{path.name}: {line}")
+    return lines
--- /dev/null
+++ b/lab/verdicts.py
@@ -0,0 +1,454 @@
+"""Holds what endpoints ran against what callers and operators were told."""
+
+import collections
+from collections.abc import Callable, Iterator
+from typing import Any, NamedTuple
+
+from lab import evidence
+from standins import generation, records
+
+# What an order may take to be in force everywhere, in seconds.
+IN_FORCE_SECONDS = 4.0
+
+# What new work may take to stay away from an endpoint, in seconds.
+LEAVE_SECONDS = 3.0
+
+# How long past its deadline a final answer may come, in seconds.
+LATE_SECONDS = 1.0
+
+# The most endpoints that one input may crash.
+CRASHES_MOST = 2
+
+# The engines' stand-ins draw their number of tokens between these.
+TOKENS_LEAST = 24
+TOKENS_MOST = 64
+
+
+class Violation(NamedTuple):
+    """An invariant that did not hold.
+
+    Attributes:
+        invariant: its name.
+        evidence: what shows it.
+    """
+
+    invariant: str
+    evidence: dict[str, Any]
+
+
+Check = Callable[[evidence.Evidence], Iterator[dict[str, Any]]]
+
+_checks: dict[str, Check] = {}
+
+
+def register(name: str) -> Callable[[Check], Check]:
+    """Makes a generator the check of an invariant; it yields evidence."""
+
+    def add(check: Check) -> Check:
+        _checks[name] = check
+        return check
+
+    return add
+
+
+def list_invariants() -> list[str]:
+    """Returns the names of all invariants."""
+    return list(_checks)
+
+
+def judge(found: evidence.Evidence) -> list[Violation]:
+    """Returns all violations."""
+    return [
+        Violation(name, item)
+        for name, check in _checks.items()
+        for item in check(found)
+    ]
+
+
+def _describe(answer: evidence.Answer) -> dict[str, Any]:
+    value = answer.value or {}
+    return {
+        "number": answer.send.number,
+        "sort": answer.send.sort,
+        "key": answer.send.key,
+        "request": answer.request,
+        "entry": answer.entry,
+        "sent_at": answer.sent_at,
+        "ended_at": answer.ended_at,
+        "deadline_ms": answer.send.deadline_ms,
+        "outcome": answer.outcome,
+        "reason": value.get("title", ""),
+        "detail": value.get("detail", ""),
+    }
+
+
+def _describe_run(run: evidence.Run) -> dict[str, Any]:
+    ended = run.ended or {}
+    return {
+        "endpoint": run.endpoint,
+        "request": run.began["request"],
+        "attempt": run.began["attempt"],
+        "key": run.began["key"],
+        "batch": run.began["batch"],
+        "started": run.began["started"],
+        "status": ended.get("status", "never ended"),
+    }
+
+
+def _list_whole(found: evidence.Evidence) -> list[evidence.Answer]:
+    return [item for item in found.answers if item.outcome == "whole"]
+
+
+def compute_expected(
+    found: evidence.Evidence, text: str
+) -> dict[str, list[str]]:
+    """Returns the tokens that each batch answers to an input."""
+    return {
+        name: generation.compute_answer(
+            generation.Batch(name, *batch), text, TOKENS_LEAST, TOKENS_MOST
+        )
+        for name, batch in found.batches.items()
+    }
+
+
+def find_batches(
+    found: evidence.Evidence, answer: evidence.Answer
+) -> list[str]:
+    """Returns the batches whose answer a draft is."""
+    tokens = answer.value["result"].get("tokens")
+    expected = compute_expected(found, answer.send.text)
+    return [name for name, own in expected.items() if own == tokens]
+
+
+@register("whole_answer")
+def find_wrong_answers(found: evidence.Evidence) -> Iterator[dict[str, Any]]:
+    """A whole answer is the one of its own input, all of it."""
+    confirmed = _list_confirmations(found)
+    for answer in _list_whole(found):
+        if answer.send.key:
+            wrong = _check_confirmation(answer, confirmed)
+        else:
+            wrong = _check_draft(found, answer)
+        if wrong:
+            yield {**_describe(answer), "wrong": wrong, "value": answer.value}
+    for answer in found.answers:
+        if answer.outcome == "malformed":
+            yield {**_describe(answer), "value": answer.value}
+
+
+def _list_confirmations(
+    found: evidence.Evidence,
+) -> dict[str, set[str]]:
+    """Returns the digests of what services answered, by key."""
+    digests = collections.defaultdict(set)
+    for run in found.runs:
+        if run.began["key"] and run.ended:
+            digests[run.began["key"]].add(run.ended["digest"])
+    return digests
+
+
+def _check_confirmation(
+    answer: evidence.Answer, confirmed: dict[str, set[str]]
+) -> str:
+    result = answer.value["result"]
+    if result.get("key") != answer.send.key:
+        return "the confirmation has another key"
+    if records.compute_digest(result) not in confirmed[answer.send.key]:
+        return "no run of the key gave this confirmation"
+    return ""
+
+
+def _check_draft(found: evidence.Evidence, answer: evidence.Answer) -> str:
+    value = answer.value
+    tokens = value["result"]["tokens"]
+    if not find_batches(found, answer):
+        return "the tokens are no batch's answer to the input"
+    if value["count"] != len(tokens):
+        return "the count differs"
+    if value["digest"] != generation.compute_tokens_digest(tokens):
+        return "the digest differs"
+    if answer.send.sort == "streamed" and answer.streamed != tokens:
+        return "the streamed tokens differ"
+    return ""
+
+
+@register("own_answer")
+def find_foreign_answers(found: evidence.Evidence) -> Iterator[dict[str, Any]]:
+    """No caller gets what belongs to another request."""
+    owners = {}
+    for text in {item.send.text for item in found.answers}:
+        for tokens in compute_expected(found, text).values():
+            owners[tuple(tokens[:TOKENS_LEAST])] = text
+    for answer in found.answers:
+        result = (answer.value or {}).get("result") or {}
+        tokens = answer.streamed or result.get("tokens") or []
+        owner = owners.get(tuple(tokens[:TOKENS_LEAST]))
+        if owner is not None and owner != answer.send.text:
+            yield {**_describe(answer), "owner": owner}
+        key = result.get("key")
+        if key and key != answer.send.key:
+            yield {**_describe(answer), "owner": key}
+
+
+@register("not_run_is_true")
+def find_false_refusals(found: evidence.Evidence) -> Iterator[dict[str, Any]]:
+    """What was refused as not run was run by no endpoint."""
+    runs = collections.defaultdict(list)
+    for run in found.runs:
+        runs[run.began["request"]].append(run)
+    for answer in found.answers:
+        if answer.outcome == "not_run" and answer.request in runs:
+            ran = [_describe_run(run) for run in runs[answer.request]]
+            yield {**_describe(answer), "runs": ran}
+
+
+@register("at_most_once")
+def find_repeated_runs(found: evidence.Evidence) -> Iterator[dict[str, Any]]:
+    """A key runs at most once at a service."""
+    runs = collections.defaultdict(list)
+    for run in found.runs:
+        if run.began["key"]:
+            runs[run.pool, run.began["key"]].append(run)
+    for (pool, key), of_key in runs.items():
+        if pool not in ("booking", "filing") or len(of_key) < 2:
+            continue
+        yield {"key": key, "runs": [_describe_run(run) for run in of_key]}
+
+
+@register("one_outcome")
+def find_two_outcomes(found: evidence.Evidence) -> Iterator[dict[str, Any]]:
+    """Every answer for a key tells the same outcome."""
+    told = collections.defaultdict(list)
+    for answer in _list_whole(found):
+        if answer.send.key:
+            told[answer.send.key].append(answer)
+    for key, answers in told.items():
+        results = {str(item.value["result"]) for item in answers}
+        kept = found.outcomes.get(key, "not asked")
+        wrong = len(results) > 1 or kept is None
+        if isinstance(kept, dict) and kept.get("state") == "done":
+            results.add(str(kept["outcome"]["result"]))
+            wrong = wrong or len(results) > 1
+        if wrong:
+            items = [_describe(item) for item in answers]
+            yield {"key": key, "told": items, "kept": kept}
+
+
+@register("outcome_has_run")
+def find_outcomes_without_run(
+    found: evidence.Evidence,
+) -> Iterator[dict[str, Any]]:
+    """What is told to be done for a key was run."""
+    ran = {run.began["key"] for run in found.runs}
+    for key, kept in found.outcomes.items():
+        done = isinstance(kept, dict) and kept.get("state") == "done"
+        if done and key not in ran:
+            yield {"key": key, "kept": kept}
+
+
+def _list_spans(
+    found: evidence.Evidence, target: str, *kinds: str
+) -> list[evidence.Span]:
+    return [
+        span
+        for span in found.spans
+        if span.target == target and span.kind in kinds
+    ]
+
+
+def _overlaps(spans: list[evidence.Span], began: float, ended: float) -> bool:
+    return any(s.began <= ended and s.ended >= began for s in spans)
+
+
+@register("leaving_gets_no_work")
+def find_work_while_leaving(
+    found: evidence.Evidence,
+) -> Iterator[dict[str, Any]]:
+    """What leaves gets nothing new a few seconds later."""
+    for endpoint in found.pools:
+        for began, ended, why in _list_absences(found, endpoint):
+            for run in found.runs:
+                started = run.began["started"]
+                late = began + LEAVE_SECONDS < started < ended
+                if run.endpoint == endpoint and late:
+                    since = started - began
+                    yield {**_describe_run(run), "why": why, "since": since}
+
+
+def _list_absences(
+    found: evidence.Evidence, endpoint: str
+) -> list[tuple[float, float, str]]:
+    """Returns when an endpoint was leaving or drained, and why."""
+    absences = [
+        (span.began, span.ended, "stopping")
+        for span in _list_spans(found, f"sidecar-{endpoint}", "stopping")
+    ]
+    drained_at = None
+    for order in found.orders:
+        if order.arguments.get("endpoint") != endpoint:
+            continue
+        if order.verb == "drain" and order.outcome == "accepted":
+            drained_at = order.told_at
+        elif order.verb == "resume" and drained_at is not None:
+            # It may have taken effect as soon as it was sent.
+            absences.append((drained_at, order.sent_at, "drained"))
+            drained_at = None
+    if drained_at is not None:
+        absences.append((drained_at, float("inf"), "drained"))
+    return absences
+
+
+@register("graceful_stop")
+def find_cut_requests(found: evidence.Evidence) -> Iterator[dict[str, Any]]:
+    """A graceful stop cuts nothing and ends with status 0."""
+    for answer in found.answers:
+        if answer.outcome not in ("cut", "malformed"):
+            continue
+        stopping = _list_spans(found, answer.entry, "stopping")
+        if _overlaps(stopping, answer.sent_at, answer.ended_at):
+            yield _describe(answer)
+    for item in found.exits:
+        if item.expected == "stopped" and item.status != 0:
+            yield item._asdict()
+
+
+@register("final_answer")
+def find_missing_answers(found: evidence.Evidence) -> Iterator[dict[str, Any]]:
+    """A request at an entry that lives gets a final answer in time."""
+    for answer in found.answers:
+        if answer.outcome in ("left", "unreached", "malformed"):
+            continue
+        due_at = answer.sent_at + answer.send.deadline_ms / 1000 + LATE_SECONDS
+        late = answer.ended_at > due_at
+        if not late and answer.outcome != "cut":
+            continue
+        troubled = _list_spans(found, answer.entry, "down", "frozen")
+        if not _overlaps(troubled, answer.sent_at, answer.ended_at):
+            yield {**_describe(answer), "late": answer.ended_at - due_at}
+
+
+@register("configuration_in_force")
+def find_old_configurations(
+    found: evidence.Evidence,
+) -> Iterator[dict[str, Any]]:
+    """An accepted order is in force at each node in a few seconds."""
+    accepted = [o for o in found.orders if o.outcome == "accepted"]
+    seen = set()
+    for sample in found.samples:
+        spans = _list_spans(found, sample.node, "down", "frozen")
+        if _overlaps(spans, sample.asked_at, sample.asked_at + 0.5):
+            continue
+        awake = max(
+            (s.ended for s in spans if s.ended < sample.asked_at), default=0.0
+        )
+        for order in accepted:
+            mark = (sample.node, sample.pid, order.order_id)
+            since = max(order.told_at, awake)
+            late = sample.asked_at > since + IN_FORCE_SECONDS
+            if sample.revision < order.revision and late and mark not in seen:
+                seen.add(mark)
+                yield {
+                    **sample._asdict(),
+                    "order": order._asdict(),
+                    "late": sample.asked_at - since,
+                }
+
+
+@register("configuration_never_reverts")
+def find_reverted(found: evidence.Evidence) -> Iterator[dict[str, Any]]:
+    """A process's revision never falls."""
+    highest: dict[tuple[str, int], evidence.Sample] = {}
+    for sample in found.samples:
+        before = highest.get((sample.node, sample.pid))
+        if before is not None and sample.revision < before.revision:
+            yield {**sample._asdict(), "before": before._asdict()}
+        else:
+            highest[sample.node, sample.pid] = sample
+    for order in found.orders:
+        records_held = found.configuration.get("revision", 0)
+        if order.outcome == "accepted" and records_held < order.revision:
+            yield {"order": order._asdict(), "stored": records_held}
+
+
+@register("recall_holds")
+def find_recalled_work(found: evidence.Evidence) -> Iterator[dict[str, Any]]:
+    """A recalled batch is not run, nor its answers told, soon after."""
+    recalled = {
+        order.arguments["batch"]: order.told_at + IN_FORCE_SECONDS
+        for order in found.orders
+        if order.verb == "recall" and order.outcome == "accepted"
+    }
+    for run in found.runs:
+        until = recalled.get(run.began["batch"], float("inf"))
+        if run.began["started"] > until:
+            yield {**_describe_run(run), "until": until}
+    for answer in _list_whole(found):
+        if answer.send.key:
+            continue
+        names = find_batches(found, answer)
+        until = min((recalled.get(n, float("inf")) for n in names), default=0)
+        if names and answer.ended_at > until:
+            yield {**_describe(answer), "batches": names, "until": until}
+
+
+@register("crash_input_contained")
+def find_crashing_inputs(found: evidence.Evidence) -> Iterator[dict[str, Any]]:
+    """An input crashes at most so many endpoints."""
+    crashes = collections.defaultdict(list)
+    for run in found.runs:
+        if run.crashed:
+            crashes[run.began["input_digest"]].append(run)
+    for digest, runs in crashes.items():
+        if len(runs) > CRASHES_MOST:
+            items = [_describe_run(run) for run in runs]
+            yield {"input_digest": digest, "crashes": items}
+
+
+@register("orders_last")
+def find_wrong_engines(found: evidence.Evidence) -> Iterator[dict[str, Any]]:
+    """At the end each engine has loaded what the configuration says."""
+    batches = found.configuration.get("batches", {})
+    wanted = {n for n, b in batches.items() if b["state"] == "serving"}
+    recalled = {n for n, b in batches.items() if b["state"] == "recalled"}
+    for name, state in found.engines.items():
+        loaded = set(state["batches"])
+        missing, left = wanted - loaded, recalled & loaded
+        if missing or left:
+            yield {
+                "engine": name,
+                "loaded": sorted(loaded),
+                "missing": sorted(missing),
+                "recalled_yet_loaded": sorted(left),
+            }
+
+
+@register("operators_told_truly")
+def find_false_orders(found: evidence.Evidence) -> Iterator[dict[str, Any]]:
+    """Of two conflicting orders one wins, and both are told so."""
+    kept = {item["id"] for item in found.configuration.get("orders", [])}
+    by_id = {order.order_id: order for order in found.orders}
+    for order in found.orders:
+        is_kept = order.order_id in kept
+        if order.outcome == "accepted" and not is_kept:
+            yield {"told": order._asdict(), "wrong": "it is not there"}
+        if order.outcome in ("rejected", "not_run") and is_kept:
+            yield {"told": order._asdict(), "wrong": "it is there"}
+        rival = by_id.get(order.rival)
+        both = rival is not None and rival.outcome == order.outcome
+        if both and order.outcome == "accepted" and _conflict(order, rival):
+            yield {"told": order._asdict(), "rival": rival._asdict()}
+
+
+def _conflict(one: evidence.OrderAnswer, two: evidence.OrderAnswer) -> bool:
+    """Tells whether both were sent before either was told."""
+    return one.sent_at < two.told_at and two.sent_at < one.told_at
+
+
+@register("no_process_ends_itself")
+def find_ended_processes(found: evidence.Evidence) -> Iterator[dict[str, Any]]:
+    """None of our processes ends unasked, or logs a violation."""
+    for item in found.exits:
+        if not item.expected:
+            yield item._asdict()
+    for line in found.log_lines:
+        yield {"log": line}
--- a/standins/endpoints.py
+++ b/standins/endpoints.py
@@ -23,9 +23,9 @@
     FAULTS.declare("crash_on", faults.TEXT)
     FAULTS.declare("lose_answer", faults.FLAG)
 
-    def __init__(self):
+    def __init__(self, journal: str = ""):
         super().__init__()
-        self.record = records.Record()
+        self.record = records.Record(journal)
 
     @staticmethod
     @FAULTS.guard("refuse", faults.FLAG)
@@ -43,10 +43,11 @@
         """Sleeps, longer while the endpoint is slowed."""
         await curio.sleep(seconds * (self.read_fault("slow_factor") or 1))
 
-    def crash_if_told(self, value: Any) -> None:
+    def crash_if_told(self, value: Any, attempt: str) -> None:
         """Ends the process at once if the input holds the fatal text."""
         text = self.read_fault("crash_on")
         if text and text in json.dumps(value, ensure_ascii=False):
+            self.record.note_crash(attempt, time.monotonic())
             os._exit(1)
 
     @ROUTES.add("GET", "/record", control=True)
@@ -70,6 +71,7 @@
         base_seconds: least time of one call.
         jitter_seconds: most that is added to it.
         seed: seed of what is drawn.
+        journal: the file that the record is written to; empty for none.
     """
 
     workers: int
@@ -77,6 +79,7 @@
     base_seconds: float
     jitter_seconds: float
     seed: int
+    journal: str
 
 
 class PooledEndpoint(Endpoint):
@@ -85,7 +88,7 @@
     ROUTES = programs.Routes(Endpoint.ROUTES)
 
     def __init__(self, pool: Pool):
-        super().__init__()
+        super().__init__(pool.journal)
         self.places = places.Places(pool.workers, pool.waiting_limit)
         self._pool = pool
         self._generator = random.Random(pool.seed)
@@ -117,18 +120,21 @@
         run = self.record.begin(fields, fields["input"], "", started)
         half_seconds = self._draw_seconds() / 2
         await self.pace(half_seconds)
-        self.crash_if_told(fields["input"])
+        self.crash_if_told(fields["input"], run["attempt"])
         await self.pace(half_seconds)
         now = time.monotonic()
         run["ended"] = now
         if self.read_fault("fail"):
             run["status"] = "failed"
+            self.record.note_ended(run)
             return programs.build_error(500, "failed by a fault switch")
         result = self.build_result(fields)
         run["digest"] = records.compute_digest(result)
         if self.read_fault("lose_answer"):
             run["status"] = "lost"
+            self.record.note_ended(run)
             raise programs.AnswerDroppedError
         run["status"] = "done"
+        self.record.note_ended(run)
         busy_ms = (now - started) * 1000
         return web.build_json(200, {"result": result, "busy_ms": busy_ms})
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -49,6 +49,7 @@
         weights_url: the weight store; none is asked if it is empty.
         checks_fencing: refuse orders with an old fencing number.
         seed: seed of what is drawn, but for the answers.
+        journal: the file that the record is written to; empty for none.
     """
 
     port: int
@@ -71,6 +72,7 @@
     weights_url: str = ""
     checks_fencing: bool = True
     seed: int = 1
+    journal: str = ""
 
 
 class _Job(places.Ticket):
@@ -116,7 +118,7 @@
     FAULTS.declare("reorder_chunks", faults.FLAG)
 
     def __init__(self, settings: Settings):
-        super().__init__()
+        super().__init__(settings.journal)
         self._settings = settings
         loaded = map(generation.read_batch, settings.batches)
         self._batches = {batch.id: batch for batch in loaded}
@@ -163,6 +165,7 @@
         run = self._begin(job)
         run["status"] = "failed"
         run["ended"] = run["started"]
+        self.record.note_ended(run)
         return programs.build_error(500, "failed by a fault switch")
 
     async def _run_when_placed(self, job: _Job) -> AsyncIterator[bytes]:
@@ -197,6 +200,7 @@
             if run["status"] == "running":
                 run["status"] = "broken"
             run["ended"] = time.monotonic()
+            self.record.note_ended(run)
 
     async def _run(self, job: _Job, run: records.Run) -> AsyncIterator[bytes]:
         tokens = self._compute_tokens(job)
@@ -234,7 +238,7 @@
         for index, chunk in enumerate(chunks):
             await self._decode(len(chunk.tokens))
             if index >= len(chunks) // 2:
-                self.crash_if_told(job.prompt)
+                self.crash_if_told(job.prompt, job.fields["attempt"])
             if job.cancelled:
                 return
             yield chunk
--- a/standins/records.py
+++ b/standins/records.py
@@ -3,6 +3,8 @@
 import collections
 import hashlib
 import json
+import os
+import time
 from typing import Any, TypedDict
 
 # The most runs, and the most orders, that a record keeps.
@@ -53,11 +55,27 @@
 
 
 class Record:
-    """Everything that an endpoint ran."""
+    """Everything that an endpoint ran.
 
-    def __init__(self):
+    With a journal, each change is a JSON line in that file before the run
+    goes on, so that a killed endpoint leaves the whole of its record.
+    """
+
+    def __init__(self, journal: str = ""):
+        """Makes an empty record.
+
+        Args:
+            journal: the file that is appended to; none if it is empty.
+        """
+        self._journal = open(journal, "a") if journal else None  # noqa: SIM115
+        self._note("started", {"pid": os.getpid(), "at": time.monotonic()})
         self.clear()
 
+    def _note(self, event: str, fields: Any) -> None:
+        if self._journal is not None:
+            self._journal.write(json.dumps({"event": event, **fields}) + "\n")
+            self._journal.flush()
+
     def clear(self) -> None:
         """Forgets all."""
         self._runs = collections.deque(maxlen=RECORD_LIMIT)
@@ -80,21 +98,30 @@
             digest="",
         )
         self._runs.append(run)
+        self._note("began", run)
         return run
 
+    def note_ended(self, run: Run) -> None:
+        """Writes down how a run ended."""
+        self._note("ended", run)
+
+    def note_crash(self, attempt: str, now: float) -> None:
+        """Writes down that an attempt ends the process."""
+        self._note("crashed", {"attempt": attempt, "at": now})
+
     def add_order(
         self, order: str, batch: str, fencing: int, accepted: bool, now: float
     ) -> None:
         """Adds an order."""
-        self._orders.append(
-            OrderRecord(
-                order=order,
-                batch=batch,
-                fencing=fencing,
-                accepted=accepted,
-                at=now,
-            )
+        taken = OrderRecord(
+            order=order,
+            batch=batch,
+            fencing=fencing,
+            accepted=accepted,
+            at=now,
         )
+        self._orders.append(taken)
+        self._note("order", taken)
 
     def describe(self) -> dict[str, list]:
         """Returns all of it as JSON."""
--- a/standins/service.py
+++ b/standins/service.py
@@ -22,6 +22,7 @@
         base_seconds: least time of one call.
         jitter_seconds: most that is added to it.
         seed: seed of what is drawn.
+        journal: the file that the record is written to; empty for none.
         reports_load: answer `GET /load`.
     """
 
@@ -33,6 +34,7 @@
     base_seconds: float = 0.03
     jitter_seconds: float = 0.005
     seed: int = 1
+    journal: str = ""
     reports_load: bool = True
 
 
--- a/standins/stage.py
+++ b/standins/stage.py
@@ -85,6 +85,7 @@
         base_seconds: least time of one call.
         jitter_seconds: most that is added to it.
         seed: seed of what is drawn.
+        journal: the file that the record is written to; empty for none.
     """
 
     port: int
@@ -95,6 +96,7 @@
     base_seconds: float = 0.02
     jitter_seconds: float = 0.005
     seed: int = 1
+    journal: str = ""
 
 
 class Stage(endpoints.PooledEndpoint):
