Tell a re-send the kept answer that came meanwhile

Cause: a claim that is found held when it is to be taken carries the answer to tell. RequestRefusedError took only refusals, so that a whole answer (the first attempt had finished while this one ran its earlier stages) raised AttributeError inside the execution's task, and the caller got a 500. Ruled out: the early look in `replay` (it told right); the store (reads were right). The test failed with AttributeError, and passes now that a held key has its own error.

--- a/samphirevale/errors.py
+++ b/samphirevale/errors.py
@@ -99,6 +99,14 @@
         self.refusal = refusal
 
 
+class KeyHeldError(SamphirevaleError):
+    """Another attempt holds the key; carries the callers.Answer to tell."""
+
+    def __init__(self, answer: Any):
+        super().__init__("another attempt holds the key")
+        self.answer = answer
+
+
 class EndpointBusyError(SamphirevaleError):
     """An endpoint cannot take an order now; says when to try again."""
 
--- a/samphirevale/execution.py
+++ b/samphirevale/execution.py
@@ -162,6 +162,8 @@
                     answer = await self._run_stages()
         except errors.RequestRefusedError as error:
             answer = error.refusal
+        except errors.KeyHeldError as error:
+            answer = error.answer
         except curio.TaskTimeout:
             answer = self._build_late()
         finally:
--- a/samphirevale/keyed.py
+++ b/samphirevale/keyed.py
@@ -108,9 +108,9 @@
         released in the background, so that the key is free again.
 
         Raises:
-            errors.RequestRefusedError: this attempt may not hand over; the
-                refusal tells what holds the key. A kept answer is carried
-                the same way.
+            errors.KeyHeldError: another attempt holds the key; it carries
+                what the caller is told of that one.
+            errors.RequestRefusedError: the store did not decide.
         """
         now = self._clock.now()
         claim = claims.build_claim(
@@ -137,9 +137,7 @@
         if isinstance(seen, claims.Won):
             return seen
         if isinstance(seen, claims.Held):
-            raise errors.RequestRefusedError(
-                self._answer_held(request, seen.claim)
-            )
+            raise errors.KeyHeldError(self._answer_held(request, seen.claim))
         raise errors.RequestRefusedError(
             refuse_store(
                 "the store did not decide a claim", seen.retry_after_seconds
