Refuse as not_completed when the store takes no claim after other stages

Cause: the keeper refuses as not_run when the store does not decide a claim; it does not know that the repeatable stages before have run. The frame keeps not_run for requests of which no endpoint was handed any part. Ruled out: the early refusal in `replay`, before any stage: not_run is true there and stays. The focused test told not_run after four stages and tells not_completed now; before any stage it still tells not_run.

--- a/samphirevale/execution.py
+++ b/samphirevale/execution.py
@@ -209,9 +209,7 @@
         self, stage: configuration.StageConfiguration, prior: object
     ) -> handovers.StageOutcome:
         if not self._is_repeatable(stage) and self._claim is None:
-            self._claim = await self._node.keeper.acquire(
-                self._request, self._deadline_at
-            )
+            self._claim = await self._acquire_claim()
         run = handovers.StageRun(
             self._node,
             self._request,
@@ -223,6 +221,25 @@
         )
         return await run.run()
 
+    async def _acquire_claim(self) -> claims.Won:
+        """Returns the claim on the request's key.
+
+        Raises:
+            errors.KeyHeldError: another attempt holds the key.
+            errors.RequestRefusedError: the store did not decide.
+        """
+        try:
+            return await self._node.keeper.acquire(
+                self._request, self._deadline_at
+            )
+        except errors.RequestRefusedError as error:
+            # The keeper does not know that earlier stages have run.
+            told = error.refusal
+            refusal = self._progress.build_refusal(
+                told.reason, told.detail, told.retry_after_seconds
+            )
+            raise errors.RequestRefusedError(refusal) from error
+
     def _needs_claim(self) -> bool:
         return not all(self._is_repeatable(stage) for stage in self._stages)
 
--- a/tests/test_keyed.py
+++ b/tests/test_keyed.py
@@ -1,6 +1,9 @@
 """Tests of keyed requests: what a re-send and a refused claim are told."""
 
-from samphirevale import callers, claims, errors, keyed
+import types
+
+from lab import deployments
+from samphirevale import callers, claims, errors, execution, keyed
 from samphirevale.adapters import clock
 from tests import base, fakes
 
@@ -51,3 +54,41 @@
             await self.acquire()
         self.assertEqual(raised.exception.answer.outcome, "unknown")
         self.assertEqual(raised.exception.answer.reason, "running")
+
+
+class RefusedClaimTest(base.TestCase):
+    """A claim that the store does not take after other stages have run."""
+
+    def build_execution(self, keeper: keyed.Keeper) -> execution.Execution:
+        value = deployments.build_configuration()
+        held = types.SimpleNamespace(value=value)
+        entry_node = types.SimpleNamespace(
+            holder=types.SimpleNamespace(held=held),
+            keeper=keeper,
+            clock=clock.MonotonicClock(),
+        )
+        deadline_at = entry_node.clock.now() + 5.0
+        return execution.Execution(
+            entry_node, build_request(), deadline_at, None
+        )
+
+    async def refuse(self, handed: int) -> callers.Refused:
+        store = fakes.FakeStore()
+        store.down = True
+        keeper = keyed.Keeper(store, clock.MonotonicClock(), 60.0)
+        run = self.build_execution(keeper)
+        for _ in range(handed):
+            run._progress.note_handed(True)
+        stage = run._stages[-1]
+        with self.assertRaises(errors.RequestRefusedError) as raised:
+            await run._run_stage(stage, None)
+        return raised.exception.refusal
+
+    async def test_not_completed_once_a_stage_has_run(self):
+        refusal = await self.refuse(handed=4)
+        self.assertEqual(refusal.outcome, "not_completed")
+        self.assertEqual(refusal.reason, "store_unavailable")
+
+    async def test_not_run_before_any_stage(self):
+        refusal = await self.refuse(handed=0)
+        self.assertEqual(refusal.outcome, "not_run")
