Replace all nodes gracefully at the end of a proof, and test the verdicts

A graceful stop among other faults can't be told from them: its harm would be excused. After the faults every entry and sidecar is replaced under load; there any cut, unknown or not completed request is a violation. Each invariant of the verdicts has a fabricated violation that is found (35 tests).

--- a/lab/callers.py
+++ b/lab/callers.py
@@ -64,17 +64,34 @@
 ) -> list[evidence.Send]:
     """Returns the requests of a run, in the order of time."""
     rng = random.Random(f"sends {seed}")
-    sends: list[evidence.Send] = []
-    at = 0.0
-    while (at := at + rng.expovariate(REQUESTS_PER_SECOND)) < seconds:
-        sends += _plan_request(rng, seed, at, entries, len(sends))
+    sends = _plan_requests(rng, str(seed), seconds, entries)
     for number in range(max(1, int(seconds / CRASH_SECONDS))):
         sends += _plan_crash(rng, seed, number, seconds, entries, len(sends))
     return sorted(sends, key=lambda send: (send.at, send.number))
 
 
+def plan_calm_sends(
+    seed: int, seconds: float, entries: list[str]
+) -> list[evidence.Send]:
+    """Returns the requests of the time without faults after them."""
+    rng = random.Random(f"calm sends {seed}")
+    sends = _plan_requests(rng, f"{seed}-calm", seconds, entries)
+    return sorted(sends, key=lambda send: (send.at, send.number))
+
+
+def _plan_requests(
+    rng: random.Random, mark: str, seconds: float, entries: list[str]
+) -> list[evidence.Send]:
+    """Returns requests whose inputs and keys carry the mark."""
+    sends: list[evidence.Send] = []
+    at = 0.0
+    while (at := at + rng.expovariate(REQUESTS_PER_SECOND)) < seconds:
+        sends += _plan_request(rng, mark, at, entries, len(sends))
+    return sends
+
+
 def _plan_request(
-    rng: random.Random, seed: int, at: float, entries: list[str], number: int
+    rng: random.Random, mark: str, at: float, entries: list[str], number: int
 ) -> list[evidence.Send]:
     sort = rng.choices(list(SORTS), list(SORTS.values()))[0]
     finals = list(deployments.FINAL_SERVICES)
@@ -89,8 +106,8 @@
         entry=rng.choice(entries),
         account=OWNERS[pipeline],
         pipeline=pipeline,
-        text=f"Request {seed}-{number} for {pipeline}. {rng.random()}",
-        key=f"key-{seed}-{number}" if keyed else "",
+        text=f"Request {mark}-{number} for {pipeline}. {rng.random()}",
+        key=f"key-{mark}-{number}" if keyed else "",
         deadline_ms=rng.randint(DEADLINE_LEAST_MS, DEADLINE_MOST_MS),
         leaves_after=rng.uniform(0.01, 0.3) if sort == "leaver" else 0.0,
     )
--- a/lab/evidence.py
+++ b/lab/evidence.py
@@ -116,7 +116,8 @@
 
     Attributes:
         kind: `down` (killed until it serves again), `frozen`, `stopping`
-            (asked to end, until it did) or `cut` (no entry reaches it).
+            (asked to end, until it did) or `calm` (no faults but graceful
+            replacements; of no target).
         target: the process's name.
         began: when.
         ended: when; infinity while it lasts.
--- a/lab/faults.py
+++ b/lab/faults.py
@@ -279,17 +279,9 @@
     async with _Hold(trial, names, fault.choice) as name:
         if not name:
             return False
-        process = trial.find_process(name)
-        if process.exit_status is not None:
+        if trial.find_process(name).exit_status is not None:
             return False
-        stopping = trial.begin_span("stopping", name)
-        trial.expect_end(process, "stopped")
-        process.stop()
-        await trial.wait_ended(process)
-        trial.end_span(stopping)
-        span = trial.begin_span("down", name)
-        await trial.start_again(name)
-        trial.end_span(span)
+        await trial.replace(name)
         return True
 
 
@@ -635,24 +627,36 @@
     return told.outcome == "accepted"
 
 
-@register("recall_batch")
+@register("recall_batch", 2.0, 3.0)
 async def recall_batch(trial: trials.Trial, fault: Fault) -> bool:
-    """An operator recalls a batch of several that serve."""
+    """An operator recalls a batch; rolls out another before if need be."""
+    batch = await _choose_recall(trial, fault)
+    if not batch:
+        await roll_out_batch(trial, fault)
+        await curio.sleep(fault.seconds)
+        batch = await _choose_recall(trial, fault)
+    if not batch:
+        return False
+    told = await trial.order(f"recall-{fault.number}", "recall", batch=batch)
+    return told.outcome == "accepted"
+
+
+async def _choose_recall(trial: trials.Trial, fault: Fault) -> str:
+    """Returns a batch of several that serve; empty if there are not two."""
     try:
         value = await trial.read_configuration()
         loaded = await trial.list_loaded()
     except (errors.TransportError, KeyError, TypeError):
-        return False
+        return ""
     serving = [
         name
         for name, batch in value["batches"].items()
         if batch["state"] == "serving"
     ]
     if len(serving) < 2:
-        return False
-    batch = serving[0 if fault.choice < 0.5 else -1]
-    if not loaded & (set(serving) - {batch}):
-        # Nothing would serve until another is loaded.
-        batch = serving[-1]
-    told = await trial.order(f"recall-{fault.number}", "recall", batch=batch)
-    return told.outcome == "accepted"
+        return ""
+    first = serving[0]
+    if fault.choice < 0.5 and loaded & set(serving[1:]):
+        return first
+    # Without the first, nothing would serve until another is loaded.
+    return serving[-1]
--- a/lab/prove.py
+++ b/lab/prove.py
@@ -34,6 +34,9 @@
 # What the deployment is given to become quiet, in seconds.
 QUIET_SECONDS = 8.0
 
+# How long requests are sent while all nodes are replaced, in seconds.
+CALM_SECONDS = 15.0
+
 # The longest wait for the end of a process that was asked to end, in seconds.
 STOP_SECONDS = 45.0
 
@@ -163,6 +166,9 @@
         self._sends = callers.plan_sends(
             seed, seconds, list(trial.deployment.entries)
         )
+        self._calm_sends = callers.plan_calm_sends(
+            seed, CALM_SECONDS, list(trial.deployment.entries)
+        )
         self._plan = faults.plan_faults(seed, seconds)
 
     async def run(self) -> Result:
@@ -176,6 +182,8 @@
             await group.spawn(self._callers.run, self._sends)
             troubles = await group.spawn(faults.run_faults, trial, self._plan)
         await curio.sleep(QUIET_SECONDS)
+        await self._replace_all()
+        await curio.sleep(QUIET_SECONDS)
         outcomes = await self._ask_outcomes()
         configuration = await trial.read_configuration()
         engines = await trial.read_engines()
@@ -186,9 +194,21 @@
         found = self._collect(outcomes, configuration, engines)
         return self._conclude(found, troubles.result)
 
+    async def _replace_all(self) -> None:
+        """Replaces all nodes gracefully under load, without other faults."""
+        span = self._trial.begin_span("calm", "")
+        async with curio.TaskGroup() as group:
+            await group.spawn(self._callers.run, self._calm_sends)
+            await group.spawn(self._trial.replace_all)
+        self._trial.end_span(span)
+
     async def _ask_outcomes(self) -> dict[str, Any]:
         """Returns what the entries tell of every key."""
-        owners = {send.key: send.account for send in self._sends if send.key}
+        owners = {
+            send.key: send.account
+            for send in (*self._sends, *self._calm_sends)
+            if send.key
+        }
         urls = [node.process.url for node in self._deployment.entries.values()]
         kept = {}
         for number, (key, account) in enumerate(owners.items()):
--- a/lab/trials.py
+++ b/lab/trials.py
@@ -22,6 +22,9 @@
 # The pause before an endpoint that crashed is started again, in seconds.
 CRASH_PAUSE_SECONDS = 0.5
 
+# What entries are given to find a replaced process, in seconds.
+REJOIN_SECONDS = 1.5
+
 # The longest time that an operator's order may take, in seconds.
 ORDER_SECONDS = 10.0
 
@@ -132,6 +135,35 @@
             await self.arm_endpoint(name)
         return ready
 
+    async def replace(self, name: str) -> None:
+        """Stops one of our processes gracefully, and starts it again."""
+        process = self.find_process(name)
+        stopping = self.begin_span("stopping", name)
+        self.expect_end(process, "stopped")
+        process.stop()
+        await self.wait_ended(process)
+        self.end_span(stopping)
+        span = self.begin_span("down", name)
+        await self.start_again(name)
+        self.end_span(span)
+
+    async def replace_all(self) -> None:
+        """Replaces every entry and sidecar, never all of one pool at once."""
+        rounds: dict[int, list[str]] = {}
+        for pool in set(self.pools.values()):
+            own = [name for name, its in self.pools.items() if its == pool]
+            for turn, name in enumerate(own):
+                rounds.setdefault(turn, []).append(f"sidecar-{name}")
+        steps = [
+            *rounds.values(),
+            *([name] for name in self.deployment.entries),
+        ]
+        for names in steps:
+            async with curio.TaskGroup() as group:
+                for name in names:
+                    await group.spawn(self.replace, name)
+            await curio.sleep(REJOIN_SECONDS)
+
     async def arm_endpoint(self, name: str) -> None:
         """Sets the text that ends an endpoint."""
         text = self.fatal_texts.get(self.pools[name])
--- a/lab/verdicts.py
+++ b/lab/verdicts.py
@@ -307,11 +307,24 @@
         stopping = _list_spans(found, answer.entry, "stopping")
         if _overlaps(stopping, answer.sent_at, answer.ended_at):
             yield _describe(answer)
+    yield from _find_harmed(found)
     for item in found.exits:
         if item.expected == "stopped" and item.status != 0:
             yield item._asdict()
 
 
+def _find_harmed(found: evidence.Evidence) -> Iterator[dict[str, Any]]:
+    """Finds requests that graceful replacements alone did not let finish."""
+    calm = [span for span in found.spans if span.kind == "calm"]
+    for answer in found.answers:
+        if not any(s.began <= answer.sent_at <= s.ended for s in calm):
+            continue
+        running = (answer.value or {}).get("title") == "running"
+        harmed = answer.outcome in ("cut", "not_completed", "none")
+        if harmed or (answer.outcome == "unknown" and not running):
+            yield {**_describe(answer), "during": "graceful replacements"}
+
+
 @register("final_answer")
 def find_missing_answers(found: evidence.Evidence) -> Iterator[dict[str, Any]]:
     """A request at an entry that lives gets a final answer in time."""
--- /dev/null
+++ b/tests/lab/test_verdicts.py
@@ -0,0 +1,368 @@
+"""A fabricated violation of each invariant is found."""
+
+import unittest
+
+from lab import evidence, verdicts
+from standins import generation, records
+
+TEXT = "Draft a notice."
+OTHER = "Draft another."
+BATCHES = {"b1": ("assistant", "1", ""), "b2": ("assistant", "2", "")}
+CONFIRMATION = {"confirmation": "booking-1", "key": "key-1"}
+
+
+def build_send(**changes) -> evidence.Send:
+    send = evidence.Send(
+        1, 0.0, "plain", "entry-0", "colheita", "harvest-notice",
+        TEXT, "", 2000, 0.0,
+    )  # fmt: skip
+    return send._replace(**changes)
+
+
+def compute_tokens(text: str, batch: str = "b1") -> list[str]:
+    return generation.compute_answer(
+        generation.Batch(batch, *BATCHES[batch]), text, 24, 64
+    )
+
+
+def build_draft(text: str = TEXT, batch: str = "b1") -> dict:
+    tokens = compute_tokens(text, batch)
+    return {
+        "request": "r1",
+        "outcome": "whole",
+        "result": {"text": "".join(tokens), "tokens": tokens},
+        "count": len(tokens),
+        "digest": generation.compute_tokens_digest(tokens),
+    }
+
+
+def build_answer(outcome="whole", value=None, **changes) -> evidence.Answer:
+    if value is None:
+        value = {"request": "r1", "outcome": outcome}
+    answer = evidence.Answer(
+        build_send(), 0, "entry-0", 10.0, 11.0, outcome, value, []
+    )
+    return answer._replace(**changes)
+
+
+def build_keyed(result=None, **changes) -> evidence.Answer:
+    value = {
+        "request": "r1",
+        "outcome": "whole",
+        "result": result or CONFIRMATION,
+        "count": 0,
+        "digest": "",
+    }
+    send = build_send(sort="keyed", key="key-1", pipeline="slot-confirmation")
+    return build_answer("whole", value, send=send, **changes)
+
+
+def build_run(
+    endpoint="booking-0", pool="booking", crashed=False, **changes
+) -> evidence.Run:
+    began = {
+        "request": "r1",
+        "attempt": "a1",
+        "key": "key-1",
+        "input_digest": "d1",
+        "batch": "",
+        "started": 10.5,
+        "digest": records.compute_digest(CONFIRMATION),
+        "status": "done",
+        **changes,
+    }
+    return evidence.Run(endpoint, pool, began, began, crashed)
+
+
+def build_order(verb="drain", **changes) -> evidence.OrderAnswer:
+    order = evidence.OrderAnswer(
+        "o1", verb, {"endpoint": "booking-0"}, "accepted", 5, 10.0, 10.1, ""
+    )
+    return order._replace(**changes)
+
+
+def build_exit(status: int, expected: str) -> evidence.Exit:
+    return evidence.Exit("sidecar-booking-0", status, expected, 10.0, "")
+
+
+def build_evidence(**changes) -> evidence.Evidence:
+    found = evidence.Evidence(
+        answers=[],
+        runs=[],
+        orders=[],
+        spans=[],
+        samples=[],
+        exits=[],
+        outcomes={},
+        configuration={
+            "revision": 5,
+            "orders": [{"id": "o1"}],
+            "batches": {
+                "b1": {"state": "serving"},
+                "b2": {"state": "recalled"},
+            },
+        },
+        engines={},
+        log_lines=[],
+        batches=BATCHES,
+        pools={"booking-0": "booking"},
+    )
+    return found._replace(**changes)
+
+
+class VerdictsTest(unittest.TestCase):
+    """What each check finds, and what it lets pass."""
+
+    def check(self, wanted: set[str], **changes) -> None:
+        found = verdicts.judge(build_evidence(**changes))
+        self.assertEqual({item.invariant for item in found}, wanted)
+        for item in found:
+            self.assertTrue(item.evidence)
+
+    def test_sound_run_passes(self):
+        self.check(
+            set(),
+            answers=[build_answer(value=build_draft()), build_keyed()],
+            runs=[build_run()],
+            outcomes={
+                "key-1": {"state": "done", "outcome": {"result": CONFIRMATION}}
+            },
+            orders=[build_order("stop", arguments={"pipeline": "filing"})],
+            samples=[evidence.Sample("entry-0", 1, 15.0, 5)],
+            engines={"engine-0": {"batches": ["b1"]}},
+            exits=[build_exit(0, "stopped"), build_exit(-9, "killed")],
+        )
+
+    def test_short_answer(self):
+        draft = build_draft()
+        draft["result"]["tokens"] = draft["result"]["tokens"][:-1]
+        self.check({"whole_answer"}, answers=[build_answer(value=draft)])
+
+    def test_wrong_count_and_digest(self):
+        for field in ("count", "digest"):
+            draft = {**build_draft(), field: 1}
+            self.check({"whole_answer"}, answers=[build_answer(value=draft)])
+
+    def test_streamed_tokens_differ(self):
+        send = build_send(sort="streamed")
+        answer = build_answer(value=build_draft(), send=send)
+        self.check({"whole_answer"}, answers=[answer])
+
+    def test_malformed_answer(self):
+        self.check({"whole_answer"}, answers=[build_answer("malformed")])
+
+    def test_confirmation_without_run(self):
+        self.check({"whole_answer"}, answers=[build_keyed()])
+
+    def test_foreign_draft(self):
+        other = build_answer("not_run", send=build_send(text=OTHER))
+        foreign = build_answer(value=build_draft(OTHER))
+        self.check({"whole_answer", "own_answer"}, answers=[foreign, other])
+
+    def test_foreign_tokens_of_a_stream_that_ended_early(self):
+        other = build_answer("not_run", send=build_send(text=OTHER))
+        tokens = compute_tokens(OTHER)[:24]
+        foreign = build_answer("unknown", streamed=tokens)
+        self.check({"own_answer"}, answers=[foreign, other])
+
+    def test_foreign_confirmation(self):
+        result = {"confirmation": "booking-2", "key": "key-2"}
+        answer = build_keyed(result)
+        self.check(
+            {"whole_answer", "own_answer"},
+            answers=[answer],
+            runs=[build_run()],
+        )
+
+    def test_false_not_run(self):
+        self.check(
+            {"not_run_is_true"},
+            answers=[build_answer("not_run")],
+            runs=[build_run()],
+        )
+
+    def test_key_run_twice(self):
+        self.check(
+            {"at_most_once"},
+            runs=[build_run(), build_run("booking-1", attempt="a2")],
+        )
+
+    def test_two_outcomes_of_a_key(self):
+        second = {"confirmation": "booking-2", "key": "key-1"}
+        digest = records.compute_digest(second)
+        self.check(
+            {"one_outcome"},
+            answers=[build_keyed(), build_keyed(second)],
+            runs=[build_run(), build_run(pool="other", digest=digest)],
+        )
+
+    def test_outcome_that_is_forgotten(self):
+        self.check(
+            {"one_outcome"},
+            answers=[build_keyed()],
+            runs=[build_run()],
+            outcomes={"key-1": None},
+        )
+
+    def test_outcome_without_run(self):
+        kept = {"state": "done", "outcome": {"result": CONFIRMATION}}
+        self.check({"outcome_has_run"}, outcomes={"key-1": kept})
+
+    def test_work_while_stopping(self):
+        span = evidence.Span("stopping", "sidecar-booking-0", 5.0, 12.0)
+        self.check({"leaving_gets_no_work"}, spans=[span], runs=[build_run()])
+
+    def test_work_while_drained(self):
+        self.check(
+            {"leaving_gets_no_work"},
+            orders=[build_order()],
+            runs=[build_run(started=13.2)],
+        )
+
+    def test_work_soon_after_the_drain_or_after_the_resume(self):
+        resume = build_order("resume", sent_at=20.0, told_at=20.1)
+        self.check(
+            set(),
+            orders=[build_order(), resume],
+            runs=[build_run(started=13.0), build_run(key="k", started=20.05)],
+        )
+
+    def test_cut_by_a_graceful_stop(self):
+        span = evidence.Span("stopping", "entry-0", 10.5, 12.0)
+        self.check(
+            {"graceful_stop", "final_answer"},
+            spans=[span],
+            answers=[build_answer("cut")],
+        )
+
+    def test_harmed_by_graceful_replacements(self):
+        span = evidence.Span("calm", "", 9.0, 12.0)
+        for outcome in ("not_completed", "unknown"):
+            answers = [build_answer(outcome)]
+            self.check({"graceful_stop"}, spans=[span], answers=answers)
+        running = {"request": "r1", "title": "running"}
+        answers = [build_answer("unknown", running), build_answer("not_run")]
+        self.check(set(), spans=[span], answers=answers)
+
+    def test_graceful_stop_with_another_status(self):
+        self.check({"graceful_stop"}, exits=[build_exit(1, "stopped")])
+
+    def test_late_or_missing_answer(self):
+        for answer in (
+            build_answer("whole", build_draft(), ended_at=13.1),
+            build_answer("none", ended_at=15.0),
+            build_answer("cut"),
+        ):
+            self.check({"final_answer"}, answers=[answer])
+
+    def test_missing_answer_of_a_killed_or_frozen_entry(self):
+        for kind in ("down", "frozen"):
+            span = evidence.Span(kind, "entry-0", 10.5, 12.0)
+            self.check(set(), spans=[span], answers=[build_answer("cut")])
+
+    def test_old_configuration(self):
+        order = build_order("stop", arguments={"pipeline": "filing"})
+        sample = evidence.Sample("entry-0", 1, 14.2, 4)
+        self.check({"configuration_in_force"}, orders=[order], samples=[sample])
+
+    def test_old_configuration_of_a_node_that_was_frozen(self):
+        order = build_order("stop", arguments={"pipeline": "filing"})
+        span = evidence.Span("frozen", "entry-0", 9.0, 13.0)
+        early = evidence.Sample("entry-0", 1, 16.9, 4)
+        self.check(set(), orders=[order], samples=[early], spans=[span])
+        late = early._replace(asked_at=17.1)
+        self.check(
+            {"configuration_in_force"},
+            orders=[order],
+            samples=[late],
+            spans=[span],
+        )
+
+    def test_reverted_configuration(self):
+        samples = [
+            evidence.Sample("entry-0", 1, 10.0, 5),
+            evidence.Sample("entry-0", 1, 11.0, 4),
+        ]
+        self.check({"configuration_never_reverts"}, samples=samples)
+
+    def test_lost_order(self):
+        order = build_order(
+            "stop", revision=6, arguments={"pipeline": "filing"}
+        )
+        self.check({"configuration_never_reverts"}, orders=[order])
+
+    def test_recalled_batch_is_run(self):
+        recall = build_order("recall", arguments={"batch": "b2"})
+        self.check(
+            {"recall_holds"},
+            orders=[recall],
+            runs=[build_run(batch="b2", started=14.2)],
+        )
+
+    def test_recalled_batch_is_told(self):
+        recall = build_order("recall", arguments={"batch": "b2"})
+        draft = build_draft(batch="b2")
+        answer = build_answer(value=draft, sent_at=14.0, ended_at=14.2)
+        self.check({"recall_holds"}, orders=[recall], answers=[answer])
+
+    def test_input_that_crashes_three(self):
+        runs = [
+            build_run(key="", crashed=True, attempt=str(number))
+            for number in range(3)
+        ]
+        self.check({"crash_input_contained"}, runs=runs)
+        self.check(set(), runs=runs[:2])
+
+    def test_engine_with_another_state(self):
+        for loaded in ([], ["b1", "b2"]):
+            self.check(
+                {"orders_last"}, engines={"engine-0": {"batches": loaded}}
+            )
+
+    def test_operator_told_falsely(self):
+        gone = build_order(order_id="o9", arguments={})
+        there = build_order(outcome="rejected", arguments={})
+        for order in (gone, there):
+            self.check({"operators_told_truly"}, orders=[order])
+
+    def test_both_operators_told_accepted(self):
+        one = build_order(rival="o2", arguments={})
+        two = build_order(order_id="o2", rival="o1", arguments={})
+        configuration = {
+            **build_evidence().configuration,
+            "orders": [{"id": "o1"}, {"id": "o2"}],
+        }
+        self.check(
+            {"operators_told_truly"},
+            orders=[one, two],
+            configuration=configuration,
+        )
+
+    def test_process_that_ended_itself(self):
+        self.check({"no_process_ends_itself"}, exits=[build_exit(1, "")])
+
+    def test_logged_violation(self):
+        self.check({"no_process_ends_itself"}, log_lines=["is violated"])
+
+    def test_every_invariant_has_a_test(self):
+        self.assertEqual(
+            set(verdicts.list_invariants()),
+            {
+                "whole_answer",
+                "own_answer",
+                "not_run_is_true",
+                "at_most_once",
+                "one_outcome",
+                "outcome_has_run",
+                "leaving_gets_no_work",
+                "graceful_stop",
+                "final_answer",
+                "configuration_in_force",
+                "configuration_never_reverts",
+                "recall_holds",
+                "crash_input_contained",
+                "orders_last",
+                "operators_told_truly",
+                "no_process_ends_itself",
+            },
+        )
