Look again at the endpoint once a trial is reserved

Cause: the trial of an input that has crashed an endpoint is reserved in the store between the choice of the endpoint and the hand-over. The endpoint chosen was just the one that the input's other copies had brought down, so that the hand-over broke leaving_gets_no_work and the entry ended. Ruled out: the list's lag and the drain order (neither was at work); the check itself, which was right.

--- a/samphirevale/handovers.py
+++ b/samphirevale/handovers.py
@@ -281,10 +281,25 @@
             )
             if not reserved:
                 self._refuse_quarantined(verdict)
-            ending = await self._run_attempt(endpoint, attempt)
+            # The reservation took time, in which the endpoint may have gone.
+            if endpoint in self._list_candidates(self._node.clock.now()):
+                ending = await self._run_attempt(endpoint, attempt)
+            else:
+                ending = self._skip_attempt(attempt)
         await self._end_trial(attempt, ending)
         return ending
 
+    def _skip_attempt(self, attempt: str) -> messages.Refusal:
+        """Returns the refusal of an attempt that is not handed over."""
+        # Whoever takes in the refusal takes this back.
+        self._progress.note_handed(self._repeatable)
+        return self._build_refusal(
+            self._build_handover(attempt, self._node.clock.now()),
+            "not_run",
+            "unreachable",
+            "the endpoint takes no work any more",
+        )
+
     async def _end_trial(
         self, attempt: str, ending: messages.Result | messages.Refusal
     ) -> None:
--- /dev/null
+++ b/tests/test_handovers.py
@@ -0,0 +1,107 @@
+"""Tests of a stage's attempts: the trial of a suspect input."""
+
+import contextlib
+import types
+import unittest.mock
+
+from lab import deployments
+from samphirevale import handovers, messages, quarantine
+from samphirevale.adapters import clock
+from tests import base, fakes
+
+ENDPOINT = "encoder-0"
+FINGERPRINT = "f"
+
+
+class FakePeer:
+    """A sidecar that takes work while `ready`."""
+
+    endpoint = ENDPOINT
+    heartbeat = None
+    pool = "encoders"
+
+    def __init__(self):
+        self.ready = True
+        self.handed = 0
+
+    def may_take_work(self, now: float, suspect_seconds: float) -> bool:
+        return self.ready
+
+    @contextlib.asynccontextmanager
+    async def open_exchange(self, handover: messages.Handover):
+        self.handed += 1
+        yield types.SimpleNamespace(receive=self._receive)
+
+    async def _receive(self) -> messages.Refusal:
+        return messages.Refusal(
+            "r", "encoding", "a", "not_run", "overloaded", "", 0, 0.0
+        )
+
+
+class TrialTest(base.TestCase):
+    """A trial is reserved in the store, which takes time."""
+
+    def setUp(self):
+        self.peer = FakePeer()
+        self.store = fakes.FakeStore()
+        self.clock = clock.MonotonicClock()
+        held = types.SimpleNamespace(value=deployments.build_configuration())
+        suspects = quarantine.Quarantine()
+        suspects.add_crashes(FINGERPRINT, ["a0"], self.clock.now())
+        self.node = unittest.mock.Mock(
+            holder=types.SimpleNamespace(held=held),
+            peers=types.SimpleNamespace(
+                list_ready=lambda pool, now: [self.peer] * self.peer.ready,
+                find=lambda name: self.peer,
+            ),
+            quarantine=suspects,
+            store=self.store,
+            clock=self.clock,
+            keeper=unittest.mock.AsyncMock(),
+        )
+        self.progress = handovers.Progress()
+
+    def build_run(self) -> handovers.StageRun:
+        request = types.SimpleNamespace(
+            fingerprint=FINGERPRINT,
+            idempotent=True,
+            id="r",
+            pipeline="harvest-notice",
+            account="colheita",
+            priority=9,
+            key="",
+        )
+        value = self.node.holder.held.value
+        stage = value["pipelines"]["harvest-notice"]["stages"][0]
+        return handovers.StageRun(
+            self.node,
+            request,
+            stage,
+            {"input": "x", "prior": None},
+            self.clock.now() + 5.0,
+            self.progress,
+            None,
+        )
+
+    async def test_endpoint_that_leaves_meanwhile_gets_nothing(self):
+        create = self.store.create
+
+        async def create_late(*args):
+            self.peer.ready = False
+            return await create(*args)
+
+        self.store.create = create_late
+        run = self.build_run()
+        ending = await run._run_checked(ENDPOINT)
+        self.assertEqual(ending.outcome, "not_run")
+        self.assertEqual(ending.reason, "unreachable")
+        self.assertEqual(self.peer.handed, 0)
+        # The trial is free again.
+        self.node.keeper.spawn.assert_awaited_once()
+        self.progress.note_not_run(True)
+        self.assertEqual(self.progress.read_outcome(), "not_run")
+
+    async def test_endpoint_that_stays_is_handed_the_trial(self):
+        ending = await self.build_run()._run_checked(ENDPOINT)
+        self.assertEqual(ending.reason, "overloaded")
+        self.assertEqual(self.peer.handed, 1)
