Give orders through entries, and replace in turn once all have rejoined

Orders go through the operators' port, by the language, and are sent again by their id where the outcome is not known; a race is between two entries. A stopped pipeline must serve nothing 4 s later.

--- a/lab/evidence.py
+++ b/lab/evidence.py
@@ -94,7 +94,7 @@
         order_id: the order's id.
         verb: what it does.
         arguments: to what.
-        outcome: `accepted`, `rejected`, `unknown` or `not_run`.
+        outcome: `accepted`, `refused`, `unknown` or `not_run`.
         revision: the revision that it made, if accepted.
         sent_at: when it was sent.
         told_at: when the answer came.
--- a/lab/prove.py
+++ b/lab/prove.py
@@ -80,12 +80,14 @@
         outcomes: list[faults.Outcome],
         due: collections.Counter,
         retried: int,
+        slowest_rejoin: float,
     ):
         self.violations = verdicts.judge(found)
         self.found = found
         self._seed = seed
         self._due = due
         self._retried = retried
+        self._slowest_rejoin = slowest_rejoin
         self._took_effect = collections.Counter(
             item.fault.kind for item in outcomes if item.took_effect
         )
@@ -105,6 +107,7 @@
                 kind: {"due": due, "took_effect": self._took_effect[kind]}
                 for kind, due in sorted(self._due.items())
             },
+            "slowest_rejoin_seconds": round(self._slowest_rejoin, 2),
             "never_took_effect": self.list_without_effect(),
             "violations": len(self.violations),
             "violations_by_invariant": dict(by_invariant),
@@ -182,6 +185,9 @@
             await group.spawn(self._callers.run, self._sends)
             troubles = await group.spawn(faults.run_faults, trial, self._plan)
         await curio.sleep(QUIET_SECONDS)
+        # An order that ends a drain or a stop may have met an outage.
+        await trial.undo_orders()
+        await curio.sleep(verdicts.IN_FORCE_SECONDS)
         await self._replace_all()
         await curio.sleep(QUIET_SECONDS)
         outcomes = await self._ask_outcomes()
@@ -280,7 +286,14 @@
         for number in range(len(crashed)):
             fault = faults.Fault(-number, "crash_input", 0.0, 0.0, 0.0)
             outcomes.append(faults.Outcome(fault, True))
-        return Result(self._seed, found, outcomes, due, self._callers.retried)
+        return Result(
+            self._seed,
+            found,
+            outcomes,
+            due,
+            self._callers.retried,
+            self._trial.slowest_rejoin,
+        )
 
 
 def run(seed: int, seconds: float, directory: pathlib.Path) -> Result:
--- a/lab/verdicts.py
+++ b/lab/verdicts.py
@@ -365,6 +365,31 @@
                     "order": order._asdict(),
                     "late": sample.asked_at - since,
                 }
+    yield from _find_work_of_stopped(found)
+
+
+def _find_work_of_stopped(
+    found: evidence.Evidence,
+) -> Iterator[dict[str, Any]]:
+    """Finds requests that were run though their pipeline was stopped."""
+    for order in found.orders:
+        if order.verb != "stop" or order.outcome != "accepted":
+            continue
+        pipeline = order.arguments["pipeline"]
+        starts = [
+            other.sent_at
+            for other in found.orders
+            if other.verb == "start"
+            and other.arguments["pipeline"] == pipeline
+            and other.sent_at > order.told_at
+        ]
+        until = min(starts, default=float("inf"))
+        for answer in _list_whole(found):
+            late = answer.sent_at > order.told_at + IN_FORCE_SECONDS
+            if answer.send.pipeline != pipeline or not late:
+                continue
+            if answer.ended_at < until:
+                yield {**_describe(answer), "order": order._asdict()}
 
 
 @register("configuration_never_reverts")
@@ -444,7 +469,7 @@
         is_kept = order.order_id in kept
         if order.outcome == "accepted" and not is_kept:
             yield {"told": order._asdict(), "wrong": "it is not there"}
-        if order.outcome in ("rejected", "not_run") and is_kept:
+        if order.outcome in ("refused", "not_run") and is_kept:
             yield {"told": order._asdict(), "wrong": "it is there"}
         rival = by_id.get(order.rival)
         both = rival is not None and rival.outcome == order.outcome
