--- a/lab/faults.py
+++ b/lab/faults.py
@@ -459,7 +459,10 @@
     **values: Any,
 ) -> bool:
     """Sets switches of an endpoint; tells whether a run shows the effect."""
-    async with _Hold(trial, _list_endpoints(trial, pool), fault.choice) as name:
+    names = _list_endpoints(trial, pool)
+    # An endpoint that gets no work now would show no effect.
+    names = [name for name in names if trial.is_used(name)] or names
+    async with _Hold(trial, names, fault.choice) as name:
         if not name:
             return False
         url = trial.deployment.endpoints[name].url
--- a/lab/trials.py
+++ b/lab/trials.py
@@ -40,6 +40,9 @@
     "start": "start pipeline {pipeline}",
 }
 
+# An endpoint that has run something within this time is used, in seconds.
+USED_SECONDS = 1.0
+
 # How much of a log is kept of a process that ended by itself, in characters.
 DETAIL_CHARACTERS = 3000
 
@@ -49,6 +52,7 @@
 
     Attributes:
         deployment: its processes.
+        directory: where journals and logs are.
         relays: between entries and sidecars, by endpoint.
         log: the events.
         busy: the processes that a fault holds now.
@@ -70,6 +74,7 @@
         fatal_texts: dict[str, str],
     ):
         self.deployment = deployment
+        self.directory = deployment.group.directory
         self.relays = relays_by_name
         self.log = log
         self.busy: set[str] = set()
@@ -105,6 +110,11 @@
             nodes[f"sidecar-{name}"] = node
         return nodes
 
+    def is_used(self, endpoint: str) -> bool:
+        """Tells whether an endpoint has run something just now."""
+        path = name_journal(self.directory, endpoint)
+        return time.time() - path.stat().st_mtime < USED_SECONDS
+
     def expect_end(self, process: processes.Process, how: str) -> None:
         """Notes that a process will end: `killed` or `stopped`."""
         self._expected[process.pid] = how
