Reserve a margin for the service of later stages

Change: an attempt's own deadline leaves 0.6 of the later stages' service time beyond what they are expected to take.

--- a/lab/measure.py
+++ b/lab/measure.py
@@ -22,7 +22,7 @@
 REPEATS = 2
 
 # Processes that share the work.
-PROCESSES = 4
+PROCESSES = 5
 
 # Targets, from what the users promise.
 BOUND_SHARE = 0.95
--- a/lab/system.py
+++ b/lab/system.py
@@ -272,11 +272,13 @@
         self._clock.call_later(self._measure(), self._offer, attempt)
 
     def _offer(self, attempt: str) -> None:
+        later = self._stages[self._position + 1 :]
         needed = self._expect(self._position + 1)
+        service = [stage["expected_ms"] / 1000 for stage in later]
         job = endpoints.Job(
             attempt,
             self._request,
-            deadlines.reserve_for_later(self._deadline_at, needed),
+            deadlines.reserve_for_later(self._deadline_at, needed, service),
             self._note_first,
             self._build_end(attempt, self._sidecar),
         )
--- a/samphirevale/deadlines.py
+++ b/samphirevale/deadlines.py
@@ -7,6 +7,11 @@
 import math
 from collections.abc import Sequence
 
+# What is reserved for later stages beyond what they are expected to take, as
+# a share of their service time: it varies, and an attempt that ends just in
+# time is wasted when they take longer.
+SERVICE_MARGIN = 0.6
+
 # Remaining time that no attempt can use any more, in seconds.
 SMALLEST_USABLE_SECONDS = 0.001
 
@@ -46,10 +51,20 @@
 
 
 def reserve_for_later(
-    deadline_at: float, expected_after_seconds: Sequence[float]
+    deadline_at: float,
+    expected_after_seconds: Sequence[float],
+    service_after_seconds: Sequence[float] = (),
 ) -> float:
-    """Returns when the present stage must end for the later ones to fit."""
-    return deadline_at - sum(expected_after_seconds)
+    """Returns when the present stage must end for the later ones to fit.
+
+    Args:
+        deadline_at: the request's deadline.
+        expected_after_seconds: what each later stage should take, waiting
+            included.
+        service_after_seconds: the part of it that is service.
+    """
+    margin = SERVICE_MARGIN * sum(service_after_seconds)
+    return deadline_at - sum(expected_after_seconds) - margin
 
 
 def should_cancel(
