--- /dev/null
+++ b/tests/lab/test_measure.py
@@ -0,0 +1,58 @@
+"""Tests of the measurement, and a paired comparison by it."""
+
+from lab import bound, measure, sites, system, workload
+from tests import base
+
+SITE = sites.SITES[1]
+SEED = "tests"
+
+
+def run(policy, requests, scenario):
+    world = system.World(SITE, scenario, measure.SYSTEMS[policy], SEED)
+    world.run(requests)
+    return world
+
+
+class BurstTest(base.TestCase):
+    """One burst, the same arrivals for every system."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.scenario = workload.scenarios["friday_burst"](SITE)
+        arrivals = workload.draw_requests(cls.scenario, SEED)
+        cls.requests = [item for item in arrivals if item.at < 12.0]
+        cls.worlds = {
+            policy: run(policy, cls.requests, cls.scenario)
+            for policy in measure.SYSTEMS
+            if policy not in measure.VARIANTS
+        }
+
+    def count_whole(self, policy):
+        return sum(item.whole for item in self.worlds[policy].outcomes)
+
+    def test_chosen_is_no_worse_than_any_baseline(self):
+        for policy in self.worlds:
+            self.assertGreaterEqual(
+                self.count_whole(measure.CHOSEN), self.count_whole(policy)
+            )
+
+    def test_every_request_ends_once_and_in_time(self):
+        for world in self.worlds.values():
+            ended = [item.request.id for item in world.outcomes]
+            self.assertEqual(
+                sorted(ended), sorted(item.id for item in self.requests)
+            )
+            for item in world.outcomes:
+                self.assertLessEqual(
+                    item.end_seconds, sites.DEADLINE_SECONDS + 1e-6
+                )
+
+    def test_no_system_passes_the_bound(self):
+        best = bound.bound_attainment(SITE, self.scenario, self.requests)
+        for policy in self.worlds:
+            share = self.count_whole(policy) / len(self.requests)
+            self.assertLessEqual(share, best)
+
+    def test_the_same_seed_gives_the_same_run(self):
+        again = run(measure.CHOSEN, self.requests, self.scenario)
+        self.assertEqual(again.outcomes, self.worlds[measure.CHOSEN].outcomes)
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,102 @@
+"""Tests of admission."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from samphirevale import admission
+from tests import base
+
+INFINITE = float("inf")
+
+
+def build_stage(name="s", limit=2):
+    return {"name": name, "pool": name, "limit": limit, "expected_ms": 100.0}
+
+
+def ask(subject, account="x", expected=0.1, now=0.0, request="r", stages=None):
+    stages = stages or [build_stage()]
+    return subject.admit(request, account, stages, 1.0, [expected], now)
+
+
+class DecisionTest(base.TestCase):
+    """What is taken, and what refused callers are told."""
+
+    def test_refuses_what_would_be_late(self):
+        subject = admission.Admission("deadline")
+        self.assertTrue(ask(subject).admitted)
+        decision = ask(subject, expected=1.5)
+        self.assertEqual(decision.reason, "late")
+        self.assertGreaterEqual(decision.retry_after_seconds, 0.5)
+
+    def test_refuses_when_nothing_takes_work(self):
+        decision = ask(admission.Admission("deadline"), expected=INFINITE)
+        self.assertEqual(decision.reason, "unavailable")
+
+    def test_the_baseline_takes_all(self):
+        subject = admission.Admission("none")
+        self.assertTrue(ask(subject, expected=INFINITE).admitted)
+
+    def test_longer_queues_mean_longer_waits(self):
+        subject = admission.Admission("deadline")
+        short = subject.estimate_retry_seconds(0.5, 0.0)
+        long = subject.estimate_retry_seconds(5.0, 0.0)
+        self.assertLess(short, long)
+
+    def test_unknown_policy(self):
+        with self.assertRaises(ValueError):
+            admission.Admission("none such")
+
+    def test_expectations_that_prove_short_are_stretched(self):
+        subject = admission.Admission("deadline")
+        for number in range(200):
+            name = f"r{number}"
+            ask(subject, expected=0.5, request=name)
+            subject.note_finished(name, 0.9, whole=True)
+        self.assertFalse(ask(subject, expected=0.6).admitted)
+
+    @given(st.floats(0, 100), st.floats(0, 1000))
+    @settings(derandomize=True, max_examples=50)
+    def test_retry_time_is_bounded(self, excess, now):
+        subject = admission.Admission("deadline")
+        seconds = subject.estimate_retry_seconds(excess, now)
+        self.assertLessEqual(seconds, admission.LONGEST_RETRY_SECONDS)
+        self.assertGreater(seconds, 0)
+
+
+class StageLimitTest(base.TestCase):
+    """Limits of one stage take nothing from another."""
+
+    def test_full_stage_refuses_only_those_that_need_it(self):
+        subject = admission.Admission("deadline")
+        full, free = build_stage("full"), build_stage("free")
+        self.assertTrue(subject.enter_stage(full, 0.0))
+        self.assertTrue(subject.enter_stage(full, 0.0))
+        self.assertFalse(subject.enter_stage(full, 0.0))
+        self.assertEqual(ask(subject, stages=[full]).reason, "stage_limit")
+        self.assertTrue(ask(subject, stages=[free]).admitted)
+        subject.leave_stage(full, 0.0)
+        self.assertTrue(ask(subject, stages=[full]).admitted)
+
+
+class SharesTest(base.TestCase):
+    """Fair shares, and the use of idle room."""
+
+    def build_greedy(self):
+        subject = admission.Admission("deadline", {"x": 1.0, "y": 1.0})
+        ask(subject, account="y", request="y")
+        for number in range(20):
+            ask(subject, account="x", request=f"x{number}")
+        return subject
+
+    def test_greedy_account_is_held_back_first(self):
+        subject = self.build_greedy()
+        self.assertEqual(ask(subject, "x", expected=0.8).reason, "share")
+        self.assertTrue(ask(subject, "y", expected=0.8).admitted)
+
+    def test_greedy_account_may_use_idle_room(self):
+        self.assertTrue(ask(self.build_greedy(), "x", expected=0.3).admitted)
+
+    def test_alone_it_has_everything(self):
+        subject = self.build_greedy()
+        later = 1.0 + admission.ACTIVE_SECONDS
+        self.assertTrue(ask(subject, "x", expected=0.8, now=later).admitted)
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,174 @@
+"""Tests of limits."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from samphirevale import limits
+from tests import base
+
+
+def build_queue(limit=1, queue_limit=4, service=1.0):
+    """Returns a queue that has measured one attempt's time."""
+    queue = limits.AttemptQueue("fixed", limit, queue_limit)
+    queue.offer("first", "z", 0, 100.0, 0.0)
+    queue.take(0.0)
+    queue.note_ended("first", service, service)
+    return queue
+
+
+class OfferTest(base.TestCase):
+    """What is taken, and what is refused at once."""
+
+    def test_full_queue_refuses_with_a_time(self):
+        queue = build_queue()
+        for number in range(4):
+            queue.offer(f"a{number}", "x", 0, 100.0, 0.0)
+        answer = queue.offer("b", "x", 0, 100.0, 0.0)
+        self.assertEqual(answer.reason, "overloaded")
+        self.assertGreater(answer.retry_after_ms, 0)
+
+    def test_full_queue_makes_room_for_an_account_with_less(self):
+        queue = build_queue()
+        for number in range(4):
+            queue.offer(f"a{number}", "x", 0, 100.0, 0.0)
+        answer = queue.offer("b", "y", 0, 100.0, 0.0)
+        self.assertIsInstance(answer, limits.Accepted)
+        (dropped,) = queue.expire(0.0)
+        self.assertEqual(
+            (dropped.attempt, dropped.reason), ("a3", "overloaded")
+        )
+
+    def test_refuses_what_would_be_late(self):
+        queue = build_queue()
+        queue.offer("a", "x", 0, 100.0, 0.0)
+        queue.take(0.0)
+        self.assertEqual(queue.offer("b", "x", 0, 1.5, 0.0).reason, "late")
+        self.assertEqual(queue.waiting, 0)
+
+    def test_refuses_a_duplicate(self):
+        queue = build_queue()
+        queue.offer("a", "x", 0, 100.0, 0.0)
+        self.assertEqual(
+            queue.offer("a", "x", 0, 100.0, 0.0).reason, "duplicate"
+        )
+
+
+class TakeTest(base.TestCase):
+    """The order of starting, and what is dropped."""
+
+    def test_priority_goes_first(self):
+        queue = build_queue()
+        queue.offer("a", "x", 1, 100.0, 0.0)
+        queue.offer("b", "x", 0, 100.0, 0.0)
+        self.assertEqual(queue.take(0.0), "b")
+
+    def test_accounts_take_turns(self):
+        queue = build_queue(queue_limit=100)
+        for number in range(6):
+            queue.offer(f"x{number}", "x", 0, 100.0, 0.0)
+        for number in range(3):
+            queue.offer(f"y{number}", "y", 0, 100.0, 0.0)
+        started = []
+        for _ in range(6):
+            started.append(queue.take(0.0))
+            queue.note_ended(started[-1], 0.0, 1.0)
+        self.assertEqual(sum(name[0] == "y" for name in started), 3)
+
+    def test_one_that_has_time_goes_before_one_that_hardly_has(self):
+        queue = limits.AttemptQueue("fixed", 1, 10)
+        for number in range(10):
+            queue.offer(f"f{number}", "x", 0, 100.0, 0.0)
+            queue.take(0.0)
+            queue.note_ended(f"f{number}", 0.0, 2.0 if number > 7 else 0.5)
+        queue.offer("tight", "x", 0, 1.0, 0.0)
+        queue.offer("loose", "x", 0, 10.0, 0.0)
+        self.assertEqual(queue.take(0.0), "loose")
+
+    def test_late_ones_are_reported_once(self):
+        queue = build_queue()
+        queue.offer("a", "x", 0, 100.0, 0.0)
+        queue.take(0.0)
+        queue.offer("b", "x", 0, 3.0, 0.0)
+        self.assertEqual([d.attempt for d in queue.expire(2.5)], ["b"])
+        self.assertEqual(queue.expire(2.5), [])
+
+    def test_overdue_attempts_keep_their_place_until_they_end(self):
+        queue = build_queue()
+        queue.offer("a", "x", 0, 3.0, 0.0)
+        queue.take(0.0)
+        self.assertEqual(queue.list_overdue(3.0), ["a"])
+        self.assertEqual(queue.running, 1)
+        queue.note_ended("a", 3.0, None)
+        self.assertEqual(queue.running, 0)
+
+    def test_cancelled_attempt_does_not_start(self):
+        queue = build_queue()
+        queue.offer("a", "x", 0, 100.0, 0.0)
+        self.assertTrue(queue.cancel("a"))
+        self.assertFalse(queue.cancel("a"))
+        self.assertIsNone(queue.take(0.0))
+
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(["offer", "take", "end", "cancel", "expire"]),
+                st.integers(0, 9),
+            )
+        )
+    )
+    @settings(derandomize=True, max_examples=200)
+    def test_every_attempt_is_in_one_place(self, steps):
+        queue = limits.AttemptQueue("fixed", 2, 3)
+        now, waiting, running = 0.0, set(), set()
+        for number, (step, value) in enumerate(steps):
+            now += 0.1
+            name = f"{number}"
+            if step == "offer":
+                answer = queue.offer(name, f"c{value % 3}", 0, now + value, now)
+                if isinstance(answer, limits.Accepted):
+                    waiting.add(name)
+            elif step == "take":
+                taken = queue.take(now)
+                if taken is not None:
+                    waiting.remove(taken)
+                    running.add(taken)
+            elif step == "end" and running:
+                queue.note_ended(running.pop(), now, value / 10)
+            elif step == "cancel" and waiting:
+                queue.cancel(waiting.pop())
+            waiting -= {dropped.attempt for dropped in queue.expire(now)}
+            self.assertEqual(queue.running, len(running))
+            self.assertEqual(queue.waiting, len(waiting))
+            self.assertLessEqual(queue.running, 2)
+            self.assertLessEqual(queue.waiting, 3)
+
+
+class LimiterTest(base.TestCase):
+    """The limiters that adapt."""
+
+    def test_slow_answers_lower_the_limit_and_fast_ones_raise_it(self):
+        for name in ("aimd", "gradient"):
+            limiter = limits.build_limiter(name, 16)
+            for _ in range(100):
+                limiter.note_service(0.1, 16)
+            self.assertEqual(limiter.limit, 16, name)
+            for _ in range(40):
+                limiter.note_service(2.0, 16)
+            lowered = limiter.limit
+            self.assertLess(lowered, 16, name)
+            for _ in range(400):
+                limiter.note_service(0.1, limiter.limit)
+            self.assertGreater(limiter.limit, lowered, name)
+
+    @given(st.lists(st.floats(0.001, 100.0)))
+    @settings(derandomize=True, max_examples=100)
+    def test_limit_stays_in_its_range(self, times):
+        for name in limits.list_policies():
+            limiter = limits.build_limiter(name, 5)
+            for seconds in times:
+                limiter.note_service(seconds, 5)
+                self.assertIn(limiter.limit, range(1, 6))
+
+    def test_unknown_limiter(self):
+        with self.assertRaises(ValueError):
+            limits.build_limiter("none such", 1)
--- /dev/null
+++ b/tests/test_retries.py
@@ -0,0 +1,77 @@
+"""Tests of retries."""
+
+from samphirevale import messages, retries
+from tests import base
+
+
+def build_ending(**fields):
+    values = {
+        "stage": "s",
+        "repeatable": True,
+        "outcome": "failed",
+        "reason": "endpoint_failed",
+        "attempts": 1,
+    }
+    return retries.Ending(**(values | fields))
+
+
+class VerdictTest(base.TestCase):
+    """The rule, part by part."""
+
+    def decide(self, expected=0.1, remaining=1.0, **fields):
+        subject = retries.Retries()
+        ending = build_ending(**fields)
+        return subject.decide(ending, expected, remaining)
+
+    def test_failure_is_tried_again(self):
+        self.assertTrue(self.decide().retry)
+
+    def test_overload_is_not(self):
+        for reason in retries.OVERLOAD_REASONS:
+            verdict = self.decide(reason=reason, outcome="not_run")
+            self.assertEqual(verdict.reason, "overload")
+
+    def test_what_may_not_be_repeated_only_if_nothing_ran(self):
+        for outcome, retry in (
+            ("not_run", True),
+            ("failed", False),
+            ("unknown", False),
+        ):
+            verdict = self.decide(
+                repeatable=False, outcome=outcome, reason="unreachable"
+            )
+            self.assertEqual(verdict.retry, retry, outcome)
+
+    def test_not_past_the_deadline(self):
+        self.assertEqual(self.decide(expected=2.0).reason, "late")
+
+    def test_not_without_end(self):
+        self.assertEqual(self.decide(attempts=3).reason, "attempts")
+
+    def test_every_reason_is_known_to_the_protocol(self):
+        known = retries.OVERLOAD_REASONS | retries.FINAL_REASONS
+        self.assertLessEqual(known, messages.REFUSAL_REASONS)
+
+
+class BudgetTest(base.TestCase):
+    """The budget of a stage."""
+
+    def test_a_stage_that_fails_gets_little_more_than_its_load(self):
+        subject = retries.Retries()
+        made = 0
+        for _ in range(1000):
+            subject.note_first("s")
+            made += subject.decide(build_ending(), 0.1, 1.0).retry
+        limit = 1000 * retries.BUDGET_SHARE + retries.BUDGET_LIMIT
+        self.assertLessEqual(made, limit)
+
+    def test_stages_do_not_share_it(self):
+        subject = retries.Retries()
+        while subject.decide(build_ending(), 0.1, 1.0).retry:
+            pass
+        other = build_ending(stage="t")
+        self.assertTrue(subject.decide(other, 0.1, 1.0).retry)
+
+    def test_unknown_policy(self):
+        with self.assertRaises(ValueError):
+            retries.Retries("none such")
