Hold a caller's whole session against a golden file

Cause: nothing showed what a caller reads from end to end, so that a change of a status, a field or a wording went unseen.

The session runs on one small real deployment: plain, streamed, refused (not run, not completed, unknown), invalid, and keyed (first answer, replay, reuse with another input, outcome). Request ids and times are masked; texts and digests are not, as the stand-ins derive them from the input. Ruled out: reading the outcome of a key right after its answer, as it is written in the background; the session waits until it is settled. A second test holds a stream's count and digest against the engine's own record.

--- /dev/null
+++ b/tests/test_caller_session.py
@@ -0,0 +1,192 @@
+"""A whole session of a caller, held against a golden file."""
+
+import json
+from typing import Any, NamedTuple
+
+import curio
+
+from lab import deployments
+from samphirevale.adapters import web
+from standins import generation
+from tests import base, goldens
+
+SIZES = deployments.Sizes(entries=1, engines=1, stages=1, services=1)
+
+TOKEN = deployments.ACCOUNT_TOKENS["colheita"]
+
+NOTICE = "/v1/pipelines/harvest-notice/requests"
+SLOT = "/v1/pipelines/slot-confirmation/requests"
+
+# The interval between questions for an outcome, in seconds.
+POLL_SECONDS = 0.02
+
+PLACEHOLDERS = (
+    (r'(request"?: )"entry-0-[0-9a-f]{16}"', r'\1"<request id>"'),
+    (r'("seconds": )[0-9.e-]+', r"\1<seconds>"),
+    (r'("(?:busy|wasted)_ms": )(?!0\.0\b)[0-9.e-]+', r"\1<ms>"),
+    (r"127\.0\.0\.1:\d+", "127.0.0.1:<port>"),
+)
+
+
+class Step(NamedTuple):
+    """One request of the session.
+
+    Attributes:
+        title: what the step shows.
+        target: the path; a POST if there is a body, else a GET.
+        body: the body's JSON value, or None.
+        key: the idempotency key, or empty.
+        token: the bearer token.
+        faults: switches of stand-ins by endpoint, on for this step only.
+    """
+
+    title: str
+    target: str
+    body: Any = None
+    key: str = ""
+    token: str = TOKEN
+    faults: dict[str, dict] = {}
+
+
+GRAPES = {"input": "Confirm row 7 for family Bianchi.", "idempotent": False}
+FILING = {"input": "Confirm row 8 for family Rossi.", "idempotent": False}
+
+STEPS = (
+    Step("plain", NOTICE, {"input": "Strawberries are ripe.", "priority": 3}),
+    Step("streamed", NOTICE, {"input": "Grapes are ripe.", "stream": True}),
+    Step("keyed", SLOT, GRAPES, "slot-1"),
+    Step("keyed, sent again", SLOT, GRAPES, "slot-1"),
+    Step("the key with another input", SLOT, FILING, "slot-1"),
+    Step("the outcome of the key", "/v1/requests/slot-1"),
+    Step("the outcome of an unused key", "/v1/requests/slot-9"),
+    Step(
+        "invalid, all findings at once",
+        SLOT,
+        {"deadline_ms": 0, "stream": 1, "priority": 10, "colour": "red"},
+    ),
+    Step("an unknown pipeline", "/v1/pipelines/tea/requests", {"input": 1}),
+    Step("a wrong token", NOTICE, {"input": 1}, token="wrong"),
+    Step(
+        "refused, not run",
+        NOTICE,
+        {"input": "Figs are ripe."},
+        faults={"encoder-0": {"refuse": True}},
+    ),
+    Step(
+        "refused before its stream, not completed",
+        NOTICE,
+        {"input": "Figs are ripe.", "stream": True},
+        faults={"reranker-0": {"fail": True}},
+    ),
+    Step(
+        "unknown",
+        SLOT,
+        FILING,
+        "slot-2",
+        faults={"booking-0": {"lose_answer": True}},
+    ),
+    Step("unknown, sent again", SLOT, FILING, "slot-2"),
+    Step("the outcome of the unknown key", "/v1/requests/slot-2"),
+)
+
+
+def read_events(text: str) -> list[tuple[str, Any]]:
+    """Returns name and value of each server-sent event."""
+    events = []
+    for block in text.removesuffix("\n\n").split("\n\n"):
+        name, data = block.split("\n")
+        value = json.loads(data.removeprefix("data: "))
+        events.append((name.removeprefix("event: "), value))
+    return events
+
+
+def show_members(value: dict) -> str:
+    """Returns a JSON object with one line for each of its members."""
+    return "".join(f"{name}: {json.dumps(value[name])}\n" for name in value)
+
+
+class CallerSessionTest(base.TestCase):
+    """Real processes, and a caller that sends one request after another."""
+
+    @classmethod
+    def setUpClass(cls):
+        super().setUpClass()
+        cls.deployment = cls.enterClassContext(
+            deployments.open_deployment(SIZES)
+        )
+
+    def set_faults(self, name: str, switches: dict) -> None:
+        url = self.deployment.endpoints[name].url
+        deployments.call(url, "POST", "/faults", switches)
+
+    async def send(self, step: Step) -> tuple[int, dict[str, str], str]:
+        headers = [("Authorization", f"Bearer {step.token}")]
+        if step.key:
+            headers.append(("Idempotency-Key", step.key))
+        method = "GET" if step.body is None else "POST"
+        body = b"" if step.body is None else json.dumps(step.body).encode()
+        port = self.deployment.entries["entry-0"].process.port
+        async with web.connect("127.0.0.1", port) as connection:
+            answer = await connection.request(
+                method, step.target, body, tuple(headers)
+            )
+            text = (await answer.read_body()).decode()
+        return answer.status, answer.headers, text
+
+    async def show_step(self, step: Step) -> str:
+        status, headers, text = await self.send(step)
+        if headers["content-type"] != "text/event-stream":
+            text = show_members(json.loads(text))
+        method = "GET" if step.body is None else "POST"
+        lines = [f"### {step.title}", f"> {method} {step.target}"]
+        if step.key:
+            lines.append(f"> Idempotency-Key: {step.key}")
+        if step.body is not None:
+            lines.append(f"> {json.dumps(step.body)}")
+        lines.append(f"< {status}")
+        for name in ("content-type", "retry-after", "www-authenticate"):
+            if name in headers:
+                lines.append(f"< {name}: {headers[name]}")
+        return "\n".join([*lines, text.rstrip(), "", ""])
+
+    async def wait_until_settled(self, key: str) -> None:
+        """Returns once the key's outcome, written later, has been written."""
+        while True:
+            _, _, text = await self.send(Step("", f"/v1/requests/{key}"))
+            if json.loads(text)["state"] != "running":
+                return
+            await curio.sleep(POLL_SECONDS)
+
+    def test_session(self):
+        shown = []
+        for step in STEPS:
+            for name, switches in step.faults.items():
+                self.set_faults(name, switches)
+            shown.append(curio.run(self.show_step, step))
+            if step.key:
+                curio.run(self.wait_until_settled, step.key)
+            for name, switches in step.faults.items():
+                self.set_faults(name, dict.fromkeys(switches))
+        text = goldens.mask("".join(shown), PLACEHOLDERS)
+        goldens.check(self, "caller-session.txt", text)
+
+    def test_stream_agrees_with_record(self):
+        step = Step("", NOTICE, {"input": "Persimmons.", "stream": True})
+        _, _, text = curio.run(self.send, step)
+        *chunks, (name, end) = read_events(text)
+        self.assertEqual("end", name)
+        tokens = []
+        for _, chunk in chunks:
+            self.assertEqual(len(tokens), chunk["sequence"])
+            tokens += chunk["tokens"]
+        engine = self.deployment.endpoints["engine-0"].url
+        record = deployments.call(engine, "GET", "/record")
+        (run,) = [
+            run for run in record["runs"] if run["request"] == end["request"]
+        ]
+        self.assertEqual("done", run["status"])
+        self.assertEqual(run["count"], len(tokens))
+        told = (end["count"], end["digest"])
+        self.assertEqual((run["count"], run["digest"]), told)
+        digest = generation.compute_tokens_digest(tokens)
+        self.assertEqual(run["digest"], digest)
