Refuse a handshake that gives its secret twice

Cause: a second Authorization header made the header map raise, the connection was closed without an answer, and a traceback went to the log. Ruled out: taking the first or the last of them, as the two ends of a connection may then disagree on which one counts.

Before: test_unusual_handshakes (tests/test_bad_input.py) fails, empty answer. After: 401, and the next connection is served.

--- a/samphirevale/adapters/link.py
+++ b/samphirevale/adapters/link.py
@@ -269,7 +269,8 @@
 def _choose_response(
     protocol: websocket_server.ServerProtocol, request: Any, secret: str
 ) -> Any:
-    given = request.headers.get("Authorization", "")
+    # A header that is given twice is none that this side accepts.
+    given = "\n".join(request.headers.get_all("Authorization"))
     expected = f"Bearer {secret}"
     if not hmac.compare_digest(given.encode(), expected.encode()):
         return protocol.reject(401, "wrong secret between processes\n")
