Refuse JSON that cannot be sent on

Cause: the parser takes NaN, 1e999, halves of surrogate pairs and 40,000 brackets. The first two were sent on to endpoints as text that is no JSON; the other two ended in a 500 and a traceback. A limit on nesting of 64 and one strict encoding of the body now decide, with a finding. Ruled out: catching the errors where they came up, as that is after admission and in three encoders.

Before: the cases nested deeply (500), NaN (200), 1e999 (200) and surrogate (500) of tests/test_bad_input.py fail. After: 400 with a finding each.

--- a/samphirevale/callers.py
+++ b/samphirevale/callers.py
@@ -16,6 +16,9 @@
     {"input", "deadline_ms", "stream", "idempotent", "priority"}
 )
 
+# The deepest nesting of a body: every encoder on the way still takes it.
+NESTING_LIMIT = 64
+
 # The least urgent priority; 0 is the most urgent.
 LOWEST_PRIORITY = 9
 
@@ -188,7 +191,8 @@
 def _read_body(data: bytes, findings: list[errors.Finding]) -> dict:
     try:
         body = json.loads(data)
-    except ValueError as error:
+        _check_encodable(body)
+    except (ValueError, RecursionError) as error:
         findings.append(errors.Finding("body", "JSON", str(error)[:80]))
         return {}
     if not isinstance(body, dict):
@@ -199,6 +203,33 @@
     return body
 
 
+def _check_encodable(body: Any) -> None:
+    """Checks that what was read can be sent on to any endpoint.
+
+    The parser takes NaN, numbers out of range and halves of surrogate pairs,
+    which neither JSON nor CBOR can carry.
+
+    Raises:
+        ValueError: it cannot.
+    """
+    if _is_nested_deeper(body, NESTING_LIMIT):
+        raise ValueError(f"nested deeper than {NESTING_LIMIT}")
+    json.dumps(body, ensure_ascii=False, allow_nan=False).encode()
+
+
+def _is_nested_deeper(value: Any, limit: int) -> bool:
+    """Tells whether maps and lists lie more than `limit` deep."""
+    level = [value]
+    for _ in range(limit + 1):
+        level = [
+            item
+            for held in level
+            if isinstance(held, dict | list)
+            for item in (held.values() if isinstance(held, dict) else held)
+        ]
+    return bool(level)
+
+
 def _check_body(
     body: dict, longest_ms: int, findings: list[errors.Finding]
 ) -> None:
