Bound a request's head that arrives at once

Cause: h11 holds only an unfinished head against the limit, so that one of 20 KB (limit 16 KB) passed if one read brought it whole, and was refused if it came in parts: the verdict hung on segmentation. Ruled out: smaller reads, which still let two of them pass.

Before: the case 'head over the limit' of tests/test_bad_input.py fails (400 for the body instead of 431). After: 431, naming the limit.

--- a/samphirevale/adapters/web.py
+++ b/samphirevale/adapters/web.py
@@ -146,8 +146,12 @@
             )
 
 
-class _BodyTooLargeError(Exception):
-    """The request's body is larger than the limit."""
+class _TooLargeError(Exception):
+    """A part of the request is larger than its limit."""
+
+    def __init__(self, status: int, part: str, limit: int):
+        super().__init__(f"the {part} is over {limit} bytes")
+        self.status = status
 
 
 class _ServerConnection:
@@ -179,9 +183,8 @@
         """Serves one request; returns whether another may follow."""
         try:
             request = await self._read_request()
-        except _BodyTooLargeError:
-            limit = self._limits.body_bytes
-            await self._refuse(413, f"the body is over {limit} bytes")
+        except _TooLargeError as error:
+            await self._refuse(error.status, str(error))
             return False
         except h11.RemoteProtocolError as error:
             await self._refuse(error.error_status_hint, str(error))
@@ -218,6 +221,7 @@
             head = await self._read_event()
             if not isinstance(head, h11.Request):
                 return None
+            self._check_head(head)
             body = bytearray()
             while True:
                 event = await self._read_event()
@@ -225,9 +229,17 @@
                     break
                 body += event.data
                 if len(body) > self._limits.body_bytes:
-                    raise _BodyTooLargeError
+                    raise _TooLargeError(413, "body", self._limits.body_bytes)
         return _build_request(head, bytes(body))
 
+    def _check_head(self, head: h11.Request) -> None:
+        """Checks a head that came at once: h11 bounds an unfinished one."""
+        size = len(head.target)
+        for name, value in head.headers:
+            size += len(name) + len(value)
+        if size > self._limits.head_bytes:
+            raise _TooLargeError(431, "head", self._limits.head_bytes)
+
     async def _read_event(self) -> Any:
         while True:
             event = self._protocol.next_event()
