--- a/lab/deployments.py
+++ b/lab/deployments.py
@@ -305,6 +305,10 @@
         ]
         call(self.platform.url, "POST", "/instances", {"instances": instances})
 
+    def get_peer_port(self, name: str) -> int:
+        """Returns the port that entries dial for an endpoint's sidecar."""
+        return self._peer_ports[name]
+
     def read_dump(self, node: Node) -> dict:
         """Returns the state dump of one of our processes."""
         secret = self.operator_token
--- /dev/null
+++ b/tests/adapters/test_web.py
@@ -0,0 +1,59 @@
+"""The HTTP server against a caller that does not read."""
+
+import contextlib
+
+import curio
+
+from samphirevale.adapters import web
+from tests import base
+
+CHUNK_BYTES = 64 * 1024
+
+# More than the buffers of a loopback connection hold, in chunks.
+CHUNKS_LIMIT = 1000
+
+LIMITS = web.Limits(write_seconds=0.2)
+
+
+class EndlessAnswer:
+    """A handler whose answer never ends, and what became of it."""
+
+    def __init__(self):
+        self.chunks = 0
+        self.closed = curio.Event()
+
+    async def handle(self, request: web.Request) -> web.StreamedResponse:
+        return web.StreamedResponse(200, self._produce())
+
+    async def _produce(self):
+        try:
+            while True:
+                self.chunks += 1
+                yield bytes(CHUNK_BYTES)
+        finally:
+            await self.closed.set()
+
+
+class ServerTest(base.TestCase):
+    """What a server does for a caller that leaves its answer unread."""
+
+    async def test_reader_that_stops(self):
+        answer = EndlessAnswer()
+        port = base.find_free_port()
+        serving = await curio.spawn(
+            web.serve, answer.handle, "127.0.0.1", port, LIMITS
+        )
+        connection = await self.connect(port)
+        try:
+            await connection.request("GET", "/")
+            await answer.closed.wait()
+            self.assertLess(answer.chunks, CHUNKS_LIMIT)
+        finally:
+            await connection.close()
+            await serving.cancel()
+
+    async def connect(self, port: int) -> web.ClientConnection:
+        while True:
+            with contextlib.suppress(Exception):
+                return await web.open_connection("127.0.0.1", port)
+            await curio.sleep(0.01)
