Test the entry's execution with scripted sidecars

Cause: the outcomes of a request were shown by whole deployments only, which cannot set the order of events.

tests/nodes.py gives a real node (routing, retries, quarantine, keeper, peer table) whose sidecars follow a script; the store is the fake one, the clock the machine's, as the execution's time limits are curio's. Thirteen orders of events are held against what the caller is told and what the key tells later.

--- /dev/null
+++ b/tests/test_answers.py
@@ -0,0 +1,39 @@
+"""The tokens of one answer over one or more attempts."""
+
+from samphirevale import answers
+from tests import base
+
+
+class TokenBufferTest(base.TestCase):
+    """Chunks in order, repeated, with a gap, and of another answer."""
+
+    def test_chunks(self):
+        for chunks, tokens, repeated in (
+            ([(0, "ab"), (2, "c")], "abc", 0),
+            ([(0, "ab"), (0, "ab"), (1, "bc")], "abc", 3),
+            ([(0, "a"), (1, "")], "a", 0),
+            ([(0, "a"), (2, "c")], None, 0),
+            ([(0, "ab"), (1, "x")], None, 0),
+            ([(0, "ab"), (0, "axc")], None, 0),
+        ):
+            with self.subTest(chunks):
+                buffer = answers.TokenBuffer()
+                if tokens is None:
+                    with self.assertRaises(answers.BrokenStreamError):
+                        self.add_all(buffer, chunks)
+                    continue
+                self.assertEqual(tokens, self.add_all(buffer, chunks))
+                self.assertEqual(repeated, buffer.repeated)
+
+    def add_all(self, buffer, chunks) -> str:
+        fresh = [buffer.add(first, list(text)) for first, text in chunks]
+        return "".join(token for tokens in fresh for token in tokens)
+
+    def test_whole(self):
+        buffer = answers.TokenBuffer()
+        buffer.add(0, ["a", "b"])
+        digest = answers.digest_tokens("ab")
+        buffer.check_whole(2, digest)
+        for count, told in ((3, digest), (2, answers.digest_tokens("ba"))):
+            with self.assertRaises(answers.BrokenStreamError):
+                buffer.check_whole(count, told)
--- /dev/null
+++ b/tests/test_candidates.py
@@ -0,0 +1,52 @@
+"""Which endpoints and which batch a stage may run on."""
+
+from samphirevale import candidates
+from tests import nodes
+
+
+class CandidatesTest(nodes.EntryTestCase):
+    """Engines that have loaded b1 and b2; b2 is newer."""
+
+    async def test_batch(self):
+        sidecar = await self.add("engines-0", "engines")
+        value = self.node.holder.held.value
+        for loaded, state, exclude, chosen in (
+            (["b1", "b2"], "serving", [], "b2"),
+            (["b1", "b2"], "serving", ["b2"], "b1"),
+            (["b1"], "serving", [], "b1"),
+            (["b1", "b2"], "recalled", [], "b1"),
+            (["b2"], "recalled", [], ""),
+            ([], "serving", [], ""),
+        ):
+            with self.subTest(loaded=loaded, state=state, exclude=exclude):
+                beat = sidecar.peer.heartbeat._replace(batches=loaded)
+                sidecar.peer.heartbeat = beat
+                value["batches"]["b2"]["state"] = state
+                batch = candidates.choose_batch(
+                    [sidecar.peer], value, "assistant", exclude
+                )
+                self.assertEqual(chosen, batch)
+                listed = candidates.list_endpoints([sidecar.peer], batch)
+                self.assertEqual(["engines-0"] if chosen else [], listed)
+
+    async def test_ready(self):
+        now = self.node.clock.now()
+        value = self.node.holder.held.value
+        sidecar = await self.add("encoders-0", "encoders")
+        await self.add("retrievers-0", "retrievers")
+
+        def list_names(at=now):
+            ready = candidates.list_ready(
+                self.node.peers, value, "encoders", at
+            )
+            return candidates.list_endpoints(ready, None)
+
+        self.assertEqual(["encoders-0"], list_names())
+        self.assertEqual([], list_names(now + 2 * nodes.SUSPECT_SECONDS))
+        value["draining"].append("encoders-0")
+        self.assertEqual([], list_names())
+        value["draining"].clear()
+        beat = sidecar.peer.heartbeat
+        for change in ({"leaving": True}, {"healthy": False}):
+            sidecar.peer.heartbeat = beat._replace(**change)
+            self.assertEqual([], list_names())
--- /dev/null
+++ b/tests/test_execution.py
@@ -0,0 +1,120 @@
+"""Whole executions: the honest outcome for each order of events."""
+
+import curio
+
+from samphirevale import callers, execution
+from tests import nodes
+
+FAILED = nodes.refuse("failed")
+NOT_RUN = nodes.refuse("not_run", "overloaded")
+NOT_RUN_ELSEWHERE = nodes.refuse("not_run", "endpoint_refused")
+UNKNOWN = nodes.refuse("unknown")
+
+# The first endpoint's steps by pool; what the caller is told; how often the
+# last stage, which may not be repeated, was handed over.
+ORDERS_OF_EVENTS = (
+    ({}, "whole", 1),
+    ({"encoders": [NOT_RUN]}, "not_run", 0),
+    ({"encoders": [FAILED]}, "whole", 1),
+    ({"encoders": [nodes.cut]}, "whole", 1),
+    ({"engines": [nodes.replace]}, "whole", 1),
+    ({"retrievers": [NOT_RUN]}, "not_completed", 0),
+    ({"retrievers": [FAILED, FAILED]}, "whole", 1),
+    ({"booking": [NOT_RUN]}, "not_completed", 1),
+    ({"booking": [NOT_RUN_ELSEWHERE]}, "whole", 2),
+    ({"booking": [nodes.cut]}, "whole", 2),
+    ({"booking": [nodes.replace]}, "unknown", 1),
+    ({"booking": [FAILED]}, "unknown", 1),
+    ({"booking": [UNKNOWN]}, "unknown", 1),
+)
+
+
+class ExecutionTest(nodes.EntryTestCase):
+    """Scripted sidecars, two endpoints in each pool."""
+
+    async def open_pools(self, steps: dict) -> dict:
+        """Returns the sidecars of each pool; the first follows the steps."""
+        pools = ("encoders", "retrievers", "rerankers", "engines", "booking")
+        return {
+            pool: [
+                await self.add(f"{pool}-0", pool, *steps.get(pool, ())),
+                await self.add(f"{pool}-1", pool),
+            ]
+            for pool in pools
+        }
+
+    async def run_request(self, **changes) -> callers.Answer:
+        request = nodes.build_request(**changes)
+        deadline_at = self.node.clock.now() + request.deadline_ms / 1000
+        run = execution.Execution(self.node, request, deadline_at, None)
+        return await run.run()
+
+    async def test_outcomes(self):
+        for steps, outcome, handed in ORDERS_OF_EVENTS:
+            with self.subTest(steps):
+                self.setUp()
+                opened = await self.open_pools(steps)
+                answer = await self.run_request()
+                told = getattr(answer, "outcome", "whole")
+                self.assertEqual(outcome, told, answer)
+                booked = [len(one.handovers) for one in opened["booking"]]
+                self.assertEqual(handed, sum(booked))
+                await self.node.keeper.finish()
+                await self.check_kept(outcome)
+
+    async def check_kept(self, outcome: str) -> None:
+        """Checks what is told of the key; None where it is free again."""
+        states = {"whole": "done", "unknown": "unknown"}
+        kept = await self.node.keeper.find("colheita", "key-1")
+        state = kept.state if kept else None
+        self.assertEqual(states.get(outcome), state)
+
+    async def test_no_endpoint(self):
+        answer = await self.run_request()
+        self.assertEqual("not_run", answer.outcome)
+
+    async def test_deadline_while_a_call_that_may_not_be_repeated_runs(self):
+        gate = curio.Event()
+
+        async def answer_late(sidecar, handover):
+            await gate.wait()
+            await nodes.give_result(sidecar, handover)
+
+        opened = await self.open_pools({"booking": [answer_late]})
+        answer = await self.run_request(deadline_ms=200)
+        self.assertEqual(("unknown", "late"), (answer.outcome, answer.reason))
+        kept = await self.node.keeper.find("colheita", "key-1")
+        self.assertEqual("running", kept.state)
+        await gate.set()
+        await self.node.keeper.finish()
+        kept = await self.node.keeper.find("colheita", "key-1")
+        self.assertEqual("done", kept.state)
+        self.assertEqual({"of": "booking"}, kept.outcome["result"])
+        booking = opened["booking"][0]
+        self.assertEqual((1, []), (len(booking.handovers), booking.cancelled))
+        again = await self.run_request()
+        self.assertTrue(again.replayed)
+
+    async def test_deadline_while_a_repeatable_stage_runs(self):
+        async def hang(sidecar, handover):
+            pass
+
+        opened = await self.open_pools({"engines": [hang]})
+        answer = await self.run_request(deadline_ms=200)
+        self.assertEqual("not_completed", answer.outcome)
+        (handover,) = opened["engines"][0].handovers
+        self.assertEqual([handover.attempt], opened["engines"][0].cancelled)
+
+    async def test_deadline_is_passed_on_as_time_remaining(self):
+        opened = await self.open_pools({})
+        await self.run_request(deadline_ms=5000)
+        handed = [
+            one.remaining_ms
+            for pool in opened.values()
+            for sidecar in pool
+            for one in sidecar.handovers
+        ]
+        self.assertEqual(sorted(handed, reverse=True), handed)
+        self.assertLessEqual(handed[0], 5000)
+        self.assertIsInstance(handed[0], int)
+        self.assertEqual(5, len(handed))
--- /dev/null
+++ b/tests/test_handovers.py
@@ -0,0 +1,192 @@
+"""One stage: attempts that follow each other, recall, resume, trials."""
+
+import curio
+
+from samphirevale import answers, errors, handovers
+from tests import nodes
+
+# Long enough for what was sent to be taken in, in seconds.
+TAKE_SECONDS = 0.05
+
+# Places of stages in the pipeline.
+GENERATION = 3
+ENCODING = 0
+BOOKING = 4
+
+
+class StageRunTest(nodes.EntryTestCase):
+    """Scripted sidecars of one pool."""
+
+    def setUp(self):
+        super().setUp()
+        self.progress = handovers.Progress()
+        self.emitted: list[str] = []
+
+    async def emit(self, sequence: int, tokens: list[str]) -> None:
+        self.assertEqual(len(self.emitted), sequence)
+        self.emitted += tokens
+
+    async def run_stage(
+        self, number: int, stream: bool = False
+    ) -> handovers.StageOutcome:
+        value = self.node.holder.held.value
+        request = nodes.build_request()
+        run = handovers.StageRun(
+            self.node,
+            request,
+            value["pipelines"][request.pipeline]["stages"][number],
+            {"input": request.input, "prior": None},
+            self.node.clock.now() + 5.0,
+            self.progress,
+            self.emit if stream else None,
+        )
+        return await run.run()
+
+    async def check_refused(self, number: int, reason: str, **options) -> str:
+        """Checks that a stage is refused, and returns the outcome."""
+        with self.assertRaises(errors.RequestRefusedError) as caught:
+            await self.run_stage(number, **options)
+        self.assertEqual(reason, caught.exception.refusal.reason)
+        return caught.exception.refusal.outcome
+
+    def check_whole(self, outcome: handovers.StageOutcome) -> None:
+        self.assertEqual(nodes.TOKENS, outcome.payload["tokens"])
+        digest = answers.digest_tokens(nodes.TOKENS)
+        self.assertEqual((4, digest), (outcome.count, outcome.digest))
+
+    async def test_resume_on_another_endpoint_of_the_batch(self):
+        broken = nodes.refuse("failed", tokens=2)
+        first = await self.add("engines-0", "engines", broken)
+        second = await self.add("engines-1", "engines")
+        outcome = await self.run_stage(GENERATION, stream=True)
+        self.check_whole(outcome)
+        self.assertEqual(nodes.TOKENS, self.emitted)
+        (begun,), (resumed,) = first.handovers, second.handovers
+        self.assertEqual((0, 2), (begun.offset, resumed.offset))
+        self.assertEqual(("b2", "b2"), (begun.batch, resumed.batch))
+        self.assertNotEqual(begun.attempt, resumed.attempt)
+
+    async def test_resume_never_goes_to_another_batch(self):
+        broken = nodes.refuse("failed", tokens=2)
+        await self.add("engines-0", "engines", broken)
+        other = await self.add("engines-1", "engines")
+        other.peer.heartbeat = other.peer.heartbeat._replace(batches=["b1"])
+        await self.check_refused(GENERATION, "endpoint_failed", stream=True)
+        self.assertEqual([], other.handovers)
+
+    async def recall_between(self, sidecar, handover) -> None:
+        """Gives two tokens, and the rest after the batch's recall."""
+        await nodes.give_tokens(sidecar, handover, 2)
+        await curio.sleep(TAKE_SECONDS)
+        self.recall(handover.batch)
+        await nodes.give_result(sidecar, handover)
+
+    async def test_recall_in_a_stream_that_the_caller_sees(self):
+        await self.add("engines-0", "engines", self.recall_between)
+        await self.add("engines-1", "engines")
+        outcome = await self.check_refused(
+            GENERATION, "broken_answer", stream=True
+        )
+        self.assertEqual("not_completed", outcome)
+        self.assertEqual(nodes.TOKENS[:2], self.emitted)
+
+    async def test_recall_in_an_answer_that_nobody_has_seen(self):
+        first = await self.add("engines-0", "engines", self.recall_between)
+        second = await self.add("engines-1", "engines")
+        self.check_whole(await self.run_stage(GENERATION))
+        self.assertEqual("b2", first.handovers[0].batch)
+        last = (first.handovers + second.handovers)[-1]
+        self.assertEqual(("b1", 0), (last.batch, last.offset))
+
+    async def test_recall_that_only_the_sidecar_knows(self):
+        refusing = nodes.refuse("not_run", "recalled")
+        sidecar = await self.add("engines-0", "engines", refusing)
+        self.check_whole(await self.run_stage(GENERATION))
+        batches = [one.batch for one in sidecar.handovers]
+        self.assertEqual(["b2", "b1"], batches)
+
+    async def test_wrong_digest_is_no_answer(self):
+        async def give_other(sidecar, handover):
+            await nodes.give_tokens(sidecar, handover, 3)
+            await nodes.give_result(
+                sidecar, handover._replace(offset=len(nodes.TOKENS))
+            )
+
+        await self.add("engines-0", "engines", give_other)
+        second = await self.add("engines-1", "engines")
+        self.check_whole(await self.run_stage(GENERATION))
+        self.assertEqual(1, len(second.handovers))
+
+    async def test_cut_link_asks_the_same_attempt_again(self):
+        sidecar = await self.add("booking-0", "booking", nodes.cut)
+        await self.run_stage(BOOKING)
+        first, second = sidecar.handovers
+        self.assertEqual(first, second)
+
+    async def test_late_refusal_is_asked_for_its_outcome(self):
+        late = nodes.refuse("unknown", "late")
+        sidecar = await self.add("booking-0", "booking", late)
+        outcome = await self.run_stage(BOOKING)
+        self.assertEqual({"of": "booking"}, outcome.payload)
+        self.assertEqual(sidecar.handovers[0], sidecar.handovers[1])
+
+    async def test_leaving_and_draining_get_nothing(self):
+        leaving = await self.add("encoders-0", "encoders")
+        leaving.peer.listed_leaving = True
+        draining = await self.add("encoders-1", "encoders")
+        self.node.holder.held.value["draining"].append("encoders-1")
+        self.assertEqual(
+            "not_run", await self.check_refused(ENCODING, "no_endpoint")
+        )
+        self.assertEqual([], leaving.handovers + draining.handovers)
+
+    async def test_suspect_input_runs_as_a_trial(self):
+        now = self.node.clock.now()
+        self.node.quarantine.add_crashes("f", ["first"], now)
+        reserved = []
+
+        async def look(sidecar, handover):
+            (record,) = await self.store.list_kind("quarantine")
+            reserved.append((record.value["trials"], [handover.attempt]))
+            await nodes.give_result(sidecar, handover)
+
+        await self.add("encoders-0", "encoders", look, look)
+        await self.run_stage(ENCODING)
+        self.assertEqual(1, len(reserved))
+        self.assertEqual(*reserved[0])
+        await self.node.keeper.finish()
+        (record,) = await self.store.list_kind("quarantine")
+        self.assertEqual([], record.value["trials"])
+
+    async def test_suspect_input_does_not_run_without_a_trial(self):
+        now = self.node.clock.now()
+        self.node.quarantine.add_crashes("f", ["first"], now)
+        sidecar = await self.add("encoders-0", "encoders")
+        self.store.down = True
+        outcome = await self.check_refused(ENCODING, "quarantined")
+        self.store.down = False
+        with self.node.quarantine.hold_trial("f"):
+            await self.check_refused(ENCODING, "quarantined")
+        self.node.quarantine.add_crashes("f", ["second"], now)
+        await self.check_refused(ENCODING, "quarantined")
+        self.assertEqual(("not_run", []), (outcome, sidecar.handovers))
+
+
+class ProgressTest(nodes.EntryTestCase):
+    """What a refusal tells after what has been handed over."""
+
+    def test_outcomes(self):
+        for handed, returned, outcome in (
+            ([], [], "not_run"),
+            ([True], [True], "not_run"),
+            ([True], [], "not_completed"),
+            ([True, False], [False], "not_completed"),
+            ([True, False], [], "unknown"),
+            ([False, False], [False], "unknown"),
+        ):
+            progress = handovers.Progress()
+            for repeatable in handed:
+                progress.note_handed(repeatable)
+            for repeatable in returned:
+                progress.note_not_run(repeatable)
+            self.assertEqual(outcome, progress.read_outcome())
--- /dev/null
+++ b/tests/test_sidecars.py
@@ -0,0 +1,68 @@
+"""What an entry does with answers that no attempt of its own waits for."""
+
+import curio
+
+from samphirevale import messages, metrics, sidecars
+from tests import nodes
+
+HANDOVER = messages.Handover(
+    *("r1", "encoding", "a1", "p", "account", {}, 1000, 9, True, "", "", 0),
+    *("f", False),
+)
+
+RESULT = messages.Result("r1", "encoding", "a1", {}, 0, "", 1.0, "")
+
+
+async def stay_silent(sidecar, handover):
+    pass
+
+
+class ExchangeTest(nodes.EntryTestCase):
+    """One attempt on one scripted sidecar."""
+
+    def read_dropped(self, reason: str) -> float:
+        return metrics.ANSWERS_DROPPED.labels(reason=reason)._value.get()
+
+    async def test_answers_that_belong_to_no_attempt(self):
+        sidecar = await self.add("encoders-0", "encoders", stay_silent)
+        cases = (
+            ("late", RESULT._replace(attempt="a0")),
+            ("late", messages.Chunk("r1", "encoding", "a0", 0, ["x"])),
+            ("foreign", RESULT._replace(request="r2")),
+            ("foreign", RESULT._replace(stage="reranking")),
+        )
+        async with sidecar.peer.open_exchange(HANDOVER) as exchange:
+            for reason, message in cases:
+                before = self.read_dropped(reason)
+                await sidecar.say(message)
+                self.assertEqual(before + 1, self.read_dropped(reason))
+            await sidecar.say(RESULT)
+            self.assertEqual(RESULT, await exchange.receive())
+        before = self.read_dropped("late")
+        await sidecar.say(RESULT)
+        self.assertEqual(before + 1, self.read_dropped("late"))
+        self.assertEqual([], sidecar.cancelled)
+
+    async def test_exchange_left_open_is_cancelled(self):
+        sidecar = await self.add("encoders-0", "encoders", stay_silent)
+        async with sidecar.peer.open_exchange(HANDOVER):
+            pass
+        self.assertEqual(["a1"], sidecar.cancelled)
+
+    async def test_ends_of_connections_are_told(self):
+        sidecar = await self.add("encoders-0", "encoders", stay_silent)
+        async with sidecar.peer.open_exchange(HANDOVER) as exchange:
+            await sidecar.peer.suspect()
+            told = await exchange.receive()
+            self.assertIsInstance(told, sidecars.PeerSuspected)
+            await sidecar.peer.detach()
+            told = await exchange.receive()
+            self.assertIsInstance(told, sidecars.LinkLost)
+            self.assertFalse(sidecar.peer.may_take_work(0.0, 1.0))
+
+    async def test_crash_notice_is_passed_on(self):
+        sidecar = await self.add("encoders-0", "encoders")
+        notice = messages.CrashNotice("f", "a1")
+        await sidecar.say(notice)
+        await curio.sleep(0)
+        self.assertEqual([notice], self.crashes)
