--- a/lab/deployments.py
+++ b/lab/deployments.py
@@ -360,6 +360,10 @@
             if name not in absent
         ]
 
+    def get_peer_port(self, name: str) -> int:
+        """Returns the port that entries dial for an endpoint's sidecar."""
+        return self.sidecars[name].process.port
+
     def read_dump(self, node: Node) -> dict:
         """Returns the state dump of one of our processes."""
         secret = self.operator_token
