--- a/samphirevale/routing.py
+++ b/samphirevale/routing.py
@@ -99,6 +99,7 @@
         heartbeat: the last report, or None.
         made_at: when the load in that report was measured.
         in_flight: own attempts that have not ended, with when they were sent.
+        reported_own: own attempts that the last report has counted.
         ejected_until: no new work before that time; 0 if trusted.
     """
 
@@ -109,6 +110,7 @@
         self.heartbeat: messages.Heartbeat | None = None
         self.made_at = 0.0
         self.in_flight: dict[str, float] = {}
+        self.reported_own = 0
         self.ejected_until = 0.0
         self._returns: list[_Return] = []
         self._service_seconds = 0.0
@@ -125,6 +127,7 @@
         self._returns = [
             item for item in self._returns if item.ended_at > self.made_at
         ]
+        self.reported_own = self._count_reported_own()
 
     def note_sent(self, attempt: str, prefix: str, now: float) -> None:
         """Takes in that an attempt has been handed over."""
@@ -160,20 +163,11 @@
             return len(self.in_flight)
         return self.heartbeat.running + self.heartbeat.waiting
 
-    def count_reported_own(self) -> int:
-        """Returns how many own attempts its last report has counted."""
-        sent = sum(at <= self.made_at for at in self.in_flight.values())
-        returned = sum(
-            item.sent_at <= self.made_at < item.ended_at
-            for item in self._returns
-        )
-        return sent + returned
-
     def read_others_load(self) -> int:
         """Returns the other entries' part of the reported load."""
         if self.heartbeat is None:
             return 0
-        return max(0, self.read_load() - self.count_reported_own())
+        return max(0, self.read_load() - self.reported_own)
 
     def read_service_seconds(self) -> float | None:
         """Returns the measured time of one attempt there; None if unknown."""
@@ -224,6 +218,12 @@
         self._probes_left = PROBES_NEEDED
         self._samples = 0
 
+    def _count_reported_own(self) -> int:
+        """Returns the own attempts in the report; it holds until the next."""
+        present = sum(at <= self.made_at for at in self.in_flight.values())
+        returned = sum(item.sent_at <= self.made_at for item in self._returns)
+        return present + returned
+
     def _smooth_service(self, seconds: float) -> None:
         weight = max(SERVICE_WEIGHT, 1 / (self._samples + 1))
         self._service_seconds += weight * (seconds - self._service_seconds)
@@ -429,7 +429,7 @@
 def _estimate_growth(views: Sequence[EndpointView]) -> float:
     """Returns this entry's load as a factor on what was last reported."""
     present = sum(len(view.in_flight) for view in views)
-    reported = sum(view.count_reported_own() for view in views)
+    reported = sum(view.reported_own for view in views)
     growth = (present + GROWTH_PRIOR) / (reported + GROWTH_PRIOR)
     return min(GROWTH_LIMIT, growth)
 
