Leave time for later stages in each attempt; choose the limiter by setting

Change: Execution._limit_attempt by deadlines.reserve_for_later; a stage that would end too late is refused at once and handed to nobody; setting limit_policy, default fixed. Ruled out: treating a later stage without an endpoint as never served: with two endpoints a pool a replacement would refuse what is well in time. Test replaced: remaining times no longer fall from stage to stage; the new one bounds each by the time spent and by what is reserved, which the old hand-over (the whole time left) fails.

--- a/samphirevale/execution.py
+++ b/samphirevale/execution.py
@@ -1,6 +1,8 @@
 """Drives one request through the stages of its pipeline."""
 
 import contextlib
+import functools
+import math
 from collections.abc import AsyncIterator
 
 import curio
@@ -10,6 +12,7 @@
     candidates,
     claims,
     configuration,
+    deadlines,
     errors,
     handovers,
     node,
@@ -130,7 +133,27 @@
         names = candidates.list_for_stage(
             self._node.peers, self._value, stage, now
         )
-        return self._node.router.expect_seconds(names, now)
+        prefix = ""
+        if stage["kind"] == "engine":
+            prefix = handovers.digest_prefix(self._request.input)
+        return self._node.router.expect_seconds(names, now, prefix=prefix)
+
+    def _limit_attempt(
+        self, stage: configuration.StageConfiguration, now: float
+    ) -> float:
+        """Returns when an attempt must have ended for later stages to fit.
+
+        A later stage that has no endpoint just now is expected to take what
+        its configuration says: an endpoint may be back by then.
+        """
+        later = self._stages[self._stages.index(stage) + 1 :]
+        service = [item["expected_ms"] / 1000 for item in later]
+        expected = [self._expect_seconds(item, now) for item in later]
+        known = [
+            seconds if math.isfinite(seconds) else usual
+            for seconds, usual in zip(expected, service, strict=True)
+        ]
+        return deadlines.reserve_for_later(self._deadline_at, known, service)
 
     async def _run_claimed(self) -> callers.Answer:
         """Runs in a task of its own, which outlives the deadline if it must.
@@ -217,6 +240,7 @@
             self._deadline_at,
             self._progress,
             self._emit if stage is self._stages[-1] else None,
+            functools.partial(self._limit_attempt, stage),
         )
         try:
             return await run.run()
--- a/samphirevale/handovers.py
+++ b/samphirevale/handovers.py
@@ -11,6 +11,7 @@
     callers,
     candidates,
     configuration,
+    deadlines,
     errors,
     invariants,
     messages,
@@ -125,6 +126,7 @@
         deadline_at: float,
         progress: Progress,
         emit: Emit | None,
+        limit_attempt: Callable[[float], float] | None = None,
     ):
         """Prepares the stage.
 
@@ -136,7 +138,11 @@
             deadline_at: the request's deadline, in monotonic seconds.
             progress: shared by the request's stages.
             emit: called with tokens as they come; None to keep them.
+            limit_attempt: returns when an attempt that begins now must have
+                ended, so that the stages after it fit; None for the
+                request's deadline.
         """
+        self._limit_attempt = limit_attempt or (lambda now: deadline_at)
         self._node = entry_node
         self._request = request
         self._stage = stage
@@ -197,13 +203,19 @@
 
     def _choose_endpoint(self, last: messages.Refusal | None) -> str:
         now = self._node.clock.now()
-        names = self._list_candidates(now)
+        remaining = self._limit_attempt(now) - now
+        if deadlines.should_cancel(now + remaining, now):
+            self._progress.refuse(
+                "late",
+                f"stage {self._stage['name']} would end too late",
+                DEFAULT_RETRY_SECONDS,
+            )
         choice = self._node.router.choose(
-            names,
+            self._list_candidates(now),
             now,
             prefix=self._read_prefix(),
             exclude=self._tried,
-            remaining_seconds=self._deadline_at - now,
+            remaining_seconds=remaining,
         )
         if choice is None:
             self._refuse_unserved(last)
@@ -395,7 +407,9 @@
             pipeline=request.pipeline,
             account=request.account,
             payload=self._payload,
-            remaining_ms=int((self._deadline_at - now) * 1000),
+            remaining_ms=deadlines.encode_remaining_ms(
+                self._limit_attempt(now), now
+            ),
             priority=request.priority,
             repeatable=self._repeatable,
             key=request.key,
--- a/samphirevale/rules.py
+++ b/samphirevale/rules.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterator, Mapping
 from typing import Any, NamedTuple
 
-from samphirevale import admission, errors, routing
+from samphirevale import admission, errors, limits, routing
 
 # The fewest characters of a secret.
 SECRET_CHARACTERS = 16
@@ -155,6 +155,7 @@
     "claim_window_seconds": _SECONDS,
     "routing_policy": _choose(tuple(routing.list_policies())),
     "admission_policy": _choose(tuple(admission.list_policies())),
+    "limit_policy": _choose(tuple(limits.list_policies())),
     "peer_port": _PORT,
     "endpoint": _NAME,
     "endpoint_url": _URL,
--- a/samphirevale/settings.py
+++ b/samphirevale/settings.py
@@ -99,6 +99,7 @@
         endpoint_kind: `engine`, `stage` or `service`.
         pool: the pool that it belongs to.
         checks_fencing: the endpoint refuses orders with an old number.
+        limit_policy: the name of a registered limiter.
         concurrency_limit: most attempts that the endpoint runs at once.
         queue_limit: most attempts that wait in the sidecar.
         lease_seconds: duration of the lease for orders.
@@ -113,6 +114,7 @@
     endpoint_kind: str
     pool: str
     checks_fencing: bool = True
+    limit_policy: str = "fixed"
     concurrency_limit: int = 8
     queue_limit: int = 32
     lease_seconds: float = 5.0
--- a/samphirevale/sidecar.py
+++ b/samphirevale/sidecar.py
@@ -47,9 +47,6 @@
 # A silent connection is closed after this many times `suspect_seconds`.
 CLOSE_FACTOR = 3.0
 
-# The name of the registered limit policy.
-LIMIT_POLICY = "aimd"
-
 
 async def run(sidecar: settings.SidecarSettings, life: Any) -> None:
     """Serves one endpoint until told to stop and all in flight is finished.
@@ -76,7 +73,7 @@
             self._endpoint, sidecar.load_seconds
         )
         self._queue = limits.AttemptQueue(
-            LIMIT_POLICY, sidecar.concurrency_limit, sidecar.queue_limit
+            sidecar.limit_policy, sidecar.concurrency_limit, sidecar.queue_limit
         )
         self._store = objects.HttpObjectStore(sidecar.common.store_url)
         self._executor = executors.Executor(
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -2,7 +2,7 @@
 
 import curio
 
-from samphirevale import callers, execution
+from samphirevale import callers, deadlines, execution
 from tests import nodes
 
 FAILED = nodes.refuse("failed")
@@ -106,15 +106,28 @@
         self.assertEqual([handover.attempt], opened["engines"][0].cancelled)
 
     async def test_deadline_is_passed_on_as_time_remaining(self):
-        opened = await self.open_pools({})
+        async def answer_late(sidecar, handover):
+            await curio.sleep(0.1)
+            await nodes.give_result(sidecar, handover)
+
+        opened = await self.open_pools({"encoders": [answer_late]})
         await self.run_request(deadline_ms=5000)
-        handed = [
-            one.remaining_ms
+        handed = {
+            one.stage: one.remaining_ms
             for pool in opened.values()
             for sidecar in pool
             for one in sidecar.handovers
-        ]
-        self.assertEqual(sorted(handed, reverse=True), handed)
-        self.assertLessEqual(handed[0], 5000)
-        self.assertIsInstance(handed[0], int)
-        self.assertEqual(5, len(handed))
+        }
+        stages = self.node.holder.held.value["pipelines"]["slot-confirmation"]
+        names = [stage["name"] for stage in stages["stages"]]
+        self.assertEqual(sorted(names), sorted(handed))
+        spent_ms = 0
+        for position, stage in enumerate(stages["stages"]):
+            later = stages["stages"][position + 1 :]
+            service_ms = sum(item["expected_ms"] for item in later)
+            reserve_ms = deadlines.SERVICE_MARGIN * service_ms
+            most = 5000 - spent_ms - reserve_ms
+            self.assertLessEqual(handed[stage["name"]], most)
+            self.assertGreater(handed[stage["name"]], 0)
+            self.assertIsInstance(handed[stage["name"]], int)
+            spent_ms = 100
