--- a/samphirevale/operations.py
+++ b/samphirevale/operations.py
@@ -10,6 +10,7 @@
     language,
     node,
     orders,
+    sightings,
     statuses,
     views,
 )
@@ -98,9 +99,9 @@
             )
             self._node.holder.adopt(seen)
 
-    def _build_view(self, is_current: bool) -> views.View:
+    def _build_view(self, is_current: bool) -> sightings.View:
         suspect_seconds = self._node.settings.common.suspect_seconds
-        return views.View(
+        return sightings.View(
             value=self._node.holder.held.value,
             own=self.build_status(),
             others=self._others,
--- a/samphirevale/views.py
+++ b/samphirevale/views.py
@@ -1,24 +1,17 @@
 """The tables that operators are shown, from what the entries know."""
 
-import math
-from collections.abc import Callable, Iterator
-from typing import Any, NamedTuple
+from collections.abc import Callable
+from typing import Any
 
 from samphirevale import (
     configuration,
     errors,
     language,
     orders,
+    sightings,
     statistics,
-    statuses,
 )
 
-# The state of an instance whose present state is not known.
-NOT_HEARD = "not heard"
-
-# Stands for the entries whose names are not known while the store is down.
-OTHER_ENTRIES = "other entries"
-
 # The target of the order that loads a whole configuration.
 LOAD_TARGET = "configuration"
 
@@ -27,69 +20,8 @@
 HEARD_PART = "part"
 
 
-class View(NamedTuple):
-    """What an entry knows when it answers.
-
-    Attributes:
-        value: the configuration.
-        own: the entry's own status, as it is now.
-        others: the latest statuses of the other entries.
-        is_current: the store has just told them; False if it is down and
-            they are those of an earlier answer.
-        wall_now: wall-clock seconds.
-        suspect_ms: silence after which a sidecar counts as not heard.
-    """
-
-    value: configuration.ConfigurationValue
-    own: statuses.EntryStatus
-    others: list[statuses.EntryStatus]
-    is_current: bool
-    wall_now: float
-    suspect_ms: float
-
-
-class Sighting(NamedTuple):
-    """An instance as somebody has last seen it.
-
-    Attributes:
-        name: its instance name.
-        role: `entry` or `sidecar`.
-        data_centre: where it runs.
-        revision: the configuration revision that it held; None if unknown.
-        age_ms: time since it was heard; None if it never was.
-        is_heard: what is known of it holds for the present.
-        leaving: it takes no new work.
-        draining: it takes none because an order says so.
-        sidecar: the sidecar's status; None for an entry.
-    """
-
-    name: str
-    role: str
-    data_centre: str
-    revision: int | None
-    age_ms: float | None
-    is_heard: bool
-    leaving: bool
-    draining: bool
-    sidecar: statuses.SidecarStatus | None
-
-    @property
-    def state(self) -> str:
-        """What operators are told of it, in one word or two."""
-        if not self.is_heard:
-            return NOT_HEARD
-        # A sidecar that drains says that it is leaving, for the same effect.
-        if self.draining:
-            return "draining"
-        if self.leaving:
-            return "leaving"
-        if self.sidecar is not None and not self.sidecar["healthy"]:
-            return "unhealthy"
-        return "serving"
-
-
 Row = tuple[Any, ...]
-Builder = Callable[[View, language.Show], list[Row]]
+Builder = Callable[[sightings.View, language.Show], list[Row]]
 
 # The builders by subject and group.
 _builders: dict[tuple[str, str], Builder] = {}
@@ -110,7 +42,7 @@
     return set(_builders)
 
 
-def build_rows(view: View, query: language.Show) -> list[Row]:
+def build_rows(view: sightings.View, query: language.Show) -> list[Row]:
     """Returns the rows of a query's whole table.
 
     Raises:
@@ -119,93 +51,6 @@
     return _builders[query.subject, query.group](view, query)
 
 
-def list_entries(view: View) -> list[Sighting]:
-    """Returns the entries, this one first."""
-    own = view.own
-    found = [_sight_entry(own, 0.0, True)]
-    for status in sorted(view.others, key=lambda item: item["instance"]):
-        age_seconds = max(view.wall_now - status["written_at"], 0.0)
-        is_heard = view.is_current and _is_fresh(status, view.wall_now)
-        found.append(_sight_entry(status, age_seconds * 1000, is_heard))
-    if not view.is_current:
-        found.append(_sight_nobody())
-    return found
-
-
-def _is_fresh(status: statuses.EntryStatus, wall_now: float) -> bool:
-    age_seconds = abs(wall_now - status["written_at"])
-    return age_seconds <= statuses.NOT_HEARD_SECONDS
-
-
-def _sight_entry(
-    status: statuses.EntryStatus, age_ms: float, is_heard: bool
-) -> Sighting:
-    return Sighting(
-        status["instance"],
-        "entry",
-        status["data_centre"],
-        status["revision"],
-        age_ms,
-        is_heard,
-        status["leaving"],
-        False,
-        None,
-    )
-
-
-def _sight_nobody() -> Sighting:
-    return Sighting(
-        OTHER_ENTRIES, "entry", "", None, None, False, False, False, None
-    )
-
-
-def list_sidecars(view: View) -> list[Sighting]:
-    """Returns each sidecar as it was last seen by any entry, by name."""
-    latest: dict[str, Sighting] = {}
-    for seen in _iterate_sidecars(view):
-        held = latest.get(seen.name)
-        if held is None or _rank(seen) < _rank(held):
-            latest[seen.name] = seen
-    return [latest[name] for name in sorted(latest)]
-
-
-def _iterate_sidecars(view: View) -> Iterator[Sighting]:
-    for item in view.own["sidecars"]:
-        yield _sight_sidecar(view, item, 0.0, True)
-    for status in view.others:
-        age_ms = max(view.wall_now - status["written_at"], 0.0) * 1000
-        is_fresh = view.is_current and _is_fresh(status, view.wall_now)
-        for item in status["sidecars"]:
-            yield _sight_sidecar(view, item, age_ms, is_fresh)
-
-
-def _sight_sidecar(
-    view: View,
-    item: statuses.SidecarStatus,
-    written_age_ms: float,
-    is_fresh: bool,
-) -> Sighting:
-    heard_ms = item["heard_age_ms"]
-    is_heard = heard_ms is not None and heard_ms <= view.suspect_ms
-    return Sighting(
-        item["instance"],
-        "sidecar",
-        item["data_centre"],
-        None if heard_ms is None else item["revision"],
-        None if heard_ms is None else heard_ms + written_age_ms,
-        is_fresh and is_heard and item["connected"],
-        item["leaving"],
-        item["endpoint"] in view.value["draining"],
-        item,
-    )
-
-
-def _rank(seen: Sighting) -> tuple[bool, float]:
-    """Orders sightings of one instance, the one to believe first."""
-    age_ms = math.inf if seen.age_ms is None else seen.age_ms
-    return not seen.is_heard, age_ms
-
-
 def find_recall(value: configuration.ConfigurationValue, batch: str) -> int:
     """Returns a revision from which on a batch is recalled.
 
@@ -242,7 +87,7 @@
 
 
 @register("instances")
-def _build_instances(view: View, query: language.Show) -> list[Row]:
+def _build_instances(view: sightings.View, query: language.Show) -> list[Row]:
     return [
         (
             seen.name,
@@ -252,12 +97,15 @@
             seen.revision,
             _round_ms(seen.age_ms),
         )
-        for seen in [*list_entries(view), *list_sidecars(view)]
+        for seen in [
+            *sightings.list_entries(view),
+            *sightings.list_sidecars(view),
+        ]
     ]
 
 
 @register("recall")
-def _build_recall(view: View, query: language.Show) -> list[Row]:
+def _build_recall(view: sightings.View, query: language.Show) -> list[Row]:
     revision = find_recall(view.value, query.batch)
     return [
         (
@@ -267,29 +115,32 @@
             seen.revision,
             _round_ms(seen.age_ms),
         )
-        for seen in [*list_entries(view), *list_sidecars(view)]
+        for seen in [
+            *sightings.list_entries(view),
+            *sightings.list_sidecars(view),
+        ]
     ]
 
 
-def _judge_recall(seen: Sighting, revision: int) -> str:
+def _judge_recall(seen: sightings.Sighting, revision: int) -> str:
     # A node never goes back to a lower revision, so that a confirmation
     # holds also when the instance is not heard any more.
     if seen.revision is not None and seen.revision >= revision:
         return "confirmed"
-    return "not confirmed" if seen.is_heard else NOT_HEARD
+    return "not confirmed" if seen.is_heard else sightings.NOT_HEARD
 
 
 @register("endpoints")
-def _build_endpoints(view: View, query: language.Show) -> list[Row]:
+def _build_endpoints(view: sightings.View, query: language.Show) -> list[Row]:
     rows = [
         _build_endpoint(seen)
-        for seen in list_sidecars(view)
+        for seen in sightings.list_sidecars(view)
         if seen.sidecar["endpoint"]
     ]
     return sorted(rows, key=lambda row: (row[1], row[0]))
 
 
-def _build_endpoint(seen: Sighting) -> Row:
+def _build_endpoint(seen: sightings.Sighting) -> Row:
     item = seen.sidecar
     head = (item["endpoint"], item["pool"], item["data_centre"], seen.state)
     if not seen.is_heard:
@@ -306,8 +157,8 @@
 
 
 @register("batches")
-def _build_batches(view: View, query: language.Show) -> list[Row]:
-    heard = [seen for seen in list_sidecars(view) if seen.is_heard]
+def _build_batches(view: sightings.View, query: language.Show) -> list[Row]:
+    heard = [seen for seen in sightings.list_sidecars(view) if seen.is_heard]
     return [
         (
             name,
@@ -328,7 +179,7 @@
 
 
 @register("pipelines")
-def _build_pipelines(view: View, query: language.Show) -> list[Row]:
+def _build_pipelines(view: sightings.View, query: language.Show) -> list[Row]:
     return [
         (
             name,
@@ -341,13 +192,13 @@
 
 
 @register("accounts")
-def _build_accounts(view: View, query: language.Show) -> list[Row]:
+def _build_accounts(view: sightings.View, query: language.Show) -> list[Row]:
     accounts = sorted(view.value["accounts"].items())
     return [(name, account["share"]) for name, account in accounts]
 
 
 @register("orders")
-def _build_orders(view: View, query: language.Show) -> list[Row]:
+def _build_orders(view: sightings.View, query: language.Show) -> list[Row]:
     return [
         (record["id"], record["text"], record["revision"])
         for record in view.value["orders"]
@@ -355,7 +206,9 @@
 
 
 @register("configuration")
-def _build_configuration(view: View, query: language.Show) -> list[Row]:
+def _build_configuration(
+    view: sightings.View, query: language.Show
+) -> list[Row]:
     value = view.value
     return [
         ("revision", value["revision"]),
@@ -366,7 +219,7 @@
     ]
 
 
-def merge_statistics(view: View) -> statistics.Statistics:
+def merge_statistics(view: sightings.View) -> statistics.Statistics:
     """Returns the counts of all entries that are known."""
     merged = statistics.Statistics()
     for status in [view.own, *view.others]:
@@ -374,9 +227,9 @@
     return merged
 
 
-def _judge_counts(view: View) -> Row:
+def _judge_counts(view: sightings.View) -> Row:
     """Returns whether all entries are counted, and how old the counts are."""
-    entries = list_entries(view)
+    entries = sightings.list_entries(view)
     is_whole = all(seen.is_heard for seen in entries)
     oldest_ms = max(seen.age_ms or 0.0 for seen in entries)
     return (HEARD_ALL if is_whole else HEARD_PART, _round_ms(oldest_ms))
@@ -405,13 +258,15 @@
 
 
 @register("requests")
-def _build_requests(view: View, query: language.Show) -> list[Row]:
+def _build_requests(view: sightings.View, query: language.Show) -> list[Row]:
     counts = merge_statistics(view).sum_outcomes()
     return [_list_outcomes(counts, _judge_counts(view))]
 
 
 @register("requests", "pipeline")
-def _build_requests_by_pipeline(view: View, query: language.Show) -> list[Row]:
+def _build_requests_by_pipeline(
+    view: sightings.View, query: language.Show
+) -> list[Row]:
     heard = _judge_counts(view)
     sums = merge_statistics(view).sum_by_pipeline()
     return [
@@ -421,7 +276,9 @@
 
 
 @register("requests", "account")
-def _build_requests_by_account(view: View, query: language.Show) -> list[Row]:
+def _build_requests_by_account(
+    view: sightings.View, query: language.Show
+) -> list[Row]:
     heard = _judge_counts(view)
     merged = merge_statistics(view)
     costs = merged.sum_cost_by_account()
@@ -437,7 +294,9 @@
 
 
 @register("requests", "stage")
-def _build_requests_by_stage(view: View, query: language.Show) -> list[Row]:
+def _build_requests_by_stage(
+    view: sightings.View, query: language.Show
+) -> list[Row]:
     heard = _judge_counts(view)
     costs = merge_statistics(view).sum_cost_by_stage()
     return [
