Count store calls, requests in flight; believe statuses less long

Cause: STORE_CALLS, STORE_SECONDS and REQUESTS_RUNNING were declared and never counted, so that the statuses' cost could not be measured. A frozen entry's status would have shown its lost sidecars as serving for two minutes. An order at its slowest took longer than the tool waits.

Conclusion: what is said of sidecars is believed for 20 s; `show configuration` says whether the store was heard.

--- a/samphirevale/adapters/objects.py
+++ b/samphirevale/adapters/objects.py
@@ -15,7 +15,7 @@
 import curio
 
 from samphirevale import errors
-from samphirevale.adapters import web
+from samphirevale.adapters import metering, web
 from samphirevale.ports import objects
 
 # The most idle connections that are kept for reads.
@@ -64,6 +64,7 @@
         self._idle_limit = idle_limit
         self._idle: list[web.ClientConnection] = []
 
+    @metering.count_calls("get")
     async def get(self, kind: str, name: str) -> objects.StoredObject | None:
         """Returns the object, or None."""
         reply = await self._read(_build_path("objects", kind, name))
@@ -72,12 +73,14 @@
         _check_status(reply, 200)
         return _build_object(reply.value)
 
+    @metering.count_calls("list")
     async def list_kind(self, kind: str) -> list[objects.StoredObject]:
         """Returns all objects of a kind."""
         reply = await self._read(_build_path("objects", kind))
         _check_status(reply, 200)
         return _build_objects(reply.value)
 
+    @metering.count_calls("create")
     async def create(
         self, kind: str, name: str, value: Any
     ) -> objects.StoredObject:
@@ -86,6 +89,7 @@
         reply = await self._write("PUT", kind, name, value, condition)
         return _build_written(reply)
 
+    @metering.count_calls("update")
     async def update(
         self, kind: str, name: str, value: Any, version: int
     ) -> objects.StoredObject:
@@ -94,12 +98,14 @@
         reply = await self._write("PUT", kind, name, value, condition)
         return _build_written(reply)
 
+    @metering.count_calls("delete")
     async def delete(self, kind: str, name: str, version: int) -> None:
         """Deletes it; raises errors.StoreConflictError on other version."""
         condition = ("If-Match", str(version))
         reply = await self._write("DELETE", kind, name, None, condition)
         _check_written(reply)
 
+    @metering.count_calls("watch")
     async def watch(
         self, kind: str, version: int, timeout_seconds: float
     ) -> objects.WatchEvents:
@@ -121,6 +127,7 @@
                 _build_objects(reply.value), reply.value["version"]
             )
 
+    @metering.count_calls("instances")
     async def list_instances(self) -> list[objects.ListedInstance]:
         """Returns the platform's lagging list of sidecars."""
         reply = await self._read("/instances")
--- a/samphirevale/entry.py
+++ b/samphirevale/entry.py
@@ -150,7 +150,8 @@
         deadline_at = self.node.clock.now() + request.deadline_ms / 1000
         run = execution.Execution(self.node, request, deadline_at, emit)
         started_at = self.node.clock.now()
-        answer = await run.run()
+        with statistics.count_running(request.pipeline):
+            answer = await run.run()
         seconds = self.node.clock.now() - started_at
         self.node.statistics.note_request(request, answer, run.uses, seconds)
         return answer
--- a/samphirevale/metrics.py
+++ b/samphirevale/metrics.py
@@ -125,7 +125,7 @@
 )
 REQUEST_SECONDS = _histogram(
     "request_seconds",
-    "Time from a request's head to its last byte of answer.",
+    "Time from a request that has been read to its whole answer.",
     "pipeline",
 )
 REQUESTS_RUNNING = _gauge(
@@ -164,7 +164,7 @@
 
 # The platform's store.
 STORE_CALLS = _count(
-    "store_calls", "Calls to the object API.", "kind", "result"
+    "store_calls", "Calls to the object API, by kind of call.", "kind", "result"
 )
 STORE_SECONDS = _histogram(
     "store_seconds", "Time of one call to the object API.", "kind"
--- a/samphirevale/operations.py
+++ b/samphirevale/operations.py
@@ -16,9 +16,13 @@
 )
 from samphirevale.ports import operators as ports
 
-# The longest time for bringing an order in, in seconds. The store's last
-# call may take its own timeout longer; the tool waits longer than both.
-SUBMIT_SECONDS = 5.0
+# The longest time for bringing an order in, in seconds. Its last read and
+# write of the store may end a timeout of each later, and the configuration is
+# read once more; the tool waits longer than all of that.
+SUBMIT_SECONDS = 4.0
+
+# The longest time for reading the configuration after an order, in seconds.
+REFRESH_SECONDS = 1.0
 
 # The longest time for reading the store before a query is answered, in
 # seconds; after it, the answer says what has not been heard.
@@ -131,7 +135,7 @@
 
     async def _refresh(self) -> None:
         with contextlib.suppress(errors.StoreError, TimeoutError):
-            async with self._clock.limit(READ_SECONDS):
+            async with self._clock.limit(REFRESH_SECONDS):
                 await self._read_configuration()
 
     def _describe(
--- a/samphirevale/sightings.py
+++ b/samphirevale/sightings.py
@@ -80,16 +80,19 @@
     found = [_sight_entry(own, 0.0, True)]
     for status in sorted(view.others, key=lambda item: item["instance"]):
         age_seconds = max(view.wall_now - status["written_at"], 0.0)
-        is_heard = view.is_current and _is_fresh(status, view.wall_now)
+        is_heard = _is_fresh(view, status, statuses.NOT_HEARD_SECONDS)
         found.append(_sight_entry(status, age_seconds * 1000, is_heard))
     if not view.is_current:
         found.append(_sight_nobody())
     return found
 
 
-def _is_fresh(status: statuses.EntryStatus, wall_now: float) -> bool:
-    age_seconds = abs(wall_now - status["written_at"])
-    return age_seconds <= statuses.NOT_HEARD_SECONDS
+def _is_fresh(
+    view: View, status: statuses.EntryStatus, limit_seconds: float
+) -> bool:
+    """Tells whether a status of another entry holds for the present."""
+    age_seconds = abs(view.wall_now - status["written_at"])
+    return view.is_current and age_seconds <= limit_seconds
 
 
 def _sight_entry(
@@ -129,7 +132,7 @@
         yield _sight_sidecar(view, item, 0.0, True)
     for status in view.others:
         age_ms = max(view.wall_now - status["written_at"], 0.0) * 1000
-        is_fresh = view.is_current and _is_fresh(status, view.wall_now)
+        is_fresh = _is_fresh(view, status, statuses.SIDECARS_SECONDS)
         for item in status["sidecars"]:
             yield _sight_sidecar(view, item, age_ms, is_fresh)
 
--- a/samphirevale/statistics.py
+++ b/samphirevale/statistics.py
@@ -4,7 +4,8 @@
 several entries add up, so that any of them can tell the whole.
 """
 
-from collections.abc import Callable, Sequence
+import contextlib
+from collections.abc import Callable, Iterator, Sequence
 from typing import Any, NamedTuple, TypedDict
 
 from samphirevale import callers, errors, metrics
@@ -164,6 +165,17 @@
         return _sum_by(self._costs, lambda stage, account: account)
 
 
+@contextlib.contextmanager
+def count_running(pipeline: str) -> Iterator[None]:
+    """Counts a request among those in flight while the block runs."""
+    gauge = metrics.REQUESTS_RUNNING.labels(pipeline=pipeline)
+    gauge.inc()
+    try:
+        yield
+    finally:
+        gauge.dec()
+
+
 def is_in_time(
     request: callers.CallerRequest, answer: callers.Answer, seconds: float
 ) -> bool:
--- a/samphirevale/statuses.py
+++ b/samphirevale/statuses.py
@@ -38,6 +38,10 @@
 # in seconds. Wall clocks of two instances differ by less.
 NOT_HEARD_SECONDS = 120.0
 
+# What it says of sidecars is believed for a shorter time, in seconds: an
+# entry that runs writes within seconds when it loses one.
+SIDECARS_SECONDS = 20.0
+
 # A status is deleted this long after its last write, in seconds.
 KEEP_SECONDS = 3600.0
 
--- a/samphirevale/views.py
+++ b/samphirevale/views.py
@@ -211,6 +211,7 @@
 ) -> list[Row]:
     value = view.value
     return [
+        ("store", "heard" if view.is_current else sightings.NOT_HEARD),
         ("revision", value["revision"]),
         ("pipelines", sorted(value["pipelines"])),
         ("accounts", sorted(value["accounts"])),
