Move the runner of session files to lab/sessions.py

Cause: it is no test, and a caller's golden session needs the same.

Conclusion: a session file is commands and what they print; run_session returns it as it is now.

--- /dev/null
+++ b/lab/sessions.py
@@ -0,0 +1,114 @@
+"""Sessions of the tool with a deployment, as files of commands and output.
+
+A session file holds blocks with an empty line between them. Each is a
+command, `ENTRY$ samphirevale ARGUMENTS`, and below it what it prints. Above
+it may stand comments; one of the form `# until PATTERN` has the command
+repeated until it prints that.
+"""
+
+import re
+import shlex
+import subprocess
+import sys
+import time
+
+from lab import deployments, processes
+from samphirevale import tables
+
+# The longest time that one command may take, in seconds.
+TOOL_SECONDS = 30.0
+
+# The longest wait until a command prints what it is repeated for, in seconds.
+UNTIL_SECONDS = 15.0
+
+COMMAND = re.compile(r"(?:#.*\n)*(.+)\$ samphirevale (.*)\n")
+UNTIL = re.compile(r"^# until (.*)$", re.MULTILINE)
+
+# Columns whose cells differ from run to run, and what stands for those.
+VOLATILE = frozenset(
+    {
+        *("heartbeat_age_ms", "heard_age_ms", "age_ms"),
+        *("running", "waiting", "limit", "service_ms", "wait_ms"),
+        *("busy_ms", "wasted_ms"),
+    }
+)
+PLACEHOLDER = "*"
+
+
+class SessionError(Exception):
+    """A command did not print in time what it was repeated for."""
+
+
+def run_session(deployment: deployments.Deployment, text: str) -> str:
+    """Runs a session's commands; returns the file with what they print now.
+
+    Raises:
+        SessionError: a command never printed what it was repeated for.
+    """
+    blocks = text.split("\n\n")
+    return "\n".join(_run_block(deployment, block) for block in blocks)
+
+
+def _run_block(deployment: deployments.Deployment, block: str) -> str:
+    command = COMMAND.match(block + "\n")
+    until = UNTIL.search(command[0])
+    give_up_at = time.monotonic() + UNTIL_SECONDS
+    while True:
+        arguments = shlex.split(command[2])
+        printed = run_tool(deployment, command[1], arguments)
+        if until is None or re.search(until[1], printed):
+            return command[0] + printed
+        if time.monotonic() > give_up_at:
+            raise SessionError(f"{command[0]} printed in the end:\n{printed}")
+
+
+def run_tool(
+    deployment: deployments.Deployment, entry: str, arguments: list[str]
+) -> str:
+    """Runs the tool against an entry.
+
+    Returns:
+        What it prints on both outputs, with placeholders for what varies,
+        and its exit code if that is not 0.
+    """
+    node = deployment.entries[entry]
+    environment = {
+        **deployment.environment,
+        "SAMPHIREVALE_URL": node.process.url,
+        "SAMPHIREVALE_ADMIN_URL": node.admin_url,
+    }
+    done = subprocess.run(
+        [sys.executable, "-m", "samphirevale.cmdline", *arguments],
+        cwd=processes.ROOT,
+        env=environment,
+        capture_output=True,
+        text=True,
+        timeout=TOOL_SECONDS,
+        check=False,
+    )
+    end = f"exit {done.returncode}\n" if done.returncode else ""
+    return hide_volatile(done.stdout) + done.stderr + end
+
+
+def hide_volatile(text: str) -> str:
+    """Returns a table with placeholders in the columns that vary."""
+    lines = text.splitlines()
+    if not VOLATILE & set(lines[0].split() if lines else ()):
+        return text
+    spans = _find_spans(lines)
+    head, *rows = [
+        [line[start:end].strip() for start, end in spans] for line in lines
+    ]
+    for row in rows:
+        for index, name in enumerate(head):
+            if name in VOLATILE and row[index]:
+                row[index] = PLACEHOLDER
+    return tables.format_table(head, rows) + "\n"
+
+
+def _find_spans(lines: list[str]) -> list[tuple[int, int]]:
+    """Returns where the columns stand: between gaps that all lines have."""
+    width = max(map(len, lines))
+    columns = zip(*(line.ljust(width) for line in lines), strict=True)
+    marks = "".join(" " if set(item) == {" "} else "x" for item in columns)
+    return [match.span() for match in re.finditer(r"x+( x+)*", marks)]
