--- a/samphirevale/sightings.py
+++ b/samphirevale/sightings.py
@@ -122,7 +122,7 @@
     latest: dict[str, Sighting] = {}
     for seen in _iterate_sidecars(view):
         held = latest.get(seen.name)
-        if held is None or _rank(seen) < _rank(held):
+        if held is None or _read_age(seen) < _read_age(held):
             latest[seen.name] = seen
     return [latest[name] for name in sorted(latest)]
 
@@ -158,7 +158,7 @@
     )
 
 
-def _rank(seen: Sighting) -> tuple[bool, float]:
-    """Orders sightings of one instance, the one to believe first."""
-    age_ms = math.inf if seen.age_ms is None else seen.age_ms
-    return not seen.is_heard, age_ms
+def _read_age(seen: Sighting) -> float:
+    # The latest sighting counts, also one that found the instance gone: an
+    # older status of an entry that has died since may say that it serves.
+    return math.inf if seen.age_ms is None else seen.age_ms
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -119,6 +119,16 @@
         row = self.ask("show endpoints")[1]
         self.assertEqual((row[0], row[3]), ("e3", "not heard"))
 
+    def test_the_latest_sighting_of_a_sidecar_counts(self):
+        self.add_peer("e2")
+        (mine,) = self.desk.build_status()["sidecars"]
+        self.clock.call(self.clock.sleep(15.0))
+        written_at = self.clock.now() - 10
+        self.put_status("entry-1", sidecars=[mine], written_at=written_at)
+        for silent_seconds, state in ((5, "not heard"), (15, "serving")):
+            self.add_peer("e2", silent_seconds=silent_seconds)
+            self.assertEqual(self.ask("show endpoints")[0][3], state)
+
     def read_states(self):
         return [row[3] for row in self.ask("show instances")]
 
