--- a/samphirevale/handovers.py
+++ b/samphirevale/handovers.py
@@ -1,7 +1,6 @@
 """Runs one stage of a request: hands attempts over until one has a result."""
 
 import hashlib
-import json
 import secrets
 import time
 from collections.abc import Awaitable, Callable
@@ -21,6 +20,7 @@
     retries,
     sidecars,
 )
+from samphirevale.ports import endpoints
 
 # Sends tokens to the caller: the first one's number, and the tokens.
 Emit = Callable[[int, list[str]], Awaitable[None]]
@@ -109,7 +109,7 @@
 
 def digest_prefix(value: Any) -> str:
     """Returns the name of a prompt's prefix in engines' cache events."""
-    prompt = value if isinstance(value, str) else json.dumps(value)
+    prompt = endpoints.build_prompt(value)
     return hashlib.sha256(prompt[:PREFIX_CHARACTERS].encode()).hexdigest()
 
 
@@ -240,7 +240,7 @@
                 return
             self._drop_tokens("the batch that began the answer is recalled")
         self._batch = candidates.choose_batch(
-            ready, value, self._stage["model"], self._refused_batches
+            ready, value, self._stage, self._refused_batches
         )
 
     def _drop_tokens(self, reason: str) -> None:
@@ -281,10 +281,25 @@
             )
             if not reserved:
                 self._refuse_quarantined(verdict)
-            ending = await self._run_attempt(endpoint, attempt)
+            # The reservation took time, in which the endpoint may have gone.
+            if endpoint in self._list_candidates(self._node.clock.now()):
+                ending = await self._run_attempt(endpoint, attempt)
+            else:
+                ending = self._skip_attempt(attempt)
         await self._end_trial(attempt, ending)
         return ending
 
+    def _skip_attempt(self, attempt: str) -> messages.Refusal:
+        """Returns the refusal of an attempt that is not handed over."""
+        # Whoever takes in the refusal takes this back.
+        self._progress.note_handed(self._repeatable)
+        return self._build_refusal(
+            self._build_handover(attempt, self._node.clock.now()),
+            "not_run",
+            "unreachable",
+            "the endpoint takes no work any more",
+        )
+
     async def _end_trial(
         self, attempt: str, ending: messages.Result | messages.Refusal
     ) -> None:
