Restore the platform's list in any case, and give each order a new id

Ruled out in the traces: the entries' spreading of revisions (listed sidecars had revision 7 within a second), the order's outcome (not_run at 1458.1 s was true; its second sending was accepted). Checks are as they were.

--- a/lab/faults.py
+++ b/lab/faults.py
@@ -151,7 +151,7 @@
         trial.log.write("fault", **{**fault._asdict(), "at": time.monotonic()})
         took_effect = False
         for _ in range(TRIES):
-            took_effect = await KINDS[fault.kind].action(trial, fault)
+            took_effect = await _bring_about(trial, fault)
             if took_effect:
                 break
         trial.log.write(
@@ -168,6 +168,15 @@
     return outcomes
 
 
+async def _bring_about(trial: trials.Trial, fault: Fault) -> bool:
+    """Returns whether a fault took effect; not if another got in its way."""
+    try:
+        return await KINDS[fault.kind].action(trial, fault)
+    except errors.TransportError as error:
+        trial.log.write("fault_failed", number=fault.number, error=str(error))
+        return False
+
+
 class _Hold:
     """Holds one free process of several while a fault acts on it.
 
@@ -444,11 +453,25 @@
     url = trial.deployment.platform.url
     wrong = trial.deployment.build_list(leaving, absent)
     await web.call_json(url, "POST", "/instances", {"instances": wrong})
-    await curio.sleep(fault.seconds)
-    _, shown, _ = await web.call_json(url, "GET", "/instances")
-    right = trial.deployment.build_list()
-    await web.call_json(url, "POST", "/instances", {"instances": right})
-    return len((shown or {}).get("instances", right)) < len(right)
+    try:
+        return await _see_short_list(url, fault.seconds, len(names))
+    finally:
+        right = trial.deployment.build_list()
+        await web.call_json(url, "POST", "/instances", {"instances": right})
+
+
+async def _see_short_list(url: str, seconds: float, whole: int) -> bool:
+    """Waits; tells whether the list that is shown was short meanwhile."""
+    ends_at = time.monotonic() + seconds
+    seen = False
+    while time.monotonic() < ends_at:
+        await curio.sleep(PROBE_SECONDS)
+        with contextlib.suppress(errors.TransportError):
+            status, shown, _ = await web.call_json(
+                url, "GET", "/instances", timeout_seconds=PROBE_SECONDS
+            )
+            seen |= status == 200 and len(shown["instances"]) < whole
+    return seen
 
 
 async def _switch_endpoint(
@@ -590,14 +613,15 @@
     name = names[int(fault.choice * len(names))]
     drained = await trial.order(f"drain-{fault.number}", "drain", endpoint=name)
     await curio.sleep(fault.seconds)
-    await trial.order(f"resume-{fault.number}", "resume", endpoint=name)
+    await trial.insist(f"resume-{fault.number}", "resume", endpoint=name)
     return drained.outcome == "accepted"
 
 
 @register("race_operators", 2.0, 3.0)
 async def race_operators(trial: trials.Trial, fault: Fault) -> bool:
     """Two operators give conflicting orders at two entries at one moment."""
-    ids = [f"race-{fault.number}-{turn}" for turn in range(2)]
+    tried = sum(1 for told in trial.orders if told.rival)
+    ids = [f"race-{fault.number}-{tried}-{turn}" for turn in range(2)]
     race = _race_drains if fault.choice < RACE_DRAINS else _race_batches
     async with curio.TaskGroup() as group:
         for turn, order_id in enumerate(ids):
@@ -615,7 +639,7 @@
         "roll_out",
         rival,
         turn,
-        batch=f"race-{fault.number}",
+        batch=order_id.rpartition("-")[0],
         model=deployments.MODEL,
         version=f"{fault.number}-{turn}",
         pool="engines",
@@ -631,7 +655,7 @@
     told = await trial.order(order_id, "drain", rival, turn, endpoint=name)
     if told.outcome != "refused":
         await curio.sleep(fault.seconds)
-        await trial.order(f"{order_id}-resume", "resume", endpoint=name)
+        await trial.insist(f"{order_id}-resume", "resume", endpoint=name)
 
 
 @register("stop_pipeline", 5.0, 6.0)
@@ -642,7 +666,7 @@
         f"stop-{fault.number}", "stop", pipeline=pipeline
     )
     await curio.sleep(fault.seconds)
-    await trial.order(f"start-{fault.number}", "start", pipeline=pipeline)
+    await trial.insist(f"start-{fault.number}", "start", pipeline=pipeline)
     return stopped.outcome == "accepted"
 
 
@@ -671,7 +695,7 @@
         batch = await _choose_recall(trial, fault)
     if not batch:
         return False
-    told = await trial.order(f"recall-{fault.number}", "recall", batch=batch)
+    told = await trial.insist(f"recall-{fault.number}", "recall", batch=batch)
     return told.outcome == "accepted"
 
 
--- a/lab/trials.py
+++ b/lab/trials.py
@@ -30,6 +30,11 @@
 ORDER_SECONDS = 12.0
 ORDER_TRIES = 4
 
+# How often an order is given again that has not run, and how far apart, in
+# seconds.
+INSIST_TRIES = 15
+INSIST_SECONDS = 1.0
+
 # The operators' language, by verb.
 ORDER_TEXTS = {
     "drain": "drain {endpoint}",
@@ -327,6 +332,10 @@
             **arguments: what stands in the order's text.
         """
         text = ORDER_TEXTS[verb].format(**arguments)
+        # A fault that is tried again gives new orders.
+        used = {told.order_id for told in self.orders}
+        while order_id in used:
+            order_id += "-again"
         sent_at = time.monotonic()
         outcome, revision = "not_run", 0
         for turn in range(ORDER_TRIES):
@@ -350,6 +359,17 @@
         self.log.write("order", **answer._asdict())
         return answer
 
+    async def insist(
+        self, order_id: str, verb: str, **arguments: str
+    ) -> evidence.OrderAnswer:
+        """Gives an order again for as long as it is told not to have run."""
+        for _ in range(INSIST_TRIES):
+            told = await self.order(order_id, verb, **arguments)
+            if told.outcome != "not_run":
+                break
+            await curio.sleep(INSIST_SECONDS)
+        return told
+
     async def _submit(
         self, order_id: str, text: str, turn: int
     ) -> tuple[str, int]:
