--- a/samphirevale/routing.py
+++ b/samphirevale/routing.py
@@ -43,8 +43,11 @@
 GROWTH_PRIOR = 8
 GROWTH_LIMIT = 2.0
 
-# The share of an attempt's service time that a cached prefix saves.
+# The share of an attempt's service time that a cached prefix saves, and the
+# share that it counts for when endpoints are compared: to keep prefixes
+# apart is also worth what it saves later.
 PREFIX_SAVING_SHARE = 0.08
+PREFIX_PREFERENCE_SHARE = 0.5
 
 # How long an own send with a prefix is taken as a sign of it being cached.
 PREFIX_MEMORY_SECONDS = 20.0
@@ -96,6 +99,7 @@
         heartbeat: the last report, or None.
         made_at: when the load in that report was measured.
         in_flight: own attempts that have not ended, with when they were sent.
+        reported_own: own attempts that the last report has counted.
         ejected_until: no new work before that time; 0 if trusted.
     """
 
@@ -106,6 +110,7 @@
         self.heartbeat: messages.Heartbeat | None = None
         self.made_at = 0.0
         self.in_flight: dict[str, float] = {}
+        self.reported_own = 0
         self.ejected_until = 0.0
         self._returns: list[_Return] = []
         self._service_seconds = 0.0
@@ -122,6 +127,7 @@
         self._returns = [
             item for item in self._returns if item.ended_at > self.made_at
         ]
+        self.reported_own = self._count_reported_own()
 
     def note_sent(self, attempt: str, prefix: str, now: float) -> None:
         """Takes in that an attempt has been handed over."""
@@ -157,20 +163,11 @@
             return len(self.in_flight)
         return self.heartbeat.running + self.heartbeat.waiting
 
-    def count_reported_own(self) -> int:
-        """Returns how many own attempts its last report has counted."""
-        sent = sum(at <= self.made_at for at in self.in_flight.values())
-        returned = sum(
-            item.sent_at <= self.made_at < item.ended_at
-            for item in self._returns
-        )
-        return sent + returned
-
     def read_others_load(self) -> int:
         """Returns the other entries' part of the reported load."""
         if self.heartbeat is None:
             return 0
-        return max(0, self.read_load() - self.count_reported_own())
+        return max(0, self.read_load() - self.reported_own)
 
     def read_service_seconds(self) -> float | None:
         """Returns the measured time of one attempt there; None if unknown."""
@@ -221,6 +218,12 @@
         self._probes_left = PROBES_NEEDED
         self._samples = 0
 
+    def _count_reported_own(self) -> int:
+        """Returns the own attempts in the report; it holds until the next."""
+        present = sum(at <= self.made_at for at in self.in_flight.values())
+        returned = sum(item.sent_at <= self.made_at for item in self._returns)
+        return present + returned
+
     def _smooth_service(self, seconds: float) -> None:
         weight = max(SERVICE_WEIGHT, 1 / (self._samples + 1))
         self._service_seconds += weight * (seconds - self._service_seconds)
@@ -374,9 +377,22 @@
 
 
 def estimate_seconds(
-    estimate: Estimate, data_centre: str, prefix: str, now: float
+    estimate: Estimate,
+    data_centre: str,
+    prefix: str,
+    now: float,
+    prefix_share: float = PREFIX_SAVING_SHARE,
 ) -> float:
-    """Returns when an attempt sent now would be complete, in seconds."""
+    """Returns when an attempt sent now would be complete, in seconds.
+
+    Args:
+        estimate: what is expected of the endpoint.
+        data_centre: where the entry runs.
+        prefix: digest of the prompt's prefix; empty if there is none.
+        now: the present time.
+        prefix_share: the part of the service time that a cached prefix
+            counts for.
+    """
     view = estimate.view
     limit = view.read_limit()
     service = estimate.service_seconds
@@ -384,7 +400,7 @@
     busy = min(1.0, estimate.load / limit)
     service *= 1 + CONCURRENCY_SLOWDOWN * (busy - 1)
     if view.has_prefix(prefix, now):
-        service *= 1 - PREFIX_SAVING_SHARE
+        service *= 1 - prefix_share
     if view.data_centre == data_centre:
         distance = LOCAL_DISTANCE_SECONDS
     else:
@@ -413,7 +429,7 @@
 def _estimate_growth(views: Sequence[EndpointView]) -> float:
     """Returns this entry's load as a factor on what was last reported."""
     present = sum(len(view.in_flight) for view in views)
-    reported = sum(view.count_reported_own() for view in views)
+    reported = sum(view.reported_own for view in views)
     growth = (present + GROWTH_PRIOR) / (reported + GROWTH_PRIOR)
     return min(GROWTH_LIMIT, growth)
 
@@ -595,7 +611,13 @@
     earliest = min(
         places,
         key=lambda item: (
-            estimate_seconds(item, question.data_centre, question.prefix, now),
+            estimate_seconds(
+                item,
+                question.data_centre,
+                question.prefix,
+                now,
+                PREFIX_PREFERENCE_SHARE,
+            ),
             rng.random(),
         ),
     )
