Keep what a sidecar sends together with its handshake's answer

Cause: the sidecar speaks first. When its hello (or a heartbeat) came in one segment with the 101, the entry's reading of the handshake took the frame in and dropped its event; the next message was then no hello, and the entry closed the connection and dialled again after a longer pause. Ruled out: the relay (it passes bytes on unchanged) and the secrets (401 is another way out). The focused test timed out without the fix and passes.

--- a/samphirevale/adapters/link.py
+++ b/samphirevale/adapters/link.py
@@ -7,7 +7,7 @@
 import collections
 import contextlib
 import hmac
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 from typing import Any
 
 import curio
@@ -43,13 +43,22 @@
     half-written frame, and frames sent together leave in one write.
     """
 
-    def __init__(self, stream: Any, protocol: Any):
+    def __init__(self, stream: Any, protocol: Any, early: Iterable[Any] = ()):
+        """Prepares a link on a connection after its handshake.
+
+        Args:
+            stream: the connection.
+            protocol: its websocket protocol.
+            early: events that came with the handshake.
+        """
         self._stream = stream
         self._protocol = protocol
         self._pending = bytearray()
         self._wake_writer = curio.Event()
         self._received: collections.deque[bytes] = collections.deque()
         self._broken = False
+        for event in early:
+            self._take_event(event)
         self.bytes_sent = 0
         self.bytes_received = 0
 
@@ -159,9 +168,17 @@
 
 
 @contextlib.asynccontextmanager
-async def _own_link(stream: Any, protocol: Any) -> AsyncIterator[Link]:
-    """Runs the writer of a link, and closes the link at the end."""
-    link = Link(stream, protocol)
+async def _own_link(
+    stream: Any, protocol: Any, early: Iterable[Any] = ()
+) -> AsyncIterator[Link]:
+    """Runs the writer of a link, and closes the link at the end.
+
+    Args:
+        stream: the connection.
+        protocol: its protocol, after the handshake.
+        early: events that the handshake's reading brought besides.
+    """
+    link = Link(stream, protocol, early)
     writer = await curio.spawn(link.write_queued, daemon=True)
     try:
         yield link
@@ -184,19 +201,24 @@
         async with curio.timeout_after(HANDSHAKE_SECONDS):
             stream = await curio.open_connection(host, port)
             try:
-                protocol = await _shake_hands(stream, host, port, secret)
+                protocol, early = await _shake_hands(stream, host, port, secret)
             except BaseException:
                 await stream.close()
                 raise
     except (OSError, curio.TaskTimeout) as error:
         raise errors.ConnectError(f"{host}:{port}: {error}") from error
-    async with _own_link(stream, protocol) as link:
+    async with _own_link(stream, protocol, early) as link:
         yield link
 
 
 async def _shake_hands(
     stream: Any, host: str, port: int, secret: str
-) -> websocket_client.ClientProtocol:
+) -> tuple[websocket_client.ClientProtocol, list[Any]]:
+    """Returns the protocol, and the events that came with the answer.
+
+    The sidecar speaks first, so that its first frames may arrive in one
+    segment with its answer to the handshake.
+    """
     stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     protocol = websocket_client.ClientProtocol(
         websocket_uri.parse_uri(f"ws://{host}:{port}/"),
@@ -206,6 +228,7 @@
     request.headers["Authorization"] = f"Bearer {secret}"
     protocol.send_request(request)
     await stream.sendall(b"".join(protocol.data_to_send()))
+    events: list[Any] = []
     while protocol.state is websocket_client.CONNECTING:
         data = await stream.recv(READ_BYTES)
         if not data:
@@ -213,8 +236,8 @@
         protocol.receive_data(data)
         if protocol.handshake_exc is not None:
             raise errors.ConnectError(f"{host}:{port}: refused")
-        protocol.events_received()
-    return protocol
+        events += protocol.events_received()
+    return protocol, events
 
 
 async def serve(
--- /dev/null
+++ b/tests/adapters/test_link.py
@@ -0,0 +1,46 @@
+"""Tests of links: what arrives together with the handshake's answer."""
+
+import contextlib
+
+import curio
+from websockets import server as websocket_server
+
+from samphirevale import messages
+from samphirevale.adapters import link
+from tests import base
+
+HOST = "127.0.0.1"
+SECRET = "secret"
+HELLO = messages.Hello("sidecar-1", "i1", "sidecar", "dc1", "e1", "engines")
+
+
+class HandshakeTest(base.TestCase):
+    """The sidecar's first message may come in one segment with its 101."""
+
+    async def serve_at_once(self, stream, _) -> None:
+        """Answers the handshake and sends a message in one write."""
+        protocol = websocket_server.ServerProtocol()
+        request = None
+        while request is None:
+            protocol.receive_data(await stream.recv(65536))
+            request = next(iter(protocol.events_received()), None)
+        protocol.send_response(protocol.accept(request))
+        protocol.send_binary(messages.encode_frame(HELLO, 3))
+        await stream.sendall(b"".join(protocol.data_to_send()))
+        with contextlib.suppress(OSError):
+            await stream.recv(65536)
+
+    async def test_first_message_is_not_lost(self):
+        port = base.find_free_port()
+        server = await curio.spawn(
+            curio.tcp_server, HOST, port, self.serve_at_once, daemon=True
+        )
+        await curio.sleep(0.05)
+        async with (
+            curio.timeout_after(2.0),
+            link.dial(HOST, port, SECRET) as it,
+        ):
+            frame = await it.receive()
+        self.assertEqual(frame.message, HELLO)
+        self.assertEqual(frame.revision, 3)
+        await server.cancel()
