--- a/lab/deployments.py
+++ b/lab/deployments.py
@@ -404,8 +404,20 @@
     plans: list[EndpointPlan] | None = None,
     entry_flags: tuple[str, ...] = (),
     relay: Relay | None = None,
+    known_peers: int = 0,
 ) -> Iterator[Deployment]:
-    """Yields a running deployment; whatever still runs at the end is ended."""
+    """Yields a running deployment; whatever still runs at the end is ended.
+
+    Args:
+        sizes: how many of each.
+        directory: where the logs go; a temporary one if None.
+        platform_arguments: the platform's command line.
+        plans: the endpoints; those of `sizes` if None.
+        entry_flags: flags of each entry.
+        relay: chooses what the platform's list names for a sidecar.
+        known_peers: how many sidecars entries are told of by their settings,
+            so that they can start while the platform is down.
+    """
     environment = dict(os.environ)
     environment["SAMPHIREVALE_PEER_SECRET"] = secrets.token_hex(16)
     environment["SAMPHIREVALE_OPERATOR_TOKEN"] = secrets.token_hex(16)
@@ -425,6 +437,10 @@
         deployment.wait_until_ready()
         for number, plan in enumerate(plans):
             deployment.start_sidecar(plan.name, number)
+        known = list(deployment.listed_ports.values())[:known_peers]
+        if known:
+            addresses = ",".join(f"{HOST}:{port}" for port in known)
+            entry_flags = (*entry_flags, "--peers", addresses)
         for number in range(sizes.entries):
             deployment.start_entry(f"entry-{number}", number, *entry_flags)
         deployment.list_sidecars()
--- a/lab/prove.py
+++ b/lab/prove.py
@@ -31,6 +31,9 @@
 
 SIZES = deployments.Sizes(entries=3, engines=3, stages=2, services=2)
 
+# How many sidecars entries know by their settings.
+KNOWN_PEERS = 2
+
 # What the deployment is given to become quiet, in seconds.
 QUIET_SECONDS = 8.0
 
@@ -308,6 +311,7 @@
             directory,
             plans=plan_deployment(directory),
             relay=own.add,
+            known_peers=KNOWN_PEERS,
         ) as deployment,
     ):
         log = evidence.EventLog(directory / "events.jsonl")
