Measure the overhead of the path against straight calls

Cause: nobody knew what the path costs beside the endpoints' work.

lab/overhead.py sends the same work both ways in turn, over kept connections, and profiles the processes with and without requests.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SECONDS ?= 60
 KEEP ?=
 
-.PHONY: run test check format prove measure slopes clean
+.PHONY: run test check format prove measure overhead slopes clean
 
 $(STAMP): pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -35,6 +35,9 @@
 measure: $(STAMP)
 	$(BIN)/python -m lab.measure --seed $(SEED)
 
+overhead: $(STAMP)
+	$(BIN)/python -m lab.overhead
+
 slopes: $(STAMP)
 	$(BIN)/python -m lab.slopes
 
--- a/lab/deployments.py
+++ b/lab/deployments.py
@@ -185,6 +185,8 @@
         self.endpoints: dict[str, processes.Process] = {}
         self.sidecars: dict[str, Node] = {}
         self.entries: dict[str, Node] = {}
+        # Where our processes write a profile at their end; None for none.
+        self.profiles: pathlib.Path | None = None
         self.operator_token = environment["SAMPHIREVALE_OPERATOR_TOKEN"]
         self.peer_secret = environment["SAMPHIREVALE_PEER_SECRET"]
         self._plans: dict[str, EndpointPlan] = {}
@@ -272,10 +274,13 @@
     def _start_node(
         self, name: str, arguments: tuple[str, ...], admin_port: int, port: int
     ) -> Node:
+        command = ["samphirevale.daemon", *arguments]
+        if self.profiles is not None:
+            output = str(self.profiles / f"{name}.profile")
+            command = ["cProfile", "-o", output, "-m", *command]
         process = self.group.start(
             name,
-            "samphirevale.daemon",
-            *arguments,
+            *command,
             port=port,
             environment=self.environment,
             wait=False,
@@ -348,6 +353,7 @@
     platform_arguments: tuple[str, ...] = (),
     plans: list[EndpointPlan] | None = None,
     entry_flags: tuple[str, ...] = (),
+    profiles: pathlib.Path | None = None,
 ) -> Iterator[Deployment]:
     """Yields a running deployment; whatever still runs at the end is ended."""
     environment = dict(os.environ)
@@ -355,6 +361,7 @@
     environment["SAMPHIREVALE_OPERATOR_TOKEN"] = secrets.token_hex(16)
     with processes.open_group(directory) as group:
         deployment = Deployment(group, environment)
+        deployment.profiles = profiles
         deployment.start_platform(*platform_arguments)
         call(
             deployment.platform.url,
