--- a/lab/system.py
+++ b/lab/system.py
@@ -273,11 +273,12 @@
 
     def _offer(self, attempt: str) -> None:
         later = self._stages[self._position + 1 :]
-        needed = [stage["expected_ms"] / 1000 for stage in later]
+        needed = self._expect(self._position + 1)
+        service = [stage["expected_ms"] / 1000 for stage in later]
         job = endpoints.Job(
             attempt,
             self._request,
-            deadlines.reserve_for_later(self._deadline_at, needed),
+            deadlines.reserve_for_later(self._deadline_at, needed, service),
             self._note_first,
             self._build_end(attempt, self._sidecar),
         )
--- a/samphirevale/entry.py
+++ b/samphirevale/entry.py
@@ -26,12 +26,15 @@
     messages,
     metrics,
     node,
+    operations,
     quarantine,
     retries,
     routing,
     settings,
     sidecars,
     snapshots,
+    statistics,
+    statuses,
 )
 from samphirevale.adapters import caller_api, clock, objects, web
 from samphirevale.ports import objects as object_port
@@ -44,15 +47,19 @@
 STORE_RETRY_SECONDS = 0.2
 STORE_RETRY_SECONDS_LIMIT = 3.0
 
-# A peer that is neither listed nor connected is dropped after this long.
-FORGET_SECONDS = 30.0
-
 # How long a crash is tried to be recorded in the store, in seconds.
 RECORD_SECONDS = 600.0
 
 # The mean interval between sweeps of expired objects, in seconds.
 SWEEP_SECONDS = 1800.0
 
+# The kinds of objects that are swept.
+SWEPT_KINDS = (
+    claims.OBJECT_KIND,
+    quarantine.OBJECT_KIND,
+    statuses.OBJECT_KIND,
+)
+
 # The interval between looks for a condition that nothing signals, in seconds.
 CHECK_SECONDS = 0.02
 
@@ -101,9 +108,13 @@
                 store, machine_clock, loaded.claim_window_seconds
             ),
             store=store,
+            statistics=statistics.Statistics(),
             rng=rng,
             clock=machine_clock,
         )
+        self.desk = operations.OperatorDesk(
+            self.node, statuses.build_identity(hello, time.time())
+        )
 
     def read_configuration(self) -> configuration.Configuration:
         """Returns the configuration in force here."""
@@ -135,7 +146,11 @@
         """Returns the request's one final answer, by its deadline."""
         deadline_at = self.node.clock.now() + request.deadline_ms / 1000
         run = execution.Execution(self.node, request, deadline_at, emit)
-        return await run.run()
+        started_at = self.node.clock.now()
+        answer = await run.run()
+        seconds = self.node.clock.now() - started_at
+        self.node.statistics.note_request(request, answer, run.uses, seconds)
+        return answer
 
     async def find_outcome(
         self, account: str, key: str
@@ -247,31 +262,15 @@
 
     async def follow_list(self) -> None:
         """Reads the platform's list and keeps its sidecars, for ever."""
-        for address in self._settings.peers:
-            await self.node.peers.keep(address)
+        await self.node.peers.add_known(self._settings.peers)
         while True:
             with contextlib.suppress(errors.StoreError):
                 listed = await self.node.store.list_instances()
-                await self._take_list(listed)
+                await self.node.peers.adopt_list(listed)
             await curio.sleep(self._settings.list_seconds)
 
-    async def _take_list(
-        self, listed: list[object_port.ListedInstance]
-    ) -> None:
-        by_address = {f"{item.host}:{item.peer_port}": item for item in listed}
-        for address, item in by_address.items():
-            peer = await self.node.peers.keep(address)
-            peer.listed_leaving = item.state == "leaving"
-        now = self.node.clock.now()
-        for address, peer in list(self.node.peers.peers.items()):
-            gone = address not in by_address and not peer.connected.is_set()
-            if address in self._settings.peers or not gone:
-                continue
-            if now - peer.heard_at > FORGET_SECONDS:
-                await self.node.peers.drop(address)
-
     async def sweep(self) -> None:
-        """Deletes expired claims and crash records, for ever.
+        """Deletes expired claims, crash records and statuses, for ever.
 
         Every entry sweeps at random times; one that finds an object gone
         has lost nothing but the call.
@@ -281,7 +280,7 @@
                 SWEEP_SECONDS / 2, SWEEP_SECONDS * 3 / 2
             )
             await curio.sleep(seconds)
-            for kind in (claims.OBJECT_KIND, quarantine.OBJECT_KIND):
+            for kind in SWEPT_KINDS:
                 with contextlib.suppress(errors.StoreError):
                     await expiry.sweep_expired(
                         self.node.store, kind, time.time(), self.node.clock
@@ -322,7 +321,7 @@
 
     async def serve_admin(self) -> None:
         """Serves the admin port until cancelled."""
-        await admin.serve(self._settings, self._life)
+        await admin.serve(self._settings, self._life, self.desk)
 
     def register_dump(self) -> None:
         """Adds the entry's sections to the state dump."""
@@ -388,6 +387,11 @@
             await stack.enter_async_context(run_task(function))
         stack.push_async_callback(entry.node.peers.close)
         await entry.wait_configuration()
+        await stack.enter_async_context(
+            statuses.publish_status(
+                statuses.StatusWriter(entry.node, entry.desk.build_status)
+            )
+        )
         life.report_ready()
         await entry.wait_stop()
         await entry.drain()
--- a/samphirevale/handovers.py
+++ b/samphirevale/handovers.py
@@ -1,7 +1,6 @@
 """Runs one stage of a request: hands attempts over until one has a result."""
 
 import hashlib
-import json
 import secrets
 import time
 from collections.abc import Awaitable, Callable
@@ -21,6 +20,7 @@
     retries,
     sidecars,
 )
+from samphirevale.ports import endpoints
 
 # Sends tokens to the caller: the first one's number, and the tokens.
 Emit = Callable[[int, list[str]], Awaitable[None]]
@@ -109,7 +109,7 @@
 
 def digest_prefix(value: Any) -> str:
     """Returns the name of a prompt's prefix in engines' cache events."""
-    prompt = value if isinstance(value, str) else json.dumps(value)
+    prompt = endpoints.build_prompt(value)
     return hashlib.sha256(prompt[:PREFIX_CHARACTERS].encode()).hexdigest()
 
 
@@ -149,8 +149,12 @@
         self._batch = ""
         self._tried: set[str] = set()
         self._refused_batches: set[str] = set()
+        self._started_at = entry_node.clock.now()
+        self._busy_ms = 0.0
         self._wasted_ms = 0.0
+        self._wasted_tokens = 0
         self._attempts = 0
+        self._completed = 0
         self._asked_late = False
         # An attempt was handed over and is not known not to have run.
         self._is_open = False
@@ -161,7 +165,6 @@
         Raises:
             errors.RequestRefusedError: there will be none.
         """
-        started_at = self._node.clock.now()
         self._node.retries.note_first(self._stage["name"])
         ending = None
         while not isinstance(ending, messages.Result):
@@ -169,13 +172,9 @@
             ending = await self._run_checked(endpoint)
             if isinstance(ending, messages.Refusal):
                 self._take_refusal(endpoint, ending)
-        use = callers.StageUse(
-            self._stage["name"],
-            self._node.clock.now() - started_at,
-            ending.busy_ms,
-            self._wasted_ms,
-            self._attempts,
-        )
+        self._busy_ms = ending.busy_ms
+        self._completed = 1
+        use = self.read_use()
         if self._stage["kind"] != "engine":
             return StageOutcome(ending.payload, 0, "", use)
         # The tokens are told too, so that a caller can check the digest.
@@ -183,6 +182,19 @@
         payload = {"text": "".join(tokens), "tokens": tokens}
         return StageOutcome(payload, ending.count, ending.digest, use)
 
+    def read_use(self) -> callers.StageUse:
+        """Returns what the stage has taken so far, also if it failed."""
+        return callers.StageUse(
+            self._stage["name"],
+            self._node.clock.now() - self._started_at,
+            self._busy_ms,
+            self._wasted_ms,
+            self._attempts,
+            self._attempts - self._completed,
+            len(self._buffer.tokens),
+            self._wasted_tokens,
+        )
+
     def _choose_endpoint(self, last: messages.Refusal | None) -> str:
         now = self._node.clock.now()
         names = self._list_candidates(now)
@@ -228,7 +240,7 @@
                 return
             self._drop_tokens("the batch that began the answer is recalled")
         self._batch = candidates.choose_batch(
-            ready, value, self._stage["model"], self._refused_batches
+            ready, value, self._stage, self._refused_batches
         )
 
     def _drop_tokens(self, reason: str) -> None:
@@ -237,6 +249,7 @@
             self._progress.refuse(
                 "broken_answer", reason, DEFAULT_RETRY_SECONDS
             )
+        self._wasted_tokens += len(self._buffer.tokens)
         self._buffer = answers.TokenBuffer()
 
     def _read_prefix(self) -> str:
@@ -268,10 +281,25 @@
             )
             if not reserved:
                 self._refuse_quarantined(verdict)
-            ending = await self._run_attempt(endpoint, attempt)
+            # The reservation took time, in which the endpoint may have gone.
+            if endpoint in self._list_candidates(self._node.clock.now()):
+                ending = await self._run_attempt(endpoint, attempt)
+            else:
+                ending = self._skip_attempt(attempt)
         await self._end_trial(attempt, ending)
         return ending
 
+    def _skip_attempt(self, attempt: str) -> messages.Refusal:
+        """Returns the refusal of an attempt that is not handed over."""
+        # Whoever takes in the refusal takes this back.
+        self._progress.note_handed(self._repeatable)
+        return self._build_refusal(
+            self._build_handover(attempt, self._node.clock.now()),
+            "not_run",
+            "unreachable",
+            "the endpoint takes no work any more",
+        )
+
     async def _end_trial(
         self, attempt: str, ending: messages.Result | messages.Refusal
     ) -> None:
--- a/samphirevale/metrics.py
+++ b/samphirevale/metrics.py
@@ -47,6 +47,9 @@
 # The library's own registry, which has the process's memory and time too.
 REGISTRY = prometheus_client.REGISTRY
 
+# When each child was created says nothing that a restart does not.
+prometheus_client.disable_created_metrics()
+
 
 class Family:
     """A metric whose labels are bounded.
@@ -132,7 +135,7 @@
 # Stages. `use` is `whole` if the request got its whole answer in time, else
 # `wasted`.
 STAGE_SECONDS = _histogram(
-    "stage_seconds", "Time of one attempt of a stage, waiting in.", "stage"
+    "stage_seconds", "Time of a stage of a request, its retries in.", "stage"
 )
 BUSY_MILLISECONDS = _count(
     "busy_milliseconds",
--- a/samphirevale/sidecar.py
+++ b/samphirevale/sidecar.py
@@ -17,20 +17,26 @@
     configuration,
     errors,
     executors,
+    invariants,
     limits,
     logs,
     messages,
     metrics,
     monitors,
     peers,
+    reconciler,
     settings,
     snapshots,
 )
-from samphirevale.adapters import endpoints, link, objects
+from samphirevale.adapters import clock, endpoints, link, objects
 
 # Interval of the work that is due by time, in seconds.
 TEND_SECONDS = 0.05
 
+# How long hand-overs are still refused after the last work has ended, in
+# seconds: those that were on their way when the entries were told.
+LINGER_SECONDS = 0.5
+
 # Interval between readings of the configuration while none is held, in
 # seconds. Once one is held, entries bring the newer ones.
 START_SECONDS = 1.0
@@ -82,6 +88,17 @@
             self._peers,
         )
 
+        self._reconciler = reconciler.Reconciler(
+            sidecar,
+            self._incarnation,
+            self._endpoint,
+            self._monitor,
+            self._holder,
+            self._store,
+            clock.MonotonicClock(),
+            self._announce,
+        )
+
     async def run(self, life: Any) -> None:
         """Serves until `life.stop` is set, then drains and returns."""
         common = self._settings.common
@@ -106,6 +123,7 @@
             self._monitor.run,
             self._run_tending,
             self._executor.raise_violation,
+            self._reconciler.run,
             self._read_first_configuration,
         ]
 
@@ -118,17 +136,19 @@
         """Takes nothing new and finishes what is in flight."""
         self._executor.leaving_at = time.monotonic()
         await self._announce()
-        seconds = self._settings.common.drain_seconds
-        finished = await curio.ignore_after(
-            seconds, self._executor.wait_until_idle, timeout_result=False
-        )
-        if finished is False:
-            logs.log_change(
-                "drain_incomplete",
-                active=len(self._executor.table.list_active()),
-            )
+        await self._reconciler.stop()
+        await self._drain()
+        await curio.sleep(LINGER_SECONDS)
         await self._peers.flush()
 
+    async def _drain(self) -> None:
+        async with curio.ignore_after(self._settings.common.drain_seconds):
+            await self._executor.wait_until_idle()
+        active = len(self._executor.table.list_active())
+        invariants.check(
+            invariants.SHUTDOWN_CUTS_NOTHING, not active, active=active
+        )
+
     async def _serve_entry(self, connection: link.Link) -> None:
         hello = await self._exchange_hello(connection)
         peer = peers.Peer(connection, hello)
@@ -293,6 +313,7 @@
             "revision": self._holder.revision,
             "entries": self._peers.list_names(),
             "heartbeat": self._build_heartbeat(0),
+            "lease": self._reconciler.lease,
             "remembered": len(self._executor.table),
             "counts": vars(self._executor.counts),
             "attempts": [
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -13,6 +13,7 @@
     callers,
     configuration,
     keyed,
+    membership,
     messages,
     node,
     quarantine,
@@ -21,6 +22,7 @@
     settings,
     sidecars,
     snapshots,
+    statistics,
 )
 from samphirevale.adapters import clock
 from tests import base, fakes
@@ -73,14 +75,15 @@
         self.handovers: list[messages.Handover] = []
         self.cancelled: list[str] = []
         self.steps: list[Step] = []
-        self.peer = sidecars.Peer(endpoint, entry.node.holder)
+        self.peer = sidecars.Peer(f"{endpoint}:1", entry.node.holder)
 
     async def attach(self, incarnation: str = "1") -> None:
         """Connects it, as the process with this token."""
         hello = self.hello._replace(incarnation=incarnation)
-        await self.peer.attach(self, hello)
         now = self._entry.node.clock.now()
-        self.peer.heard_at = now
+        await self.peer.attach(self, hello, now)
+        for _ in range(membership.PROBE_HEARTBEATS):
+            self.peer.note_frame(self.heartbeat, now, SUSPECT_SECONDS)
         self.peer.heartbeat = self.heartbeat
         self._entry.node.peers.peers[self.peer.address] = self.peer
         self._entry.node.router.note_report(
@@ -186,6 +189,7 @@
             quarantine=quarantine.Quarantine(),
             keeper=keyed.Keeper(self.store, machine_clock, 60.0),
             store=self.store,
+            statistics=statistics.Statistics(),
             rng=rng,
             clock=machine_clock,
         )
--- a/tests/test_candidates.py
+++ b/tests/test_candidates.py
@@ -10,6 +10,7 @@
     async def test_batch(self):
         sidecar = await self.add("engines-0", "engines")
         value = self.node.holder.held.value
+        stage = value["pipelines"]["harvest-notice"]["stages"][-1]
         for loaded, state, exclude, chosen in (
             (["b1", "b2"], "serving", [], "b2"),
             (["b1", "b2"], "serving", ["b2"], "b1"),
@@ -23,7 +24,7 @@
                 sidecar.peer.heartbeat = beat
                 value["batches"]["b2"]["state"] = state
                 batch = candidates.choose_batch(
-                    [sidecar.peer], value, "assistant", exclude
+                    [sidecar.peer], value, stage, exclude
                 )
                 self.assertEqual(chosen, batch)
                 listed = candidates.list_endpoints([sidecar.peer], batch)
@@ -47,6 +48,10 @@
         self.assertEqual([], list_names())
         value["draining"].clear()
         beat = sidecar.peer.heartbeat
-        for change in ({"leaving": True}, {"healthy": False}):
-            sidecar.peer.heartbeat = beat._replace(**change)
-            self.assertEqual([], list_names())
+        sidecar.peer.heartbeat = beat._replace(healthy=False)
+        self.assertEqual([], list_names())
+        sidecar.peer.heartbeat = beat
+        sidecar.peer.note_frame(
+            beat._replace(leaving=True), now, nodes.SUSPECT_SECONDS
+        )
+        self.assertEqual([], list_names())
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -1,9 +1,12 @@
 """One stage: attempts that follow each other, recall, resume, trials."""
 
+import hashlib
+
 import curio
 
 from samphirevale import answers, errors, handovers
-from tests import nodes
+from samphirevale.ports import endpoints
+from tests import base, nodes
 
 # Long enough for what was sent to be taken in, in seconds.
 TAKE_SECONDS = 0.05
@@ -132,7 +135,7 @@
 
     async def test_leaving_and_draining_get_nothing(self):
         leaving = await self.add("encoders-0", "encoders")
-        leaving.peer.listed_leaving = True
+        leaving.peer.member = leaving.peer.member._replace(leaving=True)
         draining = await self.add("encoders-1", "encoders")
         self.node.holder.held.value["draining"].append("encoders-1")
         self.assertEqual(
@@ -172,7 +175,7 @@
         self.assertEqual(("not_run", []), (outcome, sidecar.handovers))
 
 
-class ProgressTest(nodes.EntryTestCase):
+class ProgressTest(base.TestCase):
     """What a refusal tells after what has been handed over."""
 
     def test_outcomes(self):
@@ -190,3 +193,13 @@
             for repeatable in returned:
                 progress.note_not_run(repeatable)
             self.assertEqual(outcome, progress.read_outcome())
+
+
+class PrefixTest(base.TestCase):
+    """The prefix that an entry looks for is the one that an engine caches."""
+
+    def test_is_of_the_prompt_that_the_sidecar_sends(self):
+        for value in ("São Paulo", {"rows": 7, "farm": "Serra Gaúcha"}):
+            prompt = endpoints.build_prompt(value)
+            expected = hashlib.sha256(prompt[:64].encode()).hexdigest()
+            self.assertEqual(handovers.digest_prefix(value), expected)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -3,11 +3,13 @@
 import contextlib
 import hashlib
 import json
+from unittest import mock
 
 import curio
 
 from samphirevale import (
     configuration,
+    executors,
     invariants,
     lifecycle,
     messages,
@@ -116,7 +118,7 @@
     """Starts a sidecar beside a fake endpoint."""
 
     @contextlib.asynccontextmanager
-    async def running(self, kind="engine", **changes):
+    async def running(self, kind="engine", linger_seconds=0.02, **changes):
         self.endpoint = FakeEndpoint()
         await self.endpoint.start()
         common = settings.CommonSettings(
@@ -142,6 +144,10 @@
             **changes,
         )
         invariants.set_fatal(True)
+        self.enterContext(
+            mock.patch.object(sidecar, "LINGER_SECONDS", linger_seconds)
+        )
+        self.enterContext(mock.patch.object(executors, "FETCH_SECONDS", 0.5))
         self.life = lifecycle.Lifecycle()
         self.sidecar = sidecar.Sidecar(self.settings)
         task = await curio.spawn(self.sidecar.run, self.life)
@@ -189,19 +195,23 @@
             pipelines={},
             accounts={},
             batches={
-                "b1": configuration.BatchConfiguration(
-                    model="m",
-                    version="1",
-                    adapter="",
-                    pool="pool-1",
-                    state=state,
-                    order=1,
-                )
+                "b1": self.build_batch(state),
+                "b2": self.build_batch("serving"),
             },
             draining=list(draining),
             orders=[],
         )
 
+    def build_batch(self, state):
+        return configuration.BatchConfiguration(
+            model="m",
+            version="1",
+            adapter="",
+            pool="pool-1",
+            state=state,
+            order=1,
+        )
+
     def build_handover(self, attempt="a1", **changes):
         handover = messages.Handover(
             request="r1",
@@ -300,11 +310,13 @@
             self.assertIsInstance(ending, messages.Result)
             self.assertEqual(self.endpoint.runs, ["a1"])
 
+    @mock.patch.object(executors, "REATTACH_SECONDS", 0.1)
     async def test_a_reconnected_entry_gets_the_ending(self):
         async with self.running("service"):
             async with self.connected() as entry:
                 await self.hand_over(entry, repeatable=False, batch="")
                 await self.wait_for_runs(1)
+            await curio.sleep(0.3)
             async with self.connected() as entry:
                 await self.hand_over(entry, repeatable=False, batch="")
                 await self.endpoint.gate.set()
@@ -316,7 +328,7 @@
         async with self.running():
             self.endpoint.gate_after_first = True
             async with self.connected() as entry:
-                await self.hand_over(entry)
+                await self.hand_over(entry, remaining_ms=60_000)
                 await self.receive(entry, messages.Chunk)
             while not self.endpoint.cancelled:
                 await curio.sleep(0.02)
@@ -429,6 +441,14 @@
             )
             self.assertEqual(self.endpoint.runs, [])
 
+    async def test_an_unknown_batch_is_not_run(self):
+        async with self.running(), self.connected() as entry:
+            self.endpoint.batches = ["b1", "b3"]
+            self.assertEqual(
+                await self.refuse(entry, batch="b3"),
+                ("not_run", "no_configuration"),
+            )
+
 
 class RecallTest(SidecarTestCase):
     """A recalled batch serves nothing more, whatever is in flight."""
@@ -528,6 +548,32 @@
             heartbeat = await self.receive(entry, messages.Heartbeat)
             self.assertTrue(heartbeat.leaving)
 
+    async def test_a_stop_waits_for_a_cut_entry_to_fetch_an_outcome(self):
+        async with self.running("service"):
+            changes = {"repeatable": False, "batch": ""}
+            async with self.connected() as entry:
+                await self.hand_over(entry, **changes)
+                await self.wait_for_runs(1)
+            await self.life.request_stop("test")
+            await self.endpoint.gate.set()
+            await curio.sleep(0.2)
+            async with await self._dial() as entry:
+                await entry.send(
+                    messages.Hello("entry-1", "t", "entry", "dc1", "", ""), 1
+                )
+                await self.hand_over(entry, **changes)
+                _, ending = await self.receive_ending(entry)
+            self.assertIsInstance(ending, messages.Result)
+
+    async def test_a_hand_over_on_its_way_at_the_stop_is_refused(self):
+        running = self.running(linger_seconds=0.5)
+        async with running, self.connected() as entry:
+            await self.life.request_stop("test")
+            await curio.sleep(0.1)
+            await self.hand_over(entry)
+            refusal = await self.receive(entry, messages.Refusal)
+            self.assertEqual(refusal.reason, "leaving")
+
 
 class CrashTest(SidecarTestCase):
     """An endpoint that dies under an attempt is told of to every entry."""
@@ -546,6 +592,22 @@
             heartbeat = await self.receive(entry, messages.Heartbeat)
             self.assertFalse(heartbeat.healthy)
 
+    async def test_all_that_ran_at_a_crash_are_suspects(self):
+        async with self.running("service"), self.connected() as entry:
+            for attempt, fingerprint in (("a1", "f1"), ("a2", "f2")):
+                await self.hand_over(
+                    entry, attempt=attempt, fingerprint=fingerprint, batch=""
+                )
+            await self.wait_for_runs(2)
+            await self.endpoint.stop()
+            notices = {
+                await self.receive(entry, messages.CrashNotice)
+                for _ in range(2)
+            }
+            self.assertEqual(
+                {notice.fingerprint for notice in notices}, {"f1", "f2"}
+            )
+
     async def test_a_broken_answer_of_a_live_endpoint_is_no_crash(self):
         async with self.running(), self.connected() as entry:
             self.endpoint.break_runs = True
@@ -591,6 +653,14 @@
             self.assertEqual(tokens, ["a"])
             self.assertEqual(ending.outcome, "failed")
 
+    async def test_a_missing_chunk_of_a_resumed_answer_is_a_failure(self):
+        async with self.running(), self.connected() as entry:
+            self.endpoint.lines = build_lines(ANSWER, offset=3)
+            await self.endpoint.gate.set()
+            await self.hand_over(entry, offset=2)
+            _, ending = await self.receive_ending(entry, offset=2)
+            self.assertEqual(ending.outcome, "failed")
+
     async def test_another_answers_digest_is_a_failure(self):
         async with self.running(), self.connected() as entry:
             self.endpoint.lines = build_lines(ANSWER)
