Hold both golden sessions by one module

Cause: the operators' session had its own comparison without a diff, and its own variable. It now uses tests/goldens.py; the comparison is as strict, the whole text must be equal.

--- a/tests/goldens.py
+++ b/tests/goldens.py
@@ -35,9 +35,9 @@
     if os.environ.get(REWRITE) == "1":
         path.write_text(text, encoding="utf-8")
     kept = path.read_text(encoding="utf-8") if path.exists() else ""
-    difference = difflib.unified_diff(
+    if kept == text:
+        return
+    lines = difflib.unified_diff(
         kept.splitlines(), text.splitlines(), name, "this run", lineterm=""
     )
-    lines = list(difference)
-    if lines:
-        case.fail("\n".join([f"{REWRITE}=1 rewrites {path.name}:", *lines]))
+    case.fail("\n".join([f"{REWRITE}=1 rewrites {name}:", *lines]))
--- a/tests/test_operator_session.py
+++ b/tests/test_operator_session.py
@@ -1,13 +1,5 @@
-"""A whole session of operators, held against a golden file, and a race.
+"""A whole session of operators, held against a golden file, and a race."""
 
-After a wanted change of what operators see, rewrite the file and read its
-difference:
-
-    REWRITE_GOLDEN=1 python -m tests tests.test_operator_session
-"""
-
-import os
-import pathlib
 import re
 import subprocess
 import sys
@@ -20,12 +12,7 @@
 from lab import deployments, processes
 from lab import run as lab_run
 from samphirevale import client, tables
-from tests import base
-
-GOLDEN = pathlib.Path(__file__).parent / "golden" / "operator-session.txt"
-
-# Set to anything, this environment variable rewrites the golden file.
-REWRITE = "REWRITE_GOLDEN"
+from tests import base, goldens
 
 SIZES = deployments.Sizes(entries=2, engines=2, stages=1, services=1)
 
@@ -190,9 +177,7 @@
             printed = run_step(self.deployment, step)
             parts.append(f"{step.entry}$ samphirevale {words}\n{printed}")
         session = "\n".join(parts)
-        if os.environ.get(REWRITE):
-            GOLDEN.write_text(session)
-        self.assertEqual(GOLDEN.read_text(), session)
+        goldens.check(self, "operator-session.txt", session)
 
     def test_of_two_operators_at_two_entries_one_wins(self):
         accepted = {}
