Go on accepting connections after a failure

Cause: curio's server ends at the first error of accept and closes its socket, so that a process that once had no file left (or met any other error of accept) was deaf on that port for good, while it lived and looked well. adapters/listener.py accepts for both protocols, logs the first failure of a row and tries again. Ruled out: a lower limit on connections alone, as files also go to peers, the store and logs, and the limit counts after accepting.

Before: adapters.test_web.test_accepting_goes_on_after_it_has_failed fails (connection reset). After: passes three times; make test 376 passed, 0 failed, 0 skipped, 72 s.

--- a/samphirevale/adapters/link.py
+++ b/samphirevale/adapters/link.py
@@ -19,6 +19,7 @@
 from websockets import uri as websocket_uri
 
 from samphirevale import errors, messages
+from samphirevale.adapters import listener
 
 # The most bytes read from a socket at once.
 READ_BYTES = 65536
@@ -239,9 +240,7 @@
             async with _own_link(stream, protocol) as link:
                 await handler(link)
 
-    await curio.tcp_server(
-        host, port, run_connection, backlog=1024, reuse_address=True
-    )
+    await listener.serve(run_connection, host, port)
 
 
 async def _accept_handshake(
--- a/samphirevale/adapters/web.py
+++ b/samphirevale/adapters/web.py
@@ -17,6 +17,7 @@
 from curio import socket
 
 from samphirevale import errors
+from samphirevale.adapters import listener
 
 # The most bytes read from a socket at once.
 READ_BYTES = 65536
@@ -132,9 +133,7 @@
         finally:
             connections -= 1
 
-    await curio.tcp_server(
-        host, port, run_connection, backlog=1024, reuse_address=True
-    )
+    await listener.serve(run_connection, host, port)
 
 
 async def _refuse_connection(client: Any, limits: Limits) -> None:
--- a/tests/adapters/test_web.py
+++ b/tests/adapters/test_web.py
@@ -1,6 +1,8 @@
 """The HTTP server against a caller that does not read."""
 
 import contextlib
+import os
+import resource
 
 import curio
 
@@ -52,6 +54,37 @@
             await connection.close()
             await serving.cancel()
 
+    async def test_accepting_goes_on_after_it_has_failed(self):
+        port = base.find_free_port()
+        answer = EndlessAnswer()
+        serving = await curio.spawn(
+            web.serve, answer.handle, "127.0.0.1", port, LIMITS
+        )
+        await (await self.connect(port)).close()
+        with self.without_free_files():
+            waiting = await self.connect(port)
+            await curio.sleep(0.1)
+        try:
+            got = await waiting.request("GET", "/")
+            self.assertEqual(200, got.status)
+        finally:
+            await waiting.close()
+            await serving.cancel()
+
+    @contextlib.contextmanager
+    def without_free_files(self):
+        """Leaves this process one file descriptor while the block runs."""
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        with open(os.devnull) as file:
+            # One more than the lowest free descriptor, for the client.
+            resource.setrlimit(
+                resource.RLIMIT_NOFILE, (file.fileno() + 1, hard)
+            )
+        try:
+            yield
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
     async def connect(self, port: int) -> web.ClientConnection:
         while True:
             with contextlib.suppress(Exception):
