--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -13,7 +13,6 @@
     callers,
     configuration,
     keyed,
-    membership,
     messages,
     node,
     quarantine,
@@ -75,15 +74,13 @@
         self.handovers: list[messages.Handover] = []
         self.cancelled: list[str] = []
         self.steps: list[Step] = []
-        self.peer = sidecars.Peer(f"{endpoint}:1", entry.node.holder)
+        self.peer = sidecars.Peer(f"{endpoint}:0", entry.node.holder)
 
     async def attach(self, incarnation: str = "1") -> None:
         """Connects it, as the process with this token."""
         hello = self.hello._replace(incarnation=incarnation)
         now = self._entry.node.clock.now()
         await self.peer.attach(self, hello, now)
-        for _ in range(membership.PROBE_HEARTBEATS):
-            self.peer.note_frame(self.heartbeat, now, SUSPECT_SECONDS)
         self.peer.heartbeat = self.heartbeat
         self._entry.node.peers.peers[self.peer.address] = self.peer
         self._entry.node.router.note_report(
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -216,7 +216,7 @@
 
     def test_random_bytes(self):
         rng = random.Random(3)
-        sidecar_port = self.deployment.listed_ports["engine-0"]
+        sidecar_port = self.deployment.get_peer_port("engine-0")
         admin_port = int(self.entry.admin_url.rpartition(":")[2])
         for port in (self.entry.process.port, admin_port, sidecar_port):
             for _ in range(RANDOM_ROUNDS):
@@ -253,13 +253,13 @@
             self.assertIn("event: end", answer)
 
     async def test_foreign_secret(self):
-        port = self.deployment.listed_ports["engine-0"]
+        port = self.deployment.get_peer_port("engine-0")
         with self.assertRaises(errors.ConnectError):
             async with link.dial("127.0.0.1", port, "foreign"):
                 self.fail("a foreign secret was accepted")
 
     def test_unusual_handshakes(self):
-        port = self.deployment.listed_ports["engine-0"]
+        port = self.deployment.get_peer_port("engine-0")
         head = (
             "GET / HTTP/1.1\r\nHost: test\r\nUpgrade: websocket\r\n"
             "Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
@@ -288,7 +288,7 @@
 
     async def read_close_reason(self, data: bytes) -> str:
         """Sends one frame's bytes; returns why the sidecar closed."""
-        port = self.deployment.listed_ports["engine-0"]
+        port = self.deployment.get_peer_port("engine-0")
         secret = self.deployment.peer_secret
         async with link.dial("127.0.0.1", port, secret) as dialled:
             dialled._protocol.send_binary(data)
--- a/tests/test_candidates.py
+++ b/tests/test_candidates.py
@@ -48,10 +48,8 @@
         self.assertEqual([], list_names())
         value["draining"].clear()
         beat = sidecar.peer.heartbeat
-        sidecar.peer.heartbeat = beat._replace(healthy=False)
-        self.assertEqual([], list_names())
-        sidecar.peer.heartbeat = beat
-        sidecar.peer.note_frame(
-            beat._replace(leaving=True), now, nodes.SUSPECT_SECONDS
-        )
-        self.assertEqual([], list_names())
+        for change in ({"healthy": False}, {"leaving": True}):
+            changed = beat._replace(**change)
+            sidecar.peer.heartbeat = changed
+            sidecar.peer.note_frame(changed, now, nodes.SUSPECT_SECONDS)
+            self.assertEqual([], list_names())
