--- a/lab/deployments.py
+++ b/lab/deployments.py
@@ -198,6 +198,8 @@
         self.endpoints: dict[str, processes.Process] = {}
         self.sidecars: dict[str, Node] = {}
         self.entries: dict[str, Node] = {}
+        # Where our processes write a profile at their end; None for none.
+        self.profiles: pathlib.Path | None = None
         self.operator_token = environment["SAMPHIREVALE_OPERATOR_TOKEN"]
         self.peer_secret = environment["SAMPHIREVALE_PEER_SECRET"]
         self.plans: dict[str, EndpointPlan] = {}
@@ -300,10 +302,13 @@
     def _start_node(
         self, name: str, arguments: tuple[str, ...], admin_port: int, port: int
     ) -> Node:
+        command = ["samphirevale.daemon", *arguments]
+        if self.profiles is not None:
+            output = str(self.profiles / f"{name}.profile")
+            command = ["cProfile", "-o", output, "-m", *command]
         process = self.group.start(
             name,
-            "samphirevale.daemon",
-            *arguments,
+            *command,
             port=port,
             environment=self.environment,
             wait=False,
@@ -405,6 +410,7 @@
     entry_flags: tuple[str, ...] = (),
     relay: Relay | None = None,
     known_peers: int = 0,
+    profiles: pathlib.Path | None = None,
 ) -> Iterator[Deployment]:
     """Yields a running deployment; whatever still runs at the end is ended.
 
@@ -417,12 +423,14 @@
         relay: chooses what the platform's list names for a sidecar.
         known_peers: how many sidecars entries are told of by their settings,
             so that they can start while the platform is down.
+        profiles: where our processes write their profiles; None for none.
     """
     environment = dict(os.environ)
     environment["SAMPHIREVALE_PEER_SECRET"] = secrets.token_hex(16)
     environment["SAMPHIREVALE_OPERATOR_TOKEN"] = secrets.token_hex(16)
     with processes.open_group(directory) as group:
         deployment = Deployment(group, environment, relay)
+        deployment.profiles = profiles
         deployment.start_platform(*platform_arguments)
         call(
             deployment.platform.url,
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -175,7 +175,7 @@
         self.assertEqual(("not_run", []), (outcome, sidecar.handovers))
 
 
-class ProgressTest(nodes.EntryTestCase):
+class ProgressTest(base.TestCase):
     """What a refusal tells after what has been handed over."""
 
     def test_outcomes(self):
