Take each mechanism out alone and show what notices it

`make ablations` copies the tracked files, runs the named tests unchanged, then takes one mechanism out at a time (lab/mechanisms.py, exact text) and runs its tests, four at once. `--prove` does the same under lab.prove, one run at a time, and asks for the invariant by name.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SECONDS ?= 60
 KEEP ?=
 
-.PHONY: run test check format prove measure overhead slopes clean
+.PHONY: run test check format prove ablations measure overhead slopes clean
 
 $(STAMP): pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -32,6 +32,9 @@
 prove: $(STAMP)
 	$(BIN)/python -m lab.prove --seed $(SEED) --seconds $(SECONDS)
 
+ablations: $(STAMP)
+	$(BIN)/python -m lab.ablations
+
 measure: $(STAMP)
 	$(BIN)/python -m lab.measure --seed $(SEED)
 
--- /dev/null
+++ b/lab/ablations.py
@@ -0,0 +1,263 @@
+"""`make ablations`: each mechanism taken out, and a test that then fails.
+
+Copies the tracked files to a temporary directory, checks that the named
+tests pass there unchanged, then takes out one mechanism at a time and runs
+its tests. `--prove` takes mechanisms out under the randomised proof instead,
+one after the other. Prints a table; the last line is one JSON object. Exit
+status 1 if something passes with its mechanism out, if tests fail with all
+mechanisms in, or if a text to replace is not found exactly once.
+"""
+
+import argparse
+import concurrent.futures
+import json
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+from lab import mechanisms
+from samphirevale import tables
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+
+# The most runs of tests at once.
+PARALLEL_RUNS = 4
+
+# The longest that the tests of one ablation may take, in seconds; some hang
+# without their mechanism.
+TEST_SECONDS = 120.0
+
+# The longest that one randomised proof may take, in seconds.
+PROVE_SECONDS = 200.0
+
+# How long requests are sent in one randomised proof, in seconds.
+PROVE_LOAD_SECONDS = 20
+
+HEADERS = ["mechanism", "proof", "with it", "without it"]
+
+
+class Run(NamedTuple):
+    """How one run of tests or of the randomised proof ended.
+
+    Attributes:
+        verdict: `passed`, `failed` or `hung`.
+        last_line: of its output.
+    """
+
+    verdict: str
+    last_line: str
+
+
+class Row(NamedTuple):
+    """What the table tells of an ablation.
+
+    Attributes:
+        ablation: what is taken out.
+        proof: the names of its tests, or the proof's seed and invariant.
+        intact: the verdict with the mechanism.
+        ablated: the verdict without it.
+        expected: the verdict without it is the one that was due.
+    """
+
+    ablation: mechanisms.Ablation
+    proof: str
+    intact: str
+    ablated: str
+    expected: bool
+
+
+def copy_tree(target: pathlib.Path) -> None:
+    """Copies the files that git tracks, as they are in the working tree."""
+    listed = subprocess.run(
+        ["git", "ls-files", "-z"], cwd=ROOT, check=True, capture_output=True
+    )
+    for name in filter(None, listed.stdout.decode().split("\0")):
+        copied = target / name
+        copied.parent.mkdir(parents=True, exist_ok=True)
+        if (ROOT / name).is_file():
+            shutil.copy2(ROOT / name, copied)
+
+
+def list_mismatches(
+    root: pathlib.Path, ablations: Iterable[mechanisms.Ablation]
+) -> list[str]:
+    """Returns the ablations whose text is not found exactly once."""
+    found = []
+    for ablation in ablations:
+        for edit in ablation.edits:
+            count = (root / edit.file).read_text().count(edit.text)
+            if count != 1:
+                found.append(f"{ablation.name}: {edit.file} has it {count}x")
+    return found
+
+
+def apply_ablation(root: pathlib.Path, ablation: mechanisms.Ablation) -> None:
+    """Takes a mechanism out of a tree."""
+    for edit in ablation.edits:
+        path = root / edit.file
+        text = path.read_text()
+        path.write_text(text.replace(edit.text, edit.replacement))
+
+
+def run_module(
+    root: pathlib.Path, arguments: Sequence[str], seconds: float
+) -> Run:
+    """Runs `python -m` in a tree."""
+    command = [sys.executable, "-m", *arguments]
+    try:
+        done = subprocess.run(
+            command,
+            cwd=root,
+            timeout=seconds,
+            text=True,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+        )
+    except subprocess.TimeoutExpired:
+        return Run("hung", "")
+    lines = done.stdout.strip().splitlines() or [""]
+    return Run("failed" if done.returncode else "passed", lines[-1])
+
+
+def run_ablated(
+    ablation: mechanisms.Ablation, arguments: Sequence[str], seconds: float
+) -> Run:
+    """Runs `python -m` in a copy of the tree without a mechanism."""
+    with tempfile.TemporaryDirectory(prefix="ablation-") as directory:
+        root = pathlib.Path(directory)
+        copy_tree(root)
+        apply_ablation(root, ablation)
+        return run_module(root, arguments, seconds)
+
+
+def run_intact(names: Sequence[str]) -> Run:
+    """Runs tests in an unchanged copy of the tree."""
+    with tempfile.TemporaryDirectory(prefix="intact-") as directory:
+        root = pathlib.Path(directory)
+        copy_tree(root)
+        return run_module(root, ["tests", *names], TEST_SECONDS)
+
+
+def check_with_tests(
+    ablations: Sequence[mechanisms.Ablation],
+) -> list[Row]:
+    """Returns a row for each ablation that tests have to notice."""
+    names = sorted({name for item in ablations for name in item.tests})
+    with concurrent.futures.ThreadPoolExecutor(PARALLEL_RUNS) as pool:
+        intact = dict(
+            zip(
+                names,
+                pool.map(run_intact, [[name] for name in names]),
+                strict=True,
+            )
+        )
+        ablated = pool.map(
+            lambda item: run_ablated(
+                item, ["tests", *item.tests], TEST_SECONDS
+            ),
+            ablations,
+        )
+        return [
+            _build_test_row(item, intact, run)
+            for item, run in zip(ablations, ablated, strict=True)
+        ]
+
+
+def _build_test_row(
+    ablation: mechanisms.Ablation, intact: dict[str, Run], run: Run
+) -> Row:
+    verdicts = {intact[name].verdict for name in ablation.tests}
+    return Row(
+        ablation,
+        " ".join(ablation.tests),
+        "passed" if verdicts == {"passed"} else "FAILED!",
+        "PASSED!" if run.verdict == "passed" else run.verdict,
+        verdicts == {"passed"} and run.verdict != "passed",
+    )
+
+
+def check_with_proofs(
+    ablations: Sequence[mechanisms.Ablation],
+) -> list[Row]:
+    """Returns a row for each ablation that `lab.prove` has to notice.
+
+    One run at a time: they are sensitive to what else the machine does.
+    """
+    seeds = sorted({item.seed for item in ablations})
+    intact = {seed: _run_proof(mechanisms.INTACT, seed) for seed in seeds}
+    return [
+        _build_proof_row(item, intact[item.seed], _run_proof(item, item.seed))
+        for item in ablations
+    ]
+
+
+def _run_proof(ablation: mechanisms.Ablation, seed: int) -> Run:
+    arguments = ["lab.prove", "--seed", str(seed)]
+    arguments += ["--seconds", str(PROVE_LOAD_SECONDS)]
+    run = run_ablated(ablation, arguments, PROVE_SECONDS)
+    print(f"{ablation.name}: {run.verdict}: {run.last_line}", flush=True)
+    return run
+
+
+def _build_proof_row(
+    ablation: mechanisms.Ablation, intact: Run, run: Run
+) -> Row:
+    noticed = run.verdict == "failed" and _names_invariant(
+        run.last_line, ablation.invariant
+    )
+    return Row(
+        ablation,
+        f"lab.prove seed {ablation.seed}: {ablation.invariant}",
+        "passed" if intact.verdict == "passed" else "FAILED!",
+        "failed" if noticed else f"NOT NOTICED! ({run.verdict})",
+        noticed and intact.verdict == "passed",
+    )
+
+
+def _names_invariant(line: str, invariant: str) -> bool:
+    try:
+        return invariant in json.loads(line)["violations_by_invariant"]
+    except (ValueError, KeyError, TypeError):
+        return False
+
+
+def print_rows(rows: Sequence[Row]) -> None:
+    """Prints the table and the last line."""
+    cells = [
+        [row.ablation.name, row.proof, row.intact, row.ablated] for row in rows
+    ]
+    print(tables.format_table(HEADERS, cells))
+    unnoticed = [row.ablation.name for row in rows if not row.expected]
+    print(json.dumps({"ablations": len(rows), "unnoticed": unnoticed}))
+
+
+def main() -> int:
+    """Runs the ablations and returns the exit status."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("names", nargs="*", help="all where none is given")
+    parser.add_argument("--prove", action="store_true")
+    options = parser.parse_args()
+    known = mechanisms.PROVED if options.prove else mechanisms.TESTED
+    chosen = [
+        item
+        for item in known
+        if not options.names or item.name in options.names
+    ]
+    mismatches = list_mismatches(ROOT, chosen)
+    if mismatches:
+        print("\n".join(mismatches))
+        return 1
+    if options.prove:
+        rows = check_with_proofs(chosen)
+    else:
+        rows = check_with_tests(chosen)
+    print_rows(rows)
+    return 0 if all(row.expected for row in rows) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/lab/mechanisms.py
@@ -0,0 +1,762 @@
+"""The mechanisms behind the brief's points, each with how to take it out.
+
+An ablation replaces exact text, so that it fails loudly when the code has
+moved on; tests/lab/test_ablations.py holds each text against the tree.
+"""
+
+from typing import NamedTuple
+
+ONCE = "a request that is not idempotent runs at most once"
+HONEST = "what is refused as not run did not run"
+WHOLE = "whole answers, of one's own request"
+LEAVING = "no new work for what leaves"
+GRACEFUL = "a graceful shutdown cuts off nothing"
+IN_FORCE = "configuration in force, and never reverting"
+RECALL = "a recalled batch stops serving everywhere"
+LEASES = "a lease that lapses while its holder is paused"
+OPERATORS = "two operators at the same moment, and lost answers"
+CRASHES = "an input that crashes what runs it"
+DEADLINES = "an answer within the deadline, or a refusal"
+INPUT = "malformed and unfriendly input"
+
+
+class Edit(NamedTuple):
+    """A replacement in one file.
+
+    Attributes:
+        file: relative to the repository's root.
+        text: found there exactly once.
+        replacement: the same without the mechanism.
+    """
+
+    file: str
+    text: str
+    replacement: str
+
+
+class Ablation(NamedTuple):
+    """A mechanism taken out.
+
+    Attributes:
+        name: of the mechanism.
+        point: of the brief.
+        edits: several where one mechanism stands behind another.
+        tests: dotted names of tests, of which one must fail.
+        seed: of the randomised proof that must fail; 0 for none.
+        invariant: what the proof must report.
+    """
+
+    name: str
+    point: str
+    edits: tuple[Edit, ...]
+    tests: tuple[str, ...] = ()
+    seed: int = 0
+    invariant: str = ""
+
+
+def _edit(module: str, text: str, replacement: str) -> Edit:
+    return Edit(f"samphirevale/{module}.py", text, replacement)
+
+
+# Another attempt's claim counts for nothing.
+_CLAIM_IGNORED = _edit(
+    "claims",
+    'return value["token"] != claim["token"] and value["state"] != "released"',
+    "return False",
+)
+
+# Recalled batches still take new requests at entries.
+_RECALLED_CHOSEN = _edit(
+    "batches",
+    'if batch["state"] == "serving"\n        and batch',
+    "if batch",
+)
+
+# Recalled batches are taken on arrival at sidecars.
+_RECALLED_TAKEN = _edit(
+    "batches",
+    'recalled = value["batches"][batch]["state"] == "recalled"',
+    "recalled = False",
+)
+
+# What a sidecar has handed over and lost counts as not run.
+_LOST_IS_NOT_RUN = _edit(
+    "attempts",
+    'outcome = "failed" if self.handover.repeatable else "unknown"',
+    'outcome = "not_run"',
+)
+
+_ENTRY_KEEPS_DRAINED = _edit(
+    "candidates", 'if peer.endpoint not in value["draining"]', "if True"
+)
+
+TESTED = (
+    Ablation(
+        "claim created only if absent",
+        ONCE,
+        (_CLAIM_IGNORED,),
+        ("tests.test_claims.ClaimRunTest",),
+    ),
+    Ablation(
+        "token compared after a lost answer",
+        ONCE,
+        (
+            _edit(
+                "claims",
+                'return value["token"] != claim["token"] and value',
+                "return value",
+            ),
+        ),
+        ("tests.test_claims.ClaimRunTest",),
+    ),
+    Ablation(
+        "claims released, not deleted",
+        ONCE,
+        (
+            _edit(
+                "claims",
+                "await store.update(OBJECT_KIND, name, released, "
+                "stored.version)",
+                "await store.delete(OBJECT_KIND, name, stored.version)",
+            ),
+            _edit(
+                "claims",
+                "await store.create(OBJECT_KIND, name, released)\n",
+                "pass\n",
+            ),
+        ),
+        ("tests.test_claims.ClaimRunTest",),
+    ),
+    Ablation(
+        "early replay of a used key",
+        ONCE,
+        (
+            _edit(
+                "execution",
+                "if kept is not None:\n            return kept",
+                "pass",
+            ),
+        ),
+        ("tests.test_keyed", "tests.test_execution"),
+    ),
+    Ablation(
+        "key reused with another input",
+        ONCE,
+        (
+            _edit(
+                "claims",
+                'if held["input_digest"] != input_digest:',
+                "if False:",
+            ),
+        ),
+        ("tests.test_claims.ClaimDecisionTest.test_answers_from_a_held_claim",),
+    ),
+    Ablation(
+        "attempt accepted once",
+        ONCE,
+        (
+            _edit(
+                "executors",
+                "known = self.table.find(handover.attempt)",
+                "known = None",
+            ),
+        ),
+        ("tests.test_sidecar.OnceTest",),
+    ),
+    Ablation(
+        "re-attach to the same incarnation only",
+        ONCE,
+        (
+            _edit(
+                "handovers",
+                "if exchange.peer.incarnation != exchange.incarnation:",
+                "if False:",
+            ),
+        ),
+        ("tests.test_handovers", "tests.test_execution"),
+    ),
+    Ablation(
+        "fresh connection for what may not be repeated",
+        ONCE,
+        (
+            _edit(
+                "adapters/endpoints",
+                "while repeatable and self._idle:",
+                "while self._idle:",
+            ),
+        ),
+        ("tests.test_sidecar",),
+    ),
+    Ablation(
+        "unknown apart from not_run, at the sidecar",
+        HONEST,
+        (_LOST_IS_NOT_RUN,),
+        ("tests.test_sidecar.RefusalTest",),
+    ),
+    Ablation(
+        "unknown apart from not_run, at the entry",
+        HONEST,
+        (
+            _edit(
+                "handovers",
+                "if self._handed_once:\n            return",
+                "if False:\n            return",
+            ),
+        ),
+        ("tests.test_handovers.ProgressTest",),
+    ),
+    Ablation(
+        "retries of repeatable stages only",
+        ONCE,
+        (
+            _edit(
+                "retries",
+                'return ending.repeatable or ending.outcome == "not_run"',
+                "return True",
+            ),
+        ),
+        ("tests.test_retries.VerdictTest",),
+    ),
+    Ablation(
+        "order of a stream's tokens at the sidecar",
+        WHOLE,
+        (
+            _edit(
+                "streams",
+                "while self.next_sequence in self._held:\n"
+                "            token = self._held.pop(self.next_sequence)",
+                "for number in list(self._held):\n"
+                "            token = self._held.pop(number)",
+            ),
+        ),
+        ("tests.test_sidecar.ChunkTest",),
+    ),
+    Ablation(
+        "digest of a stream at the sidecar",
+        WHOLE,
+        (
+            _edit(
+                "streams",
+                "if self._offset == 0 and digest != self._digest.hexdigest():",
+                "if False:",
+            ),
+        ),
+        ("tests.test_sidecar.ChunkTest",),
+    ),
+    Ablation(
+        "count of a stream at the sidecar",
+        WHOLE,
+        (
+            _edit(
+                "streams",
+                "if self._held or self.next_sequence != count:",
+                "if False:",
+            ),
+        ),
+        ("tests.test_sidecar.ChunkTest",),
+    ),
+    Ablation(
+        "gaps of a stream at the entry",
+        WHOLE,
+        (_edit("answers", "if sequence > held:", "if False:"),),
+        ("tests.test_answers",),
+    ),
+    Ablation(
+        "digest of a stream at the entry",
+        WHOLE,
+        (
+            _edit(
+                "answers",
+                "if digest != digest_tokens(self.tokens):",
+                "if False:",
+            ),
+        ),
+        ("tests.test_handovers.StageRunTest.test_wrong_digest_is_no_answer",),
+    ),
+    Ablation(
+        "foreign answers dropped",
+        WHOLE,
+        (
+            _edit(
+                "sidecars",
+                "if (message.request, message.stage) != "
+                "(wanted.request, wanted.stage):",
+                "if False:",
+            ),
+        ),
+        ("tests.test_sidecars.ExchangeTest",),
+    ),
+    Ablation(
+        "late answers dropped",
+        WHOLE,
+        (
+            _edit(
+                "sidecars",
+                "exchange = peer.exchanges.get(message.attempt)",
+                "exchange = next(iter(peer.exchanges.values()), None)",
+            ),
+        ),
+        ("tests.test_sidecars.ExchangeTest",),
+    ),
+    Ablation(
+        "offset of a resumed stream",
+        WHOLE,
+        (_edit("handovers", "offset=len(self._buffer.tokens),", "offset=0,"),),
+        ("tests.test_handovers.StageRunTest",),
+    ),
+    Ablation(
+        "leaving said by the sidecar",
+        LEAVING,
+        (
+            _edit(
+                "membership",
+                "if not peer.connected or peer.leaving or peer.probing:",
+                "if not peer.connected or peer.probing:",
+            ),
+        ),
+        ("tests.test_membership.WorkTest",),
+    ),
+    Ablation(
+        "leaving refused by the sidecar",
+        LEAVING,
+        (
+            _edit(
+                "arrivals",
+                "if situation.leaving or holder",
+                "if holder",
+            ),
+        ),
+        ("tests.test_sidecar.LeavingTest",),
+    ),
+    Ablation(
+        "drain by configuration at the sidecar",
+        LEAVING,
+        (
+            _edit(
+                "arrivals",
+                " or holder.is_draining(situation.endpoint)",
+                "",
+            ),
+        ),
+        ("tests.test_sidecar.LeavingTest",),
+    ),
+    Ablation(
+        "drain by configuration at the entry",
+        LEAVING,
+        (_ENTRY_KEEPS_DRAINED,),
+        ("tests.test_handovers.StageRunTest", "tests.test_candidates"),
+    ),
+    Ablation(
+        "suspicion by heartbeats",
+        LEAVING,
+        (
+            _edit(
+                "membership",
+                "return peer.connected and now - peer.heard_at "
+                ">= suspect_seconds",
+                "return False",
+            ),
+        ),
+        ("tests.test_membership.WorkTest",),
+    ),
+    Ablation(
+        "a stop waits for what is in flight",
+        GRACEFUL,
+        (
+            _edit(
+                "sidecar",
+                "await self._executor.wait_until_idle()",
+                "pass",
+            ),
+        ),
+        ("tests.test_sidecar.LeavingTest",),
+    ),
+    Ablation(
+        "a stop waits for entries to fetch outcomes",
+        GRACEFUL,
+        (
+            _edit(
+                "executors",
+                "while self.table.has_undelivered():",
+                "while False:",
+            ),
+        ),
+        ("tests.test_sidecar.LeavingTest",),
+    ),
+    Ablation(
+        "a stop lingers to refuse hand-overs on their way",
+        GRACEFUL,
+        (_edit("sidecar", "await curio.sleep(LINGER_SECONDS)", "pass"),),
+        ("tests.test_sidecar.LeavingTest",),
+    ),
+    Ablation(
+        "revision never lower",
+        IN_FORCE,
+        (
+            _edit(
+                "configuration",
+                "if seen.revision <= held.revision:",
+                "if False:",
+            ),
+            _edit(
+                "snapshots",
+                "if seen.revision <= self.held.revision:",
+                "if False:",
+            ),
+        ),
+        (
+            "tests.test_configuration.AdoptTest",
+            "tests.test_sidecar.RecallTest",
+        ),
+    ),
+    Ablation(
+        "a higher revision is asked for",
+        IN_FORCE,
+        (
+            _edit(
+                "sidecar",
+                "if frame.revision > self._holder.revision and peer",
+                "if False and peer",
+            ),
+        ),
+        ("tests.test_sidecar.RecallTest",),
+    ),
+    Ablation(
+        "recall never undone",
+        RECALL,
+        (
+            _edit(
+                "configuration",
+                "value = merge_recalled(held.value, seen.value)",
+                "value = seen.value",
+            ),
+        ),
+        ("tests.test_configuration.AdoptTest",),
+    ),
+    Ablation(
+        "recalled batch refused by the entry",
+        RECALL,
+        (_RECALLED_CHOSEN,),
+        ("tests.test_batches.BatchTest",),
+    ),
+    Ablation(
+        "recalled answer withheld by the entry",
+        RECALL,
+        (
+            _edit(
+                "handovers",
+                "if self._is_recalled():\n            raise",
+                "if False:\n            raise",
+            ),
+        ),
+        ("tests.test_handovers.StageRunTest",),
+    ),
+    Ablation(
+        "recalled batch refused by the sidecar on arrival",
+        RECALL,
+        (_RECALLED_TAKEN,),
+        ("tests.test_sidecar.RecallTest",),
+    ),
+    Ablation(
+        "recalled answer withheld by the sidecar",
+        RECALL,
+        (
+            _edit(
+                "readers",
+                "if self._holder.is_recalled(self._attempt.handover.batch):",
+                "if False:",
+            ),
+        ),
+        ("tests.test_sidecar.RecallTest",),
+    ),
+    Ablation(
+        "recalled batch unloaded",
+        RECALL,
+        (
+            _edit(
+                "batches",
+                'if find_refusal(value, name) == "recalled":',
+                "if False:",
+            ),
+            _edit(
+                "batches",
+                'if name not in wanted and name in value["batches"]:',
+                "if False:",
+            ),
+        ),
+        ("tests.test_reconciler", "tests.test_batches.BatchTest"),
+    ),
+    Ablation(
+        "fencing number rises",
+        LEASES,
+        (_edit("leases", "fencing + 1, renewal=0", "fencing, renewal=0"),),
+        ("tests.test_leases.LeaseRunTest",),
+    ),
+    Ablation(
+        "validity looked at before each order",
+        LEASES,
+        (
+            _edit(
+                "leases",
+                "if not is_valid(lease, now):\n        return False\n"
+                "    if checks",
+                "if checks",
+            ),
+            _edit(
+                "leases",
+                "return now < lease.valid_until",
+                "return True",
+            ),
+        ),
+        ("tests.test_reconciler", "tests.test_leases.LeaseDecisionTest"),
+    ),
+    Ablation(
+        "a challenger waits a lease out",
+        LEASES,
+        (
+            _edit(
+                "leases",
+                "return now - observation.since >= wait",
+                "return True",
+            ),
+        ),
+        ("tests.test_leases.LeaseRunTest",),
+    ),
+    Ablation(
+        "a new holder waits where fencing is ignored",
+        LEASES,
+        (
+            _edit(
+                "leases",
+                "if checks_fencing or not lease.predecessor:",
+                "if True:",
+            ),
+        ),
+        ("tests.test_leases.LeaseDecisionTest",),
+    ),
+    Ablation(
+        "read back after each order",
+        LEASES,
+        (
+            _edit(
+                "reconciler",
+                "await self._monitor.read_state()\n",
+                "pass\n",
+            ),
+        ),
+        ("tests.test_reconciler",),
+    ),
+    Ablation(
+        "tickets to load weights",
+        RECALL,
+        (
+            _edit(
+                "reconciler",
+                'if order is None or order.order != "load" or '
+                "self._ticket is not None:",
+                "if True:",
+            ),
+        ),
+        ("tests.test_reconciler",),
+    ),
+    Ablation(
+        "conditional update decides between operators",
+        OPERATORS,
+        (
+            _edit(
+                "orders",
+                "await store.update(kind, name, after, stored.version)",
+                "latest = await store.get(kind, name)\n"
+                "        await store.update(kind, name, after, "
+                "latest.version)",
+            ),
+        ),
+        ("tests.test_orders.SubmitTest",),
+    ),
+    Ablation(
+        "order's id found after a lost answer",
+        OPERATORS,
+        (
+            _edit(
+                "orders",
+                "if record is not None:\n        return Accepted",
+                "if False:\n        return Accepted",
+            ),
+        ),
+        ("tests.test_orders.SubmitTest",),
+    ),
+    Ablation(
+        "quarantine after two crashes",
+        CRASHES,
+        (_edit("quarantine", "if crashes >= CRASHES_LIMIT:", "if False:"),),
+        ("tests.test_quarantine.QuarantineTest",),
+    ),
+    Ablation(
+        "trial reserved in the store",
+        CRASHES,
+        (
+            _edit(
+                "quarantine",
+                "if len(attempts | trials | {attempt}) <= CRASHES_LIMIT:",
+                "if True:",
+            ),
+        ),
+        ("tests.test_quarantine.CrashRunTest",),
+    ),
+    Ablation(
+        "a suspect runs as a trial only",
+        CRASHES,
+        (
+            _edit(
+                "handovers",
+                "if verdict is quarantine.Verdict.ALLOWED:",
+                "if verdict is not quarantine.Verdict.REFUSED:",
+            ),
+        ),
+        ("tests.test_handovers.StageRunTest",),
+    ),
+    Ablation(
+        "all that ran at a crash are told to the entries",
+        CRASHES,
+        (
+            _edit(
+                "executors",
+                "await self._connected.post_to_all(\n"
+                "            messages.CrashNotice(",
+                "(\n            messages.CrashNotice(",
+            ),
+        ),
+        ("tests.test_sidecar.CrashTest",),
+    ),
+    Ablation(
+        "deadline passed on as time remaining",
+        DEADLINES,
+        (
+            _edit(
+                "handovers",
+                "remaining_ms=deadlines.encode_remaining_ms(\n"
+                "                self._limit_attempt(now), now\n"
+                "            ),",
+                "remaining_ms=request.deadline_ms,",
+            ),
+        ),
+        ("tests.test_execution.ExecutionTest",),
+    ),
+    Ablation(
+        "late work refused on arrival",
+        DEADLINES,
+        (_edit("arrivals", "if now >= deadline_at:", "if False:"),),
+        ("tests.test_sidecar.RefusalTest",),
+    ),
+    Ablation(
+        "the answer at the deadline",
+        DEADLINES,
+        (
+            _edit(
+                "execution",
+                "curio.timeout_after(max(self._read_remaining(), 0))",
+                "curio.timeout_after(600)",
+            ),
+        ),
+        ("tests.test_execution.ExecutionTest",),
+    ),
+    Ablation(
+        "bound on a request's body",
+        INPUT,
+        (
+            _edit(
+                "adapters/web",
+                "if len(body) > self._limits.body_bytes:",
+                "if False:",
+            ),
+        ),
+        ("tests.test_bad_input.BadInputTest.test_callers_port",),
+    ),
+    Ablation(
+        "bound on a request's head",
+        INPUT,
+        (
+            _edit(
+                "adapters/web",
+                "if size > self._limits.head_bytes:",
+                "if False:",
+            ),
+        ),
+        ("tests.test_bad_input.BadInputTest.test_callers_port",),
+    ),
+    Ablation(
+        "secret compared between processes",
+        INPUT,
+        (
+            _edit(
+                "adapters/link",
+                "if not hmac.compare_digest("
+                "given.encode(), expected.encode()):",
+                "if False:",
+            ),
+        ),
+        ("tests.test_bad_input.BadInputTest.test_foreign_secret",),
+    ),
+    Ablation(
+        "secrets out of the dump",
+        INPUT,
+        (
+            _edit(
+                "dump",
+                "return _clean(whole, settings.list_secrets(process_settings))",
+                "return _clean(whole, ())",
+            ),
+        ),
+        ("tests.test_dump",),
+    ),
+)
+
+# Stands for all mechanisms in their place.
+INTACT = Ablation("all in place", "", ())
+
+# Those that the randomised proof with real processes has to notice.
+PROVED = (
+    Ablation(
+        "claims",
+        ONCE,
+        (_CLAIM_IGNORED,),
+        seed=1,
+        invariant="at_most_once",
+    ),
+    Ablation(
+        "recall checks of entries and sidecars",
+        RECALL,
+        (
+            _RECALLED_CHOSEN,
+            _RECALLED_TAKEN,
+            _edit(
+                "handovers",
+                '        return batch is not None and batch["state"] == '
+                '"recalled"',
+                "        return False",
+            ),
+            _edit(
+                "snapshots",
+                '        return found is not None and found["state"] == '
+                '"recalled"',
+                "        return False",
+            ),
+        ),
+        seed=1,
+        invariant="recall_holds",
+    ),
+    Ablation(
+        "unknown apart from not_run",
+        HONEST,
+        (
+            _edit(
+                "handovers",
+                'if self._handed_once:\n            return "unknown"\n'
+                '        return "not_completed" if self._handed else "not_run"',
+                'return "not_run"',
+            ),
+        ),
+        seed=1,
+        invariant="not_run_is_true",
+    ),
+)
