--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -119,6 +119,8 @@
             ({**CLAIM, "state": "unknown"}, "d", 1.0, claims.OutcomeUnknown()),
         ):
             answer = claims.answer_held(held, digest, wall_now)
+            # Empty named tuples of any type are equal.
+            self.assertIs(type(answer), type(expected))
             self.assertEqual(answer, expected)
 
     def test_done_is_not_replaced_by_unknown(self):
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -94,6 +94,8 @@
         self.assertEqual((1, []), (len(booking.handovers), booking.cancelled))
         again = await self.run_request()
         self.assertTrue(again.replayed)
+        encoders = [len(one.handovers) for one in opened["encoders"]]
+        self.assertEqual(1, sum(encoders), "a used key runs no stage again")
 
     async def test_deadline_while_a_repeatable_stage_runs(self):
         async def hang(sidecar, handover):
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -4,7 +4,7 @@
 
 import curio
 
-from samphirevale import answers, errors, handovers
+from samphirevale import answers, errors, handovers, messages
 from samphirevale.ports import endpoints
 from tests import base, nodes
 
@@ -111,6 +111,8 @@
     async def test_wrong_digest_is_no_answer(self):
         async def give_other(sidecar, handover):
             await nodes.give_tokens(sidecar, handover, 3)
+            names = (handover.request, handover.stage, handover.attempt)
+            await sidecar.say(messages.Chunk(*names, 3, ["another"]))
             await nodes.give_result(
                 sidecar, handover._replace(offset=len(nodes.TOKENS))
             )
