Assert that an attempt takes in its own results only

Cause: own_result was declared and asserted nowhere; only the dropping of foreign and late answers held the point.

Exchange.receive checks request, stage and attempt of what it hands on. An answer that is dropped stays no violation: it is counted.

Late work is refused by the arrival's check, by the queue's offer and by the queue's look at what waits; its ablation takes out all three. An edit that keeps the program from loading counts as BROKEN!, not as noticed.

Evidence: test_anothers_result_is_a_violation fails without the check.

--- a/lab/ablations.py
+++ b/lab/ablations.py
@@ -37,6 +37,9 @@
 # How long requests are sent in one randomised proof, in seconds.
 PROVE_LOAD_SECONDS = 20
 
+# What shows that an edit broke the program instead of taking something out.
+BROKEN_SIGNS = ("SyntaxError", "NameError", "ImportError")
+
 HEADERS = ["mechanism", "proof", "with it", "without it"]
 
 
@@ -44,7 +47,8 @@
     """How one run of tests or of the randomised proof ended.
 
     Attributes:
-        verdict: `passed`, `failed` or `hung`.
+        verdict: `passed`, `failed`, `hung`, or `BROKEN!` where the program
+            does not even load.
         last_line: of its output.
     """
 
@@ -120,6 +124,8 @@
     except subprocess.TimeoutExpired:
         return Run("hung", "")
     lines = done.stdout.strip().splitlines() or [""]
+    if any(sign in done.stdout for sign in BROKEN_SIGNS):
+        return Run("BROKEN!", lines[-1])
     return Run("failed" if done.returncode else "passed", lines[-1])
 
 
@@ -176,7 +182,7 @@
         " ".join(ablation.tests),
         "passed" if verdicts == {"passed"} else "FAILED!",
         "PASSED!" if run.verdict == "passed" else run.verdict,
-        verdicts == {"passed"} and run.verdict != "passed",
+        verdicts == {"passed"} and run.verdict in ("failed", "hung"),
     )
 
 
--- a/lab/mechanisms.py
+++ b/lab/mechanisms.py
@@ -137,7 +137,7 @@
                 "pass",
             ),
         ),
-        ("tests.test_keyed", "tests.test_execution"),
+        ("tests.test_execution",),
     ),
     Ablation(
         "key reused with another input",
@@ -185,7 +185,7 @@
                 "while self._idle:",
             ),
         ),
-        ("tests.test_sidecar",),
+        ("tests.adapters.test_endpoints",),
     ),
     Ablation(
         "unknown apart from not_run, at the sidecar",
@@ -286,6 +286,19 @@
         ),
         ("tests.test_sidecars.ExchangeTest",),
     ),
+    Ablation(
+        "results asserted to be of the own attempt",
+        WHOLE,
+        (
+            _edit(
+                "sidecars",
+                "message[:3] == (wanted.request, wanted.stage, "
+                "wanted.attempt),",
+                "True,",
+            ),
+        ),
+        ("tests.test_sidecars.ExchangeTest",),
+    ),
     Ablation(
         "late answers dropped",
         WHOLE,
@@ -484,7 +497,7 @@
                 "if False:",
             ),
         ),
-        ("tests.test_reconciler", "tests.test_batches.BatchTest"),
+        ("tests.test_batches.BatchTest",),
     ),
     Ablation(
         "fencing number rises",
@@ -643,9 +656,22 @@
         ("tests.test_execution.ExecutionTest",),
     ),
     Ablation(
-        "late work refused on arrival",
+        "late work refused on arrival and in the queue",
         DEADLINES,
-        (_edit("arrivals", "if now >= deadline_at:", "if False:"),),
+        (
+            _edit("arrivals", "if now >= deadline_at:", "if False:"),
+            _edit(
+                "limits",
+                "if now + wait + self._read_quantile(LATE_QUANTILE) "
+                "> deadline_at:",
+                "if False:",
+            ),
+            _edit(
+                "limits",
+                'self._drop(attempt, "late")',
+                "pass",
+            ),
+        ),
         ("tests.test_sidecar.RefusalTest",),
     ),
     Ablation(
--- a/samphirevale/sidecars.py
+++ b/samphirevale/sidecars.py
@@ -10,6 +10,7 @@
 from samphirevale import (
     configuration,
     errors,
+    invariants,
     membership,
     messages,
     metrics,
@@ -43,6 +44,15 @@
     async def receive(self) -> Any:
         """Returns the next message, or LinkLost or PeerSuspected."""
         message = await self._incoming.get()
+        if isinstance(message, LinkLost | PeerSuspected):
+            return message
+        wanted = self.handover
+        invariants.check(
+            invariants.OWN_RESULT,
+            message[:3] == (wanted.request, wanted.stage, wanted.attempt),
+            wanted=wanted.attempt,
+            received=message[:3],
+        )
         if isinstance(message, messages.Result | messages.Refusal):
             self.ended = True
         return message
--- a/tests/test_sidecars.py
+++ b/tests/test_sidecars.py
@@ -1,8 +1,10 @@
 """What an entry does with answers that no attempt of its own waits for."""
 
+from unittest import mock
+
 import curio
 
-from samphirevale import messages, metrics, sidecars
+from samphirevale import invariants, messages, metrics, sidecars
 from tests import nodes
 
 HANDOVER = messages.Handover(
@@ -43,6 +45,14 @@
         self.assertEqual(before + 1, self.read_dropped("late"))
         self.assertEqual([], sidecar.cancelled)
 
+    async def test_anothers_result_is_a_violation(self):
+        sidecar = await self.add("encoders-0", "encoders", stay_silent)
+        async with sidecar.peer.open_exchange(HANDOVER) as exchange:
+            with mock.patch.object(invariants, "check") as check:
+                await exchange.deliver(RESULT._replace(request="r2"))
+                await exchange.receive()
+        self.assertEqual((invariants.OWN_RESULT, False), check.call_args.args)
+
     async def test_exchange_left_open_is_cancelled(self):
         sidecar = await self.add("encoders-0", "encoders", stay_silent)
         async with sidecar.peer.open_exchange(HANDOVER):
