Give a resumed endpoint work again

Cause: a sidecar says that it is leaving while its endpoint is drained, and says otherwise once it is resumed; entries kept the first word for as long as its process lived. After drain and resume the endpoint got no work until its sidecar was replaced. Ruled out: the configuration's spread (sidecar and entries held 16), health and batches (both loaded). A connection's heartbeats come in order and a stopping sidecar never takes its word back, so that the latest word counts.

--- a/samphirevale/membership.py
+++ b/samphirevale/membership.py
@@ -39,7 +39,8 @@
         connected: a connection has been made and its hello been read.
         incarnation: from its hello; empty before the first.
         heard_at: when its last frame came, or the connection was made.
-        leaving: it said so itself; lasts as long as its incarnation.
+        leaving: its latest word. One that is drained takes it back when it
+            is resumed; one that stops does not.
         probing: it was suspected; heartbeats still to come until it is
             trusted again.
         failures: dials that have failed in a row.
@@ -116,9 +117,7 @@
     probing = max(peer.probing - 1, 0)
     if is_suspected(peer, now, suspect_seconds):
         probing = PROBE_HEARTBEATS - 1
-    return peer._replace(
-        heard_at=now, leaving=peer.leaving or leaving, probing=probing
-    )
+    return peer._replace(heard_at=now, leaving=leaving, probing=probing)
 
 
 def mark_disconnected(peer: Peer, now: float, rng: random.Random) -> Peer:
