Refuse no order for a reading older than what the entry holds

Cause: an entry decided whether an order makes sense on one reading of the store. With stale readings a resume was refused as the endpoint was not draining, though the same entry had held the drain for two seconds; the operator was told something false, and the endpoint stayed drained. Ruled out: the drain itself (accepted, revision 8, in force). A reading older than the held revision is now read again until the deadline, like one older than an earlier reading. The focused test ended in InvalidInputError and is accepted now.

--- a/samphirevale/operations.py
+++ b/samphirevale/operations.py
@@ -125,7 +125,11 @@
         deadline = self._clock.now() + SUBMIT_SECONDS
         try:
             submission = await orders.submit_order(
-                self._node.store, request, deadline, self._clock
+                self._node.store,
+                request,
+                deadline,
+                self._clock,
+                known_revision=self._node.holder.revision,
             )
         except errors.InvalidInputError as error:
             await self._refresh()
--- a/samphirevale/orders.py
+++ b/samphirevale/orders.py
@@ -303,6 +303,7 @@
     deadline: float,
     clock: clocks.Clock,
     base_revision: int | None = None,
+    known_revision: int = 0,
 ) -> Submission:
     """Brings an order into the configuration, or tells what won.
 
@@ -313,6 +314,8 @@
         clock: the present time and sleeps.
         base_revision: the configuration that the operator saw; None for the
             one that is read first.
+        known_revision: a revision that has been seen; older readings are
+            stale and decide nothing.
 
     Raises:
         errors.InvalidInputError: it makes no sense, with all findings.
@@ -324,7 +327,8 @@
     tries = 0
     while True:
         try:
-            stored = await _read_current(store, version, base_revision)
+            known_revision = max(known_revision, base_revision or 0)
+            stored = await _read_current(store, version, known_revision)
             value = stored.value if stored else None
             version = stored.version if stored else ABSENT_VERSION
             if base_revision is None:
@@ -358,7 +362,7 @@
 
 
 async def _read_current(
-    store: objects.ObjectStore, version: int, revision: int | None
+    store: objects.ObjectStore, version: int, revision: int
 ) -> objects.StoredObject | None:
     """Reads the configuration.
 
@@ -375,7 +379,7 @@
     )
     read_version = stored.version if stored else ABSENT_VERSION
     read_revision = stored.value["revision"] if stored else 0
-    if read_version < version or read_revision < (revision or 0):
+    if read_version < version or read_revision < revision:
         raise _StaleReadError(f"version {read_version} after {version}")
     return stored
 
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -164,6 +164,27 @@
         revisions = sorted(result.revision for result in results)
         self.assertEqual(revisions, [6, 7, 8])
 
+    def test_a_stale_reading_refuses_nothing(self):
+        self.start()
+        stale = self.store.objects[KEY]
+        self.race(build("o1", "drain", endpoint="e2"))
+        read = self.store.get
+        fresh_at = self.clock.now() + 1.0
+
+        async def read_stale(kind, name):
+            stored = await read(kind, name)
+            return stale if self.clock.now() < fresh_at else stored
+
+        self.store.get = read_stale
+        resume = orders.submit_order(
+            self.store,
+            build("o2", "resume", endpoint="e2"),
+            self.clock.now() + 5.0,
+            self.clock,
+            known_revision=6,
+        )
+        self.assertEqual(self.clock.call(resume), orders.Accepted(7))
+
     def test_many_operators_at_once_all_have_their_turn(self):
         self.start()
         raced = [build(f"o{n}", "recall", batch="b1") for n in range(20)]
