--- a/lab/evidence.py
+++ b/lab/evidence.py
@@ -172,6 +172,8 @@
         log_lines: lines of the nodes' logs that tell of violations.
         batches: model, version and adapter of each batch ever rolled out.
         pools: each endpoint's pool.
+        idle: entries with the endpoints that they sent no work to, long
+            after the faults, as pairs.
     """
 
     answers: list[Answer]
@@ -186,6 +188,7 @@
     log_lines: list[str]
     batches: dict[str, tuple[str, str, str]]
     pools: dict[str, str]
+    idle: list[tuple[str, str]]
 
 
 class EventLog:
--- a/lab/prove.py
+++ b/lab/prove.py
@@ -275,6 +275,7 @@
                 for name, batch in configuration["batches"].items()
             },
             pools=trial.pools,
+            idle=trial.idle,
         )
 
     def _conclude(
--- a/lab/trials.py
+++ b/lab/trials.py
@@ -69,6 +69,7 @@
         fatal_texts: by pool; what ends its endpoints.
         slowest_rejoin: the longest that entries took to find a process that
             had been replaced gracefully, in seconds.
+        idle: entries with the endpoints that they never found.
     """
 
     def __init__(
@@ -89,6 +90,7 @@
         self.samples: list[evidence.Sample] = []
         self.crashes = 0
         self.slowest_rejoin = 0.0
+        self.idle: list[tuple[str, str]] = []
         self.fatal_texts = fatal_texts
         self.pools = {
             name: plan.pool for name, plan in deployment.plans.items()
@@ -184,6 +186,7 @@
             own = [name for name, its in self.pools.items() if its == pool]
             for turn, name in enumerate(own):
                 rounds.setdefault(turn, []).append(f"sidecar-{name}")
+        await self._wait_rejoined()
         steps = [
             *rounds.values(),
             *([name] for name in self.deployment.entries),
@@ -207,6 +210,7 @@
             await curio.sleep(SAMPLE_SECONDS / 4)
         else:
             self.log.write("not_rejoined", missing=missing)
+            self.idle += missing
         seconds = time.monotonic() - began
         self.slowest_rejoin = max(self.slowest_rejoin, seconds)
         self.log.write("rejoined", seconds=seconds)
--- a/lab/verdicts.py
+++ b/lab/verdicts.py
@@ -482,6 +482,13 @@
     return one.sent_at < two.told_at and two.sent_at < one.told_at
 
 
+@register("all_serve_again")
+def find_idle_endpoints(found: evidence.Evidence) -> Iterator[dict[str, Any]]:
+    """After the faults each entry may send work to each endpoint again."""
+    for entry, endpoint in found.idle:
+        yield {"entry": entry, "endpoint": endpoint}
+
+
 @register("no_process_ends_itself")
 def find_ended_processes(found: evidence.Evidence) -> Iterator[dict[str, Any]]:
     """None of our processes ends unasked, or logs a violation."""
--- a/tests/lab/test_verdicts.py
+++ b/tests/lab/test_verdicts.py
@@ -106,6 +106,7 @@
         log_lines=[],
         batches=BATCHES,
         pools={"booking-0": "booking"},
+        idle=[],
     )
     return found._replace(**changes)
 
@@ -353,6 +354,9 @@
     def test_process_that_ended_itself(self):
         self.check({"no_process_ends_itself"}, exits=[build_exit(1, "")])
 
+    def test_endpoint_that_gets_no_work_again(self):
+        self.check({"all_serve_again"}, idle=[("entry-0", "booking-0")])
+
     def test_logged_violation(self):
         self.check({"no_process_ends_itself"}, log_lines=["is violated"])
 
@@ -375,6 +379,7 @@
                 "crash_input_contained",
                 "orders_last",
                 "operators_told_truly",
+                "all_serve_again",
                 "no_process_ends_itself",
             },
         )
