--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -192,12 +192,12 @@
             ([True, False], [], "unknown"),
             ([False, False], [False], "unknown"),
         ):
-            handed = progress.Progress()
+            seen = progress.Progress()
             for repeatable in handed:
-                handed.note_handed(repeatable)
+                seen.note_handed(repeatable)
             for repeatable in returned:
-                handed.note_not_run(repeatable)
-            self.assertEqual(outcome, handed.read_outcome())
+                seen.note_not_run(repeatable)
+            self.assertEqual(outcome, seen.read_outcome())
 
 
 class PrefixTest(base.TestCase):
