--- a/lab/mechanisms.py
+++ b/lab/mechanisms.py
@@ -198,7 +198,7 @@
         HONEST,
         (
             _edit(
-                "handovers",
+                "progress",
                 "if self._handed_once:\n            return",
                 "if False:\n            return",
             ),
@@ -776,7 +776,7 @@
         HONEST,
         (
             _edit(
-                "handovers",
+                "progress",
                 'if self._handed_once:\n            return "unknown"\n'
                 '        return "not_completed" if self._handed else "not_run"',
                 'return "not_run"',
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -4,7 +4,13 @@
 
 import curio
 
-from samphirevale import answers, errors, handovers, messages
+from samphirevale import (
+    answers,
+    errors,
+    handovers,
+    messages,
+    progress,
+)
 from samphirevale.ports import endpoints
 from tests import base, nodes
 
@@ -22,7 +28,7 @@
 
     def setUp(self):
         super().setUp()
-        self.progress = handovers.Progress()
+        self.progress = progress.Progress()
         self.emitted: list[str] = []
 
     async def emit(self, sequence: int, tokens: list[str]) -> None:
@@ -189,12 +195,12 @@
             ([True, False], [], "unknown"),
             ([False, False], [False], "unknown"),
         ):
-            progress = handovers.Progress()
+            seen = progress.Progress()
             for repeatable in handed:
-                progress.note_handed(repeatable)
+                seen.note_handed(repeatable)
             for repeatable in returned:
-                progress.note_not_run(repeatable)
-            self.assertEqual(outcome, progress.read_outcome())
+                seen.note_not_run(repeatable)
+            self.assertEqual(outcome, seen.read_outcome())
 
 
 class PrefixTest(base.TestCase):
