Name cached prefixes by 16 digits in heartbeats

Cause: an engine with a full cache names 64 prefixes in each heartbeat, 66 bytes each: 4.3 kB, 8.6 kB/s to every entry, so that two entries pass the 12 kB/s that a node may spend for control. Ruled out: fewer prefixes (routing loses them), raw bytes (a second form of the same name in dumps). Two prefixes that share 64 bits cost a wrong guess, nothing else. The field's meaning changes, so the protocol's version rises; the two tests that wrote version 1 into frames now write the present one.

--- a/samphirevale/handovers.py
+++ b/samphirevale/handovers.py
@@ -108,9 +108,10 @@
 
 
 def digest_prefix(value: Any) -> str:
-    """Returns the name of a prompt's prefix in engines' cache events."""
+    """Returns the name of a prompt's prefix in heartbeats."""
     prompt = value if isinstance(value, str) else json.dumps(value)
-    return hashlib.sha256(prompt[:PREFIX_CHARACTERS].encode()).hexdigest()
+    digest = hashlib.sha256(prompt[:PREFIX_CHARACTERS].encode()).hexdigest()
+    return digest[: messages.PREFIX_DIGITS]
 
 
 class StageRun:
--- a/samphirevale/messages.py
+++ b/samphirevale/messages.py
@@ -16,11 +16,15 @@
 from samphirevale import errors
 
 # Raised whenever a field is added, removed or changes its meaning.
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 
 # The largest frame that is sent or read, in bytes.
 FRAME_BYTES_LIMIT = 4 * 1024 * 1024
 
+# The first digits of a prefix's digest, which name it in heartbeats. They are
+# a hint for routing: two prefixes of one name cost a wrong guess.
+PREFIX_DIGITS = 16
+
 _types: dict[str, type] = {}
 
 
@@ -84,7 +88,8 @@
         wait_ms: what a new attempt would wait now in the queue.
         load_age_ms: age of the endpoint's own load report inside `running`.
         batches: ids of the batches that the endpoint has loaded.
-        prefixes: digests of the prompt prefixes that it has cached.
+        prefixes: the first PREFIX_DIGITS of the digests of the prompt
+            prefixes that it has cached.
         healthy: the sidecar reaches its endpoint.
     """
 
--- a/samphirevale/monitors.py
+++ b/samphirevale/monitors.py
@@ -5,7 +5,7 @@
 
 import curio
 
-from samphirevale import errors, logs
+from samphirevale import errors, logs, messages
 from samphirevale.ports import endpoints
 
 # Interval between probes on a fresh connection while all is well, in
@@ -58,8 +58,8 @@
             self._prefixes.popitem(last=False)
 
     def list_prefixes(self) -> list[str]:
-        """Returns the prefixes that are taken to be cached."""
-        return list(self._prefixes)
+        """Returns the prefixes that are taken to be cached, for heartbeats."""
+        return [prefix[: messages.PREFIX_DIGITS] for prefix in self._prefixes]
 
 
 class EndpointMonitor:
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -23,12 +23,13 @@
             messages.decode_frame(data)
 
     def test_refuses_wrong_field_type(self):
-        data = cbor2.dumps([1, "chunk", 7, "r1", "g", "a1", "3", ["x"]])
+        fields = ["r1", "g", "a1", "3", ["x"]]
+        data = cbor2.dumps([messages.PROTOCOL_VERSION, "chunk", 7, *fields])
         with self.assertRaisesRegex(errors.ProtocolError, "chunk.sequence"):
             messages.decode_frame(data)
 
     def test_refuses_wrong_field_count(self):
-        data = cbor2.dumps([1, "chunk", 7, "r1"])
+        data = cbor2.dumps([messages.PROTOCOL_VERSION, "chunk", 7, "r1"])
         with self.assertRaisesRegex(errors.ProtocolError, "5 fields, got 1"):
             messages.decode_frame(data)
 
--- a/tests/test_monitors.py
+++ b/tests/test_monitors.py
@@ -1,7 +1,8 @@
 """The view of an engine's cache, from events with gaps."""
 
-from samphirevale import monitors
+from samphirevale import handovers, monitors
 from samphirevale.ports import endpoints
+from standins import generation
 from tests import base
 
 
@@ -42,3 +43,10 @@
         prefixes = self.view.list_prefixes()
         self.assertEqual(len(prefixes), monitors.PREFIXES_LIMIT)
         self.assertEqual(prefixes[-1], f"p{count}")
+
+    def test_names_are_those_that_entries_look_for(self):
+        prompt = "x" * 100
+        digest = generation.compute_prefix(prompt)
+        self.view.take_events(build_events((1, digest, True)))
+        wanted = [handovers.digest_prefix(prompt)]
+        self.assertEqual(wanted, self.view.list_prefixes())
