Split the measurements by what they measure; work out the fleet

Cause: one module of 650 lines held all measurements, and nothing worked the fleet's needs out of the slopes.

--- /dev/null
+++ b/lab/attempts.py
@@ -0,0 +1,86 @@
+"""What attempts and tokens cost a sidecar."""
+
+import time
+from collections.abc import Sequence
+from typing import Any
+
+import curio
+
+from lab import bench, figures, partners
+
+
+async def _measure_sidecar_load(
+    pool: str, loads: Sequence[tuple[float, int, Any]], batch: str
+) -> figures.Points:
+    """Hands attempts to a real sidecar, all of a load at once."""
+    recorder = figures.Recorder()
+    async with bench.open_bench() as site:
+        endpoint = await site.start_fake_endpoint(0)
+        process = await site.start_sidecar("measured", pool, endpoint.url)
+        fake = partners.FakeEntry(
+            "entry-0", process.port, site.secret, partners.Traffic()
+        )
+        await site.spawn(fake.run)
+        await curio.sleep(figures.SETTLE_SECONDS)
+        await _hand_over_all(fake, 20, batch, loads[-1][2])
+        for x, count, plan in loads * figures.REPEATS:
+            rest = bench.Reading(process)
+            started_at = time.monotonic()
+            await curio.sleep(1.0)
+            idle = rest.read_cpu_ms() / (time.monotonic() - started_at)
+            reading = bench.Reading(process)
+            started_at = time.monotonic()
+            await _hand_over_all(fake, count, batch, plan)
+            used = reading.read_cpu_ms()
+            used -= idle * (time.monotonic() - started_at)
+            recorder.add("cpu", x, used)
+    return recorder.points
+
+
+async def _hand_over_all(
+    fake: partners.FakeEntry, count: int, batch: str, plan: Any
+) -> None:
+    async with curio.TaskGroup(wait=all) as group:
+        for _ in range(count):
+            await group.spawn(fake.hand_over, "stage", batch, plan)
+
+
+@figures.register(
+    figures.Figure("cpu", "ms of the sidecar's processor", "attempt of a stage")
+)
+async def measure_sidecar_per_attempt() -> figures.Points:
+    """A sidecar of a stage, with more and more attempts at once."""
+    loads = [(n, n, "an input") for n in (50, 100, 200, 300, 400)]
+    return await _measure_sidecar_load("stages", loads, "")
+
+
+@figures.register(
+    figures.Figure("cpu", "ms of the sidecar's processor", "token frame")
+)
+async def measure_sidecar_per_frame() -> figures.Points:
+    """A sidecar of an engine that sends one token a line."""
+    loads = [
+        (
+            16 * frames,
+            16,
+            figures.plan_tokens(frames, 1, figures.TOKEN_SECONDS),
+        )
+        for frames in (8, 16, 24, 32, 48)
+    ]
+    return await _measure_sidecar_load("engines", loads, partners.BATCH)
+
+
+@figures.register(
+    figures.Figure("cpu", "ms of the sidecar's processor", "token in 16 frames")
+)
+async def measure_sidecar_per_token() -> figures.Points:
+    """A sidecar of an engine that sends 16 lines an answer."""
+    loads = [
+        (
+            16 * 16 * size,
+            16,
+            figures.plan_tokens(16, size, figures.TOKEN_SECONDS),
+        )
+        for size in (1, 4, 8, 16, 32)
+    ]
+    return await _measure_sidecar_load("engines", loads, partners.BATCH)
--- a/lab/bench.py
+++ b/lab/bench.py
@@ -18,6 +18,9 @@
 # The interval between looks at a process that starts, in seconds.
 POLL_SECONDS = 0.02
 
+# How long an entry takes to find the sidecars and to dial them, in seconds.
+JOIN_SECONDS = 2.5
+
 # The model that the fake engines have loaded.
 MODEL = "assistant"
 
@@ -136,6 +139,15 @@
         flags = ("--caller-port", str(port), "--connections-limit", "5000")
         return await self._start_node("entry", name, port, flags)
 
+    async def start_joined_entry(
+        self, fakes: list[partners.FakeSidecar], name: str
+    ) -> processes.Process:
+        """Starts an entry that holds the fake sidecars."""
+        await self.list_sidecars(fakes)
+        entry = await self.start_entry(name)
+        await curio.sleep(JOIN_SECONDS)
+        return entry
+
     async def start_sidecar(
         self, name: str, pool: str, endpoint_url: str
     ) -> processes.Process:
--- a/lab/partners.py
+++ b/lab/partners.py
@@ -191,11 +191,13 @@
         revision: the highest configuration revision that it holds.
         revision_at: when each revision was first seen in a frame of the
             sidecar, in monotonic seconds.
+        value: the configuration that it gives to a sidecar that asks.
     """
 
     def __init__(self, name: str, port: int, secret: str, traffic: Traffic):
         self.revision = 0
         self.revision_at: dict[int, float] = {}
+        self.value: Any = None
         self._name = name
         self._port = port
         self._secret = secret
@@ -227,6 +229,8 @@
         self.revision_at.setdefault(frame.revision, time.monotonic())
         if isinstance(message, messages.Result | messages.Refusal):
             await self._endings[message.attempt].set()
+        elif isinstance(message, messages.SnapshotRequest) and self.value:
+            await self.send_snapshot(self.revision, self.value)
 
     async def send_snapshot(self, revision: int, value: Any) -> None:
         """Gives the sidecar a configuration."""
--- /dev/null
+++ b/lab/revisions.py
@@ -0,0 +1,194 @@
+"""What a change of the configuration costs, by its size and spread."""
+
+import itertools
+import json
+import time
+from collections.abc import Sequence
+
+import curio
+
+from lab import bench, figures, partners, processes, usage
+from samphirevale import messages
+
+
+def _list_size_figures(per: str) -> tuple[figures.Figure, ...]:
+    return (
+        figures.Figure("bytes", "bytes of configuration", per),
+        figures.Figure(
+            "entry_cpu", "ms of the entry's processor", f"revision, {per}"
+        ),
+        figures.Figure("entry_memory", "kB", per),
+        figures.Figure(
+            "sidecar_cpu", "ms of the sidecar's processor", f"revision, {per}"
+        ),
+        figures.Figure("sidecar_memory", "kB", per),
+        figures.Figure("sidecar_delay", "ms until in force", per),
+    )
+
+
+async def _measure_sizes(name: str, sizes: Sequence[int]) -> figures.Points:
+    recorder = figures.Recorder()
+    for size in sizes:
+        async with bench.open_bench(**{name: size}) as site:
+            await _measure_size(site, recorder, {name: size}, size)
+    return recorder.points
+
+
+async def _measure_size(
+    site: bench.Bench,
+    recorder: figures.Recorder,
+    sizes: dict[str, int],
+    x: int,
+) -> None:
+    """Changes a configuration some times, at an entry and a sidecar."""
+    endpoint = await site.start_fake_endpoint(0)
+    entry = await site.start_entry("entry-0")
+    sidecar = await site.start_sidecar("measured", "stages", endpoint.url)
+    fake = partners.FakeEntry(
+        "fake", sidecar.port, site.secret, partners.Traffic()
+    )
+    await site.spawn(fake.run)
+    await figures.wait_for(lambda: 1 in fake.revision_at, "the first revision")
+    await curio.sleep(1.0)
+    value = bench.build_configuration(1, **sizes)
+    recorder.add("bytes", x, len(json.dumps(value)))
+    changes = 3
+    idle = await _read_idle_ms([entry, sidecar])
+    started_at = time.monotonic()
+    readings = [bench.Reading(process) for process in (entry, sidecar)]
+    for revision in range(2, 2 + changes):
+        value = bench.build_configuration(revision, **sizes)
+        await site.put_configuration(value)
+        sent_at = time.monotonic()
+        await fake.send_snapshot(revision, value)
+        await figures.wait_for(
+            lambda wanted=revision: wanted in fake.revision_at, "a revision"
+        )
+        seconds = fake.revision_at[revision] - sent_at
+        recorder.add("sidecar_delay", x, 1000 * seconds)
+    await curio.sleep(1.0)
+    seconds = time.monotonic() - started_at
+    for role, reading, rest, process in zip(
+        ("entry", "sidecar"), readings, idle, (entry, sidecar), strict=True
+    ):
+        used = reading.read_cpu_ms() - rest * seconds
+        recorder.add(f"{role}_cpu", x, used / changes)
+        memory = usage.read_resident_bytes(process.pid)
+        recorder.add(f"{role}_memory", x, memory / figures.KB)
+
+
+async def _read_idle_ms(watched: Sequence[processes.Process]) -> list[float]:
+    """Returns the processor time at rest, in milliseconds a second."""
+    readings = [bench.Reading(process) for process in watched]
+    started_at = time.monotonic()
+    await curio.sleep(1.0)
+    seconds = time.monotonic() - started_at
+    return [reading.read_cpu_ms() / seconds for reading in readings]
+
+
+@figures.register(*_list_size_figures("account"))
+async def measure_configuration_per_account() -> figures.Points:
+    """Configurations with more and more accounts."""
+    return await _measure_sizes("accounts", (1, 700, 1400, 2800, 4200))
+
+
+@figures.register(*_list_size_figures("batch"))
+async def measure_configuration_per_batch() -> figures.Points:
+    """Configurations with more and more batches."""
+    return await _measure_sizes("batches", (1, 500, 1000, 1500, 2000))
+
+
+@figures.register(
+    figures.Figure(
+        "seconds", "ms until the last holds it", "sidecar of one entry"
+    ),
+    figures.Figure(
+        "cpu", "ms of the entry's processor", "sidecar of one entry"
+    ),
+    figures.Figure("bytes", "kB", "sidecar of one entry"),
+)
+async def measure_spread_per_sidecar() -> figures.Points:
+    """A revision of 2,800 accounts goes to all sidecars of one entry."""
+    recorder = figures.Recorder()
+    traffic = {"entry-0": partners.Traffic()}
+    async with bench.open_bench(accounts=2800, pipelines=24) as site:
+        fakes = await site.start_fake_sidecars(40, "stages", traffic)
+        entry = await site.start_joined_entry(fakes[:1], "entry-0")
+        revisions = itertools.count(2)
+        for count in (5, 10, 20, 30, 40):
+            await site.list_sidecars(fakes[:count])
+            await curio.sleep(figures.SETTLE_SECONDS)
+            await figures.wait_for(
+                lambda n=count: len({f.revision for f in fakes[:n]}) == 1,
+                "the sidecars to join",
+            )
+            await _record_spread(
+                site,
+                recorder,
+                figures.Watched(entry, traffic["entry-0"]),
+                fakes[:count],
+                next(revisions),
+            )
+    return recorder.points
+
+
+async def _record_spread(
+    site: bench.Bench,
+    recorder: figures.Recorder,
+    watched: figures.Watched,
+    fakes: Sequence[partners.FakeSidecar],
+    revision: int,
+) -> None:
+    value = bench.build_configuration(revision, accounts=2800, pipelines=24)
+    reading = bench.Reading(watched.process)
+    sent = watched.traffic.read_bytes()
+    started_at = time.monotonic()
+    await site.put_configuration(value)
+    await figures.wait_for(
+        lambda: all(revision in fake.adopted_at for fake in fakes),
+        f"revision {revision}",
+    )
+    last = max(fake.adopted_at[revision] for fake in fakes)
+    recorder.add("seconds", len(fakes), 1000 * (last - started_at))
+    recorder.add("cpu", len(fakes), reading.read_cpu_ms())
+    used = watched.traffic.read_bytes() - sent
+    recorder.add("bytes", len(fakes), used / figures.KB)
+
+
+@figures.register(
+    figures.Figure(
+        "requests", "snapshots asked for", "entry held by a sidecar"
+    ),
+    figures.Figure(
+        "cpu", "ms of the sidecar's processor", "entry held by a sidecar"
+    ),
+)
+async def measure_snapshots_per_entry() -> figures.Points:
+    """A revision of 2,800 accounts, shown by all entries of a sidecar."""
+    recorder = figures.Recorder()
+    value = bench.build_configuration(2, accounts=2800, pipelines=24)
+    for count in (10, 20, 40, 60):
+        async with bench.open_bench(accounts=2800, pipelines=24) as site:
+            traffic = partners.Traffic()
+            endpoint = await site.start_fake_endpoint(0)
+            process = await site.start_sidecar("one", "stages", endpoint.url)
+            fakes = [
+                partners.FakeEntry(
+                    f"entry-{n}", process.port, site.secret, traffic
+                )
+                for n in range(count)
+            ]
+            for fake in fakes:
+                await site.spawn(fake.run)
+                # Heartbeats of real entries do not come together either.
+                await curio.sleep(partners.HEARTBEAT_SECONDS / count)
+            await curio.sleep(figures.SETTLE_SECONDS)
+            reading = bench.Reading(process)
+            for fake in fakes:
+                fake.revision, fake.value = 2, value
+            await figures.wait_for(lambda f=fakes[0]: 2 in f.revision_at, "it")
+            await curio.sleep(1.0)
+            asked = traffic.counts[messages.SnapshotRequest.tag]
+            recorder.add("requests", count, asked)
+            recorder.add("cpu", count, reading.read_cpu_ms())
+    return recorder.points
--- a/lab/slopes.py
+++ b/lab/slopes.py
@@ -4,7 +4,8 @@
 
 Measures real processes on this machine, fits a line to each figure, prints
 a table and, as the last line, one JSON object. With `--write` it puts the
-table into docs/CAPACITY.md.
+tables into docs/CAPACITY.md: the slopes, and what the fleet of the letter
+needs by them (lab/fleet.py).
 """
 
 import argparse
@@ -12,15 +13,46 @@
 import sys
 import time
 
-from lab import fits, measurements, pages, processes
+from lab import (
+    attempts,
+    connections,
+    figures,
+    fits,
+    fleet,
+    pages,
+    processes,
+    requests,
+    revisions,
+)
 
 PAGE = processes.ROOT / "docs" / "CAPACITY.md"
 
+# The modules that register measurements, in the order of the table.
+MODULES = (connections, requests, attempts, revisions)
+
 # The names of the tables in the page.
-TABLES = ("slopes", "fleet")
+TABLES = ("slopes", "needs", "work", "store")
 
 HEAD = ("figure", "slope ± error", "unit", "per", "at 0 ± error", "points")
 
+NEEDS_HEAD = (
+    "layout",
+    "role",
+    "processor, ms/s (of 30)",
+    "memory, MB (of 64)",
+    "control, kB/s (of 12)",
+)
+WORK_HEAD = (
+    "tokens a frame",
+    "entries: requests",
+    "entries: tokens",
+    "sidecars: attempts",
+    "sidecars: tokens",
+    "entries at 60%",
+    "sidecars' cores at 60%",
+)
+STORE_HEAD = ("layout", "keyed", "reads/s (of 2,000)", "writes/s (of 400)")
+
 Fits = dict[str, dict[str, fits.Fit]]
 
 
@@ -29,14 +61,14 @@
     return [
         _build_row(f"{name}.{figure.name}", figure, found[name][figure.name])
         for name in found
-        for figure in measurements.MEASUREMENTS[name].figures
+        for figure in figures.MEASUREMENTS[name].figures
     ]
 
 
 def _build_row(
-    name: str, figure: measurements.Figure, fit: fits.Fit
+    name: str, figure: figures.Figure, fit: fits.Fit
 ) -> tuple[str, ...]:
-    show = measurements.format_number
+    show = figures.format_number
     return (
         f"`{name}`",
         f"{show(fit.slope)} ± {show(fit.slope_error)}",
@@ -48,16 +80,26 @@
 
 
 def measure_all(names: list[str]) -> Fits:
-    """Runs measurements one after the other."""
+    """Runs figures one after the other."""
     found = {}
     for name in names:
         started_at = time.monotonic()
-        found[name] = measurements.summarize(name)
+        found[name] = figures.summarize(name)
         seconds = time.monotonic() - started_at
         print(f"{name}: {seconds:.0f} s", file=sys.stderr, flush=True)
     return found
 
 
+def build_tables(found: Fits) -> dict[str, list[str]]:
+    """Returns the lines of each table of the page, by name."""
+    return {
+        "slopes": pages.build_table(HEAD, build_rows(found)),
+        "needs": pages.build_table(NEEDS_HEAD, fleet.build_need_rows(found)),
+        "work": pages.build_table(WORK_HEAD, fleet.build_work_rows(found)),
+        "store": pages.build_table(STORE_HEAD, fleet.build_store_rows(found)),
+    }
+
+
 def build_json(found: Fits) -> str:
     """Returns all fits as one line of JSON."""
     return json.dumps(
@@ -71,19 +113,23 @@
 def main() -> None:
     """Runs the command line."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("names", nargs="*", help="measurements; all if none")
+    parser.add_argument("names", nargs="*", help="figures; all if none")
     parser.add_argument(
         "--write", action="store_true", help="rewrite the page's table"
     )
     arguments = parser.parse_args()
     if arguments.write and arguments.names:
-        parser.error("--write needs all measurements")
-    names = arguments.names or list(measurements.MEASUREMENTS)
+        parser.error("--write needs all figures")
+    names = arguments.names or list(figures.MEASUREMENTS)
     found = measure_all(names)
-    lines = pages.build_table(HEAD, build_rows(found))
-    print("\n".join(lines))
-    if arguments.write:
-        pages.rewrite(PAGE, TABLE, lines)
+    if arguments.names:
+        tables = {"slopes": pages.build_table(HEAD, build_rows(found))}
+    else:
+        tables = build_tables(found)
+    for name, lines in tables.items():
+        print("\n".join([f"\n{name}", *lines]))
+        if arguments.write:
+            pages.rewrite(PAGE, name, lines)
     print(build_json(found))
 
 
--- a/tests/lab/test_fits.py
+++ b/tests/lab/test_fits.py
@@ -42,4 +42,6 @@
 
     def test_one_place(self):
         with self.assertRaises(ValueError):
-            fits.fit_line([fits.Point(1, 0), fits.Point(1, 1), fits.Point(1, 2)])
+            fits.fit_line(
+                [fits.Point(1, 0), fits.Point(1, 1), fits.Point(1, 2)]
+            )
