Send tokens that come within 20 ms as one chunk

Cause: the entry's processor time goes by frames, and 1.1 million tokens a second in 2,700 requests with deadlines of 3 s are about 6 ms apart. The first token and tokens further apart go at once.

--- a/lab/attempts.py
+++ b/lab/attempts.py
@@ -7,6 +7,14 @@
 import curio
 
 from lab import bench, figures, partners
+from samphirevale import messages
+
+# The time between tokens of an engine that gives 400 of them in 2.5 s, in
+# seconds.
+FAST_TOKEN_SECONDS = 0.006
+
+# Streams that an engine gives at once.
+STREAMS = 10
 
 
 async def _measure_sidecar_load(
@@ -84,3 +92,29 @@
         for size in (1, 4, 8, 16, 32)
     ]
     return await _measure_sidecar_load("engines", loads, partners.BATCH)
+
+
+@figures.register(
+    figures.Figure("cpu", "ms of the sidecar's processor", "token, 6 ms apart"),
+    figures.Figure("frames", "frames to the entry", "token, 6 ms apart"),
+)
+async def measure_sidecar_per_fast_token() -> figures.Points:
+    """An engine whose answers of 400 tokens take 2.5 s."""
+    recorder = figures.Recorder()
+    async with bench.open_bench() as site:
+        endpoint = await site.start_fake_endpoint(0)
+        process = await site.start_sidecar("measured", "engines", endpoint.url)
+        traffic = partners.Traffic()
+        fake = partners.FakeEntry("entry-0", process.port, site.secret, traffic)
+        await site.spawn(fake.run)
+        await curio.sleep(figures.SETTLE_SECONDS)
+        for frames in (25, 50, 100, 200, 300) * figures.REPEATS:
+            plan = figures.plan_tokens(frames, 1, FAST_TOKEN_SECONDS)
+            reading = bench.Reading(process)
+            before = traffic.counts[messages.Chunk.tag]
+            await _hand_over_all(fake, STREAMS, partners.BATCH, plan)
+            tokens = STREAMS * frames
+            recorder.add("cpu", tokens, reading.read_cpu_ms())
+            sent = traffic.counts[messages.Chunk.tag] - before
+            recorder.add("frames", tokens, sent)
+    return recorder.points
--- a/samphirevale/readers.py
+++ b/samphirevale/readers.py
@@ -1,10 +1,18 @@
 """Reads one answer of an endpoint, checks it and passes its chunks on."""
 
+import time
 from collections.abc import AsyncIterator
 
+import curio
+
 from samphirevale import attempts, errors, messages, snapshots, streams
 from samphirevale.ports import endpoints
 
+# The shortest time between two chunks of one answer, in seconds: tokens that
+# come sooner are sent together. It stays below the time between two tokens
+# that callers notice.
+CHUNK_SECONDS = 0.02
+
 
 class Counts:
     """What the executor counts, for metrics and the dump."""
@@ -42,12 +50,26 @@
         self._counts = counts
         self._stream = streams.TokenStream(attempt.handover.offset)
         self._tokens: list[str] = []
+        self._unsent: list[str] = []
+        self._sent_at = float("-inf")
+        self._flusher: curio.Task | None = None
         self.is_over = False
 
     async def read(
         self, items: AsyncIterator
     ) -> attempts.Ending | endpoints.Failed:
         """Returns the result, the refusal or the endpoint's failure."""
+        try:
+            return await self._read_items(items)
+        finally:
+            if self._flusher is not None:
+                await self._flusher.cancel(blocking=False)
+            self._counts.duplicate_tokens += self._stream.duplicates
+            self._counts.reordered_tokens += self._stream.reordered
+
+    async def _read_items(
+        self, items: AsyncIterator
+    ) -> attempts.Ending | endpoints.Failed:
         try:
             async for item in items:
                 if self._holder.is_recalled(self._attempt.handover.batch):
@@ -58,14 +80,12 @@
                     await self._take_tokens(item)
                     continue
                 self.is_over = True
+                await self._send_unsent()
                 if isinstance(item, endpoints.Completed):
                     return self._build_result(item)
                 return item
         except errors.ProtocolError as error:
             return self._attempt.refuse_lost("endpoint_failed", str(error))
-        finally:
-            self._counts.duplicate_tokens += self._stream.duplicates
-            self._counts.reordered_tokens += self._stream.reordered
         return endpoints.Failed("lost", "the answer has no end")
 
     async def _take_tokens(self, item: endpoints.Tokens) -> None:
@@ -75,8 +95,28 @@
         if not self._attempt.handover.stream:
             self._tokens += ready
             return
-        sequence = self._stream.next_sequence - len(ready)
-        await self._send_chunk(sequence, ready)
+        self._unsent += ready
+        wait = self._sent_at + CHUNK_SECONDS - time.monotonic()
+        if wait <= 0:
+            await self._send_unsent()
+        elif self._flusher is None:
+            self._flusher = await curio.spawn(self._send_held, daemon=True)
+
+    async def _send_held(self) -> None:
+        """Sends what is held back, until nothing is after an interval."""
+        await curio.sleep(CHUNK_SECONDS)
+        while self._unsent:
+            await self._send_unsent()
+            await curio.sleep(CHUNK_SECONDS)
+        self._flusher = None
+
+    async def _send_unsent(self) -> None:
+        if not self._unsent:
+            return
+        tokens, self._unsent = self._unsent, []
+        self._sent_at = time.monotonic()
+        sequence = self._stream.next_sequence - len(tokens)
+        await self._send_chunk(sequence, tokens)
 
     async def _send_chunk(self, sequence: int, tokens: list[str]) -> None:
         attempt = self._attempt
