Measure statuses, and reads and writes of the store apart

Ruled out: nothing else was weighed. Conclusion: the bytes of statuses are part of an entry's control.

--- a/lab/connections.py
+++ b/lab/connections.py
@@ -1,13 +1,14 @@
 """What connections cost at rest, and calls of the store at rest."""
 
 import itertools
+import json
 import time
 from collections.abc import Sequence
 
 import curio
 
 from lab import bench, figures, partners, usage
-from samphirevale import messages
+from samphirevale import messages, statuses
 
 # The window in which calls to the store at rest are counted, in seconds: a
 # watch is called again after 20 s.
@@ -17,6 +18,11 @@
 PREFIX = "0" * messages.PREFIX_DIGITS
 
 
+# The platform's names of its calls. A watch counts as a read.
+READS = ("get", "list", "watch", "instances")
+WRITES = ("put", "delete")
+
+
 async def record_rest(
     recorder: figures.Recorder,
     x: float,
@@ -53,7 +59,10 @@
     )
 
 
-@figures.register(*_list_rest_figures("sidecar held by an entry"))
+@figures.register(
+    *_list_rest_figures("sidecar held by an entry"),
+    figures.Figure("status", "kB of a status", "sidecar held by an entry"),
+)
 async def measure_entry_per_sidecar() -> figures.Points:
     """An entry at rest, with more and more sidecars."""
     recorder = figures.Recorder()
@@ -67,9 +76,21 @@
         for count in (0, 25, 50, 100, 150, 200):
             await site.list_sidecars(fakes[:count])
             await record_rest(recorder, count, watched)
+            await _record_statuses(site, recorder)
     return recorder.points
 
 
+async def _record_statuses(
+    site: bench.Bench, recorder: figures.Recorder
+) -> None:
+    """Records the sizes of the entries' statuses, some seconds old."""
+    found = await site.call("GET", f"/objects/{statuses.OBJECT_KIND}")
+    for stored in found["objects"]:
+        status = stored["value"]
+        size = len(json.dumps(status)) / figures.KB
+        recorder.add("status", len(status["sidecars"]), size)
+
+
 async def _measure_sidecar(pool: str, prefixes: int) -> figures.Points:
     recorder = figures.Recorder()
     traffic = [partners.Traffic() for _ in range(figures.REPEATS)]
@@ -141,14 +162,17 @@
         before = await site.read_counts()
         await curio.sleep(REST_SECONDS)
         after = await site.read_counts()
-    calls = sum(after.values()) - sum(before.values())
-    recorder.add(role, count, calls / REST_SECONDS)
+    for name, calls in (("reads", READS), ("writes", WRITES)):
+        made = sum(after.get(call, 0) - before.get(call, 0) for call in calls)
+        recorder.add(f"{role}_{name}", count, made / REST_SECONDS)
 
 
 @figures.register(
-    figures.Figure("entry", "calls of the store/s", "entry at rest"),
+    figures.Figure("entry_reads", "reads of the store/s", "entry at rest"),
+    figures.Figure("entry_writes", "writes to the store/s", "entry at rest"),
+    figures.Figure("sidecar_reads", "reads of the store/s", "sidecar at rest"),
     figures.Figure(
-        "sidecar", "calls of the store/s", "engine's sidecar at rest"
+        "sidecar_writes", "writes to the store/s", "sidecar at rest"
     ),
 )
 async def measure_store_at_rest() -> figures.Points:
--- a/lab/fleet.py
+++ b/lab/fleet.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from lab import fits
+from samphirevale import statuses
 
 Fits = dict[str, dict[str, fits.Fit]]
 
@@ -129,6 +130,14 @@
     return prefix * layout.prefixes * layout.beats / 2 / 1000
 
 
+def _compute_status_kb(found: Fits, layout: Layout) -> float:
+    """Returns the bytes of statuses that an entry writes in a second."""
+    size = found["entry_per_sidecar"]["status"]
+    listed = min(layout.held, statuses.SIDECARS_LIMIT)
+    writes = found["store_at_rest"]["entry_writes"].slope
+    return (size.intercept + size.slope * listed) * writes
+
+
 def compute_entry(found: Fits, layout: Layout) -> Need:
     """Returns what an entry needs to hold its sidecars."""
     rest = found["entry_per_sidecar"]
@@ -138,7 +147,7 @@
     memory = rest["memory"].intercept + rest["memory"].slope * layout.held
     sent = rest["bytes"].slope * layout.held * pace
     sent += _compute_beat_kb(found, layout) * layout.engines_held
-    sent += compute_spread_kb(found)
+    sent += compute_spread_kb(found) + _compute_status_kb(found, layout)
     return Need(cpu, (memory + account * ACCOUNTS) / 1000, sent)
 
 
@@ -229,9 +238,9 @@
 
     What a region, a rollout or a failure adds is not in it.
     """
-    rest = found["store_at_rest"]["entry"].slope
-    # Of the calls at rest, all but the watches are readings of the list.
-    watches = rest - 1.0
+    rest = found["store_at_rest"]
+    # Of the reads at rest, one a second is of the list.
+    watches = rest["entry_reads"].slope - 1.0
     claims = found["store_per_keyed_request"]
     requests = REQUESTS * keyed
     reads = layout.entries * (watches + 1.0 / layout.list_seconds)
@@ -239,6 +248,7 @@
         keyed,
         reads + requests * claims["reads"].slope,
         requests * (claims["writes"].slope + SWEEP_WRITES)
+        + layout.entries * rest["entry_writes"].slope
         + CHANGES_A_DAY / DAY_SECONDS,
     )
 
