--- /dev/null
+++ b/tests/lab/test_fleet.py
@@ -0,0 +1,60 @@
+"""Tests of what the fleet needs by the slopes."""
+
+import collections
+
+from lab import fits, fleet, slopes
+from tests import base
+
+
+class FleetTest(base.TestCase):
+    """The formulas, with slopes that make them easy to work out."""
+
+    def setUp(self):
+        super().setUp()
+        zero = fits.Fit(0.0, 0.0, 0.0, 0.0, 5)
+        self.found = collections.defaultdict(
+            lambda: collections.defaultdict(lambda: zero)
+        )
+
+    def set_slope(self, name, figure, slope, intercept=0.0):
+        self.found[name][figure] = fits.Fit(slope, 0.0, intercept, 0.0, 5)
+
+    def test_entry_needs_base_and_each_sidecar(self):
+        self.set_slope("entry_per_sidecar", "cpu", 0.5, 10.0)
+        self.set_slope("entry_per_sidecar", "memory", 20.0, 40_000.0)
+        layout = fleet.Layout("", 10, 300, 720, 280)
+        need = fleet.compute_entry(self.found, layout)
+        self.assertAlmostEqual(510.0, need.cpu_ms)
+        self.assertAlmostEqual(60.0, need.memory_mb)
+        slower = layout._replace(beats=fleet.BEATS / 2)
+        need = fleet.compute_entry(self.found, slower)
+        self.assertAlmostEqual(260.0, need.cpu_ms)
+
+    def test_sidecar_is_held_by_its_share_of_entries(self):
+        self.set_slope("engine_sidecar_per_entry", "cpu", 1.0)
+        layout = fleet.Layout("", 120, 300, 72, 300)
+        need = fleet.compute_sidecar(self.found, layout, engine=True)
+        self.assertAlmostEqual(12.0, need.cpu_ms)
+
+    def test_joined_tokens_share_the_cost_of_a_frame(self):
+        self.set_slope("entry_per_frame", "cpu", 0.2)
+        self.set_slope("entry_per_token", "cpu", 0.1)
+        one = fleet.compute_work(self.found, 1).entry_tokens
+        ten = fleet.compute_work(self.found, 10).entry_tokens
+        self.assertAlmostEqual(fleet.TOKENS * 0.2 / 1000, one)
+        self.assertAlmostEqual(fleet.TOKENS * 0.11 / 1000, ten)
+
+    def test_keyed_requests_write_and_are_swept(self):
+        self.set_slope("store_per_keyed_request", "writes", 2.0)
+        none = fleet.compute_store(self.found, fleet.LAYOUTS[0], 0.0)
+        tenth = fleet.compute_store(self.found, fleet.LAYOUTS[0], 0.1)
+        self.assertAlmostEqual(
+            fleet.REQUESTS * 0.1 * 3.0, tenth.writes - none.writes
+        )
+
+    def test_tables_are_those_of_the_page(self):
+        for name in slopes.figures.MEASUREMENTS:
+            for figure in slopes.figures.MEASUREMENTS[name].figures:
+                self.set_slope(name, figure.name, 1.0, 1.0)
+        tables = slopes.build_tables(self.found)
+        self.assertEqual(set(slopes.TABLES), set(tables))
