--- a/samphirevale/handovers.py
+++ b/samphirevale/handovers.py
@@ -1,7 +1,6 @@
 """Runs one stage of a request: hands attempts over until one has a result."""
 
 import hashlib
-import json
 import secrets
 import time
 from collections.abc import Awaitable, Callable
@@ -12,6 +11,7 @@
     callers,
     candidates,
     configuration,
+    deadlines,
     errors,
     invariants,
     messages,
@@ -21,6 +21,7 @@
     retries,
     sidecars,
 )
+from samphirevale.ports import endpoints
 
 # Sends tokens to the caller: the first one's number, and the tokens.
 Emit = Callable[[int, list[str]], Awaitable[None]]
@@ -109,7 +110,7 @@
 
 def digest_prefix(value: Any) -> str:
     """Returns the name of a prompt's prefix in heartbeats."""
-    prompt = value if isinstance(value, str) else json.dumps(value)
+    prompt = endpoints.build_prompt(value)
     digest = hashlib.sha256(prompt[:PREFIX_CHARACTERS].encode()).hexdigest()
     return digest[: messages.PREFIX_DIGITS]
 
@@ -126,6 +127,7 @@
         deadline_at: float,
         progress: Progress,
         emit: Emit | None,
+        limit_attempt: Callable[[float], float] | None = None,
     ):
         """Prepares the stage.
 
@@ -137,7 +139,11 @@
             deadline_at: the request's deadline, in monotonic seconds.
             progress: shared by the request's stages.
             emit: called with tokens as they come; None to keep them.
+            limit_attempt: returns when an attempt that begins now must have
+                ended, so that the stages after it fit; None for the
+                request's deadline.
         """
+        self._limit_attempt = limit_attempt or (lambda now: deadline_at)
         self._node = entry_node
         self._request = request
         self._stage = stage
@@ -198,13 +204,19 @@
 
     def _choose_endpoint(self, last: messages.Refusal | None) -> str:
         now = self._node.clock.now()
-        names = self._list_candidates(now)
+        remaining = self._limit_attempt(now) - now
+        if deadlines.should_cancel(now + remaining, now):
+            self._progress.refuse(
+                "late",
+                f"stage {self._stage['name']} would end too late",
+                DEFAULT_RETRY_SECONDS,
+            )
         choice = self._node.router.choose(
-            names,
+            self._list_candidates(now),
             now,
             prefix=self._read_prefix(),
             exclude=self._tried,
-            remaining_seconds=self._deadline_at - now,
+            remaining_seconds=remaining,
         )
         if choice is None:
             self._refuse_unserved(last)
@@ -282,10 +294,25 @@
             )
             if not reserved:
                 self._refuse_quarantined(verdict)
-            ending = await self._run_attempt(endpoint, attempt)
+            # The reservation took time, in which the endpoint may have gone.
+            if endpoint in self._list_candidates(self._node.clock.now()):
+                ending = await self._run_attempt(endpoint, attempt)
+            else:
+                ending = self._skip_attempt(attempt)
         await self._end_trial(attempt, ending)
         return ending
 
+    def _skip_attempt(self, attempt: str) -> messages.Refusal:
+        """Returns the refusal of an attempt that is not handed over."""
+        # Whoever takes in the refusal takes this back.
+        self._progress.note_handed(self._repeatable)
+        return self._build_refusal(
+            self._build_handover(attempt, self._node.clock.now()),
+            "not_run",
+            "unreachable",
+            "the endpoint takes no work any more",
+        )
+
     async def _end_trial(
         self, attempt: str, ending: messages.Result | messages.Refusal
     ) -> None:
@@ -381,7 +408,9 @@
             pipeline=request.pipeline,
             account=request.account,
             payload=self._payload,
-            remaining_ms=int((self._deadline_at - now) * 1000),
+            remaining_ms=deadlines.encode_remaining_ms(
+                self._limit_attempt(now), now
+            ),
             priority=request.priority,
             repeatable=self._repeatable,
             key=request.key,
--- a/samphirevale/limits.py
+++ b/samphirevale/limits.py
@@ -21,7 +21,11 @@
 
 # An attempt is dropped when less time is left than this quantile of the
 # recent service times: it would most likely be wasted work.
-LATE_QUANTILE = 0.5
+LATE_QUANTILE = 0.25
+
+# One that has less than this quantile left starts only when none that waits
+# has more.
+SAFE_QUANTILE = 0.9
 
 # A slower answer than this many times the usual lowers an adaptive limit.
 LATENCY_TOLERANCE = 2.0
@@ -213,6 +217,8 @@
         self._queue_limit = queue_limit
         self._waiting: dict[str, _Entry] = {}
         self._running: dict[str, _Entry] = {}
+        self._started_at: dict[str, float] = {}
+        self._now = 0.0
         self._dropped: list[Dropped] = []
         self._served: dict[str, float] = {}
         self._service_seconds = DEFAULT_SERVICE_SECONDS
@@ -238,8 +244,15 @@
 
     @property
     def service_ms(self) -> float:
-        """The smoothed time of one attempt in ms; 0 until measured."""
-        return self._service_seconds * 1000 if self._measured else 0.0
+        """The time of one attempt in ms; 0 until measured.
+
+        The smoothed time of those that ended, or the mean age of those that
+        run when that is longer: an endpoint that has become slow shows it
+        before the first slow attempt ends.
+        """
+        if not self._measured:
+            return 0.0
+        return 1000 * max(self._service_seconds, self._read_mean_age())
 
     def offer(
         self,
@@ -256,7 +269,7 @@
         if attempt in self._waiting or attempt in self._running:
             return Refused("duplicate", 0)
         wait = self._estimate_wait(self._count_before(account, priority))
-        if now + wait + self._read_late_seconds() > deadline_at:
+        if now + wait + self._read_quantile(LATE_QUANTILE) > deadline_at:
             return Refused("late", self._estimate_retry_ms())
         if self.waiting >= self._queue_limit and not self._evict_for(account):
             return Refused("overloaded", self._estimate_retry_ms())
@@ -267,26 +280,33 @@
     def take(self, now: float) -> str | None:
         """Returns the next attempt to start, or None.
 
-        The most urgent priority first, then the account that was served
-        least, then the order of arrival. Attempts that would be late are
-        left for `expire`.
+        The most urgent priority first, then those that have time enough,
+        then the account that was served least, then the order of arrival.
+        Attempts that would be late are left for `expire`.
         """
         if self.running >= self.limit:
             return None
         self._drop_late(now)
         if not self._waiting:
             return None
+        safe_at = now + self._read_quantile(SAFE_QUANTILE)
         entry = min(
             self._waiting.values(),
-            key=lambda item: (item.priority, self._served[item.account]),
+            key=lambda item: (
+                item.priority,
+                item.deadline_at < safe_at,
+                self._served[item.account],
+            ),
         )
         del self._waiting[entry.attempt]
         self._running[entry.attempt] = entry
+        self._started_at[entry.attempt] = now
         self._served[entry.account] += self._service_seconds
         return entry.attempt
 
     def expire(self, now: float) -> list[Dropped]:
         """Returns the attempts dropped since the last call, each once."""
+        self._now = now
         self._drop_late(now)
         dropped = self._dropped
         self._dropped = []
@@ -315,6 +335,8 @@
             service_seconds: the time that the endpoint worked on it; None
                 where that says nothing of its speed (failed, cancelled).
         """
+        self._now = now
+        self._started_at.pop(attempt, None)
         entry = self._running.pop(attempt, None)
         if entry is None or service_seconds is None:
             return
@@ -330,8 +352,14 @@
 
     def estimate_wait_ms(self, now: float) -> float:
         """Returns how long a new attempt would wait, in ms."""
+        self._now = now
         return 1000 * self._estimate_wait(self.waiting)
 
+    def _read_mean_age(self) -> float:
+        """Returns how long the running attempts have run, on average."""
+        ages = [self._now - at for at in self._started_at.values()]
+        return sum(ages) / len(ages) if ages else 0.0
+
     def _smooth_service(self, seconds: float) -> None:
         self._recent.append(seconds)
         if not self._measured:
@@ -340,12 +368,12 @@
         change = seconds - self._service_seconds
         self._service_seconds += SERVICE_WEIGHT * change
 
-    def _read_late_seconds(self) -> float:
-        """Returns the time below which an attempt is given up."""
+    def _read_quantile(self, share: float) -> float:
+        """Returns a quantile of the recent service times; 0 if unknown."""
         if not self._recent:
             return 0.0
         times = sorted(self._recent)
-        return times[int(LATE_QUANTILE * (len(times) - 1))]
+        return times[int(share * (len(times) - 1))]
 
     def _estimate_wait(self, before: int) -> float:
         ahead = self.running + before - self.limit + 1
@@ -372,7 +400,7 @@
         return max(1, round(1000 * per_attempt * (1 + self.waiting / 2)))
 
     def _drop_late(self, now: float) -> None:
-        needed = self._read_late_seconds()
+        needed = self._read_quantile(LATE_QUANTILE)
         late = [
             entry.attempt
             for entry in self._waiting.values()
--- a/tests/lab/__init__.py
+++ b/tests/lab/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the lab."""
+"""Tests of the proofs and measurements."""
