--- a/samphirevale/handovers.py
+++ b/samphirevale/handovers.py
@@ -48,9 +48,10 @@
 
 
 def digest_prefix(value: Any) -> str:
-    """Returns the name of a prompt's prefix in engines' cache events."""
+    """Returns the name of a prompt's prefix in heartbeats."""
     prompt = endpoints.build_prompt(value)
-    return hashlib.sha256(prompt[:PREFIX_CHARACTERS].encode()).hexdigest()
+    digest = hashlib.sha256(prompt[:PREFIX_CHARACTERS].encode()).hexdigest()
+    return digest[: messages.PREFIX_DIGITS]
 
 
 class StageRun:
