Find peers by pool and endpoint; never overwrite what a heartbeat said

(2) adopt_list wrote members back after waits, so that a heartbeat taken in meanwhile, with its word that the sidecar is leaving, was overwritten until the next one. Change: PeerTable keeps peers by pool and by endpoint; the attempt's deadline is worked out once; members are assigned with no wait in between. Ruled out: caching the expected times for some milliseconds (a stale view is what the routing works against).

--- a/samphirevale/handovers.py
+++ b/samphirevale/handovers.py
@@ -88,6 +88,7 @@
         self._stage = stage
         self._payload = payload
         self._deadline_at = deadline_at
+        self._attempt_deadline_at = deadline_at
         self._progress = shared
         self._emit = emit
         self._repeatable = callers.is_repeatable(stage, request.idempotent)
@@ -143,8 +144,8 @@
 
     def _choose_endpoint(self, last: messages.Refusal | None) -> str:
         now = self._node.clock.now()
-        remaining = self._limit_attempt(now) - now
-        if deadlines.should_cancel(now + remaining, now):
+        self._attempt_deadline_at = self._limit_attempt(now)
+        if deadlines.should_cancel(self._attempt_deadline_at, now):
             self._progress.refuse(
                 "late",
                 f"stage {self._stage['name']} would end too late",
@@ -155,7 +156,7 @@
             now,
             prefix=self._read_prefix(),
             exclude=self._tried,
-            remaining_seconds=remaining,
+            remaining_seconds=self._attempt_deadline_at - now,
         )
         if choice is None:
             self._refuse_unserved(last)
@@ -321,7 +322,7 @@
             account=request.account,
             payload=self._payload,
             remaining_ms=deadlines.encode_remaining_ms(
-                self._limit_attempt(now), now
+                self._attempt_deadline_at, now
             ),
             priority=request.priority,
             repeatable=self._repeatable,
--- a/samphirevale/sidecars.py
+++ b/samphirevale/sidecars.py
@@ -228,24 +228,39 @@
         self._rng = rng
         self._clock = clock
         self._tasks: dict[str, curio.Task] = {}
+        # By pool and address, and by endpoint, of those once connected.
+        self._by_pool: dict[str, dict[str, Peer]] = {}
+        self._by_endpoint: dict[str, Peer] = {}
         self.leaving = False
 
     def find(self, endpoint: str) -> Peer | None:
         """Returns the connected peer beside `endpoint`, or None."""
-        for peer in self.peers.values():
-            if peer.endpoint == endpoint and peer.connected.is_set():
-                return peer
-        return None
+        peer = self._by_endpoint.get(endpoint)
+        return peer if peer and peer.connected.is_set() else None
 
     def list_ready(self, pool: str, now: float) -> list[Peer]:
         """Returns the peers of a pool that may take new work now."""
         return [
             peer
-            for peer in self.peers.values()
+            for peer in self._by_pool.get(pool, {}).values()
             if peer.may_take_work(now, self._settings.suspect_seconds)
-            and peer.hello.pool == pool
         ]
 
+    def enroll(self, peer: Peer) -> None:
+        """Takes in what a peer's hello says of its endpoint and pool."""
+        self._withdraw(peer)
+        self._by_endpoint[peer.endpoint] = peer
+        pool = self._by_pool.setdefault(peer.hello.pool, {})
+        pool[peer.address] = peer
+
+    def _withdraw(self, peer: Peer) -> None:
+        for pool in self._by_pool.values():
+            pool.pop(peer.address, None)
+        # Its endpoint may be another one than when it was enrolled.
+        for name, held in list(self._by_endpoint.items()):
+            if held is peer:
+                del self._by_endpoint[name]
+
     async def adopt_list(
         self, listed: Iterable[objects.ListedInstance]
     ) -> None:
@@ -260,20 +275,26 @@
         ]
         members = {name: peer.member for name, peer in self.peers.items()}
         adopted = membership.adopt_list(members, by_address, self._clock())
+        # Without a wait in between, in which a heartbeat could be taken in
+        # and then be overwritten.
+        for address in set(self.peers) & set(adopted):
+            self.peers[address].member = adopted[address]
         for address in set(self.peers) - set(adopted):
             await self._drop(address)
-        for address, member in adopted.items():
-            if address not in self.peers:
-                await self._add(address)
-            self.peers[address].member = member
+        for address in set(adopted) - set(self.peers):
+            await self._add(address, adopted[address])
 
     async def add_known(self, addresses: Iterable[str]) -> None:
         """Dials sidecars that the settings name."""
         for address in addresses:
             await self._add(address)
 
-    async def _add(self, address: str) -> None:
+    async def _add(
+        self, address: str, member: membership.Peer | None = None
+    ) -> None:
         peer = Peer(address, self._holder)
+        if member is not None:
+            peer.member = member
         self.peers[address] = peer
         self._tasks[address] = await curio.spawn(
             self._keep_connected, peer, daemon=True
@@ -284,6 +305,7 @@
         task = self._tasks.pop(address)
         await task.cancel()
         peer = self.peers.pop(address)
+        self._withdraw(peer)
         self._events.lost(peer)
 
     async def close(self) -> None:
@@ -317,6 +339,7 @@
         if not isinstance(frame.message, messages.Hello):
             raise errors.ProtocolError("the first message is a hello")
         await peer.attach(link, frame.message, self._clock())
+        self.enroll(peer)
         beating = await curio.spawn(self._send_heartbeats, link, daemon=True)
         watching = await curio.spawn(self._watch_silence, peer, daemon=True)
         try:
--- a/tests/nodes.py
+++ b/tests/nodes.py
@@ -83,6 +83,7 @@
         await self.peer.attach(self, hello, now)
         self.peer.heartbeat = self.heartbeat
         self._entry.node.peers.peers[self.peer.address] = self.peer
+        self._entry.node.peers.enroll(self.peer)
         self._entry.node.router.note_report(
             hello.endpoint, hello.pool, "dc1", self.heartbeat, now
         )
