Name only changed prefixes in heartbeats

Cause: docs/CAPACITY.md: what breaks first is the bytes of heartbeats; one of an engine names up to 64 prefixes each time, 2.4 kB/s a connection (M), so that both of today's sites are over 12 kB/s with full caches. Change: a heartbeat carries what came and went since the last one of its connection; prefixes.py holds both sides. PROTOCOL_VERSION 3. Ruled out: a message of its own (the router would see prefixes and load of different moments); fewer prefixes (routing loses what it measures by).

--- a/samphirevale/messages.py
+++ b/samphirevale/messages.py
@@ -16,7 +16,7 @@
 from samphirevale import errors
 
 # Raised whenever a field is added, removed or changes its meaning.
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
 
 # The largest frame that is sent or read, in bytes.
 FRAME_BYTES_LIMIT = 4 * 1024 * 1024
@@ -89,8 +89,10 @@
         load_age_ms: age of the endpoint's own load report inside `running`.
         batches: ids of the batches that the endpoint has loaded.
         prefixes: the first PREFIX_DIGITS of the digests of the prompt
-            prefixes that it has cached.
+            prefixes that it has cached; on the wire only those that the
+            last heartbeat of the connection did not have (prefixes.py).
         healthy: the sidecar reaches its endpoint.
+        prefixes_gone: on the wire those that the last one had too many.
     """
 
     sequence: int
@@ -104,6 +106,7 @@
     batches: list[str] = []
     prefixes: list[str] = []
     healthy: bool = True
+    prefixes_gone: list[str] = []
 
 
 @register("handover")
--- a/samphirevale/peers.py
+++ b/samphirevale/peers.py
@@ -7,7 +7,7 @@
 
 import curio
 
-from samphirevale import errors, messages
+from samphirevale import errors, messages, prefixes
 
 # The most messages that wait to be sent to one entry; one that reads so
 # slowly is taken for gone.
@@ -32,6 +32,7 @@
     Attributes:
         hello: what the entry said of itself.
         sequences: numbers the heartbeats to it.
+        prefixes: which cached prefixes it has been told.
         requested_at: when its snapshot was last asked for.
     """
 
@@ -40,6 +41,7 @@
         self.hello = hello
         self.requested_at = float("-inf")
         self.sequences = itertools.count()
+        self.prefixes = prefixes.Sender()
         self._outbox = curio.Queue()
         self._unsent = 0
         self._closed = False
--- a/samphirevale/sidecar.py
+++ b/samphirevale/sidecar.py
@@ -240,7 +240,8 @@
 
     async def _post_heartbeat(self, peer: peers.Peer) -> bool:
         metrics.HEARTBEATS.labels(direction="sent").inc()
-        return await peer.post(self._build_heartbeat(next(peer.sequences)))
+        beat = self._build_heartbeat(next(peer.sequences))
+        return await peer.post(peer.prefixes.reduce(beat))
 
     def _build_heartbeat(self, sequence: int) -> messages.Heartbeat:
         now = time.monotonic()
--- a/samphirevale/sidecars.py
+++ b/samphirevale/sidecars.py
@@ -13,6 +13,7 @@
     membership,
     messages,
     metrics,
+    prefixes,
     snapshots,
 )
 from samphirevale.adapters import link as links
@@ -81,6 +82,7 @@
         self.exchanges: dict[str, Exchange] = {}
         self.connected = curio.Event()
         self._link: links.Link | None = None
+        self._prefixes = prefixes.Receiver()
         self._holder = holder
 
     @property
@@ -111,6 +113,10 @@
             return False
         return self.heartbeat.healthy
 
+    def take_heartbeat(self, heartbeat: messages.Heartbeat) -> None:
+        """Takes in a heartbeat as it came over the wire."""
+        self.heartbeat = self._prefixes.restore(heartbeat)
+
     def note_frame(
         self, message: Any, now: float, suspect_seconds: float
     ) -> None:
@@ -176,6 +182,7 @@
             self.member, hello.incarnation, now
         )
         self._link = link
+        self._prefixes = prefixes.Receiver()
         self.hello = hello
         self.heartbeat = None
         await self.connected.set()
@@ -393,7 +400,7 @@
     ) -> None:
         match message:
             case messages.Heartbeat():
-                peer.heartbeat = message
+                peer.take_heartbeat(message)
                 self._events.heartbeat(peer)
             case messages.Chunk() | messages.Result() | messages.Refusal():
                 await self._deliver(peer, message)
--- /dev/null
+++ b/tests/test_prefixes.py
@@ -0,0 +1,32 @@
+"""Tests of prefixes."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from samphirevale import messages, prefixes
+from tests import base
+
+SETS = st.lists(st.sets(st.sampled_from("abcdefgh")), max_size=8)
+
+
+class PrefixesTest(base.TestCase):
+    """What the receiver holds is what the sender has, beat by beat."""
+
+    @settings(derandomize=True)
+    @given(SETS)
+    def test_restores_every_set(self, sets):
+        sender, receiver = prefixes.Sender(), prefixes.Receiver()
+        for number, held in enumerate(sets):
+            beat = messages.Heartbeat(number, False, prefixes=sorted(held))
+            restored = receiver.restore(sender.reduce(beat))
+            self.assertEqual(held, set(restored.prefixes))
+
+    def test_says_only_what_has_changed(self):
+        sender = prefixes.Sender()
+        beat = messages.Heartbeat(0, False, prefixes=["a", "b"])
+        self.assertEqual(["a", "b"], sender.reduce(beat).prefixes)
+        again = sender.reduce(beat)
+        self.assertEqual(([], []), (again.prefixes, again.prefixes_gone))
+        changed = sender.reduce(beat._replace(prefixes=["b", "c"]))
+        self.assertEqual(["c"], changed.prefixes)
+        self.assertEqual(["a"], changed.prefixes_gone)
