Choose ports below those of outgoing connections

Ports came from the system's own range for outgoing connections, of which thousands are made on this machine meanwhile.

--- a/lab/processes.py
+++ b/lab/processes.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -21,6 +22,10 @@
 START_SECONDS = 20.0
 STOP_SECONDS = 20.0
 
+# Programs get ports from the first to before the last.
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
+
 # The interval between looks at a program that starts, in seconds.
 POLL_SECONDS = 0.01
 
@@ -216,11 +221,19 @@
 
 
 def choose_port() -> int:
-    """Returns a free TCP port of 127.0.0.1, each one once."""
+    """Returns a free TCP port of 127.0.0.1, each one once.
+
+    It lies below the ports that the system gives to outgoing connections,
+    one of which might else take it before the program listens.
+    """
     while True:
+        port = random.randrange(FIRST_PORT, LAST_PORT)
+        if port in _chosen_ports:
+            continue
         with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            port = probe.getsockname()[1]
-        if port not in _chosen_ports:
-            _chosen_ports.add(port)
-            return port
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _chosen_ports.add(port)
+        return port
