--- /dev/null
+++ b/lab/slopes.py
@@ -0,0 +1,162 @@
+"""`make slopes`: what one more peer, request, token or account costs.
+
+    python -m lab.slopes [--write] [--kept] [name ...]
+
+Measures real processes on this machine, fits a line to each figure, prints
+a table and, as the last line, one JSON object. With `--write` it puts the
+tables into docs/CAPACITY.md: the slopes, and what the fleet of the letter
+needs by them (lab/fleet.py). A run of all measurements is kept in build/;
+`--kept` builds the tables from it again.
+"""
+
+import argparse
+import json
+import sys
+import time
+
+from lab import (
+    attempts,
+    connections,
+    figures,
+    fits,
+    fleet,
+    pages,
+    processes,
+    requests,
+    revisions,
+)
+
+PAGE = processes.ROOT / "docs" / "CAPACITY.md"
+
+# Where the fits of the last whole run are kept.
+KEPT = processes.ROOT / "build" / "slopes.json"
+
+# The modules that register measurements.
+MODULES = (connections, requests, attempts, revisions)
+
+# The names of the tables in the page.
+TABLES = ("slopes", "needs", "work", "store")
+
+HEAD = ("figure", "slope ± error", "unit", "per", "at 0 ± error", "points")
+
+NEEDS_HEAD = (
+    "layout",
+    "role",
+    "processor, ms/s (of 30)",
+    "memory, MB (of 64)",
+    "control, kB/s (of 12)",
+)
+WORK_HEAD = (
+    "tokens a frame",
+    "entries: requests",
+    "entries: tokens",
+    "sidecars: attempts",
+    "sidecars: tokens",
+    "entries at 60%",
+    "sidecars' cores at 60%",
+)
+STORE_HEAD = ("layout", "keyed", "reads/s (of 2,000)", "writes/s (of 400)")
+
+Fits = dict[str, dict[str, fits.Fit]]
+
+
+def build_rows(found: Fits) -> list[tuple[str, ...]]:
+    """Returns the rows of the table."""
+    return [
+        _build_row(f"{name}.{figure.name}", figure, found[name][figure.name])
+        for name in found
+        for figure in figures.MEASUREMENTS[name].figures
+    ]
+
+
+def _build_row(
+    name: str, figure: figures.Figure, fit: fits.Fit
+) -> tuple[str, ...]:
+    show = figures.format_number
+    return (
+        f"`{name}`",
+        f"{show(fit.slope)} ± {show(fit.slope_error)}",
+        figure.unit,
+        figure.per,
+        f"{show(fit.intercept)} ± {show(fit.intercept_error)}",
+        str(fit.points),
+    )
+
+
+def measure_all(names: list[str]) -> Fits:
+    """Runs figures one after the other."""
+    found = {}
+    for name in names:
+        started_at = time.monotonic()
+        found[name] = figures.summarize(name)
+        seconds = time.monotonic() - started_at
+        print(f"{name}: {seconds:.0f} s", file=sys.stderr, flush=True)
+    return found
+
+
+def build_tables(found: Fits) -> dict[str, list[str]]:
+    """Returns the lines of each table of the page, by name."""
+    return {
+        "slopes": pages.build_table(HEAD, build_rows(found)),
+        "needs": pages.build_table(NEEDS_HEAD, fleet.build_need_rows(found)),
+        "work": pages.build_table(WORK_HEAD, fleet.build_work_rows(found)),
+        "store": pages.build_table(STORE_HEAD, fleet.build_store_rows(found)),
+    }
+
+
+def build_json(found: Fits) -> str:
+    """Returns all fits as one line of JSON."""
+    return json.dumps(
+        {
+            name: {figure: fit._asdict() for figure, fit in lines.items()}
+            for name, lines in found.items()
+        }
+    )
+
+
+def read_kept() -> Fits:
+    """Returns the fits of the last whole run."""
+    kept = json.loads(KEPT.read_text(encoding="utf-8"))
+    return {
+        name: {figure: fits.Fit(**fit) for figure, fit in found.items()}
+        for name, found in kept.items()
+    }
+
+
+def keep(found: Fits) -> None:
+    """Keeps the fits of a whole run."""
+    KEPT.parent.mkdir(exist_ok=True)
+    KEPT.write_text(build_json(found), encoding="utf-8")
+
+
+def main() -> None:
+    """Runs the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("names", nargs="*", help="measurements; all if none")
+    parser.add_argument(
+        "--write", action="store_true", help="rewrite the page's tables"
+    )
+    parser.add_argument(
+        "--kept", action="store_true", help="take the last whole run"
+    )
+    arguments = parser.parse_args()
+    if arguments.names and (arguments.write or arguments.kept):
+        parser.error("--write and --kept go with all measurements")
+    if arguments.kept:
+        found = read_kept()
+    else:
+        found = measure_all(arguments.names or list(figures.MEASUREMENTS))
+    if arguments.names:
+        tables = {"slopes": pages.build_table(HEAD, build_rows(found))}
+    else:
+        keep(found)
+        tables = build_tables(found)
+    for name, lines in tables.items():
+        print("\n".join([f"\n{name}", *lines]))
+        if arguments.write:
+            pages.rewrite(PAGE, name, lines)
+    print(build_json(found))
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -4,7 +4,12 @@
 
 import curio
 
-from samphirevale import answers, errors, handovers
+from samphirevale import (
+    answers,
+    errors,
+    handovers,
+    progress,
+)
 from samphirevale.ports import endpoints
 from tests import base, nodes
 
@@ -22,7 +27,7 @@
 
     def setUp(self):
         super().setUp()
-        self.progress = handovers.Progress()
+        self.progress = progress.Progress()
         self.emitted: list[str] = []
 
     async def emit(self, sequence: int, tokens: list[str]) -> None:
@@ -175,7 +180,7 @@
         self.assertEqual(("not_run", []), (outcome, sidecar.handovers))
 
 
-class ProgressTest(nodes.EntryTestCase):
+class ProgressTest(base.TestCase):
     """What a refusal tells after what has been handed over."""
 
     def test_outcomes(self):
@@ -187,19 +192,19 @@
             ([True, False], [], "unknown"),
             ([False, False], [False], "unknown"),
         ):
-            progress = handovers.Progress()
+            seen = progress.Progress()
             for repeatable in handed:
-                progress.note_handed(repeatable)
+                seen.note_handed(repeatable)
             for repeatable in returned:
-                progress.note_not_run(repeatable)
-            self.assertEqual(outcome, progress.read_outcome())
+                seen.note_not_run(repeatable)
+            self.assertEqual(outcome, seen.read_outcome())
 
 
 class PrefixTest(base.TestCase):
-    """The prefix that an entry looks for is the one that an engine caches."""
+    """The prefix that an entry looks for names one that an engine caches."""
 
     def test_is_of_the_prompt_that_the_sidecar_sends(self):
         for value in ("São Paulo", {"rows": 7, "farm": "Serra Gaúcha"}):
             prompt = endpoints.build_prompt(value)
-            expected = hashlib.sha256(prompt[:64].encode()).hexdigest()
-            self.assertEqual(handovers.digest_prefix(value), expected)
+            digest = hashlib.sha256(prompt[:64].encode()).hexdigest()
+            self.assertEqual(handovers.digest_prefix(value), digest[:16])
--- a/tests/test_operator_session.py
+++ b/tests/test_operator_session.py
@@ -1,13 +1,8 @@
 """A whole session of operators, held against a golden file, and a race.
 
-After a wanted change of what operators see, or to add a command to the file,
-rewrite it and read its difference:
-
-    REWRITE_GOLDEN=1 python -m tests tests.test_operator_session
+To add a command, add it to the golden file and rewrite it (tests/goldens.py).
 """
 
-import os
-import pathlib
 import threading
 from typing import Any
 
@@ -16,12 +11,9 @@
 from lab import deployments, sessions
 from lab import run as lab_run
 from samphirevale import client
-from tests import base
-
-GOLDEN = pathlib.Path(__file__).parent / "golden" / "operator-session.txt"
+from tests import base, goldens
 
-# Set to anything, this environment variable rewrites the golden file.
-REWRITE = "REWRITE_GOLDEN"
+GOLDEN = "operator-session.txt"
 
 SIZES = deployments.Sizes(entries=2, engines=2, stages=1, services=1)
 
@@ -45,12 +37,9 @@
             entry = self.deployment.entries["entry-0"]
             answer = lab_run.send_example(entry, name)
             self.assertEqual(answer["outcome"], "whole")
-        golden = GOLDEN.read_text()
+        golden = (goldens.DIRECTORY / GOLDEN).read_text(encoding="utf-8")
         session = sessions.run_session(self.deployment, golden)
-        if os.environ.get(REWRITE):
-            GOLDEN.write_text(session)
-        else:
-            self.assertEqual(golden, session)
+        goldens.check(self, GOLDEN, session)
 
     def test_of_two_operators_at_two_entries_one_wins(self):
         # So slow that both read the configuration before either has written.
