Assert that an entry's stop cuts off no request

Cause: shutdown_cuts_nothing was asserted by sidecars only, and no test held that an entry waits for its requests and for the outcomes that it writes in the background: both could be taken out unnoticed.

Entry.drain asserts the invariant once its wait is over; tests/test_entry.py holds the two waits and the violation.

Ruled out: a test with processes; it would need a request timed to the stop.

--- a/lab/mechanisms.py
+++ b/lab/mechanisms.py
@@ -402,6 +402,18 @@
         (_edit("sidecar", "await curio.sleep(LINGER_SECONDS)", "pass"),),
         ("tests.test_sidecar.LeavingTest",),
     ),
+    Ablation(
+        "an entry's stop waits for its requests",
+        GRACEFUL,
+        (_edit("entry", "while self._server.busy:", "while False:"),),
+        ("tests.test_entry.DrainTest",),
+    ),
+    Ablation(
+        "an entry's stop waits for outcomes to be written",
+        GRACEFUL,
+        (_edit("entry", "await self.node.keeper.finish()\n", "pass\n"),),
+        ("tests.test_entry.DrainTest",),
+    ),
     Ablation(
         "revision never lower",
         IN_FORCE,
@@ -648,7 +660,7 @@
             _edit(
                 "handovers",
                 "remaining_ms=deadlines.encode_remaining_ms(\n"
-                "                self._limit_attempt(now), now\n"
+                "                self._attempt_deadline_at, now\n"
                 "            ),",
                 "remaining_ms=request.deadline_ms,",
             ),
--- a/samphirevale/entry.py
+++ b/samphirevale/entry.py
@@ -364,6 +364,8 @@
             while self._server.busy:
                 await curio.sleep(CHECK_SECONDS)
             await self.node.keeper.finish()
+        busy = self._server.busy
+        invariants.check(invariants.SHUTDOWN_CUTS_NOTHING, not busy, busy=busy)
 
 
 @contextlib.asynccontextmanager
--- /dev/null
+++ b/tests/test_entry.py
@@ -0,0 +1,51 @@
+"""The end of an entry."""
+
+import types
+
+import curio
+
+from samphirevale import entry, errors, invariants
+from samphirevale.adapters import web
+from tests import nodes
+
+
+class DrainTest(nodes.EntryTestCase):
+    """An entry that stops, with one request and one outcome under way."""
+
+    async def drain(self, drain_seconds: float) -> None:
+        common = types.SimpleNamespace(drain_seconds=drain_seconds)
+        stopping = types.SimpleNamespace(
+            _server=self.server,
+            _settings=types.SimpleNamespace(common=common),
+            node=self.node,
+        )
+        await entry.Entry.drain(stopping)
+
+    def setUp(self):
+        super().setUp()
+        self.server = web.ServerState()
+        self.server.busy = 1
+        self.written = False
+
+    async def test_waits_for_requests_and_then_for_outcomes(self):
+        async def answer():
+            await curio.sleep(0.05)
+            await self.node.keeper.spawn(write)
+            self.server.busy = 0
+
+        async def write():
+            await curio.sleep(0.05)
+            self.written = True
+
+        task = await curio.spawn(answer)
+        await self.drain(10.0)
+        self.assertEqual((0, True), (self.server.busy, self.written))
+        self.assertTrue(self.server.draining)
+        self.assertTrue(self.node.peers.leaving)
+        await task.join()
+
+    async def test_a_request_that_is_cut_off_is_a_violation(self):
+        invariants.set_fatal(True)
+        self.addCleanup(invariants.set_fatal, False)
+        with self.assertRaises(errors.InvariantError):
+            await self.drain(0.05)
