Let a sidecar that no entry reaches read the store

Cause: found by the proof's author: a sidecar that holds a configuration and has no entry connected never looked at the store again, so that a recall or a drain did not reach it; its engine kept a recalled batch loaded. Change: while no entry is connected it reads every 1.5 to 3 s, drawn. Ruled out: a watch on the store, which would count one call for each sidecar all the time; reading at START_SECONDS, as a fleet cut off from its entries would read a thousand times a second.

--- a/samphirevale/sidecar.py
+++ b/samphirevale/sidecar.py
@@ -5,6 +5,7 @@
 give it its orders and do what is due by time.
 """
 
+import random
 import secrets
 import time
 from collections.abc import Awaitable, Callable
@@ -41,6 +42,10 @@
 # seconds. Once one is held, entries bring the newer ones.
 START_SECONDS = 1.0
 
+# The same while one is held and no entry is connected, in seconds. It is
+# longer, as a fleet cut off from its entries would all read at once.
+ALONE_SECONDS = 3.0
+
 # The longest wait for an entry's first message, in seconds.
 HELLO_SECONDS = 2.0
 
@@ -121,7 +126,7 @@
             self._run_tending,
             self._executor.raise_violation,
             self._reconciler.run,
-            self._read_first_configuration,
+            self._follow_configuration,
         ]
 
     async def _run_life(self, life: Any) -> None:
@@ -282,11 +287,17 @@
         metrics.PEERS.labels(kind="connected").set(len(self._peers))
         metrics.REVISION.set(self._holder.revision)
 
-    async def _read_first_configuration(self) -> None:
+    async def _follow_configuration(self) -> None:
+        """Reads the store whenever no entry brings the configuration."""
         while True:
             if not self._holder.is_known():
                 await self._read_configuration()
-            await curio.sleep(START_SECONDS)
+                await curio.sleep(START_SECONDS)
+                continue
+            seconds = random.uniform(ALONE_SECONDS / 2, ALONE_SECONDS)
+            await curio.sleep(seconds)
+            if not len(self._peers):
+                await self._read_configuration()
 
     async def _read_configuration(self) -> None:
         try:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -17,7 +17,7 @@
     sidecar,
 )
 from samphirevale.adapters import link, web
-from tests import base
+from tests import base, fakes
 
 SECRET = "a-secret-between-processes"
 ANSWER = ["a", "b", "c", "d"]
@@ -295,6 +295,31 @@
             self.assertEqual(ending.count, 4)
 
 
+class AloneTest(SidecarTestCase):
+    """A sidecar that no entry reaches."""
+
+    async def test_reads_newer_configurations_from_the_store(self):
+        store = fakes.FakeStore()
+        key = (configuration.OBJECT_KIND, configuration.OBJECT_NAME)
+        fast = mock.patch.multiple(
+            sidecar, START_SECONDS=0.01, ALONE_SECONDS=0.02
+        )
+        with fast:
+            async with self.running():
+                self.sidecar._store = store
+                first = self.build_configuration(1)
+                stored = await store.create(*key, first)
+                await self.wait_for_revision(1)
+                second = self.build_configuration(2, "recalled")
+                await store.update(*key, second, stored.version)
+                await self.wait_for_revision(2)
+                self.assertTrue(self.sidecar._holder.is_recalled("b1"))
+
+    async def wait_for_revision(self, revision):
+        while self.sidecar._holder.revision < revision:
+            await curio.sleep(0.01)
+
+
 class OnceTest(SidecarTestCase):
     """An attempt is run once, and its ending is given to who asks again."""
 
