Hold engines against what they are to keep loaded, exactly

By batches.list_wanted an engine keeps the two newest of a model, so the check was wrong, and it overlooked batches that are loaded beyond those. Ruled out: a lost order; the traces show b-34 and race-36-4, the two newest, loaded on all three engines and nothing else. Change: the check asks for exactly the wanted batches, which is stricter on what is left loaded.

--- a/lab/verdicts.py
+++ b/lab/verdicts.py
@@ -5,6 +5,7 @@
 from typing import Any, NamedTuple
 
 from lab import evidence
+from samphirevale import batches
 from standins import generation, records
 
 # What an order may take to be in force everywhere, in seconds.
@@ -19,6 +20,9 @@
 # The most endpoints that one input may crash.
 CRASHES_MOST = 2
 
+# The pool of the engines.
+ENGINES = "engines"
+
 # The engines' stand-ins draw their number of tokens between these.
 TOKENS_LEAST = 24
 TOKENS_MOST = 64
@@ -445,18 +449,18 @@
 @register("orders_last")
 def find_wrong_engines(found: evidence.Evidence) -> Iterator[dict[str, Any]]:
     """At the end each engine has loaded what the configuration says."""
-    batches = found.configuration.get("batches", {})
-    wanted = {n for n, b in batches.items() if b["state"] == "serving"}
-    recalled = {n for n, b in batches.items() if b["state"] == "recalled"}
+    if not found.configuration:
+        return
+    # An engine keeps the newest serving batches, and nothing else.
+    wanted = set(batches.list_wanted(found.configuration, ENGINES))
     for name, state in found.engines.items():
         loaded = set(state["batches"])
-        missing, left = wanted - loaded, recalled & loaded
-        if missing or left:
+        if loaded != wanted:
             yield {
                 "engine": name,
                 "loaded": sorted(loaded),
-                "missing": sorted(missing),
-                "recalled_yet_loaded": sorted(left),
+                "missing": sorted(wanted - loaded),
+                "left": sorted(loaded - wanted),
             }
 
 
--- a/tests/lab/test_verdicts.py
+++ b/tests/lab/test_verdicts.py
@@ -85,6 +85,15 @@
     return evidence.Exit("sidecar-booking-0", status, expected, 10.0, "")
 
 
+def build_batch(order: int, state: str = "serving") -> dict:
+    return {
+        "model": "assistant",
+        "pool": "engines",
+        "state": state,
+        "order": order,
+    }
+
+
 def build_evidence(**changes) -> evidence.Evidence:
     found = evidence.Evidence(
         answers=[],
@@ -98,8 +107,8 @@
             "revision": 5,
             "orders": [{"id": "o1"}],
             "batches": {
-                "b1": {"state": "serving"},
-                "b2": {"state": "recalled"},
+                "b1": build_batch(1),
+                "b2": build_batch(2, "recalled"),
             },
         },
         engines={},
@@ -326,6 +335,20 @@
         self.check({"crash_input_contained"}, runs=runs)
         self.check(set(), runs=runs[:2])
 
+    def test_engine_keeps_the_newest_serving_batches(self):
+        serving = {f"b{order}": build_batch(order) for order in range(1, 5)}
+        held = {"revision": 5, "orders": [{"id": "o1"}], "batches": serving}
+        for loaded, expected in (
+            (["b3", "b4"], set()),
+            (["b1", "b3", "b4"], {"orders_last"}),
+            (["b2", "b4"], {"orders_last"}),
+        ):
+            self.check(
+                expected,
+                configuration=held,
+                engines={"engine-0": {"batches": loaded}},
+            )
+
     def test_engine_with_another_state(self):
         for loaded in ([], ["b1", "b2"]):
             self.check(
