Measure tokens by stage and the time until a caller knows

Change: the fake engines count generated tokens; an outcome says how long after the giving up, at the sidecar or the entry, its caller knew.

--- a/lab/endpoints.py
+++ b/lab/endpoints.py
@@ -47,11 +47,13 @@
     Attributes:
         work: by request and pool, in seconds alone at full speed.
         busy: the same in seconds at the endpoint.
+        tokens: generated tokens; a pool without tokens has no entry.
     """
 
     def __init__(self):
         self.work: dict[tuple[str, str], float] = {}
         self.busy: dict[tuple[str, str], float] = {}
+        self.tokens: dict[tuple[str, str], int] = {}
 
     def note(self, request: str, pool: str, work: float, busy: float) -> None:
         """Adds what was done for one attempt."""
@@ -59,6 +61,11 @@
         self.work[key] = self.work.get(key, 0.0) + work
         self.busy[key] = self.busy.get(key, 0.0) + busy
 
+    def note_tokens(self, request: str, pool: str, count: int) -> None:
+        """Adds what was generated for one attempt."""
+        key = (request, pool)
+        self.tokens[key] = self.tokens.get(key, 0) + count
+
 
 class Server:
     """Runs attempts that share one machine.
@@ -169,6 +176,7 @@
         self.queue = limits.AttemptQueue(limiter, slots, queue_limit)
         self._jobs: dict[str, Job] = {}
         self._started_at: dict[str, float] = {}
+        self._prompt_seconds: dict[str, float] = {}
         self._cached: dict[int, None] = {}
         self._events: list[tuple[float, str, bool]] = []
         self._told: dict[str, None] = {}
@@ -244,6 +252,7 @@
         done = functools.partial(self._finish, job.attempt)
         if self.pool == "engines":
             prompt = self._read_prompt_seconds(job.request.prefix)
+            self._prompt_seconds[job.attempt] = prompt
             first = prompt + sites.TOKEN_SECONDS
             work = prompt + job.request.tokens * sites.TOKEN_SECONDS
             marks = [(first, job.on_first), (work + 1e-9, done)]
@@ -271,6 +280,10 @@
         busy = now - self._started_at.pop(attempt)
         request = self._jobs[attempt].request.id
         self._ledger.note(request, self.pool, work, busy)
+        prompt = self._prompt_seconds.pop(attempt, None)
+        if prompt is not None:
+            generated = max(0.0, work - prompt) / sites.TOKEN_SECONDS
+            self._ledger.note_tokens(request, self.pool, round(generated))
         measured = None if ended_at is None else busy
         self.queue.note_ended(attempt, now, measured)
         return busy
--- a/lab/measure.py
+++ b/lab/measure.py
@@ -16,7 +16,7 @@
 import statistics
 from typing import Any, NamedTuple
 
-from lab import bound, sites, system, workload
+from lab import bound, endpoints, sites, system, workload
 
 # Runs of each scenario with fresh arrivals.
 REPEATS = 2
@@ -108,10 +108,13 @@
         work: work by pool in seconds alone.
         wasted: the part of it that was for answers not whole.
         busy: seconds at the endpoints by pool.
+        tokens: generated tokens by pool.
+        wasted_tokens: the part of them that was for answers not whole.
         first: seconds to the first token, of whole answers.
         end: seconds to the end, of whole answers.
         refused: how many were not whole, by reason.
         known: seconds until the callers of those knew.
+        notice: seconds from giving up until the callers of those knew.
         groups: arrived and whole, by `account:` and `kind:`, without the
             extra ones of a burst or an excess.
     """
@@ -125,10 +128,13 @@
     work: dict[str, float]
     wasted: dict[str, float]
     busy: dict[str, float]
+    tokens: dict[str, int]
+    wasted_tokens: dict[str, int]
     first: list[float]
     end: list[float]
     refused: dict[str, int]
     known: list[float]
+    notice: list[float]
     groups: dict[str, tuple[int, int]]
 
 
@@ -168,6 +174,7 @@
         busy[pool] += world.ledger.busy[request, pool]
         if request not in good:
             wasted[pool] += seconds
+    tokens, wasted_tokens = _count_tokens(world.ledger, good)
     return Record(
         site=task.site.name,
         scenario=task.scenario,
@@ -178,14 +185,30 @@
         work=dict(work),
         wasted=dict(wasted),
         busy=dict(busy),
+        tokens=tokens,
+        wasted_tokens=wasted_tokens,
         first=[item.first_seconds for item in whole],
         end=[item.end_seconds for item in whole],
         refused=dict(collections.Counter(item.reason for item in failed)),
         known=[item.end_seconds for item in failed],
+        notice=[item.notice_seconds for item in failed],
         groups=_count_groups(world.outcomes),
     )
 
 
+def _count_tokens(
+    ledger: endpoints.Ledger, good: set[str]
+) -> tuple[dict[str, int], dict[str, int]]:
+    """Returns the tokens by pool: all, and those of answers not whole."""
+    tokens: collections.Counter[str] = collections.Counter()
+    wasted: collections.Counter[str] = collections.Counter()
+    for (request, pool), count in ledger.tokens.items():
+        tokens[pool] += count
+        if request not in good:
+            wasted[pool] += count
+    return dict(tokens), dict(wasted)
+
+
 def _count_groups(
     outcomes: list[system.Outcome],
 ) -> dict[str, tuple[int, int]]:
@@ -217,10 +240,13 @@
         work=_add_up([item.work for item in records]),
         wasted=_add_up([item.wasted for item in records]),
         busy=_add_up([item.busy for item in records]),
+        tokens=_add_up([item.tokens for item in records]),
+        wasted_tokens=_add_up([item.wasted_tokens for item in records]),
         first=[value for item in records for value in item.first],
         end=[value for item in records for value in item.end],
         refused=_add_up([item.refused for item in records]),
         known=[value for item in records for value in item.known],
+        notice=[value for item in records for value in item.notice],
         groups=groups,
     )
 
@@ -438,6 +464,34 @@
         print(place + "; ".join(parts))
 
 
+def print_tokens(joined: Joined) -> None:
+    """Prints the tokens of stages that generate any, whole and wasted."""
+    print("\ntokens by stage: in whole answers, wasted")
+    for record in joined.values():
+        parts = []
+        for pool, count in sorted(record.tokens.items()):
+            wasted = record.wasted_tokens.get(pool, 0)
+            parts.append(f"{pool} {count - wasted} {wasted}")
+        place = f"{record.site:9}{record.scenario:17}{record.policy:15}"
+        print(place + "; ".join(parts))
+
+
+def print_notices(joined: Joined) -> None:
+    """Prints how long callers wait to learn that their request was dropped.
+
+    Callers are at no distance from their entry here; on the real path the
+    entry answers as soon as it knows.
+    """
+    print("\nms from giving up to the caller's knowing: p50/p99/most")
+    for record in joined.values():
+        values = [
+            1000 * read_quantile(record.notice, share)
+            for share in (0.5, 0.99, 1.0)
+        ]
+        place = f"{record.site:9}{record.scenario:17}{record.policy:15}"
+        print(place + "/".join(f"{value:.1f}" for value in values))
+
+
 def print_checks(checks: list[Check]) -> None:
     """Prints each target with its figures."""
     print()
@@ -514,6 +568,8 @@
     joined = run_all(options.seed, names, repeats, SYSTEMS)
     print_tables(joined)
     print_costs(joined)
+    print_tokens(joined)
+    print_notices(joined)
     print_means(joined)
     checks = check_targets(joined)
     print_checks(checks)
--- a/lab/system.py
+++ b/lab/system.py
@@ -44,6 +44,8 @@
         first_seconds: time to the first token (or to the end, where
             nothing is generated); None if there was none.
         end_seconds: time until the caller knew the outcome.
+        notice_seconds: time from giving up, at the sidecar or at the entry,
+            until the caller knew; 0 if whole.
     """
 
     request: workload.Request
@@ -51,6 +53,7 @@
     reason: str
     first_seconds: float | None
     end_seconds: float
+    notice_seconds: float
 
 
 class World:
@@ -207,6 +210,7 @@
         self._attempt = ""
         self._sidecar: endpoints.Sidecar | None = None
         self._first_seconds: float | None = None
+        self._given_up_at = 0.0
         self._ended = False
         self._inside = False
         self._admitted = False
@@ -289,6 +293,8 @@
         distance = self._measure()
 
         def end(outcome: str, reason: str, busy: float) -> None:
+            if attempt == self._attempt:
+                self._given_up_at = self._clock.now
             self._clock.call_later(
                 distance,
                 self._note_ended,
@@ -349,7 +355,7 @@
         if self._entry.retries.decide(ending, expected, remaining).retry:
             self._send()
         else:
-            self._end(reason)
+            self._end(reason, self._clock.now - self._given_up_at)
 
     def _give_up(self) -> None:
         if self._ended:
@@ -368,7 +374,7 @@
     def _measure(self) -> float:
         return measure_distance(self._entry.data_centre, self._sidecar)
 
-    def _end(self, reason: str) -> None:
+    def _end(self, reason: str, notice_seconds: float = 0.0) -> None:
         now = self._clock.now
         self._ended = True
         if self._inside:
@@ -382,7 +388,14 @@
         if not reason and first is None:
             first = seconds
         self._entry.world.outcomes.append(
-            Outcome(self._request, not reason, reason, first, seconds)
+            Outcome(
+                self._request,
+                not reason,
+                reason,
+                first,
+                seconds,
+                notice_seconds,
+            )
         )
 
 
--- a/tests/lab/test_measure.py
+++ b/tests/lab/test_measure.py
@@ -1,6 +1,7 @@
 """Tests of the measurement, and a paired comparison by it."""
 
 from lab import bound, measure, sites, system, workload
+from samphirevale import routing
 from tests import base
 
 SITE = sites.SITES[1]
@@ -53,6 +54,21 @@
             share = self.count_whole(policy) / len(self.requests)
             self.assertLessEqual(share, best)
 
+    def test_tokens_of_whole_answers_are_all_counted(self):
+        for policy, world in self.worlds.items():
+            for item in world.outcomes:
+                if not item.whole or item.request.kind != "draft":
+                    continue
+                counted = world.ledger.tokens[item.request.id, "engines"]
+                self.assertGreaterEqual(counted, item.request.tokens, policy)
+
+    def test_callers_know_of_a_refusal_at_once(self):
+        longest = routing.REMOTE_DISTANCE_SECONDS
+        for world in self.worlds.values():
+            for item in world.outcomes:
+                self.assertGreaterEqual(item.notice_seconds, 0.0)
+                self.assertLessEqual(item.notice_seconds, longest + 1e-9)
+
     def test_the_same_seed_gives_the_same_run(self):
         again = run(measure.CHOSEN, self.requests, self.scenario)
         self.assertEqual(again.outcomes, self.worlds[measure.CHOSEN].outcomes)
