Test that an endpoint on probation gets one probe at a time

Cause: a mutant without the rule passed all tests, as the load of the probe alone kept work from the endpoint. Change: a test with round robin, which asks for no load. It fails with the rule taken out.

--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -154,6 +154,18 @@
         router.note_sent("x", "probe", later)
         self.assertEqual(count_choices(router, later)["x"], 0)
 
+    def test_only_one_probe_at_a_time(self):
+        # Round robin asks for no load, so that nothing else than the rule
+        # keeps work from the endpoint on probation.
+        router = build_router("round_robin")
+        self.eject(router, "x")
+        later = 0.2 + routing.EJECTION_SECONDS
+        self.assertEqual(count_choices(router, later)["x"], 25)
+        router.note_sent("x", "probe", later)
+        self.assertEqual(count_choices(router, later)["x"], 0)
+        router.note_ended("x", "probe", later, 0.1, "ok")
+        self.assertEqual(count_choices(router, later)["x"], 25)
+
     def test_failed_probe_ejects_again(self):
         router = build_router()
         self.eject(router, "x")
