Cancel copies of an input as soon as its crash is known

Cause: docs/PROOFS.md listed it as open: copies of one input that run at once on several endpoints can crash more than two, as quarantine decides only before an attempt. Change: a crash notice is told to the other open attempts of its input; one that may be repeated is cancelled and run again as a trial, if the store reserves one. Copies that crash before the notice has come still count. Ruled out: one run at a time for every input that has not been seen whole before; equal inputs at once are common and harmless. Evidence: test_copy_of_an_input_that_crashed_is_run_again_as_a_trial failed (time limit) with the case taken out, and passes. make test: 423 passed.

--- a/samphirevale/entry.py
+++ b/samphirevale/entry.py
@@ -201,6 +201,7 @@
         self.node.quarantine.add_crashes(
             notice.fingerprint, [notice.attempt], now
         )
+        await self.node.peers.suspect_input(notice)
         await self.node.keeper.spawn(
             quarantine.record_crash,
             self.node.store,
--- a/samphirevale/handovers.py
+++ b/samphirevale/handovers.py
@@ -358,6 +358,13 @@
                     return self._build_lost(exchange)
                 case sidecars.PeerSuspected() if self._repeatable:
                     return self._build_lost(exchange)
+                case sidecars.InputSuspected() if self._repeatable:
+                    return self._build_refusal(
+                        exchange.handover,
+                        "failed",
+                        "crashed",
+                        "its input has crashed another endpoint",
+                    )
 
     def _is_outcome_due(self, refusal: messages.Refusal) -> bool:
         """Tells whether the sidecar will know the outcome later.
--- a/samphirevale/quarantine.py
+++ b/samphirevale/quarantine.py
@@ -7,7 +7,8 @@
 is enough to refuse.
 
 Copies of one input that were running already when its first crash became
-known are not stopped by this.
+known are cancelled by the entries (sidecars.PeerTable.suspect_input); those
+that crash before the notice has come count all the same.
 """
 
 import collections
--- a/samphirevale/sidecars.py
+++ b/samphirevale/sidecars.py
@@ -32,6 +32,14 @@
     """Put among an attempt's messages when its peer has fallen silent."""
 
 
+class InputSuspected(NamedTuple):
+    """Put among an attempt's messages when its input crashed elsewhere."""
+
+
+# What an attempt is told besides its peer's messages.
+NOTES = (LinkLost, PeerSuspected, InputSuspected)
+
+
 class Exchange:
     """One attempt on a peer: the messages that come back for it."""
 
@@ -43,9 +51,9 @@
         self._incoming = curio.Queue()
 
     async def receive(self) -> Any:
-        """Returns the next message, or LinkLost or PeerSuspected."""
+        """Returns the next message, or one of the NOTES."""
         message = await self._incoming.get()
-        if isinstance(message, LinkLost | PeerSuspected):
+        if isinstance(message, NOTES):
             return message
         wanted = self.handover
         invariants.check(
@@ -278,6 +286,22 @@
             if held is peer:
                 del self._by_endpoint[name]
 
+    async def suspect_input(self, notice: messages.CrashNotice) -> None:
+        """Tells the other open attempts of an input that it has crashed one.
+
+        They may be copies that began before the crash was known.
+        """
+        exchanges = [
+            exchange
+            for peer in self.peers.values()
+            for exchange in peer.exchanges.values()
+        ]
+        for exchange in exchanges:
+            handover = exchange.handover
+            is_other = handover.attempt != notice.attempt
+            if is_other and handover.fingerprint == notice.fingerprint:
+                await exchange.deliver(InputSuspected())
+
     async def adopt_list(
         self, listed: Iterable[objects.ListedInstance]
     ) -> None:
--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -169,6 +169,22 @@
         (record,) = await self.store.list_kind("quarantine")
         self.assertEqual([], record.value["trials"])
 
+    async def test_copy_of_an_input_that_crashed_is_run_again_as_a_trial(self):
+        async def crash_elsewhere(sidecar, handover):
+            notice = messages.CrashNotice(handover.fingerprint, "another")
+            now = self.node.clock.now()
+            self.node.quarantine.add_crashes("f", ["another"], now)
+            await self.node.peers.suspect_input(notice)
+
+        first = await self.add("encoders-0", "encoders", crash_elsewhere)
+        second = await self.add("encoders-1", "encoders")
+        await self.run_stage(ENCODING)
+        (left,), (trial,) = first.handovers, second.handovers
+        self.assertEqual([left.attempt], first.cancelled)
+        record = await self.store.get("quarantine", "f")
+        self.assertEqual(["another"], record.value["attempts"])
+        self.assertNotEqual(left.attempt, trial.attempt)
+
     async def test_suspect_input_does_not_run_without_a_trial(self):
         now = self.node.clock.now()
         self.node.quarantine.add_crashes("f", ["first"], now)
--- a/tests/test_sidecars.py
+++ b/tests/test_sidecars.py
@@ -59,6 +59,23 @@
             pass
         self.assertEqual(["a1"], sidecar.cancelled)
 
+    async def test_other_attempts_of_an_input_are_told_of_its_crash(self):
+        sidecar = await self.add("encoders-0", "encoders")
+        sidecar.steps = [stay_silent, stay_silent]
+        peer = sidecar.peer
+        other = HANDOVER._replace(attempt="a2", fingerprint="g")
+        async with (
+            peer.open_exchange(HANDOVER) as copy,
+            peer.open_exchange(other) as stranger,
+        ):
+            table = self.node.peers
+            await table.suspect_input(messages.CrashNotice("f", "a1"))
+            await table.suspect_input(messages.CrashNotice("g", "a0"))
+            told = await stranger.receive()
+            self.assertIsInstance(told, sidecars.InputSuspected)
+            await sidecar.say(RESULT)
+            self.assertEqual(RESULT, await copy.receive())
+
     async def test_ends_of_connections_are_told(self):
         sidecar = await self.add("encoders-0", "encoders", stay_silent)
         async with sidecar.peer.open_exchange(HANDOVER) as exchange:
