Take back starts by deadline and the stronger prefix preference

Open: starts by deadline for engines alone, and a preference in terms of the pool's service time, as a share of the endpoint's own hides that it is slow.

--- a/samphirevale/limits.py
+++ b/samphirevale/limits.py
@@ -27,10 +27,6 @@
 # has more.
 SAFE_QUANTILE = 0.9
 
-# Deadlines in the same step of this length count as equally urgent: among
-# them the account that was served least goes first, in seconds.
-URGENCY_STEP_SECONDS = 0.2
-
 # A slower answer than this many times the usual lowers an adaptive limit.
 LATENCY_TOLERANCE = 2.0
 
@@ -207,13 +203,6 @@
     deadline_at: float
 
 
-def _read_step(deadline_at: float) -> float:
-    """Returns the number of a deadline's step; infinite without one."""
-    if math.isinf(deadline_at):
-        return deadline_at
-    return deadline_at // URGENCY_STEP_SECONDS
-
-
 class AttemptQueue:
     """The attempts that wait at one endpoint, and those that it runs.
 
@@ -292,8 +281,7 @@
         """Returns the next attempt to start, or None.
 
         The most urgent priority first, then those that have time enough,
-        then the earliest deadline in steps, then the account that was served
-        least, then the order of arrival.
+        then the account that was served least, then the order of arrival.
         Attempts that would be late are left for `expire`.
         """
         if self.running >= self.limit:
@@ -307,7 +295,6 @@
             key=lambda item: (
                 item.priority,
                 item.deadline_at < safe_at,
-                _read_step(item.deadline_at),
                 self._served[item.account],
             ),
         )
--- a/samphirevale/routing.py
+++ b/samphirevale/routing.py
@@ -47,7 +47,7 @@
 # share that it counts for when endpoints are compared: to keep prefixes
 # apart is also worth what it saves later.
 PREFIX_SAVING_SHARE = 0.08
-PREFIX_PREFERENCE_SHARE = 1.0
+PREFIX_PREFERENCE_SHARE = 0.5
 
 # How long an own send with a prefix is taken as a sign of it being cached.
 PREFIX_MEMORY_SECONDS = 20.0
