Try again what was slow: probes where all would be late

A filing service had hung; the calls that may not be repeated are waited for up to 30 s past their deadline, and their age was told as the service time of new ones. The other filing endpoint had just been replaced, was not measured, and was taken to be as slow. As everything was refused, nothing was measured anew. The same holds after any freeze that makes smoothed times longer than deadlines, at the sidecar too (its queue dropped what it thought too late, also when idle). Change: calls past their deadline leave the mean age, and count at most their deadline when they end; an idle endpoint's next attempt is never dropped for its past; after 0.5 s in which all of a pipeline's requests were refused as late, one is taken as a probe. Ruled out: smaller weights of old measurements (any threshold above the deadline keeps refusing); a default for unmeasured endpoints (the measured one may be truly slow).

Besides: an entry whose port was taken lived on without listening, and a sidecar said that it was ready before it ended for that reason; both now end with the error first (test_entry.StartTest).

--- a/lab/mechanisms.py
+++ b/lab/mechanisms.py
@@ -674,8 +674,7 @@
             _edit("arrivals", "if now >= deadline_at:", "if False:"),
             _edit(
                 "limits",
-                "if now + wait + self._read_quantile(LATE_QUANTILE) "
-                "> deadline_at:",
+                "if now + wait + self._read_needed() > deadline_at:",
                 "if False:",
             ),
             _edit(
--- a/lab/processes.py
+++ b/lab/processes.py
@@ -1,6 +1,7 @@
 """Starts and stops programs of the project as processes on this machine."""
 
 import contextlib
+import os
 import pathlib
 import random
 import signal
@@ -26,6 +27,9 @@
 FIRST_PORT = 10_000
 LAST_PORT = 32_000
 
+# The ports of one process that starts programs.
+BLOCK_PORTS = 500
+
 # The interval between looks at a program that starts, in seconds.
 POLL_SECONDS = 0.01
 
@@ -224,10 +228,14 @@
     """Returns a free TCP port of 127.0.0.1, each one once.
 
     It lies below the ports that the system gives to outgoing connections,
-    one of which might else take it before the program listens.
+    one of which might else take it before the program listens, and in a
+    block of this process's own: another that starts programs at the same
+    moment, or has one that is down for a while, chooses elsewhere.
     """
+    blocks = (LAST_PORT - FIRST_PORT) // BLOCK_PORTS
+    first = FIRST_PORT + os.getpid() % blocks * BLOCK_PORTS
     while True:
-        port = random.randrange(FIRST_PORT, LAST_PORT)
+        port = random.randrange(first, first + BLOCK_PORTS)
         if port in _chosen_ports:
             continue
         with socket.socket() as probe:
--- a/samphirevale/admission.py
+++ b/samphirevale/admission.py
@@ -18,6 +18,10 @@
 # The same for an account that has had more than its share.
 OVER_SHARE_FILL_LIMIT = 0.6
 
+# How long a pipeline's requests are all refused as late before one is taken:
+# expected times are only measured anew by what is taken, in seconds.
+PROBE_SECONDS = 0.5
+
 # The time over which an account's use is remembered, in seconds.
 USE_SECONDS = 5.0
 
@@ -48,11 +52,13 @@
         admitted: it is.
         reason: if not: `late`, `share`, `stage_limit` or `unavailable`.
         retry_after_seconds: if not: when it may be worth asking again.
+        is_probe: it is taken to learn whether the expected times still hold.
     """
 
     admitted: bool
     reason: str = ""
     retry_after_seconds: float = 0.0
+    is_probe: bool = False
 
 
 class Question(NamedTuple):
@@ -170,6 +176,8 @@
         self.stretch = 1.0
         self._admitted: dict[str, _Admitted] = {}
         self._in_stage: dict[str, int] = {}
+        # By the pools of a pipeline: since when all has been refused as late.
+        self._late_since: dict[tuple[str, ...], float] = {}
         self._finished = DecayingSum(USE_SECONDS)
         self._refused = DecayingSum(USE_SECONDS)
 
@@ -202,6 +210,8 @@
             account, stages, remaining_seconds, expected_seconds
         )
         decision = self._policy(self, question, now)
+        if self._is_probe_due(decision, stages, now):
+            decision = Decision(True, is_probe=True)
         if not decision.admitted:
             self._refused.add(1, now)
             return decision
@@ -211,6 +221,24 @@
         self._admitted[request] = _Admitted(account, expected, now)
         return decision
 
+    def _is_probe_due(
+        self,
+        decision: Decision,
+        stages: Sequence[configuration.StageConfiguration],
+        now: float,
+    ) -> bool:
+        """Notes a decision; tells whether to take the request all the same."""
+        pools = tuple(stage["pool"] for stage in stages)
+        if decision.admitted:
+            self._late_since.pop(pools, None)
+            return False
+        if decision.reason != "late":
+            return False
+        if now - self._late_since.setdefault(pools, now) < PROBE_SECONDS:
+            return False
+        del self._late_since[pools]
+        return True
+
     def enter_stage(
         self, stage: configuration.StageConfiguration, now: float
     ) -> bool:
--- a/samphirevale/entry.py
+++ b/samphirevale/entry.py
@@ -78,6 +78,8 @@
         self._life = life
         self._server = web.ServerState()
         self._accounts: dict[str, str] = {}
+        # What runs for as long as the entry does.
+        self.tasks: list[curio.Task] = []
         rng = random.Random(secrets.randbits(64))
         holder = snapshots.SnapshotHolder(self._use_configuration)
         hello = messages.Hello(
@@ -314,18 +316,34 @@
         Raises:
             errors.InvariantError: an invariant was violated in fatal mode;
                 the task that found it may be one of many connections'.
+            Exception: a task that is to run for ever has failed with it.
         """
         while not self._life.stop.is_set():
+            self._check_tasks()
             await curio.ignore_after(
                 VIOLATION_CHECK_SECONDS, self._life.stop.wait
             )
             if violated := invariants.read_fatal():
                 raise errors.InvariantError(violated)
 
+    def _check_tasks(self) -> None:
+        """Raises what a task that is to run for ever has failed with."""
+        for task in self.tasks:
+            if task.terminated and task.exception is not None:
+                raise task.exception
+
     async def wait_configuration(self) -> None:
-        """Returns once there is a configuration, or on the order to stop."""
+        """Returns once there is a configuration, or on the order to stop.
+
+        Raises:
+            Exception: a task has failed, such as one that cannot listen.
+        """
+        # The tasks begin to listen at their first turn.
+        await curio.sleep(CHECK_SECONDS)
+        self._check_tasks()
         while not self.node.holder.is_known() and not self._life.stop.is_set():
             await curio.sleep(CHECK_SECONDS)
+            self._check_tasks()
 
     async def serve_admin(self) -> None:
         """Serves the admin port until cancelled."""
@@ -370,11 +388,11 @@
 
 
 @contextlib.asynccontextmanager
-async def run_task(function: Any, *args: Any) -> AsyncIterator[None]:
+async def run_task(function: Any, *args: Any) -> AsyncIterator[curio.Task]:
     """Runs a task for as long as the block lasts."""
     task = await curio.spawn(function, *args, daemon=True)
     try:
-        yield
+        yield task
     finally:
         await task.cancel()
 
@@ -394,7 +412,8 @@
             entry.serve_callers,
             entry.serve_admin,
         ):
-            await stack.enter_async_context(run_task(function))
+            task = await stack.enter_async_context(run_task(function))
+            entry.tasks.append(task)
         stack.push_async_callback(entry.node.peers.close)
         await entry.wait_configuration()
         await stack.enter_async_context(
--- a/samphirevale/execution.py
+++ b/samphirevale/execution.py
@@ -54,6 +54,7 @@
         pipeline = self._value["pipelines"][request.pipeline]
         self._stages = pipeline["stages"]
         self._stopped = pipeline["stopped"]
+        self._is_probe = False
         self.uses: list[callers.StageUse] = []
 
     async def run(self) -> callers.Answer:
@@ -119,6 +120,7 @@
                 "place of others",
                 decision.retry_after_seconds,
             )
+        self._is_probe = decision.is_probe
         whole = False
         try:
             yield
@@ -145,10 +147,13 @@
         """Returns when an attempt must have ended for later stages to fit.
 
         A later stage that has no endpoint just now is expected to take what
-        its configuration says: an endpoint may be back by then.
+        its configuration says: an endpoint may be back by then. So are all
+        of a probe, which is to learn what they take.
         """
         later = self._stages[self._stages.index(stage) + 1 :]
         service = [item["expected_ms"] / 1000 for item in later]
+        if self._is_probe:
+            return deadlines.reserve_for_later(self._deadline_at, service)
         expected = [self._expect_seconds(item, now) for item in later]
         known = [
             seconds if math.isfinite(seconds) else usual
--- a/samphirevale/limits.py
+++ b/samphirevale/limits.py
@@ -269,7 +269,7 @@
         if attempt in self._waiting or attempt in self._running:
             return Refused("duplicate", 0)
         wait = self._estimate_wait(self._count_before(account, priority))
-        if now + wait + self._read_quantile(LATE_QUANTILE) > deadline_at:
+        if now + wait + self._read_needed() > deadline_at:
             return Refused("late", self._estimate_retry_ms())
         if self.waiting >= self._queue_limit and not self._evict_for(account):
             return Refused("overloaded", self._estimate_retry_ms())
@@ -336,10 +336,13 @@
                 where that says nothing of its speed (failed, cancelled).
         """
         self._now = now
-        self._started_at.pop(attempt, None)
+        started_at = self._started_at.pop(attempt, now)
         entry = self._running.pop(attempt, None)
         if entry is None or service_seconds is None:
             return
+        # What is waited for past its deadline would count for many others.
+        most = max(entry.deadline_at - started_at, 0.0)
+        service_seconds = min(service_seconds, most)
         running = self.running + 1
         self._limiter.note_service(service_seconds, running)
         charged = service_seconds - self._service_seconds
@@ -356,8 +359,16 @@
         return 1000 * self._estimate_wait(self.waiting)
 
     def _read_mean_age(self) -> float:
-        """Returns how long the running attempts have run, on average."""
-        ages = [self._now - at for at in self._started_at.values()]
+        """Returns how long the running attempts have run, on average.
+
+        Those past their deadline are left out: a call that hangs for long
+        says nothing more of what a new one would take.
+        """
+        ages = [
+            self._now - started_at
+            for attempt, started_at in self._started_at.items()
+            if self._running[attempt].deadline_at > self._now
+        ]
         return sum(ages) / len(ages) if ages else 0.0
 
     def _smooth_service(self, seconds: float) -> None:
@@ -375,6 +386,14 @@
         times = sorted(self._recent)
         return times[int(share * (len(times) - 1))]
 
+    def _read_needed(self) -> float:
+        """Returns the least time that an attempt is thought to need.
+
+        None while nothing runs: an endpoint that has been slow shows by the
+        next attempt whether it still is, and would get none otherwise.
+        """
+        return self._read_quantile(LATE_QUANTILE) if self._running else 0.0
+
     def _estimate_wait(self, before: int) -> float:
         ahead = self.running + before - self.limit + 1
         return max(0, ahead) * self._service_seconds / self.limit
@@ -400,7 +419,7 @@
         return max(1, round(1000 * per_attempt * (1 + self.waiting / 2)))
 
     def _drop_late(self, now: float) -> None:
-        needed = self._read_quantile(LATE_QUANTILE)
+        needed = self._read_needed()
         late = [
             entry.attempt
             for entry in self._waiting.values()
--- a/samphirevale/sidecar.py
+++ b/samphirevale/sidecar.py
@@ -38,6 +38,9 @@
 # seconds: those that were on their way when the entries were told.
 LINGER_SECONDS = 0.5
 
+# How long after the start the process says that it is ready, in seconds.
+LISTEN_SECONDS = 0.02
+
 # Interval between readings of the configuration while none is held, in
 # seconds. Once one is held, entries bring the newer ones.
 START_SECONDS = 1.0
@@ -130,6 +133,8 @@
         ]
 
     async def _run_life(self, life: Any) -> None:
+        # A job that cannot listen has failed by then, and ends this one.
+        await curio.sleep(LISTEN_SECONDS)
         life.report_ready()
         await life.stop.wait()
         await self._leave()
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -32,6 +32,22 @@
         decision = ask(admission.Admission("deadline"), expected=INFINITE)
         self.assertEqual(decision.reason, "unavailable")
 
+    def test_one_is_taken_as_a_probe_while_all_are_late(self):
+        subject = admission.Admission("deadline")
+        times = [0.1 * number for number in range(12)]
+        taken = [ask(subject, expected=9.0, now=at) for at in times]
+        probes = [
+            at
+            for at, decision in zip(times, taken, strict=True)
+            if decision.admitted
+        ]
+        self.assertEqual([times[5], times[11]], probes)
+        self.assertTrue(taken[5].is_probe)
+        # Others that are taken show what the pools take: no probe is needed.
+        for at in (2.0, 2.4, 2.8, 3.2):
+            self.assertFalse(ask(subject, expected=9.0, now=at).admitted)
+            self.assertTrue(ask(subject, now=at).admitted)
+
     def test_the_baseline_takes_all(self):
         subject = admission.Admission("none")
         self.assertTrue(ask(subject, expected=INFINITE).admitted)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -1,12 +1,32 @@
 """The end of an entry."""
 
+import socket
 import types
 
 import curio
 
-from samphirevale import entry, errors, invariants
+from samphirevale import entry, errors, invariants, lifecycle
 from samphirevale.adapters import web
-from tests import nodes
+from tests import base, nodes
+
+
+class StartTest(base.TestCase):
+    """An entry that cannot listen."""
+
+    async def test_ends_with_the_error(self):
+        with socket.socket() as taken:
+            taken.bind(("127.0.0.1", 0))
+            taken.listen()
+            common = nodes.SETTINGS.common._replace(
+                host="127.0.0.1",
+                admin_port=base.find_free_port(),
+                store_url=f"http://127.0.0.1:{base.find_free_port()}",
+            )
+            loaded = nodes.SETTINGS._replace(
+                common=common, caller_port=taken.getsockname()[1]
+            )
+            with self.assertRaises(OSError):
+                await entry.run(loaded, lifecycle.Lifecycle())
 
 
 class DrainTest(nodes.EntryTestCase):
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -45,6 +45,24 @@
         self.assertEqual(queue.offer("b", "x", 0, 1.5, 0.0).reason, "late")
         self.assertEqual(queue.waiting, 0)
 
+    def test_idle_endpoint_that_was_slow_is_tried_again(self):
+        queue = build_queue(service=9.0)
+        answer = queue.offer("a", "x", 0, 10.5, 9.0)
+        self.assertIsInstance(answer, limits.Accepted)
+        self.assertEqual(queue.take(9.0), "a")
+        self.assertEqual(queue.offer("b", "x", 0, 10.5, 9.0).reason, "late")
+
+    def test_call_that_hangs_past_its_deadline_says_no_more(self):
+        queue = build_queue(limit=2, service=0.1)
+        queue.offer("a", "x", 0, 2.0, 0.0)
+        queue.take(0.0)
+        queue.estimate_wait_ms(1.9)
+        self.assertAlmostEqual(queue.service_ms, 1900.0)
+        queue.estimate_wait_ms(30.0)
+        self.assertAlmostEqual(queue.service_ms, 100.0)
+        queue.note_ended("a", 30.0, 30.0)
+        self.assertLess(queue.service_ms, 500.0)
+
     def test_refuses_a_duplicate(self):
         queue = build_queue()
         queue.offer("a", "x", 0, 100.0, 0.0)
