Build all tables of the account of capacity from one run

Cause: the page's summary, thresholds and losses were written by hand from a run before heartbeats named only changed prefixes, and quoted its figures. The page's tables are empty until the whole run that fills them.

--- /dev/null
+++ b/lab/capacity.py
@@ -0,0 +1,300 @@
+"""The tables of docs/CAPACITY.md that hold needs against the bounds.
+
+The formulas are in lab/fleet.py; here is which cases are shown.
+"""
+
+import functools
+import itertools
+from collections.abc import Callable, Iterator
+from typing import NamedTuple
+
+from lab import fleet
+from samphirevale import sidecars, statuses
+
+Row = tuple[str, ...]
+
+# Steps of the search for the size at which a bound is reached.
+STEPS = 40
+
+# The intervals between heartbeats that are compared, in seconds.
+INTERVALS = (0.5, 1.0, 2.0, 5.0)
+
+# Tokens in a frame, in the summary.
+TOKENS_A_FRAME = (1, 3)
+
+# The layouts of the summary, without those that only vary one of them.
+SUMMARY = (*fleet.SITES, fleet.LETTER, fleet.SLOW_SUBSETS)
+
+FIELDS = ("processor", "memory", "bytes")
+LIMITS = (fleet.CPU_MS_LIMIT, fleet.MEMORY_MB_LIMIT, fleet.KB_LIMIT)
+
+
+class Bound(NamedTuple):
+    """Something that must not grow beyond a limit.
+
+    Attributes:
+        name: for the table.
+        compute: returns the need of a layout as a multiple of the limit.
+    """
+
+    name: str
+    compute: Callable[[fleet.Fits, fleet.Layout], float]
+
+
+def _compute_share(
+    role: str, field: int, found: fleet.Fits, layout: fleet.Layout
+) -> float:
+    return fleet.ROLES[role](found, layout)[field] / LIMITS[field]
+
+
+def _compute_reads(found: fleet.Fits, layout: fleet.Layout) -> float:
+    store = fleet.compute_store(found, layout, fleet.KEYED_SHARE)
+    return store.reads / fleet.READS_LIMIT
+
+
+def _compute_writes(found: fleet.Fits, layout: fleet.Layout) -> float:
+    store = fleet.compute_store(found, layout, fleet.KEYED_SHARE)
+    return store.writes / fleet.WRITES_LIMIT
+
+
+def _compute_object(found: fleet.Fits, layout: fleet.Layout) -> float:
+    size = fleet.compute_configuration_bytes(found, layout.accounts)
+    return size / fleet.OBJECT_BYTES_LIMIT
+
+
+BOUNDS = (
+    *(
+        Bound(f"{role}: {field}", functools.partial(_compute_share, role, n))
+        for role, (n, field) in itertools.product(
+            fleet.ROLES, enumerate(FIELDS)
+        )
+    ),
+    Bound("store: reads, 20% keyed", _compute_reads),
+    Bound("store: writes, 20% keyed", _compute_writes),
+    Bound("configuration: one object", _compute_object),
+)
+
+
+def find_scale(bound: Bound, found: fleet.Fits, layout: fleet.Layout) -> float:
+    """Returns the share of a layout's size at which a bound is reached.
+
+    At most SCALE_LIMIT, if it is not reached before.
+    """
+    low, high = 0.0, fleet.SCALE_LIMIT
+    for _ in range(STEPS):
+        middle = (low + high) / 2
+        scaled = fleet.scale_layout(layout, middle)
+        if bound.compute(found, scaled) < 1:
+            low = middle
+        else:
+            high = middle
+    return high
+
+
+def build_limit_rows(found: fleet.Fits) -> list[Row]:
+    """Returns all bounds, by the size of fleet at which they are reached."""
+    scales = [find_scale(bound, found, fleet.LETTER) for bound in BOUNDS]
+    ordered = sorted(zip(scales, BOUNDS, strict=True), key=lambda pair: pair[0])
+    return [
+        (
+            bound.name,
+            _format_scale(scale),
+            *(
+                f"{bound.compute(found, layout):.2f}×"
+                for layout in (*fleet.SITES, fleet.LETTER)
+            ),
+        )
+        for scale, bound in ordered
+    ]
+
+
+def _format_scale(scale: float) -> str:
+    if scale >= fleet.SCALE_LIMIT:
+        return f"above {fleet.SCALE_LIMIT:.0f} times"
+    return f"{scale:.1%}"
+
+
+def build_summary_rows(found: fleet.Fits) -> list[Row]:
+    """Returns each role's needs against the bounds, by layout."""
+    rows = [
+        (role, *(_show_need(compute(found, layout)) for layout in SUMMARY))
+        for role, compute in fleet.ROLES.items()
+    ]
+    rows.append(
+        ("store, 20% keyed", *(_show_store(found, item) for item in SUMMARY))
+    )
+    rows += [
+        (
+            f"requests and tokens, {size} a frame",
+            *(_show_work(found, size, layout) for layout in SUMMARY),
+        )
+        for size in TOKENS_A_FRAME
+    ]
+    return rows
+
+
+def _show_need(need: fleet.Need) -> str:
+    worst = max(
+        value / bound for value, bound in zip(need, LIMITS, strict=True)
+    )
+    return (
+        f"{need.cpu_ms:,.1f} ms/s, {need.memory_mb:,.0f} MB, "
+        f"{need.kilobytes:,.1f} kB/s: {worst:.2f}×"
+    )
+
+
+def _show_store(found: fleet.Fits, layout: fleet.Layout) -> str:
+    store = fleet.compute_store(found, layout, fleet.KEYED_SHARE)
+    worst = max(_compute_reads(found, layout), _compute_writes(found, layout))
+    return f"{store.reads:,.0f} reads/s, {store.writes:,.0f} writes/s: " + (
+        f"{worst:.2f}×"
+    )
+
+
+def _show_work(found: fleet.Fits, size: float, layout: fleet.Layout) -> str:
+    work = fleet.compute_work(found, size, layout)
+    cores = work.entry_requests + work.entry_tokens
+    share = cores / fleet.FILL / layout.entries
+    return f"{cores:,.1f} cores of {layout.entries} entries: {share:.2f}×"
+
+
+def build_interval_rows(found: fleet.Fits) -> list[Row]:
+    """Returns what slower heartbeats save and what they cost."""
+    rows = []
+    for seconds in INTERVALS:
+        suspect_seconds = fleet.SUSPECT_BEATS * seconds
+        needs = [
+            fleet.compute_entry(
+                found, layout._replace(heartbeat_seconds=seconds)
+            )
+            for layout in (fleet.SITES[0], fleet.LETTER, fleet.SUBSETS)
+        ]
+        rows.append(
+            (
+                f"{seconds:g} s",
+                *(
+                    f"{need.cpu_ms:,.1f} ms/s, {need.kilobytes:,.1f} kB/s"
+                    for need in needs
+                ),
+                f"{suspect_seconds:g} s",
+                f"{sidecars.CLOSE_FACTOR * suspect_seconds:g} s",
+            )
+        )
+    return rows
+
+
+def build_change_rows(found: fleet.Fits) -> list[Row]:
+    """Returns the bytes of one engine's connection, by new prefixes."""
+    rest = found["engine_sidecar_per_entry"]["bytes"].slope * 1000
+    changed = found["heartbeat_per_prefix"]["changed"].slope
+    rows = []
+    for layout in (*fleet.SITES, fleet.LETTER):
+        rate = layout.generations / layout.engines
+        for share in (0.0, fleet.NEW_PREFIX_SHARE, 1.0):
+            changes = rate * share * fleet.NEW_PREFIX_CHANGES
+            rows.append(
+                (
+                    layout.name,
+                    f"{rate:.1f}",
+                    f"{share:.0%}",
+                    f"{changes:.1f}",
+                    f"{rest + changed * changes:,.0f}",
+                )
+            )
+    return rows
+
+
+def build_derived_rows(found: fleet.Fits) -> list[Row]:
+    """Returns single figures that the text refers to, with their formulas."""
+    return [
+        *_list_configuration(found),
+        *_list_requests(found),
+        *_list_joins(found),
+    ]
+
+
+def _list_configuration(found: fleet.Fits) -> Iterator[Row]:
+    account = found["configuration_per_account"]
+    batch = found["configuration_per_batch"]
+    size = fleet.compute_configuration_bytes(found)
+    left = fleet.OBJECT_BYTES_LIMIT - size
+    spread = found["spread_per_sidecar"]
+    yield "configuration in JSON", f"{size / 1000:,.0f} kB", "accounts, batches"
+    yield (
+        "further accounts until a megabyte",
+        f"{left / account['bytes'].slope:,.0f}",
+        "the rest of the object",
+    )
+    yield (
+        "further batches until a megabyte",
+        f"{left / batch['bytes'].slope:,.0f}",
+        "the same; none is ever taken out",
+    )
+    yield (
+        "configuration's bytes a node",
+        f"{fleet.compute_spread_kb(found):.1f} kB/s",
+        "size × changes a day / day",
+    )
+    yield (
+        "entry that gives a revision to its share of sidecars",
+        f"{spread['cpu'].slope * _count_share(fleet.LETTER):,.0f} ms",
+        "sidecars / entries × `spread_per_sidecar.cpu`",
+    )
+    yield (
+        "status of an entry",
+        f"{_compute_status_kb(found, fleet.LETTER):,.0f} kB",
+        f"{statuses.SIDECARS_LIMIT} sidecars at most",
+    )
+
+
+def _count_share(layout: fleet.Layout) -> float:
+    """Returns the sidecars of a layout for each entry."""
+    return (layout.engines + layout.others) / layout.entries
+
+
+def _compute_status_kb(found: fleet.Fits, layout: fleet.Layout) -> float:
+    status = found["entry_per_sidecar"]["status"]
+    listed = min(layout.held, statuses.SIDECARS_LIMIT)
+    return status.intercept + status.slope * listed
+
+
+def _list_requests(found: fleet.Fits) -> Iterator[Row]:
+    stage = found["entry_per_stage"]["cpu"]
+    attempt = found["sidecar_per_attempt"]["cpu"].slope
+    hop = stage.intercept + (stage.slope + attempt) * fleet.STAGES
+    frame = found["entry_per_frame"]["cpu"].slope
+    candidate = found["entry_per_candidate"]["cpu"].slope
+    frames = found["sidecar_per_fast_token"]["frames"].slope
+    yield (
+        "processor time of a request outside its stages",
+        f"{hop:,.1f} ms",
+        f"entry's base, {fleet.STAGES} stages and attempts",
+    )
+    yield (
+        "tokens a second that fill an entry's core, one a frame",
+        f"{1000 / frame:,.0f}",
+        "1 s / `entry_per_frame.cpu`",
+    )
+    yield "tokens of a frame at 6 ms apart", f"{1 / frames:.1f}", "M, inverted"
+    for count in (fleet.ENGINES // fleet.MODELS, 18):
+        yield (
+            f"routing among {count} candidates",
+            f"{candidate * count:.2f} ms a stage",
+            "× `entry_per_candidate.cpu`",
+        )
+
+
+def _list_joins(found: fleet.Fits) -> Iterator[Row]:
+    entry = found["entry_per_join"]["cpu"].slope
+    sidecar = found["sidecar_per_join"]["cpu"].slope
+    for layout in (fleet.LETTER, fleet.SUBSETS):
+        yield (
+            f"entry that dials all it holds: {layout.name}",
+            f"{entry * layout.held:,.0f} ms",
+            "held × `entry_per_join.cpu`",
+        )
+    yield (
+        "sidecar that all entries dial",
+        f"{sidecar * fleet.LETTER.entries:,.0f} ms",
+        "entries × `sidecar_per_join.cpu`",
+    )
--- a/lab/slopes.py
+++ b/lab/slopes.py
@@ -13,9 +13,12 @@
 import json
 import sys
 import time
+from collections.abc import Callable
+from typing import NamedTuple
 
 from lab import (
     attempts,
+    capacity,
     connections,
     figures,
     fits,
@@ -34,33 +37,22 @@
 # The modules that register measurements.
 MODULES = (connections, requests, attempts, revisions)
 
-# The names of the tables in the page.
-TABLES = ("slopes", "needs", "work", "store")
-
 HEAD = ("figure", "slope ± error", "unit", "per", "at 0 ± error", "points")
 
-NEEDS_HEAD = (
-    "layout",
-    "role",
-    "processor, ms/s (of 30)",
-    "memory, MB (of 64)",
-    "control, kB/s (of 12)",
-)
-WORK_HEAD = (
-    "tokens a frame",
-    "entries: requests",
-    "entries: tokens",
-    "sidecars: attempts",
-    "sidecars: tokens",
-    "entries at 60%",
-    "sidecars' cores at 60%",
-)
-STORE_HEAD = ("layout", "keyed", "reads/s (of 2,000)", "writes/s (of 400)")
 
-Fits = dict[str, dict[str, fits.Fit]]
+class Table(NamedTuple):
+    """A table of the page.
+
+    Attributes:
+        head: the names of its columns.
+        build: returns its rows from the fits.
+    """
+
+    head: tuple[str, ...]
+    build: Callable[[fleet.Fits], list[tuple[str, ...]]]
 
 
-def build_rows(found: Fits) -> list[tuple[str, ...]]:
+def build_rows(found: fleet.Fits) -> list[tuple[str, ...]]:
     """Returns the rows of the table."""
     return [
         _build_row(f"{name}.{figure.name}", figure, found[name][figure.name])
@@ -83,7 +75,7 @@
     )
 
 
-def measure_all(names: list[str]) -> Fits:
+def measure_all(names: list[str]) -> fleet.Fits:
     """Runs figures one after the other."""
     found = {}
     for name in names:
@@ -94,17 +86,84 @@
     return found
 
 
-def build_tables(found: Fits) -> dict[str, list[str]]:
+# The tables in the page, by the names of their markers.
+TABLES = {
+    "summary": Table(
+        ("role", *(layout.name for layout in capacity.SUMMARY)),
+        capacity.build_summary_rows,
+    ),
+    "limits": Table(
+        (
+            "bound",
+            "reached at, of the letter's fleet",
+            *(f"need at {layout.name}" for layout in fleet.SITES),
+            "need at the letter's size",
+        ),
+        capacity.build_limit_rows,
+    ),
+    "intervals": Table(
+        (
+            "`heartbeat_seconds`",
+            f"entry, {fleet.SITES[0].name}",
+            "entry, letter",
+            "entry, letter, subsets",
+            "silence suspected after",
+            "connection closed after",
+        ),
+        capacity.build_interval_rows,
+    ),
+    "needs": Table(
+        (
+            "layout",
+            "role",
+            "processor, ms/s (of 30)",
+            "memory, MB (of 64)",
+            "control, kB/s (of 12)",
+        ),
+        fleet.build_need_rows,
+    ),
+    "changes": Table(
+        (
+            "layout",
+            "generations/s of an engine",
+            "new prefixes (A)",
+            "changed prefixes/s",
+            "bytes/s of a connection",
+        ),
+        capacity.build_change_rows,
+    ),
+    "work": Table(
+        (
+            "tokens a frame",
+            "entries: requests",
+            "entries: tokens",
+            "sidecars: attempts",
+            "sidecars: tokens",
+            "entries at 60%",
+            "sidecars' cores at 60%",
+        ),
+        fleet.build_work_rows,
+    ),
+    "store": Table(
+        ("layout", "keyed", "reads/s (of 2,000)", "writes/s (of 400)"),
+        fleet.build_store_rows,
+    ),
+    "derived": Table(
+        ("what", "figure (D)", "from"), capacity.build_derived_rows
+    ),
+    "slopes": Table(HEAD, build_rows),
+}
+
+
+def build_tables(found: fleet.Fits) -> dict[str, list[str]]:
     """Returns the lines of each table of the page, by name."""
     return {
-        "slopes": pages.build_table(HEAD, build_rows(found)),
-        "needs": pages.build_table(NEEDS_HEAD, fleet.build_need_rows(found)),
-        "work": pages.build_table(WORK_HEAD, fleet.build_work_rows(found)),
-        "store": pages.build_table(STORE_HEAD, fleet.build_store_rows(found)),
+        name: pages.build_table(table.head, table.build(found))
+        for name, table in TABLES.items()
     }
 
 
-def build_json(found: Fits) -> str:
+def build_json(found: fleet.Fits) -> str:
     """Returns all fits as one line of JSON."""
     return json.dumps(
         {
@@ -114,7 +173,7 @@
     )
 
 
-def read_kept() -> Fits:
+def read_kept() -> fleet.Fits:
     """Returns the fits of the last whole run."""
     kept = json.loads(KEPT.read_text(encoding="utf-8"))
     return {
@@ -123,7 +182,7 @@
     }
 
 
-def keep(found: Fits) -> None:
+def keep(found: fleet.Fits) -> None:
     """Keeps the fits of a whole run."""
     KEPT.parent.mkdir(exist_ok=True)
     KEPT.write_text(build_json(found), encoding="utf-8")
--- /dev/null
+++ b/tests/lab/test_capacity.py
@@ -0,0 +1,67 @@
+"""Tests of what is held against the bounds."""
+
+import collections
+
+import curio
+
+from lab import capacity, connections, fits, fleet
+from tests import base
+
+
+class CapacityTest(base.TestCase):
+    """The tables, with slopes that make them easy to work out."""
+
+    def setUp(self):
+        super().setUp()
+        self.set_all(1.0)
+
+    def set_all(self, slope):
+        fit = fits.Fit(slope, 0.0, 0.0, 0.0, 5)
+        self.found = collections.defaultdict(
+            lambda: collections.defaultdict(lambda: fit)
+        )
+
+    def test_scale_is_where_the_bound_is_reached(self):
+        bound = capacity.Bound("", lambda _, layout: layout.held / 102)
+        scale = capacity.find_scale(bound, self.found, fleet.LETTER)
+        self.assertAlmostEqual(0.1, scale)
+
+    def test_scale_of_a_bound_that_is_never_reached(self):
+        bound = capacity.Bound("", lambda _, __: 0.0)
+        scale = capacity.find_scale(bound, self.found, fleet.LETTER)
+        self.assertAlmostEqual(fleet.SCALE_LIMIT, scale)
+
+    def test_limits_come_in_the_order_in_which_they_are_reached(self):
+        rows = capacity.build_limit_rows(self.found)
+        self.assertEqual(len(capacity.BOUNDS), len(rows))
+        scales = [row[1] for row in rows if "above" not in row[1]]
+        numbers = [float(scale.rstrip("%")) for scale in scales]
+        self.assertEqual(sorted(numbers), numbers)
+
+    def test_need_passes_the_bound_at_that_scale(self):
+        bound = next(b for b in capacity.BOUNDS if b.name == "entry: processor")
+        scale = capacity.find_scale(bound, self.found, fleet.LETTER)
+        for factor, over in ((0.99, False), (1.01, True)):
+            layout = fleet.scale_layout(fleet.LETTER, scale * factor)
+            need = bound.compute(self.found, layout)
+            self.assertEqual(over, need > 1)
+
+    def test_changes_are_new_prefixes_and_those_that_go(self):
+        layout = fleet.LETTER._replace(engines=10, generations=80.0)
+        expected = 8.0 * fleet.NEW_PREFIX_SHARE * 2
+        self.assertAlmostEqual(expected, layout.changes)
+
+    def test_sites_hold_all_their_sidecars(self):
+        self.assertEqual([37, 26], [site.held for site in fleet.SITES])
+
+
+class HeartbeatTest(base.TestCase):
+    """The sizes of heartbeats."""
+
+    def test_only_changed_prefixes_cost_bytes_at_rest(self):
+        found = curio.run(connections.measure_heartbeat_per_prefix)
+        lines = {name: fits.fit_line(points) for name, points in found.items()}
+        self.assertEqual(0.0, lines["rest"].slope)
+        self.assertAlmostEqual(
+            lines["first"].slope, lines["changed"].slope, delta=0.5
+        )
