Write the numbers of a heartbeat as integers

Cause: bytes of an entry are what passes its bound first. CBOR writes 0.0 in nine bytes and 0 in one; an entry's heartbeat had three such fields that it does not use, a sidecar's two that are whole milliseconds in effect. A decoder of version 3 takes integers there already, so that the version stays. What an endpoint reports as infinite stays as it is. Ruled out: CBOR's canonical form (it sorts the keys of every map, and only helps numbers that a half float holds); a shorter tag (every frame's, a version of its own).

--- a/lab/connections.py
+++ b/lab/connections.py
@@ -192,9 +192,7 @@
 
 def _measure_beat(sender: prefixes.Sender, held: list[str]) -> int:
     """Returns the bytes of a heartbeat of an engine that holds so much."""
-    beat = messages.Heartbeat(
-        1000, False, 8, 8, 8, 31.5, 12.5, 300.0, ["b1"], held
-    )
+    beat = messages.Heartbeat(1000, False, 8, 8, 8, 31.5, 12, 300, ["b1"], held)
     return len(messages.encode_frame(sender.reduce(beat), 1000))
 
 
--- a/samphirevale/messages.py
+++ b/samphirevale/messages.py
@@ -6,6 +6,7 @@
 """
 
 import functools
+import math
 import types
 import typing
 from collections.abc import Callable
@@ -76,7 +77,8 @@
 class Heartbeat(NamedTuple):
     """Sent by both sides at a fixed interval.
 
-    An entry leaves the load fields at their defaults.
+    An entry leaves the load fields at their defaults. Those are integers, as
+    CBOR writes 0 in one byte and 0.0 in nine.
 
     Attributes:
         sequence: counts the heartbeats of this connection from 0.
@@ -100,9 +102,9 @@
     running: int = 0
     waiting: int = 0
     limit: int = 0
-    service_ms: float = 0.0
-    wait_ms: float = 0.0
-    load_age_ms: float = 0.0
+    service_ms: float = 0
+    wait_ms: float = 0
+    load_age_ms: float = 0
     batches: list[str] = []
     prefixes: list[str] = []
     healthy: bool = True
@@ -275,6 +277,16 @@
     value: dict
 
 
+def round_ms(milliseconds: float) -> float:
+    """Returns whole milliseconds, which take fewer bytes in CBOR.
+
+    What an endpoint reports may be infinite or no number; that stays.
+    """
+    if not math.isfinite(milliseconds):
+        return milliseconds
+    return round(milliseconds)
+
+
 def encode_frame(message: Any, revision: int) -> bytes:
     """Returns the frame's bytes."""
     return cbor2.dumps([PROTOCOL_VERSION, message.tag, revision, *message])
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -1,5 +1,7 @@
 """Tests of messages."""
 
+import math
+
 import cbor2
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -17,6 +19,20 @@
         frame = messages.decode_frame(messages.encode_frame(CHUNK, 7))
         self.assertEqual(frame, messages.Frame(7, CHUNK))
 
+    def test_heartbeat_of_an_entry_is_small(self):
+        beat = messages.Heartbeat(1_000_000, False)
+        data = messages.encode_frame(beat, 1_000_000)
+        self.assertLess(len(data), 40)
+        self.assertEqual(beat, messages.decode_frame(data).message)
+
+    def test_whole_milliseconds_are_integers(self):
+        for given_ms, expected in ((12.4, 12), (0.0, 0), (1e9, 10**9)):
+            rounded = messages.round_ms(given_ms)
+            self.assertIsInstance(rounded, int)
+            self.assertEqual(expected, rounded)
+        self.assertEqual(float("inf"), messages.round_ms(float("inf")))
+        self.assertIs(math.isnan(messages.round_ms(math.nan)), True)
+
     def test_refuses_another_version(self):
         data = cbor2.dumps([99, "chunk", 7, *CHUNK])
         with self.assertRaisesRegex(errors.ProtocolError, "version 99"):
