--- a/tests/test_handovers.py
+++ b/tests/test_handovers.py
@@ -8,6 +8,7 @@
     answers,
     errors,
     handovers,
+    messages,
     progress,
 )
 from samphirevale.ports import endpoints
@@ -116,6 +117,8 @@
     async def test_wrong_digest_is_no_answer(self):
         async def give_other(sidecar, handover):
             await nodes.give_tokens(sidecar, handover, 3)
+            names = (handover.request, handover.stage, handover.attempt)
+            await sidecar.say(messages.Chunk(*names, 3, ["another"]))
             await nodes.give_result(
                 sidecar, handover._replace(offset=len(nodes.TOKENS))
             )
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -117,6 +117,14 @@
         router.note_report("z", "pool", "dc0", heartbeat, 0.0)
         self.assertEqual(count_choices(router, prefix="p")["z"], 100)
 
+    def test_cached_prefix_is_worth_some_wait_and_no_more(self):
+        router = build_router(x=4, y=4, w=4)
+        for waiting, chosen in ((3, 100), (8, 0)):
+            heartbeat = build_heartbeat(4, waiting, prefixes=["p"])
+            router.note_report("z", "pool", "dc0", heartbeat, 0.0)
+            counts = count_choices(router, now=0.0, prefix="p")
+            self.assertEqual(counts["z"], chosen, waiting)
+
     def test_own_send_stands_in_for_a_lost_cache_event(self):
         router = build_router()
         router.note_sent("y", "a", 0.0, prefix="p")
@@ -154,6 +162,18 @@
         router.note_sent("x", "probe", later)
         self.assertEqual(count_choices(router, later)["x"], 0)
 
+    def test_only_one_probe_at_a_time(self):
+        # Round robin asks for no load, so that nothing else than the rule
+        # keeps work from the endpoint on probation.
+        router = build_router("round_robin")
+        self.eject(router, "x")
+        later = 0.2 + routing.EJECTION_SECONDS
+        self.assertEqual(count_choices(router, later)["x"], 25)
+        router.note_sent("x", "probe", later)
+        self.assertEqual(count_choices(router, later)["x"], 0)
+        router.note_ended("x", "probe", later, 0.1, "ok")
+        self.assertEqual(count_choices(router, later)["x"], 25)
+
     def test_failed_probe_ejects_again(self):
         router = build_router()
         self.eject(router, "x")
