--- a/lab/requests.py
+++ b/lab/requests.py
@@ -16,6 +16,9 @@
 # Requests of one point.
 REQUESTS = 160
 
+# How often each number of stages has its turn, as the points scatter.
+STAGE_REPEATS = 4
+
 
 class Request(NamedTuple):
     """What a caller sends.
@@ -104,7 +107,7 @@
         fakes = await site.start_fake_sidecars(4, "stages", traffic)
         entry = await site.start_joined_entry(fakes, "entry-0")
         await send_all(entry, [Request("stages-6", "warm")] * 50, CALLERS)
-        for count in (1, 2, 3, 4, 5, 6) * figures.REPEATS:
+        for count in (1, 2, 3, 4, 5, 6) * STAGE_REPEATS:
             requests = [Request(f"stages-{count}", "an input")] * REQUESTS
             await record_requests(recorder, count, entry, requests)
     return recorder.points
