--- a/samphirevale/adapters/endpoints.py
+++ b/samphirevale/adapters/endpoints.py
@@ -12,7 +12,7 @@
 
 import curio
 
-from samphirevale import errors, messages
+from samphirevale import errors, messages, registry
 from samphirevale.adapters import web
 from samphirevale.ports import endpoints
 
@@ -28,24 +28,15 @@
 # The largest result, in bytes; it has to fit into a frame.
 RESULT_BYTES_LIMIT = messages.FRAME_BYTES_LIMIT // 2
 
-_kinds: dict[str, type] = {}
-
-
-def register(kind: str) -> Callable[[type], type]:
-    """Makes a class the adapter for endpoints of `kind`."""
-
-    def add(adapter: type) -> type:
-        _kinds[kind] = adapter
-        return adapter
-
-    return add
+_kinds: registry.Registry[type] = registry.Registry("kind of endpoint")
+register = _kinds.register
 
 
 def build_endpoint(
     kind: str, url: str, order_seconds: float
 ) -> endpoints.Endpoint:
     """Returns the adapter for an endpoint of `kind` at `url`."""
-    return _kinds[kind](url, order_seconds)
+    return _kinds.get(kind)(url, order_seconds)
 
 
 class _HttpEndpoint:
--- a/samphirevale/admission.py
+++ b/samphirevale/admission.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple
 
-from samphirevale import configuration
+from samphirevale import configuration, registry
 
 # The share of the remaining time that the expected time may fill.
 FILL_LIMIT = 0.9
@@ -169,9 +169,7 @@
     """
 
     def __init__(self, policy: str, weights: Mapping[str, float] | None = None):
-        if policy not in _policies:
-            raise ValueError(f"unknown admission policy {policy!r}")
-        self._policy = _policies[policy]
+        self._policy = _policies.get(policy)
         self.shares = Shares(weights or {})
         self.stretch = 1.0
         self._admitted: dict[str, _Admitted] = {}
@@ -302,22 +300,9 @@
 
 Policy = Callable[[Admission, Question, float], Decision]
 
-_policies: dict[str, Policy] = {}
-
-
-def register(name: str) -> Callable[[Policy], Policy]:
-    """Makes a function an admission policy under `name`."""
-
-    def add(policy: Policy) -> Policy:
-        _policies[name] = policy
-        return policy
-
-    return add
-
-
-def list_policies() -> list[str]:
-    """Returns the names of all registered policies."""
-    return sorted(_policies)
+_policies: registry.Registry[Policy] = registry.Registry("admission policy")
+register = _policies.register
+list_policies = _policies.list_names
 
 
 @register("none")
--- a/samphirevale/limits.py
+++ b/samphirevale/limits.py
@@ -10,6 +10,8 @@
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
+from samphirevale import registry
+
 # Service time that is assumed until one has been measured, in seconds.
 DEFAULT_SERVICE_SECONDS = 0.1
 
@@ -54,24 +56,12 @@
         """Takes in one attempt's time and how many ran beside it."""
 
 
-_limiters: dict[str, Callable[[int], Limiter]] = {}
-
-
-def register(
-    name: str,
-) -> Callable[[Callable[[int], Limiter]], Callable[[int], Limiter]]:
-    """Makes a class a limiter under `name`; it is built with its maximum."""
-
-    def add(limiter: Callable[[int], Limiter]) -> Callable[[int], Limiter]:
-        _limiters[name] = limiter
-        return limiter
-
-    return add
-
-
-def list_policies() -> list[str]:
-    """Returns the names of all registered limiters."""
-    return sorted(_limiters)
+# Each is built with its maximum.
+_limiters: registry.Registry[Callable[[int], Limiter]] = registry.Registry(
+    "limit policy"
+)
+register = _limiters.register
+list_policies = _limiters.list_names
 
 
 def build_limiter(name: str, maximum: int) -> Limiter:
@@ -80,9 +70,7 @@
     Raises:
         ValueError: no limiter of that name is registered.
     """
-    if name not in _limiters:
-        raise ValueError(f"unknown limit policy {name!r}")
-    return _limiters[name](maximum)
+    return _limiters.get(name)(maximum)
 
 
 @register("fixed")
--- a/samphirevale/retries.py
+++ b/samphirevale/retries.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from samphirevale import registry
+
 # Retries allowed for each first attempt, on average.
 BUDGET_SHARE = 0.1
 
@@ -75,17 +77,8 @@
 
 Rule = Callable[[Ending, Budget, float, float], Verdict]
 
-_policies: dict[str, Rule] = {}
-
-
-def register(name: str) -> Callable[[Rule], Rule]:
-    """Makes a function a retry policy under `name`."""
-
-    def add(rule: Rule) -> Rule:
-        _policies[name] = rule
-        return rule
-
-    return add
+_policies: registry.Registry[Rule] = registry.Registry("retry policy")
+register = _policies.register
 
 
 @register("none")
@@ -139,9 +132,7 @@
     """
 
     def __init__(self, policy: str = "budget"):
-        if policy not in _policies:
-            raise ValueError(f"unknown retry policy {policy!r}")
-        self._rule = _policies[policy]
+        self._rule = _policies.get(policy)
         self._budgets: dict[str, Budget] = {}
 
     def note_first(self, stage: str) -> None:
--- a/samphirevale/routing.py
+++ b/samphirevale/routing.py
@@ -15,7 +15,7 @@
 from collections.abc import Callable, Collection, Sequence
 from typing import NamedTuple
 
-from samphirevale import messages
+from samphirevale import messages, registry
 
 # Distance, one way, inside a data centre and between two, in seconds.
 LOCAL_DISTANCE_SECONDS = 0.0003
@@ -259,22 +259,9 @@
 
 Policy = Callable[[Question, float, random.Random], EndpointView]
 
-_policies: dict[str, Policy] = {}
-
-
-def register(name: str) -> Callable[[Policy], Policy]:
-    """Makes a function a routing policy under `name`."""
-
-    def add(policy: Policy) -> Policy:
-        _policies[name] = policy
-        return policy
-
-    return add
-
-
-def list_policies() -> list[str]:
-    """Returns the names of all registered policies."""
-    return sorted(_policies)
+_policies: registry.Registry[Policy] = registry.Registry("routing policy")
+register = _policies.register
+list_policies = _policies.list_names
 
 
 @register("random")
@@ -447,9 +434,7 @@
     """
 
     def __init__(self, policy: str, data_centre: str, rng: random.Random):
-        if policy not in _policies:
-            raise ValueError(f"unknown routing policy {policy!r}")
-        self._policy = _policies[policy]
+        self._policy = _policies.get(policy)
         self._data_centre = data_centre
         self._rng = rng
         self._views: dict[str, EndpointView] = {}
