--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -8,6 +8,22 @@
 DOCS = pathlib.Path(__file__).resolve().parent.parent / "docs"
 
 
+class MaintainingTest(base.TestCase):
+    """docs/MAINTAINING.md."""
+
+    def test_names_every_module(self):
+        text = (DOCS / "MAINTAINING.md").read_text(encoding="utf-8")
+        root = DOCS.parent
+        paths = {
+            str(path.relative_to(folder).with_suffix(""))
+            for folder in (root / "samphirevale", root / "lab")
+            for path in folder.rglob("*.py")
+            if path.stem != "__init__"
+        }
+        missing = [path for path in sorted(paths) if f"`{path}`" not in text]
+        self.assertEqual([], missing)
+
+
 class OperatingTest(base.TestCase):
     """docs/OPERATING.md."""
 
