--- a/samphirevale/adapters/link.py
+++ b/samphirevale/adapters/link.py
@@ -33,6 +33,9 @@
 # The longest wait for the last frames to leave at the end, in seconds.
 CLOSE_SECONDS = 0.5
 
+# The most connections of other processes at once.
+CONNECTIONS_LIMIT = 1024
+
 # The most bytes that wait for the other side to read.
 PENDING_BYTES_LIMIT = 16 * 1024 * 1024
 
@@ -246,10 +249,25 @@
     host: str,
     port: int,
     secret: str,
+    connections_limit: int = CONNECTIONS_LIMIT,
 ) -> None:
-    """Accepts links until cancelled; `handler` runs once a connection."""
+    """Accepts links until cancelled; `handler` runs once a connection.
+
+    Connections over the limit are closed before they are read.
+    """
+    connections = 0
 
     async def run_connection(stream: Any, _: Any) -> None:
+        nonlocal connections
+        if connections >= connections_limit:
+            return
+        connections += 1
+        try:
+            await serve_connection(stream)
+        finally:
+            connections -= 1
+
+    async def serve_connection(stream: Any) -> None:
         stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         try:
             async with curio.timeout_after(HANDSHAKE_SECONDS):
--- a/samphirevale/adapters/web.py
+++ b/samphirevale/adapters/web.py
@@ -496,5 +496,5 @@
         return None
     try:
         return json.loads(data)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise errors.ProtocolError(f"not JSON: {error}") from error
--- a/tests/adapters/test_link.py
+++ b/tests/adapters/test_link.py
@@ -5,7 +5,7 @@
 import curio
 from websockets import server as websocket_server
 
-from samphirevale import messages
+from samphirevale import errors, messages
 from samphirevale.adapters import link
 from tests import base
 
@@ -44,3 +44,25 @@
         self.assertEqual(frame.message, HELLO)
         self.assertEqual(frame.revision, 3)
         await server.cancel()
+
+
+class LimitTest(base.TestCase):
+    """Connections over the limit of a process."""
+
+    async def test_one_too_many_is_closed_and_a_place_is_free_again(self):
+        async def wait_for_end(connection):
+            await connection.receive()
+
+        port = base.find_free_port()
+        server = await curio.spawn(
+            link.serve, wait_for_end, HOST, port, SECRET, 1, daemon=True
+        )
+        await curio.sleep(0.05)
+        async with link.dial(HOST, port, SECRET):
+            with self.assertRaises(errors.ConnectError):
+                async with link.dial(HOST, port, SECRET):
+                    self.fail("a second connection was taken")
+        await curio.sleep(0.05)
+        async with link.dial(HOST, port, SECRET):
+            pass
+        await server.cancel()
--- a/tests/adapters/test_web.py
+++ b/tests/adapters/test_web.py
@@ -6,6 +6,7 @@
 
 import curio
 
+from samphirevale import errors
 from samphirevale.adapters import web
 from tests import base
 
@@ -90,3 +91,12 @@
             with contextlib.suppress(Exception):
                 return await web.open_connection("127.0.0.1", port)
             await curio.sleep(0.01)
+
+
+class JsonTest(base.TestCase):
+    """What is no JSON, or nested too deeply to be read."""
+
+    def test_is_a_protocol_error(self):
+        for data in (b"{", b"[" * 100_000):
+            with self.assertRaises(errors.ProtocolError):
+                web.read_json(data)
