Tell crashes to entries that connect later

Change: a sidecar keeps the last 64 crashes that it saw, as long as they count, and posts them to each entry that connects, before the first heartbeat, without which an entry hands nothing over. Ruled out: keeping an entry from serving until it has read the store (it must serve through outages). Left: crashes seen by a sidecar that has been replaced since are known in the store alone (docs/PROOFS.md).

--- a/lab/mechanisms.py
+++ b/lab/mechanisms.py
@@ -646,13 +646,18 @@
         (
             _edit(
                 "executors",
-                "await self._connected.post_to_all(\n"
-                "            messages.CrashNotice(",
-                "(\n            messages.CrashNotice(",
+                "await self._connected.post_to_all(notice)",
+                "pass",
             ),
         ),
         ("tests.test_sidecar.CrashTest",),
     ),
+    Ablation(
+        "crashes are told to entries that connect later",
+        CRASHES,
+        (_edit("sidecar", "await peer.post(notice)", "pass"),),
+        ("tests.test_sidecar.CrashTest",),
+    ),
     Ablation(
         "deadline passed on as time remaining",
         DEADLINES,
--- a/samphirevale/executors.py
+++ b/samphirevale/executors.py
@@ -1,5 +1,6 @@
 """Runs accepted attempts at the endpoint: one task each, to one ending."""
 
+import collections
 import contextlib
 import time
 from collections.abc import AsyncIterator, Callable
@@ -17,6 +18,7 @@
     metrics,
     monitors,
     peers,
+    quarantine,
     readers,
     settings,
     snapshots,
@@ -41,6 +43,9 @@
 # When to ask again after an endpoint's refusal without a time, in ms.
 REFUSED_RETRY_MS = 100
 
+# The most crashes that are told to entries that connect later.
+CRASHES_KEPT = 64
+
 ATTEMPT_RUNS_ONCE = invariants.declare(
     "attempt_runs_once",
     "A sidecar hands one attempt to its endpoint at most once.",
@@ -83,6 +88,10 @@
         self._connected = connected
         self.table = attempts.AttemptTable()
         self.counts = readers.Counts()
+        # When each crash here was seen, in monotonic seconds, and its notice.
+        self._crashes: collections.deque[tuple[float, messages.CrashNotice]] = (
+            collections.deque(maxlen=CRASHES_KEPT)
+        )
         self.leaving_at: float | None = None
         self._violations = curio.Queue()
 
@@ -411,13 +420,18 @@
                 "endpoint_failed", failed.detail, busy_ms
             )
         self.counts.crashes += 1
-        await self._connected.post_to_all(
-            messages.CrashNotice(
-                attempt.handover.fingerprint, attempt.handover.attempt
-            )
+        notice = messages.CrashNotice(
+            attempt.handover.fingerprint, attempt.handover.attempt
         )
+        self._crashes.append((time.monotonic(), notice))
+        await self._connected.post_to_all(notice)
         return attempt.refuse_lost("crashed", failed.detail, busy_ms)
 
+    def list_crashes(self, now: float) -> list[messages.CrashNotice]:
+        """Returns the crashes here that still count, the oldest first."""
+        oldest = now - quarantine.WINDOW_SECONDS
+        return [notice for at, notice in self._crashes if at > oldest]
+
     def _read_busy_ms(self, attempt: attempts.Attempt) -> float:
         return 1000 * (time.monotonic() - attempt.started_at)
 
--- a/samphirevale/sidecar.py
+++ b/samphirevale/sidecar.py
@@ -159,6 +159,10 @@
     async def _serve_entry(self, connection: link.Link) -> None:
         hello = await self._exchange_hello(connection)
         peer = peers.Peer(connection, hello)
+        # Before the first heartbeat, without which an entry hands nothing
+        # over: one that starts while the store is down learns of them here.
+        for notice in self._executor.list_crashes(time.monotonic()):
+            await peer.post(notice)
         sender = await curio.spawn(peer.run_sender, self._read_revision)
         beats = await curio.spawn(self._send_heartbeats, peer)
         logs.log_change("entry_connected", entry=hello.instance)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -617,6 +617,23 @@
             heartbeat = await self.receive(entry, messages.Heartbeat)
             self.assertFalse(heartbeat.healthy)
 
+    async def test_an_entry_that_connects_later_is_told_before_it_may_send(
+        self,
+    ):
+        async with self.running("service"):
+            async with self.connected() as entry:
+                await self.hand_over(entry, batch="")
+                await self.wait_for_runs(1)
+                await self.endpoint.stop()
+                await self.receive(entry, messages.Refusal)
+            async with await self._dial() as later:
+                hello = messages.Hello("entry-2", "t", "entry", "dc1", "", "")
+                await later.send(hello, 1)
+                told = await self.receive(
+                    later, messages.CrashNotice, messages.Heartbeat
+                )
+                self.assertEqual(told, messages.CrashNotice("f1", "a1"))
+
     async def test_all_that_ran_at_a_crash_are_suspects(self):
         async with self.running("service"), self.connected() as entry:
             for attempt, fingerprint in (("a1", "f1"), ("a2", "f2")):
