--- a/samphirevale/adapters/clock.py
+++ b/samphirevale/adapters/clock.py
@@ -26,3 +26,11 @@
                 yield
         except curio.TaskTimeout as error:
             raise TimeoutError(f"not done in {seconds} s") from error
+
+
+class BootClock(MonotonicClock):
+    """A clock that counts on while the machine is suspended."""
+
+    def now(self) -> float:
+        """Returns seconds since the machine's start."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/samphirevale/adapters/web.py
+++ b/samphirevale/adapters/web.py
@@ -47,14 +47,29 @@
 DEFAULT_LIMITS = Limits()
 
 
+RawHeaders = tuple[tuple[bytes, bytes], ...]
+
+
 class Request(NamedTuple):
-    """A request as a handler gets it. Header names are lower case."""
+    """A request as a handler gets it.
+
+    Attributes:
+        method: such as `GET`.
+        path: the decoded path.
+        query: the decoded query; the last value of each name.
+        headers: the values by name in lower case.
+        body: the whole body.
+        target: path and query as they came.
+        raw_headers: names and values as they came, in order.
+    """
 
     method: str
     path: str
     query: dict[str, str]
     headers: dict[str, str]
     body: bytes
+    target: str = "/"
+    raw_headers: RawHeaders = ()
 
 
 class Response(NamedTuple):
@@ -96,11 +111,14 @@
     Attributes:
         draining: once set, each connection ends after its next answer.
         busy: requests that have been read and not yet wholly answered.
+        limits: in force from the next request on; None for those that the
+            server was started with.
     """
 
     def __init__(self):
         self.draining = False
         self.busy = 0
+        self.limits: Limits | None = None
 
 
 async def serve(
@@ -145,6 +163,10 @@
             )
 
 
+# A head with both may hide a second request from one of its readers.
+_FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
+
+
 class _TooLargeError(Exception):
     """A part of the request is larger than its limit."""
 
@@ -170,11 +192,19 @@
         self._protocol = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.head_bytes
         )
+        # Bytes that came while the request before them was answered.
+        self._early = bytearray()
 
     async def run(self) -> None:
-        """Serves requests until the connection ends."""
+        """Serves requests until the connection ends.
+
+        An answer whose source breaks off ends with the connection, so that
+        it does not look complete.
+        """
         self._client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        with contextlib.suppress(OSError, curio.TaskTimeout):
+        with contextlib.suppress(
+            OSError, curio.TaskTimeout, errors.AnswerLostError
+        ):
             while await self._serve_one():
                 self._protocol.start_next_cycle()
 
@@ -199,7 +229,8 @@
             return False
         self._state.busy += 1
         try:
-            await self._answer(request)
+            async with self._watch_caller():
+                await self._answer(request)
         finally:
             self._state.busy -= 1
         return (
@@ -207,6 +238,28 @@
             and self._protocol.their_state is h11.DONE
         )
 
+    @contextlib.asynccontextmanager
+    async def _watch_caller(self) -> AsyncIterator[None]:
+        """Cancels this connection's task if the caller leaves meanwhile."""
+        task = await curio.current_task()
+        watcher = await curio.spawn(self._wait_leaving, task, daemon=True)
+        try:
+            yield
+        finally:
+            await watcher.cancel()
+
+    async def _wait_leaving(self, task: curio.Task) -> None:
+        """Reads ahead until the caller closes; then cancels `task`."""
+        while len(self._early) < READ_BYTES:
+            try:
+                data = await self._client.recv(READ_BYTES)
+            except OSError:
+                data = b""
+            if not data:
+                await task.cancel(blocking=False)
+                return
+            self._early += data
+
     async def _answer(self, request: Request) -> None:
         try:
             response = await self._handler(request)
@@ -216,6 +269,7 @@
         await self._send_response(response)
 
     async def _read_request(self) -> Request | None:
+        self._limits = self._state.limits or self._limits
         async with curio.timeout_after(self._limits.idle_seconds):
             head = await self._read_event()
             if not isinstance(head, h11.Request):
@@ -234,8 +288,12 @@
     def _check_head(self, head: h11.Request) -> None:
         """Checks a head that came at once: h11 bounds an unfinished one."""
         size = len(head.target)
+        framings = set()
         for name, value in head.headers:
             size += len(name) + len(value)
+            framings |= {name} & _FRAMING_HEADERS
+        if len(framings) > 1:
+            raise h11.RemoteProtocolError("a length and a transfer encoding")
         if size > self._limits.head_bytes:
             raise _TooLargeError(431, "head", self._limits.head_bytes)
 
@@ -248,7 +306,14 @@
                 await self._send(
                     h11.InformationalResponse(status_code=100, headers=[])
                 )
-            self._protocol.receive_data(await self._client.recv(READ_BYTES))
+            self._protocol.receive_data(await self._receive())
+
+    async def _receive(self) -> bytes:
+        if not self._early:
+            return await self._client.recv(READ_BYTES)
+        data = bytes(self._early)
+        self._early.clear()
+        return data
 
     async def _refuse(self, status: int, text: str) -> None:
         if self._protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
@@ -272,10 +337,10 @@
                 h11.EndOfMessage(),
             )
             return
-        await self._send(
-            h11.Response(status_code=response.status, headers=headers)
-        )
         async with contextlib.aclosing(response.chunks) as chunks:
+            await self._send(
+                h11.Response(status_code=response.status, headers=headers)
+            )
             async for chunk in chunks:
                 await self._send(h11.Data(data=chunk))
         await self._send(h11.EndOfMessage())
@@ -297,6 +362,8 @@
             for name, value in head.headers
         },
         body=body,
+        target=head.target.decode("latin-1"),
+        raw_headers=tuple(head.headers.raw_items()),
     )
 
 
@@ -306,6 +373,7 @@
     def __init__(self, connection: "ClientConnection", head: h11.Response):
         self._connection = connection
         self.status = head.status_code
+        self.raw_headers: RawHeaders = tuple(head.headers.raw_items())
         self.headers = {
             name.decode().lower(): value.decode("latin-1")
             for name, value in head.headers
@@ -358,10 +426,18 @@
         method: str,
         target: str,
         body: bytes = b"",
-        headers: tuple[tuple[str, str], ...] = (),
+        headers: tuple[tuple[str | bytes, str | bytes], ...] = (),
+        authority: str = "",
     ) -> Answer:
         """Sends a request and returns once the response's head is read.
 
+        Args:
+            method: such as `GET`.
+            target: path and query.
+            body: the whole body.
+            headers: besides `Host` and `Content-Length`.
+            authority: the `Host` header, if it is not the address.
+
         Raises:
             errors.AnswerLostError: the connection broke; the request may
                 have been read.
@@ -371,7 +447,7 @@
             method=method,
             target=target,
             headers=[
-                ("Host", self._authority),
+                ("Host", authority or self._authority),
                 ("Content-Length", str(len(body))),
                 *headers,
             ],
@@ -448,10 +524,12 @@
         await connection.close()
 
 
-async def open_connection(host: str, port: int) -> ClientConnection:
+async def open_connection(
+    host: str, port: int, timeout_seconds: float = CONNECT_SECONDS
+) -> ClientConnection:
     """Opens a connection that the caller closes."""
     try:
-        async with curio.timeout_after(CONNECT_SECONDS):
+        async with curio.timeout_after(timeout_seconds):
             stream = await curio.open_connection(host, port)
     except (OSError, curio.TaskTimeout) as error:
         raise errors.ConnectError(f"{host}:{port}: {error}") from error
--- /dev/null
+++ b/samphirevale/batching.py
@@ -0,0 +1,183 @@
+"""The items that wait for one batching endpoint, and which go together.
+
+A call takes a fixed time and a little for each item, so that full calls do
+several times as much work. What comes while a call is in progress waits for
+the next one. Results take room at their endpoint until they are released.
+"""
+
+from typing import Any, NamedTuple
+
+from samphirevale import routes
+
+# The first guess of how long a result is kept, in seconds.
+KEPT_SECONDS = 0.6
+
+# Weight of a new measurement in the smoothed time that results are kept.
+KEPT_WEIGHT = 0.1
+
+
+class Item(NamedTuple):
+    """One piece of one stage of a request.
+
+    Attributes:
+        attempt: the id of the caller's attempt.
+        stage: the stage's index.
+        segment: the piece's index in its stage.
+        key: what the piece is made of, where the stage needs no results.
+        inputs: the results that it is made of otherwise.
+        result_bytes: the approximate size of its result.
+        due_at: when it must be done for the request to be in time.
+        deadline_at: when it is of no use any more.
+        priority: the request's rank; 0 is the highest.
+        ticket: for who waits for it; not looked at here.
+    """
+
+    attempt: str
+    stage: int
+    segment: int
+    key: str
+    inputs: tuple[str, ...]
+    result_bytes: int
+    due_at: float
+    deadline_at: float
+    priority: int
+    ticket: Any
+
+
+class _Kept(NamedTuple):
+    size: int
+    since: float
+    until: float
+
+
+class BatchQueue:
+    """The items that wait for one endpoint, and the room it has.
+
+    Attributes:
+        running: calls in progress.
+    """
+
+    def __init__(self, limits: routes.BatchLimits):
+        self._limits = limits
+        self._waiting: list[Item] = []
+        self._kept: dict[str, _Kept] = {}
+        self._kept_seconds = KEPT_SECONDS
+        self._reserved_bytes = 0
+        self._busy_until = 0.0
+        self.running = 0
+
+    def __len__(self) -> int:
+        """Returns how many items wait."""
+        return len(self._waiting)
+
+    def add(self, item: Item) -> None:
+        """Lets an item wait for the next call that has a place for it."""
+        self._waiting.append(item)
+
+    def withdraw(self, ticket: Any) -> None:
+        """Forgets the items of a ticket that still wait."""
+        self._waiting = [
+            item for item in self._waiting if item.ticket is not ticket
+        ]
+
+    def take_expired(self, now: float) -> list[Item]:
+        """Removes and returns the items that are of no use any more."""
+        soonest = now + self._limits.call_seconds
+        expired = [i for i in self._waiting if i.deadline_at <= soonest]
+        if expired:
+            self._waiting = [
+                i for i in self._waiting if i.deadline_at > soonest
+            ]
+        return expired
+
+    def take_batch(self, now: float) -> list[Item]:
+        """Removes and returns the items of the next call, if one may start.
+
+        Those that can still be in time go first, the soonest due before the
+        others; then the late ones, by rank.
+        """
+        if not self._waiting or self.running >= self._limits.concurrency:
+            return []
+        done_at = now + self._limits.call_seconds + self._limits.item_seconds
+
+        def rank(item: Item) -> tuple:
+            if item.due_at >= done_at:
+                return (0, 0, item.due_at)
+            return (1, item.priority, item.due_at)
+
+        self._waiting.sort(key=rank)
+        batch = self._cut_batch(self.read_room(now))
+        if batch:
+            self.running += 1
+            self._reserved_bytes += sum(item.result_bytes for item in batch)
+            seconds = self.compute_call_seconds(len(batch))
+            self._busy_until = now + seconds
+        return batch
+
+    def _cut_batch(self, room: int) -> list[Item]:
+        batch: list[Item] = []
+        left: list[Item] = []
+        for item in self._waiting:
+            fits = item.result_bytes <= room
+            if fits and len(batch) < self._limits.items:
+                batch.append(item)
+                room -= item.result_bytes
+            else:
+                left.append(item)
+        self._waiting = left
+        return batch
+
+    def end_call(
+        self, batch: list[Item], results: list[str | None], now: float
+    ) -> None:
+        """Takes note of a call's end.
+
+        Args:
+            batch: its items.
+            results: the name of each item's result, None where it has none.
+            now: the present time.
+        """
+        self.running -= 1
+        self._reserved_bytes -= sum(item.result_bytes for item in batch)
+        until = now + self._limits.result_seconds
+        for item, result in zip(batch, results, strict=True):
+            if result is not None:
+                self._kept[result] = _Kept(item.result_bytes, now, until)
+
+    def release(self, result: str, now: float) -> None:
+        """Takes note that a result has been released."""
+        kept = self._kept.pop(result, None)
+        if kept is not None:
+            seconds = now - kept.since
+            self._kept_seconds += KEPT_WEIGHT * (seconds - self._kept_seconds)
+
+    def read_room(self, now: float) -> int:
+        """Returns the bytes that new results may take."""
+        over = [name for name, kept in self._kept.items() if kept.until <= now]
+        for name in over:
+            del self._kept[name]
+        kept_bytes = sum(kept.size for kept in self._kept.values())
+        return self._limits.memory_bytes - kept_bytes - self._reserved_bytes
+
+    def compute_call_seconds(self, items: int) -> float:
+        """Returns the time of a call with so many items."""
+        return self._limits.call_seconds + items * self._limits.item_seconds
+
+    def estimate_seconds(
+        self, items: int, result_bytes: int, now: float
+    ) -> float:
+        """Returns when new items should be done, in seconds from now."""
+        total = len(self._waiting) + items
+        calls = -(-total // self._limits.items)
+        busy = max(self._busy_until - now, 0.0) if self.running else 0.0
+        work = calls * self._limits.call_seconds
+        work += total * self._limits.item_seconds
+        return busy + max(work, self._estimate_room(result_bytes, now))
+
+    def _estimate_room(self, result_bytes: int, now: float) -> float:
+        """Returns when there should be room for the items that wait too."""
+        wanted = result_bytes + sum(i.result_bytes for i in self._waiting)
+        lacking = wanted - self.read_room(now)
+        if lacking <= 0:
+            return 0.0
+        return self._kept_seconds * lacking / self._limits.memory_bytes
--- a/samphirevale/errors.py
+++ b/samphirevale/errors.py
@@ -50,6 +50,18 @@
     """The connection broke after bytes were sent: they may have been read."""
 
 
+class NotExecutedError(TransportError):
+    """The endpoint says that it has not run the request and never will.
+
+    Attributes:
+        is_other: another endpoint has that address now.
+    """
+
+    def __init__(self, text: str, is_other: bool = False):
+        super().__init__(text)
+        self.is_other = is_other
+
+
 class PeerClosedError(TransportError):
     """The connection between two of our processes has ended."""
 
@@ -113,3 +125,7 @@
     def __init__(self, text: str, retry_after_seconds: float):
         super().__init__(text)
         self.retry_after_seconds = retry_after_seconds
+
+
+class StageError(SamphirevaleError):
+    """A stage before the request itself could not be done."""
--- /dev/null
+++ b/samphirevale/gateway.py
@@ -0,0 +1,321 @@
+"""The proxying entry: serves callers of routes, without sidecars."""
+
+import contextlib
+import random
+import secrets
+from collections.abc import Callable, Iterable
+from typing import Any, NamedTuple
+
+import curio
+
+from samphirevale import (
+    budgets,
+    catalogue,
+    followers,
+    gathering,
+    groups,
+    journal,
+    knowledge,
+    ownership,
+    placement,
+    proxying,
+    routes,
+)
+from samphirevale.adapters import web
+from samphirevale.ports import clock as clocks
+from samphirevale.ports import objects, proxies
+
+# The interval between looks at what time alone changes, in seconds.
+CHECK_SECONDS = 0.1
+
+# How long the listener stays open after the order to stop, in seconds: until
+# the balancer has looked twice and its last connections have arrived.
+LINGER_SECONDS = 2.8
+
+# What is left of the grace period for the end of the process, in seconds.
+GRACE_MARGIN_SECONDS = 0.6
+
+# The most connections of callers at once, and the most bytes of a head and
+# the longest idle time before the first routes are known, in seconds.
+CONNECTIONS_LIMIT = 3000
+
+
+class GatewaySettings(NamedTuple):
+    """What a proxying entry is told at its start.
+
+    Attributes:
+        instance: its name.
+        data_centre: where it runs.
+        caller_host: the address for callers.
+        caller_port: the port for callers.
+        ready_host: the address for readiness.
+        ready_port: the port for readiness.
+        peer_host: the address for other entries.
+        peer_port: the port for other entries.
+        metrics_port: the port for metrics, on `peer_host`.
+        keys_seconds: how soon a key that is taken away must be refused.
+        grace_seconds: from the order to stop to the kill.
+        budget: of repeats, over all entries.
+    """
+
+    instance: str
+    data_centre: str
+    caller_host: str
+    caller_port: int
+    ready_host: str
+    ready_port: int
+    peer_host: str
+    peer_port: int
+    metrics_port: int
+    keys_seconds: float
+    grace_seconds: float
+    budget: budgets.BudgetTerms
+
+
+class Outside(NamedTuple):
+    """The adapters, and how they decode what is stored.
+
+    Attributes:
+        store: the object store.
+        routes_kind: the kind of the routes' object.
+        routes_name: its name.
+        decode_routes: returns the route table of its value.
+        endpoints_kind: the kind of the endpoints' entries.
+        decode_endpoint: returns the endpoint of one, or None.
+        endpoints: the calls to endpoints.
+        build_handler: makes the callers' handler from what answers them.
+    """
+
+    store: objects.FollowedStore
+    routes_kind: str
+    routes_name: str
+    decode_routes: Callable[[Any], routes.RouteTable]
+    endpoints_kind: str
+    decode_endpoint: Callable[[objects.StoredObject], catalogue.Endpoint | None]
+    endpoints: proxies.ProxyEndpoints
+    build_handler: Callable[[Any, clocks.Clock], Any]
+
+
+class Gateway:
+    """The tasks of a proxying entry."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        outside: Outside,
+        clock: clocks.Clock,
+        log: journal.Journal,
+    ):
+        self.settings = settings
+        self._outside = outside
+        self._clock = clock
+        self._journal = log
+        self._rng = random.Random(secrets.randbits(64))
+        self._server = web.ServerState()
+        self.stop = curio.Event()
+        self.knowledge = knowledge.Knowledge(
+            settings.keys_seconds,
+            ownership.Member(settings.instance, settings.data_centre),
+        )
+        self._placer = placement.Placer(self._rng)
+        self._gatherer = gathering.Gatherer(outside.endpoints, clock, log)
+        self.group = groups.Group(self._gatherer, self.knowledge, clock)
+        self._proxy = proxying.Proxy(
+            proxying.ProxyNode(
+                self.knowledge,
+                self._placer,
+                self.group,
+                budgets.RetryBudget(settings.budget),
+                outside.endpoints,
+                clock,
+                self._rng,
+                log,
+            )
+        )
+
+    def is_ready(self) -> bool:
+        """Tells whether callers should come here."""
+        now = self._clock.now()
+        return (
+            not self.stop.is_set()
+            and self.knowledge.table is not None
+            and self.knowledge.routes_age.is_usable(now)
+            and self.knowledge.endpoints_age.confirmed_at is not None
+        )
+
+    def build_followers(self) -> list[followers.Follower]:
+        """Returns what keeps the routes and the catalogue up to date."""
+        routes_sink = followers.Sink(
+            self._take_routes,
+            self._take_routes,
+            self.knowledge.routes_age.confirm,
+            _ignore_return,
+        )
+        endpoints_sink = followers.Sink(
+            self._take_endpoint_list,
+            self._take_endpoint_changes,
+            self.knowledge.endpoints_age.confirm,
+            self.knowledge.catalogue.note_return,
+        )
+        return [
+            followers.Follower(
+                self._outside.store,
+                kind,
+                sink,
+                self._clock,
+                self._rng,
+                self._journal,
+            )
+            for kind, sink in (
+                (self._outside.routes_kind, routes_sink),
+                (self._outside.endpoints_kind, endpoints_sink),
+            )
+        ]
+
+    def _take_routes(
+        self, stored: Iterable[objects.StoredObject], now: float
+    ) -> None:
+        for item in stored:
+            if item.name == self._outside.routes_name and item.value:
+                self._adopt_routes(item)
+
+    def _adopt_routes(self, stored: objects.StoredObject) -> None:
+        try:
+            table = self._outside.decode_routes(stored.value)
+        except (KeyError, TypeError, ValueError) as error:
+            self._journal.note_failure(
+                "routes_malformed", revision=stored.version, error=repr(error)
+            )
+            return
+        if self.knowledge.adopt_table(table):
+            limits = table.limits
+            self._server.limits = web.Limits(
+                limits.head_bytes,
+                limits.body_bytes,
+                CONNECTIONS_LIMIT,
+                limits.idle_seconds,
+            )
+            self._journal.note_change(
+                "routes_adopted",
+                version=table.version,
+                revision=stored.version,
+                hosts=len(table.routes),
+            )
+
+    def _take_endpoint_list(
+        self, stored: Iterable[objects.StoredObject], now: float
+    ) -> None:
+        decoded = [self._outside.decode_endpoint(item) for item in stored]
+        found = [endpoint for endpoint in decoded if endpoint is not None]
+        self._note_changes(self.knowledge.catalogue.replace(found, now))
+
+    def _take_endpoint_changes(
+        self, stored: Iterable[objects.StoredObject], now: float
+    ) -> None:
+        for item in stored:
+            endpoint = None
+            if item.value is not None:
+                endpoint = self._outside.decode_endpoint(item)
+            if endpoint is None:
+                changes = self.knowledge.catalogue.remove(item.name, now)
+            else:
+                changes = self.knowledge.catalogue.put(endpoint)
+            self._note_changes(changes)
+
+    def _note_changes(self, changes: list[catalogue.Change]) -> None:
+        for before, after in changes:
+            if after is None or (
+                before is not None and before.started != after.started
+            ):
+                self._placer.forget(before.name)
+                self._gatherer.forget(before)
+            known = after or before
+            self._journal.note_change(
+                "endpoint_changed",
+                endpoint=known.name,
+                service=known.service,
+                address=f"{known.host}:{known.port}",
+                data_centre=known.data_centre,
+                accepting=after.accepting if after else None,
+                started=known.started,
+                gone=after is None,
+            )
+        if changes:
+            self.knowledge.note_endpoints_changed()
+
+    async def check_time(self) -> None:
+        """Does what is due by time alone, for ever."""
+        while True:
+            await curio.sleep(CHECK_SECONDS)
+            now = self._clock.now()
+            self._note_changes(self.knowledge.catalogue.drop_lapsed(now))
+
+    async def serve_callers(self) -> None:
+        """Serves callers until cancelled."""
+        handler = self._outside.build_handler(self._proxy.answer, self._clock)
+        await web.serve(
+            handler.handle,
+            self.settings.caller_host,
+            self.settings.caller_port,
+            web.Limits(connections=CONNECTIONS_LIMIT),
+            self._server,
+        )
+
+    async def serve_readiness(self) -> None:
+        """Tells the balancer whether callers should come here."""
+
+        async def answer(_: web.Request) -> web.Response:
+            return web.Response(200 if self.is_ready() else 503)
+
+        await web.serve(
+            answer, self.settings.ready_host, self.settings.ready_port
+        )
+
+    async def drain(self) -> None:
+        """Finishes what is in flight after the order to stop."""
+        began_at = self._clock.now()
+        self._server.draining = True
+        self._journal.note_change("stopping", busy=self._server.busy)
+        last = began_at + self.settings.grace_seconds - GRACE_MARGIN_SECONDS
+        while True:
+            now = self._clock.now()
+            lingered = now >= began_at + LINGER_SECONDS
+            if (lingered and not self._server.busy) or now >= last:
+                break
+            await curio.sleep(CHECK_SECONDS / 2)
+        self._journal.note_change("stopped", busy=self._server.busy)
+
+
+def _ignore_return(now: float) -> None:
+    """Routes do not lapse."""
+
+
+async def run(gateway: Gateway) -> None:
+    """Runs a proxying entry until it has stopped gracefully."""
+    functions = [
+        *(follower.run for follower in gateway.build_followers()),
+        gateway.check_time,
+        gateway.serve_callers,
+        gateway.serve_readiness,
+    ]
+    async with contextlib.AsyncExitStack() as stack:
+        tasks = []
+        for function in functions:
+            task = await curio.spawn(function, daemon=True)
+            stack.push_async_callback(task.cancel)
+            tasks.append(task)
+        await _wait_stop(gateway, tasks)
+        await gateway.drain()
+
+
+async def _wait_stop(gateway: Gateway, tasks: list[curio.Task]) -> None:
+    """Returns on the order to stop.
+
+    Raises:
+        Exception: a task that is to run for ever has failed with it.
+    """
+    while not gateway.stop.is_set():
+        for task in tasks:
+            if task.terminated and task.exception is not None:
+                raise task.exception
+        await curio.ignore_after(CHECK_SECONDS * 2, gateway.stop.wait)
--- /dev/null
+++ b/samphirevale/gathering.py
@@ -0,0 +1,216 @@
+"""Makes the calls to batching endpoints: items of many requests in each."""
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+import curio
+
+from samphirevale import batching, catalogue, errors, journal, routes
+from samphirevale.ports import clock as clocks
+from samphirevale.ports import proxies
+
+# The interval between looks for room at an endpoint, in seconds.
+ROOM_CHECK_SECONDS = 0.02
+
+# How much longer than expected a call may take before it is given up, as a
+# factor and in seconds: endpoints may turn several times as slow.
+PATIENCE_FACTOR = 3.0
+PATIENCE_SECONDS = 0.3
+
+# How long an endpoint is given no new items after a failed call, in seconds.
+AVOID_SECONDS = 1.0
+
+
+class StageResult(NamedTuple):
+    """A result that is kept at an endpoint."""
+
+    name: str
+    endpoint: catalogue.Endpoint
+
+
+class Ticket:
+    """Waits for the items that were added under it.
+
+    Attributes:
+        abandoned: nobody waits any more.
+    """
+
+    def __init__(self, items: int):
+        self._missing = items
+        self._done = curio.Event()
+        self.abandoned = False
+        self.results: dict[int, proxies.ItemResult] = {}
+
+    async def resolve(self, segment: int, result: proxies.ItemResult) -> None:
+        """Keeps an item's result; the last one wakes who waits."""
+        self.results[segment] = result
+        self._missing -= 1
+        if self._missing <= 0:
+            await self._done.set()
+
+    async def wait(self) -> None:
+        """Returns once every item has its result."""
+        await self._done.wait()
+
+
+class Gatherer:
+    """The queues of the endpoints whose items this entry gathers."""
+
+    def __init__(
+        self,
+        endpoints: proxies.ProxyEndpoints,
+        clock: clocks.Clock,
+        log: journal.Journal,
+    ):
+        self._endpoints = endpoints
+        self._clock = clock
+        self._log = log
+        self._queues: dict[str, batching.BatchQueue] = {}
+        self._drivers: dict[str, curio.Task] = {}
+        self._avoided_until: dict[str, float] = {}
+        self._freed: dict[str, list[str]] = {}
+
+    def find_queue(
+        self, endpoint: catalogue.Endpoint, limits: routes.BatchLimits
+    ) -> batching.BatchQueue:
+        """Returns the endpoint's queue."""
+        key = f"{endpoint.name}/{endpoint.started}"
+        if key not in self._queues:
+            self._queues[key] = batching.BatchQueue(limits)
+        return self._queues[key]
+
+    def forget(self, endpoint: catalogue.Endpoint) -> None:
+        """Drops what is kept of an endpoint that is gone."""
+        key = f"{endpoint.name}/{endpoint.started}"
+        if key in self._queues and not self._queues[key].running:
+            del self._queues[key]
+        self._avoided_until.pop(endpoint.name, None)
+
+    def is_avoided(self, endpoint: catalogue.Endpoint, now: float) -> bool:
+        """Tells whether a call to it has failed a short while ago."""
+        return self._avoided_until.get(endpoint.name, 0.0) > now
+
+    async def run_items(
+        self,
+        endpoint: catalogue.Endpoint,
+        limits: routes.BatchLimits,
+        items: Sequence[batching.Item],
+    ) -> list[proxies.ItemResult]:
+        """Has items done at an endpoint; returns their results in order.
+
+        Args:
+            endpoint: who does them.
+            limits: of its service.
+            items: of one stage of one request; their tickets are replaced.
+        """
+        queue = self.find_queue(endpoint, limits)
+        ticket = Ticket(len(items))
+        for item in items:
+            queue.add(item._replace(ticket=ticket))
+        await self._start_driver(endpoint, queue)
+        try:
+            await ticket.wait()
+        except curio.CancelledError:
+            ticket.abandoned = True
+            queue.withdraw(ticket)
+            await self._release_made(endpoint, ticket)
+            raise
+        return [ticket.results[item.segment] for item in items]
+
+    async def _release_made(
+        self, endpoint: catalogue.Endpoint, ticket: Ticket
+    ) -> None:
+        names = [made.result for made in ticket.results.values() if made.result]
+        await self.release(endpoint, names)
+
+    async def release(
+        self, endpoint: catalogue.Endpoint, names: Sequence[str]
+    ) -> None:
+        """Frees results; returns at once."""
+        if not names:
+            return
+        now = self._clock.now()
+        queue = self._queues.get(f"{endpoint.name}/{endpoint.started}")
+        if queue is not None:
+            for name in names:
+                queue.release(name, now)
+        waiting = self._freed.setdefault(endpoint.name, [])
+        waiting += names
+        if len(waiting) == len(names):
+            await curio.spawn(self._free, endpoint, daemon=True)
+
+    async def _free(self, endpoint: catalogue.Endpoint) -> None:
+        names = self._freed.pop(endpoint.name, [])
+        try:
+            await self._endpoints.release(endpoint, names)
+        except errors.TransportError as error:
+            self._log.note_failure(
+                "release_failed", endpoint=endpoint.name, error=str(error)
+            )
+
+    async def _start_driver(
+        self, endpoint: catalogue.Endpoint, queue: batching.BatchQueue
+    ) -> None:
+        driver = self._drivers.get(endpoint.name)
+        if driver is None or driver.terminated:
+            self._drivers[endpoint.name] = await curio.spawn(
+                self._drive, endpoint, queue, daemon=True
+            )
+
+    async def _drive(
+        self, endpoint: catalogue.Endpoint, queue: batching.BatchQueue
+    ) -> None:
+        """Starts calls for as long as items wait."""
+        while len(queue):
+            now = self._clock.now()
+            for item in queue.take_expired(now):
+                await item.ticket.resolve(
+                    item.segment, proxies.ItemResult("", "late")
+                )
+            batch = queue.take_batch(now)
+            if batch:
+                await curio.spawn(
+                    self._call, endpoint, queue, batch, daemon=True
+                )
+            elif queue.running:
+                # The end of a call starts the driver again.
+                return
+            elif len(queue):
+                await curio.sleep(ROOM_CHECK_SECONDS)
+
+    async def _call(
+        self,
+        endpoint: catalogue.Endpoint,
+        queue: batching.BatchQueue,
+        batch: list[batching.Item],
+    ) -> None:
+        """Makes one call and hands out its results."""
+        began_at = self._clock.now()
+        expected = queue.compute_call_seconds(len(batch))
+        limit = PATIENCE_FACTOR * expected + PATIENCE_SECONDS
+        results = [proxies.ItemResult("", "error")] * len(batch)
+        try:
+            async with self._clock.limit(limit):
+                results = await self._endpoints.run_batch(
+                    endpoint, batch, began_at
+                )
+        except (errors.TransportError, TimeoutError) as error:
+            self._avoided_until[endpoint.name] = (
+                self._clock.now() + AVOID_SECONDS
+            )
+            self._log.note_failure(
+                "batch_failed",
+                endpoint=endpoint.name,
+                items=len(batch),
+                error=f"{type(error).__name__}: {error}",
+            )
+        now = self._clock.now()
+        queue.end_call(batch, [made.result or None for made in results], now)
+        unwanted = []
+        for item, made in zip(batch, results, strict=True):
+            if item.ticket.abandoned and made.result:
+                unwanted.append(made.result)
+            await item.ticket.resolve(item.segment, made)
+        await self.release(endpoint, unwanted)
+        if len(queue):
+            await self._start_driver(endpoint, queue)
--- /dev/null
+++ b/samphirevale/placement.py
@@ -0,0 +1,200 @@
+"""Placement: which endpoint an entry hands a request to, without a sidecar.
+
+What an entry knows of an endpoint's load is what it has sent itself and what
+came back. Prompts that share a part go to one endpoint, which keeps it in
+memory, unless that one has clearly more to do than another.
+"""
+
+import hashlib
+import random
+from collections.abc import Callable, Collection, Sequence
+from typing import NamedTuple
+
+from samphirevale import catalogue, proxied, registry
+
+# Prompt tokens that a model engine reads in a second.
+PROMPT_TOKENS_PER_SECOND = 112_000.0
+
+# What a request in progress adds to the time of a new one, in seconds.
+RUNNING_SECONDS = 0.004
+
+# How much more time the endpoint that has a prompt's shared part may take
+# than the best one, in seconds, besides what reading the part takes.
+AFFINITY_SECONDS = 0.05
+
+# What results from another data centre count against an endpoint: seconds for
+# each megabyte.
+REMOTE_SECONDS_PER_MB = 0.01
+
+# Failures in a row after which an endpoint is avoided, and for how long, in
+# seconds: doubled with each further one up to the limit.
+FAILURES_LIMIT = 2
+AVOID_SECONDS = 0.5
+AVOID_SECONDS_LIMIT = 8.0
+
+# The largest share of a service's endpoints that is avoided at once.
+AVOIDED_SHARE_LIMIT = 0.5
+
+
+class Demand(NamedTuple):
+    """What a choice looks at besides the endpoints.
+
+    Attributes:
+        prompt: the parts of the prompt; empty for a plain request.
+        result_bytes: by data centre, the results that are to be fetched.
+        tried: names of endpoints that have had the request.
+    """
+
+    prompt: tuple[proxied.PromptPart, ...] = ()
+    result_bytes: tuple[tuple[str, int], ...] = ()
+    tried: frozenset[str] = frozenset()
+
+
+class Load:
+    """What one entry has in progress at one endpoint.
+
+    Attributes:
+        running: requests.
+        unread_tokens: of prompts whose first event has not come.
+        failures: in a row.
+        avoided_until: no new work before that time.
+    """
+
+    def __init__(self):
+        self.running = 0
+        self.unread_tokens = 0
+        self.failures = 0
+        self.avoided_until = 0.0
+
+
+Policy = Callable[["Placer", list[catalogue.Endpoint], Demand], str]
+
+policies: registry.Registry[Policy] = registry.Registry("placement policy")
+
+
+class Placer:
+    """Chooses endpoints for one entry."""
+
+    def __init__(self, rng: random.Random, policy: str = "affinity"):
+        self.rng = rng
+        self._choose = policies.get(policy)
+        self._loads: dict[str, Load] = {}
+
+    def read_load(self, name: str) -> Load:
+        """Returns what is in progress at an endpoint."""
+        return self._loads.setdefault(name, Load())
+
+    def choose(
+        self,
+        endpoints: Collection[catalogue.Endpoint],
+        demand: Demand,
+        now: float,
+    ) -> catalogue.Endpoint | None:
+        """Returns the endpoint for a request, or None if there is none."""
+        fresh = [item for item in endpoints if item.name not in demand.tried]
+        candidates = self._leave_out_avoided(fresh, now)
+        if not candidates:
+            return None
+        name = self._choose(self, candidates, demand)
+        return next(item for item in candidates if item.name == name)
+
+    def _leave_out_avoided(
+        self, endpoints: list[catalogue.Endpoint], now: float
+    ) -> list[catalogue.Endpoint]:
+        trusted = [
+            item
+            for item in endpoints
+            if self.read_load(item.name).avoided_until <= now
+        ]
+        if len(trusted) >= len(endpoints) * (1 - AVOIDED_SHARE_LIMIT):
+            return trusted
+        return endpoints
+
+    def note_sent(self, name: str, tokens: int) -> None:
+        """Counts a request that is handed to an endpoint."""
+        load = self.read_load(name)
+        load.running += 1
+        load.unread_tokens += tokens
+
+    def note_read(self, name: str, tokens: int) -> None:
+        """Counts a request whose prompt has been read, or never will be."""
+        self.read_load(name).unread_tokens -= tokens
+
+    def note_ended(self, name: str, failed: bool, now: float) -> None:
+        """Counts the end of a request at an endpoint."""
+        load = self.read_load(name)
+        load.running -= 1
+        if not failed:
+            load.failures = 0
+            return
+        load.failures += 1
+        excess = load.failures - FAILURES_LIMIT
+        if excess >= 0:
+            seconds = min(AVOID_SECONDS * 2**excess, AVOID_SECONDS_LIMIT)
+            load.avoided_until = now + seconds
+
+    def forget(self, name: str) -> None:
+        """Drops what is known of an endpoint that is gone."""
+        load = self._loads.get(name)
+        if load is not None and load.running <= 0:
+            del self._loads[name]
+
+    def estimate_seconds(self, name: str) -> float:
+        """Returns how much longer a request takes there than when idle."""
+        load = self.read_load(name)
+        reading = load.unread_tokens / PROMPT_TOKENS_PER_SECOND
+        return reading + load.running * RUNNING_SECONDS
+
+
+@policies.register("least_running")
+def choose_least_running(
+    placer: Placer, endpoints: list[catalogue.Endpoint], demand: Demand
+) -> str:
+    """The baseline: the endpoint with the fewest own requests."""
+
+    def rank(endpoint: catalogue.Endpoint) -> tuple[int, float]:
+        return placer.read_load(endpoint.name).running, placer.rng.random()
+
+    return min(endpoints, key=rank).name
+
+
+@policies.register("affinity")
+def choose_affine(
+    placer: Placer, endpoints: list[catalogue.Endpoint], demand: Demand
+) -> str:
+    """The endpoint that has the prompt's shared part, unless it is loaded."""
+    if not demand.prompt:
+        return choose_least_running(placer, endpoints, demand)
+    costs = {
+        endpoint.name: placer.estimate_seconds(endpoint.name)
+        + _compute_fetch_seconds(endpoint, demand.result_bytes)
+        for endpoint in endpoints
+    }
+    shared = demand.prompt[:-1] or demand.prompt
+    allowed = min(costs.values()) + AFFINITY_SECONDS
+    allowed += sum(p.tokens for p in shared) / PROMPT_TOKENS_PER_SECOND
+    for name in rank_by_part(shared[-1].name, list(costs)):
+        if costs[name] <= allowed:
+            return name
+    return min(costs, key=costs.__getitem__)
+
+
+def rank_by_part(part: str, names: Sequence[str]) -> list[str]:
+    """Returns names in an order that only the part's name decides."""
+
+    def draw(name: str) -> bytes:
+        text = f"{part}/{name}".encode()
+        return hashlib.blake2b(text, digest_size=8).digest()
+
+    return sorted(names, key=draw)
+
+
+def _compute_fetch_seconds(
+    endpoint: catalogue.Endpoint, result_bytes: tuple[tuple[str, int], ...]
+) -> float:
+    remote = sum(
+        size
+        for data_centre, size in result_bytes
+        if data_centre != endpoint.data_centre
+    )
+    return remote / 1e6 * REMOTE_SECONDS_PER_MB
--- /dev/null
+++ b/samphirevale/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: its names and forms, translated into our types."""
--- /dev/null
+++ b/samphirevale/platform/__main__.py
@@ -0,0 +1,108 @@
+"""The serving program on the users' platform.
+
+`python -m samphirevale.platform` runs a proxying entry with the settings of
+the file that the environment names. Exit codes are those of `samphirevaled`.
+"""
+
+import os
+import signal
+import sys
+
+import curio
+
+from samphirevale import errors, gateway, journal, signals
+from samphirevale.adapters import clock
+from samphirevale.platform import (
+    callers,
+    endpoints,
+    manifest,
+    membership,
+    node_file,
+    store,
+)
+
+EXIT_STOPPED = 0
+EXIT_FAILED = 1
+EXIT_SETTINGS = 2
+
+STOP_SIGNALS = frozenset({signal.SIGTERM, signal.SIGINT})
+
+
+def main() -> int:
+    """Runs the entry until it has stopped; returns the exit code."""
+    try:
+        settings = load_settings()
+    except (OSError, KeyError, errors.InvalidInputError) as error:
+        for finding in getattr(error, "findings", [error]):
+            print(finding, file=sys.stderr)
+        return EXIT_SETTINGS
+    machine_clock = clock.BootClock()
+    os.set_blocking(sys.stdout.fileno(), False)
+    log = journal.Journal(settings.gateway.instance, machine_clock.now)
+    log.note_change("started", data_centre=settings.gateway.data_centre)
+    node = gateway.Gateway(
+        settings.gateway, build_outside(settings), machine_clock, log
+    )
+    try:
+        curio.run(run_until_stopped, node, log)
+    except Exception as error:
+        log.note_failure("failed", error=f"{type(error).__name__}: {error}")
+        return EXIT_FAILED
+    return EXIT_STOPPED
+
+
+def load_settings() -> node_file.NodeFile:
+    """Returns the settings of the file that the environment names."""
+    with open(os.environ[node_file.VARIABLE], encoding="utf-8") as file:
+        return node_file.read_node_file(file.read())
+
+
+def build_outside(settings: node_file.NodeFile) -> gateway.Outside:
+    """Returns the adapters to the platform."""
+    return gateway.Outside(
+        store=store.PlatformStore(settings.store_url),
+        routes_kind=manifest.KIND,
+        routes_name=manifest.NAME,
+        decode_routes=manifest.decode_table,
+        endpoints_kind=membership.KIND,
+        decode_endpoint=membership.decode_endpoint,
+        endpoints=endpoints.PlatformEndpoints(),
+        build_handler=callers.CallerHandler,
+    )
+
+
+async def run_until_stopped(
+    node: gateway.Gateway, log: journal.Journal
+) -> None:
+    """Runs the entry, with signals for stop and reload."""
+    async with signals.open_signals(STOP_SIGNALS | {signal.SIGHUP}) as stream:
+        reader = await curio.spawn(obey_signals, stream, node, log, daemon=True)
+        try:
+            await gateway.run(node)
+        finally:
+            await reader.cancel()
+
+
+async def obey_signals(
+    stream: signals.SignalStream, node: gateway.Gateway, log: journal.Journal
+) -> None:
+    """Stops or reloads as the signals say, for ever."""
+    async for number in stream:
+        if number in STOP_SIGNALS:
+            await node.stop.set()
+        else:
+            reload_settings(log)
+
+
+def reload_settings(log: journal.Journal) -> None:
+    """Reads the settings file again; a wrong one changes nothing."""
+    try:
+        load_settings()
+    except (OSError, errors.InvalidInputError) as error:
+        log.note_failure("reload_failed", error=str(error))
+        return
+    log.note_change("reloaded")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/samphirevale/platform/endpoints.py
@@ -0,0 +1,204 @@
+"""Calls to the platform's engines, stage engines and plain services."""
+
+import contextlib
+import json
+from collections.abc import AsyncIterator, Sequence
+
+from samphirevale import batching, catalogue, errors, proxied
+from samphirevale.adapters import web
+from samphirevale.platform import headers
+from samphirevale.ports import proxies
+
+# The longest time to make a connection to an endpoint, in seconds.
+CONNECT_SECONDS = 0.5
+
+# The most idle connections that are kept to one stage engine.
+IDLE_LIMIT = 4
+
+# The statuses by which an endpoint says that it has not run a request.
+MISDIRECTED = 421
+
+
+class PlatformAnswer:
+    """Implements ports.proxies.EndpointAnswer."""
+
+    def __init__(self, connection: web.ClientConnection, answer: web.Answer):
+        self._connection = connection
+        self._answer = answer
+        self.status = answer.status
+        self.headers = tuple(
+            (name, value)
+            for name, value in answer.raw_headers
+            if name.decode("latin-1").lower() not in headers.HOP_BY_HOP
+        )
+        content = answer.headers.get("content-type", "")
+        self.streamed = answer.status == 200 and content.startswith(
+            "text/event-stream"
+        )
+
+    def read_parts(self) -> AsyncIterator[bytes]:
+        """Yields the body; raises errors.TransportError if it breaks off."""
+        return self._answer.read_parts()
+
+    async def close(self) -> None:
+        """Ends the exchange; the endpoint drops what it still does."""
+        await self._connection.close()
+
+
+class PlatformEndpoints:
+    """Implements ports.proxies.ProxyEndpoints.
+
+    Requests go on connections of their own: one that is kept may close as
+    the request is on its way, which leaves open whether it has run. Calls
+    with items and releases may be repeated, and use kept connections.
+    """
+
+    def __init__(self):
+        self._idle: dict[tuple[str, int], list[web.ClientConnection]] = {}
+
+    async def send(
+        self,
+        endpoint: catalogue.Endpoint,
+        request: proxied.ProxiedRequest,
+        send: proxied.Send,
+    ) -> PlatformAnswer:
+        """Hands a request over; returns once the answer's head is read."""
+        connection = await web.open_connection(
+            endpoint.host, endpoint.port, CONNECT_SECONDS
+        )
+        try:
+            answer = await connection.request(
+                request.method,
+                request.target,
+                request.body,
+                request.headers + _build_headers(endpoint, send),
+                request.host,
+            )
+            _check_executed(answer)
+            if answer.headers.get(headers.ATTEMPT) != request.attempt:
+                raise errors.ProtocolError("the answer is not the request's")
+            if "content-encoding" in answer.headers:
+                raise errors.ProtocolError("the answer is encoded")
+            if answer.status < 300 and headers.SEAL not in answer.headers:
+                raise errors.ProtocolError("the answer has no seal")
+        except BaseException:
+            await connection.close()
+            raise
+        return PlatformAnswer(connection, answer)
+
+    async def run_batch(
+        self,
+        endpoint: catalogue.Endpoint,
+        items: Sequence[batching.Item],
+        now: float,
+    ) -> list[proxies.ItemResult]:
+        """Makes one call with several items; returns their results."""
+        body = {"items": [_encode_item(item, now) for item in items]}
+        value = await self._call(endpoint, "/stage-run", body)
+        made = value.get("items") if isinstance(value, dict) else None
+        if not isinstance(made, list) or len(made) != len(items):
+            raise errors.ProtocolError("not the items that were asked for")
+        return [_decode_result(item) for item in made]
+
+    async def release(
+        self, endpoint: catalogue.Endpoint, results: Sequence[str]
+    ) -> None:
+        """Frees the room that results take."""
+        await self._call(endpoint, "/stage-free", {"handles": list(results)})
+
+    async def _call(
+        self, endpoint: catalogue.Endpoint, target: str, value: object
+    ) -> object:
+        connection = await self._take_connection(endpoint)
+        kept = False
+        try:
+            answer = await connection.request(
+                "POST",
+                target,
+                json.dumps(value).encode(),
+                (
+                    ("Content-Type", "application/json"),
+                    ("Samphirevale-Expect-Instance", endpoint.name),
+                ),
+            )
+            data = await answer.read_body()
+            kept = connection.is_reusable()
+            _check_executed(answer)
+            if answer.status != 200:
+                raise errors.ProtocolError(f"status {answer.status}")
+            return web.read_json(data)
+        finally:
+            if kept:
+                self._keep(endpoint, connection)
+            else:
+                await connection.close()
+
+    async def _take_connection(
+        self, endpoint: catalogue.Endpoint
+    ) -> web.ClientConnection:
+        idle = self._idle.get((endpoint.host, endpoint.port), [])
+        while idle:
+            connection = idle.pop()
+            if not connection.is_stale():
+                return connection
+            await connection.close()
+        return await web.open_connection(
+            endpoint.host, endpoint.port, CONNECT_SECONDS
+        )
+
+    def _keep(
+        self, endpoint: catalogue.Endpoint, connection: web.ClientConnection
+    ) -> None:
+        idle = self._idle.setdefault((endpoint.host, endpoint.port), [])
+        if len(idle) < IDLE_LIMIT:
+            idle.append(connection)
+
+    async def forget(self, endpoint: catalogue.Endpoint) -> None:
+        """Closes the connections that are kept to an endpoint."""
+        for connection in self._idle.pop((endpoint.host, endpoint.port), []):
+            with contextlib.suppress(OSError):
+                await connection.close()
+
+
+def _build_headers(
+    endpoint: catalogue.Endpoint, send: proxied.Send
+) -> tuple[tuple[str, str], ...]:
+    milliseconds = max(int(send.wait_seconds * 1000), 1)
+    given = [
+        ("Samphirevale-Deadline-Ms", str(milliseconds)),
+        ("Samphirevale-Expect-Instance", endpoint.name),
+    ]
+    if send.account:
+        given.append(("Samphirevale-Tenant-Name", send.account))
+    if send.last_event is not None:
+        given.append(("Last-Event-Id", str(send.last_event)))
+    if send.results:
+        given.append(("Samphirevale-Input-Count", ",".join(send.results)))
+    return tuple(given)
+
+
+def _check_executed(answer: web.Answer) -> None:
+    other = answer.status == MISDIRECTED
+    if other or headers.NOT_EXECUTED in answer.headers:
+        raise errors.NotExecutedError(f"status {answer.status}", is_other=other)
+
+
+def _encode_item(item: batching.Item, now: float) -> dict[str, object]:
+    value: dict[str, object] = {
+        "id": item.attempt,
+        "phase": item.stage,
+        "segment": item.segment,
+        "remaining_ms": max(int((item.deadline_at - now) * 1000), 1),
+    }
+    if item.inputs:
+        value["inputs"] = list(item.inputs)
+    else:
+        value["key"] = item.key
+    return value
+
+
+def _decode_result(value: object) -> proxies.ItemResult:
+    if isinstance(value, dict) and isinstance(value.get("handle"), str):
+        return proxies.ItemResult(value["handle"], "")
+    reason = value.get("reason", "error") if isinstance(value, dict) else ""
+    return proxies.ItemResult("", str(reason) or "error")
--- /dev/null
+++ b/samphirevale/platform/node_file.py
@@ -0,0 +1,100 @@
+"""The platform's settings file of a process, checked whole."""
+
+import tomllib
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+from samphirevale import budgets, errors, gateway
+
+# The variable that holds the file's path.
+VARIABLE = "SAMPHIREVALE_NODE_FILE"
+
+# Ports between our own processes, counted from the first of the range.
+PEER_PORT_OFFSET = 0
+METRICS_PORT_OFFSET = 1
+
+
+class NodeFile(NamedTuple):
+    """What the file says.
+
+    Attributes:
+        gateway: the entry's settings.
+        store_url: the platform's store.
+    """
+
+    gateway: gateway.GatewaySettings
+    store_url: str
+
+
+class _Reader:
+    """Reads values by place and collects what is wrong with them."""
+
+    def __init__(self, value: Mapping[str, Any]):
+        self._value = value
+        self.findings: list[errors.Finding] = []
+
+    def read(self, place: str, *types: type) -> Any:
+        """Returns the value at a dotted place; None if it is wrong."""
+        value: Any = self._value
+        for name in place.split("."):
+            value = value.get(name) if isinstance(value, Mapping) else None
+        if isinstance(value, types) and not isinstance(value, bool):
+            return value
+        names = " or ".join(item.__name__ for item in types)
+        got = "" if value is None else repr(value)[:40]
+        self.findings.append(errors.Finding(place, names, got))
+        return None
+
+    def read_number(self, place: str) -> float:
+        """Returns a number at a place; 0 if it is wrong."""
+        value = self.read(place, int, float)
+        return 0.0 if value is None else float(value)
+
+    def read_address(self, place: str) -> tuple[str, int]:
+        """Returns host and port at a place; none if they are wrong."""
+        text = self.read(place, str)
+        host, _, port = (text or "").rpartition(":")
+        if text is not None and not (host and port.isdigit()):
+            self.findings.append(errors.Finding(place, "host:port", text))
+        return host, int(port) if port.isdigit() else 0
+
+
+def read_node_file(text: str) -> NodeFile:
+    """Returns the settings.
+
+    Raises:
+        errors.InvalidInputError: with every finding.
+    """
+    try:
+        value = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise errors.InvalidInputError(
+            [errors.Finding("settings file", "TOML", str(error))]
+        ) from error
+    reader = _Reader(value)
+    frontend = reader.read_address("listen.frontend")
+    readiness = reader.read_address("listen.readiness")
+    ports = reader.read("port_range", list) or [0, 0]
+    first_port = ports[0] if isinstance(ports[0], int) else 0
+    settings = gateway.GatewaySettings(
+        instance=reader.read("node_name", str) or "",
+        data_centre=reader.read("zone", str) or "",
+        caller_host=frontend[0],
+        caller_port=frontend[1],
+        ready_host=readiness[0],
+        ready_port=readiness[1],
+        peer_host=reader.read("ip", str) or "",
+        peer_port=first_port + PEER_PORT_OFFSET,
+        metrics_port=first_port + METRICS_PORT_OFFSET,
+        keys_seconds=reader.read_number("bounds.revoke_ms") / 1000,
+        grace_seconds=reader.read_number("bounds.grace_s"),
+        budget=budgets.BudgetTerms(
+            reader.read_number("bounds.retry_ratio"),
+            reader.read_number("bounds.retry_allowance"),
+            reader.read_number("bounds.retry_window_s"),
+        ),
+    )
+    store = reader.read("platform.address", str)
+    if reader.findings:
+        raise errors.InvalidInputError(reader.findings)
+    return NodeFile(settings, f"http://{store}")
--- /dev/null
+++ b/samphirevale/platform/store.py
@@ -0,0 +1,136 @@
+"""The platform's metadata store as the port of followed objects."""
+
+import contextlib
+import urllib.parse
+from collections.abc import Iterator
+from typing import Any
+
+from samphirevale import errors
+from samphirevale.adapters import store_calls
+from samphirevale.ports import objects
+
+# How much longer than its own timeout a watch may take, in seconds.
+WATCH_MARGIN_SECONDS = 0.8
+
+CONTENT_TYPE = ("Content-Type", "application/json")
+
+
+class PlatformStore(store_calls.StoreCaller):
+    """Implements ports.objects.FollowedStore, and conditional writes."""
+
+    async def list_at(self, kind: str) -> objects.Listing:
+        """Returns a kind's objects, from all pages of the list.
+
+        Pages are read at different revisions; watching from the first one's
+        tells again what has changed meanwhile.
+        """
+        found: list[objects.StoredObject] = []
+        version = None
+        after = ""
+        while True:
+            query = f"?after={urllib.parse.quote(after)}" if after else ""
+            reply = await self.read(f"{_build_path(kind)}{query}")
+            _check_status(reply)
+            with _refusing_malformed():
+                page = _read_objects(kind, reply.value["items"])
+                more = reply.value.get("more_pages", False)
+                if version is None:
+                    version = int(reply.value["at"])
+            found += page
+            if not more or not page:
+                return objects.Listing(found, version)
+            after = page[-1].name
+
+    async def watch(
+        self, kind: str, version: int, timeout_seconds: float
+    ) -> objects.WatchEvents:
+        """Waits for changes of a kind after `version`.
+
+        Raises:
+            errors.StoreWatchExpiredError: `version` is too old.
+        """
+        wait_ms = int(timeout_seconds * 1000)
+        reply = await self.read(
+            f"{_build_path(kind)}?watch={version}&wait_ms={wait_ms}",
+            timeout_seconds + WATCH_MARGIN_SECONDS,
+        )
+        if reply.status == 410:
+            raise errors.StoreWatchExpiredError(f"{kind} from {version}")
+        _check_status(reply)
+        with _refusing_malformed():
+            changed = []
+            for event in reply.value["events"]:
+                for stored in _read_objects(kind, [event["object"]]):
+                    gone = event.get("deleted", False)
+                    value = None if gone else stored.value
+                    changed.append(stored._replace(value=value))
+            return objects.WatchEvents(changed, int(reply.value["at"]))
+
+    async def create(self, kind: str, name: str, value: Any) -> None:
+        """Creates an object; raises errors.StoreConflictError if it exists."""
+        body = {"metadata": {"name": name}, "spec": value}
+        reply = await self.write(
+            "POST", _build_path(kind), body, (CONTENT_TYPE,)
+        )
+        _check_status(reply)
+
+    async def replace(self, kind: str, name: str, value: Any) -> None:
+        """Replaces an object, whatever it holds; creates it if need be."""
+        body = {"metadata": {"name": name}, "spec": value}
+        reply = await self.write(
+            "PUT", _build_path(kind, name), body, (CONTENT_TYPE,)
+        )
+        if reply.status == 404:
+            await self.create(kind, name, value)
+            return
+        _check_status(reply)
+
+    async def delete(self, kind: str, name: str) -> None:
+        """Deletes an object; it may be gone already."""
+        reply = await self.write("DELETE", _build_path(kind, name), None)
+        if reply.status != 404:
+            _check_status(reply)
+
+
+def _build_path(*parts: str) -> str:
+    quoted = (urllib.parse.quote(part, safe="") for part in parts)
+    return "/objects/" + "/".join(quoted)
+
+
+def _check_status(reply: store_calls.Reply) -> None:
+    if reply.status in (200, 201, 204):
+        return
+    text = f"status {reply.status}"
+    if reply.status == 409:
+        raise errors.StoreConflictError(text)
+    if reply.status in (429, 503):
+        raise errors.StoreUnavailableError(text)
+    raise errors.StoreError(text)
+
+
+@contextlib.contextmanager
+def _refusing_malformed() -> Iterator[None]:
+    try:
+        yield
+    except (AttributeError, TypeError, KeyError, ValueError) as error:
+        raise errors.StoreUnavailableError(
+            f"malformed answer: {error!r}"
+        ) from error
+
+
+def _read_objects(kind: str, items: list[Any]) -> list[objects.StoredObject]:
+    """Returns the objects that can be read; their decoders judge the rest."""
+    found = []
+    for item in items:
+        metadata = item.get("metadata") if isinstance(item, dict) else None
+        if not isinstance(metadata, dict) or "name" not in metadata:
+            continue
+        found.append(
+            objects.StoredObject(
+                kind,
+                str(metadata["name"]),
+                metadata.get("revision", 0),
+                item.get("spec"),
+            )
+        )
+    return found
--- a/samphirevale/ports/objects.py
+++ b/samphirevale/ports/objects.py
@@ -31,6 +31,18 @@
     version: int
 
 
+class Listing(NamedTuple):
+    """All objects of a kind at one version of the store.
+
+    Attributes:
+        objects: the kind's objects.
+        version: the store's version to watch on from.
+    """
+
+    objects: list[StoredObject]
+    version: int
+
+
 class ListedInstance(NamedTuple):
     """A sidecar in the platform's list, which lags both ways.
 
@@ -47,6 +59,18 @@
     state: str
 
 
+class FollowedStore(Protocol):
+    """The calls that keep a copy of a kind up to date."""
+
+    async def list_at(self, kind: str) -> Listing:
+        """Returns a kind's objects and the version they were read at."""
+
+    async def watch(
+        self, kind: str, version: int, timeout_seconds: float
+    ) -> WatchEvents:
+        """Waits for changes of a kind after `version`."""
+
+
 class ObjectStore(Protocol):
     """The store, as the decisions' drivers need it.
 
--- /dev/null
+++ b/samphirevale/proxying.py
@@ -0,0 +1,552 @@
+"""Drives one proxied request: stages, sends, repeats, and its one answer."""
+
+import contextlib
+import random
+from typing import NamedTuple
+
+import curio
+
+from samphirevale import (
+    budgets,
+    catalogue,
+    errors,
+    events,
+    journal,
+    knowledge,
+    placement,
+    proxied,
+    routes,
+    stages,
+)
+from samphirevale.ports import clock as clocks
+from samphirevale.ports import proxies
+
+# The largest answer that is held back until it is whole, in bytes.
+WHOLE_BYTES_LIMIT = 8 * 1024 * 1024
+
+# Tries to connect to other endpoints, which hand nothing over.
+CONNECTS_LIMIT = 3
+
+# When to come back after a refusal that should pass soon, in seconds.
+RETRY_SECONDS = 0.5
+
+# The part of the time left that a request may wait for its stages.
+STAGES_SHARE = 0.7
+
+# How long a stream that may be resumed may be silent, in seconds.
+SILENCE_SECONDS = 1.2
+
+
+class ProxyNode(NamedTuple):
+    """The collaborators of a proxying entry."""
+
+    knowledge: knowledge.Knowledge
+    placer: placement.Placer
+    group: stages.StageGroup
+    budget: budgets.RetryBudget
+    endpoints: proxies.ProxyEndpoints
+    clock: clocks.Clock
+    rng: random.Random
+    journal: journal.Journal
+
+
+class _Accepted(NamedTuple):
+    """A request that may run, and the terms."""
+
+    request: proxied.ProxiedRequest
+    route: routes.Route
+    service: str
+    account: str
+    priority: int
+    deadline_at: float
+
+
+Answer = proxied.WholeAnswer | proxied.StreamedAnswer | proxied.Refusal
+
+
+class Proxy:
+    """Answers proxied requests."""
+
+    def __init__(self, node: ProxyNode):
+        self._node = node
+
+    async def answer(self, request: proxied.ProxiedRequest) -> Answer:
+        """Returns the request's one answer, at its deadline at the latest."""
+        accepted = self._accept(request)
+        if isinstance(accepted, proxied.Refusal):
+            self._log_refusal(request, accepted)
+            return accepted
+        run = _Run(self._node, accepted)
+        limit = accepted.deadline_at - self._node.clock.now()
+        try:
+            async with self._node.clock.limit(limit):
+                answer = await run.run()
+        except TimeoutError:
+            answer = run.refuse_timeout()
+        if isinstance(answer, proxied.Refusal):
+            self._log_refusal(request, answer)
+        return answer
+
+    def _log_refusal(
+        self, request: proxied.ProxiedRequest, refusal: proxied.Refusal
+    ) -> None:
+        now = self._node.clock.now()
+        self._node.journal.note_failure(
+            "request_refused",
+            request=request.attempt,
+            status=refusal.status,
+            reason=refusal.reason,
+            seconds=round(now - request.received_at, 3),
+            retry_seconds=refusal.retry_seconds,
+            routes_age=round(self._node.knowledge.routes_age.read_age(now), 3),
+        )
+
+    def _accept(
+        self, request: proxied.ProxiedRequest
+    ) -> _Accepted | proxied.Refusal:
+        """Returns the terms of a request, or why it is not taken."""
+        known = self._node.knowledge
+        now = self._node.clock.now()
+        if known.table is None:
+            return proxied.Refusal(503, "no_routes", RETRY_SECONDS)
+        if not known.routes_age.is_usable(now):
+            return proxied.Refusal(503, "routes_outdated", RETRY_SECONDS)
+        route = known.table.find_route(request.host, request.path)
+        if route is None:
+            return proxied.Refusal(404, "no_route")
+        account = None
+        if known.table.accounts is not None and not route.anonymous:
+            account = known.table.accounts.get(request.key)
+            if account is None:
+                return proxied.Refusal(401, "unknown_key")
+        priority = route.priority
+        if account is not None and account.priority is not None:
+            priority = account.priority
+        wait_seconds = min(request.wait_seconds, route.timeout_seconds)
+        return _Accepted(
+            request,
+            route,
+            routes.choose_service(route, self._node.rng.random()),
+            account.name if account is not None else "",
+            priority,
+            request.received_at + wait_seconds,
+        )
+
+
+class _Run:
+    """One accepted request."""
+
+    def __init__(self, node: ProxyNode, accepted: _Accepted):
+        self._node = node
+        self._accepted = accepted
+        self._request = accepted.request
+        self._route = accepted.route
+        self._tokens = sum(part.tokens for part in self._request.prompt)
+        self._tried: set[str] = set()
+        self._runs = 0
+        # Something may have run for this request.
+        self._handed_over = False
+        self._stages: stages.StageRun | None = None
+
+    async def run(self) -> Answer:
+        """Returns the answer."""
+        results = []
+        if self._route.stages:
+            refusal = self._refuse_overload()
+            if refusal is not None:
+                return refusal
+            self._stages = self._build_stages()
+            try:
+                async with stages.hold(self._stages):
+                    results = await self._stages.run()
+            except errors.StageError as error:
+                return proxied.Refusal(
+                    503, str(error).replace(" ", "_"), RETRY_SECONDS
+                )
+        self._node.budget.note_first(
+            self._accepted.service, self._node.clock.now()
+        )
+        try:
+            return await self._send_until_answered(results)
+        finally:
+            if self._stages is not None:
+                await self._stages.release_all()
+
+    def refuse_timeout(self) -> proxied.Refusal:
+        """Returns the answer at the end of the time that the request has."""
+        if self._handed_over:
+            return proxied.Refusal(504, "no_answer_in_time")
+        return proxied.Refusal(503, "not_sent_in_time", RETRY_SECONDS)
+
+    def _refuse_overload(self) -> proxied.Refusal | None:
+        """Returns a refusal if the stages would not be done in time."""
+        now = self._node.clock.now()
+        seconds = stages.estimate_stages(
+            self._node.group,
+            self._node.knowledge,
+            self._route,
+            self._request.piece_counts,
+            now,
+        )
+        if seconds is None:
+            return proxied.Refusal(503, "no_endpoint", RETRY_SECONDS)
+        left = self._accepted.deadline_at - now
+        limit = min(left * STAGES_SHARE, self._route.target_seconds)
+        if seconds <= limit:
+            return None
+        return proxied.Refusal(
+            503, "stages_overloaded", max(seconds - limit, 0.1)
+        )
+
+    def _build_stages(self) -> stages.StageRun:
+        terms = stages.Terms(
+            due_at=self._request.received_at + self._route.target_seconds,
+            deadline_at=self._accepted.deadline_at,
+            priority=self._accepted.priority,
+            data_centre=self._choose_data_centre(),
+        )
+        return stages.StageRun(
+            self._node.group,
+            self._node.knowledge,
+            self._node.clock,
+            self._request,
+            self._route,
+            terms,
+            self._may_repeat,
+        )
+
+    def _choose_data_centre(self) -> str:
+        """Returns where the request would be sent now."""
+        endpoint = self._choose_endpoint(())
+        return endpoint.data_centre if endpoint is not None else ""
+
+    def _may_repeat(self, service: str) -> bool:
+        known = self._node.knowledge
+        return self._node.budget.take(
+            service, len(known.members), self._node.clock.now()
+        )
+
+    def _choose_endpoint(
+        self, result_bytes: tuple[tuple[str, int], ...]
+    ) -> catalogue.Endpoint | None:
+        known = self._node.knowledge
+        return self._node.placer.choose(
+            known.catalogue.list_accepting(self._accepted.service),
+            placement.Demand(
+                self._request.prompt, result_bytes, frozenset(self._tried)
+            ),
+            self._node.clock.now(),
+        )
+
+    def _measure_results(self, results) -> tuple[tuple[str, int], ...]:
+        size = self._route.stages[-1].result_bytes if self._route.stages else 0
+        return tuple((made.endpoint.data_centre, size) for made in results)
+
+    async def _send_until_answered(self, results) -> Answer:
+        names = tuple(made.name for made in results)
+        sizes = self._measure_results(results)
+        connects = 0
+        while True:
+            endpoint = self._choose_endpoint(sizes)
+            if endpoint is None:
+                return self._refuse_failed("no_endpoint")
+            self._tried.add(endpoint.name)
+            try:
+                answer = await self._send_once(endpoint, names)
+            except errors.ConnectError as error:
+                self._log_failed(endpoint, error)
+                connects += 1
+                if connects >= CONNECTS_LIMIT:
+                    return self._refuse_failed("unreachable")
+                continue
+            except errors.NotExecutedError as error:
+                self._log_failed(endpoint, error)
+                if not self._may_repeat(self._accepted.service):
+                    return self._refuse_failed("refused_by_endpoint")
+                continue
+            except errors.TransportError as error:
+                self._handed_over = True
+                self._log_failed(endpoint, error)
+                if not self._may_send_again():
+                    return proxied.Refusal(502, "answer_lost")
+                continue
+            failed = (
+                isinstance(answer, proxied.WholeAnswer) and answer.status >= 500
+            )
+            if failed and self._may_send_again():
+                continue
+            return answer
+
+    def _refuse_failed(self, reason: str) -> proxied.Refusal:
+        if self._handed_over:
+            return proxied.Refusal(502, reason)
+        return proxied.Refusal(503, reason, RETRY_SECONDS)
+
+    def _log_failed(
+        self, endpoint: catalogue.Endpoint, error: Exception
+    ) -> None:
+        self._node.journal.note_failure(
+            "send_failed",
+            request=self._request.attempt,
+            endpoint=endpoint.name,
+            handed_over=self._handed_over,
+            error=f"{type(error).__name__}: {error}",
+        )
+
+    def _may_send_again(self) -> bool:
+        """Tells whether what may have run may be sent to another endpoint."""
+        return (
+            self._route.may_run_again()
+            and self._runs < self._route.attempts_limit
+            and self._may_repeat(self._accepted.service)
+        )
+
+    async def _send_once(
+        self, endpoint: catalogue.Endpoint, results: tuple[str, ...]
+    ) -> Answer:
+        """Hands the request to one endpoint; returns its answer."""
+        exchange = _Exchange(self._node, endpoint, self._tokens)
+        try:
+            await self._open(exchange, endpoint, results, None)
+            if exchange.answer.streamed:
+                return await self._begin_stream(exchange, results)
+            body = await exchange.read_whole()
+            answer = exchange.answer
+            await exchange.close(failed=answer.status >= 500)
+            return proxied.WholeAnswer(answer.status, answer.headers, body)
+        except BaseException as error:
+            await exchange.close(failed=isinstance(error, Exception))
+            raise
+
+    async def _open(
+        self,
+        exchange: "_Exchange",
+        endpoint: catalogue.Endpoint,
+        results: tuple[str, ...],
+        last_event: int | None,
+    ) -> None:
+        now = self._node.clock.now()
+        left = self._accepted.deadline_at - now
+        if left <= 0:
+            raise TimeoutError("no time is left")
+        if not self._node.knowledge.catalogue.is_accepting(endpoint):
+            raise errors.ConnectError(f"{endpoint.name} takes no new work")
+        send = proxied.Send(
+            self._accepted.account,
+            left,
+            self._request.last_event if last_event is None else last_event,
+            results,
+        )
+        # A request that is cancelled on its way may have been handed over.
+        before = self._handed_over
+        self._handed_over = True
+        try:
+            await exchange.open(self._request, send)
+        except (errors.ConnectError, errors.NotExecutedError):
+            self._handed_over = before
+            raise
+        finally:
+            self._runs += self._handed_over
+        self._node.journal.note_request(
+            "request_sent",
+            request=self._request.attempt,
+            endpoint=endpoint.name,
+            service=endpoint.service,
+            seconds=round(now - self._request.received_at, 3),
+            status=exchange.answer.status,
+        )
+
+    async def _begin_stream(
+        self, exchange: "_Exchange", results: tuple[str, ...]
+    ) -> proxied.StreamedAnswer:
+        """Returns the stream once its first event has come."""
+        stream = _Stream(self, exchange, results, self._request.last_event)
+        await stream.read_first()
+        if self._stages is not None:
+            await self._stages.release_all()
+        answer = exchange.answer
+        return proxied.StreamedAnswer(answer.status, answer.headers, stream)
+
+    async def resume(
+        self, results: tuple[str, ...], last_event: int | None
+    ) -> "_Exchange":
+        """Goes on with a stream at another endpoint.
+
+        Raises:
+            errors.AnswerLostError: it may not, or no endpoint takes it.
+        """
+        while self._may_send_again():
+            endpoint = self._choose_endpoint(())
+            if endpoint is None:
+                break
+            self._tried.add(endpoint.name)
+            exchange = _Exchange(self._node, endpoint, self._tokens)
+            try:
+                await self._open(exchange, endpoint, results, last_event)
+                if exchange.answer.streamed:
+                    return exchange
+                await exchange.close(failed=True)
+            except errors.TransportError as error:
+                self._log_failed(endpoint, error)
+                await exchange.close(failed=True)
+            except BaseException:
+                await exchange.close(failed=False)
+                raise
+        raise errors.AnswerLostError("the stream cannot be resumed")
+
+    def read_limit(self) -> float:
+        """Returns how long the next event of a stream is waited for."""
+        left = self._accepted.deadline_at - self._node.clock.now()
+        if self._route.resumable and self._runs < self._route.attempts_limit:
+            return min(left, SILENCE_SECONDS)
+        return left
+
+    def note_stream_end(self, outcome: str, last: int | None) -> None:
+        """Logs how a stream has ended."""
+        now = self._node.clock.now()
+        note = self._node.journal.note_request
+        if outcome != "complete":
+            note = self._node.journal.note_failure
+        note(
+            "stream_ended",
+            request=self._request.attempt,
+            outcome=outcome,
+            last_event=last,
+            seconds=round(now - self._request.received_at, 3),
+        )
+
+
+class _Exchange:
+    """One send to one endpoint, counted in its load until it ends."""
+
+    def __init__(
+        self, node: ProxyNode, endpoint: catalogue.Endpoint, tokens: int
+    ):
+        self._node = node
+        self._endpoint = endpoint
+        self._tokens = tokens
+        self._unread = False
+        self._counted = False
+        self.answer: proxies.EndpointAnswer | None = None
+
+    async def open(
+        self, request: proxied.ProxiedRequest, send: proxied.Send
+    ) -> None:
+        """Hands the request over and reads the head of its answer."""
+        self._counted = self._unread = True
+        self._node.placer.note_sent(self._endpoint.name, self._tokens)
+        self.answer = await self._node.endpoints.send(
+            self._endpoint, request, send
+        )
+
+    async def read_whole(self) -> bytes:
+        """Returns the whole body."""
+        body = bytearray()
+        async with contextlib.aclosing(self.answer.read_parts()) as parts:
+            async for part in parts:
+                body += part
+                if len(body) > WHOLE_BYTES_LIMIT:
+                    raise errors.ProtocolError("the answer is too large")
+        return bytes(body)
+
+    def note_read(self) -> None:
+        """Takes note that the prompt has been read."""
+        if self._unread:
+            self._unread = False
+            self._node.placer.note_read(self._endpoint.name, self._tokens)
+
+    async def close(self, failed: bool) -> None:
+        """Ends the exchange; more calls do nothing."""
+        self.note_read()
+        if self._counted:
+            self._counted = False
+            self._node.placer.note_ended(
+                self._endpoint.name, failed, self._node.clock.now()
+            )
+        if self.answer is not None:
+            answer, self.answer = self.answer, None
+            await answer.close()
+
+
+class _Stream:
+    """The chunks of a streamed answer: whole events, over several runs."""
+
+    def __init__(
+        self,
+        run: _Run,
+        exchange: _Exchange,
+        results: tuple[str, ...],
+        last_event: int | None,
+    ):
+        self._run = run
+        self._exchange = exchange
+        self._results = results
+        self._order = events.EventOrder(last_event)
+        self._cutter = events.EventCutter()
+        self._parts = exchange.answer.read_parts()
+        self._first = b""
+        self._ended = False
+
+    async def read_first(self) -> None:
+        """Reads the first event, or the end of a stream that has none."""
+        while not self._first and not self._ended:
+            self._first = await self._read_chunk()
+
+    def __aiter__(self) -> "_Stream":
+        """Returns itself."""
+        return self
+
+    async def __anext__(self) -> bytes:
+        """Returns the next whole events."""
+        if self._first:
+            first, self._first = self._first, b""
+            return first
+        while not self._ended:
+            chunk = await self._read_or_resume()
+            if chunk:
+                return chunk
+        self._run.note_stream_end("complete", self._order.last)
+        await self._exchange.close(failed=False)
+        raise StopAsyncIteration
+
+    async def _read_or_resume(self) -> bytes:
+        try:
+            async with curio.timeout_after(max(self._run.read_limit(), 0)):
+                return await self._read_chunk()
+        except (errors.TransportError, curio.TaskTimeout) as error:
+            await self._parts.aclose()
+            await self._exchange.close(failed=True)
+            reason = f"{type(error).__name__}: {error}"
+        try:
+            self._exchange = await self._run.resume(
+                self._results, self._order.last
+            )
+        except (errors.AnswerLostError, TimeoutError) as error:
+            self._run.note_stream_end(reason, self._order.last)
+            raise errors.AnswerLostError(reason) from error
+        self._cutter = events.EventCutter()
+        self._parts = self._exchange.answer.read_parts()
+        return b""
+
+    async def _read_chunk(self) -> bytes:
+        """Returns the whole events that came next; sets the end."""
+        try:
+            part = await self._parts.__anext__()
+        except StopAsyncIteration:
+            if self._cutter.has_rest():
+                raise errors.AnswerLostError(
+                    "the stream ended inside an event"
+                ) from None
+            self._ended = True
+            return b""
+        self._exchange.note_read()
+        return b"".join(
+            event.data
+            for event in self._cutter.feed(part)
+            if self._order.accept(event)
+        )
+
+    async def aclose(self) -> None:
+        """Ends the stream; the endpoint drops what it still does."""
+        await self._parts.aclose()
+        await self._exchange.close(failed=False)
--- /dev/null
+++ b/samphirevale/stages.py
@@ -0,0 +1,328 @@
+"""The stages before a request: pieces at batching endpoints, in order."""
+
+import contextlib
+from collections.abc import AsyncIterator, Sequence
+from typing import NamedTuple, Protocol
+
+import curio
+
+from samphirevale import (
+    batching,
+    catalogue,
+    errors,
+    gathering,
+    knowledge,
+    proxied,
+    routes,
+)
+from samphirevale.ports import proxies
+
+# How often the pieces of a stage are asked for again.
+REPEATS_LIMIT = 2
+
+# What a stage endpoint in another data centre than wanted counts as, in
+# seconds for each megabyte of results.
+REMOTE_SECONDS_PER_MB = 0.02
+
+
+class StageGroup(Protocol):
+    """Has items done at an endpoint, here or by the entry that owns it."""
+
+    async def run_items(
+        self,
+        endpoint: catalogue.Endpoint,
+        limits: routes.BatchLimits,
+        items: Sequence[batching.Item],
+    ) -> list[proxies.ItemResult]:
+        """Returns the items' results in order."""
+
+    async def release(
+        self, endpoint: catalogue.Endpoint, names: Sequence[str]
+    ) -> None:
+        """Frees results; returns at once."""
+
+    def estimate_seconds(
+        self,
+        endpoint: catalogue.Endpoint,
+        limits: routes.BatchLimits,
+        items: int,
+        result_bytes: int,
+        now: float,
+    ) -> float:
+        """Returns when new items should be done, in seconds from now."""
+
+
+class Terms(NamedTuple):
+    """What holds for all stages of one request.
+
+    Attributes:
+        due_at: when the results must be there for it to be in time.
+        deadline_at: when they are of no use any more.
+        priority: the request's rank.
+        data_centre: where the results are wanted; empty for anywhere.
+    """
+
+    due_at: float
+    deadline_at: float
+    priority: int
+    data_centre: str
+
+
+def choose_endpoint(
+    group: StageGroup,
+    known: knowledge.Knowledge,
+    stage: routes.Stage,
+    items: int,
+    data_centre: str,
+    now: float,
+) -> tuple[catalogue.Endpoint, float] | None:
+    """Returns the endpoint that should be done first, and when.
+
+    Args:
+        group: tells the endpoints' load.
+        known: the endpoints.
+        stage: the stage.
+        items: how many pieces it has.
+        data_centre: where the results are wanted; empty for anywhere.
+        now: the present time.
+
+    Returns:
+        The endpoint and the seconds until its work should be done; None if
+        no endpoint takes the work.
+    """
+    limits = known.find_batch_limits(stage.service)
+    if limits is None:
+        return None
+    size = items * stage.result_bytes
+    best = None
+    best_cost = 0.0
+    for endpoint in known.catalogue.list_accepting(stage.service):
+        seconds = group.estimate_seconds(endpoint, limits, items, size, now)
+        cost = seconds
+        if data_centre and endpoint.data_centre != data_centre:
+            cost += size / 1e6 * REMOTE_SECONDS_PER_MB
+        if best is None or cost < best_cost:
+            best, best_cost = (endpoint, seconds), cost
+    return best
+
+
+def estimate_stages(
+    group: StageGroup,
+    known: knowledge.Knowledge,
+    route: routes.Route,
+    counts: Sequence[int],
+    now: float,
+) -> float | None:
+    """Returns when the results of all stages should be there, in seconds.
+
+    None if a stage has no endpoint.
+    """
+    ends: list[float] = []
+    for index, stage in enumerate(route.stages):
+        start = max((ends[i] for i in stage.after), default=0.0)
+        if not read_count(counts, index):
+            ends.append(start)
+            continue
+        chosen = choose_endpoint(
+            group, known, stage, read_count(counts, index), "", now
+        )
+        if chosen is None:
+            return None
+        ends.append(start + chosen[1])
+    return max(ends, default=0.0)
+
+
+def read_count(counts: Sequence[int], index: int) -> int:
+    """Returns how many pieces a stage has."""
+    return counts[index] if index < len(counts) else 0
+
+
+class StageRun:
+    """The stages of one request, and the results that it holds."""
+
+    def __init__(
+        self,
+        group: StageGroup,
+        known: knowledge.Knowledge,
+        clock,
+        request: proxied.ProxiedRequest,
+        route: routes.Route,
+        terms: Terms,
+        may_repeat,
+    ):
+        """Prepares a run.
+
+        Args:
+            group: does the pieces.
+            known: the endpoints.
+            clock: the present time.
+            request: tells the pieces.
+            route: tells the stages.
+            terms: of this request.
+            may_repeat: takes a service's name; whether pieces may be asked
+                for again now.
+        """
+        self._group = group
+        self._known = known
+        self._clock = clock
+        self._request = request
+        self._route = route
+        self._terms = terms
+        self._may_repeat = may_repeat
+        self._results: dict[int, list[gathering.StageResult]] = {}
+        self._used: set[int] = set()
+
+    async def run(self) -> list[gathering.StageResult]:
+        """Returns the results that the request itself needs.
+
+        Raises:
+            errors.StageError: some piece could not be done.
+        """
+        waves = self._sort_waves()
+        for wave in waves:
+            await self._run_wave(wave)
+        return self.list_final()
+
+    def _sort_waves(self) -> list[list[int]]:
+        """Returns the stages in groups that need the groups before."""
+        depth: list[int] = []
+        for stage in self._route.stages:
+            depth.append(1 + max((depth[i] for i in stage.after), default=-1))
+        return [
+            [
+                index
+                for index, value in enumerate(depth)
+                if value == level
+                and read_count(self._request.piece_counts, index)
+            ]
+            for level in range(max(depth, default=-1) + 1)
+        ]
+
+    async def _run_wave(self, wave: list[int]) -> None:
+        if not wave:
+            return
+        if len(wave) == 1:
+            await self._run_stage(wave[0])
+        else:
+            async with curio.TaskGroup() as group:
+                tasks = [
+                    await group.spawn(self._run_stage, index) for index in wave
+                ]
+            for task in tasks:
+                if task.exception is not None:
+                    raise task.exception
+        await self._release_consumed()
+
+    async def _run_stage(self, index: int) -> None:
+        """Has all pieces of a stage done; those that fail, again."""
+        made: dict[int, gathering.StageResult] = {}
+        self._results[index] = []
+        items = self._build_items(index)
+        for tries in range(1 + REPEATS_LIMIT):
+            stage = self._route.stages[index]
+            if tries and not self._may_repeat(stage.service):
+                raise errors.StageError("no repeats are left")
+            reason = await self._try_items(index, items, made)
+            items = [item for item in items if item.segment not in made]
+            if not items:
+                return
+            if reason in ("late", "gone"):
+                break
+        raise errors.StageError(f"stage {index}: {reason}")
+
+    async def _try_items(
+        self,
+        index: int,
+        items: list[batching.Item],
+        made: dict[int, gathering.StageResult],
+    ) -> str:
+        """Asks for pieces once; returns why some were not done."""
+        stage = self._route.stages[index]
+        limits = self._known.find_batch_limits(stage.service)
+        chosen = choose_endpoint(
+            self._group,
+            self._known,
+            stage,
+            len(items),
+            self._terms.data_centre,
+            self._clock.now(),
+        )
+        if limits is None or chosen is None:
+            raise errors.StageError(f"stage {index}: no endpoint")
+        endpoint = chosen[0]
+        results = await self._group.run_items(endpoint, limits, items)
+        reason = ""
+        for item, result in zip(items, results, strict=True):
+            if not result.result:
+                reason = result.reason
+                continue
+            made[item.segment] = gathering.StageResult(result.result, endpoint)
+            self._results[index] = [made[key] for key in sorted(made)]
+        return reason
+
+    def _build_items(self, index: int) -> list[batching.Item]:
+        stage = self._route.stages[index]
+        inputs = tuple(
+            made.name for i in stage.after for made in self._results.get(i, [])
+        )
+        return [
+            batching.Item(
+                attempt=self._request.attempt,
+                stage=index,
+                segment=segment,
+                key="" if inputs else self._request.piece_key,
+                inputs=inputs,
+                result_bytes=stage.result_bytes,
+                due_at=self._terms.due_at,
+                deadline_at=self._terms.deadline_at,
+                priority=self._terms.priority,
+                ticket=None,
+            )
+            for segment in range(read_count(self._request.piece_counts, index))
+        ]
+
+    def list_final(self) -> list[gathering.StageResult]:
+        """Returns the results that no other stage takes."""
+        taken = {i for stage in self._route.stages for i in stage.after}
+        return [
+            made
+            for index in sorted(self._results)
+            if index not in taken
+            for made in self._results[index]
+        ]
+
+    async def _release_consumed(self) -> None:
+        """Frees the results whose stages after them are all done."""
+        for index in list(self._results):
+            users = [
+                i
+                for i, stage in enumerate(self._route.stages)
+                if index in stage.after
+            ]
+            if users and all(i in self._results for i in users):
+                await self._release(self._results.pop(index))
+                self._results[index] = []
+
+    async def release_all(self) -> None:
+        """Frees every result that is still held."""
+        for index in list(self._results):
+            await self._release(self._results.pop(index))
+
+    async def _release(self, results: list[gathering.StageResult]) -> None:
+        by_endpoint: dict[str, list[gathering.StageResult]] = {}
+        for made in results:
+            by_endpoint.setdefault(made.endpoint.name, []).append(made)
+        for some in by_endpoint.values():
+            await self._group.release(
+                some[0].endpoint, [made.name for made in some]
+            )
+
+
+@contextlib.asynccontextmanager
+async def hold(run: StageRun) -> AsyncIterator[StageRun]:
+    """Frees what a run holds if the block does not end well."""
+    try:
+        yield run
+    except BaseException:
+        await run.release_all()
+        raise
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' platform."""
--- /dev/null
+++ b/tests/test_deploy.py
@@ -0,0 +1,46 @@
+"""Tests that the deployment's files agree with the package."""
+
+import pathlib
+import re
+import tomllib
+
+from tests import base
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+PACKAGE = ROOT / "samphirevale"
+
+# Names of the platform that nothing but the adapter may know.
+PLATFORM_NAMES = re.compile(
+    r"samphirevale-(?:attempt|deadline|key|tenant|expect|chunk|input)"
+    r"|tenant|stage-run|stage-free|headroom_mb|item_ms|config/main",
+    re.IGNORECASE,
+)
+
+
+def count_lines(paths):
+    return sum(len(path.read_text().splitlines()) for path in paths)
+
+
+class DeployTest(base.TestCase):
+    """deploy/, requirements.txt and samphirevale/platform/."""
+
+    def test_requirements_are_those_of_the_package(self):
+        project = tomllib.loads((ROOT / "pyproject.toml").read_text())
+        pinned = set(project["project"]["dependencies"])
+        required = (ROOT / "requirements.txt").read_text().splitlines()
+        self.assertEqual([], [line for line in required if line not in pinned])
+
+    def test_adapter_stays_small(self):
+        adapter = list((PACKAGE / "platform").glob("*.py"))
+        whole = list(PACKAGE.rglob("*.py"))
+        self.assertLess(count_lines(adapter), 0.1 * count_lines(whole))
+
+    def test_only_the_adapter_knows_the_names_of_the_platform(self):
+        found = []
+        for path in PACKAGE.rglob("*.py"):
+            if path.parent.name == "platform":
+                continue
+            for number, line in enumerate(path.read_text().splitlines(), 1):
+                if PLATFORM_NAMES.search(line):
+                    found.append(f"{path.name}:{number}: {line.strip()}")
+        self.assertEqual([], found)
