Have one entry gather the pieces for each batching endpoint

Entries register in the store, link to each other (websocket, CBOR), report their queues and loads ten times a second, and hand pieces to the endpoint's owner. Ruled out: owners without hand-over (entries and engines differ in number).

--- a/samphirevale/batching.py
+++ b/samphirevale/batching.py
@@ -50,15 +50,56 @@
     until: float
 
 
+class QueueState(NamedTuple):
+    """What decides when new items will be done, as of some moment.
+
+    Attributes:
+        waiting: items that wait.
+        waiting_bytes: the room that their results will take.
+        room_bytes: the room that is left.
+        busy_seconds: how much longer the call in progress should take.
+        kept_seconds: how long results are kept, smoothed.
+    """
+
+    waiting: int
+    waiting_bytes: int
+    room_bytes: int
+    busy_seconds: float
+    kept_seconds: float
+
+
+def compute_call_seconds(limits: routes.BatchLimits, items: int) -> float:
+    """Returns the time of a call with so many items."""
+    return limits.call_seconds + items * limits.item_seconds
+
+
+def estimate_seconds(
+    state: QueueState,
+    limits: routes.BatchLimits,
+    items: int,
+    result_bytes: int,
+) -> float:
+    """Returns when new items should be done, in seconds from now."""
+    total = state.waiting + items
+    calls = -(-total // limits.items)
+    work = calls * limits.call_seconds + total * limits.item_seconds
+    lacking = state.waiting_bytes + result_bytes - state.room_bytes
+    room = 0.0
+    if lacking > 0:
+        room = state.kept_seconds * lacking / limits.memory_bytes
+    return state.busy_seconds + max(work, room)
+
+
 class BatchQueue:
     """The items that wait for one endpoint, and the room it has.
 
     Attributes:
+        limits: what the endpoint takes.
         running: calls in progress.
     """
 
     def __init__(self, limits: routes.BatchLimits):
-        self._limits = limits
+        self.limits = limits
         self._waiting: list[Item] = []
         self._kept: dict[str, _Kept] = {}
         self._kept_seconds = KEPT_SECONDS
@@ -82,7 +123,7 @@
 
     def take_expired(self, now: float) -> list[Item]:
         """Removes and returns the items that are of no use any more."""
-        soonest = now + self._limits.call_seconds
+        soonest = now + self.limits.call_seconds
         expired = [i for i in self._waiting if i.deadline_at <= soonest]
         if expired:
             self._waiting = [
@@ -96,9 +137,9 @@
         Those that can still be in time go first, the soonest due before the
         others; then the late ones, by rank.
         """
-        if not self._waiting or self.running >= self._limits.concurrency:
+        if not self._waiting or self.running >= self.limits.concurrency:
             return []
-        done_at = now + self._limits.call_seconds + self._limits.item_seconds
+        done_at = now + self.limits.call_seconds + self.limits.item_seconds
 
         def rank(item: Item) -> tuple:
             if item.due_at >= done_at:
@@ -110,7 +151,7 @@
         if batch:
             self.running += 1
             self._reserved_bytes += sum(item.result_bytes for item in batch)
-            seconds = self.compute_call_seconds(len(batch))
+            seconds = compute_call_seconds(self.limits, len(batch))
             self._busy_until = now + seconds
         return batch
 
@@ -119,7 +160,7 @@
         left: list[Item] = []
         for item in self._waiting:
             fits = item.result_bytes <= room
-            if fits and len(batch) < self._limits.items:
+            if fits and len(batch) < self.limits.items:
                 batch.append(item)
                 room -= item.result_bytes
             else:
@@ -139,7 +180,7 @@
         """
         self.running -= 1
         self._reserved_bytes -= sum(item.result_bytes for item in batch)
-        until = now + self._limits.result_seconds
+        until = now + self.limits.result_seconds
         for item, result in zip(batch, results, strict=True):
             if result is not None:
                 self._kept[result] = _Kept(item.result_bytes, now, until)
@@ -157,27 +198,15 @@
         for name in over:
             del self._kept[name]
         kept_bytes = sum(kept.size for kept in self._kept.values())
-        return self._limits.memory_bytes - kept_bytes - self._reserved_bytes
-
-    def compute_call_seconds(self, items: int) -> float:
-        """Returns the time of a call with so many items."""
-        return self._limits.call_seconds + items * self._limits.item_seconds
-
-    def estimate_seconds(
-        self, items: int, result_bytes: int, now: float
-    ) -> float:
-        """Returns when new items should be done, in seconds from now."""
-        total = len(self._waiting) + items
-        calls = -(-total // self._limits.items)
+        return self.limits.memory_bytes - kept_bytes - self._reserved_bytes
+
+    def read_state(self, now: float) -> QueueState:
+        """Returns what decides when new items will be done."""
         busy = max(self._busy_until - now, 0.0) if self.running else 0.0
-        work = calls * self._limits.call_seconds
-        work += total * self._limits.item_seconds
-        return busy + max(work, self._estimate_room(result_bytes, now))
-
-    def _estimate_room(self, result_bytes: int, now: float) -> float:
-        """Returns when there should be room for the items that wait too."""
-        wanted = result_bytes + sum(i.result_bytes for i in self._waiting)
-        lacking = wanted - self.read_room(now)
-        if lacking <= 0:
-            return 0.0
-        return self._kept_seconds * lacking / self._limits.memory_bytes
+        return QueueState(
+            len(self._waiting),
+            sum(item.result_bytes for item in self._waiting),
+            self.read_room(now),
+            busy,
+            self._kept_seconds,
+        )
--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -9,13 +9,17 @@
 import curio
 
 from samphirevale import (
+    backoff,
     budgets,
     catalogue,
+    entries,
+    errors,
     followers,
     gathering,
     groups,
     journal,
     knowledge,
+    messages,
     ownership,
     placement,
     proxying,
@@ -40,6 +44,11 @@
 CONNECTIONS_LIMIT = 3000
 
 
+# The longest wait of a watch for other entries, in seconds: they are known to
+# live by their reports.
+ENTRIES_WATCH_SECONDS = 10.0
+
+
 class GatewaySettings(NamedTuple):
     """What a proxying entry is told at its start.
 
@@ -117,9 +126,25 @@
             settings.keys_seconds,
             ownership.Member(settings.instance, settings.data_centre),
         )
-        self._placer = placement.Placer(self._rng)
+        self._placer = placement.Placer(self._rng, self._read_other_load)
         self._gatherer = gathering.Gatherer(outside.endpoints, clock, log)
         self.group = groups.Group(self._gatherer, self.knowledge, clock)
+        self.table = entries.EntryTable(
+            entries.Registration(
+                settings.instance,
+                settings.peer_host,
+                settings.peer_port,
+                secrets.token_hex(16),
+            ),
+            settings.data_centre,
+            self.group,
+            self._build_report,
+            self._take_members,
+            clock,
+            self._rng,
+            log,
+        )
+        self.group.table = self.table
         self._proxy = proxying.Proxy(
             proxying.ProxyNode(
                 self.knowledge,
@@ -143,13 +168,69 @@
             and self.knowledge.endpoints_age.confirmed_at is not None
         )
 
+    def _build_report(self, now: float) -> messages.EntryReport:
+        return messages.EntryReport(
+            self.group.describe_queues(now), self._placer.describe_loads(), []
+        )
+
+    def _read_other_load(self, endpoint: str) -> tuple[int, int]:
+        """Returns what the other entries have in progress at an endpoint."""
+        loads = [
+            entry.loads[endpoint]
+            for entry in self.table.linked.values()
+            if endpoint in entry.loads
+        ]
+        return (
+            sum(load.running for load in loads),
+            sum(load.unread_tokens for load in loads),
+        )
+
+    def _take_members(self, members: Iterable[ownership.Member]) -> None:
+        if self.knowledge.adopt_members(members):
+            self._journal.note_change(
+                "entries_changed",
+                entries=[item.name for item in self.knowledge.members],
+            )
+
+    def _take_entry_list(
+        self, stored: Iterable[objects.StoredObject], now: float
+    ) -> None:
+        found = map(entries.decode_registration, stored)
+        self.table.adopt([item for item in found if item], whole=True)
+
+    def _take_entry_changes(
+        self, stored: Iterable[objects.StoredObject], now: float
+    ) -> None:
+        for item in stored:
+            found = entries.decode_registration(item)
+            if found is None:
+                self.table.forget(item.name)
+            else:
+                self.table.adopt([found], whole=False)
+
+    async def register(self) -> None:
+        """Writes where this entry is dialed, until it has succeeded."""
+        tries = 0
+        while True:
+            try:
+                await self._outside.store.replace(
+                    entries.KIND,
+                    self.settings.instance,
+                    self.table.describe(),
+                )
+                return
+            except errors.StoreError as error:
+                self._journal.note_failure("not_registered", error=str(error))
+            await self._clock.sleep(backoff.compute_pause(tries, rng=self._rng))
+            tries += 1
+
     def build_followers(self) -> list[followers.Follower]:
         """Returns what keeps the routes and the catalogue up to date."""
         routes_sink = followers.Sink(
             self._take_routes,
             self._take_routes,
             self.knowledge.routes_age.confirm,
-            _ignore_return,
+            _ignore_time,
         )
         endpoints_sink = followers.Sink(
             self._take_endpoint_list,
@@ -157,6 +238,12 @@
             self.knowledge.endpoints_age.confirm,
             self.knowledge.catalogue.note_return,
         )
+        entries_sink = followers.Sink(
+            self._take_entry_list,
+            self._take_entry_changes,
+            _ignore_time,
+            _ignore_time,
+        )
         return [
             followers.Follower(
                 self._outside.store,
@@ -165,10 +252,20 @@
                 self._clock,
                 self._rng,
                 self._journal,
+                watch_seconds,
             )
-            for kind, sink in (
-                (self._outside.routes_kind, routes_sink),
-                (self._outside.endpoints_kind, endpoints_sink),
+            for kind, sink, watch_seconds in (
+                (
+                    self._outside.routes_kind,
+                    routes_sink,
+                    followers.WATCH_SECONDS,
+                ),
+                (
+                    self._outside.endpoints_kind,
+                    endpoints_sink,
+                    followers.WATCH_SECONDS,
+                ),
+                (entries.KIND, entries_sink, ENTRIES_WATCH_SECONDS),
             )
         ]
 
@@ -286,8 +383,8 @@
         self._journal.note_change("stopped", busy=self._server.busy)
 
 
-def _ignore_return(now: float) -> None:
-    """Routes do not lapse."""
+def _ignore_time(now: float) -> None:
+    """Routes do not lapse; entries tell themselves that they live."""
 
 
 async def run(gateway: Gateway) -> None:
@@ -297,6 +394,9 @@
         gateway.check_time,
         gateway.serve_callers,
         gateway.serve_readiness,
+        gateway.register,
+        gateway.table.serve,
+        gateway.table.dial_known,
     ]
     async with contextlib.AsyncExitStack() as stack:
         tasks = []
--- a/samphirevale/gathering.py
+++ b/samphirevale/gathering.py
@@ -20,6 +20,10 @@
 # How long an endpoint is given no new items after a failed call, in seconds.
 AVOID_SECONDS = 1.0
 
+# What a failed call counts as besides, when endpoints are compared, in
+# seconds.
+AVOIDED_SECONDS = 2.0
+
 
 class StageResult(NamedTuple):
     """A result that is kept at an endpoint."""
@@ -74,22 +78,42 @@
         self, endpoint: catalogue.Endpoint, limits: routes.BatchLimits
     ) -> batching.BatchQueue:
         """Returns the endpoint's queue."""
-        key = f"{endpoint.name}/{endpoint.started}"
+        key = _build_key(endpoint)
         if key not in self._queues:
             self._queues[key] = batching.BatchQueue(limits)
         return self._queues[key]
 
+    def read_states(self, now: float) -> dict[str, batching.QueueState]:
+        """Returns the state of each queue, by the endpoint's name."""
+        return {
+            key.rpartition("/")[0]: self._read_queue(key, now)
+            for key in self._queues
+        }
+
+    def _read_queue(self, key: str, now: float) -> batching.QueueState:
+        state = self._queues[key].read_state(now)
+        if self._avoided_until.get(key.rpartition("/")[0], 0.0) > now:
+            busy = state.busy_seconds + AVOIDED_SECONDS
+            state = state._replace(busy_seconds=busy)
+        return state
+
+    def read_state(
+        self,
+        endpoint: catalogue.Endpoint,
+        limits: routes.BatchLimits,
+        now: float,
+    ) -> batching.QueueState:
+        """Returns the state of an endpoint's queue."""
+        self.find_queue(endpoint, limits)
+        return self._read_queue(_build_key(endpoint), now)
+
     def forget(self, endpoint: catalogue.Endpoint) -> None:
         """Drops what is kept of an endpoint that is gone."""
-        key = f"{endpoint.name}/{endpoint.started}"
+        key = _build_key(endpoint)
         if key in self._queues and not self._queues[key].running:
             del self._queues[key]
         self._avoided_until.pop(endpoint.name, None)
 
-    def is_avoided(self, endpoint: catalogue.Endpoint, now: float) -> bool:
-        """Tells whether a call to it has failed a short while ago."""
-        return self._avoided_until.get(endpoint.name, 0.0) > now
-
     async def run_items(
         self,
         endpoint: catalogue.Endpoint,
@@ -130,7 +154,7 @@
         if not names:
             return
         now = self._clock.now()
-        queue = self._queues.get(f"{endpoint.name}/{endpoint.started}")
+        queue = self._queues.get(_build_key(endpoint))
         if queue is not None:
             for name in names:
                 queue.release(name, now)
@@ -186,7 +210,7 @@
     ) -> None:
         """Makes one call and hands out its results."""
         began_at = self._clock.now()
-        expected = queue.compute_call_seconds(len(batch))
+        expected = batching.compute_call_seconds(queue.limits, len(batch))
         limit = PATIENCE_FACTOR * expected + PATIENCE_SECONDS
         results = [proxies.ItemResult("", "error")] * len(batch)
         try:
@@ -214,3 +238,7 @@
         await self.release(endpoint, unwanted)
         if len(queue):
             await self._start_driver(endpoint, queue)
+
+
+def _build_key(endpoint: catalogue.Endpoint) -> str:
+    return f"{endpoint.name}/{endpoint.started}"
--- a/samphirevale/messages.py
+++ b/samphirevale/messages.py
@@ -17,7 +17,7 @@
 from samphirevale import errors
 
 # Raised whenever a field is added, removed or changes its meaning.
-PROTOCOL_VERSION = 3
+PROTOCOL_VERSION = 4
 
 # The largest frame that is sent or read, in bytes.
 FRAME_BYTES_LIMIT = 4 * 1024 * 1024
@@ -277,6 +277,90 @@
     value: dict
 
 
+@register("entry_report")
+class EntryReport(NamedTuple):
+    """What one entry tells the others at a fixed interval.
+
+    Attributes:
+        queues: of the batching endpoints that it gathers for, each with the
+            fields of QueueReport.
+        loads: what it has in progress at other endpoints, each with the
+            fields of LoadReport.
+        crashed: fingerprints of inputs that have crashed endpoints, each
+            with its count.
+    """
+
+    queues: list[list]
+    loads: list[list]
+    crashed: list[list]
+
+
+@register("pieces")
+class Pieces(NamedTuple):
+    """Asks the owner of a batching endpoint to have pieces done.
+
+    Attributes:
+        exchange: unique on the connection.
+        endpoint: its name.
+        attempt: the id of the caller's attempt.
+        stage: the stage's index.
+        segments: the pieces' indices.
+        key: what they are made of, where they need no results.
+        inputs: the results that they are made of otherwise.
+        result_bytes: the approximate size of one result.
+        due_ms: until they must be done for the request to be in time.
+        remaining_ms: until they are of no use any more.
+        priority: the request's rank.
+    """
+
+    exchange: int
+    endpoint: str
+    attempt: str
+    stage: int
+    segments: list[int]
+    key: str
+    inputs: list[str]
+    result_bytes: int
+    due_ms: int
+    remaining_ms: int
+    priority: int
+
+
+@register("pieces_done")
+class PiecesDone(NamedTuple):
+    """Answers Pieces, in the order of its segments.
+
+    Attributes:
+        exchange: that of Pieces.
+        results: the results' names; empty for a piece that has none.
+        reasons: why not; empty for a piece that has a result.
+    """
+
+    exchange: int
+    results: list[str]
+    reasons: list[str]
+
+
+@register("pieces_withdrawn")
+class PiecesWithdrawn(NamedTuple):
+    """Nobody waits for the pieces of an exchange any more."""
+
+    exchange: int
+
+
+@register("results_released")
+class ResultsReleased(NamedTuple):
+    """Asks the owner of a batching endpoint to free results.
+
+    Attributes:
+        endpoint: its name.
+        results: their names.
+    """
+
+    endpoint: str
+    results: list[str]
+
+
 def round_ms(milliseconds: float) -> float:
     """Returns whole milliseconds, which take fewer bytes in CBOR.
 
--- a/samphirevale/placement.py
+++ b/samphirevale/placement.py
@@ -72,11 +72,30 @@
 policies: registry.Registry[Policy] = registry.Registry("placement policy")
 
 
+def _read_no_load(name: str) -> tuple[int, int]:
+    """Stands for other entries where there are none."""
+    return 0, 0
+
+
 class Placer:
     """Chooses endpoints for one entry."""
 
-    def __init__(self, rng: random.Random, policy: str = "affinity"):
+    def __init__(
+        self,
+        rng: random.Random,
+        read_other_load: Callable[[str], tuple[int, int]] = _read_no_load,
+        policy: str = "affinity",
+    ):
+        """Prepares a placer.
+
+        Args:
+            rng: breaks ties.
+            read_other_load: takes an endpoint's name; returns the requests
+                and the unread prompt tokens that other entries have there.
+            policy: a registered name.
+        """
         self.rng = rng
+        self._read_other_load = read_other_load
         self._choose = policies.get(policy)
         self._loads: dict[str, Load] = {}
 
@@ -142,18 +161,31 @@
     def estimate_seconds(self, name: str) -> float:
         """Returns how much longer a request takes there than when idle."""
         load = self.read_load(name)
-        reading = load.unread_tokens / PROMPT_TOKENS_PER_SECOND
-        return reading + load.running * RUNNING_SECONDS
+        running, unread = self._read_other_load(name)
+        reading = (load.unread_tokens + unread) / PROMPT_TOKENS_PER_SECOND
+        return reading + (load.running + running) * RUNNING_SECONDS
+
+    def count_running(self, name: str) -> int:
+        """Returns the requests in progress at an endpoint, of all entries."""
+        return self.read_load(name).running + self._read_other_load(name)[0]
+
+    def describe_loads(self) -> list[list]:
+        """Returns this entry's own loads, for its report."""
+        return [
+            [name, load.running, load.unread_tokens]
+            for name, load in self._loads.items()
+            if load.running
+        ]
 
 
 @policies.register("least_running")
 def choose_least_running(
     placer: Placer, endpoints: list[catalogue.Endpoint], demand: Demand
 ) -> str:
-    """The baseline: the endpoint with the fewest own requests."""
+    """The baseline: the endpoint with the fewest requests."""
 
     def rank(endpoint: catalogue.Endpoint) -> tuple[int, float]:
-        return placer.read_load(endpoint.name).running, placer.rng.random()
+        return placer.count_running(endpoint.name), placer.rng.random()
 
     return min(endpoints, key=rank).name
 
--- a/samphirevale/ports/objects.py
+++ b/samphirevale/ports/objects.py
@@ -60,7 +60,7 @@
 
 
 class FollowedStore(Protocol):
-    """The calls that keep a copy of a kind up to date."""
+    """A store whose kinds are followed, and where entries register."""
 
     async def list_at(self, kind: str) -> Listing:
         """Returns a kind's objects and the version they were read at."""
@@ -70,6 +70,12 @@
     ) -> WatchEvents:
         """Waits for changes of a kind after `version`."""
 
+    async def replace(self, kind: str, name: str, value: Any) -> None:
+        """Replaces an object, whatever it holds; creates it if need be."""
+
+    async def delete(self, kind: str, name: str) -> None:
+        """Deletes an object; it may be gone already."""
+
 
 class ObjectStore(Protocol):
     """The store, as the decisions' drivers need it.
