Make a stream's stage results again when it resumes

Cause: results are freed with the first event, so that a resumed request named results that were gone. Stage errors beside others are returned, not raised out of the group, which printed a trace of each.

--- a/samphirevale/proxying.py
+++ b/samphirevale/proxying.py
@@ -169,8 +169,7 @@
         try:
             return await self._send_until_answered(results)
         finally:
-            if self._stages is not None:
-                await self._stages.release_all()
+            await self.release_results()
 
     def refuse_timeout(self) -> proxied.Refusal:
         """Returns the answer at the end of the time that the request has."""
@@ -309,7 +308,7 @@
         try:
             await self._open(exchange, endpoint, results, None)
             if exchange.answer.streamed:
-                return await self._begin_stream(exchange, results)
+                return await self._begin_stream(exchange)
             body = await exchange.read_whole()
             answer = exchange.answer
             await exchange.close(failed=answer.status >= 500)
@@ -357,25 +356,26 @@
         )
 
     async def _begin_stream(
-        self, exchange: "_Exchange", results: tuple[str, ...]
+        self, exchange: "_Exchange"
     ) -> proxied.StreamedAnswer:
         """Returns the stream once its first event has come."""
-        stream = _Stream(self, exchange, results, self._request.last_event)
+        stream = _Stream(self, exchange, self._request.last_event)
         await stream.read_first()
-        if self._stages is not None:
-            await self._stages.release_all()
+        await self.release_results()
         answer = exchange.answer
         return proxied.StreamedAnswer(answer.status, answer.headers, stream)
 
-    async def resume(
-        self, results: tuple[str, ...], last_event: int | None
-    ) -> "_Exchange":
+    async def resume(self, last_event: int | None) -> "_Exchange":
         """Goes on with a stream at another endpoint.
 
+        The results of its stages were freed with its first event, so that
+        they are made again.
+
         Raises:
             errors.AnswerLostError: it may not, or no endpoint takes it.
         """
         while self._may_send_again():
+            results = await self._make_results_again()
             endpoint = self._choose_endpoint(())
             if endpoint is None:
                 break
@@ -394,13 +394,34 @@
                 raise
         raise errors.AnswerLostError("the stream cannot be resumed")
 
+    async def _make_results_again(self) -> tuple[str, ...]:
+        if not self._route.stages:
+            return ()
+        if self._stages is not None:
+            await self._stages.release_all()
+        self._stages = self._build_stages()
+        try:
+            results = await self._stages.run()
+        except errors.StageError as error:
+            raise errors.AnswerLostError(str(error)) from error
+        return tuple(made.name for made in results)
+
+    async def release_results(self) -> None:
+        """Frees what the stages have made."""
+        if self._stages is not None:
+            await self._stages.release_all()
+
     def read_limit(self) -> float:
         """Returns how long the next event of a stream is waited for."""
-        left = self._accepted.deadline_at - self._node.clock.now()
+        left = self.read_left()
         if self._route.resumable and self._runs < self._route.attempts_limit:
             return min(left, SILENCE_SECONDS)
         return left
 
+    def read_left(self) -> float:
+        """Returns the time that the request has left, in seconds."""
+        return self._accepted.deadline_at - self._node.clock.now()
+
     def note_stream_end(self, outcome: str, last: int | None) -> None:
         """Logs how a stream has ended."""
         now = self._node.clock.now()
@@ -475,12 +496,10 @@
         self,
         run: _Run,
         exchange: _Exchange,
-        results: tuple[str, ...],
         last_event: int | None,
     ):
         self._run = run
         self._exchange = exchange
-        self._results = results
         self._order = events.EventOrder(last_event)
         self._cutter = events.EventCutter()
         self._parts = exchange.answer.read_parts()
@@ -510,6 +529,7 @@
         raise StopAsyncIteration
 
     async def _read_or_resume(self) -> bytes:
+        """Returns the next events; none after it has gone on elsewhere."""
         try:
             async with curio.timeout_after(max(self._run.read_limit(), 0)):
                 return await self._read_chunk()
@@ -518,10 +538,9 @@
             await self._exchange.close(failed=True)
             reason = f"{type(error).__name__}: {error}"
         try:
-            self._exchange = await self._run.resume(
-                self._results, self._order.last
-            )
-        except (errors.AnswerLostError, TimeoutError) as error:
+            async with curio.timeout_after(max(self._run.read_left(), 0)):
+                self._exchange = await self._run.resume(self._order.last)
+        except (errors.AnswerLostError, curio.TaskTimeout) as error:
             self._run.note_stream_end(reason, self._order.last)
             raise errors.AnswerLostError(reason) from error
         self._cutter = events.EventCutter()
@@ -540,6 +559,7 @@
             self._ended = True
             return b""
         self._exchange.note_read()
+        await self._run.release_results()
         return b"".join(
             event.data
             for event in self._cutter.feed(part)
@@ -550,3 +570,4 @@
         """Ends the stream; the endpoint drops what it still does."""
         await self._parts.aclose()
         await self._exchange.close(failed=False)
+        await self._run.release_results()
--- a/samphirevale/stages.py
+++ b/samphirevale/stages.py
@@ -199,20 +199,26 @@
         ]
 
     async def _run_wave(self, wave: list[int]) -> None:
-        if not wave:
-            return
         if len(wave) == 1:
             await self._run_stage(wave[0])
-        else:
+        elif wave:
             async with curio.TaskGroup() as group:
                 tasks = [
-                    await group.spawn(self._run_stage, index) for index in wave
+                    await group.spawn(self._run_caught, index) for index in wave
                 ]
             for task in tasks:
-                if task.exception is not None:
-                    raise task.exception
+                if task.result is not None:
+                    raise task.result
         await self._release_consumed()
 
+    async def _run_caught(self, index: int) -> errors.StageError | None:
+        """Runs a stage beside others; returns its error."""
+        try:
+            await self._run_stage(index)
+        except errors.StageError as error:
+            return error
+        return None
+
     async def _run_stage(self, index: int) -> None:
         """Has all pieces of a stage done; those that fail, again."""
         made: dict[int, gathering.StageResult] = {}
