Refuse by rank and aim, keep items that lack room at their owner

Now the owner keeps them, asks the engine for its room, and sends what fits; a request is taken if its stages should be done by its aim, with less wait allowed the lower its rank; a refused one is asked to come back after 3 s.

--- a/samphirevale/batching.py
+++ b/samphirevale/batching.py
@@ -15,6 +15,14 @@
 # Weight of a new measurement in the smoothed time that results are kept.
 KEPT_WEIGHT = 0.1
 
+# The name of what takes room and is no result that the queue knows of, and
+# how long the endpoint's word on it counts, in seconds.
+UNSEEN = "unseen"
+UNSEEN_SECONDS = 1.0
+
+# The unit in which an endpoint tells its room.
+ROOM_UNIT_BYTES = 1_000_000
+
 
 class Item(NamedTuple):
     """One piece of one stage of a request.
@@ -185,6 +193,22 @@
             if result is not None:
                 self._kept[result] = _Kept(item.result_bytes, now, until)
 
+    def adopt_room(self, room_bytes: int, now: float) -> None:
+        """Takes over the room that the endpoint has told, in whole MB.
+
+        Results may be larger than said, and some may be kept that this queue
+        does not know of.
+        """
+        self._kept.pop(UNSEEN, None)
+        size = self.read_room(now) - room_bytes
+        if size > ROOM_UNIT_BYTES:
+            self._kept[UNSEEN] = _Kept(size, now, now + UNSEEN_SECONDS)
+
+    def take_waiting(self) -> list[Item]:
+        """Removes and returns all items that wait."""
+        waiting, self._waiting = self._waiting, []
+        return waiting
+
     def release(self, result: str, now: float) -> None:
         """Takes note that a result has been released."""
         kept = self._kept.pop(result, None)
--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -127,7 +127,12 @@
             ownership.Member(settings.instance, settings.data_centre),
         )
         self._placer = placement.Placer(self._rng, self._read_other_load)
-        self._gatherer = gathering.Gatherer(outside.endpoints, clock, log)
+        self._gatherer = gathering.Gatherer(
+            outside.endpoints,
+            clock,
+            log,
+            self.knowledge.catalogue.is_accepting,
+        )
         self.group = groups.Group(self._gatherer, self.knowledge, clock)
         self.table = entries.EntryTable(
             entries.Registration(
--- a/samphirevale/gathering.py
+++ b/samphirevale/gathering.py
@@ -1,6 +1,6 @@
 """Makes the calls to batching endpoints: items of many requests in each."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 import curio
@@ -24,6 +24,9 @@
 # seconds.
 AVOIDED_SECONDS = 2.0
 
+# The reason of items that were not sent, as their endpoint takes no new work.
+UNSENT = "unsent"
+
 
 class StageResult(NamedTuple):
     """A result that is kept at an endpoint."""
@@ -65,8 +68,18 @@
         endpoints: proxies.ProxyEndpoints,
         clock: clocks.Clock,
         log: journal.Journal,
+        is_accepting: Callable[[catalogue.Endpoint], bool],
     ):
+        """Prepares a gatherer.
+
+        Args:
+            endpoints: makes the calls.
+            clock: the present time.
+            log: told of calls that fail.
+            is_accepting: whether an endpoint may be given new work now.
+        """
         self._endpoints = endpoints
+        self._is_accepting = is_accepting
         self._clock = clock
         self._log = log
         self._queues: dict[str, batching.BatchQueue] = {}
@@ -187,10 +200,10 @@
         """Starts calls for as long as items wait."""
         while len(queue):
             now = self._clock.now()
-            for item in queue.take_expired(now):
-                await item.ticket.resolve(
-                    item.segment, proxies.ItemResult("", "late")
-                )
+            if not self._is_accepting(endpoint):
+                await _resolve_all(queue.take_waiting(), UNSENT)
+                return
+            await _resolve_all(queue.take_expired(now), "late")
             batch = queue.take_batch(now)
             if batch:
                 await curio.spawn(
@@ -229,16 +242,60 @@
                 error=f"{type(error).__name__}: {error}",
             )
         now = self._clock.now()
+        refused = [made.reason for made in results if made.reason]
+        if refused:
+            self._log.note_failure(
+                "pieces_not_made",
+                endpoint=endpoint.name,
+                service=endpoint.service,
+                items=len(batch),
+                reasons=sorted(set(refused)),
+                not_made=len(refused),
+                stages=sorted({item.stage for item in batch}),
+                room_bytes=queue.read_room(now),
+                wanted_bytes=sum(item.result_bytes for item in batch),
+            )
         queue.end_call(batch, [made.result or None for made in results], now)
+        if "room" in refused:
+            await self._adopt_room(endpoint, queue)
         unwanted = []
         for item, made in zip(batch, results, strict=True):
-            if item.ticket.abandoned and made.result:
-                unwanted.append(made.result)
-            await item.ticket.resolve(item.segment, made)
+            if item.ticket.abandoned:
+                unwanted += [made.result] if made.result else []
+            elif made.reason == "room":
+                queue.add(item)
+            else:
+                await item.ticket.resolve(item.segment, made)
         await self.release(endpoint, unwanted)
         if len(queue):
             await self._start_driver(endpoint, queue)
 
+    async def _adopt_room(
+        self, endpoint: catalogue.Endpoint, queue: batching.BatchQueue
+    ) -> None:
+        """Asks an endpoint that had less room than expected for its room."""
+        believed = queue.read_room(self._clock.now())
+        try:
+            async with self._clock.limit(PATIENCE_SECONDS):
+                room = await self._endpoints.read_room(endpoint)
+        except (errors.TransportError, TimeoutError) as error:
+            room = 0
+            self._log.note_failure(
+                "room_unknown", endpoint=endpoint.name, error=str(error)
+            )
+        queue.adopt_room(room, self._clock.now())
+        self._log.note_change(
+            "room_adopted",
+            endpoint=endpoint.name,
+            believed_bytes=believed,
+            room_bytes=room,
+        )
+
+
+async def _resolve_all(items: Sequence[batching.Item], reason: str) -> None:
+    for item in items:
+        await item.ticket.resolve(item.segment, proxies.ItemResult("", reason))
+
 
 def _build_key(endpoint: catalogue.Endpoint) -> str:
     return f"{endpoint.name}/{endpoint.started}"
--- a/samphirevale/groups.py
+++ b/samphirevale/groups.py
@@ -107,7 +107,9 @@
         if endpoint is not None and endpoint.accepting:
             limits = self._knowledge.find_batch_limits(endpoint.service)
         if limits is None:
-            return [proxies.ItemResult("", "error")] * len(pieces.segments)
+            return [proxies.ItemResult("", gathering.UNSENT)] * len(
+                pieces.segments
+            )
         now = self._clock.now()
         items = [
             batching.Item(
--- a/samphirevale/platform/endpoints.py
+++ b/samphirevale/platform/endpoints.py
@@ -6,7 +6,7 @@
 
 from samphirevale import batching, catalogue, errors, proxied
 from samphirevale.adapters import web
-from samphirevale.platform import headers
+from samphirevale.platform import headers, manifest
 from samphirevale.ports import proxies
 
 # The longest time to make a connection to an endpoint, in seconds.
@@ -106,16 +106,25 @@
         """Frees the room that results take."""
         await self._call(endpoint, "/stage-free", {"handles": list(results)})
 
+    async def read_room(self, endpoint: catalogue.Endpoint) -> int:
+        """Returns the bytes that results may still take there."""
+        value = await self._call(endpoint, "/report", None)
+        try:
+            return int(float(value["free_mb"]) * manifest.MEGABYTE)
+        except (KeyError, TypeError, ValueError) as error:
+            raise errors.ProtocolError("no free_mb in the report") from error
+
     async def _call(
         self, endpoint: catalogue.Endpoint, target: str, value: object
     ) -> object:
+        """Posts a value as JSON, or gets one with None; returns the answer."""
         connection = await self._take_connection(endpoint)
         kept = False
         try:
             answer = await connection.request(
-                "POST",
+                "GET" if value is None else "POST",
                 target,
-                json.dumps(value).encode(),
+                b"" if value is None else json.dumps(value).encode(),
                 (
                     ("Content-Type", "application/json"),
                     ("Samphirevale-Expect-Instance", endpoint.name),
--- a/samphirevale/ports/proxies.py
+++ b/samphirevale/ports/proxies.py
@@ -67,3 +67,6 @@
         self, endpoint: catalogue.Endpoint, results: Sequence[str]
     ) -> None:
         """Frees the room that results take."""
+
+    async def read_room(self, endpoint: catalogue.Endpoint) -> int:
+        """Returns the bytes that results may still take there."""
--- a/samphirevale/proxying.py
+++ b/samphirevale/proxying.py
@@ -30,8 +30,19 @@
 # When to come back after a refusal that should pass soon, in seconds.
 RETRY_SECONDS = 0.5
 
-# The part of the time left that a request may wait for its stages.
-STAGES_SHARE = 0.7
+# How long a request may always wait for its stages, in seconds.
+STAGES_SECONDS = 0.2
+
+# The share of the wait that is allowed one rank above.
+RANK_SHARE = 0.6
+
+# When to come back after a refusal for overload, in seconds: who comes back
+# sooner meets the same queue.
+OVERLOAD_RETRY_SECONDS = 3.0
+
+# From a request's arrival at an idle model engine to its first event, besides
+# reading its prompt, in seconds.
+FIRST_EVENT_SECONDS = 0.05
 
 # How long a stream that may be resumed may be silent, in seconds.
 SILENCE_SECONDS = 1.2
@@ -189,17 +200,38 @@
         )
         if seconds is None:
             return proxied.Refusal(503, "no_endpoint", RETRY_SECONDS)
-        left = self._accepted.deadline_at - now
-        limit = min(left * STAGES_SHARE, self._route.target_seconds)
-        if seconds <= limit:
+        limit = self._route.target_seconds - self._estimate_model()
+        bare = stages.compute_bare_seconds(
+            self._node.knowledge, self._route, self._request.piece_counts
+        )
+        share = RANK_SHARE**self._accepted.priority
+        allowed = bare + max(limit - bare, STAGES_SECONDS) * share
+        if seconds <= allowed:
             return None
-        return proxied.Refusal(
-            503, "stages_overloaded", max(seconds - limit, 0.1)
+        self._node.journal.note_failure(
+            "stages_overloaded",
+            request=self._request.attempt,
+            seconds=round(seconds, 3),
+            allowed_seconds=round(allowed, 3),
+            bare_seconds=round(bare, 3),
+            priority=self._accepted.priority,
         )
+        return proxied.Refusal(503, "stages_overloaded", OVERLOAD_RETRY_SECONDS)
+
+    def _estimate_model(self) -> float:
+        """Returns the time to the first event once the results are there."""
+        endpoint = self._choose_endpoint(())
+        if endpoint is None:
+            return 0.0
+        reading = self._tokens / placement.PROMPT_TOKENS_PER_SECOND
+        waiting = self._node.placer.estimate_seconds(endpoint.name)
+        return FIRST_EVENT_SECONDS + reading + waiting
 
     def _build_stages(self) -> stages.StageRun:
         terms = stages.Terms(
-            due_at=self._request.received_at + self._route.target_seconds,
+            due_at=self._request.received_at
+            + self._route.target_seconds
+            - self._estimate_model(),
             deadline_at=self._accepted.deadline_at,
             priority=self._accepted.priority,
             data_centre=self._choose_data_centre(),
--- a/samphirevale/stages.py
+++ b/samphirevale/stages.py
@@ -132,6 +132,22 @@
     return max(ends, default=0.0)
 
 
+def compute_bare_seconds(
+    known: knowledge.Knowledge, route: routes.Route, counts: Sequence[int]
+) -> float:
+    """Returns the time of all stages at idle endpoints, in seconds."""
+    ends: list[float] = []
+    for index, stage in enumerate(route.stages):
+        start = max((ends[i] for i in stage.after), default=0.0)
+        limits = known.find_batch_limits(stage.service)
+        count = read_count(counts, index)
+        seconds = 0.0
+        if limits is not None and count:
+            seconds = batching.compute_call_seconds(limits, count)
+        ends.append(start + seconds)
+    return max(ends, default=0.0)
+
+
 def read_count(counts: Sequence[int], index: int) -> int:
     """Returns how many pieces a stage has."""
     return counts[index] if index < len(counts) else 0
@@ -224,16 +240,18 @@
         made: dict[int, gathering.StageResult] = {}
         self._results[index] = []
         items = self._build_items(index)
-        for tries in range(1 + REPEATS_LIMIT):
-            stage = self._route.stages[index]
-            if tries and not self._may_repeat(stage.service):
-                raise errors.StageError("no repeats are left")
+        stage = self._route.stages[index]
+        for _ in range(1 + REPEATS_LIMIT):
             reason = await self._try_items(index, items, made)
             items = [item for item in items if item.segment not in made]
             if not items:
                 return
             if reason in ("late", "gone"):
                 break
+            if reason != gathering.UNSENT and not self._may_repeat(
+                stage.service
+            ):
+                raise errors.StageError("no repeats are left")
         raise errors.StageError(f"stage {index}: {reason}")
 
     async def _try_items(
@@ -279,7 +297,7 @@
                 key="" if inputs else self._request.piece_key,
                 inputs=inputs,
                 result_bytes=stage.result_bytes,
-                due_at=self._terms.due_at,
+                due_at=self._terms.due_at - self._estimate_after(index),
                 deadline_at=self._terms.deadline_at,
                 priority=self._terms.priority,
                 ticket=None,
@@ -287,6 +305,18 @@
             for segment in range(read_count(self._request.piece_counts, index))
         ]
 
+    def _estimate_after(self, index: int) -> float:
+        """Returns the service time of the stages after one, in seconds."""
+        longest = 0.0
+        for later, stage in enumerate(self._route.stages):
+            count = read_count(self._request.piece_counts, later)
+            limits = self._known.find_batch_limits(stage.service)
+            if index not in stage.after or limits is None:
+                continue
+            seconds = batching.compute_call_seconds(limits, count)
+            longest = max(longest, seconds + self._estimate_after(later))
+        return longest
+
     def list_final(self) -> list[gathering.StageResult]:
         """Returns the results that no other stage takes."""
         taken = {i for stage in self._route.stages for i in stage.after}
