--- a/samphirevale/batching.py
+++ b/samphirevale/batching.py
@@ -23,6 +23,10 @@
 # The unit in which an endpoint tells its room.
 ROOM_UNIT_BYTES = 1_000_000
 
+# The part of the room that a waiting request needs which a later one may take
+# before it.
+BYPASS_SHARE = 0.25
+
 
 class Item(NamedTuple):
     """One piece of one stage of a request.
@@ -164,18 +168,39 @@
         return batch
 
     def _cut_batch(self, room: int) -> list[Item]:
+        """Takes the pieces of whole requests, in the order of the queue.
+
+        A request of which some pieces lie ready while others find no room
+        holds room for nothing, so that one starts only if all of its pieces
+        have room. Those that need far less may pass one that waits for room.
+        """
         batch: list[Item] = []
-        left: list[Item] = []
-        for item in self._waiting:
-            fits = item.result_bytes <= room
-            if fits and len(batch) < self.limits.items:
-                batch.append(item)
-                room -= item.result_bytes
+        bypass_bytes = self.limits.memory_bytes
+        for group in self._group_waiting():
+            places = self.limits.items - len(batch)
+            if not places:
+                break
+            size = sum(item.result_bytes for item in group)
+            if size <= room and size <= bypass_bytes:
+                batch += group[:places]
+                room -= size
+            elif size > self.limits.memory_bytes and not batch:
+                fitting = room // max(group[0].result_bytes, 1)
+                batch += group[: min(places, fitting)]
+                room = 0
             else:
-                left.append(item)
-        self._waiting = left
+                bypass_bytes = min(bypass_bytes, size * BYPASS_SHARE)
+        taken = set(map(id, batch))
+        self._waiting = [i for i in self._waiting if id(i) not in taken]
         return batch
 
+    def _group_waiting(self) -> list[list[Item]]:
+        """Returns the items by request and stage, in the queue's order."""
+        groups: dict[tuple[str, int], list[Item]] = {}
+        for item in self._waiting:
+            groups.setdefault((item.attempt, item.stage), []).append(item)
+        return list(groups.values())
+
     def end_call(
         self, batch: list[Item], results: list[str | None], now: float
     ) -> None:
--- /dev/null
+++ b/tests/proxy_fakes.py
@@ -0,0 +1,193 @@
+"""Fakes for what a proxying entry needs, without sockets."""
+
+import curio
+
+from samphirevale import (
+    batching,
+    catalogue,
+    errors,
+    journal,
+    proxied,
+    routes,
+)
+from samphirevale.ports import proxies
+
+BATCH_LIMITS = routes.BatchLimits(
+    concurrency=1,
+    queue=2,
+    items=4,
+    call_seconds=0.15,
+    item_seconds=0.02,
+    memory_bytes=1000,
+    result_seconds=4.0,
+)
+
+INPUT_LIMITS = routes.InputLimits(16384, 65536, 3.0, 15.0)
+
+
+class FakeClock:
+    """A clock that only moves when it is told to, or when it sleeps."""
+
+    def __init__(self, now=100.0):
+        self.seconds = now
+
+    def now(self):
+        return self.seconds
+
+    async def sleep(self, seconds):
+        self.seconds += seconds
+        await curio.sleep(0)
+
+    def limit(self, seconds):
+        return _NoLimit()
+
+
+class _NoLimit:
+    async def __aenter__(self):
+        return None
+
+    async def __aexit__(self, *_):
+        return False
+
+
+class FakeJournal(journal.Journal):
+    """Keeps its lines."""
+
+    def __init__(self):
+        super().__init__("here", lambda: 0.0)
+        self.lines = []
+
+    def _note(self, kind, event, fields):
+        self.lines.append((kind, event, fields))
+
+    def list_events(self):
+        return [event for _, event, _ in self.lines]
+
+
+def build_endpoint(name="e1", service="stage", **changes):
+    endpoint = catalogue.Endpoint(
+        name, service, "10.0.0.1", 8000, "a", True, 4, 1
+    )
+    return endpoint._replace(**changes)
+
+
+def build_route(**changes):
+    route = routes.Route(
+        name="r",
+        host="h.example",
+        path_prefix="/p/",
+        splits=(routes.Split("plain", 1.0),),
+        repeatable=True,
+        streamed=False,
+        resumable=False,
+        timeout_seconds=5.0,
+        target_seconds=1.0,
+        priority=0,
+        attempts_limit=2,
+        stages=(),
+        anonymous=False,
+    )
+    return route._replace(**changes)
+
+
+def build_table(route_list, version=1, **changes):
+    services = {
+        "plain": routes.Service("plain", 10, 4, 0, None),
+        "stage": routes.Service("stage", 10, 0, 0, BATCH_LIMITS),
+    }
+    table = routes.RouteTable(
+        version,
+        routes.index_routes(route_list),
+        services,
+        {"k1": routes.Account("acme", None)},
+        INPUT_LIMITS,
+    )
+    return table._replace(**changes)
+
+
+def build_request(**changes):
+    request = proxied.ProxiedRequest(
+        attempt="a1",
+        method="POST",
+        target="/p/x",
+        path="/p/x",
+        host="h.example",
+        headers=(),
+        body=b"body",
+        key="k1",
+        received_at=100.0,
+        wait_seconds=5.0,
+        prompt=(),
+        piece_counts=(),
+        piece_key="",
+        last_event=None,
+    )
+    return request._replace(**changes)
+
+
+def build_item(segment=0, attempt="a1", **changes):
+    item = batching.Item(
+        attempt, 0, segment, "key", (), 100, 101.0, 105.0, 0, None
+    )
+    return item._replace(**changes)
+
+
+class FakeAnswer:
+    """An answer from a list of parts; an exception among them is raised."""
+
+    def __init__(self, parts, status=200, streamed=False):
+        self.status = status
+        self.headers = ((b"X-Seal", b"s"),)
+        self.streamed = streamed
+        self.closed = False
+        self._parts = parts
+
+    async def read_parts(self):
+        for part in self._parts:
+            if isinstance(part, Exception):
+                raise part
+            yield part
+
+    async def close(self):
+        self.closed = True
+
+
+class FakeEndpoints:
+    """Answers from a script: one entry a send, an exception is raised."""
+
+    def __init__(self, script=()):
+        self.script = list(script)
+        self.sends = []
+        self.batches = []
+        self.released = []
+        self.room = 0
+        self.make = self.make_all
+
+    async def send(self, endpoint, request, send):
+        self.sends.append((endpoint.name, request, send))
+        answer = self.script.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+    def make_all(self, items):
+        return [
+            proxies.ItemResult(f"{i.attempt}/{i.stage}/{i.segment}", "")
+            for i in items
+        ]
+
+    async def run_batch(self, endpoint, items, now):
+        self.batches.append((endpoint.name, list(items)))
+        made = self.make(items)
+        if isinstance(made, Exception):
+            raise made
+        return made
+
+    async def release(self, endpoint, results):
+        self.released += results
+
+    async def read_room(self, endpoint):
+        return self.room
+
+
+LOST = errors.AnswerLostError("lost")
--- /dev/null
+++ b/tests/test_batching.py
@@ -0,0 +1,147 @@
+"""What goes together into a call to a batching endpoint."""
+
+from samphirevale import batching
+from tests import base, proxy_fakes
+
+NOW = 100.0
+
+
+class BatchQueueTest(base.TestCase):
+    """The queue of one endpoint."""
+
+    def setUp(self):
+        self.queue = batching.BatchQueue(proxy_fakes.BATCH_LIMITS)
+
+    def add(self, *items):
+        for item in items:
+            self.queue.add(item)
+
+    def take_names(self, now=NOW):
+        return [
+            (item.attempt, item.segment) for item in self.queue.take_batch(now)
+        ]
+
+    def test_items_of_several_requests_share_a_call(self):
+        self.add(
+            proxy_fakes.build_item(0, "a"),
+            proxy_fakes.build_item(0, "b"),
+            proxy_fakes.build_item(1, "b"),
+        )
+        self.assertEqual([("a", 0), ("b", 0), ("b", 1)], self.take_names())
+
+    def test_one_call_at_a_time(self):
+        self.add(proxy_fakes.build_item(0, "a"))
+        batch = self.queue.take_batch(NOW)
+        self.add(proxy_fakes.build_item(0, "b"))
+        self.assertEqual([], self.queue.take_batch(NOW))
+        self.queue.end_call(batch, ["r"], NOW)
+        self.assertEqual([("b", 0)], self.take_names())
+
+    def test_soonest_due_first_and_late_ones_last(self):
+        self.add(
+            proxy_fakes.build_item(0, "late", due_at=NOW),
+            proxy_fakes.build_item(0, "later", due_at=NOW + 2),
+            proxy_fakes.build_item(0, "soon", due_at=NOW + 1),
+        )
+        names = [name for name, _ in self.take_names()]
+        self.assertEqual(["soon", "later", "late"], names)
+
+    def test_a_request_starts_only_if_all_its_pieces_have_room(self):
+        self.add(*(proxy_fakes.build_item(i, "a") for i in range(3)))
+        first = self.queue.take_batch(NOW)
+        self.queue.end_call(first, ["r0", "r1", "r2"], NOW)
+        held = [
+            proxy_fakes.build_item(i, "b", result_bytes=400) for i in range(2)
+        ]
+        self.add(*held)
+        self.assertEqual([], self.take_names())
+        self.queue.release("r0", NOW + 1)
+        self.assertEqual([("b", 0), ("b", 1)], self.take_names())
+
+    def test_small_ones_pass_a_request_that_waits_for_room(self):
+        self.add(proxy_fakes.build_item(0, "first", result_bytes=300))
+        self.queue.end_call(self.queue.take_batch(NOW), ["r"], NOW)
+        self.add(
+            proxy_fakes.build_item(0, "large", result_bytes=800),
+            proxy_fakes.build_item(0, "small", result_bytes=100, due_at=102.0),
+            proxy_fakes.build_item(0, "middle", result_bytes=400, due_at=103.0),
+        )
+        self.assertEqual([("small", 0)], self.take_names())
+
+    def test_a_request_larger_than_the_room_is_split(self):
+        self.add(
+            *(
+                proxy_fakes.build_item(i, "a", result_bytes=400)
+                for i in range(3)
+            )
+        )
+        self.assertEqual([("a", 0), ("a", 1)], self.take_names())
+
+    def test_room_comes_back_when_results_lapse(self):
+        self.add(proxy_fakes.build_item(0, "a", result_bytes=1000))
+        batch = self.queue.take_batch(NOW)
+        self.queue.end_call(batch, ["r"], NOW)
+        self.assertEqual(0, self.queue.read_room(NOW + 3.9))
+        self.assertEqual(1000, self.queue.read_room(NOW + 4.1))
+
+    def test_room_that_the_endpoint_tells_goes_before_our_count(self):
+        limits = proxy_fakes.BATCH_LIMITS._replace(memory_bytes=10_000_000)
+        queue = batching.BatchQueue(limits)
+        queue.adopt_room(2_000_000, NOW)
+        self.assertEqual(2_000_000, queue.read_room(NOW))
+        self.assertEqual(10_000_000, queue.read_room(NOW + 2))
+
+    def test_expired_items_are_given_back(self):
+        item = proxy_fakes.build_item(deadline_at=NOW + 0.1)
+        self.add(item)
+        self.assertEqual([item], self.queue.take_expired(NOW))
+        self.assertEqual(0, len(self.queue))
+
+    def test_withdrawn_items_are_not_sent(self):
+        ticket = object()
+        self.add(proxy_fakes.build_item(ticket=ticket))
+        self.queue.withdraw(ticket)
+        self.assertEqual([], self.take_names())
+
+
+class EstimateTest(base.TestCase):
+    """When new items should be done."""
+
+    def test_full_calls_ahead_count(self):
+        state = batching.QueueState(4, 400, 1000, 0.1, 0.6)
+        seconds = batching.estimate_seconds(
+            state, proxy_fakes.BATCH_LIMITS, 1, 100
+        )
+        # The call in progress, two calls of 0.15 s and five items.
+        self.assertAlmostEqual(0.1 + 2 * 0.15 + 5 * 0.02, seconds)
+
+    def test_lacking_room_counts(self):
+        state = batching.QueueState(0, 0, 0, 0.0, 0.6)
+        seconds = batching.estimate_seconds(
+            state, proxy_fakes.BATCH_LIMITS, 1, 1000
+        )
+        self.assertAlmostEqual(0.6, seconds)
+
+
+class LoadTest(base.TestCase):
+    """A burst against one endpoint, played without a network."""
+
+    def play(self, items_limit):
+        """Returns how many of a burst's requests are done by their aim."""
+        limits = proxy_fakes.BATCH_LIMITS._replace(
+            items=items_limit, memory_bytes=10**9
+        )
+        queue = batching.BatchQueue(limits)
+        for index in range(40):
+            queue.add(proxy_fakes.build_item(0, f"a{index}", due_at=NOW + 2.0))
+        now = NOW
+        in_time = 0
+        while len(queue):
+            batch = queue.take_batch(now)
+            now += batching.compute_call_seconds(limits, len(batch))
+            queue.end_call(batch, [None] * len(batch), now)
+            in_time += len(batch) if now <= NOW + 2.0 else 0
+        return in_time
+
+    def test_full_calls_serve_several_times_as_many(self):
+        self.assertGreater(self.play(8), 3 * self.play(1))
--- /dev/null
+++ b/tests/test_catalogue.py
@@ -0,0 +1,52 @@
+"""Endpoints that come, change, lapse and go."""
+
+from samphirevale import catalogue
+from tests import base, proxy_fakes
+
+ENDPOINT = proxy_fakes.build_endpoint()
+
+
+class CatalogueTest(base.TestCase):
+    """The catalogue of one entry."""
+
+    def setUp(self):
+        self.catalogue = catalogue.Catalogue()
+        self.catalogue.replace([ENDPOINT], 100.0)
+
+    def test_draining_endpoints_take_no_new_work(self):
+        self.catalogue.put(ENDPOINT._replace(accepting=False))
+        self.assertEqual([], self.catalogue.list_accepting("stage"))
+        self.assertFalse(self.catalogue.is_accepting(ENDPOINT))
+
+    def test_another_start_under_the_same_name_is_another_endpoint(self):
+        self.catalogue.put(ENDPOINT._replace(started=2))
+        self.assertFalse(self.catalogue.is_accepting(ENDPOINT))
+
+    def test_an_address_that_moved_is_not_used(self):
+        self.catalogue.put(ENDPOINT._replace(host="10.0.0.9"))
+        self.assertFalse(self.catalogue.is_accepting(ENDPOINT))
+
+    def test_missing_from_a_list_is_gone(self):
+        changes = self.catalogue.replace([], 101.0)
+        self.assertEqual([catalogue.Change(ENDPOINT, None)], changes)
+
+    def test_lapsed_entries_stay_usable_after_an_outage(self):
+        self.catalogue.note_return(101.0)
+        self.assertEqual([], self.catalogue.replace([], 101.0))
+        self.assertTrue(self.catalogue.is_accepting(ENDPOINT))
+        self.assertEqual([], self.catalogue.drop_lapsed(102.9))
+        self.assertEqual(
+            [catalogue.Change(ENDPOINT, None)],
+            self.catalogue.drop_lapsed(103.0),
+        )
+
+    def test_a_lapsed_entry_that_is_back_stays(self):
+        self.catalogue.note_return(101.0)
+        self.catalogue.remove(ENDPOINT.name, 101.5)
+        self.catalogue.put(ENDPOINT)
+        self.assertEqual([], self.catalogue.drop_lapsed(110.0))
+        self.assertTrue(self.catalogue.is_accepting(ENDPOINT))
+
+    def test_a_service_that_an_endpoint_left_does_not_list_it(self):
+        self.catalogue.put(ENDPOINT._replace(service="other"))
+        self.assertEqual([], self.catalogue.list_service("stage"))
--- /dev/null
+++ b/tests/test_followers.py
@@ -0,0 +1,132 @@
+"""Following a kind through everything that a store does."""
+
+import contextlib
+import random
+
+import curio
+import hypothesis
+from hypothesis import strategies
+
+from samphirevale import errors, followers
+from samphirevale.ports import objects
+from tests import base, proxy_fakes
+
+
+class StopError(Exception):
+    """Ends a follower that would go on for ever."""
+
+
+class ScriptedStore:
+    """Answers lists and watches from a script."""
+
+    def __init__(self, clock, script):
+        self.clock = clock
+        self.script = list(script)
+        self.calls = []
+
+    def answer(self, call):
+        self.calls.append(call)
+        if not self.script:
+            raise StopError
+        seconds, answer = self.script.pop(0)
+        self.clock.seconds += seconds
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+    async def list_at(self, kind):
+        return self.answer("list")
+
+    async def watch(self, kind, version, timeout_seconds):
+        return self.answer(version)
+
+
+def build_object(name, value=1, version=1):
+    return objects.StoredObject("kind", name, version, value)
+
+
+class FollowerTest(base.TestCase):
+    """A follower with a script of answers."""
+
+    async def follow(self, *script):
+        """Plays a script; returns the store and what the sink was told."""
+        clock = proxy_fakes.FakeClock()
+        store = ScriptedStore(clock, script)
+        told = []
+        sink = followers.Sink(
+            lambda found, now: told.append(("list", list(found))),
+            lambda found, now: told.append(("changes", list(found))),
+            lambda began_at: told.append(("confirmed", began_at)),
+            lambda now: told.append(("return", now)),
+        )
+        follower = followers.Follower(
+            store,
+            "kind",
+            sink,
+            clock,
+            random.Random(1),
+            proxy_fakes.FakeJournal(),
+        )
+        with contextlib.suppress(StopError):
+            await follower.run()
+        return store, told
+
+    async def test_an_answer_confirms_the_time_its_call_began(self):
+        _, told = await self.follow(
+            (1.0, objects.Listing([], 5)), (1.5, objects.WatchEvents([], 5))
+        )
+        confirmed = [at for what, at in told if what == "confirmed"]
+        self.assertEqual([100.0, 101.0], confirmed)
+
+    async def test_history_that_is_gone_is_listed_afresh(self):
+        store, _ = await self.follow(
+            (0, objects.Listing([], 5)),
+            (0, errors.StoreWatchExpiredError("old")),
+            (0, objects.Listing([build_object("a")], 9)),
+        )
+        self.assertEqual(["list", 5, "list", 9], store.calls)
+
+    async def test_a_failed_watch_goes_on_from_the_same_version(self):
+        store, told = await self.follow(
+            (0, objects.Listing([], 5)),
+            (0.5, errors.StoreUnavailableError("cut")),
+            (0, objects.WatchEvents([build_object("a")], 7)),
+        )
+        self.assertEqual(["list", 5, 5, 7], store.calls)
+        self.assertNotIn("return", [what for what, _ in told])
+
+    async def test_an_outage_and_its_end_are_told(self):
+        _, told = await self.follow(
+            (0, objects.Listing([], 5)),
+            (3.0, errors.StoreUnavailableError("cut")),
+            (3.0, errors.StoreUnavailableError("cut")),
+            (0, objects.WatchEvents([], 5)),
+        )
+        self.assertIn("return", [what for what, _ in told])
+
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=60)
+    @hypothesis.given(
+        strategies.lists(
+            strategies.sampled_from(["list", "events", "gone", "cut"]),
+            max_size=30,
+        )
+    )
+    def test_no_script_lowers_the_version_that_is_watched(self, kinds):
+        version = 5
+        script = [(0, objects.Listing([], version))]
+        expected_lists = 1
+        for kind in kinds:
+            if kind == "events":
+                version += 1
+                script.append((0, objects.WatchEvents([], version)))
+            elif kind == "cut":
+                script.append((0, errors.StoreUnavailableError("cut")))
+            elif kind == "gone":
+                script.append((0, errors.StoreWatchExpiredError("old")))
+                version += 1
+                script.append((0, objects.Listing([], version)))
+                expected_lists += 1
+        store, _ = curio.run(self.follow, *script)
+        watched = [call for call in store.calls if call != "list"]
+        self.assertEqual(sorted(watched), watched)
+        self.assertEqual(expected_lists, store.calls.count("list"))
--- /dev/null
+++ b/tests/test_gathering.py
@@ -0,0 +1,79 @@
+"""Calls with the pieces of many requests, and what becomes of them."""
+
+import curio
+
+from samphirevale import gathering
+from samphirevale.ports import proxies
+from tests import base, proxy_fakes
+
+LIMITS = proxy_fakes.BATCH_LIMITS
+
+
+class GathererTest(base.TestCase):
+    """The gatherer against scripted endpoints."""
+
+    def setUp(self):
+        self.endpoint = proxy_fakes.build_endpoint()
+        self.endpoints = proxy_fakes.FakeEndpoints()
+        self.accepting = True
+        self.journal = proxy_fakes.FakeJournal()
+        self.gatherer = gathering.Gatherer(
+            self.endpoints,
+            proxy_fakes.FakeClock(),
+            self.journal,
+            lambda _: self.accepting,
+        )
+
+    async def run_items(self, *items):
+        return await self.gatherer.run_items(self.endpoint, LIMITS, items)
+
+    async def test_results_come_in_the_order_of_the_items(self):
+        results = await self.run_items(
+            proxy_fakes.build_item(1), proxy_fakes.build_item(0)
+        )
+        self.assertEqual(
+            ["a1/0/1", "a1/0/0"], [made.result for made in results]
+        )
+
+    async def test_nothing_is_sent_to_an_endpoint_that_leaves(self):
+        self.accepting = False
+        results = await self.run_items(proxy_fakes.build_item())
+        self.assertEqual([gathering.UNSENT], [made.reason for made in results])
+        self.assertEqual([], self.endpoints.batches)
+
+    async def test_items_that_lack_room_are_sent_again_by_the_owner(self):
+        self.endpoints.room = 5_000_000
+        refusals = [proxies.ItemResult("", "room")]
+
+        def make(items):
+            if refusals:
+                return [refusals.pop()]
+            return self.endpoints.make_all(items)
+
+        self.endpoints.make = make
+        results = await self.run_items(proxy_fakes.build_item())
+        self.assertEqual("a1/0/0", results[0].result)
+        self.assertEqual(2, len(self.endpoints.batches))
+        self.assertIn("room_adopted", self.journal.list_events())
+
+    async def test_a_failed_call_fails_its_items_and_is_logged(self):
+        self.endpoints.make = lambda _: proxy_fakes.LOST
+        results = await self.run_items(proxy_fakes.build_item())
+        self.assertEqual("error", results[0].reason)
+        self.assertIn("batch_failed", self.journal.list_events())
+
+    async def test_results_that_nobody_waits_for_are_freed(self):
+        begun, go_on = curio.Event(), curio.Event()
+
+        async def run_batch(endpoint, items, now):
+            await begun.set()
+            await go_on.wait()
+            return self.endpoints.make_all(items)
+
+        self.endpoints.run_batch = run_batch
+        task = await curio.spawn(self.run_items, proxy_fakes.build_item())
+        await begun.wait()
+        await task.cancel()
+        await go_on.set()
+        await curio.sleep(0.05)
+        self.assertEqual(["a1/0/0"], self.endpoints.released)
