--- a/samphirevale/followers.py
+++ b/samphirevale/followers.py
@@ -14,8 +14,9 @@
 from samphirevale.ports import objects
 
 # How long one watch waits for a change, in seconds: it bounds the age of
-# what is known.
+# what is known. That of the keys decides when requests must be refused.
 WATCH_SECONDS = 1.5
+KEYS_WATCH_SECONDS = 0.8
 
 # Without an answer for that long the store counts as lost, in seconds.
 OUTAGE_SECONDS = 2.0
--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -263,7 +263,7 @@
                 (
                     self._outside.routes_kind,
                     routes_sink,
-                    followers.WATCH_SECONDS,
+                    followers.KEYS_WATCH_SECONDS,
                 ),
                 (
                     self._outside.endpoints_kind,
@@ -382,6 +382,7 @@
         while True:
             now = self._clock.now()
             lingered = now >= began_at + LINGER_SECONDS
+            self._proxy.closed = lingered
             if (lingered and not self._server.busy) or now >= last:
                 break
             await curio.sleep(CHECK_SECONDS / 2)
--- a/samphirevale/placement.py
+++ b/samphirevale/placement.py
@@ -24,7 +24,7 @@
 
 # What results from another data centre count against an endpoint: seconds for
 # each megabyte.
-REMOTE_SECONDS_PER_MB = 0.01
+REMOTE_SECONDS_PER_MB = 0.05
 
 # Failures in a row after which an endpoint is avoided, and for how long, in
 # seconds: doubled with each further one up to the limit.
--- a/samphirevale/proxying.py
+++ b/samphirevale/proxying.py
@@ -30,6 +30,9 @@
 # When to come back after a refusal that should pass soon, in seconds.
 RETRY_SECONDS = 0.5
 
+# When to come back to another entry, in seconds.
+LEAVING_RETRY_SECONDS = 0.05
+
 # How long a request may always wait for its stages, in seconds.
 STAGES_SECONDS = 0.2
 
@@ -76,9 +79,14 @@
 
 
 class Proxy:
-    """Answers proxied requests."""
+    """Answers proxied requests.
+
+    Attributes:
+        closed: no new request is taken, as it could not be ended in time.
+    """
 
     def __init__(self, node: ProxyNode):
+        self.closed = False
         self._node = node
 
     async def answer(self, request: proxied.ProxiedRequest) -> Answer:
@@ -118,6 +126,8 @@
         """Returns the terms of a request, or why it is not taken."""
         known = self._node.knowledge
         now = self._node.clock.now()
+        if self.closed:
+            return proxied.Refusal(503, "leaving", LEAVING_RETRY_SECONDS)
         if known.table is None:
             return proxied.Refusal(503, "no_routes", RETRY_SECONDS)
         if not known.routes_age.is_usable(now):
--- a/samphirevale/stages.py
+++ b/samphirevale/stages.py
@@ -22,7 +22,7 @@
 
 # What a stage endpoint in another data centre than wanted counts as, in
 # seconds for each megabyte of results.
-REMOTE_SECONDS_PER_MB = 0.02
+REMOTE_SECONDS_PER_MB = 0.06
 
 
 class StageGroup(Protocol):
--- a/tests/test_proxying.py
+++ b/tests/test_proxying.py
@@ -58,6 +58,7 @@
         self.use_route(proxy_fakes.build_route())
         self.group = FakeGroup()
         self.journal = proxy_fakes.FakeJournal()
+        self.closed = False
 
     def use_route(self, route):
         self.known.table = proxy_fakes.build_table([route])
@@ -75,7 +76,9 @@
             self.journal,
         )
         request = proxy_fakes.build_request(**changes)
-        return await proxying.Proxy(node).answer(request)
+        proxy = proxying.Proxy(node)
+        proxy.closed = self.closed
+        return await proxy.answer(request)
 
 
 class AcceptanceTest(ProxyTestCase):
@@ -94,6 +97,10 @@
         self.clock.seconds = NOW + 4.0
         await self.check_refused(503, "routes_outdated")
 
+    async def test_late_in_a_graceful_stop(self):
+        self.closed = True
+        await self.check_refused(503, "leaving")
+
     async def test_unknown_key_and_path(self):
         await self.check_refused(401, "unknown_key", key="k2")
         await self.check_refused(404, "no_route", path="/other")
