--- a/samphirevale/batching.py
+++ b/samphirevale/batching.py
@@ -20,6 +20,14 @@
 UNSEEN = "unseen"
 UNSEEN_SECONDS = 1.0
 
+# The part of the room that must be in use for a lack of room to tell that
+# results are larger than the operator says, and the largest factor learned.
+LEARNING_SHARE = 0.5
+SIZE_FACTOR_LIMIT = 1.15
+
+# The part of what was learned that one call makes forget.
+FORGETTING_SHARE = 0.2
+
 # The unit in which an endpoint tells its room.
 ROOM_UNIT_BYTES = 1_000_000
 
@@ -118,6 +126,8 @@
         self._reserved_bytes = 0
         self._busy_until = 0.0
         self.running = 0
+        # How much larger results are than the operator says.
+        self._size_factor = 1.0
 
     def __len__(self) -> int:
         """Returns how many items wait."""
@@ -213,16 +223,30 @@
         """
         self.running -= 1
         self._reserved_bytes -= sum(item.result_bytes for item in batch)
+        self._size_factor -= (self._size_factor - 1.0) * FORGETTING_SHARE
         until = now + self.limits.result_seconds
         for item, result in zip(batch, results, strict=True):
             if result is not None:
                 self._kept[result] = _Kept(item.result_bytes, now, until)
 
+    def note_lack(self, result_bytes: int, now: float) -> None:
+        """Learns from an item that found no room where it should have.
+
+        Args:
+            result_bytes: what the item's result should have taken.
+            now: the present time.
+        """
+        memory = self.limits.memory_bytes
+        used = memory - self.read_room(now)
+        if used > memory * LEARNING_SHARE:
+            factor = self._size_factor * (memory - result_bytes / 2) / used
+            factor = min(max(factor, self._size_factor), SIZE_FACTOR_LIMIT)
+            self._size_factor = factor
+
     def adopt_room(self, room_bytes: int, now: float) -> None:
         """Takes over the room that the endpoint has told, in whole MB.
 
-        Results may be larger than said, and some may be kept that this queue
-        does not know of.
+        Some results may be kept that this queue does not know of.
         """
         self._kept.pop(UNSEEN, None)
         size = self.read_room(now) - room_bytes
@@ -247,7 +271,8 @@
         for name in over:
             del self._kept[name]
         kept_bytes = sum(kept.size for kept in self._kept.values())
-        return self.limits.memory_bytes - kept_bytes - self._reserved_bytes
+        used = (kept_bytes + self._reserved_bytes) * self._size_factor
+        return int(self.limits.memory_bytes - used)
 
     def read_state(self, now: float) -> QueueState:
         """Returns what decides when new items will be done."""
--- a/samphirevale/budgets.py
+++ b/samphirevale/budgets.py
@@ -31,7 +31,7 @@
     """One entry's part of the budget of each service."""
 
     def __init__(self, terms: BudgetTerms):
-        self._terms = terms
+        self.terms = terms
         self._firsts: dict[str, collections.deque[float]] = {}
         self._repeats: dict[str, collections.deque[float]] = {}
 
@@ -43,8 +43,8 @@
         """Returns how many repeats this entry may still send now."""
         firsts = len(self._count(self._firsts, service, now))
         repeats = len(self._count(self._repeats, service, now))
-        allowance = self._terms.allowance / max(entries, 1)
-        total = self._terms.ratio * firsts + allowance
+        allowance = self.terms.allowance / max(entries, 1)
+        total = self.terms.ratio * firsts + allowance
         return USED_SHARE * total - repeats
 
     def take(self, service: str, entries: int, now: float) -> bool:
@@ -61,6 +61,6 @@
         now: float,
     ) -> collections.deque[float]:
         times = counts.setdefault(service, collections.deque())
-        while times and times[0] < now - self._terms.window_seconds:
+        while times and times[0] < now - self.terms.window_seconds:
             times.popleft()
         return times
--- a/samphirevale/cmdline.py
+++ b/samphirevale/cmdline.py
@@ -15,7 +15,7 @@
 import json
 import os
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import curio
@@ -32,6 +32,7 @@
     output,
     rules,
     settings,
+    stories,
     tables,
 )
 from samphirevale.adapters import clock, objects
@@ -213,6 +214,48 @@
     return output.EXIT_DONE if reply.status == 200 else output.EXIT_FAILED
 
 
+@_command("explain")
+def explain(request: str, *files: str) -> int:
+    """Tell the story of one proxied request from the logs of all entries.
+
+    Args:
+        request: the request's attempt id.
+        files: log files of the entries.
+    """
+    rows = stories.tell_request(_read_logs(files), request)
+    return _print_rows(rows, f"no line names {request}")
+
+
+@_command("causes")
+def causes(*files: str) -> int:
+    """Sum up refusals and broken streams by cause, with a request of each.
+
+    Args:
+        files: log files of the entries.
+    """
+    return _print_rows(stories.count_causes(_read_logs(files)), "no failures")
+
+
+def _read_logs(files: Sequence[str]) -> list[dict[str, Any]]:
+    lines: list[str] = []
+    for name in files:
+        try:
+            with open(name, encoding="utf-8", errors="replace") as file:
+                lines += file
+        except OSError as error:
+            _fail(name, "a log file", str(error))
+    return stories.parse_lines(lines)
+
+
+def _print_rows(rows: list[dict[str, Any]], nothing: str) -> int:
+    if not rows:
+        print(nothing)
+        return output.EXIT_FAILED
+    cells = [list(row.values()) for row in rows]
+    print(tables.format_table(list(rows[0]), cells))
+    return output.EXIT_DONE
+
+
 def check_settings(role: daemon.Role, flags: dict[str, str | None]) -> int:
     """Loads a role's settings and prints them without the secrets."""
     try:
--- a/samphirevale/entries.py
+++ b/samphirevale/entries.py
@@ -153,6 +153,7 @@
         server: PieceServer,
         build_report: Callable[[float], messages.EntryReport],
         note_members: Callable[[Iterable[ownership.Member]], None],
+        note_crashed: Callable[[list[list[str]]], None],
         clock: clocks.Clock,
         rng: random.Random,
         log: journal.Journal,
@@ -165,6 +166,7 @@
         self._server = server
         self._build_report = build_report
         self._note_members = note_members
+        self._note_crashed = note_crashed
         self._clock = clock
         self._rng = rng
         self._journal = log
@@ -291,6 +293,7 @@
     async def _take_message(self, entry: Entry, message: Any) -> None:
         if isinstance(message, messages.EntryReport):
             entry.adopt_report(message)
+            self._note_crashed(message.crashed)
         elif isinstance(message, messages.Pieces):
             entry.serving[message.exchange] = await curio.spawn(
                 self._serve_pieces, entry, message, daemon=True
--- a/samphirevale/freshness.py
+++ b/samphirevale/freshness.py
@@ -12,11 +12,12 @@
     """When what is known of one kind of object was surely the newest.
 
     Attributes:
+        limit_seconds: how soon a change must be heeded.
         confirmed_at: the store has answered a call that began then.
     """
 
     def __init__(self, limit_seconds: float):
-        self._limit_seconds = limit_seconds
+        self.limit_seconds = limit_seconds
         self.confirmed_at: float | None = None
 
     def confirm(self, began_at: float) -> None:
@@ -32,4 +33,4 @@
 
     def is_usable(self, now: float) -> bool:
         """Tells whether decisions that may not be outdated can rest on it."""
-        return self.read_age(now) < self._limit_seconds - MARGIN_SECONDS
+        return self.read_age(now) < self.limit_seconds - MARGIN_SECONDS
--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -7,6 +7,7 @@
 from typing import Any, NamedTuple
 
 import curio
+import prometheus_client
 
 from samphirevale import (
     backoff,
@@ -20,9 +21,11 @@
     journal,
     knowledge,
     messages,
+    metrics,
     ownership,
     placement,
     proxying,
+    quarantine,
     routes,
 )
 from samphirevale.adapters import web
@@ -49,6 +52,13 @@
 ENTRIES_WATCH_SECONDS = 10.0
 
 
+# The most inputs that crash endpoints which a report names.
+CRASHED_LIMIT = 20
+
+
+METRICS_HEADERS = (("Content-Type", prometheus_client.CONTENT_TYPE_LATEST),)
+
+
 class GatewaySettings(NamedTuple):
     """What a proxying entry is told at its start.
 
@@ -126,6 +136,8 @@
             settings.keys_seconds,
             ownership.Member(settings.instance, settings.data_centre),
         )
+        self._quarantine = quarantine.Quarantine(proxying.CRASHES_SECONDS)
+        self._budget = budgets.RetryBudget(settings.budget)
         self._placer = placement.Placer(self._rng, self._read_other_load)
         self._gatherer = gathering.Gatherer(
             outside.endpoints,
@@ -145,6 +157,7 @@
             self.group,
             self._build_report,
             self._take_members,
+            self._take_crashes,
             clock,
             self._rng,
             log,
@@ -155,7 +168,8 @@
                 self.knowledge,
                 self._placer,
                 self.group,
-                budgets.RetryBudget(settings.budget),
+                self._budget,
+                self._quarantine,
                 outside.endpoints,
                 clock,
                 self._rng,
@@ -174,10 +188,19 @@
         )
 
     def _build_report(self, now: float) -> messages.EntryReport:
+        crashed = self._quarantine.list_newest(CRASHED_LIMIT, now)
         return messages.EntryReport(
-            self.group.describe_queues(now), self._placer.describe_loads(), []
+            self.group.describe_queues(now),
+            self._placer.describe_loads(),
+            [[name, *attempts] for name, attempts in crashed],
         )
 
+    def _take_crashes(self, crashed: list[list[str]]) -> None:
+        """Takes over the crashes that another entry knows of."""
+        now = self._clock.now()
+        for fingerprint, *attempts in crashed:
+            self._quarantine.add_crashes(fingerprint, attempts, now)
+
     def _read_other_load(self, endpoint: str) -> tuple[int, int]:
         """Returns what the other entries have in progress at an endpoint."""
         loads = [
@@ -284,7 +307,12 @@
     def _adopt_routes(self, stored: objects.StoredObject) -> None:
         try:
             table = self._outside.decode_routes(stored.value)
-        except (KeyError, TypeError, ValueError) as error:
+        except (
+            AttributeError,
+            KeyError,
+            TypeError,
+            ValueError,
+        ) as error:
             self._journal.note_failure(
                 "routes_malformed", revision=stored.version, error=repr(error)
             )
@@ -351,6 +379,9 @@
             await curio.sleep(CHECK_SECONDS)
             now = self._clock.now()
             self._note_changes(self.knowledge.catalogue.drop_lapsed(now))
+            metrics.ROUTES_AGE.set(self.knowledge.routes_age.read_age(now))
+            metrics.ENTRIES_LINKED.set(len(self.table.linked))
+            metrics.LINES_LEFT_OUT.set(self._journal.left_out)
 
     async def serve_callers(self) -> None:
         """Serves callers until cancelled."""
@@ -373,6 +404,27 @@
             answer, self.settings.ready_host, self.settings.ready_port
         )
 
+    def adopt_settings(self, settings: GatewaySettings) -> None:
+        """Takes over what may change while it runs; addresses may not."""
+        self.knowledge.routes_age.limit_seconds = settings.keys_seconds
+        self._budget.terms = settings.budget
+        self.settings = self.settings._replace(
+            keys_seconds=settings.keys_seconds,
+            grace_seconds=settings.grace_seconds,
+            budget=settings.budget,
+        )
+
+    async def serve_metrics(self) -> None:
+        """Serves the metrics until cancelled."""
+
+        async def answer(_: web.Request) -> web.Response:
+            text = prometheus_client.generate_latest(metrics.REGISTRY)
+            return web.Response(200, text, METRICS_HEADERS)
+
+        await web.serve(
+            answer, self.settings.peer_host, self.settings.metrics_port
+        )
+
     async def drain(self) -> None:
         """Finishes what is in flight after the order to stop."""
         began_at = self._clock.now()
@@ -400,6 +452,7 @@
         gateway.check_time,
         gateway.serve_callers,
         gateway.serve_readiness,
+        gateway.serve_metrics,
         gateway.register,
         gateway.table.serve,
         gateway.table.dial_known,
--- a/samphirevale/gathering.py
+++ b/samphirevale/gathering.py
@@ -5,7 +5,14 @@
 
 import curio
 
-from samphirevale import batching, catalogue, errors, journal, routes
+from samphirevale import (
+    batching,
+    catalogue,
+    errors,
+    journal,
+    metrics,
+    routes,
+)
 from samphirevale.ports import clock as clocks
 from samphirevale.ports import proxies
 
@@ -24,6 +31,9 @@
 # seconds.
 AVOIDED_SECONDS = 2.0
 
+# The most requests that a log line names.
+REQUESTS_LIMIT = 8
+
 # The reason of items that were not sent, as their endpoint takes no new work.
 UNSENT = "unsent"
 
@@ -239,9 +249,13 @@
                 "batch_failed",
                 endpoint=endpoint.name,
                 items=len(batch),
+                requests=_list_requests(batch),
                 error=f"{type(error).__name__}: {error}",
             )
         now = self._clock.now()
+        metrics.BATCH_SECONDS.observe(now - began_at)
+        for made in results:
+            metrics.PIECES.labels(reason=made.reason).inc()
         refused = [made.reason for made in results if made.reason]
         if refused:
             self._log.note_failure(
@@ -251,12 +265,25 @@
                 items=len(batch),
                 reasons=sorted(set(refused)),
                 not_made=len(refused),
+                requests=_list_requests(
+                    [
+                        item
+                        for item, made in zip(batch, results, strict=True)
+                        if made.reason
+                    ]
+                ),
                 stages=sorted({item.stage for item in batch}),
                 room_bytes=queue.read_room(now),
                 wanted_bytes=sum(item.result_bytes for item in batch),
             )
         queue.end_call(batch, [made.result or None for made in results], now)
         if "room" in refused:
+            sizes = [
+                item.result_bytes
+                for item, made in zip(batch, results, strict=True)
+                if made.reason == "room"
+            ]
+            queue.note_lack(min(sizes), now)
             await self._adopt_room(endpoint, queue)
         unwanted = []
         for item, made in zip(batch, results, strict=True):
@@ -297,5 +324,10 @@
         await item.ticket.resolve(item.segment, proxies.ItemResult("", reason))
 
 
+def _list_requests(items: Sequence[batching.Item]) -> list[str]:
+    """Returns the requests of items, for the log."""
+    return sorted({item.attempt for item in items})[:REQUESTS_LIMIT]
+
+
 def _build_key(endpoint: catalogue.Endpoint) -> str:
     return f"{endpoint.name}/{endpoint.started}"
--- a/samphirevale/journal.py
+++ b/samphirevale/journal.py
@@ -10,11 +10,12 @@
 import json
 import os
 import sys
+import time
 from collections.abc import Callable
 from typing import Any
 
 # The most lines a second, by their kind.
-LINES_PER_SECOND = {"change": 50, "failure": 50, "request": 30}
+LINES_PER_SECOND = {"change": 50, "failure": 60, "request": 120}
 
 
 class Journal:
@@ -22,7 +23,8 @@
 
     Args:
         instance: named in every line.
-        read_clock: the clock of the lines' `at`, in seconds.
+        read_clock: the clock of the lines' `at`, in seconds; it orders the
+            lines of one process, also when the time of day jumps.
         descriptor: where to write; made non-blocking by its owner.
     """
 
@@ -63,6 +65,7 @@
             return
         self._written[kind] = count + 1
         line = {
+            "time": round(time.time(), 3),
             "at": round(now, 3),
             "instance": self._instance,
             "event": event,
--- a/samphirevale/messages.py
+++ b/samphirevale/messages.py
@@ -287,7 +287,7 @@
         loads: what it has in progress at other endpoints, each with the
             fields of LoadReport.
         crashed: fingerprints of inputs that have crashed endpoints, each
-            with its count.
+            with the attempts.
     """
 
     queues: list[list]
--- a/samphirevale/metrics.py
+++ b/samphirevale/metrics.py
@@ -23,6 +23,7 @@
     "reason": 32,
     "result": 8,
     "stage": 50,
+    "status": 32,
     "use": 2,
     "invariant": 64,
 }
@@ -79,6 +80,10 @@
         """Counts; for a metric without labels."""
         self._metric.inc(amount)
 
+    def observe(self, value: float) -> None:
+        """Adds a value; for a histogram without labels."""
+        self._metric.observe(value)
+
     def set(self, value: float) -> None:
         """Sets; for a gauge without labels."""
         self._metric.set(value)
@@ -170,6 +175,34 @@
     "store_seconds", "Time of one call to the object API.", "kind"
 )
 
+# Proxied requests, on a proxying entry. `kind` is `streamed`, `repeatable` or
+# `once`; `reason` is empty for an endpoint's answer.
+PROXIED_REQUESTS = _count(
+    "proxied_requests",
+    "Proxied requests that were answered, by the answer's status.",
+    "kind",
+    "status",
+    "reason",
+)
+PROXIED_SECONDS = _histogram(
+    "proxied_seconds",
+    "Time from a request that has been read to its answer's first part.",
+    "kind",
+)
+PIECES = _count(
+    "pieces", "Pieces of stages, by why they were not made.", "reason"
+)
+BATCH_SECONDS = _histogram(
+    "batch_seconds", "Time of one call to a batching endpoint."
+)
+ROUTES_AGE = _gauge(
+    "routes_age_seconds", "Age of what is known of routes and keys."
+)
+ENTRIES_LINKED = _gauge("entries_linked", "Other entries that are alive.")
+LINES_LEFT_OUT = _gauge(
+    "log_lines_left_out", "Lines that the log left out since its last line."
+)
+
 # Connections between the system's own processes.
 HEARTBEATS = _count(
     "heartbeats", "Heartbeats between our processes.", "direction"
--- a/samphirevale/platform/__main__.py
+++ b/samphirevale/platform/__main__.py
@@ -39,7 +39,7 @@
     machine_clock = clock.BootClock()
     os.set_blocking(sys.stdout.fileno(), False)
     log = journal.Journal(settings.gateway.instance, machine_clock.now)
-    log.note_change("started", data_centre=settings.gateway.data_centre)
+    log.note_change("started", **settings.gateway._asdict())
     node = gateway.Gateway(
         settings.gateway, build_outside(settings), machine_clock, log
     )
@@ -91,14 +91,14 @@
         if number in STOP_SIGNALS:
             await node.stop.set()
         else:
-            reload_settings(log)
+            reload_settings(node, log)
 
 
-def reload_settings(log: journal.Journal) -> None:
+def reload_settings(node: gateway.Gateway, log: journal.Journal) -> None:
     """Reads the settings file again; a wrong one changes nothing."""
     try:
-        load_settings()
-    except (OSError, errors.InvalidInputError) as error:
+        node.adopt_settings(load_settings().gateway)
+    except (OSError, KeyError, errors.InvalidInputError) as error:
         log.note_failure("reload_failed", error=str(error))
         return
     log.note_change("reloaded")
--- a/samphirevale/platform/membership.py
+++ b/samphirevale/platform/membership.py
@@ -14,7 +14,10 @@
 def decode_endpoint(stored: objects.StoredObject) -> catalogue.Endpoint | None:
     """Returns the endpoint, or None if the entry names none to use."""
     value: Any = stored.value
-    if not isinstance(value, dict) or value.get("state") not in _STATES:
+    if not isinstance(value, dict):
+        return None
+    state = value.get("state")
+    if not isinstance(state, str) or state not in _STATES:
         return None
     service, address = value.get("service"), value.get("address")
     if not isinstance(service, str) or not isinstance(address, str):
@@ -33,7 +36,7 @@
         host=host,
         port=int(port),
         data_centre=zone,
-        accepting=_STATES[value["state"]],
+        accepting=_STATES[state],
         slots=slots,
         started=started,
     )
--- a/samphirevale/platform/node_file.py
+++ b/samphirevale/platform/node_file.py
@@ -9,9 +9,8 @@
 # The variable that holds the file's path.
 VARIABLE = "SAMPHIREVALE_NODE_FILE"
 
-# Ports between our own processes, counted from the first of the range.
-PEER_PORT_OFFSET = 0
-METRICS_PORT_OFFSET = 1
+# The port for metrics, as deploy/system.toml names it.
+METRICS_PORT = 9464
 
 
 class NodeFile(NamedTuple):
@@ -84,8 +83,8 @@
         ready_host=readiness[0],
         ready_port=readiness[1],
         peer_host=reader.read("ip", str) or "",
-        peer_port=first_port + PEER_PORT_OFFSET,
-        metrics_port=first_port + METRICS_PORT_OFFSET,
+        peer_port=first_port,
+        metrics_port=METRICS_PORT,
         keys_seconds=reader.read_number("bounds.revoke_ms") / 1000,
         grace_seconds=reader.read_number("bounds.grace_s"),
         budget=budgets.BudgetTerms(
--- a/samphirevale/platform/store.py
+++ b/samphirevale/platform/store.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from samphirevale import errors
-from samphirevale.adapters import store_calls
+from samphirevale.adapters import metering, store_calls
 from samphirevale.ports import objects
 
 # How much longer than its own timeout a watch may take, in seconds.
@@ -18,6 +18,7 @@
 class PlatformStore(store_calls.StoreCaller):
     """Implements ports.objects.FollowedStore, and conditional writes."""
 
+    @metering.count_calls("list")
     async def list_at(self, kind: str) -> objects.Listing:
         """Returns a kind's objects, from all pages of the list.
 
@@ -41,6 +42,7 @@
                 return objects.Listing(found, version)
             after = page[-1].name
 
+    @metering.count_calls("watch")
     async def watch(
         self, kind: str, version: int, timeout_seconds: float
     ) -> objects.WatchEvents:
@@ -66,6 +68,7 @@
                     changed.append(stored._replace(value=value))
             return objects.WatchEvents(changed, int(reply.value["at"]))
 
+    @metering.count_calls("create")
     async def create(self, kind: str, name: str, value: Any) -> None:
         """Creates an object; raises errors.StoreConflictError if it exists."""
         body = {"metadata": {"name": name}, "spec": value}
@@ -74,6 +77,7 @@
         )
         _check_status(reply)
 
+    @metering.count_calls("update")
     async def replace(self, kind: str, name: str, value: Any) -> None:
         """Replaces an object, whatever it holds; creates it if need be."""
         body = {"metadata": {"name": name}, "spec": value}
@@ -85,6 +89,7 @@
             return
         _check_status(reply)
 
+    @metering.count_calls("delete")
     async def delete(self, kind: str, name: str) -> None:
         """Deletes an object; it may be gone already."""
         reply = await self.write("DELETE", _build_path(kind, name), None)
--- a/samphirevale/proxying.py
+++ b/samphirevale/proxying.py
@@ -1,6 +1,7 @@
 """Drives one proxied request: stages, sends, repeats, and its one answer."""
 
 import contextlib
+import hashlib
 import random
 from typing import NamedTuple
 
@@ -13,8 +14,10 @@
     events,
     journal,
     knowledge,
+    metrics,
     placement,
     proxied,
+    quarantine,
     routes,
     stages,
 )
@@ -51,13 +54,32 @@
 SILENCE_SECONDS = 1.2
 
 
+# Crashes after which an input is not run any more, and how long they count,
+# in seconds.
+CRASHES_LIMIT = 3
+CRASHES_SECONDS = 60.0
+
+
 class ProxyNode(NamedTuple):
-    """The collaborators of a proxying entry."""
+    """The collaborators of a proxying entry.
+
+    Attributes:
+        knowledge: the routes, the endpoints and the other entries.
+        placer: chooses endpoints.
+        group: does the pieces of stages.
+        budget: of repeats.
+        quarantine: the inputs that have crashed endpoints, at any entry.
+        endpoints: the calls to endpoints.
+        clock: the present time, counted also while suspended.
+        rng: the source of every random draw.
+        journal: the log.
+    """
 
     knowledge: knowledge.Knowledge
     placer: placement.Placer
     group: stages.StageGroup
     budget: budgets.RetryBudget
+    quarantine: quarantine.Quarantine
     endpoints: proxies.ProxyEndpoints
     clock: clocks.Clock
     rng: random.Random
@@ -73,11 +95,26 @@
     account: str
     priority: int
     deadline_at: float
+    fingerprint: str
 
 
 Answer = proxied.WholeAnswer | proxied.StreamedAnswer | proxied.Refusal
 
 
+def compute_fingerprint(account: str, request: proxied.ProxiedRequest) -> str:
+    """Returns the digest of what a caller sends again, whole."""
+    digest = hashlib.blake2b(digest_size=12)
+    for part in (account, request.host, request.target, repr(request.prompt)):
+        digest.update(part.encode() + b"\0")
+    digest.update(request.body)
+    return digest.hexdigest()
+
+
+def count_crashes(node: ProxyNode, fingerprint: str) -> int:
+    """Returns how many attempts of an input have crashed endpoints."""
+    return len(node.quarantine.list_crashes(fingerprint, node.clock.now()))
+
+
 class Proxy:
     """Answers proxied requests.
 
@@ -93,8 +130,18 @@
         """Returns the request's one answer, at its deadline at the latest."""
         accepted = self._accept(request)
         if isinstance(accepted, proxied.Refusal):
-            self._log_refusal(request, accepted)
+            self._note_answer(request, "", accepted)
             return accepted
+        self._node.journal.note_request(
+            "request_accepted",
+            request=request.attempt,
+            route=accepted.route.name,
+            service=accepted.service,
+            account=accepted.account,
+            wait_seconds=round(request.wait_seconds, 3),
+            routes_version=self._node.knowledge.table.version,
+            routes_age=self._read_routes_age(),
+        )
         run = _Run(self._node, accepted)
         limit = accepted.deadline_at - self._node.clock.now()
         try:
@@ -102,14 +149,27 @@
                 answer = await run.run()
         except TimeoutError:
             answer = run.refuse_timeout()
+        self._note_answer(request, accepted.route.describe_kind(), answer)
+        return answer
+
+    def _note_answer(
+        self, request: proxied.ProxiedRequest, kind: str, answer: Answer
+    ) -> None:
+        reason = ""
         if isinstance(answer, proxied.Refusal):
+            reason = answer.reason
             self._log_refusal(request, answer)
-        return answer
+        metrics.PROXIED_REQUESTS.labels(
+            kind=kind, status=answer.status, reason=reason
+        ).inc()
+        seconds = self._node.clock.now() - request.received_at
+        metrics.PROXIED_SECONDS.labels(kind=kind).observe(seconds)
 
     def _log_refusal(
         self, request: proxied.ProxiedRequest, refusal: proxied.Refusal
     ) -> None:
         now = self._node.clock.now()
+        table = self._node.knowledge.table
         self._node.journal.note_failure(
             "request_refused",
             request=request.attempt,
@@ -117,9 +177,15 @@
             reason=refusal.reason,
             seconds=round(now - request.received_at, 3),
             retry_seconds=refusal.retry_seconds,
-            routes_age=round(self._node.knowledge.routes_age.read_age(now), 3),
+            routes_version=table.version if table is not None else None,
+            routes_age=self._read_routes_age(),
         )
 
+    def _read_routes_age(self) -> float:
+        """Returns the age of what is known of routes, for the log."""
+        now = self._node.clock.now()
+        return round(self._node.knowledge.routes_age.read_age(now), 3)
+
     def _accept(
         self, request: proxied.ProxiedRequest
     ) -> _Accepted | proxied.Refusal:
@@ -140,6 +206,10 @@
             account = known.table.accounts.get(request.key)
             if account is None:
                 return proxied.Refusal(401, "unknown_key")
+        name = account.name if account is not None else ""
+        fingerprint = compute_fingerprint(name, request)
+        if count_crashes(self._node, fingerprint) >= CRASHES_LIMIT:
+            return proxied.Refusal(503, "input_crashes_endpoints")
         priority = route.priority
         if account is not None and account.priority is not None:
             priority = account.priority
@@ -148,9 +218,10 @@
             request,
             route,
             routes.choose_service(route, self._node.rng.random()),
-            account.name if account is not None else "",
+            name,
             priority,
             request.received_at + wait_seconds,
+            fingerprint,
         )
 
 
@@ -184,6 +255,8 @@
                 return proxied.Refusal(
                     503, str(error).replace(" ", "_"), RETRY_SECONDS
                 )
+        if results:
+            self._note("stages_done", results=len(results))
         self._node.budget.note_first(
             self._accepted.service, self._node.clock.now()
         )
@@ -307,6 +380,7 @@
                 continue
             except errors.TransportError as error:
                 self._handed_over = True
+                self.note_crash(endpoint)
                 self._log_failed(endpoint, error)
                 if not self._may_send_again():
                     return proxied.Refusal(502, "answer_lost")
@@ -316,8 +390,30 @@
             )
             if failed and self._may_send_again():
                 continue
+            if isinstance(answer, proxied.WholeAnswer):
+                self._note("request_answered", status=answer.status)
+            if not failed:
+                self._node.quarantine.forget(self._accepted.fingerprint)
             return answer
 
+    def _note(self, event: str, **fields: object) -> None:
+        """Logs a decision that goes well, with the time since its arrival."""
+        now = self._node.clock.now()
+        self._node.journal.note_request(
+            event,
+            request=self._request.attempt,
+            seconds=round(now - self._request.received_at, 3),
+            **fields,
+        )
+
+    def note_crash(self, endpoint: catalogue.Endpoint) -> None:
+        """Counts an answer that broke off: its endpoint may have crashed."""
+        self._node.quarantine.add_crashes(
+            self._accepted.fingerprint,
+            [f"{self._request.attempt}/{endpoint.name}"],
+            self._node.clock.now(),
+        )
+
     def _refuse_failed(self, reason: str) -> proxied.Refusal:
         if self._handed_over:
             return proxied.Refusal(502, reason)
@@ -336,8 +432,10 @@
 
     def _may_send_again(self) -> bool:
         """Tells whether what may have run may be sent to another endpoint."""
+        crashes = count_crashes(self._node, self._accepted.fingerprint)
         return (
-            self._route.may_run_again()
+            crashes < CRASHES_LIMIT
+            and self._route.may_run_again()
             and self._runs < self._route.attempts_limit
             and self._may_repeat(self._accepted.service)
         )
@@ -388,13 +486,12 @@
             raise
         finally:
             self._runs += self._handed_over
-        self._node.journal.note_request(
+        self._note(
             "request_sent",
-            request=self._request.attempt,
             endpoint=endpoint.name,
             service=endpoint.service,
-            seconds=round(now - self._request.received_at, 3),
             status=exchange.answer.status,
+            last_event=last_event,
         )
 
     async def _begin_stream(
@@ -486,7 +583,7 @@
         self, node: ProxyNode, endpoint: catalogue.Endpoint, tokens: int
     ):
         self._node = node
-        self._endpoint = endpoint
+        self.endpoint = endpoint
         self._tokens = tokens
         self._unread = False
         self._counted = False
@@ -497,9 +594,9 @@
     ) -> None:
         """Hands the request over and reads the head of its answer."""
         self._counted = self._unread = True
-        self._node.placer.note_sent(self._endpoint.name, self._tokens)
+        self._node.placer.note_sent(self.endpoint.name, self._tokens)
         self.answer = await self._node.endpoints.send(
-            self._endpoint, request, send
+            self.endpoint, request, send
         )
 
     async def read_whole(self) -> bytes:
@@ -516,7 +613,7 @@
         """Takes note that the prompt has been read."""
         if self._unread:
             self._unread = False
-            self._node.placer.note_read(self._endpoint.name, self._tokens)
+            self._node.placer.note_read(self.endpoint.name, self._tokens)
 
     async def close(self, failed: bool) -> None:
         """Ends the exchange; more calls do nothing."""
@@ -524,7 +621,7 @@
         if self._counted:
             self._counted = False
             self._node.placer.note_ended(
-                self._endpoint.name, failed, self._node.clock.now()
+                self.endpoint.name, failed, self._node.clock.now()
             )
         if self.answer is not None:
             answer, self.answer = self.answer, None
@@ -576,6 +673,8 @@
             async with curio.timeout_after(max(self._run.read_limit(), 0)):
                 return await self._read_chunk()
         except (errors.TransportError, curio.TaskTimeout) as error:
+            if isinstance(error, errors.TransportError):
+                self._run.note_crash(self._exchange.endpoint)
             await self._parts.aclose()
             await self._exchange.close(failed=True)
             reason = f"{type(error).__name__}: {error}"
--- a/samphirevale/quarantine.py
+++ b/samphirevale/quarantine.py
@@ -118,6 +118,21 @@
             return frozenset()
         return suspect.attempts
 
+    def forget(self, fingerprint: str) -> None:
+        """Drops what is known of an input, as an endpoint has answered it."""
+        self._suspects.pop(fingerprint, None)
+
+    def list_newest(
+        self, count: int, now: float
+    ) -> list[tuple[str, frozenset[str]]]:
+        """Returns the fingerprints that crashed last, with their attempts."""
+        newest = list(self._suspects.items())[-count:]
+        return [
+            (fingerprint, suspect.attempts)
+            for fingerprint, suspect in newest
+            if not self._is_old(suspect, now)
+        ]
+
     def decide(self, fingerprint: str, now: float) -> Verdict:
         """Decides about an attempt, also about one that is a retry."""
         crashes = len(self.list_crashes(fingerprint, now))
--- a/samphirevale/routes.py
+++ b/samphirevale/routes.py
@@ -58,6 +58,12 @@
     stages: tuple[Stage, ...]
     anonymous: bool
 
+    def describe_kind(self) -> str:
+        """Returns the kind of its requests, as metrics name it."""
+        if self.streamed:
+            return "streamed"
+        return "repeatable" if self.repeatable else "once"
+
     def may_run_again(self) -> bool:
         """Tells whether a request that may have run may be sent again."""
         return self.resumable if self.streamed else self.repeatable
--- /dev/null
+++ b/samphirevale/stories.py
@@ -0,0 +1,82 @@
+"""The story of a request, and the causes of failures, from log lines."""
+
+import collections
+import json
+from collections.abc import Iterable
+from typing import Any
+
+# Fields that stand in columns of their own.
+_HEAD_FIELDS = ("time", "at", "instance", "event", "request")
+
+# Events that end a request without an endpoint's whole answer, with the field
+# that tells why.
+FAILURES = {"request_refused": "reason", "stream_ended": "outcome"}
+
+# The outcome of a stream that ended well.
+COMPLETE = "complete"
+
+
+def parse_lines(lines: Iterable[str]) -> list[dict[str, Any]]:
+    """Returns the log lines among others, by the time of day.
+
+    What stands before the JSON object of a line, such as a collector's own
+    time, is passed over; so is a line without one.
+    """
+    found = []
+    for line in lines:
+        _, brace, rest = line.partition("{")
+        try:
+            value = json.loads(brace + rest)
+        except ValueError:
+            continue
+        if isinstance(value, dict) and "event" in value:
+            found.append(value)
+    return sorted(found, key=lambda value: value.get("time", 0.0))
+
+
+def tell_request(
+    lines: Iterable[dict[str, Any]], request: str
+) -> list[dict[str, Any]]:
+    """Returns the rows on one request, in order."""
+    return [
+        {
+            "seconds": line.get("seconds", ""),
+            "instance": line.get("instance", ""),
+            "event": line["event"],
+            "because": _describe(line),
+        }
+        for line in lines
+        if line.get("request") == request
+        or request in (line.get("requests") or ())
+    ]
+
+
+def _describe(line: dict[str, Any]) -> str:
+    return " ".join(
+        f"{name}={value}"
+        for name, value in line.items()
+        if name not in (*_HEAD_FIELDS, "seconds", "requests")
+    )
+
+
+def count_causes(lines: Iterable[dict[str, Any]]) -> list[dict[str, Any]]:
+    """Returns the failures by cause, the most frequent first."""
+    counts: collections.Counter[tuple[str, str]] = collections.Counter()
+    example: dict[tuple[str, str], str] = {}
+    for line in lines:
+        field = FAILURES.get(line["event"])
+        cause = str(line.get(field, "")) if field else COMPLETE
+        if cause == COMPLETE:
+            continue
+        key = (line["event"], cause)
+        counts[key] += 1
+        example.setdefault(key, str(line.get("request", "")))
+    return [
+        {
+            "event": event,
+            "cause": cause,
+            "count": count,
+            "request": example[event, cause],
+        }
+        for (event, cause), count in counts.most_common()
+    ]
--- /dev/null
+++ b/standins/metadata.py
@@ -0,0 +1,106 @@
+"""A stand-in of the users' platform's store: lists, watches and writes."""
+
+import json
+import urllib.parse
+
+import curio
+
+from samphirevale.adapters import web
+
+# The most objects of one page of a list.
+PAGE_SIZE = 2
+
+# The interval between looks for a change, in seconds.
+CHECK_SECONDS = 0.01
+
+
+class MetadataStore:
+    """Objects by kind and name, with a history that can be dropped.
+
+    Attributes:
+        refusing: the status that every call gets; 0 for none.
+    """
+
+    def __init__(self):
+        self.refusing = 0
+        self._revision = 1
+        self._objects: dict[tuple[str, str], dict] = {}
+        self._history: list[tuple[int, str, bool, dict]] = []
+        self._oldest = 1
+
+    def put(self, kind: str, name: str, spec: object) -> None:
+        """Writes an object as the operator or a server would."""
+        self._revision += 1
+        metadata = {"name": name, "revision": self._revision}
+        stored = {"metadata": metadata, "spec": spec, "status": None}
+        self._objects[kind, name] = stored
+        self._history.append((self._revision, kind, False, stored))
+
+    def remove(self, kind: str, name: str) -> None:
+        """Removes an object."""
+        stored = self._objects.pop((kind, name))
+        self._revision += 1
+        self._history.append((self._revision, kind, True, stored))
+
+    def drop_history(self) -> None:
+        """Forgets all changes so far."""
+        self._history.clear()
+        self._oldest = self._revision
+
+    def list_names(self, kind: str) -> list[str]:
+        """Returns the names of a kind's objects."""
+        return sorted(name for found, name in self._objects if found == kind)
+
+    async def handle(self, request: web.Request) -> web.Response:
+        """Answers one call."""
+        if self.refusing:
+            return web.Response(self.refusing)
+        _, _, kind, *rest = map(urllib.parse.unquote, request.path.split("/"))
+        if request.method == "GET" and "watch" in request.query:
+            return await self._watch(kind, request.query)
+        if request.method == "GET":
+            return self._list(kind, request.query.get("after", ""))
+        return self._write(request, kind, rest)
+
+    def _list(self, kind: str, after: str) -> web.Response:
+        names = [name for name in self.list_names(kind) if name > after]
+        items = [self._objects[kind, name] for name in names[:PAGE_SIZE]]
+        page = {
+            "items": items,
+            "more_pages": len(names) > PAGE_SIZE,
+            "at": self._revision,
+        }
+        return web.build_json(200, page)
+
+    async def _watch(self, kind: str, query: dict[str, str]) -> web.Response:
+        since = int(query["watch"])
+        waited = 0.0
+        while True:
+            if since < self._oldest:
+                return web.Response(410)
+            events = [
+                {"deleted": deleted, "object": stored}
+                for revision, found, deleted, stored in self._history
+                if found == kind and revision > since
+            ]
+            if events or waited * 1000 >= int(query["wait_ms"]):
+                value = {"events": events, "at": self._revision}
+                return web.build_json(200, value)
+            await curio.sleep(CHECK_SECONDS)
+            waited += CHECK_SECONDS
+
+    def _write(
+        self, request: web.Request, kind: str, rest: list[str]
+    ) -> web.Response:
+        value = json.loads(request.body or b"{}")
+        name = rest[0] if rest else value["metadata"]["name"]
+        exists = (kind, name) in self._objects
+        if request.method == "POST" and exists:
+            return web.Response(409)
+        if request.method != "POST" and not exists:
+            return web.Response(404)
+        if request.method == "DELETE":
+            self.remove(kind, name)
+        else:
+            self.put(kind, name, value["spec"])
+        return web.build_json(200, self._objects.get((kind, name), {}))
--- /dev/null
+++ b/tests/platform/test_decoding.py
@@ -0,0 +1,154 @@
+"""The platform's forms, decoded into our types."""
+
+from samphirevale import errors, proxied
+from samphirevale.adapters import web
+from samphirevale.platform import (
+    callers,
+    manifest,
+    membership,
+    node_file,
+)
+from samphirevale.ports import objects
+from tests import base
+
+ENTRY = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "slots": 4,
+    "state": "ready",
+    "born": 7,
+}
+
+SETTINGS = """
+node_name = "n"
+ip = "10.0.0.1"
+zone = "a"
+port_range = [7000, 7015]
+[listen]
+frontend = "10.0.0.1:80"
+readiness = "10.0.0.1:81"
+[bounds]
+revoke_ms = 5000
+grace_s = 8
+retry_ratio = 0.2
+retry_allowance = 56
+retry_window_s = 10
+[platform]
+address = "10.0.0.2:90"
+"""
+
+
+class MembershipTest(base.TestCase):
+    """Entries of servers."""
+
+    def decode(self, value):
+        return membership.decode_endpoint(
+            objects.StoredObject("servers", "i-1", 3, value)
+        )
+
+    def test_a_whole_entry(self):
+        endpoint = self.decode(ENTRY)
+        self.assertEqual(
+            ("i-1", "10.0.0.1", 80, 7),
+            (endpoint.name, endpoint.host, endpoint.port, endpoint.started),
+        )
+        self.assertTrue(endpoint.accepting)
+        self.assertFalse(self.decode(ENTRY | {"state": "draining"}).accepting)
+
+    def test_entries_that_name_nothing_to_use(self):
+        for change in (
+            {"state": "odd"},
+            {"state": ["ready"]},
+            {"service": 7},
+            {"address": "nowhere"},
+            {"address": None},
+            {"zone": 1},
+            {"slots": True},
+            {"born": "x"},
+        ):
+            self.assertIsNone(self.decode(ENTRY | change), change)
+        self.assertIsNone(self.decode("text"))
+
+
+class NodeFileTest(base.TestCase):
+    """The settings file."""
+
+    def test_a_whole_file(self):
+        found = node_file.read_node_file(SETTINGS)
+        self.assertEqual(("10.0.0.1", 80), found.gateway[2:4])
+        self.assertEqual(7000, found.gateway.peer_port)
+        self.assertEqual("http://10.0.0.2:90", found.store_url)
+
+    def test_all_findings_at_once(self):
+        text = SETTINGS.replace("grace_s = 8", "grace_s = true")
+        text = text.replace('zone = "a"', "").replace(":81", "")
+        with self.assertRaises(errors.InvalidInputError) as caught:
+            node_file.read_node_file(text)
+        self.assertEqual(
+            ["listen.readiness", "zone", "bounds.grace_s"],
+            [finding.place for finding in caught.exception.findings],
+        )
+
+    def test_no_toml(self):
+        with self.assertRaises(errors.InvalidInputError):
+            node_file.read_node_file("=")
+
+
+class CallersTest(base.TestCase):
+    """Callers' requests."""
+
+    def decode(self, **headers):
+        given = {name.replace("_", "-"): v for name, v in headers.items()}
+        request = web.Request("POST", "/", {}, given, b"", "/p/a%20b?q=1")
+        return callers.decode_request(request, 100.0)
+
+    def test_values_of_headers(self):
+        found = self.decode(
+            samphirevale_attempt_id="a",
+            samphirevale_deadline_ms="2500",
+            samphirevale_prefix_hash="aa:10, bb:5,odd,cc:x",
+            samphirevale_chunk_count="3,0,1",
+            last_event_id="12",
+        )
+        self.assertEqual(2.5, found.wait_seconds)
+        self.assertEqual(
+            (proxied.PromptPart("aa", 10), proxied.PromptPart("bb", 5)),
+            found.prompt,
+        )
+        self.assertEqual((3, 0, 1), found.piece_counts)
+        self.assertEqual(12, found.last_event)
+        self.assertEqual("/p/a%20b", found.path)
+
+    def test_without_an_attempt_there_is_no_request(self):
+        self.assertIsNone(self.decode())
+
+
+class ManifestTest(base.TestCase):
+    """The manifest."""
+
+    def test_shares_and_stages(self):
+        table = manifest.decode_table(
+            {
+                "version": 3,
+                "routes": [
+                    {
+                        "name": "r",
+                        "host": "H.example",
+                        "path_prefix": "/p/",
+                        "kind": "streaming",
+                        "timeout_ms": 8000,
+                        "weighted_split": [{"service": "s", "weight": 90}],
+                        "phases": [{"service": "b", "after": [], "length": 5}],
+                    }
+                ],
+                "services": [],
+                "limits": {"max_body_bytes": 7},
+            }
+        )
+        route = table.find_route("h.example", "/p/x")
+        self.assertEqual(8.0, route.timeout_seconds)
+        self.assertEqual(8.0, route.target_seconds)
+        self.assertEqual(5, route.stages[0].result_bytes)
+        self.assertEqual(7, table.limits.body_bytes)
+        self.assertIsNone(table.accounts)
--- /dev/null
+++ b/tests/platform/test_session.py
@@ -0,0 +1,319 @@
+"""A proxying entry on the platform's stand-ins, over real sockets."""
+
+import contextlib
+
+import curio
+
+from samphirevale import budgets, gateway, journal
+from samphirevale.adapters import clock, web
+from samphirevale.platform import __main__ as program
+from samphirevale.platform import node_file
+from standins import metadata, servers
+from tests import base
+
+# How long something may take that should happen soon, in seconds.
+SOON_SECONDS = 5.0
+
+STREAM = b"".join(b"id: %d\ndata: e%d\n\n" % (i, i) for i in range(1, 6))
+
+
+def build_manifest(version=1, keys=("k1",), **changes):
+    """Returns a manifest with a route of each kind."""
+
+    def build_route(path, kind, service, **fields):
+        return {
+            "name": path,
+            "host": "h.example",
+            "path_prefix": path,
+            "kind": kind,
+            "timeout_ms": 3000,
+            "ttft_target_ms": 1000,
+            "priority": 0,
+            "service": service,
+            "max_attempts": 2,
+            "anonymous": False,
+            **fields,
+        }
+
+    stage = {
+        "slots": 1,
+        "queue": 2,
+        "batch": 4,
+        "call_ms": 10.0,
+        "item_ms": 1.0,
+        "headroom_mb": 1.0,
+        "handle_ttl_s": 4.0,
+        "link_mbps": 1000,
+    }
+    return {
+        "version": version,
+        "routes": [
+            build_route("/read/", "idempotent", "plain"),
+            build_route("/once/", "non_idempotent", "plain"),
+            build_route(
+                "/write/",
+                "streaming",
+                "model",
+                resumable=True,
+                phases=[
+                    {"service": "first", "after": [], "length": 1000},
+                    {"service": "first", "after": [0], "length": 1000},
+                ],
+            ),
+        ],
+        "services": [
+            {"name": "plain", "max_connections": 10},
+            {"name": "model", "max_connections": 10, "backend": {"slots": 4}},
+            {"name": "first", "max_connections": 10, "segments": stage},
+        ],
+        "limits": {"max_body_bytes": 10000},
+        "tenants": [{"name": "acme", "api_keys": list(keys)}],
+        **changes,
+    }
+
+
+class SessionTest(base.TestCase):
+    """One entry, two servers a service, the store."""
+
+    @contextlib.asynccontextmanager
+    async def run_all(self):
+        """Runs everything until the block ends."""
+        self.store = metadata.MetadataStore()
+        self.servers = {
+            name: servers.Server(name)
+            for name in ("plain1", "plain2", "model1", "model2", "first1")
+        }
+        async with contextlib.AsyncExitStack() as stack:
+            for name, server in self.servers.items():
+                port = await self.serve(stack, server.handle)
+                self.list_server(name, port)
+            self.store.put("config", "main", build_manifest())
+            store_port = await self.serve(stack, self.store.handle)
+            self.node = self.build_gateway(store_port)
+            task = await curio.spawn(gateway.run, self.node)
+            stack.push_async_callback(task.cancel)
+            await self.wait_until(self.node.is_ready)
+            self.task = task
+            yield
+
+    async def serve(self, stack, handle):
+        port = base.find_free_port()
+        task = await curio.spawn(
+            web.serve, handle, "127.0.0.1", port, daemon=True
+        )
+        stack.push_async_callback(task.cancel)
+        return port
+
+    def list_server(self, name, port, **changes):
+        self.store.put(
+            "servers",
+            name,
+            {
+                "service": name[:-1],
+                "address": f"127.0.0.1:{port}",
+                "zone": "a",
+                "slots": 4,
+                "state": "ready",
+                "sequence": 1,
+                "born": 1,
+                **changes,
+            },
+        )
+
+    def build_gateway(self, store_port):
+        self.port = base.find_free_port()
+        settings = gateway.GatewaySettings(
+            "entry1",
+            "a",
+            "127.0.0.1",
+            self.port,
+            "127.0.0.1",
+            base.find_free_port(),
+            "127.0.0.1",
+            base.find_free_port(),
+            base.find_free_port(),
+            5.0,
+            8.0,
+            budgets.BudgetTerms(0.2, 50, 10.0),
+        )
+        file = node_file.NodeFile(settings, f"http://127.0.0.1:{store_port}")
+        machine_clock = clock.BootClock()
+        return gateway.Gateway(
+            settings,
+            program.build_outside(file),
+            machine_clock,
+            journal.Journal("entry1", machine_clock.now, NullDescriptor.open()),
+        )
+
+    async def wait_until(self, condition):
+        async with curio.timeout_after(SOON_SECONDS):
+            while not condition():
+                await curio.sleep(0.01)
+
+    async def call(self, path, body=b"", key="k1", **given):
+        """Sends a request; returns status, headers and body."""
+        headers = {
+            "Samphirevale-Attempt-Id": "a1",
+            "Samphirevale-Deadline-Ms": "3000",
+            "Samphirevale-Key": key,
+            **given,
+        }
+        async with web.connect("127.0.0.1", self.port) as connection:
+            answer = await connection.request(
+                "POST", path, body, tuple(headers.items()), "h.example"
+            )
+            return answer.status, answer.headers, await answer.read_body()
+
+    async def write(self, **given):
+        return await self.call(
+            "/write/x",
+            **{
+                "Samphirevale-Prefix-Hash": "p:10,q:5",
+                "Samphirevale-Chunk-Count": "2,1",
+                "Samphirevale-Chunk-Key": "ck",
+                **given,
+            },
+        )
+
+    def list_seen(self, service):
+        return [
+            headers
+            for name, server in self.servers.items()
+            if name.startswith(service)
+            for headers in server.seen
+        ]
+
+    async def test_a_plain_request(self):
+        async with self.run_all():
+            status, headers, body = await self.call("/read/x", b"body")
+            self.assertEqual((200, b"body"), (status, body))
+            self.assertIn("samphirevale-response-seal", headers)
+            seen = self.list_seen("plain")[0]
+            self.assertEqual("acme", seen["samphirevale-tenant-name"])
+            self.assertNotIn("samphirevale-key", seen)
+            self.assertLessEqual(int(seen["samphirevale-deadline-ms"]), 3000)
+
+    async def test_what_the_system_sets_is_not_taken_from_callers(self):
+        async with self.run_all():
+            await self.call(
+                "/read/x",
+                **{"Samphirevale-Pin-Ms": "9", "Kv-From": "x", "X-Own": "1"},
+            )
+            seen = self.list_seen("plain")[0]
+            self.assertNotIn("samphirevale-pin-ms", seen)
+            self.assertNotIn("kv-from", seen)
+            self.assertEqual("1", seen["x-own"])
+
+    async def test_a_stream_with_stages(self):
+        async with self.run_all():
+            status, _, body = await self.write()
+            self.assertEqual((200, STREAM), (status, body))
+            given = self.list_seen("model")[0]["samphirevale-input-count"]
+            self.assertEqual("first1/a1/1/0", given)
+            stage = self.servers["first1"]
+            self.assertEqual(
+                ["first1/a1/0/0", "first1/a1/0/1"], stage.items[2]["inputs"]
+            )
+            await self.wait_until(lambda: len(stage.freed) == 3)
+
+    async def test_a_stream_that_breaks_goes_on_elsewhere(self):
+        async with self.run_all():
+            self.servers["model1"].faults = ["cut"]
+            self.servers["model2"].faults = ["", "cut"]
+            bodies = [(await self.write())[2] for _ in range(3)]
+            self.assertEqual([STREAM] * 3, bodies)
+
+    async def test_an_answer_of_another_request_is_not_passed_on(self):
+        async with self.run_all():
+            for name in ("plain1", "plain2"):
+                self.servers[name].faults = ["other"]
+            status, headers, _ = await self.call("/once/x")
+            self.assertEqual(502, status)
+            self.assertNotIn("samphirevale-response-seal", headers)
+
+    async def test_a_full_server_is_a_refusal_with_a_time(self):
+        async with self.run_all():
+            for name in ("plain1", "plain2"):
+                self.servers[name].faults = ["full"]
+            status, headers, _ = await self.call("/once/x")
+            self.assertEqual(503, status)
+            self.assertGreater(float(headers["retry-after"]), 0)
+            self.assertEqual([], self.list_seen("plain"))
+
+    async def test_a_key_that_is_taken_away(self):
+        async with self.run_all():
+            self.store.put("config", "main", build_manifest(2, ["k2"]))
+            await self.wait_until(lambda: self.node.knowledge.table.version > 1)
+            self.assertEqual(401, (await self.call("/read/x"))[0])
+            self.assertEqual(200, (await self.call("/read/x", key="k2"))[0])
+
+    async def test_a_draining_server_gets_nothing(self):
+        async with self.run_all():
+            self.list_server("plain1", 1, state="draining")
+            known = self.node.knowledge.catalogue
+            await self.wait_until(
+                lambda: len(known.list_accepting("plain")) == 1
+            )
+            for _ in range(4):
+                self.assertEqual(200, (await self.call("/read/x"))[0])
+            self.assertEqual([], self.servers["plain1"].seen)
+
+    async def test_history_that_is_gone_and_an_entry_that_is_malformed(self):
+        async with self.run_all():
+            self.store.remove("servers", "plain1")
+            self.store.put("servers", "odd", {"state": 7})
+            self.store.drop_history()
+            known = self.node.knowledge.catalogue
+            await self.wait_until(lambda: known.find("plain1") is None)
+            self.assertEqual(200, (await self.call("/read/x"))[0])
+
+    async def test_the_entry_is_registered(self):
+        async with self.run_all():
+            await self.wait_until(
+                lambda: self.store.list_names("samphirevale-entries")
+            )
+
+    async def test_a_caller_that_leaves_frees_the_place(self):
+        async with self.run_all():
+            connection = await web.open_connection("127.0.0.1", self.port)
+            sending = await curio.spawn(
+                connection.request,
+                "POST",
+                "/write/x",
+                b"",
+                (
+                    ("Samphirevale-Attempt-Id", "a1"),
+                    ("Samphirevale-Key", "k1"),
+                    ("Samphirevale-Prefix-Hash", "p:10,q:5"),
+                    ("Samphirevale-Chunk-Count", "1,1"),
+                ),
+                "h.example",
+            )
+            await curio.sleep(0.005)
+            await sending.cancel()
+            await connection.close()
+            await self.wait_until(
+                lambda: (
+                    len(self.servers["first1"].freed)
+                    == len(self.servers["first1"].items)
+                )
+            )
+
+    async def test_a_graceful_stop_finishes_and_turns_away(self):
+        async with self.run_all():
+            await self.node.stop.set()
+            self.assertFalse(self.node.is_ready())
+            status, headers, _ = await self.call("/read/x")
+            self.assertEqual((200, "close"), (status, headers["connection"]))
+
+
+class NullDescriptor:
+    """Where the log lines of a test go."""
+
+    _file = None
+
+    @classmethod
+    def open(cls):
+        if cls._file is None:
+            cls._file = open("/dev/null", "wb")  # noqa: SIM115
+        return cls._file.fileno()
--- a/tests/test_batching.py
+++ b/tests/test_batching.py
@@ -91,6 +91,21 @@
         self.assertEqual(2_000_000, queue.read_room(NOW))
         self.assertEqual(10_000_000, queue.read_room(NOW + 2))
 
+    def test_results_larger_than_said_are_learned_from_a_refusal(self):
+        self.add(*(proxy_fakes.build_item(i, "a") for i in range(8)))
+        for _ in range(2):
+            batch = self.queue.take_batch(NOW)
+            names = [str(item.segment) for item in batch]
+            self.queue.end_call(batch, names, NOW)
+        self.add(proxy_fakes.build_item(0, "b", result_bytes=150))
+        batch = self.queue.take_batch(NOW)
+        self.queue.end_call(batch, [None], NOW)
+        self.queue.note_lack(150, NOW)
+        self.add(*batch)
+        self.assertEqual([], self.queue.take_batch(NOW))
+        self.queue.release("0", NOW)
+        self.assertEqual(batch, self.queue.take_batch(NOW))
+
     def test_expired_items_are_given_back(self):
         item = proxy_fakes.build_item(deadline_at=NOW + 0.1)
         self.add(item)
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -4,6 +4,7 @@
 import re
 import tomllib
 
+from samphirevale.platform import node_file
 from tests import base
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -44,3 +45,10 @@
                 if PLATFORM_NAMES.search(line):
                     found.append(f"{path.name}:{number}: {line.strip()}")
         self.assertEqual([], found)
+
+    def test_metrics_port_is_the_one_that_is_served(self):
+        deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
+        self.assertEqual(
+            f"{node_file.METRICS_PORT}/metrics",
+            deploy["roles"]["entry"]["metrics"],
+        )
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -24,11 +24,11 @@
         self.assertEqual([], missing)
 
 
-class OperatingTest(base.TestCase):
-    """docs/OPERATING.md."""
+class OperationsTest(base.TestCase):
+    """docs/OPERATIONS.md."""
 
     def setUp(self):
-        self.text = (DOCS / "OPERATING.md").read_text(encoding="utf-8")
+        self.text = (DOCS / "OPERATIONS.md").read_text(encoding="utf-8")
 
     def check_named(self, names):
         missing = [name for name in names if f"`{name}" not in self.text]
--- /dev/null
+++ b/tests/test_journal.py
@@ -0,0 +1,63 @@
+"""The log: one JSON object a line, bounded, and never waiting."""
+
+import json
+import os
+
+from samphirevale import journal
+from tests import base
+
+
+class JournalTest(base.TestCase):
+    """Lines into a pipe."""
+
+    def setUp(self):
+        self.now = 100.0
+        self.reader, self.writer = os.pipe()
+        os.set_blocking(self.writer, False)
+        os.set_blocking(self.reader, False)
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, self.writer)
+        self.journal = journal.Journal("here", lambda: self.now, self.writer)
+
+    def read_lines(self):
+        data = os.read(self.reader, 1 << 20)
+        return [json.loads(line) for line in data.splitlines()]
+
+    def test_a_line_has_its_fields(self):
+        self.journal.note_change("entry_up", entry="b")
+        (line,) = self.read_lines()
+        self.assertIsInstance(line.pop("time"), float)
+        expected = {
+            "at": 100.0,
+            "instance": "here",
+            "event": "entry_up",
+            "entry": "b",
+        }
+        self.assertEqual(expected, line)
+
+    def test_a_kind_over_its_budget_leaves_room_for_the_others(self):
+        for _ in range(1000):
+            self.journal.note_request("request_sent")
+        self.journal.note_failure("request_refused")
+        lines = self.read_lines()
+        self.assertEqual(journal.LINES_PER_SECOND["request"] + 1, len(lines))
+        self.assertEqual("request_refused", lines[-1]["event"])
+        self.assertEqual(
+            1000 - journal.LINES_PER_SECOND["request"],
+            lines[-1]["lines_left_out"],
+        )
+
+    def test_a_reader_that_is_stuck_delays_nothing_and_breaks_no_line(self):
+        written = 0
+        for second in range(400):
+            self.now = 100.0 + second
+            for _ in range(journal.LINES_PER_SECOND["failure"]):
+                self.journal.note_failure("request_refused", text="x" * 100)
+                written += 1
+        lines = self.read_lines()
+        self.assertLess(len(lines), written)
+        self.now += 1
+        self.journal.note_failure("after")
+        rest = os.read(self.reader, 1 << 20).splitlines()
+        self.assertEqual("after", json.loads(rest[-1])["event"])
+        self.assertGreater(json.loads(rest[-1])["lines_left_out"], 0)
--- /dev/null
+++ b/tests/test_knowledge.py
@@ -0,0 +1,26 @@
+"""What a proxying entry knows, and that it never goes back."""
+
+from samphirevale import knowledge, ownership
+from tests import base, proxy_fakes
+
+
+class KnowledgeTest(base.TestCase):
+    """Versions of routes, and who owns what."""
+
+    def setUp(self):
+        self.known = knowledge.Knowledge(5.0, ownership.Member("me", "a"))
+
+    def test_no_older_version_is_adopted(self):
+        self.assertTrue(self.known.adopt_table(proxy_fakes.build_table([], 7)))
+        self.assertFalse(self.known.adopt_table(proxy_fakes.build_table([], 5)))
+        self.assertEqual(7, self.known.table.version)
+
+    def test_owners_change_with_the_entries(self):
+        self.known.adopt_table(proxy_fakes.build_table([]))
+        endpoint = proxy_fakes.build_endpoint(data_centre="b")
+        self.known.catalogue.put(endpoint)
+        self.assertEqual("me", self.known.find_owner(endpoint))
+        self.known.adopt_members([ownership.Member("other", "b")])
+        self.assertEqual("other", self.known.find_owner(endpoint))
+        self.known.adopt_members([])
+        self.assertEqual("me", self.known.find_owner(endpoint))
--- a/tests/test_proxying.py
+++ b/tests/test_proxying.py
@@ -10,6 +10,7 @@
     placement,
     proxied,
     proxying,
+    quarantine,
     routes,
 )
 from samphirevale.ports import proxies
@@ -59,6 +60,7 @@
         self.group = FakeGroup()
         self.journal = proxy_fakes.FakeJournal()
         self.closed = False
+        self.quarantine = quarantine.Quarantine(proxying.CRASHES_SECONDS)
 
     def use_route(self, route):
         self.known.table = proxy_fakes.build_table([route])
@@ -70,6 +72,7 @@
             placement.Placer(random.Random(1)),
             self.group,
             budgets.RetryBudget(budgets.BudgetTerms(0.2, 50, 10.0)),
+            self.quarantine,
             self.endpoints,
             self.clock,
             random.Random(1),
@@ -164,6 +167,28 @@
         )
         self.assertEqual(502, answer.status)
 
+    async def test_an_input_that_crashes_endpoints_is_not_run_again(self):
+        self.use_route(proxy_fakes.build_route(attempts_limit=9))
+        for index in range(2):
+            answer = await self.answer(
+                proxy_fakes.LOST, proxy_fakes.LOST, attempt=f"a{index}"
+            )
+        self.assertEqual("answer_lost", answer.reason)
+        self.assertEqual(1, len(self.endpoints.sends))
+        answer = await self.answer(attempt="a3")
+        self.assertEqual("input_crashes_endpoints", answer.reason)
+        self.assertEqual([], self.endpoints.sends)
+        answer = await self.answer(
+            proxy_fakes.FakeAnswer([b"x"]), body=b"other"
+        )
+        self.assertEqual(200, answer.status)
+
+    async def test_an_answered_input_is_no_suspect_any_more(self):
+        await self.answer(
+            proxy_fakes.LOST, proxy_fakes.FakeAnswer([b"x"]), attempt="a1"
+        )
+        self.assertEqual([], self.quarantine.list_newest(9, NOW))
+
     async def test_attempts_keep_to_the_routes_limit(self):
         self.use_route(proxy_fakes.build_route(attempts_limit=1))
         answer = await self.answer(proxy_fakes.LOST)
--- /dev/null
+++ b/tests/test_routes.py
@@ -0,0 +1,34 @@
+"""Which route a request takes."""
+
+from samphirevale import routes
+from tests import base, proxy_fakes
+
+
+class RouteTableTest(base.TestCase):
+    """Routes by host and path."""
+
+    def test_the_longest_prefix_wins(self):
+        table = proxy_fakes.build_table(
+            [
+                proxy_fakes.build_route(name="short"),
+                proxy_fakes.build_route(name="long", path_prefix="/p/q/"),
+            ]
+        )
+        self.assertEqual("long", table.find_route("H.example", "/p/q/r").name)
+        self.assertEqual("short", table.find_route("h.example", "/p/qr").name)
+        self.assertIsNone(table.find_route("h.example", "/other/"))
+        self.assertIsNone(table.find_route("other", "/p/q/"))
+
+    def test_shares_of_services(self):
+        route = proxy_fakes.build_route(
+            splits=(routes.Split("a", 90), routes.Split("b", 10))
+        )
+        self.assertEqual("a", routes.choose_service(route, 0.89))
+        self.assertEqual("b", routes.choose_service(route, 0.91))
+
+    def test_what_may_run_again(self):
+        route = proxy_fakes.build_route(repeatable=True)
+        self.assertTrue(route.may_run_again())
+        route = route._replace(streamed=True)
+        self.assertFalse(route.may_run_again())
+        self.assertTrue(route._replace(resumable=True).may_run_again())
--- /dev/null
+++ b/tests/test_stories.py
@@ -0,0 +1,42 @@
+"""From log lines to the story of a request and the causes of failures."""
+
+import json
+
+from samphirevale import stories
+from tests import base
+
+
+def build_line(time, event, **fields):
+    return json.dumps({"time": time, "instance": "e", "event": event, **fields})
+
+
+LINES = [
+    "12.5 e2 "
+    + build_line(2.0, "batch_failed", requests=["a1", "a2"], error="cut"),
+    build_line(1.0, "request_accepted", request="a1", seconds=0.0),
+    "no log line",
+    '{"broken": ',
+    build_line(3.0, "request_refused", request="a1", reason="no_endpoint"),
+    build_line(4.0, "request_refused", request="a2", reason="no_endpoint"),
+    build_line(4.0, "stream_ended", request="a3", outcome="complete"),
+    build_line(4.0, "stream_ended", request="a4", outcome="AnswerLostError"),
+]
+
+
+class StoriesTest(base.TestCase):
+    """What on-call engineers are shown."""
+
+    def test_a_request_is_told_in_order_over_all_processes(self):
+        rows = stories.tell_request(stories.parse_lines(LINES), "a1")
+        self.assertEqual(
+            ["request_accepted", "batch_failed", "request_refused"],
+            [row["event"] for row in rows],
+        )
+        self.assertEqual("error=cut", rows[1]["because"])
+
+    def test_causes_with_an_example_each(self):
+        rows = stories.count_causes(stories.parse_lines(LINES))
+        self.assertEqual(
+            [("no_endpoint", 2, "a1"), ("AnswerLostError", 1, "a4")],
+            [(row["cause"], row["count"], row["request"]) for row in rows],
+        )
