Rank requests by account and route, split pieces over endpoints

Pieces now go to several endpoints at once, begun requests go on in what room there is, and ranks count from the most urgent account, then by route.

--- a/samphirevale/batching.py
+++ b/samphirevale/batching.py
@@ -48,7 +48,7 @@
         result_bytes: the approximate size of its result.
         due_at: when it must be done for the request to be in time.
         deadline_at: when it is of no use any more.
-        priority: the request's rank; 0 is the highest.
+        rank: the request's; 0 is the most urgent.
         ticket: for who waits for it; not looked at here.
     """
 
@@ -60,7 +60,7 @@
     result_bytes: int
     due_at: float
     deadline_at: float
-    priority: int
+    rank: int
     ticket: Any
 
 
@@ -128,6 +128,8 @@
         self.running = 0
         # How much larger results are than the operator says.
         self._size_factor = 1.0
+        # Requests and stages of which some pieces wait and others do not.
+        self._begun: set[tuple[str, int]] = set()
 
     def __len__(self) -> int:
         """Returns how many items wait."""
@@ -166,7 +168,7 @@
         def rank(item: Item) -> tuple:
             if item.due_at >= done_at:
                 return (0, 0, item.due_at)
-            return (1, item.priority, item.due_at)
+            return (1, item.rank, item.due_at)
 
         self._waiting.sort(key=rank)
         batch = self._cut_batch(self.read_room(now))
@@ -182,34 +184,39 @@
 
         A request of which some pieces lie ready while others find no room
         holds room for nothing, so that one starts only if all of its pieces
-        have room. Those that need far less may pass one that waits for room.
+        have room; once begun, it goes on piece by piece. Those that need far
+        less may pass one that waits for room.
         """
         batch: list[Item] = []
         bypass_bytes = self.limits.memory_bytes
-        for group in self._group_waiting():
+        for key, group in self._group_waiting().items():
             places = self.limits.items - len(batch)
             if not places:
                 break
             size = sum(item.result_bytes for item in group)
             if size <= room and size <= bypass_bytes:
-                batch += group[:places]
-                room -= size
-            elif size > self.limits.memory_bytes and not batch:
+                taken = group[:places]
+            elif key in self._begun or size > self.limits.memory_bytes:
                 fitting = room // max(group[0].result_bytes, 1)
-                batch += group[: min(places, fitting)]
-                room = 0
+                taken = group[: min(places, fitting)]
             else:
+                taken = []
                 bypass_bytes = min(bypass_bytes, size * BYPASS_SHARE)
-        taken = set(map(id, batch))
-        self._waiting = [i for i in self._waiting if id(i) not in taken]
+            if taken:
+                batch += taken
+                room -= size
+                self._begun.add(key)
+        done = set(map(id, batch))
+        self._waiting = [i for i in self._waiting if id(i) not in done]
+        self._begun &= set(self._group_waiting())
         return batch
 
-    def _group_waiting(self) -> list[list[Item]]:
+    def _group_waiting(self) -> dict[tuple[str, int], list[Item]]:
         """Returns the items by request and stage, in the queue's order."""
         groups: dict[tuple[str, int], list[Item]] = {}
         for item in self._waiting:
             groups.setdefault((item.attempt, item.stage), []).append(item)
-        return list(groups.values())
+        return groups
 
     def end_call(
         self, batch: list[Item], results: list[str | None], now: float
--- a/samphirevale/entries.py
+++ b/samphirevale/entries.py
@@ -345,7 +345,7 @@
             first.result_bytes,
             int((first.due_at - now) * 1000),
             int((first.deadline_at - now) * 1000),
-            first.priority,
+            first.rank,
         )
         failed = [proxies.ItemResult("", "error")] * len(items)
         entry.waiting[exchange] = curio.Queue()
--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -11,6 +11,7 @@
 
 from samphirevale import (
     backoff,
+    batching,
     budgets,
     catalogue,
     entries,
@@ -56,6 +57,9 @@
 CRASHED_LIMIT = 20
 
 
+# The interval between two descriptions of a queue in the log, in seconds.
+DESCRIPTION_SECONDS = 1.0
+
 METRICS_HEADERS = (("Content-Type", prometheus_client.CONTENT_TYPE_LATEST),)
 
 
@@ -375,14 +379,24 @@
 
     async def check_time(self) -> None:
         """Does what is due by time alone, for ever."""
+        described_at = 0.0
         while True:
             await curio.sleep(CHECK_SECONDS)
             now = self._clock.now()
+            if now >= described_at + DESCRIPTION_SECONDS:
+                described_at = now
+                self._describe_queues(now)
             self._note_changes(self.knowledge.catalogue.drop_lapsed(now))
             metrics.ROUTES_AGE.set(self.knowledge.routes_age.read_age(now))
             metrics.ENTRIES_LINKED.set(len(self.table.linked))
             metrics.LINES_LEFT_OUT.set(self._journal.left_out)
 
+    def _describe_queues(self, now: float) -> None:
+        """Logs the queues of the endpoints that this entry gathers for."""
+        for name, *state in self.group.describe_queues(now):
+            fields = batching.QueueState(*state)._asdict()
+            self._journal.note_change("queue", endpoint=name, **fields)
+
     async def serve_callers(self) -> None:
         """Serves callers until cancelled."""
         handler = self._outside.build_handler(self._proxy.answer, self._clock)
--- a/samphirevale/groups.py
+++ b/samphirevale/groups.py
@@ -121,7 +121,7 @@
                 pieces.result_bytes,
                 now + pieces.due_ms / 1000,
                 now + pieces.remaining_ms / 1000,
-                pieces.priority,
+                pieces.rank,
                 None,
             )
             for segment in pieces.segments
--- a/samphirevale/messages.py
+++ b/samphirevale/messages.py
@@ -139,7 +139,7 @@
     account: str
     payload: Any
     remaining_ms: int
-    priority: int
+    rank: int
     repeatable: bool
     key: str
     batch: str
@@ -310,7 +310,7 @@
         result_bytes: the approximate size of one result.
         due_ms: until they must be done for the request to be in time.
         remaining_ms: until they are of no use any more.
-        priority: the request's rank.
+        rank: the request's; 0 is the most urgent.
     """
 
     exchange: int
@@ -323,7 +323,7 @@
     result_bytes: int
     due_ms: int
     remaining_ms: int
-    priority: int
+    rank: int
 
 
 @register("pieces_done")
--- a/samphirevale/proxying.py
+++ b/samphirevale/proxying.py
@@ -93,7 +93,7 @@
     route: routes.Route
     service: str
     account: str
-    priority: int
+    rank: int
     deadline_at: float
     fingerprint: str
 
@@ -210,16 +210,13 @@
         fingerprint = compute_fingerprint(name, request)
         if count_crashes(self._node, fingerprint) >= CRASHES_LIMIT:
             return proxied.Refusal(503, "input_crashes_endpoints")
-        priority = route.priority
-        if account is not None and account.priority is not None:
-            priority = account.priority
         wait_seconds = min(request.wait_seconds, route.timeout_seconds)
         return _Accepted(
             request,
             route,
             routes.choose_service(route, self._node.rng.random()),
             name,
-            priority,
+            known.table.compute_rank(route, account),
             request.received_at + wait_seconds,
             fingerprint,
         )
@@ -287,7 +284,7 @@
         bare = stages.compute_bare_seconds(
             self._node.knowledge, self._route, self._request.piece_counts
         )
-        share = RANK_SHARE**self._accepted.priority
+        share = RANK_SHARE**self._accepted.rank
         allowed = bare + max(limit - bare, STAGES_SECONDS) * share
         if seconds <= allowed:
             return None
@@ -297,7 +294,7 @@
             seconds=round(seconds, 3),
             allowed_seconds=round(allowed, 3),
             bare_seconds=round(bare, 3),
-            priority=self._accepted.priority,
+            rank=self._accepted.rank,
         )
         return proxied.Refusal(503, "stages_overloaded", OVERLOAD_RETRY_SECONDS)
 
@@ -316,7 +313,7 @@
             + self._route.target_seconds
             - self._estimate_model(),
             deadline_at=self._accepted.deadline_at,
-            priority=self._accepted.priority,
+            rank=self._accepted.rank,
             data_centre=self._choose_data_centre(),
         )
         return stages.StageRun(
--- a/samphirevale/routes.py
+++ b/samphirevale/routes.py
@@ -147,6 +147,21 @@
     accounts: Mapping[str, Account] | None
     limits: InputLimits
 
+    def compute_rank(self, route: Route, account: Account | None) -> int:
+        """Returns how far a request stands behind the most urgent ones.
+
+        The account's priority goes before the route's; among requests of
+        equal accounts the route's decides.
+        """
+        rank = route.priority
+        if account is not None and account.priority is not None:
+            rank += account.priority - self._find_first_priority()
+        return rank
+
+    def _find_first_priority(self) -> int:
+        given = {account.priority for account in self.accounts.values()}
+        return min(given - {None})
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest prefix that begins the path."""
         for route in self.routes.get(host.lower(), ()):
--- a/samphirevale/stages.py
+++ b/samphirevale/stages.py
@@ -25,6 +25,13 @@
 REMOTE_SECONDS_PER_MB = 0.06
 
 
+# The reason of pieces for which there is no endpoint.
+NO_ENDPOINT = "no endpoint"
+
+# The part of an endpoint's room that the pieces of one request may take.
+ROOM_SHARE = 0.6
+
+
 class StageGroup(Protocol):
     """Has items done at an endpoint, here or by the entry that owns it."""
 
@@ -58,13 +65,13 @@
     Attributes:
         due_at: when the results must be there for it to be in time.
         deadline_at: when they are of no use any more.
-        priority: the request's rank.
+        rank: the request's; 0 is the most urgent.
         data_centre: where the results are wanted; empty for anywhere.
     """
 
     due_at: float
     deadline_at: float
-    priority: int
+    rank: int
     data_centre: str
 
 
@@ -148,6 +155,17 @@
     return max(ends, default=0.0)
 
 
+def split_items(
+    items: list[batching.Item], limits: routes.BatchLimits
+) -> list[list[batching.Item]]:
+    """Returns pieces in parts that fit into a call and an endpoint's room."""
+    size = max(items[0].result_bytes, 1)
+    fitting = int(limits.memory_bytes * ROOM_SHARE) // size
+    length = max(min(limits.items, fitting), 1)
+    count = -(-len(items) // length)
+    return [items[start::count] for start in range(count)]
+
+
 def read_count(counts: Sequence[int], index: int) -> int:
     """Returns how many pieces a stage has."""
     return counts[index] if index < len(counts) else 0
@@ -246,7 +264,7 @@
             items = [item for item in items if item.segment not in made]
             if not items:
                 return
-            if reason in ("late", "gone"):
+            if reason in ("late", "gone", NO_ENDPOINT):
                 break
             if reason != gathering.UNSENT and not self._may_repeat(
                 stage.service
@@ -260,19 +278,44 @@
         items: list[batching.Item],
         made: dict[int, gathering.StageResult],
     ) -> str:
-        """Asks for pieces once; returns why some were not done."""
-        stage = self._route.stages[index]
-        limits = self._known.find_batch_limits(stage.service)
+        """Asks for pieces once; returns why some were not done.
+
+        More than fit into a call go to several endpoints at once.
+        """
+        limits = self._known.find_batch_limits(
+            self._route.stages[index].service
+        )
+        if limits is None:
+            raise errors.StageError(f"stage {index}: no such service")
+        chunks = split_items(items, limits)
+        if len(chunks) == 1:
+            return await self._run_chunk(index, limits, items, made)
+        async with curio.TaskGroup() as group:
+            tasks = [
+                await group.spawn(self._run_chunk, index, limits, chunk, made)
+                for chunk in chunks
+            ]
+        reasons = [task.result for task in tasks if task.result]
+        return reasons[0] if reasons else ""
+
+    async def _run_chunk(
+        self,
+        index: int,
+        limits: routes.BatchLimits,
+        items: list[batching.Item],
+        made: dict[int, gathering.StageResult],
+    ) -> str:
+        """Has pieces done at one endpoint; returns why some were not."""
         chosen = choose_endpoint(
             self._group,
             self._known,
-            stage,
+            self._route.stages[index],
             len(items),
             self._terms.data_centre,
             self._clock.now(),
         )
-        if limits is None or chosen is None:
-            raise errors.StageError(f"stage {index}: no endpoint")
+        if chosen is None:
+            return NO_ENDPOINT
         endpoint = chosen[0]
         results = await self._group.run_items(endpoint, limits, items)
         reason = ""
@@ -299,7 +342,7 @@
                 result_bytes=stage.result_bytes,
                 due_at=self._terms.due_at - self._estimate_after(index),
                 deadline_at=self._terms.deadline_at,
-                priority=self._terms.priority,
+                rank=self._terms.rank,
                 ticket=None,
             )
             for segment in range(read_count(self._request.piece_counts, index))
--- a/tests/test_batching.py
+++ b/tests/test_batching.py
@@ -77,6 +77,21 @@
         )
         self.assertEqual([("a", 0), ("a", 1)], self.take_names())
 
+    def test_a_request_that_was_begun_goes_on_in_what_room_there_is(self):
+        self.add(
+            *(
+                proxy_fakes.build_item(i, "a", result_bytes=220)
+                for i in range(6)
+            )
+        )
+        first = self.queue.take_batch(NOW)
+        self.assertEqual(4, len(first))
+        names = [str(item.segment) for item in first]
+        self.queue.end_call(first, names, NOW)
+        self.assertEqual([], self.queue.take_batch(NOW))
+        self.queue.release("0", NOW)
+        self.assertEqual([("a", 4)], self.take_names())
+
     def test_room_comes_back_when_results_lapse(self):
         self.add(proxy_fakes.build_item(0, "a", result_bytes=1000))
         batch = self.queue.take_batch(NOW)
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -3,6 +3,8 @@
 from samphirevale import routes
 from tests import base, proxy_fakes
 
+FREE = routes.Account("free", None)
+
 
 class RouteTableTest(base.TestCase):
     """Routes by host and path."""
@@ -19,6 +21,19 @@
         self.assertIsNone(table.find_route("h.example", "/other/"))
         self.assertIsNone(table.find_route("other", "/p/q/"))
 
+    def test_ranks_count_from_the_most_urgent_account(self):
+        first = routes.Account("first", 1)
+        second = routes.Account("second", 2)
+        table = proxy_fakes.build_table(
+            [], accounts={"k1": first, "k2": second, "k3": FREE}
+        )
+        route = proxy_fakes.build_route(priority=1)
+        ranks = [
+            table.compute_rank(route, account)
+            for account in (first, second, FREE, None)
+        ]
+        self.assertEqual([1, 2, 1, 1], ranks)
+
     def test_shares_of_services(self):
         route = proxy_fakes.build_route(
             splits=(routes.Split("a", 90), routes.Split("b", 10))
--- /dev/null
+++ b/tests/test_stages.py
@@ -0,0 +1,117 @@
+"""The stages before a request: waves, parts, repeats, and what is freed."""
+
+from samphirevale import errors, gathering, knowledge, ownership, routes, stages
+from samphirevale.ports import proxies
+from tests import base, proxy_fakes
+
+NOW = 100.0
+
+CHAIN = (
+    routes.Stage("stage", (), 100),
+    routes.Stage("stage", (0,), 100),
+)
+
+
+class FakeGroup:
+    """Does pieces by a script of reasons; an empty one makes them."""
+
+    def __init__(self):
+        self.calls = []
+        self.reasons = []
+        self.released = []
+        self.loads = {}
+
+    def estimate_seconds(self, endpoint, limits, items, result_bytes, now):
+        return 0.1 + self.loads.get(endpoint.name, 0)
+
+    async def run_items(self, endpoint, limits, items):
+        self.calls.append((endpoint.name, list(items)))
+        self.loads[endpoint.name] = self.loads.get(endpoint.name, 0) + 1
+        reason = self.reasons.pop(0) if self.reasons else ""
+        return [
+            proxies.ItemResult(
+                "" if reason else f"{endpoint.name}.{i.stage}.{i.segment}",
+                reason,
+            )
+            for i in items
+        ]
+
+    async def release(self, endpoint, names):
+        self.released += names
+
+
+class StageRunTest(base.TestCase):
+    """Runs against a scripted group."""
+
+    def setUp(self):
+        self.known = knowledge.Knowledge(5.0, ownership.Member("me", "a"))
+        self.known.table = proxy_fakes.build_table([])
+        for name in ("s1", "s2"):
+            self.known.catalogue.put(proxy_fakes.build_endpoint(name))
+        self.group = FakeGroup()
+        self.repeats = 9
+
+    def take_repeat(self, _):
+        self.repeats -= 1
+        return self.repeats >= 0
+
+    def build_run(self, counts, stage_list=CHAIN):
+        return stages.StageRun(
+            self.group,
+            self.known,
+            proxy_fakes.FakeClock(NOW),
+            proxy_fakes.build_request(piece_counts=counts, piece_key="k"),
+            proxy_fakes.build_route(stages=stage_list),
+            stages.Terms(NOW + 1, NOW + 5, 0, ""),
+            self.take_repeat,
+        )
+
+    async def test_later_stages_get_all_results_and_free_them(self):
+        run = self.build_run((2, 1))
+        (final,) = await run.run()
+        inputs = self.group.calls[1][1][0].inputs
+        self.assertEqual(("s1.0.0", "s1.0.1"), inputs)
+        self.assertEqual(list(inputs), self.group.released)
+        await run.release_all()
+        self.assertEqual([*inputs, final.name], self.group.released)
+
+    async def test_the_first_stage_is_due_before_the_ones_after_it(self):
+        await self.build_run((1, 1)).run()
+        first, second = (items[0] for _, items in self.group.calls)
+        self.assertAlmostEqual(0.17, second.due_at - first.due_at)
+
+    async def test_many_pieces_go_to_several_endpoints_at_once(self):
+        results = await self.build_run((6,), CHAIN[:1]).run()
+        self.assertEqual({"s1", "s2"}, {name for name, _ in self.group.calls})
+        self.assertEqual(6, len({made.name for made in results}))
+
+    async def test_failed_pieces_are_asked_for_again(self):
+        self.group.reasons = ["error"]
+        self.assertEqual(1, len(await self.build_run((1,), CHAIN[:1]).run()))
+        self.assertEqual(8, self.repeats)
+
+    async def test_unsent_pieces_take_no_repeat(self):
+        self.group.reasons = [gathering.UNSENT]
+        await self.build_run((1,), CHAIN[:1]).run()
+        self.assertEqual(9, self.repeats)
+
+    async def test_without_repeats_it_fails(self):
+        self.group.reasons = ["error"]
+        self.repeats = 0
+        with self.assertRaises(errors.StageError):
+            await self.build_run((1,), CHAIN[:1]).run()
+
+    async def test_pieces_that_came_late_are_not_asked_for_again(self):
+        self.group.reasons = ["late"]
+        with self.assertRaises(errors.StageError):
+            await self.build_run((1,), CHAIN[:1]).run()
+        self.assertEqual(1, len(self.group.calls))
+
+    async def test_a_failure_beside_another_stage_frees_what_was_made(self):
+        self.group.reasons = ["", "late"]
+        beside = (CHAIN[0], routes.Stage("stage", (), 100))
+        run = self.build_run((1, 1), beside)
+        with self.assertRaises(errors.StageError):
+            async with stages.hold(run):
+                await run.run()
+        self.assertEqual(1, len(self.group.released))
