--- a/samphirevale/groups.py
+++ b/samphirevale/groups.py
@@ -15,6 +15,12 @@
 from samphirevale.ports import clock as clocks
 from samphirevale.ports import proxies
 
+# Weight of a new measurement in the smoothed ratio of real to expected time,
+# the ratio before the first one, and the bounds of one measurement.
+RATIO_WEIGHT = 0.05
+FIRST_RATIO = 1.2
+RATIO_BOUNDS = (0.5, 4.0)
+
 
 class Group:
     """Implements stages.StageGroup and entries.PieceServer.
@@ -35,6 +41,8 @@
         self._clock = clock
         # The entry that has had a result made, by the result's name.
         self._makers: dict[str, str] = {}
+        # How much longer than expected pieces take, by service.
+        self._ratios: dict[str, float] = {}
 
     def _find_owner(self, endpoint: catalogue.Endpoint) -> entries.Entry | None:
         """Returns the other entry that owns an endpoint, or None."""
@@ -50,9 +58,21 @@
     ) -> list[proxies.ItemResult]:
         """Returns the items' results in order."""
         owner = self._find_owner(endpoint)
+        began_at = self._clock.now()
+        expected = batching.estimate_seconds(
+            self._read_state(endpoint, limits, began_at),
+            limits,
+            len(items),
+            sum(item.result_bytes for item in items),
+        )
+        if owner is None:
+            results = await self._gatherer.run_items(endpoint, limits, items)
+        else:
+            results = await self.table.run_pieces(owner, endpoint, items)
+        seconds = self._clock.now() - began_at
+        self._note_ratio(endpoint.service, seconds / expected)
         if owner is None:
-            return await self._gatherer.run_items(endpoint, limits, items)
-        results = await self.table.run_pieces(owner, endpoint, items)
+            return results
         for made in results:
             if made.result:
                 self._makers[made.result] = owner.hello.instance
@@ -83,13 +103,31 @@
         now: float,
     ) -> float:
         """Returns when new items should be done, in seconds from now."""
+        state = self._read_state(endpoint, limits, now)
+        seconds = batching.estimate_seconds(state, limits, items, result_bytes)
+        return seconds * self._ratios.get(endpoint.service, FIRST_RATIO)
+
+    def _read_state(
+        self,
+        endpoint: catalogue.Endpoint,
+        limits: routes.BatchLimits,
+        now: float,
+    ) -> batching.QueueState:
+        """Returns the state of a queue, wherever it is gathered."""
         owner = self._find_owner(endpoint)
         state = None
         if owner is not None:
             state = owner.read_state(endpoint.name)
         if state is None:
             state = self._gatherer.read_state(endpoint, limits, now)
-        return batching.estimate_seconds(state, limits, items, result_bytes)
+        return state
+
+    def _note_ratio(self, service: str, ratio: float) -> None:
+        """Learns how much longer than expected pieces take."""
+        low, high = RATIO_BOUNDS
+        before = self._ratios.get(service, FIRST_RATIO)
+        measured = min(max(ratio, low), high)
+        self._ratios[service] = before + RATIO_WEIGHT * (measured - before)
 
     def describe_queues(self, now: float) -> list[list]:
         """Returns the state of the queues of this entry, for its report."""
--- a/samphirevale/proxying.py
+++ b/samphirevale/proxying.py
@@ -287,6 +287,12 @@
         share = RANK_SHARE**self._accepted.rank
         allowed = bare + max(limit - bare, STAGES_SECONDS) * share
         if seconds <= allowed:
+            self._note(
+                "stages_begun",
+                expected_seconds=round(seconds, 3),
+                allowed_seconds=round(allowed, 3),
+                bare_seconds=round(bare, 3),
+            )
             return None
         self._node.journal.note_failure(
             "stages_overloaded",
--- /dev/null
+++ b/tests/test_groups.py
@@ -0,0 +1,105 @@
+"""Who does pieces, and what is learned of the time they take."""
+
+from samphirevale import gathering, groups, knowledge, messages, ownership
+from samphirevale.ports import proxies
+from tests import base, proxy_fakes
+
+LIMITS = proxy_fakes.BATCH_LIMITS
+
+
+class FakeOwner:
+    """Another entry whose queue is empty, or unknown."""
+
+    def __init__(self, name):
+        self.hello = messages.Hello(name, "x", "entry", "a", "", "")
+
+    def read_state(self, endpoint):
+        return None
+
+
+class FakeTable:
+    """Has pieces done by another entry, slowly."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.linked = {}
+        self.asked = []
+        self.released = []
+
+    async def run_pieces(self, owner, endpoint, items):
+        self.asked += items
+        self.clock.seconds += 1.0
+        return [proxies.ItemResult(f"r{i.segment}", "") for i in items]
+
+    async def release(self, owner, endpoint, names):
+        self.released += names
+
+
+class GroupTest(base.TestCase):
+    """One entry beside another that owns the endpoint."""
+
+    def setUp(self):
+        self.clock = proxy_fakes.FakeClock()
+        self.known = knowledge.Knowledge(5.0, ownership.Member("me", "a"))
+        self.known.table = proxy_fakes.build_table([])
+        self.endpoint = proxy_fakes.build_endpoint(data_centre="b")
+        self.known.catalogue.put(self.endpoint)
+        self.endpoints = proxy_fakes.FakeEndpoints()
+        gatherer = gathering.Gatherer(
+            self.endpoints,
+            self.clock,
+            proxy_fakes.FakeJournal(),
+            lambda _: True,
+        )
+        self.group = groups.Group(gatherer, self.known, self.clock)
+        self.group.table = FakeTable(self.clock)
+
+    def link_owner(self):
+        self.known.adopt_members([ownership.Member("other", "b")])
+        self.group.table.linked["other"] = FakeOwner("other")
+
+    async def run_items(self):
+        return await self.group.run_items(
+            self.endpoint, LIMITS, [proxy_fakes.build_item()]
+        )
+
+    def estimate(self):
+        return self.group.estimate_seconds(
+            self.endpoint, LIMITS, 1, 100, self.clock.now()
+        )
+
+    async def test_the_owner_does_the_pieces_and_frees_them(self):
+        self.link_owner()
+        (made,) = await self.run_items()
+        await self.group.release(self.endpoint, [made.result])
+        self.assertEqual(1, len(self.group.table.asked))
+        self.assertEqual(["r0"], self.group.table.released)
+        self.assertEqual([], self.endpoints.batches)
+
+    async def test_without_the_owner_this_entry_does_them(self):
+        self.known.adopt_members([ownership.Member("other", "b")])
+        await self.run_items()
+        self.assertEqual(1, len(self.endpoints.batches))
+
+    async def test_results_of_an_owner_that_is_gone_are_freed_here(self):
+        self.link_owner()
+        (made,) = await self.run_items()
+        self.group.table.linked.clear()
+        await self.group.release(self.endpoint, [made.result])
+        self.assertEqual([], self.group.table.released)
+
+    async def test_pieces_that_take_longer_raise_the_estimate(self):
+        self.link_owner()
+        before = self.estimate()
+        for _ in range(50):
+            await self.run_items()
+        self.assertGreater(self.estimate(), 2 * before)
+
+    async def test_pieces_for_another_entry(self):
+        pieces = messages.Pieces(
+            1, "e1", "a1", 0, [0, 1], "k", [], 100, 900, 5000, 0
+        )
+        results = await self.group.serve_pieces(pieces)
+        self.assertEqual(["a1/0/0", "a1/0/1"], [m.result for m in results])
+        gone = await self.group.serve_pieces(pieces._replace(endpoint="e9"))
+        self.assertEqual([gathering.UNSENT] * 2, [m.reason for m in gone])
