--- a/samphirevale/followers.py
+++ b/samphirevale/followers.py
@@ -18,6 +18,9 @@
 WATCH_SECONDS = 1.5
 KEYS_WATCH_SECONDS = 0.8
 
+# How long a watch waits while the store is lost, in seconds.
+LOST_WATCH_SECONDS = 0.05
+
 # Without an answer for that long the store counts as lost, in seconds.
 OUTAGE_SECONDS = 2.0
 
@@ -98,9 +101,10 @@
 
     async def _watch(self, version: int) -> int:
         began_at = self._clock.now()
-        events = await self._store.watch(
-            self._kind, version, self._watch_seconds
-        )
+        # A store that is lost is asked for a quick answer, so that its return
+        # is noticed soon.
+        seconds = LOST_WATCH_SECONDS if self._lost else self._watch_seconds
+        events = await self._store.watch(self._kind, version, seconds)
         self._note_answer()
         if events.objects:
             self._sink.take_changes(events.objects, self._clock.now())
--- a/samphirevale/platform/__main__.py
+++ b/samphirevale/platform/__main__.py
@@ -60,7 +60,9 @@
 def build_outside(settings: node_file.NodeFile) -> gateway.Outside:
     """Returns the adapters to the platform."""
     return gateway.Outside(
-        store=store.PlatformStore(settings.store_url),
+        store=store.PlatformStore(
+            settings.store_url, store.CALL_SECONDS, store.CALL_SECONDS
+        ),
         routes_kind=manifest.KIND,
         routes_name=manifest.NAME,
         decode_routes=manifest.decode_table,
--- a/samphirevale/platform/store.py
+++ b/samphirevale/platform/store.py
@@ -12,6 +12,9 @@
 # How much longer than its own timeout a watch may take, in seconds.
 WATCH_MARGIN_SECONDS = 0.8
 
+# The longest wait for the answer of any other call, in seconds.
+CALL_SECONDS = 1.2
+
 CONTENT_TYPE = ("Content-Type", "application/json")
 
 
--- a/tests/test_followers.py
+++ b/tests/test_followers.py
@@ -23,6 +23,7 @@
         self.clock = clock
         self.script = list(script)
         self.calls = []
+        self.waits = []
 
     def answer(self, call):
         self.calls.append(call)
@@ -38,6 +39,7 @@
         return self.answer("list")
 
     async def watch(self, kind, version, timeout_seconds):
+        self.waits.append(timeout_seconds)
         return self.answer(version)
 
 
@@ -104,6 +106,17 @@
         )
         self.assertIn("return", [what for what, _ in told])
 
+    async def test_a_lost_store_is_asked_for_quick_answers(self):
+        store, _ = await self.follow(
+            (0, objects.Listing([], 5)),
+            (3.0, errors.StoreUnavailableError("silent")),
+            (1.0, errors.StoreUnavailableError("silent")),
+            (0, objects.WatchEvents([], 5)),
+            (0, objects.WatchEvents([], 5)),
+        )
+        short, usual = followers.LOST_WATCH_SECONDS, followers.WATCH_SECONDS
+        self.assertEqual([usual, short, short, usual, usual], store.waits)
+
     @hypothesis.settings(derandomize=True, deadline=None, max_examples=60)
     @hypothesis.given(
         strategies.lists(
