--- a/samphirevale/adapters/web.py
+++ b/samphirevale/adapters/web.py
@@ -531,7 +531,11 @@
     try:
         async with curio.timeout_after(timeout_seconds):
             stream = await curio.open_connection(host, port)
-    except (OSError, curio.TaskTimeout) as error:
+    except curio.TaskTimeout as error:
+        raise errors.ConnectError(
+            f"{host}:{port}: no connection in {timeout_seconds} s"
+        ) from error
+    except OSError as error:
         raise errors.ConnectError(f"{host}:{port}: {error}") from error
     stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return ClientConnection(stream, host, port)
--- a/samphirevale/errors.py
+++ b/samphirevale/errors.py
@@ -54,12 +54,13 @@
     """The endpoint says that it has not run the request and never will.
 
     Attributes:
-        is_other: another endpoint has that address now.
+        lacks_results: the results that it names are gone, so that no other
+            endpoint can run it either.
     """
 
-    def __init__(self, text: str, is_other: bool = False):
+    def __init__(self, text: str, lacks_results: bool = False):
         super().__init__(text)
-        self.is_other = is_other
+        self.lacks_results = lacks_results
 
 
 class PeerClosedError(TransportError):
--- a/samphirevale/placement.py
+++ b/samphirevale/placement.py
@@ -32,6 +32,9 @@
 AVOID_SECONDS = 0.5
 AVOID_SECONDS_LIMIT = 8.0
 
+# How long an endpoint is avoided to which no connection was made, in seconds.
+UNREACHABLE_SECONDS = 2.0
+
 # The largest share of a service's endpoints that is avoided at once.
 AVOIDED_SHARE_LIMIT = 0.5
 
@@ -152,6 +155,11 @@
             seconds = min(AVOID_SECONDS * 2**excess, AVOID_SECONDS_LIMIT)
             load.avoided_until = now + seconds
 
+    def note_unreachable(self, name: str, now: float) -> None:
+        """Avoids an endpoint to which no connection was made."""
+        load = self.read_load(name)
+        load.avoided_until = max(load.avoided_until, now + UNREACHABLE_SECONDS)
+
     def forget(self, name: str) -> None:
         """Drops what is known of an endpoint that is gone."""
         load = self._loads.get(name)
--- a/samphirevale/platform/endpoints.py
+++ b/samphirevale/platform/endpoints.py
@@ -15,9 +15,12 @@
 # The most idle connections that are kept to one stage engine.
 IDLE_LIMIT = 4
 
-# The statuses by which an endpoint says that it has not run a request.
+# Another endpoint has the address.
 MISDIRECTED = 421
 
+# A result that the request names is gone.
+GONE = 409
+
 
 class PlatformAnswer:
     """Implements ports.proxies.EndpointAnswer."""
@@ -187,9 +190,9 @@
 
 
 def _check_executed(answer: web.Answer) -> None:
-    other = answer.status == MISDIRECTED
-    if other or headers.NOT_EXECUTED in answer.headers:
-        raise errors.NotExecutedError(f"status {answer.status}", is_other=other)
+    status = answer.status
+    if status == MISDIRECTED or headers.NOT_EXECUTED in answer.headers:
+        raise errors.NotExecutedError(f"status {status}", status == GONE)
 
 
 def _encode_item(item: batching.Item, now: float) -> dict[str, object]:
--- a/samphirevale/proxying.py
+++ b/samphirevale/proxying.py
@@ -259,6 +259,8 @@
         )
         try:
             return await self._send_until_answered(results)
+        except errors.StageError as error:
+            return self._refuse_failed(str(error).replace(" ", "_"))
         finally:
             await self.release_results()
 
@@ -363,6 +365,7 @@
         names = tuple(made.name for made in results)
         sizes = self._measure_results(results)
         connects = 0
+        made_again = False
         while True:
             endpoint = self._choose_endpoint(sizes)
             if endpoint is None:
@@ -380,6 +383,11 @@
                 self._log_failed(endpoint, error)
                 if not self._may_repeat(self._accepted.service):
                     return self._refuse_failed("refused_by_endpoint")
+                if error.lacks_results:
+                    if made_again:
+                        return self._refuse_failed("results_gone")
+                    made_again = True
+                    names = await self._make_results_again()
                 continue
             except errors.TransportError as error:
                 self._handed_over = True
@@ -456,6 +464,12 @@
             answer = exchange.answer
             await exchange.close(failed=answer.status >= 500)
             return proxied.WholeAnswer(answer.status, answer.headers, body)
+        except errors.ConnectError:
+            self._node.placer.note_unreachable(
+                endpoint.name, self._node.clock.now()
+            )
+            await exchange.close(failed=True)
+            raise
         except BaseException as error:
             await exchange.close(failed=isinstance(error, Exception))
             raise
@@ -517,7 +531,10 @@
             errors.AnswerLostError: it may not, or no endpoint takes it.
         """
         while self._may_send_again():
-            results = await self._make_results_again()
+            try:
+                results = await self._make_results_again()
+            except errors.StageError as error:
+                raise errors.AnswerLostError(str(error)) from error
             endpoint = self._choose_endpoint(())
             if endpoint is None:
                 break
@@ -537,15 +554,17 @@
         raise errors.AnswerLostError("the stream cannot be resumed")
 
     async def _make_results_again(self) -> tuple[str, ...]:
+        """Runs the stages once more.
+
+        Raises:
+            errors.StageError: some piece could not be done.
+        """
         if not self._route.stages:
             return ()
         if self._stages is not None:
             await self._stages.release_all()
         self._stages = self._build_stages()
-        try:
-            results = await self._stages.run()
-        except errors.StageError as error:
-            raise errors.AnswerLostError(str(error)) from error
+        results = await self._stages.run()
         return tuple(made.name for made in results)
 
     async def release_results(self) -> None:
@@ -681,6 +700,8 @@
             await self._parts.aclose()
             await self._exchange.close(failed=True)
             reason = f"{type(error).__name__}: {error}"
+            if isinstance(error, curio.TaskTimeout):
+                reason = "silent for too long"
         try:
             async with curio.timeout_after(max(self._run.read_left(), 0)):
                 self._exchange = await self._run.resume(self._order.last)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -67,6 +67,11 @@
             first, self.placer.choose(ENDPOINTS, build_demand(), later)
         )
 
+    def test_an_endpoint_that_is_not_reached_is_avoided_at_once(self):
+        first = self.choose(build_demand())
+        self.placer.note_unreachable(first.name, NOW)
+        self.assertNotEqual(first, self.choose(build_demand()))
+
     def test_not_all_are_avoided_at_once(self):
         for endpoint in ENDPOINTS:
             for _ in range(placement.FAILURES_LIMIT):
--- a/tests/test_proxying.py
+++ b/tests/test_proxying.py
@@ -283,6 +283,15 @@
         self.assertEqual(("r0", "r1"), self.endpoints.sends[0][2].results)
         self.assertEqual(["r0", "r1"], self.group.released)
 
+    async def test_results_that_are_gone_are_made_again_once(self):
+        gone = errors.NotExecutedError("status 409", lacks_results=True)
+        answer = await self.answer(
+            gone, proxy_fakes.FakeAnswer([b"x"]), piece_counts=(1,)
+        )
+        self.assertEqual((200, 2), (answer.status, self.group.asked))
+        answer = await self.answer(gone, gone, piece_counts=(1,))
+        self.assertEqual("results_gone", answer.reason)
+
     async def test_a_stage_that_is_left_out_is_not_asked_for(self):
         await self.answer(proxy_fakes.FakeAnswer([b"x"]), piece_counts=(0,))
         self.assertEqual(0, self.group.asked)
