--- a/samphirevale/gathering.py
+++ b/samphirevale/gathering.py
@@ -39,10 +39,17 @@
 
 
 class StageResult(NamedTuple):
-    """A result that is kept at an endpoint."""
+    """A result that is kept at an endpoint.
+
+    Attributes:
+        name: names it for later stages.
+        endpoint: where it is kept.
+        size: approximately, in bytes.
+    """
 
     name: str
     endpoint: catalogue.Endpoint
+    size: int
 
 
 class Ticket:
--- a/samphirevale/proxying.py
+++ b/samphirevale/proxying.py
@@ -253,7 +253,12 @@
                     503, str(error).replace(" ", "_"), RETRY_SECONDS
                 )
         if results:
-            self._note("stages_done", results=len(results))
+            self._note(
+                "stages_done",
+                results=len(results),
+                endpoints=sorted({made.endpoint.name for made in results}),
+                wanted_data_centre=self._stages.read_data_centre(),
+            )
         self._node.budget.note_first(
             self._accepted.service, self._node.clock.now()
         )
@@ -358,8 +363,7 @@
         )
 
     def _measure_results(self, results) -> tuple[tuple[str, int], ...]:
-        size = self._route.stages[-1].result_bytes if self._route.stages else 0
-        return tuple((made.endpoint.data_centre, size) for made in results)
+        return tuple((made.endpoint.data_centre, made.size) for made in results)
 
     async def _send_until_answered(self, results) -> Answer:
         names = tuple(made.name for made in results)
--- a/samphirevale/stages.py
+++ b/samphirevale/stages.py
@@ -20,8 +20,8 @@
 # How often the pieces of a stage are asked for again.
 REPEATS_LIMIT = 2
 
-# What a stage endpoint in another data centre than wanted counts as, in
-# seconds for each megabyte of results.
+# What bytes that cross data centres count as against a stage endpoint, in
+# seconds for each megabyte.
 REMOTE_SECONDS_PER_MB = 0.06
 
 
@@ -80,7 +80,7 @@
     known: knowledge.Knowledge,
     stage: routes.Stage,
     items: int,
-    data_centre: str,
+    transfers: Sequence[tuple[str, int]],
     now: float,
 ) -> tuple[catalogue.Endpoint, float] | None:
     """Returns the endpoint that should be done first, and when.
@@ -90,7 +90,8 @@
         known: the endpoints.
         stage: the stage.
         items: how many pieces it has.
-        data_centre: where the results are wanted; empty for anywhere.
+        transfers: data centres, each with the bytes that are fetched from
+            there or wanted there.
         now: the present time.
 
     Returns:
@@ -105,9 +106,12 @@
     best_cost = 0.0
     for endpoint in known.catalogue.list_accepting(stage.service):
         seconds = group.estimate_seconds(endpoint, limits, items, size, now)
-        cost = seconds
-        if data_centre and endpoint.data_centre != data_centre:
-            cost += size / 1e6 * REMOTE_SECONDS_PER_MB
+        remote = sum(
+            moved
+            for data_centre, moved in transfers
+            if data_centre != endpoint.data_centre
+        )
+        cost = seconds + remote / 1e6 * REMOTE_SECONDS_PER_MB
         if best is None or cost < best_cost:
             best, best_cost = (endpoint, seconds), cost
     return best
@@ -131,7 +135,7 @@
             ends.append(start)
             continue
         chosen = choose_endpoint(
-            group, known, stage, read_count(counts, index), "", now
+            group, known, stage, read_count(counts, index), (), now
         )
         if chosen is None:
             return None
@@ -311,7 +315,7 @@
             self._known,
             self._route.stages[index],
             len(items),
-            self._terms.data_centre,
+            self._list_transfers(index, len(items)),
             self._clock.now(),
         )
         if chosen is None:
@@ -323,10 +327,36 @@
             if not result.result:
                 reason = result.reason
                 continue
-            made[item.segment] = gathering.StageResult(result.result, endpoint)
+            made[item.segment] = gathering.StageResult(
+                result.result, endpoint, item.result_bytes
+            )
             self._results[index] = [made[key] for key in sorted(made)]
         return reason
 
+    def _list_transfers(self, index: int, items: int) -> list[tuple[str, int]]:
+        """Returns what pieces fetch and where their results are wanted.
+
+        Each piece fetches all results of the stages before it by itself.
+        """
+        stage = self._route.stages[index]
+        transfers = [
+            (made.endpoint.data_centre, made.size * items)
+            for i in stage.after
+            for made in self._results.get(i, [])
+        ]
+        if self._terms.data_centre and not self._list_users(index):
+            wanted = (self._terms.data_centre, stage.result_bytes * items)
+            transfers.append(wanted)
+        return transfers
+
+    def _list_users(self, index: int) -> list[int]:
+        """Returns the stages that take the results of one."""
+        return [
+            i
+            for i, stage in enumerate(self._route.stages)
+            if index in stage.after
+        ]
+
     def _build_items(self, index: int) -> list[batching.Item]:
         stage = self._route.stages[index]
         inputs = tuple(
@@ -360,6 +390,10 @@
             longest = max(longest, seconds + self._estimate_after(later))
         return longest
 
+    def read_data_centre(self) -> str:
+        """Returns where the results were wanted."""
+        return self._terms.data_centre
+
     def list_final(self) -> list[gathering.StageResult]:
         """Returns the results that no other stage takes."""
         taken = {i for stage in self._route.stages for i in stage.after}
@@ -373,11 +407,7 @@
     async def _release_consumed(self) -> None:
         """Frees the results whose stages after them are all done."""
         for index in list(self._results):
-            users = [
-                i
-                for i, stage in enumerate(self._route.stages)
-                if index in stage.after
-            ]
+            users = self._list_users(index)
             if users and all(i in self._results for i in users):
                 await self._release(self._results.pop(index))
                 self._results[index] = []
