--- a/samphirevale/placement.py
+++ b/samphirevale/placement.py
@@ -20,7 +20,7 @@
 
 # How much more time the endpoint that has a prompt's shared part may take
 # than the best one, in seconds, besides what reading the part takes.
-AFFINITY_SECONDS = 0.05
+AFFINITY_SECONDS = 0.15
 
 # What results from another data centre count against an endpoint: seconds for
 # each megabyte.
