Split the driver of proxied requests, and test admission under a burst

Acceptance stays there; proxy_runs drives a request, exchanges holds one send, event_streams splices, inputs tells what crashes endpoints, stage_admission decides about a queue. No behaviour changes. Its test plays a burst of twice the capacity: more urgent requests are in time than if all were taken, and fewer are late.

--- /dev/null
+++ b/samphirevale/event_streams.py
@@ -0,0 +1,117 @@
+"""The chunks of a proxied stream, which may go on at another endpoint."""
+
+from typing import Protocol
+
+import curio
+
+from samphirevale import catalogue, errors, events, exchanges
+
+
+class StreamRun(Protocol):
+    """The request that a stream answers."""
+
+    def read_limit(self) -> float:
+        """Returns how long the next event is waited for, in seconds."""
+
+    def read_left(self) -> float:
+        """Returns the time that the request has left, in seconds."""
+
+    def note_crash(self, endpoint: catalogue.Endpoint) -> None:
+        """Counts an answer that broke off."""
+
+    def note_stream_end(self, outcome: str, last: int | None) -> None:
+        """Logs how the stream has ended."""
+
+    async def resume(self, last_event: int | None) -> exchanges.Exchange:
+        """Goes on elsewhere; raises errors.AnswerLostError if it cannot."""
+
+    async def release_results(self) -> None:
+        """Frees what the stages have made."""
+
+
+class EventStream:
+    """The chunks of a streamed answer: whole events, over several runs."""
+
+    def __init__(
+        self,
+        run: StreamRun,
+        exchange: exchanges.Exchange,
+        last_event: int | None,
+    ):
+        self._run = run
+        self._exchange = exchange
+        self._order = events.EventOrder(last_event)
+        self._cutter = events.EventCutter()
+        self._parts = exchange.answer.read_parts()
+        self._first = b""
+        self._ended = False
+
+    async def read_first(self) -> None:
+        """Reads the first event, or the end of a stream that has none."""
+        while not self._first and not self._ended:
+            self._first = await self._read_chunk()
+
+    def __aiter__(self) -> "EventStream":
+        """Returns itself."""
+        return self
+
+    async def __anext__(self) -> bytes:
+        """Returns the next whole events."""
+        if self._first:
+            first, self._first = self._first, b""
+            return first
+        while not self._ended:
+            chunk = await self._read_or_resume()
+            if chunk:
+                return chunk
+        self._run.note_stream_end("complete", self._order.last)
+        await self._exchange.close(failed=False)
+        raise StopAsyncIteration
+
+    async def _read_or_resume(self) -> bytes:
+        """Returns the next events; none after it has gone on elsewhere."""
+        try:
+            async with curio.timeout_after(max(self._run.read_limit(), 0)):
+                return await self._read_chunk()
+        except (errors.TransportError, curio.TaskTimeout) as error:
+            if isinstance(error, errors.TransportError):
+                self._run.note_crash(self._exchange.endpoint)
+            await self._parts.aclose()
+            await self._exchange.close(failed=True)
+            reason = f"{type(error).__name__}: {error}"
+            if isinstance(error, curio.TaskTimeout):
+                reason = "silent for too long"
+        try:
+            async with curio.timeout_after(max(self._run.read_left(), 0)):
+                self._exchange = await self._run.resume(self._order.last)
+        except (errors.AnswerLostError, curio.TaskTimeout) as error:
+            self._run.note_stream_end(reason, self._order.last)
+            raise errors.AnswerLostError(reason) from error
+        self._cutter = events.EventCutter()
+        self._parts = self._exchange.answer.read_parts()
+        return b""
+
+    async def _read_chunk(self) -> bytes:
+        """Returns the whole events that came next; sets the end."""
+        try:
+            part = await self._parts.__anext__()
+        except StopAsyncIteration:
+            if self._cutter.has_rest():
+                raise errors.AnswerLostError(
+                    "the stream ended inside an event"
+                ) from None
+            self._ended = True
+            return b""
+        self._exchange.note_read()
+        await self._run.release_results()
+        return b"".join(
+            event.data
+            for event in self._cutter.feed(part)
+            if self._order.accept(event)
+        )
+
+    async def aclose(self) -> None:
+        """Ends the stream; the endpoint drops what it still does."""
+        await self._parts.aclose()
+        await self._exchange.close(failed=False)
+        await self._run.release_results()
--- /dev/null
+++ b/samphirevale/exchanges.py
@@ -0,0 +1,64 @@
+"""One send of a proxied request to one endpoint, until its answer's end."""
+
+import contextlib
+
+from samphirevale import catalogue, errors, proxied, proxy_node
+from samphirevale.ports import proxies
+
+# The largest answer that is held back until it is whole, in bytes.
+WHOLE_BYTES_LIMIT = 8 * 1024 * 1024
+
+
+class Exchange:
+    """One send to one endpoint, counted in its load until it ends."""
+
+    def __init__(
+        self,
+        node: proxy_node.ProxyNode,
+        endpoint: catalogue.Endpoint,
+        tokens: int,
+    ):
+        self._node = node
+        self.endpoint = endpoint
+        self._tokens = tokens
+        self._unread = False
+        self._counted = False
+        self.answer: proxies.EndpointAnswer | None = None
+
+    async def open(
+        self, request: proxied.ProxiedRequest, send: proxied.Send
+    ) -> None:
+        """Hands the request over and reads the head of its answer."""
+        self._counted = self._unread = True
+        self._node.placer.note_sent(self.endpoint.name, self._tokens)
+        self.answer = await self._node.endpoints.send(
+            self.endpoint, request, send
+        )
+
+    async def read_whole(self) -> bytes:
+        """Returns the whole body."""
+        body = bytearray()
+        async with contextlib.aclosing(self.answer.read_parts()) as parts:
+            async for part in parts:
+                body += part
+                if len(body) > WHOLE_BYTES_LIMIT:
+                    raise errors.ProtocolError("the answer is too large")
+        return bytes(body)
+
+    def note_read(self) -> None:
+        """Takes note that the prompt has been read."""
+        if self._unread:
+            self._unread = False
+            self._node.placer.note_read(self.endpoint.name, self._tokens)
+
+    async def close(self, failed: bool) -> None:
+        """Ends the exchange; more calls do nothing."""
+        self.note_read()
+        if self._counted:
+            self._counted = False
+            self._node.placer.note_ended(
+                self.endpoint.name, failed, self._node.clock.now()
+            )
+        if self.answer is not None:
+            answer, self.answer = self.answer, None
+            await answer.close()
--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -19,12 +19,14 @@
     followers,
     gathering,
     groups,
+    inputs,
     journal,
     knowledge,
     messages,
     metrics,
     ownership,
     placement,
+    proxy_node,
     proxying,
     quarantine,
     routes,
@@ -140,7 +142,7 @@
             settings.keys_seconds,
             ownership.Member(settings.instance, settings.data_centre),
         )
-        self._quarantine = quarantine.Quarantine(proxying.CRASHES_SECONDS)
+        self._quarantine = quarantine.Quarantine(inputs.CRASHES_SECONDS)
         self._budget = budgets.RetryBudget(settings.budget)
         self._placer = placement.Placer(self._rng, self._read_other_load)
         self._gatherer = gathering.Gatherer(
@@ -168,7 +170,7 @@
         )
         self.group.table = self.table
         self._proxy = proxying.Proxy(
-            proxying.ProxyNode(
+            proxy_node.ProxyNode(
                 self.knowledge,
                 self._placer,
                 self.group,
--- a/samphirevale/platform/callers.py
+++ b/samphirevale/platform/callers.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 
-from samphirevale import proxied, proxying
+from samphirevale import proxied
 from samphirevale.adapters import web
 from samphirevale.platform import headers
 from samphirevale.ports import clock as clocks
@@ -16,7 +16,7 @@
 
     def __init__(
         self,
-        answer: Callable[[proxied.ProxiedRequest], Awaitable[proxying.Answer]],
+        answer: Callable[[proxied.ProxiedRequest], Awaitable[proxied.Answer]],
         clock: clocks.Clock,
     ):
         self._answer = answer
--- a/samphirevale/proxied.py
+++ b/samphirevale/proxied.py
@@ -98,3 +98,6 @@
     status: int
     reason: str
     retry_seconds: float | None = None
+
+
+Answer = WholeAnswer | StreamedAnswer | Refusal
--- /dev/null
+++ b/samphirevale/proxy_runs.py
@@ -0,0 +1,435 @@
+"""Drives one accepted request: stages, sends, repeats, and its answer."""
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from samphirevale import (
+    catalogue,
+    errors,
+    event_streams,
+    exchanges,
+    gathering,
+    inputs,
+    placement,
+    proxied,
+    proxy_node,
+    routes,
+    stage_admission,
+    stages,
+)
+
+# Tries to connect to other endpoints, which hand nothing over.
+CONNECTS_LIMIT = 3
+
+# When to come back after a refusal that should pass soon, in seconds.
+RETRY_SECONDS = 0.5
+
+# From a request's arrival at an idle model engine to its first event, besides
+# reading its prompt, in seconds.
+FIRST_EVENT_SECONDS = 0.05
+
+# How long a stream that may be resumed may be silent, in seconds.
+SILENCE_SECONDS = 1.2
+
+
+class Accepted(NamedTuple):
+    """A request that may run, and the terms."""
+
+    request: proxied.ProxiedRequest
+    route: routes.Route
+    service: str
+    account: str
+    rank: int
+    deadline_at: float
+    fingerprint: str
+
+
+class ProxyRun:
+    """One accepted request."""
+
+    def __init__(self, node: proxy_node.ProxyNode, accepted: Accepted):
+        self._node = node
+        self._accepted = accepted
+        self._request = accepted.request
+        self._route = accepted.route
+        self._tokens = sum(part.tokens for part in self._request.prompt)
+        self._tried: set[str] = set()
+        self._runs = 0
+        # Something may have run for this request.
+        self._handed_over = False
+        self._stages: stages.StageRun | None = None
+
+    async def run(self) -> proxied.Answer:
+        """Returns the answer."""
+        results: list[gathering.StageResult] = []
+        if self._route.stages:
+            refusal = self._refuse_overload()
+            if refusal is not None:
+                return refusal
+            self._stages = self._build_stages()
+            try:
+                async with stages.hold(self._stages):
+                    results = await self._stages.run()
+            except errors.StageError as error:
+                return proxied.Refusal(
+                    503, str(error).replace(" ", "_"), RETRY_SECONDS
+                )
+        if results:
+            self._note(
+                "stages_done",
+                results=len(results),
+                endpoints=sorted({made.endpoint.name for made in results}),
+                wanted_data_centre=self._stages.read_data_centre(),
+            )
+        self._node.budget.note_first(
+            self._accepted.service, self._node.clock.now()
+        )
+        try:
+            return await self._send_until_answered(results)
+        except errors.StageError as error:
+            return self._refuse_failed(str(error).replace(" ", "_"))
+        finally:
+            await self.release_results()
+
+    def refuse_timeout(self) -> proxied.Refusal:
+        """Returns the answer at the end of the time that the request has."""
+        if self._handed_over:
+            return proxied.Refusal(504, "no_answer_in_time")
+        return proxied.Refusal(503, "not_sent_in_time", RETRY_SECONDS)
+
+    def _refuse_overload(self) -> proxied.Refusal | None:
+        """Returns a refusal if the stages would not be done in time."""
+        now = self._node.clock.now()
+        seconds = stages.estimate_stages(
+            self._node.group,
+            self._node.knowledge,
+            self._route,
+            self._request.piece_counts,
+            now,
+        )
+        if seconds is None:
+            return proxied.Refusal(503, "no_endpoint", RETRY_SECONDS)
+        wait = stage_admission.decide(
+            stage_admission.Demand(
+                expected_seconds=seconds,
+                bare_seconds=stages.compute_bare_seconds(
+                    self._node.knowledge,
+                    self._route,
+                    self._request.piece_counts,
+                ),
+                target_seconds=self._route.target_seconds,
+                model_seconds=self._estimate_model(),
+                rank=self._accepted.rank,
+            )
+        )
+        fields = {
+            name: round(value, 3) for name, value in wait._asdict().items()
+        }
+        if wait.is_taken():
+            self._note("stages_begun", **fields)
+            return None
+        self._node.journal.note_failure(
+            "stages_overloaded",
+            request=self._request.attempt,
+            rank=self._accepted.rank,
+            **fields,
+        )
+        return proxied.Refusal(
+            503, "stages_overloaded", stage_admission.RETRY_SECONDS
+        )
+
+    def _estimate_model(self) -> float:
+        """Returns the time to the first event once the results are there."""
+        endpoint = self._choose_endpoint(())
+        if endpoint is None:
+            return 0.0
+        reading = self._tokens / placement.PROMPT_TOKENS_PER_SECOND
+        waiting = self._node.placer.estimate_seconds(endpoint.name)
+        return FIRST_EVENT_SECONDS + reading + waiting
+
+    def _build_stages(self) -> stages.StageRun:
+        terms = stages.Terms(
+            due_at=self._request.received_at
+            + self._route.target_seconds
+            - self._estimate_model(),
+            deadline_at=self._accepted.deadline_at,
+            rank=self._accepted.rank,
+            data_centre=self._choose_data_centre(),
+        )
+        return stages.StageRun(
+            self._node.group,
+            self._node.knowledge,
+            self._node.clock,
+            self._request,
+            self._route,
+            terms,
+            self._may_repeat,
+        )
+
+    def _choose_data_centre(self) -> str:
+        """Returns where the request would be sent now."""
+        endpoint = self._choose_endpoint(())
+        return endpoint.data_centre if endpoint is not None else ""
+
+    def _may_repeat(self, service: str) -> bool:
+        known = self._node.knowledge
+        return self._node.budget.take(
+            service, len(known.members), self._node.clock.now()
+        )
+
+    def _choose_endpoint(
+        self, result_bytes: tuple[tuple[str, int], ...]
+    ) -> catalogue.Endpoint | None:
+        known = self._node.knowledge
+        return self._node.placer.choose(
+            known.catalogue.list_accepting(self._accepted.service),
+            placement.Demand(
+                self._request.prompt, result_bytes, frozenset(self._tried)
+            ),
+            self._node.clock.now(),
+        )
+
+    def _measure_results(
+        self, results: Sequence[gathering.StageResult]
+    ) -> tuple[tuple[str, int], ...]:
+        return tuple((made.endpoint.data_centre, made.size) for made in results)
+
+    async def _send_until_answered(
+        self, results: Sequence[gathering.StageResult]
+    ) -> proxied.Answer:
+        names = tuple(made.name for made in results)
+        sizes = self._measure_results(results)
+        connects = 0
+        made_again = False
+        while True:
+            endpoint = self._choose_endpoint(sizes)
+            if endpoint is None:
+                return self._refuse_failed("no_endpoint")
+            self._tried.add(endpoint.name)
+            try:
+                answer = await self._send_once(endpoint, names)
+            except errors.ConnectError as error:
+                self._log_failed(endpoint, error)
+                connects += 1
+                if connects >= CONNECTS_LIMIT:
+                    return self._refuse_failed("unreachable")
+                continue
+            except errors.NotExecutedError as error:
+                self._log_failed(endpoint, error)
+                if not self._may_repeat(self._accepted.service):
+                    return self._refuse_failed("refused_by_endpoint")
+                if error.lacks_results:
+                    if made_again:
+                        return self._refuse_failed("results_gone")
+                    made_again = True
+                    names = await self._make_results_again()
+                continue
+            except errors.TransportError as error:
+                self._handed_over = True
+                self.note_crash(endpoint)
+                self._log_failed(endpoint, error)
+                if not self._may_send_again():
+                    return proxied.Refusal(502, "answer_lost")
+                continue
+            failed = (
+                isinstance(answer, proxied.WholeAnswer) and answer.status >= 500
+            )
+            if failed and self._may_send_again():
+                continue
+            if isinstance(answer, proxied.WholeAnswer):
+                self._note("request_answered", status=answer.status)
+            if not failed:
+                self._node.quarantine.forget(self._accepted.fingerprint)
+            return answer
+
+    def _note(self, event: str, **fields: object) -> None:
+        """Logs a decision that goes well, with the time since its arrival."""
+        now = self._node.clock.now()
+        self._node.journal.note_request(
+            event,
+            request=self._request.attempt,
+            seconds=round(now - self._request.received_at, 3),
+            **fields,
+        )
+
+    def note_crash(self, endpoint: catalogue.Endpoint) -> None:
+        """Counts an answer that broke off: its endpoint may have crashed."""
+        self._node.quarantine.add_crashes(
+            self._accepted.fingerprint,
+            [f"{self._request.attempt}/{endpoint.name}"],
+            self._node.clock.now(),
+        )
+
+    def _refuse_failed(self, reason: str) -> proxied.Refusal:
+        if self._handed_over:
+            return proxied.Refusal(502, reason)
+        return proxied.Refusal(503, reason, RETRY_SECONDS)
+
+    def _log_failed(
+        self, endpoint: catalogue.Endpoint, error: Exception
+    ) -> None:
+        self._node.journal.note_failure(
+            "send_failed",
+            request=self._request.attempt,
+            endpoint=endpoint.name,
+            handed_over=self._handed_over,
+            error=f"{type(error).__name__}: {error}",
+        )
+
+    def _may_send_again(self) -> bool:
+        """Tells whether what may have run may be sent to another endpoint."""
+        crashes = inputs.count_crashes(self._node, self._accepted.fingerprint)
+        return (
+            crashes < inputs.CRASHES_LIMIT
+            and self._route.may_run_again()
+            and self._runs < self._route.attempts_limit
+            and self._may_repeat(self._accepted.service)
+        )
+
+    async def _send_once(
+        self, endpoint: catalogue.Endpoint, results: tuple[str, ...]
+    ) -> proxied.Answer:
+        """Hands the request to one endpoint; returns its answer."""
+        exchange = exchanges.Exchange(self._node, endpoint, self._tokens)
+        try:
+            await self._open(exchange, endpoint, results, None)
+            if exchange.answer.streamed:
+                return await self._begin_stream(exchange)
+            body = await exchange.read_whole()
+            answer = exchange.answer
+            await exchange.close(failed=answer.status >= 500)
+            return proxied.WholeAnswer(answer.status, answer.headers, body)
+        except errors.ConnectError:
+            self._node.placer.note_unreachable(
+                endpoint.name, self._node.clock.now()
+            )
+            await exchange.close(failed=True)
+            raise
+        except BaseException as error:
+            await exchange.close(failed=isinstance(error, Exception))
+            raise
+
+    async def _open(
+        self,
+        exchange: exchanges.Exchange,
+        endpoint: catalogue.Endpoint,
+        results: tuple[str, ...],
+        last_event: int | None,
+    ) -> None:
+        now = self._node.clock.now()
+        left = self._accepted.deadline_at - now
+        if left <= 0:
+            raise TimeoutError("no time is left")
+        if not self._node.knowledge.catalogue.is_accepting(endpoint):
+            raise errors.ConnectError(f"{endpoint.name} takes no new work")
+        send = proxied.Send(
+            self._accepted.account,
+            left,
+            self._request.last_event if last_event is None else last_event,
+            results,
+        )
+        # A request that is cancelled on its way may have been handed over.
+        before = self._handed_over
+        self._handed_over = True
+        try:
+            await exchange.open(self._request, send)
+        except (errors.ConnectError, errors.NotExecutedError):
+            self._handed_over = before
+            raise
+        finally:
+            self._runs += self._handed_over
+        self._note(
+            "request_sent",
+            endpoint=endpoint.name,
+            service=endpoint.service,
+            status=exchange.answer.status,
+            last_event=last_event,
+        )
+
+    async def _begin_stream(
+        self, exchange: exchanges.Exchange
+    ) -> proxied.StreamedAnswer:
+        """Returns the stream once its first event has come."""
+        stream = event_streams.EventStream(
+            self, exchange, self._request.last_event
+        )
+        await stream.read_first()
+        await self.release_results()
+        answer = exchange.answer
+        return proxied.StreamedAnswer(answer.status, answer.headers, stream)
+
+    async def resume(self, last_event: int | None) -> exchanges.Exchange:
+        """Goes on with a stream at another endpoint.
+
+        The results of its stages were freed with its first event, so that
+        they are made again.
+
+        Raises:
+            errors.AnswerLostError: it may not, or no endpoint takes it.
+        """
+        while self._may_send_again():
+            try:
+                results = await self._make_results_again()
+            except errors.StageError as error:
+                raise errors.AnswerLostError(str(error)) from error
+            endpoint = self._choose_endpoint(())
+            if endpoint is None:
+                break
+            self._tried.add(endpoint.name)
+            exchange = exchanges.Exchange(self._node, endpoint, self._tokens)
+            try:
+                await self._open(exchange, endpoint, results, last_event)
+                if exchange.answer.streamed:
+                    return exchange
+                await exchange.close(failed=True)
+            except errors.TransportError as error:
+                self._log_failed(endpoint, error)
+                await exchange.close(failed=True)
+            except BaseException:
+                await exchange.close(failed=False)
+                raise
+        raise errors.AnswerLostError("the stream cannot be resumed")
+
+    async def _make_results_again(self) -> tuple[str, ...]:
+        """Runs the stages once more.
+
+        Raises:
+            errors.StageError: some piece could not be done.
+        """
+        if not self._route.stages:
+            return ()
+        if self._stages is not None:
+            await self._stages.release_all()
+        self._stages = self._build_stages()
+        results = await self._stages.run()
+        return tuple(made.name for made in results)
+
+    async def release_results(self) -> None:
+        """Frees what the stages have made."""
+        if self._stages is not None:
+            await self._stages.release_all()
+
+    def read_limit(self) -> float:
+        """Returns how long the next event of a stream is waited for."""
+        left = self.read_left()
+        if self._route.resumable and self._runs < self._route.attempts_limit:
+            return min(left, SILENCE_SECONDS)
+        return left
+
+    def read_left(self) -> float:
+        """Returns the time that the request has left, in seconds."""
+        return self._accepted.deadline_at - self._node.clock.now()
+
+    def note_stream_end(self, outcome: str, last: int | None) -> None:
+        """Logs how a stream has ended."""
+        now = self._node.clock.now()
+        note = self._node.journal.note_request
+        if outcome != "complete":
+            note = self._node.journal.note_failure
+        note(
+            "stream_ended",
+            request=self._request.attempt,
+            outcome=outcome,
+            last_event=last,
+            seconds=round(now - self._request.received_at, 3),
+        )
--- a/samphirevale/stages.py
+++ b/samphirevale/stages.py
@@ -1,7 +1,7 @@
 """The stages before a request: pieces at batching endpoints, in order."""
 
 import contextlib
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 from typing import NamedTuple, Protocol
 
 import curio
@@ -15,6 +15,7 @@
     proxied,
     routes,
 )
+from samphirevale.ports import clock as clocks
 from samphirevale.ports import proxies
 
 # How often the pieces of a stage are asked for again.
@@ -182,11 +183,11 @@
         self,
         group: StageGroup,
         known: knowledge.Knowledge,
-        clock,
+        clock: clocks.Clock,
         request: proxied.ProxiedRequest,
         route: routes.Route,
         terms: Terms,
-        may_repeat,
+        may_repeat: Callable[[str], bool],
     ):
         """Prepares a run.
 
--- a/tests/test_proxying.py
+++ b/tests/test_proxying.py
@@ -5,10 +5,12 @@
 from samphirevale import (
     budgets,
     errors,
+    inputs,
     knowledge,
     ownership,
     placement,
     proxied,
+    proxy_node,
     proxying,
     quarantine,
     routes,
@@ -60,14 +62,14 @@
         self.group = FakeGroup()
         self.journal = proxy_fakes.FakeJournal()
         self.closed = False
-        self.quarantine = quarantine.Quarantine(proxying.CRASHES_SECONDS)
+        self.quarantine = quarantine.Quarantine(inputs.CRASHES_SECONDS)
 
     def use_route(self, route):
         self.known.table = proxy_fakes.build_table([route])
 
     async def answer(self, *script, **changes):
         self.endpoints = proxy_fakes.FakeEndpoints(script)
-        node = proxying.ProxyNode(
+        node = proxy_node.ProxyNode(
             self.known,
             placement.Placer(random.Random(1)),
             self.group,
--- /dev/null
+++ b/tests/test_stage_admission.py
@@ -0,0 +1,103 @@
+"""Who is taken in a burst, and what callers get of it."""
+
+import random
+
+from samphirevale import batching, routes, stage_admission
+from tests import base, proxy_fakes
+
+LIMITS = routes.BatchLimits(
+    concurrency=1,
+    queue=2,
+    items=6,
+    call_seconds=0.15,
+    item_seconds=0.022,
+    memory_bytes=10**9,
+    result_seconds=4.0,
+)
+TARGET_SECONDS = 1.0
+DEADLINE_SECONDS = 8.0
+BARE_SECONDS = LIMITS.call_seconds + LIMITS.item_seconds
+
+
+def build_demand(expected_seconds, rank=0):
+    return stage_admission.Demand(
+        expected_seconds, BARE_SECONDS, TARGET_SECONDS, 0.1, rank
+    )
+
+
+class DecideTest(base.TestCase):
+    """Single decisions."""
+
+    def is_taken(self, expected_seconds, rank=0):
+        demand = build_demand(expected_seconds, rank)
+        return stage_admission.decide(demand).is_taken()
+
+    def test_what_should_be_in_time_is_taken(self):
+        self.assertTrue(self.is_taken(0.89))
+        self.assertFalse(self.is_taken(0.91))
+
+    def test_lower_ranks_may_wait_less(self):
+        self.assertTrue(self.is_taken(0.5, rank=1))
+        self.assertFalse(self.is_taken(0.5, rank=2))
+
+    def test_idle_endpoints_take_every_rank(self):
+        self.assertTrue(self.is_taken(BARE_SECONDS, rank=9))
+
+    def test_an_aim_that_cannot_be_met_may_wait_a_little(self):
+        demand = build_demand(BARE_SECONDS + 0.1)
+        demand = demand._replace(target_seconds=0.1)
+        self.assertTrue(stage_admission.decide(demand).is_taken())
+
+
+class LoadTest(base.TestCase):
+    """A burst of twice what one endpoint can do, without a network."""
+
+    def play(self, decide):
+        """Returns the requests in time, by rank, and those done late."""
+        rng = random.Random(1)
+        queue = batching.BatchQueue(LIMITS)
+        arrivals = sorted(
+            (rng.uniform(0, 6), rng.choice((0, 0, 2))) for _ in range(260)
+        )
+        in_time = {0: 0, 2: 0}
+        late = 0
+        now = 0.0
+        while arrivals or len(queue):
+            while arrivals and arrivals[0][0] <= now:
+                at, rank = arrivals.pop(0)
+                expected = batching.estimate_seconds(
+                    queue.read_state(now), LIMITS, 1, 0
+                )
+                if decide(build_demand(expected, rank)):
+                    queue.add(
+                        proxy_fakes.build_item(
+                            0,
+                            f"{at}",
+                            due_at=at + TARGET_SECONDS - 0.1,
+                            deadline_at=at + DEADLINE_SECONDS,
+                            result_bytes=0,
+                            rank=rank,
+                        )
+                    )
+            queue.take_expired(now)
+            batch = queue.take_batch(now)
+            if not batch:
+                now = arrivals[0][0] if arrivals else now + 0.1
+                continue
+            now += batching.compute_call_seconds(LIMITS, len(batch))
+            queue.end_call(batch, [None] * len(batch), now)
+            for item in batch:
+                if now <= item.due_at:
+                    in_time[item.rank] += 1
+                else:
+                    late += 1
+        return in_time, late
+
+    def test_more_urgent_requests_are_in_time(self):
+        taken, late = self.play(
+            lambda demand: stage_admission.decide(demand).is_taken()
+        )
+        baseline, baseline_late = self.play(lambda demand: True)
+        self.assertGreater(taken[0], baseline[0])
+        self.assertLess(late, baseline_late / 4)
+        self.assertGreater(taken[2], 0)
