Leave an endpoint that is silent, where the request may run again

Cause: an endpoint that took a request and never answered (kind srv_grey, hang and mute) held it until its deadline. What may run again goes to another after twice the time that its answer is due in, within the retry budget.

--- a/samphirevale/entries.py
+++ b/samphirevale/entries.py
@@ -96,17 +96,15 @@
 
     Attributes:
         hello: its first message.
-        heard_at: when its last frame came.
         queues: the state of the queues that it gathers.
         loads: what it has in progress, by endpoint.
         sent: items and bytes that were handed to it for an endpoint since
             its last report.
     """
 
-    def __init__(self, link: links.Link, hello: messages.Hello, now: float):
+    def __init__(self, link: links.Link, hello: messages.Hello):
         self.link = link
         self.hello = hello
-        self.heard_at = now
         self.queues: dict[str, batching.QueueState] = {}
         self.loads: dict[str, Load] = {}
         self.sent: dict[str, tuple[int, int]] = {}
@@ -241,7 +239,7 @@
             raise errors.PeerClosedError("no hello") from error
         if not isinstance(frame.message, messages.Hello):
             raise errors.ProtocolError("the first message is hello")
-        entry = Entry(link, frame.message, self._clock.now())
+        entry = Entry(link, frame.message)
         reporter = await curio.spawn(self._report, entry, daemon=True)
         try:
             await self._attach(entry)
@@ -287,7 +285,6 @@
                     frame = await entry.link.receive()
             except curio.TaskTimeout as error:
                 raise errors.PeerClosedError("silent") from error
-            entry.heard_at = self._clock.now()
             await self._take_message(entry, frame.message)
 
     async def _take_message(self, entry: Entry, message: Any) -> None:
--- a/samphirevale/proxy_runs.py
+++ b/samphirevale/proxy_runs.py
@@ -28,6 +28,10 @@
 # reading its prompt, in seconds.
 FIRST_EVENT_SECONDS = 0.05
 
+# How long an endpoint may be silent before what may run again is sent to
+# another, as a factor of the time that the answer is due in.
+PATIENCE_FACTOR = 2.0
+
 # How long a stream that may be resumed may be silent, in seconds.
 SILENCE_SECONDS = 1.2
 
@@ -292,13 +296,13 @@
         """Hands the request to one endpoint; returns its answer."""
         exchange = exchanges.Exchange(self._node, endpoint, self._tokens)
         try:
-            await self._open(exchange, endpoint, results, None)
-            if exchange.answer.streamed:
-                return await self._begin_stream(exchange)
-            body = await exchange.read_whole()
-            answer = exchange.answer
-            await exchange.close(failed=answer.status >= 500)
-            return proxied.WholeAnswer(answer.status, answer.headers, body)
+            async with self._node.clock.limit(self._read_patience()):
+                return await self._exchange_once(exchange, endpoint, results)
+        except TimeoutError as error:
+            await exchange.close(failed=True)
+            if self.read_left() <= 0:
+                raise
+            raise errors.AnswerLostError("silent for too long") from error
         except errors.ConnectError:
             self._node.placer.note_unreachable(
                 endpoint.name, self._node.clock.now()
@@ -309,6 +313,29 @@
             await exchange.close(failed=isinstance(error, Exception))
             raise
 
+    async def _exchange_once(
+        self,
+        exchange: exchanges.Exchange,
+        endpoint: catalogue.Endpoint,
+        results: tuple[str, ...],
+    ) -> proxied.Answer:
+        await self._open(exchange, endpoint, results, None)
+        if exchange.answer.streamed:
+            return await self._begin_stream(exchange)
+        body = await exchange.read_whole()
+        answer = exchange.answer
+        await exchange.close(failed=answer.status >= 500)
+        return proxied.WholeAnswer(answer.status, answer.headers, body)
+
+    def _read_patience(self) -> float:
+        """Returns how long one endpoint may take to begin its answer."""
+        left = self.read_left()
+        if not self._route.may_run_again():
+            return left
+        if self._runs + 1 >= self._route.attempts_limit:
+            return left
+        return min(left, PATIENCE_FACTOR * self._route.target_seconds)
+
     async def _open(
         self,
         exchange: exchanges.Exchange,
--- a/standins/servers.py
+++ b/standins/servers.py
@@ -3,11 +3,16 @@
 import json
 from collections.abc import AsyncIterator
 
+import curio
+
 from samphirevale import errors
 from samphirevale.adapters import web
 
 EVENTS = 5
 
+# Longer than any test waits, in seconds.
+MUTE_SECONDS = 100.0
+
 
 class Server:
     """One server, which keeps what it was asked.
@@ -15,7 +20,8 @@
     Attributes:
         name: its id; another expected one is answered 421.
         faults: how the next answers go wrong, in order: `full`, `cut`,
-            `other` (the answer of another request), `error` or empty.
+            `other` (the answer of another request), `error`, `mute` or
+            empty.
         seen: the headers of each request that it ran.
         items: all pieces that it made.
         freed: the results that it was told to free.
@@ -40,7 +46,7 @@
         if request.path == "/stage-free":
             self.freed += json.loads(request.body)["handles"]
             return web.build_json(200, {})
-        return self._run(request)
+        return await self._run(request)
 
     def _make_pieces(self, items: list[dict]) -> web.Response:
         self.items += items
@@ -50,8 +56,12 @@
         ]
         return web.build_json(200, {"items": made})
 
-    def _run(self, request: web.Request) -> web.Response | web.StreamedResponse:
+    async def _run(
+        self, request: web.Request
+    ) -> web.Response | web.StreamedResponse:
         fault = self.faults.pop(0) if self.faults else ""
+        if fault == "mute":
+            await curio.sleep(MUTE_SECONDS)
         attempt = request.headers["samphirevale-attempt-id"]
         given = [
             ("Samphirevale-Attempt-Id", "x" if fault == "other" else attempt),
--- a/tests/platform/test_session.py
+++ b/tests/platform/test_session.py
@@ -48,7 +48,7 @@
     return {
         "version": version,
         "routes": [
-            build_route("/read/", "idempotent", "plain"),
+            build_route("/read/", "idempotent", "plain", ttft_target_ms=200),
             build_route("/once/", "non_idempotent", "plain"),
             build_route(
                 "/write/",
@@ -231,6 +231,13 @@
             self.assertEqual(502, status)
             self.assertNotIn("samphirevale-response-seal", headers)
 
+    async def test_a_server_that_is_silent_is_left_for_another(self):
+        async with self.run_all():
+            self.servers["plain1"].faults = ["mute"] * 9
+            for _ in range(4):
+                self.assertEqual(200, (await self.call("/read/x"))[0])
+            self.assertEqual([], self.servers["plain1"].seen)
+
     async def test_a_full_server_is_a_refusal_with_a_time(self):
         async with self.run_all():
             for name in ("plain1", "plain2"):
