--- a/samphirevale/messages.py
+++ b/samphirevale/messages.py
@@ -139,7 +139,7 @@
     account: str
     payload: Any
     remaining_ms: int
-    rank: int
+    priority: int
     repeatable: bool
     key: str
     batch: str
@@ -283,9 +283,9 @@
 
     Attributes:
         queues: of the batching endpoints that it gathers for, each with the
-            fields of QueueReport.
+            fields of batching.QueueState.
         loads: what it has in progress at other endpoints, each with the
-            fields of LoadReport.
+            fields of entries.Load.
         crashed: fingerprints of inputs that have crashed endpoints, each
             with the attempts.
     """
