Enforce the operator's limits on heads and on connections

Cause: header_timeout_ms and max_connections were decoded and then not used; the memory of many bodies at once was bounded by 3000 connections times the largest body only, and 3000 connections with one to an endpoint each are more than the 4100 files of an edge. The wait for a request and the request itself shared one timer, so that a connection that had been idle for long left its next request little time.

Now: a timer for the head alone; a bound on the bytes of all bodies from the machine's memory (503, when to come back); connections from the machine's files; no endpoint gets more requests at once than its connections (503 no_connection_left). Tests of the path: oversized and malformed requests, malformed routes, a store that is absent at the start. The check for the platform's names covers its whole wire; a piece's `segment` was one, and is now its index.

Ruled out: counting answers in the same bound; they are held for write_seconds at most and are as large as the endpoints make them.

--- a/lab/mechanisms.py
+++ b/lab/mechanisms.py
@@ -708,7 +708,7 @@
         (
             _edit(
                 "adapters/web",
-                "if len(body) > self._limits.body_bytes:",
+                "if len(body) > limits.body_bytes:",
                 "if False:",
             ),
         ),
--- a/samphirevale/adapters/web.py
+++ b/samphirevale/adapters/web.py
@@ -32,14 +32,18 @@
     Attributes:
         head_bytes: largest request head.
         body_bytes: largest request body.
+        all_bodies_bytes: most bytes of bodies of all requests in progress.
         connections: most connections at once.
-        idle_seconds: longest wait for the next request or for its bytes.
+        head_seconds: longest time from a head's first byte to its last.
+        idle_seconds: longest wait for the next request, and for its body.
         write_seconds: longest wait for the other side to read.
     """
 
     head_bytes: int = 16 * 1024
     body_bytes: int = 1024 * 1024
+    all_bodies_bytes: int = 64 * 1024 * 1024
     connections: int = 1000
+    head_seconds: float = 10.0
     idle_seconds: float = 30.0
     write_seconds: float = 10.0
 
@@ -111,6 +115,7 @@
     Attributes:
         draining: once set, each connection ends after its next answer.
         busy: requests that have been read and not yet wholly answered.
+        body_bytes: of the bodies of all requests in progress.
         limits: in force from the next request on; None for those that the
             server was started with.
     """
@@ -118,6 +123,7 @@
     def __init__(self):
         self.draining = False
         self.busy = 0
+        self.body_bytes = 0
         self.limits: Limits | None = None
 
 
@@ -167,8 +173,12 @@
 _FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 
 
+# When to come back after a refusal for lack of memory, in seconds.
+MEMORY_RETRY_SECONDS = 1
+
+
 class _TooLargeError(Exception):
-    """A part of the request is larger than its limit."""
+    """A part of the request is larger than its limit, or than the memory."""
 
     def __init__(self, status: int, part: str, limit: int):
         super().__init__(f"the {part} is over {limit} bytes")
@@ -194,6 +204,8 @@
         )
         # Bytes that came while the request before them was answered.
         self._early = bytearray()
+        # Bytes of the present request's body.
+        self._body_bytes = 0
 
     async def run(self) -> None:
         """Serves requests until the connection ends.
@@ -210,6 +222,13 @@
 
     async def _serve_one(self) -> bool:
         """Serves one request; returns whether another may follow."""
+        try:
+            return await self._read_and_answer()
+        finally:
+            self._state.body_bytes -= self._body_bytes
+            self._body_bytes = 0
+
+    async def _read_and_answer(self) -> bool:
         try:
             request = await self._read_request()
         except _TooLargeError as error:
@@ -219,11 +238,7 @@
             await self._refuse(error.error_status_hint, str(error))
             return False
         except curio.TaskTimeout:
-            if (
-                self._protocol.their_state is h11.SEND_BODY
-                or (self._protocol.trailing_data[0])
-            ):
-                await self._refuse(408, "the request did not arrive in time")
+            await self._refuse(408, "the request did not arrive in time")
             return False
         if request is None:
             return False
@@ -270,20 +285,45 @@
 
     async def _read_request(self) -> Request | None:
         self._limits = self._state.limits or self._limits
-        async with curio.timeout_after(self._limits.idle_seconds):
+        if not await self._wait_first_bytes():
+            return None
+        async with curio.timeout_after(self._limits.head_seconds):
             head = await self._read_event()
-            if not isinstance(head, h11.Request):
-                return None
-            self._check_head(head)
-            body = bytearray()
-            while True:
-                event = await self._read_event()
-                if not isinstance(event, h11.Data):
-                    break
-                body += event.data
-                if len(body) > self._limits.body_bytes:
-                    raise _TooLargeError(413, "body", self._limits.body_bytes)
-        return _build_request(head, bytes(body))
+        if not isinstance(head, h11.Request):
+            return None
+        self._check_head(head)
+        async with curio.timeout_after(self._limits.idle_seconds):
+            body = await self._read_body()
+        return _build_request(head, body)
+
+    async def _wait_first_bytes(self) -> bool:
+        """Tells whether a request begins before the connection's end."""
+        if self._early or self._protocol.trailing_data[0]:
+            return True
+        try:
+            async with curio.timeout_after(self._limits.idle_seconds):
+                data = await self._client.recv(READ_BYTES)
+        except curio.TaskTimeout:
+            return False
+        self._early += data
+        return bool(data)
+
+    async def _read_body(self) -> bytes:
+        limits = self._limits
+        body = bytearray()
+        while True:
+            event = await self._read_event()
+            if not isinstance(event, h11.Data):
+                return bytes(body)
+            body += event.data
+            self._body_bytes += len(event.data)
+            self._state.body_bytes += len(event.data)
+            if len(body) > limits.body_bytes:
+                raise _TooLargeError(413, "body", limits.body_bytes)
+            if self._state.body_bytes > limits.all_bodies_bytes:
+                raise _TooLargeError(
+                    503, "memory for bodies", limits.all_bodies_bytes
+                )
 
     def _check_head(self, head: h11.Request) -> None:
         """Checks a head that came at once: h11 bounds an unfinished one."""
@@ -318,8 +358,11 @@
     async def _refuse(self, status: int, text: str) -> None:
         if self._protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
+        headers = [("Connection", "close")]
+        if status == 503:
+            headers.append(("Retry-After", str(MEMORY_RETRY_SECONDS)))
         problem = build_json(
-            status, {"status": status, "title": text}, ("Connection", "close")
+            status, {"status": status, "title": text}, *headers
         )
         await self._send_response(problem)
 
--- a/samphirevale/batching.py
+++ b/samphirevale/batching.py
@@ -42,7 +42,7 @@
     Attributes:
         attempt: the id of the caller's attempt.
         stage: the stage's index.
-        segment: the piece's index in its stage.
+        index: the piece's index in its stage.
         key: what the piece is made of, where the stage needs no results.
         inputs: the results that it is made of otherwise.
         result_bytes: the approximate size of its result.
@@ -54,7 +54,7 @@
 
     attempt: str
     stage: int
-    segment: int
+    index: int
     key: str
     inputs: tuple[str, ...]
     result_bytes: int
--- a/samphirevale/entries.py
+++ b/samphirevale/entries.py
@@ -336,7 +336,7 @@
             endpoint.name,
             first.attempt,
             first.stage,
-            [item.segment for item in items],
+            [item.index for item in items],
             first.key,
             list(first.inputs),
             first.result_bytes,
--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -45,10 +45,11 @@
 # What is left of the grace period for the end of the process, in seconds.
 GRACE_MARGIN_SECONDS = 0.6
 
-# The most connections of callers at once, and the most bytes of a head and
-# the longest idle time before the first routes are known, in seconds.
-CONNECTIONS_LIMIT = 3000
+# Files that are open besides those of callers and their endpoints, at most.
+OWN_FILES = 200
 
+# The share of the machine's memory that callers' bodies may take.
+BODIES_SHARE = 0.2
 
 # The longest wait of a watch for other entries, in seconds: they are known to
 # live by their reports.
@@ -78,6 +79,8 @@
         peer_host: the address for other entries.
         peer_port: the port for other entries.
         metrics_port: the port for metrics, on `peer_host`.
+        files_limit: most open files.
+        memory_bytes: of the machine.
         keys_seconds: how soon a key that is taken away must be refused.
         grace_seconds: from the order to stop to the kill.
         budget: of repeats, over all entries.
@@ -92,6 +95,8 @@
     peer_host: str
     peer_port: int
     metrics_port: int
+    files_limit: int
+    memory_bytes: int
     keys_seconds: float
     grace_seconds: float
     budget: budgets.BudgetTerms
@@ -325,11 +330,11 @@
             return
         if self.knowledge.adopt_table(table):
             limits = table.limits
-            self._server.limits = web.Limits(
-                limits.head_bytes,
-                limits.body_bytes,
-                CONNECTIONS_LIMIT,
-                limits.idle_seconds,
+            self._server.limits = compute_limits(self.settings)._replace(
+                head_bytes=limits.head_bytes,
+                body_bytes=limits.body_bytes,
+                head_seconds=limits.head_seconds,
+                idle_seconds=limits.idle_seconds,
             )
             self._journal.note_change(
                 "routes_adopted",
@@ -406,7 +411,7 @@
             handler.handle,
             self.settings.caller_host,
             self.settings.caller_port,
-            web.Limits(connections=CONNECTIONS_LIMIT),
+            compute_limits(self.settings),
             self._server,
         )
 
@@ -457,6 +462,17 @@
         self._journal.note_change("stopped", busy=self._server.busy)
 
 
+def compute_limits(settings: GatewaySettings) -> web.Limits:
+    """Returns what the machine bears, before the first routes are known.
+
+    Each connection of a caller may need one to an endpoint.
+    """
+    return web.Limits(
+        connections=max(1, (settings.files_limit - OWN_FILES) // 2),
+        all_bodies_bytes=int(settings.memory_bytes * BODIES_SHARE),
+    )
+
+
 def _ignore_time(now: float) -> None:
     """Routes do not lapse; entries tell themselves that they live."""
 
--- a/samphirevale/gathering.py
+++ b/samphirevale/gathering.py
@@ -65,9 +65,9 @@
         self.abandoned = False
         self.results: dict[int, proxies.ItemResult] = {}
 
-    async def resolve(self, segment: int, result: proxies.ItemResult) -> None:
+    async def resolve(self, index: int, result: proxies.ItemResult) -> None:
         """Keeps an item's result; the last one wakes who waits."""
-        self.results[segment] = result
+        self.results[index] = result
         self._missing -= 1
         if self._missing <= 0:
             await self._done.set()
@@ -169,7 +169,7 @@
             queue.withdraw(ticket)
             await self._release_made(endpoint, ticket)
             raise
-        return [ticket.results[item.segment] for item in items]
+        return [ticket.results[item.index] for item in items]
 
     async def _release_made(
         self, endpoint: catalogue.Endpoint, ticket: Ticket
@@ -299,7 +299,7 @@
             elif made.reason == "room":
                 queue.add(item)
             else:
-                await item.ticket.resolve(item.segment, made)
+                await item.ticket.resolve(item.index, made)
         await self.release(endpoint, unwanted)
         if len(queue):
             await self._start_driver(endpoint, queue)
@@ -328,7 +328,7 @@
 
 async def _resolve_all(items: Sequence[batching.Item], reason: str) -> None:
     for item in items:
-        await item.ticket.resolve(item.segment, proxies.ItemResult("", reason))
+        await item.ticket.resolve(item.index, proxies.ItemResult("", reason))
 
 
 def _list_requests(items: Sequence[batching.Item]) -> list[str]:
--- a/samphirevale/groups.py
+++ b/samphirevale/groups.py
@@ -146,14 +146,14 @@
             limits = self._knowledge.find_batch_limits(endpoint.service)
         if limits is None:
             return [proxies.ItemResult("", gathering.UNSENT)] * len(
-                pieces.segments
+                pieces.indices
             )
         now = self._clock.now()
         items = [
             batching.Item(
                 pieces.attempt,
                 pieces.stage,
-                segment,
+                index,
                 pieces.key,
                 tuple(pieces.inputs),
                 pieces.result_bytes,
@@ -162,7 +162,7 @@
                 pieces.rank,
                 None,
             )
-            for segment in pieces.segments
+            for index in pieces.indices
         ]
         return await self._gatherer.run_items(endpoint, limits, items)
 
--- a/samphirevale/knowledge.py
+++ b/samphirevale/knowledge.py
@@ -66,6 +66,12 @@
             for endpoint in self.catalogue.list_accepting(service.name)
         ]
 
+    def read_connections_limit(self, service: str) -> int:
+        """Returns the most connections of an endpoint; 0 if none is said."""
+        if self.table is None or service not in self.table.services:
+            return 0
+        return self.table.services[service].connections_limit
+
     def find_batch_limits(self, service: str) -> routes.BatchLimits | None:
         """Returns what endpoints of a service take, if they batch."""
         if self.table is None or service not in self.table.services:
--- a/samphirevale/messages.py
+++ b/samphirevale/messages.py
@@ -304,7 +304,7 @@
         endpoint: its name.
         attempt: the id of the caller's attempt.
         stage: the stage's index.
-        segments: the pieces' indices.
+        indices: the pieces' indices.
         key: what they are made of, where they need no results.
         inputs: the results that they are made of otherwise.
         result_bytes: the approximate size of one result.
@@ -317,7 +317,7 @@
     endpoint: str
     attempt: str
     stage: int
-    segments: list[int]
+    indices: list[int]
     key: str
     inputs: list[str]
     result_bytes: int
@@ -328,7 +328,7 @@
 
 @register("pieces_done")
 class PiecesDone(NamedTuple):
-    """Answers Pieces, in the order of its segments.
+    """Answers Pieces, in the order of its indices.
 
     Attributes:
         exchange: that of Pieces.
--- a/samphirevale/placement.py
+++ b/samphirevale/placement.py
@@ -46,11 +46,14 @@
         prompt: the parts of the prompt; empty for a plain request.
         result_bytes: by data centre, the results that are to be fetched.
         tried: names of endpoints that have had the request.
+        running_limit: most requests in progress at an endpoint, each on a
+            connection of its own; 0 if it says none.
     """
 
     prompt: tuple[proxied.PromptPart, ...] = ()
     result_bytes: tuple[tuple[str, int], ...] = ()
     tried: frozenset[str] = frozenset()
+    running_limit: int = 0
 
 
 class Load:
@@ -113,13 +116,22 @@
         now: float,
     ) -> catalogue.Endpoint | None:
         """Returns the endpoint for a request, or None if there is none."""
-        fresh = [item for item in endpoints if item.name not in demand.tried]
+        fresh = [
+            item
+            for item in endpoints
+            if item.name not in demand.tried
+            and self._has_connection(item.name, demand)
+        ]
         candidates = self._leave_out_avoided(fresh, now)
         if not candidates:
             return None
         name = self._choose(self, candidates, demand)
         return next(item for item in candidates if item.name == name)
 
+    def _has_connection(self, name: str, demand: Demand) -> bool:
+        limit = demand.running_limit
+        return not limit or self.count_running(name) < limit
+
     def _leave_out_avoided(
         self, endpoints: list[catalogue.Endpoint], now: float
     ) -> list[catalogue.Endpoint]:
--- a/samphirevale/platform/endpoints.py
+++ b/samphirevale/platform/endpoints.py
@@ -199,7 +199,7 @@
     value: dict[str, object] = {
         "id": item.attempt,
         "phase": item.stage,
-        "segment": item.segment,
+        "segment": item.index,
         "remaining_ms": max(int((item.deadline_at - now) * 1000), 1),
     }
     if item.inputs:
--- a/samphirevale/platform/node_file.py
+++ b/samphirevale/platform/node_file.py
@@ -12,6 +12,9 @@
 # The port for metrics, as deploy/system.toml names it.
 METRICS_PORT = 9464
 
+# Bytes of a megabyte of memory.
+MEGABYTE = 1_000_000
+
 
 class NodeFile(NamedTuple):
     """What the file says.
@@ -85,6 +88,8 @@
         peer_host=reader.read("ip", str) or "",
         peer_port=first_port,
         metrics_port=METRICS_PORT,
+        files_limit=int(reader.read_number("limits.file_descriptors")),
+        memory_bytes=int(reader.read_number("limits.memory_mb") * MEGABYTE),
         keys_seconds=reader.read_number("bounds.revoke_ms") / 1000,
         grace_seconds=reader.read_number("bounds.grace_s"),
         budget=budgets.BudgetTerms(
--- a/samphirevale/proxy_runs.py
+++ b/samphirevale/proxy_runs.py
@@ -188,11 +188,22 @@
         return self._node.placer.choose(
             known.catalogue.list_accepting(self._accepted.service),
             placement.Demand(
-                self._request.prompt, result_bytes, frozenset(self._tried)
+                self._request.prompt,
+                result_bytes,
+                frozenset(self._tried),
+                known.read_connections_limit(self._accepted.service),
             ),
             self._node.clock.now(),
         )
 
+    def _explain_no_endpoint(self) -> str:
+        accepting = self._node.knowledge.catalogue.list_accepting(
+            self._accepted.service
+        )
+        if all(item.name in self._tried for item in accepting):
+            return "no_endpoint"
+        return "no_connection_left"
+
     def _measure_results(
         self, results: Sequence[gathering.StageResult]
     ) -> tuple[tuple[str, int], ...]:
@@ -208,7 +219,7 @@
         while True:
             endpoint = self._choose_endpoint(sizes)
             if endpoint is None:
-                return self._refuse_failed("no_endpoint")
+                return self._refuse_failed(self._explain_no_endpoint())
             self._tried.add(endpoint.name)
             try:
                 answer = await self._send_once(endpoint, names)
--- a/samphirevale/stages.py
+++ b/samphirevale/stages.py
@@ -266,7 +266,7 @@
         stage = self._route.stages[index]
         for _ in range(1 + REPEATS_LIMIT):
             reason = await self._try_items(index, items, made)
-            items = [item for item in items if item.segment not in made]
+            items = [item for item in items if item.index not in made]
             if not items:
                 return
             if reason in ("late", "gone", NO_ENDPOINT):
@@ -328,7 +328,7 @@
             if not result.result:
                 reason = result.reason
                 continue
-            made[item.segment] = gathering.StageResult(
+            made[item.index] = gathering.StageResult(
                 result.result, endpoint, item.result_bytes
             )
             self._results[index] = [made[key] for key in sorted(made)]
@@ -367,7 +367,7 @@
             batching.Item(
                 attempt=self._request.attempt,
                 stage=index,
-                segment=segment,
+                index=piece,
                 key="" if inputs else self._request.piece_key,
                 inputs=inputs,
                 result_bytes=stage.result_bytes,
@@ -376,7 +376,7 @@
                 rank=self._terms.rank,
                 ticket=None,
             )
-            for segment in range(read_count(self._request.piece_counts, index))
+            for piece in range(read_count(self._request.piece_counts, index))
         ]
 
     def _estimate_after(self, index: int) -> float:
--- a/tests/adapters/test_web.py
+++ b/tests/adapters/test_web.py
@@ -55,6 +55,39 @@
             await connection.close()
             await serving.cancel()
 
+    async def test_bodies_over_the_memory_for_all(self):
+        held = curio.Event()
+
+        async def wait(request):
+            await held.wait()
+            return web.Response(200)
+
+        port = base.find_free_port()
+        limits = web.Limits(body_bytes=100, all_bodies_bytes=150)
+        state = web.ServerState()
+        serving = await curio.spawn(
+            web.serve, wait, "127.0.0.1", port, limits, state
+        )
+        connections = [await self.connect(port) for _ in range(2)]
+        try:
+            first = await curio.spawn(
+                connections[0].request, "POST", "/", bytes(100)
+            )
+            while not state.busy:
+                await curio.sleep(0.01)
+            refused = await connections[1].request("POST", "/", bytes(60))
+            self.assertEqual(503, refused.status)
+            self.assertIn("retry-after", refused.headers)
+            await held.set()
+            self.assertEqual(200, (await first.join()).status)
+            while state.busy:
+                await curio.sleep(0.01)
+            self.assertEqual(0, state.body_bytes)
+        finally:
+            for connection in connections:
+                await connection.close()
+            await serving.cancel()
+
     async def test_accepting_goes_on_after_it_has_failed(self):
         port = base.find_free_port()
         answer = EndlessAnswer()
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -25,6 +25,9 @@
 ip = "10.0.0.1"
 zone = "a"
 port_range = [7000, 7015]
+[limits]
+file_descriptors = 4100
+memory_mb = 300
 [listen]
 frontend = "10.0.0.1:80"
 readiness = "10.0.0.1:81"
--- a/tests/platform/test_session.py
+++ b/tests/platform/test_session.py
@@ -14,6 +14,9 @@
 # How long something may take that should happen soon, in seconds.
 SOON_SECONDS = 5.0
 
+# Of the machine: a fifth of it holds ten of the largest bodies.
+MEMORY_BYTES = 500_000
+
 STREAM = b"".join(b"id: %d\ndata: e%d\n\n" % (i, i) for i in range(1, 6))
 
 
@@ -132,17 +135,22 @@
             "127.0.0.1",
             base.find_free_port(),
             base.find_free_port(),
+            4100,
+            MEMORY_BYTES,
             5.0,
             8.0,
             budgets.BudgetTerms(0.2, 50, 10.0),
         )
         file = node_file.NodeFile(settings, f"http://127.0.0.1:{store_port}")
         machine_clock = clock.BootClock()
+        self.log = KeptJournal(
+            "entry1", machine_clock.now, NullDescriptor.open()
+        )
         return gateway.Gateway(
             settings,
             program.build_outside(file),
             machine_clock,
-            journal.Journal("entry1", machine_clock.now, NullDescriptor.open()),
+            self.log,
         )
 
     async def wait_until(self, condition):
@@ -274,6 +282,90 @@
             await self.wait_until(lambda: known.find("plain1") is None)
             self.assertEqual(200, (await self.call("/read/x"))[0])
 
+    async def test_routes_that_are_malformed_change_nothing(self):
+        async with self.run_all():
+            self.store.put("config", "main", {"version": 2, "routes": 7})
+            await self.wait_until(
+                lambda: "routes_malformed" in self.log.list_events()
+            )
+            self.assertEqual(200, (await self.call("/read/x"))[0])
+            self.store.put("config", "main", build_manifest(3, keys=("k3",)))
+            await self.wait_until(
+                lambda: self.node.knowledge.table.version == 3
+            )
+
+    async def test_a_store_that_is_absent_at_the_start(self):
+        async with contextlib.AsyncExitStack() as stack:
+            store_port = base.find_free_port()
+            self.node = self.build_gateway(store_port)
+            task = await curio.spawn(gateway.run, self.node)
+            stack.push_async_callback(task.cancel)
+            await self.wait_until(
+                lambda: "store_lost" in self.log.list_events()
+            )
+            self.assertFalse(self.node.is_ready())
+            status, headers, body = await self.call("/read/x")
+            self.assertEqual((503, b"no_routes\n"), (status, body))
+            self.assertGreater(float(headers["retry-after"]), 0)
+            store = metadata.MetadataStore()
+            store.put("config", "main", build_manifest())
+            serving = await curio.spawn(
+                web.serve, store.handle, "127.0.0.1", store_port, daemon=True
+            )
+            stack.push_async_callback(serving.cancel)
+            await self.wait_until(self.node.is_ready)
+            await self.wait_until(
+                lambda: store.list_names("samphirevale-entries")
+            )
+
+    async def test_input_over_the_operators_limits(self):
+        async with self.run_all():
+            status, headers, _ = await self.call("/read/x", bytes(10001))
+            self.assertEqual((413, "close"), (status, headers["connection"]))
+            long = {"X-Long": "x" * 20000}
+            self.assertEqual(431, (await self.call("/read/x", **long))[0])
+            self.assertEqual([], self.list_seen("plain"))
+            self.assertEqual(200, (await self.call("/read/x"))[0])
+
+    async def test_input_that_is_no_request(self):
+        async with self.run_all():
+            async with curio.timeout_after(SOON_SECONDS):
+                for text in (b"odd\r\n\r\n", b"POST / HTTP/1.1\r\n\r\n"):
+                    client = await curio.open_connection("127.0.0.1", self.port)
+                    await client.sendall(text)
+                    self.assertIn(b" 400 ", await client.recv(1000))
+                    await client.close()
+            self.assertEqual(200, (await self.call("/read/x"))[0])
+
+    async def test_a_head_that_does_not_come_to_its_end(self):
+        async with self.run_all():
+            limits = {"max_body_bytes": 10000, "header_timeout_ms": 100}
+            self.store.put("config", "main", build_manifest(2, limits=limits))
+            await self.wait_until(
+                lambda: self.node.knowledge.table.version == 2
+            )
+            client = await curio.open_connection("127.0.0.1", self.port)
+            async with client, curio.timeout_after(SOON_SECONDS):
+                await client.sendall(b"POST /read/x HTTP/1.1\r\n")
+                self.assertIn(b" 408 ", await client.recv(1000))
+
+    async def test_no_more_connections_than_an_endpoint_takes(self):
+        async with self.run_all():
+            self.store.remove("servers", "plain2")
+            known = self.node.knowledge.catalogue
+            await self.wait_until(lambda: known.find("plain2") is None)
+            plain = self.servers["plain1"]
+            plain.faults += ["mute"] * 10
+            waiting = [
+                await curio.spawn(self.call, "/once/x") for _ in range(10)
+            ]
+            await self.wait_until(lambda: not plain.faults)
+            status, headers, body = await self.call("/once/x")
+            self.assertEqual((503, b"no_connection_left\n"), (status, body))
+            self.assertIn("retry-after", headers)
+            for task in waiting:
+                await task.cancel()
+
     async def test_the_entry_is_registered(self):
         async with self.run_all():
             await self.wait_until(
@@ -314,6 +406,22 @@
             self.assertEqual((200, "close"), (status, headers["connection"]))
 
 
+class KeptJournal(journal.Journal):
+    """Writes lines and keeps the names of their events."""
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self._events = []
+
+    def _note(self, kind, event, fields):
+        self._events.append(event)
+        super()._note(kind, event, fields)
+
+    def list_events(self):
+        """Returns the events' names in order."""
+        return self._events
+
+
 class NullDescriptor:
     """Where the log lines of a test go."""
 
--- a/tests/proxy_fakes.py
+++ b/tests/proxy_fakes.py
@@ -125,9 +125,9 @@
     return request._replace(**changes)
 
 
-def build_item(segment=0, attempt="a1", **changes):
+def build_item(index=0, attempt="a1", **changes):
     item = batching.Item(
-        attempt, 0, segment, "key", (), 100, 101.0, 105.0, 0, None
+        attempt, 0, index, "key", (), 100, 101.0, 105.0, 0, None
     )
     return item._replace(**changes)
 
@@ -172,7 +172,7 @@
 
     def make_all(self, items):
         return [
-            proxies.ItemResult(f"{i.attempt}/{i.stage}/{i.segment}", "")
+            proxies.ItemResult(f"{i.attempt}/{i.stage}/{i.index}", "")
             for i in items
         ]
 
--- a/tests/test_batching.py
+++ b/tests/test_batching.py
@@ -18,7 +18,7 @@
 
     def take_names(self, now=NOW):
         return [
-            (item.attempt, item.segment) for item in self.queue.take_batch(now)
+            (item.attempt, item.index) for item in self.queue.take_batch(now)
         ]
 
     def test_items_of_several_requests_share_a_call(self):
@@ -86,7 +86,7 @@
         )
         first = self.queue.take_batch(NOW)
         self.assertEqual(4, len(first))
-        names = [str(item.segment) for item in first]
+        names = [str(item.index) for item in first]
         self.queue.end_call(first, names, NOW)
         self.assertEqual([], self.queue.take_batch(NOW))
         self.queue.release("0", NOW)
@@ -110,7 +110,7 @@
         self.add(*(proxy_fakes.build_item(i, "a") for i in range(8)))
         for _ in range(2):
             batch = self.queue.take_batch(NOW)
-            names = [str(item.segment) for item in batch]
+            names = [str(item.index) for item in batch]
             self.queue.end_call(batch, names, NOW)
         self.add(proxy_fakes.build_item(0, "b", result_bytes=150))
         batch = self.queue.take_batch(NOW)
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -12,8 +12,19 @@
 
 # Names of the platform that nothing but the adapter may know.
 PLATFORM_NAMES = re.compile(
-    r"samphirevale-(?:attempt|deadline|key|tenant|expect|chunk|input)"
-    r"|tenant|stage-run|stage-free|headroom_mb|item_ms|config/main",
+    # Headers; `samphirevale-entries` is a kind of our own.
+    r"samphirevale-(?!entries\b)[a-z]+-[a-z]+|samphirevale-key"
+    r"|kv-(?:from|fetch)"
+    # Of the operator's routes, services and accounts.
+    r"|tenant|api_key|weighted_split|ttft|max_attempts"
+    r'|"segments?"'
+    r"|max_(?:connections|header|body)|(?:header|idle)_timeout"
+    r"|headroom|(?:item|call)_ms|handle_ttl|\bhandles\b|kv_capacity|config/main"
+    # Of the settings file and of the servers' entries.
+    r"|node_name|port_range|revoke_ms|grace_s\b|retry_(?:ratio|allowance)"
+    r"|\bzone|\bborn\b|\bmanifest"
+    # Paths of calls.
+    r"|stage-(?:run|free)|kv-events|/report\b",
     re.IGNORECASE,
 )
 
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -31,7 +31,7 @@
         except curio.CancelledError:
             self.cancelled = True
             raise
-        return [proxies.ItemResult(f"r{i}", "") for i in pieces.segments]
+        return [proxies.ItemResult(f"r{i}", "") for i in pieces.indices]
 
     async def release_results(self, released):
         self.released += released.results
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -29,7 +29,7 @@
     async def run_pieces(self, owner, endpoint, items):
         self.asked += items
         self.clock.seconds += 1.0
-        return [proxies.ItemResult(f"r{i.segment}", "") for i in items]
+        return [proxies.ItemResult(f"r{i.index}", "") for i in items]
 
     async def release(self, owner, endpoint, names):
         self.released += names
--- a/tests/test_proxying.py
+++ b/tests/test_proxying.py
@@ -37,7 +37,7 @@
         self.asked += len(items)
         if self.reason:
             return [proxies.ItemResult("", self.reason)] * len(items)
-        return [proxies.ItemResult(f"r{i.segment}", "") for i in items]
+        return [proxies.ItemResult(f"r{i.index}", "") for i in items]
 
     async def release(self, endpoint, names):
         self.released += names
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -30,7 +30,7 @@
         reason = self.reasons.pop(0) if self.reasons else ""
         return [
             proxies.ItemResult(
-                "" if reason else f"{endpoint.name}.{i.stage}.{i.segment}",
+                "" if reason else f"{endpoint.name}.{i.stage}.{i.index}",
                 reason,
             )
             for i in items
