Show for each rule of the users that its test fails without its mechanism

Cause: docs/PROOFS.md told of both old roles only; that a test of the proxying entry would notice a rule's mechanism missing was not shown.

--- a/lab/ablations.py
+++ b/lab/ablations.py
@@ -19,7 +19,7 @@
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
-from lab import mechanisms
+from lab import mechanisms, proxy_mechanisms
 from samphirevale import tables
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -40,6 +40,9 @@
 # What shows that an edit broke the program instead of taking something out.
 BROKEN_SIGNS = ("SyntaxError", "NameError", "ImportError")
 
+# Those of both roles and of the proxying entry.
+TESTED = mechanisms.TESTED + proxy_mechanisms.TESTED
+
 HEADERS = ["mechanism", "proof", "with it", "without it"]
 
 
@@ -247,7 +250,7 @@
     parser.add_argument("names", nargs="*", help="all where none is given")
     parser.add_argument("--prove", action="store_true")
     options = parser.parse_args()
-    known = mechanisms.PROVED if options.prove else mechanisms.TESTED
+    known = mechanisms.PROVED if options.prove else TESTED
     chosen = [
         item
         for item in known
--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -198,6 +198,10 @@
             and self.knowledge.endpoints_age.confirmed_at is not None
         )
 
+    def is_busy(self) -> bool:
+        """Tells whether a request is in progress."""
+        return self._server.busy > 0
+
     def _build_report(self, now: float) -> messages.EntryReport:
         crashed = self._quarantine.list_newest(CRASHED_LIMIT, now)
         return messages.EntryReport(
@@ -456,7 +460,7 @@
             now = self._clock.now()
             lingered = now >= began_at + LINGER_SECONDS
             self._proxy.closed = lingered
-            if (lingered and not self._server.busy) or now >= last:
+            if (lingered and not self.is_busy()) or now >= last:
                 break
             await curio.sleep(CHECK_SECONDS / 2)
         self._journal.note_change("stopped", busy=self._server.busy)
--- a/tests/platform/test_session.py
+++ b/tests/platform/test_session.py
@@ -401,6 +401,36 @@
                 )
             )
 
+    async def test_a_caller_that_leaves_ends_the_work_at_once(self):
+        async with self.run_all():
+            for name in ("plain1", "plain2"):
+                self.servers[name].faults.append("mute")
+            sending = await curio.spawn(self.call, "/once/x")
+            plain = [self.servers["plain1"], self.servers["plain2"]]
+            await self.wait_until(
+                lambda: sum(len(server.faults) for server in plain) == 1
+            )
+            await sending.cancel()
+            async with curio.timeout_after(0.5):
+                while self.node.is_busy():
+                    await curio.sleep(0.01)
+
+    async def test_not_ready_before_the_first_routes(self):
+        async with contextlib.AsyncExitStack() as stack:
+            store = metadata.MetadataStore()
+            store_port = await self.serve(stack, store.handle)
+            self.node = self.build_gateway(store_port)
+            task = await curio.spawn(gateway.run, self.node)
+            stack.push_async_callback(task.cancel)
+            await self.wait_until(
+                lambda: store.list_names("samphirevale-entries")
+            )
+            age = self.node.knowledge.endpoints_age
+            await self.wait_until(lambda: age.confirmed_at is not None)
+            self.assertFalse(self.node.is_ready())
+            store.put("config", "main", build_manifest())
+            await self.wait_until(self.node.is_ready)
+
     async def test_a_graceful_stop_finishes_and_turns_away(self):
         async with self.run_all():
             await self.node.stop.set()
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -26,6 +26,13 @@
         self.assertFalse(budget.take("s", 4, 109.9))
         self.assertTrue(budget.take("s", 4, 110.1))
 
+    def test_entries_that_take_all_they_can_keep_the_bound(self):
+        entries = [budgets.RetryBudget(TERMS) for _ in range(4)]
+        taken = sum(
+            entry.take("s", 4, 100.0) for entry in entries for _ in range(99)
+        )
+        self.assertLessEqual(taken, 50)
+
     @hypothesis.settings(derandomize=True, deadline=None)
     @hypothesis.given(
         strategies.lists(
