--- a/samphirevale/batching.py
+++ b/samphirevale/batching.py
@@ -97,34 +97,44 @@
     kept_seconds: float
 
 
+class Work(NamedTuple):
+    """New items of one stage, before they are added to a queue.
+
+    Attributes:
+        items: how many they are.
+        result_bytes: the room that their results will take.
+        late: they wait behind those that can be in time.
+    """
+
+    items: int
+    result_bytes: int
+    late: bool
+
+
 def compute_call_seconds(limits: routes.BatchLimits, items: int) -> float:
     """Returns the time of a call with so many items."""
     return limits.call_seconds + items * limits.item_seconds
 
 
 def estimate_seconds(
-    state: QueueState,
-    limits: routes.BatchLimits,
-    items: int,
-    result_bytes: int,
-    late: bool = False,
+    state: QueueState, limits: routes.BatchLimits, work: Work
 ) -> float:
     """Returns when new items should be done, in seconds from now.
 
     Those that can be in time go before the late ones.
     """
-    total = state.waiting + items
-    total_bytes = state.waiting_bytes + result_bytes
-    if late:
+    total = state.waiting + work.items
+    total_bytes = state.waiting_bytes + work.result_bytes
+    if work.late:
         total += state.late
         total_bytes += state.late_bytes
     calls = -(-total // limits.items)
-    work = calls * limits.call_seconds + total * limits.item_seconds
+    busy = calls * limits.call_seconds + total * limits.item_seconds
     lacking = total_bytes - state.room_bytes
     room = 0.0
     if lacking > 0:
         room = state.kept_seconds * lacking / limits.memory_bytes
-    return state.busy_seconds + max(work, room)
+    return state.busy_seconds + max(busy, room)
 
 
 class BatchQueue:
--- a/samphirevale/groups.py
+++ b/samphirevale/groups.py
@@ -62,8 +62,9 @@
         expected = batching.estimate_seconds(
             self._read_state(endpoint, limits, began_at),
             limits,
-            len(items),
-            sum(item.result_bytes for item in items),
+            batching.Work(
+                len(items), sum(item.result_bytes for item in items), False
+            ),
         )
         in_time = items[0].due_at > began_at
         if owner is None:
@@ -100,16 +101,12 @@
         self,
         endpoint: catalogue.Endpoint,
         limits: routes.BatchLimits,
-        items: int,
-        result_bytes: int,
-        late: bool,
+        work: batching.Work,
         now: float,
     ) -> float:
         """Returns when new items should be done, in seconds from now."""
         state = self._read_state(endpoint, limits, now)
-        seconds = batching.estimate_seconds(
-            state, limits, items, result_bytes, late
-        )
+        seconds = batching.estimate_seconds(state, limits, work)
         return seconds * self._ratios.get(endpoint.service, FIRST_RATIO)
 
     def _read_state(
--- a/samphirevale/stages.py
+++ b/samphirevale/stages.py
@@ -53,9 +53,7 @@
         self,
         endpoint: catalogue.Endpoint,
         limits: routes.BatchLimits,
-        items: int,
-        result_bytes: int,
-        late: bool,
+        work: batching.Work,
         now: float,
     ) -> float:
         """Returns when new items should be done, in seconds from now."""
@@ -107,13 +105,11 @@
     limits = known.find_batch_limits(stage.service)
     if limits is None:
         return None
-    size = items * stage.result_bytes
+    work = batching.Work(items, items * stage.result_bytes, late)
     best = None
     best_cost = 0.0
     for endpoint in known.catalogue.list_accepting(stage.service):
-        seconds = group.estimate_seconds(
-            endpoint, limits, items, size, late, now
-        )
+        seconds = group.estimate_seconds(endpoint, limits, work, now)
         remote = sum(
             moved
             for data_centre, moved in transfers
--- a/tests/test_groups.py
+++ b/tests/test_groups.py
@@ -1,6 +1,13 @@
 """Who does pieces, and what is learned of the time they take."""
 
-from samphirevale import gathering, groups, knowledge, messages, ownership
+from samphirevale import (
+    batching,
+    gathering,
+    groups,
+    knowledge,
+    messages,
+    ownership,
+)
 from samphirevale.ports import proxies
 from tests import base, proxy_fakes
 
@@ -67,7 +74,10 @@
 
     def estimate(self):
         return self.group.estimate_seconds(
-            self.endpoint, LIMITS, 1, 100, False, self.clock.now()
+            self.endpoint,
+            LIMITS,
+            batching.Work(1, 100, False),
+            self.clock.now(),
         )
 
     async def test_the_owner_does_the_pieces_and_frees_them(self):
--- a/tests/test_stage_admission.py
+++ b/tests/test_stage_admission.py
@@ -91,7 +91,7 @@
             now, back, number = arrivals.pop(0)
             late = back and behind
             expected = batching.estimate_seconds(
-                queue.read_state(now), LIMITS, 1, 0, late
+                queue.read_state(now), LIMITS, batching.Work(1, 0, late)
             )
             demand = build_demand(expected, returned=late)
             if stage_admission.decide(demand).is_taken():
@@ -135,7 +135,7 @@
             while arrivals and arrivals[0][0] <= now:
                 at, rank = arrivals.pop(0)
                 expected = batching.estimate_seconds(
-                    queue.read_state(now), LIMITS, 1, 0
+                    queue.read_state(now), LIMITS, batching.Work(1, 0, False)
                 )
                 if decide(build_demand(expected, rank)):
                     queue.add(
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -21,7 +21,7 @@
         self.released = []
         self.loads = {}
 
-    def estimate_seconds(self, endpoint, limits, items, size, late, now):
+    def estimate_seconds(self, endpoint, limits, work, now):
         return 0.1 + self.loads.get(endpoint.name, 0)
 
     async def run_items(self, endpoint, limits, items):
