Drop what is decoded of services and never used

Cause: slots and memory of model engines were decoded from the operator's manifest and read by nothing.

--- a/samphirevale/platform/manifest.py
+++ b/samphirevale/platform/manifest.py
@@ -69,13 +69,10 @@
 
 
 def _decode_service(value: Mapping[str, Any]) -> routes.Service:
-    engine = value.get("backend") or {}
     batch = value.get("segments")
     return routes.Service(
         name=value["name"],
         connections_limit=int(value.get("max_connections", 0)),
-        slots=int(engine.get("slots", 0)),
-        memory_tokens=int(engine.get("kv_capacity", 0)),
         batch=_decode_batch(batch) if batch else None,
     )
 
--- a/samphirevale/routes.py
+++ b/samphirevale/routes.py
@@ -97,15 +97,11 @@
     Attributes:
         name: the operator's name for it.
         connections_limit: of one endpoint, over all callers.
-        slots: requests that an endpoint runs at once; 0 if not said.
-        memory_tokens: a model engine's memory; 0 for other services.
         batch: set where the service takes batches of items.
     """
 
     name: str
     connections_limit: int
-    slots: int
-    memory_tokens: int
     batch: BatchLimits | None
 
 
--- a/tests/proxy_fakes.py
+++ b/tests/proxy_fakes.py
@@ -92,8 +92,8 @@
 
 def build_table(route_list, version=1, **changes):
     services = {
-        "plain": routes.Service("plain", 10, 4, 0, None),
-        "stage": routes.Service("stage", 10, 0, 0, BATCH_LIMITS),
+        "plain": routes.Service("plain", 10, None),
+        "stage": routes.Service("stage", 10, BATCH_LIMITS),
     }
     table = routes.RouteTable(
         version,
