Spread the choices of many entries, and let links share a report

All entries decide on the same reports, all send to the endpoint that looks emptiest, pieces take twice the estimate, the learned ratio doubles every estimate, and most requests are refused as overloaded.

Ruled out: links that flap (all ends of links fall into kills and rolling restarts) and a lack of stage capacity (37 in 100 of the engines' time).

Now: above four entries the cost of an endpoint is blurred by a tenth of a call's fixed time for each further entry; links that are due together send one report, and above twelve links half as often. With four entries nothing changes. The tests play 30 entries on one report.

--- a/samphirevale/entries.py
+++ b/samphirevale/entries.py
@@ -21,6 +21,7 @@
     journal,
     messages,
     ownership,
+    reports,
 )
 from samphirevale.adapters import link as links
 from samphirevale.ports import clock as clocks
@@ -29,8 +30,8 @@
 # The kind of the entries' registrations in the store.
 KIND = "samphirevale-entries"
 
-# The interval between two reports on a link, in seconds.
-REPORT_SECONDS = 0.1
+# The interval between looks for entries that are to be dialed, in seconds.
+DIAL_CHECK_SECONDS = 0.1
 
 # Silence after which the other entry counts as dead, in seconds.
 SILENCE_SECONDS = 1.0
@@ -162,7 +163,7 @@
             me.name, me.token, "entry", data_centre, "", ""
         )
         self._server = server
-        self._build_report = build_report
+        self._reporter = reports.Reporter(build_report)
         self._note_members = note_members
         self._note_crashed = note_crashed
         self._clock = clock
@@ -201,7 +202,7 @@
                     self._dialers[name] = await curio.spawn(
                         self._dial, name, daemon=True
                     )
-            await curio.sleep(REPORT_SECONDS)
+            await curio.sleep(DIAL_CHECK_SECONDS)
 
     async def _dial(self, name: str) -> None:
         """Dials an entry until its registration is gone."""
@@ -274,9 +275,9 @@
         """Reports on a link for as long as it takes frames."""
         with contextlib.suppress(errors.PeerClosedError):
             while True:
-                report = self._build_report(self._clock.now())
+                report = self._reporter.read(self._clock.now())
                 await entry.link.send(report, 0)
-                await curio.sleep(REPORT_SECONDS)
+                await curio.sleep(reports.compute_interval(len(self.linked)))
 
     async def _read(self, entry: Entry) -> None:
         while True:
--- a/samphirevale/proxy_runs.py
+++ b/samphirevale/proxy_runs.py
@@ -173,6 +173,7 @@
             self._route,
             terms,
             self._may_repeat,
+            self._node.rng,
         )
 
     def _choose_data_centre(self) -> str:
--- a/samphirevale/stages.py
+++ b/samphirevale/stages.py
@@ -1,6 +1,7 @@
 """The stages before a request: pieces at batching endpoints, in order."""
 
 import contextlib
+import random
 from collections.abc import AsyncIterator, Callable, Sequence
 from typing import NamedTuple, Protocol
 
@@ -29,6 +30,12 @@
 # The reason of pieces for which there is no endpoint.
 NO_ENDPOINT = "no endpoint"
 
+# Entries that decide on the same reports would all choose the same endpoint:
+# up to so many there is no need to spread, and for each further one the costs
+# are blurred by this share of a call's fixed time.
+FEW_ENTRIES = 4
+SPREAD_SHARE = 0.1
+
 # The part of an endpoint's room that the pieces of one request may take.
 ROOM_SHARE = 0.6
 
@@ -85,6 +92,7 @@
     transfers: Sequence[tuple[str, int]],
     late: bool,
     now: float,
+    rng: random.Random | None = None,
 ) -> tuple[catalogue.Endpoint, float] | None:
     """Returns the endpoint that should be done first, and when.
 
@@ -97,6 +105,7 @@
             there or wanted there.
         late: the pieces wait behind those that can be in time.
         now: the present time.
+        rng: spreads the choices of many entries; None for the plain best.
 
     Returns:
         The endpoint and the seconds until its work should be done; None if
@@ -106,6 +115,9 @@
     if limits is None:
         return None
     work = batching.Work(items, items * stage.result_bytes, late)
+    spread = 0.0
+    if rng is not None:
+        spread = compute_spread(limits, len(known.members))
     best = None
     best_cost = 0.0
     for endpoint in known.catalogue.list_accepting(stage.service):
@@ -116,11 +128,19 @@
             if data_centre != endpoint.data_centre
         )
         cost = seconds + remote / 1e6 * REMOTE_SECONDS_PER_MB
+        if spread:
+            cost += rng.uniform(0, spread)
         if best is None or cost < best_cost:
             best, best_cost = (endpoint, seconds), cost
     return best
 
 
+def compute_spread(limits: routes.BatchLimits, entries: int) -> float:
+    """Returns by how much costs are blurred, in seconds."""
+    excess = max(entries - FEW_ENTRIES, 0)
+    return excess * SPREAD_SHARE * limits.call_seconds
+
+
 def estimate_stages(
     group: StageGroup,
     known: knowledge.Knowledge,
@@ -199,6 +219,7 @@
         route: routes.Route,
         terms: Terms,
         may_repeat: Callable[[str], bool],
+        rng: random.Random,
     ):
         """Prepares a run.
 
@@ -211,6 +232,7 @@
             terms: of this request.
             may_repeat: takes a service's name; whether pieces may be asked
                 for again now.
+            rng: spreads the choices of endpoints.
         """
         self._group = group
         self._known = known
@@ -219,6 +241,7 @@
         self._route = route
         self._terms = terms
         self._may_repeat = may_repeat
+        self._rng = rng
         self._results: dict[int, list[gathering.StageResult]] = {}
         self._used: set[int] = set()
 
@@ -335,6 +358,7 @@
             self._list_transfers(index, len(items)),
             self._terms.late and not items[0].inputs,
             self._clock.now(),
+            self._rng,
         )
         if chosen is None:
             return NO_ENDPOINT
--- /dev/null
+++ b/tests/test_reports.py
@@ -0,0 +1,30 @@
+"""Reports of one entry to the others."""
+
+from samphirevale import messages, reports
+from tests import base
+
+
+class ReporterTest(base.TestCase):
+    """What many links cost."""
+
+    def setUp(self):
+        self.built = []
+        self.reporter = reports.Reporter(self.build)
+
+    def build(self, now):
+        self.built.append(now)
+        return messages.EntryReport([], [], [[str(now)]])
+
+    def test_links_that_are_due_together_share_a_report(self):
+        found = [self.reporter.read(100.0 + i / 1000) for i in range(28)]
+        self.assertEqual([100.0], self.built)
+        self.assertEqual(1, len({id(report) for report in found}))
+
+    def test_the_next_interval_has_its_own(self):
+        self.reporter.read(100.0)
+        report = self.reporter.read(100.0 + reports.REPORT_SECONDS)
+        self.assertEqual([["100.1"]], report.crashed)
+
+    def test_a_crowd_hears_less_often(self):
+        few = reports.compute_interval(3)
+        self.assertGreater(reports.compute_interval(28), few)
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -1,5 +1,7 @@
 """The stages before a request: waves, parts, repeats, and what is freed."""
 
+import random
+
 from samphirevale import errors, gathering, knowledge, ownership, routes, stages
 from samphirevale.ports import proxies
 from tests import base, proxy_fakes
@@ -64,6 +66,7 @@
             proxy_fakes.build_route(stages=stage_list),
             stages.Terms(NOW + 1, NOW + 5, 0, ""),
             self.take_repeat,
+            random.Random(1),
         )
 
     async def test_later_stages_get_all_results_and_free_them(self):
@@ -135,3 +138,33 @@
             async with stages.hold(run):
                 await run.run()
         self.assertEqual(1, len(self.group.released))
+
+
+class SpreadTest(base.TestCase):
+    """Many entries that decide on the same reports, played at once."""
+
+    def play(self, entries):
+        """Returns how many of a moment's pieces go to the busiest."""
+        known = knowledge.Knowledge(5.0, ownership.Member("me", "a"))
+        known.table = proxy_fakes.build_table([])
+        known.adopt_members(
+            ownership.Member(f"entry{i}", "a") for i in range(entries - 1)
+        )
+        for number in range(8):
+            known.catalogue.put(proxy_fakes.build_endpoint(f"s{number}"))
+        group = FakeGroup()
+        # One has just become a little emptier than the others.
+        group.loads = {f"s{number}": 0.05 for number in range(1, 8)}
+        chosen = [
+            stages.choose_endpoint(
+                group, known, CHAIN[0], 1, (), False, NOW, random.Random(seed)
+            )[0].name
+            for seed in range(entries)
+        ]
+        return max(map(chosen.count, chosen))
+
+    def test_many_entries_do_not_all_choose_the_same(self):
+        self.assertLess(self.play(30), 30 / 2)
+
+    def test_few_entries_choose_the_best(self):
+        self.assertEqual(4, self.play(4))
