Leave a stage endpoint alone that lacked room, and count lost results

Each following call was refused for room at once and made again at once, some hundred times in five seconds. The endpoint's own word on its room was not taken over, as its whole room is less than the megabyte in which it tells it.

Ruled out: a wrong size of the results (the size factor was learned), and results of this entry that had not been freed.

Now: after a lack of room the endpoint is left alone for 0.02 s, doubled up to 1 s; a lost call's results take room until they lapse. The tests call a full endpoint for five seconds (before: without end).

--- a/samphirevale/batching.py
+++ b/samphirevale/batching.py
@@ -15,9 +15,10 @@
 # Weight of a new measurement in the smoothed time that results are kept.
 KEPT_WEIGHT = 0.1
 
-# The name of what takes room and is no result that the queue knows of, and
+# The names of what takes room and is no result that the queue knows of, and
 # how long the endpoint's word on it counts, in seconds.
 UNSEEN = "unseen"
+LOST = "lost"
 UNSEEN_SECONDS = 1.0
 
 # The part of the room that must be in use for a lack of room to tell that
@@ -32,6 +33,11 @@
 # still to be done after it takes about that long.
 LATE_MARGIN_SECONDS = 2.0
 
+# How long an endpoint that lacked room is left alone, in seconds: doubled with
+# each further lack up to the limit.
+LACK_SECONDS = 0.02
+LACK_SECONDS_LIMIT = 1.0
+
 # The unit in which an endpoint tells its room.
 ROOM_UNIT_BYTES = 1_000_000
 
@@ -157,6 +163,10 @@
         self._size_factor = 1.0
         # Requests and stages of which some pieces wait and others do not.
         self._begun: set[tuple[str, int]] = set()
+        # After a lack of room, and how long the last such pause was.
+        self._paused_until = 0.0
+        self._pause_seconds = 0.0
+        self._lost_calls = 0
 
     def __len__(self) -> int:
         """Returns how many items wait."""
@@ -191,6 +201,8 @@
         """
         if not self._waiting or self.running >= self.limits.concurrency:
             return []
+        if now < self._paused_until:
+            return []
         self._waiting.sort(key=lambda item: self._compute_turn(item, now))
         batch = self._cut_batch(self.read_room(now))
         if batch:
@@ -263,10 +275,22 @@
         self._reserved_bytes -= sum(item.result_bytes for item in batch)
         self._size_factor -= (self._size_factor - 1.0) * FORGETTING_SHARE
         until = now + self.limits.result_seconds
+        if any(result is not None for result in results):
+            self._pause_seconds = 0.0
         for item, result in zip(batch, results, strict=True):
             if result is not None:
                 self._kept[result] = _Kept(item.result_bytes, now, until)
 
+    def note_lost(self, batch: list[Item], now: float) -> None:
+        """Takes note of a call whose answer was lost.
+
+        What it has made takes room until it lapses, as nobody can free it.
+        """
+        self._lost_calls += 1
+        size = sum(item.result_bytes for item in batch)
+        until = now + self.limits.result_seconds
+        self._kept[f"{LOST}/{self._lost_calls}"] = _Kept(size, now, until)
+
     def note_lack(self, result_bytes: int, now: float) -> None:
         """Learns from an item that found no room where it should have.
 
@@ -274,6 +298,9 @@
             result_bytes: what the item's result should have taken.
             now: the present time.
         """
+        doubled = max(2 * self._pause_seconds, LACK_SECONDS)
+        self._pause_seconds = min(doubled, LACK_SECONDS_LIMIT)
+        self._paused_until = now + self._pause_seconds
         memory = self.limits.memory_bytes
         used = memory - self.read_room(now)
         if used > memory * LEARNING_SHARE:
@@ -314,7 +341,10 @@
 
     def read_state(self, now: float) -> QueueState:
         """Returns what decides when new items will be done."""
-        busy = max(self._busy_until - now, 0.0) if self.running else 0.0
+        busy_until = self._paused_until
+        if self.running:
+            busy_until = max(busy_until, self._busy_until)
+        busy = max(busy_until - now, 0.0)
         late = [i.result_bytes for i in self._waiting if self._is_late(i, now)]
         waiting_bytes = sum(item.result_bytes for item in self._waiting)
         return QueueState(
--- a/samphirevale/gathering.py
+++ b/samphirevale/gathering.py
@@ -230,7 +230,7 @@
                 # The end of a call starts the driver again.
                 return
             elif len(queue):
-                await curio.sleep(ROOM_CHECK_SECONDS)
+                await self._clock.sleep(ROOM_CHECK_SECONDS)
 
     async def _call(
         self,
@@ -249,9 +249,12 @@
                     endpoint, batch, began_at
                 )
         except (errors.TransportError, TimeoutError) as error:
-            self._avoided_until[endpoint.name] = (
-                self._clock.now() + AVOID_SECONDS
-            )
+            now = self._clock.now()
+            self._avoided_until[endpoint.name] = now + AVOID_SECONDS
+            if not isinstance(
+                error, errors.ConnectError | errors.NotExecutedError
+            ):
+                queue.note_lost(batch, now)
             self._log.note_failure(
                 "batch_failed",
                 endpoint=endpoint.name,
--- a/tests/test_gathering.py
+++ b/tests/test_gathering.py
@@ -56,6 +56,26 @@
         self.assertEqual(2, len(self.endpoints.batches))
         self.assertIn("room_adopted", self.journal.list_events())
 
+    async def test_an_endpoint_without_room_is_not_called_without_end(self):
+        """Its room is less than the unit in which it tells it."""
+        self.endpoints.room = 0
+        self.endpoints.make = lambda items: [
+            proxies.ItemResult("", "room") for _ in items
+        ]
+        results = await self.run_items(proxy_fakes.build_item(result_bytes=10))
+        self.assertEqual("late", results[0].reason)
+        # The item has five seconds.
+        self.assertLess(len(self.endpoints.batches), 15)
+
+    async def test_room_of_a_call_that_was_lost_is_taken_for_a_while(self):
+        self.endpoints.make = lambda _: proxy_fakes.LOST
+        queue = self.gatherer.find_queue(self.endpoint, LIMITS)
+        before = queue.read_room(100.0)
+        await self.run_items(proxy_fakes.build_item(result_bytes=300))
+        self.assertEqual(before - 300, queue.read_room(100.0))
+        later = 100.0 + LIMITS.result_seconds + 1
+        self.assertEqual(before, queue.read_room(later))
+
     async def test_a_failed_call_fails_its_items_and_is_logged(self):
         self.endpoints.make = lambda _: proxy_fakes.LOST
         results = await self.run_items(proxy_fakes.build_item())
