--- a/samphirevale/batching.py
+++ b/samphirevale/batching.py
@@ -292,7 +292,7 @@
         self._kept[f"{LOST}/{self._lost_calls}"] = _Kept(size, now, until)
 
     def note_lack(self, result_bytes: int, now: float) -> None:
-        """Learns from an item that found no room where it should have.
+        """Learns from an item that found no room, and pauses the calls.
 
         Args:
             result_bytes: what the item's result should have taken.
--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -467,7 +467,7 @@
 
 
 def compute_limits(settings: GatewaySettings) -> web.Limits:
-    """Returns what the machine bears, before the first routes are known.
+    """Returns what the machine bears; the operator's limits come with routes.
 
     Each connection of a caller may need one to an endpoint.
     """
--- a/samphirevale/stages.py
+++ b/samphirevale/stages.py
@@ -30,9 +30,9 @@
 # The reason of pieces for which there is no endpoint.
 NO_ENDPOINT = "no endpoint"
 
-# Entries that decide on the same reports would all choose the same endpoint:
-# up to so many there is no need to spread, and for each further one the costs
-# are blurred by this share of a call's fixed time.
+# Entries that decide on the same reports would all choose the same endpoint.
+# For each entry above the first few, the endpoints' costs are blurred by this
+# share of a call's fixed time.
 FEW_ENTRIES = 4
 SPREAD_SHARE = 0.1
 
@@ -152,7 +152,7 @@
     """Returns when the results of all stages should be there, in seconds.
 
     None if a stage has no endpoint. A late request waits behind the others
-    until its first stages; what holds results does not wait.
+    in its first stages only: later ones hold results that take room.
     """
     ends: list[float] = []
     for index, stage in enumerate(route.stages):
