--- a/tests/test_batching.py
+++ b/tests/test_batching.py
@@ -156,33 +156,24 @@
 class EstimateTest(base.TestCase):
     """When new items should be done."""
 
+    def estimate(self, state, result_bytes=100, late=False):
+        work = batching.Work(1, result_bytes, late)
+        return batching.estimate_seconds(state, proxy_fakes.BATCH_LIMITS, work)
+
     def test_full_calls_ahead_count(self):
         state = batching.QueueState(4, 400, 8, 800, 1000, 0.1, 0.6)
-        seconds = batching.estimate_seconds(
-            state,
-            proxy_fakes.BATCH_LIMITS,
-            batching.Work(1, 100, False),
-        )
         # The call in progress, two calls of 0.15 s and five items.
-        self.assertAlmostEqual(0.1 + 2 * 0.15 + 5 * 0.02, seconds)
+        expected = 0.1 + 2 * 0.15 + 5 * 0.02
+        self.assertAlmostEqual(expected, self.estimate(state))
 
     def test_late_items_wait_behind_all_others(self):
         state = batching.QueueState(4, 400, 8, 800, 2000, 0.1, 0.6)
-        seconds = batching.estimate_seconds(
-            state,
-            proxy_fakes.BATCH_LIMITS,
-            batching.Work(1, 100, True),
-        )
-        self.assertAlmostEqual(0.1 + 4 * 0.15 + 13 * 0.02, seconds)
+        expected = 0.1 + 4 * 0.15 + 13 * 0.02
+        self.assertAlmostEqual(expected, self.estimate(state, late=True))
 
     def test_lacking_room_counts(self):
         state = batching.QueueState(0, 0, 0, 0, 0, 0.0, 0.6)
-        seconds = batching.estimate_seconds(
-            state,
-            proxy_fakes.BATCH_LIMITS,
-            batching.Work(1, 1000, False),
-        )
-        self.assertAlmostEqual(0.6, seconds)
+        self.assertAlmostEqual(0.6, self.estimate(state, result_bytes=1000))
 
 
 class LoadTest(base.TestCase):
