Let kinds of requests queue alike, and late ones behind those on time

Among kinds of one rank, those with long targets filled the queue up to theirs and displaced those with short ones.

The time of model engines for prompts is learned in place of one site's constant; deadlines of items leave time for what comes after, in place of a constant of 2 s.

--- a/samphirevale/batching.py
+++ b/samphirevale/batching.py
@@ -8,7 +8,7 @@
 
 from typing import Any, NamedTuple
 
-from samphirevale import routes
+from samphirevale import routes, stage_times
 
 # Initial estimate of how long a result stays at its endpoint, in seconds.
 INITIAL_RETENTION_SECONDS = 0.6
@@ -32,9 +32,9 @@
 # Share of the learned correction that the end of each call removes.
 CORRECTION_DECAY = 0.2
 
-# Late items are scheduled as if they were due this long before their deadline,
-# in seconds. The remaining work of a request takes about this long.
-LATE_MARGIN_SECONDS = 2.0
+# Late items are scheduled as if they were due this number of full calls before
+# their deadline. A call is then free for them in time.
+LATE_MARGIN_CALLS = 2
 
 # Initial backoff after an endpoint ran out of memory, in seconds. It doubles
 # with each consecutive shortage up to the limit.
@@ -62,7 +62,8 @@
         result_bytes: the approximate size of its result.
         due_at: the latest completion time at which the request can still meet
             its target; in the past if the request is late.
-        deadline_at: the time after which the result is useless.
+        deadline_at: the latest completion time at which the request can still
+            be answered before its deadline.
         rank: the request's priority; 0 is the most urgent.
         ticket: identifies the task that waits for the item; only its identity
             matters here.
@@ -124,11 +125,6 @@
     late: bool
 
 
-def estimate_call_seconds(limits: routes.BatchLimits, items: int) -> float:
-    """Returns the expected duration of a call with this number of items."""
-    return limits.call_seconds + items * limits.item_seconds
-
-
 def estimate_seconds(
     state: QueueState, limits: routes.BatchLimits, work: NewItems
 ) -> float:
@@ -216,7 +212,7 @@
         if batch:
             self.running += 1
             self._reserved_bytes += sum(item.result_bytes for item in batch)
-            seconds = estimate_call_seconds(self.limits, len(batch))
+            seconds = stage_times.estimate_call_seconds(self.limits, len(batch))
             self._busy_until = now + seconds
         return batch
 
@@ -227,7 +223,10 @@
     def _compute_sort_time(self, item: Item, now: float) -> float:
         """Returns the time by which an item is sorted into the queue."""
         if self._is_late(item, now):
-            return item.deadline_at - LATE_MARGIN_SECONDS
+            call_seconds = stage_times.estimate_call_seconds(
+                self.limits, self.limits.items
+            )
+            return item.deadline_at - LATE_MARGIN_CALLS * call_seconds
         return item.due_at
 
     def _form_batch(self, free_bytes: int) -> list[Item]:
--- a/samphirevale/cluster_state.py
+++ b/samphirevale/cluster_state.py
@@ -1,8 +1,9 @@
 """The copy of routes, endpoints and entries that a proxying entry holds."""
 
+import math
 from collections.abc import Collection
 
-from samphirevale import catalogue, freshness, ownership, routes
+from samphirevale import catalogue, freshness, ownership, routes, stage_times
 
 
 class ClusterState:
@@ -24,6 +25,7 @@
         self.members: tuple[ownership.Member, ...] = (me,)
         self._me = me
         self._owners: dict[str, str] | None = None
+        self._shared_queueing: dict[str, float] = {}
 
     def adopt_table(self, table: routes.RouteTable) -> bool:
         """Adopts a table if it is newer; returns whether it was adopted."""
@@ -31,6 +33,7 @@
             return False
         self.table = table
         self._owners = None
+        self._shared_queueing = stage_times.compute_shared_queueing(table)
         return True
 
     def adopt_members(self, members: Collection[ownership.Member]) -> bool:
@@ -72,8 +75,21 @@
             return 0
         return self.table.services[service].connections_limit
 
+    def find_shared_queueing(self, route: routes.Route) -> float:
+        """Returns the queueing time that all routes like this one have.
+
+        It is the shortest of those that share a service with it, in seconds.
+        """
+        return min(
+            (
+                self._shared_queueing.get(stage.service, math.inf)
+                for stage in route.stages
+            ),
+            default=math.inf,
+        )
+
     def find_batch_limits(self, service: str) -> routes.BatchLimits | None:
         """Returns the batch limits of a service, or None if it has none."""
-        if self.table is None or service not in self.table.services:
+        if self.table is None:
             return None
-        return self.table.services[service].batch
+        return self.table.find_batch_limits(service)
--- a/samphirevale/event_streams.py
+++ b/samphirevale/event_streams.py
@@ -110,7 +110,7 @@
                 ) from None
             self._ended = True
             return b""
-        self._exchange.record_prompt_read()
+        self._exchange.record_first_event()
         await self._run.release_results()
         return b"".join(
             event.data
--- a/samphirevale/exchanges.py
+++ b/samphirevale/exchanges.py
@@ -23,6 +23,9 @@
         self._prompt_tokens = tokens
         self._prompt_unread = False
         self._counted_in_load = False
+        # When the request was sent, and the prompt tokens ahead of its own.
+        self._sent_at = 0.0
+        self._tokens_ahead = 0
         self.answer: proxies.EndpointAnswer | None = None
 
     async def open(
@@ -32,6 +35,10 @@
     ) -> None:
         """Sends the request and reads the head of the answer."""
         self._counted_in_load = self._prompt_unread = True
+        self._sent_at = self._context.clock.now()
+        self._tokens_ahead = self._context.selector.count_unread(
+            self.endpoint.name
+        )
         self._context.selector.record_sent(
             self.endpoint.name, self._prompt_tokens
         )
@@ -49,8 +56,19 @@
                     raise errors.ProtocolError("the answer is too large")
         return bytes(body)
 
-    def record_prompt_read(self) -> None:
-        """Records that the endpoint has read the prompt."""
+    def record_first_event(self) -> None:
+        """Records that the endpoint has read the prompt and begun to answer.
+
+        Further calls have no effect.
+        """
+        if self._prompt_unread and self._prompt_tokens:
+            self._context.selector.prompt_speed.record(
+                self._tokens_ahead + self._prompt_tokens,
+                self._context.clock.now() - self._sent_at,
+            )
+        self._end_prompt_reading()
+
+    def _end_prompt_reading(self) -> None:
         if self._prompt_unread:
             self._prompt_unread = False
             self._context.selector.record_prompt_read(
@@ -59,7 +77,7 @@
 
     async def close(self, failed: bool) -> None:
         """Ends the exchange; further calls have no effect."""
-        self.record_prompt_read()
+        self._end_prompt_reading()
         if self._counted_in_load:
             self._counted_in_load = False
             self._context.selector.record_end(
--- a/samphirevale/placement.py
+++ b/samphirevale/placement.py
@@ -11,10 +11,7 @@
 from collections.abc import Callable, Collection, Sequence
 from typing import NamedTuple
 
-from samphirevale import catalogue, proxy_requests, registry
-
-# The number of prompt tokens that a model engine reads per second.
-PROMPT_TOKENS_PER_SECOND = 112_000.0
+from samphirevale import catalogue, prompt_speed, proxy_requests, registry
 
 # The time that each request in flight adds to a new one, in seconds.
 REQUEST_DELAY_SECONDS = 0.004
@@ -91,7 +88,12 @@
 
 
 class EndpointSelector:
-    """Chooses endpoints for one entry."""
+    """Chooses endpoints for one entry.
+
+    Attributes:
+        rng: the source of random numbers to break ties.
+        prompt_speed: the learned time to read prompts, over all endpoints.
+    """
 
     def __init__(
         self,
@@ -109,6 +111,7 @@
             policy: the name of a registered placement policy.
         """
         self.rng = rng
+        self.prompt_speed = prompt_speed.PromptSpeed()
         self._get_other_load = get_other_load
         self._choose = policies.get(policy)
         self._loads: dict[str, Load] = {}
@@ -193,9 +196,13 @@
     def estimate_delay(self, name: str) -> float:
         """Returns the delay that the load adds to a new request, in seconds."""
         load = self.get_load(name)
-        running, unread = self._get_other_load(name)
-        reading = (load.unread_tokens + unread) / PROMPT_TOKENS_PER_SECOND
-        return reading + (load.running + running) * REQUEST_DELAY_SECONDS
+        running = load.running + self._get_other_load(name)[0]
+        reading = self.prompt_speed.estimate_reading(self.count_unread(name))
+        return reading + running * REQUEST_DELAY_SECONDS
+
+    def count_unread(self, name: str) -> int:
+        """Returns the number of unread prompt tokens from all entries."""
+        return self.get_load(name).unread_tokens + self._get_other_load(name)[1]
 
     def count_running(self, name: str) -> int:
         """Returns the number of requests in flight from all entries."""
@@ -244,7 +251,9 @@
     }
     shared = request.prompt[:-1] or request.prompt
     cost_limit = min(costs.values()) + AFFINITY_SECONDS
-    cost_limit += sum(p.tokens for p in shared) / PROMPT_TOKENS_PER_SECOND
+    cost_limit += selector.prompt_speed.estimate_reading(
+        sum(part.tokens for part in shared)
+    )
     for name in order_by_part_hash(shared[-1].name, list(costs)):
         if costs[name] <= cost_limit:
             return name
--- a/samphirevale/proxy_runs.py
+++ b/samphirevale/proxy_runs.py
@@ -15,6 +15,7 @@
     proxy_requests,
     routes,
     stage_admission,
+    stage_times,
     stages,
 )
 
@@ -25,10 +26,6 @@
 # The retry delay sent with a refusal whose cause should pass soon, in seconds.
 RETRY_AFTER_SECONDS = 0.5
 
-# Time from a request's arrival at an idle model engine to its first event,
-# without the time to read the prompt, in seconds.
-FIRST_EVENT_SECONDS = 0.05
-
 # Timeout for a whole answer or the first event of a stream, as a factor of the
 # route's target time. It applies if the request may run again elsewhere.
 ANSWER_TIMEOUT_FACTOR = 2.0
@@ -78,6 +75,8 @@
         # Whether an endpoint may have executed this request.
         self._handed_over = False
         self._stages: stages.StageSequenceRun | None = None
+        # Whether the items are queued behind those that are on time.
+        self._late = accepted.returned
 
     async def run(self) -> proxy_requests.Answer:
         """Runs the stages, sends the request and returns the answer."""
@@ -122,37 +121,41 @@
         )
 
     def _refuse_overload(self) -> proxy_requests.Refusal | None:
-        """Returns a refusal if the stages would take too long."""
-        seconds = stages.estimate_stages(
-            self._context.item_runner,
-            self._context.cluster_state,
-            self._route,
-            self._request.item_counts,
-            self._accepted.returned,
-            self._context.clock.now(),
-        )
-        if seconds is None:
+        """Returns a refusal if the stages would take too long.
+
+        Otherwise sets whether the request is queued as a late one.
+        """
+        if not stages.has_endpoints(
+            self._context.cluster_state, self._route, self._request.item_counts
+        ):
             return proxy_requests.Refusal(
                 503, "no_endpoint", RETRY_AFTER_SECONDS
             )
         decision = stage_admission.decide(
             stage_admission.AdmissionRequest(
-                expected_seconds=seconds,
-                bare_seconds=stages.compute_bare_seconds(
-                    self._context.cluster_state,
+                bare_seconds=stage_times.compute_bare_seconds(
+                    self._context.cluster_state.table,
                     self._route,
                     self._request.item_counts,
                 ),
+                shared_queueing_seconds=(
+                    self._context.cluster_state.find_shared_queueing(
+                        self._route
+                    )
+                ),
                 target_seconds=self._route.target_seconds,
+                remaining_seconds=self.compute_remaining_seconds(),
                 model_seconds=self._estimate_model_seconds(),
                 rank=self._accepted.rank,
                 returned=self._accepted.returned,
-            )
+            ),
+            self._estimate_stages,
         )
         fields = {
             name: round(value, 3) for name, value in decision._asdict().items()
         }
-        if decision.is_admitted():
+        if decision.admitted:
+            self._late = decision.late
             self._log_step("stages_begun", **fields)
             return None
         self._context.journal.record_failure(
@@ -163,7 +166,18 @@
             **fields,
         )
         return proxy_requests.Refusal(
-            503, "stages_overloaded", stage_admission.RETRY_AFTER_SECONDS
+            503, "stages_overloaded", decision.compute_retry_seconds()
+        )
+
+    def _estimate_stages(self, late: bool) -> float:
+        """Estimates the completion time of the stages, in seconds from now."""
+        return stages.estimate_stages(
+            self._context.item_runner,
+            self._context.cluster_state,
+            self._route,
+            self._request.item_counts,
+            late,
+            self._context.clock.now(),
         )
 
     def _estimate_model_seconds(self) -> float:
@@ -171,24 +185,22 @@
         endpoint = self._choose_endpoint(())
         if endpoint is None:
             return 0.0
-        reading_seconds = (
-            self._prompt_tokens / placement.PROMPT_TOKENS_PER_SECOND
-        )
-        waiting_seconds = self._context.selector.estimate_delay(endpoint.name)
-        return FIRST_EVENT_SECONDS + reading_seconds + waiting_seconds
+        selector = self._context.selector
+        return selector.prompt_speed.estimate_first_event(
+            self._prompt_tokens
+        ) + selector.estimate_delay(endpoint.name)
 
     def _build_stages(self) -> stages.StageSequenceRun:
+        model_seconds = self._estimate_model_seconds()
         due_at = self._request.received_at
-        if not self._accepted.returned:
-            due_at += (
-                self._route.target_seconds - self._estimate_model_seconds()
-            )
+        if not self._late:
+            due_at += self._route.target_seconds - model_seconds
         constraints = stages.StageConstraints(
             due_at=due_at,
-            deadline_at=self._accepted.deadline_at,
+            deadline_at=self._accepted.deadline_at - model_seconds,
             rank=self._accepted.rank,
             data_centre=self._choose_data_centre(),
-            late=self._accepted.returned,
+            late=self._late,
         )
         return stages.StageSequenceRun(
             self._context.item_runner,
--- a/samphirevale/routes.py
+++ b/samphirevale/routes.py
@@ -169,6 +169,11 @@
         priorities = {account.priority for account in self.accounts.values()}
         return min(priorities - {None})
 
+    def find_batch_limits(self, service: str) -> BatchLimits | None:
+        """Returns the batch limits of a service, or None if it has none."""
+        found = self.services.get(service)
+        return found.batch if found is not None else None
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest prefix that matches the path."""
         for route in self.routes.get(host.lower(), ()):
--- a/samphirevale/stages.py
+++ b/samphirevale/stages.py
@@ -1,6 +1,7 @@
 """Runs the batched stages that precede a request to the back end."""
 
 import contextlib
+import math
 import random
 from collections.abc import AsyncIterator, Callable, Sequence
 from typing import NamedTuple, Protocol
@@ -15,6 +16,7 @@
     errors,
     proxy_requests,
     routes,
+    stage_times,
 )
 from samphirevale.ports import clock as clocks
 from samphirevale.ports import proxies
@@ -72,7 +74,8 @@
     Attributes:
         due_at: the time by which the results must be available if the request
             is to meet its target.
-        deadline_at: the time after which the results are useless.
+        deadline_at: the time by which the results must be available if the
+            request is to meet its deadline.
         rank: the request's priority; 0 is the most urgent.
         data_centre: where the results will be used; empty for anywhere.
         late: whether the request is queued behind those that can still meet
@@ -148,6 +151,20 @@
     return excess * JITTER_SHARE * limits.call_seconds
 
 
+def has_endpoints(
+    known: cluster_state.ClusterState,
+    route: routes.Route,
+    counts: Sequence[int],
+) -> bool:
+    """Returns whether each stage with items has an endpoint."""
+    return all(
+        known.find_batch_limits(stage.service) is not None
+        and known.catalogue.list_accepting(stage.service)
+        for index, stage in enumerate(route.stages)
+        if stage_times.get_item_count(counts, index)
+    )
+
+
 def estimate_stages(
     runner: ItemRunner,
     known: cluster_state.ClusterState,
@@ -155,52 +172,34 @@
     counts: Sequence[int],
     late: bool,
     now: float,
-) -> float | None:
+) -> float:
     """Returns the estimated completion time of all stages, in seconds.
 
-    The time is relative to now, and None if a stage has no endpoint. A late
+    The time is relative to now, and infinite if a stage has no endpoint. A late
     request is queued behind others only in its first stages. Later stages are
     not delayed, as the results that they take occupy memory.
     """
     ends: list[float] = []
     for index, stage in enumerate(route.stages):
         start = max((ends[i] for i in stage.after), default=0.0)
-        if not get_item_count(counts, index):
+        if not stage_times.get_item_count(counts, index):
             ends.append(start)
             continue
         chosen = choose_endpoint(
             runner,
             known,
             stage,
-            get_item_count(counts, index),
+            stage_times.get_item_count(counts, index),
             (),
             late and not stage.after,
             now,
         )
         if chosen is None:
-            return None
+            return math.inf
         ends.append(start + chosen[1])
     return max(ends, default=0.0)
 
 
-def compute_bare_seconds(
-    known: cluster_state.ClusterState,
-    route: routes.Route,
-    counts: Sequence[int],
-) -> float:
-    """Returns the duration of all stages at idle endpoints, in seconds."""
-    ends: list[float] = []
-    for index, stage in enumerate(route.stages):
-        start = max((ends[i] for i in stage.after), default=0.0)
-        limits = known.find_batch_limits(stage.service)
-        count = get_item_count(counts, index)
-        seconds = 0.0
-        if limits is not None and count:
-            seconds = batching.estimate_call_seconds(limits, count)
-        ends.append(start + seconds)
-    return max(ends, default=0.0)
-
-
 def split_items(
     items: list[batching.Item], limits: routes.BatchLimits
 ) -> list[list[batching.Item]]:
@@ -212,11 +211,6 @@
     return [items[start::count] for start in range(count)]
 
 
-def get_item_count(counts: Sequence[int], index: int) -> int:
-    """Returns the number of items of a stage."""
-    return counts[index] if index < len(counts) else 0
-
-
 class StageSequenceRun:
     """Runs the stages of one request and holds their results."""
 
@@ -282,7 +276,7 @@
                 index
                 for index, value in enumerate(levels_after)
                 if value == level
-                and get_item_count(self._request.item_counts, index)
+                and stage_times.get_item_count(self._request.item_counts, index)
             ]
             for level in range(max(levels_after, default=-1), -1, -1)
         ]
@@ -432,6 +426,7 @@
 
     def _build_items(self, index: int) -> list[batching.Item]:
         stage = self._route.stages[index]
+        seconds_after = self._estimate_after(index)
         inputs = tuple(
             stage_result.name
             for i in stage.after
@@ -445,13 +440,13 @@
                 key="" if inputs else self._request.item_key,
                 inputs=inputs,
                 result_bytes=stage.result_bytes,
-                due_at=self._constraints.due_at - self._estimate_after(index),
-                deadline_at=self._constraints.deadline_at,
+                due_at=self._constraints.due_at - seconds_after,
+                deadline_at=self._constraints.deadline_at - seconds_after,
                 rank=self._constraints.rank,
                 ticket=None,
             )
             for item_index in range(
-                get_item_count(self._request.item_counts, index)
+                stage_times.get_item_count(self._request.item_counts, index)
             )
         ]
 
@@ -459,11 +454,11 @@
         """Returns the duration of all later stages at idle endpoints."""
         longest = 0.0
         for later, stage in enumerate(self._route.stages):
-            count = get_item_count(self._request.item_counts, later)
+            count = stage_times.get_item_count(self._request.item_counts, later)
             limits = self._cluster.find_batch_limits(stage.service)
             if index not in stage.after or limits is None:
                 continue
-            seconds = batching.estimate_call_seconds(limits, count)
+            seconds = stage_times.estimate_call_seconds(limits, count)
             longest = max(longest, seconds + self._estimate_after(later))
         return longest
 
