Limit the queue of each service, not of a request's whole path

A service's limit is now set by the routes that use it. A late request is not queued behind others in later stages, so it is admitted only while their queues are short.

--- a/samphirevale/cluster_state.py
+++ b/samphirevale/cluster_state.py
@@ -1,6 +1,5 @@
 """The copy of routes, endpoints and entries that a proxying entry holds."""
 
-import math
 from collections.abc import Collection
 
 from samphirevale import catalogue, freshness, ownership, routes, stage_times
@@ -15,6 +14,8 @@
         endpoints_age: the age of the catalogue.
         catalogue: the known endpoints.
         members: the entries that are alive, including this one.
+        shared_queueing: the shortest queueing time that the routes with a
+            service leave, in seconds, by service.
     """
 
     def __init__(self, keys_seconds: float, me: ownership.Member):
@@ -25,7 +26,7 @@
         self.members: tuple[ownership.Member, ...] = (me,)
         self._me = me
         self._owners: dict[str, str] | None = None
-        self._shared_queueing: dict[str, float] = {}
+        self.shared_queueing: dict[str, float] = {}
 
     def adopt_table(self, table: routes.RouteTable) -> bool:
         """Adopts a table if it is newer; returns whether it was adopted."""
@@ -33,7 +34,7 @@
             return False
         self.table = table
         self._owners = None
-        self._shared_queueing = stage_times.compute_shared_queueing(table)
+        self.shared_queueing = stage_times.compute_shared_queueing(table)
         return True
 
     def adopt_members(self, members: Collection[ownership.Member]) -> bool:
@@ -75,19 +76,6 @@
             return 0
         return self.table.services[service].connections_limit
 
-    def find_shared_queueing(self, route: routes.Route) -> float:
-        """Returns the queueing time that all routes like this one have.
-
-        It is the shortest of those that share a service with it, in seconds.
-        """
-        return min(
-            (
-                self._shared_queueing.get(stage.service, math.inf)
-                for stage in route.stages
-            ),
-            default=math.inf,
-        )
-
     def find_batch_limits(self, service: str) -> routes.BatchLimits | None:
         """Returns the batch limits of a service, or None if it has none."""
         if self.table is None:
--- a/samphirevale/proxy_runs.py
+++ b/samphirevale/proxy_runs.py
@@ -138,11 +138,7 @@
                     self._route,
                     self._request.item_counts,
                 ),
-                shared_queueing_seconds=(
-                    self._context.cluster_state.find_shared_queueing(
-                        self._route
-                    )
-                ),
+                shared_queueing=self._context.cluster_state.shared_queueing,
                 target_seconds=self._route.target_seconds,
                 remaining_seconds=self.compute_remaining_seconds(),
                 model_seconds=self._estimate_model_seconds(),
@@ -169,8 +165,8 @@
             503, "stages_overloaded", decision.compute_retry_seconds()
         )
 
-    def _estimate_stages(self, late: bool) -> float:
-        """Estimates the completion time of the stages, in seconds from now."""
+    def _estimate_stages(self, late: bool) -> stage_admission.StagesEstimate:
+        """Estimates the completion time of the stages and their queues."""
         return stages.estimate_stages(
             self._context.item_runner,
             self._context.cluster_state,
--- a/samphirevale/stage_admission.py
+++ b/samphirevale/stage_admission.py
@@ -17,7 +17,8 @@
 late lane is expected to have room for it.
 """
 
-from collections.abc import Callable
+import math
+from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple
 
 # The least queueing time that is allowed at rank 0, in seconds.
@@ -25,7 +26,7 @@
 
 # Factor on the allowed queueing time for each rank below the most urgent, and
 # its lower bound, so that no rank starves.
-RANK_FACTOR = 0.9
+RANK_FACTOR = 0.85
 RANK_FACTOR_FLOOR = 0.5
 
 # The share of the time to its deadline that a late request may be expected to
@@ -33,17 +34,47 @@
 # first, and a long queue of late ones takes capacity from them.
 LATE_SHARE = 0.1
 
+# The share of the queueing time of a later stage that a late request may find
+# there. It is not queued behind others in that stage.
+LATE_STAGE_SHARE = 0.5
+
 # The bounds of the retry delay that is sent with a refusal, in seconds.
 RETRY_SECONDS_BOUNDS = (0.5, 10.0)
 
 
+class StageWait(NamedTuple):
+    """The queue of one stage.
+
+    Attributes:
+        service: the service that runs the stage.
+        seconds: the estimated time in the queue.
+        later: whether the stage takes results of other stages.
+    """
+
+    service: str
+    seconds: float
+    later: bool
+
+
+class StagesEstimate(NamedTuple):
+    """The estimated times of all stages of a request.
+
+    Attributes:
+        seconds: the completion time of the last stage, from now.
+        waits: the queues of the stages.
+    """
+
+    seconds: float
+    waits: tuple[StageWait, ...]
+
+
 class AdmissionRequest(NamedTuple):
     """The properties of a request on which the admission decision depends.
 
     Attributes:
         bare_seconds: the duration of all stages at idle endpoints.
-        shared_queueing_seconds: the shortest queueing time that the targets of
-            the routes with the same services leave them.
+        shared_queueing: the shortest queueing time that the routes with a
+            service leave, in seconds, by service.
         target_seconds: the target time from arrival to the answer.
         remaining_seconds: the time until the request's deadline.
         model_seconds: the estimated time from the results of the stages to
@@ -53,7 +84,7 @@
     """
 
     bare_seconds: float
-    shared_queueing_seconds: float
+    shared_queueing: Mapping[str, float]
     target_seconds: float
     remaining_seconds: float
     model_seconds: float
@@ -71,6 +102,8 @@
         allowed_seconds: the largest value of expected_seconds that is
             admitted.
         bare_seconds: the duration of all stages at idle endpoints.
+        excess_wait_seconds: how much the queue of the worst stage exceeds what
+            is admitted; negative if none does.
     """
 
     admitted: bool
@@ -78,73 +111,107 @@
     expected_seconds: float
     allowed_seconds: float
     bare_seconds: float
+    excess_wait_seconds: float
 
     def compute_retry_seconds(self) -> float:
         """Returns when a refused request should come back, in seconds.
 
-        By then the queue is expected to have shrunk to what is admitted.
+        By then the queues are expected to have shrunk to what is admitted.
         """
         low, high = RETRY_SECONDS_BOUNDS
-        excess = self.expected_seconds - self.allowed_seconds
+        excess = max(
+            self.expected_seconds - self.allowed_seconds,
+            self.excess_wait_seconds,
+        )
         return min(max(excess, low), high)
 
 
 def decide(
-    request: AdmissionRequest, estimate_seconds: Callable[[bool], float]
+    request: AdmissionRequest,
+    estimate_stages: Callable[[bool], StagesEstimate],
 ) -> Decision:
     """Decides whether to admit a request to its stages, and to which lane.
 
     Args:
         request: the properties of the request.
-        estimate_seconds: returns the estimated completion time of all stages
-            in seconds; the argument tells whether the request is queued
-            behind those that are on time.
+        estimate_stages: returns the estimated times of all stages; the
+            argument tells whether the request is queued behind those that are
+            on time.
     """
     if not request.returned:
-        decision = _build_decision(
-            request,
-            False,
-            estimate_seconds(False),
-            _compute_allowed_on_time(request),
-        )
+        decision = _decide_on_time(request, estimate_stages(False))
         if decision.admitted:
             return decision
+    return _decide_late(request, estimate_stages(True))
+
+
+def _decide_on_time(
+    request: AdmissionRequest, estimate: StagesEstimate
+) -> Decision:
+    share = max(RANK_FACTOR**request.rank, RANK_FACTOR_FLOOR)
+    own_seconds = max(
+        request.target_seconds - request.model_seconds - request.bare_seconds,
+        MIN_QUEUEING_SECONDS,
+    )
+    return _build_decision(
+        request, False, estimate, own_seconds * share, share, estimate.waits
+    )
+
+
+def _decide_late(
+    request: AdmissionRequest, estimate: StagesEstimate
+) -> Decision:
+    spare_seconds = (
+        request.remaining_seconds - request.model_seconds - request.bare_seconds
+    )
     return _build_decision(
-        request, True, estimate_seconds(True), _compute_allowed_late(request)
+        request,
+        True,
+        estimate,
+        max(spare_seconds, 0.0) * LATE_SHARE,
+        LATE_STAGE_SHARE,
+        [wait for wait in estimate.waits if wait.later],
     )
 
 
 def _build_decision(
     request: AdmissionRequest,
     late: bool,
-    expected_seconds: float,
-    allowed_seconds: float,
+    estimate: StagesEstimate,
+    queueing_seconds: float,
+    stage_share: float,
+    waits: Sequence[StageWait],
 ) -> Decision:
+    """Builds a decision.
+
+    Args:
+        request: the properties of the request.
+        late: the lane.
+        estimate: the estimated times in this lane.
+        queueing_seconds: the largest queueing time of all stages together.
+        stage_share: the share of the shared queueing time of a service that
+            the queue of a stage may take.
+        waits: the queues to which that limit applies.
+    """
+    excess = max(
+        (
+            wait.seconds
+            - stage_share * _compute_shared_queueing(request, wait.service)
+            for wait in waits
+        ),
+        default=0.0,
+    )
+    allowed = request.bare_seconds + queueing_seconds
     return Decision(
-        expected_seconds <= allowed_seconds,
+        estimate.seconds <= allowed and excess <= 0,
         late,
-        expected_seconds,
-        allowed_seconds,
+        estimate.seconds,
+        allowed,
         request.bare_seconds,
+        excess,
     )
 
 
-def _compute_allowed_on_time(request: AdmissionRequest) -> float:
-    own_seconds = (
-        request.target_seconds - request.model_seconds - request.bare_seconds
-    )
-    queueing_seconds = max(
-        min(
-            own_seconds, request.shared_queueing_seconds - request.model_seconds
-        ),
-        MIN_QUEUEING_SECONDS,
-    )
-    allowed_share = max(RANK_FACTOR**request.rank, RANK_FACTOR_FLOOR)
-    return request.bare_seconds + queueing_seconds * allowed_share
-
-
-def _compute_allowed_late(request: AdmissionRequest) -> float:
-    spare_seconds = (
-        request.remaining_seconds - request.model_seconds - request.bare_seconds
-    )
-    return request.bare_seconds + max(spare_seconds, 0.0) * LATE_SHARE
+def _compute_shared_queueing(request: AdmissionRequest, service: str) -> float:
+    seconds = request.shared_queueing.get(service, math.inf)
+    return max(seconds - request.model_seconds, MIN_QUEUEING_SECONDS)
--- a/samphirevale/stages.py
+++ b/samphirevale/stages.py
@@ -16,6 +16,7 @@
     errors,
     proxy_requests,
     routes,
+    stage_admission,
     stage_times,
 )
 from samphirevale.ports import clock as clocks
@@ -172,32 +173,35 @@
     counts: Sequence[int],
     late: bool,
     now: float,
-) -> float:
-    """Returns the estimated completion time of all stages, in seconds.
+) -> stage_admission.StagesEstimate:
+    """Returns the estimated completion time of all stages and their queues.
 
     The time is relative to now, and infinite if a stage has no endpoint. A late
     request is queued behind others only in its first stages. Later stages are
     not delayed, as the results that they take occupy memory.
     """
     ends: list[float] = []
+    waits: list[stage_admission.StageWait] = []
     for index, stage in enumerate(route.stages):
         start = max((ends[i] for i in stage.after), default=0.0)
-        if not stage_times.get_item_count(counts, index):
+        count = stage_times.get_item_count(counts, index)
+        if not count:
             ends.append(start)
             continue
         chosen = choose_endpoint(
-            runner,
-            known,
-            stage,
-            stage_times.get_item_count(counts, index),
-            (),
-            late and not stage.after,
-            now,
+            runner, known, stage, count, (), late and not stage.after, now
         )
         if chosen is None:
-            return math.inf
+            return stage_admission.StagesEstimate(math.inf, ())
         ends.append(start + chosen[1])
-    return max(ends, default=0.0)
+        limits = known.find_batch_limits(stage.service)
+        call_seconds = stage_times.estimate_call_seconds(limits, count)
+        waits.append(
+            stage_admission.StageWait(
+                stage.service, chosen[1] - call_seconds, bool(stage.after)
+            )
+        )
+    return stage_admission.StagesEstimate(max(ends, default=0.0), tuple(waits))
 
 
 def split_items(
