Learn from other entries how recent the routes are

Cause: each entry read the store every 0.8 s (1.25 s since the last change) only to know that no key had been revoked, so the calls grew with the fleet.

Change: two entries of each data centre read the store that often; the others ask one of these over a link, and count the answer from the time of their question, so that no clocks are compared.

--- a/samphirevale/entries.py
+++ b/samphirevale/entries.py
@@ -23,6 +23,7 @@
     messages,
     ownership,
     reports,
+    routes_freshness,
 )
 from samphirevale.adapters import link as links
 from samphirevale.ports import clock as clocks
@@ -37,6 +38,12 @@
 # The longest wait for the first message on a link, in seconds.
 HELLO_SECONDS = 1.0
 
+# The timeout of the answer to how recent an entry's routes are, in seconds.
+ROUTES_AGE_SECONDS = 0.5
+
+# The version in such an answer if the entry has no routes.
+NO_ROUTES = -1
+
 # The longest backoff between two attempts to connect, in seconds.
 CONNECT_BACKOFF_LIMIT_SECONDS = 2.0
 
@@ -211,6 +218,7 @@
         build_report: Callable[[float], messages.EntryReport],
         on_members_changed: Callable[[Iterable[ownership.Member]], None],
         on_crashes_reported: Callable[[list[list[str]]], None],
+        get_routes_age: Callable[[float], routes_freshness.Confirmation | None],
         clock: clocks.Clock,
         rng: random.Random,
         log: journal.Journal,
@@ -225,6 +233,7 @@
         self._reporter = reports.Reporter(build_report)
         self._on_members_changed = on_members_changed
         self._on_crashes_reported = on_crashes_reported
+        self._get_routes_age = get_routes_age
         self._clock = clock
         self._rng = rng
         self._journal = log
@@ -367,7 +376,9 @@
             entry.serving[message.exchange] = await curio.spawn(
                 self._serve_items, entry, message, daemon=True
             )
-        elif isinstance(message, messages.ItemsResult):
+        elif isinstance(message, messages.RoutesAgeRequest):
+            await self._send_routes_age(entry, message.exchange)
+        elif isinstance(message, messages.ItemsResult | messages.RoutesAge):
             queue = entry.waiting.get(message.exchange)
             if queue is not None:
                 await queue.put(message)
@@ -378,6 +389,49 @@
         elif isinstance(message, messages.ResultsReleased):
             await self._server.release_results(message)
 
+    async def _send_routes_age(self, entry: Entry, exchange: int) -> None:
+        known = self._get_routes_age(self._clock.now())
+        answer = messages.RoutesAge(exchange, NO_ROUTES, 0.0)
+        if known is not None:
+            answer = messages.RoutesAge(
+                exchange, known.version, known.age_seconds
+            )
+        with contextlib.suppress(errors.PeerClosedError):
+            await entry.link.send(answer, 0)
+
+    def is_linked(self, name: str) -> bool:
+        """Returns whether there is a link to an entry."""
+        return name in self.linked
+
+    async def ask_routes_age(
+        self, name: str
+    ) -> routes_freshness.Confirmation | None:
+        """Asks an entry how recent its routes are.
+
+        Returns:
+            None if the entry does not answer, or has no routes.
+        """
+        entry = self.linked.get(name)
+        if entry is None:
+            return None
+        answer = None
+        request = messages.RoutesAgeRequest(next(self._exchange_ids))
+        with contextlib.suppress(errors.PeerClosedError, curio.TaskTimeout):
+            async with curio.timeout_after(ROUTES_AGE_SECONDS):
+                answer = await self._exchange(entry, request)
+        if answer is None or answer.version == NO_ROUTES:
+            return None
+        return routes_freshness.Confirmation(answer.version, answer.age_seconds)
+
+    async def _exchange(self, entry: Entry, request: Any) -> Any:
+        """Sends a request on a link; returns None if the link ends."""
+        queue = entry.waiting[request.exchange] = curio.Queue()
+        try:
+            await entry.link.send(request, 0)
+            return await queue.get()
+        finally:
+            del entry.waiting[request.exchange]
+
     async def _serve_items(
         self, entry: Entry, pieces: messages.ItemsRequest
     ) -> None:
@@ -421,20 +475,16 @@
             first.rank,
         )
         failed = [proxies.ItemResult("", "error")] * len(items)
-        entry.waiting[exchange] = curio.Queue()
         entry.count_sent(
             endpoint.name, len(items), len(items) * first.result_bytes
         )
         try:
-            await entry.link.send(request, 0)
-            answer = await entry.waiting[exchange].get()
+            answer = await self._exchange(entry, request)
         except errors.PeerClosedError:
             return failed
         except curio.CancelledError:
             await self._cancel_items(entry, exchange)
             raise
-        finally:
-            del entry.waiting[exchange]
         if answer is None or len(answer.results) != len(items):
             return failed
         entry.adopt_queue(endpoint.name, answer.queue)
--- a/samphirevale/freshness.py
+++ b/samphirevale/freshness.py
@@ -34,4 +34,8 @@
 
     def is_usable(self, now: float) -> bool:
         """Returns whether the copy is recent enough for decisions."""
-        return self.compute_age(now) < self.limit_seconds - MARGIN_SECONDS
+        return self.compute_age(now) < self.get_usable_seconds()
+
+    def get_usable_seconds(self) -> float:
+        """Returns the age at which the copy may not be used any more."""
+        return self.limit_seconds - MARGIN_SECONDS
--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -30,6 +30,7 @@
     quarantine,
     retry_budgets,
     routes,
+    routes_freshness,
     watchers,
 )
 from samphirevale.adapters import web
@@ -53,9 +54,13 @@
 # The share of the machine's memory that request bodies may occupy.
 BODY_MEMORY_SHARE = 0.2
 
-# The watch for other entries, in seconds. It may be slow, as the reports of the
-# entries show that they are alive.
-ENTRIES_WATCH = watchers.WatchTimes(wait_seconds=10.0, pause_seconds=1.0)
+# A watch whose copy is confirmed in other ways. It waits as long as a change
+# should be kept in the store's history at least.
+LONG_WATCH = watchers.WatchTimes(wait_seconds=10.0, backoff_seconds=2.0)
+
+# The watch for other entries. It may be slow, as the reports of the entries
+# show that they are alive.
+ENTRIES_WATCH = LONG_WATCH._replace(pause_seconds=1.0)
 
 # The watch of the routes waits for this share of the time after which the copy
 # may not be used any more. One call may then be lost.
@@ -191,11 +196,22 @@
             self._build_report,
             self._adopt_members,
             self._adopt_crashes,
+            self._get_routes_age,
             clock,
             self._rng,
             log,
         )
         self.item_runner.table = self.table
+        self._routes_watcher = self._build_routes_watcher()
+        self.routes_freshness = routes_freshness.RoutesFreshness(
+            settings.instance,
+            self.cluster_state,
+            self.table,
+            self._routes_watcher.read_now,
+            clock,
+            self._rng,
+            log,
+        )
         self._proxy = proxying.Proxy(
             proxy_context.ProxyContext(
                 self.cluster_state,
@@ -238,8 +254,23 @@
         for fingerprint, *attempts in crashed:
             self._quarantine.add_crashes(fingerprint, attempts, now)
 
+    def _get_routes_age(
+        self, now: float
+    ) -> routes_freshness.Confirmation | None:
+        """Returns what this entry knows of the routes, for other entries."""
+        if self.cluster_state.table is None:
+            return None
+        return routes_freshness.Confirmation(
+            self.cluster_state.table.version,
+            self.cluster_state.routes_age.compute_age(now),
+        )
+
     def _adopt_members(self, members: Iterable[ownership.Member]) -> None:
         if self.cluster_state.adopt_members(members):
+            self.routes_freshness.adopt_members(self.cluster_state.members)
+            self._routes_watcher.times = compute_routes_watch(
+                self.settings, self.routes_freshness.is_source
+            )
             self._journal.record_event(
                 "entries_changed",
                 entries=[member.name for member in self.cluster_state.members],
@@ -284,12 +315,6 @@
 
     def build_watchers(self) -> list[watchers.Watcher]:
         """Builds the watchers of routes, endpoints and other entries."""
-        routes_callbacks = watchers.WatchCallbacks(
-            self._adopt_stored_routes,
-            self._adopt_stored_routes,
-            self.cluster_state.routes_age.confirm,
-            _ignore_time,
-        )
         endpoints_callbacks = watchers.WatchCallbacks(
             self._replace_endpoints,
             self._apply_endpoint_changes,
@@ -303,30 +328,44 @@
             _ignore_time,
         )
         return [
-            watchers.Watcher(
-                self._adapters.store,
-                kind,
-                callbacks,
-                self._clock,
-                self._rng,
-                self._journal,
-                times,
-            )
-            for kind, callbacks, times in (
-                (
-                    self._adapters.routes_kind,
-                    routes_callbacks,
-                    compute_routes_watch(self.settings),
-                ),
-                (
-                    self._adapters.endpoints_kind,
-                    endpoints_callbacks,
-                    compute_endpoints_watch(self.settings),
-                ),
-                (entries.KIND, entries_callbacks, ENTRIES_WATCH),
-            )
+            self._routes_watcher,
+            self._build_watcher(
+                self._adapters.endpoints_kind,
+                endpoints_callbacks,
+                compute_endpoints_watch(self.settings),
+            ),
+            self._build_watcher(entries.KIND, entries_callbacks, ENTRIES_WATCH),
         ]
 
+    def _build_routes_watcher(self) -> watchers.Watcher:
+        callbacks = watchers.WatchCallbacks(
+            self._adopt_stored_routes,
+            self._adopt_stored_routes,
+            self.cluster_state.routes_age.confirm,
+            _ignore_time,
+        )
+        return self._build_watcher(
+            self._adapters.routes_kind,
+            callbacks,
+            compute_routes_watch(self.settings, is_source=True),
+        )
+
+    def _build_watcher(
+        self,
+        kind: str,
+        callbacks: watchers.WatchCallbacks,
+        times: watchers.WatchTimes,
+    ) -> watchers.Watcher:
+        return watchers.Watcher(
+            self._adapters.store,
+            kind,
+            callbacks,
+            self._clock,
+            self._rng,
+            self._journal,
+            times,
+        )
+
     def _adopt_stored_routes(
         self, stored: Iterable[objects.StoredObject], now: float
     ) -> None:
@@ -514,11 +553,16 @@
     )
 
 
-def compute_routes_watch(settings: GatewaySettings) -> watchers.WatchTimes:
+def compute_routes_watch(
+    settings: GatewaySettings, is_source: bool
+) -> watchers.WatchTimes:
     """Returns the times of the watch of the routes.
 
-    A new version is read without a pause, as it must be in force soon.
+    A new version is read without a pause, as it must be in force soon. Entries
+    that are no source learn from others that nothing has changed.
     """
+    if not is_source:
+        return LONG_WATCH
     usable_seconds = settings.keys_seconds - freshness.MARGIN_SECONDS
     return watchers.WatchTimes(usable_seconds * ROUTES_WAIT_SHARE)
 
@@ -526,8 +570,8 @@
 def compute_endpoints_watch(settings: GatewaySettings) -> watchers.WatchTimes:
     """Returns the times of the watch of the endpoints."""
     return watchers.WatchTimes(
-        settings.contact_seconds,
-        settings.drain_seconds * ENDPOINTS_PAUSE_SHARE,
+        wait_seconds=settings.contact_seconds,
+        pause_seconds=settings.drain_seconds * ENDPOINTS_PAUSE_SHARE,
     )
 
 
@@ -544,6 +588,7 @@
     functions = [
         *(watcher.run for watcher in gateway.build_watchers()),
         gateway.run_periodic_checks,
+        gateway.routes_freshness.run,
         gateway.serve_callers,
         gateway.serve_readiness,
         gateway.serve_metrics,
--- a/samphirevale/log_schema.py
+++ b/samphirevale/log_schema.py
@@ -89,6 +89,7 @@
         "started": {"settings"},
         "stopped": {"busy"},
         "stopping": {"busy"},
+        "routes_not_read": {"error"},
         "store_lost": {"kind", "error"},
         "store_regained": {"kind"},
         "stream_ended": {*_REQUEST, "outcome", "last_event"},
--- a/samphirevale/messages.py
+++ b/samphirevale/messages.py
@@ -352,6 +352,28 @@
     queue: list
 
 
+@register("routes_age_request")
+class RoutesAgeRequest(NamedTuple):
+    """Asks another entry how recent its routes are."""
+
+    exchange: int
+
+
+@register("routes_age")
+class RoutesAge(NamedTuple):
+    """Answers a RoutesAgeRequest.
+
+    Attributes:
+        exchange: id of the request.
+        version: the version of the sender's routes; -1 if it has none.
+        age_seconds: how long ago the sender's copy was current.
+    """
+
+    exchange: int
+    version: int
+    age_seconds: float
+
+
 @register("pieces_withdrawn")
 class ItemsCancelled(NamedTuple):
     """Cancels the items of an exchange, which are no longer needed."""
--- a/samphirevale/watchers.py
+++ b/samphirevale/watchers.py
@@ -24,7 +24,7 @@
 # seconds.
 OUTAGE_SECONDS = 2.0
 
-# The longest backoff after a failed call, in seconds.
+# The longest backoff after a failed call by default, in seconds.
 BACKOFF_LIMIT_SECONDS = 0.4
 
 
@@ -52,12 +52,14 @@
     Attributes:
         wait_seconds: how long one watch waits for a change. This limits the
             age of the copy.
+        backoff_seconds: the longest backoff after a failed call.
         pause_seconds: the pause before the next watch after a change. Changes
             that come one after the other, such as the registrations at the
             start of a fleet, are then read by one call.
     """
 
     wait_seconds: float = WATCH_SECONDS
+    backoff_seconds: float = BACKOFF_LIMIT_SECONDS
     pause_seconds: float = 0.0
 
 
@@ -65,7 +67,11 @@
 
 
 class Watcher:
-    """Keeps the copy of one kind of stored object."""
+    """Keeps the copy of one kind of stored object.
+
+    Attributes:
+        times: how often the objects are read; may change while it runs.
+    """
 
     def __init__(
         self,
@@ -83,7 +89,7 @@
         self._clock = clock
         self._rng = rng
         self._journal = log
-        self._times = times
+        self.times = times
         self._answered_at: float | None = None
         # Since when calls have failed; None after an answer.
         self._failing_since: float | None = None
@@ -108,12 +114,20 @@
                 self._record_error(error, started_at)
                 pause = backoff.compute_pause(
                     failures,
-                    longest_seconds=BACKOFF_LIMIT_SECONDS,
+                    longest_seconds=self.times.backoff_seconds,
                     rng=self._rng,
                 )
                 failures += 1
                 await self._clock.sleep(pause)
 
+    async def read_now(self) -> None:
+        """Lists the objects once, beside the running watch.
+
+        Raises:
+            errors.StoreError: the store did not answer.
+        """
+        await self._list()
+
     async def _list(self) -> int:
         started_at = self._clock.now()
         listing = await self._store.list_at(self._kind)
@@ -124,7 +138,7 @@
 
     async def _watch(self, version: int) -> int:
         started_at = self._clock.now()
-        seconds = self._times.wait_seconds
+        seconds = self.times.wait_seconds
         # Short watches detect quickly that the store is reachable again.
         if self._failing_since is not None:
             seconds = OUTAGE_WATCH_SECONDS
@@ -133,8 +147,8 @@
         if events.objects:
             self._callbacks.apply_changes(events.objects, self._clock.now())
         self._callbacks.confirm(started_at)
-        if events.objects and self._times.pause_seconds:
-            await self._clock.sleep(self._times.pause_seconds)
+        if events.objects and self.times.pause_seconds:
+            await self._clock.sleep(self.times.pause_seconds)
         return events.version
 
     def _record_answer(self) -> None:
@@ -142,7 +156,7 @@
         previous_at = self._answered_at
         self._answered_at = now
         self._failing_since = None
-        silence_limit = self._times.wait_seconds + OUTAGE_SECONDS
+        silence_limit = self.times.wait_seconds + OUTAGE_SECONDS
         if previous_at is not None and (
             self._store_lost or now - previous_at > silence_limit
         ):
@@ -159,7 +173,7 @@
         if self._failing_since is None:
             # A call that was not answered within its wait may have been
             # without a store from the start.
-            silent = now - started_at >= self._times.wait_seconds
+            silent = now - started_at >= self.times.wait_seconds
             self._failing_since = started_at if silent else now
         if self._store_lost or now - self._failing_since < OUTAGE_SECONDS:
             return
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -5,7 +5,13 @@
 
 import curio
 
-from samphirevale import batching, entries, errors, messages
+from samphirevale import (
+    batching,
+    entries,
+    errors,
+    messages,
+    routes_freshness,
+)
 from samphirevale.adapters import clock
 from samphirevale.ports import objects, proxies
 from tests import base, proxy_fakes
@@ -59,6 +65,7 @@
             ),
             lambda members: setattr(self, "members", list(members)),
             self.crashed.extend,
+            lambda now: routes_freshness.Confirmation(7, 0.25),
             clock.BootClock(),
             random.Random(1),
             proxy_fakes.FakeJournal(),
@@ -144,6 +151,13 @@
             await self.run_items()
             self.assertEqual(STATE, second.estimate_state("e1"))
 
+    async def test_age_of_the_routes_is_answered(self):
+        async with self.run_both():
+            self.find_second()
+            answer = await self.first.table.ask_routes_age("b")
+            self.assertEqual((7, 0.25), answer)
+            self.assertIsNone(await self.first.table.ask_routes_age("c"))
+
     async def test_cancelled_items_are_withdrawn(self):
         async with self.run_both():
             task = await curio.spawn(self.run_items)
--- a/tests/test_watchers.py
+++ b/tests/test_watchers.py
@@ -160,7 +160,7 @@
             self.assertTrue(changes)
             return len(store.calls)
 
-        calls = await count_calls(watchers.WatchTimes(10.0, 1.0))
+        calls = await count_calls(watchers.WatchTimes(10.0, pause_seconds=1.0))
         self.assertLess(calls, 6)
         self.assertGreater(await count_calls(watchers.WatchTimes(10.0)), 60)
 
