Split what watches the store, and registrations and loads, from the entry

Cause: gateway.py had grown to 620 lines and entries.py to 509, each with several jobs. cluster_watch keeps routes, endpoints and entries up to date; gateway_settings and ports/platforms have the types that both need; registrations and load_totals come out of entries. No behaviour changes but one: the line entries_changed has who joined and left and the number of entries in place of all names, as its length at the start of a fleet grew with the square of the fleet.

--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -213,6 +213,22 @@
         "if False:",
         "tests.test_catalogue.CatalogueTest",
     ),
+    _ablate(
+        "age of routes counted from the question",
+        ROUTES_AND_KEYS,
+        "routes_freshness",
+        "asked_at - answer.age_seconds",
+        "self._clock.now() - answer.age_seconds",
+        "tests.test_routes_freshness.SoundnessTest",
+    ),
+    _ablate(
+        "newer routes of another entry do not confirm older ones",
+        ROUTES_AND_KEYS,
+        "routes_freshness",
+        "if answer.version > self._cluster.table.version:",
+        "if False:",
+        "tests.test_routes_freshness.SoundnessTest",
+    ),
     _ablate(
         "objects listed again when the watch history is gone",
         RECOVERY,
--- /dev/null
+++ b/samphirevale/cluster_watch.py
@@ -0,0 +1,287 @@
+"""Keeps the routes, endpoints and entries that an entry knows up to date."""
+
+import random
+from collections.abc import Callable, Iterable
+
+from samphirevale import (
+    catalogue,
+    cluster_state,
+    entries,
+    freshness,
+    gateway_settings,
+    journal,
+    registrations,
+    routes,
+    routes_freshness,
+    watchers,
+)
+from samphirevale.ports import clock as clocks
+from samphirevale.ports import objects, platforms
+
+# A watch whose copy is confirmed in other ways. It waits as long as a change
+# should be kept in the store's history at least.
+LONG_WATCH = watchers.WatchTimes(wait_seconds=10.0, backoff_seconds=2.0)
+
+# The watch for other entries. It may be slow, as the reports of the entries
+# show that they are alive.
+ENTRIES_WATCH = LONG_WATCH._replace(pause_seconds=1.0)
+
+# The watch of the routes waits for this share of the time after which the copy
+# may not be used any more. One call may then be lost.
+ROUTES_WAIT_SHARE = 0.33
+
+# The pause of the watch of the endpoints, as a share of the time after which
+# an endpoint that leaves gets no more work.
+ENDPOINTS_PAUSE_SHARE = 0.15
+
+
+class ClusterWatch:
+    """Watches the store and adopts what has changed.
+
+    Attributes:
+        routes_freshness: confirms the routes through other entries.
+    """
+
+    def __init__(
+        self,
+        settings: gateway_settings.GatewaySettings,
+        adapters: platforms.PlatformAdapters,
+        known: cluster_state.ClusterState,
+        table: entries.EntryTable,
+        on_routes_adopted: Callable[[routes.RouteTable], None],
+        on_endpoint_ended: Callable[[catalogue.Endpoint], None],
+        clock: clocks.Clock,
+        rng: random.Random,
+        log: journal.Journal,
+    ):
+        """Initializes it; `run` of each watcher starts the watches.
+
+        Args:
+            settings: the settings of this entry.
+            adapters: the store, and the decoders of stored objects.
+            known: the state to keep up to date.
+            table: the links to other entries.
+            on_routes_adopted: called with each new route table.
+            on_endpoint_ended: called with an endpoint that is gone or has
+                started again.
+            clock: a clock that includes time while the machine is suspended.
+            rng: the source of jitter.
+            log: the log of changes.
+        """
+        self._settings = settings
+        self._adapters = adapters
+        self._cluster = known
+        self._table = table
+        self._on_routes_adopted = on_routes_adopted
+        self._on_endpoint_ended = on_endpoint_ended
+        self._clock = clock
+        self._rng = rng
+        self._journal = log
+        self._routes_watcher = self._build_routes_watcher()
+        self.routes_freshness = routes_freshness.RoutesFreshness(
+            settings.instance,
+            known,
+            table,
+            self._routes_watcher.read_now,
+            clock,
+            rng,
+            log,
+        )
+
+    def adopt_members(self) -> None:
+        """Adapts the watches to the entries that are alive."""
+        self.routes_freshness.adopt_members(self._cluster.members)
+        self._routes_watcher.times = compute_routes_watch(
+            self._settings, self.routes_freshness.is_source
+        )
+
+    def build_watchers(self) -> list[watchers.Watcher]:
+        """Builds the watchers of routes, endpoints and other entries."""
+        endpoints_callbacks = watchers.WatchCallbacks(
+            self._replace_endpoints,
+            self._apply_endpoint_changes,
+            self._cluster.endpoints_age.confirm,
+            self._cluster.catalogue.start_grace_period,
+        )
+        entries_callbacks = watchers.WatchCallbacks(
+            self._replace_entries,
+            self._apply_entry_changes,
+            _ignore_time,
+            _ignore_time,
+        )
+        return [
+            self._routes_watcher,
+            self._build_watcher(
+                self._adapters.endpoints_kind,
+                endpoints_callbacks,
+                compute_endpoints_watch(self._settings),
+            ),
+            self._build_watcher(
+                registrations.KIND, entries_callbacks, ENTRIES_WATCH
+            ),
+        ]
+
+    def _build_routes_watcher(self) -> watchers.Watcher:
+        callbacks = watchers.WatchCallbacks(
+            self._adopt_stored_routes,
+            self._adopt_stored_routes,
+            self._cluster.routes_age.confirm,
+            _ignore_time,
+        )
+        return self._build_watcher(
+            self._adapters.routes_kind,
+            callbacks,
+            compute_routes_watch(self._settings, is_source=True),
+        )
+
+    def _build_watcher(
+        self,
+        kind: str,
+        callbacks: watchers.WatchCallbacks,
+        times: watchers.WatchTimes,
+    ) -> watchers.Watcher:
+        return watchers.Watcher(
+            self._adapters.store,
+            kind,
+            callbacks,
+            self._clock,
+            self._rng,
+            self._journal,
+            times,
+        )
+
+    def _adopt_stored_routes(
+        self, stored: Iterable[objects.StoredObject], now: float
+    ) -> None:
+        for stored_object in stored:
+            if (
+                stored_object.name == self._adapters.routes_name
+                and stored_object.value
+            ):
+                self._adopt_routes(stored_object)
+
+    def _adopt_routes(self, stored: objects.StoredObject) -> None:
+        try:
+            table = self._adapters.decode_routes(stored.value)
+        except (
+            AttributeError,
+            KeyError,
+            TypeError,
+            ValueError,
+        ) as error:
+            self._journal.record_failure(
+                "routes_malformed", revision=stored.version, error=repr(error)
+            )
+            return
+        if self._cluster.adopt_table(table):
+            self._on_routes_adopted(table)
+            self._journal.record_event(
+                "routes_adopted",
+                version=table.version,
+                revision=stored.version,
+                hosts=len(table.routes),
+            )
+
+    def _replace_endpoints(
+        self, stored: Iterable[objects.StoredObject], now: float
+    ) -> None:
+        decoded = [
+            self._adapters.decode_endpoint(stored_object)
+            for stored_object in stored
+        ]
+        found = [endpoint for endpoint in decoded if endpoint is not None]
+        self._handle_endpoint_changes(
+            self._cluster.catalogue.replace(found, now)
+        )
+
+    def _apply_endpoint_changes(
+        self, stored: Iterable[objects.StoredObject], now: float
+    ) -> None:
+        for stored_object in stored:
+            endpoint = None
+            if stored_object.value is not None:
+                endpoint = self._adapters.decode_endpoint(stored_object)
+            if endpoint is None:
+                changes = self._cluster.catalogue.remove(
+                    stored_object.name, now
+                )
+            else:
+                changes = self._cluster.catalogue.put(endpoint)
+            self._handle_endpoint_changes(changes)
+
+    def _replace_entries(
+        self, stored: Iterable[objects.StoredObject], now: float
+    ) -> None:
+        found = map(registrations.decode_registration, stored)
+        self._table.adopt(
+            [registration for registration in found if registration],
+            whole=True,
+        )
+
+    def _apply_entry_changes(
+        self, stored: Iterable[objects.StoredObject], now: float
+    ) -> None:
+        for stored_object in stored:
+            found = registrations.decode_registration(stored_object)
+            if found is None:
+                self._table.remove(stored_object.name)
+            else:
+                self._table.adopt([found], whole=False)
+
+    def remove_expired(self, now: float) -> None:
+        """Removes the endpoints whose grace period is over."""
+        self._handle_endpoint_changes(
+            self._cluster.catalogue.remove_expired(now)
+        )
+
+    def _handle_endpoint_changes(self, changes: list[catalogue.Change]) -> None:
+        for before, after in changes:
+            if after is None or (
+                before is not None and before.started != after.started
+            ):
+                self._on_endpoint_ended(before)
+            endpoint = after or before
+            self._journal.record_event(
+                "endpoint_changed",
+                endpoint=endpoint.name,
+                service=endpoint.service,
+                address=f"{endpoint.host}:{endpoint.port}",
+                data_centre=endpoint.data_centre,
+                accepting=after.accepting if after else None,
+                started=endpoint.started,
+                gone=after is None,
+            )
+        if changes:
+            self._cluster.invalidate_owners()
+
+
+def compute_routes_watch(
+    settings: gateway_settings.GatewaySettings, is_source: bool
+) -> watchers.WatchTimes:
+    """Returns the times of the watch of the routes.
+
+    A new version is read without a pause, as it must be in force soon. Entries
+    that are no source learn from others that nothing has changed.
+    """
+    if not is_source:
+        return LONG_WATCH
+    usable_seconds = settings.keys_seconds - freshness.MARGIN_SECONDS
+    return watchers.WatchTimes(usable_seconds * ROUTES_WAIT_SHARE)
+
+
+def compute_endpoints_watch(
+    settings: gateway_settings.GatewaySettings,
+) -> watchers.WatchTimes:
+    """Returns the times of the watch of the endpoints."""
+    return watchers.WatchTimes(
+        wait_seconds=settings.contact_seconds,
+        pause_seconds=settings.drain_seconds * ENDPOINTS_PAUSE_SHARE,
+    )
+
+
+def _ignore_time(now: float) -> None:
+    """Ignores the time of a confirmation or recovery of a copy.
+
+    Routes need no grace period, and entries show by their reports that they
+    are alive.
+    """
--- a/samphirevale/entries.py
+++ b/samphirevale/entries.py
@@ -10,7 +10,7 @@
 import itertools
 import random
 from collections.abc import Callable, Iterable, Sequence
-from typing import Any, NamedTuple, Protocol
+from typing import Any, Protocol
 
 import curio
 
@@ -20,17 +20,16 @@
     catalogue,
     errors,
     journal,
+    load_totals,
     messages,
     ownership,
+    registrations,
     reports,
     routes_freshness,
 )
 from samphirevale.adapters import link as links
 from samphirevale.ports import clock as clocks
-from samphirevale.ports import objects, proxies
-
-# The kind of the entries' registrations in the store.
-KIND = "samphirevale-entries"
+from samphirevale.ports import proxies
 
 # The interval between checks for entries to connect to, in seconds.
 DIAL_CHECK_SECONDS = 0.1
@@ -48,85 +47,6 @@
 CONNECT_BACKOFF_LIMIT_SECONDS = 2.0
 
 
-class Registration(NamedTuple):
-    """The address at which other entries connect to an entry.
-
-    Attributes:
-        name: the instance of the entry.
-        host: the host of the entry.
-        port: the port for other entries.
-        token: the token that connecting entries must present; it changes at
-            each start.
-    """
-
-    name: str
-    host: str
-    port: int
-    token: str
-
-
-def decode_registration(stored: objects.StoredObject) -> Registration | None:
-    """Returns the decoded registration, or None if it is malformed."""
-    value = stored.value
-    if not isinstance(value, dict):
-        return None
-    found = Registration(
-        stored.name,
-        value.get("host"),
-        value.get("port"),
-        value.get("token"),
-    )
-    types = (str, str, int, str)
-    if all(map(isinstance, found, types)):
-        return found
-    return None
-
-
-class Load(NamedTuple):
-    """The load that an entry has placed on an endpoint.
-
-    Attributes:
-        running: the number of requests in flight.
-        unread_tokens: the prompt tokens that the endpoint has not read yet.
-    """
-
-    running: int
-    unread_tokens: int
-
-
-NO_LOAD = Load(0, 0)
-
-
-class LoadTotals:
-    """The load of all linked entries at each endpoint.
-
-    The totals change with each report, so that a choice of an endpoint costs
-    the same with any number of entries.
-    """
-
-    def __init__(self):
-        self._totals: dict[str, Load] = {}
-
-    def get(self, endpoint: str) -> Load:
-        """Returns the load of all linked entries at an endpoint."""
-        return self._totals.get(endpoint, NO_LOAD)
-
-    def replace(self, before: dict[str, Load], after: dict[str, Load]) -> None:
-        """Replaces the loads of one entry, by endpoint."""
-        for name in before.keys() | after.keys():
-            total = self.get(name)
-            old = before.get(name, NO_LOAD)
-            new = after.get(name, NO_LOAD)
-            total = Load(
-                total.running + new.running - old.running,
-                total.unread_tokens + new.unread_tokens - old.unread_tokens,
-            )
-            if total == NO_LOAD:
-                self._totals.pop(name, None)
-            else:
-                self._totals[name] = total
-
-
 class ItemServer(Protocol):
     """Runs items for other entries."""
 
@@ -162,7 +82,7 @@
         self.link = link
         self.hello = hello
         self.queues: dict[str, batching.QueueState] = {}
-        self.loads: dict[str, Load] = {}
+        self.loads: dict[str, load_totals.Load] = {}
         self.sent: dict[str, tuple[int, int]] = {}
         self.waiting: dict[int, curio.Queue] = {}
         self.serving: dict[int, curio.Task] = {}
@@ -173,7 +93,9 @@
             name: batching.QueueState(*fields)
             for name, *fields in report.queues
         }
-        self.loads = {name: Load(*fields) for name, *fields in report.loads}
+        self.loads = {
+            name: load_totals.Load(*fields) for name, *fields in report.loads
+        }
         self.sent = {}
 
     def adopt_queue(self, endpoint: str, fields: list) -> None:
@@ -212,7 +134,7 @@
 
     def __init__(
         self,
-        me: Registration,
+        me: registrations.Registration,
         data_centre: str,
         server: ItemServer,
         build_report: Callable[[float], messages.EntryReport],
@@ -224,7 +146,7 @@
         log: journal.Journal,
     ):
         self.linked: dict[str, Entry] = {}
-        self.loads = LoadTotals()
+        self.loads = load_totals.LoadTotals()
         self._me = me
         self._hello = messages.Hello(
             me.name, me.token, "entry", data_centre, "", ""
@@ -237,23 +159,17 @@
         self._clock = clock
         self._rng = rng
         self._journal = log
-        self._registrations: dict[str, Registration] = {}
+        self._registrations: dict[str, registrations.Registration] = {}
         self._dial_tasks: dict[str, curio.Task] = {}
         self._exchange_ids = itertools.count()
 
-    def describe(self) -> dict[str, Any]:
-        """Returns the stored form of this entry's registration."""
-        return {
-            "host": self._me.host,
-            "port": self._me.port,
-            "token": self._me.token,
-        }
-
-    def adopt(self, registrations: Iterable[Registration], whole: bool) -> None:
+    def adopt(
+        self, found: Iterable[registrations.Registration], whole: bool
+    ) -> None:
         """Adopts registrations; if `whole`, removes all others."""
         if whole:
             self._registrations = {}
-        for registration in registrations:
+        for registration in found:
             if registration.name != self._me.name:
                 self._registrations[registration.name] = registration
 
--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -3,8 +3,7 @@
 import contextlib
 import random
 import secrets
-from collections.abc import Callable, Iterable
-from typing import Any, NamedTuple
+from collections.abc import Iterable
 
 import curio
 import prometheus_client
@@ -15,9 +14,10 @@
     batching,
     catalogue,
     cluster_state,
+    cluster_watch,
     entries,
     errors,
-    freshness,
+    gateway_settings,
     input_fingerprints,
     item_routing,
     journal,
@@ -28,14 +28,14 @@
     proxy_context,
     proxying,
     quarantine,
+    registrations,
     retry_budgets,
     routes,
     routes_freshness,
-    watchers,
 )
 from samphirevale.adapters import web
 from samphirevale.ports import clock as clocks
-from samphirevale.ports import objects, proxies
+from samphirevale.ports import platforms
 
 # The interval between periodic checks, in seconds.
 CHECK_SECONDS = 0.1
@@ -54,22 +54,6 @@
 # The share of the machine's memory that request bodies may occupy.
 BODY_MEMORY_SHARE = 0.2
 
-# A watch whose copy is confirmed in other ways. It waits as long as a change
-# should be kept in the store's history at least.
-LONG_WATCH = watchers.WatchTimes(wait_seconds=10.0, backoff_seconds=2.0)
-
-# The watch for other entries. It may be slow, as the reports of the entries
-# show that they are alive.
-ENTRIES_WATCH = LONG_WATCH._replace(pause_seconds=1.0)
-
-# The watch of the routes waits for this share of the time after which the copy
-# may not be used any more. One call may then be lost.
-ROUTES_WAIT_SHARE = 0.33
-
-# The pause of the watch of the endpoints, as a share of the time after which
-# an endpoint that leaves gets no more work.
-ENDPOINTS_PAUSE_SHARE = 0.15
-
 # The largest number of quarantined inputs in a report.
 REPORTED_CRASHES_LIMIT = 20
 
@@ -79,81 +63,13 @@
 METRICS_HEADERS = (("Content-Type", prometheus_client.CONTENT_TYPE_LATEST),)
 
 
-class GatewaySettings(NamedTuple):
-    """The settings of a proxying entry.
-
-    Attributes:
-        instance: the name of the entry.
-        data_centre: the data centre in which the entry runs.
-        caller_host: the listening address for callers.
-        caller_port: the listening port for callers.
-        ready_host: the listening address for readiness checks.
-        ready_port: the listening port for readiness checks.
-        peer_host: the listening address for other entries.
-        peer_port: the listening port for other entries.
-        metrics_port: the listening port for metrics, on `peer_host`.
-        files_limit: the largest number of open files.
-        memory_bytes: the memory of the machine.
-        keys_seconds: the time within which a revoked key must be refused.
-        contact_seconds: the time within which a lost connection to the store
-            must be noticed.
-        drain_seconds: the time after which an endpoint that leaves gets no
-            more work.
-        grace_seconds: the time from the order to stop to the kill.
-        budget: the retry budget, shared by all entries.
-    """
-
-    instance: str
-    data_centre: str
-    caller_host: str
-    caller_port: int
-    ready_host: str
-    ready_port: int
-    peer_host: str
-    peer_port: int
-    metrics_port: int
-    files_limit: int
-    memory_bytes: int
-    keys_seconds: float
-    contact_seconds: float
-    drain_seconds: float
-    grace_seconds: float
-    budget: retry_budgets.RetryBudgetLimits
-
-
-class PlatformAdapters(NamedTuple):
-    """The adapters of an entry and the decoders of stored objects.
-
-    Attributes:
-        store: the object store.
-        routes_kind: the kind of the stored object that contains the routes.
-        routes_name: the name of that object.
-        decode_routes: decodes the value of that object as a route table.
-        endpoints_kind: the kind of the stored objects of endpoints.
-        decode_endpoint: decodes such an object; returns None if it does not
-            describe an endpoint.
-        endpoints: makes the calls to endpoints.
-        build_handler: builds the HTTP handler of callers from a function that
-            answers requests and a clock.
-    """
-
-    store: objects.WatchedStore
-    routes_kind: str
-    routes_name: str
-    decode_routes: Callable[[Any], routes.RouteTable]
-    endpoints_kind: str
-    decode_endpoint: Callable[[objects.StoredObject], catalogue.Endpoint | None]
-    endpoints: proxies.ProxyEndpoints
-    build_handler: Callable[[Any, clocks.Clock], Any]
-
-
 class Gateway:
     """A proxying entry with its state and its tasks."""
 
     def __init__(
         self,
-        settings: GatewaySettings,
-        adapter_set: PlatformAdapters,
+        settings: gateway_settings.GatewaySettings,
+        adapter_set: platforms.PlatformAdapters,
         clock: clocks.Clock,
         log: journal.Journal,
     ):
@@ -184,13 +100,14 @@
         self.item_runner = item_routing.RoutedItemRunner(
             self._dispatcher, self.cluster_state, clock
         )
+        self._registration = registrations.Registration(
+            settings.instance,
+            settings.peer_host,
+            settings.peer_port,
+            secrets.token_hex(16),
+        )
         self.table = entries.EntryTable(
-            entries.Registration(
-                settings.instance,
-                settings.peer_host,
-                settings.peer_port,
-                secrets.token_hex(16),
-            ),
+            self._registration,
             settings.data_centre,
             self.item_runner,
             self._build_report,
@@ -202,12 +119,13 @@
             log,
         )
         self.item_runner.table = self.table
-        self._routes_watcher = self._build_routes_watcher()
-        self.routes_freshness = routes_freshness.RoutesFreshness(
-            settings.instance,
+        self.cluster_watch = cluster_watch.ClusterWatch(
+            settings,
+            adapter_set,
             self.cluster_state,
             self.table,
-            self._routes_watcher.read_now,
+            self._adopt_limits,
+            self._forget_endpoint,
             clock,
             self._rng,
             log,
@@ -266,34 +184,29 @@
         )
 
     def _adopt_members(self, members: Iterable[ownership.Member]) -> None:
+        before = {member.name for member in self.cluster_state.members}
         if self.cluster_state.adopt_members(members):
-            self.routes_freshness.adopt_members(self.cluster_state.members)
-            self._routes_watcher.times = compute_routes_watch(
-                self.settings, self.routes_freshness.is_source
-            )
+            self.cluster_watch.adopt_members()
+            after = {member.name for member in self.cluster_state.members}
             self._journal.record_event(
                 "entries_changed",
-                entries=[member.name for member in self.cluster_state.members],
+                count=len(after),
+                joined=sorted(after - before),
+                left=sorted(before - after),
             )
 
-    def _replace_entries(
-        self, stored: Iterable[objects.StoredObject], now: float
-    ) -> None:
-        found = map(entries.decode_registration, stored)
-        self.table.adopt(
-            [registration for registration in found if registration],
-            whole=True,
+    def _adopt_limits(self, table: routes.RouteTable) -> None:
+        """Adopts the operator's limits on callers' requests."""
+        self._server.limits = compute_limits(self.settings)._replace(
+            head_bytes=table.limits.head_bytes,
+            body_bytes=table.limits.body_bytes,
+            head_seconds=table.limits.head_seconds,
+            idle_seconds=table.limits.idle_seconds,
         )
 
-    def _apply_entry_changes(
-        self, stored: Iterable[objects.StoredObject], now: float
-    ) -> None:
-        for stored_object in stored:
-            found = entries.decode_registration(stored_object)
-            if found is None:
-                self.table.remove(stored_object.name)
-            else:
-                self.table.adopt([found], whole=False)
+    def _forget_endpoint(self, endpoint: catalogue.Endpoint) -> None:
+        self._selector.remove_endpoint(endpoint.name)
+        self._dispatcher.remove_endpoint(endpoint)
 
     async def register(self) -> None:
         """Registers the address of this entry and retries until it succeeds."""
@@ -301,9 +214,9 @@
         while True:
             try:
                 await self._adapters.store.replace(
-                    entries.KIND,
+                    registrations.KIND,
                     self.settings.instance,
-                    self.table.describe(),
+                    registrations.encode_registration(self._registration),
                 )
                 return
             except errors.StoreError as error:
@@ -313,145 +226,6 @@
             )
             failures += 1
 
-    def build_watchers(self) -> list[watchers.Watcher]:
-        """Builds the watchers of routes, endpoints and other entries."""
-        endpoints_callbacks = watchers.WatchCallbacks(
-            self._replace_endpoints,
-            self._apply_endpoint_changes,
-            self.cluster_state.endpoints_age.confirm,
-            self.cluster_state.catalogue.start_grace_period,
-        )
-        entries_callbacks = watchers.WatchCallbacks(
-            self._replace_entries,
-            self._apply_entry_changes,
-            _ignore_time,
-            _ignore_time,
-        )
-        return [
-            self._routes_watcher,
-            self._build_watcher(
-                self._adapters.endpoints_kind,
-                endpoints_callbacks,
-                compute_endpoints_watch(self.settings),
-            ),
-            self._build_watcher(entries.KIND, entries_callbacks, ENTRIES_WATCH),
-        ]
-
-    def _build_routes_watcher(self) -> watchers.Watcher:
-        callbacks = watchers.WatchCallbacks(
-            self._adopt_stored_routes,
-            self._adopt_stored_routes,
-            self.cluster_state.routes_age.confirm,
-            _ignore_time,
-        )
-        return self._build_watcher(
-            self._adapters.routes_kind,
-            callbacks,
-            compute_routes_watch(self.settings, is_source=True),
-        )
-
-    def _build_watcher(
-        self,
-        kind: str,
-        callbacks: watchers.WatchCallbacks,
-        times: watchers.WatchTimes,
-    ) -> watchers.Watcher:
-        return watchers.Watcher(
-            self._adapters.store,
-            kind,
-            callbacks,
-            self._clock,
-            self._rng,
-            self._journal,
-            times,
-        )
-
-    def _adopt_stored_routes(
-        self, stored: Iterable[objects.StoredObject], now: float
-    ) -> None:
-        for stored_object in stored:
-            if (
-                stored_object.name == self._adapters.routes_name
-                and stored_object.value
-            ):
-                self._adopt_routes(stored_object)
-
-    def _adopt_routes(self, stored: objects.StoredObject) -> None:
-        try:
-            table = self._adapters.decode_routes(stored.value)
-        except (
-            AttributeError,
-            KeyError,
-            TypeError,
-            ValueError,
-        ) as error:
-            self._journal.record_failure(
-                "routes_malformed", revision=stored.version, error=repr(error)
-            )
-            return
-        if self.cluster_state.adopt_table(table):
-            limits = table.limits
-            self._server.limits = compute_limits(self.settings)._replace(
-                head_bytes=limits.head_bytes,
-                body_bytes=limits.body_bytes,
-                head_seconds=limits.head_seconds,
-                idle_seconds=limits.idle_seconds,
-            )
-            self._journal.record_event(
-                "routes_adopted",
-                version=table.version,
-                revision=stored.version,
-                hosts=len(table.routes),
-            )
-
-    def _replace_endpoints(
-        self, stored: Iterable[objects.StoredObject], now: float
-    ) -> None:
-        decoded = [
-            self._adapters.decode_endpoint(stored_object)
-            for stored_object in stored
-        ]
-        found = [endpoint for endpoint in decoded if endpoint is not None]
-        self._handle_endpoint_changes(
-            self.cluster_state.catalogue.replace(found, now)
-        )
-
-    def _apply_endpoint_changes(
-        self, stored: Iterable[objects.StoredObject], now: float
-    ) -> None:
-        for stored_object in stored:
-            endpoint = None
-            if stored_object.value is not None:
-                endpoint = self._adapters.decode_endpoint(stored_object)
-            if endpoint is None:
-                changes = self.cluster_state.catalogue.remove(
-                    stored_object.name, now
-                )
-            else:
-                changes = self.cluster_state.catalogue.put(endpoint)
-            self._handle_endpoint_changes(changes)
-
-    def _handle_endpoint_changes(self, changes: list[catalogue.Change]) -> None:
-        for before, after in changes:
-            if after is None or (
-                before is not None and before.started != after.started
-            ):
-                self._selector.remove_endpoint(before.name)
-                self._dispatcher.remove_endpoint(before)
-            endpoint = after or before
-            self._journal.record_event(
-                "endpoint_changed",
-                endpoint=endpoint.name,
-                service=endpoint.service,
-                address=f"{endpoint.host}:{endpoint.port}",
-                data_centre=endpoint.data_centre,
-                accepting=after.accepting if after else None,
-                started=endpoint.started,
-                gone=after is None,
-            )
-        if changes:
-            self.cluster_state.invalidate_owners()
-
     async def run_periodic_checks(self) -> None:
         """Runs the periodic checks until cancelled."""
         logged_at = 0.0
@@ -461,9 +235,7 @@
             if now >= logged_at + QUEUE_LOG_SECONDS:
                 logged_at = now
                 self._log_queues(now)
-            self._handle_endpoint_changes(
-                self.cluster_state.catalogue.remove_expired(now)
-            )
+            self.cluster_watch.remove_expired(now)
             metrics.ROUTES_AGE.set(
                 self.cluster_state.routes_age.compute_age(now)
             )
@@ -497,7 +269,9 @@
             answer, self.settings.ready_host, self.settings.ready_port
         )
 
-    def adopt_settings(self, settings: GatewaySettings) -> None:
+    def adopt_settings(
+        self, settings: gateway_settings.GatewaySettings
+    ) -> None:
         """Adopts the settings that may change at run time.
 
         Addresses may not change.
@@ -541,7 +315,7 @@
         self._journal.record_event("stopped", busy=self._server.busy)
 
 
-def compute_limits(settings: GatewaySettings) -> web.Limits:
+def compute_limits(settings: gateway_settings.GatewaySettings) -> web.Limits:
     """Returns the server limits that follow from the machine's resources.
 
     The operator's limits come with the route table. Each connection of a
@@ -553,42 +327,12 @@
     )
 
 
-def compute_routes_watch(
-    settings: GatewaySettings, is_source: bool
-) -> watchers.WatchTimes:
-    """Returns the times of the watch of the routes.
-
-    A new version is read without a pause, as it must be in force soon. Entries
-    that are no source learn from others that nothing has changed.
-    """
-    if not is_source:
-        return LONG_WATCH
-    usable_seconds = settings.keys_seconds - freshness.MARGIN_SECONDS
-    return watchers.WatchTimes(usable_seconds * ROUTES_WAIT_SHARE)
-
-
-def compute_endpoints_watch(settings: GatewaySettings) -> watchers.WatchTimes:
-    """Returns the times of the watch of the endpoints."""
-    return watchers.WatchTimes(
-        wait_seconds=settings.contact_seconds,
-        pause_seconds=settings.drain_seconds * ENDPOINTS_PAUSE_SHARE,
-    )
-
-
-def _ignore_time(now: float) -> None:
-    """Ignores the time of a confirmation or recovery of a copy.
-
-    Routes need no grace period, and entries show by their reports that they
-    are alive.
-    """
-
-
 async def run(gateway: Gateway) -> None:
     """Runs a proxying entry until it has shut down gracefully."""
     functions = [
-        *(watcher.run for watcher in gateway.build_watchers()),
+        *(watcher.run for watcher in gateway.cluster_watch.build_watchers()),
         gateway.run_periodic_checks,
-        gateway.routes_freshness.run,
+        gateway.cluster_watch.routes_freshness.run,
         gateway.serve_callers,
         gateway.serve_readiness,
         gateway.serve_metrics,
--- /dev/null
+++ b/samphirevale/gateway_settings.py
@@ -0,0 +1,47 @@
+"""The settings of a proxying entry."""
+
+from typing import NamedTuple
+
+from samphirevale import retry_budgets
+
+
+class GatewaySettings(NamedTuple):
+    """The settings of a proxying entry.
+
+    Attributes:
+        instance: the name of the entry.
+        data_centre: the data centre in which the entry runs.
+        caller_host: the listening address for callers.
+        caller_port: the listening port for callers.
+        ready_host: the listening address for readiness checks.
+        ready_port: the listening port for readiness checks.
+        peer_host: the listening address for other entries.
+        peer_port: the listening port for other entries.
+        metrics_port: the listening port for metrics, on `peer_host`.
+        files_limit: the largest number of open files.
+        memory_bytes: the memory of the machine.
+        keys_seconds: the time within which a revoked key must be refused.
+        contact_seconds: the time within which a lost connection to the store
+            must be noticed.
+        drain_seconds: the time after which an endpoint that leaves gets no
+            more work.
+        grace_seconds: the time from the order to stop to the kill.
+        budget: the retry budget, shared by all entries.
+    """
+
+    instance: str
+    data_centre: str
+    caller_host: str
+    caller_port: int
+    ready_host: str
+    ready_port: int
+    peer_host: str
+    peer_port: int
+    metrics_port: int
+    files_limit: int
+    memory_bytes: int
+    keys_seconds: float
+    contact_seconds: float
+    drain_seconds: float
+    grace_seconds: float
+    budget: retry_budgets.RetryBudgetLimits
--- a/samphirevale/log_schema.py
+++ b/samphirevale/log_schema.py
@@ -27,7 +27,7 @@
             "started",
             "gone",
         },
-        "entries_changed": {"entries"},
+        "entries_changed": {"count", "joined", "left"},
         "entry_down": {"entry"},
         "entry_up": {"entry"},
         "failed": {"error"},
--- a/samphirevale/messages.py
+++ b/samphirevale/messages.py
@@ -292,7 +292,7 @@
         queues: queues of the batching endpoints that the sender owns, each
             with the fields of batching.QueueState.
         loads: the sender's calls in flight at other endpoints, each with the
-            fields of entries.Load.
+            fields of load_totals.Load.
         crashed: fingerprints of inputs that crashed endpoints, each with the
             ids of the attempts.
     """
--- a/samphirevale/platform/__main__.py
+++ b/samphirevale/platform/__main__.py
@@ -21,6 +21,7 @@
     node_file,
     store,
 )
+from samphirevale.ports import platforms
 
 EXIT_STOPPED = 0
 EXIT_FAILED = 1
@@ -61,9 +62,9 @@
 
 def build_platform_adapters(
     settings: node_file.NodeFile,
-) -> gateway.PlatformAdapters:
+) -> platforms.PlatformAdapters:
     """Returns the adapters through which the entry uses the platform."""
-    return gateway.PlatformAdapters(
+    return platforms.PlatformAdapters(
         store=store.PlatformStore(
             settings.store_url, store.CALL_SECONDS, store.CALL_SECONDS
         ),
--- a/samphirevale/platform/node_file.py
+++ b/samphirevale/platform/node_file.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 from typing import Any, NamedTuple
 
-from samphirevale import errors, gateway, retry_budgets
+from samphirevale import errors, gateway_settings, retry_budgets
 
 # The environment variable that holds the file's path.
 PATH_VARIABLE = "SAMPHIREVALE_NODE_FILE"
@@ -24,7 +24,7 @@
         store_url: URL of the platform's store.
     """
 
-    gateway: gateway.GatewaySettings
+    gateway: gateway_settings.GatewaySettings
     store_url: str
 
 
@@ -82,7 +82,7 @@
     readiness = reader.read_address("listen.readiness")
     ports = reader.read("port_range", list) or [0, 0]
     first_port = ports[0] if isinstance(ports[0], int) else 0
-    settings = gateway.GatewaySettings(
+    settings = gateway_settings.GatewaySettings(
         instance=reader.read("node_name", str) or "",
         data_centre=reader.read("zone", str) or "",
         caller_host=frontend[0],
--- /dev/null
+++ b/samphirevale/ports/platforms.py
@@ -0,0 +1,34 @@
+"""What a proxying entry needs of the platform on which it runs."""
+
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from samphirevale import catalogue, routes
+from samphirevale.ports import clock as clocks
+from samphirevale.ports import objects, proxies
+
+
+class PlatformAdapters(NamedTuple):
+    """The adapters of an entry and the decoders of stored objects.
+
+    Attributes:
+        store: the object store.
+        routes_kind: the kind of the stored object that contains the routes.
+        routes_name: the name of that object.
+        decode_routes: decodes the value of that object as a route table.
+        endpoints_kind: the kind of the stored objects of endpoints.
+        decode_endpoint: decodes such an object; returns None if it does not
+            describe an endpoint.
+        endpoints: makes the calls to endpoints.
+        build_handler: builds the HTTP handler of callers from a function that
+            answers requests and a clock.
+    """
+
+    store: objects.WatchedStore
+    routes_kind: str
+    routes_name: str
+    decode_routes: Callable[[Any], routes.RouteTable]
+    endpoints_kind: str
+    decode_endpoint: Callable[[objects.StoredObject], catalogue.Endpoint | None]
+    endpoints: proxies.ProxyEndpoints
+    build_handler: Callable[[Any, clocks.Clock], Any]
