Remove functions, a constant and a field that nothing uses

The doc comment of an account's priority claimed that it replaces the route's, which compute_rank does not do.

--- a/samphirevale/configuration.py
+++ b/samphirevale/configuration.py
@@ -139,11 +139,6 @@
 EMPTY = Configuration(0, None)
 
 
-def choose_newer(held: Configuration, received: Configuration) -> Configuration:
-    """Returns the configuration with the higher revision; `held` if equal."""
-    return received if received.revision > held.revision else held
-
-
 def adopt(held: Configuration, received: Configuration) -> Configuration:
     """Returns the configuration to hold after another has been received.
 
--- a/samphirevale/invariants.py
+++ b/samphirevale/invariants.py
@@ -106,8 +106,3 @@
     Returns an empty string if there is none or fatal mode is off.
     """
     return next(iter(_violations), "") if _fatal else ""
-
-
-def list_descriptions() -> dict[str, str]:
-    """Returns the descriptions of all invariants by name."""
-    return dict(_descriptions)
--- a/samphirevale/monitors.py
+++ b/samphirevale/monitors.py
@@ -19,9 +19,6 @@
 # Maximum number of cached prefixes reported to entries.
 PREFIXES_LIMIT = 64
 
-# Maximum age of a load report that may be used, in seconds.
-REPORT_SECONDS_LIMIT = 5.0
-
 
 class CacheView:
     """The prompt prefixes that an engine has cached, built from its events.
--- a/samphirevale/routes.py
+++ b/samphirevale/routes.py
@@ -128,7 +128,7 @@
 
     Attributes:
         name: the name that is sent to endpoints.
-        priority: takes precedence over the priority of routes; None if the
+        priority: raises or lowers the rank of its requests; None if the
             account has no priority.
     """
 
--- a/samphirevale/stages.py
+++ b/samphirevale/stages.py
@@ -251,7 +251,6 @@
         self._take_retry = take_retry
         self._rng = rng
         self._results: dict[int, list[batch_dispatch.StageResult]] = {}
-        self._used: set[int] = set()
 
     async def run(self) -> list[batch_dispatch.StageResult]:
         """Runs all stages and returns the results that the request needs.
