Let the owner of a service in a data centre spread its items

Cause: each endpoint had an owner of its own, and other entries chose among them by reports that are up to half a second old with 30 entries and over a second with 68; to keep them from choosing alike, jitter of up to several calls made the choice nearly random.

It knows these queues exactly and chooses again among them when items arrive; the results say where they are. Jitter is at most one call, and entries prefer their own data centre a little. A test plays three endpoints and reports half a second old: over a tenth more items are in time.

--- a/samphirevale/cluster_state.py
+++ b/samphirevale/cluster_state.py
@@ -13,6 +13,7 @@
         routes_age: the age of the routes and of the accounts' keys.
         endpoints_age: the age of the catalogue.
         catalogue: the known endpoints.
+        data_centre: the data centre of this entry.
         members: the entries that are alive, including this one.
         shared_queueing: the shortest queueing time that the routes with a
             service leave, in seconds, by service.
@@ -24,6 +25,7 @@
         self.endpoints_age = freshness.Freshness(keys_seconds)
         self.catalogue = catalogue.Catalogue()
         self.members: tuple[ownership.Member, ...] = (me,)
+        self.data_centre = me.data_centre
         self._me = me
         self._owners: dict[str, str] | None = None
         self.shared_queueing: dict[str, float] = {}
--- a/samphirevale/entries.py
+++ b/samphirevale/entries.py
@@ -353,8 +353,10 @@
     ) -> None:
         try:
             results = await self._server.serve_items(pieces)
+            endpoint = results[0].endpoint or pieces.endpoint
             answer = messages.ItemsResult(
                 pieces.exchange,
+                endpoint,
                 [outcome.result for outcome in results],
                 [outcome.reason for outcome in results],
                 self._server.describe_queue(pieces.endpoint, self._clock.now()),
@@ -403,9 +405,9 @@
             raise
         if answer is None or len(answer.results) != len(items):
             return failed
-        entry.adopt_queue(endpoint.name, answer.queue)
+        entry.adopt_queue(answer.endpoint, answer.queue)
         return [
-            proxies.ItemResult(*outcome)
+            proxies.ItemResult(*outcome, answer.endpoint)
             for outcome in zip(answer.results, answer.reasons, strict=True)
         ]
 
--- a/samphirevale/item_routing.py
+++ b/samphirevale/item_routing.py
@@ -188,7 +188,48 @@
             )
             for index in pieces.indices
         ]
-        return await self._dispatcher.run_items(endpoint, limits, items)
+        chosen = self._choose_owned(endpoint, limits, items, now)
+        results = await self._dispatcher.run_items(chosen, limits, items)
+        return [result._replace(endpoint=chosen.name) for result in results]
+
+    def _choose_owned(
+        self,
+        endpoint: catalogue.Endpoint,
+        limits: routes.BatchLimits,
+        items: Sequence[batching.Item],
+        now: float,
+    ) -> catalogue.Endpoint:
+        """Chooses among the owned endpoints that are like the requested one.
+
+        The other entry has chosen by reports, which may be old; this one knows
+        the queues exactly.
+        """
+        owner = self._cluster.find_owner(endpoint)
+        candidates = [
+            candidate
+            for candidate in self._cluster.catalogue.list_accepting(
+                endpoint.service
+            )
+            if candidate.data_centre == endpoint.data_centre
+            and self._cluster.find_owner(candidate) == owner
+        ]
+        work = batching.NewItems(
+            len(items),
+            sum(item.result_bytes for item in items),
+            items[0].due_at <= now and not items[0].inputs,
+        )
+        return min(
+            candidates,
+            key=lambda candidate: (
+                batching.estimate_seconds(
+                    self._dispatcher.build_state(candidate, limits, now),
+                    limits,
+                    work,
+                ),
+                candidate.name != endpoint.name,
+            ),
+            default=endpoint,
+        )
 
     async def release_results(self, released: messages.ResultsReleased) -> None:
         """Releases results for another entry."""
--- a/samphirevale/messages.py
+++ b/samphirevale/messages.py
@@ -340,6 +340,8 @@
 
     Attributes:
         exchange: id of the request.
+        endpoint: the endpoint that ran the items, which may be another one of
+            the same service and data centre.
         results: the results' names; empty for an item without a result.
         reasons: why there is no result; empty for an item with a result.
         queue: the state of the endpoint's queue afterwards, with the fields of
@@ -347,6 +349,7 @@
     """
 
     exchange: int
+    endpoint: str
     results: list[str]
     reasons: list[str]
     queue: list
--- a/samphirevale/ports/proxies.py
+++ b/samphirevale/ports/proxies.py
@@ -37,10 +37,13 @@
     Attributes:
         result: the name of the result for later stages; empty on failure.
         reason: the reason of a failure: `late`, `gone`, `room` or `error`.
+        endpoint: the endpoint that stores the result, if the owner of the
+            requested one chose another; empty otherwise.
     """
 
     result: str
     reason: str
+    endpoint: str = ""
 
 
 class ProxyEndpoints(Protocol):
--- a/samphirevale/stages.py
+++ b/samphirevale/stages.py
@@ -33,10 +33,16 @@
 NO_ENDPOINT = "no endpoint"
 
 # Entries that decide on the same reports would all choose the same endpoint.
-# To prevent this, each entry above FEW_ENTRIES adds this share of a call's
-# fixed time to the range of the random jitter on the endpoints' costs.
+# To prevent this, each entry above FEW_ENTRIES adds JITTER_SHARE of a call's
+# fixed time to the range of the random jitter on the endpoints' costs, up to
+# JITTER_CALLS calls.
 FEW_ENTRIES = 4
 JITTER_SHARE = 0.1
+JITTER_CALLS = 1.0
+
+# The cost of an endpoint in another data centre than that of the entry, in
+# seconds. Entries of different data centres then prefer different endpoints.
+REMOTE_SECONDS = 0.05
 
 # The share of an endpoint's memory that one chunk of a request's items may
 # occupy.
@@ -139,6 +145,8 @@
             if data_centre != endpoint.data_centre
         )
         cost = seconds + remote_bytes / 1e6 * REMOTE_SECONDS_PER_MB
+        if endpoint.data_centre != known.data_centre:
+            cost += REMOTE_SECONDS
         if jitter_range:
             cost += rng.uniform(0, jitter_range)
         if best is None or cost < best_cost:
@@ -149,7 +157,7 @@
 def compute_jitter_range(limits: routes.BatchLimits, entries: int) -> float:
     """Returns the range of the jitter on endpoint costs, in seconds."""
     excess = max(entries - FEW_ENTRIES, 0)
-    return excess * JITTER_SHARE * limits.call_seconds
+    return min(excess * JITTER_SHARE, JITTER_CALLS) * limits.call_seconds
 
 
 def has_endpoints(
@@ -392,8 +400,9 @@
             if not result.result:
                 reason = result.reason
                 continue
+            stored_at = self._cluster.catalogue.find(result.endpoint)
             results_by_index[item.index] = batch_dispatch.StageResult(
-                result.result, endpoint, item.result_bytes
+                result.result, stored_at or endpoint, item.result_bytes
             )
             self._results[index] = [
                 results_by_index[key] for key in sorted(results_by_index)
--- a/tests/test_item_routing.py
+++ b/tests/test_item_routing.py
@@ -1,5 +1,7 @@
 """Tests of running items here or at their owner, and of estimates."""
 
+import random
+
 import curio
 
 from samphirevale import (
@@ -9,6 +11,7 @@
     item_routing,
     messages,
     ownership,
+    stage_times,
 )
 from samphirevale.ports import proxies
 from tests import base, proxy_fakes
@@ -56,14 +59,14 @@
         self.endpoint = proxy_fakes.build_endpoint(data_centre="b")
         self.cluster.catalogue.put(self.endpoint)
         self.endpoints = proxy_fakes.FakeEndpoints()
-        dispatcher = batch_dispatch.BatchDispatcher(
+        self.dispatcher = batch_dispatch.BatchDispatcher(
             self.endpoints,
             self.clock,
             proxy_fakes.FakeJournal(),
             lambda _: True,
         )
         self.runner = item_routing.RoutedItemRunner(
-            dispatcher, self.cluster, self.clock
+            self.dispatcher, self.cluster, self.clock
         )
         self.runner.table = FakeTable(self.clock)
 
@@ -115,6 +118,22 @@
         self.assertEqual([linked_result], self.runner.table.released)
         self.assertEqual([local_result], self.endpoints.released)
 
+    async def test_owner_chooses_the_endpoint_with_the_shortest_queue(self):
+        idle = proxy_fakes.build_endpoint("e2", data_centre="b")
+        self.cluster.catalogue.put(idle)
+        self.cluster.catalogue.put(
+            proxy_fakes.build_endpoint("e3", data_centre="c")
+        )
+        now = self.clock.now()
+        queue = self.dispatcher.find_queue(self.endpoint, LIMITS)
+        for index in range(9):
+            queue.add(proxy_fakes.build_item(index, "other", due_at=now + 1))
+        request = messages.ItemsRequest(
+            1, "e1", "a1", 0, [0, 1], "k", [], 100, 900, 5000, 0
+        )
+        results = await self.runner.serve_items(request)
+        self.assertEqual(["e2", "e2"], [result.endpoint for result in results])
+
     async def test_slow_items_raise_the_estimate(self):
         self.link_owner()
         before = self.estimate()
@@ -134,3 +153,75 @@
         self.assertEqual(
             [batch_dispatch.UNSENT] * 2, [outcome.reason for outcome in gone]
         )
+
+
+class StaleReportsTest(base.TestCase):
+    """Simulates entries that choose among three endpoints by old reports."""
+
+    ENDPOINTS = 3
+    REPORT_SECONDS = 0.5
+    TARGET_SECONDS = 0.6
+
+    def simulate(self, owner_chooses):
+        """Returns the number of items that are done in time."""
+        rng = random.Random(4)
+        queues = [batching.BatchQueue(LIMITS) for _ in range(self.ENDPOINTS)]
+        calls = [([], 0.0)] * self.ENDPOINTS
+        arrivals = sorted(rng.uniform(0, 20) for _ in range(720))
+        reported = []
+        reported_at = -self.REPORT_SECONDS
+        in_time = 0
+
+        def estimate(state):
+            work = batching.NewItems(1, 100, False)
+            return batching.estimate_seconds(state, LIMITS, work)
+
+        for at in [*arrivals, 25.0]:
+            in_time += self.run_calls(queues, calls, at)
+            if at >= reported_at + self.REPORT_SECONDS:
+                reported = [queue.build_state(at) for queue in queues]
+                reported_at = at
+            costs = [
+                estimate(state) + rng.uniform(0, LIMITS.call_seconds)
+                for state in reported
+            ]
+            if owner_chooses:
+                costs = [estimate(queue.build_state(at)) for queue in queues]
+            queues[costs.index(min(costs))].add(
+                proxy_fakes.build_item(
+                    0,
+                    f"{at}",
+                    result_bytes=0,
+                    due_at=at + self.TARGET_SECONDS,
+                    deadline_at=at + 9,
+                )
+            )
+        return in_time
+
+    def run_calls(self, queues, calls, until):
+        """Runs the calls that end before a time; returns items in time."""
+        in_time = 0
+        for index, queue in enumerate(queues):
+            batch, ends_at = calls[index]
+            while batch or len(queue):
+                if batch:
+                    if ends_at > until:
+                        break
+                    queue.end_call(batch, [None] * len(batch), ends_at)
+                    in_time += sum(ends_at <= item.due_at for item in batch)
+                batch = queue.take_batch(ends_at)
+                if not batch:
+                    break
+                started_at = max(
+                    ends_at, min(i.due_at for i in batch) - self.TARGET_SECONDS
+                )
+                ends_at = started_at + stage_times.estimate_call_seconds(
+                    LIMITS, len(batch)
+                )
+            calls[index] = (batch, ends_at)
+        return in_time
+
+    def test_choice_of_the_owner_brings_more_items_in_time(self):
+        exact = self.simulate(owner_chooses=True)
+        by_reports = self.simulate(owner_chooses=False)
+        self.assertGreater(exact, by_reports * 1.1)
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -29,6 +29,8 @@
         self.reasons = []
         self.released = []
         self.loads = {}
+        # The endpoint that stores the results, if it is not the called one.
+        self.stored_at = ""
 
     def estimate_seconds(self, endpoint, limits, work, now):
         return 0.1 + self.loads.get(endpoint.name, 0)
@@ -41,6 +43,7 @@
             proxies.ItemResult(
                 "" if reason else f"{endpoint.name}.{i.stage}.{i.index}",
                 reason,
+                self.stored_at,
             )
             for i in items
         ]
@@ -119,6 +122,21 @@
         await self.build_run((1, 1), stage_list).run()
         self.assertEqual(["s2", "s2"], [name for name, _ in self.runner.calls])
 
+    async def test_results_are_released_where_the_owner_stored_them(self):
+        released = []
+
+        async def release(endpoint, names):
+            released.append(endpoint.name)
+
+        self.runner.release = release
+        self.runner.stored_at = "s2"
+        self.runner.loads = {"s2": 9.0}
+        run = self.build_run((1,), CHAIN[:1])
+        (result,) = await run.run()
+        self.assertEqual("s2", result.endpoint.name)
+        await run.release_all()
+        self.assertEqual(["s2"], released)
+
     async def test_failed_items_are_retried(self):
         self.runner.reasons = ["error"]
         self.assertEqual(1, len(await self.build_run((1,), CHAIN[:1]).run()))
