Put late requests behind those on time in their later stages too

Cause: the items of a late request went first in its later stages, as their due time had passed.

Change: later stages of a late request are due within a quarter of the time for which results are stored, and it is admitted only while their queues are at most a quarter of what the routes with that service leave.

An entry's report no longer lists queues that it does not own.

--- a/samphirevale/item_routing.py
+++ b/samphirevale/item_routing.py
@@ -146,12 +146,21 @@
         self._ratios[service] = before + RATIO_WEIGHT * (measured - before)
 
     def describe_queues(self, now: float) -> list[list]:
-        """Returns the states of this entry's queues, for its report."""
+        """Returns the states of this entry's queues, for its report.
+
+        Endpoints of other owners are left out, except for items that still
+        wait here.
+        """
         return [
             [name, *state]
             for name, state in self._dispatcher.build_states(now).items()
+            if state.waiting or state.late or self._owns(name)
         ]
 
+    def _owns(self, name: str) -> bool:
+        endpoint = self._cluster.catalogue.find(name)
+        return endpoint is not None and self._find_owner(endpoint) is None
+
     def describe_queue(self, endpoint: str, now: float) -> list:
         """Returns the fields of a queue's state; empty without a queue."""
         registered = self._cluster.catalogue.find(endpoint)
--- a/samphirevale/stage_admission.py
+++ b/samphirevale/stage_admission.py
@@ -35,8 +35,8 @@
 LATE_SHARE = 0.1
 
 # The share of the queueing time of a later stage that a late request may find
-# there. It is not queued behind others in that stage.
-LATE_STAGE_SHARE = 0.5
+# there. It would delay others in that stage.
+LATE_STAGE_SHARE = 0.25
 
 # The bounds of the retry delay that is sent with a refusal, in seconds.
 RETRY_SECONDS_BOUNDS = (0.5, 10.0)
--- a/samphirevale/stages.py
+++ b/samphirevale/stages.py
@@ -44,6 +44,11 @@
 # seconds. Entries of different data centres then prefer different endpoints.
 REMOTE_SECONDS = 0.05
 
+# The later stages of a late request are due within this share of the time for
+# which results are stored. They then follow the items of requests on time, but
+# do not hold memory for long.
+LATE_HELD_SHARE = 0.25
+
 # The share of an endpoint's memory that one chunk of a request's items may
 # occupy.
 MEMORY_SHARE = 0.6
@@ -439,6 +444,11 @@
     def _build_items(self, index: int) -> list[batching.Item]:
         stage = self._route.stages[index]
         seconds_after = self._estimate_after(index)
+        due_at = self._constraints.due_at - seconds_after
+        limits = self._cluster.find_batch_limits(stage.service)
+        if self._constraints.late and stage.after and limits is not None:
+            held_seconds = limits.result_seconds * LATE_HELD_SHARE
+            due_at = self._clock.now() + held_seconds
         inputs = tuple(
             stage_result.name
             for i in stage.after
@@ -452,7 +462,7 @@
                 key="" if inputs else self._request.item_key,
                 inputs=inputs,
                 result_bytes=stage.result_bytes,
-                due_at=self._constraints.due_at - seconds_after,
+                due_at=due_at,
                 deadline_at=self._constraints.deadline_at - seconds_after,
                 rank=self._constraints.rank,
                 ticket=None,
--- a/tests/test_item_routing.py
+++ b/tests/test_item_routing.py
@@ -134,6 +134,13 @@
         results = await self.runner.serve_items(request)
         self.assertEqual(["e2", "e2"], [result.endpoint for result in results])
 
+    async def test_only_owned_queues_are_reported(self):
+        now = self.clock.now()
+        self.estimate()
+        self.assertEqual(1, len(self.runner.describe_queues(now)))
+        self.link_owner()
+        self.assertEqual([], self.runner.describe_queues(now))
+
     async def test_slow_items_raise_the_estimate(self):
         self.link_owner()
         before = self.estimate()
--- a/tests/test_stage_admission.py
+++ b/tests/test_stage_admission.py
@@ -109,9 +109,9 @@
             estimate = build_estimate(BARE_SECONDS + wait_seconds, later)
             return stage_admission.decide(request, lambda _: estimate).admitted
 
-        self.assertTrue(is_admitted(0.29, later=True))
-        self.assertFalse(is_admitted(0.31, later=True))
-        self.assertTrue(is_admitted(0.31, later=False))
+        self.assertTrue(is_admitted(0.14, later=True))
+        self.assertFalse(is_admitted(0.16, later=True))
+        self.assertTrue(is_admitted(0.16, later=False))
 
     def test_idle_endpoints_admit_every_rank(self):
         self.assertTrue(self.decide(BARE_SECONDS, rank=9).admitted)
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -69,14 +69,16 @@
         self.retries_left -= 1
         return self.retries_left >= 0
 
-    def build_run(self, counts, stage_list=CHAIN):
+    def build_run(self, counts, stage_list=CHAIN, **constraints):
         return stages.StageSequenceRun(
             self.runner,
             self.cluster,
             proxy_fakes.FakeClock(NOW),
             proxy_fakes.build_request(item_counts=counts, item_key="k"),
             proxy_fakes.build_route(stages=stage_list),
-            stages.StageConstraints(NOW + 1, NOW + 5, 0, ""),
+            stages.StageConstraints(NOW + 1, NOW + 5, 0, "")._replace(
+                **constraints
+            ),
             self.take_retry,
             random.Random(1),
         )
@@ -95,6 +97,16 @@
         first, second = (items[0] for _, items in self.runner.calls)
         self.assertAlmostEqual(0.17, second.due_at - first.due_at)
 
+    async def test_later_stages_of_a_late_request_follow_those_on_time(self):
+        run = self.build_run((1, 1), due_at=NOW - 1, late=True)
+        await run.run()
+        (_, (first,)), (_, (later,)) = self.runner.calls
+        self.assertLess(first.due_at, NOW - 1)
+        held_seconds = proxy_fakes.BATCH_LIMITS.result_seconds
+        self.assertAlmostEqual(
+            NOW + held_seconds * stages.LATE_HELD_SHARE, later.due_at
+        )
+
     async def test_results_that_no_stage_takes_are_computed_last(self):
         """The results then occupy memory for the shortest time."""
         stage_list = (routes.Stage("stage", (), 100), *CHAIN[:1])
