--- a/samphirevale/entries.py
+++ b/samphirevale/entries.py
@@ -145,6 +145,21 @@
         rng: random.Random,
         log: journal.Journal,
     ):
+        """Initializes a table without links.
+
+        Args:
+            me: the registration of this entry.
+            data_centre: the data centre of this entry.
+            server: runs items for other entries.
+            build_report: builds the report for the other entries.
+            on_members_changed: called with the linked entries.
+            on_crashes_reported: called with the crashes that an entry reports.
+            get_routes_age: returns how recent the routes of this entry are;
+                None if it has none.
+            clock: a clock that includes time while the machine is suspended.
+            rng: the source of jitter.
+            log: the log of links.
+        """
         self.linked: dict[str, Entry] = {}
         self.loads = load_totals.LoadTotals()
         self._me = me
--- a/samphirevale/stage_admission.py
+++ b/samphirevale/stage_admission.py
@@ -2,7 +2,7 @@
 
 The load that this answers is a burst beyond what the batching endpoints can do.
 A request that misses its target then takes capacity from one that could meet
-it. Requests are therefore admitted to one of two lanes:
+it. Requests are therefore admitted in one of two ways:
 
 - On time: the request is expected to meet its target. The target leaves it a
   certain queueing time. Where kinds of requests share a service, none may use
@@ -13,8 +13,8 @@
   is queued behind those on time, so it is admitted if even then a margin
   remains until its deadline.
 
-A request that fits into neither lane is refused with the time after which the
-late lane is expected to have room for it.
+A request that can be admitted in neither way is refused with the time after
+which the queues are expected to have room for it as a late one.
 """
 
 import math
@@ -130,7 +130,7 @@
     request: AdmissionRequest,
     estimate_stages: Callable[[bool], StagesEstimate],
 ) -> Decision:
-    """Decides whether to admit a request to its stages, and to which lane.
+    """Decides whether to admit a request to its stages, and whether as late.
 
     Args:
         request: the properties of the request.
@@ -186,8 +186,8 @@
 
     Args:
         request: the properties of the request.
-        late: the lane.
-        estimate: the estimated times in this lane.
+        late: whether the request is queued behind those that are on time.
+        estimate: the estimated times in that case.
         queueing_seconds: the largest queueing time of all stages together.
         stage_share: the share of the shared queueing time of a service that
             the queue of a stage may take.
--- a/tests/test_proxying.py
+++ b/tests/test_proxying.py
@@ -328,7 +328,7 @@
         self.assertTrue(await self.is_queued_as_late())
 
     async def is_queued_as_late(self):
-        """Returns the lane to which a request was admitted."""
+        """Returns whether a request is admitted as a late one."""
         self.journal.lines.clear()
         script = proxy_fakes.FakeAnswer([b"x"])
         answer = await self.answer(script, item_counts=(1,), wait_seconds=20.0)
--- a/tests/test_stage_admission.py
+++ b/tests/test_stage_admission.py
@@ -65,7 +65,7 @@
     """Tests single decisions."""
 
     def decide(self, expected_seconds, late_seconds=100.0, **changes):
-        """Decides with a late lane that is full unless stated otherwise."""
+        """Decides; the queues are full for late requests unless stated."""
         return stage_admission.decide(
             build_request(**changes),
             lambda late: build_estimate(
