Log why a broken stream was not resumed

The record tells that a request ended without an answer beside a change of the configuration, but our lines say only that a stream was silent for too long: whether its route, its attempts, the retry budget, a stage or the endpoints kept it from going on elsewhere cannot be told apart. The outcome of the stream now names it. No decision changes.

--- a/samphirevale/event_streams.py
+++ b/samphirevale/event_streams.py
@@ -93,6 +93,7 @@
             ):
                 self._exchange = await self._run.resume(self._order.last)
         except (errors.AnswerLostError, curio.TaskTimeout) as error:
+            reason = f"{reason}; not resumed: {error}"
             self._run.log_stream_end(reason, self._order.last)
             raise errors.AnswerLostError(reason) from error
         self._splitter = events.EventSplitter()
--- a/samphirevale/proxy_runs.py
+++ b/samphirevale/proxy_runs.py
@@ -475,7 +475,7 @@
                 raise errors.AnswerLostError(str(error)) from error
             endpoint = self._choose_endpoint(())
             if endpoint is None:
-                break
+                raise errors.AnswerLostError(self._explain_no_endpoint())
             self._tried.add(endpoint.name)
             exchange = exchanges.Exchange(
                 self._context, endpoint, self._prompt_tokens
@@ -491,7 +491,20 @@
             except BaseException:
                 await exchange.close(failed=False)
                 raise
-        raise errors.AnswerLostError("the stream cannot be resumed")
+        raise errors.AnswerLostError(self._explain_no_resend())
+
+    def _explain_no_resend(self) -> str:
+        """Returns why a request that may have run is not sent again."""
+        if not self._route.may_run_again():
+            return "not_resumable"
+        if self._runs >= self._route.attempts_limit:
+            return "no_attempt_left"
+        crashes = input_fingerprints.count_input_crashes(
+            self._context, self._accepted.fingerprint
+        )
+        if crashes >= input_fingerprints.CRASHES_LIMIT:
+            return "input_crashes_endpoints"
+        return "no_retry_left"
 
     async def _run_stages_again(self) -> tuple[str, ...]:
         """Runs the stages again.
--- a/tests/test_proxying.py
+++ b/tests/test_proxying.py
@@ -273,6 +273,22 @@
         with self.assertRaises(errors.AnswerLostError):
             await self.read_stream(answer)
 
+    async def test_end_of_a_stream_tells_why_it_was_not_resumed(self):
+        self.cluster.catalogue.remove("p2", NOW)
+        answer = await self.answer(
+            self.build_stream(b"id: 1\n\n", proxy_fakes.LOST_ANSWER)
+        )
+        with self.assertRaises(errors.AnswerLostError):
+            await self.read_stream(answer)
+        (outcome,) = [
+            fields["outcome"]
+            for _, event, fields in self.journal.lines
+            if event == "stream_ended"
+        ]
+        self.assertEqual(
+            "AnswerLostError: lost; not resumed: no_endpoint", outcome
+        )
+
     async def test_disconnect_of_the_caller_closes_the_exchange(self):
         exchange = self.build_stream(b"id: 1\n\n", b"id: 2\n\n")
         answer = await self.answer(exchange)
