Show by tests that a silent endpoint's stream is cut

A sound endpoint may send nothing for a second or so and go on. After 1.2 s the entry closes its exchange and only then looks whether the stream can go on elsewhere; if the retry budget is used up or a stage cannot run again, the caller's connection is closed in the middle of the answer.

--- a/tests/proxy_fakes.py
+++ b/tests/proxy_fakes.py
@@ -1,5 +1,7 @@
 """Fakes of the services that a proxying entry uses; none opens a socket."""
 
+import time
+
 import curio
 
 from samphirevale import (
@@ -132,21 +134,44 @@
     return item._replace(**changes)
 
 
+class Silence:
+    """A part of an answer: nothing arrives for a time, in seconds."""
+
+    def __init__(self, seconds):
+        self._seconds = seconds
+        self._ends_at = None
+
+    async def wait(self):
+        now = time.monotonic()
+        if self._ends_at is None:
+            self._ends_at = now + self._seconds
+        await curio.sleep(max(self._ends_at - now, 0))
+
+
 class FakeAnswer:
-    """An answer made of a list of parts; exceptions in it are raised."""
+    """An answer made of a list of parts.
+
+    Exceptions among them are raised. A read that was cancelled in a silence
+    goes on there.
+    """
 
     def __init__(self, parts, status=200, streamed=False):
         self.status = status
         self.headers = ((b"X-Seal", b"s"),)
         self.streamed = streamed
         self.closed = False
-        self._parts = parts
+        self._parts = list(parts)
 
     async def read_parts(self):
-        for part in self._parts:
+        while self._parts:
+            part = self._parts[0]
+            if isinstance(part, Silence):
+                await part.wait()
+            del self._parts[0]
             if isinstance(part, Exception):
                 raise part
-            yield part
+            if isinstance(part, bytes):
+                yield part
 
     async def close(self):
         self.closed = True
--- a/tests/test_proxying.py
+++ b/tests/test_proxying.py
@@ -64,6 +64,7 @@
         self.runner = FakeItemRunner()
         self.journal = proxy_fakes.FakeJournal()
         self.closed = False
+        self.budget_limits = retry_budgets.RetryBudgetLimits(0.2, 50, 10.0)
         self.quarantine = quarantine.Quarantine(
             input_fingerprints.CRASHES_SECONDS
         )
@@ -77,9 +78,7 @@
             self.cluster,
             placement.EndpointSelector(random.Random(1)),
             self.runner,
-            retry_budgets.RetryBudget(
-                retry_budgets.RetryBudgetLimits(0.2, 50, 10.0)
-            ),
+            retry_budgets.RetryBudget(self.budget_limits),
             self.quarantine,
             self.endpoints,
             self.clock,
@@ -289,6 +288,52 @@
             "AnswerLostError: lost; not resumed: no_endpoint", outcome
         )
 
+    async def test_stream_of_a_silent_endpoint_is_not_cut_without_retries(self):
+        self.budget_limits = retry_budgets.RetryBudgetLimits(0.0, 0, 10.0)
+        answer = await self.answer(
+            self.build_stream(
+                b"id: 1\n\n", proxy_fakes.Silence(2.5), b"id: 2\n\n"
+            )
+        )
+        self.assertEqual(b"id: 1\n\nid: 2\n\n", await self.read_stream(answer))
+
+    async def test_stream_of_a_silent_endpoint_is_not_cut_by_a_failed_stage(
+        self,
+    ):
+        self.use_route(
+            proxy_fakes.build_route(
+                repeatable=False,
+                streamed=True,
+                resumable=True,
+                stages=(routes.Stage("stage", (), 100),),
+            )
+        )
+        answer = await self.answer(
+            self.build_stream(
+                b"id: 1\n\n", proxy_fakes.Silence(2.5), b"id: 2\n\n"
+            ),
+            item_counts=(1,),
+        )
+        self.runner.reason = "late"
+        self.assertEqual(b"id: 1\n\nid: 2\n\n", await self.read_stream(answer))
+
+    async def test_stream_of_a_briefly_silent_endpoint_stays_there(self):
+        answer = await self.answer(
+            self.build_stream(
+                b"id: 1\n\n", proxy_fakes.Silence(1.5), b"id: 2\n\n"
+            ),
+            self.build_stream(b"id: 2\n\n"),
+        )
+        self.assertEqual(b"id: 1\n\nid: 2\n\n", await self.read_stream(answer))
+        self.assertEqual(1, len(self.endpoints.sends))
+
+    async def test_stream_of_a_dead_endpoint_is_resumed_at_another(self):
+        answer = await self.answer(
+            self.build_stream(b"id: 1\n\n", proxy_fakes.Silence(50.0)),
+            self.build_stream(b"id: 2\n\n"),
+        )
+        self.assertEqual(b"id: 1\n\nid: 2\n\n", await self.read_stream(answer))
+
     async def test_disconnect_of_the_caller_closes_the_exchange(self):
         exchange = self.build_stream(b"id: 1\n\n", b"id: 2\n\n")
         answer = await self.answer(exchange)
