Read a silent endpoint's stream until another one can take over

Callers saw: a stream that had begun ended in the middle, without an answer or a refusal, though its endpoint was sound and went on after a second or so of silence.

Cause: a watchdog that gives up what it has before it knows of something better. After 1.2 s without an event the exchange was closed first; then the stages ran again and an endpoint was looked for. With no retry left in the budget (a share of it per entry), a stage that was late or no endpoint, the caller's connection was closed.

Now a silence of 2 s only begins the preparation: the stages run again and an endpoint is chosen while the silent one is still read. Whichever comes first wins: an event ends the preparation and releases its results; a prepared resumption that the retry budget covers closes the old exchange, as two endpoints may not work on one stream. If nothing can take over, the stream is read until the request's deadline. A broken connection is resumed at once, as before. A read that is cancelled loses nothing, which the port now says.

Ruled out by reading: limits adopted from a new configuration act on the next request; a route or key that is gone acts on acceptance only; whole answers end in a 502 or 504, which is an answer. Streams that may not be resumed already waited for their deadline.

--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -67,8 +67,9 @@
         "attempt with a lost answer not repeated",
         NO_REPEATED_WORK,
         "proxy_runs",
-        "            and self._route.may_run_again()\n",
-        "",
+        "if not self._route.may_run_again():\n"
+        '            return "not_resumable"',
+        'if False:\n            return "not_resumable"',
         f"{_PROXYING}.CompleteAnswerTest"
         ".test_request_that_may_have_run_is_not_sent_again",
     ),
@@ -97,6 +98,24 @@
         "if False:",
         "tests.test_events.EventOrderTest",
     ),
+    _ablate(
+        "streams of silent endpoints read until another can take over",
+        STREAMS,
+        "event_streams",
+        "        return await self._read_silent()\n",
+        "        return _Reading(prepared=await self._run.prepare_resume())\n",
+        f"{_PROXYING}.StreamTest"
+        ".test_stream_of_a_silent_endpoint_is_not_cut_without_retries",
+    ),
+    _ablate(
+        "endpoint that is silent for a second kept",
+        STREAMS,
+        "proxy_runs",
+        "SILENCE_SECONDS = 2.0",
+        "SILENCE_SECONDS = 1.0",
+        f"{_PROXYING}.StreamTest"
+        ".test_stream_of_a_briefly_silent_endpoint_stays_there",
+    ),
     _ablate(
         "older versions of the routes rejected",
         ROUTES_AND_KEYS,
--- a/samphirevale/log_schema.py
+++ b/samphirevale/log_schema.py
@@ -93,6 +93,7 @@
         "store_lost": {"kind", "error"},
         "store_regained": {"kind"},
         "stream_ended": {*_REQUEST, "outcome", "last_event"},
+        "stream_silent": {*_REQUEST, "outcome", "last_event"},
     }.items()
 }
 
--- a/samphirevale/ports/proxies.py
+++ b/samphirevale/ports/proxies.py
@@ -23,6 +23,8 @@
     def read_parts(self) -> AsyncIterator[bytes]:
         """Yields the parts of the body.
 
+        After an iteration was cancelled, a further call goes on where it was.
+
         Raises:
             errors.TransportError: the body is incomplete.
         """
--- a/samphirevale/proxy_runs.py
+++ b/samphirevale/proxy_runs.py
@@ -30,8 +30,9 @@
 # route's target time. It applies if the request may run again elsewhere.
 ANSWER_TIMEOUT_FACTOR = 2.0
 
-# Timeout between two events of a stream that may be resumed, in seconds.
-EVENT_TIMEOUT_SECONDS = 1.2
+# The silence after which a stream may go on at another endpoint, in seconds. An
+# endpoint that works may be silent for about a second.
+SILENCE_SECONDS = 2.0
 
 
 class AcceptedRequest(NamedTuple):
@@ -214,6 +215,12 @@
         endpoint = self._choose_endpoint(())
         return endpoint.data_centre if endpoint is not None else ""
 
+    def _has_retry(self, service: str) -> bool:
+        cluster = self._context.cluster_state
+        return self._context.budget.has_retry(
+            service, len(cluster.members), self._context.clock.now()
+        )
+
     def _take_retry(self, service: str) -> bool:
         cluster = self._context.cluster_state
         return self._context.budget.take(
@@ -285,14 +292,14 @@
                 self._handed_over = True
                 self.record_crash(endpoint)
                 self._log_send_failure(endpoint, error)
-                if not self._may_send_again():
+                if not self.may_send_again():
                     return proxy_requests.Refusal(502, "answer_lost")
                 continue
             failed = (
                 isinstance(answer, proxy_requests.CompleteAnswer)
                 and answer.status >= 500
             )
-            if failed and self._may_send_again():
+            if failed and self.may_send_again():
                 continue
             if isinstance(answer, proxy_requests.CompleteAnswer):
                 self._log_step("request_answered", status=answer.status)
@@ -334,20 +341,33 @@
             error=f"{type(error).__name__}: {error}",
         )
 
-    def _may_send_again(self) -> bool:
+    def may_send_again(self) -> bool:
         """Returns whether a request that may have run may be sent again.
 
         If so, this takes a retry from the budget.
         """
+        return not self._find_resend_obstacle() and self._take_retry(
+            self._accepted.service
+        )
+
+    def _find_resend_obstacle(self) -> str:
+        """Returns why a request that may have run may not be sent again.
+
+        Returns:
+            The reason as words joined by `_`; empty if it may be sent again.
+        """
+        if not self._route.may_run_again():
+            return "not_resumable" if self._route.streamed else "not_repeatable"
+        if self._runs >= self._route.attempts_limit:
+            return "no_attempt_left"
         crashes = input_fingerprints.count_input_crashes(
             self._context, self._accepted.fingerprint
         )
-        return (
-            crashes < input_fingerprints.CRASHES_LIMIT
-            and self._route.may_run_again()
-            and self._runs < self._route.attempts_limit
-            and self._take_retry(self._accepted.service)
-        )
+        if crashes >= input_fingerprints.CRASHES_LIMIT:
+            return "input_crashes_endpoints"
+        if not self._has_retry(self._accepted.service):
+            return "no_retry_left"
+        return ""
 
     async def _send_once(
         self, endpoint: catalogue.Endpoint, results: tuple[str, ...]
@@ -458,53 +478,76 @@
             answer.status, answer.headers, stream
         )
 
-    async def resume(self, last_event: int | None) -> exchanges.Exchange:
+    async def prepare_resume(self) -> event_streams.PreparedResume:
+        """Runs the stages again and chooses another endpoint.
+
+        The results of the stages were released after the first event.
+
+        Raises:
+            errors.AnswerLostError: the request may not be sent again, a stage
+                failed, or no endpoint accepts the request.
+        """
+        obstacle = self._find_resend_obstacle()
+        if not obstacle and self._choose_endpoint(()) is None:
+            obstacle = self._explain_no_endpoint()
+        if obstacle:
+            raise errors.AnswerLostError(obstacle)
+        try:
+            results = await self._run_stages_again()
+        except errors.EarlierStageError as error:
+            raise errors.AnswerLostError(str(error)) from error
+        endpoint = self._choose_endpoint(())
+        if endpoint is None:
+            raise errors.AnswerLostError(self._explain_no_endpoint())
+        return event_streams.PreparedResume(endpoint, results)
+
+    async def resume(
+        self,
+        last_event: int | None,
+        prepared: event_streams.PreparedResume | None,
+    ) -> exchanges.Exchange:
         """Resumes a stream at another endpoint.
 
-        The stages run again, as their results were released after the first
-        event.
+        Args:
+            last_event: the number of the last event that was received.
+            prepared: where to resume it first, after `may_send_again`; None
+                to prepare that now.
 
         Raises:
             errors.AnswerLostError: the stream may not be resumed, or no
                 endpoint accepts it.
         """
-        while self._may_send_again():
-            try:
-                results = await self._run_stages_again()
-            except errors.EarlierStageError as error:
-                raise errors.AnswerLostError(str(error)) from error
-            endpoint = self._choose_endpoint(())
-            if endpoint is None:
-                raise errors.AnswerLostError(self._explain_no_endpoint())
-            self._tried.add(endpoint.name)
-            exchange = exchanges.Exchange(
-                self._context, endpoint, self._prompt_tokens
-            )
-            try:
-                await self._open(exchange, endpoint, results, last_event)
-                if exchange.answer.streamed:
-                    return exchange
-                await exchange.close(failed=True)
-            except errors.TransportError as error:
-                self._log_send_failure(endpoint, error)
-                await exchange.close(failed=True)
-            except BaseException:
-                await exchange.close(failed=False)
-                raise
-        raise errors.AnswerLostError(self._explain_no_resend())
-
-    def _explain_no_resend(self) -> str:
-        """Returns why a request that may have run is not sent again."""
-        if not self._route.may_run_again():
-            return "not_resumable"
-        if self._runs >= self._route.attempts_limit:
-            return "no_attempt_left"
-        crashes = input_fingerprints.count_input_crashes(
-            self._context, self._accepted.fingerprint
+        while True:
+            if prepared is None:
+                prepared = await self.prepare_resume()
+                if not self.may_send_again():
+                    raise errors.AnswerLostError(self._find_resend_obstacle())
+            exchange = await self._open_resumed(last_event, prepared)
+            if exchange is not None:
+                return exchange
+            prepared = None
+
+    async def _open_resumed(
+        self, last_event: int | None, prepared: event_streams.PreparedResume
+    ) -> exchanges.Exchange | None:
+        """Resumes a stream at one endpoint; returns None if that failed."""
+        endpoint = prepared.endpoint
+        self._tried.add(endpoint.name)
+        exchange = exchanges.Exchange(
+            self._context, endpoint, self._prompt_tokens
         )
-        if crashes >= input_fingerprints.CRASHES_LIMIT:
-            return "input_crashes_endpoints"
-        return "no_retry_left"
+        try:
+            await self._open(exchange, endpoint, prepared.results, last_event)
+            if exchange.answer.streamed:
+                return exchange
+            await exchange.close(failed=True)
+        except errors.TransportError as error:
+            self._log_send_failure(endpoint, error)
+            await exchange.close(failed=True)
+        except BaseException:
+            await exchange.close(failed=False)
+            raise
+        return None
 
     async def _run_stages_again(self) -> tuple[str, ...]:
         """Runs the stages again.
@@ -514,10 +557,10 @@
         """
         if not self._route.stages:
             return ()
-        if self._stages is not None:
-            await self._stages.release_all()
+        await self.release_results()
         self._stages = self._build_stages()
-        results = await self._stages.run()
+        async with stages.release_on_error(self._stages):
+            results = await self._stages.run()
         return tuple(stage_result.name for stage_result in results)
 
     async def release_results(self) -> None:
@@ -529,13 +572,24 @@
         """Returns the timeout for the next event of a stream, in seconds."""
         remaining = self.compute_remaining_seconds()
         if self._route.resumable and self._runs < self._route.attempts_limit:
-            return min(remaining, EVENT_TIMEOUT_SECONDS)
+            return min(remaining, SILENCE_SECONDS)
         return remaining
 
     def compute_remaining_seconds(self) -> float:
         """Returns the time until the request's deadline, in seconds."""
         return self._accepted.deadline_at - self._context.clock.now()
 
+    def log_silence(self, last: int | None, outcome: str) -> None:
+        """Logs that the endpoint was silent, and what came of it."""
+        now = self._context.clock.now()
+        self._context.journal.record_failure(
+            "stream_silent",
+            request=self._request.attempt,
+            outcome=outcome,
+            last_event=last,
+            seconds=round(now - self._request.received_at, 3),
+        )
+
     def log_stream_end(self, outcome: str, last: int | None) -> None:
         """Logs the end of a stream."""
         now = self._context.clock.now()
--- a/samphirevale/retry_budgets.py
+++ b/samphirevale/retry_budgets.py
@@ -54,9 +54,13 @@
         total = self.limits.ratio * first_sends + allowance
         return USED_SHARE * total - retries
 
+    def has_retry(self, service: str, entries: int, now: float) -> bool:
+        """Returns whether a retry is left."""
+        return self.compute_remaining(service, entries, now) >= 1
+
     def take(self, service: str, entries: int, now: float) -> bool:
         """Takes one retry from the budget; returns whether one was left."""
-        if self.compute_remaining(service, entries, now) < 1:
+        if not self.has_retry(service, entries, now):
             return False
         self._list_recent(self._retries, service, now).append(now)
         return True
