Log the version of endpoints' software and streams that callers take up

The version is decoded with the endpoint, logged when an endpoint changes and with each send, and an accepted request tells the last event and the first attempt that its caller names. An object without a version names no endpoint, like one that lacks any other field. No other decision changes.

--- a/samphirevale/catalogue.py
+++ b/samphirevale/catalogue.py
@@ -25,6 +25,7 @@
         accepting: whether the endpoint accepts new work.
         slots: the number of requests that the endpoint runs concurrently.
         started: identifies the start of the endpoint; differs at each start.
+        version: the version of the endpoint's software, in no known order.
     """
 
     name: str
@@ -35,6 +36,7 @@
     accepting: bool
     slots: int
     started: int
+    version: str
 
 
 class Change(NamedTuple):
--- a/samphirevale/cluster_watch.py
+++ b/samphirevale/cluster_watch.py
@@ -247,6 +247,7 @@
                 service=endpoint.service,
                 address=f"{endpoint.host}:{endpoint.port}",
                 data_centre=endpoint.data_centre,
+                version=endpoint.version,
                 accepting=after.accepting if after else None,
                 started=endpoint.started,
                 gone=after is None,
--- a/samphirevale/platform/callers.py
+++ b/samphirevale/platform/callers.py
@@ -80,6 +80,7 @@
         item_counts=_parse_counts(request_headers.get(headers.ITEM_COUNTS, "")),
         item_key=request_headers.get(headers.ITEM_KEY, ""),
         last_event=_parse_count(request_headers.get(headers.LAST_EVENT, "")),
+        first_attempt=request_headers.get(headers.RESUMES, ""),
     )
 
 
--- a/samphirevale/platform/endpoint_objects.py
+++ b/samphirevale/platform/endpoint_objects.py
@@ -26,11 +26,14 @@
     host, _, port = address.rpartition(":")
     zone = value.get("zone")
     slots = value.get("slots")
+    version = value.get("version")
     started = value.get("born", 0)
     if not host or not port.isdigit() or not isinstance(zone, str):
         return None
     if not _is_integer(slots) or not _is_integer(started):
         return None
+    if not isinstance(version, str):
+        return None
     return catalogue.Endpoint(
         name=stored.name,
         service=service,
@@ -40,6 +43,7 @@
         accepting=_ACCEPTS_WORK[state],
         slots=slots,
         started=started,
+        version=version,
     )
 
 
--- a/samphirevale/platform/headers.py
+++ b/samphirevale/platform/headers.py
@@ -13,6 +13,8 @@
 # Despite its name the header holds the names of the request's input results.
 RESULTS = "samphirevale-input-count"
 LAST_EVENT = "last-event-id"
+# The attempt that brought the first event of the stream that is taken up.
+RESUMES = "resumes"
 
 # Headers that apply to one connection only and are not forwarded.
 HOP_BY_HOP = frozenset(
--- a/samphirevale/proxy_requests.py
+++ b/samphirevale/proxy_requests.py
@@ -38,6 +38,8 @@
         item_key: the key of the input data of the first stages' items.
         last_event: the number of the last event that the caller has received;
             None if there is none.
+        first_attempt: the id of the attempt that brought the first event of the
+            stream that the caller takes up; empty if absent.
     """
 
     attempt: str
@@ -54,6 +56,7 @@
     item_counts: tuple[int, ...]
     item_key: str
     last_event: int | None
+    first_attempt: str
 
 
 class SendParameters(NamedTuple):
--- a/samphirevale/proxy_runs.py
+++ b/samphirevale/proxy_runs.py
@@ -460,6 +460,7 @@
             "request_sent",
             endpoint=endpoint.name,
             service=endpoint.service,
+            version=endpoint.version,
             status=exchange.answer.status,
             last_event=last_event,
         )
--- a/samphirevale/proxying.py
+++ b/samphirevale/proxying.py
@@ -44,6 +44,8 @@
             account=accepted.account,
             wait_seconds=round(request.wait_seconds, 3),
             returned=accepted.returned,
+            last_event=request.last_event,
+            first_attempt=request.first_attempt,
             routes_version=self._context.cluster_state.table.version,
             routes_age=self._compute_routes_age(),
         )
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -17,6 +17,7 @@
     "zone": "a",
     "slots": 4,
     "state": "ready",
+    "version": "v1.2",
     "born": 7,
 }
 
@@ -59,6 +60,7 @@
             (endpoint.name, endpoint.host, endpoint.port, endpoint.started),
         )
         self.assertTrue(endpoint.accepting)
+        self.assertEqual("v1.2", endpoint.version)
         self.assertFalse(self.decode(ENTRY | {"state": "draining"}).accepting)
 
     def test_invalid_objects_are_ignored(self):
@@ -71,6 +73,7 @@
             {"zone": 1},
             {"slots": True},
             {"born": "x"},
+            {"version": None},
         ):
             self.assertIsNone(self.decode(ENTRY | change), change)
         self.assertIsNone(self.decode("text"))
--- a/tests/platform/test_session.py
+++ b/tests/platform/test_session.py
@@ -126,6 +126,7 @@
                 "slots": 4,
                 "state": "ready",
                 "sequence": 1,
+                "version": "v1",
                 "born": 1,
                 **changes,
             },
--- a/tests/proxy_fakes.py
+++ b/tests/proxy_fakes.py
@@ -68,7 +68,7 @@
 
 def build_endpoint(name="e1", service="stage", **changes):
     endpoint = catalogue.Endpoint(
-        name, service, "10.0.0.1", 8000, "a", True, 4, 1
+        name, service, "10.0.0.1", 8000, "a", True, 4, 1, "v1"
     )
     return endpoint._replace(**changes)
 
@@ -123,6 +123,7 @@
         item_counts=(),
         item_key="",
         last_event=None,
+        first_attempt="",
     )
     return request._replace(**changes)
 
