Show by tests that streams go on at another version

Both ways fail on this code: a stream that this entry resumes within one answer, and one that its caller takes up again with Last-Event-Id and Resumes, go on at whatever endpoint is chosen. A stream whose version nobody knows is not refused while several versions serve.

--- a/tests/platform/test_session.py
+++ b/tests/platform/test_session.py
@@ -25,6 +25,7 @@
 MEMORY_BYTES = 500_000
 
 STREAM = b"".join(b"id: %d\ndata: e%d\n\n" % (i, i) for i in range(1, 6))
+REST_OF_STREAM = STREAM[STREAM.index(b"id: 4") :]
 
 
 def build_manifest(version=1, keys=("k1",), **changes):
@@ -93,10 +94,11 @@
             name: servers.Server(name)
             for name in ("plain1", "plain2", "model1", "model2", "first1")
         }
+        self.ports = {}
         async with contextlib.AsyncExitStack() as stack:
             for name, server in self.servers.items():
-                port = await self.serve(stack, server.handle)
-                self.register_server(name, port)
+                self.ports[name] = await self.serve(stack, server.handle)
+                self.register_server(name, self.ports[name])
             self.store.put("config", "main", build_manifest())
             store_port = await self.serve(stack, self.store.handle)
             self.gateway = self.build_gateway(store_port)
@@ -248,6 +250,61 @@
             bodies = [(await self.write())[2] for _ in range(3)]
             self.assertEqual([STREAM] * 3, bodies)
 
+    async def test_a_stream_is_not_taken_up_at_another_version(self):
+        async with self.run_all():
+            self.register_server("model2", self.ports["model2"], version="v2")
+            catalogue = self.gateway.cluster_state.catalogue
+            await self.wait_until(
+                lambda: catalogue.find("model2").version == "v2"
+            )
+            began = {}
+            for number in range(8):
+                attempt = f"b{number}"
+                await self.write(
+                    **{
+                        "Samphirevale-Attempt-Id": attempt,
+                        "Samphirevale-Prefix-Hash": f"{number}:10,q:5",
+                    }
+                )
+                began[attempt] = self.find_server_of(attempt)
+            for attempt, server in began.items():
+                again = f"again-{attempt}"
+                status, _, body = await self.write(
+                    **{
+                        "Samphirevale-Attempt-Id": again,
+                        "Last-Event-Id": "3",
+                        "Resumes": attempt,
+                    }
+                )
+                self.assertEqual((200, REST_OF_STREAM), (status, body))
+                self.assertEqual(server, self.find_server_of(again))
+
+    async def test_a_stream_of_unknown_version_is_refused_beside_others(self):
+        async with self.run_all():
+            status, _, body = await self.take_up_unknown_stream()
+            self.assertEqual((200, REST_OF_STREAM), (status, body))
+            self.register_server("model2", self.ports["model2"], version="v2")
+            catalogue = self.gateway.cluster_state.catalogue
+            await self.wait_until(
+                lambda: catalogue.find("model2").version == "v2"
+            )
+            status, headers, _ = await self.take_up_unknown_stream()
+            self.assertEqual(503, status)
+            self.assertGreater(float(headers["retry-after"]), 0)
+
+    async def take_up_unknown_stream(self):
+        return await self.write(
+            **{"Last-Event-Id": "3", "Resumes": "of-another-entry"}
+        )
+
+    def find_server_of(self, attempt):
+        return [
+            name
+            for name, server in self.servers.items()
+            for headers in server.seen_headers
+            if headers["samphirevale-attempt-id"] == attempt
+        ]
+
     async def test_an_answer_of_another_request_is_not_forwarded(self):
         async with self.run_all():
             for name in ("plain1", "plain2"):
--- a/tests/test_proxying.py
+++ b/tests/test_proxying.py
@@ -334,6 +334,33 @@
         )
         self.assertEqual(b"id: 1\n\nid: 2\n\n", await self.read_stream(answer))
 
+    async def test_broken_stream_is_not_resumed_at_another_version(self):
+        self.register_versions(p1="v1", p2="v2", p3="v3")
+        answer = await self.answer(
+            self.build_stream(b"id: 1\n\n", proxy_fakes.LOST_ANSWER),
+            self.build_stream(b"id: 2\n\n"),
+        )
+        with self.assertRaises(errors.AnswerLostError):
+            await self.read_stream(answer)
+        self.assertEqual(1, len(self.endpoints.sends))
+
+    async def test_broken_stream_is_resumed_at_its_own_version(self):
+        self.register_versions(p1="v1", p2="v2", p3="v1", p4="v2")
+        answer = await self.answer(
+            self.build_stream(b"id: 1\n\n", proxy_fakes.LOST_ANSWER),
+            self.build_stream(b"id: 2\n\n"),
+        )
+        self.assertEqual(b"id: 1\n\nid: 2\n\n", await self.read_stream(answer))
+        first, second = [name for name, *_ in self.endpoints.sends]
+        versions = {"p1": "v1", "p2": "v2", "p3": "v1", "p4": "v2"}
+        self.assertEqual(versions[first], versions[second])
+
+    def register_versions(self, **versions):
+        for name, version in versions.items():
+            self.cluster.catalogue.put(
+                proxy_fakes.build_endpoint(name, "plain", version=version)
+            )
+
     async def test_disconnect_of_the_caller_closes_the_exchange(self):
         exchange = self.build_stream(b"id: 1\n\n", b"id: 2\n\n")
         answer = await self.answer(exchange)
