Let a stream go on only at the version that began it

Cause: the choice of an endpoint knew the service only, and the version was dropped when the endpoint was decoded. The class of fault: state that binds a request to a peer is lost where the request changes hands. It happened in both places where a stream changes hands. Over a caller's attempts, the entry that got the next attempt knew nothing of the one before.

Now a run is bound to its version from its first event on. If nobody knows it, it goes on only if the service has had one version for as long as the stream may have lasted; otherwise it is refused at once as not run, so that the caller may find an entry that knows it. If no endpoint of its version accepts work, or the route left its service, it is refused before its stages run.

Ruled out: the choice of a version from the attempt's id alone, as entries see versions come at different times; the store, as a write for each stream would cost more calls than all others; reports, as they come once a second in a large fleet and the entry may be gone by then.

What remains: an endpoint that restarts under its id with another version is known by its old one until the store says so.

--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -116,6 +116,41 @@
         f"{_PROXYING}.StreamTest"
         ".test_stream_of_a_briefly_silent_endpoint_stays_there",
     ),
+    _ablate(
+        "streams resumed only at the version that began them",
+        STREAMS,
+        "proxy_runs",
+        "if endpoint.version == self._version",
+        "if True",
+        f"{_PROXYING}.StreamTest"
+        ".test_broken_stream_is_not_resumed_at_another_version",
+    ),
+    _ablate(
+        "streams of unknown version refused",
+        STREAMS,
+        "proxy_runs",
+        "            return proxy_requests.Refusal(\n"
+        '                503, "unknown_version", RETRY_AFTER_SECONDS\n'
+        "            )\n",
+        "            return None\n",
+        f"{_PROXYING}.StreamTest.test_stream_of_unknown_version_is_refused",
+    ),
+    _ablate(
+        "other entries told where a stream began",
+        STREAMS,
+        "stream_origins",
+        "for name in names[:HOLDERS]:",
+        "for name in ():",
+        "tests.test_stream_origins.OriginDirectoryTest",
+    ),
+    _ablate(
+        "versions that have just gone counted",
+        STREAMS,
+        "service_versions",
+        "if name == service and gone_at >= since",
+        "if False",
+        "tests.test_service_versions.ServiceVersionsTest",
+    ),
     _ablate(
         "older versions of the routes rejected",
         ROUTES_AND_KEYS,
@@ -176,8 +211,10 @@
         (
             Edit(
                 "samphirevale/proxy_runs.py",
-                "            cluster.catalogue.list_accepting(",
-                "            cluster.catalogue.list_service(",
+                "accepting = self._context.cluster_state"
+                ".catalogue.list_accepting(",
+                "accepting = self._context.cluster_state"
+                ".catalogue.list_service(",
             ),
             Edit(
                 "samphirevale/proxy_runs.py",
--- a/samphirevale/cluster_state.py
+++ b/samphirevale/cluster_state.py
@@ -2,7 +2,14 @@
 
 from collections.abc import Collection
 
-from samphirevale import catalogue, freshness, ownership, routes, stage_times
+from samphirevale import (
+    catalogue,
+    freshness,
+    ownership,
+    routes,
+    service_versions,
+    stage_times,
+)
 
 
 class ClusterState:
@@ -13,6 +20,7 @@
         routes_age: the age of the routes and of the accounts' keys.
         endpoints_age: the age of the catalogue.
         catalogue: the known endpoints.
+        versions: the versions of the endpoints' software.
         data_centre: the data centre of this entry.
         members: the entries that are alive, including this one.
         shared_queueing: the shortest queueing time that the routes with a
@@ -24,6 +32,7 @@
         self.routes_age = freshness.Freshness(keys_seconds)
         self.endpoints_age = freshness.Freshness(keys_seconds)
         self.catalogue = catalogue.Catalogue()
+        self.versions = service_versions.ServiceVersions()
         self.members: tuple[ownership.Member, ...] = (me,)
         self.data_centre = me.data_centre
         self._me = me
--- a/samphirevale/cluster_watch.py
+++ b/samphirevale/cluster_watch.py
@@ -235,7 +235,10 @@
         )
 
     def _handle_endpoint_changes(self, changes: list[catalogue.Change]) -> None:
-        for before, after in changes:
+        now = self._clock.now()
+        for change in changes:
+            self._cluster.versions.record_change(change, now)
+            before, after = change
             if after is None or (
                 before is not None and before.started != after.started
             ):
--- a/samphirevale/entries.py
+++ b/samphirevale/entries.py
@@ -26,6 +26,7 @@
     registrations,
     reports,
     routes_freshness,
+    stream_origins,
 )
 from samphirevale.adapters import link as links
 from samphirevale.ports import clock as clocks
@@ -47,6 +48,12 @@
 CONNECT_BACKOFF_LIMIT_SECONDS = 2.0
 
 
+# The messages that answer a request of this entry, by their exchange.
+_ANSWERS = (
+    messages.ItemsResult | messages.RoutesAge | messages.StreamOriginAnswer
+)
+
+
 class ItemServer(Protocol):
     """Runs items for other entries."""
 
@@ -141,6 +148,7 @@
         on_members_changed: Callable[[Iterable[ownership.Member]], None],
         on_crashes_reported: Callable[[list[list[str]]], None],
         get_routes_age: Callable[[float], routes_freshness.Confirmation | None],
+        origins: stream_origins.StreamOrigins,
         clock: clocks.Clock,
         rng: random.Random,
         log: journal.Journal,
@@ -156,6 +164,7 @@
             on_crashes_reported: called with the crashes that an entry reports.
             get_routes_age: returns how recent the routes of this entry are;
                 None if it has none.
+            origins: the streams of which this entry knows where they began.
             clock: a clock that includes time while the machine is suspended.
             rng: the source of jitter.
             log: the log of links.
@@ -171,6 +180,7 @@
         self._on_members_changed = on_members_changed
         self._on_crashes_reported = on_crashes_reported
         self._get_routes_age = get_routes_age
+        self._origins = origins
         self._clock = clock
         self._rng = rng
         self._journal = log
@@ -309,7 +319,11 @@
             )
         elif isinstance(message, messages.RoutesAgeRequest):
             await self._send_routes_age(entry, message.exchange)
-        elif isinstance(message, messages.ItemsResult | messages.RoutesAge):
+        elif isinstance(message, messages.StreamOriginNotice):
+            self._adopt_origin(message)
+        elif isinstance(message, messages.StreamOriginRequest):
+            await self._send_origin(entry, message)
+        elif isinstance(message, _ANSWERS):
             queue = entry.waiting.get(message.exchange)
             if queue is not None:
                 await queue.put(message)
@@ -330,6 +344,64 @@
         with contextlib.suppress(errors.PeerClosedError):
             await entry.link.send(answer, 0)
 
+    def _adopt_origin(self, notice: messages.StreamOriginNotice) -> None:
+        origin = stream_origins.StreamOrigin(notice.service, notice.version)
+        until = self._clock.now() + notice.remaining_ms / 1000
+        self._origins.record(notice.attempt, origin, until)
+
+    async def _send_origin(
+        self, entry: Entry, request: messages.StreamOriginRequest
+    ) -> None:
+        known = self._origins.find(request.attempt, self._clock.now())
+        answer = messages.StreamOriginAnswer(request.exchange, False, "", "")
+        if known is not None:
+            answer = messages.StreamOriginAnswer(request.exchange, True, *known)
+        with contextlib.suppress(errors.PeerClosedError):
+            await entry.link.send(answer, 0)
+
+    def list_linked(self) -> list[str]:
+        """Returns the names of the entries with an open link."""
+        return list(self.linked)
+
+    async def tell_origin(
+        self,
+        name: str,
+        attempt: str,
+        origin: stream_origins.StreamOrigin,
+        seconds: float,
+    ) -> None:
+        """Tells an entry where a stream began, to remember for a time."""
+        entry = self.linked.get(name)
+        if entry is None:
+            return
+        notice = messages.StreamOriginNotice(
+            attempt, *origin, max(int(seconds * 1000), 0)
+        )
+        # The table logs the end of a link; other holders know the stream.
+        with contextlib.suppress(errors.PeerClosedError):
+            await entry.link.send(notice, 0)
+
+    async def ask_origin(
+        self, name: str, attempt: str
+    ) -> stream_origins.StreamOrigin | None:
+        """Asks an entry where a stream began.
+
+        Returns:
+            None if the entry does not know it, or the link ends.
+        """
+        entry = self.linked.get(name)
+        if entry is None:
+            return None
+        request = messages.StreamOriginRequest(
+            next(self._exchange_ids), attempt
+        )
+        answer = None
+        with contextlib.suppress(errors.PeerClosedError):
+            answer = await self._exchange(entry, request)
+        if answer is None or not answer.known:
+            return None
+        return stream_origins.StreamOrigin(answer.service, answer.version)
+
     def is_linked(self, name: str) -> bool:
         """Returns whether there is a link to an entry."""
         return name in self.linked
--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -32,6 +32,7 @@
     retry_budgets,
     routes,
     routes_freshness,
+    stream_origins,
 )
 from samphirevale.adapters import web
 from samphirevale.ports import clock as clocks
@@ -106,6 +107,7 @@
             settings.peer_port,
             secrets.token_hex(16),
         )
+        self._origins = stream_origins.StreamOrigins()
         self.table = entries.EntryTable(
             self._registration,
             settings.data_centre,
@@ -114,6 +116,7 @@
             self._adopt_members,
             self._adopt_crashes,
             self._get_routes_age,
+            self._origins,
             clock,
             self._rng,
             log,
@@ -138,6 +141,9 @@
                 self._budget,
                 self._quarantine,
                 adapter_set.endpoints,
+                stream_origins.OriginDirectory(
+                    self._origins, self.table, clock
+                ),
                 clock,
                 self._rng,
                 log,
@@ -236,6 +242,7 @@
                 logged_at = now
                 self._log_queues(now)
             self.cluster_watch.remove_expired(now)
+            self._origins.remove_expired(now)
             metrics.ROUTES_AGE.set(
                 self.cluster_state.routes_age.compute_age(now)
             )
--- a/samphirevale/messages.py
+++ b/samphirevale/messages.py
@@ -18,7 +18,7 @@
 from samphirevale import errors
 
 # Must be increased when a field is added, removed or changes its meaning.
-PROTOCOL_VERSION = 6
+PROTOCOL_VERSION = 7
 
 # Maximum size of a frame, in bytes.
 FRAME_BYTES_LIMIT = 4 * 1024 * 1024
@@ -377,6 +377,53 @@
     age_seconds: float
 
 
+@register("stream_origin")
+class StreamOriginNotice(NamedTuple):
+    """Tells another entry where a stream began.
+
+    Attributes:
+        attempt: id of the caller's attempt that brought the first event.
+        service: the service that began it.
+        version: the version of the endpoint's software.
+        remaining_ms: how long to remember it.
+    """
+
+    attempt: str
+    service: str
+    version: str
+    remaining_ms: int
+
+
+@register("stream_origin_request")
+class StreamOriginRequest(NamedTuple):
+    """Asks another entry where a stream began.
+
+    Attributes:
+        exchange: id of this request, unique on the connection.
+        attempt: id of the caller's attempt that brought the first event.
+    """
+
+    exchange: int
+    attempt: str
+
+
+@register("stream_origin_answer")
+class StreamOriginAnswer(NamedTuple):
+    """Answers a StreamOriginRequest.
+
+    Attributes:
+        exchange: id of the request.
+        known: whether the sender knows the stream.
+        service: the service that began it; empty if unknown.
+        version: the version of the endpoint's software; empty if unknown.
+    """
+
+    exchange: int
+    known: bool
+    service: str
+    version: str
+
+
 @register("pieces_withdrawn")
 class ItemsCancelled(NamedTuple):
     """Cancels the items of an exchange, which are no longer needed."""
--- a/samphirevale/proxy_context.py
+++ b/samphirevale/proxy_context.py
@@ -10,6 +10,7 @@
     quarantine,
     retry_budgets,
     stages,
+    stream_origins,
 )
 from samphirevale.ports import clock as clocks
 from samphirevale.ports import proxies
@@ -25,6 +26,7 @@
         budget: the retry budget.
         quarantine: the inputs that have crashed endpoints at any entry.
         endpoints: makes the calls to endpoints.
+        origins: knows where streams began.
         clock: a clock that includes time while the machine is suspended.
         rng: the source of all random numbers.
         journal: the log of decisions.
@@ -36,6 +38,7 @@
     budget: retry_budgets.RetryBudget
     quarantine: quarantine.Quarantine
     endpoints: proxies.ProxyEndpoints
+    origins: stream_origins.OriginDirectory
     clock: clocks.Clock
     rng: random.Random
     journal: journal.Journal
--- a/samphirevale/proxy_runs.py
+++ b/samphirevale/proxy_runs.py
@@ -17,6 +17,7 @@
     stage_admission,
     stage_times,
     stages,
+    stream_origins,
 )
 
 # The largest number of failed connections for one request. They do not count
@@ -76,11 +77,18 @@
         # Whether an endpoint may have executed this request.
         self._handed_over = False
         self._stages: stages.StageSequenceRun | None = None
+        # The version that goes on with the stream once it has begun; None
+        # before.
+        self._version: str | None = None
         # Whether the items are queued behind those that are on time.
         self._late = accepted.returned
 
     async def run(self) -> proxy_requests.Answer:
         """Runs the stages, sends the request and returns the answer."""
+        if self._route.streamed and self._request.last_event:
+            refusal = await self._adopt_origin()
+            if refusal is not None:
+                return refusal
         results: list[batch_dispatch.StageResult] = []
         if self._route.stages:
             refusal = self._refuse_overload()
@@ -121,6 +129,42 @@
             503, "not_sent_in_time", RETRY_AFTER_SECONDS
         )
 
+    async def _adopt_origin(self) -> proxy_requests.Refusal | None:
+        """Binds a stream that its caller takes up to where it began.
+
+        Returns:
+            A refusal if that is unknown, or cannot go on with the stream.
+        """
+        origin = await self._context.origins.find(self._request.first_attempt)
+        if origin is None:
+            origin = self._infer_origin()
+        if origin is None:
+            return proxy_requests.Refusal(
+                503, "unknown_version", RETRY_AFTER_SECONDS
+            )
+        services = {split.service for split in self._route.splits}
+        if origin.service not in services:
+            return proxy_requests.Refusal(503, "service_replaced")
+        self._accepted = self._accepted._replace(service=origin.service)
+        self._version = origin.version
+        if not self._list_endpoints():
+            return proxy_requests.Refusal(
+                503, "no_endpoint_of_version", RETRY_AFTER_SECONDS
+            )
+        return None
+
+    def _infer_origin(self) -> stream_origins.StreamOrigin | None:
+        """Returns where a stream must have begun; None if that is uncertain."""
+        cluster = self._context.cluster_state
+        service = self._accepted.service
+        began_after = self._context.clock.now() - self._route.timeout_seconds
+        version = cluster.versions.find_only(
+            service, cluster.catalogue.list_service(service), began_after
+        )
+        if version is None or len(self._route.splits) > 1:
+            return None
+        return stream_origins.StreamOrigin(service, version)
+
     def _refuse_overload(self) -> proxy_requests.Refusal | None:
         """Returns a refusal if the stages would take too long.
 
@@ -232,7 +276,7 @@
     ) -> catalogue.Endpoint | None:
         cluster = self._context.cluster_state
         return self._context.selector.choose(
-            cluster.catalogue.list_accepting(self._accepted.service),
+            self._list_endpoints(),
             placement.PlacementRequest(
                 self._request.prompt,
                 result_bytes,
@@ -242,10 +286,21 @@
             self._context.clock.now(),
         )
 
-    def _explain_no_endpoint(self) -> str:
+    def _list_endpoints(self) -> list[catalogue.Endpoint]:
+        """Returns the endpoints that accept the request now."""
         accepting = self._context.cluster_state.catalogue.list_accepting(
             self._accepted.service
         )
+        if self._version is None:
+            return accepting
+        return [
+            endpoint
+            for endpoint in accepting
+            if endpoint.version == self._version
+        ]
+
+    def _explain_no_endpoint(self) -> str:
+        accepting = self._list_endpoints()
         if all(endpoint.name in self._tried for endpoint in accepting):
             return "no_endpoint"
         return "no_connection_left"
@@ -473,12 +528,28 @@
             self, exchange, self._request.last_event
         )
         await stream.read_first()
+        await self._record_origin(exchange.endpoint)
         await self.release_results()
         answer = exchange.answer
         return proxy_requests.StreamedAnswer(
             answer.status, answer.headers, stream
         )
 
+    async def _record_origin(self, endpoint: catalogue.Endpoint) -> None:
+        """Records where the stream began, before the caller has an event."""
+        self._version = endpoint.version
+        if not self._route.resumable:
+            return
+        request = self._request
+        first_attempt = request.attempt
+        if request.last_event and request.first_attempt:
+            first_attempt = request.first_attempt
+        await self._context.origins.record(
+            first_attempt,
+            stream_origins.StreamOrigin(endpoint.service, endpoint.version),
+            request.received_at + request.wait_seconds,
+        )
+
     async def prepare_resume(self) -> event_streams.PreparedResume:
         """Runs the stages again and chooses another endpoint.
 
--- a/tests/platform/test_session.py
+++ b/tests/platform/test_session.py
@@ -281,20 +281,20 @@
 
     async def test_a_stream_of_unknown_version_is_refused_beside_others(self):
         async with self.run_all():
-            status, _, body = await self.take_up_unknown_stream()
+            status, _, body = await self.take_up_unknown_stream("x1")
             self.assertEqual((200, REST_OF_STREAM), (status, body))
             self.register_server("model2", self.ports["model2"], version="v2")
             catalogue = self.gateway.cluster_state.catalogue
             await self.wait_until(
                 lambda: catalogue.find("model2").version == "v2"
             )
-            status, headers, _ = await self.take_up_unknown_stream()
+            status, headers, _ = await self.take_up_unknown_stream("x2")
             self.assertEqual(503, status)
             self.assertGreater(float(headers["retry-after"]), 0)
 
-    async def take_up_unknown_stream(self):
+    async def take_up_unknown_stream(self, first_attempt):
         return await self.write(
-            **{"Last-Event-Id": "3", "Resumes": "of-another-entry"}
+            **{"Last-Event-Id": "3", "Resumes": first_attempt}
         )
 
     def find_server_of(self, attempt):
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -13,6 +13,7 @@
     messages,
     registrations,
     routes_freshness,
+    stream_origins,
 )
 from samphirevale.adapters import clock
 from samphirevale.ports import proxies
@@ -58,6 +59,7 @@
         self.registration = registrations.Registration(
             name, "127.0.0.1", base.find_free_port(), f"token-{name}"
         )
+        self.origins = stream_origins.StreamOrigins()
         self.table = entries.EntryTable(
             self.registration,
             "a",
@@ -68,6 +70,7 @@
             lambda members: setattr(self, "members", list(members)),
             self.crashed.extend,
             lambda now: routes_freshness.Confirmation(7, 0.25),
+            self.origins,
             clock.BootClock(),
             random.Random(1),
             proxy_fakes.FakeJournal(),
@@ -129,6 +132,18 @@
             self.assertEqual(["b"], [m.name for m in self.first.members])
             self.assertIn(["f", "b"], self.first.crashed)
 
+    async def test_origins_of_streams_are_told_and_asked(self):
+        origin = stream_origins.StreamOrigin("lm", "v1")
+        async with self.run_both():
+            first, second = self.first.table, self.second.table
+            self.assertIsNone(await first.ask_origin("b", "a1"))
+            self.assertIsNone(await first.ask_origin("unlinked", "a1"))
+            await first.tell_origin("b", "a1", origin, 10.0)
+            self.assertEqual(origin, await first.ask_origin("b", "a1"))
+            self.assertIsNone(await second.ask_origin("a", "a1"))
+            await first.tell_origin("b", "a2", origin, 0.0)
+            self.assertIsNone(await first.ask_origin("b", "a2"))
+
     async def test_items_are_run_by_the_other_entry(self):
         async with self.run_both():
             await self.second.server.may_finish.set()
--- a/tests/test_proxying.py
+++ b/tests/test_proxying.py
@@ -14,6 +14,7 @@
     quarantine,
     retry_budgets,
     routes,
+    stream_origins,
 )
 from samphirevale.ports import proxies
 from tests import base, proxy_fakes
@@ -43,6 +44,23 @@
         self.released += names
 
 
+class FakeOriginLinks:
+    """Links to two entries, which know the streams in `known`."""
+
+    def __init__(self):
+        self.told = []
+        self.known = {}
+
+    def list_linked(self):
+        return ["other1", "other2"]
+
+    async def tell_origin(self, name, attempt, origin, seconds):
+        self.told.append((name, attempt, origin))
+
+    async def ask_origin(self, name, attempt):
+        return self.known.get(attempt)
+
+
 class ProxyTestCase(base.TestCase):
     """Sets up a proxy with two plain endpoints and a stage endpoint."""
 
@@ -64,6 +82,8 @@
         self.runner = FakeItemRunner()
         self.journal = proxy_fakes.FakeJournal()
         self.closed = False
+        self.origins = stream_origins.StreamOrigins()
+        self.links = FakeOriginLinks()
         self.budget_limits = retry_budgets.RetryBudgetLimits(0.2, 50, 10.0)
         self.quarantine = quarantine.Quarantine(
             input_fingerprints.CRASHES_SECONDS
@@ -81,6 +101,9 @@
             retry_budgets.RetryBudget(self.budget_limits),
             self.quarantine,
             self.endpoints,
+            stream_origins.OriginDirectory(
+                self.origins, self.links, self.clock
+            ),
             self.clock,
             random.Random(1),
             self.journal,
@@ -355,6 +378,101 @@
         versions = {"p1": "v1", "p2": "v2", "p3": "v1", "p4": "v2"}
         self.assertEqual(versions[first], versions[second])
 
+    async def test_stream_that_is_taken_up_goes_on_where_it_began(self):
+        self.register_versions(p1="v1", p2="v2", p3="v2", p4="v2")
+        answer = await self.answer(self.build_stream(b"id: 1\n\n"))
+        await self.read_stream(answer)
+        (began,) = [name for name, *_ in self.endpoints.sends]
+        for _ in range(4):
+            answer = await self.take_up(self.build_stream(b"id: 2\n\n"))
+            self.assertEqual(b"id: 2\n\n", await self.read_stream(answer))
+            (goes_on,) = [name for name, *_ in self.endpoints.sends]
+            self.assertEqual(began == "p1", goes_on == "p1")
+
+    async def take_up(self, *script, **changes):
+        """Takes the stream of the attempt a1 up after its first event."""
+        return await self.answer(
+            *script,
+            **{
+                "attempt": "again",
+                "last_event": 1,
+                "first_attempt": "a1",
+                **changes,
+            },
+        )
+
+    async def test_stream_that_began_at_another_entry_goes_on(self):
+        self.register_versions(p1="v1", p2="v2")
+        self.links.known["a1"] = stream_origins.StreamOrigin("plain", "v2")
+        answer = await self.take_up(self.build_stream(b"id: 2\n\n"))
+        self.assertEqual(b"id: 2\n\n", await self.read_stream(answer))
+        self.assertEqual("p2", self.endpoints.sends[0][0])
+
+    async def test_stream_of_unknown_version_is_refused(self):
+        self.register_versions(p1="v1", p2="v2")
+        answer = await self.take_up()
+        self.assertEqual(
+            (503, "unknown_version"), (answer.status, answer.reason)
+        )
+        self.assertIsNotNone(answer.retry_seconds)
+
+    async def test_stream_of_unknown_version_goes_on_if_there_is_only_one(self):
+        answer = await self.take_up(self.build_stream(b"id: 2\n\n"))
+        self.assertEqual(b"id: 2\n\n", await self.read_stream(answer))
+
+    async def test_stream_whose_version_has_gone_is_refused_before_stages(self):
+        self.use_route(
+            proxy_fakes.build_route(
+                repeatable=False,
+                streamed=True,
+                resumable=True,
+                stages=(routes.Stage("stage", (), 100),),
+            )
+        )
+        self.links.known["a1"] = stream_origins.StreamOrigin("plain", "v0")
+        answer = await self.take_up(item_counts=(1,))
+        self.assertEqual("no_endpoint_of_version", answer.reason)
+        self.assertEqual(0, self.runner.item_count)
+
+    async def test_stream_of_a_service_that_was_replaced_is_refused(self):
+        self.links.known["a1"] = stream_origins.StreamOrigin("old", "v1")
+        answer = await self.take_up()
+        self.assertEqual(
+            (503, "service_replaced"), (answer.status, answer.reason)
+        )
+
+    async def test_stream_stays_at_its_service_of_several(self):
+        self.use_route(
+            proxy_fakes.build_route(
+                repeatable=False,
+                streamed=True,
+                resumable=True,
+                splits=(
+                    routes.Split("canary", 99.0),
+                    routes.Split("plain", 1.0),
+                ),
+            )
+        )
+        self.assertEqual("unknown_version", (await self.take_up()).reason)
+        self.links.known["a1"] = stream_origins.StreamOrigin("plain", "v1")
+        answer = await self.take_up(self.build_stream(b"id: 2\n\n"))
+        self.assertEqual(b"id: 2\n\n", await self.read_stream(answer))
+
+    async def test_other_entries_know_a_stream_before_its_caller(self):
+        answer = await self.answer(self.build_stream(b"id: 1\n\n"))
+        origin = stream_origins.StreamOrigin("plain", "v1")
+        self.assertEqual(
+            {("other1", "a1", origin), ("other2", "a1", origin)},
+            set(self.links.told),
+        )
+        await answer.chunks.aclose()
+
+    async def test_stream_taken_up_twice_is_known_by_its_first_attempt(self):
+        answer = await self.take_up(self.build_stream(b"id: 2\n\n"))
+        await answer.chunks.aclose()
+        self.assertIsNone(self.origins.find("again", NOW))
+        self.assertIsNotNone(self.origins.find("a1", NOW))
+
     def register_versions(self, **versions):
         for name, version in versions.items():
             self.cluster.catalogue.put(
