Wait for a silent endpoint's answer unless another one can take over

A whole answer, or the first event of a stream, that did not come within twice the route's target time was given up before it was known whether the request may be sent again. Callers got a 502 while a sound endpoint was about to answer, although their deadline was seconds away; and a silence counted as a crash of the input, so that a few silent moments had an input refused as crashing.

The exchange runs in a task of its own now. When the time is over, it is left only if another endpoint accepts the request and the retry budget has one left; otherwise it goes on to the deadline. A silence is an error of its own and no crash. A send counts as a run from its start, as it may now be compared with the attempts limit while it is in progress.

Before: 502 'answer_lost', and 502 for the fourth attempt of an input that had met three silences. The tests' clock now has real timeouts, without which a wait could not be tested at all.

--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -107,6 +107,15 @@
         f"{_PROXYING}.StreamTest"
         ".test_stream_of_a_silent_endpoint_is_not_cut_without_retries",
     ),
+    _ablate(
+        "silent endpoint waited for if no other may answer",
+        NO_REPEATED_WORK,
+        "proxy_runs",
+        "if self._choose_endpoint(()) is None or not self.may_send_again():",
+        "if False:",
+        f"{_PROXYING}.CompleteAnswerTest"
+        ".test_silent_endpoint_is_waited_for_if_no_other_may_answer",
+    ),
     _ablate(
         "endpoint that is silent for a second kept",
         STREAMS,
--- a/samphirevale/proxy_runs.py
+++ b/samphirevale/proxy_runs.py
@@ -1,8 +1,11 @@
 """Runs one accepted request: stages, sends, retries and the answer."""
 
-from collections.abc import Sequence
+import contextlib
+from collections.abc import AsyncIterator, Sequence
 from typing import NamedTuple
 
+import curio
+
 from samphirevale import (
     batch_dispatch,
     catalogue,
@@ -27,8 +30,9 @@
 # The retry delay sent with a refusal whose cause should pass soon, in seconds.
 RETRY_AFTER_SECONDS = 0.5
 
-# Timeout for a whole answer or the first event of a stream, as a factor of the
-# route's target time. It applies if the request may run again elsewhere.
+# The silence before a whole answer or the first event of a stream, as a factor
+# of the route's target time, after which the request is sent to another
+# endpoint if it may run again.
 ANSWER_TIMEOUT_FACTOR = 2.0
 
 # The silence after which a stream may go on at another endpoint, in seconds. An
@@ -343,6 +347,9 @@
                     stages_repeated = True
                     names = await self._run_stages_again()
                 continue
+            except errors.SilentEndpointError as error:
+                self._log_send_failure(endpoint, error)
+                continue
             except errors.TransportError as error:
                 self._handed_over = True
                 self.record_crash(endpoint)
@@ -432,15 +439,11 @@
             self._context, endpoint, self._prompt_tokens
         )
         try:
-            async with self._context.clock.timeout(
-                self._compute_answer_timeout()
-            ):
-                return await self._exchange_once(exchange, endpoint, results)
-        except TimeoutError as error:
-            await exchange.close(failed=True)
-            if self.compute_remaining_seconds() <= 0:
-                raise
-            raise errors.AnswerLostError("silent for too long") from error
+            async with self._exchanging(exchange, endpoint, results) as task:
+                outcome = await self._wait_patiently(task)
+            if isinstance(outcome, Exception):
+                raise outcome
+            return outcome
         except errors.ConnectError:
             self._context.selector.record_unreachable(
                 endpoint.name, self._context.clock.now()
@@ -451,6 +454,51 @@
             await exchange.close(failed=isinstance(error, Exception))
             raise
 
+    @contextlib.asynccontextmanager
+    async def _exchanging(
+        self,
+        exchange: exchanges.Exchange,
+        endpoint: catalogue.Endpoint,
+        results: tuple[str, ...],
+    ) -> AsyncIterator[curio.Task]:
+        """Sends the request in a task during the block.
+
+        The result of the task is an answer or an exception.
+        """
+
+        async def catch_errors() -> proxy_requests.Answer | Exception:
+            try:
+                return await self._exchange_once(exchange, endpoint, results)
+            except (errors.TransportError, TimeoutError) as error:
+                return error
+
+        task = await curio.spawn(catch_errors, daemon=True)
+        try:
+            yield task
+        finally:
+            await task.cancel()
+
+    async def _wait_patiently(
+        self, task: curio.Task
+    ) -> proxy_requests.Answer | Exception:
+        """Returns the result of an exchange.
+
+        A silent endpoint is waited for unless another one can take over.
+
+        Raises:
+            errors.SilentEndpointError: the request may be sent to another
+                endpoint.
+        """
+        while True:
+            timeout = max(self._compute_answer_timeout(), 0)
+            async with curio.ignore_after(timeout):
+                return await task.join()
+            if self.compute_remaining_seconds() <= 0:
+                raise TimeoutError("no answer before the deadline")
+            if self._choose_endpoint(()) is None or not self.may_send_again():
+                continue
+            raise errors.SilentEndpointError("silent for too long")
+
     async def _exchange_once(
         self,
         exchange: exchanges.Exchange,
@@ -468,7 +516,7 @@
         )
 
     def _compute_answer_timeout(self) -> float:
-        """Returns the timeout for a whole answer or the first event.
+        """Returns the wait for a whole answer or the first event.
 
         It is shorter than the remaining time only if the request may run again
         after this send.
@@ -476,7 +524,7 @@
         remaining = self.compute_remaining_seconds()
         if not self._route.may_run_again():
             return remaining
-        if self._runs + 1 >= self._route.attempts_limit:
+        if self._runs >= self._route.attempts_limit:
             return remaining
         return min(
             remaining, ANSWER_TIMEOUT_FACTOR * self._route.target_seconds
@@ -504,13 +552,13 @@
         # A request that is cancelled while it is sent may have been executed.
         previously_handed_over = self._handed_over
         self._handed_over = True
+        self._runs += 1
         try:
             await exchange.open(self._request, parameters)
         except (errors.ConnectError, errors.NotExecutedError):
             self._handed_over = previously_handed_over
+            self._runs -= 1
             raise
-        finally:
-            self._runs += self._handed_over
         self._log_step(
             "request_sent",
             endpoint=endpoint.name,
--- a/tests/proxy_fakes.py
+++ b/tests/proxy_fakes.py
@@ -12,6 +12,7 @@
     proxy_requests,
     routes,
 )
+from samphirevale.adapters import clock
 from samphirevale.ports import proxies
 
 BATCH_LIMITS = routes.BatchLimits(
@@ -41,15 +42,7 @@
         await curio.sleep(0)
 
     def timeout(self, seconds):
-        return _NoTimeout()
-
-
-class _NoTimeout:
-    async def __aenter__(self):
-        return None
-
-    async def __aexit__(self, *_):
-        return False
+        return clock.MonotonicClock().timeout(seconds)
 
 
 class FakeJournal(journal.Journal):
--- a/tests/test_proxying.py
+++ b/tests/test_proxying.py
@@ -224,6 +224,46 @@
         )
         self.assertEqual([], self.quarantine.list_newest(9, NOW))
 
+    async def test_silent_endpoint_is_waited_for_if_no_other_may_answer(self):
+        self.use_route(proxy_fakes.build_route(target_seconds=0.1))
+        silent = [proxy_fakes.Silence(0.5), b"x"]
+        self.budget_limits = retry_budgets.RetryBudgetLimits(0.0, 0, 10.0)
+        answer = await self.answer(proxy_fakes.FakeAnswer(silent))
+        self.assertEqual((200, b"x"), (answer.status, answer.body))
+        self.budget_limits = retry_budgets.RetryBudgetLimits(0.2, 50, 10.0)
+        self.cluster.catalogue.remove("p2", NOW)
+        answer = await self.answer(proxy_fakes.FakeAnswer(silent))
+        self.assertEqual((200, b"x"), (answer.status, answer.body))
+
+    async def test_request_to_a_silent_endpoint_is_sent_to_another(self):
+        self.use_route(proxy_fakes.build_route(target_seconds=0.1))
+        silent = proxy_fakes.FakeAnswer([proxy_fakes.Silence(5.0)])
+        answer = await self.answer(silent, proxy_fakes.FakeAnswer([b"x"]))
+        self.assertEqual((200, b"x"), (answer.status, answer.body))
+        self.assertTrue(silent.closed)
+
+    async def test_request_to_silent_endpoints_is_sent_as_often_as_allowed(
+        self,
+    ):
+        self.use_route(proxy_fakes.build_route(target_seconds=0.1))
+        self.cluster.catalogue.put(proxy_fakes.build_endpoint("p3", "plain"))
+        answer = await self.answer(
+            proxy_fakes.FakeAnswer([proxy_fakes.Silence(5.0)]),
+            proxy_fakes.FakeAnswer([proxy_fakes.Silence(0.5), b"x"]),
+        )
+        self.assertEqual((200, b"x"), (answer.status, answer.body))
+
+    async def test_input_of_silent_endpoints_is_not_refused_as_crashing(self):
+        self.use_route(proxy_fakes.build_route(target_seconds=0.1))
+        for index in range(4):
+            silent = proxy_fakes.FakeAnswer([proxy_fakes.Silence(5.0)])
+            answer = await self.answer(
+                silent,
+                proxy_fakes.FakeAnswer([b"x"], status=500),
+                attempt=f"a{index}",
+            )
+            self.assertEqual(500, answer.status)
+
     async def test_attempts_are_limited_by_the_route(self):
         self.use_route(proxy_fakes.build_route(attempts_limit=1))
         answer = await self.answer(proxy_fakes.LOST_ANSWER)
@@ -352,7 +392,7 @@
 
     async def test_stream_of_a_dead_endpoint_is_resumed_at_another(self):
         answer = await self.answer(
-            self.build_stream(b"id: 1\n\n", proxy_fakes.Silence(50.0)),
+            self.build_stream(b"id: 1\n\n", proxy_fakes.Silence(5.0)),
             self.build_stream(b"id: 2\n\n"),
         )
         self.assertEqual(b"id: 1\n\nid: 2\n\n", await self.read_stream(answer))
