Wait for the call of a batching endpoint that is briefly silent

A call of a full batch was given up after three times its expected duration and 0.3 s, for a service with calls of 0.15 s after some 0.8 s: an endpoint that was silent for a second lost its whole batch although the results came. Its items took retries, and their requests were refused where none was left.

A call is overdue at that time now: the endpoint gets no further items, and those that wait for it are returned unsent and go elsewhere. The call itself goes on until 1.5 s after its expected duration; if it answers, its results are used and the endpoint is not avoided any longer.

Before: the items of a call that was silent for 1.4 s ended with 'error', and so did the items behind it. Both tests fail without the mechanism that each names.

--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -116,6 +116,24 @@
         f"{_PROXYING}.CompleteAnswerTest"
         ".test_silent_endpoint_is_waited_for_if_no_other_may_answer",
     ),
+    _ablate(
+        "call of a batching endpoint that is silent for a second kept",
+        NO_REPEATED_WORK,
+        "batch_dispatch",
+        "timeout = max(overdue, expected + SILENCE_SECONDS)",
+        "timeout = overdue",
+        "tests.test_batch_dispatch.BatchDispatcherTest"
+        ".test_call_of_a_briefly_silent_endpoint_is_not_given_up",
+    ),
+    _ablate(
+        "items behind an overdue call returned",
+        NO_REPEATED_WORK,
+        "batch_dispatch",
+        "            await self.withdraw_items(endpoint)\n",
+        "",
+        "tests.test_batch_dispatch.BatchDispatcherTest"
+        ".test_items_behind_an_overdue_call_are_returned",
+    ),
     _ablate(
         "endpoint that is silent for a second kept",
         STREAMS,
--- a/samphirevale/batch_dispatch.py
+++ b/samphirevale/batch_dispatch.py
@@ -1,6 +1,7 @@
 """Makes batched calls to endpoints, each with items of many requests."""
 
-from collections.abc import Callable, Sequence
+import contextlib
+from collections.abc import AsyncIterator, Callable, Sequence
 from typing import NamedTuple
 
 import curio
@@ -20,11 +21,19 @@
 # The polling interval while items wait for memory or a backoff, in seconds.
 POLL_SECONDS = 0.02
 
-# A call times out after TIMEOUT_FACTOR times its expected duration plus
-# TIMEOUT_MARGIN_SECONDS. The factor allows for endpoints that become several
-# times slower.
-TIMEOUT_FACTOR = 3.0
-TIMEOUT_MARGIN_SECONDS = 0.3
+# A call is overdue after OVERDUE_FACTOR times its expected duration plus
+# OVERDUE_MARGIN_SECONDS. The factor allows for endpoints that become several
+# times slower. No further items wait for the endpoint then.
+OVERDUE_FACTOR = 3.0
+OVERDUE_MARGIN_SECONDS = 0.3
+
+# A call times out when it is overdue, and not before this time besides its
+# expected duration, in seconds. An endpoint that works may be silent for about
+# a second.
+SILENCE_SECONDS = 1.5
+
+# The timeout of a query of an endpoint's free memory, in seconds.
+FREE_MEMORY_SECONDS = 0.3
 
 # How long an endpoint is penalized after a failed call, in seconds.
 PENALTY_DURATION_SECONDS = 1.0
@@ -157,6 +166,12 @@
             del self._queues[key]
         self._penalized_until.pop(endpoint.name, None)
 
+    async def withdraw_items(self, endpoint: catalogue.Endpoint) -> None:
+        """Ends the items queued for an endpoint, which can go to another."""
+        queue = self._queues.get(_build_key(endpoint))
+        if queue is not None:
+            await _resolve_all(queue.take_all(), UNSENT)
+
     async def run_items(
         self,
         endpoint: catalogue.Endpoint,
@@ -259,10 +274,14 @@
         """Makes one call and distributes its results."""
         started_at = self._clock.now()
         expected = stage_times.estimate_call_seconds(queue.limits, len(batch))
-        timeout = TIMEOUT_FACTOR * expected + TIMEOUT_MARGIN_SECONDS
+        overdue = OVERDUE_FACTOR * expected + OVERDUE_MARGIN_SECONDS
+        timeout = max(overdue, expected + SILENCE_SECONDS)
         results = [proxies.ItemResult("", "error")] * len(batch)
         try:
-            async with self._clock.timeout(timeout):
+            async with (
+                self._clock.timeout(timeout),
+                self._watching_overdue(endpoint, overdue, timeout),
+            ):
                 results = await self._endpoints.run_batch(
                     endpoint, batch, started_at
                 )
@@ -331,6 +350,34 @@
         if len(queue):
             await self._start_queue_task(endpoint, queue)
 
+    @contextlib.asynccontextmanager
+    async def _watching_overdue(
+        self, endpoint: catalogue.Endpoint, overdue: float, timeout: float
+    ) -> AsyncIterator[None]:
+        """Spares other items the wait for a call that is overdue.
+
+        Args:
+            endpoint: the endpoint that is called in the block.
+            overdue: when the call is overdue, in seconds from now.
+            timeout: when it times out, in seconds from now.
+        """
+        name = endpoint.name
+        penalized_until = self._clock.now() + timeout
+
+        async def watch() -> None:
+            await curio.sleep(overdue)
+            self._penalized_until[name] = penalized_until
+            self._log.record_failure("batch_overdue", endpoint=name)
+            await self.withdraw_items(endpoint)
+
+        watcher = await curio.spawn(watch, daemon=True)
+        try:
+            yield
+        finally:
+            await watcher.cancel()
+        if self._penalized_until.get(name) == penalized_until:
+            del self._penalized_until[name]
+
     async def _refresh_free_memory(
         self, endpoint: catalogue.Endpoint, queue: batching.BatchQueue
     ) -> None:
@@ -340,7 +387,7 @@
         """
         estimated_bytes = queue.compute_free_memory(self._clock.now())
         try:
-            async with self._clock.timeout(TIMEOUT_MARGIN_SECONDS):
+            async with self._clock.timeout(FREE_MEMORY_SECONDS):
                 free_bytes = await self._endpoints.read_free_memory(endpoint)
         except (errors.TransportError, TimeoutError) as error:
             free_bytes = 0
--- a/samphirevale/log_schema.py
+++ b/samphirevale/log_schema.py
@@ -18,6 +18,7 @@
     event: frozenset(fields)
     for event, fields in {
         "batch_failed": {"endpoint", "items", "requests", "error"},
+        "batch_overdue": {"endpoint"},
         "endpoint_changed": {
             "endpoint",
             "service",
--- a/tests/test_batch_dispatch.py
+++ b/tests/test_batch_dispatch.py
@@ -1,5 +1,7 @@
 """Tests of batched calls with items of many requests."""
 
+import time
+
 import curio
 
 from samphirevale import batch_dispatch
@@ -84,6 +86,36 @@
         self.assertEqual("error", results[0].reason)
         self.assertIn("batch_failed", self.journal.list_events())
 
+    def make_endpoint_silent(self, seconds):
+        """Makes the next calls return only after a silence."""
+
+        async def run_batch(endpoint, items, now):
+            await curio.sleep(seconds)
+            return self.endpoints.succeed_all(items)
+
+        self.endpoints.run_batch = run_batch
+
+    async def test_call_of_a_briefly_silent_endpoint_is_not_given_up(self):
+        self.make_endpoint_silent(1.4)
+        results = await self.run_items(proxy_fakes.build_item())
+        self.assertEqual("a1/0/0", results[0].result)
+        self.assertFalse(self.is_penalized())
+
+    async def test_items_behind_an_overdue_call_are_returned(self):
+        self.make_endpoint_silent(1.4)
+        first = await curio.spawn(self.run_items, proxy_fakes.build_item())
+        await curio.sleep(0.05)
+        started_at = time.monotonic()
+        results = await self.run_items(proxy_fakes.build_item(attempt="a2"))
+        self.assertEqual(batch_dispatch.UNSENT, results[0].reason)
+        self.assertLess(time.monotonic() - started_at, 1.2)
+        self.assertTrue(self.is_penalized())
+        self.assertEqual("a1/0/0", (await first.join())[0].result)
+
+    def is_penalized(self):
+        state = self.dispatcher.find_state(self.endpoint, 100.0)
+        return state.busy_seconds >= batch_dispatch.PENALTY_SECONDS
+
     async def test_results_of_cancelled_items_are_released(self):
         call_started, call_may_end = curio.Event(), curio.Event()
 
