Teach the stand-ins store eras, leaving, pauses, versions and silences

The store states its era in all answers (on demand malformed or left out). A copy of it can be restored: revisions go back and are given out again to other changes, the era rises, a watch from a revision that it does not have gets 410, and watches that wait lose their connection, as all calls do while it is away.

A server says in all its answers that it leaves; refuses all calls for a time with `Retry-After`, also a malformed one, and records what reaches it; writes its version in each event; falls silent before an answer, before the first event or in the middle of a stream and goes on; and reports its free memory.

--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -2,10 +2,12 @@
 
 import json
 import urllib.parse
+from typing import NamedTuple
 
 import curio
 
 from samphirevale.adapters import web
+from standins import programs
 
 # The maximum number of objects per page of a list.
 PAGE_SIZE = 2
@@ -14,19 +16,52 @@
 POLL_SECONDS = 0.01
 
 
+class Change(NamedTuple):
+    """A change in the history; `stored` is the object written or removed."""
+
+    revision: int
+    kind: str
+    deleted: bool
+    stored: dict
+
+
+class Copy(NamedTuple):
+    """The state of the store at one revision.
+
+    Attributes:
+        revision: the newest revision.
+        oldest: the oldest revision from which a watch may start.
+        objects: the objects by kind and name.
+        history: the changes after `oldest`, in order.
+    """
+
+    revision: int
+    oldest: int
+    objects: dict[tuple[str, str], dict]
+    history: list[Change]
+
+
 class MetadataStore:
     """Objects by kind and name, with a change history that can be cleared.
 
     Attributes:
         refusal_status: the HTTP status with which every call is refused; 0
             for none.
+        away: whether calls, and watches that wait, lose their connection.
+        era: the number of times that the store has started; it rises by one
+            when a copy is restored.
+        era_header: the text sent in `Store-Era` instead of the era; empty to
+            leave the header out, None to send the era.
     """
 
     def __init__(self):
         self.refusal_status = 0
+        self.away = False
+        self.era = 1
+        self.era_header: str | None = None
         self._revision = 1
         self._objects: dict[tuple[str, str], dict] = {}
-        self._history: list[tuple[int, str, bool, dict]] = []
+        self._history: list[Change] = []
         self._oldest = 1
 
     def put(self, kind: str, name: str, spec: object) -> None:
@@ -35,19 +70,41 @@
         metadata = {"name": name, "revision": self._revision}
         stored = {"metadata": metadata, "spec": spec, "status": None}
         self._objects[kind, name] = stored
-        self._history.append((self._revision, kind, False, stored))
+        self._history.append(Change(self._revision, kind, False, stored))
 
     def remove(self, kind: str, name: str) -> None:
         """Removes an object."""
         stored = self._objects.pop((kind, name))
         self._revision += 1
-        self._history.append((self._revision, kind, True, stored))
+        self._history.append(Change(self._revision, kind, True, stored))
 
     def drop_history(self) -> None:
         """Clears the change history."""
         self._history.clear()
         self._oldest = self._revision
 
+    def take_copy(self) -> Copy:
+        """Returns a copy of the state."""
+        return Copy(
+            self._revision,
+            self._oldest,
+            dict(self._objects),
+            list(self._history),
+        )
+
+    def restore_copy(self, copy: Copy) -> None:
+        """Comes back in a new era with the state of `copy`.
+
+        What was written since is gone, its revisions are given out again, and
+        the watches that wait lose their connection.
+        """
+        self._revision = copy.revision
+        self._oldest = copy.oldest
+        self._objects = dict(copy.objects)
+        self._history = list(copy.history)
+        self.era += 1
+        self.away = False
+
     def list_names(self, kind: str) -> list[str]:
         """Returns the names of a kind's objects."""
         return sorted(
@@ -55,7 +112,22 @@
         )
 
     async def handle(self, request: web.Request) -> web.Response:
-        """Handles one call."""
+        """Handles one call.
+
+        Raises:
+            programs.AnswerDroppedError: the call loses its connection.
+        """
+        if self.away:
+            raise programs.AnswerDroppedError
+        response = await self._answer(request)
+        era = str(self.era) if self.era_header is None else self.era_header
+        if not era:
+            return response
+        return response._replace(
+            headers=(*response.headers, ("Store-Era", era))
+        )
+
+    async def _answer(self, request: web.Request) -> web.Response:
         if self.refusal_status:
             return web.Response(self.refusal_status)
         _, _, kind, *path_names = map(
@@ -79,14 +151,17 @@
 
     async def _watch(self, kind: str, query: dict[str, str]) -> web.Response:
         since = int(query["watch"])
+        era = self.era
         waited = 0.0
         while True:
-            if since < self._oldest:
+            if self.away or self.era != era:
+                raise programs.AnswerDroppedError
+            if not self._oldest <= since <= self._revision:
                 return web.Response(410)
             events = [
-                {"deleted": deleted, "object": stored}
-                for revision, object_kind, deleted, stored in self._history
-                if object_kind == kind and revision > since
+                {"deleted": change.deleted, "object": change.stored}
+                for change in self._history
+                if change.kind == kind and change.revision > since
             ]
             if events or waited * 1000 >= int(query["wait_ms"]):
                 value = {"events": events, "at": self._revision}
--- a/standins/servers.py
+++ b/standins/servers.py
@@ -1,7 +1,9 @@
 """A test double of the users' servers: plain, streaming and batching."""
 
 import json
+import time
 from collections.abc import AsyncIterator
+from typing import NamedTuple
 
 import curio
 
@@ -14,6 +16,37 @@
 # The delay of the fault `mute`, in seconds, longer than any test's timeout.
 HANG_SECONDS = 100.0
 
+# The header that says that a request did not run and never will.
+NOT_EXECUTED = ("Samphirevale-Not-Executed", "1")
+
+
+class Arrival(NamedTuple):
+    """A call that reached a server.
+
+    Attributes:
+        at: the time of the arrival, monotonic, in seconds.
+        path: the path of the call.
+        attempt: the id of the caller's attempt; empty for a stage call.
+    """
+
+    at: float
+    path: str
+    attempt: str
+
+
+class Pause(NamedTuple):
+    """A time during which a server refuses all calls.
+
+    Attributes:
+        began_at: the begin of the time, monotonic, in seconds.
+        ends_at: the end of the time, monotonic, in seconds.
+        retry_after: the text sent in `Retry-After`, which may be malformed.
+    """
+
+    began_at: float
+    ends_at: float
+    retry_after: str
+
 
 class Server:
     """A server that records its requests.
@@ -21,33 +54,103 @@
     Attributes:
         name: the server's id. A request that expects another id gets the
             status 421.
-        faults: the faults of the next answers, in order: `full`, `cut`,
-            `other` (the answer to another request), `error`, `mute` or empty.
+        version: the version of the server's software, which it registers and
+            writes in each event; empty for none.
+        leaving: whether all answers say that the server leaves.
+        pause: the latest pause; None if there was none.
+        faults: the faults of the next runs and stage calls, in order: `full`,
+            `cut`, `other` (the answer to another request), `error`, `mute`,
+            `silent` (a silence before the answer), `late` (a silence before
+            the first event), `stall` (a silence in the middle of a stream) or
+            empty. Of these, only `full`, `mute` and `silent` affect stage
+            calls.
+        silence_seconds: the duration of a silence, in which none of the
+            server's calls and streams goes on.
+        free_mb: the free memory for results that the server reports.
+        arrivals: all calls that reached the server, in order.
         seen_headers: the headers of each request that was run.
         items: all items that were run.
         freed: the results that were freed.
     """
 
-    def __init__(self, name: str):
+    def __init__(self, name: str, version: str = ""):
         self.name = name
+        self.version = version
+        self.leaving = False
+        self.pause: Pause | None = None
         self.faults: list[str] = []
+        self.silence_seconds = 1.2
+        self.free_mb = 100.0
+        self.arrivals: list[Arrival] = []
         self.seen_headers: list[dict[str, str]] = []
         self.items: list[dict] = []
         self.freed: list[str] = []
+        self._silent_until = 0.0
+
+    def begin_pause(
+        self, seconds: float, now: float, retry_after: str = ""
+    ) -> None:
+        """Refuses all calls for `seconds`.
+
+        Args:
+            seconds: the duration of the pause.
+            now: the present time, monotonic, in seconds.
+            retry_after: the text sent in `Retry-After`; empty for the time
+                that is left of the pause.
+        """
+        self.pause = Pause(now, now + seconds, retry_after)
+
+    def list_arrivals(self, begin: float, end: float) -> list[Arrival]:
+        """Returns the calls that arrived from `begin` on and before `end`."""
+        return [call for call in self.arrivals if begin <= call.at < end]
 
     async def handle(
         self, request: web.Request
     ) -> web.Response | web.StreamedResponse:
         """Handles one call."""
+        attempt = request.headers.get("samphirevale-attempt-id", "")
+        self.arrivals.append(Arrival(time.monotonic(), request.path, attempt))
+        await self._wait_for_silence_end()
+        response = self._refuse(request, time.monotonic())
+        if response is None:
+            response = await self._answer(request)
+        if not self.leaving:
+            return response
+        return response._replace(
+            headers=(*response.headers, ("Server-Leaving", "1"))
+        )
+
+    def _refuse(self, request: web.Request, now: float) -> web.Response | None:
         expected = request.headers.get("samphirevale-expect-instance")
         if expected not in (None, self.name):
             return web.Response(421)
-        if request.path == "/stage-run":
-            return self._run_items(json.loads(request.body)["items"])
+        if self.pause is None or now >= self.pause.ends_at:
+            return None
+        seconds = self.pause.ends_at - now
+        retry_after = self.pause.retry_after or f"{seconds:.3f}"
+        return web.Response(
+            503, b"", (NOT_EXECUTED, ("Retry-After", retry_after))
+        )
+
+    async def _answer(
+        self, request: web.Request
+    ) -> web.Response | web.StreamedResponse:
+        if request.path == "/report":
+            report = {"queued": 0, "busy": False, "free_mb": self.free_mb}
+            return web.build_json(200, report)
         if request.path == "/stage-free":
             self.freed += json.loads(request.body)["handles"]
             return web.build_json(200, {})
-        return await self._run(request)
+        fault = self.faults.pop(0) if self.faults else ""
+        if fault == "mute":
+            await curio.sleep(HANG_SECONDS)
+        if fault == "silent":
+            await self._fall_silent()
+        if request.path == "/stage-run":
+            if fault == "full":
+                return web.Response(503, b"", (NOT_EXECUTED,))
+            return self._run_items(json.loads(request.body)["items"])
+        return self._run(request, fault)
 
     def _run_items(self, items: list[dict]) -> web.Response:
         self.items += items
@@ -57,19 +160,16 @@
         ]
         return web.build_json(200, {"items": results})
 
-    async def _run(
-        self, request: web.Request
+    def _run(
+        self, request: web.Request, fault: str
     ) -> web.Response | web.StreamedResponse:
-        fault = self.faults.pop(0) if self.faults else ""
-        if fault == "mute":
-            await curio.sleep(HANG_SECONDS)
         attempt = request.headers["samphirevale-attempt-id"]
         headers = [
             ("Samphirevale-Attempt-Id", "x" if fault == "other" else attempt),
             ("Samphirevale-Response-Seal", f"seal-of-{self.name}"),
         ]
         if fault == "full":
-            headers.append(("Samphirevale-Not-Executed", "1"))
+            headers.append(NOT_EXECUTED)
             return web.Response(503, b"", tuple(headers))
         self.seen_headers.append(request.headers)
         if "samphirevale-prefix-hash" not in request.headers:
@@ -78,13 +178,34 @@
         headers.append(("Content-Type", "text/event-stream"))
         first = int(request.headers.get("last-event-id", "0")) + 1
         return web.StreamedResponse(
-            200, _stream_events(first, fault == "cut"), tuple(headers)
+            200, self._stream_events(first, fault), tuple(headers)
         )
 
+    async def _stream_events(
+        self, first: int, fault: str
+    ) -> AsyncIterator[bytes]:
+        if fault == "late":
+            await self._fall_silent()
+        for number in range(first, EVENTS + 1):
+            if fault == "cut" and number == 3:
+                yield b"id: 3\nda"
+                raise errors.AnswerLostError("cut by a fault")
+            if fault == "stall" and number == 3:
+                await self._fall_silent()
+            await self._wait_for_silence_end()
+            yield build_event(number, self.version)
+
+    async def _fall_silent(self) -> None:
+        self._silent_until = time.monotonic() + self.silence_seconds
+        await self._wait_for_silence_end()
+
+    async def _wait_for_silence_end(self) -> None:
+        """Returns when no silence is left."""
+        while (left := self._silent_until - time.monotonic()) > 0:
+            await curio.sleep(left)
+
 
-async def _stream_events(first: int, cut: bool) -> AsyncIterator[bytes]:
-    for number in range(first, EVENTS + 1):
-        if cut and number == 3:
-            yield b"id: 3\nda"
-            raise errors.AnswerLostError("cut by a fault")
-        yield b"id: %d\ndata: e%d\n\n" % (number, number)
+def build_event(number: int, version: str = "") -> bytes:
+    """Returns an event of a stream as written by a server of that version."""
+    text = f"e{number} {version}".rstrip()
+    return f"id: {number}\ndata: {text}\n\n".encode()
--- a/tests/platform/test_session.py
+++ b/tests/platform/test_session.py
@@ -123,6 +123,7 @@
                 "service": name[:-1],
                 "address": f"127.0.0.1:{port}",
                 "zone": "a",
+                "version": self.servers[name].version,
                 "slots": 4,
                 "state": "ready",
                 "sequence": 1,
