--- /dev/null
+++ b/tests/platform/sessions.py
@@ -0,0 +1,318 @@
+"""Sessions of a proxying entry with the test doubles over sockets."""
+
+import contextlib
+import itertools
+import time
+
+import curio
+
+from samphirevale import (
+    gateway,
+    gateway_settings,
+    journal,
+    log_schema,
+    retry_budgets,
+)
+from samphirevale.adapters import clock, web, web_client
+from samphirevale.platform import __main__ as program
+from samphirevale.platform import node_file
+from standins import metadata_store, servers
+from tests import base
+
+# Timeout of waits, in seconds.
+TIMEOUT_SECONDS = 5.0
+
+# The entry's memory in its settings. A fifth of it holds ten of the largest
+# request bodies.
+MEMORY_BYTES = 500_000
+
+STREAM = b"".join(map(servers.build_event, range(1, servers.EVENTS + 1)))
+
+# The number of requests that show that a server is not used. If it were, most
+# of them would reach it.
+REQUESTS = 12
+
+# The names of the servers. A name without its last character is the name of
+# the service.
+SERVERS = ("plain1", "plain2", "model1", "model2", "first1")
+
+
+def build_manifest(version=1, keys=("k1",), **changes):
+    """Returns a manifest with a route of each kind."""
+
+    def build_route(path, kind, service, **fields):
+        return {
+            "name": path,
+            "host": "h.example",
+            "path_prefix": path,
+            "kind": kind,
+            "timeout_ms": 3000,
+            "ttft_target_ms": 1000,
+            "priority": 0,
+            "service": service,
+            "max_attempts": 2,
+            "anonymous": False,
+            **fields,
+        }
+
+    stage = {
+        "slots": 1,
+        "queue": 2,
+        "batch": 4,
+        "call_ms": 10.0,
+        "item_ms": 1.0,
+        "headroom_mb": 1.0,
+        "handle_ttl_s": 4.0,
+        "link_mbps": 1000,
+    }
+    return {
+        "version": version,
+        "routes": [
+            build_route("/read/", "idempotent", "plain", ttft_target_ms=200),
+            build_route("/once/", "non_idempotent", "plain"),
+            build_route(
+                "/write/",
+                "streaming",
+                "model",
+                resumable=True,
+                phases=[
+                    {"service": "first", "after": [], "length": 1000},
+                    {"service": "first", "after": [0], "length": 1000},
+                ],
+            ),
+        ],
+        "services": [
+            {"name": "plain", "max_connections": 10},
+            {"name": "model", "max_connections": 10, "backend": {"slots": 4}},
+            {"name": "first", "max_connections": 10, "segments": stage},
+        ],
+        "limits": {"max_body_bytes": 10000},
+        "tenants": [{"name": "acme", "api_keys": list(keys)}],
+        **changes,
+    }
+
+
+class SessionTestCase(base.TestCase):
+    """One entry, some servers per service, and the store."""
+
+    @contextlib.asynccontextmanager
+    async def run_all(self, names=SERVERS, versions=None):
+        """Runs the store, the servers and the entry during the block.
+
+        Args:
+            names: the names of the servers.
+            versions: the software versions of servers by name, if any.
+        """
+        self.store = metadata_store.MetadataStore()
+        self.servers = {
+            name: servers.Server(name, (versions or {}).get(name, ""))
+            for name in names
+        }
+        self.ports = {}
+        self.sequences = itertools.count(2)
+        async with contextlib.AsyncExitStack() as stack:
+            for name, server in self.servers.items():
+                port = await self.serve(stack, server.handle)
+                self.ports[name] = port
+                self.register_server(name, port)
+            self.store.put("config", "main", build_manifest())
+            self.store_port = await self.serve(stack, self.store.handle)
+            self.gateway = self.build_gateway(self.store_port)
+            task = await curio.spawn(gateway.run, self.gateway)
+            stack.push_async_callback(task.cancel)
+            await self.wait_until(self.gateway.is_ready)
+            self.task = task
+            yield
+        self.assertEqual([], self.log.faults)
+
+    async def serve(self, stack, handle):
+        port = base.find_free_port()
+        task = await curio.spawn(
+            web.serve, handle, "127.0.0.1", port, daemon=True
+        )
+        stack.push_async_callback(task.cancel)
+        return port
+
+    def register_server(self, name, port, **changes):
+        self.store.put(
+            "servers",
+            name,
+            {
+                "service": name[:-1],
+                "address": f"127.0.0.1:{port}",
+                "zone": "a",
+                "version": self.servers[name].version,
+                "slots": 4,
+                "state": "ready",
+                "sequence": 1,
+                "born": 1,
+                **changes,
+            },
+        )
+
+    def build_gateway(self, store_port, instance="entry1"):
+        self.port = base.find_free_port()
+        settings = gateway_settings.GatewaySettings(
+            instance,
+            "a",
+            "127.0.0.1",
+            self.port,
+            "127.0.0.1",
+            base.find_free_port(),
+            "127.0.0.1",
+            base.find_free_port(),
+            base.find_free_port(),
+            4100,
+            MEMORY_BYTES,
+            5.0,
+            3.0,
+            2.0,
+            8.0,
+            retry_budgets.RetryBudgetLimits(0.2, 50, 10.0),
+        )
+        file = node_file.NodeFile(settings, f"http://127.0.0.1:{store_port}")
+        machine_clock = clock.BootClock()
+        self.log = RecordingJournal(
+            instance, machine_clock.now, NullDescriptor.open()
+        )
+        return gateway.Gateway(
+            settings,
+            program.build_platform_adapters(file),
+            machine_clock,
+            self.log,
+        )
+
+    async def wait_until(self, condition):
+        async with curio.timeout_after(TIMEOUT_SECONDS):
+            while not condition():
+                await curio.sleep(0.01)
+
+    async def call(self, path, body=b"", key="k1", **extra_headers):
+        """Sends a request and returns status, headers and body."""
+        headers = {
+            "Samphirevale-Attempt-Id": "a1",
+            "Samphirevale-Deadline-Ms": "3000",
+            "Samphirevale-Key": key,
+            **extra_headers,
+        }
+        async with web_client.connect("127.0.0.1", self.port) as connection:
+            answer = await connection.request(
+                "POST", path, body, tuple(headers.items()), "h.example"
+            )
+            return answer.status, answer.headers, await answer.read_body()
+
+    async def write(self, **extra_headers):
+        return await self.call(
+            "/write/x",
+            **{
+                "Samphirevale-Prefix-Hash": "p:10,q:5",
+                "Samphirevale-Chunk-Count": "2,1",
+                "Samphirevale-Chunk-Key": "ck",
+                **extra_headers,
+            },
+        )
+
+    def list_received_headers(self, service):
+        return [
+            headers
+            for name, server in self.servers.items()
+            if name.startswith(service)
+            for headers in server.seen_headers
+        ]
+
+    def change_server(self, name, **changes):
+        """Registers a running server again, with a higher sequence number."""
+        changes = {"sequence": next(self.sequences), **changes}
+        self.register_server(name, self.ports[name], **changes)
+
+    @contextlib.asynccontextmanager
+    async def run_second_entry(self):
+        """Runs another entry during the block; yields its port."""
+        first_port, first_log = self.port, self.log
+        second = self.build_gateway(self.store_port, "entry2")
+        port, self.port = self.port, first_port
+        log, self.log = self.log, first_log
+        task = await curio.spawn(gateway.run, second)
+        try:
+            await self.wait_until(second.is_ready)
+            await self.wait_until(
+                lambda: second.table.linked and self.gateway.table.linked
+            )
+            yield port
+        finally:
+            await task.cancel()
+        self.assertEqual([], log.faults)
+
+    def list_accepting(self, service):
+        catalogue = self.gateway.cluster_state.catalogue
+        return sorted(
+            endpoint.name for endpoint in catalogue.list_accepting(service)
+        )
+
+    async def wait_until_accepting(self, *names):
+        service = names[0][:-1]
+        await self.wait_until(lambda: self.list_accepting(service) == [*names])
+
+    async def read(self):
+        """Sends a request that must be answered; returns the headers."""
+        status, headers, _ = await self.call("/read/x")
+        self.assertEqual(200, status)
+        return headers
+
+    async def read_until_reached(self, name):
+        """Sends requests until one more reaches the server."""
+        arrivals = self.servers[name].arrivals
+        known = len(arrivals)
+        async with curio.timeout_after(TIMEOUT_SECONDS):
+            while len(arrivals) == known:
+                await self.read()
+                await curio.sleep(0.01)
+
+    async def read_until_pause_ends(self, name):
+        """Sends requests until shortly before the end of a server's pause."""
+        while time.monotonic() < self.servers[name].pause.ends_at - 0.05:
+            await self.read()
+            await curio.sleep(0.02)
+
+    async def check_unused(self, name):
+        """Checks that no request reaches the server any more."""
+        known = len(self.servers[name].arrivals)
+        for _ in range(REQUESTS):
+            await self.read()
+        self.assertEqual([], self.servers[name].arrivals[known:])
+
+    async def check_stream(self):
+        """Sends a request whose stream must be complete."""
+        status, _, body = await self.write()
+        self.assertEqual((200, STREAM), (status, body))
+
+
+class RecordingJournal(journal.Journal):
+    """A journal that also records event names and faulty lines."""
+
+    def __init__(self, *arguments):
+        super().__init__(*arguments)
+        self._events = []
+        self.faults = []
+
+    def _record(self, kind, event, fields):
+        self._events.append(event)
+        line = {"time": 0, "at": 0, "instance": "", "event": event, **fields}
+        self.faults += log_schema.find_deviations(line)
+        super()._record(kind, event, fields)
+
+    def list_events(self):
+        """Returns the events' names in order."""
+        return self._events
+
+
+class NullDescriptor:
+    """A descriptor of /dev/null, for the log lines of the tests."""
+
+    _file = None
+
+    @classmethod
+    def open(cls):
+        if cls._file is None:
+            cls._file = open("/dev/null", "wb")  # noqa: SIM115
+        return cls._file.fileno()
--- a/tests/platform/test_session.py
+++ b/tests/platform/test_session.py
@@ -4,203 +4,15 @@
 
 import curio
 
-from samphirevale import (
-    gateway,
-    gateway_settings,
-    journal,
-    log_schema,
-    retry_budgets,
-)
-from samphirevale.adapters import clock, web, web_client
-from samphirevale.platform import __main__ as program
-from samphirevale.platform import node_file
-from standins import metadata_store, servers
+from samphirevale import gateway
+from samphirevale.adapters import web, web_client
+from standins import metadata_store
 from tests import base
+from tests.platform import sessions
 
-# Timeout of waits, in seconds.
-TIMEOUT_SECONDS = 5.0
 
-# The entry's memory in its settings. A fifth of it holds ten of the largest
-# request bodies.
-MEMORY_BYTES = 500_000
-
-STREAM = b"".join(b"id: %d\ndata: e%d\n\n" % (i, i) for i in range(1, 6))
-
-
-def build_manifest(version=1, keys=("k1",), **changes):
-    """Returns a manifest with a route of each kind."""
-
-    def build_route(path, kind, service, **fields):
-        return {
-            "name": path,
-            "host": "h.example",
-            "path_prefix": path,
-            "kind": kind,
-            "timeout_ms": 3000,
-            "ttft_target_ms": 1000,
-            "priority": 0,
-            "service": service,
-            "max_attempts": 2,
-            "anonymous": False,
-            **fields,
-        }
-
-    stage = {
-        "slots": 1,
-        "queue": 2,
-        "batch": 4,
-        "call_ms": 10.0,
-        "item_ms": 1.0,
-        "headroom_mb": 1.0,
-        "handle_ttl_s": 4.0,
-        "link_mbps": 1000,
-    }
-    return {
-        "version": version,
-        "routes": [
-            build_route("/read/", "idempotent", "plain", ttft_target_ms=200),
-            build_route("/once/", "non_idempotent", "plain"),
-            build_route(
-                "/write/",
-                "streaming",
-                "model",
-                resumable=True,
-                phases=[
-                    {"service": "first", "after": [], "length": 1000},
-                    {"service": "first", "after": [0], "length": 1000},
-                ],
-            ),
-        ],
-        "services": [
-            {"name": "plain", "max_connections": 10},
-            {"name": "model", "max_connections": 10, "backend": {"slots": 4}},
-            {"name": "first", "max_connections": 10, "segments": stage},
-        ],
-        "limits": {"max_body_bytes": 10000},
-        "tenants": [{"name": "acme", "api_keys": list(keys)}],
-        **changes,
-    }
-
-
-class SessionTest(base.TestCase):
-    """One entry, one or two servers per service, and the store."""
-
-    @contextlib.asynccontextmanager
-    async def run_all(self):
-        """Runs the store, the servers and the entry during the block."""
-        self.store = metadata_store.MetadataStore()
-        self.servers = {
-            name: servers.Server(name)
-            for name in ("plain1", "plain2", "model1", "model2", "first1")
-        }
-        async with contextlib.AsyncExitStack() as stack:
-            for name, server in self.servers.items():
-                port = await self.serve(stack, server.handle)
-                self.register_server(name, port)
-            self.store.put("config", "main", build_manifest())
-            store_port = await self.serve(stack, self.store.handle)
-            self.gateway = self.build_gateway(store_port)
-            task = await curio.spawn(gateway.run, self.gateway)
-            stack.push_async_callback(task.cancel)
-            await self.wait_until(self.gateway.is_ready)
-            self.task = task
-            yield
-        self.assertEqual([], self.log.faults)
-
-    async def serve(self, stack, handle):
-        port = base.find_free_port()
-        task = await curio.spawn(
-            web.serve, handle, "127.0.0.1", port, daemon=True
-        )
-        stack.push_async_callback(task.cancel)
-        return port
-
-    def register_server(self, name, port, **changes):
-        self.store.put(
-            "servers",
-            name,
-            {
-                "service": name[:-1],
-                "address": f"127.0.0.1:{port}",
-                "zone": "a",
-                "version": self.servers[name].version,
-                "slots": 4,
-                "state": "ready",
-                "sequence": 1,
-                "born": 1,
-                **changes,
-            },
-        )
-
-    def build_gateway(self, store_port):
-        self.port = base.find_free_port()
-        settings = gateway_settings.GatewaySettings(
-            "entry1",
-            "a",
-            "127.0.0.1",
-            self.port,
-            "127.0.0.1",
-            base.find_free_port(),
-            "127.0.0.1",
-            base.find_free_port(),
-            base.find_free_port(),
-            4100,
-            MEMORY_BYTES,
-            5.0,
-            3.0,
-            2.0,
-            8.0,
-            retry_budgets.RetryBudgetLimits(0.2, 50, 10.0),
-        )
-        file = node_file.NodeFile(settings, f"http://127.0.0.1:{store_port}")
-        machine_clock = clock.BootClock()
-        self.log = RecordingJournal(
-            "entry1", machine_clock.now, NullDescriptor.open()
-        )
-        return gateway.Gateway(
-            settings,
-            program.build_platform_adapters(file),
-            machine_clock,
-            self.log,
-        )
-
-    async def wait_until(self, condition):
-        async with curio.timeout_after(TIMEOUT_SECONDS):
-            while not condition():
-                await curio.sleep(0.01)
-
-    async def call(self, path, body=b"", key="k1", **extra_headers):
-        """Sends a request and returns status, headers and body."""
-        headers = {
-            "Samphirevale-Attempt-Id": "a1",
-            "Samphirevale-Deadline-Ms": "3000",
-            "Samphirevale-Key": key,
-            **extra_headers,
-        }
-        async with web_client.connect("127.0.0.1", self.port) as connection:
-            answer = await connection.request(
-                "POST", path, body, tuple(headers.items()), "h.example"
-            )
-            return answer.status, answer.headers, await answer.read_body()
-
-    async def write(self, **extra_headers):
-        return await self.call(
-            "/write/x",
-            **{
-                "Samphirevale-Prefix-Hash": "p:10,q:5",
-                "Samphirevale-Chunk-Count": "2,1",
-                "Samphirevale-Chunk-Key": "ck",
-                **extra_headers,
-            },
-        )
-
-    def list_received_headers(self, service):
-        return [
-            headers
-            for name, server in self.servers.items()
-            if name.startswith(service)
-            for headers in server.seen_headers
-        ]
+class SessionTest(sessions.SessionTestCase):
+    """Requests through one entry, and changes in the store."""
 
     async def test_a_plain_request(self):
         async with self.run_all():
@@ -230,7 +42,7 @@
     async def test_a_stream_with_stages(self):
         async with self.run_all():
             status, _, body = await self.write()
-            self.assertEqual((200, STREAM), (status, body))
+            self.assertEqual((200, sessions.STREAM), (status, body))
             input_results = self.list_received_headers("model")[0][
                 "samphirevale-input-count"
             ]
@@ -246,7 +58,7 @@
             self.servers["model1"].faults = ["cut"]
             self.servers["model2"].faults = ["", "cut"]
             bodies = [(await self.write())[2] for _ in range(3)]
-            self.assertEqual([STREAM] * 3, bodies)
+            self.assertEqual([sessions.STREAM] * 3, bodies)
 
     async def test_an_answer_of_another_request_is_not_forwarded(self):
         async with self.run_all():
@@ -274,7 +86,7 @@
 
     async def test_a_revoked_key_is_refused(self):
         async with self.run_all():
-            self.store.put("config", "main", build_manifest(2, ["k2"]))
+            self.store.put("config", "main", sessions.build_manifest(2, ["k2"]))
             await self.wait_until(
                 lambda: self.gateway.cluster_state.table.version > 1
             )
@@ -308,7 +120,9 @@
                 lambda: "routes_malformed" in self.log.list_events()
             )
             self.assertEqual(200, (await self.call("/read/x"))[0])
-            self.store.put("config", "main", build_manifest(3, keys=("k3",)))
+            self.store.put(
+                "config", "main", sessions.build_manifest(3, keys=("k3",))
+            )
             await self.wait_until(
                 lambda: self.gateway.cluster_state.table.version == 3
             )
@@ -327,7 +141,7 @@
             self.assertEqual((503, b"no_routes\n"), (status, body))
             self.assertGreater(float(headers["retry-after"]), 0)
             store = metadata_store.MetadataStore()
-            store.put("config", "main", build_manifest())
+            store.put("config", "main", sessions.build_manifest())
             serving = await curio.spawn(
                 web.serve, store.handle, "127.0.0.1", store_port, daemon=True
             )
@@ -348,7 +162,7 @@
 
     async def test_input_that_is_not_http_is_refused(self):
         async with self.run_all():
-            async with curio.timeout_after(TIMEOUT_SECONDS):
+            async with curio.timeout_after(sessions.TIMEOUT_SECONDS):
                 for text in (b"odd\r\n\r\n", b"POST / HTTP/1.1\r\n\r\n"):
                     client = await curio.open_connection("127.0.0.1", self.port)
                     await client.sendall(text)
@@ -359,12 +173,14 @@
     async def test_an_incomplete_head_times_out(self):
         async with self.run_all():
             limits = {"max_body_bytes": 10000, "header_timeout_ms": 100}
-            self.store.put("config", "main", build_manifest(2, limits=limits))
+            self.store.put(
+                "config", "main", sessions.build_manifest(2, limits=limits)
+            )
             await self.wait_until(
                 lambda: self.gateway.cluster_state.table.version == 2
             )
             client = await curio.open_connection("127.0.0.1", self.port)
-            async with client, curio.timeout_after(TIMEOUT_SECONDS):
+            async with client, curio.timeout_after(sessions.TIMEOUT_SECONDS):
                 await client.sendall(b"POST /read/x HTTP/1.1\r\n")
                 self.assertIn(b" 408 ", await client.recv(1000))
 
@@ -446,7 +262,7 @@
             age = self.gateway.cluster_state.endpoints_age
             await self.wait_until(lambda: age.confirmed_at is not None)
             self.assertFalse(self.gateway.is_ready())
-            store.put("config", "main", build_manifest())
+            store.put("config", "main", sessions.build_manifest())
             await self.wait_until(self.gateway.is_ready)
 
     async def test_a_graceful_stop_closes_connections_after_their_answers(self):
@@ -455,34 +271,3 @@
             self.assertFalse(self.gateway.is_ready())
             status, headers, _ = await self.call("/read/x")
             self.assertEqual((200, "close"), (status, headers["connection"]))
-
-
-class RecordingJournal(journal.Journal):
-    """A journal that also records event names and faulty lines."""
-
-    def __init__(self, *arguments):
-        super().__init__(*arguments)
-        self._events = []
-        self.faults = []
-
-    def _record(self, kind, event, fields):
-        self._events.append(event)
-        line = {"time": 0, "at": 0, "instance": "", "event": event, **fields}
-        self.faults += log_schema.find_deviations(line)
-        super()._record(kind, event, fields)
-
-    def list_events(self):
-        """Returns the events' names in order."""
-        return self._events
-
-
-class NullDescriptor:
-    """A descriptor of /dev/null, for the log lines of the tests."""
-
-    _file = None
-
-    @classmethod
-    def open(cls):
-        if cls._file is None:
-            cls._file = open("/dev/null", "wb")  # noqa: SIM115
-        return cls._file.fileno()
