--- /dev/null
+++ b/tests/platform/test_silences.py
@@ -0,0 +1,30 @@
+"""Tests of sessions with a sound server that falls silent and goes on."""
+
+import curio
+
+from tests.platform import sessions
+
+# The duration of a silence, in seconds.
+SILENCE_SECONDS = 1.4
+
+
+class SilenceTest(sessions.SessionTestCase):
+    """Nothing is given up for a silence if there is no other server."""
+
+    def plan_silence(self, name, fault):
+        self.servers[name].silence_seconds = SILENCE_SECONDS
+        self.servers[name].faults = [fault]
+
+    async def test_a_stream_begins_after_a_silence(self):
+        async with self.run_all(("model1", "first1")):
+            for fault in ("late", "silent"):
+                self.plan_silence("model1", fault)
+                await self.check_stream()
+            self.assertEqual(2, len(self.servers["model1"].seen_headers))
+
+    async def test_a_server_is_used_again_after_a_silence(self):
+        async with self.run_all():
+            self.plan_silence("plain1", "silent")
+            await self.read_until_reached("plain1")
+            await curio.sleep(SILENCE_SECONDS)
+            await self.read_until_reached("plain1")
