Order names by their hash with a key in one place

Holders of streams and endpoints for shared prompts used two copies of the same rendezvous order; the order itself, and so the choice of endpoints, is the same (the text that is hashed has not changed).

--- a/samphirevale/placement.py
+++ b/samphirevale/placement.py
@@ -6,12 +6,17 @@
 unless its load is clearly higher than that of another endpoint.
 """
 
-import hashlib
 import random
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection
 from typing import NamedTuple
 
-from samphirevale import catalogue, prompt_speed, proxy_requests, registry
+from samphirevale import (
+    catalogue,
+    hash_order,
+    prompt_speed,
+    proxy_requests,
+    registry,
+)
 
 # The time that each request in flight adds to a new one, in seconds.
 REQUEST_DELAY_SECONDS = 0.004
@@ -254,25 +259,12 @@
     cost_limit += selector.prompt_speed.estimate_reading(
         sum(part.tokens for part in shared)
     )
-    for name in order_by_part_hash(shared[-1].name, list(costs)):
+    for name in hash_order.order_by_hash(shared[-1].name, list(costs)):
         if costs[name] <= cost_limit:
             return name
     return min(costs, key=costs.__getitem__)
 
 
-def order_by_part_hash(part: str, names: Sequence[str]) -> list[str]:
-    """Returns endpoint names in the order of their hash with a prompt part.
-
-    All entries get the same order for the same part.
-    """
-
-    def compute_hash(name: str) -> bytes:
-        text = f"{part}/{name}".encode()
-        return hashlib.blake2b(text, digest_size=8).digest()
-
-    return sorted(names, key=compute_hash)
-
-
 def _compute_fetch_seconds(
     endpoint: catalogue.Endpoint, result_bytes: tuple[tuple[str, int], ...]
 ) -> float:
--- a/samphirevale/stream_origins.py
+++ b/samphirevale/stream_origins.py
@@ -6,12 +6,12 @@
 holders, and an entry that does not know a stream asks them.
 """
 
-import hashlib
 from collections.abc import Collection
 from typing import NamedTuple, Protocol
 
 import curio
 
+from samphirevale import hash_order
 from samphirevale.ports import clock as clocks
 
 # The number of other entries that are told of a stream.
@@ -114,7 +114,7 @@
         """Remembers a stream here and at its holders."""
         self._origins.record(attempt, origin, until)
         seconds = until - self._clock.now()
-        names = rank_holders(attempt, self._links.list_linked())
+        names = hash_order.order_by_hash(attempt, self._links.list_linked())
         for name in names[:HOLDERS]:
             await self._links.tell_origin(name, attempt, origin, seconds)
 
@@ -125,7 +125,7 @@
         known = self._origins.find(attempt, self._clock.now())
         if known is not None:
             return known
-        names = rank_holders(attempt, self._links.list_linked())
+        names = hash_order.order_by_hash(attempt, self._links.list_linked())
         async with (
             curio.ignore_after(ASK_SECONDS),
             curio.TaskGroup(wait=object) as group,
@@ -133,16 +133,3 @@
             for name in names[:ASKED]:
                 await group.spawn(self._links.ask_origin, name, attempt)
         return group.result if group.completed else None
-
-
-def rank_holders(attempt: str, names: Collection[str]) -> list[str]:
-    """Returns entries in the order in which they hold a stream.
-
-    All entries get the same order from the same names.
-    """
-
-    def compute_hash(name: str) -> bytes:
-        text = f"{attempt}/{name}".encode()
-        return hashlib.blake2b(text, digest_size=8).digest()
-
-    return sorted(names, key=compute_hash)
