--- a/samphirevale/proxy_runs.py
+++ b/samphirevale/proxy_runs.py
@@ -361,7 +361,11 @@
                 isinstance(answer, proxy_requests.CompleteAnswer)
                 and answer.status >= 500
             )
-            if failed and self.may_send_again():
+            if (
+                failed
+                and self._choose_endpoint(sizes) is not None
+                and self.may_send_again()
+            ):
                 continue
             if isinstance(answer, proxy_requests.CompleteAnswer):
                 self._log_step("request_answered", status=answer.status)
--- a/tests/test_proxying.py
+++ b/tests/test_proxying.py
@@ -277,6 +277,11 @@
         )
         self.assertEqual((500, b"2"), (answer.status, answer.body))
 
+    async def test_failure_is_returned_without_another_endpoint(self):
+        self.cluster.catalogue.remove("p2", NOW)
+        answer = await self.answer(proxy_fakes.FakeAnswer([b"1"], 500))
+        self.assertEqual(500, answer.status)
+
     async def test_draining_endpoint_gets_no_requests(self):
         for name in ("p1", "p2"):
             endpoint = self.cluster.catalogue.find(name)
