Keep an answer in progress until the next endpoint has not refused it

A whole answer that did not come in time was given up when another endpoint was chosen; if that one refused or was down, the caller got a 502 although the first would have answered. The exchanges of a request now race: the first good answer counts, and an error of one leaves the others. At most one further endpoint is asked for each silence, and only with a retry.

Two endpoints may not work on one stream, so for streams the earlier exchange ends once the next one has had the request for 0.3 s without refusing it, both before the first event and in the middle.

Whether a request may have run follows from its count of runs alone now; a flag that each send restored could not tell two sends in progress apart.

--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -77,8 +77,8 @@
         "not_run not reported after a lost answer",
         NO_REPEATED_WORK,
         "proxy_runs",
-        "            self._handed_over = previously_handed_over\n",
-        "            self._handed_over = False\n",
+        "            self._runs -= 1\n",
+        "            self._runs = 0\n",
         f"{_PROXYING}.CompleteAnswerTest"
         ".test_refusal_after_a_lost_answer_does_not_invite_a_retry",
     ),
@@ -113,8 +113,10 @@
         "silent endpoint waited for if no other may answer",
         NO_REPEATED_WORK,
         "proxy_runs",
-        "if self._choose_endpoint(()) is None or not self.may_send_again():",
-        "if False:",
+        "if self._choose_endpoint(()) is None or not self.may_send_again():\n"
+        "            return\n",
+        "if not self.may_send_again():\n"
+        '            raise TimeoutError("silent for too long")\n',
         f"{_PROXYING}.CompleteAnswerTest"
         ".test_silent_endpoint_is_waited_for_if_no_other_may_answer",
     ),
--- a/samphirevale/errors.py
+++ b/samphirevale/errors.py
@@ -50,13 +50,6 @@
     """The connection broke after bytes were sent, which may have been read."""
 
 
-class SilentEndpointError(TransportError):
-    """An endpoint was silent, and the request may be sent to another one.
-
-    The retry has been taken from the budget.
-    """
-
-
 class NotExecutedError(TransportError):
     """The endpoint reported that it has not run the request and will not.
 
--- a/samphirevale/event_streams.py
+++ b/samphirevale/event_streams.py
@@ -2,7 +2,8 @@
 
 A broken stream is resumed at once. An endpoint that is only silent may go on:
 it is still read while the stream is resumed, and left only when another
-endpoint has taken over.
+endpoint has taken over. That is when it has begun to answer, or has worked on
+the stream for a moment without refusing it.
 """
 
 import contextlib
@@ -17,6 +18,10 @@
 # endpoint has taken over, in seconds.
 RESUMPTION_CHECK_SECONDS = 0.05
 
+# How long two endpoints may work on one stream, in seconds. An endpoint refuses
+# a request in less.
+OVERLAP_SECONDS = 0.3
+
 # Why a stream ends whose endpoint has sent nothing for too long.
 SILENT = "silent for too long"
 
@@ -34,6 +39,14 @@
     def compute_remaining_seconds(self) -> float:
         """Returns the time until the request's deadline, in seconds."""
 
+    def compute_overlap(self) -> float:
+        """Returns how long the request has been at a further endpoint.
+
+        Returns:
+            The time in seconds since it was sent there; 0 if it was not, or
+            that endpoint has refused it.
+        """
+
     def record_crash(self, endpoint: catalogue.Endpoint) -> None:
         """Records a broken answer, as the endpoint may have crashed."""
 
@@ -127,15 +140,14 @@
             try:
                 part = await self._read_during(resumption)
             except errors.TransportError as error:
-                await self._adopt_after_break(resumption, error)
+                reason = await self._close_broken(error)
+                await self._adopt_resumed(resumption, reason)
                 return b""
             if part or self._ended:
                 self._run.log_silence(self._order.last, "went on")
-            elif not resumption.terminated:
-                self._end(SILENT)
-            elif resumption.result is not None:
+            elif not resumption.terminated or resumption.result is not None:
                 await self._close_exchange()
-                self._adopt(resumption.result)
+                await self._adopt_resumed(resumption, SILENT)
             return part
 
     async def _read_during(self, resumption: curio.Task) -> bytes:
@@ -143,18 +155,23 @@
 
         Returns:
             An empty part if the resumption or the request's time has ended
-            before.
+            before, or another endpoint has taken over.
         """
-        while self._compute_remaining() and not resumption.terminated:
+        while (
+            self._compute_remaining()
+            and not resumption.terminated
+            and self._run.compute_overlap() < OVERLAP_SECONDS
+        ):
             async with curio.ignore_after(RESUMPTION_CHECK_SECONDS):
                 return await self._read_part()
         return b""
 
-    async def _adopt_after_break(
-        self, resumption: curio.Task, error: errors.TransportError
-    ) -> None:
-        """Waits for a resumption that has begun before the endpoint broke."""
-        reason = await self._close_broken(error)
+    async def _adopt_resumed(self, resumption: curio.Task, reason: str) -> None:
+        """Waits for a resumption and goes on with its answer.
+
+        Raises:
+            errors.AnswerLostError: the stream was not resumed.
+        """
         async with curio.ignore_after(self._compute_remaining()):
             await resumption.wait()
         if not resumption.terminated or resumption.result is None:
--- a/samphirevale/log_schema.py
+++ b/samphirevale/log_schema.py
@@ -29,6 +29,7 @@
             "started",
             "gone",
         },
+        "endpoint_silent": {*_REQUEST, "exchanges"},
         "entries_changed": {"count", "joined", "left"},
         "entry_down": {"entry"},
         "entry_up": {"entry"},
--- a/samphirevale/proxy_runs.py
+++ b/samphirevale/proxy_runs.py
@@ -1,16 +1,14 @@
 """Runs one accepted request: stages, sends, retries and the answer."""
 
-import contextlib
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import Sequence
 from typing import NamedTuple
 
-import curio
-
 from samphirevale import (
     batch_dispatch,
     catalogue,
     errors,
     event_streams,
+    exchange_races,
     exchanges,
     input_fingerprints,
     placement,
@@ -78,8 +76,14 @@
         self._tried: set[str] = set()
         # The number of sends that an endpoint may have executed.
         self._runs = 0
-        # Whether an endpoint may have executed this request.
-        self._handed_over = False
+        # When the request was sent to an endpoint that has not answered yet.
+        self._sent_at: float | None = None
+        self._connection_failures = 0
+        # The results of the stages, and whether they have to run again.
+        self._result_names: tuple[str, ...] = ()
+        self._result_sizes: tuple[tuple[str, int], ...] = ()
+        self._lacks_results = False
+        self._stages_repeated = False
         self._stages: stages.StageSequenceRun | None = None
         # The version that goes on with the stream once it has begun; None
         # before.
@@ -127,7 +131,7 @@
 
     def build_timeout_refusal(self) -> proxy_requests.Refusal:
         """Returns the answer to a request whose deadline has passed."""
-        if self._handed_over:
+        if self._runs:
             return proxy_requests.Refusal(504, "no_answer_in_time")
         return proxy_requests.Refusal(
             503, "not_sent_in_time", RETRY_AFTER_SECONDS
@@ -320,58 +324,126 @@
     async def _send_until_answered(
         self, results: Sequence[batch_dispatch.StageResult]
     ) -> proxy_requests.Answer:
-        names = tuple(stage_result.name for stage_result in results)
-        sizes = self._list_result_sizes(results)
-        connection_failures = 0
-        stages_repeated = False
-        while True:
-            endpoint = self._choose_endpoint(sizes)
-            if endpoint is None:
-                return self._build_failure_refusal(self._explain_no_endpoint())
-            self._tried.add(endpoint.name)
-            try:
-                answer = await self._send_once(endpoint, names)
-            except errors.ConnectError as error:
-                self._log_send_failure(endpoint, error)
-                connection_failures += 1
-                if connection_failures >= CONNECT_FAILURES_LIMIT:
-                    return self._build_failure_refusal("unreachable")
-                continue
-            except errors.NotExecutedError as error:
-                self._log_send_failure(endpoint, error)
-                if not self._take_retry(self._accepted.service):
-                    return self._build_failure_refusal("refused_by_endpoint")
-                if error.lacks_results:
-                    if stages_repeated:
-                        return self._build_failure_refusal("results_gone")
-                    stages_repeated = True
-                    names = await self._run_stages_again()
-                continue
-            except errors.SilentEndpointError as error:
-                self._log_send_failure(endpoint, error)
-                continue
-            except errors.TransportError as error:
-                self._handed_over = True
-                self.record_crash(endpoint)
-                self._log_send_failure(endpoint, error)
-                if not self.may_send_again():
-                    return proxy_requests.Refusal(502, "answer_lost")
-                continue
-            failed = (
-                isinstance(answer, proxy_requests.CompleteAnswer)
-                and answer.status >= 500
-            )
-            if (
-                failed
-                and self._choose_endpoint(sizes) is not None
-                and self.may_send_again()
-            ):
-                continue
-            if isinstance(answer, proxy_requests.CompleteAnswer):
-                self._log_step("request_answered", status=answer.status)
-            if not failed:
-                self._context.quarantine.remove(self._accepted.fingerprint)
-            return answer
+        """Sends the request until an endpoint answers or none is left."""
+        self._result_names = tuple(result.name for result in results)
+        self._result_sizes = self._list_result_sizes(results)
+        async with exchange_races.open_race() as race:
+            # What the caller gets if no exchange in progress brings an answer.
+            fallback = await self._start_exchange(race)
+            while race.running:
+                overlapping = self._route.streamed and race.running > 1
+                timeout = self._compute_answer_timeout()
+                if overlapping:
+                    timeout = min(timeout, event_streams.OVERLAP_SECONDS)
+                finished = await race.wait(timeout)
+                if finished is None and overlapping:
+                    await race.keep_last()
+                    continue
+                if finished is None:
+                    await self._handle_silence(race)
+                    continue
+                if self._is_final(finished.outcome):
+                    return await self._accept_answer(finished)
+                fallback = self._find_failure(finished)
+                if fallback is None:
+                    fallback = await self._start_exchange(race)
+            return fallback
+
+    async def _start_exchange(
+        self, race: exchange_races.ExchangeRace
+    ) -> proxy_requests.Refusal | None:
+        """Sends the request to a further endpoint.
+
+        Returns:
+            A refusal if no endpoint accepts it.
+        """
+        if self._lacks_results:
+            self._lacks_results = False
+            self._result_names = await self._run_stages_again()
+        endpoint = self._choose_endpoint(self._result_sizes)
+        if endpoint is None:
+            return self._build_failure_refusal(self._explain_no_endpoint())
+        self._tried.add(endpoint.name)
+        await race.start(endpoint, self._send_once)
+        return None
+
+    async def _handle_silence(self, race: exchange_races.ExchangeRace) -> None:
+        """Sends the request to a further endpoint if that is allowed.
+
+        Raises:
+            TimeoutError: the request's deadline has passed.
+        """
+        if self.compute_remaining_seconds() <= 0:
+            raise TimeoutError("no answer before the deadline")
+        if self._choose_endpoint(()) is None or not self.may_send_again():
+            return
+        self._log_step("endpoint_silent", exchanges=race.running)
+        await self._start_exchange(race)
+
+    def _is_final(self, outcome: proxy_requests.Answer | Exception) -> bool:
+        """Returns whether an outcome is an answer that is no failure."""
+        if isinstance(outcome, proxy_requests.CompleteAnswer):
+            return outcome.status < 500
+        return isinstance(outcome, proxy_requests.StreamedAnswer)
+
+    async def _accept_answer(
+        self, finished: exchange_races.FinishedExchange
+    ) -> proxy_requests.Answer:
+        answer = finished.outcome
+        self._context.quarantine.remove(self._accepted.fingerprint)
+        if isinstance(answer, proxy_requests.CompleteAnswer):
+            self._log_step("request_answered", status=answer.status)
+        else:
+            await self._record_origin(finished.endpoint)
+            await self.release_results()
+        return answer
+
+    def _find_failure(
+        self, finished: exchange_races.FinishedExchange
+    ) -> proxy_requests.Answer | None:
+        """Returns the caller's answer after an exchange without a good one.
+
+        Returns:
+            None if the request may be sent to another endpoint.
+        """
+        outcome = finished.outcome
+        if isinstance(outcome, TimeoutError):
+            raise outcome
+        if isinstance(outcome, proxy_requests.CompleteAnswer):
+            if self._choose_endpoint(()) is not None and self.may_send_again():
+                return None
+            self._log_step("request_answered", status=outcome.status)
+            return outcome
+        self._log_send_failure(finished.endpoint, outcome)
+        return self._find_error_refusal(finished.endpoint, outcome)
+
+    def _find_error_refusal(
+        self, endpoint: catalogue.Endpoint, error: errors.TransportError
+    ) -> proxy_requests.Refusal | None:
+        """Returns the refusal after an error; None to send again."""
+        if isinstance(error, errors.ConnectError):
+            self._connection_failures += 1
+            if self._connection_failures >= CONNECT_FAILURES_LIMIT:
+                return self._build_failure_refusal("unreachable")
+            return None
+        if isinstance(error, errors.NotExecutedError):
+            return self._find_rejection_refusal(error)
+        self.record_crash(endpoint)
+        if not self.may_send_again():
+            return proxy_requests.Refusal(502, "answer_lost")
+        return None
+
+    def _find_rejection_refusal(
+        self, error: errors.NotExecutedError
+    ) -> proxy_requests.Refusal | None:
+        """Returns the refusal after an endpoint's own; None to send again."""
+        if not self._take_retry(self._accepted.service):
+            return self._build_failure_refusal("refused_by_endpoint")
+        if error.lacks_results:
+            if self._stages_repeated:
+                return self._build_failure_refusal("results_gone")
+            self._stages_repeated = self._lacks_results = True
+        return None
 
     def _log_step(self, event: str, **fields: object) -> None:
         """Logs a step of the request with the time since its arrival."""
@@ -392,7 +464,7 @@
         )
 
     def _build_failure_refusal(self, reason: str) -> proxy_requests.Refusal:
-        if self._handed_over:
+        if self._runs:
             return proxy_requests.Refusal(502, reason)
         return proxy_requests.Refusal(503, reason, RETRY_AFTER_SECONDS)
 
@@ -403,7 +475,7 @@
             "send_failed",
             request=self._request.attempt,
             endpoint=endpoint.name,
-            handed_over=self._handed_over,
+            handed_over=bool(self._runs),
             error=f"{type(error).__name__}: {error}",
         )
 
@@ -436,84 +508,36 @@
         return ""
 
     async def _send_once(
-        self, endpoint: catalogue.Endpoint, results: tuple[str, ...]
+        self, endpoint: catalogue.Endpoint
     ) -> proxy_requests.Answer:
         """Sends the request to one endpoint and returns its answer."""
         exchange = exchanges.Exchange(
             self._context, endpoint, self._prompt_tokens
         )
         try:
-            async with self._exchanging(exchange, endpoint, results) as task:
-                outcome = await self._wait_patiently(task)
-            if isinstance(outcome, Exception):
-                raise outcome
-            return outcome
-        except errors.ConnectError:
-            self._context.selector.record_unreachable(
-                endpoint.name, self._context.clock.now()
-            )
-            await exchange.close(failed=True)
-            raise
+            return await self._exchange_once(exchange, endpoint)
         except BaseException as error:
+            if isinstance(error, errors.ConnectError):
+                self._context.selector.record_unreachable(
+                    endpoint.name, self._context.clock.now()
+                )
             await exchange.close(failed=isinstance(error, Exception))
             raise
 
-    @contextlib.asynccontextmanager
-    async def _exchanging(
-        self,
-        exchange: exchanges.Exchange,
-        endpoint: catalogue.Endpoint,
-        results: tuple[str, ...],
-    ) -> AsyncIterator[curio.Task]:
-        """Sends the request in a task during the block.
-
-        The result of the task is an answer or an exception.
-        """
-
-        async def catch_errors() -> proxy_requests.Answer | Exception:
-            try:
-                return await self._exchange_once(exchange, endpoint, results)
-            except (errors.TransportError, TimeoutError) as error:
-                return error
-
-        task = await curio.spawn(catch_errors, daemon=True)
-        try:
-            yield task
-        finally:
-            await task.cancel()
-
-    async def _wait_patiently(
-        self, task: curio.Task
-    ) -> proxy_requests.Answer | Exception:
-        """Returns the result of an exchange.
-
-        A silent endpoint is waited for unless another one can take over.
-
-        Raises:
-            errors.SilentEndpointError: the request may be sent to another
-                endpoint.
-        """
-        while True:
-            timeout = max(self._compute_answer_timeout(), 0)
-            async with curio.ignore_after(timeout):
-                return await task.join()
-            if self.compute_remaining_seconds() <= 0:
-                raise TimeoutError("no answer before the deadline")
-            if self._choose_endpoint(()) is None or not self.may_send_again():
-                continue
-            raise errors.SilentEndpointError("silent for too long")
-
     async def _exchange_once(
-        self,
-        exchange: exchanges.Exchange,
-        endpoint: catalogue.Endpoint,
-        results: tuple[str, ...],
+        self, exchange: exchanges.Exchange, endpoint: catalogue.Endpoint
     ) -> proxy_requests.Answer:
-        await self._open(exchange, endpoint, results, None)
-        if exchange.answer.streamed:
-            return await self._begin_stream(exchange)
-        body = await exchange.read_body()
+        await self._open(exchange, endpoint, self._result_names, None)
         answer = exchange.answer
+        if answer.streamed:
+            stream = event_streams.EventStream(
+                self, exchange, self._request.last_event
+            )
+            await stream.read_first()
+            return proxy_requests.StreamedAnswer(
+                answer.status, answer.headers, stream
+            )
+        body = await exchange.read_body()
         await exchange.close(failed=answer.status >= 500)
         return proxy_requests.CompleteAnswer(
             answer.status, answer.headers, body
@@ -554,15 +578,15 @@
             results,
         )
         # A request that is cancelled while it is sent may have been executed.
-        previously_handed_over = self._handed_over
-        self._handed_over = True
         self._runs += 1
+        self._sent_at = now
         try:
             await exchange.open(self._request, parameters)
         except (errors.ConnectError, errors.NotExecutedError):
-            self._handed_over = previously_handed_over
             self._runs -= 1
             raise
+        finally:
+            self._sent_at = None
         self._log_step(
             "request_sent",
             endpoint=endpoint.name,
@@ -572,21 +596,6 @@
             last_event=last_event,
         )
 
-    async def _begin_stream(
-        self, exchange: exchanges.Exchange
-    ) -> proxy_requests.StreamedAnswer:
-        """Returns the streamed answer after its first event has arrived."""
-        stream = event_streams.EventStream(
-            self, exchange, self._request.last_event
-        )
-        await stream.read_first()
-        await self._record_origin(exchange.endpoint)
-        await self.release_results()
-        answer = exchange.answer
-        return proxy_requests.StreamedAnswer(
-            answer.status, answer.headers, stream
-        )
-
     async def _record_origin(self, endpoint: catalogue.Endpoint) -> None:
         """Records where the stream began, before the caller has an event."""
         self._version = endpoint.version
@@ -693,6 +702,17 @@
         if self._stages is not None:
             await self._stages.release_all()
 
+    def compute_overlap(self) -> float:
+        """Returns how long the request has been at a further endpoint.
+
+        Returns:
+            The time in seconds since it was sent there; 0 if it was not, or
+            that endpoint has refused it.
+        """
+        if self._sent_at is None:
+            return 0.0
+        return self._context.clock.now() - self._sent_at
+
     def compute_event_timeout(self, begun: bool) -> float:
         """Returns the timeout for the next event of a stream, in seconds.
 
--- /dev/null
+++ b/tests/test_exchange_races.py
@@ -0,0 +1,75 @@
+"""Tests exchanges of one request with several endpoints."""
+
+import curio
+
+from samphirevale import errors, exchange_races, proxy_requests
+from tests import base, proxy_fakes
+
+FIRST = proxy_fakes.build_endpoint("e1")
+SECOND = proxy_fakes.build_endpoint("e2")
+
+
+class FakeChunks:
+    """The chunks of a streamed answer."""
+
+    def __init__(self):
+        self.closed = False
+
+    async def aclose(self):
+        self.closed = True
+
+
+def build_answer(endpoint):
+    return proxy_requests.CompleteAnswer(200, (), endpoint.name.encode())
+
+
+class ExchangeRaceTest(base.TestCase):
+    """Tests that the first outcome counts and the rest is cancelled."""
+
+    def setUp(self):
+        self.cancelled = []
+
+    async def hang(self, endpoint):
+        try:
+            await curio.sleep(50.0)
+        except curio.CancelledError:
+            self.cancelled.append(endpoint.name)
+            raise
+
+    async def answer(self, endpoint):
+        return build_answer(endpoint)
+
+    async def fail(self, endpoint):
+        raise errors.ConnectError("down")
+
+    async def test_answer_of_the_later_endpoint_may_come_first(self):
+        async with exchange_races.open_race() as race:
+            await race.start(FIRST, self.hang)
+            self.assertIsNone(await race.wait(0.02))
+            await race.start(SECOND, self.answer)
+            finished = await race.wait(5.0)
+            self.assertEqual((SECOND, build_answer(SECOND)), finished)
+            self.assertEqual(1, race.running)
+        self.assertEqual(["e1"], self.cancelled)
+
+    async def test_error_of_one_endpoint_leaves_the_other(self):
+        async with exchange_races.open_race() as race:
+            await race.start(FIRST, self.hang)
+            await race.start(SECOND, self.fail)
+            finished = await race.wait(5.0)
+            self.assertIsInstance(finished.outcome, errors.ConnectError)
+            self.assertEqual([], self.cancelled)
+
+    async def test_stream_that_nobody_reads_is_closed(self):
+        chunks = FakeChunks()
+
+        async def begin(endpoint):
+            return proxy_requests.StreamedAnswer(200, (), chunks)
+
+        async with exchange_races.open_race() as race:
+            await race.start(FIRST, self.answer)
+            await race.start(SECOND, begin)
+            finished = await race.wait(5.0)
+            self.assertEqual(FIRST, finished.endpoint)
+            await curio.sleep(0.01)
+        self.assertTrue(chunks.closed)
