--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -124,7 +124,7 @@
         "call of a batching endpoint that is silent for a second kept",
         NO_REPEATED_WORK,
         "batch_dispatch",
-        "timeout = max(overdue, expected + SILENCE_SECONDS)",
+        "timeout = overdue + SILENCE_SECONDS",
         "timeout = overdue",
         "tests.test_batch_dispatch.BatchDispatcherTest"
         ".test_call_of_a_briefly_silent_endpoint_is_not_given_up",
--- a/samphirevale/batch_dispatch.py
+++ b/samphirevale/batch_dispatch.py
@@ -27,10 +27,9 @@
 OVERDUE_FACTOR = 3.0
 OVERDUE_MARGIN_SECONDS = 0.3
 
-# A call times out when it is overdue, and not before this time besides its
-# expected duration, in seconds. An endpoint that works may be silent for about
-# a second.
-SILENCE_SECONDS = 1.5
+# How long after it is overdue a call times out, in seconds. An endpoint that
+# works may be silent for about a second.
+SILENCE_SECONDS = 1.0
 
 # The timeout of a query of an endpoint's free memory, in seconds.
 FREE_MEMORY_SECONDS = 0.3
@@ -275,7 +274,7 @@
         started_at = self._clock.now()
         expected = stage_times.estimate_call_seconds(queue.limits, len(batch))
         overdue = OVERDUE_FACTOR * expected + OVERDUE_MARGIN_SECONDS
-        timeout = max(overdue, expected + SILENCE_SECONDS)
+        timeout = overdue + SILENCE_SECONDS
         results = [proxies.ItemResult("", "error")] * len(batch)
         try:
             async with (
--- a/tests/test_batch_dispatch.py
+++ b/tests/test_batch_dispatch.py
@@ -101,6 +101,12 @@
         self.assertEqual("a1/0/0", results[0].result)
         self.assertFalse(self.is_penalized())
 
+    async def test_call_of_a_slow_endpoint_outlasts_a_brief_silence(self):
+        work_seconds = 2 * LIMITS.call_seconds
+        self.make_endpoint_silent(work_seconds + 1.4)
+        results = await self.run_items(proxy_fakes.build_item())
+        self.assertEqual([""], [outcome.reason for outcome in results])
+
     async def test_items_behind_an_overdue_call_are_returned(self):
         self.make_endpoint_silent(1.4)
         first = await curio.spawn(self.run_items, proxy_fakes.build_item())
