Start the queue of an endpoint that has started again at once

The task of a queue was kept by the endpoint's name, the queue by name and start: items for the new start waited while the task of the old queue polled, until something else started theirs. The test timed out before.

--- a/samphirevale/batch_dispatch.py
+++ b/samphirevale/batch_dispatch.py
@@ -163,6 +163,7 @@
         key = _build_key(endpoint)
         if key in self._queues and not self._queues[key].running:
             del self._queues[key]
+            self._queue_tasks.pop(key, None)
         self._penalized_until.pop(endpoint.name, None)
 
     async def withdraw_items(self, endpoint: catalogue.Endpoint) -> None:
@@ -237,9 +238,10 @@
     async def _start_queue_task(
         self, endpoint: catalogue.Endpoint, queue: batching.BatchQueue
     ) -> None:
-        task = self._queue_tasks.get(endpoint.name)
+        key = _build_key(endpoint)
+        task = self._queue_tasks.get(key)
         if task is None or task.terminated:
-            self._queue_tasks[endpoint.name] = await curio.spawn(
+            self._queue_tasks[key] = await curio.spawn(
                 self._run_queue, endpoint, queue, daemon=True
             )
 
--- a/tests/test_batch_dispatch.py
+++ b/tests/test_batch_dispatch.py
@@ -5,6 +5,7 @@
 import curio
 
 from samphirevale import batch_dispatch
+from samphirevale.adapters import clock
 from samphirevale.ports import proxies
 from tests import base, proxy_fakes
 
@@ -137,3 +138,42 @@
         await call_may_end.set()
         await curio.sleep(0.05)
         self.assertEqual(["a1/0/0"], self.endpoints.released)
+
+
+class RestartedEndpointTest(base.TestCase):
+    """Tests an endpoint that starts again under its name."""
+
+    async def test_items_for_a_new_start_do_not_wait_for_the_old_queue(self):
+        endpoints = proxy_fakes.FakeEndpoints()
+        machine_clock = clock.MonotonicClock()
+        started = 1
+        dispatcher = batch_dispatch.BatchDispatcher(
+            endpoints,
+            machine_clock,
+            proxy_fakes.FakeJournal(),
+            lambda endpoint: endpoint.started == started,
+        )
+        now = machine_clock.now()
+        items = [
+            proxy_fakes.build_item(
+                attempt=attempt,
+                result_bytes=900,
+                due_at=now + 1.0,
+                deadline_at=now + 3.0,
+            )
+            for attempt in ("a1", "a2", "a3")
+        ]
+        before = proxy_fakes.build_endpoint(started=1)
+        await dispatcher.run_items(before, LIMITS, [items[0]])
+        waiting = await curio.spawn(
+            dispatcher.run_items, before, LIMITS, [items[1]]
+        )
+        await curio.sleep(0.1)
+        started = 2
+        async with curio.ignore_after(2.0) as limit:
+            results = await dispatcher.run_items(
+                proxy_fakes.build_endpoint(started=2), LIMITS, [items[2]]
+            )
+        await waiting.join()
+        self.assertFalse(limit.expired)
+        self.assertEqual(["a3/0/0"], [outcome.result for outcome in results])
