Release results that cross the cancellation of their request

The answer to a cancelled exchange between entries was dropped, and its results occupied memory at their endpoint until they expired. Cancellations are more frequent since resumptions are prepared beside a silent endpoint. The test saw no release before.

--- a/samphirevale/entries.py
+++ b/samphirevale/entries.py
@@ -327,6 +327,8 @@
             queue = entry.waiting.get(message.exchange)
             if queue is not None:
                 await queue.put(message)
+            elif isinstance(message, messages.ItemsResult):
+                await self._release_unwanted(entry, message)
         elif isinstance(message, messages.ItemsCancelled):
             task = entry.serving.get(message.exchange)
             if task is not None:
@@ -334,6 +336,16 @@
         elif isinstance(message, messages.ResultsReleased):
             await self._server.release_results(message)
 
+    async def _release_unwanted(
+        self, entry: Entry, answer: messages.ItemsResult
+    ) -> None:
+        """Releases results that crossed the cancellation of their request."""
+        names = [name for name in answer.results if name]
+        if names:
+            released = messages.ResultsReleased(answer.endpoint, names)
+            with contextlib.suppress(errors.PeerClosedError):
+                await entry.link.send(released, 0)
+
     async def _send_routes_age(self, entry: Entry, exchange: int) -> None:
         known = self._get_routes_age(self._clock.now())
         answer = messages.RoutesAge(exchange, NO_ROUTES, 0.0)
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -182,6 +182,16 @@
             await task.cancel()
             await self.wait_until(lambda: self.second.server.cancelled)
 
+    async def test_results_that_cross_a_cancellation_are_released(self):
+        async with self.run_both():
+            task = await curio.spawn(self.run_items)
+            await self.second.server.started.wait()
+            await self.second.server.may_finish.set()
+            await task.cancel()
+            await curio.sleep(0.5)
+            self.assertFalse(self.second.server.cancelled)
+            self.assertEqual(["r0", "r1"], self.second.server.released)
+
     async def test_items_of_a_lost_link_fail(self):
         async with self.run_both():
             task = await curio.spawn(self.run_items)
