--- a/samphirevale/adapters/web.py
+++ b/samphirevale/adapters/web.py
@@ -185,10 +185,10 @@
     ):
         self._client = client
         self._handler = handler
-        self._limits = limits
+        self._limits = state.limits or limits
         self._state = state
         self._protocol = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.head_bytes
+            h11.SERVER, max_incomplete_event_size=self._limits.head_bytes
         )
         # Bytes received while the previous request was still being answered.
         self._buffered = bytearray()
--- a/tests/adapters/test_web.py
+++ b/tests/adapters/test_web.py
@@ -55,6 +55,31 @@
             await connection.close()
             await serving.cancel()
 
+    async def test_raised_head_limit_holds_for_a_head_in_two_reads(self):
+        async def answer(request):
+            return web.Response(200)
+
+        port = base.find_free_port()
+        state = web.ServerState()
+        state.limits = web.Limits(head_bytes=64 * 1024)
+        serving = await curio.spawn(
+            web.serve, answer, "127.0.0.1", port, web.Limits(), state
+        )
+        await (await self.connect(port)).close()
+        stream = await curio.open_connection("127.0.0.1", port)
+        try:
+            padding = b"x" * 10_000
+            await stream.sendall(
+                b"GET / HTTP/1.1\r\nHost: h\r\nA: %b\r\nB: %b\r\n"
+                % (padding, padding)
+            )
+            await curio.sleep(0.2)
+            await stream.sendall(b"\r\n")
+            self.assertIn(b" 200 ", await stream.recv(100))
+        finally:
+            await stream.close()
+            await serving.cancel()
+
     async def test_bodies_over_the_shared_memory_limit_are_refused(self):
         released = curio.Event()
 
