--- a/samphirevale/monitors.py
+++ b/samphirevale/monitors.py
@@ -19,6 +19,10 @@
 # Maximum number of cached prefixes reported to entries.
 PREFIXES_LIMIT = 64
 
+# The number of consecutive unanswered probes after which an endpoint counts as
+# unreachable. An endpoint that works may be silent for about a second.
+UNANSWERED_PROBES_LIMIT = 2
+
 
 class CacheView:
     """The prompt prefixes that an engine has cached, built from its events.
@@ -76,6 +80,7 @@
         self._endpoint = endpoint
         self._load_seconds = load_seconds
         self._probed_at = float("-inf")
+        self._unanswered_probes = 0
         self._load_read_at = float("-inf")
         self.healthy = False
         self.incarnation = ""
@@ -101,9 +106,15 @@
         self._probed_at = time.monotonic()
         try:
             health = await self._endpoint.read_health()
-        except errors.TransportError as error:
+        except errors.ConnectError as error:
             self.mark_unreachable(str(error))
             return False
+        except errors.TransportError as error:
+            self._unanswered_probes += 1
+            if self._unanswered_probes >= UNANSWERED_PROBES_LIMIT:
+                self.mark_unreachable(str(error))
+            return self.healthy
+        self._unanswered_probes = 0
         if health.incarnation != self.incarnation:
             self._reset_reports()
             self.incarnation = health.incarnation
--- a/tests/test_monitors.py
+++ b/tests/test_monitors.py
@@ -1,6 +1,12 @@
 """Tests of the view of an engine's cache, built from its events."""
 
+import time
+
+import curio
+
 from samphirevale import monitors, stage_runs
+from samphirevale.adapters import endpoints as http_endpoints
+from samphirevale.adapters import web
 from samphirevale.ports import endpoints
 from standins import generation
 from tests import base
@@ -50,3 +56,36 @@
         self.view.apply_events(build_events((1, digest, True)))
         wanted = [stage_runs.digest_prefix(prompt)]
         self.assertEqual(wanted, self.view.list_prefixes())
+
+
+class SilentEndpointTest(base.TestCase):
+    """Tests an engine that answers nothing for a while and goes on."""
+
+    async def answer(self, request):
+        await curio.sleep(max(self.silent_until - time.monotonic(), 0))
+        values = {
+            "/health": {"incarnation": "one"},
+            "/state": {"batches": ["b1"], "role": "", "fencing": 0},
+        }
+        return web.build_json(200, values[request.path])
+
+    async def test_briefly_silent_engine_keeps_its_batches(self):
+        self.silent_until = 0.0
+        port = base.find_free_port()
+        server = await curio.spawn(
+            web.serve, self.answer, "127.0.0.1", port, daemon=True
+        )
+        await curio.sleep(0.1)
+        monitor = monitors.EndpointMonitor(
+            http_endpoints.build_endpoint(
+                "engine", f"http://127.0.0.1:{port}", 1.0
+            ),
+            0.05,
+        )
+        self.assertTrue(await monitor.probe())
+        self.assertEqual({"b1"}, monitor.batches)
+        self.silent_until = time.monotonic() + 1.5
+        await monitor.probe()
+        await server.cancel()
+        self.assertTrue(monitor.healthy)
+        self.assertEqual({"b1"}, monitor.batches)
