Leave a suspected sidecar only if another endpoint may run the stage

Without another endpoint the attempt now waits for the sidecar, for the end of its link or for the deadline. The test was refused with 'unreachable' before.

--- a/samphirevale/stage_runs.py
+++ b/samphirevale/stage_runs.py
@@ -376,7 +376,7 @@
                         return self._build_lost_refusal(exchange)
                 case sidecars.LinkLost():
                     return self._build_lost_refusal(exchange)
-                case sidecars.PeerSuspected() if self._repeatable:
+                case sidecars.PeerSuspected() if self._may_move(exchange):
                     return self._build_lost_refusal(exchange)
                 case sidecars.InputCrashed() if self._repeatable:
                     return self._build_refusal(
@@ -386,6 +386,12 @@
                         "its input has crashed another endpoint",
                     )
 
+    def _may_move(self, exchange: sidecars.Exchange) -> bool:
+        """Returns whether another endpoint may run the stage again now."""
+        candidate_names = set(self._list_candidates(self._context.clock.now()))
+        candidate_names.discard(exchange.peer.endpoint)
+        return self._repeatable and bool(candidate_names)
+
     def _is_outcome_expected_later(self, refusal: messages.Refusal) -> bool:
         """Returns whether the sidecar will know the outcome later.
 
--- a/tests/test_stage_runs.py
+++ b/tests/test_stage_runs.py
@@ -75,6 +75,18 @@
         self.assertEqual(("b2", "b2"), (started.batch, resumed.batch))
         self.assertNotEqual(started.attempt, resumed.attempt)
 
+    async def test_suspected_sidecar_is_not_given_up_without_another_endpoint(
+        self,
+    ):
+        async def fall_silent(sidecar, handover):
+            await nodes.send_tokens(sidecar, handover, 2)
+            await sidecar.peer.notify_suspected()
+            await curio.sleep(PROCESSING_SECONDS)
+            await nodes.send_result(sidecar, handover)
+
+        await self.add_sidecar("engines-0", "engines", fall_silent)
+        self.check_complete(await self.run_stage(GENERATION, stream=True))
+
     async def test_resume_never_goes_to_another_batch(self):
         broken = nodes.build_refusing_step("failed", tokens=2)
         await self.add_sidecar("engines-0", "engines", broken)
