Do not queue a stream that its caller takes up behind others

A request with less time left than others of its route counts as one that was refused before, and its stages wait behind those that can meet their target. So did a stream that broke and is taken up again: its caller sits before half an answer and leaves after a pause, and the users ask that such streams go on nearly as often as new ones begin. The test saw it logged as returned before.

--- a/samphirevale/proxy_runs.py
+++ b/samphirevale/proxy_runs.py
@@ -49,7 +49,8 @@
         rank: the priority; 0 is the most urgent.
         deadline_at: the time by which the request must be answered.
         fingerprint: identifies the input across retries.
-        returned: whether the caller retries after a refusal.
+        returned: whether the caller retries after a refusal. A stream that
+            its caller takes up has not been refused.
     """
 
     request: proxy_requests.ProxiedRequest
--- a/samphirevale/proxying.py
+++ b/samphirevale/proxying.py
@@ -132,6 +132,9 @@
         ):
             return proxy_requests.Refusal(503, "input_crashes_endpoints")
         wait_seconds = min(request.wait_seconds, route.timeout_seconds)
+        retried = self._wait_history.record_wait(
+            route.name, request.wait_seconds
+        )
         return proxy_runs.AcceptedRequest(
             request,
             route,
@@ -140,5 +143,5 @@
             cluster.table.compute_rank(route, account),
             request.received_at + wait_seconds,
             fingerprint,
-            self._wait_history.record_wait(route.name, request.wait_seconds),
+            retried and not (route.streamed and request.last_event),
         )
--- a/tests/test_proxying.py
+++ b/tests/test_proxying.py
@@ -93,6 +93,10 @@
         self.cluster.table = proxy_fakes.build_table([route])
 
     async def answer(self, *script, **changes):
+        proxy = self.build_proxy(*script)
+        return await proxy.answer(proxy_fakes.build_request(**changes))
+
+    def build_proxy(self, *script):
         self.endpoints = proxy_fakes.FakeEndpoints(script)
         context = proxy_context.ProxyContext(
             self.cluster,
@@ -108,10 +112,9 @@
             random.Random(1),
             self.journal,
         )
-        request = proxy_fakes.build_request(**changes)
         proxy = proxying.Proxy(context)
         proxy.closed = self.closed
-        return await proxy.answer(request)
+        return proxy
 
 
 class AcceptanceTest(ProxyTestCase):
@@ -446,6 +449,31 @@
             },
         )
 
+    async def test_stream_that_is_taken_up_does_not_wait_behind_others(self):
+        proxy = self.build_proxy(
+            self.build_stream(b"id: 1\n\n"),
+            self.build_stream(b"id: 2\n\n"),
+            self.build_stream(b"id: 1\n\n"),
+        )
+        for changes in (
+            {"attempt": "a1", "wait_seconds": 5.0},
+            {
+                "attempt": "again",
+                "wait_seconds": 3.0,
+                "last_event": 1,
+                "first_attempt": "a1",
+            },
+            {"attempt": "a2", "wait_seconds": 3.0},
+        ):
+            request = proxy_fakes.build_request(**changes)
+            await (await proxy.answer(request)).chunks.aclose()
+        returned = [
+            fields["returned"]
+            for _, event, fields in self.journal.lines
+            if event == "request_accepted"
+        ]
+        self.assertEqual([False, False, True], returned)
+
     async def test_stream_that_began_at_another_entry_goes_on(self):
         self.register_versions(p1="v1", p2="v2")
         self.links.known["a1"] = stream_origins.StreamOrigin("plain", "v2")
