--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -19,6 +19,7 @@
 GRACEFUL_SHUTDOWN = "a graceful shutdown interrupts no request"
 CORRECT_ENDPOINT = "requests reach the endpoint they were meant for"
 RECOVERY = "a process recovers its state from the store"
+ERAS = "a store that returns from a copy brings nothing back"
 LIMITS = "callers' input is limited in size and time"
 
 _PROXYING = "tests.test_proxying"
@@ -233,10 +234,138 @@
         "objects listed again when the watch history is gone",
         RECOVERY,
         "watchers",
-        "                version = None\n            except errors.StoreError",
-        "            except errors.StoreError",
+        "                version = None\n                await",
+        "                await",
         "tests.test_watchers",
     ),
+    _ablate(
+        "objects listed again in a new era",
+        ERAS,
+        "watchers",
+        "        self._check_era()\n        self._record_answer()",
+        "        self._record_answer()",
+        "tests.test_watchers.RewindTest",
+        f"{_SESSION}"
+        ".test_change_with_a_revision_given_out_again_is_not_skipped",
+    ),
+    _ablate(
+        "answers of an older era ignored",
+        ERAS,
+        "watchers",
+        "if era is not None and self._eras.is_outdated(era):",
+        "if False:",
+        "tests.test_watchers.WatcherTest"
+        ".test_answer_of_an_older_era_changes_nothing",
+    ),
+    _ablate(
+        "waiting watch given up in a new era",
+        ERAS,
+        "watchers",
+        "            await group.spawn(self._eras.wait_newer, self._era)\n",
+        "",
+        "tests.test_watchers.WatcherTest"
+        ".test_waiting_watch_is_given_up_in_a_new_era",
+    ),
+    _ablate(
+        "lists after a new era spread",
+        ERAS,
+        "watchers",
+        "self._rng.random() * self.times.relist_seconds",
+        "0",
+        "tests.test_watchers.WatcherTest.test_lists_after_a_new_era_are_spread",
+    ),
+    _ablate(
+        "first watch after the rewrites answered soon",
+        ERAS,
+        "watchers",
+        "if self._confirmed_at >= rewrite_ends_at:",
+        "if True:",
+        "tests.test_watchers.WatcherTest"
+        ".test_first_watch_after_the_rewrites_is_answered_soon",
+    ),
+    _ablate(
+        "list of two eras refused",
+        ERAS,
+        "platform/store",
+        "if before is not None and page is not None and page != before:",
+        "if False:",
+        "tests.platform.test_store.EraTest.test_pages_of_two_eras_are_no_list",
+    ),
+    _ablate(
+        "routes confirmed by a new era only within the margin",
+        ERAS,
+        "freshness",
+        "started_at = min(started_at, self._proved_at + MARGIN_SECONDS)",
+        "pass",
+        "tests.test_routes_freshness.RewindSoundnessTest",
+    ),
+    _ablate(
+        "routes older than another entry's not confirmed",
+        ERAS,
+        "cluster_state",
+        "if not self.has_newest_routes():",
+        "if False:",
+        "tests.test_cluster_state.ClusterStateTest",
+    ),
+    _ablate(
+        "source of an older era does not confirm the routes",
+        ERAS,
+        "routes_freshness",
+        "if relation is store_eras.Relation.OLDER:",
+        "if False:",
+        "tests.test_routes_freshness.RoutesFreshnessTest",
+    ),
+    _ablate(
+        "new era learned from other entries",
+        ERAS,
+        "cluster_watch",
+        "await self.eras.observe(known.era, entry, self._clock.now())",
+        "pass",
+        f"{_SESSION}.test_cut_off_entry_learns_a_new_era_from_another",
+    ),
+    _ablate(
+        "registrations contradicted by an earlier era held back",
+        ERAS,
+        "copy_guard",
+        "if not self._is_outdated(endpoint):",
+        "if True:",
+        "tests.test_copy_guard.CopyGuardTest",
+        f"{_SESSION}.test_store_that_lost_its_writes_brings_nothing_back",
+    ),
+    _ablate(
+        "registration that stays in the store used",
+        ERAS,
+        "copy_guard",
+        "if now >= held.at + HOLD_SECONDS",
+        "if False",
+        "tests.test_copy_guard.CopyGuardTest",
+    ),
+    _ablate(
+        "endpoints that a copy lacks kept for a while",
+        ERAS,
+        "cluster_state",
+        "        self.catalogue.start_grace_period(now)\n",
+        "",
+        "tests.test_cluster_state.ClusterStateTest",
+        f"{_SESSION}.test_store_that_lost_an_endpoint_does_not_take_it_away",
+    ),
+    _ablate(
+        "entries that a copy lacks kept",
+        ERAS,
+        "cluster_watch",
+        "whole=now >= self.eras.get_rewrite_end()",
+        "whole=True",
+        f"{_SESSION}.test_store_that_lost_an_entry_does_not_unregister_it",
+    ),
+    _ablate(
+        "entry registered again in each era",
+        ERAS,
+        "registrar",
+        "            await self._eras.wait_newer(era)\n",
+        "            return\n",
+        "tests.test_registrar.RegistrarTest",
+        f"{_SESSION}.test_entry_registers_again_in_a_new_era",
+    ),
     _ablate(
         "time limit for request heads",
         LIMITS,
--- a/samphirevale/catalogue.py
+++ b/samphirevale/catalogue.py
@@ -63,6 +63,10 @@
         """Returns the endpoint with this name, or None."""
         return self._endpoints.get(name)
 
+    def list_all(self) -> list[Endpoint]:
+        """Returns all endpoints."""
+        return list(self._endpoints.values())
+
     def list_service(self, service: str) -> list[Endpoint]:
         """Returns all endpoints of a service."""
         return list(self._services.get(service, {}).values())
--- a/samphirevale/cluster_state.py
+++ b/samphirevale/cluster_state.py
@@ -2,7 +2,17 @@
 
 from collections.abc import Collection
 
-from samphirevale import catalogue, freshness, ownership, routes, stage_times
+from samphirevale import (
+    catalogue,
+    copy_guard,
+    freshness,
+    messages,
+    ownership,
+    routes,
+    stage_times,
+    store_eras,
+)
+from samphirevale.ports import objects
 
 
 class ClusterState:
@@ -11,8 +21,13 @@
     Attributes:
         table: the newest route table; None until the first one arrives.
         routes_age: the age of the routes and of the accounts' keys.
+        routes_era: the era of the store in which they were last confirmed;
+            None without one.
+        newest_routes: the newest version that any entry is known to have;
+            messages.NO_ROUTES before the first.
         endpoints_age: the age of the catalogue.
         catalogue: the known endpoints.
+        copy_guard: the endpoints that a copy of the store may not bring back.
         data_centre: the data centre of this entry.
         members: the entries that are alive, including this one.
         shared_queueing: the shortest queueing time that the routes with a
@@ -22,8 +37,11 @@
     def __init__(self, keys_seconds: float, me: ownership.Member):
         self.table: routes.RouteTable | None = None
         self.routes_age = freshness.Freshness(keys_seconds)
+        self.routes_era: objects.StoreEra | None = None
+        self.newest_routes = messages.NO_ROUTES
         self.endpoints_age = freshness.Freshness(keys_seconds)
         self.catalogue = catalogue.Catalogue()
+        self.copy_guard = copy_guard.CopyGuard()
         self.members: tuple[ownership.Member, ...] = (me,)
         self.data_centre = me.data_centre
         self._me = me
@@ -35,10 +53,50 @@
         if self.table is not None and table.version <= self.table.version:
             return False
         self.table = table
+        self.note_routes_version(table.version)
         self._owners = None
         self.shared_queueing = stage_times.compute_shared_queueing(table)
         return True
 
+    def get_routes_version(self) -> int:
+        """Returns the version of the routes, or NO_ROUTES of messages."""
+        if self.table is None:
+            return messages.NO_ROUTES
+        return self.table.version
+
+    def note_routes_version(self, version: int) -> None:
+        """Records that an entry has this version of the routes."""
+        self.newest_routes = max(self.newest_routes, version)
+
+    def has_newest_routes(self) -> bool:
+        """Returns whether no entry is known to have a newer version."""
+        return self.table is not None and (
+            self.table.version >= self.newest_routes
+        )
+
+    def confirm_routes(
+        self, started_at: float, era: objects.StoreEra | None
+    ) -> None:
+        """Records that a call confirmed the routes.
+
+        It does not if another entry has a newer version, which the store may
+        have lost.
+
+        Args:
+            started_at: when the call began.
+            era: the era of the store.
+        """
+        if not self.has_newest_routes():
+            return
+        self.routes_age.confirm(started_at)
+        self.routes_era = era
+
+    def start_era(self, now: float) -> None:
+        """Records that the store has returned from a copy of itself."""
+        self.catalogue.start_grace_period(now)
+        self.copy_guard.start_era(self.catalogue.list_all(), now)
+        self.routes_age.start_grace_period(now + store_eras.REWRITE_SECONDS)
+
     def adopt_members(self, members: Collection[ownership.Member]) -> bool:
         """Adopts the other live entries; returns whether they changed."""
         found = {member.name: member for member in members}
--- a/samphirevale/cluster_watch.py
+++ b/samphirevale/cluster_watch.py
@@ -13,6 +13,7 @@
     registrations,
     routes,
     routes_freshness,
+    store_eras,
     watchers,
 )
 from samphirevale.ports import clock as clocks
@@ -24,7 +25,7 @@
 
 # The watch for other entries. It may be slow, as the reports of the entries
 # show that they are alive.
-ENTRIES_WATCH = LONG_WATCH._replace(pause_seconds=1.0)
+ENTRIES_WATCH = LONG_WATCH._replace(pause_seconds=1.0, relist_seconds=1.0)
 
 # The watch of the routes waits for this share of the time after which the copy
 # may not be used any more. One call may then be lost.
@@ -39,6 +40,7 @@
     """Watches the store and adopts what has changed.
 
     Attributes:
+        eras: the eras of the store.
         routes_freshness: confirms the routes through other entries.
     """
 
@@ -77,12 +79,14 @@
         self._clock = clock
         self._rng = rng
         self._journal = log
+        self.eras = store_eras.StoreEras(known.start_era, log)
         self._routes_watcher = self._build_routes_watcher()
         self.routes_freshness = routes_freshness.RoutesFreshness(
             settings.instance,
             known,
             table,
             self._routes_watcher.read_now,
+            self.eras,
             clock,
             rng,
             log,
@@ -95,6 +99,13 @@
             self._settings, self.routes_freshness.is_source
         )
 
+    async def adopt_report(
+        self, entry: str, known: routes_freshness.StoreKnowledge
+    ) -> None:
+        """Adopts what another entry reports of the store."""
+        await self.eras.observe(known.era, entry, self._clock.now())
+        self._cluster.note_routes_version(known.version)
+
     def build_watchers(self) -> list[watchers.Watcher]:
         """Builds the watchers of routes, endpoints and other entries."""
         endpoints_callbacks = watchers.WatchCallbacks(
@@ -125,7 +136,7 @@
         callbacks = watchers.WatchCallbacks(
             self._adopt_stored_routes,
             self._adopt_stored_routes,
-            self._cluster.routes_age.confirm,
+            self._confirm_routes,
             _ignore_time,
         )
         return self._build_watcher(
@@ -144,12 +155,16 @@
             self._adapters.store,
             kind,
             callbacks,
+            self.eras,
             self._clock,
             self._rng,
             self._journal,
             times,
         )
 
+    def _confirm_routes(self, started_at: float) -> None:
+        self._cluster.confirm_routes(started_at, self.eras.newest)
+
     def _adopt_stored_routes(
         self, stored: Iterable[objects.StoredObject], now: float
     ) -> None:
@@ -190,14 +205,16 @@
             for stored_object in stored
         ]
         found = [endpoint for endpoint in decoded if endpoint is not None]
+        current = self._cluster.copy_guard.filter_listed(found, now)
         self._handle_endpoint_changes(
-            self._cluster.catalogue.replace(found, now)
+            self._cluster.catalogue.replace(current, now), now
         )
 
     def _apply_endpoint_changes(
         self, stored: Iterable[objects.StoredObject], now: float
     ) -> None:
         for stored_object in stored:
+            self._cluster.copy_guard.record_write(stored_object.name)
             endpoint = None
             if stored_object.value is not None:
                 endpoint = self._adapters.decode_endpoint(stored_object)
@@ -207,15 +224,16 @@
                 )
             else:
                 changes = self._cluster.catalogue.put(endpoint)
-            self._handle_endpoint_changes(changes)
+            self._handle_endpoint_changes(changes, now)
 
     def _replace_entries(
         self, stored: Iterable[objects.StoredObject], now: float
     ) -> None:
         found = map(registrations.decode_registration, stored)
+        # A copy of the store may lack entries until they register again.
         self._table.adopt(
             [registration for registration in found if registration],
-            whole=True,
+            whole=now >= self.eras.get_rewrite_end(),
         )
 
     def _apply_entry_changes(
@@ -231,11 +249,22 @@
     def remove_expired(self, now: float) -> None:
         """Removes the endpoints whose grace period is over."""
         self._handle_endpoint_changes(
-            self._cluster.catalogue.remove_expired(now)
+            self._cluster.catalogue.remove_expired(now), now
         )
 
-    def _handle_endpoint_changes(self, changes: list[catalogue.Change]) -> None:
-        for before, after in changes:
+    def release_held(self, now: float) -> None:
+        """Adds the endpoints that are in use although a copy listed them."""
+        for endpoint in self._cluster.copy_guard.release_held(now):
+            self._handle_endpoint_changes(
+                self._cluster.catalogue.put(endpoint), now
+            )
+
+    def _handle_endpoint_changes(
+        self, changes: list[catalogue.Change], now: float
+    ) -> None:
+        for change in changes:
+            before, after = change
+            self._cluster.copy_guard.record_change(change, now)
             if after is None or (
                 before is not None and before.started != after.started
             ):
--- a/samphirevale/entries.py
+++ b/samphirevale/entries.py
@@ -9,7 +9,7 @@
 import contextlib
 import itertools
 import random
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from typing import Any, Protocol
 
 import curio
@@ -40,9 +40,6 @@
 # The timeout of the answer to how recent an entry's routes are, in seconds.
 ROUTES_AGE_SECONDS = 0.5
 
-# The version in such an answer if the entry has no routes.
-NO_ROUTES = -1
-
 # The longest backoff between two attempts to connect, in seconds.
 CONNECT_BACKOFF_LIMIT_SECONDS = 2.0
 
@@ -140,6 +137,9 @@
         build_report: Callable[[float], messages.EntryReport],
         on_members_changed: Callable[[Iterable[ownership.Member]], None],
         on_crashes_reported: Callable[[list[list[str]]], None],
+        on_store_reported: Callable[
+            [str, routes_freshness.StoreKnowledge], Awaitable[None]
+        ],
         get_routes_age: Callable[[float], routes_freshness.Confirmation | None],
         clock: clocks.Clock,
         rng: random.Random,
@@ -154,6 +154,8 @@
             build_report: builds the report for the other entries.
             on_members_changed: called with the linked entries.
             on_crashes_reported: called with the crashes that an entry reports.
+            on_store_reported: called with the name of an entry and what it
+                reports of the store.
             get_routes_age: returns how recent the routes of this entry are;
                 None if it has none.
             clock: a clock that includes time while the machine is suspended.
@@ -170,6 +172,7 @@
         self._reporter = reports.Reporter(build_report)
         self._on_members_changed = on_members_changed
         self._on_crashes_reported = on_crashes_reported
+        self._on_store_reported = on_store_reported
         self._get_routes_age = get_routes_age
         self._clock = clock
         self._rng = rng
@@ -209,7 +212,7 @@
     async def _dial(self, name: str) -> None:
         """Connects to an entry repeatedly until its registration is gone."""
         failures = 0
-        while name in self._registrations:
+        while self.is_registered(name):
             found = self._registrations[name]
             try:
                 async with links.dial(
@@ -303,6 +306,13 @@
             entry.adopt_report(message)
             self.loads.replace(before, entry.loads)
             self._on_crashes_reported(message.crashed)
+            await self._on_store_reported(
+                entry.hello.instance,
+                routes_freshness.StoreKnowledge(
+                    messages.decode_era(message.store_era),
+                    message.routes_version,
+                ),
+            )
         elif isinstance(message, messages.ItemsRequest):
             entry.serving[message.exchange] = await curio.spawn(
                 self._serve_items, entry, message, daemon=True
@@ -322,14 +332,21 @@
 
     async def _send_routes_age(self, entry: Entry, exchange: int) -> None:
         known = self._get_routes_age(self._clock.now())
-        answer = messages.RoutesAge(exchange, NO_ROUTES, 0.0)
+        answer = messages.RoutesAge(exchange, messages.NO_ROUTES, 0.0)
         if known is not None:
             answer = messages.RoutesAge(
-                exchange, known.version, known.age_seconds
+                exchange,
+                known.version,
+                known.age_seconds,
+                messages.encode_era(known.era),
             )
         with contextlib.suppress(errors.PeerClosedError):
             await entry.link.send(answer, 0)
 
+    def is_registered(self, name: str) -> bool:
+        """Returns whether the registration of another entry is known."""
+        return name in self._registrations
+
     def is_linked(self, name: str) -> bool:
         """Returns whether there is a link to an entry."""
         return name in self.linked
@@ -350,9 +367,13 @@
         with contextlib.suppress(errors.PeerClosedError, curio.TaskTimeout):
             async with curio.timeout_after(ROUTES_AGE_SECONDS):
                 answer = await self._exchange(entry, request)
-        if answer is None or answer.version == NO_ROUTES:
+        if answer is None or answer.version == messages.NO_ROUTES:
             return None
-        return routes_freshness.Confirmation(answer.version, answer.age_seconds)
+        return routes_freshness.Confirmation(
+            answer.version,
+            answer.age_seconds,
+            messages.decode_era(answer.store_era),
+        )
 
     async def _exchange(self, entry: Entry, request: Any) -> Any:
         """Sends a request on a link; returns None if the link ends."""
--- a/samphirevale/errors.py
+++ b/samphirevale/errors.py
@@ -104,6 +104,10 @@
     """The version to watch from is too old; the kind must be listed again."""
 
 
+class StoreEraPassedError(StoreError):
+    """An answer is of an earlier era of the store than one already seen."""
+
+
 class FencedError(SamphirevaleError):
     """An endpoint refused an order with an outdated fencing token."""
 
--- a/samphirevale/freshness.py
+++ b/samphirevale/freshness.py
@@ -1,5 +1,9 @@
 """Tracks the age of copied data and whether it is recent enough to use.
 
+A store that has returned from a copy of itself may lack its latest changes for
+a grace period, so its answers do not show that nothing has changed. They only
+make the safety margin usable, and so bridge most of the period.
+
 All times are from a clock that includes time while the machine is suspended.
 """
 
@@ -20,9 +24,24 @@
     def __init__(self, limit_seconds: float):
         self.limit_seconds = limit_seconds
         self.confirmed_at: float | None = None
+        self._grace_ends_at = float("-inf")
+        # The start of the latest call outside a grace period.
+        self._proved_at = float("-inf")
+
+    def start_grace_period(self, ends_at: float) -> None:
+        """Records that the store may lack changes until this time."""
+        self._grace_ends_at = ends_at
 
     def confirm(self, started_at: float) -> None:
-        """Records the answer to a call that began at this time."""
+        """Records the answer to a call that began at this time.
+
+        An answer in a grace period confirms no more than that no change has
+        to take effect before the limit after the last answer outside of it.
+        """
+        if started_at >= self._grace_ends_at:
+            self._proved_at = max(self._proved_at, started_at)
+        else:
+            started_at = min(started_at, self._proved_at + MARGIN_SECONDS)
         if self.confirmed_at is None or started_at > self.confirmed_at:
             self.confirmed_at = started_at
 
--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -9,14 +9,12 @@
 import prometheus_client
 
 from samphirevale import (
-    backoff,
     batch_dispatch,
     batching,
     catalogue,
     cluster_state,
     cluster_watch,
     entries,
-    errors,
     gateway_settings,
     input_fingerprints,
     item_routing,
@@ -28,6 +26,7 @@
     proxy_context,
     proxying,
     quarantine,
+    registrar,
     registrations,
     retry_budgets,
     routes,
@@ -100,19 +99,20 @@
         self.item_runner = item_routing.RoutedItemRunner(
             self._dispatcher, self.cluster_state, clock
         )
-        self._registration = registrations.Registration(
+        registration = registrations.Registration(
             settings.instance,
             settings.peer_host,
             settings.peer_port,
             secrets.token_hex(16),
         )
         self.table = entries.EntryTable(
-            self._registration,
+            registration,
             settings.data_centre,
             self.item_runner,
             self._build_report,
             self._adopt_members,
             self._adopt_crashes,
+            self._adopt_store_report,
             self._get_routes_age,
             clock,
             self._rng,
@@ -130,6 +130,14 @@
             self._rng,
             log,
         )
+        self.registrar = registrar.Registrar(
+            adapter_set.store,
+            registration,
+            self.cluster_watch.eras,
+            clock,
+            self._rng,
+            log,
+        )
         self._proxy = proxying.Proxy(
             proxy_context.ProxyContext(
                 self.cluster_state,
@@ -164,6 +172,8 @@
             self.item_runner.describe_queues(now),
             self._selector.describe_loads(),
             [[name, *attempts] for name, attempts in crashed],
+            messages.encode_era(self.cluster_watch.eras.newest),
+            self.cluster_state.get_routes_version(),
         )
 
     def _adopt_crashes(self, crashed: list[list[str]]) -> None:
@@ -172,6 +182,12 @@
         for fingerprint, *attempts in crashed:
             self._quarantine.add_crashes(fingerprint, attempts, now)
 
+    async def _adopt_store_report(
+        self, entry: str, known: routes_freshness.StoreKnowledge
+    ) -> None:
+        """Adopts what another entry reports of the store."""
+        await self.cluster_watch.adopt_report(entry, known)
+
     def _get_routes_age(
         self, now: float
     ) -> routes_freshness.Confirmation | None:
@@ -181,6 +197,7 @@
         return routes_freshness.Confirmation(
             self.cluster_state.table.version,
             self.cluster_state.routes_age.compute_age(now),
+            self.cluster_state.routes_era,
         )
 
     def _adopt_members(self, members: Iterable[ownership.Member]) -> None:
@@ -208,24 +225,6 @@
         self._selector.remove_endpoint(endpoint.name)
         self._dispatcher.remove_endpoint(endpoint)
 
-    async def register(self) -> None:
-        """Registers the address of this entry and retries until it succeeds."""
-        failures = 0
-        while True:
-            try:
-                await self._adapters.store.replace(
-                    registrations.KIND,
-                    self.settings.instance,
-                    registrations.encode_registration(self._registration),
-                )
-                return
-            except errors.StoreError as error:
-                self._journal.record_failure("not_registered", error=str(error))
-            await self._clock.sleep(
-                backoff.compute_pause(failures, rng=self._rng)
-            )
-            failures += 1
-
     async def run_periodic_checks(self) -> None:
         """Runs the periodic checks until cancelled."""
         logged_at = 0.0
@@ -236,6 +235,7 @@
                 logged_at = now
                 self._log_queues(now)
             self.cluster_watch.remove_expired(now)
+            self.cluster_watch.release_held(now)
             metrics.ROUTES_AGE.set(
                 self.cluster_state.routes_age.compute_age(now)
             )
@@ -336,7 +336,7 @@
         gateway.serve_callers,
         gateway.serve_readiness,
         gateway.serve_metrics,
-        gateway.register,
+        gateway.registrar.run,
         gateway.table.serve,
         gateway.table.connect_to_entries,
     ]
--- a/samphirevale/log_schema.py
+++ b/samphirevale/log_schema.py
@@ -90,6 +90,7 @@
         "stopped": {"busy"},
         "stopping": {"busy"},
         "routes_not_read": {"error"},
+        "store_era_changed": {"era", "previous", "learned_from"},
         "store_lost": {"kind", "error"},
         "store_regained": {"kind"},
         "stream_ended": {*_REQUEST, "outcome", "last_event"},
--- a/samphirevale/messages.py
+++ b/samphirevale/messages.py
@@ -16,9 +16,10 @@
 import cbor2
 
 from samphirevale import errors
+from samphirevale.ports import objects
 
 # Must be increased when a field is added, removed or changes its meaning.
-PROTOCOL_VERSION = 6
+PROTOCOL_VERSION = 7
 
 # Maximum size of a frame, in bytes.
 FRAME_BYTES_LIMIT = 4 * 1024 * 1024
@@ -28,6 +29,11 @@
 # miss, not to a wrong answer.
 PREFIX_DIGITS = 16
 
+# The era in a message of an entry that knows none, and the version of the
+# routes in one of an entry without routes.
+NO_ERA = -1
+NO_ROUTES = -1
+
 _types: dict[str, type] = {}
 
 
@@ -295,11 +301,16 @@
             fields of load_totals.Load.
         crashed: fingerprints of inputs that crashed endpoints, each with the
             ids of the attempts.
+        store_era: the newest era of the store that the sender has seen, or
+            NO_ERA.
+        routes_version: the version of the sender's routes, or NO_ROUTES.
     """
 
     queues: list[list]
     loads: list[list]
     crashed: list[list]
+    store_era: int = NO_ERA
+    routes_version: int = NO_ROUTES
 
 
 @register("pieces")
@@ -368,13 +379,15 @@
 
     Attributes:
         exchange: id of the request.
-        version: the version of the sender's routes; -1 if it has none.
+        version: the version of the sender's routes, or NO_ROUTES.
         age_seconds: how long ago the sender's copy was current.
+        store_era: the era of the store in which it was, or NO_ERA.
     """
 
     exchange: int
     version: int
     age_seconds: float
+    store_era: int = NO_ERA
 
 
 @register("pieces_withdrawn")
@@ -397,6 +410,16 @@
     results: list[str]
 
 
+def encode_era(era: objects.StoreEra | None) -> int:
+    """Returns an era of the store as it is in messages."""
+    return NO_ERA if era is None else era
+
+
+def decode_era(era: int) -> objects.StoreEra | None:
+    """Returns the era of the store in a message; None if it has none."""
+    return None if era == NO_ERA else objects.StoreEra(era)
+
+
 def round_ms(milliseconds: float) -> float:
     """Rounds to whole milliseconds, which take fewer bytes in CBOR.
 
--- a/samphirevale/metrics.py
+++ b/samphirevale/metrics.py
@@ -180,6 +180,12 @@
 STORE_SECONDS = _histogram(
     "store_seconds", "Time of one call to the object API.", "kind"
 )
+STORE_ERA_CHANGES = _count(
+    "store_era_changes", "Returns of the store from a copy, with a new era."
+)
+STORE_ERAS_MALFORMED = _count(
+    "store_eras_malformed", "Answers of the store with a malformed era."
+)
 
 # Requests at a proxying entry. `kind` is `streamed`, `repeatable` or `once`;
 # `reason` is empty if the answer came from an endpoint.
--- a/samphirevale/platform/headers.py
+++ b/samphirevale/platform/headers.py
@@ -13,6 +13,7 @@
 # Despite its name the header holds the names of the request's input results.
 RESULTS = "samphirevale-input-count"
 LAST_EVENT = "last-event-id"
+STORE_ERA = "store-era"
 
 # Headers that apply to one connection only and are not forwarded.
 HOP_BY_HOP = frozenset(
--- a/samphirevale/platform/store.py
+++ b/samphirevale/platform/store.py
@@ -1,12 +1,14 @@
 """HTTP client for the platform's metadata store."""
 
 import contextlib
+import logging
 import urllib.parse
 from collections.abc import Iterator
 from typing import Any
 
-from samphirevale import errors
+from samphirevale import errors, metrics
 from samphirevale.adapters import store_client, store_metrics
+from samphirevale.platform import headers
 from samphirevale.ports import objects
 
 # How much longer than the server-side timeout of a watch the client waits,
@@ -16,6 +18,9 @@
 # Timeout of any other call, in seconds.
 CALL_SECONDS = 1.2
 
+# The largest number of digits of an era. A longer one is malformed.
+ERA_DIGITS_LIMIT = 9
+
 CONTENT_TYPE = ("Content-Type", "application/json")
 
 
@@ -29,14 +34,20 @@
         The pages may be read at different versions. The listing has the
         version of the first page, so a watch from it repeats the changes made
         while the pages were read.
+
+        Raises:
+            errors.StoreUnavailableError: the era changed between two pages,
+                among other reasons.
         """
         found: list[objects.StoredObject] = []
         version = None
+        era = None
         after = ""
         while True:
             query = f"?after={urllib.parse.quote(after)}" if after else ""
             reply = await self.read(f"{_build_path(kind)}{query}")
             _check_status(reply)
+            era = _combine_eras(era, _decode_era(reply))
             with _converting_parse_errors():
                 page = _read_objects(kind, reply.value["items"])
                 has_more = reply.value.get("more_pages", False)
@@ -44,7 +55,7 @@
                     version = int(reply.value["at"])
             found += page
             if not has_more or not page:
-                return objects.Listing(found, version)
+                return objects.Listing(found, version, era)
             after = page[-1].name
 
     @store_metrics.measure_calls("watch")
@@ -71,28 +82,39 @@
                     is_deleted = event.get("deleted", False)
                     value = None if is_deleted else stored.value
                     changed.append(stored._replace(value=value))
-            return objects.WatchEvents(changed, int(reply.value["at"]))
+            return objects.WatchEvents(
+                changed, int(reply.value["at"]), _decode_era(reply)
+            )
 
     @store_metrics.measure_calls("create")
-    async def create(self, kind: str, name: str, value: Any) -> None:
-        """Creates an object; raises errors.StoreConflictError if it exists."""
+    async def create(
+        self, kind: str, name: str, value: Any
+    ) -> objects.StoreEra | None:
+        """Creates an object and returns the era of the store.
+
+        Raises:
+            errors.StoreConflictError: the object already exists.
+        """
         body = {"metadata": {"name": name}, "spec": value}
         reply = await self.write(
             "POST", _build_path(kind), body, (CONTENT_TYPE,)
         )
         _check_status(reply)
+        return _decode_era(reply)
 
     @store_metrics.measure_calls("update")
-    async def replace(self, kind: str, name: str, value: Any) -> None:
-        """Replaces an object unconditionally, or creates it."""
+    async def replace(
+        self, kind: str, name: str, value: Any
+    ) -> objects.StoreEra | None:
+        """Replaces or creates an object; returns the era of the store."""
         body = {"metadata": {"name": name}, "spec": value}
         reply = await self.write(
             "PUT", _build_path(kind, name), body, (CONTENT_TYPE,)
         )
         if reply.status == 404:
-            await self.create(kind, name, value)
-            return
+            return await self.create(kind, name, value)
         _check_status(reply)
+        return _decode_era(reply)
 
     @store_metrics.measure_calls("delete")
     async def delete(self, kind: str, name: str) -> None:
@@ -118,6 +140,33 @@
     raise errors.StoreError(text)
 
 
+def _decode_era(reply: store_client.Reply) -> objects.StoreEra | None:
+    """Returns the era that an answer states; None without a valid one."""
+    text = reply.headers.get(headers.STORE_ERA)
+    if text is None:
+        return None
+    if len(text) > ERA_DIGITS_LIMIT or not (text.isascii() and text.isdigit()):
+        metrics.STORE_ERAS_MALFORMED.inc()
+        logging.getLogger(__name__).warning("malformed era %.40r", text)
+        return None
+    return objects.StoreEra(int(text))
+
+
+def _combine_eras(
+    before: objects.StoreEra | None, page: objects.StoreEra | None
+) -> objects.StoreEra | None:
+    """Returns the era of the pages read so far.
+
+    Raises:
+        errors.StoreUnavailableError: the era changed between two pages.
+    """
+    if before is not None and page is not None and page != before:
+        raise errors.StoreUnavailableError(
+            f"era {page} after era {before} in one list"
+        )
+    return page if before is None else before
+
+
 @contextlib.contextmanager
 def _converting_parse_errors() -> Iterator[None]:
     try:
--- a/samphirevale/ports/objects.py
+++ b/samphirevale/ports/objects.py
@@ -1,6 +1,10 @@
 """Protocols for the platform's object stores."""
 
-from typing import Any, NamedTuple, Protocol
+from typing import Any, NamedTuple, NewType, Protocol
+
+# How often a store has returned from a copy of itself. Versions of objects
+# compare only within one era.
+StoreEra = NewType("StoreEra", int)
 
 
 class StoredObject(NamedTuple):
@@ -27,10 +31,12 @@
     Attributes:
         objects: the changed objects; a deleted object has the value None.
         version: the store version to continue the watch from.
+        era: the era of the store; None if the store states none.
     """
 
     objects: list[StoredObject]
     version: int
+    era: StoreEra | None = None
 
 
 class Listing(NamedTuple):
@@ -39,10 +45,12 @@
     Attributes:
         objects: the kind's objects; some may be newer than the version.
         version: the store version to start a watch from.
+        era: the era of the store; None if the store states none.
     """
 
     objects: list[StoredObject]
     version: int
+    era: StoreEra | None = None
 
 
 class ListedInstance(NamedTuple):
@@ -74,8 +82,14 @@
     ) -> WatchEvents:
         """Waits for changes to a kind after `version`."""
 
-    async def replace(self, kind: str, name: str, value: Any) -> None:
-        """Replaces an object unconditionally, or creates it."""
+    async def replace(
+        self, kind: str, name: str, value: Any
+    ) -> StoreEra | None:
+        """Replaces an object unconditionally, or creates it.
+
+        Returns:
+            The era in which it was written; None if the store states none.
+        """
 
     async def delete(self, kind: str, name: str) -> None:
         """Deletes an object if it exists."""
--- a/samphirevale/routes_freshness.py
+++ b/samphirevale/routes_freshness.py
@@ -6,7 +6,8 @@
 time t, the source answers that its copy was current `age` ago, and so the copy
 was current at t - age by the clock of the one who asked. Delays and pauses on
 the way only make that older, and no two clocks are compared. The answer counts
-if the asking entry has the same version or a newer one.
+if the asking entry has the same version or a newer one, and knows of no newer
+era of the store.
 
 An entry whose sources do not answer reads the store itself.
 """
@@ -19,8 +20,15 @@
 
 import curio
 
-from samphirevale import cluster_state, errors, journal, ownership
+from samphirevale import (
+    cluster_state,
+    errors,
+    journal,
+    ownership,
+    store_eras,
+)
 from samphirevale.ports import clock as clocks
+from samphirevale.ports import objects
 
 # The number of entries of each data centre that read the store often.
 SOURCES_PER_DATA_CENTRE = 2
@@ -53,10 +61,24 @@
     Attributes:
         version: the version of its routes.
         age_seconds: how long ago its copy was current, at the answer.
+        era: the era of the store in which it was; None without one.
     """
 
     version: int
     age_seconds: float
+    era: objects.StoreEra | None = None
+
+
+class StoreKnowledge(NamedTuple):
+    """What another entry reports of the store.
+
+    Attributes:
+        era: the newest era that it has seen; None if it has seen none.
+        version: the version of its routes, or messages.NO_ROUTES.
+    """
+
+    era: objects.StoreEra | None
+    version: int
 
 
 class Sources(Protocol):
@@ -120,6 +142,7 @@
         known: cluster_state.ClusterState,
         sources: Sources,
         read_routes: Callable[[], Awaitable[None]],
+        eras: store_eras.StoreEras,
         clock: clocks.Clock,
         rng: random.Random,
         log: journal.Journal,
@@ -131,6 +154,7 @@
             known: provides the entries and the age of the routes.
             sources: asks other entries.
             read_routes: reads the routes from the store and confirms them.
+            eras: the eras of the store.
             clock: a clock that includes time while the machine is suspended.
             rng: the source of random numbers.
             log: the log of failed reads.
@@ -140,6 +164,7 @@
         self._cluster = known
         self._sources = sources
         self._read_routes = read_routes
+        self._eras = eras
         self._clock = clock
         self._rng = rng
         self._log = log
@@ -183,11 +208,17 @@
         answer = await self._sources.ask_routes_age(name)
         if answer is None:
             return
+        relation = await self._eras.observe(answer.era, name, self._clock.now())
+        if relation is store_eras.Relation.OLDER:
+            return
+        self._cluster.note_routes_version(answer.version)
         if answer.version > self._cluster.table.version:
             # The watch of this entry has not brought this version yet.
             await self._read()
         else:
-            self._cluster.routes_age.confirm(asked_at - answer.age_seconds)
+            self._cluster.confirm_routes(
+                asked_at - answer.age_seconds, self._eras.newest
+            )
 
     async def _read(self) -> None:
         try:
@@ -195,3 +226,9 @@
         except errors.StoreError as error:
             self._log.record_failure("routes_not_read", error=str(error))
             await self._clock.sleep(FAILED_READ_SECONDS)
+            return
+        if not self._cluster.has_newest_routes():
+            self._log.record_failure(
+                "routes_not_read", error="another entry has newer routes"
+            )
+            await self._clock.sleep(FAILED_READ_SECONDS)
--- a/tests/platform/test_session.py
+++ b/tests/platform/test_session.py
@@ -10,6 +10,7 @@
     journal,
     log_schema,
     retry_budgets,
+    routes_freshness,
 )
 from samphirevale.adapters import clock, web, web_client
 from samphirevale.platform import __main__ as program
@@ -301,6 +302,143 @@
             await self.wait_until(lambda: catalogue.find("plain1") is None)
             self.assertEqual(200, (await self.call("/read/x"))[0])
 
+    async def return_from_copy(self, copy):
+        """Lets the store return from a copy; waits until that is known."""
+        self.store.restore_copy(copy)
+        await self.wait_for_event("store_era_changed")
+
+    async def wait_for_event(self, event):
+        await self.wait_until(lambda: event in self.log.list_events())
+
+    async def test_store_that_lost_its_writes_brings_nothing_back(self):
+        async with self.run_all():
+            copy = self.store.take_copy()
+            self.store.put("config", "main", build_manifest(2, ["k2"]))
+            self.store.remove("servers", "plain1")
+            table = self.gateway.cluster_state.catalogue
+            await self.wait_until(
+                lambda: (
+                    table.find("plain1") is None
+                    and self.gateway.cluster_state.table.version == 2
+                )
+            )
+            await self.return_from_copy(copy)
+            held = self.gateway.cluster_state.copy_guard
+            await self.wait_until(lambda: held.is_held("plain1"))
+            for _ in range(4):
+                status = (await self.call("/read/x", key="k2"))[0]
+                self.assertEqual(200, status)
+            self.assertEqual([], self.servers["plain1"].seen_headers)
+            self.assertEqual(401, (await self.call("/read/x"))[0])
+            self.register_server("plain1", 1, slots=5)
+            await self.wait_until(lambda: table.find("plain1") is not None)
+
+    async def test_store_that_lost_an_endpoint_does_not_take_it_away(self):
+        async with self.run_all():
+            catalogue = self.gateway.cluster_state.catalogue
+            port = catalogue.find("plain2").port
+            self.store.remove("servers", "plain2")
+            copy = self.store.take_copy()
+            self.register_server("plain2", port, born=2)
+            await self.wait_until(lambda: catalogue.find("plain2").started == 2)
+            await self.return_from_copy(copy)
+            # Its revision is that of plain2 in the era before.
+            self.register_server("plain1", port, slots=5)
+            await self.wait_until(lambda: catalogue.find("plain1").slots == 5)
+            self.assertIsNotNone(catalogue.find("plain2"))
+            await self.wait_until(lambda: catalogue.find("plain2") is None)
+
+    async def test_change_with_a_revision_given_out_again_is_not_skipped(self):
+        async with self.run_all():
+            catalogue = self.gateway.cluster_state.catalogue
+            ports = {
+                name: catalogue.find(name).port for name in ("plain1", "plain2")
+            }
+            copy = self.store.take_copy()
+            self.register_server("plain2", ports["plain2"], born=2)
+            await self.wait_until(lambda: catalogue.find("plain2").started == 2)
+            self.store.restore_copy(copy)
+            # The watch continues after the revision that the first one gets.
+            self.register_server("plain1", ports["plain1"], born=3)
+            self.register_server("plain2", ports["plain2"], born=3)
+            await self.wait_until(lambda: catalogue.find("plain2").started == 3)
+            await self.wait_until(lambda: catalogue.find("plain1").started == 3)
+
+    async def test_entry_registers_again_in_a_new_era(self):
+        async with self.run_all():
+            kind = "samphirevale-entries"
+            await self.wait_until(lambda: self.store.list_names(kind))
+            self.store.remove(kind, "entry1")
+            copy = self.store.take_copy()
+            await self.return_from_copy(copy)
+            async with curio.timeout_after(2.0):
+                await self.wait_until(lambda: self.store.list_names(kind))
+
+    async def test_store_that_lost_an_entry_does_not_unregister_it(self):
+        async with self.run_all():
+            table = self.gateway.table
+            copy = self.store.take_copy()
+            self.register_entry("a1")
+            await self.wait_until(lambda: table.is_registered("a1"))
+            await self.return_from_copy(copy)
+            self.register_entry("a2")
+            await self.wait_until(lambda: table.is_registered("a2"))
+            self.assertTrue(table.is_registered("a1"))
+
+    def register_entry(self, name):
+        value = {"host": "127.0.0.1", "port": 1, "token": "t"}
+        self.store.put("samphirevale-entries", name, value)
+
+    async def test_cut_off_entry_learns_a_new_era_from_another(self):
+        async with self.run_all():
+            self.store.away = True
+            await self.gateway.cluster_watch.adopt_report(
+                "other", routes_freshness.StoreKnowledge(2, 1)
+            )
+            await self.wait_for_event("store_era_changed")
+            # The store answers once more as it was before.
+            self.store.away = False
+            self.store.put("config", "main", build_manifest(2))
+            await curio.sleep(1.0)
+            version = self.gateway.cluster_state.table.version
+            self.assertEqual(1, version)
+            self.store.restore_copy(self.store.take_copy())
+            await self.wait_until(
+                lambda: self.gateway.cluster_state.table.version == 2
+            )
+
+    async def test_drill_refuses_no_request(self):
+        async with self.run_all():
+            copy = self.store.take_copy()
+            self.store.put("config", "main", build_manifest(2))
+            await self.wait_until(
+                lambda: self.gateway.cluster_state.table.version == 2
+            )
+            self.store.away = True
+            await curio.sleep(1.0)
+            self.store.restore_copy(copy)
+            statuses = set()
+            for _ in range(45):
+                statuses.add((await self.call("/read/x"))[0])
+                await curio.sleep(0.1)
+            self.assertEqual({200}, statuses)
+            self.assertIn("store_era_changed", self.log.list_events())
+
+    async def test_malformed_era_is_ignored(self):
+        async with self.run_all():
+            self.store.era_header = "odd"
+            self.store.put("config", "main", build_manifest(2))
+            await self.wait_until(
+                lambda: self.gateway.cluster_state.table.version == 2
+            )
+            self.store.era_header = "-4"
+            self.store.put("config", "main", build_manifest(3))
+            await self.wait_until(
+                lambda: self.gateway.cluster_state.table.version == 3
+            )
+            self.assertEqual(200, (await self.call("/read/x"))[0])
+            self.assertNotIn("store_era_changed", self.log.list_events())
+
     async def test_malformed_routes_are_ignored(self):
         async with self.run_all():
             self.store.put("config", "main", {"version": 2, "routes": 7})
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,80 @@
+"""Tests of the client of the platform's store: eras of its answers."""
+
+import contextlib
+
+import curio
+
+from samphirevale import errors, metrics
+from samphirevale.adapters import web
+from samphirevale.platform import store
+from standins import metadata_store
+from tests import base
+
+
+class EraTest(base.TestCase):
+    """Tests the era in answers of a store over a loopback socket."""
+
+    @contextlib.asynccontextmanager
+    async def run_store(self):
+        self.store = metadata_store.MetadataStore()
+        self.returns_after_each_answer = False
+        port = base.find_free_port()
+        task = await curio.spawn(
+            web.serve, self.handle, "127.0.0.1", port, daemon=True
+        )
+        await curio.sleep(0.05)
+        self.client = store.PlatformStore(f"http://127.0.0.1:{port}")
+        yield
+        await self.client.close()
+        await task.cancel()
+
+    async def handle(self, request):
+        response = await self.store.handle(request)
+        if self.returns_after_each_answer:
+            self.store.restore_copy(self.store.take_copy())
+        return response
+
+    async def test_answers_state_the_era(self):
+        async with self.run_store():
+            listing = await self.client.list_at("k")
+            self.assertEqual(1, listing.era)
+            self.store.restore_copy(self.store.take_copy())
+            events = await self.client.watch("k", listing.version, 0)
+            self.assertEqual(2, events.era)
+            self.assertEqual(2, await self.client.replace("k", "new", 1))
+            self.assertEqual(2, await self.client.replace("k", "new", 2))
+
+    async def test_malformed_era_is_none_logged_and_counted(self):
+        texts = ("odd", "-1", "1.5", "1 2", "9" * 30)
+        async with self.run_store():
+            for text in texts:
+                self.store.era_header = text
+                counted = read_malformed()
+                with self.assertLogs(level="WARNING"):
+                    listing = await self.client.list_at("k")
+                self.assertIsNone(listing.era)
+                self.assertEqual(counted + 1, read_malformed())
+
+    async def test_store_without_eras_states_none(self):
+        async with self.run_store():
+            self.store.era_header = ""
+            self.assertIsNone((await self.client.list_at("k")).era)
+            self.assertIsNone(await self.client.replace("k", "new", 1))
+
+    async def test_pages_of_two_eras_are_no_list(self):
+        async with self.run_store():
+            for number in range(metadata_store.PAGE_SIZE + 1):
+                self.store.put("k", f"o{number}", number)
+            self.returns_after_each_answer = True
+            with self.assertRaises(errors.StoreUnavailableError):
+                await self.client.list_at("k")
+
+
+def read_malformed():
+    text = metrics.render().decode()
+    (line,) = [
+        line
+        for line in text.splitlines()
+        if line.startswith("samphirevale_store_eras_malformed_total")
+    ]
+    return float(line.split()[-1])
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -55,6 +55,7 @@
         self.server = FakeServer()
         self.members = []
         self.crashed = []
+        self.store_reports = set()
         self.registration = registrations.Registration(
             name, "127.0.0.1", base.find_free_port(), f"token-{name}"
         )
@@ -63,16 +64,20 @@
             "a",
             self.server,
             lambda now: messages.EntryReport(
-                [["e1", *STATE]], [["e2", 3, 500]], [["f", name]]
+                [["e1", *STATE]], [["e2", 3, 500]], [["f", name]], 4, 7
             ),
             lambda members: setattr(self, "members", list(members)),
             self.crashed.extend,
-            lambda now: routes_freshness.Confirmation(7, 0.25),
+            self.adopt_store_report,
+            lambda now: routes_freshness.Confirmation(7, 0.25, 4),
             clock.BootClock(),
             random.Random(1),
             proxy_fakes.FakeJournal(),
         )
 
+    async def adopt_store_report(self, entry, known):
+        self.store_reports.add((entry, known))
+
 
 class EntryTableTest(base.TestCase):
     """Tests two entries that are linked by loopback sockets."""
@@ -128,6 +133,8 @@
             )
             self.assertEqual(["b"], [m.name for m in self.first.members])
             self.assertIn(["f", "b"], self.first.crashed)
+            known = routes_freshness.StoreKnowledge(4, 7)
+            self.assertEqual({("b", known)}, self.first.store_reports)
 
     async def test_items_are_run_by_the_other_entry(self):
         async with self.run_both():
@@ -157,7 +164,7 @@
         async with self.run_both():
             self.find_second()
             answer = await self.first.table.ask_routes_age("b")
-            self.assertEqual((7, 0.25), answer)
+            self.assertEqual((7, 0.25, 4), answer)
             self.assertIsNone(await self.first.table.ask_routes_age("c"))
 
     async def test_cancelled_items_are_withdrawn(self):
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -33,6 +33,12 @@
         self.assertEqual(float("inf"), messages.round_ms(float("inf")))
         self.assertIs(math.isnan(messages.round_ms(math.nan)), True)
 
+    def test_era_of_the_store(self):
+        for era in (None, 0, 7):
+            encoded = messages.encode_era(era)
+            self.assertIsInstance(encoded, int)
+            self.assertEqual(era, messages.decode_era(encoded))
+
     def test_refuses_another_version(self):
         data = cbor2.dumps([99, "chunk", 7, *CHUNK])
         with self.assertRaisesRegex(errors.ProtocolError, "version 99"):
--- a/tests/test_routes_freshness.py
+++ b/tests/test_routes_freshness.py
@@ -1,6 +1,8 @@
 """Tests of the age of routes that one entry learns from another."""
 
+import contextlib
 import random
+from typing import NamedTuple
 
 import curio
 import hypothesis
@@ -11,7 +13,10 @@
     errors,
     ownership,
     routes_freshness,
+    store_eras,
+    watchers,
 )
+from samphirevale.ports import objects
 from tests import base, proxy_fakes
 
 USABLE_SECONDS = 3.8
@@ -108,6 +113,9 @@
         self.cluster = cluster_state.ClusterState(5.0, me)
         self.cluster.adopt_table(proxy_fakes.build_table([], version=4))
         self.cluster.routes_age.confirm(self.clock.now())
+        self.eras = store_eras.StoreEras(
+            self.cluster.start_era, proxy_fakes.FakeJournal()
+        )
         self.reads = 0
         self.store_works = True
         self.freshness = routes_freshness.RoutesFreshness(
@@ -115,6 +123,7 @@
             self.cluster,
             self.sources,
             self.read_routes,
+            self.eras,
             self.clock,
             random.Random(1),
             proxy_fakes.FakeJournal(),
@@ -126,7 +135,7 @@
         self.reads += 1
         if not self.store_works:
             raise errors.StoreUnavailableError("cut off")
-        self.cluster.routes_age.confirm(self.clock.now())
+        self.cluster.confirm_routes(self.clock.now(), self.eras.newest)
 
     async def check_after(self, seconds):
         """Checks at this age; returns the age afterwards."""
@@ -153,6 +162,27 @@
         self.sources.answer = routes_freshness.Confirmation(3, 1.0)
         self.assertAlmostEqual(1.0, await self.check_after(1.5))
 
+    async def test_source_of_an_older_era_does_not_confirm(self):
+        await self.eras.observe(4, "other", self.clock.now())
+        self.sources.answer = routes_freshness.Confirmation(4, 0.5, 3)
+        self.assertAlmostEqual(1.5, await self.check_after(1.5))
+
+    async def test_source_tells_of_a_new_era(self):
+        await self.eras.observe(3, "other", self.clock.now())
+        self.sources.answer = routes_freshness.Confirmation(4, 0.5, 4)
+        await self.check_after(1.5)
+        self.assertEqual(4, self.eras.newest)
+
+    async def test_store_that_lost_the_newest_routes_does_not_confirm(self):
+        self.sources.answer = routes_freshness.Confirmation(5, 0.1)
+        await self.check_after(1.5)
+        # The read has brought version 4, and its failure is followed by a
+        # pause.
+        self.assertAlmostEqual(
+            1.5 + routes_freshness.FAILED_READ_SECONDS,
+            self.cluster.routes_age.compute_age(self.clock.now()),
+        )
+
     async def test_silent_sources_leave_the_store(self):
         await self.check_after(1.5)
         self.assertEqual(0, self.reads)
@@ -256,6 +286,7 @@
             asker,
             Sources(clock),
             read_nothing,
+            store_eras.StoreEras(asker.start_era, proxy_fakes.FakeJournal()),
             clock,
             random.Random(1),
             proxy_fakes.FakeJournal(),
@@ -269,3 +300,183 @@
             if at < state.routes_age.confirmed_at
         )
         self.assertGreaterEqual(state.table.version, current)
+
+
+class Operator:
+    """What the operator wrote, and what the store has of it.
+
+    Attributes:
+        writes: the times and versions that the store acknowledged.
+        returns: the returns of the store from a copy.
+    """
+
+    class Return(NamedTuple):
+        """A return from a copy `age` old; lost writes come after `delay`."""
+
+        at: float
+        age: float
+        delay: float
+
+    def __init__(self):
+        self.writes = [(0.0, 1)]
+        self.returns = []
+
+    def find_version(self, at):
+        """Returns the version that the store had at a time."""
+        returns = [one for one in self.returns if one.at <= at]
+        if not returns or at >= returns[-1].at + returns[-1].delay:
+            return max(v for written_at, v in self.writes if written_at <= at)
+        last = returns[-1]
+        versions = [v for w, v in self.writes if last.at < w <= at]
+        copied_at = min(last.at - last.age, last.at - 0.001)
+        return max([self.find_version(copied_at), *versions])
+
+    def find_era(self, at):
+        return sum(one.at <= at for one in self.returns)
+
+
+class RewindSoundnessTest(base.TestCase):
+    """Walks through the steps of SoundnessTest, and returns from copies.
+
+    No entry uses a version for longer than the limit after the store has
+    acknowledged a newer one, even if it never reaches the store again.
+    """
+
+    LIMIT_SECONDS = 5.0
+
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=500)
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(
+                    ["change", "return", "read", "ask", "report"]
+                ),
+                strategies.integers(0, 2),
+                strategies.integers(0, 2),
+                strategies.floats(0.0, 2.0),
+                strategies.floats(0.0, 2.0),
+            ),
+            max_size=40,
+        )
+    )
+    def test_replaced_routes_are_not_used_after_the_limit(self, steps):
+        curio.run(self.walk, steps)
+
+    async def walk(self, steps):
+        self.clock = proxy_fakes.FakeClock()
+        self.operator = Operator()
+        self.entries = [self.build_entry(number) for number in range(3)]
+        for entry in self.entries:
+            await self.read(entry, 0.0, 0.0)
+        for kind, asker, source, before, after in steps:
+            if kind == "change":
+                self.clock.seconds += before
+                version = self.operator.writes[-1][1] + 1
+                self.operator.writes.append((self.clock.now(), version))
+            elif kind == "return":
+                self.clock.seconds += before
+                self.operator.returns.append(
+                    Operator.Return(self.clock.now(), before + after, after)
+                )
+            elif kind == "read":
+                await self.read(self.entries[asker], before, after)
+            elif kind == "ask" and asker != source:
+                await self.ask(asker, source, before, after)
+            elif kind == "report":
+                await self.report(asker, source)
+            for state, _, _ in self.entries:
+                self.assert_sound(state)
+
+    def build_entry(self, number):
+        """Returns the state, eras and watcher of an entry."""
+        state = cluster_state.ClusterState(
+            self.LIMIT_SECONDS, ownership.Member(f"entry{number}", "dc")
+        )
+        log = proxy_fakes.FakeJournal()
+        eras = store_eras.StoreEras(state.start_era, log)
+
+        def adopt(found, now):
+            for stored in found:
+                table = proxy_fakes.build_table([], version=stored.value)
+                state.adopt_table(table)
+
+        callbacks = watchers.WatchCallbacks(
+            adopt,
+            adopt,
+            lambda started_at: state.confirm_routes(started_at, eras.newest),
+            lambda now: None,
+        )
+        watcher = watchers.Watcher(
+            self, "kind", callbacks, eras, self.clock, random.Random(1), log
+        )
+        return state, eras, watcher
+
+    async def list_at(self, kind):
+        """Answers as the store does after a delay, and delays the answer."""
+        before, after = self.delays
+        self.clock.seconds += before
+        now = self.clock.now()
+        version = self.operator.find_version(now)
+        stored = objects.StoredObject(kind, "main", 1, version)
+        self.clock.seconds += after
+        return objects.Listing([stored], 1, self.operator.find_era(now))
+
+    async def read(self, entry, before, after):
+        self.delays = (before, after)
+        with contextlib.suppress(errors.StoreEraPassedError):
+            await entry[2].read_now()
+
+    async def ask(self, asker, source, before, after):
+        """Asks with delays before and after the answer is made."""
+        case = self
+        source_state, _, _ = self.entries[source]
+        state, eras, _ = self.entries[asker]
+
+        class Sources(FakeSources):
+            async def ask_routes_age(self, name):
+                case.clock.seconds += before
+                answer = routes_freshness.Confirmation(
+                    source_state.table.version,
+                    source_state.routes_age.compute_age(case.clock.now()),
+                    source_state.routes_era,
+                )
+                case.clock.seconds += after
+                return answer
+
+        async def read_nothing():
+            raise errors.StoreUnavailableError("cut off")
+
+        freshness = routes_freshness.RoutesFreshness(
+            "asker",
+            state,
+            Sources(self.clock),
+            read_nothing,
+            eras,
+            self.clock,
+            random.Random(1),
+            proxy_fakes.FakeJournal(),
+        )
+        await freshness.ask("source")
+
+    async def report(self, receiver, sender):
+        state, eras, _ = self.entries[receiver]
+        sender_state, sender_eras, _ = self.entries[sender]
+        await eras.observe(sender_eras.newest, "sender", self.clock.now())
+        state.note_routes_version(sender_state.get_routes_version())
+
+    def assert_sound(self, state):
+        usable_until = (
+            state.routes_age.confirmed_at
+            + state.routes_age.get_usable_seconds()
+        )
+        replaced_at = min(
+            (
+                at
+                for at, version in self.operator.writes
+                if version > state.table.version
+            ),
+            default=usable_until,
+        )
+        self.assertLessEqual(
+            usable_until, replaced_at + self.LIMIT_SECONDS + 1e-6
+        )
