--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -24,6 +24,7 @@
 
 _PROXYING = "tests.test_proxying"
 _SESSION = "tests.platform.test_session.SessionTest"
+_DRILL = "tests.platform.test_store_drills.StoreDrillTest"
 
 
 def _ablate(
@@ -68,8 +69,9 @@
         "attempt with a lost answer not repeated",
         NO_REPEATED_WORK,
         "proxy_runs",
-        "            and self._route.may_run_again()\n",
-        "",
+        "if not self._route.may_run_again():\n"
+        '            return "not_resumable"',
+        'if False:\n            return "not_resumable"',
         f"{_PROXYING}.CompleteAnswerTest"
         ".test_request_that_may_have_run_is_not_sent_again",
     ),
@@ -98,6 +100,86 @@
         "if False:",
         "tests.test_events.EventOrderTest",
     ),
+    _ablate(
+        "streams of silent endpoints read until another can take over",
+        STREAMS,
+        "event_streams",
+        "        return await self._read_silent()\n",
+        "        return _Reading(prepared=await self._run.prepare_resume())\n",
+        f"{_PROXYING}.StreamTest"
+        ".test_stream_of_a_silent_endpoint_is_not_cut_without_retries",
+    ),
+    _ablate(
+        "silent endpoint waited for if no other may answer",
+        NO_REPEATED_WORK,
+        "proxy_runs",
+        "if self._choose_endpoint(()) is None or not self.may_send_again():",
+        "if False:",
+        f"{_PROXYING}.CompleteAnswerTest"
+        ".test_silent_endpoint_is_waited_for_if_no_other_may_answer",
+    ),
+    _ablate(
+        "call of a batching endpoint that is silent for a second kept",
+        NO_REPEATED_WORK,
+        "batch_dispatch",
+        "timeout = max(overdue, expected + SILENCE_SECONDS)",
+        "timeout = overdue",
+        "tests.test_batch_dispatch.BatchDispatcherTest"
+        ".test_call_of_a_briefly_silent_endpoint_is_not_given_up",
+    ),
+    _ablate(
+        "items behind an overdue call returned",
+        NO_REPEATED_WORK,
+        "batch_dispatch",
+        "            await self.withdraw_items(endpoint)\n",
+        "",
+        "tests.test_batch_dispatch.BatchDispatcherTest"
+        ".test_items_behind_an_overdue_call_are_returned",
+    ),
+    _ablate(
+        "endpoint that is silent for a second kept",
+        STREAMS,
+        "proxy_runs",
+        "SILENCE_SECONDS = 2.0",
+        "SILENCE_SECONDS = 1.0",
+        f"{_PROXYING}.StreamTest"
+        ".test_stream_of_a_briefly_silent_endpoint_stays_there",
+    ),
+    _ablate(
+        "streams resumed only at the version that began them",
+        STREAMS,
+        "proxy_runs",
+        "if endpoint.version == self._version",
+        "if True",
+        f"{_PROXYING}.StreamTest"
+        ".test_broken_stream_is_not_resumed_at_another_version",
+    ),
+    _ablate(
+        "streams of unknown version refused",
+        STREAMS,
+        "proxy_runs",
+        "            return proxy_requests.Refusal(\n"
+        '                503, "unknown_version", RETRY_AFTER_SECONDS\n'
+        "            )\n",
+        "            return None\n",
+        f"{_PROXYING}.StreamTest.test_stream_of_unknown_version_is_refused",
+    ),
+    _ablate(
+        "other entries told where a stream began",
+        STREAMS,
+        "stream_origins",
+        "for name in names[:HOLDERS]:",
+        "for name in ():",
+        "tests.test_stream_origins.OriginDirectoryTest",
+    ),
+    _ablate(
+        "versions that have just gone counted",
+        STREAMS,
+        "service_versions",
+        "if name == service and gone_at >= since",
+        "if False",
+        "tests.test_service_versions.ServiceVersionsTest",
+    ),
     _ablate(
         "older versions of the routes rejected",
         ROUTES_AND_KEYS,
@@ -158,8 +240,10 @@
         (
             Edit(
                 "samphirevale/proxy_runs.py",
-                "            cluster.catalogue.list_accepting(",
-                "            cluster.catalogue.list_service(",
+                "accepting = self._context.cluster_state"
+                ".catalogue.list_accepting(",
+                "accepting = self._context.cluster_state"
+                ".catalogue.list_service(",
             ),
             Edit(
                 "samphirevale/proxy_runs.py",
@@ -245,8 +329,7 @@
         "        self._check_era()\n        self._record_answer()",
         "        self._record_answer()",
         "tests.test_watchers.RewindTest",
-        f"{_SESSION}"
-        ".test_change_with_a_revision_given_out_again_is_not_skipped",
+        f"{_DRILL}.test_change_with_a_revision_given_out_again_is_not_skipped",
     ),
     _ablate(
         "answers of an older era ignored",
@@ -321,7 +404,7 @@
         "cluster_watch",
         "await self.eras.observe(known.era, entry, self._clock.now())",
         "pass",
-        f"{_SESSION}.test_cut_off_entry_learns_a_new_era_from_another",
+        f"{_DRILL}.test_cut_off_entry_learns_a_new_era_from_another",
     ),
     _ablate(
         "registrations contradicted by an earlier era held back",
@@ -330,7 +413,7 @@
         "if not self._is_outdated(endpoint):",
         "if True:",
         "tests.test_copy_guard.CopyGuardTest",
-        f"{_SESSION}.test_store_that_lost_its_writes_brings_nothing_back",
+        f"{_DRILL}.test_store_that_lost_its_writes_brings_nothing_back",
     ),
     _ablate(
         "registration that stays in the store used",
@@ -347,7 +430,7 @@
         "        self.catalogue.start_grace_period(now)\n",
         "",
         "tests.test_cluster_state.ClusterStateTest",
-        f"{_SESSION}.test_store_that_lost_an_endpoint_does_not_take_it_away",
+        f"{_DRILL}.test_store_that_lost_an_endpoint_does_not_take_it_away",
     ),
     _ablate(
         "entries that a copy lacks kept",
@@ -355,7 +438,7 @@
         "cluster_watch",
         "whole=now >= self.eras.get_rewrite_end()",
         "whole=True",
-        f"{_SESSION}.test_store_that_lost_an_entry_does_not_unregister_it",
+        f"{_DRILL}.test_store_that_lost_an_entry_does_not_unregister_it",
     ),
     _ablate(
         "entry registered again in each era",
@@ -364,7 +447,7 @@
         "            await self._eras.wait_newer(era)\n",
         "            return\n",
         "tests.test_registrar.RegistrarTest",
-        f"{_SESSION}.test_entry_registers_again_in_a_new_era",
+        f"{_DRILL}.test_entry_registers_again_in_a_new_era",
     ),
     _ablate(
         "time limit for request heads",
--- a/samphirevale/cluster_state.py
+++ b/samphirevale/cluster_state.py
@@ -9,6 +9,7 @@
     messages,
     ownership,
     routes,
+    service_versions,
     stage_times,
     store_eras,
 )
@@ -28,6 +29,7 @@
         endpoints_age: the age of the catalogue.
         catalogue: the known endpoints.
         copy_guard: the endpoints that a copy of the store may not bring back.
+        versions: the versions of the endpoints' software.
         data_centre: the data centre of this entry.
         members: the entries that are alive, including this one.
         shared_queueing: the shortest queueing time that the routes with a
@@ -42,6 +44,7 @@
         self.endpoints_age = freshness.Freshness(keys_seconds)
         self.catalogue = catalogue.Catalogue()
         self.copy_guard = copy_guard.CopyGuard()
+        self.versions = service_versions.ServiceVersions()
         self.members: tuple[ownership.Member, ...] = (me,)
         self.data_centre = me.data_centre
         self._me = me
--- a/samphirevale/cluster_watch.py
+++ b/samphirevale/cluster_watch.py
@@ -265,6 +265,7 @@
         for change in changes:
             before, after = change
             self._cluster.copy_guard.record_change(change, now)
+            self._cluster.versions.record_change(change, now)
             if after is None or (
                 before is not None and before.started != after.started
             ):
@@ -276,6 +277,7 @@
                 service=endpoint.service,
                 address=f"{endpoint.host}:{endpoint.port}",
                 data_centre=endpoint.data_centre,
+                version=endpoint.version,
                 accepting=after.accepting if after else None,
                 started=endpoint.started,
                 gone=after is None,
--- a/samphirevale/log_schema.py
+++ b/samphirevale/log_schema.py
@@ -18,11 +18,13 @@
     event: frozenset(fields)
     for event, fields in {
         "batch_failed": {"endpoint", "items", "requests", "error"},
+        "batch_overdue": {"endpoint"},
         "endpoint_changed": {
             "endpoint",
             "service",
             "address",
             "data_centre",
+            "version",
             "accepting",
             "started",
             "gone",
@@ -56,6 +58,8 @@
             "account",
             "wait_seconds",
             "returned",
+            "last_event",
+            "first_attempt",
             *_ROUTES,
         },
         "request_answered": {*_REQUEST, "status"},
@@ -70,6 +74,7 @@
             *_REQUEST,
             "endpoint",
             "service",
+            "version",
             "status",
             "last_event",
         },
@@ -94,6 +99,7 @@
         "store_lost": {"kind", "error"},
         "store_regained": {"kind"},
         "stream_ended": {*_REQUEST, "outcome", "last_event"},
+        "stream_silent": {*_REQUEST, "outcome", "last_event"},
     }.items()
 }
 
--- a/samphirevale/platform/headers.py
+++ b/samphirevale/platform/headers.py
@@ -14,6 +14,8 @@
 RESULTS = "samphirevale-input-count"
 LAST_EVENT = "last-event-id"
 STORE_ERA = "store-era"
+# The attempt that brought the first event of the stream that is taken up.
+RESUMES = "resumes"
 
 # Headers that apply to one connection only and are not forwarded.
 HOP_BY_HOP = frozenset(
--- a/samphirevale/proxy_runs.py
+++ b/samphirevale/proxy_runs.py
@@ -1,8 +1,11 @@
 """Runs one accepted request: stages, sends, retries and the answer."""
 
-from collections.abc import Sequence
+import contextlib
+from collections.abc import AsyncIterator, Sequence
 from typing import NamedTuple
 
+import curio
+
 from samphirevale import (
     batch_dispatch,
     catalogue,
@@ -17,6 +20,7 @@
     stage_admission,
     stage_times,
     stages,
+    stream_origins,
 )
 
 # The largest number of failed connections for one request. They do not count
@@ -26,12 +30,14 @@
 # The retry delay sent with a refusal whose cause should pass soon, in seconds.
 RETRY_AFTER_SECONDS = 0.5
 
-# Timeout for a whole answer or the first event of a stream, as a factor of the
-# route's target time. It applies if the request may run again elsewhere.
+# The silence before a whole answer or the first event of a stream, as a factor
+# of the route's target time, after which the request is sent to another
+# endpoint if it may run again.
 ANSWER_TIMEOUT_FACTOR = 2.0
 
-# Timeout between two events of a stream that may be resumed, in seconds.
-EVENT_TIMEOUT_SECONDS = 1.2
+# The silence after which a stream may go on at another endpoint, in seconds. An
+# endpoint that works may be silent for about a second.
+SILENCE_SECONDS = 2.0
 
 
 class AcceptedRequest(NamedTuple):
@@ -75,11 +81,18 @@
         # Whether an endpoint may have executed this request.
         self._handed_over = False
         self._stages: stages.StageSequenceRun | None = None
+        # The version that goes on with the stream once it has begun; None
+        # before.
+        self._version: str | None = None
         # Whether the items are queued behind those that are on time.
         self._late = accepted.returned
 
     async def run(self) -> proxy_requests.Answer:
         """Runs the stages, sends the request and returns the answer."""
+        if self._route.streamed and self._request.last_event:
+            refusal = await self._adopt_origin()
+            if refusal is not None:
+                return refusal
         results: list[batch_dispatch.StageResult] = []
         if self._route.stages:
             refusal = self._refuse_overload()
@@ -120,6 +133,42 @@
             503, "not_sent_in_time", RETRY_AFTER_SECONDS
         )
 
+    async def _adopt_origin(self) -> proxy_requests.Refusal | None:
+        """Binds a stream that its caller takes up to where it began.
+
+        Returns:
+            A refusal if that is unknown, or cannot go on with the stream.
+        """
+        origin = await self._context.origins.find(self._request.first_attempt)
+        if origin is None:
+            origin = self._infer_origin()
+        if origin is None:
+            return proxy_requests.Refusal(
+                503, "unknown_version", RETRY_AFTER_SECONDS
+            )
+        services = {split.service for split in self._route.splits}
+        if origin.service not in services:
+            return proxy_requests.Refusal(503, "service_replaced")
+        self._accepted = self._accepted._replace(service=origin.service)
+        self._version = origin.version
+        if not self._list_endpoints():
+            return proxy_requests.Refusal(
+                503, "no_endpoint_of_version", RETRY_AFTER_SECONDS
+            )
+        return None
+
+    def _infer_origin(self) -> stream_origins.StreamOrigin | None:
+        """Returns where a stream must have begun; None if that is uncertain."""
+        cluster = self._context.cluster_state
+        service = self._accepted.service
+        began_after = self._context.clock.now() - self._route.timeout_seconds
+        version = cluster.versions.find_only(
+            service, cluster.catalogue.list_service(service), began_after
+        )
+        if version is None or len(self._route.splits) > 1:
+            return None
+        return stream_origins.StreamOrigin(service, version)
+
     def _refuse_overload(self) -> proxy_requests.Refusal | None:
         """Returns a refusal if the stages would take too long.
 
@@ -214,6 +263,12 @@
         endpoint = self._choose_endpoint(())
         return endpoint.data_centre if endpoint is not None else ""
 
+    def _has_retry(self, service: str) -> bool:
+        cluster = self._context.cluster_state
+        return self._context.budget.has_retry(
+            service, len(cluster.members), self._context.clock.now()
+        )
+
     def _take_retry(self, service: str) -> bool:
         cluster = self._context.cluster_state
         return self._context.budget.take(
@@ -225,7 +280,7 @@
     ) -> catalogue.Endpoint | None:
         cluster = self._context.cluster_state
         return self._context.selector.choose(
-            cluster.catalogue.list_accepting(self._accepted.service),
+            self._list_endpoints(),
             placement.PlacementRequest(
                 self._request.prompt,
                 result_bytes,
@@ -235,10 +290,21 @@
             self._context.clock.now(),
         )
 
-    def _explain_no_endpoint(self) -> str:
+    def _list_endpoints(self) -> list[catalogue.Endpoint]:
+        """Returns the endpoints that accept the request now."""
         accepting = self._context.cluster_state.catalogue.list_accepting(
             self._accepted.service
         )
+        if self._version is None:
+            return accepting
+        return [
+            endpoint
+            for endpoint in accepting
+            if endpoint.version == self._version
+        ]
+
+    def _explain_no_endpoint(self) -> str:
+        accepting = self._list_endpoints()
         if all(endpoint.name in self._tried for endpoint in accepting):
             return "no_endpoint"
         return "no_connection_left"
@@ -281,18 +347,21 @@
                     stages_repeated = True
                     names = await self._run_stages_again()
                 continue
+            except errors.SilentEndpointError as error:
+                self._log_send_failure(endpoint, error)
+                continue
             except errors.TransportError as error:
                 self._handed_over = True
                 self.record_crash(endpoint)
                 self._log_send_failure(endpoint, error)
-                if not self._may_send_again():
+                if not self.may_send_again():
                     return proxy_requests.Refusal(502, "answer_lost")
                 continue
             failed = (
                 isinstance(answer, proxy_requests.CompleteAnswer)
                 and answer.status >= 500
             )
-            if failed and self._may_send_again():
+            if failed and self.may_send_again():
                 continue
             if isinstance(answer, proxy_requests.CompleteAnswer):
                 self._log_step("request_answered", status=answer.status)
@@ -334,20 +403,33 @@
             error=f"{type(error).__name__}: {error}",
         )
 
-    def _may_send_again(self) -> bool:
+    def may_send_again(self) -> bool:
         """Returns whether a request that may have run may be sent again.
 
         If so, this takes a retry from the budget.
         """
+        return not self._find_resend_obstacle() and self._take_retry(
+            self._accepted.service
+        )
+
+    def _find_resend_obstacle(self) -> str:
+        """Returns why a request that may have run may not be sent again.
+
+        Returns:
+            The reason as words joined by `_`; empty if it may be sent again.
+        """
+        if not self._route.may_run_again():
+            return "not_resumable" if self._route.streamed else "not_repeatable"
+        if self._runs >= self._route.attempts_limit:
+            return "no_attempt_left"
         crashes = input_fingerprints.count_input_crashes(
             self._context, self._accepted.fingerprint
         )
-        return (
-            crashes < input_fingerprints.CRASHES_LIMIT
-            and self._route.may_run_again()
-            and self._runs < self._route.attempts_limit
-            and self._take_retry(self._accepted.service)
-        )
+        if crashes >= input_fingerprints.CRASHES_LIMIT:
+            return "input_crashes_endpoints"
+        if not self._has_retry(self._accepted.service):
+            return "no_retry_left"
+        return ""
 
     async def _send_once(
         self, endpoint: catalogue.Endpoint, results: tuple[str, ...]
@@ -357,15 +439,11 @@
             self._context, endpoint, self._prompt_tokens
         )
         try:
-            async with self._context.clock.timeout(
-                self._compute_answer_timeout()
-            ):
-                return await self._exchange_once(exchange, endpoint, results)
-        except TimeoutError as error:
-            await exchange.close(failed=True)
-            if self.compute_remaining_seconds() <= 0:
-                raise
-            raise errors.AnswerLostError("silent for too long") from error
+            async with self._exchanging(exchange, endpoint, results) as task:
+                outcome = await self._wait_patiently(task)
+            if isinstance(outcome, Exception):
+                raise outcome
+            return outcome
         except errors.ConnectError:
             self._context.selector.record_unreachable(
                 endpoint.name, self._context.clock.now()
@@ -376,6 +454,51 @@
             await exchange.close(failed=isinstance(error, Exception))
             raise
 
+    @contextlib.asynccontextmanager
+    async def _exchanging(
+        self,
+        exchange: exchanges.Exchange,
+        endpoint: catalogue.Endpoint,
+        results: tuple[str, ...],
+    ) -> AsyncIterator[curio.Task]:
+        """Sends the request in a task during the block.
+
+        The result of the task is an answer or an exception.
+        """
+
+        async def catch_errors() -> proxy_requests.Answer | Exception:
+            try:
+                return await self._exchange_once(exchange, endpoint, results)
+            except (errors.TransportError, TimeoutError) as error:
+                return error
+
+        task = await curio.spawn(catch_errors, daemon=True)
+        try:
+            yield task
+        finally:
+            await task.cancel()
+
+    async def _wait_patiently(
+        self, task: curio.Task
+    ) -> proxy_requests.Answer | Exception:
+        """Returns the result of an exchange.
+
+        A silent endpoint is waited for unless another one can take over.
+
+        Raises:
+            errors.SilentEndpointError: the request may be sent to another
+                endpoint.
+        """
+        while True:
+            timeout = max(self._compute_answer_timeout(), 0)
+            async with curio.ignore_after(timeout):
+                return await task.join()
+            if self.compute_remaining_seconds() <= 0:
+                raise TimeoutError("no answer before the deadline")
+            if self._choose_endpoint(()) is None or not self.may_send_again():
+                continue
+            raise errors.SilentEndpointError("silent for too long")
+
     async def _exchange_once(
         self,
         exchange: exchanges.Exchange,
@@ -393,7 +516,7 @@
         )
 
     def _compute_answer_timeout(self) -> float:
-        """Returns the timeout for a whole answer or the first event.
+        """Returns the wait for a whole answer or the first event.
 
         It is shorter than the remaining time only if the request may run again
         after this send.
@@ -401,7 +524,7 @@
         remaining = self.compute_remaining_seconds()
         if not self._route.may_run_again():
             return remaining
-        if self._runs + 1 >= self._route.attempts_limit:
+        if self._runs >= self._route.attempts_limit:
             return remaining
         return min(
             remaining, ANSWER_TIMEOUT_FACTOR * self._route.target_seconds
@@ -429,17 +552,18 @@
         # A request that is cancelled while it is sent may have been executed.
         previously_handed_over = self._handed_over
         self._handed_over = True
+        self._runs += 1
         try:
             await exchange.open(self._request, parameters)
         except (errors.ConnectError, errors.NotExecutedError):
             self._handed_over = previously_handed_over
+            self._runs -= 1
             raise
-        finally:
-            self._runs += self._handed_over
         self._log_step(
             "request_sent",
             endpoint=endpoint.name,
             service=endpoint.service,
+            version=endpoint.version,
             status=exchange.answer.status,
             last_event=last_event,
         )
@@ -452,46 +576,98 @@
             self, exchange, self._request.last_event
         )
         await stream.read_first()
+        await self._record_origin(exchange.endpoint)
         await self.release_results()
         answer = exchange.answer
         return proxy_requests.StreamedAnswer(
             answer.status, answer.headers, stream
         )
 
-    async def resume(self, last_event: int | None) -> exchanges.Exchange:
+    async def _record_origin(self, endpoint: catalogue.Endpoint) -> None:
+        """Records where the stream began, before the caller has an event."""
+        self._version = endpoint.version
+        if not self._route.resumable:
+            return
+        request = self._request
+        first_attempt = request.attempt
+        if request.last_event and request.first_attempt:
+            first_attempt = request.first_attempt
+        await self._context.origins.record(
+            first_attempt,
+            stream_origins.StreamOrigin(endpoint.service, endpoint.version),
+            request.received_at + request.wait_seconds,
+        )
+
+    async def prepare_resume(self) -> event_streams.PreparedResume:
+        """Runs the stages again and chooses another endpoint.
+
+        The results of the stages were released after the first event.
+
+        Raises:
+            errors.AnswerLostError: the request may not be sent again, a stage
+                failed, or no endpoint accepts the request.
+        """
+        obstacle = self._find_resend_obstacle()
+        if not obstacle and self._choose_endpoint(()) is None:
+            obstacle = self._explain_no_endpoint()
+        if obstacle:
+            raise errors.AnswerLostError(obstacle)
+        try:
+            results = await self._run_stages_again()
+        except errors.EarlierStageError as error:
+            raise errors.AnswerLostError(str(error)) from error
+        endpoint = self._choose_endpoint(())
+        if endpoint is None:
+            raise errors.AnswerLostError(self._explain_no_endpoint())
+        return event_streams.PreparedResume(endpoint, results)
+
+    async def resume(
+        self,
+        last_event: int | None,
+        prepared: event_streams.PreparedResume | None,
+    ) -> exchanges.Exchange:
         """Resumes a stream at another endpoint.
 
-        The stages run again, as their results were released after the first
-        event.
+        Args:
+            last_event: the number of the last event that was received.
+            prepared: where to resume it first, after `may_send_again`; None
+                to prepare that now.
 
         Raises:
             errors.AnswerLostError: the stream may not be resumed, or no
                 endpoint accepts it.
         """
-        while self._may_send_again():
-            try:
-                results = await self._run_stages_again()
-            except errors.EarlierStageError as error:
-                raise errors.AnswerLostError(str(error)) from error
-            endpoint = self._choose_endpoint(())
-            if endpoint is None:
-                break
-            self._tried.add(endpoint.name)
-            exchange = exchanges.Exchange(
-                self._context, endpoint, self._prompt_tokens
-            )
-            try:
-                await self._open(exchange, endpoint, results, last_event)
-                if exchange.answer.streamed:
-                    return exchange
-                await exchange.close(failed=True)
-            except errors.TransportError as error:
-                self._log_send_failure(endpoint, error)
-                await exchange.close(failed=True)
-            except BaseException:
-                await exchange.close(failed=False)
-                raise
-        raise errors.AnswerLostError("the stream cannot be resumed")
+        while True:
+            if prepared is None:
+                prepared = await self.prepare_resume()
+                if not self.may_send_again():
+                    raise errors.AnswerLostError(self._find_resend_obstacle())
+            exchange = await self._open_resumed(last_event, prepared)
+            if exchange is not None:
+                return exchange
+            prepared = None
+
+    async def _open_resumed(
+        self, last_event: int | None, prepared: event_streams.PreparedResume
+    ) -> exchanges.Exchange | None:
+        """Resumes a stream at one endpoint; returns None if that failed."""
+        endpoint = prepared.endpoint
+        self._tried.add(endpoint.name)
+        exchange = exchanges.Exchange(
+            self._context, endpoint, self._prompt_tokens
+        )
+        try:
+            await self._open(exchange, endpoint, prepared.results, last_event)
+            if exchange.answer.streamed:
+                return exchange
+            await exchange.close(failed=True)
+        except errors.TransportError as error:
+            self._log_send_failure(endpoint, error)
+            await exchange.close(failed=True)
+        except BaseException:
+            await exchange.close(failed=False)
+            raise
+        return None
 
     async def _run_stages_again(self) -> tuple[str, ...]:
         """Runs the stages again.
@@ -501,10 +677,10 @@
         """
         if not self._route.stages:
             return ()
-        if self._stages is not None:
-            await self._stages.release_all()
+        await self.release_results()
         self._stages = self._build_stages()
-        results = await self._stages.run()
+        async with stages.release_on_error(self._stages):
+            results = await self._stages.run()
         return tuple(stage_result.name for stage_result in results)
 
     async def release_results(self) -> None:
@@ -516,13 +692,24 @@
         """Returns the timeout for the next event of a stream, in seconds."""
         remaining = self.compute_remaining_seconds()
         if self._route.resumable and self._runs < self._route.attempts_limit:
-            return min(remaining, EVENT_TIMEOUT_SECONDS)
+            return min(remaining, SILENCE_SECONDS)
         return remaining
 
     def compute_remaining_seconds(self) -> float:
         """Returns the time until the request's deadline, in seconds."""
         return self._accepted.deadline_at - self._context.clock.now()
 
+    def log_silence(self, last: int | None, outcome: str) -> None:
+        """Logs that the endpoint was silent, and what came of it."""
+        now = self._context.clock.now()
+        self._context.journal.record_failure(
+            "stream_silent",
+            request=self._request.attempt,
+            outcome=outcome,
+            last_event=last,
+            seconds=round(now - self._request.received_at, 3),
+        )
+
     def log_stream_end(self, outcome: str, last: int | None) -> None:
         """Logs the end of a stream."""
         now = self._context.clock.now()
