--- a/samphirevale/batch_dispatch.py
+++ b/samphirevale/batch_dispatch.py
@@ -1,7 +1,7 @@
 """Makes batched calls to endpoints, each with items of many requests."""
 
-from collections.abc import Callable, Sequence
-from typing import NamedTuple
+from collections.abc import Sequence
+from typing import NamedTuple, Protocol
 
 import curio
 
@@ -55,6 +55,22 @@
     size: int
 
 
+class Availability(Protocol):
+    """Tells which endpoints may be called."""
+
+    def is_usable(self, endpoint: catalogue.Endpoint, now: float) -> bool:
+        """Returns whether new work may be sent to an endpoint now."""
+
+    def compute_call_delay(
+        self, endpoint: catalogue.Endpoint, now: float
+    ) -> float | None:
+        """Returns the time until a call other than new work may be sent.
+
+        Returns:
+            The time in seconds; None if no call may be sent any more.
+        """
+
+
 class Ticket:
     """Collects the results of a group of items and wakes the waiting task.
 
@@ -89,7 +105,7 @@
         endpoints: proxies.ProxyEndpoints,
         clock: clocks.Clock,
         log: journal.Journal,
-        is_accepting: Callable[[catalogue.Endpoint], bool],
+        availability: Availability,
     ):
         """Initializes a dispatcher without queues.
 
@@ -97,10 +113,10 @@
             endpoints: makes the calls.
             clock: the source of the present time.
             log: the log of failed calls.
-            is_accepting: returns whether an endpoint accepts new work now.
+            availability: tells which endpoints may be called.
         """
         self._endpoints = endpoints
-        self._is_accepting = is_accepting
+        self._availability = availability
         self._clock = clock
         self._log = log
         self._queues: dict[str, batching.BatchQueue] = {}
@@ -157,6 +173,12 @@
             del self._queues[key]
         self._penalized_until.pop(endpoint.name, None)
 
+    async def withdraw_items(self, endpoint: catalogue.Endpoint) -> None:
+        """Ends the items queued for an endpoint, which can go to another."""
+        queue = self._queues.get(_build_key(endpoint))
+        if queue is not None:
+            await _resolve_all(queue.take_all(), UNSENT)
+
     async def run_items(
         self,
         endpoint: catalogue.Endpoint,
@@ -212,7 +234,19 @@
             await curio.spawn(self._send_releases, endpoint, daemon=True)
 
     async def _send_releases(self, endpoint: catalogue.Endpoint) -> None:
+        """Sends the pending releases, after a pause of the endpoint if any.
+
+        An endpoint that leaves gets none, as its results end with it.
+        """
+        now = self._clock.now()
+        delay = self._availability.compute_call_delay(endpoint, now)
+        while delay:
+            await self._clock.sleep(delay)
+            now = self._clock.now()
+            delay = self._availability.compute_call_delay(endpoint, now)
         names = self._pending_releases.pop(endpoint.name, [])
+        if delay is None:
+            return
         try:
             await self._endpoints.release(endpoint, names)
         except errors.TransportError as error:
@@ -235,7 +269,7 @@
         """Starts calls while items are queued."""
         while len(queue):
             now = self._clock.now()
-            if not self._is_accepting(endpoint):
+            if not self._availability.is_usable(endpoint, now):
                 await _resolve_all(queue.take_all(), UNSENT)
                 return
             await _resolve_all(queue.take_expired(now), "late")
@@ -268,9 +302,12 @@
                 )
         except (errors.TransportError, TimeoutError) as error:
             now = self._clock.now()
-            self._penalized_until[endpoint.name] = (
-                now + PENALTY_DURATION_SECONDS
-            )
+            if errors.is_endpoint_failure(error):
+                self._penalized_until[endpoint.name] = (
+                    now + PENALTY_DURATION_SECONDS
+                )
+            if isinstance(error, errors.NotAcceptingError):
+                results = [proxies.ItemResult("", UNSENT)] * len(batch)
             if not isinstance(
                 error, errors.ConnectError | errors.NotExecutedError
             ):
@@ -338,7 +375,10 @@
 
         Called after an endpoint had less free memory than expected.
         """
-        estimated_bytes = queue.compute_free_memory(self._clock.now())
+        now = self._clock.now()
+        if self._availability.compute_call_delay(endpoint, now) != 0:
+            return
+        estimated_bytes = queue.compute_free_memory(now)
         try:
             async with self._clock.timeout(TIMEOUT_MARGIN_SECONDS):
                 free_bytes = await self._endpoints.read_free_memory(endpoint)
--- a/samphirevale/cluster_state.py
+++ b/samphirevale/cluster_state.py
@@ -2,7 +2,14 @@
 
 from collections.abc import Collection
 
-from samphirevale import catalogue, freshness, ownership, routes, stage_times
+from samphirevale import (
+    catalogue,
+    endpoint_notices,
+    freshness,
+    ownership,
+    routes,
+    stage_times,
+)
 
 
 class ClusterState:
@@ -13,6 +20,7 @@
         routes_age: the age of the routes and of the accounts' keys.
         endpoints_age: the age of the catalogue.
         catalogue: the known endpoints.
+        notices: which endpoints leave or have asked for a pause.
         data_centre: the data centre of this entry.
         members: the entries that are alive, including this one.
         shared_queueing: the shortest queueing time that the routes with a
@@ -24,6 +32,7 @@
         self.routes_age = freshness.Freshness(keys_seconds)
         self.endpoints_age = freshness.Freshness(keys_seconds)
         self.catalogue = catalogue.Catalogue()
+        self.notices = endpoint_notices.EndpointNotices()
         self.members: tuple[ownership.Member, ...] = (me,)
         self.data_centre = me.data_centre
         self._me = me
@@ -72,6 +81,69 @@
             for endpoint in self.catalogue.list_accepting(service.name)
         ]
 
+    def is_registered(self, start: endpoint_notices.EndpointStart) -> bool:
+        """Returns whether this start of an endpoint is registered."""
+        endpoint = self.catalogue.find(start.name)
+        return endpoint is not None and endpoint.started == start.started
+
+    def is_usable(self, endpoint: catalogue.Endpoint, now: float) -> bool:
+        """Returns whether new work may be sent to an endpoint now."""
+        return self.catalogue.is_accepting(
+            endpoint
+        ) and self.notices.is_available(endpoint, now)
+
+    def compute_call_delay(
+        self, endpoint: catalogue.Endpoint, now: float
+    ) -> float | None:
+        """Returns the time until a call other than new work may be sent.
+
+        Returns:
+            The time in seconds; None if the endpoint leaves.
+        """
+        if self.notices.is_leaving(endpoint):
+            return None
+        return self.notices.compute_pause(endpoint, now)
+
+    def list_usable(self, service: str, now: float) -> list[catalogue.Endpoint]:
+        """Returns the endpoints of a service that new work may be sent to.
+
+        Those that pause for other entries only are left out as long as there
+        are others, as they are full. If the service is batched they are left
+        out in any case, as the entry that owns them makes all calls.
+        """
+        available = self.list_available(service, now)
+        not_full = self.notices.exclude_paused_elsewhere(available, now)
+        if not_full or self.find_batch_limits(service) is not None:
+            return not_full
+        return available
+
+    def list_available(
+        self, service: str, now: float
+    ) -> list[catalogue.Endpoint]:
+        """Returns all endpoints of a service that this entry may send to."""
+        return self.notices.list_available(
+            self.catalogue.list_accepting(service), now
+        )
+
+    def compute_pause(self, service: str, now: float) -> float:
+        """Returns when the first endpoint of a service ends its pause.
+
+        Returns:
+            The time in seconds from now; 0 if one is usable now, or if all
+            leave.
+        """
+        if self.list_usable(service, now):
+            return 0.0
+        pauses = [
+            max(
+                self.notices.compute_pause(endpoint, now),
+                self.notices.compute_pause_elsewhere(endpoint, now),
+            )
+            for endpoint in self.catalogue.list_accepting(service)
+            if not self.notices.is_leaving(endpoint)
+        ]
+        return min(pauses, default=0.0)
+
     def find_connections_limit(self, service: str) -> int:
         """Returns the connection limit of each endpoint; 0 for no limit."""
         if self.table is None or service not in self.table.services:
--- a/samphirevale/entries.py
+++ b/samphirevale/entries.py
@@ -62,6 +62,21 @@
         """Returns the fields of a queue's state; empty without a queue."""
 
 
+class NoticeListener(Protocol):
+    """Learns what other entries know of endpoints that leave or pause."""
+
+    def build_leaving(self) -> messages.EndpointsLeaving:
+        """Returns all endpoints that leave, for an entry that connects."""
+
+    async def adopt_leaving(
+        self, entry: str, message: messages.EndpointsLeaving
+    ) -> None:
+        """Adopts the endpoints that leave according to another entry."""
+
+    def adopt_pauses(self, pauses: Iterable[list]) -> None:
+        """Adopts the pauses that another entry reports."""
+
+
 class Entry:
     """Another entry with an open link.
 
@@ -137,6 +152,7 @@
         me: registrations.Registration,
         data_centre: str,
         server: ItemServer,
+        notices: NoticeListener,
         build_report: Callable[[float], messages.EntryReport],
         on_members_changed: Callable[[Iterable[ownership.Member]], None],
         on_crashes_reported: Callable[[list[list[str]]], None],
@@ -151,6 +167,7 @@
             me: the registration of this entry.
             data_centre: the data centre of this entry.
             server: runs items for other entries.
+            notices: learns of endpoints that leave or pause.
             build_report: builds the report for the other entries.
             on_members_changed: called with the linked entries.
             on_crashes_reported: called with the crashes that an entry reports.
@@ -167,6 +184,7 @@
             me.name, me.token, "entry", data_centre, "", ""
         )
         self._server = server
+        self._notices = notices
         self._reporter = reports.Reporter(build_report)
         self._on_members_changed = on_members_changed
         self._on_crashes_reported = on_crashes_reported
@@ -259,6 +277,7 @@
         self.linked[entry.hello.instance] = entry
         self._journal.record_event("entry_up", entry=entry.hello.instance)
         self._notify_members()
+        await entry.link.send(self._notices.build_leaving(), 0)
 
     async def _detach(self, entry: Entry) -> None:
         name = entry.hello.instance
@@ -303,6 +322,9 @@
             entry.adopt_report(message)
             self.loads.replace(before, entry.loads)
             self._on_crashes_reported(message.crashed)
+            self._notices.adopt_pauses(message.pauses)
+        elif isinstance(message, messages.EndpointsLeaving):
+            await self._notices.adopt_leaving(entry.hello.instance, message)
         elif isinstance(message, messages.ItemsRequest):
             entry.serving[message.exchange] = await curio.spawn(
                 self._serve_items, entry, message, daemon=True
@@ -320,6 +342,15 @@
         elif isinstance(message, messages.ResultsReleased):
             await self._server.release_results(message)
 
+    async def broadcast(self, message: Any) -> None:
+        """Sends a message to all linked entries.
+
+        An entry whose link ends meanwhile does not get it.
+        """
+        for entry in list(self.linked.values()):
+            with contextlib.suppress(errors.PeerClosedError):
+                await entry.link.send(message, 0)
+
     async def _send_routes_age(self, entry: Entry, exchange: int) -> None:
         known = self._get_routes_age(self._clock.now())
         answer = messages.RoutesAge(exchange, NO_ROUTES, 0.0)
--- a/samphirevale/errors.py
+++ b/samphirevale/errors.py
@@ -46,6 +46,10 @@
     """No connection was made, so the remote side has read nothing."""
 
 
+class NotAcceptingError(ConnectError):
+    """The endpoint leaves or pauses, so nothing was sent to it."""
+
+
 class AnswerLostError(TransportError):
     """The connection broke after bytes were sent, which may have been read."""
 
@@ -57,11 +61,19 @@
         lacks_results: whether the cause is that results named by the request
             no longer exist, in which case no other endpoint can run it
             either.
+        asks_pause: whether the endpoint has asked for a pause, which is no
+            failure of the endpoint.
     """
 
-    def __init__(self, text: str, lacks_results: bool = False):
+    def __init__(
+        self,
+        text: str,
+        lacks_results: bool = False,
+        asks_pause: bool = False,
+    ):
         super().__init__(text)
         self.lacks_results = lacks_results
+        self.asks_pause = asks_pause
 
 
 class PeerClosedError(TransportError):
@@ -134,3 +146,12 @@
 
 class EarlierStageError(SamphirevaleError):
     """A stage that runs ahead of the request itself failed."""
+
+
+def is_endpoint_failure(error: BaseException) -> bool:
+    """Returns whether the error of a send tells against the endpoint."""
+    if isinstance(error, NotExecutedError):
+        return not error.asks_pause
+    if isinstance(error, NotAcceptingError):
+        return False
+    return isinstance(error, Exception)
--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -23,6 +23,7 @@
     journal,
     messages,
     metrics,
+    notice_handler,
     ownership,
     placement,
     proxy_context,
@@ -91,11 +92,16 @@
         self._selector = placement.EndpointSelector(
             self._rng, lambda name: self.table.loads.get(name)
         )
-        self._dispatcher = batch_dispatch.BatchDispatcher(
-            adapter_set.endpoints,
+        self._notices = notice_handler.NoticeHandler(
+            self.cluster_state,
+            lambda endpoint: self._dispatcher.withdraw_items(endpoint),
+            lambda message: self.table.broadcast(message),
             clock,
             log,
-            self.cluster_state.catalogue.is_accepting,
+        )
+        endpoints = adapter_set.build_endpoints(self._notices)
+        self._dispatcher = batch_dispatch.BatchDispatcher(
+            endpoints, clock, log, self.cluster_state
         )
         self.item_runner = item_routing.RoutedItemRunner(
             self._dispatcher, self.cluster_state, clock
@@ -110,6 +116,7 @@
             self._registration,
             settings.data_centre,
             self.item_runner,
+            self._notices,
             self._build_report,
             self._adopt_members,
             self._adopt_crashes,
@@ -137,7 +144,7 @@
                 self.item_runner,
                 self._budget,
                 self._quarantine,
-                adapter_set.endpoints,
+                endpoints,
                 clock,
                 self._rng,
                 log,
@@ -164,6 +171,7 @@
             self.item_runner.describe_queues(now),
             self._selector.describe_loads(),
             [[name, *attempts] for name, attempts in crashed],
+            self._notices.describe_pauses(now),
         )
 
     def _adopt_crashes(self, crashed: list[list[str]]) -> None:
@@ -236,6 +244,7 @@
                 logged_at = now
                 self._log_queues(now)
             self.cluster_watch.remove_expired(now)
+            self._notices.remove_expired(now)
             metrics.ROUTES_AGE.set(
                 self.cluster_state.routes_age.compute_age(now)
             )
--- a/samphirevale/item_routing.py
+++ b/samphirevale/item_routing.py
@@ -175,12 +175,13 @@
         """Runs items for another entry and returns their results in order."""
         endpoint = self._cluster.catalogue.find(pieces.endpoint)
         limits = None
-        if endpoint is not None and endpoint.accepting:
+        if endpoint is not None:
             limits = self._cluster.find_batch_limits(endpoint.service)
+        unsent = [proxies.ItemResult("", batch_dispatch.UNSENT)] * len(
+            pieces.indices
+        )
         if limits is None:
-            return [proxies.ItemResult("", batch_dispatch.UNSENT)] * len(
-                pieces.indices
-            )
+            return unsent
         now = self._clock.now()
         items = [
             batching.Item(
@@ -198,6 +199,8 @@
             for index in pieces.indices
         ]
         chosen = self._choose_owned(endpoint, limits, items, now)
+        if chosen is None:
+            return unsent
         results = await self._dispatcher.run_items(chosen, limits, items)
         return [result._replace(endpoint=chosen.name) for result in results]
 
@@ -207,18 +210,19 @@
         limits: routes.BatchLimits,
         items: Sequence[batching.Item],
         now: float,
-    ) -> catalogue.Endpoint:
+    ) -> catalogue.Endpoint | None:
         """Chooses among the owned endpoints that are like the requested one.
 
         The other entry has chosen by reports, which may be old; this one knows
         the queues exactly.
+
+        Returns:
+            None if no such endpoint is usable.
         """
         owner = self._cluster.find_owner(endpoint)
         candidates = [
             candidate
-            for candidate in self._cluster.catalogue.list_accepting(
-                endpoint.service
-            )
+            for candidate in self._cluster.list_usable(endpoint.service, now)
             if candidate.data_centre == endpoint.data_centre
             and self._cluster.find_owner(candidate) == owner
         ]
@@ -237,7 +241,7 @@
                 ),
                 candidate.name != endpoint.name,
             ),
-            default=endpoint,
+            default=None,
         )
 
     async def release_results(self, released: messages.ResultsReleased) -> None:
--- a/samphirevale/log_schema.py
+++ b/samphirevale/log_schema.py
@@ -27,6 +27,8 @@
             "started",
             "gone",
         },
+        "endpoint_leaving": {"endpoint", "service", "started", "source"},
+        "endpoint_paused": {"endpoint", "service", "seconds"},
         "entries_changed": {"count", "joined", "left"},
         "entry_down": {"entry"},
         "entry_up": {"entry"},
@@ -34,6 +36,7 @@
         "history_gone": {"kind"},
         "message": {"level", "logger", "text"},
         "not_registered": {"error"},
+        "notice_malformed": {"endpoint", "text"},
         "pieces_not_made": {
             "endpoint",
             "service",
--- a/samphirevale/messages.py
+++ b/samphirevale/messages.py
@@ -18,7 +18,7 @@
 from samphirevale import errors
 
 # Must be increased when a field is added, removed or changes its meaning.
-PROTOCOL_VERSION = 6
+PROTOCOL_VERSION = 7
 
 # Maximum size of a frame, in bytes.
 FRAME_BYTES_LIMIT = 4 * 1024 * 1024
@@ -295,11 +295,27 @@
             fields of load_totals.Load.
         crashed: fingerprints of inputs that crashed endpoints, each with the
             ids of the attempts.
+        pauses: the endpoints that have asked the sender for a pause, each as
+            its name, its start and the rest of the pause in milliseconds.
     """
 
     queues: list[list]
     loads: list[list]
     crashed: list[list]
+    pauses: list[list]
+
+
+@register("endpoints_leaving")
+class EndpointsLeaving(NamedTuple):
+    """Tells another entry which endpoints have said that they leave.
+
+    Attributes:
+        names: the endpoints' names.
+        starts: the start of each of them.
+    """
+
+    names: list[str]
+    starts: list[int]
 
 
 @register("pieces")
--- a/samphirevale/metrics.py
+++ b/samphirevale/metrics.py
@@ -23,6 +23,7 @@
     "pool": 50,
     "reason": 32,
     "result": 8,
+    "service": 50,
     "stage": 50,
     "status": 32,
     "use": 2,
@@ -201,6 +202,17 @@
 BATCH_SECONDS = _histogram(
     "batch_seconds", "Time of one call to a batching endpoint."
 )
+ENDPOINTS_LEAVING = _count(
+    "endpoints_leaving", "Endpoints that said that they leave.", "service"
+)
+ENDPOINT_PAUSES = _count(
+    "endpoint_pauses", "Answers that asked for a pause.", "service"
+)
+NOTICES_MALFORMED = _count(
+    "notices_malformed",
+    "Headers about leaving or a pause that were ignored or capped.",
+    "service",
+)
 ROUTES_AGE = _gauge(
     "routes_age_seconds", "Age of what is known of routes and keys."
 )
--- /dev/null
+++ b/samphirevale/notice_handler.py
@@ -0,0 +1,155 @@
+"""Applies what endpoints say about further calls, and tells other entries."""
+
+from collections.abc import Awaitable, Callable, Iterable
+
+from samphirevale import (
+    catalogue,
+    cluster_state,
+    endpoint_notices,
+    journal,
+    messages,
+    metrics,
+)
+from samphirevale.ports import clock as clocks
+from samphirevale.ports import proxies
+
+
+class NoticeHandler:
+    """Implements proxies.EndpointListener and entries.NoticeListener."""
+
+    def __init__(
+        self,
+        known: cluster_state.ClusterState,
+        withdraw_items: Callable[[catalogue.Endpoint], Awaitable[None]],
+        broadcast: Callable[[messages.EndpointsLeaving], Awaitable[None]],
+        clock: clocks.Clock,
+        log: journal.Journal,
+    ):
+        """Initializes a handler.
+
+        Args:
+            known: keeps the notices.
+            withdraw_items: takes back the items queued for an endpoint.
+            broadcast: sends a message to all linked entries.
+            clock: a clock that includes time while the machine is suspended.
+            log: the log of notices.
+        """
+        self._cluster = known
+        self._withdraw_items = withdraw_items
+        self._broadcast = broadcast
+        self._clock = clock
+        self._journal = log
+
+    def may_call(self, endpoint: catalogue.Endpoint) -> bool:
+        """Returns whether anything may be sent to an endpoint now."""
+        now = self._clock.now()
+        return self._cluster.notices.is_available(endpoint, now)
+
+    async def handle_notice(
+        self, endpoint: catalogue.Endpoint, notice: proxies.EndpointNotice
+    ) -> None:
+        """Applies the notice of an answer as soon as its head is read."""
+        for text in notice.malformed:
+            self._record_malformed(endpoint, text)
+        if notice.pause_seconds > 0:
+            await self._handle_pause(endpoint, notice.pause_seconds)
+        if notice.leaving:
+            start = endpoint_notices.get_start(endpoint)
+            if await self._handle_leaving(start, ""):
+                await self._broadcast(_build_message([start]))
+
+    def _record_malformed(
+        self, endpoint: catalogue.Endpoint, text: str
+    ) -> None:
+        metrics.NOTICES_MALFORMED.labels(service=endpoint.service).inc()
+        self._journal.record_failure(
+            "notice_malformed", endpoint=endpoint.name, text=text
+        )
+
+    async def _handle_pause(
+        self, endpoint: catalogue.Endpoint, seconds: float
+    ) -> None:
+        if seconds > endpoint_notices.PAUSE_SECONDS_LIMIT:
+            self._record_malformed(endpoint, f"a pause of {seconds} s")
+        metrics.ENDPOINT_PAUSES.labels(service=endpoint.service).inc()
+        begins = self._cluster.notices.record_pause(
+            endpoint_notices.get_start(endpoint), seconds, self._clock.now()
+        )
+        if begins:
+            self._journal.record_event(
+                "endpoint_paused",
+                endpoint=endpoint.name,
+                service=endpoint.service,
+                seconds=seconds,
+            )
+            await self._withdraw_items(endpoint)
+
+    async def _handle_leaving(
+        self, start: endpoint_notices.EndpointStart, source: str
+    ) -> bool:
+        """Records that an endpoint leaves; returns whether this is new.
+
+        Args:
+            start: the endpoint and its start.
+            source: the entry that tells it; empty for the endpoint itself.
+        """
+        if not self._cluster.notices.record_leaving(start, self._clock.now()):
+            return False
+        endpoint = self._cluster.catalogue.find(start.name)
+        service = endpoint.service if endpoint is not None else ""
+        metrics.ENDPOINTS_LEAVING.labels(service=service).inc()
+        self._journal.record_event(
+            "endpoint_leaving",
+            endpoint=start.name,
+            service=service,
+            started=start.started,
+            source=source,
+        )
+        if (
+            endpoint is not None
+            and endpoint_notices.get_start(endpoint) == start
+        ):
+            await self._withdraw_items(endpoint)
+        return True
+
+    def build_leaving(self) -> messages.EndpointsLeaving:
+        """Returns all endpoints that leave, for an entry that connects."""
+        return _build_message(self._cluster.notices.list_leaving())
+
+    async def adopt_leaving(
+        self, entry: str, message: messages.EndpointsLeaving
+    ) -> None:
+        """Adopts the endpoints that leave according to another entry."""
+        for name, started in zip(message.names, message.starts, strict=False):
+            start = endpoint_notices.EndpointStart(name, started)
+            await self._handle_leaving(start, entry)
+
+    def describe_pauses(self, now: float) -> list[list]:
+        """Returns the pauses asked of this entry, for its report."""
+        return [
+            [*start, messages.round_ms(seconds * 1000)]
+            for start, seconds in self._cluster.notices.list_pauses(now)
+        ]
+
+    def adopt_pauses(self, pauses: Iterable[list]) -> None:
+        """Adopts the pauses that another entry reports."""
+        now = self._clock.now()
+        for name, started, milliseconds in pauses:
+            self._cluster.notices.record_pause_elsewhere(
+                endpoint_notices.EndpointStart(name, started),
+                milliseconds / 1000,
+                now,
+            )
+
+    def remove_expired(self, now: float) -> None:
+        """Removes notices that are over."""
+        self._cluster.notices.remove_expired(self._cluster.is_registered, now)
+
+
+def _build_message(
+    starts: Iterable[endpoint_notices.EndpointStart],
+) -> messages.EndpointsLeaving:
+    starts = list(starts)
+    return messages.EndpointsLeaving(
+        [start.name for start in starts], [start.started for start in starts]
+    )
--- a/samphirevale/platform/__main__.py
+++ b/samphirevale/platform/__main__.py
@@ -73,7 +73,7 @@
         decode_routes=manifest.decode_manifest,
         endpoints_kind=endpoint_objects.KIND,
         decode_endpoint=endpoint_objects.decode_endpoint,
-        endpoints=endpoints.PlatformEndpoints(),
+        build_endpoints=endpoints.PlatformEndpoints,
         build_handler=callers.CallerHandler,
     )
 
--- a/samphirevale/platform/endpoints.py
+++ b/samphirevale/platform/endpoints.py
@@ -6,7 +6,7 @@
 
 from samphirevale import batching, catalogue, errors, proxy_requests
 from samphirevale.adapters import web_client
-from samphirevale.platform import headers, manifest
+from samphirevale.platform import headers, manifest, notices
 from samphirevale.ports import proxies
 
 # Timeout for connecting to an endpoint, in seconds.
@@ -15,9 +15,6 @@
 # Maximum number of idle connections kept to one stage engine.
 IDLE_LIMIT = 4
 
-# Status if the address belongs to another endpoint than the expected one.
-MISDIRECTED = 421
-
 # Status if a result named by the request no longer exists.
 RESULT_GONE = 409
 
@@ -34,7 +31,7 @@
         self.headers = tuple(
             (name, value)
             for name, value in answer.raw_headers
-            if name.decode("latin-1").lower() not in headers.HOP_BY_HOP
+            if name.decode("latin-1").lower() not in headers.NOT_FOR_CALLERS
         )
         content = answer.headers.get("content-type", "")
         self.streamed = answer.status == 200 and content.startswith(
@@ -58,7 +55,8 @@
     Batch calls and releases may be repeated, so they reuse connections.
     """
 
-    def __init__(self):
+    def __init__(self, listener: proxies.EndpointListener):
+        self._listener = listener
         self._idle: dict[
             tuple[str, int], list[web_client.ClientConnection]
         ] = {}
@@ -74,6 +72,7 @@
             endpoint.host, endpoint.port, CONNECT_SECONDS
         )
         try:
+            self._check_allowed(endpoint)
             answer = await connection.request(
                 request.method,
                 request.target,
@@ -81,7 +80,8 @@
                 request.headers + _build_headers(endpoint, send),
                 request.host,
             )
-            _check_executed(answer)
+            notice = await self._handle_notice(endpoint, answer)
+            _check_executed(answer, notice)
             if answer.headers.get(headers.ATTEMPT) != request.attempt:
                 raise errors.ProtocolError("the answer is not the request's")
             if "content-encoding" in answer.headers:
@@ -131,6 +131,7 @@
         connection = await self._get_connection(endpoint)
         kept = False
         try:
+            self._check_allowed(endpoint)
             answer = await connection.request(
                 "GET" if value is None else "POST",
                 target,
@@ -140,9 +141,10 @@
                     ("Samphirevale-Expect-Instance", endpoint.name),
                 ),
             )
+            notice = await self._handle_notice(endpoint, answer)
             data = await answer.read_body()
-            kept = connection.is_reusable()
-            _check_executed(answer)
+            kept = connection.is_reusable() and not notice.leaving
+            _check_executed(answer, notice)
             if answer.status != 200:
                 raise errors.ProtocolError(f"status {answer.status}")
             return web_client.read_json(data)
@@ -152,6 +154,26 @@
             else:
                 await connection.close()
 
+    def _check_allowed(self, endpoint: catalogue.Endpoint) -> None:
+        """Raises an error if nothing may be sent to an endpoint.
+
+        Called once the connection is open, which takes long enough for the
+        endpoint to ask for a pause meanwhile.
+        """
+        if not self._listener.may_call(endpoint):
+            raise errors.NotAcceptingError(f"{endpoint.name} leaves or pauses")
+
+    async def _handle_notice(
+        self, endpoint: catalogue.Endpoint, answer: web_client.Answer
+    ) -> proxies.EndpointNotice:
+        notice = notices.decode_notice(answer.status, answer.headers)
+        if notice == proxies.NO_NOTICE:
+            return notice
+        await self._listener.handle_notice(endpoint, notice)
+        if notice.leaving:
+            await self.close_idle(endpoint)
+        return notice
+
     async def _get_connection(
         self, endpoint: catalogue.Endpoint
     ) -> web_client.ClientConnection:
@@ -200,10 +222,19 @@
     return tuple(request_headers)
 
 
-def _check_executed(answer: web_client.Answer) -> None:
+def _check_executed(
+    answer: web_client.Answer, notice: proxies.EndpointNotice
+) -> None:
     status = answer.status
-    if status == MISDIRECTED or headers.NOT_EXECUTED in answer.headers:
-        raise errors.NotExecutedError(f"status {status}", status == RESULT_GONE)
+    if status != notices.MISDIRECTED and (
+        headers.NOT_EXECUTED not in answer.headers
+    ):
+        return
+    raise errors.NotExecutedError(
+        f"status {status}",
+        lacks_results=status == RESULT_GONE,
+        asks_pause=notice.pause_seconds > 0,
+    )
 
 
 def _encode_item(item: batching.Item, now: float) -> dict[str, object]:
--- a/samphirevale/platform/headers.py
+++ b/samphirevale/platform/headers.py
@@ -13,6 +13,8 @@
 # Despite its name the header holds the names of the request's input results.
 RESULTS = "samphirevale-input-count"
 LAST_EVENT = "last-event-id"
+LEAVING = "server-leaving"
+RETRY_AFTER = "retry-after"
 
 # Headers that apply to one connection only and are not forwarded.
 HOP_BY_HOP = frozenset(
@@ -29,6 +31,9 @@
     }
 )
 
+# Headers of answers that callers do not get.
+NOT_FOR_CALLERS = HOP_BY_HOP | {LEAVING}
+
 # Headers that the proxy sets itself. A caller's values are removed.
 SYSTEM_SET = frozenset(
     {
--- a/samphirevale/ports/platforms.py
+++ b/samphirevale/ports/platforms.py
@@ -19,7 +19,8 @@
         endpoints_kind: the kind of the stored objects of endpoints.
         decode_endpoint: decodes such an object; returns None if it does not
             describe an endpoint.
-        endpoints: makes the calls to endpoints.
+        build_endpoints: builds what makes the calls to endpoints, from a
+            listener that learns what their answers say about further calls.
         build_handler: builds the HTTP handler of callers from a function that
             answers requests and a clock.
     """
@@ -30,5 +31,7 @@
     decode_routes: Callable[[Any], routes.RouteTable]
     endpoints_kind: str
     decode_endpoint: Callable[[objects.StoredObject], catalogue.Endpoint | None]
-    endpoints: proxies.ProxyEndpoints
+    build_endpoints: Callable[
+        [proxies.EndpointListener], proxies.ProxyEndpoints
+    ]
     build_handler: Callable[[Any, clocks.Clock], Any]
--- a/samphirevale/ports/proxies.py
+++ b/samphirevale/ports/proxies.py
@@ -46,10 +46,41 @@
     endpoint: str = ""
 
 
+class EndpointNotice(NamedTuple):
+    """What an answer says about further calls to its endpoint.
+
+    Attributes:
+        leaving: whether the endpoint leaves and accepts no new work.
+        pause_seconds: the time for which the endpoint wants no calls from this
+            entry; 0 if it does not ask for a pause.
+        malformed: descriptions of headers that were ignored.
+    """
+
+    leaving: bool = False
+    pause_seconds: float = 0.0
+    malformed: tuple[str, ...] = ()
+
+
+NO_NOTICE = EndpointNotice()
+
+
+class EndpointListener(Protocol):
+    """Decides on calls to endpoints and learns what their answers say."""
+
+    def may_call(self, endpoint: catalogue.Endpoint) -> bool:
+        """Returns whether anything may be sent to an endpoint now."""
+
+    async def handle_notice(
+        self, endpoint: catalogue.Endpoint, notice: EndpointNotice
+    ) -> None:
+        """Applies the notice of an answer as soon as its head is read."""
+
+
 class ProxyEndpoints(Protocol):
     """Calls to endpoints.
 
-    Each method raises errors.ConnectError if nothing was sent,
+    Each method raises errors.NotAcceptingError if the listener allows no call,
+    errors.ConnectError if nothing was sent,
     errors.NotExecutedError if the endpoint reports that it has not executed
     the call, and errors.TransportError if it may have executed the call.
     """
--- a/samphirevale/proxy_runs.py
+++ b/samphirevale/proxy_runs.py
@@ -90,9 +90,7 @@
                 async with stages.release_on_error(self._stages):
                     results = await self._stages.run()
             except errors.EarlierStageError as error:
-                return proxy_requests.Refusal(
-                    503, str(error).replace(" ", "_"), RETRY_AFTER_SECONDS
-                )
+                return self._build_failure_refusal(str(error).replace(" ", "_"))
         if results:
             self._log_step(
                 "stages_done",
@@ -125,11 +123,9 @@
 
         Otherwise sets whether the request is queued as a late one.
         """
-        if not stages.has_endpoints(
-            self._context.cluster_state, self._route, self._request.item_counts
-        ):
-            return proxy_requests.Refusal(
-                503, "no_endpoint", RETRY_AFTER_SECONDS
+        if not self._has_endpoints():
+            return self._build_failure_refusal(
+                "endpoints_paused" if self._compute_pause() else "no_endpoint"
             )
         decision = stage_admission.decide(
             stage_admission.AdmissionRequest(
@@ -165,6 +161,21 @@
             503, "stages_overloaded", decision.compute_retry_seconds()
         )
 
+    def _has_endpoints(self) -> bool:
+        """Returns whether each service has an endpoint when it is needed."""
+        cluster = self._context.cluster_state
+        now = self._context.clock.now()
+        bare_seconds = stage_times.compute_bare_seconds(
+            cluster.table, self._route, self._request.item_counts
+        )
+        return (
+            stages.has_endpoints(
+                cluster, self._route, self._request.item_counts, now
+            )
+            and cluster.compute_pause(self._accepted.service, now)
+            <= bare_seconds
+        )
+
     def _estimate_stages(self, late: bool) -> stage_admission.StagesEstimate:
         """Estimates the completion time of the stages and their queues."""
         return stages.estimate_stages(
@@ -223,26 +234,59 @@
     def _choose_endpoint(
         self, result_bytes: tuple[tuple[str, int], ...]
     ) -> catalogue.Endpoint | None:
+        """Returns the endpoint to send to, or None if there is none.
+
+        Those that pause for other entries are the last choice.
+        """
         cluster = self._context.cluster_state
-        return self._context.selector.choose(
-            cluster.catalogue.list_accepting(self._accepted.service),
-            placement.PlacementRequest(
-                self._request.prompt,
-                result_bytes,
-                frozenset(self._tried),
-                cluster.find_connections_limit(self._accepted.service),
-            ),
-            self._context.clock.now(),
+        service = self._accepted.service
+        now = self._context.clock.now()
+        request = placement.PlacementRequest(
+            self._request.prompt,
+            result_bytes,
+            frozenset(self._tried),
+            cluster.find_connections_limit(service),
+        )
+        choose = self._context.selector.choose
+        return choose(
+            cluster.list_usable(service, now), request, now
+        ) or choose(cluster.list_available(service, now), request, now)
+
+    def _all_endpoints_pause(self) -> bool:
+        """Returns whether the service has only endpoints that pause."""
+        return (
+            self._context.cluster_state.compute_pause(
+                self._accepted.service, self._context.clock.now()
+            )
+            > 0
         )
 
     def _explain_no_endpoint(self) -> str:
-        accepting = self._context.cluster_state.catalogue.list_accepting(
-            self._accepted.service
+        if self._all_endpoints_pause():
+            return "endpoints_paused"
+        available = self._context.cluster_state.list_available(
+            self._accepted.service, self._context.clock.now()
         )
-        if all(endpoint.name in self._tried for endpoint in accepting):
+        if all(endpoint.name in self._tried for endpoint in available):
             return "no_endpoint"
         return "no_connection_left"
 
+    def _compute_pause(self) -> float:
+        """Returns when all services are usable again, in seconds from now.
+
+        It is 0 if no service has endpoints that all pause.
+        """
+        now = self._context.clock.now()
+        services = [
+            stage.service
+            for index, stage in enumerate(self._route.stages)
+            if stage_times.get_item_count(self._request.item_counts, index)
+        ]
+        return max(
+            self._context.cluster_state.compute_pause(service, now)
+            for service in [self._accepted.service, *services]
+        )
+
     def _list_result_sizes(
         self, results: Sequence[batch_dispatch.StageResult]
     ) -> tuple[tuple[str, int], ...]:
@@ -265,6 +309,9 @@
             self._tried.add(endpoint.name)
             try:
                 answer = await self._send_once(endpoint, names)
+            except errors.NotAcceptingError as error:
+                self._log_send_failure(endpoint, error)
+                continue
             except errors.ConnectError as error:
                 self._log_send_failure(endpoint, error)
                 connection_failures += 1
@@ -273,6 +320,8 @@
                 continue
             except errors.NotExecutedError as error:
                 self._log_send_failure(endpoint, error)
+                if self._all_endpoints_pause():
+                    return self._build_failure_refusal("endpoints_paused")
                 if not self._take_retry(self._accepted.service):
                     return self._build_failure_refusal("refused_by_endpoint")
                 if error.lacks_results:
@@ -321,7 +370,9 @@
     def _build_failure_refusal(self, reason: str) -> proxy_requests.Refusal:
         if self._handed_over:
             return proxy_requests.Refusal(502, reason)
-        return proxy_requests.Refusal(503, reason, RETRY_AFTER_SECONDS)
+        return proxy_requests.Refusal(
+            503, reason, self._compute_pause() or RETRY_AFTER_SECONDS
+        )
 
     def _log_send_failure(
         self, endpoint: catalogue.Endpoint, error: Exception
@@ -366,6 +417,9 @@
             if self.compute_remaining_seconds() <= 0:
                 raise
             raise errors.AnswerLostError("silent for too long") from error
+        except errors.NotAcceptingError:
+            await exchange.close(failed=False)
+            raise
         except errors.ConnectError:
             self._context.selector.record_unreachable(
                 endpoint.name, self._context.clock.now()
@@ -373,7 +427,7 @@
             await exchange.close(failed=True)
             raise
         except BaseException as error:
-            await exchange.close(failed=isinstance(error, Exception))
+            await exchange.close(failed=errors.is_endpoint_failure(error))
             raise
 
     async def _exchange_once(
@@ -418,8 +472,10 @@
         remaining = self._accepted.deadline_at - now
         if remaining <= 0:
             raise TimeoutError("the request's deadline has passed")
-        if not self._context.cluster_state.catalogue.is_accepting(endpoint):
-            raise errors.ConnectError(f"{endpoint.name} accepts no new work")
+        if not self._context.cluster_state.is_usable(endpoint, now):
+            raise errors.NotAcceptingError(
+                f"{endpoint.name} accepts no new work"
+            )
         parameters = proxy_requests.SendParameters(
             self._accepted.account,
             remaining,
@@ -487,7 +543,7 @@
                 await exchange.close(failed=True)
             except errors.TransportError as error:
                 self._log_send_failure(endpoint, error)
-                await exchange.close(failed=True)
+                await exchange.close(failed=errors.is_endpoint_failure(error))
             except BaseException:
                 await exchange.close(failed=False)
                 raise
--- a/samphirevale/stages.py
+++ b/samphirevale/stages.py
@@ -3,7 +3,7 @@
 import contextlib
 import math
 import random
-from collections.abc import AsyncIterator, Callable, Sequence
+from collections.abc import AsyncIterator, Callable, Collection, Sequence
 from typing import NamedTuple, Protocol
 
 import curio
@@ -110,6 +110,7 @@
     late: bool,
     now: float,
     rng: random.Random | None = None,
+    excluded: Collection[str] = (),
 ) -> tuple[catalogue.Endpoint, float] | None:
     """Chooses the endpoint with the lowest cost.
 
@@ -128,6 +129,7 @@
         now: the present time.
         rng: adds jitter, so that several entries do not all choose the same
             endpoint; None for no jitter.
+        excluded: names of endpoints that are not chosen.
 
     Returns:
         The endpoint and its estimated completion time in seconds from now;
@@ -142,7 +144,9 @@
         jitter_range = compute_jitter_range(limits, len(known.members))
     best = None
     best_cost = 0.0
-    for endpoint in known.catalogue.list_accepting(stage.service):
+    for endpoint in known.list_usable(stage.service, now):
+        if endpoint.name in excluded:
+            continue
         seconds = runner.estimate_seconds(endpoint, limits, work, now)
         remote_bytes = sum(
             moved_bytes
@@ -169,11 +173,12 @@
     known: cluster_state.ClusterState,
     route: routes.Route,
     counts: Sequence[int],
+    now: float,
 ) -> bool:
     """Returns whether each stage with items has an endpoint."""
     return all(
         known.find_batch_limits(stage.service) is not None
-        and known.catalogue.list_accepting(stage.service)
+        and known.list_usable(stage.service, now)
         for index, stage in enumerate(route.stages)
         if stage_times.get_item_count(counts, index)
     )
@@ -264,6 +269,9 @@
         self._take_retry = take_retry
         self._rng = rng
         self._results: dict[int, list[batch_dispatch.StageResult]] = {}
+        # Endpoints whose owners could not send them anything. This entry may
+        # learn the reason only with the next report.
+        self._refusing: set[str] = set()
 
     async def run(self) -> list[batch_dispatch.StageResult]:
         """Runs all stages and returns the results that the request needs.
@@ -395,6 +403,7 @@
             self._constraints.late and not items[0].inputs,
             self._clock.now(),
             self._rng,
+            self._refusing,
         )
         if chosen is None:
             return NO_ENDPOINT
@@ -404,6 +413,8 @@
         for item, result in zip(items, results, strict=True):
             if not result.result:
                 reason = result.reason
+                if reason == batch_dispatch.UNSENT:
+                    self._refusing.add(result.endpoint or endpoint.name)
                 continue
             stored_at = self._cluster.catalogue.find(result.endpoint)
             results_by_index[item.index] = batch_dispatch.StageResult(
--- /dev/null
+++ b/tests/platform/test_notices.py
@@ -0,0 +1,44 @@
+"""Tests of decoding what an answer says about further calls."""
+
+from samphirevale.platform import notices
+from samphirevale.ports import proxies
+from tests import base
+
+
+class DecodeNoticeTest(base.TestCase):
+    """Tests the headers of an answer."""
+
+    def decode(self, status, **headers):
+        return notices.decode_notice(
+            status,
+            {name.replace("_", "-"): text for name, text in headers.items()},
+        )
+
+    def test_every_answer_may_say_that_its_endpoint_leaves(self):
+        for status in (200, 409, 500, 503):
+            notice = self.decode(status, server_leaving="1")
+            self.assertEqual(proxies.EndpointNotice(leaving=True), notice)
+        self.assertEqual(proxies.NO_NOTICE, self.decode(200))
+
+    def test_refusal_may_ask_for_a_pause(self):
+        for text, seconds in (("3", 3.0), ("0.25", 0.25), (" 2 ", 2.0)):
+            notice = self.decode(503, retry_after=text)
+            self.assertEqual(
+                proxies.EndpointNotice(pause_seconds=seconds), notice
+            )
+        self.assertEqual(proxies.NO_NOTICE, self.decode(429, retry_after="3"))
+
+    def test_malformed_headers_are_described(self):
+        for text in ("-1", "soon", "nan", "inf", "1e3", "1_0", "0x1"):
+            notice = self.decode(503, retry_after=text)
+            self.assertEqual(
+                proxies.EndpointNotice(malformed=(f"retry-after: {text}",)),
+                notice,
+            )
+        (description,) = self.decode(200, server_leaving="x" * 999).malformed
+        self.assertEqual(notices.DESCRIPTION_LIMIT, len(description))
+
+    def test_endpoint_at_a_reused_address_tells_nothing_of_the_former(self):
+        self.assertEqual(
+            proxies.NO_NOTICE, self.decode(421, server_leaving="1")
+        )
--- a/tests/proxy_fakes.py
+++ b/tests/proxy_fakes.py
@@ -125,6 +125,11 @@
     return request._replace(**changes)
 
 
+def build_send_parameters(**changes):
+    parameters = proxy_requests.SendParameters("acme", 5.0, None, ())
+    return parameters._replace(**changes)
+
+
 def build_item(index=0, attempt="a1", **changes):
     item = batching.Item(
         attempt, 0, index, "key", (), 100, 101.0, 105.0, 0, None
@@ -132,6 +137,21 @@
     return item._replace(**changes)
 
 
+class FakeAvailability:
+    """Implements batch_dispatch.Availability with preset values."""
+
+    def __init__(self):
+        self.usable = True
+        self.leaving = False
+        self.paused_until = 0.0
+
+    def is_usable(self, endpoint, now):
+        return self.usable
+
+    def compute_call_delay(self, endpoint, now):
+        return None if self.leaving else max(self.paused_until - now, 0.0)
+
+
 class FakeAnswer:
     """An answer made of a list of parts; exceptions in it are raised."""
 
@@ -155,7 +175,8 @@
 class FakeEndpoints:
     """Answers each send with the next element of a script.
 
-    An element that is an exception is raised.
+    An element that is a function is called for the element itself. One that is
+    an exception is raised.
     """
 
     def __init__(self, script=()):
@@ -169,6 +190,8 @@
     async def send(self, endpoint, request, send):
         self.sends.append((endpoint.name, request, send))
         answer = self.script.pop(0)
+        if callable(answer):
+            answer = answer()
         if isinstance(answer, Exception):
             raise answer
         return answer
--- a/tests/test_batch_dispatch.py
+++ b/tests/test_batch_dispatch.py
@@ -2,7 +2,7 @@
 
 import curio
 
-from samphirevale import batch_dispatch
+from samphirevale import batch_dispatch, errors
 from samphirevale.ports import proxies
 from tests import base, proxy_fakes
 
@@ -15,13 +15,14 @@
     def setUp(self):
         self.endpoint = proxy_fakes.build_endpoint()
         self.endpoints = proxy_fakes.FakeEndpoints()
-        self.accepting = True
+        self.availability = proxy_fakes.FakeAvailability()
+        self.clock = proxy_fakes.FakeClock()
         self.journal = proxy_fakes.FakeJournal()
         self.dispatcher = batch_dispatch.BatchDispatcher(
             self.endpoints,
-            proxy_fakes.FakeClock(),
+            self.clock,
             self.journal,
-            lambda _: self.accepting,
+            self.availability,
         )
 
     async def run_items(self, *items):
@@ -36,7 +37,7 @@
         )
 
     async def test_draining_endpoint_gets_no_items(self):
-        self.accepting = False
+        self.availability.usable = False
         results = await self.run_items(proxy_fakes.build_item())
         self.assertEqual(
             [batch_dispatch.UNSENT], [outcome.reason for outcome in results]
@@ -84,6 +85,89 @@
         self.assertEqual("error", results[0].reason)
         self.assertIn("batch_failed", self.journal.list_events())
 
+    def build_state(self):
+        return self.dispatcher.build_state(
+            self.endpoint, LIMITS, self.clock.now()
+        )
+
+    async def test_queued_items_can_go_elsewhere_at_once(self):
+        call_started, call_may_end = curio.Event(), curio.Event()
+
+        async def run_batch(endpoint, items, now):
+            await call_started.set()
+            await call_may_end.wait()
+            return self.endpoints.succeed_all(items)
+
+        self.endpoints.run_batch = run_batch
+        running = await curio.spawn(self.run_items, proxy_fakes.build_item())
+        await call_started.wait()
+        queued = await curio.spawn(self.run_items, proxy_fakes.build_item(1))
+        await curio.sleep(0.02)
+        self.availability.usable = False
+        await self.dispatcher.withdraw_items(self.endpoint)
+        async with curio.timeout_after(1):
+            (outcome,) = await queued.join()
+        self.assertEqual(batch_dispatch.UNSENT, outcome.reason)
+        await call_may_end.set()
+        (outcome,) = await running.join()
+        self.assertEqual("a1/0/0", outcome.result)
+
+    async def test_releases_wait_for_the_end_of_a_pause(self):
+        self.availability.paused_until = self.clock.now() + 2.0
+        released_at = []
+
+        async def release(endpoint, results):
+            released_at.append((self.clock.now(), list(results)))
+
+        self.endpoints.release = release
+        await self.dispatcher.release(self.endpoint, ["r1"])
+        await self.dispatcher.release(self.endpoint, ["r2"])
+        await curio.sleep(0.02)
+        self.assertEqual(
+            [(self.availability.paused_until, ["r1", "r2"])], released_at
+        )
+
+    async def test_endpoint_that_leaves_gets_no_releases(self):
+        self.availability.leaving = True
+        await self.dispatcher.release(self.endpoint, ["r1"])
+        await curio.sleep(0.02)
+        self.assertEqual([], self.endpoints.released)
+
+    async def test_free_memory_is_not_read_during_a_pause(self):
+        reads = []
+
+        async def read_free_memory(endpoint):
+            reads.append(endpoint.name)
+            return 5_000_000
+
+        def run_items(items):
+            self.availability.usable = False
+            self.availability.paused_until = self.clock.now() + 9.0
+            return [proxies.ItemResult("", "room")]
+
+        self.endpoints.read_free_memory = read_free_memory
+        self.endpoints.run_items = run_items
+        (outcome,) = await self.run_items(proxy_fakes.build_item())
+        self.assertEqual(batch_dispatch.UNSENT, outcome.reason)
+        self.assertEqual([], reads)
+
+    async def test_pause_is_no_penalty_after_its_end(self):
+        refusal = errors.NotExecutedError("status 503", asks_pause=True)
+        self.endpoints.run_items = lambda _: refusal
+        (outcome,) = await self.run_items(proxy_fakes.build_item())
+        self.assertEqual("error", outcome.reason)
+        self.assertEqual(0.0, self.build_state().busy_seconds)
+        self.endpoints.run_items = lambda _: errors.NotExecutedError("full")
+        await self.run_items(proxy_fakes.build_item())
+        self.assertGreater(self.build_state().busy_seconds, 0.0)
+
+    async def test_items_that_were_not_sent_can_go_elsewhere(self):
+        refusal = errors.NotAcceptingError("pauses")
+        self.endpoints.run_items = lambda _: refusal
+        (outcome,) = await self.run_items(proxy_fakes.build_item())
+        self.assertEqual(batch_dispatch.UNSENT, outcome.reason)
+        self.assertEqual(0.0, self.build_state().busy_seconds)
+
     async def test_results_of_cancelled_items_are_released(self):
         call_started, call_may_end = curio.Event(), curio.Event()
 
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -14,7 +14,7 @@
 PLATFORM_NAMES = re.compile(
     # Headers. `samphirevale-entries` is this project's own object kind.
     r"samphirevale-(?!entries\b)[a-z]+-[a-z]+|samphirevale-key"
-    r"|kv-(?:from|fetch)"
+    r"|kv-(?:from|fetch)|server-leaving"
     # Fields of the operator's routes, services and accounts.
     r"|tenant|api_key|weighted_split|ttft|max_attempts"
     r'|"segments?"'
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -48,11 +48,30 @@
         return list(STATE)
 
 
+class FakeNotices:
+    """Records what other entries tell of endpoints."""
+
+    def __init__(self):
+        self.leaving = messages.EndpointsLeaving(["e7"], [5])
+        self.adopted = []
+        self.pauses = []
+
+    def build_leaving(self):
+        return self.leaving
+
+    async def adopt_leaving(self, entry, message):
+        self.adopted.append((entry, message))
+
+    def adopt_pauses(self, pauses):
+        self.pauses = pauses
+
+
 class Side:
     """The table of one entry, with the notifications that it received."""
 
     def __init__(self, name):
         self.server = FakeServer()
+        self.notices = FakeNotices()
         self.members = []
         self.crashed = []
         self.registration = registrations.Registration(
@@ -62,8 +81,12 @@
             self.registration,
             "a",
             self.server,
+            self.notices,
             lambda now: messages.EntryReport(
-                [["e1", *STATE]], [["e2", 3, 500]], [["f", name]]
+                [["e1", *STATE]],
+                [["e2", 3, 500]],
+                [["f", name]],
+                [["e3", 1, 700]],
             ),
             lambda members: setattr(self, "members", list(members)),
             self.crashed.extend,
@@ -129,6 +152,25 @@
             self.assertEqual(["b"], [m.name for m in self.first.members])
             self.assertIn(["f", "b"], self.first.crashed)
 
+    async def test_endpoints_that_leave_are_told_on_connecting(self):
+        async with self.run_both():
+            self.assertIn(
+                ("b", messages.EndpointsLeaving(["e7"], [5])),
+                self.first.notices.adopted,
+            )
+
+    async def test_endpoint_that_leaves_is_told_at_once(self):
+        async with self.run_both():
+            self.second.notices.adopted.clear()
+            message = messages.EndpointsLeaving(["e8"], [6])
+            await self.first.table.broadcast(message)
+            await self.wait_until(lambda: self.second.notices.adopted)
+            self.assertEqual([("a", message)], self.second.notices.adopted)
+
+    async def test_pauses_are_reported(self):
+        async with self.run_both():
+            self.assertEqual([["e3", 1, 700]], self.first.notices.pauses)
+
     async def test_items_are_run_by_the_other_entry(self):
         async with self.run_both():
             await self.second.server.may_finish.set()
--- a/tests/test_item_routing.py
+++ b/tests/test_item_routing.py
@@ -8,6 +8,7 @@
     batch_dispatch,
     batching,
     cluster_state,
+    endpoint_notices,
     item_routing,
     messages,
     ownership,
@@ -63,7 +64,7 @@
             self.endpoints,
             self.clock,
             proxy_fakes.FakeJournal(),
-            lambda _: True,
+            self.cluster,
         )
         self.runner = item_routing.RoutedItemRunner(
             self.dispatcher, self.cluster, self.clock
@@ -134,6 +135,22 @@
         results = await self.runner.serve_items(request)
         self.assertEqual(["e2", "e2"], [result.endpoint for result in results])
 
+    async def test_items_for_a_pausing_endpoint_go_to_another_owned_one(self):
+        self.cluster.catalogue.put(
+            proxy_fakes.build_endpoint("e2", data_centre="b")
+        )
+        request = messages.ItemsRequest(
+            1, "e1", "a1", 0, [0], "k", [], 100, 900, 5000, 0
+        )
+        for paused, expected in (("e1", ("e2", "")), ("e2", ("", "unsent"))):
+            self.cluster.notices.record_pause(
+                endpoint_notices.EndpointStart(paused, 1),
+                2.0,
+                self.clock.now(),
+            )
+            (outcome,) = await self.runner.serve_items(request)
+            self.assertEqual(expected, (outcome.endpoint, outcome.reason))
+
     async def test_only_owned_queues_are_reported(self):
         now = self.clock.now()
         self.estimate()
--- /dev/null
+++ b/tests/test_notice_handler.py
@@ -0,0 +1,120 @@
+"""Tests of what an entry does with notices of endpoints."""
+
+from samphirevale import (
+    cluster_state,
+    endpoint_notices,
+    messages,
+    metrics,
+    notice_handler,
+    ownership,
+)
+from samphirevale.ports import proxies
+from tests import base, proxy_fakes
+
+NOW = 100.0
+
+ENDPOINT = proxy_fakes.build_endpoint("e1")
+LEAVING = proxies.EndpointNotice(leaving=True)
+PAUSE = proxies.EndpointNotice(pause_seconds=2.0)
+MESSAGE = messages.EndpointsLeaving(["e1"], [1])
+
+
+class NoticeHandlerTest(base.TestCase):
+    """Tests the handler of one entry."""
+
+    def setUp(self):
+        self.clock = proxy_fakes.FakeClock(NOW)
+        self.cluster = cluster_state.ClusterState(
+            5.0, ownership.Member("me", "a")
+        )
+        self.cluster.catalogue.put(ENDPOINT)
+        self.journal = proxy_fakes.FakeJournal()
+        self.withdrawn = []
+        self.told = []
+        self.handler = notice_handler.NoticeHandler(
+            self.cluster,
+            self.record_withdrawn,
+            self.record_told,
+            self.clock,
+            self.journal,
+        )
+
+    async def record_withdrawn(self, endpoint):
+        self.withdrawn.append(endpoint)
+
+    async def record_told(self, message):
+        self.told.append(message)
+
+    def count(self, name):
+        labels = '{service="stage"}'
+        for line in metrics.render().decode().splitlines():
+            if line.startswith(f"samphirevale_{name}_total{labels}"):
+                return float(line.split()[-1])
+        return 0.0
+
+    async def test_leaving_is_told_once_and_ends_what_is_queued(self):
+        before = self.count("endpoints_leaving")
+        for _ in range(2):
+            await self.handler.handle_notice(ENDPOINT, LEAVING)
+        self.assertFalse(self.handler.may_call(ENDPOINT))
+        self.assertEqual([MESSAGE], self.told)
+        self.assertEqual([ENDPOINT], self.withdrawn)
+        self.assertEqual(["endpoint_leaving"], self.journal.list_events())
+        self.assertEqual(before + 1, self.count("endpoints_leaving"))
+        self.assertEqual(MESSAGE, self.handler.build_leaving())
+
+    async def test_leaving_told_by_an_entry_is_not_told_on(self):
+        await self.handler.adopt_leaving("other", MESSAGE)
+        await self.handler.handle_notice(ENDPOINT, LEAVING)
+        self.assertFalse(self.handler.may_call(ENDPOINT))
+        self.assertEqual([ENDPOINT], self.withdrawn)
+        self.assertEqual([], self.told)
+
+    async def test_leaving_of_an_earlier_start_leaves_the_present_one(self):
+        restarted = ENDPOINT._replace(started=2)
+        self.cluster.catalogue.put(restarted)
+        await self.handler.adopt_leaving("other", MESSAGE)
+        self.assertTrue(self.handler.may_call(restarted))
+        self.assertEqual([], self.withdrawn)
+
+    async def test_pause_is_counted_and_reported(self):
+        before = self.count("endpoint_pauses")
+        for _ in range(2):
+            await self.handler.handle_notice(ENDPOINT, PAUSE)
+        self.assertFalse(self.handler.may_call(ENDPOINT))
+        self.assertEqual([ENDPOINT], self.withdrawn)
+        self.assertEqual(["endpoint_paused"], self.journal.list_events())
+        self.assertEqual(before + 2, self.count("endpoint_pauses"))
+        self.assertEqual(
+            [["e1", 1, 1500]], self.handler.describe_pauses(NOW + 0.5)
+        )
+
+    async def test_reported_pause_is_adopted_without_binding(self):
+        self.handler.adopt_pauses([["e1", 1, 1500]])
+        self.assertTrue(self.handler.may_call(ENDPOINT))
+        self.assertEqual([ENDPOINT], self.cluster.list_usable("stage", NOW))
+        self.assertEqual(
+            1.5, self.cluster.notices.compute_pause_elsewhere(ENDPOINT, NOW)
+        )
+
+    async def test_malformed_and_huge_notices_are_logged_and_counted(self):
+        before = self.count("notices_malformed")
+        await self.handler.handle_notice(
+            ENDPOINT, proxies.EndpointNotice(malformed=("retry-after: -1",))
+        )
+        self.assertTrue(self.handler.may_call(ENDPOINT))
+        await self.handler.handle_notice(
+            ENDPOINT, proxies.EndpointNotice(pause_seconds=1e9)
+        )
+        self.assertEqual(
+            ["notice_malformed", "notice_malformed", "endpoint_paused"],
+            self.journal.list_events(),
+        )
+        self.assertEqual(before + 2, self.count("notices_malformed"))
+        self.clock.seconds += endpoint_notices.PAUSE_SECONDS_LIMIT
+        self.assertTrue(self.handler.may_call(ENDPOINT))
+
+    async def test_notices_that_are_over_are_removed(self):
+        await self.handler.handle_notice(ENDPOINT, PAUSE)
+        self.handler.remove_expired(NOW + 2.0)
+        self.assertEqual([], self.handler.describe_pauses(NOW))
--- a/tests/test_proxying.py
+++ b/tests/test_proxying.py
@@ -4,6 +4,7 @@
 
 from samphirevale import (
     cluster_state,
+    endpoint_notices,
     errors,
     input_fingerprints,
     ownership,
@@ -64,6 +65,10 @@
         self.runner = FakeItemRunner()
         self.journal = proxy_fakes.FakeJournal()
         self.closed = False
+        self.selector = placement.EndpointSelector(random.Random(1))
+        self.budget = retry_budgets.RetryBudget(
+            retry_budgets.RetryBudgetLimits(0.2, 50, 10.0)
+        )
         self.quarantine = quarantine.Quarantine(
             input_fingerprints.CRASHES_SECONDS
         )
@@ -75,11 +80,9 @@
         self.endpoints = proxy_fakes.FakeEndpoints(script)
         context = proxy_context.ProxyContext(
             self.cluster,
-            placement.EndpointSelector(random.Random(1)),
+            self.selector,
             self.runner,
-            retry_budgets.RetryBudget(
-                retry_budgets.RetryBudgetLimits(0.2, 50, 10.0)
-            ),
+            self.budget,
             self.quarantine,
             self.endpoints,
             self.clock,
@@ -91,6 +94,15 @@
         proxy.closed = self.closed
         return await proxy.answer(request)
 
+    def pause(self, name, seconds):
+        """Records a pause that an endpoint asks for."""
+        self.cluster.notices.record_pause(
+            endpoint_notices.EndpointStart(name, 1), seconds, NOW
+        )
+
+    def count_retries_left(self):
+        return self.budget.compute_remaining("plain", 1, NOW)
+
 
 class AcceptanceTest(ProxyTestCase):
     """Tests which requests are accepted."""
@@ -223,6 +235,155 @@
         self.assertEqual((503, []), (answer.status, self.endpoints.sends))
 
 
+class PauseTest(ProxyTestCase):
+    """Tests requests while endpoints leave or pause."""
+
+    async def test_pausing_endpoint_gets_no_requests(self):
+        self.pause("p1", 2.0)
+        for _ in range(9):
+            await self.answer(proxy_fakes.FakeAnswer([b"x"]))
+            self.assertEqual("p2", self.endpoints.sends[0][0])
+
+    async def test_endpoint_that_leaves_gets_no_requests(self):
+        for name in ("p1", "p2"):
+            self.cluster.notices.record_leaving(
+                endpoint_notices.EndpointStart(name, 1), NOW
+            )
+        answer = await self.answer()
+        self.assertEqual((503, "no_endpoint"), (answer.status, answer.reason))
+        self.assertEqual([], self.endpoints.sends)
+
+    async def test_caller_learns_when_the_first_endpoint_ends_its_pause(self):
+        self.pause("p1", 2.0)
+        self.pause("p2", 3.0)
+        answer = await self.answer()
+        self.assertEqual((503, "endpoints_paused"), answer[:2])
+        self.assertAlmostEqual(2.0, answer.retry_seconds)
+        self.assertEqual([], self.endpoints.sends)
+
+    async def test_pause_is_no_failure_of_the_endpoint(self):
+        refusal = errors.NotExecutedError("status 503", asks_pause=True)
+        await self.answer(refusal, refusal)
+        for name in ("p1", "p2"):
+            load = self.selector.get_load(name)
+            self.assertEqual((0, 0.0), (load.failures, load.avoided_until))
+
+    async def test_refused_request_goes_on_and_counts_as_a_retry(self):
+        refusal = errors.NotExecutedError("status 503", asks_pause=True)
+        answer = await self.answer(refusal, proxy_fakes.FakeAnswer([b"x"]))
+        self.assertEqual(b"x", answer.body)
+        budget = self.budget.limits
+        total = budget.allowance + budget.ratio
+        self.assertAlmostEqual(
+            retry_budgets.USED_SHARE * total - 1, self.count_retries_left()
+        )
+
+    async def test_refusal_without_another_endpoint_takes_no_retry(self):
+        self.pause("p1", 2.0)
+
+        def refuse():
+            self.pause("p2", 3.0)
+            return errors.NotExecutedError("status 503", asks_pause=True)
+
+        answer = await self.answer(refuse)
+        self.assertEqual("endpoints_paused", answer.reason)
+        self.assertEqual(1, len(self.endpoints.sends))
+        self.assertGreater(
+            self.count_retries_left(),
+            retry_budgets.USED_SHARE * self.budget.limits.allowance,
+        )
+
+    async def test_pause_that_begins_during_the_connect_is_no_failure(self):
+        pause = errors.NotAcceptingError("p1 pauses")
+        answer = await self.answer(pause, proxy_fakes.FakeAnswer([b"x"]))
+        self.assertEqual(b"x", answer.body)
+        for name in ("p1", "p2"):
+            load = self.selector.get_load(name)
+            self.assertEqual((0, 0.0), (load.failures, load.avoided_until))
+
+    async def test_pause_that_outlasts_the_stages_refuses_at_once(self):
+        self.use_route(
+            proxy_fakes.build_route(stages=(routes.Stage("stage", (), 100),))
+        )
+        for name in ("p1", "p2"):
+            self.pause(name, 2.0)
+        answer = await self.answer(item_counts=(1,))
+        self.assertEqual((503, "endpoints_paused"), answer[:2])
+        self.assertAlmostEqual(2.0, answer.retry_seconds)
+        self.assertEqual(0, self.runner.item_count)
+
+    async def test_pause_that_ends_before_the_stages_refuses_nothing(self):
+        self.use_route(
+            proxy_fakes.build_route(stages=(routes.Stage("stage", (), 100),))
+        )
+        for name in ("p1", "p2"):
+            self.pause(name, 0.1)
+        self.runner.run_items = self.run_items
+        answer = await self.answer(
+            proxy_fakes.FakeAnswer([b"x"]), item_counts=(1,)
+        )
+        self.assertEqual(200, answer.status)
+
+    async def run_items(self, endpoint, limits, items):
+        self.clock.seconds += 0.2
+        return [proxies.ItemResult(f"r{i.index}", "") for i in items]
+
+    async def test_paused_stage_refuses_at_once(self):
+        self.use_route(
+            proxy_fakes.build_route(stages=(routes.Stage("stage", (), 100),))
+        )
+        self.pause("s1", 1.5)
+        answer = await self.answer(item_counts=(1,))
+        self.assertEqual((503, "endpoints_paused"), answer[:2])
+        self.assertAlmostEqual(1.5, answer.retry_seconds)
+        answer = await self.answer(
+            proxy_fakes.FakeAnswer([b"x"]), item_counts=(0,)
+        )
+        self.assertEqual(200, answer.status)
+
+    async def test_pause_of_a_stage_does_not_end_a_request_beyond_it(self):
+        self.use_route(
+            proxy_fakes.build_route(stages=(routes.Stage("stage", (), 100),))
+        )
+
+        def refuse():
+            self.pause("s1", 3.0)
+            return errors.NotExecutedError("status 503", asks_pause=True)
+
+        answer = await self.answer(
+            refuse, proxy_fakes.FakeAnswer([b"x"]), item_counts=(1,)
+        )
+        self.assertEqual(200, answer.status)
+
+    async def test_endpoint_that_pauses_for_others_is_the_last_choice(self):
+        start = endpoint_notices.EndpointStart("p1", 1)
+        self.cluster.notices.record_pause_elsewhere(start, 2.0, NOW)
+        refusal = errors.NotExecutedError("full")
+        await self.answer(refusal, proxy_fakes.FakeAnswer([b"x"]))
+        self.assertEqual(
+            ["p2", "p1"], [name for name, *_ in self.endpoints.sends]
+        )
+
+    async def test_broken_stream_goes_on_where_nothing_pauses(self):
+        self.use_route(
+            proxy_fakes.build_route(
+                repeatable=False, streamed=True, resumable=True
+            )
+        )
+        self.cluster.catalogue.put(proxy_fakes.build_endpoint("p3", "plain"))
+        answer = await self.answer(
+            proxy_fakes.FakeAnswer(
+                [b"id: 1\n\n", proxy_fakes.LOST_ANSWER], streamed=True
+            ),
+            proxy_fakes.FakeAnswer([b"id: 2\n\n"], streamed=True),
+        )
+        first = self.endpoints.sends[0][0]
+        paused, free = sorted({"p1", "p2", "p3"} - {first})
+        self.pause(paused, 2.0)
+        _ = [chunk async for chunk in answer.chunks]
+        self.assertEqual(free, self.endpoints.sends[1][0])
+
+
 class StreamTest(ProxyTestCase):
     """Tests that streams deliver whole events, once each and in order."""
 
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -159,6 +159,12 @@
         await self.build_run((1,), CHAIN[:1]).run()
         self.assertEqual(9, self.retries_left)
 
+    async def test_unsent_items_are_not_offered_to_the_same_endpoint(self):
+        self.runner.reasons = [batch_dispatch.UNSENT]
+        self.runner.loads = {"s2": 9.0}
+        await self.build_run((1,), CHAIN[:1]).run()
+        self.assertEqual(["s1", "s2"], [name for name, _ in self.runner.calls])
+
     async def test_run_fails_without_retry_budget(self):
         self.runner.reasons = ["error"]
         self.retries_left = 0
