--- a/samphirevale/batch_dispatch.py
+++ b/samphirevale/batch_dispatch.py
@@ -1,8 +1,8 @@
 """Makes batched calls to endpoints, each with items of many requests."""
 
 import contextlib
-from collections.abc import AsyncIterator, Callable, Sequence
-from typing import NamedTuple
+from collections.abc import AsyncIterator, Sequence
+from typing import NamedTuple, Protocol
 
 import curio
 
@@ -63,6 +63,22 @@
     size: int
 
 
+class Availability(Protocol):
+    """Tells which endpoints may be called."""
+
+    def is_usable(self, endpoint: catalogue.Endpoint, now: float) -> bool:
+        """Returns whether new work may be sent to an endpoint now."""
+
+    def compute_call_delay(
+        self, endpoint: catalogue.Endpoint, now: float
+    ) -> float | None:
+        """Returns the time until a call other than new work may be sent.
+
+        Returns:
+            The time in seconds; None if no call may be sent any more.
+        """
+
+
 class Ticket:
     """Collects the results of a group of items and wakes the waiting task.
 
@@ -97,7 +113,7 @@
         endpoints: proxies.ProxyEndpoints,
         clock: clocks.Clock,
         log: journal.Journal,
-        is_accepting: Callable[[catalogue.Endpoint], bool],
+        availability: Availability,
     ):
         """Initializes a dispatcher without queues.
 
@@ -105,10 +121,10 @@
             endpoints: makes the calls.
             clock: the source of the present time.
             log: the log of failed calls.
-            is_accepting: returns whether an endpoint accepts new work now.
+            availability: tells which endpoints may be called.
         """
         self._endpoints = endpoints
-        self._is_accepting = is_accepting
+        self._availability = availability
         self._clock = clock
         self._log = log
         self._queues: dict[str, batching.BatchQueue] = {}
@@ -227,7 +243,19 @@
             await curio.spawn(self._send_releases, endpoint, daemon=True)
 
     async def _send_releases(self, endpoint: catalogue.Endpoint) -> None:
+        """Sends the pending releases, after a pause of the endpoint if any.
+
+        An endpoint that leaves gets none, as its results end with it.
+        """
+        now = self._clock.now()
+        delay = self._availability.compute_call_delay(endpoint, now)
+        while delay:
+            await self._clock.sleep(delay)
+            now = self._clock.now()
+            delay = self._availability.compute_call_delay(endpoint, now)
         names = self._pending_releases.pop(endpoint.name, [])
+        if delay is None:
+            return
         try:
             await self._endpoints.release(endpoint, names)
         except errors.TransportError as error:
@@ -251,7 +279,7 @@
         """Starts calls while items are queued."""
         while len(queue):
             now = self._clock.now()
-            if not self._is_accepting(endpoint):
+            if not self._availability.is_usable(endpoint, now):
                 await _resolve_all(queue.take_all(), UNSENT)
                 return
             await _resolve_all(queue.take_expired(now), "late")
@@ -288,9 +316,12 @@
                 )
         except (errors.TransportError, TimeoutError) as error:
             now = self._clock.now()
-            self._penalized_until[endpoint.name] = (
-                now + PENALTY_DURATION_SECONDS
-            )
+            if errors.is_endpoint_failure(error):
+                self._penalized_until[endpoint.name] = (
+                    now + PENALTY_DURATION_SECONDS
+                )
+            if isinstance(error, errors.NotAcceptingError):
+                results = [proxies.ItemResult("", UNSENT)] * len(batch)
             if not isinstance(
                 error, errors.ConnectError | errors.NotExecutedError
             ):
@@ -386,7 +417,10 @@
 
         Called after an endpoint had less free memory than expected.
         """
-        estimated_bytes = queue.compute_free_memory(self._clock.now())
+        now = self._clock.now()
+        if self._availability.compute_call_delay(endpoint, now) != 0:
+            return
+        estimated_bytes = queue.compute_free_memory(now)
         try:
             async with self._clock.timeout(FREE_MEMORY_SECONDS):
                 free_bytes = await self._endpoints.read_free_memory(endpoint)
--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -21,6 +21,7 @@
     journal,
     messages,
     metrics,
+    notice_handler,
     ownership,
     placement,
     proxy_context,
@@ -91,11 +92,16 @@
         self._selector = placement.EndpointSelector(
             self._rng, lambda name: self.table.loads.get(name)
         )
-        self._dispatcher = batch_dispatch.BatchDispatcher(
-            adapter_set.endpoints,
+        self._notices = notice_handler.NoticeHandler(
+            self.cluster_state,
+            lambda endpoint: self._dispatcher.withdraw_items(endpoint),
+            lambda message: self.table.broadcast(message),
             clock,
             log,
-            self.cluster_state.catalogue.is_accepting,
+        )
+        endpoints = adapter_set.build_endpoints(self._notices)
+        self._dispatcher = batch_dispatch.BatchDispatcher(
+            endpoints, clock, log, self.cluster_state
         )
         self.item_runner = item_routing.RoutedItemRunner(
             self._dispatcher, self.cluster_state, clock
@@ -111,6 +117,7 @@
             registration,
             settings.data_centre,
             self.item_runner,
+            self._notices,
             self._build_report,
             self._adopt_members,
             self._adopt_crashes,
@@ -148,7 +155,7 @@
                 self.item_runner,
                 self._budget,
                 self._quarantine,
-                adapter_set.endpoints,
+                endpoints,
                 stream_origins.OriginDirectory(
                     self._origins, self.table, clock
                 ),
@@ -178,6 +185,7 @@
             self.item_runner.describe_queues(now),
             self._selector.describe_loads(),
             [[name, *attempts] for name, attempts in crashed],
+            self._notices.describe_pauses(now),
             messages.encode_era(self.cluster_watch.eras.newest),
             self.cluster_state.get_routes_version(),
         )
@@ -243,6 +251,7 @@
             self.cluster_watch.remove_expired(now)
             self.cluster_watch.release_held(now)
             self._origins.remove_expired(now)
+            self._notices.remove_expired(now)
             metrics.ROUTES_AGE.set(
                 self.cluster_state.routes_age.compute_age(now)
             )
--- a/samphirevale/log_schema.py
+++ b/samphirevale/log_schema.py
@@ -29,6 +29,8 @@
             "started",
             "gone",
         },
+        "endpoint_leaving": {"endpoint", "service", "started", "source"},
+        "endpoint_paused": {"endpoint", "service", "seconds"},
         "endpoint_silent": {*_REQUEST, "exchanges"},
         "entries_changed": {"count", "joined", "left"},
         "entry_down": {"entry"},
@@ -37,6 +39,7 @@
         "history_gone": {"kind"},
         "message": {"level", "logger", "text"},
         "not_registered": {"error"},
+        "notice_malformed": {"endpoint", "text"},
         "pieces_not_made": {
             "endpoint",
             "service",
--- a/samphirevale/messages.py
+++ b/samphirevale/messages.py
@@ -301,6 +301,8 @@
             fields of load_totals.Load.
         crashed: fingerprints of inputs that crashed endpoints, each with the
             ids of the attempts.
+        pauses: the endpoints that have asked the sender for a pause, each as
+            its name, its start and the rest of the pause in milliseconds.
         store_era: the newest era of the store that the sender has seen, or
             NO_ERA.
         routes_version: the version of the sender's routes, or NO_ROUTES.
@@ -309,10 +311,24 @@
     queues: list[list]
     loads: list[list]
     crashed: list[list]
+    pauses: list[list]
     store_era: int = NO_ERA
     routes_version: int = NO_ROUTES
 
 
+@register("endpoints_leaving")
+class EndpointsLeaving(NamedTuple):
+    """Tells another entry which endpoints have said that they leave.
+
+    Attributes:
+        names: the endpoints' names.
+        starts: the start of each of them.
+    """
+
+    names: list[str]
+    starts: list[int]
+
+
 @register("pieces")
 class ItemsRequest(NamedTuple):
     """Asks the owner of a batching endpoint to run items of a stage.
--- a/samphirevale/platform/headers.py
+++ b/samphirevale/platform/headers.py
@@ -16,6 +16,8 @@
 STORE_ERA = "store-era"
 # The attempt that brought the first event of the stream that is taken up.
 RESUMES = "resumes"
+LEAVING = "server-leaving"
+RETRY_AFTER = "retry-after"
 
 # Headers that apply to one connection only and are not forwarded.
 HOP_BY_HOP = frozenset(
@@ -32,6 +34,9 @@
     }
 )
 
+# Headers of answers that callers do not get.
+NOT_FOR_CALLERS = HOP_BY_HOP | {LEAVING}
+
 # Headers that the proxy sets itself. A caller's values are removed.
 SYSTEM_SET = frozenset(
     {
--- a/samphirevale/proxy_runs.py
+++ b/samphirevale/proxy_runs.py
@@ -108,9 +108,7 @@
                 async with stages.release_on_error(self._stages):
                     results = await self._stages.run()
             except errors.EarlierStageError as error:
-                return proxy_requests.Refusal(
-                    503, str(error).replace(" ", "_"), RETRY_AFTER_SECONDS
-                )
+                return self._build_failure_refusal(str(error).replace(" ", "_"))
         if results:
             self._log_step(
                 "stages_done",
@@ -179,11 +177,9 @@
 
         Otherwise sets whether the request is queued as a late one.
         """
-        if not stages.has_endpoints(
-            self._context.cluster_state, self._route, self._request.item_counts
-        ):
-            return proxy_requests.Refusal(
-                503, "no_endpoint", RETRY_AFTER_SECONDS
+        if not self._has_endpoints():
+            return self._build_failure_refusal(
+                "endpoints_paused" if self._compute_pause() else "no_endpoint"
             )
         decision = stage_admission.decide(
             stage_admission.AdmissionRequest(
@@ -219,6 +215,21 @@
             503, "stages_overloaded", decision.compute_retry_seconds()
         )
 
+    def _has_endpoints(self) -> bool:
+        """Returns whether each service has an endpoint when it is needed."""
+        cluster = self._context.cluster_state
+        now = self._context.clock.now()
+        bare_seconds = stage_times.compute_bare_seconds(
+            cluster.table, self._route, self._request.item_counts
+        )
+        return (
+            stages.has_endpoints(
+                cluster, self._route, self._request.item_counts, now
+            )
+            and cluster.compute_pause(self._accepted.service, now)
+            <= bare_seconds
+        )
+
     def _estimate_stages(self, late: bool) -> stage_admission.StagesEstimate:
         """Estimates the completion time of the stages and their queues."""
         return stages.estimate_stages(
@@ -283,37 +294,78 @@
     def _choose_endpoint(
         self, result_bytes: tuple[tuple[str, int], ...]
     ) -> catalogue.Endpoint | None:
+        """Returns the endpoint to send to, or None if there is none.
+
+        Those that pause for other entries are the last choice.
+        """
         cluster = self._context.cluster_state
-        return self._context.selector.choose(
-            self._list_endpoints(),
-            placement.PlacementRequest(
-                self._request.prompt,
-                result_bytes,
-                frozenset(self._tried),
-                cluster.find_connections_limit(self._accepted.service),
-            ),
-            self._context.clock.now(),
+        service = self._accepted.service
+        now = self._context.clock.now()
+        request = placement.PlacementRequest(
+            self._request.prompt,
+            result_bytes,
+            frozenset(self._tried),
+            cluster.find_connections_limit(service),
+        )
+        choose = self._context.selector.choose
+        usable = self._filter_version(cluster.list_usable(service, now))
+        return choose(usable, request, now) or choose(
+            self._list_endpoints(), request, now
         )
 
     def _list_endpoints(self) -> list[catalogue.Endpoint]:
-        """Returns the endpoints that accept the request now."""
-        accepting = self._context.cluster_state.catalogue.list_accepting(
-            self._accepted.service
+        """Returns the endpoints to which this entry may send the request."""
+        return self._filter_version(
+            self._context.cluster_state.list_available(
+                self._accepted.service, self._context.clock.now()
+            )
         )
+
+    def _filter_version(
+        self, endpoints: list[catalogue.Endpoint]
+    ) -> list[catalogue.Endpoint]:
+        """Returns the endpoints of the version that has begun the stream."""
         if self._version is None:
-            return accepting
+            return endpoints
         return [
             endpoint
-            for endpoint in accepting
+            for endpoint in endpoints
             if endpoint.version == self._version
         ]
 
+    def _all_endpoints_pause(self) -> bool:
+        """Returns whether the service has only endpoints that pause."""
+        return (
+            self._context.cluster_state.compute_pause(
+                self._accepted.service, self._context.clock.now()
+            )
+            > 0
+        )
+
     def _explain_no_endpoint(self) -> str:
-        accepting = self._list_endpoints()
-        if all(endpoint.name in self._tried for endpoint in accepting):
+        if self._all_endpoints_pause():
+            return "endpoints_paused"
+        available = self._list_endpoints()
+        if all(endpoint.name in self._tried for endpoint in available):
             return "no_endpoint"
         return "no_connection_left"
 
+    def _compute_pause(self) -> float:
+        """Returns when all services are usable again, in seconds from now.
+
+        It is 0 if no service has endpoints that all pause.
+        """
+        now = self._context.clock.now()
+        services = [
+            stage.service
+            for index, stage in enumerate(self._route.stages)
+            if stage_times.get_item_count(self._request.item_counts, index)
+        ]
+        return max(
+            self._context.cluster_state.compute_pause(service, now)
+            for service in [self._accepted.service, *services]
+        )
+
     def _list_result_sizes(
         self, results: Sequence[batch_dispatch.StageResult]
     ) -> tuple[tuple[str, int], ...]:
@@ -422,6 +474,8 @@
         self, endpoint: catalogue.Endpoint, error: errors.TransportError
     ) -> proxy_requests.Refusal | None:
         """Returns the refusal after an error; None to send again."""
+        if isinstance(error, errors.NotAcceptingError):
+            return None
         if isinstance(error, errors.ConnectError):
             self._connection_failures += 1
             if self._connection_failures >= CONNECT_FAILURES_LIMIT:
@@ -438,6 +492,8 @@
         self, error: errors.NotExecutedError
     ) -> proxy_requests.Refusal | None:
         """Returns the refusal after an endpoint's own; None to send again."""
+        if self._all_endpoints_pause():
+            return self._build_failure_refusal("endpoints_paused")
         if not self._take_retry(self._accepted.service):
             return self._build_failure_refusal("refused_by_endpoint")
         if error.lacks_results:
@@ -467,7 +523,9 @@
     def _build_failure_refusal(self, reason: str) -> proxy_requests.Refusal:
         if self._runs:
             return proxy_requests.Refusal(502, reason)
-        return proxy_requests.Refusal(503, reason, RETRY_AFTER_SECONDS)
+        return proxy_requests.Refusal(
+            503, reason, self._compute_pause() or RETRY_AFTER_SECONDS
+        )
 
     def _log_send_failure(
         self, endpoint: catalogue.Endpoint, error: Exception
@@ -518,11 +576,11 @@
         try:
             return await self._exchange_once(exchange, endpoint)
         except BaseException as error:
-            if isinstance(error, errors.ConnectError):
+            if _is_unreachable(error):
                 self._context.selector.record_unreachable(
                     endpoint.name, self._context.clock.now()
                 )
-            await exchange.close(failed=isinstance(error, Exception))
+            await exchange.close(failed=errors.is_endpoint_failure(error))
             raise
 
     async def _exchange_once(
@@ -570,8 +628,10 @@
         remaining = self._accepted.deadline_at - now
         if remaining <= 0:
             raise TimeoutError("the request's deadline has passed")
-        if not self._context.cluster_state.catalogue.is_accepting(endpoint):
-            raise errors.ConnectError(f"{endpoint.name} accepts no new work")
+        if not self._context.cluster_state.is_usable(endpoint, now):
+            raise errors.NotAcceptingError(
+                f"{endpoint.name} accepts no new work"
+            )
         parameters = proxy_requests.SendParameters(
             self._accepted.account,
             remaining,
@@ -638,7 +698,7 @@
             except errors.ConnectError as error:
                 self._log_send_failure(endpoint, error)
                 retry_taken = True
-                connection_failures += 1
+                connection_failures += _is_unreachable(error)
                 if connection_failures >= CONNECT_FAILURES_LIMIT:
                     raise errors.AnswerLostError("unreachable") from error
             except errors.TransportError as error:
@@ -680,7 +740,7 @@
                     f"status {exchange.answer.status}, not a stream"
                 )
         except BaseException as error:
-            await exchange.close(failed=isinstance(error, Exception))
+            await exchange.close(failed=errors.is_endpoint_failure(error))
             raise
         return exchange
 
@@ -759,3 +819,10 @@
             last_event=last,
             seconds=round(now - self._request.received_at, 3),
         )
+
+
+def _is_unreachable(error: BaseException) -> bool:
+    """Returns whether an endpoint could not be connected to."""
+    return isinstance(error, errors.ConnectError) and not isinstance(
+        error, errors.NotAcceptingError
+    )
