--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -119,7 +119,7 @@
         "silent endpoint waited for if no other may answer",
         NO_REPEATED_WORK,
         "proxy_runs",
-        "if self._choose_endpoint(()) is None or not self.may_send_again():\n"
+        "if self._endpoints.choose() is None or not self.may_send_again():\n"
         "            return\n",
         "if not self.may_send_again():\n"
         '            raise TimeoutError("silent for too long")\n',
@@ -156,8 +156,8 @@
     _ablate(
         "streams resumed only at the version that began them",
         STREAMS,
-        "proxy_runs",
-        "if endpoint.version == self._version",
+        "endpoint_choice",
+        "if endpoint.version == self.version",
         "if True",
         f"{_PROXYING}.StreamTest"
         ".test_broken_stream_is_not_resumed_at_another_version",
@@ -165,11 +165,12 @@
     _ablate(
         "streams of unknown version refused",
         STREAMS,
-        "proxy_runs",
-        "            return proxy_requests.Refusal(\n"
-        '                503, "unknown_version", RETRY_AFTER_SECONDS\n'
-        "            )\n",
-        "            return None\n",
+        "stream_bindings",
+        "        return proxy_requests.Refusal(\n"
+        '            503, "unknown_version"',
+        "        return None\n"
+        "        return proxy_requests.Refusal(\n"
+        '            503, "unknown_version"',
         f"{_PROXYING}.StreamTest.test_stream_of_unknown_version_is_refused",
     ),
     _ablate(
@@ -446,8 +447,8 @@
         "caller told when the first pause ends",
         PAUSES,
         "proxy_runs",
-        "self._compute_pause() or RETRY_AFTER_SECONDS",
-        "RETRY_AFTER_SECONDS",
+        "self._compute_pause() or proxy_requests",
+        "proxy_requests",
         f"{_PROXYING}.PauseTest"
         ".test_caller_learns_when_the_first_endpoint_ends_its_pause",
     ),
@@ -455,7 +456,7 @@
         "request refused at once if a pause outlasts its stages",
         PAUSES,
         "proxy_runs",
-        "            and cluster.compute_pause(self._accepted.service, now)\n"
+        "            and cluster.compute_pause(self._endpoints.service, now)\n"
         "            <= bare_seconds\n",
         "",
         f"{_PROXYING}.PauseTest"
@@ -465,7 +466,7 @@
         "retry taken only if there is an endpoint for it",
         PAUSES,
         "proxy_runs",
-        "        if self._all_endpoints_pause():\n"
+        "        if self._endpoints.all_pause():\n"
         "            return self._build",
         "        if False:\n            return self._build",
         f"{_PROXYING}.PauseTest"
@@ -475,7 +476,7 @@
         "retry after a refusal taken from the budget",
         BUDGET,
         "proxy_runs",
-        "        if not self._take_retry(self._accepted.service):\n",
+        "        if not self._take_retry(self._endpoints.service):\n",
         "        if False:\n",
         f"{_PROXYING}.PauseTest"
         ".test_refused_request_goes_on_and_counts_as_a_retry",
@@ -499,9 +500,9 @@
     _ablate(
         "endpoint that pauses for others used if no other is left",
         PAUSES,
-        "proxy_runs",
+        "endpoint_choice",
         "return choose(usable, request, now) or choose(\n"
-        "            self._list_endpoints(), request, now\n"
+        "            self.list_available(), request, now\n"
         "        )",
         "return choose(usable, request, now)",
         f"{_PROXYING}.PauseTest"
--- /dev/null
+++ b/samphirevale/endpoint_choice.py
@@ -0,0 +1,86 @@
+"""Chooses among the endpoints that may get one proxied request."""
+
+from samphirevale import catalogue, placement, proxy_context, proxy_requests
+
+
+class EndpointChoice:
+    """The endpoints that may get a request.
+
+    Attributes:
+        service: the service to which the request is sent.
+        version: the version of the endpoints' software that has begun the
+            request's stream; None if any may answer.
+        tried: the names of the endpoints to which it was sent.
+    """
+
+    def __init__(
+        self,
+        context: proxy_context.ProxyContext,
+        request: proxy_requests.ProxiedRequest,
+        service: str,
+    ):
+        self.service = service
+        self.version: str | None = None
+        self.tried: set[str] = set()
+        self._context = context
+        self._request = request
+
+    def choose(
+        self, result_bytes: tuple[tuple[str, int], ...] = ()
+    ) -> catalogue.Endpoint | None:
+        """Returns the endpoint to send to, or None if there is none.
+
+        Those that pause for other entries are the last choice.
+
+        Args:
+            result_bytes: pairs of a data centre and the bytes of a result that
+                is fetched from there.
+        """
+        cluster = self._context.cluster_state
+        now = self._context.clock.now()
+        request = placement.PlacementRequest(
+            self._request.prompt,
+            result_bytes,
+            frozenset(self.tried),
+            cluster.find_connections_limit(self.service),
+        )
+        choose = self._context.selector.choose
+        usable = self._filter_version(cluster.list_usable(self.service, now))
+        return choose(usable, request, now) or choose(
+            self.list_available(), request, now
+        )
+
+    def list_available(self) -> list[catalogue.Endpoint]:
+        """Returns the endpoints to which this entry may send the request."""
+        return self._filter_version(
+            self._context.cluster_state.list_available(
+                self.service, self._context.clock.now()
+            )
+        )
+
+    def _filter_version(
+        self, endpoints: list[catalogue.Endpoint]
+    ) -> list[catalogue.Endpoint]:
+        """Returns the endpoints of the version that has begun the stream."""
+        if self.version is None:
+            return endpoints
+        return [
+            endpoint
+            for endpoint in endpoints
+            if endpoint.version == self.version
+        ]
+
+    def all_pause(self) -> bool:
+        """Returns whether the service has only endpoints that pause."""
+        now = self._context.clock.now()
+        return self._context.cluster_state.compute_pause(self.service, now) > 0
+
+    def explain_none(self) -> str:
+        """Returns why there is no endpoint, as words joined by `_`."""
+        if self.all_pause():
+            return "endpoints_paused"
+        if all(
+            endpoint.name in self.tried for endpoint in self.list_available()
+        ):
+            return "no_endpoint"
+        return "no_connection_left"
--- a/samphirevale/proxy_requests.py
+++ b/samphirevale/proxy_requests.py
@@ -3,8 +3,12 @@
 from collections.abc import AsyncIterator
 from typing import NamedTuple
 
+from samphirevale import routes
 from samphirevale.adapters import web
 
+# The retry delay sent with a refusal whose cause should pass soon, in seconds.
+RETRY_AFTER_SECONDS = 0.5
+
 
 class PromptPart(NamedTuple):
     """A part of a prompt that other requests may share.
@@ -59,6 +63,31 @@
     first_attempt: str
 
 
+class AcceptedRequest(NamedTuple):
+    """An accepted request with the parameters of its run.
+
+    Attributes:
+        request: the request as received.
+        route: the route that matches the request.
+        service: the service to which the request is sent.
+        account: the name of the account; empty for an anonymous route.
+        rank: the priority; 0 is the most urgent.
+        deadline_at: the time by which the request must be answered.
+        fingerprint: identifies the input across retries.
+        returned: whether the caller retries after a refusal. A stream that
+            its caller takes up has not been refused.
+    """
+
+    request: ProxiedRequest
+    route: routes.Route
+    service: str
+    account: str
+    rank: int
+    deadline_at: float
+    fingerprint: str
+    returned: bool
+
+
 class SendParameters(NamedTuple):
     """The parameters that the system sets when it sends a request.
 
--- a/samphirevale/proxy_runs.py
+++ b/samphirevale/proxy_runs.py
@@ -1,33 +1,28 @@
 """Runs one accepted request: stages, sends, retries and the answer."""
 
 from collections.abc import Sequence
-from typing import NamedTuple
 
 from samphirevale import (
     batch_dispatch,
     catalogue,
+    endpoint_choice,
     errors,
     event_streams,
     exchange_races,
     exchanges,
     input_fingerprints,
-    placement,
     proxy_context,
     proxy_requests,
-    routes,
     stage_admission,
     stage_times,
     stages,
-    stream_origins,
+    stream_bindings,
 )
 
 # The largest number of failed connections for one request. They do not count
 # against the retry budget, as a failed connection hands nothing over.
 CONNECT_FAILURES_LIMIT = 3
 
-# The retry delay sent with a refusal whose cause should pass soon, in seconds.
-RETRY_AFTER_SECONDS = 0.5
-
 # The silence before a whole answer or the first event of a stream, as a factor
 # of the route's target time, after which the request is sent to another
 # endpoint if it may run again.
@@ -38,43 +33,22 @@
 SILENCE_SECONDS = 2.0
 
 
-class AcceptedRequest(NamedTuple):
-    """An accepted request with the parameters of its run.
-
-    Attributes:
-        request: the request as received.
-        route: the route that matches the request.
-        service: the service to which the request is sent.
-        account: the name of the account; empty for an anonymous route.
-        rank: the priority; 0 is the most urgent.
-        deadline_at: the time by which the request must be answered.
-        fingerprint: identifies the input across retries.
-        returned: whether the caller retries after a refusal. A stream that
-            its caller takes up has not been refused.
-    """
-
-    request: proxy_requests.ProxiedRequest
-    route: routes.Route
-    service: str
-    account: str
-    rank: int
-    deadline_at: float
-    fingerprint: str
-    returned: bool
-
-
 class ProxyRun:
     """Runs one accepted request."""
 
     def __init__(
-        self, context: proxy_context.ProxyContext, accepted: AcceptedRequest
+        self,
+        context: proxy_context.ProxyContext,
+        accepted: proxy_requests.AcceptedRequest,
     ):
         self._context = context
         self._accepted = accepted
         self._request = accepted.request
         self._route = accepted.route
         self._prompt_tokens = sum(part.tokens for part in self._request.prompt)
-        self._tried: set[str] = set()
+        self._endpoints = endpoint_choice.EndpointChoice(
+            context, accepted.request, accepted.service
+        )
         # The number of sends that an endpoint may have executed.
         self._runs = 0
         # When the request was sent to an endpoint that has not answered yet.
@@ -86,16 +60,15 @@
         self._lacks_results = False
         self._stages_repeated = False
         self._stages: stages.StageSequenceRun | None = None
-        # The version that goes on with the stream once it has begun; None
-        # before.
-        self._version: str | None = None
         # Whether the items are queued behind those that are on time.
         self._late = accepted.returned
 
     async def run(self) -> proxy_requests.Answer:
         """Runs the stages, sends the request and returns the answer."""
         if self._route.streamed and self._request.last_event:
-            refusal = await self._adopt_origin()
+            refusal = await stream_bindings.bind_stream(
+                self._context, self._accepted, self._endpoints
+            )
             if refusal is not None:
                 return refusal
         results: list[batch_dispatch.StageResult] = []
@@ -119,7 +92,7 @@
                 wanted_data_centre=self._stages.get_data_centre(),
             )
         self._context.budget.record_first_send(
-            self._accepted.service, self._context.clock.now()
+            self._endpoints.service, self._context.clock.now()
         )
         try:
             return await self._send_until_answered(results)
@@ -133,44 +106,8 @@
         if self._runs:
             return proxy_requests.Refusal(504, "no_answer_in_time")
         return proxy_requests.Refusal(
-            503, "not_sent_in_time", RETRY_AFTER_SECONDS
-        )
-
-    async def _adopt_origin(self) -> proxy_requests.Refusal | None:
-        """Binds a stream that its caller takes up to where it began.
-
-        Returns:
-            A refusal if that is unknown, or cannot go on with the stream.
-        """
-        origin = await self._context.origins.find(self._request.first_attempt)
-        if origin is None:
-            origin = self._infer_origin()
-        if origin is None:
-            return proxy_requests.Refusal(
-                503, "unknown_version", RETRY_AFTER_SECONDS
-            )
-        services = {split.service for split in self._route.splits}
-        if origin.service not in services:
-            return proxy_requests.Refusal(503, "service_replaced")
-        self._accepted = self._accepted._replace(service=origin.service)
-        self._version = origin.version
-        if not self._list_endpoints():
-            return proxy_requests.Refusal(
-                503, "no_endpoint_of_version", RETRY_AFTER_SECONDS
-            )
-        return None
-
-    def _infer_origin(self) -> stream_origins.StreamOrigin | None:
-        """Returns where a stream must have begun; None if that is uncertain."""
-        cluster = self._context.cluster_state
-        service = self._accepted.service
-        began_after = self._context.clock.now() - self._route.timeout_seconds
-        version = cluster.versions.find_only(
-            service, cluster.catalogue.list_service(service), began_after
+            503, "not_sent_in_time", proxy_requests.RETRY_AFTER_SECONDS
         )
-        if version is None or len(self._route.splits) > 1:
-            return None
-        return stream_origins.StreamOrigin(service, version)
 
     def _refuse_overload(self) -> proxy_requests.Refusal | None:
         """Returns a refusal if the stages would take too long.
@@ -226,7 +163,7 @@
             stages.has_endpoints(
                 cluster, self._route, self._request.item_counts, now
             )
-            and cluster.compute_pause(self._accepted.service, now)
+            and cluster.compute_pause(self._endpoints.service, now)
             <= bare_seconds
         )
 
@@ -243,7 +180,7 @@
 
     def _estimate_model_seconds(self) -> float:
         """Estimates the time from the stages' results to the first event."""
-        endpoint = self._choose_endpoint(())
+        endpoint = self._endpoints.choose()
         if endpoint is None:
             return 0.0
         selector = self._context.selector
@@ -276,7 +213,7 @@
 
     def _choose_data_centre(self) -> str:
         """Returns the data centre to which the request would be sent now."""
-        endpoint = self._choose_endpoint(())
+        endpoint = self._endpoints.choose()
         return endpoint.data_centre if endpoint is not None else ""
 
     def _has_retry(self, service: str) -> bool:
@@ -291,65 +228,6 @@
             service, len(cluster.members), self._context.clock.now()
         )
 
-    def _choose_endpoint(
-        self, result_bytes: tuple[tuple[str, int], ...]
-    ) -> catalogue.Endpoint | None:
-        """Returns the endpoint to send to, or None if there is none.
-
-        Those that pause for other entries are the last choice.
-        """
-        cluster = self._context.cluster_state
-        service = self._accepted.service
-        now = self._context.clock.now()
-        request = placement.PlacementRequest(
-            self._request.prompt,
-            result_bytes,
-            frozenset(self._tried),
-            cluster.find_connections_limit(service),
-        )
-        choose = self._context.selector.choose
-        usable = self._filter_version(cluster.list_usable(service, now))
-        return choose(usable, request, now) or choose(
-            self._list_endpoints(), request, now
-        )
-
-    def _list_endpoints(self) -> list[catalogue.Endpoint]:
-        """Returns the endpoints to which this entry may send the request."""
-        return self._filter_version(
-            self._context.cluster_state.list_available(
-                self._accepted.service, self._context.clock.now()
-            )
-        )
-
-    def _filter_version(
-        self, endpoints: list[catalogue.Endpoint]
-    ) -> list[catalogue.Endpoint]:
-        """Returns the endpoints of the version that has begun the stream."""
-        if self._version is None:
-            return endpoints
-        return [
-            endpoint
-            for endpoint in endpoints
-            if endpoint.version == self._version
-        ]
-
-    def _all_endpoints_pause(self) -> bool:
-        """Returns whether the service has only endpoints that pause."""
-        return (
-            self._context.cluster_state.compute_pause(
-                self._accepted.service, self._context.clock.now()
-            )
-            > 0
-        )
-
-    def _explain_no_endpoint(self) -> str:
-        if self._all_endpoints_pause():
-            return "endpoints_paused"
-        available = self._list_endpoints()
-        if all(endpoint.name in self._tried for endpoint in available):
-            return "no_endpoint"
-        return "no_connection_left"
-
     def _compute_pause(self) -> float:
         """Returns when all services are usable again, in seconds from now.
 
@@ -363,7 +241,7 @@
         ]
         return max(
             self._context.cluster_state.compute_pause(service, now)
-            for service in [self._accepted.service, *services]
+            for service in [self._endpoints.service, *services]
         )
 
     def _list_result_sizes(
@@ -413,10 +291,10 @@
         if self._lacks_results:
             self._lacks_results = False
             self._result_names = await self._run_stages_again()
-        endpoint = self._choose_endpoint(self._result_sizes)
+        endpoint = self._endpoints.choose(self._result_sizes)
         if endpoint is None:
-            return self._build_failure_refusal(self._explain_no_endpoint())
-        self._tried.add(endpoint.name)
+            return self._build_failure_refusal(self._endpoints.explain_none())
+        self._endpoints.tried.add(endpoint.name)
         await race.start(endpoint, self._send_once)
         return None
 
@@ -428,7 +306,7 @@
         """
         if self.compute_remaining_seconds() <= 0:
             raise TimeoutError("no answer before the deadline")
-        if self._choose_endpoint(()) is None or not self.may_send_again():
+        if self._endpoints.choose() is None or not self.may_send_again():
             return
         self._log_step("endpoint_silent", exchanges=race.running)
         await self._start_exchange(race)
@@ -447,7 +325,10 @@
         if isinstance(answer, proxy_requests.CompleteAnswer):
             self._log_step("request_answered", status=answer.status)
         else:
-            await self._record_origin(finished.endpoint)
+            self._endpoints.version = finished.endpoint.version
+            await stream_bindings.record_origin(
+                self._context, self._accepted, finished.endpoint
+            )
             await self.release_results()
         return answer
 
@@ -463,7 +344,7 @@
         if isinstance(outcome, TimeoutError):
             raise outcome
         if isinstance(outcome, proxy_requests.CompleteAnswer):
-            if self._choose_endpoint(()) is not None and self.may_send_again():
+            if self._endpoints.choose() is not None and self.may_send_again():
                 return None
             self._log_step("request_answered", status=outcome.status)
             return outcome
@@ -492,9 +373,9 @@
         self, error: errors.NotExecutedError
     ) -> proxy_requests.Refusal | None:
         """Returns the refusal after an endpoint's own; None to send again."""
-        if self._all_endpoints_pause():
+        if self._endpoints.all_pause():
             return self._build_failure_refusal("endpoints_paused")
-        if not self._take_retry(self._accepted.service):
+        if not self._take_retry(self._endpoints.service):
             return self._build_failure_refusal("refused_by_endpoint")
         if error.lacks_results:
             if self._stages_repeated:
@@ -524,7 +405,9 @@
         if self._runs:
             return proxy_requests.Refusal(502, reason)
         return proxy_requests.Refusal(
-            503, reason, self._compute_pause() or RETRY_AFTER_SECONDS
+            503,
+            reason,
+            self._compute_pause() or proxy_requests.RETRY_AFTER_SECONDS,
         )
 
     def _log_send_failure(
@@ -544,7 +427,7 @@
         If so, this takes a retry from the budget.
         """
         return not self._find_resend_obstacle() and self._take_retry(
-            self._accepted.service
+            self._endpoints.service
         )
 
     def _find_resend_obstacle(self) -> str:
@@ -562,7 +445,7 @@
         )
         if crashes >= input_fingerprints.CRASHES_LIMIT:
             return "input_crashes_endpoints"
-        if not self._has_retry(self._accepted.service):
+        if not self._has_retry(self._endpoints.service):
             return "no_retry_left"
         return ""
 
@@ -657,21 +540,6 @@
             last_event=last_event,
         )
 
-    async def _record_origin(self, endpoint: catalogue.Endpoint) -> None:
-        """Records where the stream began, before the caller has an event."""
-        self._version = endpoint.version
-        if not self._route.resumable:
-            return
-        request = self._request
-        first_attempt = request.attempt
-        if request.last_event and request.first_attempt:
-            first_attempt = request.first_attempt
-        await self._context.origins.record(
-            first_attempt,
-            stream_origins.StreamOrigin(endpoint.service, endpoint.version),
-            request.received_at + request.wait_seconds,
-        )
-
     async def resume(self, last_event: int | None) -> exchanges.Exchange:
         """Resumes a stream at another endpoint.
 
@@ -692,7 +560,7 @@
             if results is None:
                 results = await self._run_stages_for_resume()
                 endpoint = self._choose_resuming_endpoint()
-            self._tried.add(endpoint.name)
+            self._endpoints.tried.add(endpoint.name)
             try:
                 return await self._open_resumed(endpoint, results, last_event)
             except errors.ConnectError as error:
@@ -708,9 +576,9 @@
                     results = None
 
     def _choose_resuming_endpoint(self) -> catalogue.Endpoint:
-        endpoint = self._choose_endpoint(())
+        endpoint = self._endpoints.choose()
         if endpoint is None:
-            raise errors.AnswerLostError(self._explain_no_endpoint())
+            raise errors.AnswerLostError(self._endpoints.explain_none())
         return endpoint
 
     async def _run_stages_for_resume(self) -> tuple[str, ...]:
--- a/samphirevale/proxying.py
+++ b/samphirevale/proxying.py
@@ -100,7 +100,7 @@
 
     def _accept(
         self, request: proxy_requests.ProxiedRequest
-    ) -> proxy_runs.AcceptedRequest | proxy_requests.Refusal:
+    ) -> proxy_requests.AcceptedRequest | proxy_requests.Refusal:
         """Accepts a request with its parameters, or refuses it."""
         cluster = self._context.cluster_state
         now = self._context.clock.now()
@@ -110,11 +110,11 @@
             )
         if cluster.table is None:
             return proxy_requests.Refusal(
-                503, "no_routes", proxy_runs.RETRY_AFTER_SECONDS
+                503, "no_routes", proxy_requests.RETRY_AFTER_SECONDS
             )
         if not cluster.routes_age.is_usable(now):
             return proxy_requests.Refusal(
-                503, "routes_outdated", proxy_runs.RETRY_AFTER_SECONDS
+                503, "routes_outdated", proxy_requests.RETRY_AFTER_SECONDS
             )
         route = cluster.table.find_route(request.host, request.path)
         if route is None:
@@ -135,7 +135,7 @@
         retried = self._wait_history.record_wait(
             route.name, request.wait_seconds
         )
-        return proxy_runs.AcceptedRequest(
+        return proxy_requests.AcceptedRequest(
             request,
             route,
             routes.choose_service(route, self._context.rng.random()),
--- /dev/null
+++ b/samphirevale/stream_bindings.py
@@ -0,0 +1,82 @@
+"""Binds streams to the service and the version that began them."""
+
+from samphirevale import (
+    catalogue,
+    endpoint_choice,
+    proxy_context,
+    proxy_requests,
+    stream_origins,
+)
+
+
+async def bind_stream(
+    context: proxy_context.ProxyContext,
+    accepted: proxy_requests.AcceptedRequest,
+    endpoints: endpoint_choice.EndpointChoice,
+) -> proxy_requests.Refusal | None:
+    """Binds a stream that its caller takes up to where it began.
+
+    Args:
+        context: knows where streams began.
+        accepted: the request that takes the stream up.
+        endpoints: the endpoints that may get the request, which are limited.
+
+    Returns:
+        A refusal if it is unknown where the stream began, or if it cannot go on
+        there.
+    """
+    origin = await context.origins.find(accepted.request.first_attempt)
+    if origin is None:
+        origin = _infer_origin(context, accepted)
+    if origin is None:
+        return proxy_requests.Refusal(
+            503, "unknown_version", proxy_requests.RETRY_AFTER_SECONDS
+        )
+    services = {split.service for split in accepted.route.splits}
+    if origin.service not in services:
+        return proxy_requests.Refusal(503, "service_replaced")
+    endpoints.service = origin.service
+    endpoints.version = origin.version
+    if not endpoints.list_available():
+        return proxy_requests.Refusal(
+            503, "no_endpoint_of_version", proxy_requests.RETRY_AFTER_SECONDS
+        )
+    return None
+
+
+def _infer_origin(
+    context: proxy_context.ProxyContext,
+    accepted: proxy_requests.AcceptedRequest,
+) -> stream_origins.StreamOrigin | None:
+    """Returns where a stream must have begun; None if that is uncertain."""
+    cluster = context.cluster_state
+    service = accepted.service
+    began_after = context.clock.now() - accepted.route.timeout_seconds
+    version = cluster.versions.find_only(
+        service, cluster.catalogue.list_service(service), began_after
+    )
+    if version is None or len(accepted.route.splits) > 1:
+        return None
+    return stream_origins.StreamOrigin(service, version)
+
+
+async def record_origin(
+    context: proxy_context.ProxyContext,
+    accepted: proxy_requests.AcceptedRequest,
+    endpoint: catalogue.Endpoint,
+) -> None:
+    """Records where a stream began, before its caller has an event.
+
+    A stream that its caller has taken up is known by its first attempt.
+    """
+    if not accepted.route.resumable:
+        return
+    request = accepted.request
+    first_attempt = request.attempt
+    if request.last_event and request.first_attempt:
+        first_attempt = request.first_attempt
+    await context.origins.record(
+        first_attempt,
+        stream_origins.StreamOrigin(endpoint.service, endpoint.version),
+        request.received_at + request.wait_seconds,
+    )
