--- a/samphirevale/batch_dispatch.py
+++ b/samphirevale/batch_dispatch.py
@@ -69,6 +69,11 @@
     def is_usable(self, endpoint: catalogue.Endpoint, now: float) -> bool:
         """Returns whether new work may be sent to an endpoint now."""
 
+    def has_other_endpoint(
+        self, endpoint: catalogue.Endpoint, now: float
+    ) -> bool:
+        """Returns whether another endpoint of the service is usable now."""
+
     def compute_call_delay(
         self, endpoint: catalogue.Endpoint, now: float
     ) -> float | None:
@@ -400,7 +405,9 @@
             await curio.sleep(overdue)
             self._penalized_until[name] = penalized_until
             self._log.record_failure("batch_overdue", endpoint=name)
-            await self.withdraw_items(endpoint)
+            now = self._clock.now()
+            if self._availability.has_other_endpoint(endpoint, now):
+                await self.withdraw_items(endpoint)
 
         watcher = await curio.spawn(watch, daemon=True)
         try:
--- a/samphirevale/cluster_state.py
+++ b/samphirevale/cluster_state.py
@@ -147,6 +147,15 @@
             endpoint
         ) and self.notices.is_available(endpoint, now)
 
+    def has_other_endpoint(
+        self, endpoint: catalogue.Endpoint, now: float
+    ) -> bool:
+        """Returns whether another endpoint of the service is usable now."""
+        return any(
+            other.name != endpoint.name
+            for other in self.list_usable(endpoint.service, now)
+        )
+
     def compute_call_delay(
         self, endpoint: catalogue.Endpoint, now: float
     ) -> float | None:
--- a/tests/proxy_fakes.py
+++ b/tests/proxy_fakes.py
@@ -158,6 +158,9 @@
     def is_usable(self, endpoint, now):
         return self.usable
 
+    def has_other_endpoint(self, endpoint, now):
+        return True
+
     def compute_call_delay(self, endpoint, now):
         return None if self.leaving else max(self.paused_until - now, 0.0)
 
--- a/tests/test_batch_dispatch.py
+++ b/tests/test_batch_dispatch.py
@@ -1,10 +1,18 @@
 """Tests of batched calls with items of many requests."""
 
+import random
 import time
 
 import curio
 
-from samphirevale import batch_dispatch, errors
+from samphirevale import (
+    batch_dispatch,
+    cluster_state,
+    errors,
+    ownership,
+    routes,
+    stages,
+)
 from samphirevale.adapters import clock
 from samphirevale.ports import proxies
 from tests import base, proxy_fakes
@@ -224,6 +232,72 @@
         self.assertEqual(["a1/0/0"], self.endpoints.released)
 
 
+class SilentEndpointTest(base.TestCase):
+    """Tests calls to an endpoint that is silent for a while."""
+
+    def setUp(self):
+        self.endpoints = proxy_fakes.FakeEndpoints()
+        self.clock = clock.MonotonicClock()
+        self.cluster = cluster_state.ClusterState(
+            5.0, ownership.Member("me", "a")
+        )
+        self.dispatcher = batch_dispatch.BatchDispatcher(
+            self.endpoints,
+            self.clock,
+            proxy_fakes.FakeJournal(),
+            self.cluster,
+        )
+
+    def make_endpoint_silent(self, seconds):
+        async def run_batch(endpoint, items, now):
+            await curio.sleep(seconds)
+            return self.endpoints.succeed_all(items)
+
+        self.endpoints.run_batch = run_batch
+
+    async def run_stage(self, cluster, attempt):
+        now = self.clock.now()
+        request = proxy_fakes.build_request(attempt=attempt, item_counts=(4,))
+        run = stages.StageSequenceRun(
+            self,
+            cluster,
+            self.clock,
+            request,
+            proxy_fakes.build_route(stages=(routes.Stage("stage", (), 10),)),
+            stages.StageConstraints(now + 1.0, now + 5.0, 0, ""),
+            lambda _: False,
+            random.Random(1),
+        )
+        return await run.run()
+
+    def estimate_seconds(self, *_):
+        return 0.1
+
+    async def run_items(self, endpoint, limits, items):
+        return await self.dispatcher.run_items(endpoint, limits, items)
+
+    async def release(self, endpoint, names):
+        await self.dispatcher.release(endpoint, names)
+
+    async def test_items_of_a_silent_endpoint_wait_if_there_is_no_other(self):
+        self.make_endpoint_silent(1.4)
+        cluster = self.cluster
+        table = proxy_fakes.build_table([])
+        limits = LIMITS._replace(concurrency=3)
+        service = table.services["stage"]._replace(batch=limits)
+        cluster.table = table._replace(services={"stage": service})
+        cluster.catalogue.put(proxy_fakes.build_endpoint())
+        tasks = []
+        for number in range(4):
+            tasks.append(
+                await curio.spawn(self.run_stage, cluster, f"a{number}")
+            )
+            await curio.sleep(0.1)
+        for task in tasks:
+            await task.wait()
+        self.assertEqual([None] * 4, [task.exception for task in tasks])
+
+
 class StartAvailability(proxy_fakes.FakeAvailability):
     """Only one start of an endpoint is usable."""
 
