Show what a store that comes back from a copy breaks

What callers would see: a server that drains from a revision that was given out again is still used, as is one that was gone or draining before the drill; a server that registered after the copy is dropped at once; and the entry is missing from the store, as it registers only once.

--- a/tests/platform/test_store_drills.py
+++ b/tests/platform/test_store_drills.py
@@ -1,8 +1,16 @@
 """Tests of sessions in which the store comes back from a copy."""
 
+import curio
+
 from samphirevale import registrations
 from tests.platform import sessions
 
+# The time in which an entry notices a new era and has registered again, in
+# seconds.
+REGISTRATION_SECONDS = 3.0
+
+SERVERS = (*sessions.SERVERS, "plain3")
+
 
 class StoreDrillTest(sessions.SessionTestCase):
     """The store comes back from a copy some seconds old."""
@@ -30,6 +38,11 @@
         self.store.restore_copy(copy)
         await self.move("model1", "e")
 
+    async def unregister(self, name):
+        self.store.remove("servers", name)
+        catalogue = self.gateway.cluster_state.catalogue
+        await self.wait_until(lambda: catalogue.find(name) is None)
+
     async def test_requests_are_served_while_the_store_is_away(self):
         async with self.run_all():
             copy = await self.take_copy()
@@ -71,3 +84,55 @@
             manifest = sessions.build_manifest(3, ["k3"])
             self.store.put("config", "main", manifest)
             await self.wait_until(lambda: known.table.version == 3)
+
+    async def test_a_change_at_a_revision_given_out_again_is_seen(self):
+        async with self.run_all():
+            copy = await self.take_copy()
+            await self.move("plain2", "b")
+            self.store.restore_copy(copy)
+            self.change_server("plain1", state="draining")
+            await self.wait_until_accepting("plain2")
+
+    async def test_the_entry_registers_again_in_each_new_era(self):
+        async with self.run_all():
+            await self.take_copy()
+            (name,) = self.store.list_names(registrations.KIND)
+            self.store.remove(registrations.KIND, name)
+            copy = self.store.take_copy()
+            for _ in range(2):
+                self.store.restore_copy(copy)
+                async with curio.timeout_after(REGISTRATION_SECONDS):
+                    await self.wait_until(
+                        lambda: self.store.list_names(registrations.KIND)
+                    )
+
+    async def test_a_server_gone_before_the_drill_stays_unused(self):
+        async with self.run_all():
+            copy = await self.take_copy()
+            await self.unregister("plain1")
+            await self.restore(copy)
+            self.assertEqual(["plain2"], self.list_accepting("plain"))
+            await self.check_unused("plain1")
+            self.change_server("plain1")
+            await self.read_until_reached("plain1")
+
+    async def test_a_server_draining_before_the_drill_stays_unused(self):
+        async with self.run_all():
+            copy = await self.take_copy()
+            self.change_server("plain1", state="draining")
+            await self.wait_until_accepting("plain2")
+            await self.restore(copy)
+            self.assertEqual(["plain2"], self.list_accepting("plain"))
+            await self.check_unused("plain1")
+            self.change_server("plain1", born=2)
+            await self.read_until_reached("plain1")
+
+    async def test_a_server_missing_from_the_copy_stays_usable_at_first(self):
+        async with self.run_all(SERVERS):
+            await self.unregister("plain3")
+            copy = await self.take_copy()
+            self.change_server("plain3")
+            await self.wait_until_accepting("plain1", "plain2", "plain3")
+            await self.restore(copy)
+            self.assertIn("plain3", self.list_accepting("plain"))
+            await self.wait_until_accepting("plain1", "plain2")
