--- a/tests/platform/test_leaving_servers.py
+++ b/tests/platform/test_leaving_servers.py
@@ -1,4 +1,4 @@
-"""Tests of sessions with servers that ask for a pause."""
+"""Tests of sessions with servers that leave or ask for a pause."""
 
 import time
 
@@ -6,10 +6,152 @@
 
 from tests.platform import sessions
 
+# The time in which entries tell each other what they have learnt, in seconds.
+TELLING_SECONDS = 1.0
 
-class PausingServerTest(sessions.SessionTestCase):
+# The difference allowed between the time left of a pause and the delay that a
+# caller is told, in seconds: little below, and some above to spread callers.
+EARLY_SECONDS = 0.1
+LATE_SECONDS = 0.5
+
+SERVERS = (*sessions.SERVERS, "first2")
+
+
+class ServersTestCase(sessions.SessionTestCase):
+    """Two servers of each service."""
+
+    def find_reached(self, service):
+        """Returns the first server of a service that was reached."""
+        return next(
+            server
+            for name, server in self.servers.items()
+            if name[:-1] == service and server.arrivals
+        )
+
+
+class LeavingServerTest(ServersTestCase):
+    """A server says in its answers that it leaves."""
+
+    async def test_a_server_that_leaves_gets_no_more_requests(self):
+        async with self.run_all():
+            self.servers["plain1"].leaving = True
+            await self.read_until_reached("plain1")
+            await self.check_unused("plain1")
+
+    async def test_a_server_that_leaves_with_a_refusal_is_not_used(self):
+        async with self.run_all():
+            self.servers["plain1"].leaving = True
+            self.servers["plain1"].faults = ["full"] * sessions.REQUESTS
+            await self.read_until_reached("plain1")
+            await self.check_unused("plain1")
+
+    async def test_a_server_that_leaves_with_a_stream_is_not_used(self):
+        async with self.run_all():
+            await self.check_stream()
+            leaving = self.find_reached("model")
+            leaving.leaving = True
+            for _ in range(sessions.REQUESTS):
+                await self.check_stream()
+            self.assertEqual(2, len(leaving.arrivals))
+
+    async def test_a_server_that_leaves_with_a_stage_call_is_not_used(self):
+        async with self.run_all(SERVERS):
+            await self.check_stream()
+            leaving = self.find_reached("first")
+            await self.wait_until(lambda: len(leaving.freed) == 3)
+            leaving.leaving = True
+            leaving.arrivals.clear()
+            for _ in range(sessions.REQUESTS):
+                await self.check_stream()
+            calls = [c for c in leaving.arrivals if c.path == "/stage-run"]
+            self.assertEqual(1, len(calls))
+
+    async def test_a_server_that_left_is_used_again_after_its_restart(self):
+        async with self.run_all():
+            self.servers["plain1"].leaving = True
+            await self.read_until_reached("plain1")
+            await self.check_unused("plain1")
+            self.servers["plain1"].leaving = False
+            self.change_server("plain1", born=2)
+            await self.read_until_reached("plain1")
+
+    async def test_callers_are_not_told_that_a_server_leaves(self):
+        async with self.run_all():
+            for name in ("plain1", "plain2"):
+                self.servers[name].leaving = True
+            self.assertNotIn("server-leaving", await self.read())
+
+    async def test_another_entry_learns_that_a_server_leaves(self):
+        async with self.run_all(), self.run_second_entry() as second_port:
+            self.servers["plain1"].leaving = True
+            await self.read_until_reached("plain1")
+            await curio.sleep(TELLING_SECONDS)
+            self.port = second_port
+            await self.check_unused("plain1")
+
+
+class PausingServerTest(ServersTestCase):
     """A server asks for a pause with a refusal."""
 
+    async def test_a_server_gets_no_requests_until_its_pause_ends(self):
+        async with self.run_all():
+            plain = self.servers["plain1"]
+            plain.begin_pause(1.0, time.monotonic())
+            await self.read_until_reached("plain1")
+            await self.read_until_pause_ends("plain1")
+            self.assertEqual(1, len(plain.arrivals))
+            await self.read_until_reached("plain1")
+            self.assertEqual(1, len(plain.seen_headers))
+
+    async def test_a_pause_outlives_a_new_manifest(self):
+        async with self.run_all():
+            plain = self.servers["plain1"]
+            plain.begin_pause(1.5, time.monotonic())
+            await self.read_until_reached("plain1")
+            manifest = sessions.build_manifest(2)
+            self.store.put("config", "main", manifest)
+            known = self.gateway.cluster_state
+            await self.wait_until(lambda: known.table.version == 2)
+            await self.read_until_pause_ends("plain1")
+            self.assertEqual(1, len(plain.arrivals))
+
+    async def test_a_pause_ends_with_a_restart(self):
+        async with self.run_all():
+            plain = self.servers["plain1"]
+            plain.begin_pause(3.0, time.monotonic())
+            await self.read_until_reached("plain1")
+            await self.check_unused("plain1")
+            plain.pause = None
+            self.change_server("plain1", born=2)
+            await self.read_until_reached("plain1")
+
+    async def test_a_stage_server_gets_no_calls_until_its_pause_ends(self):
+        async with self.run_all(SERVERS):
+            await self.check_stream()
+            pausing = self.find_reached("first")
+            await self.wait_until(lambda: len(pausing.freed) == 3)
+            pausing.arrivals.clear()
+            pausing.begin_pause(2.5, time.monotonic())
+            while time.monotonic() < pausing.pause.ends_at - 0.1:
+                await self.check_stream()
+                await curio.sleep(0.02)
+            self.assertEqual(1, len(pausing.arrivals))
+
+    async def test_callers_are_refused_at_once_while_all_servers_pause(self):
+        async with self.run_all():
+            now = time.monotonic()
+            self.servers["plain1"].begin_pause(1.5, now)
+            self.servers["plain2"].begin_pause(4.0, now)
+            for _ in range(sessions.REQUESTS):
+                status, headers, _ = await self.call("/once/x")
+                self.assertEqual(503, status)
+                left = 1.5 - (time.monotonic() - now)
+                delay = float(headers["retry-after"])
+                self.assertGreater(delay, left - EARLY_SECONDS)
+                self.assertLess(delay, left + LATE_SECONDS)
+            for name in ("plain1", "plain2"):
+                self.assertEqual(1, len(self.servers[name].arrivals))
+
     async def test_a_malformed_pause_is_ignored(self):
         async with self.run_all():
             plain = self.servers["plain1"]
