--- /dev/null
+++ b/tests/platform/test_versions.py
@@ -0,0 +1,102 @@
+"""Tests of sessions with servers of several software versions."""
+
+from samphirevale import errors
+from samphirevale.adapters import web_client
+from standins import servers
+from tests.platform import sessions
+
+SERVERS = (*sessions.SERVERS, "model3")
+MODELS = {"model1": "v1", "model2": "v2", "model3": "v1"}
+
+# The number of prompts, which are spread over the servers.
+PROMPTS = 24
+
+
+def list_versions(body):
+    """Returns the versions that wrote the events of a stream."""
+    lines = [line for line in body.split(b"\n") if line.startswith(b"data:")]
+    return {line.split(b" ")[-1].decode() for line in lines}
+
+
+class VersionTest(sessions.SessionTestCase):
+    """Streams go on only at the software version that began them."""
+
+    def build_headers(self, number, **headers):
+        """Returns the headers of a request whose prompt has that number."""
+        return {
+            "Samphirevale-Attempt-Id": f"a{number}",
+            "Samphirevale-Prefix-Hash": f"p{number}:10,q:5",
+            **headers,
+        }
+
+    async def begin(self, number):
+        """Disconnects after the first event; returns its version."""
+        for name in MODELS.keys() & self.servers.keys():
+            self.servers[name].silence_seconds = 0.1
+            self.servers[name].faults = ["stall"]
+        headers = {
+            "Samphirevale-Deadline-Ms": "3000",
+            "Samphirevale-Key": "k1",
+            **self.build_headers(number),
+        }
+        async with web_client.connect("127.0.0.1", self.port) as connection:
+            answer = await connection.request(
+                "POST", "/write/x", b"", tuple(headers.items()), "h.example"
+            )
+            parts = answer.read_parts()
+            first = await anext(parts)
+            await parts.aclose()
+        for name in MODELS.keys() & self.servers.keys():
+            self.servers[name].faults = []
+        (version,) = list_versions(first)
+        return version
+
+    async def take_up(self, number):
+        """Takes a stream up after its second event, as its caller does."""
+        headers = {
+            "Samphirevale-Attempt-Id": f"b{number}",
+            "Last-Event-Id": "2",
+            "Resumes": f"a{number}",
+        }
+        return await self.write(**self.build_headers(number, **headers))
+
+    async def test_a_broken_stream_resumes_only_at_its_version(self):
+        async with self.run_all(SERVERS, MODELS):
+            broken = 0
+            for number in range(PROMPTS):
+                self.servers["model1"].faults = ["cut"]
+                _, _, body = await self.write(**self.build_headers(number))
+                self.assertEqual(servers.EVENTS, body.count(b"data:"))
+                self.assertEqual(1, len(list_versions(body)), body)
+                broken += not self.servers["model1"].faults
+            self.assertGreater(broken, 0)
+
+    async def test_a_broken_stream_ends_if_no_server_has_its_version(self):
+        async with self.run_all(versions=MODELS):
+            faults = self.servers["model1"].faults = ["cut"]
+            with self.assertRaises(errors.AnswerLostError):
+                for number in range(PROMPTS):
+                    await self.write(**self.build_headers(number))
+            self.assertEqual([], faults)
+
+    async def test_a_caller_resumes_only_at_the_version_that_began(self):
+        async with self.run_all(SERVERS, MODELS):
+            versions = [await self.begin(number) for number in range(PROMPTS)]
+            self.change_server("model1", state="draining")
+            await self.wait_until_accepting("model2", "model3")
+            for number, version in enumerate(versions):
+                status, _, body = await self.take_up(number)
+                self.assertEqual(200, status)
+                self.assertEqual({version}, list_versions(body))
+
+    async def test_a_caller_is_refused_if_no_server_has_its_version(self):
+        async with self.run_all(versions=MODELS):
+            self.change_server("model2", state="draining")
+            await self.wait_until_accepting("model1")
+            await self.begin(0)
+            self.change_server("model2")
+            self.change_server("model1", state="draining")
+            await self.wait_until_accepting("model2")
+            status, _, _ = await self.take_up(0)
+            self.assertEqual(503, status)
+            self.assertEqual([], self.servers["model2"].arrivals)
