--- a/tests/platform/test_silences.py
+++ b/tests/platform/test_silences.py
@@ -15,6 +15,12 @@
         self.servers[name].silence_seconds = SILENCE_SECONDS
         self.servers[name].faults = [fault]
 
+    async def test_a_stream_goes_on_after_a_silence_in_its_middle(self):
+        async with self.run_all(("model1", "first1")):
+            self.plan_silence("model1", "stall")
+            await self.check_stream()
+            self.assertEqual(1, len(self.servers["model1"].seen_headers))
+
     async def test_a_stream_begins_after_a_silence(self):
         async with self.run_all(("model1", "first1")):
             for fault in ("late", "silent"):
@@ -22,6 +28,16 @@
                 await self.check_stream()
             self.assertEqual(2, len(self.servers["model1"].seen_headers))
 
+    async def test_a_request_is_answered_after_a_silence(self):
+        async with self.run_all(("plain1",)):
+            self.plan_silence("plain1", "silent")
+            await self.read()
+
+    async def test_a_stage_call_is_answered_after_a_silence(self):
+        async with self.run_all(("model1", "first1")):
+            self.plan_silence("first1", "silent")
+            await self.check_stream()
+
     async def test_a_server_is_used_again_after_a_silence(self):
         async with self.run_all():
             self.plan_silence("plain1", "silent")
