--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -20,6 +20,7 @@
 GRACEFUL_SHUTDOWN = "a graceful shutdown interrupts no request"
 CORRECT_ENDPOINT = "requests reach the endpoint they were meant for"
 RECOVERY = "a process recovers its state from the store"
+ERAS = "a store that returns from a copy brings nothing back"
 LIMITS = "callers' input is limited in size and time"
 
 _PROXYING = "tests.test_proxying"
@@ -27,6 +28,7 @@
 _CALLS = "tests.platform.test_endpoints"
 _DISPATCH = "tests.test_batch_dispatch.BatchDispatcherTest"
 _SESSION = "tests.platform.test_session.SessionTest"
+_DRILL = "tests.platform.test_store_drills.StoreDrillTest"
 
 
 def _ablate(
@@ -71,8 +73,9 @@
         "attempt with a lost answer not repeated",
         NO_REPEATED_WORK,
         "proxy_runs",
-        "            and self._route.may_run_again()\n",
-        "",
+        "if not self._route.may_run_again():\n"
+        '            return "not_resumable"',
+        'if False:\n            return "not_resumable"',
         f"{_PROXYING}.CompleteAnswerTest"
         ".test_request_that_may_have_run_is_not_sent_again",
     ),
@@ -80,8 +83,8 @@
         "not_run not reported after a lost answer",
         NO_REPEATED_WORK,
         "proxy_runs",
-        "            self._handed_over = previously_handed_over\n",
-        "            self._handed_over = False\n",
+        "            self._runs -= 1\n",
+        "            self._runs = 0\n",
         f"{_PROXYING}.CompleteAnswerTest"
         ".test_refusal_after_a_lost_answer_does_not_invite_a_retry",
     ),
@@ -101,6 +104,90 @@
         "if False:",
         "tests.test_events.EventOrderTest",
     ),
+    _ablate(
+        "streams of silent endpoints read until another can take over",
+        STREAMS,
+        "event_streams",
+        "            part = await self._read_silent()\n",
+        "            error = errors.TransportError(SILENT)\n"
+        "            await self._resume_broken(error)\n"
+        '            part = b""\n',
+        f"{_PROXYING}.StreamTest"
+        ".test_stream_of_a_silent_endpoint_is_not_cut_without_retries",
+    ),
+    _ablate(
+        "silent endpoint waited for if no other may answer",
+        NO_REPEATED_WORK,
+        "proxy_runs",
+        "if self._choose_endpoint(()) is None or not self.may_send_again():\n"
+        "            return\n",
+        "if not self.may_send_again():\n"
+        '            raise TimeoutError("silent for too long")\n',
+        f"{_PROXYING}.CompleteAnswerTest"
+        ".test_silent_endpoint_is_waited_for_if_no_other_may_answer",
+    ),
+    _ablate(
+        "call of a batching endpoint that is silent for a second kept",
+        NO_REPEATED_WORK,
+        "batch_dispatch",
+        "timeout = overdue + SILENCE_SECONDS",
+        "timeout = overdue",
+        "tests.test_batch_dispatch.BatchDispatcherTest"
+        ".test_call_of_a_briefly_silent_endpoint_is_not_given_up",
+    ),
+    _ablate(
+        "items behind an overdue call returned",
+        NO_REPEATED_WORK,
+        "batch_dispatch",
+        "            await self.withdraw_items(endpoint)\n",
+        "",
+        "tests.test_batch_dispatch.BatchDispatcherTest"
+        ".test_items_behind_an_overdue_call_are_returned",
+    ),
+    _ablate(
+        "endpoint that is silent for a second kept",
+        STREAMS,
+        "proxy_runs",
+        "SILENCE_SECONDS = 2.0",
+        "SILENCE_SECONDS = 1.0",
+        f"{_PROXYING}.StreamTest"
+        ".test_stream_of_a_briefly_silent_endpoint_stays_there",
+    ),
+    _ablate(
+        "streams resumed only at the version that began them",
+        STREAMS,
+        "cluster_state",
+        "endpoint for endpoint in accepting if endpoint.version == version",
+        "endpoint for endpoint in accepting",
+        f"{_PROXYING}.StreamTest"
+        ".test_broken_stream_is_not_resumed_at_another_version",
+    ),
+    _ablate(
+        "streams of unknown version refused",
+        STREAMS,
+        "proxy_runs",
+        "            return proxy_requests.Refusal(\n"
+        '                503, "unknown_version", RETRY_AFTER_SECONDS\n'
+        "            )\n",
+        "            return None\n",
+        f"{_PROXYING}.StreamTest.test_stream_of_unknown_version_is_refused",
+    ),
+    _ablate(
+        "other entries told where a stream began",
+        STREAMS,
+        "stream_origins",
+        "for name in names[:HOLDERS]:",
+        "for name in ():",
+        "tests.test_stream_origins.OriginDirectoryTest",
+    ),
+    _ablate(
+        "versions that have just gone counted",
+        STREAMS,
+        "service_versions",
+        "if name == service and gone_at >= since",
+        "if False",
+        "tests.test_service_versions.ServiceVersionsTest",
+    ),
     _ablate(
         "older versions of the routes rejected",
         ROUTES_AND_KEYS,
@@ -161,8 +248,8 @@
         (
             Edit(
                 "samphirevale/cluster_state.py",
-                "            self.catalogue.list_accepting(service), now\n",
-                "            self.catalogue.list_service(service), now\n",
+                "accepting = self.catalogue.list_accepting(service)\n",
+                "accepting = self.catalogue.list_service(service)\n",
             ),
             Edit(
                 "samphirevale/cluster_state.py",
@@ -350,10 +437,8 @@
         "send prevented by a pause not counted as a failure",
         PAUSES,
         "proxy_runs",
-        "        except errors.NotAcceptingError:\n"
-        "            await exchange.close(failed=False)\n"
-        "            raise\n",
-        "",
+        "if failed and isinstance(error, errors.ConnectError):",
+        "if isinstance(error, errors.ConnectError):",
         f"{_PROXYING}.PauseTest"
         ".test_pause_that_begins_during_the_connect_is_no_failure",
     ),
@@ -370,9 +455,8 @@
         "request refused at once if a pause outlasts its stages",
         PAUSES,
         "proxy_runs",
-        "            and cluster.compute_pause(self._accepted.service, now)\n"
         "            <= bare_seconds\n",
-        "",
+        "            < 1e9\n",
         f"{_PROXYING}.PauseTest"
         ".test_pause_that_outlasts_the_stages_refuses_at_once",
     ),
@@ -380,8 +464,10 @@
         "retry taken only if there is an endpoint for it",
         PAUSES,
         "proxy_runs",
-        "                if self._all_endpoints_pause():\n",
-        "                if False:\n",
+        "        if self._all_endpoints_pause():\n"
+        '            return self._build_failure_refusal("endpoints_paused")\n'
+        "        if not self._take_retry",
+        "        if not self._take_retry",
         f"{_PROXYING}.PauseTest"
         ".test_refusal_without_another_endpoint_takes_no_retry",
     ),
@@ -389,8 +475,8 @@
         "retry after a refusal taken from the budget",
         BUDGET,
         "proxy_runs",
-        "                if not self._take_retry(self._accepted.service):\n",
-        "                if False:\n",
+        "        if not self._take_retry(self._accepted.service):\n",
+        "        if False:\n",
         f"{_PROXYING}.PauseTest"
         ".test_refused_request_goes_on_and_counts_as_a_retry",
     ),
@@ -414,8 +500,10 @@
         "endpoint that pauses for others used if no other is left",
         PAUSES,
         "proxy_runs",
-        ") or choose(cluster.list_available(service, now), request, now)",
-        ")",
+        " or choose(\n"
+        "            self._list_available(), request, now\n"
+        "        )",
+        "",
         f"{_PROXYING}.PauseTest"
         ".test_endpoint_that_pauses_for_others_is_the_last_choice",
     ),
@@ -497,10 +585,157 @@
         "objects listed again when the watch history is gone",
         RECOVERY,
         "watchers",
-        "                version = None\n            except errors.StoreError",
-        "            except errors.StoreError",
+        "                version = None\n                await",
+        "                await",
         "tests.test_watchers",
     ),
+    _ablate(
+        "objects listed again in a new era",
+        ERAS,
+        "watchers",
+        "        self._check_era()\n        self._record_answer()",
+        "        self._record_answer()",
+        "tests.test_watchers.RewindTest",
+    ),
+    Ablation(
+        "revisions compared within one era",
+        ERAS,
+        (
+            Edit(
+                "samphirevale/watchers.py",
+                "        self._check_era()\n        self._record_answer()",
+                "        self._record_answer()",
+            ),
+            Edit(
+                "samphirevale/watchers.py",
+                "            await group.spawn("
+                "self._eras.wait_newer, self._era)\n",
+                "",
+            ),
+        ),
+        (
+            f"{_DRILL}"
+            ".test_change_with_a_revision_given_out_again_is_not_skipped",
+        ),
+    ),
+    _ablate(
+        "answers of an older era ignored",
+        ERAS,
+        "watchers",
+        "if era is not None and self._eras.is_outdated(era):",
+        "if False:",
+        "tests.test_watchers.WatcherTest"
+        ".test_answer_of_an_older_era_changes_nothing",
+    ),
+    _ablate(
+        "waiting watch given up in a new era",
+        ERAS,
+        "watchers",
+        "            await group.spawn(self._eras.wait_newer, self._era)\n",
+        "",
+        "tests.test_watchers.WatcherTest"
+        ".test_waiting_watch_is_given_up_in_a_new_era",
+    ),
+    _ablate(
+        "lists after a new era spread",
+        ERAS,
+        "watchers",
+        "self._rng.random() * self.times.relist_seconds",
+        "0",
+        "tests.test_watchers.WatcherTest.test_lists_after_a_new_era_are_spread",
+    ),
+    _ablate(
+        "first watch after the rewrites answered soon",
+        ERAS,
+        "watchers",
+        "if self._confirmed_at >= rewrite_ends_at:",
+        "if True:",
+        "tests.test_watchers.WatcherTest"
+        ".test_first_watch_after_the_rewrites_is_answered_soon",
+    ),
+    _ablate(
+        "list of two eras refused",
+        ERAS,
+        "platform/store",
+        "if before is not None and page is not None and page != before:",
+        "if False:",
+        "tests.platform.test_store.EraTest.test_pages_of_two_eras_are_no_list",
+    ),
+    _ablate(
+        "routes confirmed by a new era only within the margin",
+        ERAS,
+        "freshness",
+        "started_at = min(started_at, self._proved_at + MARGIN_SECONDS)",
+        "pass",
+        "tests.test_routes_freshness.RewindSoundnessTest",
+    ),
+    _ablate(
+        "routes older than another entry's not confirmed",
+        ERAS,
+        "cluster_state",
+        "if not self.has_newest_routes():",
+        "if False:",
+        "tests.test_cluster_state.ClusterStateTest",
+    ),
+    _ablate(
+        "source of an older era does not confirm the routes",
+        ERAS,
+        "routes_freshness",
+        "if relation is store_eras.Relation.OLDER:",
+        "if False:",
+        "tests.test_routes_freshness.RoutesFreshnessTest",
+    ),
+    _ablate(
+        "new era learned from other entries",
+        ERAS,
+        "cluster_watch",
+        "await self.eras.observe(known.era, entry, self._clock.now())",
+        "pass",
+        f"{_DRILL}.test_cut_off_entry_learns_a_new_era_from_another",
+    ),
+    _ablate(
+        "registrations contradicted by an earlier era held back",
+        ERAS,
+        "copy_guard",
+        "if not self._is_outdated(endpoint):",
+        "if True:",
+        "tests.test_copy_guard.CopyGuardTest",
+        f"{_DRILL}.test_store_that_lost_its_writes_brings_nothing_back",
+    ),
+    _ablate(
+        "registration that stays in the store used",
+        ERAS,
+        "copy_guard",
+        "if now >= held.at + HOLD_SECONDS",
+        "if False",
+        "tests.test_copy_guard.CopyGuardTest",
+    ),
+    _ablate(
+        "endpoints that a copy lacks kept for a while",
+        ERAS,
+        "cluster_state",
+        "        self.catalogue.start_grace_period(now)\n",
+        "",
+        "tests.test_cluster_state.ClusterStateTest",
+        f"{_DRILL}.test_store_that_lost_an_endpoint_does_not_take_it_away",
+    ),
+    _ablate(
+        "entries that a copy lacks kept",
+        ERAS,
+        "cluster_watch",
+        "whole=now >= self.eras.get_rewrite_end()",
+        "whole=True",
+        f"{_DRILL}.test_store_that_lost_an_entry_does_not_unregister_it",
+    ),
+    _ablate(
+        "entry registered again in each era",
+        ERAS,
+        "registrar",
+        "            await self._eras.wait_newer(era)\n",
+        "            return\n",
+        "tests.test_registrar.RegistrarTest",
+        f"{_DRILL}.test_entry_registers_again_in_a_new_era",
+    ),
     _ablate(
         "time limit for request heads",
         LIMITS,
--- a/samphirevale/cluster_state.py
+++ b/samphirevale/cluster_state.py
@@ -4,12 +4,17 @@
 
 from samphirevale import (
     catalogue,
+    copy_guard,
     endpoint_notices,
     freshness,
+    messages,
     ownership,
     routes,
+    service_versions,
     stage_times,
+    store_eras,
 )
+from samphirevale.ports import objects
 
 
 class ClusterState:
@@ -18,9 +23,15 @@
     Attributes:
         table: the newest route table; None until the first one arrives.
         routes_age: the age of the routes and of the accounts' keys.
+        routes_era: the era of the store in which they were last confirmed;
+            None without one.
+        newest_routes: the newest version that any entry is known to have;
+            messages.NO_ROUTES before the first.
         endpoints_age: the age of the catalogue.
         catalogue: the known endpoints.
         notices: which endpoints leave or have asked for a pause.
+        copy_guard: the endpoints that a copy of the store may not bring back.
+        versions: the versions of the endpoints' software.
         data_centre: the data centre of this entry.
         members: the entries that are alive, including this one.
         shared_queueing: the shortest queueing time that the routes with a
@@ -30,9 +41,13 @@
     def __init__(self, keys_seconds: float, me: ownership.Member):
         self.table: routes.RouteTable | None = None
         self.routes_age = freshness.Freshness(keys_seconds)
+        self.routes_era: objects.StoreEra | None = None
+        self.newest_routes = messages.NO_ROUTES
         self.endpoints_age = freshness.Freshness(keys_seconds)
         self.catalogue = catalogue.Catalogue()
         self.notices = endpoint_notices.EndpointNotices()
+        self.copy_guard = copy_guard.CopyGuard()
+        self.versions = service_versions.ServiceVersions()
         self.members: tuple[ownership.Member, ...] = (me,)
         self.data_centre = me.data_centre
         self._me = me
@@ -44,10 +59,50 @@
         if self.table is not None and table.version <= self.table.version:
             return False
         self.table = table
+        self.note_routes_version(table.version)
         self._owners = None
         self.shared_queueing = stage_times.compute_shared_queueing(table)
         return True
 
+    def get_routes_version(self) -> int:
+        """Returns the version of the routes, or NO_ROUTES of messages."""
+        if self.table is None:
+            return messages.NO_ROUTES
+        return self.table.version
+
+    def note_routes_version(self, version: int) -> None:
+        """Records that an entry has this version of the routes."""
+        self.newest_routes = max(self.newest_routes, version)
+
+    def has_newest_routes(self) -> bool:
+        """Returns whether no entry is known to have a newer version."""
+        return self.table is not None and (
+            self.table.version >= self.newest_routes
+        )
+
+    def confirm_routes(
+        self, started_at: float, era: objects.StoreEra | None
+    ) -> None:
+        """Records that a call confirmed the routes.
+
+        It does not if another entry has a newer version, which the store may
+        have lost.
+
+        Args:
+            started_at: when the call began.
+            era: the era of the store.
+        """
+        if not self.has_newest_routes():
+            return
+        self.routes_age.confirm(started_at)
+        self.routes_era = era
+
+    def start_era(self, now: float) -> None:
+        """Records that the store has returned from a copy of itself."""
+        self.catalogue.start_grace_period(now)
+        self.copy_guard.start_era(self.catalogue.list_all(), now)
+        self.routes_age.start_grace_period(now + store_eras.REWRITE_SECONDS)
+
     def adopt_members(self, members: Collection[ownership.Member]) -> bool:
         """Adopts the other live entries; returns whether they changed."""
         found = {member.name: member for member in members}
@@ -104,42 +159,61 @@
             return None
         return self.notices.compute_pause(endpoint, now)
 
-    def list_usable(self, service: str, now: float) -> list[catalogue.Endpoint]:
+    def list_usable(
+        self, service: str, now: float, version: str | None = None
+    ) -> list[catalogue.Endpoint]:
         """Returns the endpoints of a service that new work may be sent to.
 
         Those that pause for other entries only are left out as long as there
         are others, as they are full. If the service is batched they are left
         out in any case, as the entry that owns them makes all calls.
+
+        Args:
+            service: the service.
+            now: the present time.
+            version: the version of their software; None for any.
         """
-        available = self.list_available(service, now)
+        available = self.list_available(service, now, version)
         not_full = self.notices.exclude_paused_elsewhere(available, now)
         if not_full or self.find_batch_limits(service) is not None:
             return not_full
         return available
 
     def list_available(
-        self, service: str, now: float
+        self, service: str, now: float, version: str | None = None
     ) -> list[catalogue.Endpoint]:
         """Returns all endpoints of a service that this entry may send to."""
         return self.notices.list_available(
-            self.catalogue.list_accepting(service), now
+            self._list_accepting(service, version), now
         )
 
-    def compute_pause(self, service: str, now: float) -> float:
+    def _list_accepting(
+        self, service: str, version: str | None
+    ) -> list[catalogue.Endpoint]:
+        accepting = self.catalogue.list_accepting(service)
+        if version is None:
+            return accepting
+        return [
+            endpoint for endpoint in accepting if endpoint.version == version
+        ]
+
+    def compute_pause(
+        self, service: str, now: float, version: str | None = None
+    ) -> float:
         """Returns when the first endpoint of a service ends its pause.
 
         Returns:
             The time in seconds from now; 0 if one is usable now, or if all
             leave.
         """
-        if self.list_usable(service, now):
+        if self.list_usable(service, now, version):
             return 0.0
         pauses = [
             max(
                 self.notices.compute_pause(endpoint, now),
                 self.notices.compute_pause_elsewhere(endpoint, now),
             )
-            for endpoint in self.catalogue.list_accepting(service)
+            for endpoint in self._list_accepting(service, version)
             if not self.notices.is_leaving(endpoint)
         ]
         return min(pauses, default=0.0)
--- a/samphirevale/entries.py
+++ b/samphirevale/entries.py
@@ -9,7 +9,7 @@
 import contextlib
 import itertools
 import random
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from typing import Any, Protocol
 
 import curio
@@ -26,6 +26,7 @@
     registrations,
     reports,
     routes_freshness,
+    stream_origins,
 )
 from samphirevale.adapters import link as links
 from samphirevale.ports import clock as clocks
@@ -40,13 +41,16 @@
 # The timeout of the answer to how recent an entry's routes are, in seconds.
 ROUTES_AGE_SECONDS = 0.5
 
-# The version in such an answer if the entry has no routes.
-NO_ROUTES = -1
-
 # The longest backoff between two attempts to connect, in seconds.
 CONNECT_BACKOFF_LIMIT_SECONDS = 2.0
 
 
+# The messages that answer a request of this entry, by their exchange.
+_ANSWERS = (
+    messages.ItemsResult | messages.RoutesAge | messages.StreamOriginAnswer
+)
+
+
 class ItemServer(Protocol):
     """Runs items for other entries."""
 
@@ -156,7 +160,11 @@
         build_report: Callable[[float], messages.EntryReport],
         on_members_changed: Callable[[Iterable[ownership.Member]], None],
         on_crashes_reported: Callable[[list[list[str]]], None],
+        on_store_reported: Callable[
+            [str, routes_freshness.StoreKnowledge], Awaitable[None]
+        ],
         get_routes_age: Callable[[float], routes_freshness.Confirmation | None],
+        origins: stream_origins.StreamOrigins,
         clock: clocks.Clock,
         rng: random.Random,
         log: journal.Journal,
@@ -171,8 +179,11 @@
             build_report: builds the report for the other entries.
             on_members_changed: called with the linked entries.
             on_crashes_reported: called with the crashes that an entry reports.
+            on_store_reported: called with the name of an entry and what it
+                reports of the store.
             get_routes_age: returns how recent the routes of this entry are;
                 None if it has none.
+            origins: the streams of which this entry knows where they began.
             clock: a clock that includes time while the machine is suspended.
             rng: the source of jitter.
             log: the log of links.
@@ -188,7 +199,9 @@
         self._reporter = reports.Reporter(build_report)
         self._on_members_changed = on_members_changed
         self._on_crashes_reported = on_crashes_reported
+        self._on_store_reported = on_store_reported
         self._get_routes_age = get_routes_age
+        self._origins = origins
         self._clock = clock
         self._rng = rng
         self._journal = log
@@ -227,7 +240,7 @@
     async def _dial(self, name: str) -> None:
         """Connects to an entry repeatedly until its registration is gone."""
         failures = 0
-        while name in self._registrations:
+        while self.is_registered(name):
             found = self._registrations[name]
             try:
                 async with links.dial(
@@ -323,6 +336,13 @@
             self.loads.replace(before, entry.loads)
             self._on_crashes_reported(message.crashed)
             self._notices.adopt_pauses(message.pauses)
+            await self._on_store_reported(
+                entry.hello.instance,
+                routes_freshness.StoreKnowledge(
+                    messages.decode_era(message.store_era),
+                    message.routes_version,
+                ),
+            )
         elif isinstance(message, messages.EndpointsLeaving):
             await self._notices.adopt_leaving(entry.hello.instance, message)
         elif isinstance(message, messages.ItemsRequest):
@@ -331,10 +351,16 @@
             )
         elif isinstance(message, messages.RoutesAgeRequest):
             await self._send_routes_age(entry, message.exchange)
-        elif isinstance(message, messages.ItemsResult | messages.RoutesAge):
+        elif isinstance(message, messages.StreamOriginNotice):
+            self._adopt_origin(message)
+        elif isinstance(message, messages.StreamOriginRequest):
+            await self._send_origin(entry, message)
+        elif isinstance(message, _ANSWERS):
             queue = entry.waiting.get(message.exchange)
             if queue is not None:
                 await queue.put(message)
+            elif isinstance(message, messages.ItemsResult):
+                await self._release_unwanted(entry, message)
         elif isinstance(message, messages.ItemsCancelled):
             task = entry.serving.get(message.exchange)
             if task is not None:
@@ -351,16 +377,91 @@
             with contextlib.suppress(errors.PeerClosedError):
                 await entry.link.send(message, 0)
 
+    async def _release_unwanted(
+        self, entry: Entry, answer: messages.ItemsResult
+    ) -> None:
+        """Releases results that crossed the cancellation of their request."""
+        names = [name for name in answer.results if name]
+        if names:
+            released = messages.ResultsReleased(answer.endpoint, names)
+            with contextlib.suppress(errors.PeerClosedError):
+                await entry.link.send(released, 0)
+
     async def _send_routes_age(self, entry: Entry, exchange: int) -> None:
         known = self._get_routes_age(self._clock.now())
-        answer = messages.RoutesAge(exchange, NO_ROUTES, 0.0)
+        answer = messages.RoutesAge(exchange, messages.NO_ROUTES, 0.0)
         if known is not None:
             answer = messages.RoutesAge(
-                exchange, known.version, known.age_seconds
+                exchange,
+                known.version,
+                known.age_seconds,
+                messages.encode_era(known.era),
             )
         with contextlib.suppress(errors.PeerClosedError):
             await entry.link.send(answer, 0)
 
+    def is_registered(self, name: str) -> bool:
+        """Returns whether the registration of another entry is known."""
+        return name in self._registrations
+
+    def _adopt_origin(self, notice: messages.StreamOriginNotice) -> None:
+        origin = stream_origins.StreamOrigin(notice.service, notice.version)
+        until = self._clock.now() + notice.remaining_ms / 1000
+        self._origins.record(notice.attempt, origin, until)
+
+    async def _send_origin(
+        self, entry: Entry, request: messages.StreamOriginRequest
+    ) -> None:
+        known = self._origins.find(request.attempt, self._clock.now())
+        answer = messages.StreamOriginAnswer(request.exchange, False, "", "")
+        if known is not None:
+            answer = messages.StreamOriginAnswer(request.exchange, True, *known)
+        with contextlib.suppress(errors.PeerClosedError):
+            await entry.link.send(answer, 0)
+
+    def list_linked(self) -> list[str]:
+        """Returns the names of the entries with an open link."""
+        return list(self.linked)
+
+    async def tell_origin(
+        self,
+        name: str,
+        attempt: str,
+        origin: stream_origins.StreamOrigin,
+        seconds: float,
+    ) -> None:
+        """Tells an entry where a stream began, to remember for a time."""
+        entry = self.linked.get(name)
+        if entry is None:
+            return
+        notice = messages.StreamOriginNotice(
+            attempt, *origin, max(int(seconds * 1000), 0)
+        )
+        # The table logs the end of a link; other holders know the stream.
+        with contextlib.suppress(errors.PeerClosedError):
+            await entry.link.send(notice, 0)
+
+    async def ask_origin(
+        self, name: str, attempt: str
+    ) -> stream_origins.StreamOrigin | None:
+        """Asks an entry where a stream began.
+
+        Returns:
+            None if the entry does not know it, or the link ends.
+        """
+        entry = self.linked.get(name)
+        if entry is None:
+            return None
+        request = messages.StreamOriginRequest(
+            next(self._exchange_ids), attempt
+        )
+        answer = None
+        with contextlib.suppress(errors.PeerClosedError):
+            answer = await self._exchange(entry, request)
+        if answer is None or not answer.known:
+            return None
+        return stream_origins.StreamOrigin(answer.service, answer.version)
+
     def is_linked(self, name: str) -> bool:
         """Returns whether there is a link to an entry."""
         return name in self.linked
@@ -381,9 +482,13 @@
         with contextlib.suppress(errors.PeerClosedError, curio.TaskTimeout):
             async with curio.timeout_after(ROUTES_AGE_SECONDS):
                 answer = await self._exchange(entry, request)
-        if answer is None or answer.version == NO_ROUTES:
+        if answer is None or answer.version == messages.NO_ROUTES:
             return None
-        return routes_freshness.Confirmation(answer.version, answer.age_seconds)
+        return routes_freshness.Confirmation(
+            answer.version,
+            answer.age_seconds,
+            messages.decode_era(answer.store_era),
+        )
 
     async def _exchange(self, entry: Entry, request: Any) -> Any:
         """Sends a request on a link; returns None if the link ends."""
--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -9,14 +9,12 @@
 import prometheus_client
 
 from samphirevale import (
-    backoff,
     batch_dispatch,
     batching,
     catalogue,
     cluster_state,
     cluster_watch,
     entries,
-    errors,
     gateway_settings,
     input_fingerprints,
     item_routing,
@@ -29,10 +27,12 @@
     proxy_context,
     proxying,
     quarantine,
+    registrar,
     registrations,
     retry_budgets,
     routes,
     routes_freshness,
+    stream_origins,
 )
 from samphirevale.adapters import web
 from samphirevale.ports import clock as clocks
@@ -106,21 +106,24 @@
         self.item_runner = item_routing.RoutedItemRunner(
             self._dispatcher, self.cluster_state, clock
         )
-        self._registration = registrations.Registration(
+        registration = registrations.Registration(
             settings.instance,
             settings.peer_host,
             settings.peer_port,
             secrets.token_hex(16),
         )
+        self._origins = stream_origins.StreamOrigins()
         self.table = entries.EntryTable(
-            self._registration,
+            registration,
             settings.data_centre,
             self.item_runner,
             self._notices,
             self._build_report,
             self._adopt_members,
             self._adopt_crashes,
+            self._adopt_store_report,
             self._get_routes_age,
+            self._origins,
             clock,
             self._rng,
             log,
@@ -137,6 +140,14 @@
             self._rng,
             log,
         )
+        self.registrar = registrar.Registrar(
+            adapter_set.store,
+            registration,
+            self.cluster_watch.eras,
+            clock,
+            self._rng,
+            log,
+        )
         self._proxy = proxying.Proxy(
             proxy_context.ProxyContext(
                 self.cluster_state,
@@ -145,6 +156,9 @@
                 self._budget,
                 self._quarantine,
                 endpoints,
+                stream_origins.OriginDirectory(
+                    self._origins, self.table, clock
+                ),
                 clock,
                 self._rng,
                 log,
@@ -172,6 +186,8 @@
             self._selector.describe_loads(),
             [[name, *attempts] for name, attempts in crashed],
             self._notices.describe_pauses(now),
+            messages.encode_era(self.cluster_watch.eras.newest),
+            self.cluster_state.get_routes_version(),
         )
 
     def _adopt_crashes(self, crashed: list[list[str]]) -> None:
@@ -180,6 +196,12 @@
         for fingerprint, *attempts in crashed:
             self._quarantine.add_crashes(fingerprint, attempts, now)
 
+    async def _adopt_store_report(
+        self, entry: str, known: routes_freshness.StoreKnowledge
+    ) -> None:
+        """Adopts what another entry reports of the store."""
+        await self.cluster_watch.adopt_report(entry, known)
+
     def _get_routes_age(
         self, now: float
     ) -> routes_freshness.Confirmation | None:
@@ -189,6 +211,7 @@
         return routes_freshness.Confirmation(
             self.cluster_state.table.version,
             self.cluster_state.routes_age.compute_age(now),
+            self.cluster_state.routes_era,
         )
 
     def _adopt_members(self, members: Iterable[ownership.Member]) -> None:
@@ -216,24 +239,6 @@
         self._selector.remove_endpoint(endpoint.name)
         self._dispatcher.remove_endpoint(endpoint)
 
-    async def register(self) -> None:
-        """Registers the address of this entry and retries until it succeeds."""
-        failures = 0
-        while True:
-            try:
-                await self._adapters.store.replace(
-                    registrations.KIND,
-                    self.settings.instance,
-                    registrations.encode_registration(self._registration),
-                )
-                return
-            except errors.StoreError as error:
-                self._journal.record_failure("not_registered", error=str(error))
-            await self._clock.sleep(
-                backoff.compute_pause(failures, rng=self._rng)
-            )
-            failures += 1
-
     async def run_periodic_checks(self) -> None:
         """Runs the periodic checks until cancelled."""
         logged_at = 0.0
@@ -245,6 +250,8 @@
                 self._log_queues(now)
             self.cluster_watch.remove_expired(now)
             self._notices.remove_expired(now)
+            self.cluster_watch.release_held(now)
+            self._origins.remove_expired(now)
             metrics.ROUTES_AGE.set(
                 self.cluster_state.routes_age.compute_age(now)
             )
@@ -345,7 +352,7 @@
         gateway.serve_callers,
         gateway.serve_readiness,
         gateway.serve_metrics,
-        gateway.register,
+        gateway.registrar.run,
         gateway.table.serve,
         gateway.table.connect_to_entries,
     ]
--- a/samphirevale/log_schema.py
+++ b/samphirevale/log_schema.py
@@ -18,17 +18,20 @@
     event: frozenset(fields)
     for event, fields in {
         "batch_failed": {"endpoint", "items", "requests", "error"},
+        "batch_overdue": {"endpoint"},
         "endpoint_changed": {
             "endpoint",
             "service",
             "address",
             "data_centre",
+            "version",
             "accepting",
             "started",
             "gone",
         },
         "endpoint_leaving": {"endpoint", "service", "started", "source"},
         "endpoint_paused": {"endpoint", "service", "seconds"},
+        "endpoint_silent": {*_REQUEST, "exchanges"},
         "entries_changed": {"count", "joined", "left"},
         "entry_down": {"entry"},
         "entry_up": {"entry"},
@@ -59,6 +62,8 @@
             "account",
             "wait_seconds",
             "returned",
+            "last_event",
+            "first_attempt",
             *_ROUTES,
         },
         "request_answered": {*_REQUEST, "status"},
@@ -73,6 +78,7 @@
             *_REQUEST,
             "endpoint",
             "service",
+            "version",
             "status",
             "last_event",
         },
@@ -93,9 +99,11 @@
         "stopped": {"busy"},
         "stopping": {"busy"},
         "routes_not_read": {"error"},
+        "store_era_changed": {"era", "previous", "learned_from"},
         "store_lost": {"kind", "error"},
         "store_regained": {"kind"},
         "stream_ended": {*_REQUEST, "outcome", "last_event"},
+        "stream_silent": {*_REQUEST, "outcome", "last_event"},
     }.items()
 }
 
--- a/samphirevale/messages.py
+++ b/samphirevale/messages.py
@@ -16,9 +16,10 @@
 import cbor2
 
 from samphirevale import errors
+from samphirevale.ports import objects
 
 # Must be increased when a field is added, removed or changes its meaning.
-PROTOCOL_VERSION = 7
+PROTOCOL_VERSION = 9
 
 # Maximum size of a frame, in bytes.
 FRAME_BYTES_LIMIT = 4 * 1024 * 1024
@@ -28,6 +29,11 @@
 # miss, not to a wrong answer.
 PREFIX_DIGITS = 16
 
+# The era in a message of an entry that knows none, and the version of the
+# routes in one of an entry without routes.
+NO_ERA = -1
+NO_ROUTES = -1
+
 _types: dict[str, type] = {}
 
 
@@ -297,12 +303,17 @@
             ids of the attempts.
         pauses: the endpoints that have asked the sender for a pause, each as
             its name, its start and the rest of the pause in milliseconds.
+        store_era: the newest era of the store that the sender has seen, or
+            NO_ERA.
+        routes_version: the version of the sender's routes, or NO_ROUTES.
     """
 
     queues: list[list]
     loads: list[list]
     crashed: list[list]
     pauses: list[list]
+    store_era: int = NO_ERA
+    routes_version: int = NO_ROUTES
 
 
 @register("endpoints_leaving")
@@ -384,13 +395,62 @@
 
     Attributes:
         exchange: id of the request.
-        version: the version of the sender's routes; -1 if it has none.
+        version: the version of the sender's routes, or NO_ROUTES.
         age_seconds: how long ago the sender's copy was current.
+        store_era: the era of the store in which it was, or NO_ERA.
     """
 
     exchange: int
     version: int
     age_seconds: float
+    store_era: int = NO_ERA
+
+
+@register("stream_origin")
+class StreamOriginNotice(NamedTuple):
+    """Tells another entry where a stream began.
+
+    Attributes:
+        attempt: id of the caller's attempt that brought the first event.
+        service: the service that began it.
+        version: the version of the endpoint's software.
+        remaining_ms: how long to remember it.
+    """
+
+    attempt: str
+    service: str
+    version: str
+    remaining_ms: int
+
+
+@register("stream_origin_request")
+class StreamOriginRequest(NamedTuple):
+    """Asks another entry where a stream began.
+
+    Attributes:
+        exchange: id of this request, unique on the connection.
+        attempt: id of the caller's attempt that brought the first event.
+    """
+
+    exchange: int
+    attempt: str
+
+
+@register("stream_origin_answer")
+class StreamOriginAnswer(NamedTuple):
+    """Answers a StreamOriginRequest.
+
+    Attributes:
+        exchange: id of the request.
+        known: whether the sender knows the stream.
+        service: the service that began it; empty if unknown.
+        version: the version of the endpoint's software; empty if unknown.
+    """
+
+    exchange: int
+    known: bool
+    service: str
+    version: str
 
 
 @register("pieces_withdrawn")
@@ -413,6 +473,16 @@
     results: list[str]
 
 
+def encode_era(era: objects.StoreEra | None) -> int:
+    """Returns an era of the store as it is in messages."""
+    return NO_ERA if era is None else era
+
+
+def decode_era(era: int) -> objects.StoreEra | None:
+    """Returns the era of the store in a message; None if it has none."""
+    return None if era == NO_ERA else objects.StoreEra(era)
+
+
 def round_ms(milliseconds: float) -> float:
     """Rounds to whole milliseconds, which take fewer bytes in CBOR.
 
--- a/samphirevale/proxy_runs.py
+++ b/samphirevale/proxy_runs.py
@@ -8,6 +8,7 @@
     catalogue,
     errors,
     event_streams,
+    exchange_races,
     exchanges,
     input_fingerprints,
     placement,
@@ -17,6 +18,7 @@
     stage_admission,
     stage_times,
     stages,
+    stream_origins,
 )
 
 # The largest number of failed connections for one request. They do not count
@@ -26,12 +28,14 @@
 # The retry delay sent with a refusal whose cause should pass soon, in seconds.
 RETRY_AFTER_SECONDS = 0.5
 
-# Timeout for a whole answer or the first event of a stream, as a factor of the
-# route's target time. It applies if the request may run again elsewhere.
+# The silence before a whole answer or the first event of a stream, as a factor
+# of the route's target time, after which the request is sent to another
+# endpoint if it may run again.
 ANSWER_TIMEOUT_FACTOR = 2.0
 
-# Timeout between two events of a stream that may be resumed, in seconds.
-EVENT_TIMEOUT_SECONDS = 1.2
+# The silence after which a stream may go on at another endpoint, in seconds. An
+# endpoint that works may be silent for about a second.
+SILENCE_SECONDS = 2.0
 
 
 class AcceptedRequest(NamedTuple):
@@ -45,7 +49,8 @@
         rank: the priority; 0 is the most urgent.
         deadline_at: the time by which the request must be answered.
         fingerprint: identifies the input across retries.
-        returned: whether the caller retries after a refusal.
+        returned: whether the caller retries after a refusal. A stream that
+            its caller takes up has not been refused.
     """
 
     request: proxy_requests.ProxiedRequest
@@ -72,14 +77,27 @@
         self._tried: set[str] = set()
         # The number of sends that an endpoint may have executed.
         self._runs = 0
-        # Whether an endpoint may have executed this request.
-        self._handed_over = False
+        # When the request was sent to an endpoint that has not answered yet.
+        self._sent_at: float | None = None
+        self._connection_failures = 0
+        # The results of the stages, and whether they have to run again.
+        self._result_names: tuple[str, ...] = ()
+        self._result_sizes: tuple[tuple[str, int], ...] = ()
+        self._lacks_results = False
+        self._stages_repeated = False
         self._stages: stages.StageSequenceRun | None = None
+        # The version that goes on with the stream once it has begun; None
+        # before.
+        self._version: str | None = None
         # Whether the items are queued behind those that are on time.
         self._late = accepted.returned
 
     async def run(self) -> proxy_requests.Answer:
         """Runs the stages, sends the request and returns the answer."""
+        if self._route.streamed and self._request.last_event:
+            refusal = await self._adopt_origin()
+            if refusal is not None:
+                return refusal
         results: list[batch_dispatch.StageResult] = []
         if self._route.stages:
             refusal = self._refuse_overload()
@@ -112,12 +130,50 @@
 
     def build_timeout_refusal(self) -> proxy_requests.Refusal:
         """Returns the answer to a request whose deadline has passed."""
-        if self._handed_over:
+        if self._runs:
             return proxy_requests.Refusal(504, "no_answer_in_time")
         return proxy_requests.Refusal(
             503, "not_sent_in_time", RETRY_AFTER_SECONDS
         )
 
+    async def _adopt_origin(self) -> proxy_requests.Refusal | None:
+        """Binds a stream that its caller takes up to where it began.
+
+        Returns:
+            A refusal if that is unknown, or cannot go on with the stream.
+        """
+        origin = await self._context.origins.find(self._request.first_attempt)
+        if origin is None:
+            origin = self._infer_origin()
+        if origin is None:
+            return proxy_requests.Refusal(
+                503, "unknown_version", RETRY_AFTER_SECONDS
+            )
+        services = {split.service for split in self._route.splits}
+        if origin.service not in services:
+            return proxy_requests.Refusal(503, "service_replaced")
+        self._accepted = self._accepted._replace(service=origin.service)
+        self._version = origin.version
+        if self._all_endpoints_pause():
+            return self._build_failure_refusal("endpoints_paused")
+        if not self._list_available():
+            return proxy_requests.Refusal(
+                503, "no_endpoint_of_version", RETRY_AFTER_SECONDS
+            )
+        return None
+
+    def _infer_origin(self) -> stream_origins.StreamOrigin | None:
+        """Returns where a stream must have begun; None if that is uncertain."""
+        cluster = self._context.cluster_state
+        service = self._accepted.service
+        began_after = self._context.clock.now() - self._route.timeout_seconds
+        version = cluster.versions.find_only(
+            service, cluster.catalogue.list_service(service), began_after
+        )
+        if version is None or len(self._route.splits) > 1:
+            return None
+        return stream_origins.StreamOrigin(service, version)
+
     def _refuse_overload(self) -> proxy_requests.Refusal | None:
         """Returns a refusal if the stages would take too long.
 
@@ -172,7 +228,9 @@
             stages.has_endpoints(
                 cluster, self._route, self._request.item_counts, now
             )
-            and cluster.compute_pause(self._accepted.service, now)
+            and cluster.compute_pause(
+                self._accepted.service, now, self._version
+            )
             <= bare_seconds
         )
 
@@ -225,6 +283,12 @@
         endpoint = self._choose_endpoint(())
         return endpoint.data_centre if endpoint is not None else ""
 
+    def _has_retry(self, service: str) -> bool:
+        cluster = self._context.cluster_state
+        return self._context.budget.has_retry(
+            service, len(cluster.members), self._context.clock.now()
+        )
+
     def _take_retry(self, service: str) -> bool:
         cluster = self._context.cluster_state
         return self._context.budget.take(
@@ -248,15 +312,24 @@
             cluster.find_connections_limit(service),
         )
         choose = self._context.selector.choose
-        return choose(
-            cluster.list_usable(service, now), request, now
-        ) or choose(cluster.list_available(service, now), request, now)
+        usable = cluster.list_usable(service, now, self._version)
+        return choose(usable, request, now) or choose(
+            self._list_available(), request, now
+        )
+
+    def _list_available(self) -> list[catalogue.Endpoint]:
+        """Returns the endpoints that may get the request now."""
+        return self._context.cluster_state.list_available(
+            self._accepted.service, self._context.clock.now(), self._version
+        )
 
     def _all_endpoints_pause(self) -> bool:
-        """Returns whether the service has only endpoints that pause."""
+        """Returns whether only endpoints that pause could get the request."""
         return (
             self._context.cluster_state.compute_pause(
-                self._accepted.service, self._context.clock.now()
+                self._accepted.service,
+                self._context.clock.now(),
+                self._version,
             )
             > 0
         )
@@ -264,9 +337,7 @@
     def _explain_no_endpoint(self) -> str:
         if self._all_endpoints_pause():
             return "endpoints_paused"
-        available = self._context.cluster_state.list_available(
-            self._accepted.service, self._context.clock.now()
-        )
+        available = self._list_available()
         if all(endpoint.name in self._tried for endpoint in available):
             return "no_endpoint"
         return "no_connection_left"
@@ -282,10 +353,12 @@
             for index, stage in enumerate(self._route.stages)
             if stage_times.get_item_count(self._request.item_counts, index)
         ]
-        return max(
-            self._context.cluster_state.compute_pause(service, now)
-            for service in [self._accepted.service, *services]
+        cluster = self._context.cluster_state
+        pauses = [cluster.compute_pause(service, now) for service in services]
+        own_pause = cluster.compute_pause(
+            self._accepted.service, now, self._version
         )
+        return max(own_pause, *pauses, 0.0)
 
     def _list_result_sizes(
         self, results: Sequence[batch_dispatch.StageResult]
@@ -298,56 +371,130 @@
     async def _send_until_answered(
         self, results: Sequence[batch_dispatch.StageResult]
     ) -> proxy_requests.Answer:
-        names = tuple(stage_result.name for stage_result in results)
-        sizes = self._list_result_sizes(results)
-        connection_failures = 0
-        stages_repeated = False
-        while True:
-            endpoint = self._choose_endpoint(sizes)
-            if endpoint is None:
-                return self._build_failure_refusal(self._explain_no_endpoint())
-            self._tried.add(endpoint.name)
-            try:
-                answer = await self._send_once(endpoint, names)
-            except errors.NotAcceptingError as error:
-                self._log_send_failure(endpoint, error)
-                continue
-            except errors.ConnectError as error:
-                self._log_send_failure(endpoint, error)
-                connection_failures += 1
-                if connection_failures >= CONNECT_FAILURES_LIMIT:
-                    return self._build_failure_refusal("unreachable")
-                continue
-            except errors.NotExecutedError as error:
-                self._log_send_failure(endpoint, error)
-                if self._all_endpoints_pause():
-                    return self._build_failure_refusal("endpoints_paused")
-                if not self._take_retry(self._accepted.service):
-                    return self._build_failure_refusal("refused_by_endpoint")
-                if error.lacks_results:
-                    if stages_repeated:
-                        return self._build_failure_refusal("results_gone")
-                    stages_repeated = True
-                    names = await self._run_stages_again()
-                continue
-            except errors.TransportError as error:
-                self._handed_over = True
-                self.record_crash(endpoint)
-                self._log_send_failure(endpoint, error)
-                if not self._may_send_again():
-                    return proxy_requests.Refusal(502, "answer_lost")
-                continue
-            failed = (
-                isinstance(answer, proxy_requests.CompleteAnswer)
-                and answer.status >= 500
-            )
-            if failed and self._may_send_again():
-                continue
-            if isinstance(answer, proxy_requests.CompleteAnswer):
-                self._log_step("request_answered", status=answer.status)
-            if not failed:
-                self._context.quarantine.remove(self._accepted.fingerprint)
-            return answer
+        """Sends the request until an endpoint answers or none is left."""
+        self._result_names = tuple(result.name for result in results)
+        self._result_sizes = self._list_result_sizes(results)
+        async with exchange_races.open_race() as race:
+            # What the caller gets if no exchange in progress brings an answer.
+            fallback = await self._start_exchange(race)
+            while race.running:
+                overlapping = self._route.streamed and race.running > 1
+                timeout = self._compute_answer_timeout()
+                if overlapping:
+                    timeout = min(timeout, event_streams.OVERLAP_SECONDS)
+                finished = await race.wait(timeout)
+                if finished is None and overlapping:
+                    await race.keep_last()
+                    continue
+                if finished is None:
+                    await self._handle_silence(race)
+                    continue
+                if self._is_final(finished.outcome):
+                    return await self._accept_answer(finished)
+                fallback = self._find_failure(finished)
+                if fallback is None:
+                    fallback = await self._start_exchange(race)
+            return fallback
+
+    async def _start_exchange(
+        self, race: exchange_races.ExchangeRace
+    ) -> proxy_requests.Refusal | None:
+        """Sends the request to a further endpoint.
+
+        Returns:
+            A refusal if no endpoint accepts it.
+        """
+        if self._lacks_results:
+            self._lacks_results = False
+            self._result_names = await self._run_stages_again()
+        endpoint = self._choose_endpoint(self._result_sizes)
+        if endpoint is None:
+            return self._build_failure_refusal(self._explain_no_endpoint())
+        self._tried.add(endpoint.name)
+        await race.start(endpoint, self._send_once)
+        return None
+
+    async def _handle_silence(self, race: exchange_races.ExchangeRace) -> None:
+        """Sends the request to a further endpoint if that is allowed.
+
+        Raises:
+            TimeoutError: the request's deadline has passed.
+        """
+        if self.compute_remaining_seconds() <= 0:
+            raise TimeoutError("no answer before the deadline")
+        if self._choose_endpoint(()) is None or not self.may_send_again():
+            return
+        self._log_step("endpoint_silent", exchanges=race.running)
+        await self._start_exchange(race)
+
+    def _is_final(self, outcome: proxy_requests.Answer | Exception) -> bool:
+        """Returns whether an outcome is an answer that is no failure."""
+        if isinstance(outcome, proxy_requests.CompleteAnswer):
+            return outcome.status < 500
+        return isinstance(outcome, proxy_requests.StreamedAnswer)
+
+    async def _accept_answer(
+        self, finished: exchange_races.FinishedExchange
+    ) -> proxy_requests.Answer:
+        answer = finished.outcome
+        self._context.quarantine.remove(self._accepted.fingerprint)
+        if isinstance(answer, proxy_requests.CompleteAnswer):
+            self._log_step("request_answered", status=answer.status)
+        else:
+            await self._record_origin(finished.endpoint)
+            await self.release_results()
+        return answer
+
+    def _find_failure(
+        self, finished: exchange_races.FinishedExchange
+    ) -> proxy_requests.Answer | None:
+        """Returns the caller's answer after an exchange without a good one.
+
+        Returns:
+            None if the request may be sent to another endpoint.
+        """
+        outcome = finished.outcome
+        if isinstance(outcome, TimeoutError):
+            raise outcome
+        if isinstance(outcome, proxy_requests.CompleteAnswer):
+            if self._choose_endpoint(()) is not None and self.may_send_again():
+                return None
+            self._log_step("request_answered", status=outcome.status)
+            return outcome
+        self._log_send_failure(finished.endpoint, outcome)
+        return self._find_error_refusal(finished.endpoint, outcome)
+
+    def _find_error_refusal(
+        self, endpoint: catalogue.Endpoint, error: errors.TransportError
+    ) -> proxy_requests.Refusal | None:
+        """Returns the refusal after an error; None to send again."""
+        if isinstance(error, errors.NotAcceptingError):
+            return None
+        if isinstance(error, errors.ConnectError):
+            self._connection_failures += 1
+            if self._connection_failures >= CONNECT_FAILURES_LIMIT:
+                return self._build_failure_refusal("unreachable")
+            return None
+        if isinstance(error, errors.NotExecutedError):
+            return self._find_rejection_refusal(error)
+        self.record_crash(endpoint)
+        if not self.may_send_again():
+            return proxy_requests.Refusal(502, "answer_lost")
+        return None
+
+    def _find_rejection_refusal(
+        self, error: errors.NotExecutedError
+    ) -> proxy_requests.Refusal | None:
+        """Returns the refusal after an endpoint's own; None to send again."""
+        if self._all_endpoints_pause():
+            return self._build_failure_refusal("endpoints_paused")
+        if not self._take_retry(self._accepted.service):
+            return self._build_failure_refusal("refused_by_endpoint")
+        if error.lacks_results:
+            if self._stages_repeated:
+                return self._build_failure_refusal("results_gone")
+            self._stages_repeated = self._lacks_results = True
+        return None
 
     def _log_step(self, event: str, **fields: object) -> None:
         """Logs a step of the request with the time since its arrival."""
@@ -368,7 +515,7 @@
         )
 
     def _build_failure_refusal(self, reason: str) -> proxy_requests.Refusal:
-        if self._handed_over:
+        if self._runs:
             return proxy_requests.Refusal(502, reason)
         return proxy_requests.Refusal(
             503, reason, self._compute_pause() or RETRY_AFTER_SECONDS
@@ -381,73 +528,77 @@
             "send_failed",
             request=self._request.attempt,
             endpoint=endpoint.name,
-            handed_over=self._handed_over,
+            handed_over=bool(self._runs),
             error=f"{type(error).__name__}: {error}",
         )
 
-    def _may_send_again(self) -> bool:
+    def may_send_again(self) -> bool:
         """Returns whether a request that may have run may be sent again.
 
         If so, this takes a retry from the budget.
         """
+        return not self._find_resend_obstacle() and self._take_retry(
+            self._accepted.service
+        )
+
+    def _find_resend_obstacle(self) -> str:
+        """Returns why a request that may have run may not be sent again.
+
+        Returns:
+            The reason as words joined by `_`; empty if it may be sent again.
+        """
+        if not self._route.may_run_again():
+            return "not_resumable" if self._route.streamed else "not_repeatable"
+        if self._runs >= self._route.attempts_limit:
+            return "no_attempt_left"
         crashes = input_fingerprints.count_input_crashes(
             self._context, self._accepted.fingerprint
         )
-        return (
-            crashes < input_fingerprints.CRASHES_LIMIT
-            and self._route.may_run_again()
-            and self._runs < self._route.attempts_limit
-            and self._take_retry(self._accepted.service)
-        )
+        if crashes >= input_fingerprints.CRASHES_LIMIT:
+            return "input_crashes_endpoints"
+        if not self._has_retry(self._accepted.service):
+            return "no_retry_left"
+        return ""
 
     async def _send_once(
-        self, endpoint: catalogue.Endpoint, results: tuple[str, ...]
+        self, endpoint: catalogue.Endpoint
     ) -> proxy_requests.Answer:
         """Sends the request to one endpoint and returns its answer."""
         exchange = exchanges.Exchange(
             self._context, endpoint, self._prompt_tokens
         )
         try:
-            async with self._context.clock.timeout(
-                self._compute_answer_timeout()
-            ):
-                return await self._exchange_once(exchange, endpoint, results)
-        except TimeoutError as error:
-            await exchange.close(failed=True)
-            if self.compute_remaining_seconds() <= 0:
-                raise
-            raise errors.AnswerLostError("silent for too long") from error
-        except errors.NotAcceptingError:
-            await exchange.close(failed=False)
-            raise
-        except errors.ConnectError:
-            self._context.selector.record_unreachable(
-                endpoint.name, self._context.clock.now()
-            )
-            await exchange.close(failed=True)
-            raise
+            return await self._exchange_once(exchange, endpoint)
         except BaseException as error:
-            await exchange.close(failed=errors.is_endpoint_failure(error))
+            failed = errors.is_endpoint_failure(error)
+            if failed and isinstance(error, errors.ConnectError):
+                self._context.selector.record_unreachable(
+                    endpoint.name, self._context.clock.now()
+                )
+            await exchange.close(failed=failed)
             raise
 
     async def _exchange_once(
-        self,
-        exchange: exchanges.Exchange,
-        endpoint: catalogue.Endpoint,
-        results: tuple[str, ...],
+        self, exchange: exchanges.Exchange, endpoint: catalogue.Endpoint
     ) -> proxy_requests.Answer:
-        await self._open(exchange, endpoint, results, None)
-        if exchange.answer.streamed:
-            return await self._begin_stream(exchange)
-        body = await exchange.read_body()
+        await self._open(exchange, endpoint, self._result_names, None)
         answer = exchange.answer
+        if answer.streamed:
+            stream = event_streams.EventStream(
+                self, exchange, self._request.last_event
+            )
+            await stream.read_first()
+            return proxy_requests.StreamedAnswer(
+                answer.status, answer.headers, stream
+            )
+        body = await exchange.read_body()
         await exchange.close(failed=answer.status >= 500)
         return proxy_requests.CompleteAnswer(
             answer.status, answer.headers, body
         )
 
     def _compute_answer_timeout(self) -> float:
-        """Returns the timeout for a whole answer or the first event.
+        """Returns the wait for a whole answer or the first event.
 
         It is shorter than the remaining time only if the request may run again
         after this send.
@@ -455,7 +606,7 @@
         remaining = self.compute_remaining_seconds()
         if not self._route.may_run_again():
             return remaining
-        if self._runs + 1 >= self._route.attempts_limit:
+        if self._runs >= self._route.attempts_limit:
             return remaining
         return min(
             remaining, ANSWER_TIMEOUT_FACTOR * self._route.target_seconds
@@ -483,71 +634,110 @@
             results,
         )
         # A request that is cancelled while it is sent may have been executed.
-        previously_handed_over = self._handed_over
-        self._handed_over = True
+        self._runs += 1
+        self._sent_at = now
         try:
             await exchange.open(self._request, parameters)
         except (errors.ConnectError, errors.NotExecutedError):
-            self._handed_over = previously_handed_over
+            self._runs -= 1
             raise
         finally:
-            self._runs += self._handed_over
+            self._sent_at = None
         self._log_step(
             "request_sent",
             endpoint=endpoint.name,
             service=endpoint.service,
+            version=endpoint.version,
             status=exchange.answer.status,
             last_event=last_event,
         )
 
-    async def _begin_stream(
-        self, exchange: exchanges.Exchange
-    ) -> proxy_requests.StreamedAnswer:
-        """Returns the streamed answer after its first event has arrived."""
-        stream = event_streams.EventStream(
-            self, exchange, self._request.last_event
-        )
-        await stream.read_first()
-        await self.release_results()
-        answer = exchange.answer
-        return proxy_requests.StreamedAnswer(
-            answer.status, answer.headers, stream
+    async def _record_origin(self, endpoint: catalogue.Endpoint) -> None:
+        """Records where the stream began, before the caller has an event."""
+        self._version = endpoint.version
+        if not self._route.resumable:
+            return
+        request = self._request
+        first_attempt = request.attempt
+        if request.last_event and request.first_attempt:
+            first_attempt = request.first_attempt
+        await self._context.origins.record(
+            first_attempt,
+            stream_origins.StreamOrigin(endpoint.service, endpoint.version),
+            request.received_at + request.wait_seconds,
         )
 
     async def resume(self, last_event: int | None) -> exchanges.Exchange:
         """Resumes a stream at another endpoint.
 
         The stages run again, as their results were released after the first
-        event.
+        event. A failed connection takes no retry, as it hands nothing over.
 
         Raises:
             errors.AnswerLostError: the stream may not be resumed, or no
                 endpoint accepts it.
         """
-        while self._may_send_again():
-            try:
-                results = await self._run_stages_again()
-            except errors.EarlierStageError as error:
-                raise errors.AnswerLostError(str(error)) from error
-            endpoint = self._choose_endpoint(())
-            if endpoint is None:
-                break
+        results: tuple[str, ...] | None = None
+        connection_failures = 0
+        retry_taken = False
+        while True:
+            endpoint = self._choose_resuming_endpoint()
+            if not retry_taken and not self.may_send_again():
+                raise errors.AnswerLostError(self._find_resend_obstacle())
+            if results is None:
+                results = await self._run_stages_for_resume()
+                endpoint = self._choose_resuming_endpoint()
             self._tried.add(endpoint.name)
-            exchange = exchanges.Exchange(
-                self._context, endpoint, self._prompt_tokens
-            )
             try:
-                await self._open(exchange, endpoint, results, last_event)
-                if exchange.answer.streamed:
-                    return exchange
-                await exchange.close(failed=True)
+                return await self._open_resumed(endpoint, results, last_event)
+            except errors.ConnectError as error:
+                self._log_send_failure(endpoint, error)
+                retry_taken = True
+                connection_failures += 1
+                if connection_failures >= CONNECT_FAILURES_LIMIT:
+                    raise errors.AnswerLostError("unreachable") from error
             except errors.TransportError as error:
                 self._log_send_failure(endpoint, error)
-                await exchange.close(failed=errors.is_endpoint_failure(error))
-            except BaseException:
-                await exchange.close(failed=False)
-                raise
-        raise errors.AnswerLostError("the stream cannot be resumed")
+                retry_taken = False
+                if getattr(error, "lacks_results", False):
+                    results = None
+
+    def _choose_resuming_endpoint(self) -> catalogue.Endpoint:
+        endpoint = self._choose_endpoint(())
+        if endpoint is None:
+            raise errors.AnswerLostError(self._explain_no_endpoint())
+        return endpoint
+
+    async def _run_stages_for_resume(self) -> tuple[str, ...]:
+        try:
+            return await self._run_stages_again()
+        except errors.EarlierStageError as error:
+            raise errors.AnswerLostError(str(error)) from error
+
+    async def _open_resumed(
+        self,
+        endpoint: catalogue.Endpoint,
+        results: tuple[str, ...],
+        last_event: int | None,
+    ) -> exchanges.Exchange:
+        """Resumes a stream at one endpoint.
+
+        Raises:
+            errors.TransportError: the endpoint does not go on.
+        """
+        exchange = exchanges.Exchange(
+            self._context, endpoint, self._prompt_tokens
+        )
+        try:
+            await self._open(exchange, endpoint, results, last_event)
+            if not exchange.answer.streamed:
+                raise errors.ProtocolError(
+                    f"status {exchange.answer.status}, not a stream"
+                )
+        except BaseException as error:
+            await exchange.close(failed=errors.is_endpoint_failure(error))
+            raise
+        return exchange
 
     async def _run_stages_again(self) -> tuple[str, ...]:
         """Runs the stages again.
@@ -557,10 +747,10 @@
         """
         if not self._route.stages:
             return ()
-        if self._stages is not None:
-            await self._stages.release_all()
+        await self.release_results()
         self._stages = self._build_stages()
-        results = await self._stages.run()
+        async with stages.release_on_error(self._stages):
+            results = await self._stages.run()
         return tuple(stage_result.name for stage_result in results)
 
     async def release_results(self) -> None:
@@ -568,17 +758,49 @@
         if self._stages is not None:
             await self._stages.release_all()
 
-    def compute_event_timeout(self) -> float:
-        """Returns the timeout for the next event of a stream, in seconds."""
+    def compute_overlap(self) -> float:
+        """Returns how long the request has been at a further endpoint.
+
+        Returns:
+            The time in seconds since it was sent there; 0 if it was not, or
+            that endpoint has refused it.
+        """
+        if self._sent_at is None:
+            return 0.0
+        return self._context.clock.now() - self._sent_at
+
+    def compute_event_timeout(self, begun: bool) -> float:
+        """Returns the timeout for the next event of a stream, in seconds.
+
+        Args:
+            begun: whether the present endpoint has sent an event.
+        """
         remaining = self.compute_remaining_seconds()
-        if self._route.resumable and self._runs < self._route.attempts_limit:
-            return min(remaining, EVENT_TIMEOUT_SECONDS)
-        return remaining
+        if (
+            not self._route.resumable
+            or self._runs >= self._route.attempts_limit
+        ):
+            return remaining
+        if begun:
+            return min(remaining, SILENCE_SECONDS)
+        first = ANSWER_TIMEOUT_FACTOR * self._route.target_seconds
+        return min(remaining, max(first, SILENCE_SECONDS))
 
     def compute_remaining_seconds(self) -> float:
         """Returns the time until the request's deadline, in seconds."""
         return self._accepted.deadline_at - self._context.clock.now()
 
+    def log_silence(self, last: int | None, outcome: str) -> None:
+        """Logs that the endpoint was silent, and what came of it."""
+        now = self._context.clock.now()
+        self._context.journal.record_failure(
+            "stream_silent",
+            request=self._request.attempt,
+            outcome=outcome,
+            last_event=last,
+            seconds=round(now - self._request.received_at, 3),
+        )
+
     def log_stream_end(self, outcome: str, last: int | None) -> None:
         """Logs the end of a stream."""
         now = self._context.clock.now()
--- a/samphirevale/proxying.py
+++ b/samphirevale/proxying.py
@@ -44,6 +44,8 @@
             account=accepted.account,
             wait_seconds=round(request.wait_seconds, 3),
             returned=accepted.returned,
+            last_event=request.last_event,
+            first_attempt=request.first_attempt,
             routes_version=self._context.cluster_state.table.version,
             routes_age=self._compute_routes_age(),
         )
@@ -130,6 +132,9 @@
         ):
             return proxy_requests.Refusal(503, "input_crashes_endpoints")
         wait_seconds = min(request.wait_seconds, route.timeout_seconds)
+        retried = self._wait_history.record_wait(
+            route.name, request.wait_seconds
+        )
         return proxy_runs.AcceptedRequest(
             request,
             route,
@@ -138,5 +143,5 @@
             cluster.table.compute_rank(route, account),
             request.received_at + wait_seconds,
             fingerprint,
-            self._wait_history.record_wait(route.name, request.wait_seconds),
+            retried and not (route.streamed and request.last_event),
         )
--- a/tests/platform/sessions.py
+++ b/tests/platform/sessions.py
@@ -28,6 +28,9 @@
 
 STREAM = b"".join(map(servers.build_event, range(1, servers.EVENTS + 1)))
 
+# The part of the stream after its third event.
+REST_OF_STREAM = STREAM[STREAM.index(b"id: 4") :]
+
 # The number of requests that show that a server is not used. If it were, most
 # of them would reach it.
 REQUESTS = 12
@@ -230,6 +233,7 @@
         """Runs another entry during the block; yields its port."""
         first_port, first_log = self.port, self.log
         second = self.build_gateway(self.store_port, "entry2")
+        self.second = second
         port, self.port = self.port, first_port
         log, self.log = self.log, first_log
         task = await curio.spawn(gateway.run, second)
--- a/tests/platform/test_session.py
+++ b/tests/platform/test_session.py
@@ -60,6 +60,61 @@
             bodies = [(await self.write())[2] for _ in range(3)]
             self.assertEqual([sessions.STREAM] * 3, bodies)
 
+    async def test_a_stream_is_not_taken_up_at_another_version(self):
+        async with self.run_all():
+            self.register_server("model2", self.ports["model2"], version="v2")
+            catalogue = self.gateway.cluster_state.catalogue
+            await self.wait_until(
+                lambda: catalogue.find("model2").version == "v2"
+            )
+            began = {}
+            for number in range(8):
+                attempt = f"b{number}"
+                await self.write(
+                    **{
+                        "Samphirevale-Attempt-Id": attempt,
+                        "Samphirevale-Prefix-Hash": f"{number}:10,q:5",
+                    }
+                )
+                began[attempt] = self.find_server_of(attempt)
+            for attempt, server in began.items():
+                again = f"again-{attempt}"
+                status, _, body = await self.write(
+                    **{
+                        "Samphirevale-Attempt-Id": again,
+                        "Last-Event-Id": "3",
+                        "Resumes": attempt,
+                    }
+                )
+                self.assertEqual((200, sessions.REST_OF_STREAM), (status, body))
+                self.assertEqual(server, self.find_server_of(again))
+
+    async def test_a_stream_of_unknown_version_is_refused_beside_others(self):
+        async with self.run_all():
+            status, _, body = await self.take_up_unknown_stream("x1")
+            self.assertEqual((200, sessions.REST_OF_STREAM), (status, body))
+            self.register_server("model2", self.ports["model2"], version="v2")
+            catalogue = self.gateway.cluster_state.catalogue
+            await self.wait_until(
+                lambda: catalogue.find("model2").version == "v2"
+            )
+            status, headers, _ = await self.take_up_unknown_stream("x2")
+            self.assertEqual(503, status)
+            self.assertGreater(float(headers["retry-after"]), 0)
+
+    async def take_up_unknown_stream(self, first_attempt):
+        return await self.write(
+            **{"Last-Event-Id": "3", "Resumes": first_attempt}
+        )
+
+    def find_server_of(self, attempt):
+        return [
+            name
+            for name, server in self.servers.items()
+            for headers in server.seen_headers
+            if headers["samphirevale-attempt-id"] == attempt
+        ]
+
     async def test_an_answer_of_another_request_is_not_forwarded(self):
         async with self.run_all():
             for name in ("plain1", "plain2"):
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -13,6 +13,7 @@
     messages,
     registrations,
     routes_freshness,
+    stream_origins,
 )
 from samphirevale.adapters import clock
 from samphirevale.ports import proxies
@@ -74,9 +75,11 @@
         self.notices = FakeNotices()
         self.members = []
         self.crashed = []
+        self.store_reports = set()
         self.registration = registrations.Registration(
             name, "127.0.0.1", base.find_free_port(), f"token-{name}"
         )
+        self.origins = stream_origins.StreamOrigins()
         self.table = entries.EntryTable(
             self.registration,
             "a",
@@ -87,15 +90,22 @@
                 [["e2", 3, 500]],
                 [["f", name]],
                 [["e3", 1, 700]],
+                4,
+                7,
             ),
             lambda members: setattr(self, "members", list(members)),
             self.crashed.extend,
-            lambda now: routes_freshness.Confirmation(7, 0.25),
+            self.adopt_store_report,
+            lambda now: routes_freshness.Confirmation(7, 0.25, 4),
+            self.origins,
             clock.BootClock(),
             random.Random(1),
             proxy_fakes.FakeJournal(),
         )
 
+    async def adopt_store_report(self, entry, known):
+        self.store_reports.add((entry, known))
+
 
 class EntryTableTest(base.TestCase):
     """Tests two entries that are linked by loopback sockets."""
@@ -151,6 +161,20 @@
             )
             self.assertEqual(["b"], [m.name for m in self.first.members])
             self.assertIn(["f", "b"], self.first.crashed)
+            known = routes_freshness.StoreKnowledge(4, 7)
+            self.assertEqual({("b", known)}, self.first.store_reports)
+
+    async def test_origins_of_streams_are_told_and_asked(self):
+        origin = stream_origins.StreamOrigin("lm", "v1")
+        async with self.run_both():
+            first, second = self.first.table, self.second.table
+            self.assertIsNone(await first.ask_origin("b", "a1"))
+            self.assertIsNone(await first.ask_origin("unlinked", "a1"))
+            await first.tell_origin("b", "a1", origin, 10.0)
+            self.assertEqual(origin, await first.ask_origin("b", "a1"))
+            self.assertIsNone(await second.ask_origin("a", "a1"))
+            await first.tell_origin("b", "a2", origin, 0.0)
+            self.assertIsNone(await first.ask_origin("b", "a2"))
 
     async def test_endpoints_that_leave_are_told_on_connecting(self):
         async with self.run_both():
@@ -199,7 +223,7 @@
         async with self.run_both():
             self.find_second()
             answer = await self.first.table.ask_routes_age("b")
-            self.assertEqual((7, 0.25), answer)
+            self.assertEqual((7, 0.25, 4), answer)
             self.assertIsNone(await self.first.table.ask_routes_age("c"))
 
     async def test_cancelled_items_are_withdrawn(self):
@@ -209,6 +233,16 @@
             await task.cancel()
             await self.wait_until(lambda: self.second.server.cancelled)
 
+    async def test_results_that_cross_a_cancellation_are_released(self):
+        async with self.run_both():
+            task = await curio.spawn(self.run_items)
+            await self.second.server.started.wait()
+            await self.second.server.may_finish.set()
+            await task.cancel()
+            await curio.sleep(0.5)
+            self.assertFalse(self.second.server.cancelled)
+            self.assertEqual(["r0", "r1"], self.second.server.released)
+
     async def test_items_of_a_lost_link_fail(self):
         async with self.run_both():
             task = await curio.spawn(self.run_items)
--- a/tests/test_proxying.py
+++ b/tests/test_proxying.py
@@ -15,6 +15,7 @@
     quarantine,
     retry_budgets,
     routes,
+    stream_origins,
 )
 from samphirevale.ports import proxies
 from tests import base, proxy_fakes
@@ -44,6 +45,23 @@
         self.released += names
 
 
+class FakeOriginLinks:
+    """Links to two entries, which know the streams in `known`."""
+
+    def __init__(self):
+        self.told = []
+        self.known = {}
+
+    def list_linked(self):
+        return ["other1", "other2"]
+
+    async def tell_origin(self, name, attempt, origin, seconds):
+        self.told.append((name, attempt, origin))
+
+    async def ask_origin(self, name, attempt):
+        return self.known.get(attempt)
+
+
 class ProxyTestCase(base.TestCase):
     """Sets up a proxy with two plain endpoints and a stage endpoint."""
 
@@ -66,9 +84,9 @@
         self.journal = proxy_fakes.FakeJournal()
         self.closed = False
         self.selector = placement.EndpointSelector(random.Random(1))
-        self.budget = retry_budgets.RetryBudget(
-            retry_budgets.RetryBudgetLimits(0.2, 50, 10.0)
-        )
+        self.origins = stream_origins.StreamOrigins()
+        self.links = FakeOriginLinks()
+        self.budget_limits = retry_budgets.RetryBudgetLimits(0.2, 50, 10.0)
         self.quarantine = quarantine.Quarantine(
             input_fingerprints.CRASHES_SECONDS
         )
@@ -77,7 +95,12 @@
         self.cluster.table = proxy_fakes.build_table([route])
 
     async def answer(self, *script, **changes):
+        proxy = self.build_proxy(*script)
+        return await proxy.answer(proxy_fakes.build_request(**changes))
+
+    def build_proxy(self, *script):
         self.endpoints = proxy_fakes.FakeEndpoints(script)
+        self.budget = retry_budgets.RetryBudget(self.budget_limits)
         context = proxy_context.ProxyContext(
             self.cluster,
             self.selector,
@@ -85,14 +108,16 @@
             self.budget,
             self.quarantine,
             self.endpoints,
+            stream_origins.OriginDirectory(
+                self.origins, self.links, self.clock
+            ),
             self.clock,
             random.Random(1),
             self.journal,
         )
-        request = proxy_fakes.build_request(**changes)
         proxy = proxying.Proxy(context)
         proxy.closed = self.closed
-        return await proxy.answer(request)
+        return proxy
 
     def pause(self, name, seconds):
         """Records a pause that an endpoint asks for."""
@@ -214,6 +239,46 @@
         )
         self.assertEqual([], self.quarantine.list_newest(9, NOW))
 
+    async def test_silent_endpoint_is_waited_for_if_no_other_may_answer(self):
+        self.use_route(proxy_fakes.build_route(target_seconds=0.1))
+        silent = [proxy_fakes.Silence(0.5), b"x"]
+        self.budget_limits = retry_budgets.RetryBudgetLimits(0.0, 0, 10.0)
+        answer = await self.answer(proxy_fakes.FakeAnswer(silent))
+        self.assertEqual((200, b"x"), (answer.status, answer.body))
+        self.budget_limits = retry_budgets.RetryBudgetLimits(0.2, 50, 10.0)
+        self.cluster.catalogue.remove("p2", NOW)
+        answer = await self.answer(proxy_fakes.FakeAnswer(silent))
+        self.assertEqual((200, b"x"), (answer.status, answer.body))
+
+    async def test_request_to_a_silent_endpoint_is_sent_to_another(self):
+        self.use_route(proxy_fakes.build_route(target_seconds=0.1))
+        silent = proxy_fakes.FakeAnswer([proxy_fakes.Silence(5.0)])
+        answer = await self.answer(silent, proxy_fakes.FakeAnswer([b"x"]))
+        self.assertEqual((200, b"x"), (answer.status, answer.body))
+        self.assertTrue(silent.closed)
+
+    async def test_request_to_silent_endpoints_is_sent_as_often_as_allowed(
+        self,
+    ):
+        self.use_route(proxy_fakes.build_route(target_seconds=0.1))
+        self.cluster.catalogue.put(proxy_fakes.build_endpoint("p3", "plain"))
+        answer = await self.answer(
+            proxy_fakes.FakeAnswer([proxy_fakes.Silence(5.0)]),
+            proxy_fakes.FakeAnswer([proxy_fakes.Silence(0.5), b"x"]),
+        )
+        self.assertEqual((200, b"x"), (answer.status, answer.body))
+
+    async def test_input_of_silent_endpoints_is_not_refused_as_crashing(self):
+        self.use_route(proxy_fakes.build_route(target_seconds=0.1))
+        for index in range(4):
+            silent = proxy_fakes.FakeAnswer([proxy_fakes.Silence(0.4), b"x"])
+            answer = await self.answer(
+                silent,
+                proxy_fakes.FakeAnswer([b"failed"], status=500),
+                attempt=f"a{index}",
+            )
+            self.assertEqual((200, b"x"), (answer.status, answer.body))
+
     async def test_attempts_are_limited_by_the_route(self):
         self.use_route(proxy_fakes.build_route(attempts_limit=1))
         answer = await self.answer(proxy_fakes.LOST_ANSWER)
@@ -227,6 +292,11 @@
         )
         self.assertEqual((500, b"2"), (answer.status, answer.body))
 
+    async def test_failure_is_returned_without_another_endpoint(self):
+        self.cluster.catalogue.remove("p2", NOW)
+        answer = await self.answer(proxy_fakes.FakeAnswer([b"1"], 500))
+        self.assertEqual(500, answer.status)
+
     async def test_draining_endpoint_gets_no_requests(self):
         for name in ("p1", "p2"):
             endpoint = self.cluster.catalogue.find(name)
@@ -434,6 +504,215 @@
         with self.assertRaises(errors.AnswerLostError):
             await self.read_stream(answer)
 
+    async def test_end_of_a_stream_tells_why_it_was_not_resumed(self):
+        self.cluster.catalogue.remove("p2", NOW)
+        answer = await self.answer(
+            self.build_stream(b"id: 1\n\n", proxy_fakes.LOST_ANSWER)
+        )
+        with self.assertRaises(errors.AnswerLostError):
+            await self.read_stream(answer)
+        (outcome,) = [
+            fields["outcome"]
+            for _, event, fields in self.journal.lines
+            if event == "stream_ended"
+        ]
+        self.assertEqual(
+            "AnswerLostError: lost; not resumed: no_endpoint", outcome
+        )
+
+    async def test_stream_of_a_silent_endpoint_is_not_cut_without_retries(self):
+        self.budget_limits = retry_budgets.RetryBudgetLimits(0.0, 0, 10.0)
+        answer = await self.answer(
+            self.build_stream(
+                b"id: 1\n\n", proxy_fakes.Silence(2.5), b"id: 2\n\n"
+            )
+        )
+        self.assertEqual(b"id: 1\n\nid: 2\n\n", await self.read_stream(answer))
+
+    async def test_stream_of_a_silent_endpoint_is_not_cut_by_a_failed_stage(
+        self,
+    ):
+        self.use_route(
+            proxy_fakes.build_route(
+                repeatable=False,
+                streamed=True,
+                resumable=True,
+                stages=(routes.Stage("stage", (), 100),),
+            )
+        )
+        answer = await self.answer(
+            self.build_stream(
+                b"id: 1\n\n", proxy_fakes.Silence(2.5), b"id: 2\n\n"
+            ),
+            item_counts=(1,),
+        )
+        self.runner.reason = "late"
+        self.assertEqual(b"id: 1\n\nid: 2\n\n", await self.read_stream(answer))
+
+    async def test_stream_of_a_briefly_silent_endpoint_stays_there(self):
+        answer = await self.answer(
+            self.build_stream(
+                b"id: 1\n\n", proxy_fakes.Silence(1.5), b"id: 2\n\n"
+            ),
+            self.build_stream(b"id: 2\n\n"),
+        )
+        self.assertEqual(b"id: 1\n\nid: 2\n\n", await self.read_stream(answer))
+        self.assertEqual(1, len(self.endpoints.sends))
+
+    async def test_stream_of_a_dead_endpoint_is_resumed_at_another(self):
+        answer = await self.answer(
+            self.build_stream(b"id: 1\n\n", proxy_fakes.Silence(5.0)),
+            self.build_stream(b"id: 2\n\n"),
+        )
+        self.assertEqual(b"id: 1\n\nid: 2\n\n", await self.read_stream(answer))
+
+    async def test_broken_stream_is_not_resumed_at_another_version(self):
+        self.register_versions(p1="v1", p2="v2", p3="v3")
+        answer = await self.answer(
+            self.build_stream(b"id: 1\n\n", proxy_fakes.LOST_ANSWER),
+            self.build_stream(b"id: 2\n\n"),
+        )
+        with self.assertRaises(errors.AnswerLostError):
+            await self.read_stream(answer)
+        self.assertEqual(1, len(self.endpoints.sends))
+
+    async def test_broken_stream_is_resumed_at_its_own_version(self):
+        self.register_versions(p1="v1", p2="v2", p3="v1", p4="v2")
+        answer = await self.answer(
+            self.build_stream(b"id: 1\n\n", proxy_fakes.LOST_ANSWER),
+            self.build_stream(b"id: 2\n\n"),
+        )
+        self.assertEqual(b"id: 1\n\nid: 2\n\n", await self.read_stream(answer))
+        first, second = [name for name, *_ in self.endpoints.sends]
+        versions = {"p1": "v1", "p2": "v2", "p3": "v1", "p4": "v2"}
+        self.assertEqual(versions[first], versions[second])
+
+    async def test_stream_that_is_taken_up_goes_on_where_it_began(self):
+        self.register_versions(p1="v1", p2="v2", p3="v2", p4="v2")
+        answer = await self.answer(self.build_stream(b"id: 1\n\n"))
+        await self.read_stream(answer)
+        (began,) = [name for name, *_ in self.endpoints.sends]
+        for _ in range(4):
+            answer = await self.take_up(self.build_stream(b"id: 2\n\n"))
+            self.assertEqual(b"id: 2\n\n", await self.read_stream(answer))
+            (goes_on,) = [name for name, *_ in self.endpoints.sends]
+            self.assertEqual(began == "p1", goes_on == "p1")
+
+    async def take_up(self, *script, **changes):
+        """Takes the stream of the attempt a1 up after its first event."""
+        return await self.answer(
+            *script,
+            **{
+                "attempt": "again",
+                "last_event": 1,
+                "first_attempt": "a1",
+                **changes,
+            },
+        )
+
+    async def test_stream_that_is_taken_up_does_not_wait_behind_others(self):
+        proxy = self.build_proxy(
+            self.build_stream(b"id: 1\n\n"),
+            self.build_stream(b"id: 2\n\n"),
+            self.build_stream(b"id: 1\n\n"),
+        )
+        for changes in (
+            {"attempt": "a1", "wait_seconds": 5.0},
+            {
+                "attempt": "again",
+                "wait_seconds": 3.0,
+                "last_event": 1,
+                "first_attempt": "a1",
+            },
+            {"attempt": "a2", "wait_seconds": 3.0},
+        ):
+            request = proxy_fakes.build_request(**changes)
+            await (await proxy.answer(request)).chunks.aclose()
+        returned = [
+            fields["returned"]
+            for _, event, fields in self.journal.lines
+            if event == "request_accepted"
+        ]
+        self.assertEqual([False, False, True], returned)
+
+    async def test_stream_that_began_at_another_entry_goes_on(self):
+        self.register_versions(p1="v1", p2="v2")
+        self.links.known["a1"] = stream_origins.StreamOrigin("plain", "v2")
+        answer = await self.take_up(self.build_stream(b"id: 2\n\n"))
+        self.assertEqual(b"id: 2\n\n", await self.read_stream(answer))
+        self.assertEqual("p2", self.endpoints.sends[0][0])
+
+    async def test_stream_of_unknown_version_is_refused(self):
+        self.register_versions(p1="v1", p2="v2")
+        answer = await self.take_up()
+        self.assertEqual(
+            (503, "unknown_version"), (answer.status, answer.reason)
+        )
+        self.assertIsNotNone(answer.retry_seconds)
+
+    async def test_stream_of_unknown_version_goes_on_if_there_is_only_one(self):
+        answer = await self.take_up(self.build_stream(b"id: 2\n\n"))
+        self.assertEqual(b"id: 2\n\n", await self.read_stream(answer))
+
+    async def test_stream_whose_version_has_gone_is_refused_before_stages(self):
+        self.use_route(
+            proxy_fakes.build_route(
+                repeatable=False,
+                streamed=True,
+                resumable=True,
+                stages=(routes.Stage("stage", (), 100),),
+            )
+        )
+        self.links.known["a1"] = stream_origins.StreamOrigin("plain", "v0")
+        answer = await self.take_up(item_counts=(1,))
+        self.assertEqual("no_endpoint_of_version", answer.reason)
+        self.assertEqual(0, self.runner.item_count)
+
+    async def test_stream_of_a_service_that_was_replaced_is_refused(self):
+        self.links.known["a1"] = stream_origins.StreamOrigin("old", "v1")
+        answer = await self.take_up()
+        self.assertEqual(
+            (503, "service_replaced"), (answer.status, answer.reason)
+        )
+
+    async def test_stream_stays_at_its_service_of_several(self):
+        self.use_route(
+            proxy_fakes.build_route(
+                repeatable=False,
+                streamed=True,
+                resumable=True,
+                splits=(
+                    routes.Split("canary", 99.0),
+                    routes.Split("plain", 1.0),
+                ),
+            )
+        )
+        self.assertEqual("unknown_version", (await self.take_up()).reason)
+        self.links.known["a1"] = stream_origins.StreamOrigin("plain", "v1")
+        answer = await self.take_up(self.build_stream(b"id: 2\n\n"))
+        self.assertEqual(b"id: 2\n\n", await self.read_stream(answer))
+
+    async def test_other_entries_know_a_stream_before_its_caller(self):
+        answer = await self.answer(self.build_stream(b"id: 1\n\n"))
+        origin = stream_origins.StreamOrigin("plain", "v1")
+        self.assertEqual(
+            {("other1", "a1", origin), ("other2", "a1", origin)},
+            set(self.links.told),
+        )
+        await answer.chunks.aclose()
+
+    async def test_stream_taken_up_twice_is_known_by_its_first_attempt(self):
+        answer = await self.take_up(self.build_stream(b"id: 2\n\n"))
+        await answer.chunks.aclose()
+        self.assertIsNone(self.origins.find("again", NOW))
+        self.assertIsNotNone(self.origins.find("a1", NOW))
+
+    def register_versions(self, **versions):
+        for name, version in versions.items():
+            self.cluster.catalogue.put(
+                proxy_fakes.build_endpoint(name, "plain", version=version)
+            )
+
     async def test_disconnect_of_the_caller_closes_the_exchange(self):
         exchange = self.build_stream(b"id: 1\n\n", b"id: 2\n\n")
         answer = await self.answer(exchange)
