--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -165,9 +165,9 @@
     _ablate(
         "streams resumed only at the version that began them",
         STREAMS,
-        "endpoint_choice",
-        "if endpoint.version == self.version",
-        "if True",
+        "cluster_state",
+        "endpoint for endpoint in accepting if endpoint.version == version",
+        "endpoint for endpoint in accepting",
         f"{_PROXYING}.StreamTest"
         ".test_broken_stream_is_not_resumed_at_another_version",
     ),
@@ -258,8 +258,8 @@
         (
             Edit(
                 "samphirevale/cluster_state.py",
-                "            self.catalogue.list_accepting(service), now\n",
-                "            self.catalogue.list_service(service), now\n",
+                "accepting = self.catalogue.list_accepting(service)",
+                "accepting = self.catalogue.list_service(service)",
             ),
             Edit(
                 "samphirevale/cluster_state.py",
@@ -465,8 +465,7 @@
         "request refused at once if a pause outlasts its stages",
         PAUSES,
         "proxy_runs",
-        "            and cluster.compute_pause(self._endpoints.service, now)\n"
-        "            <= bare_seconds\n",
+        "            and self._endpoints.compute_pause() <= bare_seconds\n",
         "",
         f"{_PROXYING}.PauseTest"
         ".test_pause_that_outlasts_the_stages_refuses_at_once",
--- a/samphirevale/cluster_state.py
+++ b/samphirevale/cluster_state.py
@@ -168,42 +168,61 @@
             return None
         return self.notices.compute_pause(endpoint, now)
 
-    def list_usable(self, service: str, now: float) -> list[catalogue.Endpoint]:
+    def list_usable(
+        self, service: str, now: float, version: str | None = None
+    ) -> list[catalogue.Endpoint]:
         """Returns the endpoints of a service that new work may be sent to.
 
         Those that pause for other entries only are left out as long as there
         are others, as they are full. If the service is batched they are left
         out in any case, as the entry that owns them makes all calls.
+
+        Args:
+            service: the service.
+            now: the present time.
+            version: the version of their software; None for any.
         """
-        available = self.list_available(service, now)
+        available = self.list_available(service, now, version)
         not_full = self.notices.exclude_paused_elsewhere(available, now)
         if not_full or self.find_batch_limits(service) is not None:
             return not_full
         return available
 
     def list_available(
-        self, service: str, now: float
+        self, service: str, now: float, version: str | None = None
     ) -> list[catalogue.Endpoint]:
         """Returns all endpoints of a service that this entry may send to."""
         return self.notices.list_available(
-            self.catalogue.list_accepting(service), now
+            self._list_accepting(service, version), now
         )
 
-    def compute_pause(self, service: str, now: float) -> float:
+    def _list_accepting(
+        self, service: str, version: str | None
+    ) -> list[catalogue.Endpoint]:
+        accepting = self.catalogue.list_accepting(service)
+        if version is None:
+            return accepting
+        return [
+            endpoint for endpoint in accepting if endpoint.version == version
+        ]
+
+    def compute_pause(
+        self, service: str, now: float, version: str | None = None
+    ) -> float:
         """Returns when the first endpoint of a service ends its pause.
 
         Returns:
             The time in seconds from now; 0 if one is usable now, or if all
             leave.
         """
-        if self.list_usable(service, now):
+        if self.list_usable(service, now, version):
             return 0.0
         pauses = [
             max(
                 self.notices.compute_pause(endpoint, now),
                 self.notices.compute_pause_elsewhere(endpoint, now),
             )
-            for endpoint in self.catalogue.list_accepting(service)
+            for endpoint in self._list_accepting(service, version)
             if not self.notices.is_leaving(endpoint)
         ]
         return min(pauses, default=0.0)
--- a/samphirevale/endpoint_choice.py
+++ b/samphirevale/endpoint_choice.py
@@ -45,35 +45,31 @@
             cluster.find_connections_limit(self.service),
         )
         choose = self._context.selector.choose
-        usable = self._filter_version(cluster.list_usable(self.service, now))
+        usable = cluster.list_usable(self.service, now, self.version)
         return choose(usable, request, now) or choose(
             self.list_available(), request, now
         )
 
     def list_available(self) -> list[catalogue.Endpoint]:
         """Returns the endpoints to which this entry may send the request."""
-        return self._filter_version(
-            self._context.cluster_state.list_available(
-                self.service, self._context.clock.now()
-            )
+        return self._context.cluster_state.list_available(
+            self.service, self._context.clock.now(), self.version
         )
 
-    def _filter_version(
-        self, endpoints: list[catalogue.Endpoint]
-    ) -> list[catalogue.Endpoint]:
-        """Returns the endpoints of the version that has begun the stream."""
-        if self.version is None:
-            return endpoints
-        return [
-            endpoint
-            for endpoint in endpoints
-            if endpoint.version == self.version
-        ]
+    def compute_pause(self) -> float:
+        """Returns when the first of the endpoints ends its pause.
+
+        Returns:
+            The time in seconds from now; 0 if one is usable now, or if all
+            leave.
+        """
+        return self._context.cluster_state.compute_pause(
+            self.service, self._context.clock.now(), self.version
+        )
 
     def all_pause(self) -> bool:
-        """Returns whether the service has only endpoints that pause."""
-        now = self._context.clock.now()
-        return self._context.cluster_state.compute_pause(self.service, now) > 0
+        """Returns whether only endpoints that pause could get the request."""
+        return self.compute_pause() > 0
 
     def explain_none(self) -> str:
         """Returns why there is no endpoint, as words joined by `_`."""
--- a/samphirevale/proxy_runs.py
+++ b/samphirevale/proxy_runs.py
@@ -163,8 +163,7 @@
             stages.has_endpoints(
                 cluster, self._route, self._request.item_counts, now
             )
-            and cluster.compute_pause(self._endpoints.service, now)
-            <= bare_seconds
+            and self._endpoints.compute_pause() <= bare_seconds
         )
 
     def _estimate_stages(self, late: bool) -> stage_admission.StagesEstimate:
@@ -239,9 +238,11 @@
             for index, stage in enumerate(self._route.stages)
             if stage_times.get_item_count(self._request.item_counts, index)
         ]
+        cluster = self._context.cluster_state
         return max(
-            self._context.cluster_state.compute_pause(service, now)
-            for service in [self._endpoints.service, *services]
+            self._endpoints.compute_pause(),
+            *(cluster.compute_pause(service, now) for service in services),
+            0.0,
         )
 
     def _list_result_sizes(
--- a/samphirevale/stream_bindings.py
+++ b/samphirevale/stream_bindings.py
@@ -37,6 +37,10 @@
         return proxy_requests.Refusal(503, "service_replaced")
     endpoints.service = origin.service
     endpoints.version = origin.version
+    if endpoints.all_pause():
+        return proxy_requests.Refusal(
+            503, "endpoints_paused", endpoints.compute_pause()
+        )
     if not endpoints.list_available():
         return proxy_requests.Refusal(
             503, "no_endpoint_of_version", proxy_requests.RETRY_AFTER_SECONDS
--- a/tests/test_proxying.py
+++ b/tests/test_proxying.py
@@ -668,6 +668,14 @@
         self.assertEqual("no_endpoint_of_version", answer.reason)
         self.assertEqual(0, self.runner.item_count)
 
+    async def test_stream_learns_when_its_version_ends_its_pause(self):
+        self.register_versions(p1="v1", p2="v2")
+        self.links.known["a1"] = stream_origins.StreamOrigin("plain", "v1")
+        self.pause("p1", 1.5)
+        answer = await self.take_up()
+        self.assertEqual((503, "endpoints_paused"), answer[:2])
+        self.assertAlmostEqual(1.5, answer.retry_seconds)
+
     async def test_stream_of_a_service_that_was_replaced_is_refused(self):
         self.links.known["a1"] = stream_origins.StreamOrigin("old", "v1")
         answer = await self.take_up()
