--- a/tests/test_batch_dispatch.py
+++ b/tests/test_batch_dispatch.py
@@ -20,6 +20,16 @@
 LIMITS = proxy_fakes.BATCH_LIMITS
 
 
+def make_silent(endpoints, seconds):
+    """Makes the calls of fake endpoints return only after a silence."""
+
+    async def run_batch(endpoint, items, now):
+        await curio.sleep(seconds)
+        return endpoints.succeed_all(items)
+
+    endpoints.run_batch = run_batch
+
+
 class BatchDispatcherTest(base.TestCase):
     """Tests the dispatcher with scripted endpoints."""
 
@@ -96,29 +106,20 @@
         self.assertEqual("error", results[0].reason)
         self.assertIn("batch_failed", self.journal.list_events())
 
-    def make_endpoint_silent(self, seconds):
-        """Makes the next calls return only after a silence."""
-
-        async def run_batch(endpoint, items, now):
-            await curio.sleep(seconds)
-            return self.endpoints.succeed_all(items)
-
-        self.endpoints.run_batch = run_batch
-
     async def test_call_of_a_briefly_silent_endpoint_is_not_given_up(self):
-        self.make_endpoint_silent(1.4)
+        make_silent(self.endpoints, 1.4)
         results = await self.run_items(proxy_fakes.build_item())
         self.assertEqual("a1/0/0", results[0].result)
         self.assertFalse(self.is_penalized())
 
     async def test_call_of_a_slow_endpoint_outlasts_a_brief_silence(self):
         work_seconds = 2 * LIMITS.call_seconds
-        self.make_endpoint_silent(work_seconds + 1.4)
+        make_silent(self.endpoints, work_seconds + 1.4)
         results = await self.run_items(proxy_fakes.build_item())
         self.assertEqual([""], [outcome.reason for outcome in results])
 
     async def test_items_behind_an_overdue_call_are_returned(self):
-        self.make_endpoint_silent(1.4)
+        make_silent(self.endpoints, 1.4)
         first = await curio.spawn(self.run_items, proxy_fakes.build_item())
         await curio.sleep(0.05)
         started_at = time.monotonic()
@@ -248,13 +249,6 @@
             self.cluster,
         )
 
-    def make_endpoint_silent(self, seconds):
-        async def run_batch(endpoint, items, now):
-            await curio.sleep(seconds)
-            return self.endpoints.succeed_all(items)
-
-        self.endpoints.run_batch = run_batch
-
     async def run_stage(self, cluster, attempt):
         now = self.clock.now()
         request = proxy_fakes.build_request(attempt=attempt, item_counts=(4,))
@@ -280,7 +274,7 @@
         await self.dispatcher.release(endpoint, names)
 
     async def test_items_of_a_silent_endpoint_wait_if_there_is_no_other(self):
-        self.make_endpoint_silent(1.4)
+        make_silent(self.endpoints, 1.4)
         cluster = self.cluster
         table = proxy_fakes.build_table([])
         limits = LIMITS._replace(concurrency=3)
--- a/tests/test_event_streams.py
+++ b/tests/test_event_streams.py
@@ -1,19 +1,14 @@
 """Tests of streams whose endpoint is silent, on a clock that runs."""
 
 import contextlib
-import random
 import time
 
 import curio
 
 from samphirevale import (
     errors,
-    placement,
-    proxy_context,
-    proxying,
     retry_budgets,
     routes,
-    stream_origins,
 )
 from samphirevale.adapters import clock
 from tests import proxy_fakes, test_proxying
@@ -236,24 +231,7 @@
             for _ in range(count)
         ]
         self.cluster.catalogue.remove("p2", NOW)
-        self.endpoints = proxy_fakes.FakeEndpoints([*silent, *resumed])
-        self.selector = placement.EndpointSelector(random.Random(1))
-        self.budget = retry_budgets.RetryBudget(self.budget_limits)
-        context = proxy_context.ProxyContext(
-            self.cluster,
-            self.selector,
-            self.runner,
-            self.budget,
-            self.quarantine,
-            self.endpoints,
-            stream_origins.OriginDirectory(
-                self.origins, self.links, self.clock
-            ),
-            self.clock,
-            random.Random(1),
-            self.journal,
-        )
-        proxy = proxying.Proxy(context)
+        proxy = self.build_proxy(*silent, *resumed)
         answers = [
             await proxy.answer(
                 proxy_fakes.build_request(attempt=f"a{index}", **changes)
