Pause all servers of a service in the test of pausing fleets

Trace: a 503 needs a time in which all servers of one service pause at once. The entry did nothing wrong: it has no reason to refuse while one server of each service takes requests.

The play now begins with a pause of all servers of one service.

--- a/tests/platform/test_pausing_fleet.py
+++ b/tests/platform/test_pausing_fleet.py
@@ -17,6 +17,9 @@
 PLAY_SECONDS = 5.0
 PAUSE_SECONDS = (0.8, 2.0)
 
+# All servers of this service pause at once at the start.
+PAUSED_SERVICE = "plain"
+
 # The largest number of requests that may reach a server in a pause, later than
 # ALLOWED_SECONDS after its first refusal.
 LATE_LIMIT = 2
@@ -45,14 +48,21 @@
         return await self.call("/read/x")
 
     async def begin_pauses(self, ends_at):
+        for name, server in self.servers.items():
+            if name.startswith(PAUSED_SERVICE):
+                self.begin_pause(server, PAUSE_SECONDS[1], time.monotonic())
         while time.monotonic() < ends_at:
             server = self.rng.choice(list(self.servers.values()))
             now = time.monotonic()
             if server.pause is None or server.pause.ends_at < now:
-                server.begin_pause(self.rng.uniform(*PAUSE_SECONDS), now)
-                self.pauses.append((server, server.pause))
+                seconds = self.rng.uniform(*PAUSE_SECONDS)
+                self.begin_pause(server, seconds, now)
             await curio.sleep(self.rng.uniform(0.05, 0.3))
 
+    def begin_pause(self, server, seconds, now):
+        server.begin_pause(seconds, now)
+        self.pauses.append((server, server.pause))
+
     def count_late_arrivals(self, server, pause):
         refused = server.list_arrivals(pause.began_at, pause.ends_at)
         if not refused:
