Leave a silent endpoint only once the next one is connected to

What callers saw: a stream whose endpoint was silent for 2.3 s was cut although the endpoint went on, and the first event of a stream came late or not at all.

Cause: the 0.3 s for which two endpoints may have one stream were counted from the start of the connect to the second one, which takes up to 0.5 s if that endpoint does not answer it, either. The silent endpoint was left for one that had not even been connected to; if the connect then failed and there was no third endpoint, the stream ended.

Ruled out: that the time before the connection matters for two endpoints that work on one stream; nothing has been sent until then.

Evidence: both tests of test_event_streams failed before: the stream was cut ("silent for too long; not resumed"), and so was the answer with a first event.

Why it works: the adapter tells when the connection is open, and the overlap is counted from then on, per exchange. A connect that fails leaves the silent exchange untouched, and so does one that is still in progress.

--- a/samphirevale/event_streams.py
+++ b/samphirevale/event_streams.py
@@ -39,12 +39,15 @@
     def compute_remaining_seconds(self) -> float:
         """Returns the time until the request's deadline, in seconds."""
 
-    def compute_overlap(self) -> float:
-        """Returns how long the request has been at a further endpoint.
+    def compute_overlap(self, exchange: exchanges.Exchange) -> float:
+        """Returns how long a further endpoint has had the request.
+
+        Args:
+            exchange: the exchange with the present endpoint.
 
         Returns:
-            The time in seconds since it was sent there; 0 if it was not, or
-            that endpoint has refused it.
+            The time in seconds; 0 if there is none, or if it has refused the
+            request.
         """
 
     def record_crash(self, endpoint: catalogue.Endpoint) -> None:
@@ -160,7 +163,7 @@
         while (
             self._compute_remaining()
             and not resumption.terminated
-            and self._run.compute_overlap() < OVERLAP_SECONDS
+            and self._run.compute_overlap(self._exchange) < OVERLAP_SECONDS
         ):
             async with curio.ignore_after(RESUMPTION_CHECK_SECONDS):
                 return await self._read_part()
--- a/samphirevale/exchanges.py
+++ b/samphirevale/exchanges.py
@@ -23,6 +23,8 @@
         self._prompt_tokens = tokens
         self._prompt_unread = False
         self._counted_in_load = False
+        # When the endpoint was connected to; None before.
+        self._connected_at: float | None = None
         # When the request was sent, and the prompt tokens ahead of its own.
         self._sent_at = 0.0
         self._tokens_ahead = 0
@@ -43,9 +45,21 @@
             self.endpoint.name, self._prompt_tokens
         )
         self.answer = await self._context.endpoints.send(
-            self.endpoint, request, send
+            self.endpoint, request, send, self._record_connected
         )
 
+    def _record_connected(self) -> None:
+        self._connected_at = self._context.clock.now()
+
+    def compute_age(self) -> float:
+        """Returns how long the endpoint has had the request, in seconds.
+
+        The time is 0 until the endpoint is connected to.
+        """
+        if self._connected_at is None:
+            return 0.0
+        return self._context.clock.now() - self._connected_at
+
     async def read_body(self) -> bytes:
         """Reads and returns the whole body of the answer."""
         body = bytearray()
--- a/samphirevale/platform/endpoints.py
+++ b/samphirevale/platform/endpoints.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import json
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 
 from samphirevale import batching, catalogue, errors, proxy_requests
 from samphirevale.adapters import web_client
@@ -66,6 +66,7 @@
         endpoint: catalogue.Endpoint,
         request: proxy_requests.ProxiedRequest,
         send: proxy_requests.SendParameters,
+        on_connected: Callable[[], None],
     ) -> PlatformAnswer:
         """Sends a request and returns when the answer's head has been read."""
         connection = await web_client.open_connection(
@@ -73,6 +74,7 @@
         )
         try:
             self._check_allowed(endpoint)
+            on_connected()
             answer = await connection.request(
                 request.method,
                 request.target,
--- a/samphirevale/ports/proxies.py
+++ b/samphirevale/ports/proxies.py
@@ -1,6 +1,6 @@
 """The port to endpoints that entries call directly, without a sidecar."""
 
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 from typing import NamedTuple, Protocol
 
 from samphirevale import batching, catalogue, proxy_requests
@@ -92,8 +92,16 @@
         endpoint: catalogue.Endpoint,
         request: proxy_requests.ProxiedRequest,
         send: proxy_requests.SendParameters,
+        on_connected: Callable[[], None],
     ) -> EndpointAnswer:
-        """Sends a request and returns once the answer's head is read."""
+        """Sends a request and returns once the answer's head is read.
+
+        Args:
+            endpoint: the endpoint to send to.
+            request: the request to send.
+            send: the parameters that the system sets.
+            on_connected: called just before anything is sent.
+        """
 
     async def run_batch(
         self,
--- a/samphirevale/proxy_runs.py
+++ b/samphirevale/proxy_runs.py
@@ -51,8 +51,8 @@
         )
         # The number of sends that an endpoint may have executed.
         self._runs = 0
-        # When the request was sent to an endpoint that has not answered yet.
-        self._sent_at: float | None = None
+        # The exchange that was opened last; None if it has failed.
+        self._newest: exchanges.Exchange | None = None
         self._connection_failures = 0
         # The results of the stages, and whether they have to run again.
         self._result_names: tuple[str, ...] = ()
@@ -263,16 +263,8 @@
             # What the caller gets if no exchange in progress brings an answer.
             fallback = await self._start_exchange(race)
             while race.running:
-                overlapping = self._route.streamed and race.running > 1
-                timeout = self._compute_answer_timeout()
-                if overlapping:
-                    timeout = min(timeout, event_streams.OVERLAP_SECONDS)
-                finished = await race.wait(timeout)
-                if finished is None and overlapping:
-                    await race.keep_last()
-                    continue
+                finished = await self._wait_for_exchange(race)
                 if finished is None:
-                    await self._handle_silence(race)
                     continue
                 if self._is_final(finished.outcome):
                     return await self._accept_answer(finished)
@@ -281,6 +273,41 @@
                     fallback = await self._start_exchange(race)
             return fallback
 
+    async def _wait_for_exchange(
+        self, race: exchange_races.ExchangeRace
+    ) -> exchange_races.FinishedExchange | None:
+        """Returns the next exchange that ends, or None after a silence.
+
+        Raises:
+            TimeoutError: the request's deadline has passed.
+        """
+        if self._route.streamed and race.running > 1:
+            return await self._wait_overlapping(race)
+        finished = await race.wait(self._compute_answer_timeout())
+        if finished is None:
+            await self._handle_silence(race)
+        return finished
+
+    async def _wait_overlapping(
+        self, race: exchange_races.ExchangeRace
+    ) -> exchange_races.FinishedExchange | None:
+        """Waits while two endpoints have a stream that has not begun.
+
+        Returns:
+            The next exchange that ends; None if the earlier endpoint was left.
+
+        Raises:
+            TimeoutError: the request's deadline has passed.
+        """
+        while self.compute_remaining_seconds() > 0:
+            finished = await race.wait(event_streams.RESUMPTION_CHECK_SECONDS)
+            if finished is not None:
+                return finished
+            if self.compute_overlap(None) >= event_streams.OVERLAP_SECONDS:
+                await race.keep_last()
+                return None
+        raise TimeoutError("no answer before the deadline")
+
     async def _start_exchange(
         self, race: exchange_races.ExchangeRace
     ) -> proxy_requests.Refusal | None:
@@ -296,6 +323,7 @@
         if endpoint is None:
             return self._build_failure_refusal(self._endpoints.explain_none())
         self._endpoints.tried.add(endpoint.name)
+        self._newest = None
         await race.start(endpoint, self._send_once)
         return None
 
@@ -524,14 +552,15 @@
         )
         # A request that is cancelled while it is sent may have been executed.
         self._runs += 1
-        self._sent_at = now
+        self._newest = exchange
         try:
             await exchange.open(self._request, parameters)
-        except (errors.ConnectError, errors.NotExecutedError):
-            self._runs -= 1
+        except BaseException as error:
+            if self._newest is exchange:
+                self._newest = None
+            if isinstance(error, errors.ConnectError | errors.NotExecutedError):
+                self._runs -= 1
             raise
-        finally:
-            self._sent_at = None
         self._log_step(
             "request_sent",
             endpoint=endpoint.name,
@@ -632,16 +661,20 @@
         if self._stages is not None:
             await self._stages.release_all()
 
-    def compute_overlap(self) -> float:
-        """Returns how long the request has been at a further endpoint.
+    def compute_overlap(self, exchange: exchanges.Exchange | None) -> float:
+        """Returns how long a further endpoint has had the request.
+
+        Args:
+            exchange: the exchange with the present endpoint; None before the
+                first event.
 
         Returns:
-            The time in seconds since it was sent there; 0 if it was not, or
-            that endpoint has refused it.
+            The time in seconds; 0 if there is none, or if it has refused the
+            request.
         """
-        if self._sent_at is None:
+        if self._newest is None or self._newest is exchange:
             return 0.0
-        return self._context.clock.now() - self._sent_at
+        return self._newest.compute_age()
 
     def compute_event_timeout(self, begun: bool) -> float:
         """Returns the timeout for the next event of a stream, in seconds.
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -35,6 +35,7 @@
     async def run_server(self, status, *headers):
         """Runs a server that gives the same answer to all calls."""
         self.targets = []
+        self.connected = 0
         self.listener = FakeListener()
         self.endpoints = endpoints.PlatformEndpoints(self.listener)
 
@@ -53,13 +54,19 @@
             await self.endpoints.close_idle(self.endpoint)
             await task.cancel()
 
+    def count_connected(self):
+        self.connected += 1
+
     def list_calls(self):
         """Returns a function for each kind of call."""
         send = proxy_fakes.build_send_parameters()
         items = [proxy_fakes.build_item()]
         return [
             lambda: self.endpoints.send(
-                self.endpoint, proxy_fakes.build_request(), send
+                self.endpoint,
+                proxy_fakes.build_request(),
+                send,
+                self.count_connected,
             ),
             lambda: self.endpoints.run_batch(self.endpoint, items, 100.0),
             lambda: self.endpoints.release(self.endpoint, ["r1"]),
@@ -73,6 +80,13 @@
                 with self.assertRaises(errors.NotAcceptingError):
                     await call()
             self.assertEqual([], self.targets)
+            self.assertEqual(0, self.connected)
+
+    async def test_sender_learns_that_its_connection_is_open(self):
+        async with self.run_server(200):
+            with self.assertRaises(errors.ProtocolError):
+                await self.list_calls()[0]()
+            self.assertEqual(1, self.connected)
 
     async def test_every_kind_of_call_learns_of_a_pause_and_of_leaving(self):
         pause = ("Retry-After", "0.5")
--- a/tests/proxy_fakes.py
+++ b/tests/proxy_fakes.py
@@ -209,11 +209,13 @@
         self.free_memory = 0
         self.run_items = self.succeed_all
 
-    async def send(self, endpoint, request, send):
+    async def send(self, endpoint, request, send, on_connected):
         self.sends.append((endpoint.name, request, send))
         answer = self.script.pop(0)
         if callable(answer):
             answer = answer()
+        if not isinstance(answer, errors.ConnectError):
+            on_connected()
         if isinstance(answer, Exception):
             raise answer
         return answer
--- a/tests/test_event_streams.py
+++ b/tests/test_event_streams.py
@@ -54,6 +54,15 @@
     def build_stream(self, *parts):
         return proxy_fakes.FakeAnswer(parts, streamed=True)
 
+    def make_unreachable(self, seconds):
+        """Makes connections to all endpoints fail after a time."""
+
+        async def send(*_):
+            await curio.sleep(seconds)
+            raise errors.ConnectError("no connection")
+
+        self.endpoints.send = send
+
     async def read_stream(self, answer):
         async with contextlib.aclosing(answer.chunks) as chunks:
             return b"".join([chunk async for chunk in chunks])
@@ -105,6 +114,18 @@
         answer = await answering.join()
         self.assertEqual(b"id: 1\n\n", await self.read_stream(answer))
 
+    async def test_first_event_is_not_given_up_during_the_next_connect(self):
+        proxy = self.build_proxy(
+            self.build_stream(proxy_fakes.Silence(0.7), b"id: 1\n\n")
+        )
+        answering = await curio.spawn(
+            proxy.answer, proxy_fakes.build_request(), daemon=True
+        )
+        await curio.sleep(0.1)
+        self.make_unreachable(0.5)
+        answer = await answering.join()
+        self.assertEqual(b"id: 1\n\n", await self.read_stream(answer))
+
     async def test_first_event_is_not_given_up_for_one_that_refuses(self):
         answer = await self.answer(
             self.build_stream(proxy_fakes.Silence(0.8), b"id: 1\n\n"),
@@ -131,12 +152,22 @@
         )
         self.assertEqual(b"id: 1\n\nid: 2\n\n", await self.read_stream(answer))
 
+    async def test_silent_stream_is_not_cut_during_the_next_connect(self):
+        answer = await self.answer(
+            self.build_stream(
+                b"id: 1\n\n", proxy_fakes.Silence(LONG_SILENCE), b"id: 2\n\n"
+            )
+        )
+        self.make_unreachable(0.5)
+        self.assertEqual(b"id: 1\n\nid: 2\n\n", await self.read_stream(answer))
+
     async def test_two_endpoints_do_not_work_on_one_stream_for_long(self):
         old = self.build_stream(b"id: 1\n\n", proxy_fakes.Silence(50.0))
         answer = await self.answer(old)
         sent_at = []
 
-        async def hang(*_):
+        async def hang(endpoint, request, send, on_connected):
+            on_connected()
             sent_at.append(time.monotonic())
             await curio.sleep(50.0)
 
@@ -155,7 +186,8 @@
             )
         )
 
-        async def refuse(*_):
+        async def refuse(endpoint, request, send, on_connected):
+            on_connected()
             await curio.sleep(0.2)
             raise errors.NotExecutedError("full")
 
