Keep the items of stages if all their endpoints fall silent at once

What callers saw: while all endpoints of a stage's service were silent for 1.4 s a request was refused ("stage 0: no endpoint", or "unsent" after three moves), although each endpoint went on and had time for its items.

Cause: the items behind an overdue call are handed back, to go elsewhere. Being handed back counted as an attempt and ruled the endpoint out for the rest of the stage. When the call of the second endpoint became overdue, too, there was none left, and with more of them the three attempts were used up. The request was given up for endpoints that work.

Ruled out: that another check keeps such items; has_other_endpoint asks whether there is another endpoint, not whether that one answers.

Evidence: with two silent endpoints, two of six requests were refused in test_items_wait_if_all_endpoints_fall_silent_at_once. The test failed before.

Why it works: such items have a reason of their own, which is no attempt and rules nothing out. The endpoint's penalty already favours those that answer; if all have it, the items wait for the shortest queue. A call hands its queue back once, so that items do not go round. As this is not counted, a failure among the items of the same stage decides on the retry, which it did not if an item that was not sent came first; that took no retry from the budget (test_failure_beside_unsent_items_takes_a_retry failed before, too). test_items_behind_an_overdue_call_are_returned asks for the new reason.

--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -148,11 +148,20 @@
         "items behind an overdue call returned",
         NO_REPEATED_WORK,
         "batch_dispatch",
-        "                await self.withdraw_items(endpoint)\n",
+        "                await self.withdraw_items(endpoint, OVERDUE)\n",
         "                pass\n",
         "tests.test_batch_dispatch.BatchDispatcherTest"
         ".test_items_behind_an_overdue_call_are_returned",
     ),
+    _ablate(
+        "items kept if the calls of all endpoints are overdue",
+        NO_REPEATED_WORK,
+        "stages",
+        "if reason == batch_dispatch.OVERDUE:",
+        "if False:",
+        "tests.test_batch_dispatch.SilentEndpointTest"
+        ".test_items_wait_if_all_endpoints_fall_silent_at_once",
+    ),
     _ablate(
         "endpoint that is silent for a second kept",
         STREAMS,
@@ -355,7 +364,7 @@
         LEAVING,
         "batch_dispatch",
         "        if queue is not None:\n"
-        "            await _resolve_all(queue.take_all(), UNSENT)\n",
+        "            await _resolve_all(queue.take_all(), reason)\n",
         "",
         f"{_DISPATCH}.test_queued_items_can_go_elsewhere_at_once",
     ),
--- a/samphirevale/batch_dispatch.py
+++ b/samphirevale/batch_dispatch.py
@@ -48,6 +48,10 @@
 # no new work.
 UNSENT = "unsent"
 
+# The failure reason of items that were not sent because a call of their
+# endpoint is overdue.
+OVERDUE = "overdue"
+
 
 class StageResult(NamedTuple):
     """A result of a stage that is stored at an endpoint.
@@ -187,11 +191,13 @@
             self._queue_tasks.pop(key, None)
         self._penalized_until.pop(endpoint.name, None)
 
-    async def withdraw_items(self, endpoint: catalogue.Endpoint) -> None:
+    async def withdraw_items(
+        self, endpoint: catalogue.Endpoint, reason: str = UNSENT
+    ) -> None:
         """Ends the items queued for an endpoint, which can go to another."""
         queue = self._queues.get(_build_key(endpoint))
         if queue is not None:
-            await _resolve_all(queue.take_all(), UNSENT)
+            await _resolve_all(queue.take_all(), reason)
 
     async def run_items(
         self,
@@ -407,7 +413,7 @@
             self._log.record_failure("batch_overdue", endpoint=name)
             now = self._clock.now()
             if self._availability.has_other_endpoint(endpoint, now):
-                await self.withdraw_items(endpoint)
+                await self.withdraw_items(endpoint, OVERDUE)
 
         watcher = await curio.spawn(watch, daemon=True)
         try:
--- a/samphirevale/ports/proxies.py
+++ b/samphirevale/ports/proxies.py
@@ -38,7 +38,8 @@
 
     Attributes:
         result: the name of the result for later stages; empty on failure.
-        reason: the reason of a failure: `late`, `gone`, `room` or `error`.
+        reason: the reason of a failure: `late`, `gone`, `room` or `error`,
+            or one of batch_dispatch for items that were not sent.
         endpoint: the endpoint that stores the result, if the owner of the
             requested one chose another; empty otherwise.
     """
--- a/samphirevale/stages.py
+++ b/samphirevale/stages.py
@@ -335,13 +335,18 @@
         self._results[index] = []
         items = self._build_items(index)
         stage = self._route.stages[index]
-        for _ in range(1 + RETRIES_LIMIT):
+        attempts = 0
+        while attempts <= RETRIES_LIMIT:
             reason = await self._run_items_once(index, items, results_by_index)
             items = [
                 item for item in items if item.index not in results_by_index
             ]
             if not items:
                 return
+            if reason == batch_dispatch.OVERDUE:
+                # The penalty of that endpoint favours others, if any are left.
+                continue
+            attempts += 1
             if reason in ("late", "gone", NO_ENDPOINT):
                 break
             if reason != batch_dispatch.UNSENT and not self._take_retry(
@@ -362,7 +367,7 @@
         concurrently.
 
         Returns:
-            The reason of the first failure; empty if all items are done.
+            The reason of a failure; empty if all items are done.
         """
         limits = self._cluster.find_batch_limits(
             self._route.stages[index].service
@@ -379,8 +384,7 @@
                 )
                 for chunk in chunks
             ]
-        reasons = [task.result for task in tasks if task.result]
-        return reasons[0] if reasons else ""
+        return _choose_reason([task.result for task in tasks])
 
     async def _run_chunk(
         self,
@@ -392,7 +396,7 @@
         """Runs items at one endpoint.
 
         Returns:
-            The reason of the last failure; empty if all items are done.
+            The reason of a failure; empty if all items are done.
         """
         chosen = choose_endpoint(
             self._runner,
@@ -409,11 +413,9 @@
             return NO_ENDPOINT
         endpoint = chosen[0]
         results = await self._runner.run_items(endpoint, limits, items)
-        reason = ""
         for item, result in zip(items, results, strict=True):
             if not result.result:
-                reason = result.reason
-                if reason == batch_dispatch.UNSENT:
+                if result.reason == batch_dispatch.UNSENT:
                     self._refusing.add(result.endpoint or endpoint.name)
                 continue
             stored_at = self._cluster.catalogue.find(result.endpoint)
@@ -423,7 +425,7 @@
             self._results[index] = [
                 results_by_index[key] for key in sorted(results_by_index)
             ]
-        return reason
+        return _choose_reason([result.reason for result in results])
 
     def _list_transfers(self, index: int, items: int) -> list[tuple[str, int]]:
         """Returns the data centres and byte counts of the items' transfers.
@@ -535,6 +537,20 @@
             )
 
 
+def _choose_reason(reasons: Sequence[str]) -> str:
+    """Returns the reason that decides on a retry of several items.
+
+    It is that of items that were sent, if there are any. It is empty if all
+    items are done.
+    """
+    failures = [reason for reason in reasons if reason]
+    unsent = (batch_dispatch.OVERDUE, batch_dispatch.UNSENT)
+    return next(
+        (reason for reason in failures if reason not in unsent),
+        failures[-1] if failures else "",
+    )
+
+
 @contextlib.asynccontextmanager
 async def release_on_error(
     run: StageSequenceRun,
