Avoid an endpoint no longer for requests that fail together

What callers saw: an endpoint that had been silent for two seconds got no new requests for eight seconds after it went on, while the others took its load.

Cause: each stream that leaves a silent endpoint counts as a failure, and each failure from the second on doubles the time for which the endpoint is avoided. Six streams that were left at the same moment were enough for the limit of 8 s. Nothing ended that time when the endpoint answered again.

Ruled out: that a success shortens it; it only resets the number of failures.

Evidence: test_requests_that_fail_together_do_not_prolong_the_avoidance failed before: after twenty failures at one moment the endpoint was not chosen half a second later.

Why it works: a failure counts only if the endpoint is not avoided already, so that requests sent before count once. One that fails again after that time is avoided for longer, as before (the second test passed before, too).

--- a/samphirevale/placement.py
+++ b/samphirevale/placement.py
@@ -175,12 +175,18 @@
         self.get_load(name).unread_tokens -= tokens
 
     def record_end(self, name: str, failed: bool, now: float) -> None:
-        """Records the end of a request at an endpoint."""
+        """Records the end of a request at an endpoint.
+
+        Failures while the endpoint is avoided do not count, as most of them are
+        of requests that were sent before.
+        """
         load = self.get_load(name)
         load.running -= 1
         if not failed:
             load.failures = 0
             return
+        if now < load.avoided_until:
+            return
         load.failures += 1
         excess = load.failures - FAILURES_LIMIT
         if excess >= 0:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -68,6 +68,31 @@
             self.selector.choose(ENDPOINTS, build_request(), avoidance_ends_at),
         )
 
+    def fail_requests(self, name, count, now):
+        for _ in range(count):
+            self.selector.record_sent(name, 0)
+        for _ in range(count):
+            self.selector.record_end(name, True, now)
+
+    def test_requests_that_fail_together_do_not_prolong_the_avoidance(self):
+        first = self.choose(build_request())
+        self.fail_requests(first.name, 20, NOW)
+        self.assertNotEqual(first, self.choose(build_request()))
+        chosen = self.selector.choose(
+            ENDPOINTS, build_request(), NOW + placement.AVOID_SECONDS
+        )
+        self.assertEqual(first, chosen)
+
+    def test_endpoint_that_fails_again_is_avoided_for_longer(self):
+        first = self.choose(build_request())
+        self.fail_requests(first.name, placement.FAILURES_LIMIT, NOW)
+        now = NOW + placement.AVOID_SECONDS
+        self.fail_requests(first.name, 1, now)
+        now += placement.AVOID_SECONDS
+        self.assertNotEqual(
+            first, self.selector.choose(ENDPOINTS, build_request(), now)
+        )
+
     def test_unreachable_endpoint_is_avoided_after_one_failure(self):
         first = self.choose(build_request())
         self.selector.record_unreachable(first.name, NOW)
