Keep a silent endpoint's results while another one gets new ones

What callers saw: a request that a silent endpoint would have answered after 0.8 s ended with a 502.

Cause: the request had been sent to a second endpoint meanwhile, which could not fetch a result of the stages (409). The stages then ran again: their former results were released, though the silent endpoint still needed them; the answer of the silent endpoint was not read until the stages had ended; and if they failed, the exchange with it was closed.

Ruled out: that the refusal by itself ends the request; without stages the silent endpoint is still waited for (test_silent_answer_is_not_given_up_for_one_that_ refuses passed before).

Evidence: test_silent_answer_keeps_its_results_if_another_one_lacks_them failed before, with the result released and, without that check, with a 502.

Why it works: the stages run again within the exchange that needs them, which races like any other; their failure ends that one only. The former results are released with the new ones, at the first event or the end of the request. No further endpoint gets the request while they run. A broken stream has no exchange left, so that its former results are released as before.

--- a/samphirevale/proxy_runs.py
+++ b/samphirevale/proxy_runs.py
@@ -54,12 +54,15 @@
         # The exchange that was opened last; None if it has failed.
         self._newest: exchanges.Exchange | None = None
         self._connection_failures = 0
-        # The results of the stages, and whether they have to run again.
+        # The results of the stages, and whether they have to run again, do so
+        # now or have done so.
         self._result_names: tuple[str, ...] = ()
         self._result_sizes: tuple[tuple[str, int], ...] = ()
         self._lacks_results = False
+        self._repeating_stages = False
         self._stages_repeated = False
-        self._stages: stages.StageSequenceRun | None = None
+        # The runs of the stages; an endpoint may need results of any.
+        self._stage_runs: list[stages.StageSequenceRun] = []
         # Whether the items are queued behind those that are on time.
         self._late = accepted.returned
 
@@ -76,10 +79,10 @@
             refusal = self._refuse_overload()
             if refusal is not None:
                 return refusal
-            self._stages = self._build_stages()
+            stage_run = self._add_stage_run()
             try:
-                async with stages.release_on_error(self._stages):
-                    results = await self._stages.run()
+                async with stages.release_on_error(stage_run):
+                    results = await stage_run.run()
             except errors.EarlierStageError as error:
                 return self._build_failure_refusal(str(error).replace(" ", "_"))
         if results:
@@ -89,15 +92,13 @@
                 endpoints=sorted(
                     {stage_result.endpoint.name for stage_result in results}
                 ),
-                wanted_data_centre=self._stages.get_data_centre(),
+                wanted_data_centre=stage_run.get_data_centre(),
             )
         self._context.budget.record_first_send(
             self._endpoints.service, self._context.clock.now()
         )
         try:
             return await self._send_until_answered(results)
-        except errors.EarlierStageError as error:
-            return self._build_failure_refusal(str(error).replace(" ", "_"))
         finally:
             await self.release_results()
 
@@ -187,6 +188,12 @@
             self._prompt_tokens
         ) + selector.estimate_delay(endpoint.name)
 
+    def _add_stage_run(self) -> stages.StageSequenceRun:
+        """Returns a new run of the stages, which release_results() releases."""
+        stage_run = self._build_stages()
+        self._stage_runs.append(stage_run)
+        return stage_run
+
     def _build_stages(self) -> stages.StageSequenceRun:
         model_seconds = self._estimate_model_seconds()
         due_at = self._request.received_at
@@ -316,17 +323,37 @@
         Returns:
             A refusal if no endpoint accepts it.
         """
-        if self._lacks_results:
-            self._lacks_results = False
-            self._result_names = await self._run_stages_again()
+        if self._repeating_stages:
+            # The request is sent with their results.
+            return None
         endpoint = self._endpoints.choose(self._result_sizes)
         if endpoint is None:
             return self._build_failure_refusal(self._endpoints.explain_none())
         self._endpoints.tried.add(endpoint.name)
         self._newest = None
-        await race.start(endpoint, self._send_once)
+        send = self._send_once
+        if self._lacks_results:
+            self._lacks_results = False
+            self._repeating_stages = True
+            send = self._send_with_new_results
+        await race.start(endpoint, send)
         return None
 
+    async def _send_with_new_results(
+        self, endpoint: catalogue.Endpoint
+    ) -> proxy_requests.Answer:
+        """Runs the stages again and sends the request with their results.
+
+        The former results are kept for endpoints that have the request already.
+        """
+        try:
+            self._result_names = await self._run_stages_again()
+        except errors.EarlierStageError as error:
+            return self._build_failure_refusal(str(error).replace(" ", "_"))
+        finally:
+            self._repeating_stages = False
+        return await self._send_once(endpoint)
+
     async def _handle_silence(self, race: exchange_races.ExchangeRace) -> None:
         """Sends the request to a further endpoint if that is allowed.
 
@@ -335,6 +362,8 @@
         """
         if self.compute_remaining_seconds() <= 0:
             raise TimeoutError("no answer before the deadline")
+        if self._repeating_stages:
+            return
         if self._endpoints.choose() is None or not self.may_send_again():
             return
         self._log_step("endpoint_silent", exchanges=race.running)
@@ -372,6 +401,8 @@
         outcome = finished.outcome
         if isinstance(outcome, TimeoutError):
             raise outcome
+        if isinstance(outcome, proxy_requests.Refusal):
+            return outcome
         if isinstance(outcome, proxy_requests.CompleteAnswer):
             if self._endpoints.choose() is not None and self.may_send_again():
                 return None
@@ -406,7 +437,7 @@
             return self._build_failure_refusal("endpoints_paused")
         if not self._take_retry(self._endpoints.service):
             return self._build_failure_refusal("refused_by_endpoint")
-        if error.lacks_results:
+        if error.lacks_results and not self._repeating_stages:
             if self._stages_repeated:
                 return self._build_failure_refusal("results_gone")
             self._stages_repeated = self._lacks_results = True
@@ -612,6 +643,7 @@
         return endpoint
 
     async def _run_stages_for_resume(self) -> tuple[str, ...]:
+        await self.release_results()
         try:
             return await self._run_stages_again()
         except errors.EarlierStageError as error:
@@ -650,16 +682,15 @@
         """
         if not self._route.stages:
             return ()
-        await self.release_results()
-        self._stages = self._build_stages()
-        async with stages.release_on_error(self._stages):
-            results = await self._stages.run()
+        stage_run = self._add_stage_run()
+        async with stages.release_on_error(stage_run):
+            results = await stage_run.run()
         return tuple(stage_result.name for stage_result in results)
 
     async def release_results(self) -> None:
         """Releases the results of the stages."""
-        if self._stages is not None:
-            await self._stages.release_all()
+        for stage_run in self._stage_runs:
+            await stage_run.release_all()
 
     def compute_overlap(self, exchange: exchanges.Exchange | None) -> float:
         """Returns how long a further endpoint has had the request.
--- a/samphirevale/stages.py
+++ b/samphirevale/stages.py
@@ -522,7 +522,7 @@
     async def release_all(self) -> None:
         """Releases every result that is still held."""
         for index in list(self._results):
-            await self._release(self._results.pop(index))
+            await self._release(self._results.pop(index, []))
 
     async def _release(self, results: list[batch_dispatch.StageResult]) -> None:
         by_endpoint: dict[str, list[batch_dispatch.StageResult]] = {}
--- a/tests/test_event_streams.py
+++ b/tests/test_event_streams.py
@@ -94,6 +94,38 @@
         )
         self.assertEqual(200, answer.status)
 
+    async def test_silent_answer_keeps_its_results_if_another_one_lacks_them(
+        self,
+    ):
+        stage = routes.Stage("stage", (), 100)
+        self.use_route(
+            proxy_fakes.build_route(target_seconds=0.15, stages=(stage,))
+        )
+        gone = errors.NotExecutedError("status 409", lacks_results=True)
+        proxy = self.build_proxy(self.build_silent_answer(), gone)
+        request = proxy_fakes.build_request(item_counts=(1,))
+        answering = await curio.spawn(proxy.answer, request, daemon=True)
+        await curio.sleep(0.2)
+        self.runner.reason = "late"
+        await curio.sleep(0.3)
+        self.assertEqual([], self.runner.released)
+        self.assertEqual(200, (await answering.join()).status)
+
+    async def test_results_are_computed_again_beside_a_silent_endpoint(self):
+        stage = routes.Stage("stage", (), 100)
+        self.use_route(
+            proxy_fakes.build_route(
+                target_seconds=0.15, stages=(stage,), attempts_limit=3
+            )
+        )
+        self.add_endpoint("p3")
+        silent = proxy_fakes.FakeAnswer([proxy_fakes.Silence(50.0)])
+        gone = errors.NotExecutedError("status 409", lacks_results=True)
+        answer = await self.answer(
+            silent, gone, proxy_fakes.FakeAnswer([b"x"]), item_counts=(1,)
+        )
+        self.assertEqual((200, 2), (answer.status, self.runner.item_count))
+
 
 class SilentFirstEventTest(SilenceTestCase):
     """Tests streams whose endpoint is silent before the first event."""
