Connect again to an endpoint that did not answer the connect

What callers saw: a request was refused with 503 ("no_endpoint") half a second after it came, and a broken stream was cut, because the only endpoint left did not answer the connect for 0.5 s, although it went on within its silence of a second or so.

Cause: an endpoint to which a connect failed was ruled out for the request, like one that had run it. For an endpoint that is down (the connect is refused) that is right; one that does not answer may only be silent, and has had nothing.

Ruled out: that a connect that is waited for longer does the same: a system whose queue of connections was full drops the packet, and it is sent again after one and three seconds only.

Evidence: test_only_endpoint_is_connected_to_again_after_a_silence (503) and test_broken_stream_connects_again_after_a_silence (cut) failed before, and so did the test over a socket that accepts nothing.

Why it works: a connect that timed out is told from one that was refused. Such endpoints are the last choice in place of none, until three connects of a request have failed, that is for 1.5 s. One that has the request by now is not connected to again (test_endpoint_that_has_the_request_...).

--- a/samphirevale/adapters/web_client.py
+++ b/samphirevale/adapters/web_client.py
@@ -211,7 +211,7 @@
         async with curio.timeout_after(timeout_seconds):
             stream = await curio.open_connection(host, port)
     except curio.TaskTimeout as error:
-        raise errors.ConnectError(
+        raise errors.ConnectTimeoutError(
             f"{host}:{port}: no connection in {timeout_seconds} s"
         ) from error
     except OSError as error:
--- a/samphirevale/endpoint_choice.py
+++ b/samphirevale/endpoint_choice.py
@@ -22,6 +22,9 @@
         self.service = service
         self.version: str | None = None
         self.tried: set[str] = set()
+        # Those among them that did not answer the connect, so that they have
+        # not had the request. They are the last choice.
+        self._unanswered: set[str] = set()
         self._context = context
         self._request = request
 
@@ -30,18 +33,27 @@
     ) -> catalogue.Endpoint | None:
         """Returns the endpoint to send to, or None if there is none.
 
-        Those that pause for other entries are the last choice.
+        Those that pause for other entries come after the others.
 
         Args:
             result_bytes: pairs of a data centre and the bytes of a result that
                 is fetched from there.
         """
+        chosen = self._choose_except(self.tried, result_bytes)
+        if chosen is None and self._unanswered:
+            tried = self.tried - self._unanswered
+            chosen = self._choose_except(tried, result_bytes)
+        return chosen
+
+    def _choose_except(
+        self, tried: set[str], result_bytes: tuple[tuple[str, int], ...]
+    ) -> catalogue.Endpoint | None:
         cluster = self._context.cluster_state
         now = self._context.clock.now()
         request = placement.PlacementRequest(
             self._request.prompt,
             result_bytes,
-            frozenset(self.tried),
+            frozenset(tried),
             cluster.find_connections_limit(self.service),
         )
         choose = self._context.selector.choose
@@ -50,6 +62,15 @@
             self.list_available(), request, now
         )
 
+    def record_send(self, endpoint: catalogue.Endpoint) -> None:
+        """Records that the request is sent to an endpoint."""
+        self.tried.add(endpoint.name)
+        self._unanswered.discard(endpoint.name)
+
+    def record_unanswered(self, endpoint: catalogue.Endpoint) -> None:
+        """Records that an endpoint did not answer the connect."""
+        self._unanswered.add(endpoint.name)
+
     def list_available(self) -> list[catalogue.Endpoint]:
         """Returns the endpoints to which this entry may send the request."""
         return self._context.cluster_state.list_available(
--- a/samphirevale/errors.py
+++ b/samphirevale/errors.py
@@ -46,6 +46,10 @@
     """No connection was made, so the remote side has read nothing."""
 
 
+class ConnectTimeoutError(ConnectError):
+    """The remote side did not answer the connect; it may be silent."""
+
+
 class NotAcceptingError(ConnectError):
     """The endpoint leaves or pauses, so nothing was sent to it."""
 
--- a/samphirevale/proxy_runs.py
+++ b/samphirevale/proxy_runs.py
@@ -329,7 +329,7 @@
         endpoint = self._endpoints.choose(self._result_sizes)
         if endpoint is None:
             return self._build_failure_refusal(self._endpoints.explain_none())
-        self._endpoints.tried.add(endpoint.name)
+        self._endpoints.record_send(endpoint)
         self._newest = None
         send = self._send_once
         if self._lacks_results:
@@ -418,6 +418,7 @@
         if isinstance(error, errors.NotAcceptingError):
             return None
         if isinstance(error, errors.ConnectError):
+            self._note_unanswered(endpoint, error)
             self._connection_failures += 1
             if self._connection_failures >= CONNECT_FAILURES_LIMIT:
                 return self._build_failure_refusal("unreachable")
@@ -429,6 +430,13 @@
             return proxy_requests.Refusal(502, "answer_lost")
         return None
 
+    def _note_unanswered(
+        self, endpoint: catalogue.Endpoint, error: errors.ConnectError
+    ) -> None:
+        """Lets an endpoint that may only be silent be connected to again."""
+        if isinstance(error, errors.ConnectTimeoutError):
+            self._endpoints.record_unanswered(endpoint)
+
     def _find_rejection_refusal(
         self, error: errors.NotExecutedError
     ) -> proxy_requests.Refusal | None:
@@ -621,11 +629,12 @@
             if results is None:
                 results = await self._run_stages_for_resume()
                 endpoint = self._choose_resuming_endpoint()
-            self._endpoints.tried.add(endpoint.name)
+            self._endpoints.record_send(endpoint)
             try:
                 return await self._open_resumed(endpoint, results, last_event)
             except errors.ConnectError as error:
                 self._log_send_failure(endpoint, error)
+                self._note_unanswered(endpoint, error)
                 retry_taken = True
                 connection_failures += _is_unreachable(error)
                 if connection_failures >= CONNECT_FAILURES_LIMIT:
--- /dev/null
+++ b/tests/adapters/test_web_client.py
@@ -0,0 +1,36 @@
+"""Tests of the HTTP client over sockets."""
+
+import contextlib
+import socket
+
+from samphirevale import errors
+from samphirevale.adapters import web_client
+from tests import base
+
+CONNECT_SECONDS = 0.2
+
+
+class OpenConnectionTest(base.TestCase):
+    """Tests how a connection that cannot be opened is told."""
+
+    async def check_failure(self, port):
+        """Returns the error of a connect."""
+        with self.assertRaises(errors.ConnectError) as caught:
+            await web_client.open_connection("127.0.0.1", port, CONNECT_SECONDS)
+        return caught.exception
+
+    async def test_server_that_accepts_nothing_does_not_count_as_down(self):
+        with contextlib.ExitStack() as stack:
+            server = stack.enter_context(socket.socket())
+            server.bind(("127.0.0.1", 0))
+            server.listen(0)
+            for _ in range(4):
+                waiting = stack.enter_context(socket.socket())
+                waiting.setblocking(False)
+                waiting.connect_ex(server.getsockname())
+            error = await self.check_failure(server.getsockname()[1])
+        self.assertIsInstance(error, errors.ConnectTimeoutError)
+
+    async def test_server_that_is_down_refuses_connections(self):
+        error = await self.check_failure(base.find_free_port())
+        self.assertNotIsInstance(error, errors.ConnectTimeoutError)
--- a/tests/test_event_streams.py
+++ b/tests/test_event_streams.py
@@ -386,6 +386,19 @@
         answer = await self.answer(*self.script)
         self.assertEqual(b"id: 1\n\nid: 2\n\n", await self.read_stream(answer))
 
+    async def test_broken_stream_connects_again_after_a_silence(self):
+        self.use_stream_route()
+        for name in ("p2", "p3"):
+            self.cluster.catalogue.remove(name, NOW)
+        proxy = self.build_proxy(
+            self.build_stream(b"id: 1\n\n", proxy_fakes.LOST_ANSWER),
+            errors.ConnectTimeoutError("no connection"),
+            self.build_stream(b"id: 2\n\n"),
+        )
+        answer = await proxy.answer(proxy_fakes.build_request())
+        self.add_endpoint("p2")
+        self.assertEqual(b"id: 1\n\nid: 2\n\n", await self.read_stream(answer))
+
     async def test_failed_connection_takes_no_retry_of_a_stream(self):
         self.use_stream_route(attempts_limit=9)
         self.budget_limits = ONE_RETRY
--- a/tests/test_proxying.py
+++ b/tests/test_proxying.py
@@ -297,6 +297,32 @@
         answer = await self.answer(proxy_fakes.FakeAnswer([b"1"], 500))
         self.assertEqual(500, answer.status)
 
+    async def test_only_endpoint_is_connected_to_again_after_a_silence(self):
+        self.cluster.catalogue.remove("p2", NOW)
+        silent = errors.ConnectTimeoutError("no connection")
+        for changes in ({}, {"repeatable": False}):
+            self.use_route(proxy_fakes.build_route(**changes))
+            answer = await self.answer(
+                silent, silent, proxy_fakes.FakeAnswer([b"x"])
+            )
+            self.assertEqual(200, answer.status)
+        answer = await self.answer(silent, silent, silent)
+        self.assertEqual((503, "unreachable"), (answer.status, answer.reason))
+
+    async def test_endpoint_that_has_the_request_is_not_connected_to_again(
+        self,
+    ):
+        self.cluster.catalogue.remove("p2", NOW)
+        silent = errors.ConnectTimeoutError("no connection")
+        answer = await self.answer(silent, proxy_fakes.LOST_ANSWER)
+        self.assertEqual((502, 2), (answer.status, len(self.endpoints.sends)))
+
+    async def test_endpoint_that_is_down_is_not_connected_to_again(self):
+        self.cluster.catalogue.remove("p2", NOW)
+        answer = await self.answer(errors.ConnectError("refused"))
+        self.assertEqual(503, answer.status)
+        self.assertEqual(1, len(self.endpoints.sends))
+
     async def test_draining_endpoint_gets_no_requests(self):
         for name in ("p1", "p2"):
             endpoint = self.cluster.catalogue.find(name)
