Tell callers that a request was not sent if its time ends in the connect

What callers saw: a request whose endpoint did not answer the connect until the deadline was answered with 504, which promises nothing, so that a request that is not idempotent was not tried again.

Cause: a send counts as run from the start of the connect on. Only errors of the connect took it back, not its cancellation at the deadline.

Evidence: test_deadline_during_the_connect_tells_that_nothing_was_sent failed before (504, no_answer_in_time).

Why it works: the adapter tells when it is about to send. A send that ends before has handed nothing over, whatever ended it; one that is cancelled after that counts as run, as before.

--- a/samphirevale/exchanges.py
+++ b/samphirevale/exchanges.py
@@ -51,6 +51,10 @@
     def _record_connected(self) -> None:
         self._connected_at = self._context.clock.now()
 
+    def may_have_sent(self) -> bool:
+        """Returns whether the endpoint was connected to."""
+        return self._connected_at is not None
+
     def compute_age(self) -> float:
         """Returns how long the endpoint has had the request, in seconds.
 
--- a/samphirevale/proxy_runs.py
+++ b/samphirevale/proxy_runs.py
@@ -589,7 +589,8 @@
             self._request.last_event if last_event is None else last_event,
             results,
         )
-        # A request that is cancelled while it is sent may have been executed.
+        # It counts while the endpoint is connected to, as another exchange may
+        # begin meanwhile. One that is cancelled after that may have run.
         self._runs += 1
         self._newest = exchange
         try:
@@ -597,7 +598,8 @@
         except BaseException as error:
             if self._newest is exchange:
                 self._newest = None
-            if isinstance(error, errors.ConnectError | errors.NotExecutedError):
+            not_executed = isinstance(error, errors.NotExecutedError)
+            if not_executed or not exchange.may_have_sent():
                 self._runs -= 1
             raise
         self._log_step(
--- a/tests/test_event_streams.py
+++ b/tests/test_event_streams.py
@@ -94,6 +94,16 @@
         )
         self.assertEqual(200, answer.status)
 
+    async def test_deadline_during_the_connect_tells_that_nothing_was_sent(
+        self,
+    ):
+        proxy = self.build_proxy()
+        self.make_unreachable(50.0)
+        answer = await proxy.answer(proxy_fakes.build_request(wait_seconds=0.2))
+        self.assertEqual(
+            (503, "not_sent_in_time"), (answer.status, answer.reason)
+        )
+
     async def test_silent_answer_keeps_its_results_if_another_one_lacks_them(
         self,
     ):
