Return an endpoint's own failure if no other endpoint answers

What callers saw: 502 of the entry in place of the 500 that an endpoint had answered, with its seal and body.

Cause: the failure was dropped as soon as the request could be sent to another endpoint, before it was known whether that one could be reached.

Ruled out: the case without another endpoint, which was right (test_failure_is_returned_without_another_endpoint).

Evidence: test_failure_is_not_given_up_for_an_endpoint_that_is_down failed before with a refusal of the entry.

Why it works: the last failure that an endpoint has answered is kept until the last exchange has ended, and goes before a refusal of the entry.

--- a/samphirevale/proxy_runs.py
+++ b/samphirevale/proxy_runs.py
@@ -51,6 +51,8 @@
         )
         # The number of sends that an endpoint may have executed.
         self._runs = 0
+        # The last failure that an endpoint has answered.
+        self._failure: proxy_requests.CompleteAnswer | None = None
         # The exchange that was opened last; None if it has failed.
         self._newest: exchanges.Exchange | None = None
         self._connection_failures = 0
@@ -278,7 +280,10 @@
                 fallback = self._find_failure(finished)
                 if fallback is None:
                     fallback = await self._start_exchange(race)
+        if self._failure is None:
             return fallback
+        self._log_step("request_answered", status=self._failure.status)
+        return self._failure
 
     async def _wait_for_exchange(
         self, race: exchange_races.ExchangeRace
@@ -404,9 +409,9 @@
         if isinstance(outcome, proxy_requests.Refusal):
             return outcome
         if isinstance(outcome, proxy_requests.CompleteAnswer):
+            self._failure = outcome
             if self._endpoints.choose() is not None and self.may_send_again():
                 return None
-            self._log_step("request_answered", status=outcome.status)
             return outcome
         self._log_send_failure(finished.endpoint, outcome)
         return self._find_error_refusal(finished.endpoint, outcome)
--- a/tests/test_proxying.py
+++ b/tests/test_proxying.py
@@ -292,6 +292,12 @@
         )
         self.assertEqual((500, b"2"), (answer.status, answer.body))
 
+    async def test_failure_is_not_given_up_for_an_endpoint_that_is_down(self):
+        answer = await self.answer(
+            proxy_fakes.FakeAnswer([b"1"], 500), errors.ConnectError("down")
+        )
+        self.assertEqual((500, b"1"), (answer.status, answer.body))
+
     async def test_failure_is_returned_without_another_endpoint(self):
         self.cluster.catalogue.remove("p2", NOW)
         answer = await self.answer(proxy_fakes.FakeAnswer([b"1"], 500))
