Do not lose the events that come in one part with a gap

What callers saw: a stream in which an event is missing: an endpoint sent events 2 and 4 in one part, the stream was resumed elsewhere, and its caller got 1 and 3.

Cause: event 2 was accepted, the gap before 4 then raised an error, and what had been accepted from that part was never passed on. The stream was resumed after event 2.

Evidence: test_events_before_a_gap_are_not_lost failed before (events 1 and 3).

Why it works: a part is accepted as a whole or not at all, so that the stream is resumed after the last event that its caller has.

Tests of streams that end or fall silent inside an event come with it; they passed before.

--- a/samphirevale/event_streams.py
+++ b/samphirevale/event_streams.py
@@ -276,11 +276,8 @@
         self._begun = True
         self._exchange.record_first_event()
         await self._run.release_results()
-        return b"".join(
-            event.data
-            for event in self._splitter.feed(part)
-            if self._order.accept(event)
-        )
+        new_events = self._order.accept_all(self._splitter.feed(part))
+        return b"".join(event.data for event in new_events)
 
     async def aclose(self) -> None:
         """Closes the stream, which cancels the work at the endpoint."""
--- a/samphirevale/events.py
+++ b/samphirevale/events.py
@@ -1,5 +1,6 @@
 """Splits a proxied stream into server-sent events and checks their order."""
 
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from samphirevale import errors
@@ -64,6 +65,20 @@
     def __init__(self, last: int | None = None):
         self.last = last
 
+    def accept_all(self, events: Sequence[Event]) -> list[Event]:
+        """Returns the new ones of several events.
+
+        Raises:
+            errors.ProtocolError: an event before one of them is missing. None
+                of them is accepted.
+        """
+        last = self.last
+        try:
+            return [event for event in events if self.accept(event)]
+        except errors.ProtocolError:
+            self.last = last
+            raise
+
     def accept(self, event: Event) -> bool:
         """Returns whether the event is new; False for a repeated event.
 
--- a/tests/test_event_streams.py
+++ b/tests/test_event_streams.py
@@ -221,6 +221,30 @@
         self.assertLess(time.monotonic() - sent_at[0], 0.4)
         await reader.cancel()
 
+    async def test_silence_inside_an_event_loses_nothing(self):
+        answer = await self.answer(
+            self.build_stream(
+                b"id: 1\n\nid", proxy_fakes.Silence(LONG_SILENCE), b": 2\n\n"
+            ),
+            errors.NotExecutedError("full"),
+        )
+        self.assertEqual(b"id: 1\n\nid: 2\n\n", await self.read_stream(answer))
+
+    async def test_stream_that_ends_inside_an_event_after_a_silence_goes_on(
+        self,
+    ):
+        answer = await self.answer(
+            self.build_stream(
+                b"id: 1\n\nid", proxy_fakes.Silence(LONG_SILENCE), b": 2"
+            ),
+            errors.NotExecutedError("full"),
+            self.build_stream(b"id: 2\n\n"),
+        )
+        reading = await curio.spawn(self.read_stream, answer, daemon=True)
+        await curio.sleep(LONG_SILENCE - 0.2)
+        self.add_endpoint("p3")
+        self.assertEqual(b"id: 1\n\nid: 2\n\n", await reading.join())
+
     async def test_silent_stream_is_not_cut_by_a_late_refusal(self):
         answer = await self.answer(
             self.build_stream(
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -46,6 +46,12 @@
         self.assertEqual([True, True], self.accept(order, 1, 2))
         self.assertEqual([False, False, True], self.accept(order, 1, 2, 3))
 
+    def test_events_before_a_missing_one_are_not_accepted(self):
+        order = events.EventOrder(5)
+        with self.assertRaises(errors.ProtocolError):
+            order.accept_all([events.Event(b"", 6), events.Event(b"", 8)])
+        self.assertEqual(5, order.last)
+
     def test_missing_event_is_an_error(self):
         order = events.EventOrder(5)
         with self.assertRaises(errors.ProtocolError):
--- a/tests/test_proxying.py
+++ b/tests/test_proxying.py
@@ -521,6 +521,29 @@
         )
         self.assertEqual(1, self.endpoints.sends[1][2].last_event)
 
+    async def test_events_before_a_gap_are_not_lost(self):
+        answer = await self.answer(
+            self.build_stream(b"id: 1\n\n", b"id: 2\n\nid: 4\n\n"),
+            self.build_stream(b"id: 2\n\nid: 3\n\n"),
+        )
+        self.assertEqual(
+            b"id: 1\n\nid: 2\n\nid: 3\n\n", await self.read_stream(answer)
+        )
+
+    async def test_stream_that_ends_inside_an_event_is_resumed(self):
+        answer = await self.answer(
+            self.build_stream(b"id: 1\n\nid: 2\nda"),
+            self.build_stream(b"id: 2\n\n"),
+        )
+        self.assertEqual(b"id: 1\n\nid: 2\n\n", await self.read_stream(answer))
+        self.assertEqual(1, self.endpoints.sends[1][2].last_event)
+
+    async def test_stream_that_ends_inside_its_first_event_is_sent_again(self):
+        answer = await self.answer(
+            self.build_stream(b"id: 1\nda"), self.build_stream(b"id: 1\n\n")
+        )
+        self.assertEqual(b"id: 1\n\n", await self.read_stream(answer))
+
     async def test_stream_that_may_not_be_resumed_ends_with_an_error(self):
         self.use_route(proxy_fakes.build_route(repeatable=False, streamed=True))
         answer = await self.answer(
