Raise unexpected errors of an exchange in place of waiting

What callers saw: a request at which a bug of the entry raised an error was held until its deadline and then answered with 504.

Cause: an exchange runs in a task of its own since silent endpoints are kept beside others. The task ended with the error, and nobody was told; the race waited for an exchange that no longer ran.

Evidence: test_unexpected_error_ends_the_race failed before (nothing raised).

Why it works: the race gets the outcome of an exchange whatever it is, and raises what is neither an answer nor an error of the exchange.

--- a/samphirevale/exchange_races.py
+++ b/samphirevale/exchange_races.py
@@ -12,6 +12,9 @@
 
 from samphirevale import catalogue, errors, proxy_requests
 
+# The errors with which an exchange may end.
+_EXCHANGE_ERRORS = (errors.TransportError, TimeoutError)
+
 # Sends the request to an endpoint and returns its answer.
 Send = Callable[[catalogue.Endpoint], Awaitable[proxy_requests.Answer]]
 
@@ -50,15 +53,24 @@
     async def _run(self, endpoint: catalogue.Endpoint, send: Send) -> None:
         try:
             outcome = await send(endpoint)
-        except (errors.TransportError, TimeoutError) as error:
+        except Exception as error:
+            # wait() raises what is unexpected.
             outcome = error
         await self._finished.put(FinishedExchange(endpoint, outcome))
 
     async def wait(self, seconds: float) -> FinishedExchange | None:
-        """Returns the next exchange that ends, or None after a time."""
+        """Returns the next exchange that ends, or None after a time.
+
+        An error that no exchange should end with is raised.
+        """
         async with curio.ignore_after(max(seconds, 0.0)):
             finished = await self._finished.get()
             self.running -= 1
+            outcome = finished.outcome
+            if isinstance(outcome, Exception) and not isinstance(
+                outcome, _EXCHANGE_ERRORS
+            ):
+                raise outcome
             return finished
         return None
 
--- a/tests/test_exchange_races.py
+++ b/tests/test_exchange_races.py
@@ -60,6 +60,15 @@
             self.assertIsInstance(finished.outcome, errors.ConnectError)
             self.assertEqual([], self.cancelled)
 
+    async def test_unexpected_error_ends_the_race(self):
+        async def crash(endpoint):
+            raise ValueError("bug")
+
+        async with exchange_races.open_race() as race:
+            await race.start(FIRST, crash)
+            with self.assertRaises(ValueError):
+                await race.wait(1.0)
+
     async def test_stream_that_nobody_reads_is_closed(self):
         chunks = FakeChunks()
 
