Close a stream whose caller leaves as it begins

What callers saw: nothing; the endpoint worked on for a caller that had left, or whose deadline had passed, and the request counted towards the endpoint's load for good.

Cause: between the first event and the return of the answer an entry tells other entries where the stream began and cancels the exchange that lost the race. A cancellation there dropped the stream without closing it: it was neither in the race any more nor with the server yet.

Evidence: test_stream_is_closed_if_its_caller_leaves_as_it_begins failed before (not closed).

Why it works: the run closes the stream of its answer if it does not return it.

--- a/samphirevale/proxy_runs.py
+++ b/samphirevale/proxy_runs.py
@@ -1,6 +1,7 @@
 """Runs one accepted request: stages, sends, retries and the answer."""
 
-from collections.abc import Sequence
+import contextlib
+from collections.abc import AsyncIterator, Sequence
 
 from samphirevale import (
     batch_dispatch,
@@ -53,6 +54,8 @@
         self._runs = 0
         # The last failure that an endpoint has answered.
         self._failure: proxy_requests.CompleteAnswer | None = None
+        # The answer that is returned, if it is a stream.
+        self._stream: proxy_requests.StreamedAnswer | None = None
         # The exchange that was opened last; None if it has failed.
         self._newest: exchanges.Exchange | None = None
         self._connection_failures = 0
@@ -99,10 +102,21 @@
         self._context.budget.record_first_send(
             self._endpoints.service, self._context.clock.now()
         )
+        async with self._closing_unread_stream():
+            try:
+                return await self._send_until_answered(results)
+            finally:
+                await self.release_results()
+
+    @contextlib.asynccontextmanager
+    async def _closing_unread_stream(self) -> AsyncIterator[None]:
+        """Closes the stream of the answer if the block raises an exception."""
         try:
-            return await self._send_until_answered(results)
-        finally:
-            await self.release_results()
+            yield
+        except BaseException:
+            if self._stream is not None:
+                await self._stream.chunks.aclose()
+            raise
 
     def build_timeout_refusal(self) -> proxy_requests.Refusal:
         """Returns the answer to a request whose deadline has passed."""
@@ -388,6 +402,7 @@
         if isinstance(answer, proxy_requests.CompleteAnswer):
             self._log_step("request_answered", status=answer.status)
         else:
+            self._stream = answer
             self._endpoints.version = finished.endpoint.version
             await stream_bindings.record_origin(
                 self._context, self._accepted, finished.endpoint
--- a/tests/test_event_streams.py
+++ b/tests/test_event_streams.py
@@ -156,6 +156,24 @@
         answer = await answering.join()
         self.assertEqual(b"id: 1\n\n", await self.read_stream(answer))
 
+    async def test_stream_is_closed_if_its_caller_leaves_as_it_begins(self):
+        stream = self.build_stream(b"id: 1\n\n", proxy_fakes.Silence(50.0))
+        proxy = self.build_proxy(stream)
+
+        async def hang(*_):
+            await curio.sleep(50.0)
+
+        self.links.tell_origin = hang
+        answering = await curio.spawn(
+            proxy.answer, proxy_fakes.build_request(), daemon=True
+        )
+        await curio.sleep(0.1)
+        await answering.cancel()
+        self.assertTrue(stream.closed)
+        self.assertEqual(
+            [0, 0], [self.selector.count_running(n) for n in ("p1", "p2")]
+        )
+
     async def test_first_event_is_not_given_up_during_the_next_connect(self):
         proxy = self.build_proxy(
             self.build_stream(proxy_fakes.Silence(0.7), b"id: 1\n\n")
