Pass results of stages on before the endpoint's report is read

What callers saw: requests that waited up to 0.3 s longer for their stages, if another request's item had found no memory in the same call and the endpoint was then silent.

Cause: the endpoint's free memory was asked for before the results of the call were passed on.

Evidence: test_results_do_not_wait_for_a_silent_report failed before (0.30 s, the whole timeout of the report).

Why it works: what the call has brought is passed on first. Items that lacked memory are queued again after the report, as before, unless their request has been cancelled meanwhile.

--- a/samphirevale/batch_dispatch.py
+++ b/samphirevale/batch_dispatch.py
@@ -373,25 +373,37 @@
         queue.end_call(
             batch, [outcome.result or None for outcome in results], now
         )
-        if "room" in failure_reasons:
-            sizes = [
-                item.result_bytes
-                for item, outcome in zip(batch, results, strict=True)
-                if outcome.reason == "room"
-            ]
-            queue.record_memory_shortage(min(sizes), now)
+        short_items = [
+            item
+            for item, outcome in zip(batch, results, strict=True)
+            if outcome.reason == "room"
+        ]
+        if short_items:
+            smallest = min(item.result_bytes for item in short_items)
+            queue.record_memory_shortage(smallest, now)
+        await self._resolve_items(endpoint, batch, results)
+        if short_items:
             await self._refresh_free_memory(endpoint, queue)
+        for item in short_items:
+            if not item.ticket.abandoned:
+                queue.add(item)
+        if len(queue):
+            await self._start_queue_task(endpoint, queue)
+
+    async def _resolve_items(
+        self,
+        endpoint: catalogue.Endpoint,
+        batch: Sequence[batching.Item],
+        results: Sequence[proxies.ItemResult],
+    ) -> None:
+        """Resolves the items of a call, but for those that lacked memory."""
         abandoned_results = []
         for item, outcome in zip(batch, results, strict=True):
             if item.ticket.abandoned:
                 abandoned_results += [outcome.result] if outcome.result else []
-            elif outcome.reason == "room":
-                queue.add(item)
-            else:
+            elif outcome.reason != "room":
                 await item.ticket.resolve(item.index, outcome)
         await self.release(endpoint, abandoned_results)
-        if len(queue):
-            await self._start_queue_task(endpoint, queue)
 
     @contextlib.asynccontextmanager
     async def _watching_overdue(
--- a/tests/test_batch_dispatch.py
+++ b/tests/test_batch_dispatch.py
@@ -314,6 +314,11 @@
         await self.dispatcher.run_items(endpoint, limits, [item])
         return self.clock.now() - now
 
+    async def test_results_do_not_wait_for_a_silent_report(self):
+        self.use_endpoints("e1", memory_bytes=50_000_000)
+        done, _ = await self.run_beside_a_shortage()
+        self.assertLess(done, batch_dispatch.FREE_MEMORY_SECONDS)
+
     async def test_silent_report_does_not_count_as_a_full_memory(self):
         self.use_endpoints("e1", memory_bytes=50_000_000)
         _, short = await self.run_beside_a_shortage()
