--- a/samphirevale/batch_dispatch.py
+++ b/samphirevale/batch_dispatch.py
@@ -48,6 +48,10 @@
 # no new work.
 UNSENT = "unsent"
 
+# The failure reason of items that were not sent because a call of their
+# endpoint is overdue.
+OVERDUE = "overdue"
+
 
 class StageResult(NamedTuple):
     """A result of a stage that is stored at an endpoint.
@@ -187,11 +191,13 @@
             self._queue_tasks.pop(key, None)
         self._penalized_until.pop(endpoint.name, None)
 
-    async def withdraw_items(self, endpoint: catalogue.Endpoint) -> None:
+    async def withdraw_items(
+        self, endpoint: catalogue.Endpoint, reason: str = UNSENT
+    ) -> None:
         """Ends the items queued for an endpoint, which can go to another."""
         queue = self._queues.get(_build_key(endpoint))
         if queue is not None:
-            await _resolve_all(queue.take_all(), UNSENT)
+            await _resolve_all(queue.take_all(), reason)
 
     async def run_items(
         self,
@@ -367,25 +373,37 @@
         queue.end_call(
             batch, [outcome.result or None for outcome in results], now
         )
-        if "room" in failure_reasons:
-            sizes = [
-                item.result_bytes
-                for item, outcome in zip(batch, results, strict=True)
-                if outcome.reason == "room"
-            ]
-            queue.record_memory_shortage(min(sizes), now)
+        short_items = [
+            item
+            for item, outcome in zip(batch, results, strict=True)
+            if outcome.reason == "room"
+        ]
+        if short_items:
+            smallest = min(item.result_bytes for item in short_items)
+            queue.record_memory_shortage(smallest, now)
+        await self._resolve_items(endpoint, batch, results)
+        if short_items:
             await self._refresh_free_memory(endpoint, queue)
+        for item in short_items:
+            if not item.ticket.abandoned:
+                queue.add(item)
+        if len(queue):
+            await self._start_queue_task(endpoint, queue)
+
+    async def _resolve_items(
+        self,
+        endpoint: catalogue.Endpoint,
+        batch: Sequence[batching.Item],
+        results: Sequence[proxies.ItemResult],
+    ) -> None:
+        """Resolves the items of a call, but for those that lacked memory."""
         abandoned_results = []
         for item, outcome in zip(batch, results, strict=True):
             if item.ticket.abandoned:
                 abandoned_results += [outcome.result] if outcome.result else []
-            elif outcome.reason == "room":
-                queue.add(item)
-            else:
+            elif outcome.reason != "room":
                 await item.ticket.resolve(item.index, outcome)
         await self.release(endpoint, abandoned_results)
-        if len(queue):
-            await self._start_queue_task(endpoint, queue)
 
     @contextlib.asynccontextmanager
     async def _watching_overdue(
@@ -407,7 +425,7 @@
             self._log.record_failure("batch_overdue", endpoint=name)
             now = self._clock.now()
             if self._availability.has_other_endpoint(endpoint, now):
-                await self.withdraw_items(endpoint)
+                await self.withdraw_items(endpoint, OVERDUE)
 
         watcher = await curio.spawn(watch, daemon=True)
         try:
@@ -432,10 +450,10 @@
             async with self._clock.timeout(FREE_MEMORY_SECONDS):
                 free_bytes = await self._endpoints.read_free_memory(endpoint)
         except (errors.TransportError, TimeoutError) as error:
-            free_bytes = 0
             self._log.record_failure(
                 "room_unknown", endpoint=endpoint.name, error=str(error)
             )
+            return
         queue.adopt_free_memory(free_bytes, self._clock.now())
         self._log.record_event(
             "room_adopted",
--- a/samphirevale/proxy_runs.py
+++ b/samphirevale/proxy_runs.py
@@ -1,6 +1,7 @@
 """Runs one accepted request: stages, sends, retries and the answer."""
 
-from collections.abc import Sequence
+import contextlib
+from collections.abc import AsyncIterator, Sequence
 
 from samphirevale import (
     batch_dispatch,
@@ -51,15 +52,22 @@
         )
         # The number of sends that an endpoint may have executed.
         self._runs = 0
-        # When the request was sent to an endpoint that has not answered yet.
-        self._sent_at: float | None = None
+        # The last failure that an endpoint has answered.
+        self._failure: proxy_requests.CompleteAnswer | None = None
+        # The answer that is returned, if it is a stream.
+        self._stream: proxy_requests.StreamedAnswer | None = None
+        # The exchange that was opened last; None if it has failed.
+        self._newest: exchanges.Exchange | None = None
         self._connection_failures = 0
-        # The results of the stages, and whether they have to run again.
+        # The results of the stages, and whether they have to run again, do so
+        # now or have done so.
         self._result_names: tuple[str, ...] = ()
         self._result_sizes: tuple[tuple[str, int], ...] = ()
         self._lacks_results = False
+        self._repeating_stages = False
         self._stages_repeated = False
-        self._stages: stages.StageSequenceRun | None = None
+        # The runs of the stages; an endpoint may need results of any.
+        self._stage_runs: list[stages.StageSequenceRun] = []
         # Whether the items are queued behind those that are on time.
         self._late = accepted.returned
 
@@ -76,10 +84,10 @@
             refusal = self._refuse_overload()
             if refusal is not None:
                 return refusal
-            self._stages = self._build_stages()
+            stage_run = self._add_stage_run()
             try:
-                async with stages.release_on_error(self._stages):
-                    results = await self._stages.run()
+                async with stages.release_on_error(stage_run):
+                    results = await stage_run.run()
             except errors.EarlierStageError as error:
                 return self._build_failure_refusal(str(error).replace(" ", "_"))
         if results:
@@ -89,17 +97,26 @@
                 endpoints=sorted(
                     {stage_result.endpoint.name for stage_result in results}
                 ),
-                wanted_data_centre=self._stages.get_data_centre(),
+                wanted_data_centre=stage_run.get_data_centre(),
             )
         self._context.budget.record_first_send(
             self._endpoints.service, self._context.clock.now()
         )
+        async with self._closing_unread_stream():
+            try:
+                return await self._send_until_answered(results)
+            finally:
+                await self.release_results()
+
+    @contextlib.asynccontextmanager
+    async def _closing_unread_stream(self) -> AsyncIterator[None]:
+        """Closes the stream of the answer if the block raises an exception."""
         try:
-            return await self._send_until_answered(results)
-        except errors.EarlierStageError as error:
-            return self._build_failure_refusal(str(error).replace(" ", "_"))
-        finally:
-            await self.release_results()
+            yield
+        except BaseException:
+            if self._stream is not None:
+                await self._stream.chunks.aclose()
+            raise
 
     def build_timeout_refusal(self) -> proxy_requests.Refusal:
         """Returns the answer to a request whose deadline has passed."""
@@ -187,6 +204,12 @@
             self._prompt_tokens
         ) + selector.estimate_delay(endpoint.name)
 
+    def _add_stage_run(self) -> stages.StageSequenceRun:
+        """Returns a new run of the stages, which release_results() releases."""
+        stage_run = self._build_stages()
+        self._stage_runs.append(stage_run)
+        return stage_run
+
     def _build_stages(self) -> stages.StageSequenceRun:
         model_seconds = self._estimate_model_seconds()
         due_at = self._request.received_at
@@ -263,23 +286,53 @@
             # What the caller gets if no exchange in progress brings an answer.
             fallback = await self._start_exchange(race)
             while race.running:
-                overlapping = self._route.streamed and race.running > 1
-                timeout = self._compute_answer_timeout()
-                if overlapping:
-                    timeout = min(timeout, event_streams.OVERLAP_SECONDS)
-                finished = await race.wait(timeout)
-                if finished is None and overlapping:
-                    await race.keep_last()
-                    continue
+                finished = await self._wait_for_exchange(race)
                 if finished is None:
-                    await self._handle_silence(race)
                     continue
                 if self._is_final(finished.outcome):
                     return await self._accept_answer(finished)
                 fallback = self._find_failure(finished)
                 if fallback is None:
                     fallback = await self._start_exchange(race)
+        if self._failure is None:
             return fallback
+        self._log_step("request_answered", status=self._failure.status)
+        return self._failure
+
+    async def _wait_for_exchange(
+        self, race: exchange_races.ExchangeRace
+    ) -> exchange_races.FinishedExchange | None:
+        """Returns the next exchange that ends, or None after a silence.
+
+        Raises:
+            TimeoutError: the request's deadline has passed.
+        """
+        if self._route.streamed and race.running > 1:
+            return await self._wait_overlapping(race)
+        finished = await race.wait(self._compute_answer_timeout())
+        if finished is None:
+            await self._handle_silence(race)
+        return finished
+
+    async def _wait_overlapping(
+        self, race: exchange_races.ExchangeRace
+    ) -> exchange_races.FinishedExchange | None:
+        """Waits while two endpoints have a stream that has not begun.
+
+        Returns:
+            The next exchange that ends; None if the earlier endpoint was left.
+
+        Raises:
+            TimeoutError: the request's deadline has passed.
+        """
+        while self.compute_remaining_seconds() > 0:
+            finished = await race.wait(event_streams.RESUMPTION_CHECK_SECONDS)
+            if finished is not None:
+                return finished
+            if self.compute_overlap(None) >= event_streams.OVERLAP_SECONDS:
+                await race.keep_last()
+                return None
+        raise TimeoutError("no answer before the deadline")
 
     async def _start_exchange(
         self, race: exchange_races.ExchangeRace
@@ -289,16 +342,37 @@
         Returns:
             A refusal if no endpoint accepts it.
         """
-        if self._lacks_results:
-            self._lacks_results = False
-            self._result_names = await self._run_stages_again()
+        if self._repeating_stages:
+            # The request is sent with their results.
+            return None
         endpoint = self._endpoints.choose(self._result_sizes)
         if endpoint is None:
             return self._build_failure_refusal(self._endpoints.explain_none())
-        self._endpoints.tried.add(endpoint.name)
-        await race.start(endpoint, self._send_once)
+        self._endpoints.record_send(endpoint)
+        self._newest = None
+        send = self._send_once
+        if self._lacks_results:
+            self._lacks_results = False
+            self._repeating_stages = True
+            send = self._send_with_new_results
+        await race.start(endpoint, send)
         return None
 
+    async def _send_with_new_results(
+        self, endpoint: catalogue.Endpoint
+    ) -> proxy_requests.Answer:
+        """Runs the stages again and sends the request with their results.
+
+        The former results are kept for endpoints that have the request already.
+        """
+        try:
+            self._result_names = await self._run_stages_again()
+        except errors.EarlierStageError as error:
+            return self._build_failure_refusal(str(error).replace(" ", "_"))
+        finally:
+            self._repeating_stages = False
+        return await self._send_once(endpoint)
+
     async def _handle_silence(self, race: exchange_races.ExchangeRace) -> None:
         """Sends the request to a further endpoint if that is allowed.
 
@@ -307,6 +381,8 @@
         """
         if self.compute_remaining_seconds() <= 0:
             raise TimeoutError("no answer before the deadline")
+        if self._repeating_stages:
+            return
         if self._endpoints.choose() is None or not self.may_send_again():
             return
         self._log_step("endpoint_silent", exchanges=race.running)
@@ -326,6 +402,7 @@
         if isinstance(answer, proxy_requests.CompleteAnswer):
             self._log_step("request_answered", status=answer.status)
         else:
+            self._stream = answer
             self._endpoints.version = finished.endpoint.version
             await stream_bindings.record_origin(
                 self._context, self._accepted, finished.endpoint
@@ -344,10 +421,12 @@
         outcome = finished.outcome
         if isinstance(outcome, TimeoutError):
             raise outcome
+        if isinstance(outcome, proxy_requests.Refusal):
+            return outcome
         if isinstance(outcome, proxy_requests.CompleteAnswer):
+            self._failure = outcome
             if self._endpoints.choose() is not None and self.may_send_again():
                 return None
-            self._log_step("request_answered", status=outcome.status)
             return outcome
         self._log_send_failure(finished.endpoint, outcome)
         return self._find_error_refusal(finished.endpoint, outcome)
@@ -359,6 +438,7 @@
         if isinstance(error, errors.NotAcceptingError):
             return None
         if isinstance(error, errors.ConnectError):
+            self._note_unanswered(endpoint, error)
             self._connection_failures += 1
             if self._connection_failures >= CONNECT_FAILURES_LIMIT:
                 return self._build_failure_refusal("unreachable")
@@ -370,6 +450,13 @@
             return proxy_requests.Refusal(502, "answer_lost")
         return None
 
+    def _note_unanswered(
+        self, endpoint: catalogue.Endpoint, error: errors.ConnectError
+    ) -> None:
+        """Lets an endpoint that may only be silent be connected to again."""
+        if isinstance(error, errors.ConnectTimeoutError):
+            self._endpoints.record_unanswered(endpoint)
+
     def _find_rejection_refusal(
         self, error: errors.NotExecutedError
     ) -> proxy_requests.Refusal | None:
@@ -378,7 +465,7 @@
             return self._build_failure_refusal("endpoints_paused")
         if not self._take_retry(self._endpoints.service):
             return self._build_failure_refusal("refused_by_endpoint")
-        if error.lacks_results:
+        if error.lacks_results and not self._repeating_stages:
             if self._stages_repeated:
                 return self._build_failure_refusal("results_gone")
             self._stages_repeated = self._lacks_results = True
@@ -522,16 +609,19 @@
             self._request.last_event if last_event is None else last_event,
             results,
         )
-        # A request that is cancelled while it is sent may have been executed.
+        # It counts while the endpoint is connected to, as another exchange may
+        # begin meanwhile. One that is cancelled after that may have run.
         self._runs += 1
-        self._sent_at = now
+        self._newest = exchange
         try:
             await exchange.open(self._request, parameters)
-        except (errors.ConnectError, errors.NotExecutedError):
-            self._runs -= 1
+        except BaseException as error:
+            if self._newest is exchange:
+                self._newest = None
+            not_executed = isinstance(error, errors.NotExecutedError)
+            if not_executed or not exchange.may_have_sent():
+                self._runs -= 1
             raise
-        finally:
-            self._sent_at = None
         self._log_step(
             "request_sent",
             endpoint=endpoint.name,
@@ -561,11 +651,12 @@
             if results is None:
                 results = await self._run_stages_for_resume()
                 endpoint = self._choose_resuming_endpoint()
-            self._endpoints.tried.add(endpoint.name)
+            self._endpoints.record_send(endpoint)
             try:
                 return await self._open_resumed(endpoint, results, last_event)
             except errors.ConnectError as error:
                 self._log_send_failure(endpoint, error)
+                self._note_unanswered(endpoint, error)
                 retry_taken = True
                 connection_failures += _is_unreachable(error)
                 if connection_failures >= CONNECT_FAILURES_LIMIT:
@@ -583,6 +674,7 @@
         return endpoint
 
     async def _run_stages_for_resume(self) -> tuple[str, ...]:
+        await self.release_results()
         try:
             return await self._run_stages_again()
         except errors.EarlierStageError as error:
@@ -621,27 +713,30 @@
         """
         if not self._route.stages:
             return ()
-        await self.release_results()
-        self._stages = self._build_stages()
-        async with stages.release_on_error(self._stages):
-            results = await self._stages.run()
+        stage_run = self._add_stage_run()
+        async with stages.release_on_error(stage_run):
+            results = await stage_run.run()
         return tuple(stage_result.name for stage_result in results)
 
     async def release_results(self) -> None:
         """Releases the results of the stages."""
-        if self._stages is not None:
-            await self._stages.release_all()
+        for stage_run in self._stage_runs:
+            await stage_run.release_all()
+
+    def compute_overlap(self, exchange: exchanges.Exchange | None) -> float:
+        """Returns how long a further endpoint has had the request.
 
-    def compute_overlap(self) -> float:
-        """Returns how long the request has been at a further endpoint.
+        Args:
+            exchange: the exchange with the present endpoint; None before the
+                first event.
 
         Returns:
-            The time in seconds since it was sent there; 0 if it was not, or
-            that endpoint has refused it.
+            The time in seconds; 0 if there is none, or if it has refused the
+            request.
         """
-        if self._sent_at is None:
+        if self._newest is None or self._newest is exchange:
             return 0.0
-        return self._context.clock.now() - self._sent_at
+        return self._newest.compute_age()
 
     def compute_event_timeout(self, begun: bool) -> float:
         """Returns the timeout for the next event of a stream, in seconds.
--- a/tests/test_event_streams.py
+++ b/tests/test_event_streams.py
@@ -54,6 +54,15 @@
     def build_stream(self, *parts):
         return proxy_fakes.FakeAnswer(parts, streamed=True)
 
+    def make_unreachable(self, seconds):
+        """Makes connections to all endpoints fail after a time."""
+
+        async def send(*_):
+            await curio.sleep(seconds)
+            raise errors.ConnectError("no connection")
+
+        self.endpoints.send = send
+
     async def read_stream(self, answer):
         async with contextlib.aclosing(answer.chunks) as chunks:
             return b"".join([chunk async for chunk in chunks])
@@ -85,6 +94,48 @@
         )
         self.assertEqual(200, answer.status)
 
+    async def test_deadline_during_the_connect_tells_that_nothing_was_sent(
+        self,
+    ):
+        proxy = self.build_proxy()
+        self.make_unreachable(50.0)
+        answer = await proxy.answer(proxy_fakes.build_request(wait_seconds=0.2))
+        self.assertEqual(
+            (503, "not_sent_in_time"), (answer.status, answer.reason)
+        )
+
+    async def test_silent_answer_keeps_its_results_if_another_one_lacks_them(
+        self,
+    ):
+        stage = routes.Stage("stage", (), 100)
+        self.use_route(
+            proxy_fakes.build_route(target_seconds=0.15, stages=(stage,))
+        )
+        gone = errors.NotExecutedError("status 409", lacks_results=True)
+        proxy = self.build_proxy(self.build_silent_answer(), gone)
+        request = proxy_fakes.build_request(item_counts=(1,))
+        answering = await curio.spawn(proxy.answer, request, daemon=True)
+        await curio.sleep(0.2)
+        self.runner.reason = "late"
+        await curio.sleep(0.3)
+        self.assertEqual([], self.runner.released)
+        self.assertEqual(200, (await answering.join()).status)
+
+    async def test_results_are_computed_again_beside_a_silent_endpoint(self):
+        stage = routes.Stage("stage", (), 100)
+        self.use_route(
+            proxy_fakes.build_route(
+                target_seconds=0.15, stages=(stage,), attempts_limit=3
+            )
+        )
+        self.add_endpoint("p3")
+        silent = proxy_fakes.FakeAnswer([proxy_fakes.Silence(50.0)])
+        gone = errors.NotExecutedError("status 409", lacks_results=True)
+        answer = await self.answer(
+            silent, gone, proxy_fakes.FakeAnswer([b"x"]), item_counts=(1,)
+        )
+        self.assertEqual((200, 2), (answer.status, self.runner.item_count))
+
 
 class SilentFirstEventTest(SilenceTestCase):
     """Tests streams whose endpoint is silent before the first event."""
@@ -105,6 +156,36 @@
         answer = await answering.join()
         self.assertEqual(b"id: 1\n\n", await self.read_stream(answer))
 
+    async def test_stream_is_closed_if_its_caller_leaves_as_it_begins(self):
+        stream = self.build_stream(b"id: 1\n\n", proxy_fakes.Silence(50.0))
+        proxy = self.build_proxy(stream)
+
+        async def hang(*_):
+            await curio.sleep(50.0)
+
+        self.links.tell_origin = hang
+        answering = await curio.spawn(
+            proxy.answer, proxy_fakes.build_request(), daemon=True
+        )
+        await curio.sleep(0.1)
+        await answering.cancel()
+        self.assertTrue(stream.closed)
+        self.assertEqual(
+            [0, 0], [self.selector.count_running(n) for n in ("p1", "p2")]
+        )
+
+    async def test_first_event_is_not_given_up_during_the_next_connect(self):
+        proxy = self.build_proxy(
+            self.build_stream(proxy_fakes.Silence(0.7), b"id: 1\n\n")
+        )
+        answering = await curio.spawn(
+            proxy.answer, proxy_fakes.build_request(), daemon=True
+        )
+        await curio.sleep(0.1)
+        self.make_unreachable(0.5)
+        answer = await answering.join()
+        self.assertEqual(b"id: 1\n\n", await self.read_stream(answer))
+
     async def test_first_event_is_not_given_up_for_one_that_refuses(self):
         answer = await self.answer(
             self.build_stream(proxy_fakes.Silence(0.8), b"id: 1\n\n"),
@@ -131,12 +212,22 @@
         )
         self.assertEqual(b"id: 1\n\nid: 2\n\n", await self.read_stream(answer))
 
+    async def test_silent_stream_is_not_cut_during_the_next_connect(self):
+        answer = await self.answer(
+            self.build_stream(
+                b"id: 1\n\n", proxy_fakes.Silence(LONG_SILENCE), b"id: 2\n\n"
+            )
+        )
+        self.make_unreachable(0.5)
+        self.assertEqual(b"id: 1\n\nid: 2\n\n", await self.read_stream(answer))
+
     async def test_two_endpoints_do_not_work_on_one_stream_for_long(self):
         old = self.build_stream(b"id: 1\n\n", proxy_fakes.Silence(50.0))
         answer = await self.answer(old)
         sent_at = []
 
-        async def hang(*_):
+        async def hang(endpoint, request, send, on_connected):
+            on_connected()
             sent_at.append(time.monotonic())
             await curio.sleep(50.0)
 
@@ -148,6 +239,30 @@
         self.assertLess(time.monotonic() - sent_at[0], 0.4)
         await reader.cancel()
 
+    async def test_silence_inside_an_event_loses_nothing(self):
+        answer = await self.answer(
+            self.build_stream(
+                b"id: 1\n\nid", proxy_fakes.Silence(LONG_SILENCE), b": 2\n\n"
+            ),
+            errors.NotExecutedError("full"),
+        )
+        self.assertEqual(b"id: 1\n\nid: 2\n\n", await self.read_stream(answer))
+
+    async def test_stream_that_ends_inside_an_event_after_a_silence_goes_on(
+        self,
+    ):
+        answer = await self.answer(
+            self.build_stream(
+                b"id: 1\n\nid", proxy_fakes.Silence(LONG_SILENCE), b": 2"
+            ),
+            errors.NotExecutedError("full"),
+            self.build_stream(b"id: 2\n\n"),
+        )
+        reading = await curio.spawn(self.read_stream, answer, daemon=True)
+        await curio.sleep(LONG_SILENCE - 0.2)
+        self.add_endpoint("p3")
+        self.assertEqual(b"id: 1\n\nid: 2\n\n", await reading.join())
+
     async def test_silent_stream_is_not_cut_by_a_late_refusal(self):
         answer = await self.answer(
             self.build_stream(
@@ -155,7 +270,8 @@
             )
         )
 
-        async def refuse(*_):
+        async def refuse(endpoint, request, send, on_connected):
+            on_connected()
             await curio.sleep(0.2)
             raise errors.NotExecutedError("full")
 
@@ -322,6 +438,19 @@
         answer = await self.answer(*self.script)
         self.assertEqual(b"id: 1\n\nid: 2\n\n", await self.read_stream(answer))
 
+    async def test_broken_stream_connects_again_after_a_silence(self):
+        self.use_stream_route()
+        for name in ("p2", "p3"):
+            self.cluster.catalogue.remove(name, NOW)
+        proxy = self.build_proxy(
+            self.build_stream(b"id: 1\n\n", proxy_fakes.LOST_ANSWER),
+            errors.ConnectTimeoutError("no connection"),
+            self.build_stream(b"id: 2\n\n"),
+        )
+        answer = await proxy.answer(proxy_fakes.build_request())
+        self.add_endpoint("p2")
+        self.assertEqual(b"id: 1\n\nid: 2\n\n", await self.read_stream(answer))
+
     async def test_failed_connection_takes_no_retry_of_a_stream(self):
         self.use_stream_route(attempts_limit=9)
         self.budget_limits = ONE_RETRY
