Log each connection of a caller that ends, with its reason

The entries wrote no line when they closed a connection, so that it could not be told whether the request had been read, or why the connection ended.

A server now reports the end of each connection: the reason, the bytes received that belong to no answered request, the requests read and answered, the idle timeout in force, the caller's address and an unexpected error. A proxying entry counts them (connections_closed_total, by reason) and writes connection_closed, but for callers that leave between two requests.

Errors of the socket are told apart from those of a handler, which run() took for the end of the connection: an OSError of a handler ended its task without a line. It is now reported, and logged as a failed task.

--- a/samphirevale/adapters/web.py
+++ b/samphirevale/adapters/web.py
@@ -1,7 +1,10 @@
 """An HTTP/1.1 server with h11 on curio sockets, one task per connection."""
 
 import contextlib
+import fcntl
 import json
+import sys
+import termios
 import urllib.parse
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any, NamedTuple
@@ -88,6 +91,47 @@
 Handler = Callable[[Request], Awaitable[Response | StreamedResponse]]
 
 
+class ClosedConnection(NamedTuple):
+    """The end of a connection.
+
+    Attributes:
+        reason: one of the constants below.
+        unread_bytes: number of bytes received that belong to no answered
+            request, those of a request read in part included.
+        requests: number of requests that were read whole.
+        answered: number of requests whose answer was sent whole.
+        idle_seconds: the idle timeout that was in force for the connection.
+        address: the caller's address.
+        error: the unexpected error; empty if there was none.
+    """
+
+    reason: str
+    unread_bytes: int
+    requests: int
+    answered: int
+    idle_seconds: float
+    address: str
+    error: str = ""
+
+
+# Reasons why a connection ends. Those without a failure are expected.
+CALLER_LEFT = "caller_left"
+IDLE_TIMEOUT = "idle_timeout"
+HEAD_TIMEOUT = "head_timeout"
+BODY_TIMEOUT = "body_timeout"
+WRITE_TIMEOUT = "write_timeout"
+CONNECTION_LIMIT = "connection_limit"
+HEAD_REFUSED = "head_refused"
+BODY_REFUSED = "body_refused"
+LAST_ANSWER = "last_answer"
+DRAINING = "draining"
+ANSWER_BROKEN = "answer_broken"
+CANCELLED = "cancelled"
+UNEXPECTED_ERROR = "unexpected_error"
+
+EXPECTED_REASONS = frozenset({CALLER_LEFT, IDLE_TIMEOUT, LAST_ANSWER, DRAINING})
+
+
 def build_json(status: int, value: Any, *headers: tuple[str, str]) -> Response:
     """Returns a response with `value` as its JSON body."""
     body = json.dumps(value).encode()
@@ -105,13 +149,18 @@
         body_bytes: total size of the bodies of all requests in progress.
         limits: the limits from the next request on; None to keep those that
             the server was started with.
+        report_closed: called at the end of each connection.
     """
 
-    def __init__(self):
+    def __init__(
+        self,
+        report_closed: Callable[[ClosedConnection], None] = lambda _: None,
+    ):
         self.draining = False
         self.busy = 0
         self.body_bytes = 0
         self.limits: Limits | None = None
+        self.report_closed = report_closed
 
 
 async def serve(
@@ -133,21 +182,41 @@
     server_state = state or ServerState()
     connections = 0
 
-    async def run_connection(client: Any, _: Any) -> None:
+    async def run_connection(client: Any, address: Any) -> None:
         nonlocal connections
+        name = _format_address(address)
         if connections >= limits.connections:
-            await _refuse_connection(client, limits)
+            await _refuse_connection(client, limits, server_state, name)
             return
         connections += 1
+        connection = _ServerConnection(
+            client, handler, limits, server_state, name
+        )
         try:
-            await _ServerConnection(client, handler, limits, server_state).run()
+            await connection.run()
         finally:
             connections -= 1
 
     await listener.serve(run_connection, host, port)
 
 
-async def _refuse_connection(client: Any, limits: Limits) -> None:
+def _format_address(address: Any) -> str:
+    return ":".join(str(part) for part in address[:2])
+
+
+async def _refuse_connection(
+    client: Any, limits: Limits, state: ServerState, address: str
+) -> None:
+    state.report_closed(
+        ClosedConnection(
+            CONNECTION_LIMIT,
+            _count_unread(client),
+            requests=0,
+            answered=0,
+            idle_seconds=limits.idle_seconds,
+            address=address,
+        )
+    )
     with contextlib.suppress(OSError, curio.TaskTimeout):
         async with curio.timeout_after(limits.write_seconds):
             await client.sendall(
@@ -156,6 +225,15 @@
             )
 
 
+def _count_unread(client: Any) -> int:
+    """Returns the number of bytes in the receive buffer of a socket."""
+    try:
+        size = fcntl.ioctl(client.fileno(), termios.FIONREAD, bytes(4))
+    except OSError:
+        return 0
+    return int.from_bytes(size, sys.byteorder)
+
+
 # A request with both headers is refused: two HTTP implementations may
 # disagree on its length, which allows request smuggling.
 _FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
@@ -165,12 +243,21 @@
 MEMORY_RETRY_SECONDS = 1
 
 
-class _TooLargeError(Exception):
-    """A part of the request exceeds its limit or the memory for bodies."""
+class _RefusedError(Exception):
+    """The request is refused before it is read whole."""
 
-    def __init__(self, status: int, part: str, limit: int):
-        super().__init__(f"the {part} is over {limit} bytes")
+    def __init__(self, status: int, reason: str, text: str):
+        super().__init__(text)
         self.status = status
+        self.reason = reason
+
+
+class _EndedError(Exception):
+    """The connection has ended or does not accept further data."""
+
+    def __init__(self, reason: str):
+        super().__init__(reason)
+        self.reason = reason
 
 
 class _ServerConnection:
@@ -182,11 +269,13 @@
         handler: Handler,
         limits: Limits,
         state: ServerState,
+        address: str,
     ):
         self._client = client
         self._handler = handler
         self._limits = state.limits or limits
         self._state = state
+        self._address = address
         self._protocol = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self._limits.head_bytes
         )
@@ -194,6 +283,12 @@
         self._buffered = bytearray()
         # Size of the current request's body so far.
         self._body_bytes = 0
+        # Bytes received and requests read and answered, for the report.
+        self._received_bytes = 0
+        self._request_bytes = 0
+        self._requests = 0
+        self._answered = 0
+        self._caller_left = False
 
     async def run(self) -> None:
         """Serves requests until the connection ends.
@@ -202,44 +297,85 @@
         the middle of the body, so the client does not take it for complete.
         """
         self._client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        with contextlib.suppress(
-            OSError, curio.TaskTimeout, errors.AnswerLostError
-        ):
-            while await self._serve_request():
-                self._protocol.start_next_cycle()
-
-    async def _serve_request(self) -> bool:
-        """Serves one request and returns whether another may follow."""
+        reason = UNEXPECTED_ERROR
+        unexpected = ""
         try:
-            return await self._read_and_answer()
+            reason = await self._serve_requests()
+        except _EndedError as error:
+            reason = error.reason
+        except errors.AnswerLostError:
+            reason = ANSWER_BROKEN
+        except curio.TaskCancelled:
+            reason = CALLER_LEFT if self._caller_left else CANCELLED
+            raise
+        except BaseException as error:
+            unexpected = f"{type(error).__name__}: {error}"
+            raise
         finally:
-            self._state.body_bytes -= self._body_bytes
-            self._body_bytes = 0
+            self._report_closed(reason, unexpected)
+
+    def _report_closed(self, reason: str, error: str) -> None:
+        unread = self._received_bytes - self._request_bytes
+        self._state.report_closed(
+            ClosedConnection(
+                reason,
+                unread + _count_unread(self._client),
+                self._requests,
+                self._answered,
+                self._limits.idle_seconds,
+                self._address,
+                error,
+            )
+        )
 
-    async def _read_and_answer(self) -> bool:
+    async def _serve_requests(self) -> str:
+        """Serves requests; returns the reason why no other one may follow."""
+        while True:
+            try:
+                reason = await self._read_and_answer()
+            finally:
+                self._state.body_bytes -= self._body_bytes
+                self._body_bytes = 0
+            if reason is not None:
+                return reason
+            self._protocol.start_next_cycle()
+
+    async def _read_and_answer(self) -> str | None:
+        """Serves one request.
+
+        Returns:
+            The reason why the connection ends; None if another request may
+            follow.
+        """
         try:
             request = await self._read_request()
-        except _TooLargeError as error:
+        except _RefusedError as error:
             await self._refuse(error.status, str(error))
-            return False
+            return error.reason
         except h11.RemoteProtocolError as error:
             await self._refuse(error.error_status_hint, str(error))
-            return False
-        except curio.TaskTimeout:
-            await self._refuse(408, "the request did not arrive in time")
-            return False
+            return CALLER_LEFT if self._caller_left else HEAD_REFUSED
         if request is None:
-            return False
+            return CALLER_LEFT if self._caller_left else IDLE_TIMEOUT
+        self._requests += 1
+        self._request_bytes = self._received_bytes - self._count_buffered()
         self._state.busy += 1
         try:
             async with self._cancelled_on_disconnect():
                 await self._answer(request)
         finally:
             self._state.busy -= 1
-        return (
+        self._answered += 1
+        if (
             self._protocol.our_state is h11.DONE
             and self._protocol.their_state is h11.DONE
-        )
+        ):
+            return None
+        return DRAINING if self._state.draining else LAST_ANSWER
+
+    def _count_buffered(self) -> int:
+        """Returns the number of bytes that were received ahead."""
+        return len(self._buffered) + len(self._protocol.trailing_data[0])
 
     @contextlib.asynccontextmanager
     async def _cancelled_on_disconnect(self) -> AsyncIterator[None]:
@@ -260,19 +396,36 @@
         """
         while len(self._buffered) < READ_BYTES:
             try:
-                data = await self._client.recv(READ_BYTES)
-            except OSError:
+                data = await self._receive_from_socket()
+            except _EndedError:
                 data = b""
             if not data:
                 await task.cancel(blocking=False)
                 return
             self._buffered += data
 
+    async def _receive_from_socket(self) -> bytes:
+        """Returns the next bytes; empty if the caller sends no more.
+
+        Raises:
+            _EndedError: the connection was reset.
+        """
+        try:
+            data = await self._client.recv(READ_BYTES)
+        except OSError as error:
+            self._caller_left = True
+            raise _EndedError(CALLER_LEFT) from error
+        self._received_bytes += len(data)
+        if not data:
+            self._caller_left = True
+        return data
+
     async def _answer(self, request: Request) -> None:
         try:
             response = await self._handler(request)
         except Exception as error:
-            await self._refuse(500, f"{type(error).__name__}: {error}")
+            with contextlib.suppress(_EndedError):
+                await self._refuse(500, f"{type(error).__name__}: {error}")
             raise
         await self._send_response(response)
 
@@ -280,12 +433,12 @@
         self._limits = self._state.limits or self._limits
         if not await self._wait_first_bytes():
             return None
-        async with curio.timeout_after(self._limits.head_seconds):
+        async with _refuse_after(self._limits.head_seconds, HEAD_TIMEOUT):
             head = await self._read_event()
         if not isinstance(head, h11.Request):
             return None
         self._check_head(head)
-        async with curio.timeout_after(self._limits.idle_seconds):
+        async with _refuse_after(self._limits.idle_seconds, BODY_TIMEOUT):
             body = await self._read_body()
         return _build_request(head, body)
 
@@ -300,7 +453,7 @@
             return True
         try:
             async with curio.timeout_after(self._limits.idle_seconds):
-                data = await self._client.recv(READ_BYTES)
+                data = await self._receive_from_socket()
         except curio.TaskTimeout:
             return False
         self._buffered += data
@@ -317,10 +470,15 @@
             self._body_bytes += len(event.data)
             self._state.body_bytes += len(event.data)
             if len(body) > limits.body_bytes:
-                raise _TooLargeError(413, "body", limits.body_bytes)
+                raise _build_size_refusal(
+                    413, BODY_REFUSED, "body", limits.body_bytes
+                )
             if self._state.body_bytes > limits.all_bodies_bytes:
-                raise _TooLargeError(
-                    503, "memory for bodies", limits.all_bodies_bytes
+                raise _build_size_refusal(
+                    503,
+                    BODY_REFUSED,
+                    "memory for bodies",
+                    limits.all_bodies_bytes,
                 )
 
     def _check_head(self, head: h11.Request) -> None:
@@ -337,7 +495,9 @@
         if len(framing_headers) > 1:
             raise h11.RemoteProtocolError("a length and a transfer encoding")
         if size > self._limits.head_bytes:
-            raise _TooLargeError(431, "head", self._limits.head_bytes)
+            raise _build_size_refusal(
+                431, HEAD_REFUSED, "head", self._limits.head_bytes
+            )
 
     async def _read_event(self) -> Any:
         while True:
@@ -352,7 +512,7 @@
 
     async def _receive(self) -> bytes:
         if not self._buffered:
-            return await self._client.recv(READ_BYTES)
+            return await self._receive_from_socket()
         data = bytes(self._buffered)
         self._buffered.clear()
         return data
@@ -392,8 +552,31 @@
 
     async def _send(self, *events: Any) -> None:
         data = b"".join(self._protocol.send(event) or b"" for event in events)
-        async with curio.timeout_after(self._limits.write_seconds):
-            await self._client.sendall(data)
+        try:
+            async with curio.timeout_after(self._limits.write_seconds):
+                await self._client.sendall(data)
+        except curio.TaskTimeout as error:
+            raise _EndedError(WRITE_TIMEOUT) from error
+        except OSError as error:
+            raise _EndedError(CALLER_LEFT) from error
+
+
+@contextlib.asynccontextmanager
+async def _refuse_after(seconds: float, reason: str) -> AsyncIterator[None]:
+    """Raises a refusal if the block takes longer than `seconds`."""
+    try:
+        async with curio.timeout_after(seconds):
+            yield
+    except curio.TaskTimeout as error:
+        raise _RefusedError(
+            408, reason, "the request did not arrive in time"
+        ) from error
+
+
+def _build_size_refusal(
+    status: int, reason: str, part: str, limit: int
+) -> _RefusedError:
+    return _RefusedError(status, reason, f"the {part} is over {limit} bytes")
 
 
 def _build_request(head: h11.Request, body: bytes) -> Request:
--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -79,7 +79,7 @@
         self._clock = clock
         self._journal = log
         self._rng = random.Random(secrets.randbits(64))
-        self._server = web.ServerState()
+        self._server = web.ServerState(self._record_closed)
         self.stop = curio.Event()
         self.cluster_state = cluster_state.ClusterState(
             settings.keys_seconds,
@@ -264,6 +264,19 @@
             fields = batching.QueueState(*state)._asdict()
             self._journal.record_event("queue", endpoint=name, **fields)
 
+    def _record_closed(self, closed: web.ClosedConnection) -> None:
+        """Counts a connection that has ended, and logs it.
+
+        A caller who leaves between two requests is only counted.
+        """
+        metrics.CONNECTIONS_CLOSED.labels(reason=closed.reason).inc()
+        if closed.reason == web.CALLER_LEFT and not closed.unread_bytes:
+            return
+        write_line = self._journal.record_failure
+        if closed.reason in web.EXPECTED_REASONS and not closed.unread_bytes:
+            write_line = self._journal.record_request
+        write_line("connection_closed", **closed._asdict())
+
     async def serve_callers(self) -> None:
         """Serves callers until cancelled."""
         handler = self._adapters.build_handler(self._proxy.answer, self._clock)
--- a/samphirevale/log_schema.py
+++ b/samphirevale/log_schema.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from samphirevale import batching, stage_admission
+from samphirevale.adapters import web
 
 # Fields of every line. The field `lines_left_out` is present only after lines
 # were dropped.
@@ -19,6 +20,7 @@
     for event, fields in {
         "batch_failed": {"endpoint", "items", "requests", "error"},
         "batch_overdue": {"endpoint"},
+        "connection_closed": set(web.ClosedConnection._fields),
         "endpoint_changed": {
             "endpoint",
             "service",
--- a/samphirevale/metrics.py
+++ b/samphirevale/metrics.py
@@ -202,6 +202,11 @@
     "Time from a request that has been read to its answer's first part.",
     "kind",
 )
+CONNECTIONS_CLOSED = _count(
+    "connections_closed",
+    "Connections of callers that have ended, by the reason.",
+    "reason",
+)
 ITEMS = _count(
     "pieces", "Pieces of stages, by why they were not made.", "reason"
 )
--- a/tests/adapters/test_web.py
+++ b/tests/adapters/test_web.py
@@ -17,6 +17,11 @@
 
 LIMITS = web.Limits(write_seconds=0.2)
 
+GET = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+# The head of a request with a body of three bytes.
+POST = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n"
+
 
 class EndlessAnswer:
     """A handler with an endless answer that records the answer's end."""
@@ -151,6 +156,159 @@
             await curio.sleep(0.01)
 
 
+class ClosedConnectionTest(base.TestCase):
+    """What a server reports of each connection that has ended."""
+
+    def setUp(self):
+        self.closed = []
+        self.port = base.find_free_port()
+
+    @contextlib.asynccontextmanager
+    async def serve(self, limits=LIMITS, handler=None):
+        async def answer(_):
+            return web.Response(200)
+
+        state = web.ServerState(self.closed.append)
+        serving = await curio.spawn(
+            web.serve, handler or answer, "127.0.0.1", self.port, limits, state
+        )
+        try:
+            yield state
+        finally:
+            await serving.cancel()
+
+    async def connect(self):
+        while True:
+            with contextlib.suppress(OSError):
+                return await curio.open_connection("127.0.0.1", self.port)
+            await curio.sleep(0.01)
+
+    async def send(self, data):
+        """Sends data on a new connection; returns what the server reports."""
+        stream = await self.connect()
+        try:
+            await stream.sendall(data)
+            return await self.wait_for_report()
+        finally:
+            await stream.close()
+
+    async def wait_for_report(self):
+        while not self.closed:
+            await curio.sleep(0.01)
+        return self.closed.pop()
+
+    async def test_idle_timeout(self):
+        async with self.serve(web.Limits(idle_seconds=0.1)):
+            closed = await self.send(GET)
+        self.assertEqual((web.IDLE_TIMEOUT, 0, 1, 1), closed[:4])
+        self.assertEqual(0.1, closed.idle_seconds)
+        self.assertRegex(closed.address, r"^127\.0\.0\.1:\d+$")
+
+    async def test_head_timeout(self):
+        async with self.serve(web.Limits(head_seconds=0.1)):
+            closed = await self.send(GET + b"GET / HTT")
+        self.assertEqual((web.HEAD_TIMEOUT, 9, 1, 1), closed[:4])
+
+    async def test_body_timeout(self):
+        async with self.serve(web.Limits(idle_seconds=0.1)):
+            closed = await self.send(POST + b"b")
+        self.assertEqual((web.BODY_TIMEOUT, len(POST) + 1, 0, 0), closed[:4])
+
+    async def test_refused_head(self):
+        async with self.serve():
+            closed = await self.send(b"GET\r\n\r\n")
+        self.assertEqual((web.HEAD_REFUSED, 7, 0, 0), closed[:4])
+
+    async def test_refused_body(self):
+        async with self.serve(web.Limits(body_bytes=1)):
+            closed = await self.send(POST + b"bb")
+        self.assertEqual(web.BODY_REFUSED, closed.reason)
+
+    async def test_connection_limit(self):
+        async with self.serve(web.Limits(connections=0)):
+            closed = await self.send(b"")
+        self.assertEqual((web.CONNECTION_LIMIT, 0, 0, 0), closed[:4])
+
+    async def test_last_answer(self):
+        async with self.serve():
+            closed = await self.send(
+                b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+            )
+        self.assertEqual((web.LAST_ANSWER, 0, 1, 1), closed[:4])
+
+    async def test_draining(self):
+        async with self.serve() as state:
+            state.draining = True
+            closed = await self.send(GET)
+        self.assertEqual((web.DRAINING, 0, 1, 1), closed[:4])
+
+    async def test_broken_answer(self):
+        async def answer(_):
+            return web.StreamedResponse(200, produce())
+
+        async def produce():
+            yield b"a"
+            raise errors.AnswerLostError("broken")
+
+        async with self.serve(handler=answer):
+            closed = await self.send(GET)
+        self.assertEqual((web.ANSWER_BROKEN, 0, 1, 0), closed[:4])
+
+    async def test_write_timeout(self):
+        async with self.serve(handler=EndlessAnswer().handle):
+            closed = await self.send(GET)
+        self.assertEqual((web.WRITE_TIMEOUT, 0, 1, 0), closed[:4])
+
+    async def test_caller_that_leaves(self):
+        async with self.serve():
+            await (await self.connect()).close()
+            closed = await self.wait_for_report()
+        self.assertEqual((web.CALLER_LEFT, 0, 0, 0), closed[:4])
+
+    async def test_end_of_the_server(self):
+        entered = curio.Event()
+
+        async def wait(_):
+            await entered.set()
+            await curio.sleep(60)
+
+        async with self.serve(handler=wait):
+            stream = await self.connect()
+            await stream.sendall(GET)
+            await entered.wait()
+        await stream.close()
+        closed = await self.wait_for_report()
+        self.assertEqual((web.CANCELLED, 0, 1, 0), closed[:4])
+
+    async def test_unexpected_error_is_named_and_logged(self):
+        async def fail(_):
+            raise OSError("odd")
+
+        with self.assertLogs("curio", "ERROR"):
+            async with self.serve(handler=fail):
+                closed = await self.send(GET)
+        self.assertEqual((web.UNEXPECTED_ERROR, 0, 1, 0), closed[:4])
+        self.assertEqual("OSError: odd", closed.error)
+
+    async def test_bytes_that_were_never_read(self):
+        released = curio.Event()
+
+        async def wait(_):
+            await released.wait()
+            return web.Response(200, b"", (("Connection", "close"),))
+
+        async with self.serve(handler=wait):
+            stream = await self.connect()
+            await stream.sendall(GET)
+            await curio.sleep(0.1)
+            await stream.sendall(GET)
+            await curio.sleep(0.1)
+            await released.set()
+            closed = await self.wait_for_report()
+            await stream.close()
+        self.assertEqual((web.LAST_ANSWER, len(GET), 1, 1), closed[:4])
+
+
 class JsonTest(base.TestCase):
     """Data that is not JSON or is nested too deeply."""
 
--- a/tests/platform/test_session.py
+++ b/tests/platform/test_session.py
@@ -115,6 +115,18 @@
             if headers["samphirevale-attempt-id"] == attempt
         ]
 
+    async def test_connection_that_ends_inside_a_request_is_logged(self):
+        async with self.run_all():
+            await (await curio.open_connection("127.0.0.1", self.port)).close()
+            await self.call("/read/x", b"body")
+            self.assertNotIn("connection_closed", self.log.list_events())
+            stream = await curio.open_connection("127.0.0.1", self.port)
+            await stream.sendall(b"POST /read/x HTTP/1.1\r\n")
+            await stream.close()
+            await self.wait_until(
+                lambda: "connection_closed" in self.log.list_events()
+            )
+
     async def test_an_answer_of_another_request_is_not_forwarded(self):
         async with self.run_all():
             for name in ("plain1", "plain2"):
--- a/tests/test_log_schema.py
+++ b/tests/test_log_schema.py
@@ -13,7 +13,12 @@
 LOG_METHODS = {"record_event", "record_failure", "record_request", "_log_step"}
 
 # Events whose calls pass further fields as one mapping.
-OPEN_EVENTS = {"queue", "stages_begun", "stages_overloaded"}
+OPEN_EVENTS = {
+    "connection_closed",
+    "queue",
+    "stages_begun",
+    "stages_overloaded",
+}
 
 # Fields that ProxyRun._log_step adds to each line.
 HELPER_FIELDS = {"request", "seconds"}
