Answer requests whose handler times out or returns an illegal head

What callers saw: a connection closed without an answer on which a whole request stood.

Cause: curio's TaskTimeout is no Exception. One that escaped a handler passed the branch that answers 500, and run() took it for a timeout of the connection, which it suppressed without a line. A response with an illegal header was found only while it was sent, where nothing answers any more. Class: an error of the handler taken for the end of its connection.

A handler's TaskTimeout is now answered like its other errors, and the head is built where a failure is still answered. The stand-ins' dropped answer, which used that TaskTimeout to close without an answer, is a cancellation now. The three tests of FailedHandlerTest failed before with an empty answer.

--- a/samphirevale/adapters/web.py
+++ b/samphirevale/adapters/web.py
@@ -421,13 +421,17 @@
         return data
 
     async def _answer(self, request: Request) -> None:
-        try:
-            response = await self._handler(request)
-        except Exception as error:
-            with contextlib.suppress(_EndedError):
-                await self._refuse(500, f"{type(error).__name__}: {error}")
-            raise
-        await self._send_response(response)
+        async with contextlib.AsyncExitStack() as stack:
+            try:
+                response = await self._handler(request)
+                if isinstance(response, StreamedResponse):
+                    stack.push_async_callback(response.chunks.aclose)
+                head = self._build_head(response)
+            except (Exception, curio.TaskTimeout) as error:
+                with contextlib.suppress(_EndedError):
+                    await self._refuse(500, f"{type(error).__name__}: {error}")
+                raise
+            await self._send_response(head, response)
 
     async def _read_request(self) -> Request | None:
         self._limits = self._state.limits or self._limits
@@ -526,28 +530,34 @@
         problem = build_json(
             status, {"status": status, "title": text}, *headers
         )
-        await self._send_response(problem)
+        await self._send_response(self._build_head(problem), problem)
 
-    async def _send_response(
+    def _build_head(
         self, response: Response | StreamedResponse
-    ) -> None:
+    ) -> h11.Response:
+        """Returns the head of a response.
+
+        Raises:
+            h11.LocalProtocolError: it is not valid HTTP.
+        """
         headers = list(response.headers)
         if self._state.draining:
             headers.append(("Connection", "close"))
         if isinstance(response, Response):
             headers.append(("Content-Length", str(len(response.body))))
+        return h11.Response(status_code=response.status, headers=headers)
+
+    async def _send_response(
+        self, head: h11.Response, response: Response | StreamedResponse
+    ) -> None:
+        if isinstance(response, Response):
             await self._send(
-                h11.Response(status_code=response.status, headers=headers),
-                h11.Data(data=response.body),
-                h11.EndOfMessage(),
+                head, h11.Data(data=response.body), h11.EndOfMessage()
             )
             return
-        async with contextlib.aclosing(response.chunks) as chunks:
-            await self._send(
-                h11.Response(status_code=response.status, headers=headers)
-            )
-            async for chunk in chunks:
-                await self._send(h11.Data(data=chunk))
+        await self._send(head)
+        async for chunk in response.chunks:
+            await self._send(h11.Data(data=chunk))
         await self._send(h11.EndOfMessage())
 
     async def _send(self, *events: Any) -> None:
--- a/standins/programs.py
+++ b/standins/programs.py
@@ -25,10 +25,10 @@
 )
 
 
-class AnswerDroppedError(curio.TaskTimeout):
+class AnswerDroppedError(curio.TaskCancelled):
     """Makes web.serve close the connection without sending an answer.
 
-    web.serve handles it like an idle timeout.
+    web.serve handles it like the end of the server.
     """
 
 
--- a/tests/adapters/test_web.py
+++ b/tests/adapters/test_web.py
@@ -156,8 +156,8 @@
             await curio.sleep(0.01)
 
 
-class ClosedConnectionTest(base.TestCase):
-    """What a server reports of each connection that has ended."""
+class ServedTestCase(base.TestCase):
+    """A server and its reports of closed connections."""
 
     def setUp(self):
         self.closed = []
@@ -197,6 +197,10 @@
             await curio.sleep(0.01)
         return self.closed.pop()
 
+
+class ClosedConnectionTest(ServedTestCase):
+    """What a server reports of each connection that has ended."""
+
     async def test_idle_timeout(self):
         async with self.serve(web.Limits(idle_seconds=0.1)):
             closed = await self.send(GET)
@@ -309,6 +313,39 @@
         self.assertEqual((web.LAST_ANSWER, len(GET), 1, 1), closed[:4])
 
 
+class FailedHandlerTest(ServedTestCase):
+    """A handler that fails still leads to an answer."""
+
+    async def check_answered(self, handler, error):
+        async with self.serve(handler=handler):
+            stream = await self.connect()
+            await stream.sendall(GET)
+            self.assertIn(b" 500 ", await stream.recv(1000))
+            await stream.close()
+            self.assertIn(error, (await self.wait_for_report()).error)
+
+    async def test_timeout_that_escapes_a_handler_is_answered(self):
+        async def fail(_):
+            raise curio.TaskTimeout(1.0)
+
+        await self.check_answered(fail, "TaskTimeout")
+
+    async def test_response_with_illegal_header_is_answered(self):
+        async def answer(_):
+            return web.Response(200, b"", (("A", "b\nc"),))
+
+        with self.assertLogs("curio", "ERROR"):
+            await self.check_answered(answer, "Illegal header")
+
+    async def test_stream_with_illegal_header_is_answered(self):
+        async def answer(request):
+            response = await EndlessAnswer().handle(request)
+            return response._replace(headers=(("A", "b\nc"),))
+
+        with self.assertLogs("curio", "ERROR"):
+            await self.check_answered(answer, "Illegal header")
+
+
 class JsonTest(base.TestCase):
     """Data that is not JSON or is nested too deeply."""
 
