Let a raised idle timeout hold for connections that are idle

What callers saw: a connection that the operator's new, longer idle timeout lets them use was closed after the old one; a request sent at that moment had no answer.

Cause: a connection took its limits before it waited for a request and kept them for the wait. Class: a limit read once for a wait that outlasts it.

At the end of the wait the limits are read again, and the wait goes on if they allow it. A lowered timeout still holds from the next wait on, as a caller may not know of it. The test failed before with the end of the connection.

--- a/samphirevale/adapters/web.py
+++ b/samphirevale/adapters/web.py
@@ -148,7 +148,8 @@
         busy: number of requests read but not yet fully answered.
         body_bytes: total size of the bodies of all requests in progress.
         limits: the limits from the next request on; None to keep those that
-            the server was started with.
+            the server was started with. A raised idle timeout also holds for
+            connections that are idle.
         report_closed: called at the end of each connection.
     """
 
@@ -434,7 +435,7 @@
             await self._send_response(head, response)
 
     async def _read_request(self) -> Request | None:
-        self._limits = self._state.limits or self._limits
+        self._adopt_limits()
         if not await self._wait_first_bytes():
             return None
         async with _refuse_after(self._limits.head_seconds, HEAD_TIMEOUT):
@@ -455,13 +456,29 @@
         """
         if self._buffered or self._protocol.trailing_data[0]:
             return True
-        try:
-            async with curio.timeout_after(self._limits.idle_seconds):
-                data = await self._receive_from_socket()
-        except curio.TaskTimeout:
-            return False
-        self._buffered += data
-        return bool(data)
+        started_at = await curio.clock()
+        ends_at = started_at + self._limits.idle_seconds
+        while ends_at > await curio.clock():
+            if await self._read_ahead(ends_at - await curio.clock()):
+                return not self._caller_left
+            # The timeout may have been raised meanwhile.
+            self._adopt_limits()
+            ends_at = started_at + self._limits.idle_seconds
+        return False
+
+    async def _read_ahead(self, seconds: float) -> bool:
+        """Reads bytes of the next request.
+
+        Returns:
+            Whether bytes or the end of the connection arrived in time.
+        """
+        async with curio.ignore_after(seconds):
+            self._buffered += await self._receive_from_socket()
+            return True
+        return False
+
+    def _adopt_limits(self) -> None:
+        self._limits = self._state.limits or self._limits
 
     async def _read_body(self) -> bytes:
         limits = self._limits
--- a/tests/adapters/test_web.py
+++ b/tests/adapters/test_web.py
@@ -346,6 +346,24 @@
             await self.check_answered(answer, "Illegal header")
 
 
+class IdleTimeoutTest(ServedTestCase):
+    """Requests on connections that have been idle."""
+
+    LIMITS = web.Limits(idle_seconds=0.3)
+
+    async def test_raised_timeout_holds_for_a_connection_that_is_idle(self):
+        async with self.serve(self.LIMITS) as state:
+            stream = await self.connect()
+            await stream.sendall(GET)
+            await stream.recv(1000)
+            await curio.sleep(0.1)
+            state.limits = web.Limits(idle_seconds=5.0)
+            await curio.sleep(0.4)
+            await stream.sendall(GET)
+            self.assertIn(b" 200 ", await stream.recv(1000))
+            await stream.close()
+
+
 class JsonTest(base.TestCase):
     """Data that is not JSON or is nested too deeply."""
 
