Read once more before an idle connection is closed

What callers saw: a connection that was reset although their request had reached the entry, when the idle timeout fired while other tasks held the processor.

Cause: the timer and the request that came after it are handled in one pass of the loop, the timer first; the socket was closed with the unread request in its buffer. Class: a timeout that is not checked against what has arrived.

The server now reads for another 10 ms, which takes another pass of the loop. The test, which lets both timers expire in one pass, failed before with a reset connection.

--- a/samphirevale/adapters/web.py
+++ b/samphirevale/adapters/web.py
@@ -19,6 +19,9 @@
 # Maximum number of bytes per socket read.
 READ_BYTES = 65536
 
+# The last wait for a request after the idle timeout, in seconds.
+LAST_READ_SECONDS = 0.01
+
 
 class Limits(NamedTuple):
     """Limits of a server.
@@ -464,7 +467,10 @@
             # The timeout may have been raised meanwhile.
             self._adopt_limits()
             ends_at = started_at + self._limits.idle_seconds
-        return False
+        # A request may have arrived while other tasks ran.
+        return (
+            await self._read_ahead(LAST_READ_SECONDS) and not self._caller_left
+        )
 
     async def _read_ahead(self, seconds: float) -> bool:
         """Reads bytes of the next request.
--- a/tests/adapters/test_web.py
+++ b/tests/adapters/test_web.py
@@ -3,6 +3,8 @@
 import contextlib
 import os
 import resource
+import socket
+import time
 
 import curio
 
@@ -363,6 +365,26 @@
             self.assertIn(b" 200 ", await stream.recv(1000))
             await stream.close()
 
+    async def test_request_that_arrives_as_the_timeout_fires_is_answered(self):
+        async with self.serve(self.LIMITS):
+            await (await self.connect()).close()
+            stream = socket.create_connection(("127.0.0.1", self.port))
+            stream.settimeout(1.0)
+            await curio.sleep(0.1)
+            sending = await curio.spawn(self.send_late, stream)
+            await curio.sleep(0)
+            # Both timers expire in one pass of the loop, that of `sending`
+            # first.
+            time.sleep(0.4)
+            await sending.join()
+            await curio.sleep(0.1)
+            with contextlib.closing(stream):
+                self.assertIn(b" 200 ", stream.recv(1000))
+
+    async def send_late(self, stream):
+        await curio.sleep(0.01)
+        stream.sendall(GET)
+
 
 class JsonTest(base.TestCase):
     """Data that is not JSON or is nested too deeply."""
