Let refusals reach callers who are still sending

What callers saw: a reset connection in place of a 413, 431, 408 or 400, or of the 503 at the connection limit, when more of their request arrived after the server had answered and closed.

Cause: closing a socket with unread input, or before more input arrives, resets the connection; a caller whose write fails then may not read its answer. Class: a close in place of an orderly shutdown.

After such an answer, and after the last one on a connection, the server ends only its own side and discards input for a second at most. Over the connection limit at most 50 connections linger, as descriptors are what is short there. The tests of LingeringTest failed before with a broken pipe or a reset.

--- a/samphirevale/adapters/web.py
+++ b/samphirevale/adapters/web.py
@@ -134,6 +134,25 @@
 
 EXPECTED_REASONS = frozenset({CALLER_LEFT, IDLE_TIMEOUT, LAST_ANSWER, DRAINING})
 
+# Reasons after which the caller may still be sending, and has an answer to
+# read.
+_LINGERING_REASONS = frozenset(
+    {
+        HEAD_TIMEOUT,
+        BODY_TIMEOUT,
+        HEAD_REFUSED,
+        BODY_REFUSED,
+        LAST_ANSWER,
+        DRAINING,
+    }
+)
+
+# How long the server reads on after its last answer, in seconds.
+LINGER_SECONDS = 1.0
+
+# Maximum number of connections over the limit that linger.
+LINGERING_REFUSED_LIMIT = 50
+
 
 def build_json(status: int, value: Any, *headers: tuple[str, str]) -> Response:
     """Returns a response with `value` as its JSON body."""
@@ -185,12 +204,23 @@
     """
     server_state = state or ServerState()
     connections = 0
+    refused = 0
 
     async def run_connection(client: Any, address: Any) -> None:
-        nonlocal connections
+        nonlocal connections, refused
         name = _format_address(address)
         if connections >= limits.connections:
-            await _refuse_connection(client, limits, server_state, name)
+            refused += 1
+            try:
+                await _refuse_connection(
+                    client,
+                    limits,
+                    server_state,
+                    name,
+                    lingers=refused <= LINGERING_REFUSED_LIMIT,
+                )
+            finally:
+                refused -= 1
             return
         connections += 1
         connection = _ServerConnection(
@@ -209,7 +239,11 @@
 
 
 async def _refuse_connection(
-    client: Any, limits: Limits, state: ServerState, address: str
+    client: Any,
+    limits: Limits,
+    state: ServerState,
+    address: str,
+    lingers: bool,
 ) -> None:
     state.report_closed(
         ClosedConnection(
@@ -227,6 +261,21 @@
                 b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
                 b"Content-Length: 0\r\nConnection: close\r\n\r\n"
             )
+        if lingers:
+            await _linger(client)
+
+
+async def _linger(client: Any) -> None:
+    """Discards input until the caller closes the connection.
+
+    Closing a socket with unread input, or before more input arrives, resets the
+    connection, upon which a caller may not read its answer.
+    """
+    with contextlib.suppress(OSError):
+        await client.shutdown(socket.SHUT_WR)
+        async with curio.ignore_after(LINGER_SECONDS):
+            while await client.recv(READ_BYTES):
+                continue
 
 
 def _count_unread(client: Any) -> int:
@@ -317,6 +366,8 @@
             raise
         finally:
             self._report_closed(reason, unexpected)
+        if reason in _LINGERING_REASONS:
+            await _linger(self._client)
 
     def _report_closed(self, reason: str, error: str) -> None:
         unread = self._received_bytes - self._request_bytes
--- a/tests/adapters/test_web.py
+++ b/tests/adapters/test_web.py
@@ -386,6 +386,62 @@
         stream.sendall(GET)
 
 
+class LingeringTest(ServedTestCase):
+    """Refusals reach callers who have sent more than the server has read."""
+
+    async def read_all(self, stream):
+        data = b""
+        while part := await stream.recv(web.READ_BYTES):
+            data += part
+        await stream.close()
+        return data
+
+    async def test_refusal_of_a_body_that_is_still_being_sent(self):
+        size = 4 * 1024 * 1024
+        async with self.serve(web.Limits(body_bytes=1000)):
+            stream = await self.connect()
+            await stream.sendall(
+                b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
+                % size
+                + bytes(size)
+            )
+            self.assertIn(b" 413 ", await self.read_all(stream))
+
+    async def test_refusal_of_a_body_that_arrives_late(self):
+        async with self.serve(web.Limits(idle_seconds=0.1)):
+            stream = await self.connect()
+            await stream.sendall(POST)
+            await self.wait_for_report()
+            for part in (b"b", b"b", b"b"):
+                await stream.sendall(part)
+                await curio.sleep(0.05)
+            self.assertIn(b" 408 ", await self.read_all(stream))
+
+    async def test_refusal_at_the_connection_limit(self):
+        async with self.serve(web.Limits(connections=0)):
+            stream = await self.connect()
+            await self.wait_for_report()
+            for _ in range(3):
+                await stream.sendall(GET)
+                await curio.sleep(0.05)
+            self.assertIn(b" 503 ", await self.read_all(stream))
+
+    async def test_refused_connections_that_linger_are_bounded(self):
+        async with self.serve(web.Limits(connections=0)):
+            streams = [
+                await self.connect()
+                for _ in range(web.LINGERING_REFUSED_LIMIT + 1)
+            ]
+            for stream in streams:
+                self.assertIn(b" 503 ", await stream.recv(1000))
+            await streams[-1].sendall(GET)
+            with self.assertRaises(OSError):
+                await curio.sleep(0.1)
+                await streams[-1].sendall(GET)
+            for stream in streams:
+                await stream.close()
+
+
 class JsonTest(base.TestCase):
     """Data that is not JSON or is nested too deeply."""
 
