Do not leave a request waiting when its exchange breaks down

What callers saw: no answer until the deadline (then a 504), if an unexpected error ended the task that exchanged their request with an endpoint.

Cause: a race took only the errors of transport as outcomes of an exchange; another one ended its task, and nobody learned of it. Class: a task whose end nobody observes. The test failed before: it waited in vain.

--- a/samphirevale/exchange_races.py
+++ b/samphirevale/exchange_races.py
@@ -50,17 +50,25 @@
     async def _run(self, endpoint: catalogue.Endpoint, send: Send) -> None:
         try:
             outcome = await send(endpoint)
-        except (errors.TransportError, TimeoutError) as error:
+        except (Exception, curio.TaskTimeout) as error:
             outcome = error
         await self._finished.put(FinishedExchange(endpoint, outcome))
 
     async def wait(self, seconds: float) -> FinishedExchange | None:
-        """Returns the next exchange that ends, or None after a time."""
+        """Returns the next exchange that ends, or None after a time.
+
+        Raises:
+            Exception: the unexpected error of an exchange.
+        """
+        finished = None
         async with curio.ignore_after(max(seconds, 0.0)):
             finished = await self._finished.get()
-            self.running -= 1
-            return finished
-        return None
+        if finished is None:
+            return None
+        self.running -= 1
+        if _is_unexpected(finished.outcome):
+            raise finished.outcome
+        return finished
 
     async def keep_last(self) -> None:
         """Cancels all exchanges but the one that was started last."""
@@ -81,6 +89,13 @@
                 await outcome.chunks.aclose()
 
 
+def _is_unexpected(outcome: object) -> bool:
+    """Returns whether an outcome is an error of the program."""
+    return isinstance(outcome, BaseException) and not isinstance(
+        outcome, errors.TransportError | TimeoutError
+    )
+
+
 @contextlib.asynccontextmanager
 async def open_race() -> AsyncIterator[ExchangeRace]:
     """Closes the race at the end of the block."""
--- a/tests/test_exchange_races.py
+++ b/tests/test_exchange_races.py
@@ -60,6 +60,17 @@
             self.assertIsInstance(finished.outcome, errors.ConnectError)
             self.assertEqual([], self.cancelled)
 
+    async def test_unexpected_error_does_not_leave_the_request_waiting(self):
+        for error in (KeyError("odd"), curio.TaskTimeout(1.0)):
+
+            async def break_down(endpoint, error=error):
+                raise error
+
+            async with exchange_races.open_race() as race:
+                await race.start(FIRST, break_down)
+                with self.assertRaises(type(error)):
+                    await race.wait(5.0)
+
     async def test_stream_that_nobody_reads_is_closed(self):
         chunks = FakeChunks()
 
