--- a/samphirevale/adapters/web.py
+++ b/samphirevale/adapters/web.py
@@ -19,6 +19,9 @@
 # Maximum number of bytes per socket read.
 READ_BYTES = 65536
 
+# The last wait for a request after the idle timeout, in seconds.
+LAST_READ_SECONDS = 0.01
+
 
 class Limits(NamedTuple):
     """Limits of a server.
@@ -131,6 +134,25 @@
 
 EXPECTED_REASONS = frozenset({CALLER_LEFT, IDLE_TIMEOUT, LAST_ANSWER, DRAINING})
 
+# Reasons after which the caller may still be sending, and has an answer to
+# read.
+_LINGERING_REASONS = frozenset(
+    {
+        HEAD_TIMEOUT,
+        BODY_TIMEOUT,
+        HEAD_REFUSED,
+        BODY_REFUSED,
+        LAST_ANSWER,
+        DRAINING,
+    }
+)
+
+# How long the server reads on after its last answer, in seconds.
+LINGER_SECONDS = 1.0
+
+# Maximum number of connections over the limit that linger.
+LINGERING_REFUSED_LIMIT = 50
+
 
 def build_json(status: int, value: Any, *headers: tuple[str, str]) -> Response:
     """Returns a response with `value` as its JSON body."""
@@ -148,7 +170,8 @@
         busy: number of requests read but not yet fully answered.
         body_bytes: total size of the bodies of all requests in progress.
         limits: the limits from the next request on; None to keep those that
-            the server was started with.
+            the server was started with. A raised idle timeout also holds for
+            connections that are idle.
         report_closed: called at the end of each connection.
     """
 
@@ -181,12 +204,23 @@
     """
     server_state = state or ServerState()
     connections = 0
+    refused = 0
 
     async def run_connection(client: Any, address: Any) -> None:
-        nonlocal connections
+        nonlocal connections, refused
         name = _format_address(address)
         if connections >= limits.connections:
-            await _refuse_connection(client, limits, server_state, name)
+            refused += 1
+            try:
+                await _refuse_connection(
+                    client,
+                    limits,
+                    server_state,
+                    name,
+                    lingers=refused <= LINGERING_REFUSED_LIMIT,
+                )
+            finally:
+                refused -= 1
             return
         connections += 1
         connection = _ServerConnection(
@@ -205,7 +239,11 @@
 
 
 async def _refuse_connection(
-    client: Any, limits: Limits, state: ServerState, address: str
+    client: Any,
+    limits: Limits,
+    state: ServerState,
+    address: str,
+    lingers: bool,
 ) -> None:
     state.report_closed(
         ClosedConnection(
@@ -223,6 +261,21 @@
                 b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
                 b"Content-Length: 0\r\nConnection: close\r\n\r\n"
             )
+        if lingers:
+            await _linger(client)
+
+
+async def _linger(client: Any) -> None:
+    """Discards input until the caller closes the connection.
+
+    Closing a socket with unread input, or before more input arrives, resets the
+    connection, upon which a caller may not read its answer.
+    """
+    with contextlib.suppress(OSError):
+        await client.shutdown(socket.SHUT_WR)
+        async with curio.ignore_after(LINGER_SECONDS):
+            while await client.recv(READ_BYTES):
+                continue
 
 
 def _count_unread(client: Any) -> int:
@@ -313,6 +366,8 @@
             raise
         finally:
             self._report_closed(reason, unexpected)
+        if reason in _LINGERING_REASONS:
+            await _linger(self._client)
 
     def _report_closed(self, reason: str, error: str) -> None:
         unread = self._received_bytes - self._request_bytes
@@ -421,16 +476,20 @@
         return data
 
     async def _answer(self, request: Request) -> None:
-        try:
-            response = await self._handler(request)
-        except Exception as error:
-            with contextlib.suppress(_EndedError):
-                await self._refuse(500, f"{type(error).__name__}: {error}")
-            raise
-        await self._send_response(response)
+        async with contextlib.AsyncExitStack() as stack:
+            try:
+                response = await self._handler(request)
+                if isinstance(response, StreamedResponse):
+                    stack.push_async_callback(response.chunks.aclose)
+                head = self._build_head(response)
+            except (Exception, curio.TaskTimeout) as error:
+                with contextlib.suppress(_EndedError):
+                    await self._refuse(500, f"{type(error).__name__}: {error}")
+                raise
+            await self._send_response(head, response)
 
     async def _read_request(self) -> Request | None:
-        self._limits = self._state.limits or self._limits
+        self._adopt_limits()
         if not await self._wait_first_bytes():
             return None
         async with _refuse_after(self._limits.head_seconds, HEAD_TIMEOUT):
@@ -451,13 +510,32 @@
         """
         if self._buffered or self._protocol.trailing_data[0]:
             return True
-        try:
-            async with curio.timeout_after(self._limits.idle_seconds):
-                data = await self._receive_from_socket()
-        except curio.TaskTimeout:
-            return False
-        self._buffered += data
-        return bool(data)
+        started_at = await curio.clock()
+        ends_at = started_at + self._limits.idle_seconds
+        while ends_at > await curio.clock():
+            if await self._read_ahead(ends_at - await curio.clock()):
+                return not self._caller_left
+            # The timeout may have been raised meanwhile.
+            self._adopt_limits()
+            ends_at = started_at + self._limits.idle_seconds
+        # A request may have arrived while other tasks ran.
+        return (
+            await self._read_ahead(LAST_READ_SECONDS) and not self._caller_left
+        )
+
+    async def _read_ahead(self, seconds: float) -> bool:
+        """Reads bytes of the next request.
+
+        Returns:
+            Whether bytes or the end of the connection arrived in time.
+        """
+        async with curio.ignore_after(seconds):
+            self._buffered += await self._receive_from_socket()
+            return True
+        return False
+
+    def _adopt_limits(self) -> None:
+        self._limits = self._state.limits or self._limits
 
     async def _read_body(self) -> bytes:
         limits = self._limits
@@ -526,28 +604,34 @@
         problem = build_json(
             status, {"status": status, "title": text}, *headers
         )
-        await self._send_response(problem)
+        await self._send_response(self._build_head(problem), problem)
 
-    async def _send_response(
+    def _build_head(
         self, response: Response | StreamedResponse
-    ) -> None:
+    ) -> h11.Response:
+        """Returns the head of a response.
+
+        Raises:
+            h11.LocalProtocolError: it is not valid HTTP.
+        """
         headers = list(response.headers)
         if self._state.draining:
             headers.append(("Connection", "close"))
         if isinstance(response, Response):
             headers.append(("Content-Length", str(len(response.body))))
+        return h11.Response(status_code=response.status, headers=headers)
+
+    async def _send_response(
+        self, head: h11.Response, response: Response | StreamedResponse
+    ) -> None:
+        if isinstance(response, Response):
             await self._send(
-                h11.Response(status_code=response.status, headers=headers),
-                h11.Data(data=response.body),
-                h11.EndOfMessage(),
+                head, h11.Data(data=response.body), h11.EndOfMessage()
             )
             return
-        async with contextlib.aclosing(response.chunks) as chunks:
-            await self._send(
-                h11.Response(status_code=response.status, headers=headers)
-            )
-            async for chunk in chunks:
-                await self._send(h11.Data(data=chunk))
+        await self._send(head)
+        async for chunk in response.chunks:
+            await self._send(h11.Data(data=chunk))
         await self._send(h11.EndOfMessage())
 
     async def _send(self, *events: Any) -> None:
--- a/tests/adapters/test_web.py
+++ b/tests/adapters/test_web.py
@@ -3,6 +3,8 @@
 import contextlib
 import os
 import resource
+import socket
+import time
 
 import curio
 
@@ -156,8 +158,8 @@
             await curio.sleep(0.01)
 
 
-class ClosedConnectionTest(base.TestCase):
-    """What a server reports of each connection that has ended."""
+class ServedTestCase(base.TestCase):
+    """A server and its reports of closed connections."""
 
     def setUp(self):
         self.closed = []
@@ -197,6 +199,10 @@
             await curio.sleep(0.01)
         return self.closed.pop()
 
+
+class ClosedConnectionTest(ServedTestCase):
+    """What a server reports of each connection that has ended."""
+
     async def test_idle_timeout(self):
         async with self.serve(web.Limits(idle_seconds=0.1)):
             closed = await self.send(GET)
@@ -309,6 +315,133 @@
         self.assertEqual((web.LAST_ANSWER, len(GET), 1, 1), closed[:4])
 
 
+class FailedHandlerTest(ServedTestCase):
+    """A handler that fails still leads to an answer."""
+
+    async def check_answered(self, handler, error):
+        async with self.serve(handler=handler):
+            stream = await self.connect()
+            await stream.sendall(GET)
+            self.assertIn(b" 500 ", await stream.recv(1000))
+            await stream.close()
+            self.assertIn(error, (await self.wait_for_report()).error)
+
+    async def test_timeout_that_escapes_a_handler_is_answered(self):
+        async def fail(_):
+            raise curio.TaskTimeout(1.0)
+
+        await self.check_answered(fail, "TaskTimeout")
+
+    async def test_response_with_illegal_header_is_answered(self):
+        async def answer(_):
+            return web.Response(200, b"", (("A", "b\nc"),))
+
+        with self.assertLogs("curio", "ERROR"):
+            await self.check_answered(answer, "Illegal header")
+
+    async def test_stream_with_illegal_header_is_answered(self):
+        async def answer(request):
+            response = await EndlessAnswer().handle(request)
+            return response._replace(headers=(("A", "b\nc"),))
+
+        with self.assertLogs("curio", "ERROR"):
+            await self.check_answered(answer, "Illegal header")
+
+
+class IdleTimeoutTest(ServedTestCase):
+    """Requests on connections that have been idle."""
+
+    LIMITS = web.Limits(idle_seconds=0.3)
+
+    async def test_raised_timeout_holds_for_a_connection_that_is_idle(self):
+        async with self.serve(self.LIMITS) as state:
+            stream = await self.connect()
+            await stream.sendall(GET)
+            await stream.recv(1000)
+            await curio.sleep(0.1)
+            state.limits = web.Limits(idle_seconds=5.0)
+            await curio.sleep(0.4)
+            await stream.sendall(GET)
+            self.assertIn(b" 200 ", await stream.recv(1000))
+            await stream.close()
+
+    async def test_request_that_arrives_as_the_timeout_fires_is_answered(self):
+        async with self.serve(self.LIMITS):
+            await (await self.connect()).close()
+            stream = socket.create_connection(("127.0.0.1", self.port))
+            stream.settimeout(1.0)
+            await curio.sleep(0.1)
+            sending = await curio.spawn(self.send_late, stream)
+            await curio.sleep(0)
+            # Both timers expire in one pass of the loop, that of `sending`
+            # first.
+            time.sleep(0.4)
+            await sending.join()
+            await curio.sleep(0.1)
+            with contextlib.closing(stream):
+                self.assertIn(b" 200 ", stream.recv(1000))
+
+    async def send_late(self, stream):
+        await curio.sleep(0.01)
+        stream.sendall(GET)
+
+
+class LingeringTest(ServedTestCase):
+    """Refusals reach callers who have sent more than the server has read."""
+
+    async def read_all(self, stream):
+        data = b""
+        while part := await stream.recv(web.READ_BYTES):
+            data += part
+        await stream.close()
+        return data
+
+    async def test_refusal_of_a_body_that_is_still_being_sent(self):
+        size = 4 * 1024 * 1024
+        async with self.serve(web.Limits(body_bytes=1000)):
+            stream = await self.connect()
+            await stream.sendall(
+                b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
+                % size
+                + bytes(size)
+            )
+            self.assertIn(b" 413 ", await self.read_all(stream))
+
+    async def test_refusal_of_a_body_that_arrives_late(self):
+        async with self.serve(web.Limits(idle_seconds=0.1)):
+            stream = await self.connect()
+            await stream.sendall(POST)
+            await self.wait_for_report()
+            for part in (b"b", b"b", b"b"):
+                await stream.sendall(part)
+                await curio.sleep(0.05)
+            self.assertIn(b" 408 ", await self.read_all(stream))
+
+    async def test_refusal_at_the_connection_limit(self):
+        async with self.serve(web.Limits(connections=0)):
+            stream = await self.connect()
+            await self.wait_for_report()
+            for _ in range(3):
+                await stream.sendall(GET)
+                await curio.sleep(0.05)
+            self.assertIn(b" 503 ", await self.read_all(stream))
+
+    async def test_refused_connections_that_linger_are_bounded(self):
+        async with self.serve(web.Limits(connections=0)):
+            streams = [
+                await self.connect()
+                for _ in range(web.LINGERING_REFUSED_LIMIT + 1)
+            ]
+            for stream in streams:
+                self.assertIn(b" 503 ", await stream.recv(1000))
+            await streams[-1].sendall(GET)
+            with self.assertRaises(OSError):
+                await curio.sleep(0.1)
+                await streams[-1].sendall(GET)
+            for stream in streams:
+                await stream.close()
+
+
 class JsonTest(base.TestCase):
     """Data that is not JSON or is nested too deeply."""
 
