Run lost inputs of a stage again

Callers got 503 (stage_1:_gone) when the endpoint that stored the results of a stage had left before the next stage fetched them, though every other endpoint could have made them again. The run took the reason as final; only the answer 409 of the last endpoint led to a repeat, and that of all stages.

A stage now drops the inputs at endpoints that leave or are not registered any more (all of them if there is none), computes these again, with their own inputs if those were released, and goes on. Each repeated call takes a retry from the budget of its service, and none begins that would miss the deadline. Concurrent stages with the same inputs repeat them once, and no item is built before its inputs are complete. As long as the endpoint serves, results are fetched from it as before: a lost result is known by the failed fetch, not by the notice.

--- a/samphirevale/cluster_state.py
+++ b/samphirevale/cluster_state.py
@@ -147,6 +147,12 @@
             endpoint
         ) and self.notices.is_available(endpoint, now)
 
+    def keeps_results(self, endpoint: catalogue.Endpoint) -> bool:
+        """Returns whether an endpoint will go on storing its results."""
+        return self.catalogue.is_accepting(
+            endpoint
+        ) and not self.notices.is_leaving(endpoint)
+
     def has_other_endpoint(
         self, endpoint: catalogue.Endpoint, now: float
     ) -> bool:
--- a/samphirevale/stages.py
+++ b/samphirevale/stages.py
@@ -32,6 +32,9 @@
 # The failure reason of items for which there is no endpoint.
 NO_ENDPOINT = "no endpoint"
 
+# The failure reason of items whose inputs are no longer stored.
+INPUTS_GONE = "gone"
+
 # Entries that decide on the same reports would all choose the same endpoint.
 # To prevent this, each entry above FEW_ENTRIES adds JITTER_SHARE of a call's
 # fixed time to the range of the random jitter on the endpoints' costs, up to
@@ -268,7 +271,10 @@
         self._constraints = constraints
         self._take_retry = take_retry
         self._rng = rng
-        self._results: dict[int, list[batch_dispatch.StageResult]] = {}
+        # The results of each stage by the index of the item.
+        self._results: dict[int, dict[int, batch_dispatch.StageResult]] = {}
+        # Held while items of a stage run again whose results were lost.
+        self._repeat_locks = [curio.Lock() for _ in route.stages]
         # Endpoints whose owners could not send them anything. This entry may
         # learn the reason only with the next report.
         self._refusing: set[str] = set()
@@ -330,31 +336,90 @@
         return None
 
     async def _run_stage(self, index: int) -> None:
-        """Runs all items of a stage and retries those that fail."""
-        results_by_index: dict[int, batch_dispatch.StageResult] = {}
-        self._results[index] = []
-        items = self._build_items(index)
+        """Runs the items of a stage that have no result.
+
+        Items that fail are retried, and inputs that were lost run again.
+        """
+        self._results.setdefault(index, {})
         stage = self._route.stages[index]
+        reason = ""
         for _ in range(1 + RETRIES_LIMIT):
-            reason = await self._run_items_once(index, items, results_by_index)
-            items = [
-                item for item in items if item.index not in results_by_index
-            ]
-            if not items:
+            await self._complete_inputs(stage)
+            items = self._build_missing_items(index)
+            reason = await self._run_items_once(index, items)
+            if not self._list_missing(index):
                 return
-            if reason in ("late", "gone", NO_ENDPOINT):
+            if reason in ("late", NO_ENDPOINT):
                 break
-            if reason != batch_dispatch.UNSENT and not self._take_retry(
-                stage.service
-            ):
-                raise errors.EarlierStageError("no repeats are left")
+            if reason == INPUTS_GONE:
+                if not stage.after:
+                    break
+                await self._drop_lost_inputs(stage, items[0].inputs)
+            if reason != batch_dispatch.UNSENT:
+                self._take_stage_retry(stage)
         raise errors.EarlierStageError(f"stage {index}: {reason}")
 
+    def _take_stage_retry(self, stage: routes.Stage) -> None:
+        if not self._take_retry(stage.service):
+            raise errors.EarlierStageError("no repeats are left")
+
+    async def _complete_inputs(self, stage: routes.Stage) -> None:
+        """Runs the items of the preceding stages whose results were lost."""
+        while incomplete := [i for i in stage.after if self._list_missing(i)]:
+            async with self._repeat_locks[incomplete[0]]:
+                if self._list_missing(incomplete[0]):
+                    await self._repeat_stage(incomplete[0])
+
+    async def _repeat_stage(self, index: int) -> None:
+        """Runs the items of a stage again whose results were lost.
+
+        Raises:
+            errors.EarlierStageError: there is no time for it, among others.
+        """
+        stage = self._route.stages[index]
+        items = self._build_missing_items(index)
+        limits = self._cluster.find_batch_limits(stage.service)
+        if limits is not None:
+            seconds = stage_times.estimate_call_seconds(limits, len(items))
+            if self._clock.now() + seconds > items[0].deadline_at:
+                raise errors.EarlierStageError(f"stage {index}: results lost")
+        self._take_stage_retry(stage)
+        await self._run_stage(index)
+
+    async def _drop_lost_inputs(
+        self, stage: routes.Stage, used: Collection[str]
+    ) -> None:
+        """Drops the inputs of a stage that are no longer stored.
+
+        These are the ones at endpoints that leave or are not registered any
+        more. Without any such endpoint it is unknown which inputs are lost.
+
+        Args:
+            stage: the stage whose items lacked an input.
+            used: the names of the inputs of these items.
+        """
+        held = [
+            stage_result
+            for i in stage.after
+            for stage_result in self._list_results(i)
+        ]
+        lost = [
+            stage_result
+            for stage_result in held
+            if not self._cluster.keeps_results(stage_result.endpoint)
+        ]
+        if not lost and {stage_result.name for stage_result in held} >= {*used}:
+            lost = held
+        for i in stage.after:
+            results = self._results.get(i, {})
+            for key in [key for key in results if results[key] in lost]:
+                del results[key]
+        await self._release(lost)
+
     async def _run_items_once(
         self,
         index: int,
         items: list[batching.Item],
-        results_by_index: dict[int, batch_dispatch.StageResult],
     ) -> str:
         """Runs items once, without retries.
 
@@ -371,12 +436,10 @@
             raise errors.EarlierStageError(f"stage {index}: no such service")
         chunks = split_items(items, limits)
         if len(chunks) == 1:
-            return await self._run_chunk(index, limits, items, results_by_index)
+            return await self._run_chunk(index, limits, items)
         async with curio.TaskGroup() as group:
             tasks = [
-                await group.spawn(
-                    self._run_chunk, index, limits, chunk, results_by_index
-                )
+                await group.spawn(self._run_chunk, index, limits, chunk)
                 for chunk in chunks
             ]
         reasons = [task.result for task in tasks if task.result]
@@ -387,7 +450,6 @@
         index: int,
         limits: routes.BatchLimits,
         items: list[batching.Item],
-        results_by_index: dict[int, batch_dispatch.StageResult],
     ) -> str:
         """Runs items at one endpoint.
 
@@ -408,21 +470,19 @@
         if chosen is None:
             return NO_ENDPOINT
         endpoint = chosen[0]
-        results = await self._runner.run_items(endpoint, limits, items)
+        outcomes = await self._runner.run_items(endpoint, limits, items)
         reason = ""
-        for item, result in zip(items, results, strict=True):
+        for item, result in zip(items, outcomes, strict=True):
             if not result.result:
                 reason = result.reason
                 if reason == batch_dispatch.UNSENT:
                     self._refusing.add(result.endpoint or endpoint.name)
                 continue
             stored_at = self._cluster.catalogue.find(result.endpoint)
-            results_by_index[item.index] = batch_dispatch.StageResult(
+            results = self._results.setdefault(index, {})
+            results[item.index] = batch_dispatch.StageResult(
                 result.result, stored_at or endpoint, item.result_bytes
             )
-            self._results[index] = [
-                results_by_index[key] for key in sorted(results_by_index)
-            ]
         return reason
 
     def _list_transfers(self, index: int, items: int) -> list[tuple[str, int]]:
@@ -434,7 +494,7 @@
         transfers = [
             (stage_result.endpoint.data_centre, stage_result.size * items)
             for i in stage.after
-            for stage_result in self._results.get(i, [])
+            for stage_result in self._list_results(i)
         ]
         if self._constraints.data_centre and not self._list_dependents(index):
             final_transfer = (
@@ -452,7 +512,19 @@
             if index in stage.after
         ]
 
-    def _build_items(self, index: int) -> list[batching.Item]:
+    def _list_results(self, index: int) -> list[batch_dispatch.StageResult]:
+        """Returns the results of a stage in the order of its items."""
+        results = self._results.get(index, {})
+        return [results[key] for key in sorted(results)]
+
+    def _list_missing(self, index: int) -> list[int]:
+        """Returns the items of a stage that have no result."""
+        count = stage_times.get_item_count(self._request.item_counts, index)
+        results = self._results.get(index, {})
+        return [key for key in range(count) if key not in results]
+
+    def _build_missing_items(self, index: int) -> list[batching.Item]:
+        """Returns the items of a stage that have no result."""
         stage = self._route.stages[index]
         seconds_after = self._estimate_after(index)
         due_at = self._constraints.due_at - seconds_after
@@ -463,7 +535,7 @@
         inputs = tuple(
             stage_result.name
             for i in stage.after
-            for stage_result in self._results.get(i, [])
+            for stage_result in self._list_results(i)
         )
         return [
             batching.Item(
@@ -478,9 +550,7 @@
                 rank=self._constraints.rank,
                 ticket=None,
             )
-            for item_index in range(
-                stage_times.get_item_count(self._request.item_counts, index)
-            )
+            for item_index in self._list_missing(index)
         ]
 
     def _estimate_after(self, index: int) -> float:
@@ -506,7 +576,7 @@
             stage_result
             for index in sorted(self._results)
             if index not in consumed
-            for stage_result in self._results[index]
+            for stage_result in self._list_results(index)
         ]
 
     async def _release_consumed(self) -> None:
@@ -514,13 +584,16 @@
         for index in list(self._results):
             dependents = self._list_dependents(index)
             if dependents and all(i in self._results for i in dependents):
-                await self._release(self._results.pop(index))
-                self._results[index] = []
+                results = self._list_results(index)
+                self._results[index] = {}
+                await self._release(results)
 
     async def release_all(self) -> None:
         """Releases every result that is still held."""
         for index in list(self._results):
-            await self._release(self._results.pop(index))
+            results = self._list_results(index)
+            del self._results[index]
+            await self._release(results)
 
     async def _release(self, results: list[batch_dispatch.StageResult]) -> None:
         by_endpoint: dict[str, list[batch_dispatch.StageResult]] = {}
--- a/standins/servers.py
+++ b/standins/servers.py
@@ -67,6 +67,7 @@
         silence_seconds: the duration of a silence, in which none of the
             server's calls and streams goes on.
         free_mb: the free memory for results that the server reports.
+        ended: the names of servers whose results are gone.
         arrivals: all calls that reached the server, in order.
         seen_headers: the headers of each request that was run.
         items: all items that were run.
@@ -81,6 +82,7 @@
         self.faults: list[str] = []
         self.silence_seconds = 1.2
         self.free_mb = 100.0
+        self.ended: set[str] = set()
         self.arrivals: list[Arrival] = []
         self.seen_headers: list[dict[str, str]] = []
         self.items: list[dict] = []
@@ -154,11 +156,14 @@
 
     def _run_items(self, items: list[dict]) -> web.Response:
         self.items += items
-        results = [
-            {"handle": f"{self.name}/{i['id']}/{i['phase']}/{i['segment']}"}
-            for i in items
-        ]
-        return web.build_json(200, {"items": results})
+        return web.build_json(200, {"items": list(map(self._run_item, items))})
+
+    def _run_item(self, item: dict) -> dict[str, str]:
+        inputs = item.get("inputs", ())
+        if self.ended & {name.partition("/")[0] for name in inputs}:
+            return {"reason": "gone"}
+        parts = (item["id"], item["phase"], item["segment"])
+        return {"handle": "/".join(map(str, (self.name, *parts)))}
 
     def _run(
         self, request: web.Request, fault: str
--- a/tests/platform/test_leaving_servers.py
+++ b/tests/platform/test_leaving_servers.py
@@ -66,6 +66,28 @@
             calls = [c for c in leaving.arrivals if c.path == "/stage-run"]
             self.assertEqual(1, len(calls))
 
+    async def test_a_stage_whose_input_server_has_left_is_not_refused(self):
+        async with self.run_all(SERVERS):
+            stage_servers = [self.servers["first1"], self.servers["first2"]]
+            for server in stage_servers:
+                server.silence_seconds = 0.2
+                server.faults = ["silent"]
+            async with curio.TaskGroup() as group:
+                await group.spawn(self.check_stream)
+                await self.wait_until(
+                    lambda: any(server.arrivals for server in stage_servers)
+                )
+                leaving = self.find_reached("first")
+                stage_servers.remove(leaving)
+                (other,) = stage_servers
+                leaving.leaving = True
+                other.faults = []
+                other.ended.add(leaving.name)
+            self.assertEqual(2, len(leaving.items))
+            self.assertEqual(
+                [1, 0, 0, 1], [item["phase"] for item in other.items]
+            )
+
     async def test_a_server_that_left_is_used_again_after_its_restart(self):
         async with self.run_all():
             self.servers["plain1"].leaving = True
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -2,9 +2,12 @@
 
 import random
 
+import curio
+
 from samphirevale import (
     batch_dispatch,
     cluster_state,
+    endpoint_notices,
     errors,
     ownership,
     routes,
@@ -31,6 +34,8 @@
         self.loads = {}
         # The endpoint that stores the results, if it is not the called one.
         self.stored_at = ""
+        # The endpoints whose results are gone.
+        self.ended = set()
 
     def estimate_seconds(self, endpoint, limits, work, now):
         return 0.1 + self.loads.get(endpoint.name, 0)
@@ -39,6 +44,9 @@
         self.calls.append((endpoint.name, list(items)))
         self.loads[endpoint.name] = self.loads.get(endpoint.name, 0) + 0.4
         reason = self.reasons.pop(0) if self.reasons else ""
+        stored_at = {name.split(".")[0] for i in items for name in i.inputs}
+        if stored_at & self.ended:
+            reason = "gone"
         return [
             proxies.ItemResult(
                 "" if reason else f"{endpoint.name}.{i.stage}.{i.index}",
@@ -52,8 +60,8 @@
         self.released += names
 
 
-class StageSequenceRunTest(base.TestCase):
-    """Tests runs of stages with scripted outcomes of items."""
+class StageRunTestCase(base.TestCase):
+    """Sets up two endpoints that can run the items of stages."""
 
     def setUp(self):
         self.cluster = cluster_state.ClusterState(
@@ -83,6 +91,10 @@
             random.Random(1),
         )
 
+
+class StageSequenceRunTest(StageRunTestCase):
+    """Tests runs of stages with scripted outcomes of items."""
+
     async def test_later_stage_takes_all_results_and_releases_them(self):
         run = self.build_run((2, 1))
         (final,) = await run.run()
@@ -187,6 +199,112 @@
         self.assertEqual(1, len(self.runner.released))
 
 
+class LostInputsTest(StageRunTestCase):
+    """Tests stages whose inputs have gone with the endpoint that held them."""
+
+    def setUp(self):
+        super().setUp()
+        self.runner.loads = {"s2": 9.0}
+        run_items = self.runner.run_items
+
+        async def run_items_until_left(endpoint, limits, items):
+            results = await run_items(endpoint, limits, items)
+            await curio.sleep(0)
+            if len(self.runner.calls) == self.calls_before_leaving:
+                self.end_endpoint("s1")
+            return results
+
+        self.calls_before_leaving = 1
+        self.runner.run_items = run_items_until_left
+
+    def end_endpoint(self, name):
+        endpoint = self.cluster.catalogue.find(name)
+        start = endpoint_notices.get_start(endpoint)
+        self.cluster.notices.record_leaving(start, NOW)
+        self.runner.ended.add(name)
+
+    def list_calls(self):
+        return [
+            (name, items[0].stage, len(items))
+            for name, items in self.runner.calls
+        ]
+
+    async def test_stage_whose_input_has_left_is_not_refused(self):
+        (final,) = await self.build_run((2, 1)).run()
+        self.assertEqual("s2.1.0", final.name)
+        self.assertEqual(
+            [("s1", 0, 2), ("s2", 1, 1), ("s2", 0, 2), ("s2", 1, 1)],
+            self.list_calls(),
+        )
+
+    async def test_inputs_that_are_held_elsewhere_are_not_run_again(self):
+        stage_list = (*CHAIN[:1] * 2, routes.Stage("stage", (0, 1), 100))
+        self.runner.loads = {"s2": 0.1}
+        self.calls_before_leaving = 2
+        await self.build_run((1, 1, 1), stage_list).run()
+        lost = {
+            stage for name, stage, _ in self.list_calls()[:2] if name == "s1"
+        }
+        self.assertEqual(1, len(lost))
+        repeated = [stage for _, stage, _ in self.list_calls()[3:]]
+        self.assertEqual([*lost, 2], repeated)
+
+    async def test_inputs_of_lost_inputs_are_run_again_too(self):
+        stage_list = (*CHAIN, routes.Stage("stage", (1,), 100))
+        self.calls_before_leaving = 2
+        (final,) = await self.build_run((1, 1, 1), stage_list).run()
+        self.assertEqual("s2.2.0", final.name)
+        order = [stage for _, stage, _ in self.list_calls()]
+        self.assertEqual([0, 1, 2, 0, 1, 2], order)
+
+    async def test_stages_with_the_same_lost_input_run_it_again_once(self):
+        stage_list = (*CHAIN, CHAIN[1])
+        await self.build_run((2, 1, 1), stage_list).run()
+        order = [stage for _, stage, _ in self.list_calls()]
+        self.assertEqual(2, order.count(0))
+        inputs = [
+            item.inputs for _, items in self.runner.calls for item in items
+        ]
+        self.assertEqual({0, 2}, set(map(len, inputs)))
+
+    async def test_lost_inputs_of_a_sound_endpoint_are_run_again(self):
+        self.calls_before_leaving = 0
+        self.runner.reasons = ["", "gone"]
+        await self.build_run((1, 1)).run()
+        order = [stage for _, stage, _ in self.list_calls()]
+        self.assertEqual([0, 1, 0, 1], order)
+
+    async def test_each_repeated_call_takes_a_retry(self):
+        await self.build_run((1, 1)).run()
+        self.assertEqual(7, self.retries_left)
+
+    async def test_lost_inputs_without_retries_fail(self):
+        self.retries_left = 1
+        with self.assertRaises(errors.EarlierStageError):
+            await self.build_run((1, 1)).run()
+
+    async def test_lost_inputs_are_not_run_again_too_late(self):
+        """The two stages together need 0.34 s."""
+        with self.assertRaises(errors.EarlierStageError):
+            await self.build_run((1, 1), deadline_at=NOW + 0.3).run()
+        self.assertEqual(2, len(self.runner.calls))
+
+    async def test_all_results_are_released_at_the_end(self):
+        run = self.build_run((2, 1))
+        results = await run.run()
+        await run.release_all()
+        made = [
+            f"{name}.{stage}.{i}"
+            for name, stage, count in self.list_calls()
+            for i in range(count)
+        ]
+        self.assertEqual(
+            set(made) - {"s2.1.0"},
+            set(self.runner.released) - {results[0].name},
+        )
+        self.assertIn(results[0].name, self.runner.released)
+
+
 class JitterTest(base.TestCase):
     """Tests entries that choose endpoints by the same load reports."""
 
