Let a broken stream wait for the end of a pause

Callers lost a resumable stream at once (outcome 'not resumed: no_endpoint' or 'endpoints_paused') when its endpoint broke while the others paused, or when the one that should go on refused with Retry-After. Cause: the resumption chose an endpoint once and took a pause as no endpoint at all; an endpoint that had refused was never asked again.

The resumption now waits for the first end of a pause, of the model's endpoints of that version or of a stage, if the next event can then arrive before the deadline and before the caller abandons the stream (module stream_waits). It does not wait without a retry left, for another version, or for an endpoint that leaves. An endpoint that refused may be chosen again after its pause.

Silent endpoints and event_streams are as before, but for a note of when the caller got events.

--- a/samphirevale/cluster_state.py
+++ b/samphirevale/cluster_state.py
@@ -233,6 +233,21 @@
         ]
         return min(pauses, default=0.0)
 
+    def compute_pauses(
+        self, service: str, now: float, version: str | None = None
+    ) -> dict[str, float]:
+        """Returns the pauses that endpoints of a service ask of this entry.
+
+        Returns:
+            The rest of each pause in seconds, by the endpoint's name.
+        """
+        pauses = {
+            endpoint.name: self.notices.compute_pause(endpoint, now)
+            for endpoint in self._list_accepting(service, version)
+            if not self.notices.is_leaving(endpoint)
+        }
+        return {name: rest for name, rest in pauses.items() if rest > 0}
+
     def find_connections_limit(self, service: str) -> int:
         """Returns the connection limit of each endpoint; 0 for no limit."""
         if self.table is None or service not in self.table.services:
--- a/samphirevale/endpoint_choice.py
+++ b/samphirevale/endpoint_choice.py
@@ -67,6 +67,24 @@
             self.service, self._context.clock.now(), self.version
         )
 
+    def compute_wait(self) -> float:
+        """Returns when an endpoint can be chosen that pauses now.
+
+        Endpoints that pause may be chosen again afterwards, also if the request
+        was sent to them before.
+
+        Returns:
+            The time in seconds from now; 0 if one can be chosen now, or if none
+            pauses.
+        """
+        if self.choose() is not None:
+            return 0.0
+        pauses = self._context.cluster_state.compute_pauses(
+            self.service, self._context.clock.now(), self.version
+        )
+        self.tried -= pauses.keys()
+        return min(pauses.values(), default=0.0)
+
     def all_pause(self) -> bool:
         """Returns whether only endpoints that pause could get the request."""
         return self.compute_pause() > 0
--- a/samphirevale/event_streams.py
+++ b/samphirevale/event_streams.py
@@ -63,6 +63,9 @@
             errors.AnswerLostError: the stream cannot be resumed.
         """
 
+    def record_events(self) -> None:
+        """Records that the caller gets events."""
+
     async def release_results(self) -> None:
         """Releases the results of the stages."""
 
@@ -272,6 +275,7 @@
             return b""
         self._begun = True
         self._exchange.record_first_event()
+        self._run.record_events()
         await self._run.release_results()
         return b"".join(
             event.data
--- a/samphirevale/log_schema.py
+++ b/samphirevale/log_schema.py
@@ -104,6 +104,7 @@
         "store_regained": {"kind"},
         "stream_ended": {*_REQUEST, "outcome", "last_event"},
         "stream_silent": {*_REQUEST, "outcome", "last_event"},
+        "stream_waits": {*_REQUEST, "wait_seconds"},
     }.items()
 }
 
--- a/samphirevale/platform/manifest.py
+++ b/samphirevale/platform/manifest.py
@@ -65,6 +65,7 @@
             for item in value.get("phases") or ()
         ),
         anonymous=bool(value.get("anonymous", False)),
+        event_target_seconds=float(value.get("itl_target_ms") or 0) / 1000,
     )
 
 
--- a/samphirevale/proxy_runs.py
+++ b/samphirevale/proxy_runs.py
@@ -17,6 +17,7 @@
     stage_times,
     stages,
     stream_bindings,
+    stream_waits,
 )
 
 # The largest number of failed connections for one request. They do not count
@@ -60,6 +61,8 @@
         self._lacks_results = False
         self._stages_repeated = False
         self._stages: stages.StageSequenceRun | None = None
+        # When the caller got the last events.
+        self._last_event_at = accepted.request.received_at
         # Whether the items are queued behind those that are on time.
         self._late = accepted.returned
 
@@ -120,11 +123,7 @@
             )
         decision = stage_admission.decide(
             stage_admission.AdmissionRequest(
-                bare_seconds=stage_times.compute_bare_seconds(
-                    self._context.cluster_state.table,
-                    self._route,
-                    self._request.item_counts,
-                ),
+                bare_seconds=self._compute_bare_seconds(),
                 shared_queueing=self._context.cluster_state.shared_queueing,
                 target_seconds=self._route.target_seconds,
                 remaining_seconds=self.compute_remaining_seconds(),
@@ -156,9 +155,7 @@
         """Returns whether each service has an endpoint when it is needed."""
         cluster = self._context.cluster_state
         now = self._context.clock.now()
-        bare_seconds = stage_times.compute_bare_seconds(
-            cluster.table, self._route, self._request.item_counts
-        )
+        bare_seconds = self._compute_bare_seconds()
         return (
             stages.has_endpoints(
                 cluster, self._route, self._request.item_counts, now
@@ -166,6 +163,14 @@
             and self._endpoints.compute_pause() <= bare_seconds
         )
 
+    def _compute_bare_seconds(self) -> float:
+        """Returns the duration of all stages at idle endpoints."""
+        return stage_times.compute_bare_seconds(
+            self._context.cluster_state.table,
+            self._route,
+            self._request.item_counts,
+        )
+
     def _estimate_stages(self, late: bool) -> stage_admission.StagesEstimate:
         """Estimates the completion time of the stages and their queues."""
         return stages.estimate_stages(
@@ -232,6 +237,12 @@
 
         It is 0 if no service has endpoints that all pause.
         """
+        return max(
+            self._endpoints.compute_pause(), self._compute_stages_pause()
+        )
+
+    def _compute_stages_pause(self) -> float:
+        """Returns when the stages can run, in seconds from now."""
         now = self._context.clock.now()
         services = [
             stage.service
@@ -240,9 +251,8 @@
         ]
         cluster = self._context.cluster_state
         return max(
-            self._endpoints.compute_pause(),
-            *(cluster.compute_pause(service, now) for service in services),
-            0.0,
+            (cluster.compute_pause(service, now) for service in services),
+            default=0.0,
         )
 
     def _list_result_sizes(
@@ -546,6 +556,7 @@
 
         The stages run again, as their results were released after the first
         event. A failed connection takes no retry, as it hands nothing over.
+        While all endpoints pause, the stream waits if its caller does.
 
         Raises:
             errors.AnswerLostError: the stream may not be resumed, or no
@@ -555,12 +566,15 @@
         connection_failures = 0
         retry_taken = False
         while True:
-            endpoint = self._choose_resuming_endpoint()
+            obstacle = "" if retry_taken else self._find_resend_obstacle()
+            if obstacle:
+                raise errors.AnswerLostError(obstacle)
+            endpoint = await self._wait_for_endpoint(results is None)
             if not retry_taken and not self.may_send_again():
                 raise errors.AnswerLostError(self._find_resend_obstacle())
             if results is None:
                 results = await self._run_stages_for_resume()
-                endpoint = self._choose_resuming_endpoint()
+                endpoint = await self._wait_for_endpoint(False)
             self._endpoints.tried.add(endpoint.name)
             try:
                 return await self._open_resumed(endpoint, results, last_event)
@@ -576,12 +590,50 @@
                 if getattr(error, "lacks_results", False):
                     results = None
 
-    def _choose_resuming_endpoint(self) -> catalogue.Endpoint:
+    async def _wait_for_endpoint(
+        self, needs_stages: bool
+    ) -> catalogue.Endpoint:
+        """Returns an endpoint that goes on, after a pause of all if need be.
+
+        Args:
+            needs_stages: whether the stages have to run before.
+
+        Raises:
+            errors.AnswerLostError: there is none, or the caller would leave.
+        """
+        while seconds := self._compute_resumption_wait(needs_stages):
+            stream = self._build_broken_stream(needs_stages)
+            now = self._context.clock.now()
+            if not stream_waits.may_wait(stream, seconds, now):
+                raise errors.AnswerLostError("endpoints_paused")
+            self._log_step("stream_waits", wait_seconds=round(seconds, 3))
+            await self._context.clock.sleep(seconds)
         endpoint = self._endpoints.choose()
         if endpoint is None:
             raise errors.AnswerLostError(self._endpoints.explain_none())
         return endpoint
 
+    def _compute_resumption_wait(self, needs_stages: bool) -> float:
+        """Returns when all pauses end in the way, in seconds from now."""
+        seconds = self._endpoints.compute_wait()
+        if needs_stages:
+            seconds = max(seconds, self._compute_stages_pause())
+        return seconds
+
+    def _build_broken_stream(
+        self, needs_stages: bool
+    ) -> stream_waits.BrokenStream:
+        prompt_speed = self._context.selector.prompt_speed
+        seconds = prompt_speed.estimate_first_event(self._prompt_tokens)
+        if needs_stages:
+            seconds += self._compute_bare_seconds()
+        return stream_waits.BrokenStream(
+            self._route,
+            self._last_event_at,
+            self._accepted.deadline_at,
+            seconds,
+        )
+
     async def _run_stages_for_resume(self) -> tuple[str, ...]:
         try:
             return await self._run_stages_again()
@@ -627,6 +679,10 @@
             results = await self._stages.run()
         return tuple(stage_result.name for stage_result in results)
 
+    def record_events(self) -> None:
+        """Records that the caller gets events."""
+        self._last_event_at = self._context.clock.now()
+
     async def release_results(self) -> None:
         """Releases the results of the stages."""
         if self._stages is not None:
--- a/samphirevale/routes.py
+++ b/samphirevale/routes.py
@@ -43,6 +43,8 @@
             may run.
         stages: the stages in the order of their indices.
         anonymous: whether requests need no key.
+        event_target_seconds: the target time between two events of a stream;
+            0 if there is none.
     """
 
     name: str
@@ -58,6 +60,7 @@
     attempts_limit: int
     stages: tuple[Stage, ...]
     anonymous: bool
+    event_target_seconds: float = 0.0
 
     def get_kind(self) -> str:
         """Returns the kind of the route's requests, as used in metrics."""
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -10,6 +10,7 @@
 )
 from samphirevale.ports import objects
 from tests import base
+from tests.platform import sessions
 
 ENTRY = {
     "service": "s",
@@ -167,3 +168,12 @@
         self.assertEqual(5, route.stages[0].result_bytes)
         self.assertEqual(7, table.limits.body_bytes)
         self.assertIsNone(table.accounts)
+
+    def test_target_between_events(self):
+        value = sessions.build_manifest()
+        value["routes"][2]["itl_target_ms"] = 40
+        table = manifest.decode_manifest(value)
+        route = table.find_route("h.example", "/write/")
+        self.assertEqual(0.04, route.event_target_seconds)
+        route = table.find_route("h.example", "/read/")
+        self.assertEqual(0.0, route.event_target_seconds)
--- a/tests/platform/test_leaving_servers.py
+++ b/tests/platform/test_leaving_servers.py
@@ -174,6 +174,16 @@
             for name in ("plain1", "plain2"):
                 self.assertEqual(1, len(self.servers[name].arrivals))
 
+    async def test_a_broken_stream_waits_for_the_end_of_a_pause(self):
+        async with self.run_all():
+            self.servers["model1"].faults = ["cut"]
+            pausing = self.servers["model2"]
+            pausing.begin_pause(1.0, time.monotonic())
+            await self.check_stream()
+            first, second = pausing.arrivals
+            self.assertLess(first.at, pausing.pause.ends_at)
+            self.assertGreaterEqual(second.at, pausing.pause.ends_at)
+
     async def test_a_malformed_pause_is_ignored(self):
         async with self.run_all():
             plain = self.servers["plain1"]
