Spread the callers that are refused in a pause

While all endpoints of a service paused, every refused caller was told the same end (Retry-After), so that all came back at once and most were refused again. Rounding to hundredths could also tell a time just before the end.

return_times.ReturnSchedule tells each caller a later time than those before it: the endpoints take requests from the ends of their pauses on, each as many at a time as it has slots, for the learned duration of a request (a batched service: by its calls). All entries together spread as one, as each assumes that the others refuse as many. Nobody is told a time before the first end, nor one that leaves less than half of the caller's time after it; beyond that callers are drawn evenly. Retry-After is rounded up.

--- a/samphirevale/cluster_state.py
+++ b/samphirevale/cluster_state.py
@@ -221,17 +221,31 @@
             The time in seconds from now; 0 if one is usable now, or if all
             leave.
         """
+        pauses = self.list_pauses(service, now, version)
+        return min((seconds for _, seconds in pauses), default=0.0)
+
+    def list_pauses(
+        self, service: str, now: float, version: str | None = None
+    ) -> list[tuple[catalogue.Endpoint, float]]:
+        """Returns the endpoints of a service if all of them pause.
+
+        Returns:
+            Pairs of an endpoint and the rest of its pause in seconds; none if
+            one is usable now, or if all leave.
+        """
         if self.list_usable(service, now, version):
-            return 0.0
-        pauses = [
-            max(
-                self.notices.compute_pause(endpoint, now),
-                self.notices.compute_pause_elsewhere(endpoint, now),
+            return []
+        return [
+            (
+                endpoint,
+                max(
+                    self.notices.compute_pause(endpoint, now),
+                    self.notices.compute_pause_elsewhere(endpoint, now),
+                ),
             )
             for endpoint in self._list_accepting(service, version)
             if not self.notices.is_leaving(endpoint)
         ]
-        return min(pauses, default=0.0)
 
     def compute_pauses(
         self, service: str, now: float, version: str | None = None
--- a/samphirevale/exchanges.py
+++ b/samphirevale/exchanges.py
@@ -80,9 +80,12 @@
         self._end_prompt_reading()
         if self._counted_in_load:
             self._counted_in_load = False
-            self._context.selector.record_end(
-                self.endpoint.name, failed, self._context.clock.now()
-            )
+            now = self._context.clock.now()
+            self._context.selector.record_end(self.endpoint.name, failed, now)
+            if self.answer is not None and not failed:
+                self._context.returns.record_duration(
+                    self.endpoint.service, now - self._sent_at
+                )
         if self.answer is not None:
             answer, self.answer = self.answer, None
             await answer.close()
--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -30,6 +30,7 @@
     registrar,
     registrations,
     retry_budgets,
+    return_times,
     routes,
     routes_freshness,
     stream_origins,
@@ -159,6 +160,7 @@
                 stream_origins.OriginDirectory(
                     self._origins, self.table, clock
                 ),
+                return_times.ReturnSchedule(),
                 clock,
                 self._rng,
                 log,
--- a/samphirevale/platform/callers.py
+++ b/samphirevale/platform/callers.py
@@ -1,5 +1,6 @@
 """Translates callers' HTTP requests and their answers."""
 
+import math
 from collections.abc import Awaitable, Callable
 
 from samphirevale import proxy_requests
@@ -34,7 +35,7 @@
         answer = await self._answer(decoded)
         attempt = ("Samphirevale-Attempt-Id", decoded.attempt)
         if isinstance(answer, proxy_requests.Refusal):
-            return _build_refusal(answer, attempt)
+            return build_refusal(answer, attempt)
         if isinstance(answer, proxy_requests.StreamedAnswer):
             return web.StreamedResponse(
                 answer.status, answer.chunks, answer.headers
@@ -42,12 +43,20 @@
         return web.Response(answer.status, answer.body, answer.headers)
 
 
-def _build_refusal(
+def build_refusal(
     refusal: proxy_requests.Refusal, attempt: tuple[str, str]
 ) -> web.Response:
+    """Returns the answer to a refused caller.
+
+    Args:
+        refusal: the refusal.
+        attempt: the header with the id of the caller's attempt.
+    """
     response_headers = [attempt]
     if refusal.retry_seconds is not None:
-        response_headers.append(("Retry-After", f"{refusal.retry_seconds:.2f}"))
+        # Rounded up, as callers must not come back too early.
+        seconds = math.ceil(refusal.retry_seconds * 100) / 100
+        response_headers.append(("Retry-After", f"{seconds:.2f}"))
     return web.Response(
         refusal.status, refusal.reason.encode() + b"\n", tuple(response_headers)
     )
--- a/samphirevale/proxy_context.py
+++ b/samphirevale/proxy_context.py
@@ -9,6 +9,7 @@
     placement,
     quarantine,
     retry_budgets,
+    return_times,
     stages,
     stream_origins,
 )
@@ -27,6 +28,7 @@
         quarantine: the inputs that have crashed endpoints at any entry.
         endpoints: makes the calls to endpoints.
         origins: knows where streams began.
+        returns: when the callers come back that were refused in pauses.
         clock: a clock that includes time while the machine is suspended.
         rng: the source of all random numbers.
         journal: the log of decisions.
@@ -39,6 +41,7 @@
     quarantine: quarantine.Quarantine
     endpoints: proxies.ProxyEndpoints
     origins: stream_origins.OriginDirectory
+    returns: return_times.ReturnSchedule
     clock: clocks.Clock
     rng: random.Random
     journal: journal.Journal
--- a/samphirevale/proxy_runs.py
+++ b/samphirevale/proxy_runs.py
@@ -11,6 +11,7 @@
     exchange_races,
     exchanges,
     input_fingerprints,
+    paused_refusals,
     proxy_context,
     proxy_requests,
     stage_admission,
@@ -415,11 +416,11 @@
     def _build_failure_refusal(self, reason: str) -> proxy_requests.Refusal:
         if self._runs:
             return proxy_requests.Refusal(502, reason)
-        return proxy_requests.Refusal(
-            503,
-            reason,
-            self._compute_pause() or proxy_requests.RETRY_AFTER_SECONDS,
+        seconds = self._compute_pause() or proxy_requests.RETRY_AFTER_SECONDS
+        seconds += paused_refusals.compute_spread(
+            self._context, self._accepted, self._endpoints
         )
+        return proxy_requests.Refusal(503, reason, seconds)
 
     def _log_send_failure(
         self, endpoint: catalogue.Endpoint, error: Exception
--- a/samphirevale/stream_bindings.py
+++ b/samphirevale/stream_bindings.py
@@ -3,6 +3,7 @@
 from samphirevale import (
     catalogue,
     endpoint_choice,
+    paused_refusals,
     proxy_context,
     proxy_requests,
     stream_origins,
@@ -38,9 +39,9 @@
     endpoints.service = origin.service
     endpoints.version = origin.version
     if endpoints.all_pause():
-        return proxy_requests.Refusal(
-            503, "endpoints_paused", endpoints.compute_pause()
-        )
+        seconds = endpoints.compute_pause()
+        seconds += paused_refusals.compute_spread(context, accepted, endpoints)
+        return proxy_requests.Refusal(503, "endpoints_paused", seconds)
     if not endpoints.list_available():
         return proxy_requests.Refusal(
             503, "no_endpoint_of_version", proxy_requests.RETRY_AFTER_SECONDS
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -140,6 +140,16 @@
         self.assertIsNone(self.decode())
 
 
+class RefusalTest(base.TestCase):
+    """The answer to a refused caller."""
+
+    def test_callers_are_not_told_to_return_too_early(self):
+        for seconds, text in ((2.0, "2.00"), (1.5001, "1.51"), (0.5, "0.50")):
+            refusal = proxy_requests.Refusal(503, "endpoints_paused", seconds)
+            response = callers.build_refusal(refusal, ("Attempt", "a1"))
+            self.assertIn(("Retry-After", text), response.headers)
+
+
 class ManifestTest(base.TestCase):
     """The operator's manifest."""
 
