Log malformed headers of endpoints and the store once in a while

A store or an endpoint that sends a bad header sends it in each answer.

What stood already and is now tested: a text, a negative, NaN or infinite number and an HTTP date as a pause are ignored, and a number of 400 digits is a pause of a minute. Before: 150 lines for 3 findings, 20 lines for one era, and inf in place of 60 s.

--- a/samphirevale/notice_handler.py
+++ b/samphirevale/notice_handler.py
@@ -7,6 +7,7 @@
     cluster_state,
     endpoint_notices,
     journal,
+    log_limits,
     messages,
     metrics,
 )
@@ -39,6 +40,7 @@
         self._broadcast = broadcast
         self._clock = clock
         self._journal = log
+        self._log_limiter = log_limits.LogLimiter()
 
     def may_call(self, endpoint: catalogue.Endpoint) -> bool:
         """Returns whether anything may be sent to an endpoint now."""
@@ -50,7 +52,7 @@
     ) -> None:
         """Applies the notice of an answer as soon as its head is read."""
         for text in notice.malformed:
-            self._record_malformed(endpoint, text)
+            self._record_malformed(endpoint, text.partition(":")[0], text)
         if notice.pause_seconds > 0:
             await self._handle_pause(endpoint, notice.pause_seconds)
         if notice.leaving:
@@ -59,9 +61,19 @@
                 await self._broadcast(_build_message([start]))
 
     def _record_malformed(
-        self, endpoint: catalogue.Endpoint, text: str
+        self, endpoint: catalogue.Endpoint, kind: str, text: str
     ) -> None:
+        """Counts a malformed notice, and logs it once in a while.
+
+        Args:
+            endpoint: the endpoint that sent it.
+            kind: what is malformed, the same in all notices of that kind.
+            text: a description.
+        """
         metrics.NOTICES_MALFORMED.labels(service=endpoint.service).inc()
+        subject = (endpoint.name, kind)
+        if not self._log_limiter.permits(subject, self._clock.now()):
+            return
         self._journal.record_failure(
             "notice_malformed", endpoint=endpoint.name, text=text
         )
@@ -69,8 +81,11 @@
     async def _handle_pause(
         self, endpoint: catalogue.Endpoint, seconds: float
     ) -> None:
-        if seconds > endpoint_notices.PAUSE_SECONDS_LIMIT:
-            self._record_malformed(endpoint, f"a pause of {seconds} s")
+        limit = endpoint_notices.PAUSE_SECONDS_LIMIT
+        if seconds > limit:
+            text = f"a pause of {seconds} s"
+            self._record_malformed(endpoint, "long pause", text)
+            seconds = limit
         metrics.ENDPOINT_PAUSES.labels(service=endpoint.service).inc()
         begins = self._cluster.notices.record_pause(
             endpoint_notices.get_start(endpoint), seconds, self._clock.now()
--- a/samphirevale/platform/store.py
+++ b/samphirevale/platform/store.py
@@ -2,11 +2,12 @@
 
 import contextlib
 import logging
+import time
 import urllib.parse
 from collections.abc import Iterator
 from typing import Any
 
-from samphirevale import errors, metrics
+from samphirevale import errors, log_limits, metrics
 from samphirevale.adapters import store_client, store_metrics
 from samphirevale.platform import headers
 from samphirevale.ports import objects
@@ -21,12 +22,20 @@
 # The largest number of digits of an era. A longer one is malformed.
 ERA_DIGITS_LIMIT = 9
 
+# The largest number of characters of a malformed era that are logged.
+ERA_LOGGED_LIMIT = 40
+
 CONTENT_TYPE = ("Content-Type", "application/json")
 
 
 class PlatformStore(store_client.StoreClient):
     """Implements ports.objects.WatchedStore, and conditional writes."""
 
+    def __init__(self, *arguments: Any, **options: Any):
+        """Takes the same arguments as its base class."""
+        super().__init__(*arguments, **options)
+        self._log_limiter = log_limits.LogLimiter()
+
     @store_metrics.measure_calls("list")
     async def list_at(self, kind: str) -> objects.Listing:
         """Returns a kind's objects from all pages of the list.
@@ -47,7 +56,7 @@
             query = f"?after={urllib.parse.quote(after)}" if after else ""
             reply = await self.read(f"{_build_path(kind)}{query}")
             _check_status(reply)
-            era = _combine_eras(era, _decode_era(reply))
+            era = _combine_eras(era, self._decode_era(reply))
             with _converting_parse_errors():
                 page = _read_objects(kind, reply.value["items"])
                 has_more = reply.value.get("more_pages", False)
@@ -83,7 +92,7 @@
                     value = None if is_deleted else stored.value
                     changed.append(stored._replace(value=value))
             return objects.WatchEvents(
-                changed, int(reply.value["at"]), _decode_era(reply)
+                changed, int(reply.value["at"]), self._decode_era(reply)
             )
 
     @store_metrics.measure_calls("create")
@@ -100,7 +109,7 @@
             "POST", _build_path(kind), body, (CONTENT_TYPE,)
         )
         _check_status(reply)
-        return _decode_era(reply)
+        return self._decode_era(reply)
 
     @store_metrics.measure_calls("update")
     async def replace(
@@ -114,7 +123,7 @@
         if reply.status == 404:
             return await self.create(kind, name, value)
         _check_status(reply)
-        return _decode_era(reply)
+        return self._decode_era(reply)
 
     @store_metrics.measure_calls("delete")
     async def delete(self, kind: str, name: str) -> None:
@@ -123,6 +132,19 @@
         if reply.status != 404:
             _check_status(reply)
 
+    def _decode_era(self, reply: store_client.Reply) -> objects.StoreEra | None:
+        """Returns the era that an answer states; None without a valid one."""
+        text = reply.headers.get(headers.STORE_ERA)
+        if text is None:
+            return None
+        if len(text) <= ERA_DIGITS_LIMIT and text.isascii() and text.isdigit():
+            return objects.StoreEra(int(text))
+        metrics.STORE_ERAS_MALFORMED.inc()
+        shown = text[:ERA_LOGGED_LIMIT]
+        if self._log_limiter.permits(shown, time.monotonic()):
+            logging.getLogger(__name__).warning("malformed era %r", shown)
+        return None
+
 
 def _build_path(*parts: str) -> str:
     quoted = (urllib.parse.quote(part, safe="") for part in parts)
@@ -140,18 +162,6 @@
     raise errors.StoreError(text)
 
 
-def _decode_era(reply: store_client.Reply) -> objects.StoreEra | None:
-    """Returns the era that an answer states; None without a valid one."""
-    text = reply.headers.get(headers.STORE_ERA)
-    if text is None:
-        return None
-    if len(text) > ERA_DIGITS_LIMIT or not (text.isascii() and text.isdigit()):
-        metrics.STORE_ERAS_MALFORMED.inc()
-        logging.getLogger(__name__).warning("malformed era %.40r", text)
-        return None
-    return objects.StoreEra(int(text))
-
-
 def _combine_eras(
     before: objects.StoreEra | None, page: objects.StoreEra | None
 ) -> objects.StoreEra | None:
--- a/tests/platform/test_leaving_servers.py
+++ b/tests/platform/test_leaving_servers.py
@@ -187,7 +187,8 @@
     async def test_a_malformed_pause_is_ignored(self):
         async with self.run_all():
             plain = self.servers["plain1"]
-            for text in ("soon", "-1", "nan"):
+            date = "Wed, 21 Oct 2026 07:28:00 GMT"
+            for text in ("soon", "-1", "nan", date):
                 plain.begin_pause(0.2, time.monotonic(), text)
                 await self.read_until_reached("plain1")
                 await self.read_until_pause_ends("plain1")
--- a/tests/platform/test_notices.py
+++ b/tests/platform/test_notices.py
@@ -29,7 +29,10 @@
         self.assertEqual(proxies.NO_NOTICE, self.decode(429, retry_after="3"))
 
     def test_malformed_headers_are_described(self):
-        for text in ("-1", "soon", "nan", "inf", "1e3", "1_0", "0x1"):
+        for text in (
+            *("-1", "soon", "nan", "inf", "-inf", "1e3", "1_0", "0x1", "1,5"),
+            *("Wed, 21 Oct 2026 07:28:00 GMT", "\u0663", "1 2", "+1"),
+        ):
             notice = self.decode(503, retry_after=text)
             self.assertEqual(
                 proxies.EndpointNotice(malformed=(f"retry-after: {text}",)),
@@ -38,6 +41,10 @@
         (description,) = self.decode(200, server_leaving="x" * 999).malformed
         self.assertEqual(notices.DESCRIPTION_LIMIT, len(description))
 
+    def test_huge_pause_is_decoded(self):
+        notice = self.decode(503, retry_after="9" * 400)
+        self.assertEqual(float("inf"), notice.pause_seconds)
+
     def test_endpoint_at_a_reused_address_tells_nothing_of_the_former(self):
         self.assertEqual(
             proxies.NO_NOTICE, self.decode(421, server_leaving="1")
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -55,6 +55,16 @@
                 self.assertIsNone(listing.era)
                 self.assertEqual(counted + 1, read_malformed())
 
+    async def test_malformed_era_is_logged_once_in_a_while(self):
+        async with self.run_store():
+            self.store.era_header = "odd"
+            counted = read_malformed()
+            with self.assertLogs(level="WARNING") as logged:
+                for _ in range(20):
+                    await self.client.list_at("k")
+            self.assertEqual(1, len(logged.records))
+            self.assertEqual(counted + 20, read_malformed())
+
     async def test_store_without_eras_states_none(self):
         async with self.run_store():
             self.store.era_header = ""
--- a/tests/test_notice_handler.py
+++ b/tests/test_notice_handler.py
@@ -3,6 +3,7 @@
 from samphirevale import (
     cluster_state,
     endpoint_notices,
+    log_limits,
     messages,
     metrics,
     notice_handler,
@@ -114,6 +115,36 @@
         self.clock.seconds += endpoint_notices.PAUSE_SECONDS_LIMIT
         self.assertTrue(self.handler.may_call(ENDPOINT))
 
+    async def test_malformed_notices_are_counted_and_logged_now_and_then(self):
+        before = self.count("notices_malformed")
+        for number in range(50):
+            for notice in (
+                proxies.EndpointNotice(malformed=("server-leaving: yes",)),
+                proxies.EndpointNotice(malformed=(f"retry-after: -{number}",)),
+                proxies.EndpointNotice(pause_seconds=1e3 + number),
+            ):
+                await self.handler.handle_notice(ENDPOINT, notice)
+        self.assertEqual(3, self.count_lines("notice_malformed"))
+        self.assertEqual(before + 150, self.count("notices_malformed"))
+        self.clock.seconds += log_limits.INTERVAL_SECONDS
+        notice = proxies.EndpointNotice(malformed=("server-leaving: yes",))
+        await self.handler.handle_notice(ENDPOINT, notice)
+        self.assertEqual(4, self.count_lines("notice_malformed"))
+
+    def count_lines(self, event):
+        return self.journal.list_events().count(event)
+
+    async def test_infinite_pause_is_shortened_and_logged_as_a_number(self):
+        notice = proxies.EndpointNotice(pause_seconds=float("inf"))
+        await self.handler.handle_notice(ENDPOINT, notice)
+        (seconds,) = [
+            fields["seconds"]
+            for _, event, fields in self.journal.lines
+            if event == "endpoint_paused"
+        ]
+        self.assertEqual(endpoint_notices.PAUSE_SECONDS_LIMIT, seconds)
+        self.assertEqual([["e1", 1, 60_000]], self.handler.describe_pauses(NOW))
+
     async def test_notices_that_are_over_are_removed(self):
         await self.handler.handle_notice(ENDPOINT, PAUSE)
         self.handler.remove_expired(NOW + 2.0)
