Take a retry for each call that repeats items of a stage

Items that do not fit into one call go to several endpoints. A retry of them took one from the budget for all their calls, so a service could get more repeated calls than its budget allows (rule BUDGET counts arrivals). Found by a new property test over any stages, item counts, and ends of endpoints in between: three repeated calls with two retries left, for five items in two calls.

The property also shows that no item lacks an input or gets one twice, that the results are those of all items in order, and that each result is released.

--- a/samphirevale/stages.py
+++ b/samphirevale/stages.py
@@ -356,12 +356,22 @@
                     break
                 await self._drop_lost_inputs(stage, items[0].inputs)
             if reason != batch_dispatch.UNSENT:
-                self._take_stage_retry(stage)
+                self._take_stage_retry(index)
         raise errors.EarlierStageError(f"stage {index}: {reason}")
 
-    def _take_stage_retry(self, stage: routes.Stage) -> None:
-        if not self._take_retry(stage.service):
-            raise errors.EarlierStageError("no repeats are left")
+    def _take_stage_retry(self, index: int) -> None:
+        """Takes a retry for each call that the items of a stage need.
+
+        Raises:
+            errors.EarlierStageError: too few are left.
+        """
+        service = self._route.stages[index].service
+        limits = self._cluster.find_batch_limits(service)
+        if limits is None:
+            raise errors.EarlierStageError(f"stage {index}: no such service")
+        for _ in split_items(self._build_missing_items(index), limits):
+            if not self._take_retry(service):
+                raise errors.EarlierStageError("no repeats are left")
 
     async def _complete_inputs(self, stage: routes.Stage) -> None:
         """Runs the items of the preceding stages whose results were lost."""
@@ -383,7 +393,7 @@
             seconds = stage_times.estimate_call_seconds(limits, len(items))
             if self._clock.now() + seconds > items[0].deadline_at:
                 raise errors.EarlierStageError(f"stage {index}: results lost")
-        self._take_stage_retry(stage)
+        self._take_stage_retry(index)
         await self._run_stage(index)
 
     async def _drop_lost_inputs(
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -1,8 +1,11 @@
 """Tests of stages: their order, chunks, retries and released results."""
 
+import collections
 import random
 
 import curio
+import hypothesis
+from hypothesis import strategies
 
 from samphirevale import (
     batch_dispatch,
@@ -305,6 +308,110 @@
         self.assertIn(results[0].name, self.runner.released)
 
 
+@strategies.composite
+def _stage_lists(draw):
+    """Draws up to four stages, each after any of those before it."""
+    count = draw(strategies.integers(1, 4))
+    return tuple(
+        routes.Stage(
+            "stage",
+            tuple(sorted(draw(strategies.sets(strategies.integers(0, i - 1)))))
+            if i
+            else (),
+            100,
+        )
+        for i in range(count)
+    )
+
+
+class AnyLossTest(StageRunTestCase):
+    """Tests any stages while any endpoints end and start again."""
+
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
+    @hypothesis.given(
+        _stage_lists(),
+        strategies.lists(strategies.integers(0, 6), min_size=4, max_size=4),
+        strategies.lists(
+            strategies.sampled_from(["", "", "s1", "s2", "s3"]), min_size=6
+        ),
+        strategies.integers(0, 9),
+    )
+    def test_items_have_all_inputs_and_repeats_are_within_the_budget(
+        self, stage_list, counts, ends, retries
+    ):
+        self.setUp()
+        self.cluster.catalogue.put(proxy_fakes.build_endpoint("s3"))
+        self.retries_left = retries
+        self.counts, self.ends = counts[: len(stage_list)], list(ends)
+        self.starts, self.made = collections.Counter(), {}
+        self.runner.run_items = self.run_items
+        curio.run(self.check_run, stage_list)
+
+    async def run_items(self, endpoint, limits, items):
+        self.runner.calls.append((endpoint.name, items))
+        loads = self.runner.loads
+        loads[endpoint.name] = loads.get(endpoint.name, 0) + 0.4
+        await curio.sleep(0)
+        ended = self.ends.pop(0) if self.ends else ""
+        self.starts[ended] += 1
+        return [self.run_item(endpoint, item) for item in items]
+
+    def run_item(self, endpoint, item):
+        for name in item.inputs:
+            holder, start = self.made[name][:2]
+            if start != self.starts[holder]:
+                return proxies.ItemResult("", "gone", endpoint.name)
+        start = self.starts[endpoint.name]
+        name = f"{endpoint.name}.{start}.{item.stage}.{item.index}"
+        self.made[name] = (endpoint.name, start, item.stage, item.index)
+        return proxies.ItemResult(name, "", endpoint.name)
+
+    async def check_run(self, stage_list):
+        run = self.build_run(tuple(self.counts), stage_list)
+        before, failed = self.retries_left, False
+        try:
+            async with stages.release_on_error(run):
+                results = await run.run()
+        except errors.EarlierStageError:
+            failed = True
+        self.check_inputs(stage_list)
+        self.check_repeats(before)
+        if failed:
+            self.assertEqual(set(self.made), set(self.runner.released))
+            return
+        consumed = {i for stage in stage_list for i in stage.after}
+        self.assertEqual(
+            self.list_items(set(range(len(stage_list))) - consumed),
+            [self.made[stage_result.name][2:] for stage_result in results],
+        )
+        await run.release_all()
+        self.assertEqual(set(self.made), set(self.runner.released))
+
+    def list_items(self, stage_indices):
+        return [
+            (stage, index)
+            for stage in sorted(stage_indices)
+            for index in range(self.counts[stage])
+        ]
+
+    def check_inputs(self, stage_list):
+        for _, items in self.runner.calls:
+            for item in items:
+                self.assertEqual(
+                    self.list_items(stage_list[item.stage].after),
+                    [self.made[name][2:] for name in item.inputs],
+                )
+
+    def check_repeats(self, retries):
+        """Checks that each call beyond the first of its items took a retry."""
+        seen, repeats = set(), 0
+        for _, items in self.runner.calls:
+            keys = {(item.stage, item.index) for item in items}
+            repeats += bool(keys & seen)
+            seen |= keys
+        self.assertLessEqual(repeats, retries)
+
+
 class JitterTest(base.TestCase):
     """Tests entries that choose endpoints by the same load reports."""
 
