Test endpoints, notices and eras in any order

The decision modules each had a property test; nothing tested them together. Added: lives of endpoints (starts, draining, ends, seen by a watch or only by a list), marks of leaving, pauses, and returns of the store from copies in any order: no start that left, drained or pauses is used, no earlier start replaces a later one, and all that live are used once they have written again. And messages of leaving endpoints between entries in any order, some twice: all entries agree, and nothing is told on.

--- a/tests/test_cluster_state.py
+++ b/tests/test_cluster_state.py
@@ -1,6 +1,15 @@
 """Tests of the copies that a proxying entry holds."""
 
-from samphirevale import cluster_state, endpoint_notices, ownership
+import hypothesis
+from hypothesis import strategies
+
+from samphirevale import (
+    catalogue,
+    cluster_state,
+    copy_guard,
+    endpoint_notices,
+    ownership,
+)
 from tests import base, proxy_fakes
 
 NOW = 100.0
@@ -126,3 +135,167 @@
         self.assertEqual(1.5, self.cluster.compute_call_delay(endpoint, NOW))
         self.leave("stage1")
         self.assertIsNone(self.cluster.compute_call_delay(endpoint, NOW))
+
+
+NAMES = ("e1", "e2")
+
+_names = strategies.sampled_from(NAMES)
+_seconds = strategies.floats(0.01, 2.0)
+
+_steps = strategies.one_of(
+    strategies.tuples(
+        strategies.sampled_from(["start", "drain", "go"]),
+        _names,
+        strategies.booleans(),
+    ),
+    strategies.tuples(strategies.sampled_from(["leave", "renew"]), _names),
+    strategies.tuples(strategies.just("pause"), _names, _seconds),
+    strategies.tuples(strategies.just("return"), strategies.integers(0, 5)),
+    strategies.tuples(strategies.just("list")),
+    strategies.tuples(strategies.just("wait"), _seconds),
+)
+
+
+def get_start(endpoint):
+    return endpoint_notices.EndpointStart(endpoint.name, endpoint.started)
+
+
+class Fleet:
+    """Endpoints, and a store that may return from a copy of itself.
+
+    Attributes:
+        now: the present time.
+        current: the present state of each endpoint; None if it has gone.
+        stored: their states in the store.
+    """
+
+    def __init__(self):
+        self.now = NOW
+        self.current = dict.fromkeys(NAMES)
+        self.stored = dict.fromkeys(NAMES)
+        self._copies = [dict(self.stored)]
+        self._starts = 0
+
+    def start(self, name):
+        self._starts += 1
+        endpoint = proxy_fakes.build_endpoint(name, started=self._starts)
+        self._write(name, endpoint)
+
+    def drain(self, name):
+        if self.current[name] is not None:
+            self._write(name, self.current[name]._replace(accepting=False))
+
+    def go(self, name):
+        self._write(name, None)
+
+    def renew(self, name):
+        self._write(name, self.current[name])
+
+    def _write(self, name, endpoint):
+        self.current[name] = self.stored[name] = endpoint
+        self._copies.append(dict(self.stored))
+
+    def return_from_copy(self, age):
+        self.stored = dict(self._copies[-1 - min(age, len(self._copies) - 1)])
+
+
+class AnyOrderTest(base.TestCase):
+    """Tests lives of endpoints, notices, lists and eras in any order."""
+
+    def take_step(self, kind, *values):
+        fleet, notices = self.fleet, self.cluster.notices
+        if kind == "wait":
+            fleet.now += values[0]
+        elif kind == "return":
+            fleet.return_from_copy(*values)
+            self.cluster.start_era(fleet.now)
+            self.read_list()
+        elif kind == "list":
+            self.read_list()
+        elif kind == "renew":
+            fleet.renew(*values)
+            self.read_event(*values)
+        elif kind in ("start", "drain", "go"):
+            name, watched = values
+            getattr(fleet, kind)(name)
+            if watched:
+                self.read_event(name)
+        elif fleet.current[values[0]] is not None:
+            start = get_start(fleet.current[values[0]])
+            if kind == "leave":
+                self.left.add(start)
+                notices.record_leaving(start, fleet.now)
+            else:
+                ends_at = fleet.now + values[1]
+                before = self.paused_until.get(start, 0.0)
+                self.paused_until[start] = max(before, ends_at)
+                notices.record_pause(start, values[1], fleet.now)
+
+    def read_event(self, name):
+        """Reads the last change of an endpoint by a watch."""
+        endpoint = self.fleet.stored[name]
+        self.cluster.copy_guard.record_write(name)
+        if endpoint is None:
+            changes = self.cluster.catalogue.remove(name, self.fleet.now)
+        else:
+            changes = self.cluster.catalogue.put(endpoint)
+        self.record_changes(changes)
+
+    def read_list(self):
+        now = self.fleet.now
+        listed = [one for one in self.fleet.stored.values() if one is not None]
+        current = self.cluster.copy_guard.filter_listed(listed, now)
+        self.record_changes(self.cluster.catalogue.replace(current, now))
+
+    def record_changes(self, changes):
+        for change in changes:
+            self.cluster.copy_guard.record_change(change, self.fleet.now)
+            if change.after is not None:
+                name, started = change.after.name, change.after.started
+                self.assertGreaterEqual(started, self.last_started.get(name, 0))
+                self.last_started[name] = started
+                if not change.after.accepting:
+                    self.drained.add(get_start(change.after))
+
+    def check(self):
+        for endpoint in self.cluster.list_usable("stage", self.fleet.now):
+            start = get_start(endpoint)
+            self.assertNotIn(start, self.left)
+            self.assertNotIn(start, self.drained)
+            self.assertLessEqual(
+                self.paused_until.get(start, 0.0), self.fleet.now
+            )
+
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=500)
+    @hypothesis.given(strategies.lists(_steps, max_size=30))
+    def test_no_order_brings_an_endpoint_back(self, steps):
+        self.fleet = Fleet()
+        self.cluster = cluster_state.ClusterState(
+            5.0, ownership.Member("me", "a")
+        )
+        self.left, self.drained, self.paused_until = set(), set(), {}
+        self.last_started = {}
+        for step in steps:
+            # A registration that a copy brings back is used after HOLD_SECONDS.
+            if self.fleet.now < NOW + copy_guard.HOLD_SECONDS:
+                self.take_step(*step)
+                self.check()
+        self.check_renewed()
+
+    def check_renewed(self):
+        """Checks that what is alive is used once all have written again."""
+        for name in NAMES:
+            self.take_step("renew", name)
+        self.fleet.now += catalogue.GRACE_SECONDS + 2.0
+        self.record_changes(
+            self.cluster.catalogue.remove_expired(self.fleet.now)
+        )
+        expected = {
+            endpoint
+            for endpoint in self.fleet.current.values()
+            if endpoint is not None
+            and endpoint.accepting
+            and get_start(endpoint) not in self.left
+        }
+        usable = self.cluster.list_usable("stage", self.fleet.now)
+        self.assertEqual(expected, set(usable))
--- a/tests/test_notice_handler.py
+++ b/tests/test_notice_handler.py
@@ -1,5 +1,9 @@
 """Tests of what an entry does with notices of endpoints."""
 
+import curio
+import hypothesis
+from hypothesis import strategies
+
 from samphirevale import (
     cluster_state,
     endpoint_notices,
@@ -20,6 +24,10 @@
 MESSAGE = messages.EndpointsLeaving(["e1"], [1])
 
 
+def _sampled(values):
+    return strategies.sampled_from(values) if values else strategies.nothing()
+
+
 class NoticeHandlerTest(base.TestCase):
     """Tests the handler of one entry."""
 
@@ -145,6 +153,58 @@
         self.assertEqual(endpoint_notices.PAUSE_SECONDS_LIMIT, seconds)
         self.assertEqual([["e1", 1, 60_000]], self.handler.describe_pauses(NOW))
 
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=200)
+    @hypothesis.given(strategies.data())
+    def test_entries_agree_after_messages_in_any_order(self, data):
+        curio.run(self.check_messages, data)
+
+    async def check_messages(self, data):
+        told = []
+
+        async def record_told(message):
+            told.append(message)
+
+        async def ignore_withdrawn(endpoint):
+            pass
+
+        handlers = []
+        for _ in range(3):
+            cluster = cluster_state.ClusterState(
+                5.0, ownership.Member("me", "a")
+            )
+            cluster.catalogue.put(ENDPOINT)
+            handlers.append(
+                notice_handler.NoticeHandler(
+                    cluster,
+                    ignore_withdrawn,
+                    record_told,
+                    self.clock,
+                    self.journal,
+                )
+            )
+        answers = data.draw(
+            strategies.lists(
+                strategies.tuples(
+                    strategies.sampled_from(handlers),
+                    strategies.integers(1, 3),
+                ),
+                max_size=6,
+            )
+        )
+        for handler, started in answers:
+            endpoint = ENDPOINT._replace(started=started)
+            await handler.handle_notice(endpoint, LEAVING)
+        for handler in handlers:
+            # A message may arrive twice, as entries that connect get all.
+            sent = [*told, *data.draw(strategies.lists(_sampled(told)))]
+            for message in data.draw(strategies.permutations(sent)):
+                await handler.adopt_leaving("other", message)
+        self.assertLessEqual(len(told), len({*answers}))
+        expected = {started for _, started in answers}
+        for handler in handlers:
+            self.assertEqual(expected, set(handler.build_leaving().starts))
+            self.assertEqual(1 not in expected, handler.may_call(ENDPOINT))
+
     async def test_notices_that_are_over_are_removed(self):
         await self.handler.handle_notice(ENDPOINT, PAUSE)
         self.handler.remove_expired(NOW + 2.0)
