--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -10,6 +10,7 @@
 )
 from samphirevale.ports import objects
 from tests import base
+from tests.platform import sessions
 
 ENTRY = {
     "service": "s",
@@ -139,6 +140,16 @@
         self.assertIsNone(self.decode())
 
 
+class RefusalTest(base.TestCase):
+    """The answer to a refused caller."""
+
+    def test_callers_are_not_told_to_return_too_early(self):
+        for seconds, text in ((2.0, "2.00"), (1.5001, "1.51"), (0.5, "0.50")):
+            refusal = proxy_requests.Refusal(503, "endpoints_paused", seconds)
+            response = callers.build_refusal(refusal, ("Attempt", "a1"))
+            self.assertIn(("Retry-After", text), response.headers)
+
+
 class ManifestTest(base.TestCase):
     """The operator's manifest."""
 
@@ -167,3 +178,12 @@
         self.assertEqual(5, route.stages[0].result_bytes)
         self.assertEqual(7, table.limits.body_bytes)
         self.assertIsNone(table.accounts)
+
+    def test_target_between_events(self):
+        value = sessions.build_manifest()
+        value["routes"][2]["itl_target_ms"] = 40
+        table = manifest.decode_manifest(value)
+        route = table.find_route("h.example", "/write/")
+        self.assertEqual(0.04, route.event_target_seconds)
+        route = table.find_route("h.example", "/read/")
+        self.assertEqual(0.0, route.event_target_seconds)
--- a/tests/platform/test_leaving_servers.py
+++ b/tests/platform/test_leaving_servers.py
@@ -66,6 +66,28 @@
             calls = [c for c in leaving.arrivals if c.path == "/stage-run"]
             self.assertEqual(1, len(calls))
 
+    async def test_a_stage_whose_input_server_has_left_is_not_refused(self):
+        async with self.run_all(SERVERS):
+            stage_servers = [self.servers["first1"], self.servers["first2"]]
+            for server in stage_servers:
+                server.silence_seconds = 0.2
+                server.faults = ["silent"]
+            async with curio.TaskGroup() as group:
+                await group.spawn(self.check_stream)
+                await self.wait_until(
+                    lambda: any(server.arrivals for server in stage_servers)
+                )
+                leaving = self.find_reached("first")
+                stage_servers.remove(leaving)
+                (other,) = stage_servers
+                leaving.leaving = True
+                other.faults = []
+                other.ended.add(leaving.name)
+            self.assertEqual(2, len(leaving.items))
+            self.assertEqual(
+                [1, 0, 0, 1], [item["phase"] for item in other.items]
+            )
+
     async def test_a_server_that_left_is_used_again_after_its_restart(self):
         async with self.run_all():
             self.servers["plain1"].leaving = True
@@ -152,10 +174,21 @@
             for name in ("plain1", "plain2"):
                 self.assertEqual(1, len(self.servers[name].arrivals))
 
+    async def test_a_broken_stream_waits_for_the_end_of_a_pause(self):
+        async with self.run_all():
+            self.servers["model1"].faults = ["cut"]
+            pausing = self.servers["model2"]
+            pausing.begin_pause(1.0, time.monotonic())
+            await self.check_stream()
+            first, second = pausing.arrivals
+            self.assertLess(first.at, pausing.pause.ends_at)
+            self.assertGreaterEqual(second.at, pausing.pause.ends_at)
+
     async def test_a_malformed_pause_is_ignored(self):
         async with self.run_all():
             plain = self.servers["plain1"]
-            for text in ("soon", "-1", "nan"):
+            date = "Wed, 21 Oct 2026 07:28:00 GMT"
+            for text in ("soon", "-1", "nan", date):
                 plain.begin_pause(0.2, time.monotonic(), text)
                 await self.read_until_reached("plain1")
                 await self.read_until_pause_ends("plain1")
--- a/tests/test_notice_handler.py
+++ b/tests/test_notice_handler.py
@@ -1,8 +1,13 @@
 """Tests of what an entry does with notices of endpoints."""
 
+import curio
+import hypothesis
+from hypothesis import strategies
+
 from samphirevale import (
     cluster_state,
     endpoint_notices,
+    log_limits,
     messages,
     metrics,
     notice_handler,
@@ -19,6 +24,10 @@
 MESSAGE = messages.EndpointsLeaving(["e1"], [1])
 
 
+def _sampled(values):
+    return strategies.sampled_from(values) if values else strategies.nothing()
+
+
 class NoticeHandlerTest(base.TestCase):
     """Tests the handler of one entry."""
 
@@ -114,6 +123,88 @@
         self.clock.seconds += endpoint_notices.PAUSE_SECONDS_LIMIT
         self.assertTrue(self.handler.may_call(ENDPOINT))
 
+    async def test_malformed_notices_are_counted_and_logged_now_and_then(self):
+        before = self.count("notices_malformed")
+        for number in range(50):
+            for notice in (
+                proxies.EndpointNotice(malformed=("server-leaving: yes",)),
+                proxies.EndpointNotice(malformed=(f"retry-after: -{number}",)),
+                proxies.EndpointNotice(pause_seconds=1e3 + number),
+            ):
+                await self.handler.handle_notice(ENDPOINT, notice)
+        self.assertEqual(3, self.count_lines("notice_malformed"))
+        self.assertEqual(before + 150, self.count("notices_malformed"))
+        self.clock.seconds += log_limits.INTERVAL_SECONDS
+        notice = proxies.EndpointNotice(malformed=("server-leaving: yes",))
+        await self.handler.handle_notice(ENDPOINT, notice)
+        self.assertEqual(4, self.count_lines("notice_malformed"))
+
+    def count_lines(self, event):
+        return self.journal.list_events().count(event)
+
+    async def test_infinite_pause_is_shortened_and_logged_as_a_number(self):
+        notice = proxies.EndpointNotice(pause_seconds=float("inf"))
+        await self.handler.handle_notice(ENDPOINT, notice)
+        (seconds,) = [
+            fields["seconds"]
+            for _, event, fields in self.journal.lines
+            if event == "endpoint_paused"
+        ]
+        self.assertEqual(endpoint_notices.PAUSE_SECONDS_LIMIT, seconds)
+        self.assertEqual([["e1", 1, 60_000]], self.handler.describe_pauses(NOW))
+
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=200)
+    @hypothesis.given(strategies.data())
+    def test_entries_agree_after_messages_in_any_order(self, data):
+        curio.run(self.check_messages, data)
+
+    async def check_messages(self, data):
+        told = []
+
+        async def record_told(message):
+            told.append(message)
+
+        async def ignore_withdrawn(endpoint):
+            pass
+
+        handlers = []
+        for _ in range(3):
+            cluster = cluster_state.ClusterState(
+                5.0, ownership.Member("me", "a")
+            )
+            cluster.catalogue.put(ENDPOINT)
+            handlers.append(
+                notice_handler.NoticeHandler(
+                    cluster,
+                    ignore_withdrawn,
+                    record_told,
+                    self.clock,
+                    self.journal,
+                )
+            )
+        answers = data.draw(
+            strategies.lists(
+                strategies.tuples(
+                    strategies.sampled_from(handlers),
+                    strategies.integers(1, 3),
+                ),
+                max_size=6,
+            )
+        )
+        for handler, started in answers:
+            endpoint = ENDPOINT._replace(started=started)
+            await handler.handle_notice(endpoint, LEAVING)
+        for handler in handlers:
+            # A message may arrive twice, as entries that connect get all.
+            sent = [*told, *data.draw(strategies.lists(_sampled(told)))]
+            for message in data.draw(strategies.permutations(sent)):
+                await handler.adopt_leaving("other", message)
+        self.assertLessEqual(len(told), len({*answers}))
+        expected = {started for _, started in answers}
+        for handler in handlers:
+            self.assertEqual(expected, set(handler.build_leaving().starts))
+            self.assertEqual(1 not in expected, handler.may_call(ENDPOINT))
+
     async def test_notices_that_are_over_are_removed(self):
         await self.handler.handle_notice(ENDPOINT, PAUSE)
         self.handler.remove_expired(NOW + 2.0)
