Watch batched calls for being overdue without a task each

What callers saw: nothing but time. An entry spent more processor time on each request with stages than before the waits for silent endpoints.

Cause: each call to a batching endpoint started a task that slept until the call was overdue and was cancelled when the call returned: a spawn, a timer, a cancellation and its wait per call, nearly always for nothing.

Now the dispatcher keeps the calls in progress in a list, and the periodic checks of the entry, every 0.1 s, handle those that are overdue. The present time is an argument. A call is found overdue up to 0.1 s later; it is overdue after more than three times its expected duration plus 0.3 s.

The tests of overdue calls run the checks as the entry does; three new ones show that a call is not overdue early or after its end, and that the entry runs the check (this one fails without it).

--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -139,7 +139,7 @@
         "items behind an overdue call kept without another endpoint",
         NO_REPEATED_WORK,
         "batch_dispatch",
-        "if self._availability.has_other_endpoint(endpoint, now):",
+        "if self._availability.has_other_endpoint(call.endpoint, now):",
         "if True:",
         "tests.test_batch_dispatch.SilentEndpointTest"
         ".test_items_of_a_silent_endpoint_wait_if_there_is_no_other",
@@ -148,7 +148,7 @@
         "items behind an overdue call returned",
         NO_REPEATED_WORK,
         "batch_dispatch",
-        "                await self.withdraw_items(endpoint)\n",
+        "                await self.withdraw_items(call.endpoint)\n",
         "                pass\n",
         "tests.test_batch_dispatch.BatchDispatcherTest"
         ".test_items_behind_an_overdue_call_are_returned",
--- a/samphirevale/batch_dispatch.py
+++ b/samphirevale/batch_dispatch.py
@@ -1,7 +1,7 @@
 """Makes batched calls to endpoints, each with items of many requests."""
 
 import contextlib
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import Iterator, Sequence
 from typing import NamedTuple, Protocol
 
 import curio
@@ -63,6 +63,20 @@
     size: int
 
 
+class _WatchedCall(NamedTuple):
+    """A call in progress that is not overdue yet.
+
+    Attributes:
+        endpoint: the endpoint that is called.
+        overdue_at: when the call is overdue.
+        times_out_at: when it times out.
+    """
+
+    endpoint: catalogue.Endpoint
+    overdue_at: float
+    times_out_at: float
+
+
 class Availability(Protocol):
     """Tells which endpoints may be called."""
 
@@ -136,6 +150,7 @@
         self._queue_tasks: dict[str, curio.Task] = {}
         self._penalized_until: dict[str, float] = {}
         self._pending_releases: dict[str, list[str]] = {}
+        self._watched_calls: list[_WatchedCall] = []
 
     def find_queue(
         self, endpoint: catalogue.Endpoint, limits: routes.BatchLimits
@@ -312,13 +327,13 @@
         timeout = overdue + SILENCE_SECONDS
         results = [proxies.ItemResult("", "error")] * len(batch)
         try:
-            async with (
-                self._clock.timeout(timeout),
-                self._watching_overdue(endpoint, overdue, timeout),
-            ):
-                results = await self._endpoints.run_batch(
-                    endpoint, batch, started_at
-                )
+            async with self._clock.timeout(timeout):
+                with self._watching_overdue(
+                    endpoint, started_at + overdue, started_at + timeout
+                ):
+                    results = await self._endpoints.run_batch(
+                        endpoint, batch, started_at
+                    )
         except (errors.TransportError, TimeoutError) as error:
             now = self._clock.now()
             if errors.is_endpoint_failure(error):
@@ -387,35 +402,37 @@
         if len(queue):
             await self._start_queue_task(endpoint, queue)
 
-    @contextlib.asynccontextmanager
-    async def _watching_overdue(
-        self, endpoint: catalogue.Endpoint, overdue: float, timeout: float
-    ) -> AsyncIterator[None]:
-        """Spares other items the wait for a call that is overdue.
-
-        Args:
-            endpoint: the endpoint that is called in the block.
-            overdue: when the call is overdue, in seconds from now.
-            timeout: when it times out, in seconds from now.
-        """
-        name = endpoint.name
-        penalized_until = self._clock.now() + timeout
-
-        async def watch() -> None:
-            await curio.sleep(overdue)
-            self._penalized_until[name] = penalized_until
-            self._log.record_failure("batch_overdue", endpoint=name)
-            now = self._clock.now()
-            if self._availability.has_other_endpoint(endpoint, now):
-                await self.withdraw_items(endpoint)
-
-        watcher = await curio.spawn(watch, daemon=True)
+    @contextlib.contextmanager
+    def _watching_overdue(
+        self,
+        endpoint: catalogue.Endpoint,
+        overdue_at: float,
+        times_out_at: float,
+    ) -> Iterator[None]:
+        """Lets handle_overdue_calls() find the call that the block makes."""
+        call = _WatchedCall(endpoint, overdue_at, times_out_at)
+        self._watched_calls.append(call)
         try:
             yield
         finally:
-            await watcher.cancel()
-        if self._penalized_until.get(name) == penalized_until:
-            del self._penalized_until[name]
+            if call in self._watched_calls:
+                self._watched_calls.remove(call)
+        if self._penalized_until.get(endpoint.name) == times_out_at:
+            del self._penalized_until[endpoint.name]
+
+    async def handle_overdue_calls(self, now: float) -> None:
+        """Spares other items the wait for calls that are overdue."""
+        overdue = [
+            call for call in self._watched_calls if call.overdue_at <= now
+        ]
+        for call in overdue:
+            self._watched_calls.remove(call)
+            name = call.endpoint.name
+            self._penalized_until[name] = call.times_out_at
+            self._log.record_failure("batch_overdue", endpoint=name)
+        for call in overdue:
+            if self._availability.has_other_endpoint(call.endpoint, now):
+                await self.withdraw_items(call.endpoint)
 
     async def _refresh_free_memory(
         self, endpoint: catalogue.Endpoint, queue: batching.BatchQueue
--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -252,6 +252,7 @@
             self.cluster_watch.release_held(now)
             self._origins.remove_expired(now)
             self._notices.remove_expired(now)
+            await self._dispatcher.handle_overdue_calls(now)
             metrics.ROUTES_AGE.set(
                 self.cluster_state.routes_age.compute_age(now)
             )
--- a/tests/platform/test_silences.py
+++ b/tests/platform/test_silences.py
@@ -38,6 +38,14 @@
             self.plan_silence("first1", "silent")
             await self.check_stream()
 
+    async def test_an_overdue_stage_call_is_noticed_while_it_goes_on(self):
+        async with self.run_all(("model1", "first1")):
+            self.plan_silence("first1", "silent")
+            self.servers["first1"].silence_seconds = 0.8
+            await self.check_stream()
+            self.assertIn("batch_overdue", self.log.list_events())
+            self.assertNotIn("batch_failed", self.log.list_events())
+
     async def test_a_server_is_used_again_after_a_silence(self):
         async with self.run_all():
             self.plan_silence("plain1", "silent")
--- a/tests/test_batch_dispatch.py
+++ b/tests/test_batch_dispatch.py
@@ -1,5 +1,6 @@
 """Tests of batched calls with items of many requests."""
 
+import contextlib
 import random
 import time
 
@@ -9,8 +10,10 @@
     batch_dispatch,
     cluster_state,
     errors,
+    gateway,
     ownership,
     routes,
+    stage_times,
     stages,
 )
 from samphirevale.adapters import clock
@@ -30,6 +33,29 @@
     endpoints.run_batch = run_batch
 
 
+@contextlib.asynccontextmanager
+async def checking_overdue(dispatcher, begin):
+    """Handles overdue calls during the block, like the periodic checks.
+
+    Args:
+        dispatcher: the dispatcher that makes the calls.
+        begin: the time by the dispatcher's clock.
+    """
+    began_at = time.monotonic()
+
+    async def check():
+        while True:
+            await curio.sleep(gateway.CHECK_SECONDS)
+            now = begin + time.monotonic() - began_at
+            await dispatcher.handle_overdue_calls(now)
+
+    task = await curio.spawn(check, daemon=True)
+    try:
+        yield
+    finally:
+        await task.cancel()
+
+
 class BatchDispatcherTest(base.TestCase):
     """Tests the dispatcher with scripted endpoints."""
 
@@ -108,26 +134,55 @@
 
     async def test_call_of_a_briefly_silent_endpoint_is_not_given_up(self):
         make_silent(self.endpoints, 1.4)
-        results = await self.run_items(proxy_fakes.build_item())
+        async with checking_overdue(self.dispatcher, self.clock.now()):
+            results = await self.run_items(proxy_fakes.build_item())
         self.assertEqual("a1/0/0", results[0].result)
+        self.assertIn("batch_overdue", self.journal.list_events())
         self.assertFalse(self.is_penalized())
 
     async def test_call_of_a_slow_endpoint_outlasts_a_brief_silence(self):
         work_seconds = 2 * LIMITS.call_seconds
         make_silent(self.endpoints, work_seconds + 1.4)
-        results = await self.run_items(proxy_fakes.build_item())
+        async with checking_overdue(self.dispatcher, self.clock.now()):
+            results = await self.run_items(proxy_fakes.build_item())
         self.assertEqual([""], [outcome.reason for outcome in results])
 
     async def test_items_behind_an_overdue_call_are_returned(self):
         make_silent(self.endpoints, 1.4)
+        async with checking_overdue(self.dispatcher, self.clock.now()):
+            first = await curio.spawn(self.run_items, proxy_fakes.build_item())
+            await curio.sleep(0.05)
+            started_at = time.monotonic()
+            results = await self.run_items(proxy_fakes.build_item(attempt="a2"))
+            self.assertEqual(batch_dispatch.UNSENT, results[0].reason)
+            self.assertLess(time.monotonic() - started_at, 1.2)
+            self.assertTrue(self.is_penalized())
+            self.assertEqual("a1/0/0", (await first.join())[0].result)
+
+    async def test_a_call_is_not_overdue_before_its_time(self):
+        make_silent(self.endpoints, 0.2)
         first = await curio.spawn(self.run_items, proxy_fakes.build_item())
         await curio.sleep(0.05)
-        started_at = time.monotonic()
-        results = await self.run_items(proxy_fakes.build_item(attempt="a2"))
-        self.assertEqual(batch_dispatch.UNSENT, results[0].reason)
-        self.assertLess(time.monotonic() - started_at, 1.2)
-        self.assertTrue(self.is_penalized())
+        queued = await curio.spawn(
+            self.run_items, proxy_fakes.build_item(attempt="a2")
+        )
+        expected = stage_times.estimate_call_seconds(LIMITS, 1)
+        overdue = (
+            batch_dispatch.OVERDUE_FACTOR * expected
+            + batch_dispatch.OVERDUE_MARGIN_SECONDS
+        )
+        await self.dispatcher.handle_overdue_calls(
+            self.clock.now() + overdue - 0.001
+        )
+        self.assertFalse(self.is_penalized())
         self.assertEqual("a1/0/0", (await first.join())[0].result)
+        self.assertEqual("a2/0/0", (await queued.join())[0].result)
+
+    async def test_a_call_that_has_ended_is_not_overdue_later(self):
+        await self.run_items(proxy_fakes.build_item())
+        await self.dispatcher.handle_overdue_calls(self.clock.now() + 60)
+        self.assertFalse(self.is_penalized())
+        self.assertEqual([], self.journal.list_events())
 
     def is_penalized(self):
         state = self.dispatcher.find_state(self.endpoint, 100.0)
@@ -282,13 +337,14 @@
         cluster.table = table._replace(services={"stage": service})
         cluster.catalogue.put(proxy_fakes.build_endpoint())
         tasks = []
-        for number in range(4):
-            tasks.append(
-                await curio.spawn(self.run_stage, cluster, f"a{number}")
-            )
-            await curio.sleep(0.1)
-        for task in tasks:
-            await task.wait()
+        async with checking_overdue(self.dispatcher, self.clock.now()):
+            for number in range(4):
+                tasks.append(
+                    await curio.spawn(self.run_stage, cluster, f"a{number}")
+                )
+                await curio.sleep(0.1)
+            for task in tasks:
+                await task.wait()
         self.assertEqual([None] * 4, [task.exception for task in tasks])
 
 
