Count it against an endpoint if its silence sends a request elsewhere

What callers saw: requests went on being sent to an endpoint that answered none of them in time, as long as it took connections. Each waited for twice its route's target before it went to another one.

Cause: since a request waits for a silent endpoint until another one has answered, the losing send is cancelled, and a cancelled send told nothing against the endpoint. It even set its consecutive failures back to 0, like a caller that disconnects. Before, the wait ended in a timeout, which counted as a failure. The same holds for a request whose deadline passes.

Now a send that ends by cancellation counts as failed if the endpoint had been silent for too long by then. An endpoint that answers after all has no failure, and a caller that leaves before tells nothing, both as before.

Ruled out: a failed connection, which was and is counted.

--- a/samphirevale/proxy_runs.py
+++ b/samphirevale/proxy_runs.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Sequence
 
+import curio
+
 from samphirevale import (
     batch_dispatch,
     catalogue,
@@ -54,6 +56,8 @@
         # When the request was sent to an endpoint that has not answered yet.
         self._sent_at: float | None = None
         self._connection_failures = 0
+        # The endpoints that have been silent for too long.
+        self._silent: frozenset[str] = frozenset()
         # The results of the stages, and whether they have to run again.
         self._result_names: tuple[str, ...] = ()
         self._result_sizes: tuple[tuple[str, int], ...] = ()
@@ -305,6 +309,7 @@
         Raises:
             TimeoutError: the request's deadline has passed.
         """
+        self._silent = frozenset(self._endpoints.tried)
         if self.compute_remaining_seconds() <= 0:
             raise TimeoutError("no answer before the deadline")
         if self._endpoints.choose() is None or not self.may_send_again():
@@ -464,9 +469,21 @@
                 self._context.selector.record_unreachable(
                     endpoint.name, self._context.clock.now()
                 )
-            await exchange.close(failed=errors.is_endpoint_failure(error))
+            await exchange.close(failed=self._is_failure(endpoint, error))
             raise
 
+    def _is_failure(
+        self, endpoint: catalogue.Endpoint, error: BaseException
+    ) -> bool:
+        """Returns whether the end of a send tells against the endpoint.
+
+        A send is cancelled if its caller leaves, or if another endpoint has
+        answered after a silence.
+        """
+        if isinstance(error, curio.CancelledError):
+            return endpoint.name in self._silent
+        return errors.is_endpoint_failure(error)
+
     async def _exchange_once(
         self, exchange: exchanges.Exchange, endpoint: catalogue.Endpoint
     ) -> proxy_requests.Answer:
--- a/tests/test_proxying.py
+++ b/tests/test_proxying.py
@@ -257,6 +257,35 @@
         self.assertEqual((200, b"x"), (answer.status, answer.body))
         self.assertTrue(silent.closed)
 
+    async def test_silence_is_a_failure_if_another_endpoint_answers(self):
+        self.use_route(proxy_fakes.build_route(target_seconds=0.1))
+        silent = proxy_fakes.FakeAnswer([proxy_fakes.Silence(5.0)])
+        await self.answer(silent, proxy_fakes.FakeAnswer([b"x"]))
+        self.assertEqual([1, 0], self.list_failures())
+
+    async def test_silence_is_a_failure_if_the_deadline_passes(self):
+        def pass_deadline():
+            self.clock.seconds += 60
+            return proxy_fakes.FakeAnswer([proxy_fakes.Silence(5.0)])
+
+        answer = await self.answer(pass_deadline)
+        self.assertEqual(504, answer.status)
+        self.assertEqual([1], self.list_failures())
+
+    async def test_silence_is_no_failure_if_the_endpoint_answers(self):
+        self.use_route(proxy_fakes.build_route(target_seconds=0.1))
+        self.cluster.catalogue.remove("p2", NOW)
+        silent = proxy_fakes.FakeAnswer([proxy_fakes.Silence(0.5), b"x"])
+        await self.answer(silent)
+        self.assertEqual([0], self.list_failures())
+
+    def list_failures(self):
+        """Returns the consecutive failures of each endpoint sent to."""
+        return [
+            self.selector.get_load(name).failures
+            for name, _, _ in self.endpoints.sends
+        ]
+
     async def test_request_to_silent_endpoints_is_sent_as_often_as_allowed(
         self,
     ):
