Raise the error of a concurrent call, not a cancellation

What callers saw: their connection closed without an answer, if an unexpected error ended one of several concurrent calls or stages of their request.

Cause: a group cancels its other tasks when one fails. The results were read in order, and that of a cancelled task raises TaskCancelled, which no branch answers: it looks like the end of the connection. Class: the cancellation of one task that ends another. The error itself is raised now, and answered with 500. Both tests failed before with TaskCancelled.

--- a/samphirevale/stages.py
+++ b/samphirevale/stages.py
@@ -314,6 +314,7 @@
                     await group.spawn(self._run_stage_caught, index)
                     for index in stage_indices
                 ]
+            _raise_unexpected(tasks)
             for task in tasks:
                 if task.result is not None:
                     raise task.result
@@ -379,6 +380,7 @@
                 )
                 for chunk in chunks
             ]
+        _raise_unexpected(tasks)
         reasons = [task.result for task in tasks if task.result]
         return reasons[0] if reasons else ""
 
@@ -535,6 +537,17 @@
             )
 
 
+def _raise_unexpected(tasks: Sequence[curio.Task]) -> None:
+    """Raises the error that ended one task of a group, if any.
+
+    The group cancels its other tasks; the result of one of these would raise
+    their cancellation in the task of the request.
+    """
+    for task in tasks:
+        if isinstance(task.exception, Exception):
+            raise task.exception
+
+
 @contextlib.asynccontextmanager
 async def release_on_error(
     run: StageSequenceRun,
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -2,6 +2,8 @@
 
 import random
 
+import curio
+
 from samphirevale import (
     batch_dispatch,
     cluster_state,
@@ -52,6 +54,17 @@
         self.released += names
 
 
+class BreakingItemRunner(FakeItemRunner):
+    """Breaks down in its second call, while the first one goes on."""
+
+    async def run_items(self, endpoint, limits, items):
+        self.calls.append((endpoint.name, list(items)))
+        self.loads[endpoint.name] = 0.4
+        if len(self.calls) > 1:
+            raise KeyError("odd")
+        await curio.sleep(60)
+
+
 class StageSequenceRunTest(base.TestCase):
     """Tests runs of stages with scripted outcomes of items."""
 
@@ -186,6 +199,17 @@
                 await run.run()
         self.assertEqual(1, len(self.runner.released))
 
+    async def check_breakdown(self, counts, stage_list):
+        self.runner = BreakingItemRunner()
+        with self.assertLogs("curio", "ERROR"), self.assertRaises(KeyError):
+            await self.build_run(counts, stage_list).run()
+
+    async def test_error_of_a_concurrent_call_is_no_cancellation(self):
+        await self.check_breakdown((6,), CHAIN[:1])
+
+    async def test_error_of_a_concurrent_stage_is_no_cancellation(self):
+        await self.check_breakdown((1, 1), (CHAIN[0], CHAIN[0]))
+
 
 class JitterTest(base.TestCase):
     """Tests entries that choose endpoints by the same load reports."""
