Count an answer as soon as it is sent

A connection that was cancelled just after its answer was reported as one with a request without an answer, as the count waited for the end of the read-ahead.

--- a/samphirevale/adapters/web.py
+++ b/samphirevale/adapters/web.py
@@ -418,9 +418,9 @@
         try:
             async with self._cancelled_on_disconnect():
                 await self._answer(request)
+                self._answered += 1
         finally:
             self._state.busy -= 1
-        self._answered += 1
         if (
             self._protocol.our_state is h11.DONE
             and self._protocol.their_state is h11.DONE
