Keep a batch queue going after an unexpected error of a call

What callers saw: no answer until the deadline, for all items queued at a batching endpoint, after an unexpected error of one call to it.

Cause: the task of a call handled the errors of transport only. Another error ended it before it gave its items a result and the queue its turn, and the queue waited for that call from then on. Class: a task whose end nobody observes. Each error now fails the items of its call, with its type in batch_failed. The test failed before: it waited in vain.

--- a/samphirevale/batch_dispatch.py
+++ b/samphirevale/batch_dispatch.py
@@ -319,7 +319,8 @@
                 results = await self._endpoints.run_batch(
                     endpoint, batch, started_at
                 )
-        except (errors.TransportError, TimeoutError) as error:
+        except Exception as error:
+            # Whatever the error is, the items must end and the queue go on.
             now = self._clock.now()
             if errors.is_endpoint_failure(error):
                 self._penalized_until[endpoint.name] = (
--- a/tests/test_batch_dispatch.py
+++ b/tests/test_batch_dispatch.py
@@ -106,6 +106,16 @@
         self.assertEqual("error", results[0].reason)
         self.assertIn("batch_failed", self.journal.list_events())
 
+    async def test_queue_goes_on_after_a_call_that_broke_down(self):
+        self.endpoints.run_items = lambda _: KeyError("odd")
+        async with curio.timeout_after(5.0):
+            results = await self.run_items(proxy_fakes.build_item())
+            self.assertEqual("error", results[0].reason)
+            self.endpoints.run_items = self.endpoints.succeed_all
+            results = await self.run_items(proxy_fakes.build_item())
+        self.assertEqual("a1/0/0", results[0].result)
+        self.assertIn("KeyError", str(self.journal.lines))
+
     async def test_call_of_a_briefly_silent_endpoint_is_not_given_up(self):
         make_silent(self.endpoints, 1.4)
         results = await self.run_items(proxy_fakes.build_item())
