--- a/samphirevale/stages.py
+++ b/samphirevale/stages.py
@@ -325,6 +325,7 @@
                     await group.spawn(self._run_stage_caught, index)
                     for index in stage_indices
                 ]
+            _raise_unexpected(tasks)
             for task in tasks:
                 if task.result is not None:
                     raise task.result
@@ -464,6 +465,7 @@
                 await group.spawn(self._run_chunk, index, limits, chunk)
                 for chunk in chunks
             ]
+        _raise_unexpected(tasks)
         return _choose_reason([task.result for task in tasks])
 
     async def _run_chunk(
@@ -642,6 +644,17 @@
     )
 
 
+def _raise_unexpected(tasks: Sequence[curio.Task]) -> None:
+    """Raises the error that ended one task of a group, if any.
+
+    The group cancels its other tasks; the result of one of these would raise
+    their cancellation in the task of the request.
+    """
+    for task in tasks:
+        if isinstance(task.exception, Exception):
+            raise task.exception
+
+
 @contextlib.asynccontextmanager
 async def release_on_error(
     run: StageSequenceRun,
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -63,6 +63,17 @@
         self.released += names
 
 
+class BreakingItemRunner(FakeItemRunner):
+    """Breaks down in its second call, while the first one goes on."""
+
+    async def run_items(self, endpoint, limits, items):
+        self.calls.append((endpoint.name, list(items)))
+        self.loads[endpoint.name] = 0.4
+        if len(self.calls) > 1:
+            raise KeyError("odd")
+        await curio.sleep(60)
+
+
 class StageRunTestCase(base.TestCase):
     """Sets up two endpoints that can run the items of stages."""
 
@@ -213,6 +224,17 @@
                 await run.run()
         self.assertEqual(1, len(self.runner.released))
 
+    async def check_breakdown(self, counts, stage_list):
+        self.runner = BreakingItemRunner()
+        with self.assertLogs("curio", "ERROR"), self.assertRaises(KeyError):
+            await self.build_run(counts, stage_list).run()
+
+    async def test_error_of_a_concurrent_call_is_no_cancellation(self):
+        await self.check_breakdown((6,), CHAIN[:1])
+
+    async def test_error_of_a_concurrent_stage_is_no_cancellation(self):
+        await self.check_breakdown((1, 1), (CHAIN[0], CHAIN[0]))
+
 
 class LostInputsTest(StageRunTestCase):
     """Tests stages whose inputs have gone with the endpoint that held them."""
