Keep no connections to an endpoint that has not answered a call

What callers saw: stages that failed or were late twice in a row, each time after the whole timeout of a call, at an endpoint to which new connections worked.

Cause: connections that are open may fall silent for good. The one whose call timed out was closed, but the others that were kept to the same endpoint were used for the next calls.

Ruled out: that they are seen to have ended; a silent connection is not readable.

Why it works: a call without an answer closes the kept connections of its endpoint, so that the next one opens a new connection. A refusal, and a call that was not sent because of a pause, leave them as they are.

--- a/samphirevale/platform/endpoints.py
+++ b/samphirevale/platform/endpoints.py
@@ -128,12 +128,14 @@
     ) -> object:
         """Posts a value as JSON, or sends a GET if it is None.
 
-        Returns the parsed answer.
+        Returns the parsed answer. Without an answer no kept connection is used
+        any more, as all may have fallen silent.
         """
         connection = await self._get_connection(endpoint)
-        kept = False
+        kept = unanswered = False
         try:
             self._check_allowed(endpoint)
+            unanswered = True
             answer = await connection.request(
                 "GET" if value is None else "POST",
                 target,
@@ -145,6 +147,7 @@
             )
             notice = await self._handle_notice(endpoint, answer)
             data = await answer.read_body()
+            unanswered = False
             kept = connection.is_reusable() and not notice.leaving
             _check_executed(answer, notice)
             if answer.status != 200:
@@ -155,6 +158,8 @@
                 self._return_to_idle(endpoint, connection)
             else:
                 await connection.close()
+            if unanswered:
+                await self.close_idle(endpoint)
 
     def _check_allowed(self, endpoint: catalogue.Endpoint) -> None:
         """Raises an error if nothing may be sent to an endpoint.
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -115,3 +115,35 @@
         async with self.run_server(200):
             await self.endpoints.read_free_memory(self.endpoint)
             self.assertEqual(1, len(self.endpoints._idle))
+
+
+class SilentConnectionsTest(base.TestCase):
+    """Tests kept connections that fall silent for good."""
+
+    async def answer_once(self, client, address):
+        """Answers one request of a connection, then nothing any more."""
+        async with client:
+            await client.recv(65536)
+            await client.sendall(
+                b'HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n{"free_mb": 3}'
+            )
+            await curio.sleep(50.0)
+
+    async def test_call_after_a_silent_one_takes_a_new_connection(self):
+        port = base.find_free_port()
+        server = await curio.spawn(
+            curio.tcp_server, "127.0.0.1", port, self.answer_once, daemon=True
+        )
+        calls = endpoints.PlatformEndpoints(FakeListener())
+        endpoint = proxy_fakes.build_endpoint(host="127.0.0.1", port=port)
+        await curio.sleep(0.05)
+        async with curio.TaskGroup() as group:
+            for _ in range(2):
+                await group.spawn(calls.read_free_memory, endpoint)
+        async with curio.ignore_after(0.3) as silent:
+            await calls.read_free_memory(endpoint)
+        async with curio.ignore_after(0.3) as later:
+            await calls.read_free_memory(endpoint)
+        await calls.close_idle(endpoint)
+        await server.cancel()
+        self.assertEqual([True, False], [silent.expired, later.expired])
