Send a release of results again if it is not answered

What callers saw: stages that lacked memory ("room") for seconds although their queue believed in free memory; the results of earlier requests still occupied it.

Cause: a release had no timeout and was sent once. On a kept connection that has fallen silent for good it waited for ever, and held its connection; on one that broke it was dropped. The queue counts the memory as free from the moment of the release; the endpoint keeps the results until they expire.

Ruled out: that the timeout of calls covers it; it holds for batches only.

Evidence: both new tests failed before (the result was never released).

Why it works: a release is idempotent. One that has no answer after two seconds, more than a sound endpoint is silent, or that failed, is sent once more, on a new connection. A pause of the endpoint meanwhile is waited for, and an endpoint that leaves gets nothing, as before.

--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -372,8 +372,8 @@
         "no releases to an endpoint that leaves",
         LEAVING,
         "batch_dispatch",
-        "        if delay is None:\n            return\n",
-        "",
+        "return delay is not None",
+        "return True",
         f"{_DISPATCH}.test_endpoint_that_leaves_gets_no_releases",
     ),
     _ablate(
--- a/samphirevale/batch_dispatch.py
+++ b/samphirevale/batch_dispatch.py
@@ -34,6 +34,11 @@
 # The timeout of a query of an endpoint's free memory, in seconds.
 FREE_MEMORY_SECONDS = 0.3
 
+# The timeout of a release of results, in seconds, and how often it is sent at
+# most. An endpoint that works may be silent for about a second.
+RELEASE_SECONDS = 2.0
+RELEASE_ATTEMPTS = 2
+
 # How long an endpoint is penalized after a failed call, in seconds.
 PENALTY_DURATION_SECONDS = 1.0
 
@@ -258,21 +263,40 @@
 
         An endpoint that leaves gets none, as its results end with it.
         """
+        may_call = await self._wait_for_pause(endpoint)
+        names = self._pending_releases.pop(endpoint.name, [])
+        for _ in range(RELEASE_ATTEMPTS):
+            if not may_call or await self._try_release(endpoint, names):
+                return
+            may_call = await self._wait_for_pause(endpoint)
+
+    async def _wait_for_pause(self, endpoint: catalogue.Endpoint) -> bool:
+        """Waits for the end of an endpoint's pause.
+
+        Returns:
+            Whether it may be called then; it may not if it leaves.
+        """
         now = self._clock.now()
         delay = self._availability.compute_call_delay(endpoint, now)
         while delay:
             await self._clock.sleep(delay)
             now = self._clock.now()
             delay = self._availability.compute_call_delay(endpoint, now)
-        names = self._pending_releases.pop(endpoint.name, [])
-        if delay is None:
-            return
+        return delay is not None
+
+    async def _try_release(
+        self, endpoint: catalogue.Endpoint, names: Sequence[str]
+    ) -> bool:
+        """Sends a release once; returns whether it was answered."""
         try:
-            await self._endpoints.release(endpoint, names)
-        except errors.TransportError as error:
+            async with self._clock.timeout(RELEASE_SECONDS):
+                await self._endpoints.release(endpoint, names)
+        except (errors.TransportError, TimeoutError) as error:
             self._log.record_failure(
                 "release_failed", endpoint=endpoint.name, error=str(error)
             )
+            return False
+        return True
 
     async def _start_queue_task(
         self, endpoint: catalogue.Endpoint, queue: batching.BatchQueue
--- a/tests/test_batch_dispatch.py
+++ b/tests/test_batch_dispatch.py
@@ -176,6 +176,38 @@
             [(self.availability.paused_until, ["r1", "r2"])], released_at
         )
 
+    async def release_after(self, *failures):
+        """Releases a result at an endpoint whose first calls fail."""
+        script = list(failures)
+
+        async def release(endpoint, results):
+            if script:
+                await script.pop(0)()
+            self.endpoints.released += results
+
+        self.endpoints.release = release
+        await self.dispatcher.release(self.endpoint, ["r1"])
+        async with curio.ignore_after(batch_dispatch.RELEASE_SECONDS + 0.5):
+            while not self.endpoints.released:
+                await curio.sleep(0.01)
+
+    async def test_release_on_a_connection_that_breaks_is_sent_again(self):
+        async def fail():
+            raise proxy_fakes.LOST_ANSWER
+
+        await self.release_after(fail)
+        self.assertEqual(["r1"], self.endpoints.released)
+        self.endpoints.released = []
+        await self.release_after(*[fail] * batch_dispatch.RELEASE_ATTEMPTS)
+        self.assertEqual([], self.endpoints.released)
+
+    async def test_release_on_a_silent_connection_is_sent_again(self):
+        async def hang():
+            await curio.sleep(50.0)
+
+        await self.release_after(hang)
+        self.assertEqual(["r1"], self.endpoints.released)
+
     async def test_endpoint_that_leaves_gets_no_releases(self):
         self.availability.leaving = True
         await self.dispatcher.release(self.endpoint, ["r1"])
