Take no retry for stage calls that could not be connected

What callers saw: requests refused with "no repeats are left" because an endpoint of a stage did not answer the connect for half a second.

Cause: a connect that failed counted like a call that failed. It took a retry from the budget, of which each entry has a small share, though nothing had been sent; without one the request was refused.

Evidence: both new tests failed before ("no repeats are left").

Why it works: such items have a reason of their own.

--- a/samphirevale/batch_dispatch.py
+++ b/samphirevale/batch_dispatch.py
@@ -57,6 +57,10 @@
 # endpoint is overdue.
 OVERDUE = "overdue"
 
+# The failure reason of items that were not sent because their endpoint could
+# not be connected to.
+UNREACHABLE = "unreachable"
+
 
 class StageResult(NamedTuple):
     """A result of a stage that is stored at an endpoint.
@@ -355,8 +359,11 @@
                 self._penalized_until[endpoint.name] = (
                     now + PENALTY_DURATION_SECONDS
                 )
-            if isinstance(error, errors.NotAcceptingError):
-                results = [proxies.ItemResult("", UNSENT)] * len(batch)
+            if isinstance(error, errors.ConnectError):
+                reason = UNREACHABLE
+                if isinstance(error, errors.NotAcceptingError):
+                    reason = UNSENT
+                results = [proxies.ItemResult("", reason)] * len(batch)
             if not isinstance(
                 error, errors.ConnectError | errors.NotExecutedError
             ):
--- a/samphirevale/stages.py
+++ b/samphirevale/stages.py
@@ -32,6 +32,13 @@
 # The failure reason of items for which there is no endpoint.
 NO_ENDPOINT = "no endpoint"
 
+# The failure reasons of items that were not sent, which takes no retry.
+_UNSENT_REASONS = (
+    batch_dispatch.OVERDUE,
+    batch_dispatch.UNREACHABLE,
+    batch_dispatch.UNSENT,
+)
+
 # Entries that decide on the same reports would all choose the same endpoint.
 # To prevent this, each entry above FEW_ENTRIES adds JITTER_SHARE of a call's
 # fixed time to the range of the random jitter on the endpoints' costs, up to
@@ -349,7 +356,7 @@
             attempts += 1
             if reason in ("late", "gone", NO_ENDPOINT):
                 break
-            if reason != batch_dispatch.UNSENT and not self._take_retry(
+            if reason not in _UNSENT_REASONS and not self._take_retry(
                 stage.service
             ):
                 raise errors.EarlierStageError("no repeats are left")
@@ -544,9 +551,8 @@
     items are done.
     """
     failures = [reason for reason in reasons if reason]
-    unsent = (batch_dispatch.OVERDUE, batch_dispatch.UNSENT)
     return next(
-        (reason for reason in failures if reason not in unsent),
+        (reason for reason in failures if reason not in _UNSENT_REASONS),
         failures[-1] if failures else "",
     )
 
--- a/tests/test_batch_dispatch.py
+++ b/tests/test_batch_dispatch.py
@@ -356,6 +356,27 @@
         _, short = await self.run_beside_a_shortage()
         self.assertLess(short, 2 * batch_dispatch.FREE_MEMORY_SECONDS)
 
+    async def test_items_need_no_retry_if_the_connect_is_not_answered(self):
+        failures = [errors.ConnectTimeoutError("no connection")] * 2
+
+        def run_items(items):
+            return (
+                failures.pop()
+                if failures
+                else self.endpoints.succeed_all(items)
+            )
+
+        self.endpoints.run_items = run_items
+        self.use_endpoints("e1")
+        await self.check_stages_of_requests(1)
+
+    async def test_items_of_an_endpoint_that_is_down_are_given_up(self):
+        self.endpoints.run_items = lambda _: errors.ConnectError("down")
+        self.use_endpoints("e1")
+        with self.assertRaises(errors.EarlierStageError):
+            await self.run_stage(self.cluster, "a1")
+        self.assertEqual(1 + stages.RETRIES_LIMIT, len(self.endpoints.batches))
+
     async def test_items_wait_if_all_endpoints_fall_silent_at_once(self):
         silent_until = self.clock.now() + 1.4
 
