Return to a silent endpoint if the next one refuses later

What callers saw: a stream whose endpoint had been silent for 2.3 s was cut, or was answered with 502 before its first event, though that endpoint went on.

Cause: two endpoints may have one stream for 0.3 s only. If the second one, which may be silent itself, refuses later than that, the first one has been left and was ruled out like an endpoint that has failed. What there was had been given up for something that turned out not to be better.

Ruled out: to leave the first one later; both must not work on a stream for over 0.4 s.

Evidence: both new tests failed before ("silent for too long; not resumed", and a refusal in place of a stream).

Why it works: an endpoint that was left for its silence is the last choice in place of none, as is one that did not answer the connect. Its stream goes on there after the last event that the caller has. The route's attempts and the retry budget hold as before.

--- a/samphirevale/endpoint_choice.py
+++ b/samphirevale/endpoint_choice.py
@@ -22,9 +22,9 @@
         self.service = service
         self.version: str | None = None
         self.tried: set[str] = set()
-        # Those among them that did not answer the connect, so that they have
-        # not had the request. They are the last choice.
-        self._unanswered: set[str] = set()
+        # Those among them that were silent: they did not answer the connect, or
+        # were left for another endpoint. They are the last choice.
+        self._silent: set[str] = set()
         self._context = context
         self._request = request
 
@@ -40,8 +40,8 @@
                 is fetched from there.
         """
         chosen = self._choose_except(self.tried, result_bytes)
-        if chosen is None and self._unanswered:
-            tried = self.tried - self._unanswered
+        if chosen is None and self._silent:
+            tried = self.tried - self._silent
             chosen = self._choose_except(tried, result_bytes)
         return chosen
 
@@ -65,11 +65,11 @@
     def record_send(self, endpoint: catalogue.Endpoint) -> None:
         """Records that the request is sent to an endpoint."""
         self.tried.add(endpoint.name)
-        self._unanswered.discard(endpoint.name)
+        self._silent.discard(endpoint.name)
 
-    def record_unanswered(self, endpoint: catalogue.Endpoint) -> None:
-        """Records that an endpoint did not answer the connect."""
-        self._unanswered.add(endpoint.name)
+    def record_silent(self, endpoint: catalogue.Endpoint) -> None:
+        """Records that a silent endpoint does not have the request now."""
+        self._silent.add(endpoint.name)
 
     def list_available(self) -> list[catalogue.Endpoint]:
         """Returns the endpoints to which this entry may send the request."""
--- a/samphirevale/event_streams.py
+++ b/samphirevale/event_streams.py
@@ -53,6 +53,12 @@
     def record_crash(self, endpoint: catalogue.Endpoint) -> None:
         """Records a broken answer, as the endpoint may have crashed."""
 
+    def record_left(self, endpoint: catalogue.Endpoint) -> None:
+        """Records that a silent endpoint was left.
+
+        It gets the request again if no other endpoint accepts it.
+        """
+
     def log_stream_end(self, outcome: str, last: int | None) -> None:
         """Logs the end of the stream."""
 
@@ -149,6 +155,7 @@
             if part or self._ended:
                 self._run.log_silence(self._order.last, "went on")
             elif not resumption.terminated or resumption.result is not None:
+                self._run.record_left(self._exchange.endpoint)
                 await self._close_exchange()
                 await self._adopt_resumed(resumption, SILENT)
             return part
--- a/samphirevale/exchange_races.py
+++ b/samphirevale/exchange_races.py
@@ -40,15 +40,14 @@
 
     def __init__(self):
         self.running = 0
-        self._tasks: list[curio.Task] = []
+        self._tasks: list[tuple[catalogue.Endpoint, curio.Task]] = []
         self._finished: curio.Queue = curio.Queue()
 
     async def start(self, endpoint: catalogue.Endpoint, send: Send) -> None:
         """Sends the request to a further endpoint."""
         self.running += 1
-        self._tasks.append(
-            await curio.spawn(self._run, endpoint, send, daemon=True)
-        )
+        task = await curio.spawn(self._run, endpoint, send, daemon=True)
+        self._tasks.append((endpoint, task))
 
     async def _run(self, endpoint: catalogue.Endpoint, send: Send) -> None:
         try:
@@ -74,18 +73,25 @@
             return finished
         return None
 
-    async def keep_last(self) -> None:
-        """Cancels all exchanges but the one that was started last."""
+    async def keep_last(self) -> list[catalogue.Endpoint]:
+        """Cancels all exchanges but the one that was started last.
+
+        Returns:
+            The endpoints whose exchanges were in progress.
+        """
         *earlier, last = self._tasks
         self._tasks = [last]
-        for task in earlier:
+        cancelled = []
+        for endpoint, task in earlier:
             await task.cancel()
             if isinstance(task.exception, curio.TaskCancelled):
                 self.running -= 1
+                cancelled.append(endpoint)
+        return cancelled
 
     async def close(self) -> None:
         """Cancels what is in progress, and closes streams nobody reads."""
-        for task in self._tasks:
+        for _, task in self._tasks:
             await task.cancel()
         while not self._finished.empty():
             outcome = (await self._finished.get()).outcome
--- a/samphirevale/proxy_runs.py
+++ b/samphirevale/proxy_runs.py
@@ -330,7 +330,8 @@
             if finished is not None:
                 return finished
             if self.compute_overlap(None) >= event_streams.OVERLAP_SECONDS:
-                await race.keep_last()
+                for endpoint in await race.keep_last():
+                    self.record_left(endpoint)
                 return None
         raise TimeoutError("no answer before the deadline")
 
@@ -455,7 +456,7 @@
     ) -> None:
         """Lets an endpoint that may only be silent be connected to again."""
         if isinstance(error, errors.ConnectTimeoutError):
-            self._endpoints.record_unanswered(endpoint)
+            self._endpoints.record_silent(endpoint)
 
     def _find_rejection_refusal(
         self, error: errors.NotExecutedError
@@ -489,6 +490,13 @@
             self._context.clock.now(),
         )
 
+    def record_left(self, endpoint: catalogue.Endpoint) -> None:
+        """Records that a silent endpoint was left.
+
+        It gets the request again if no other endpoint accepts it.
+        """
+        self._endpoints.record_silent(endpoint)
+
     def _build_failure_refusal(self, reason: str) -> proxy_requests.Refusal:
         if self._runs:
             return proxy_requests.Refusal(502, reason)
--- a/tests/test_event_streams.py
+++ b/tests/test_event_streams.py
@@ -63,6 +63,19 @@
 
         self.endpoints.send = send
 
+    def refuse_once_after(self, seconds, *script):
+        """Makes the next endpoint refuse late; the script follows."""
+        self.endpoints.script = list(script)
+        send = self.endpoints.send
+
+        async def refuse(endpoint, request, parameters, on_connected):
+            self.endpoints.send = send
+            on_connected()
+            await curio.sleep(seconds)
+            raise errors.NotExecutedError("full")
+
+        self.endpoints.send = refuse
+
     async def read_stream(self, answer):
         async with contextlib.aclosing(answer.chunks) as chunks:
             return b"".join([chunk async for chunk in chunks])
@@ -186,6 +199,18 @@
         answer = await answering.join()
         self.assertEqual(b"id: 1\n\n", await self.read_stream(answer))
 
+    async def test_stream_begins_at_its_endpoint_after_a_later_refusal(self):
+        proxy = self.build_proxy(
+            self.build_stream(proxy_fakes.Silence(50.0)),
+        )
+        answering = await curio.spawn(
+            proxy.answer, proxy_fakes.build_request(), daemon=True
+        )
+        await curio.sleep(0.1)
+        self.refuse_once_after(0.6, self.build_stream(b"id: 1\n\n"))
+        answer = await answering.join()
+        self.assertEqual(b"id: 1\n\n", await self.read_stream(answer))
+
     async def test_first_event_is_not_given_up_for_one_that_refuses(self):
         answer = await self.answer(
             self.build_stream(proxy_fakes.Silence(0.8), b"id: 1\n\n"),
@@ -278,6 +303,13 @@
         self.endpoints.send = refuse
         self.assertEqual(b"id: 1\n\nid: 2\n\n", await self.read_stream(answer))
 
+    async def test_stream_returns_to_its_endpoint_after_a_later_refusal(self):
+        answer = await self.answer(
+            self.build_stream(b"id: 1\n\n", proxy_fakes.Silence(50.0))
+        )
+        self.refuse_once_after(0.6, self.build_stream(b"id: 2\n\n"))
+        self.assertEqual(b"id: 1\n\nid: 2\n\n", await self.read_stream(answer))
+
     async def test_deadline_ends_a_silent_stream_while_its_stages_run(self):
         self.use_stream_route(stages=(routes.Stage("stage", (), 100),))
         answer = await self.answer(
