--- a/tests/platform/test_silences.py
+++ b/tests/platform/test_silences.py
@@ -38,6 +38,36 @@
             self.plan_silence("first1", "silent")
             await self.check_stream()
 
+    async def test_all_requests_are_answered_if_all_servers_fall_silent(self):
+        names = ("plain1", "plain2", "model1", "model2", "first1", "first2")
+        async with self.run_all(names):
+            for name in names:
+                self.plan_silence(name, "silent")
+            tasks = []
+            async with curio.TaskGroup() as group:
+                for number in range(12):
+                    path = ("/once/x", "/read/x", "/write/x")[number % 3]
+                    tasks.append(
+                        await group.spawn(self.send_counted, path, number)
+                    )
+                    await curio.sleep(0.03)
+            self.assertEqual([200] * 12, [task.result for task in tasks])
+            attempts = [
+                headers["samphirevale-attempt-id"]
+                for headers in self.list_received_headers("plain")
+            ]
+            for number in range(0, 12, 3):
+                self.assertEqual(1, attempts.count(f"a{number}"))
+
+    async def send_counted(self, path, number):
+        """Sends a request with an id of its own and returns the status."""
+        headers = {"Samphirevale-Attempt-Id": f"a{number}"}
+        if path != "/write/x":
+            return (await self.call(path, **headers))[0]
+        status, _, body = await self.write(**headers)
+        self.assertEqual(sessions.STREAM, body)
+        return status
+
     async def test_a_server_is_used_again_after_a_silence(self):
         async with self.run_all():
             self.plan_silence("plain1", "silent")
