Show that what keeps work at silent endpoints is needed

Two are of older texts: a whole stage now survives without the check for another endpoint, so that the check has a test of its own; and the test of the results that a silent endpoint keeps has a third endpoint, without which the stages do not run again.

--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -26,6 +26,7 @@
 _PROXYING = "tests.test_proxying"
 _NOTICES = "tests.test_endpoint_notices"
 _CALLS = "tests.platform.test_endpoints"
+_SILENCES = "tests.test_event_streams"
 _DISPATCH = "tests.test_batch_dispatch.BatchDispatcherTest"
 _SESSION = "tests.platform.test_session.SessionTest"
 _DRILL = "tests.platform.test_store_drills.StoreDrillTest"
@@ -141,8 +142,8 @@
         "batch_dispatch",
         "if self._availability.has_other_endpoint(endpoint, now):",
         "if True:",
-        "tests.test_batch_dispatch.SilentEndpointTest"
-        ".test_items_of_a_silent_endpoint_wait_if_there_is_no_other",
+        f"{_DISPATCH}"
+        ".test_items_stay_behind_an_overdue_call_of_the_only_endpoint",
     ),
     _ablate(
         "items behind an overdue call returned",
@@ -156,11 +157,20 @@
     _ablate(
         "items kept if the calls of all endpoints are overdue",
         NO_REPEATED_WORK,
+        "batch_dispatch",
+        "                await self.withdraw_items(endpoint, OVERDUE)\n",
+        "                await self.withdraw_items(endpoint)\n",
+        "tests.test_batch_dispatch.SilentEndpointTest"
+        ".test_items_wait_if_all_endpoints_fall_silent_at_once",
+    ),
+    _ablate(
+        "items behind overdue calls use no attempt",
+        NO_REPEATED_WORK,
         "stages",
         "if reason == batch_dispatch.OVERDUE:",
         "if False:",
-        "tests.test_batch_dispatch.SilentEndpointTest"
-        ".test_items_wait_if_all_endpoints_fall_silent_at_once",
+        "tests.test_stages.StageSequenceRunTest"
+        ".test_items_behind_overdue_calls_are_never_given_up",
     ),
     _ablate(
         "endpoint that is silent for a second kept",
@@ -171,6 +181,57 @@
         f"{_PROXYING}.StreamTest"
         ".test_stream_of_a_briefly_silent_endpoint_stays_there",
     ),
+    _ablate(
+        "silent endpoint left only once the next one is connected to",
+        STREAMS,
+        "exchanges",
+        "        if self._connected_at is None:\n"
+        "            return 0.0\n"
+        "        return self._context.clock.now() - self._connected_at",
+        "        return self._context.clock.now() - self._sent_at",
+        f"{_SILENCES}.SilentStreamTest"
+        ".test_silent_stream_is_not_cut_during_the_next_connect",
+        f"{_SILENCES}.SilentFirstEventTest"
+        ".test_first_event_is_not_given_up_during_the_next_connect",
+    ),
+    _ablate(
+        "silent endpoints the last choice in place of none",
+        STREAMS,
+        "endpoint_choice",
+        "if chosen is None and self._silent:",
+        "if False:",
+        f"{_SILENCES}.SilentStreamTest"
+        ".test_stream_returns_to_its_endpoint_after_a_later_refusal",
+        f"{_PROXYING}.CompleteAnswerTest"
+        ".test_only_endpoint_is_connected_to_again_after_a_silence",
+    ),
+    _ablate(
+        "events of one part accepted together",
+        STREAMS,
+        "events",
+        "            self.last = last\n",
+        "",
+        f"{_PROXYING}.StreamTest.test_events_before_a_gap_are_not_lost",
+    ),
+    _ablate(
+        "stages run again beside a silent endpoint that has their results",
+        NO_REPEATED_WORK,
+        "proxy_runs",
+        "            self._result_names = await self._run_stages_again()\n",
+        "            await self.release_results()\n"
+        "            self._result_names = await self._run_stages_again()\n",
+        f"{_SILENCES}.SilentAnswerTest"
+        ".test_silent_answer_keeps_its_results_if_another_one_lacks_them",
+    ),
+    _ablate(
+        "failures while an endpoint is avoided not counted",
+        NO_REPEATED_WORK,
+        "placement",
+        "if now < load.avoided_until:",
+        "if False:",
+        "tests.test_placement.EndpointSelectorTest"
+        ".test_requests_that_fail_together_do_not_prolong_the_avoidance",
+    ),
     _ablate(
         "streams resumed only at the version that began them",
         STREAMS,
--- a/tests/proxy_fakes.py
+++ b/tests/proxy_fakes.py
@@ -152,6 +152,7 @@
 
     def __init__(self):
         self.usable = True
+        self.has_other = True
         self.leaving = False
         self.paused_until = 0.0
 
@@ -159,7 +160,7 @@
         return self.usable
 
     def has_other_endpoint(self, endpoint, now):
-        return True
+        return self.has_other
 
     def compute_call_delay(self, endpoint, now):
         return None if self.leaving else max(self.paused_until - now, 0.0)
--- a/tests/test_batch_dispatch.py
+++ b/tests/test_batch_dispatch.py
@@ -130,6 +130,15 @@
         self.assertTrue(self.is_penalized())
         self.assertEqual("a1/0/0", (await first.join())[0].result)
 
+    async def test_items_stay_behind_an_overdue_call_of_the_only_endpoint(self):
+        self.availability.has_other = False
+        make_silent(self.endpoints, 1.4)
+        first = await curio.spawn(self.run_items, proxy_fakes.build_item())
+        await curio.sleep(0.05)
+        (outcome,) = await self.run_items(proxy_fakes.build_item(attempt="a2"))
+        self.assertEqual("a2/0/0", outcome.result)
+        await first.join()
+
     def is_penalized(self):
         state = self.dispatcher.find_state(self.endpoint, 100.0)
         return state.busy_seconds >= batch_dispatch.PENALTY_SECONDS
--- a/tests/test_event_streams.py
+++ b/tests/test_event_streams.py
@@ -124,6 +124,7 @@
         self.use_route(
             proxy_fakes.build_route(target_seconds=0.15, stages=(stage,))
         )
+        self.add_endpoint("p3")
         gone = errors.NotExecutedError("status 409", lacks_results=True)
         proxy = self.build_proxy(self.build_silent_answer(), gone)
         request = proxy_fakes.build_request(item_counts=(1,))
