--- a/samphirevale/stages.py
+++ b/samphirevale/stages.py
@@ -36,7 +36,11 @@
 INPUTS_GONE = "gone"
 
 # The failure reasons of items that no endpoint has had.
-NOT_SENT_REASONS = frozenset({batch_dispatch.OVERDUE, batch_dispatch.UNSENT})
+NOT_SENT_REASONS = (
+    batch_dispatch.OVERDUE,
+    batch_dispatch.UNREACHABLE,
+    batch_dispatch.UNSENT,
+)
 
 # Entries that decide on the same reports would all choose the same endpoint.
 # To prevent this, each entry above FEW_ENTRIES adds JITTER_SHARE of a call's
--- a/tests/test_batch_dispatch.py
+++ b/tests/test_batch_dispatch.py
@@ -195,6 +195,15 @@
         self.assertFalse(self.is_penalized())
         self.assertEqual([], self.journal.list_events())
 
+    async def test_items_stay_behind_an_overdue_call_of_the_only_endpoint(self):
+        self.availability.has_other = False
+        make_silent(self.endpoints, 1.4)
+        first = await curio.spawn(self.run_items, proxy_fakes.build_item())
+        await curio.sleep(0.05)
+        (outcome,) = await self.run_items(proxy_fakes.build_item(attempt="a2"))
+        self.assertEqual("a2/0/0", outcome.result)
+        await first.join()
+
     def is_penalized(self):
         state = self.dispatcher.find_state(self.endpoint, 100.0)
         return state.busy_seconds >= batch_dispatch.PENALTY_SECONDS
@@ -241,6 +250,38 @@
             [(self.availability.paused_until, ["r1", "r2"])], released_at
         )
 
+    async def release_after(self, *failures):
+        """Releases a result at an endpoint whose first calls fail."""
+        script = list(failures)
+
+        async def release(endpoint, results):
+            if script:
+                await script.pop(0)()
+            self.endpoints.released += results
+
+        self.endpoints.release = release
+        await self.dispatcher.release(self.endpoint, ["r1"])
+        async with curio.ignore_after(batch_dispatch.RELEASE_SECONDS + 0.5):
+            while not self.endpoints.released:
+                await curio.sleep(0.01)
+
+    async def test_release_on_a_connection_that_breaks_is_sent_again(self):
+        async def fail():
+            raise proxy_fakes.LOST_ANSWER
+
+        await self.release_after(fail)
+        self.assertEqual(["r1"], self.endpoints.released)
+        self.endpoints.released = []
+        await self.release_after(*[fail] * batch_dispatch.RELEASE_ATTEMPTS)
+        self.assertEqual([], self.endpoints.released)
+
+    async def test_release_on_a_silent_connection_is_sent_again(self):
+        async def hang():
+            await curio.sleep(50.0)
+
+        await self.release_after(hang)
+        self.assertEqual(["r1"], self.endpoints.released)
+
     async def test_endpoint_that_leaves_gets_no_releases(self):
         self.availability.leaving = True
         await self.dispatcher.release(self.endpoint, ["r1"])
@@ -389,6 +430,27 @@
         _, short = await self.run_beside_a_shortage()
         self.assertLess(short, 2 * batch_dispatch.FREE_MEMORY_SECONDS)
 
+    async def test_items_need_no_retry_if_the_connect_is_not_answered(self):
+        failures = [errors.ConnectTimeoutError("no connection")] * 2
+
+        def run_items(items):
+            return (
+                failures.pop()
+                if failures
+                else self.endpoints.succeed_all(items)
+            )
+
+        self.endpoints.run_items = run_items
+        self.use_endpoints("e1")
+        await self.check_stages_of_requests(1)
+
+    async def test_items_of_an_endpoint_that_is_down_are_given_up(self):
+        self.endpoints.run_items = lambda _: errors.ConnectError("down")
+        self.use_endpoints("e1")
+        with self.assertRaises(errors.EarlierStageError):
+            await self.run_stage(self.cluster, "a1")
+        self.assertEqual(1 + stages.RETRIES_LIMIT, len(self.endpoints.batches))
+
     async def test_items_wait_if_all_endpoints_fall_silent_at_once(self):
         silent_until = self.clock.now() + 1.4
 
