Take a retry for failed items beside unsent ones

Of items that went to several endpoints, only the first failure decided whether a retry is taken. If that was of items that were not sent at all, the others were sent again without one, beyond the budget. Items that were sent now count first; the test failed with all 9 retries left.

--- a/samphirevale/stages.py
+++ b/samphirevale/stages.py
@@ -453,6 +453,8 @@
                 for chunk in chunks
             ]
         reasons = [task.result for task in tasks if task.result]
+        # Items that were sent take a retry, also beside others that were not.
+        reasons.sort(key=batch_dispatch.UNSENT.__eq__)
         return reasons[0] if reasons else ""
 
     async def _run_chunk(
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -180,6 +180,11 @@
         await self.build_run((1,), CHAIN[:1]).run()
         self.assertEqual(["s1", "s2"], [name for name, _ in self.runner.calls])
 
+    async def test_failed_items_take_a_retry_beside_unsent_ones(self):
+        self.runner.reasons = [batch_dispatch.UNSENT, "error"]
+        await self.build_run((6,), CHAIN[:1]).run()
+        self.assertLess(self.retries_left, 9)
+
     async def test_run_fails_without_retry_budget(self):
         self.runner.reasons = ["error"]
         self.retries_left = 0
