Let a stream that breaks before its first event wait for a pause

A resumable stream whose endpoint broke before the first event, while the others paused, ended with 502 at once. Its caller cannot be told to come back, as the request may have run. It now waits as a stream does that has begun, also if the next endpoint refuses with a pause. Requests that have not run are still refused at once with the end of the pause. Before: two of the new tests failed with 502 in place of 200.

--- a/samphirevale/proxy_runs.py
+++ b/samphirevale/proxy_runs.py
@@ -304,12 +304,25 @@
             self._lacks_results = False
             self._result_names = await self._run_stages_again()
         endpoint = self._endpoints.choose(self._result_sizes)
+        if endpoint is None and self._outlasts_pauses() and not race.running:
+            try:
+                endpoint = await self._wait_for_endpoint(needs_stages=False)
+            except errors.AnswerLostError as error:
+                return self._build_failure_refusal(str(error))
         if endpoint is None:
             return self._build_failure_refusal(self._endpoints.explain_none())
         self._endpoints.tried.add(endpoint.name)
         await race.start(endpoint, self._send_once)
         return None
 
+    def _outlasts_pauses(self) -> bool:
+        """Returns whether the request waits while all endpoints pause.
+
+        A stream that may have run does, as its caller cannot be told to come
+        back.
+        """
+        return bool(self._runs) and self._route.resumable
+
     async def _handle_silence(self, race: exchange_races.ExchangeRace) -> None:
         """Sends the request to a further endpoint if that is allowed.
 
@@ -385,8 +398,20 @@
         self, error: errors.NotExecutedError
     ) -> proxy_requests.Refusal | None:
         """Returns the refusal after an endpoint's own; None to send again."""
+        if self._outlasts_pauses():
+            return self._find_repeat_refusal(error)
         if self._endpoints.all_pause():
             return self._build_failure_refusal("endpoints_paused")
+        return self._find_repeat_refusal(error)
+
+    def _find_repeat_refusal(
+        self, error: errors.NotExecutedError
+    ) -> proxy_requests.Refusal | None:
+        """Takes a retry after an endpoint's refusal.
+
+        Returns:
+            A refusal if no retry is left or would help; None to send again.
+        """
         if not self._take_retry(self._endpoints.service):
             return self._build_failure_refusal("refused_by_endpoint")
         if error.lacks_results:
@@ -575,7 +600,7 @@
                 raise errors.AnswerLostError(self._find_resend_obstacle())
             if results is None:
                 results = await self._run_stages_for_resume()
-                endpoint = await self._wait_for_endpoint(False)
+                endpoint = await self._wait_for_endpoint(needs_stages=False)
             self._endpoints.tried.add(endpoint.name)
             try:
                 return await self._open_resumed(endpoint, results, last_event)
--- a/tests/test_stream_waits.py
+++ b/tests/test_stream_waits.py
@@ -211,6 +211,69 @@
         await curio.sleep(0.4)
         self.assertEqual([], self.sent_at)
 
+    async def answer_after_loss(self, first_loss, *script, **changes):
+        """Answers a stream that breaks before its first event.
+
+        The other endpoint begins a pause of 1 s at the loss.
+        """
+
+        def lose():
+            (lost,) = [name for name, *_ in self.endpoints.sends]
+            (other,) = {"p1", "p2"} - {lost}
+            self.pause(other, 1.0)
+            return first_loss
+
+        return await self.answer(lose, *script, **changes)
+
+    async def test_stream_that_breaks_before_its_first_event_waits(self):
+        answer = await self.answer_after_loss(
+            proxy_fakes.LOST_ANSWER, self.build_stream(FIRST_EVENT)
+        )
+        self.assertEqual(200, answer.status)
+        self.assertEqual(NOW + 1.0, self.clock.now())
+        self.assertEqual(FIRST_EVENT, await self.read(answer))
+        self.assertEqual(2, len(self.endpoints.sends))
+        budget = self.budget.limits
+        total = budget.allowance + budget.ratio
+        self.assertAlmostEqual(
+            retry_budgets.USED_SHARE * total - 1, self.count_retries_left()
+        )
+
+    async def test_stream_without_events_waits_for_one_that_refuses(self):
+        def refuse():
+            for name in ("p1", "p2"):
+                self.pause(name, 1.0)
+            return REFUSAL
+
+        answer = await self.answer(
+            proxy_fakes.LOST_ANSWER, refuse, self.build_stream(FIRST_EVENT)
+        )
+        self.assertEqual(200, answer.status)
+        self.assertEqual(NOW + 1.0, self.clock.now())
+        self.assertEqual(3, len(self.endpoints.sends))
+
+    async def test_stream_that_may_come_back_is_refused_at_once(self):
+        answer = await self.answer_after_loss(
+            errors.NotExecutedError("full"), wait_seconds=5.0
+        )
+        self.assertEqual(503, answer.status)
+        self.assertEqual(NOW, self.clock.now())
+
+    async def test_stream_without_events_does_not_wait_beyond_its_deadline(
+        self,
+    ):
+        answer = await self.answer_after_loss(
+            proxy_fakes.LOST_ANSWER, wait_seconds=0.9
+        )
+        self.assertEqual(502, answer.status)
+        self.assertEqual(NOW, self.clock.now())
+
+    async def test_request_that_is_no_stream_does_not_wait(self):
+        self.use_route(proxy_fakes.build_route())
+        answer = await self.answer_after_loss(proxy_fakes.LOST_ANSWER)
+        self.assertEqual(502, answer.status)
+        self.assertEqual(NOW, self.clock.now())
+
     async def test_any_pauses_get_nothing_and_all_retries_are_taken(self):
         rng = random.Random(1)
         for _ in range(100):
