--- a/tests/test_stream_waits.py
+++ b/tests/test_stream_waits.py
@@ -163,6 +163,20 @@
         self.pause(other, 4.1)
         await self.check_ends(answer, "endpoints_paused")
 
+    async def test_patience_counts_from_the_last_event(self):
+        self.use_stream_route(timeout_seconds=20.0)
+
+        def begin_late():
+            self.clock.seconds += 3.0
+            return self.build_broken()
+
+        answer, other = await self.begin(
+            begin_late, self.build_stream(SECOND_EVENT), wait_seconds=20.0
+        )
+        self.pause(other, 2.0)
+        self.assertEqual(FIRST_EVENT + SECOND_EVENT, await self.read(answer))
+        self.assertEqual([5.0], self.sent_at)
+
     async def test_stream_does_not_wait_beyond_its_deadline(self):
         answer, other = await self.begin(self.build_broken(), wait_seconds=1.0)
         self.pause(other, 1.1)
