--- a/samphirevale/proxy_runs.py
+++ b/samphirevale/proxy_runs.py
@@ -362,6 +362,11 @@
             # The request is sent with their results.
             return None
         endpoint = self._endpoints.choose(self._result_sizes)
+        if endpoint is None and self._outlasts_pauses() and not race.running:
+            try:
+                endpoint = await self._wait_for_endpoint(needs_stages=False)
+            except errors.AnswerLostError as error:
+                return self._build_failure_refusal(str(error))
         if endpoint is None:
             return self._build_failure_refusal(self._endpoints.explain_none())
         self._endpoints.record_send(endpoint)
@@ -389,6 +394,14 @@
             self._repeating_stages = False
         return await self._send_once(endpoint)
 
+    def _outlasts_pauses(self) -> bool:
+        """Returns whether the request waits while all endpoints pause.
+
+        A stream that may have run does, as its caller cannot be told to come
+        back.
+        """
+        return bool(self._runs) and self._route.resumable
+
     async def _handle_silence(self, race: exchange_races.ExchangeRace) -> None:
         """Sends the request to a further endpoint if that is allowed.
 
@@ -478,8 +491,20 @@
         self, error: errors.NotExecutedError
     ) -> proxy_requests.Refusal | None:
         """Returns the refusal after an endpoint's own; None to send again."""
+        if self._outlasts_pauses():
+            return self._find_repeat_refusal(error)
         if self._endpoints.all_pause():
             return self._build_failure_refusal("endpoints_paused")
+        return self._find_repeat_refusal(error)
+
+    def _find_repeat_refusal(
+        self, error: errors.NotExecutedError
+    ) -> proxy_requests.Refusal | None:
+        """Takes a retry after an endpoint's refusal.
+
+        Returns:
+            A refusal if no retry is left or would help; None to send again.
+        """
         if not self._take_retry(self._endpoints.service):
             return self._build_failure_refusal("refused_by_endpoint")
         if error.lacks_results and not self._repeating_stages:
@@ -690,7 +715,7 @@
                 raise errors.AnswerLostError(self._find_resend_obstacle())
             if results is None:
                 results = await self._run_stages_for_resume()
-                endpoint = await self._wait_for_endpoint(False)
+                endpoint = await self._wait_for_endpoint(needs_stages=False)
             self._endpoints.record_send(endpoint)
             try:
                 return await self._open_resumed(endpoint, results, last_event)
