--- a/tests/base.py
+++ b/tests/base.py
@@ -19,10 +19,29 @@
 PORTS = range(20000, 32000)
 PORT_STRIDE = 401
 
+# The methods of unittest.TestCase that tests may override.
+OVERRIDDEN_METHODS = {"setUp", "tearDown", "setUpClass", "tearDownClass"}
+
 
 class TestCase(unittest.TestCase):
     """Runs coroutine test methods on curio with a timeout."""
 
+    def __init_subclass__(cls, **arguments: Any) -> None:
+        """Checks that a helper does not replace a method of unittest.
+
+        An assertion calls `fail` and would pass with a coroutine of that name.
+        """
+        super().__init_subclass__(**arguments)
+        replaced = [
+            name
+            for name in vars(cls)
+            if callable(getattr(unittest.TestCase, name, None))
+            and not name.startswith("_")
+            and name not in OVERRIDDEN_METHODS
+        ]
+        if replaced:
+            raise TypeError(f"{cls.__name__} replaces {', '.join(replaced)}")
+
     def _callTestMethod(self, method: Any) -> None:  # noqa: N802
         if inspect.iscoroutinefunction(method):
             curio.run(self._run_limited, method)
--- a/tests/test_base.py
+++ b/tests/test_base.py
@@ -9,3 +9,14 @@
     def test_ports_are_not_repeated(self):
         ports = [base.find_free_port() for _ in range(500)]
         self.assertEqual(500, len(set(ports)))
+
+
+class ReplacedMethodTest(base.TestCase):
+    """Helpers of a test class keep the assertions of unittest."""
+
+    def test_helper_that_replaces_an_assertion_is_an_error(self):
+        async def fail(self):
+            pass
+
+        with self.assertRaisesRegex(TypeError, "HelperTest replaces fail"):
+            type("HelperTest", (base.TestCase,), {"fail": fail})
--- a/tests/test_exchange_races.py
+++ b/tests/test_exchange_races.py
@@ -39,7 +39,7 @@
     async def answer(self, endpoint):
         return build_answer(endpoint)
 
-    async def fail(self, endpoint):
+    async def refuse_connection(self, endpoint):
         raise errors.ConnectError("down")
 
     async def test_answer_of_the_later_endpoint_may_come_first(self):
@@ -55,7 +55,7 @@
     async def test_error_of_one_endpoint_leaves_the_other(self):
         async with exchange_races.open_race() as race:
             await race.start(FIRST, self.hang)
-            await race.start(SECOND, self.fail)
+            await race.start(SECOND, self.refuse_connection)
             finished = await race.wait(5.0)
             self.assertIsInstance(finished.outcome, errors.ConnectError)
             self.assertEqual([], self.cancelled)
