Show that the mechanisms for silent endpoints and versions are needed

51 ablations in a table of their own, lab/stream_mechanisms.py: what holds a stream at its version, what waits for a silent endpoint, and what keeps silent endpoints from taking connections, retries and time of others.

The function that builds the ablation of one place moves to lab/mechanisms.py, as two tables use it.

--- a/lab/ablations.py
+++ b/lab/ablations.py
@@ -20,7 +20,7 @@
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
-from lab import mechanisms, proxy_mechanisms
+from lab import mechanisms, proxy_mechanisms, stream_mechanisms
 from samphirevale import tables
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -43,7 +43,11 @@
 LOAD_ERRORS = ("SyntaxError", "NameError", "ImportError")
 
 # The ablations of entries and sidecars, and those of the proxying entry.
-TEST_ABLATIONS = mechanisms.TEST_ABLATIONS + proxy_mechanisms.TEST_ABLATIONS
+TEST_ABLATIONS = (
+    mechanisms.TEST_ABLATIONS
+    + proxy_mechanisms.TEST_ABLATIONS
+    + stream_mechanisms.TEST_ABLATIONS
+)
 
 HEADERS = ["mechanism", "proof", "with it", "without it"]
 
--- a/lab/mechanisms.py
+++ b/lab/mechanisms.py
@@ -63,6 +63,20 @@
     return Edit(f"samphirevale/{module}.py", text, replacement)
 
 
+def ablate_module(
+    name: str,
+    requirement: str,
+    module: str,
+    text: str,
+    replacement: str,
+    *tests: str,
+) -> Ablation:
+    """Returns the ablation of a mechanism that is in one place."""
+    return Ablation(
+        name, requirement, (_edit(module, text, replacement),), tests
+    )
+
+
 # Ignores a claim that another attempt holds.
 _IGNORE_CLAIM = _edit(
     "claims",
--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -5,6 +5,7 @@
 """
 
 from lab.mechanisms import Ablation, Edit
+from lab.mechanisms import ablate_module as _ablate
 
 ANSWERS = "answers are complete and belong to the caller's own request"
 HEADERS = "callers cannot set the headers that the system sets"
@@ -30,19 +31,6 @@
 _SESSION = "tests.platform.test_session.SessionTest"
 _DRILL = "tests.platform.test_store_drills.StoreDrillTest"
 
-
-def _ablate(
-    name: str,
-    requirement: str,
-    module: str,
-    text: str,
-    replacement: str,
-    *tests: str,
-) -> Ablation:
-    edit = Edit(f"samphirevale/{module}.py", text, replacement)
-    return Ablation(name, requirement, (edit,), tests)
-
-
 TEST_ABLATIONS = (
     _ablate(
         "attempt id compared with the answer's",
--- /dev/null
+++ b/lab/stream_mechanisms.py
@@ -0,0 +1,478 @@
+"""Ablations of the mechanisms of the proxying entry for streams and silences.
+
+A stream goes on only at the version that began it, and an endpoint that works
+may be silent for about a second. See mechanisms.py for the format.
+"""
+
+from lab.mechanisms import ablate_module as _ablate
+
+VERSIONS = "a stream goes on only at the version that began it"
+SILENCES = "nothing is given up for a brief silence of an endpoint"
+SILENT_LIMITS = "silent endpoints take no work, time or retries of others"
+
+_EVENT_STREAMS = "tests.test_event_streams"
+_SILENT_STREAM = f"{_EVENT_STREAMS}.SilentStreamTest"
+_SILENT_STREAMS = f"{_EVENT_STREAMS}.SilentStreamsTest"
+_BROKEN = f"{_EVENT_STREAMS}.BrokenStreamTest"
+_STREAM = "tests.test_proxying.StreamTest"
+_COMPLETE = "tests.test_proxying.CompleteAnswerTest"
+_RACE = "tests.test_exchange_races.ExchangeRaceTest"
+_ORIGINS = "tests.test_stream_origins"
+_ENTRIES = "tests.test_entries.EntryTableTest"
+_DISPATCH = "tests.test_batch_dispatch"
+
+TEST_ABLATIONS = (
+    _ablate(
+        "version of the endpoint that begins a stream kept",
+        VERSIONS,
+        "proxy_runs",
+        "            self._endpoints.version = finished.endpoint.version\n",
+        "",
+        f"{_STREAM}.test_broken_stream_is_not_resumed_at_another_version",
+    ),
+    _ablate(
+        "stream that is taken up bound to its version",
+        VERSIONS,
+        "stream_bindings",
+        "    endpoints.version = origin.version\n",
+        "",
+        f"{_STREAM}.test_stream_that_began_at_another_entry_goes_on",
+        f"{_STREAM}.test_stream_that_is_taken_up_goes_on_where_it_began",
+    ),
+    _ablate(
+        "stream that is taken up bound to its service",
+        VERSIONS,
+        "stream_bindings",
+        "    endpoints.service = origin.service\n",
+        "",
+        f"{_STREAM}.test_stream_stays_at_its_service_of_several",
+    ),
+    _ablate(
+        "stream of a service that was replaced refused",
+        VERSIONS,
+        "stream_bindings",
+        "if origin.service not in services:",
+        "if False:",
+        f"{_STREAM}.test_stream_of_a_service_that_was_replaced_is_refused",
+    ),
+    _ablate(
+        "stream of a version without endpoints refused before its stages",
+        VERSIONS,
+        "stream_bindings",
+        "if not endpoints.list_available():",
+        "if False:",
+        f"{_STREAM}"
+        ".test_stream_whose_version_has_gone_is_refused_before_stages",
+    ),
+    _ablate(
+        "caller told when the stream's version ends its pause",
+        VERSIONS,
+        "stream_bindings",
+        "if endpoints.all_pause():",
+        "if False:",
+        f"{_STREAM}.test_stream_learns_when_its_version_ends_its_pause",
+    ),
+    _ablate(
+        "unknown stream goes on at the only version",
+        VERSIONS,
+        "stream_bindings",
+        "        origin = _infer_origin(context, accepted)\n",
+        "        pass\n",
+        f"{_STREAM}.test_stream_of_unknown_version_goes_on_if_there_is_only_one",
+    ),
+    _ablate(
+        "unknown stream of several services refused",
+        VERSIONS,
+        "stream_bindings",
+        "if version is None or len(accepted.route.splits) > 1:",
+        "if version is None:",
+        f"{_STREAM}.test_stream_stays_at_its_service_of_several",
+    ),
+    _ablate(
+        "other entries told before the caller has an event",
+        VERSIONS,
+        "proxy_runs",
+        "            await stream_bindings.record_origin(\n"
+        "                self._context, self._accepted, finished.endpoint\n"
+        "            )\n",
+        "",
+        f"{_STREAM}.test_other_entries_know_a_stream_before_its_caller",
+    ),
+    _ablate(
+        "stream taken up twice known by its first attempt",
+        VERSIONS,
+        "stream_bindings",
+        "first_attempt = request.first_attempt",
+        "pass",
+        f"{_STREAM}.test_stream_taken_up_twice_is_known_by_its_first_attempt",
+    ),
+    _ablate(
+        "entries asked where an unknown stream began",
+        VERSIONS,
+        "stream_origins",
+        "for name in names[:ASKED]:",
+        "for name in ():",
+        f"{_ORIGINS}.OriginDirectoryTest",
+    ),
+    _ablate(
+        "more entries asked than told",
+        VERSIONS,
+        "stream_origins",
+        "ASKED = HOLDERS + 2",
+        "ASKED = HOLDERS",
+        f"{_ORIGINS}.OriginDirectoryTest",
+    ),
+    _ablate(
+        "wait for asked entries limited",
+        VERSIONS,
+        "stream_origins",
+        "ASK_SECONDS = 0.25",
+        "ASK_SECONDS = 60.0",
+        f"{_ORIGINS}.OriginDirectoryTest",
+    ),
+    _ablate(
+        "streams forgotten after their time",
+        VERSIONS,
+        "stream_origins",
+        "if found is None or found.until <= now:",
+        "if found is None:",
+        f"{_ORIGINS}.StreamOriginsTest",
+    ),
+    _ablate(
+        "number of remembered streams limited",
+        VERSIONS,
+        "stream_origins",
+        "if len(self._by_attempt) >= STREAMS_LIMIT:",
+        "if False:",
+        f"{_ORIGINS}.StreamOriginsTest",
+    ),
+    _ablate(
+        "told origins remembered",
+        VERSIONS,
+        "entries",
+        "        self._origins.record(notice.attempt, origin, until)\n",
+        "",
+        f"{_ENTRIES}.test_origins_of_streams_are_told_and_asked",
+    ),
+    _ablate(
+        "new version of an endpoint counted as another one",
+        VERSIONS,
+        "service_versions",
+        "            or (before.service, before.version)\n"
+        "            != (after.service, after.version)\n",
+        "",
+        "tests.test_service_versions.ServiceVersionsTest",
+    ),
+    _ablate(
+        "versions of other services not counted",
+        VERSIONS,
+        "service_versions",
+        "if name == service and gone_at >= since",
+        "if gone_at >= since",
+        "tests.test_service_versions.ServiceVersionsTest",
+    ),
+    _ablate(
+        "changes of endpoints recorded for their versions",
+        VERSIONS,
+        "cluster_watch",
+        "            self._cluster.versions.record_change(change, now)\n",
+        "",
+        "tests.platform.test_versions.VersionTest"
+        ".test_an_unknown_stream_is_refused_after_a_change_of_version",
+    ),
+    _ablate(
+        "stream that is taken up not queued behind others",
+        VERSIONS,
+        "proxying",
+        "retried and not (route.streamed and request.last_event)",
+        "retried",
+        f"{_STREAM}.test_stream_that_is_taken_up_does_not_wait_behind_others",
+    ),
+    _ablate(
+        "silent stream read on until the next endpoint has not refused it",
+        SILENCES,
+        "event_streams",
+        "OVERLAP_SECONDS = 0.3",
+        "OVERLAP_SECONDS = 0.1",
+        f"{_SILENT_STREAM}.test_silent_stream_is_not_cut_by_a_late_refusal",
+    ),
+    _ablate(
+        "part that arrives after a cancelled read kept",
+        SILENCES,
+        "event_streams",
+        "            self._parts = self._exchange.answer.read_parts()\n"
+        "            raise\n",
+        "            raise\n",
+        f"{_STREAM}"
+        ".test_stream_of_a_silent_endpoint_is_not_cut_without_retries",
+    ),
+    _ablate(
+        "refused resumption leaves the silent endpoint",
+        SILENCES,
+        "event_streams",
+        "elif not resumption.terminated or resumption.result is not None:",
+        "else:",
+        f"{_STREAM}"
+        ".test_stream_of_a_silent_endpoint_is_not_cut_without_retries",
+        f"{_STREAM}"
+        ".test_stream_of_a_silent_endpoint_is_not_cut_by_a_failed_stage",
+    ),
+    _ablate(
+        "resumed stream has the time of a first event",
+        SILENCES,
+        "event_streams",
+        "        self._parts = exchange.answer.read_parts()\n"
+        "        self._begun = False\n",
+        "        self._parts = exchange.answer.read_parts()\n",
+        f"{_SILENT_STREAM}.test_resumed_stream_has_the_time_of_a_first_event",
+    ),
+    _ablate(
+        "resumption goes on when the silent endpoint breaks",
+        SILENCES,
+        "event_streams",
+        "                reason = await self._close_broken(error)\n"
+        "                await self._adopt_resumed(resumption, reason)\n"
+        '                return b""\n',
+        "                await self._resume_broken(error)\n"
+        '                return b""\n',
+        f"{_SILENT_STREAM}"
+        ".test_preparation_goes_on_when_the_silent_endpoint_breaks",
+    ),
+    _ablate(
+        "two endpoints work on one stream only for a moment",
+        SILENT_LIMITS,
+        "event_streams",
+        "            and self._run.compute_overlap() < OVERLAP_SECONDS\n",
+        "",
+        f"{_SILENT_STREAM}"
+        ".test_two_endpoints_do_not_work_on_one_stream_for_long",
+    ),
+    _ablate(
+        "refusal of the next endpoint ends the overlap",
+        SILENCES,
+        "proxy_runs",
+        "        finally:\n            self._sent_at = None\n",
+        "        finally:\n            pass\n",
+        f"{_SILENT_STREAM}"
+        ".test_silent_stream_is_not_cut_by_a_refusal_of_the_next_endpoint",
+    ),
+    _ablate(
+        "resumption goes on at a further endpoint after a refusal",
+        SILENCES,
+        "proxy_runs",
+        "                retry_taken = False\n"
+        '                if getattr(error, "lacks_results", False):\n',
+        "                raise errors.AnswerLostError(str(error)) from error\n"
+        '                if getattr(error, "lacks_results", False):\n',
+        f"{_BROKEN}.test_refused_stream_goes_on_at_a_further_endpoint",
+    ),
+    _ablate(
+        "stages of a resumption run again if their results are gone",
+        SILENCES,
+        "proxy_runs",
+        "                    results = None\n",
+        "                    pass\n",
+        f"{_BROKEN}.test_lost_results_of_a_stream_are_computed_again",
+    ),
+    _ablate(
+        "unadopted exchange of a resumption closed",
+        SILENT_LIMITS,
+        "event_streams",
+        "if exchange is not None and exchange is not self._exchange:",
+        "if False:",
+        f"{_SILENT_STREAM}.test_stream_that_goes_on_closes_its_resumption",
+    ),
+    _ablate(
+        "results of a resumption that failed released",
+        SILENT_LIMITS,
+        "event_streams",
+        "            self._run.log_silence(self._order.last, str(error))\n"
+        "            await self._run.release_results()\n",
+        "            self._run.log_silence(self._order.last, str(error))\n",
+        f"{_SILENT_STREAM}"
+        ".test_results_of_a_refused_resumption_are_released_at_once",
+    ),
+    _ablate(
+        "silent stream at its deadline ended without a retry",
+        SILENT_LIMITS,
+        "event_streams",
+        "            if not self._compute_remaining():\n"
+        "                self._end(SILENT)\n",
+        "",
+        f"{_SILENT_STREAMS}.test_stream_at_its_deadline_takes_no_retry",
+        f"{_SILENT_STREAMS}.test_stream_at_its_deadline_is_logged_as_ended",
+    ),
+    _ablate(
+        "deadline ends the wait for a resumption",
+        SILENT_LIMITS,
+        "event_streams",
+        "            self._compute_remaining()\n"
+        "            and not resumption.terminated\n",
+        "            not resumption.terminated\n",
+        f"{_SILENT_STREAM}"
+        ".test_deadline_ends_a_silent_stream_while_its_stages_run",
+    ),
+    _ablate(
+        "endpoint chosen after the stages of a resumption",
+        SILENT_LIMITS,
+        "proxy_runs",
+        "                results = await self._run_stages_for_resume()\n"
+        "                endpoint = self._choose_resuming_endpoint()\n",
+        "                results = await self._run_stages_for_resume()\n",
+        f"{_SILENT_STREAMS}"
+        ".test_silent_streams_do_not_share_it_after_their_stages",
+    ),
+    _ablate(
+        "retry taken before the stages of a resumption",
+        SILENT_LIMITS,
+        "proxy_runs",
+        "if not retry_taken and not self.may_send_again():",
+        "if results is not None and not self.may_send_again():",
+        f"{_SILENT_STREAMS}"
+        ".test_stages_of_silent_streams_run_again_within_the_budget",
+    ),
+    _ablate(
+        "failed connection of a resumption takes no further retry",
+        SILENT_LIMITS,
+        "proxy_runs",
+        "                retry_taken = True\n",
+        "",
+        f"{_BROKEN}.test_failed_connection_takes_no_retry_of_a_stream",
+    ),
+    _ablate(
+        "failed connections of a resumption limited",
+        SILENT_LIMITS,
+        "proxy_runs",
+        "                if connection_failures >= CONNECT_FAILURES_LIMIT:\n"
+        '                    raise errors.AnswerLostError("unreachable")'
+        " from error\n",
+        "",
+        f"{_BROKEN}.test_failed_connections_of_a_stream_are_limited",
+    ),
+    _ablate(
+        "silent answer kept beside that of the next endpoint",
+        SILENCES,
+        "proxy_runs",
+        "            overlapping = self._route.streamed and race.running > 1\n",
+        "            overlapping = race.running > 1\n",
+        f"{_EVENT_STREAMS}.SilentAnswerTest"
+        ".test_silent_answer_is_not_given_up_for_another_silent_one",
+    ),
+    _ablate(
+        "silent first event awaited until the next endpoint has not refused",
+        SILENCES,
+        "proxy_runs",
+        "                if overlapping:\n"
+        "                    timeout = min(timeout,"
+        " event_streams.OVERLAP_SECONDS)\n",
+        "                if overlapping:\n                    timeout = 0.0\n",
+        f"{_EVENT_STREAMS}.SilentFirstEventTest",
+    ),
+    _ablate(
+        "two endpoints begin one stream only for a moment",
+        SILENT_LIMITS,
+        "proxy_runs",
+        "                    await race.keep_last()\n",
+        "                    pass\n",
+        f"{_EVENT_STREAMS}.SilentFirstEventTest"
+        ".test_two_endpoints_do_not_begin_one_stream_for_long",
+    ),
+    _ablate(
+        "request to a silent endpoint sent to another",
+        SILENCES,
+        "proxy_runs",
+        '        self._log_step("endpoint_silent", exchanges=race.running)\n'
+        "        await self._start_exchange(race)\n",
+        "",
+        f"{_COMPLETE}.test_request_to_a_silent_endpoint_is_sent_to_another",
+    ),
+    _ablate(
+        "failure of an endpoint returned if no other is left",
+        SILENCES,
+        "proxy_runs",
+        "            if self._endpoints.choose() is not None"
+        " and self.may_send_again():\n",
+        "            if self.may_send_again():\n",
+        f"{_COMPLETE}.test_failure_is_returned_without_another_endpoint",
+    ),
+    _ablate(
+        "error of one endpoint leaves the others",
+        SILENCES,
+        "exchange_races",
+        "        except (errors.TransportError, TimeoutError) as error:\n"
+        "            outcome = error\n",
+        "        except TimeoutError as error:\n            outcome = error\n",
+        f"{_RACE}.test_error_of_one_endpoint_leaves_the_other",
+    ),
+    _ablate(
+        "exchange that ended while it was cancelled still counted",
+        SILENCES,
+        "exchange_races",
+        "            if isinstance(task.exception, curio.TaskCancelled):\n"
+        "                self.running -= 1\n",
+        "            self.running -= 1\n",
+        f"{_RACE}.test_exchange_that_ended_before_its_cancellation_counts",
+    ),
+    _ablate(
+        "begun stream that nobody reads closed",
+        SILENT_LIMITS,
+        "exchange_races",
+        "                await outcome.chunks.aclose()\n",
+        "                pass\n",
+        f"{_RACE}.test_stream_that_nobody_reads_is_closed",
+    ),
+    _ablate(
+        "other exchanges cancelled after an answer",
+        SILENT_LIMITS,
+        "exchange_races",
+        "        for task in self._tasks:\n            await task.cancel()\n",
+        "",
+        f"{_RACE}.test_answer_of_the_later_endpoint_may_come_first",
+    ),
+    _ablate(
+        "endpoint with an overdue call avoided",
+        SILENT_LIMITS,
+        "batch_dispatch",
+        "            self._penalized_until[name] = penalized_until\n",
+        "",
+        f"{_DISPATCH}.BatchDispatcherTest"
+        ".test_items_behind_an_overdue_call_are_returned",
+    ),
+    _ablate(
+        "endpoint not avoided once its overdue call has ended",
+        SILENCES,
+        "batch_dispatch",
+        "        if self._penalized_until.get(name) == penalized_until:\n"
+        "            del self._penalized_until[name]\n",
+        "",
+        f"{_DISPATCH}.BatchDispatcherTest"
+        ".test_call_of_a_briefly_silent_endpoint_is_not_given_up",
+    ),
+    _ablate(
+        "slow call has its time before the silence",
+        SILENCES,
+        "batch_dispatch",
+        "OVERDUE_FACTOR = 3.0",
+        "OVERDUE_FACTOR = 1.0",
+        f"{_DISPATCH}.BatchDispatcherTest"
+        ".test_call_of_a_slow_endpoint_outlasts_a_brief_silence",
+    ),
+    _ablate(
+        "items for a new start not behind the old queue",
+        SILENT_LIMITS,
+        "batch_dispatch",
+        "        key = _build_key(endpoint)\n"
+        "        task = self._queue_tasks.get(key)\n",
+        "        key = endpoint.name\n"
+        "        task = self._queue_tasks.get(key)\n",
+        f"{_DISPATCH}.RestartedEndpointTest",
+    ),
+    _ablate(
+        "results that cross a cancellation released",
+        SILENT_LIMITS,
+        "entries",
+        "                await self._release_unwanted(entry, message)\n",
+        "                pass\n",
+        f"{_ENTRIES}.test_results_that_cross_a_cancellation_are_released",
+    ),
+)
--- a/tests/platform/test_versions.py
+++ b/tests/platform/test_versions.py
@@ -100,3 +100,11 @@
             status, _, _ = await self.take_up(0)
             self.assertEqual(503, status)
             self.assertEqual([], self.servers["model2"].arrivals)
+
+    async def test_an_unknown_stream_is_refused_after_a_change_of_version(self):
+        async with self.run_all(versions=MODELS):
+            self.store.remove("servers", "model2")
+            await self.wait_until_accepting("model1")
+            status, _, _ = await self.take_up(0)
+            self.assertEqual(503, status)
+            self.assertEqual([], self.servers["model1"].arrivals)
--- a/tests/test_event_streams.py
+++ b/tests/test_event_streams.py
@@ -34,6 +34,17 @@
         return NOW + time.monotonic() - self._started_at
 
 
+class Gate(proxy_fakes.Silence):
+    """A silence that ends when the gate is opened."""
+
+    def __init__(self):
+        super().__init__(0.0)
+        self.opened = curio.Event()
+
+    async def wait(self):
+        await self.opened.wait()
+
+
 class SilenceTestCase(test_proxying.ProxyTestCase):
     """Sets up a proxy whose clock runs."""
 
@@ -85,6 +96,13 @@
         )
         self.assertEqual(200, answer.status)
 
+    async def test_silent_answer_is_not_given_up_for_another_silent_one(self):
+        answer = await self.answer(
+            self.build_silent_answer(),
+            proxy_fakes.FakeAnswer([proxy_fakes.Silence(50.0)]),
+        )
+        self.assertEqual(200, answer.status)
+
 
 class SilentFirstEventTest(SilenceTestCase):
     """Tests streams whose endpoint is silent before the first event."""
@@ -206,6 +224,34 @@
         self.assertEqual(b"id: 1\n\nid: 2\n\n", await self.read_stream(answer))
         self.assertEqual(2, self.runner.item_count)
 
+    async def test_stream_that_goes_on_closes_its_resumption(self):
+        gate = Gate()
+        answer = await self.answer(
+            self.build_stream(b"id: 1\n\n", gate, b"id: 2\n\n")
+        )
+        resumed = self.build_stream(proxy_fakes.Silence(50.0))
+
+        async def send(*_):
+            await gate.opened.set()
+            return resumed
+
+        self.endpoints.send = send
+        self.assertEqual(b"id: 1\n\nid: 2\n\n", await self.read_stream(answer))
+        self.assertTrue(resumed.closed)
+
+    async def test_results_of_a_refused_resumption_are_released_at_once(self):
+        self.use_stream_route(stages=(routes.Stage("stage", (), 100),))
+        answer = await self.answer(
+            self.build_stream(b"id: 1\n\n", proxy_fakes.Silence(50.0)),
+            errors.NotExecutedError("full"),
+            item_counts=(1,),
+        )
+        reader = await curio.spawn(self.read_stream, answer, daemon=True)
+        await curio.sleep(LONG_SILENCE)
+        self.assertEqual(2, self.runner.item_count)
+        self.assertEqual(2, len(self.runner.released))
+        await reader.cancel()
+
     async def test_resumed_stream_has_the_time_of_a_first_event(self):
         self.use_stream_route(
             attempts_limit=3, target_seconds=4.0, timeout_seconds=20.0
@@ -253,8 +299,12 @@
                 pass
         await answer.chunks.aclose()
 
-    async def test_silent_streams_do_not_share_the_last_free_connection(self):
-        self.use_stream_route()
+    async def count_connections(self, **changes):
+        """Returns the most connections of p2, which has one left of two.
+
+        Args:
+            **changes: the changes of the requests of two streams.
+        """
         table = self.cluster.table
         plain = table.services["plain"]._replace(connections_limit=2)
         self.cluster.table = table._replace(
@@ -263,7 +313,7 @@
         resumed = [
             self.build_stream(proxy_fakes.Silence(50.0)) for _ in range(2)
         ]
-        answers = await self.start_streams(2, *resumed)
+        answers = await self.start_streams(2, *resumed, **changes)
         self.selector.record_sent("p2", 0)
         largest = 0
 
@@ -276,7 +326,22 @@
         watcher = await curio.spawn(watch, daemon=True)
         await self.read_all(answers, 3.0)
         await watcher.cancel()
-        self.assertEqual(2, largest)
+        return largest
+
+    async def test_silent_streams_do_not_share_the_last_free_connection(self):
+        self.use_stream_route()
+        self.assertEqual(2, await self.count_connections())
+
+    async def test_silent_streams_do_not_share_it_after_their_stages(self):
+        self.use_stream_route(stages=(routes.Stage("stage", (), 100),))
+        run_items = self.runner.run_items
+
+        async def run_slowly(*arguments):
+            await curio.sleep(0.1)
+            return await run_items(*arguments)
+
+        self.runner.run_items = run_slowly
+        self.assertEqual(2, await self.count_connections(item_counts=(1,)))
 
     async def test_stages_of_silent_streams_run_again_within_the_budget(self):
         self.budget_limits = ONE_RETRY
@@ -327,3 +392,35 @@
         self.budget_limits = ONE_RETRY
         answer = await self.answer(*self.script)
         self.assertEqual(b"id: 1\n\nid: 2\n\n", await self.read_stream(answer))
+
+    async def test_failed_connections_of_a_stream_are_limited(self):
+        self.use_stream_route(attempts_limit=9)
+        self.add_endpoint("p4")
+        self.add_endpoint("p5")
+        broken, down, resumed = self.script
+        answer = await self.answer(broken, *[down] * 3, resumed)
+        with self.assertRaises(errors.AnswerLostError):
+            await self.read_stream(answer)
+        self.assertEqual(4, len(self.endpoints.sends))
+
+    async def test_refused_stream_goes_on_at_a_further_endpoint(self):
+        self.use_stream_route(attempts_limit=9)
+        broken, _, resumed = self.script
+        answer = await self.answer(
+            broken, errors.NotExecutedError("full"), resumed
+        )
+        self.assertEqual(b"id: 1\n\nid: 2\n\n", await self.read_stream(answer))
+
+    async def test_lost_results_of_a_stream_are_computed_again(self):
+        self.use_stream_route(
+            attempts_limit=9, stages=(routes.Stage("stage", (), 100),)
+        )
+        broken, _, resumed = self.script
+        answer = await self.answer(
+            broken,
+            errors.NotExecutedError("gone", lacks_results=True),
+            resumed,
+            item_counts=(1,),
+        )
+        self.assertEqual(b"id: 1\n\nid: 2\n\n", await self.read_stream(answer))
+        self.assertEqual(3, self.runner.item_count)
--- a/tests/test_exchange_races.py
+++ b/tests/test_exchange_races.py
@@ -60,6 +60,26 @@
             self.assertIsInstance(finished.outcome, errors.ConnectError)
             self.assertEqual([], self.cancelled)
 
+    async def test_exchange_that_ended_before_its_cancellation_counts(self):
+        async with exchange_races.open_race() as race:
+            await race.start(FIRST, self.answer)
+            await race.start(SECOND, self.hang)
+            await curio.sleep(0.01)
+            await race.keep_last()
+            self.assertEqual(2, race.running)
+            finished = await race.wait(5.0)
+            self.assertEqual(FIRST, finished.endpoint)
+            self.assertEqual(1, race.running)
+
+    async def test_cancelled_exchange_does_not_count(self):
+        async with exchange_races.open_race() as race:
+            await race.start(FIRST, self.hang)
+            await race.start(SECOND, self.hang)
+            await curio.sleep(0.01)
+            await race.keep_last()
+            self.assertEqual(1, race.running)
+            self.assertEqual(["e1"], self.cancelled)
+
     async def test_stream_that_nobody_reads_is_closed(self):
         chunks = FakeChunks()
 
--- a/tests/test_proxying.py
+++ b/tests/test_proxying.py
@@ -695,10 +695,12 @@
                 ),
             )
         )
+        self.cluster.catalogue.put(proxy_fakes.build_endpoint("c1", "canary"))
         self.assertEqual("unknown_version", (await self.take_up()).reason)
         self.links.known["a1"] = stream_origins.StreamOrigin("plain", "v1")
         answer = await self.take_up(self.build_stream(b"id: 2\n\n"))
         self.assertEqual(b"id: 2\n\n", await self.read_stream(answer))
+        self.assertIn(self.endpoints.sends[0][0], ("p1", "p2"))
 
     async def test_other_entries_know_a_stream_before_its_caller(self):
         answer = await self.answer(self.build_stream(b"id: 1\n\n"))
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -4,7 +4,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from samphirevale import stream_origins
+from samphirevale import hash_order, stream_origins
 from tests import base, proxy_fakes
 
 ORIGIN = stream_origins.StreamOrigin("lm", "v1")
@@ -89,6 +89,23 @@
             found = await fleet.build_directory(name).find("a1")
             self.assertEqual(ORIGIN, found)
 
+    async def test_stream_is_found_behind_entries_that_have_come_since(self):
+        fleet = FakeFleet(NAMES)
+        await fleet.build_directory("entry0").record("a1", ORIGIN, 110.0)
+        holders = hash_order.order_by_hash("a1", NAMES[1:])
+        for name in ("entry0", *holders[: stream_origins.HOLDERS - 1]):
+            del fleet.origins[name]
+        ordered = hash_order.order_by_hash(
+            "a1", [holders[0], *(f"new{number}" for number in range(99))]
+        )
+        newcomers = ordered[: ordered.index(holders[0])]
+        for name in newcomers[: stream_origins.HOLDERS + 1]:
+            fleet.origins[name] = stream_origins.StreamOrigins()
+        for name in list(fleet.origins):
+            self.assertEqual(
+                ORIGIN, await fleet.build_directory(name).find("a1")
+            )
+
     async def test_silent_entries_do_not_delay_an_answer_for_long(self):
         fleet = FakeFleet(["entry0", "entry1", "entry2"])
         fleet.silent = {"entry1", "entry2"}
