Show that the mechanisms for eras, leaving and pauses are needed

41 more ablations: 22 of the store's eras and the guard against its copies, 5 of endpoints that leave, 10 of pauses, one of the limit of heads, and 3 of sidecars whose engine or link is silent for a moment.

For these the tests are added: an endpoint that has come back keeps its later state against a copy; a registration that is written again is not held back any more; one that stays in the store is used after all, also in a running entry; an entry without the newest routes stops using its own, and starts again with them; an entry prefers servers that do not pause for another entry; notices that are over are removed; idle connections to an endpoint that leaves are closed; a suspected sidecar is left for another endpoint.

--- a/lab/mechanisms.py
+++ b/lab/mechanisms.py
@@ -789,6 +789,30 @@
         ),
         ("tests.test_dump",),
     ),
+    ablate_module(
+        "brief silence of an engine loses no batches",
+        RECALL,
+        "monitors",
+        "UNANSWERED_PROBES_LIMIT = 2",
+        "UNANSWERED_PROBES_LIMIT = 1",
+        "tests.test_monitors.SilentEndpointTest",
+    ),
+    ablate_module(
+        "suspected sidecar kept without another endpoint",
+        DEADLINES,
+        "stage_runs",
+        "return self._repeatable and bool(candidate_names)",
+        "return self._repeatable",
+        "tests.test_stage_runs",
+    ),
+    ablate_module(
+        "suspected sidecar left for another endpoint",
+        DEADLINES,
+        "stage_runs",
+        "return self._repeatable and bool(candidate_names)",
+        "return False",
+        "tests.test_stage_runs",
+    ),
 )
 
 # Removes nothing; used for runs with all mechanisms in place.
--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -733,6 +733,347 @@
         "tests.test_registrar.RegistrarTest",
         f"{_DRILL}.test_entry_registers_again_in_a_new_era",
     ),
+    _ablate(
+        "older era does not replace a newer one",
+        ERAS,
+        "store_eras",
+        "if newest is None or era > newest:",
+        "if newest is None or era != newest:",
+        "tests.test_store_eras.StoreErasTest",
+    ),
+    _ablate(
+        "first era counted as no change",
+        ERAS,
+        "store_eras",
+        "        if previous is None:\n            return\n",
+        "",
+        "tests.test_store_eras.StoreErasTest.test_first_era_is_no_change",
+    ),
+    _ablate(
+        "malformed era ignored",
+        ERAS,
+        "platform/store",
+        "if len(text) > ERA_DIGITS_LIMIT or not (text.isascii()"
+        " and text.isdigit()):",
+        "if not text.isdigit():",
+        "tests.platform.test_store.EraTest"
+        ".test_malformed_era_is_none_logged_and_counted",
+    ),
+    _ablate(
+        "endpoints remembered after they have gone",
+        ERAS,
+        "copy_guard",
+        "        self._departed[name] = _Dated(change.before, now)\n",
+        "",
+        "tests.test_copy_guard.CopyGuardTest",
+    ),
+    _ablate(
+        "endpoint that has come back not remembered as gone",
+        ERAS,
+        "copy_guard",
+        "            self._departed.pop(change.after.name, None)\n"
+        "            return\n",
+        "            return\n",
+        "tests.test_copy_guard.CopyGuardTest"
+        ".test_endpoint_that_came_back_stays_in_its_later_state",
+    ),
+    _ablate(
+        "endpoints that have long gone forgotten",
+        ERAS,
+        "copy_guard",
+        "            if now < departed.at + DEPARTED_SECONDS:\n",
+        "            if True:\n",
+        "tests.test_copy_guard.CopyGuardTest.test_old_departures_are_forgotten",
+    ),
+    _ablate(
+        "draining endpoint kept draining by the guard",
+        ERAS,
+        "copy_guard",
+        "return endpoint.started, not endpoint.accepting",
+        "return endpoint.started, True",
+        "tests.test_copy_guard.CopyGuardTest"
+        ".test_draining_endpoint_does_not_accept_work_again",
+    ),
+    _ablate(
+        "later start kept by the guard",
+        ERAS,
+        "copy_guard",
+        "return endpoint.started, not endpoint.accepting",
+        "return 0, not endpoint.accepting",
+        "tests.test_copy_guard.CopyGuardTest"
+        ".test_later_start_is_not_replaced_by_an_earlier_one",
+    ),
+    _ablate(
+        "registration that is held back left in its earlier state",
+        ERAS,
+        "copy_guard",
+        "if name not in self._departed:",
+        "if False:",
+        "tests.test_copy_guard.CopyGuardTest",
+    ),
+    _ablate(
+        "registration that is written again used",
+        ERAS,
+        "cluster_watch",
+        "            self._cluster.copy_guard.record_write("
+        "stored_object.name)\n",
+        "",
+        f"{_DRILL}.test_store_that_lost_its_writes_brings_nothing_back",
+    ),
+    _ablate(
+        "time of a held registration counted from its first list",
+        ERAS,
+        "copy_guard",
+        "since = self._held.get(name, _Dated(endpoint, now)).at",
+        "since = now",
+        "tests.test_copy_guard.CopyGuardTest"
+        ".test_registration_that_stays_in_the_store_is_used",
+    ),
+    _ablate(
+        "changes of endpoints recorded for the guard",
+        ERAS,
+        "cluster_watch",
+        "            self._cluster.copy_guard.record_change(change, now)\n",
+        "",
+        f"{_DRILL}.test_store_that_lost_its_writes_brings_nothing_back",
+    ),
+    _ablate(
+        "held registrations released",
+        ERAS,
+        "gateway",
+        "            self.cluster_watch.release_held(now)\n",
+        "",
+        f"{_DRILL}.test_server_that_stays_in_the_copy_is_used_after_all",
+    ),
+    _ablate(
+        "newest version of the routes learned from reports",
+        ERAS,
+        "cluster_watch",
+        "        self._cluster.note_routes_version(known.version)\n",
+        "",
+        f"{_DRILL}.test_routes_older_than_those_of_another_entry_expire",
+    ),
+    _ablate(
+        "newest version of the routes learned from sources",
+        ERAS,
+        "routes_freshness",
+        "        self._cluster.note_routes_version(answer.version)\n",
+        "",
+        "tests.test_routes_freshness",
+    ),
+    _ablate(
+        "new era learned from sources",
+        ERAS,
+        "routes_freshness",
+        "        relation = await self._eras.observe("
+        "answer.era, name, self._clock.now())\n",
+        "        relation = store_eras.compare("
+        "answer.era, self._eras.newest)\n",
+        "tests.test_routes_freshness.RoutesFreshnessTest"
+        ".test_source_tells_of_a_new_era",
+    ),
+    _ablate(
+        "pause after a read of a store that lost the newest routes",
+        ERAS,
+        "routes_freshness",
+        '                "routes_not_read",'
+        ' error="another entry has newer routes"\n'
+        "            )\n"
+        "            await self._clock.sleep(FAILED_READ_SECONDS)\n",
+        '                "routes_not_read",'
+        ' error="another entry has newer routes"\n'
+        "            )\n",
+        "tests.test_routes_freshness.RoutesFreshnessTest"
+        ".test_store_that_lost_the_newest_routes_does_not_confirm",
+    ),
+    _ablate(
+        "era in which the routes were confirmed told",
+        ERAS,
+        "gateway",
+        "            self.cluster_state.routes_era,\n",
+        "            self.cluster_watch.eras.newest,\n",
+        f"{_DRILL}.test_entries_tell_each_other_the_era",
+    ),
+    _ablate(
+        "routes need an answer after the rewrites of a new era",
+        ERAS,
+        "cluster_state",
+        "        self.routes_age.start_grace_period("
+        "now + store_eras.REWRITE_SECONDS)\n",
+        "",
+        "tests.test_routes_freshness.RewindSoundnessTest",
+    ),
+    _ablate(
+        "answer of an older era followed by a registration",
+        ERAS,
+        "registrar",
+        "return previous if era is None else era",
+        "return self._eras.newest",
+        "tests.test_registrar.RegistrarTest"
+        ".test_late_answer_of_an_older_era_is_followed_by_a_write",
+    ),
+    _ablate(
+        "registrations of a fleet in a new era spread",
+        ERAS,
+        "registrar",
+        "            await self._clock.sleep("
+        "self._rng.random() * SPREAD_SECONDS)\n",
+        "",
+        "tests.test_registrar.RegistrarTest.test_writes_of_a_fleet_are_spread",
+    ),
+    _ablate(
+        "new era learned from a write",
+        ERAS,
+        "registrar",
+        "        await self._eras.observe("
+        "era, store_eras.STORE, self._clock.now())\n",
+        "",
+        "tests.test_registrar.RegistrarTest"
+        ".test_answer_of_a_write_announces_a_new_era",
+    ),
+    _ablate(
+        "queued items taken back when an endpoint leaves",
+        LEAVING,
+        "notice_handler",
+        "            await self._withdraw_items(endpoint)\n"
+        "        return True\n",
+        "            pass\n        return True\n",
+        "tests.test_notice_handler.NoticeHandlerTest"
+        ".test_leaving_is_told_once_and_ends_what_is_queued",
+    ),
+    _ablate(
+        "leaving of an earlier start ends nothing of the present one",
+        LEAVING,
+        "notice_handler",
+        "            and endpoint_notices.get_start(endpoint) == start\n",
+        "",
+        "tests.test_notice_handler.NoticeHandlerTest"
+        ".test_leaving_of_an_earlier_start_leaves_the_present_one",
+    ),
+    _ablate(
+        "leaving adopted from other entries",
+        LEAVING,
+        "notice_handler",
+        "            await self._handle_leaving(start, entry)\n",
+        "            pass\n",
+        "tests.test_notice_handler.NoticeHandlerTest"
+        ".test_leaving_told_by_an_entry_is_not_told_on",
+    ),
+    _ablate(
+        "idle connections to an endpoint that leaves closed",
+        LEAVING,
+        "platform/endpoints",
+        "        if notice.leaving:\n"
+        "            await self.close_idle(endpoint)\n",
+        "",
+        f"{_CALLS}.PlatformEndpointsTest"
+        ".test_idle_connections_to_an_endpoint_that_leaves_are_closed",
+    ),
+    _ablate(
+        "endpoints that have long left forgotten",
+        LEAVING,
+        "endpoint_notices",
+        "                del self._leaving[start]\n",
+        "                pass\n",
+        _NOTICES,
+    ),
+    _ablate(
+        "queued items taken back when a pause begins",
+        PAUSES,
+        "notice_handler",
+        "                seconds=seconds,\n"
+        "            )\n"
+        "            await self._withdraw_items(endpoint)\n",
+        "                seconds=seconds,\n            )\n",
+        "tests.test_notice_handler.NoticeHandlerTest"
+        ".test_pause_is_counted_and_reported",
+    ),
+    _ablate(
+        "pauses reported to other entries",
+        PAUSES,
+        "gateway",
+        "            self._notices.describe_pauses(now),\n",
+        "            [],\n",
+        "tests.platform.test_leaving_servers.PausingServerTest"
+        ".test_another_entry_prefers_servers_that_do_not_pause",
+    ),
+    _ablate(
+        "pauses adopted from reports",
+        PAUSES,
+        "entries",
+        "            self._notices.adopt_pauses(message.pauses)\n",
+        "",
+        "tests.test_entries.EntryTableTest.test_pauses_are_reported",
+    ),
+    _ablate(
+        "pause of another entry adopted without binding",
+        PAUSES,
+        "notice_handler",
+        "            self._cluster.notices.record_pause_elsewhere(\n",
+        "            self._cluster.notices.record_pause(\n",
+        "tests.test_notice_handler.NoticeHandlerTest"
+        ".test_reported_pause_is_adopted_without_binding",
+    ),
+    _ablate(
+        "pauses that are over forgotten",
+        PAUSES,
+        "endpoint_notices",
+        "                del ends[start]\n",
+        "                pass\n",
+        _NOTICES,
+        "tests.test_notice_handler",
+    ),
+    _ablate(
+        "notices that are over removed",
+        PAUSES,
+        "gateway",
+        "            self._notices.remove_expired(now)\n",
+        "",
+        "tests.platform.test_leaving_servers.LeavingServerTest"
+        ".test_a_server_that_has_long_gone_is_forgotten",
+    ),
+    _ablate(
+        "malformed notices counted",
+        PAUSES,
+        "notice_handler",
+        "            self._record_malformed(endpoint, text)\n",
+        "            pass\n",
+        "tests.test_notice_handler.NoticeHandlerTest"
+        ".test_malformed_and_huge_notices_are_logged_and_counted",
+    ),
+    _ablate(
+        "call that was not sent takes its items elsewhere",
+        PAUSES,
+        "batch_dispatch",
+        "            if isinstance(error, errors.NotAcceptingError):\n",
+        "            if False:\n",
+        f"{_DISPATCH}.test_items_that_were_not_sent_can_go_elsewhere",
+    ),
+    _ablate(
+        "pause of a leaving endpoint not waited for",
+        PAUSES,
+        "cluster_state",
+        "            if not self.notices.is_leaving(endpoint)\n",
+        "",
+        "tests.test_cluster_state.UsableEndpointsTest",
+    ),
+    _ablate(
+        "pause that ends before the stages refuses nothing",
+        PAUSES,
+        "proxy_runs",
+        "self._endpoints.compute_pause() <= bare_seconds",
+        "not self._endpoints.all_pause()",
+        f"{_PROXYING}.PauseTest"
+        ".test_pause_that_ends_before_the_stages_refuses_nothing",
+    ),
+    _ablate(
+        "heads read up to the operator's limit from the start",
+        LIMITS,
+        "adapters/web",
+        "self._limits = state.limits or limits",
+        "self._limits = limits",
+        "tests.adapters.test_web",
+    ),
     _ablate(
         "time limit for request heads",
         LIMITS,
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -35,12 +35,13 @@
     async def run_server(self, status, *headers):
         """Runs a server that gives the same answer to all calls."""
         self.targets = []
+        self.headers = list(headers)
         self.listener = FakeListener()
         self.endpoints = endpoints.PlatformEndpoints(self.listener)
 
         async def answer(request):
             self.targets.append(request.path)
-            return web.Response(status, b'{"free_mb": 3}', headers)
+            return web.Response(status, b'{"free_mb": 3}', tuple(self.headers))
 
         port = base.find_free_port()
         task = await curio.spawn(
@@ -101,3 +102,13 @@
         async with self.run_server(200):
             await self.endpoints.read_free_memory(self.endpoint)
             self.assertEqual(1, len(self.endpoints._idle))
+
+    async def test_idle_connections_to_an_endpoint_that_leaves_are_closed(self):
+        async with self.run_server(200):
+            await self.endpoints.read_free_memory(self.endpoint)
+            idle = self.endpoints._idle
+            self.assertEqual(1, len(idle))
+            self.headers.append(LEAVING)
+            with self.assertRaises(errors.ProtocolError):
+                await self.list_calls()[0]()
+            self.assertEqual({}, idle)
--- a/tests/platform/test_leaving_servers.py
+++ b/tests/platform/test_leaving_servers.py
@@ -1,6 +1,7 @@
 """Tests of sessions with servers that leave or ask for a pause."""
 
 import time
+from unittest import mock
 
 import curio
 
@@ -89,6 +90,18 @@
             self.port = second_port
             await self.check_unused("plain1")
 
+    async def test_a_server_that_has_long_gone_is_forgotten(self):
+        notices = "samphirevale.endpoint_notices.LEAVING_SECONDS"
+        with mock.patch(notices, 0.2):
+            async with self.run_all():
+                known = self.gateway.cluster_state.notices
+                self.servers["plain1"].leaving = True
+                await self.read_until_reached("plain1")
+                await curio.sleep(TELLING_SECONDS)
+                self.assertEqual(1, len(known.list_leaving()))
+                self.store.remove("servers", "plain1")
+                await self.wait_until(lambda: not known.list_leaving())
+
 
 class PausingServerTest(ServersTestCase):
     """A server asks for a pause with a refusal."""
@@ -103,6 +116,16 @@
             await self.read_until_reached("plain1")
             self.assertEqual(1, len(plain.seen_headers))
 
+    async def test_another_entry_prefers_servers_that_do_not_pause(self):
+        async with self.run_all(), self.run_second_entry() as second_port:
+            plain = self.servers["plain1"]
+            plain.begin_pause(2.0 + TELLING_SECONDS, time.monotonic())
+            await self.read_until_reached("plain1")
+            await curio.sleep(TELLING_SECONDS)
+            self.port = second_port
+            await self.check_unused("plain1")
+            self.assertLess(time.monotonic(), plain.pause.ends_at)
+
     async def test_a_pause_outlives_a_new_manifest(self):
         async with self.run_all():
             plain = self.servers["plain1"]
--- a/tests/platform/test_store_drills.py
+++ b/tests/platform/test_store_drills.py
@@ -1,5 +1,7 @@
 """Tests of sessions in which the store comes back from a copy."""
 
+from unittest import mock
+
 import curio
 
 from samphirevale import registrations, routes_freshness
@@ -167,6 +169,31 @@
             self.assertEqual(401, (await self.call("/read/x"))[0])
             self.register_server("plain1", 1, slots=5)
             await self.wait_until(lambda: table.find("plain1") is not None)
+            self.assertFalse(held.is_held("plain1"))
+
+    async def test_server_that_stays_in_the_copy_is_used_after_all(self):
+        with mock.patch("samphirevale.copy_guard.HOLD_SECONDS", 1.0):
+            async with self.run_all():
+                copy = self.store.take_copy()
+                await self.unregister("plain1")
+                await self.return_from_copy(copy)
+                held = self.gateway.cluster_state.copy_guard
+                await self.wait_until(lambda: held.is_held("plain1"))
+                await self.wait_until_accepting("plain1", "plain2")
+                await self.read_until_reached("plain1")
+
+    async def test_routes_older_than_those_of_another_entry_expire(self):
+        async with self.run_all():
+            known = self.gateway.cluster_state
+            await self.gateway.cluster_watch.adopt_report(
+                "other", routes_freshness.StoreKnowledge(None, 2)
+            )
+            await self.wait_until(lambda: not self.gateway.is_ready())
+            self.assertEqual(503, (await self.call("/read/x"))[0])
+            self.store.put("config", "main", sessions.build_manifest(2))
+            await self.wait_until(self.gateway.is_ready)
+            self.assertEqual(2, known.table.version)
+            await self.read()
 
     async def test_store_that_lost_an_endpoint_does_not_take_it_away(self):
         async with self.run_all():
--- a/tests/test_copy_guard.py
+++ b/tests/test_copy_guard.py
@@ -51,6 +51,15 @@
             [ENDPOINT], self.guard.filter_listed([ENDPOINT], 100.5)
         )
 
+    def test_endpoint_that_came_back_stays_in_its_later_state(self):
+        restarted = ENDPOINT._replace(started=8)
+        self.guard.record_change(catalogue.Change(ENDPOINT, None), 99.0)
+        self.guard.record_change(catalogue.Change(None, restarted), 99.5)
+        self.guard.start_era([restarted], 100.0)
+        self.assertEqual(
+            [restarted], self.guard.filter_listed([ENDPOINT], 100.5)
+        )
+
     def test_draining_endpoint_does_not_accept_work_again(self):
         draining = ENDPOINT._replace(accepting=False)
         self.start_era(draining)
--- a/tests/test_stage_runs.py
+++ b/tests/test_stage_runs.py
@@ -87,6 +87,16 @@
         await self.add_sidecar("engines-0", "engines", fall_silent)
         self.check_complete(await self.run_stage(GENERATION, stream=True))
 
+    async def test_suspected_sidecar_is_left_for_another_endpoint(self):
+        async def stay_silent(sidecar, handover):
+            await nodes.send_tokens(sidecar, handover, 2)
+            await sidecar.peer.notify_suspected()
+
+        await self.add_sidecar("engines-0", "engines", stay_silent)
+        second = await self.add_sidecar("engines-1", "engines")
+        self.check_complete(await self.run_stage(GENERATION, stream=True))
+        self.assertEqual([2], [h.offset for h in second.handovers])
+
     async def test_resume_never_goes_to_another_batch(self):
         broken = nodes.build_refusing_step("failed", tokens=2)
         await self.add_sidecar("engines-0", "engines", broken)
