Build what tests of the new rules share in one place each

Joined, where the logic is the same: the state of an entry that has just started (tests/proxy_fakes.py), the value of a counter (tests/base.py, three copies), a route of resumable streams and a stream's answer (ProxyTestCase), calls that are held, the steps of the walks over ages of routes and the question to a source (the older walk now also states the era, which is none there), pauses that have been noticed, exchanges of which the last is kept.

No check is changed. A counter without a line now reads 0 in two more tests, which compare it with its value after the rise.

--- a/tests/base.py
+++ b/tests/base.py
@@ -10,6 +10,8 @@
 
 import curio
 
+from samphirevale import metrics
+
 # The timeout of an asynchronous test, in seconds.
 TEST_TIMEOUT_SECONDS = 60.0
 
@@ -53,6 +55,25 @@
             await method()
 
 
+def read_counter(name: str, **labels: str) -> float:
+    """Returns the value of a counter; 0 if it has no such labels yet.
+
+    Args:
+        name: the name without the prefix and the suffix of all counters.
+        **labels: the labels, in the order in which they are rendered.
+    """
+    sample = f"samphirevale_{name}_total"
+    if labels:
+        pairs = (f'{key}="{value}"' for key, value in labels.items())
+        sample += f"{{{','.join(pairs)}}}"
+    sample += " "
+    return sum(
+        float(line.removeprefix(sample))
+        for line in metrics.render().decode().splitlines()
+        if line.startswith(sample)
+    )
+
+
 def _iterate_ports() -> Iterator[int]:
     """Yields the ports in a cycle whose start depends on the process id."""
     start = os.getpid() * PORT_STRIDE % len(PORTS)
--- a/tests/platform/test_leaving_servers.py
+++ b/tests/platform/test_leaving_servers.py
@@ -106,11 +106,16 @@
 class PausingServerTest(ServersTestCase):
     """A server asks for a pause with a refusal."""
 
+    async def pause(self, seconds):
+        """Returns a server that has refused a request and asked for a pause."""
+        plain = self.servers["plain1"]
+        plain.begin_pause(seconds, time.monotonic())
+        await self.read_until_reached("plain1")
+        return plain
+
     async def test_a_server_gets_no_requests_until_its_pause_ends(self):
         async with self.run_all():
-            plain = self.servers["plain1"]
-            plain.begin_pause(1.0, time.monotonic())
-            await self.read_until_reached("plain1")
+            plain = await self.pause(1.0)
             await self.read_until_pause_ends("plain1")
             self.assertEqual(1, len(plain.arrivals))
             await self.read_until_reached("plain1")
@@ -118,9 +123,7 @@
 
     async def test_another_entry_prefers_servers_that_do_not_pause(self):
         async with self.run_all(), self.run_second_entry() as second_port:
-            plain = self.servers["plain1"]
-            plain.begin_pause(2.0 + TELLING_SECONDS, time.monotonic())
-            await self.read_until_reached("plain1")
+            plain = await self.pause(2.0 + TELLING_SECONDS)
             await curio.sleep(TELLING_SECONDS)
             self.port = second_port
             await self.check_unused("plain1")
@@ -128,9 +131,7 @@
 
     async def test_a_pause_outlives_a_new_manifest(self):
         async with self.run_all():
-            plain = self.servers["plain1"]
-            plain.begin_pause(1.5, time.monotonic())
-            await self.read_until_reached("plain1")
+            plain = await self.pause(1.5)
             manifest = sessions.build_manifest(2)
             self.store.put("config", "main", manifest)
             known = self.gateway.cluster_state
@@ -140,9 +141,7 @@
 
     async def test_a_pause_ends_with_a_restart(self):
         async with self.run_all():
-            plain = self.servers["plain1"]
-            plain.begin_pause(3.0, time.monotonic())
-            await self.read_until_reached("plain1")
+            plain = await self.pause(3.0)
             await self.check_unused("plain1")
             plain.pause = None
             self.change_server("plain1", born=2)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -4,7 +4,7 @@
 
 import curio
 
-from samphirevale import errors, metrics
+from samphirevale import errors
 from samphirevale.adapters import web
 from samphirevale.platform import store
 from standins import metadata_store
@@ -49,11 +49,13 @@
         async with self.run_store():
             for text in texts:
                 self.store.era_header = text
-                counted = read_malformed()
+                counted = base.read_counter("store_eras_malformed")
                 with self.assertLogs(level="WARNING"):
                     listing = await self.client.list_at("k")
                 self.assertIsNone(listing.era)
-                self.assertEqual(counted + 1, read_malformed())
+                self.assertEqual(
+                    counted + 1, base.read_counter("store_eras_malformed")
+                )
 
     async def test_store_without_eras_states_none(self):
         async with self.run_store():
@@ -68,13 +70,3 @@
             self.returns_after_each_answer = True
             with self.assertRaises(errors.StoreUnavailableError):
                 await self.client.list_at("k")
-
-
-def read_malformed():
-    text = metrics.render().decode()
-    (line,) = [
-        line
-        for line in text.splitlines()
-        if line.startswith("samphirevale_store_eras_malformed_total")
-    ]
-    return float(line.split()[-1])
--- a/tests/proxy_fakes.py
+++ b/tests/proxy_fakes.py
@@ -7,8 +7,10 @@
 from samphirevale import (
     batching,
     catalogue,
+    cluster_state,
     errors,
     journal,
+    ownership,
     proxy_requests,
     routes,
 )
@@ -85,6 +87,11 @@
     return route._replace(**changes)
 
 
+def build_cluster_state():
+    """Returns what an entry knows that has just started."""
+    return cluster_state.ClusterState(5.0, ownership.Member("me", "a"))
+
+
 def build_table(route_list, version=1, **changes):
     services = {
         "plain": routes.Service("plain", 10, None),
--- a/tests/test_batch_dispatch.py
+++ b/tests/test_batch_dispatch.py
@@ -7,9 +7,7 @@
 
 from samphirevale import (
     batch_dispatch,
-    cluster_state,
     errors,
-    ownership,
     routes,
     stages,
 )
@@ -49,6 +47,18 @@
     async def run_items(self, *items):
         return await self.dispatcher.run_items(self.endpoint, LIMITS, items)
 
+    def hold_calls(self):
+        """Holds calls; returns events of their start and for their end."""
+        call_started, call_may_end = curio.Event(), curio.Event()
+
+        async def run_batch(endpoint, items, now):
+            await call_started.set()
+            await call_may_end.wait()
+            return self.endpoints.succeed_all(items)
+
+        self.endpoints.run_batch = run_batch
+        return call_started, call_may_end
+
     async def test_results_are_in_the_order_of_the_items(self):
         results = await self.run_items(
             proxy_fakes.build_item(1), proxy_fakes.build_item(0)
@@ -139,14 +149,7 @@
         )
 
     async def test_queued_items_can_go_elsewhere_at_once(self):
-        call_started, call_may_end = curio.Event(), curio.Event()
-
-        async def run_batch(endpoint, items, now):
-            await call_started.set()
-            await call_may_end.wait()
-            return self.endpoints.succeed_all(items)
-
-        self.endpoints.run_batch = run_batch
+        call_started, call_may_end = self.hold_calls()
         running = await curio.spawn(self.run_items, proxy_fakes.build_item())
         await call_started.wait()
         queued = await curio.spawn(self.run_items, proxy_fakes.build_item(1))
@@ -217,14 +220,7 @@
         self.assertEqual(0.0, self.build_state().busy_seconds)
 
     async def test_results_of_cancelled_items_are_released(self):
-        call_started, call_may_end = curio.Event(), curio.Event()
-
-        async def run_batch(endpoint, items, now):
-            await call_started.set()
-            await call_may_end.wait()
-            return self.endpoints.succeed_all(items)
-
-        self.endpoints.run_batch = run_batch
+        call_started, call_may_end = self.hold_calls()
         task = await curio.spawn(self.run_items, proxy_fakes.build_item())
         await call_started.wait()
         await task.cancel()
@@ -239,9 +235,7 @@
     def setUp(self):
         self.endpoints = proxy_fakes.FakeEndpoints()
         self.clock = clock.MonotonicClock()
-        self.cluster = cluster_state.ClusterState(
-            5.0, ownership.Member("me", "a")
-        )
+        self.cluster = proxy_fakes.build_cluster_state()
         self.dispatcher = batch_dispatch.BatchDispatcher(
             self.endpoints,
             self.clock,
--- a/tests/test_cluster_state.py
+++ b/tests/test_cluster_state.py
@@ -1,6 +1,6 @@
 """Tests of the copies that a proxying entry holds."""
 
-from samphirevale import cluster_state, endpoint_notices, ownership
+from samphirevale import endpoint_notices, ownership
 from tests import base, proxy_fakes
 
 NOW = 100.0
@@ -10,9 +10,7 @@
     """Tests versions of routes and owners of endpoints."""
 
     def setUp(self):
-        self.cluster = cluster_state.ClusterState(
-            5.0, ownership.Member("me", "a")
-        )
+        self.cluster = proxy_fakes.build_cluster_state()
 
     def test_older_version_is_not_adopted(self):
         self.assertTrue(
@@ -59,9 +57,7 @@
     """Tests which endpoints of a plain and of a batched service are usable."""
 
     def setUp(self):
-        self.cluster = cluster_state.ClusterState(
-            5.0, ownership.Member("me", "a")
-        )
+        self.cluster = proxy_fakes.build_cluster_state()
         self.cluster.adopt_table(proxy_fakes.build_table([]))
         self.notices = self.cluster.notices
         for service in ("plain", "stage"):
--- a/tests/test_endpoint_notices.py
+++ b/tests/test_endpoint_notices.py
@@ -3,7 +3,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from samphirevale import cluster_state, endpoint_notices, ownership
+from samphirevale import endpoint_notices
 from tests import base, proxy_fakes
 
 NOW = 100.0
@@ -164,9 +164,7 @@
     def test_no_order_makes_an_endpoint_usable_too_early(self, steps):
         self.model = NoticesModel()
         self.version = 0
-        self.cluster = cluster_state.ClusterState(
-            5.0, ownership.Member("me", "a")
-        )
+        self.cluster = proxy_fakes.build_cluster_state()
         for step in steps:
             self.take_step(*step)
             # Time may pass by a minute in all, in which nothing is forgotten.
--- a/tests/test_event_streams.py
+++ b/tests/test_event_streams.py
@@ -52,19 +52,19 @@
         super().setUp()
         self.clock = RunningClock()
 
-    def use_stream_route(self, **changes):
-        self.use_route(
-            proxy_fakes.build_route(
-                repeatable=False, streamed=True, resumable=True, **changes
-            )
-        )
+    def slow_down_stages(self, seconds):
+        run_items = self.runner.run_items
+
+        async def run_slowly(*arguments):
+            results = await run_items(*arguments)
+            await curio.sleep(seconds)
+            return results
+
+        self.runner.run_items = run_slowly
 
     def add_endpoint(self, name):
         self.cluster.catalogue.put(proxy_fakes.build_endpoint(name, "plain"))
 
-    def build_stream(self, *parts):
-        return proxy_fakes.FakeAnswer(parts, streamed=True)
-
     async def read_stream(self, answer):
         async with contextlib.aclosing(answer.chunks) as chunks:
             return b"".join([chunk async for chunk in chunks])
@@ -213,14 +213,7 @@
             self.build_stream(b"id: 2\n\n"),
             item_counts=(1,),
         )
-        run_items = self.runner.run_items
-
-        async def run_slowly(*arguments):
-            results = await run_items(*arguments)
-            await curio.sleep(0.8)
-            return results
-
-        self.runner.run_items = run_slowly
+        self.slow_down_stages(0.8)
         self.assertEqual(b"id: 1\n\nid: 2\n\n", await self.read_stream(answer))
         self.assertEqual(2, self.runner.item_count)
 
@@ -334,13 +327,7 @@
 
     async def test_silent_streams_do_not_share_it_after_their_stages(self):
         self.use_stream_route(stages=(routes.Stage("stage", (), 100),))
-        run_items = self.runner.run_items
-
-        async def run_slowly(*arguments):
-            await curio.sleep(0.1)
-            return await run_items(*arguments)
-
-        self.runner.run_items = run_slowly
+        self.slow_down_stages(0.1)
         self.assertEqual(2, await self.count_connections(item_counts=(1,)))
 
     async def test_stages_of_silent_streams_run_again_within_the_budget(self):
--- a/tests/test_exchange_races.py
+++ b/tests/test_exchange_races.py
@@ -60,12 +60,16 @@
             self.assertIsInstance(finished.outcome, errors.ConnectError)
             self.assertEqual([], self.cancelled)
 
+    async def keep_second(self, race, send):
+        """Starts two exchanges, and keeps the second one, which hangs."""
+        await race.start(FIRST, send)
+        await race.start(SECOND, self.hang)
+        await curio.sleep(0.01)
+        await race.keep_last()
+
     async def test_exchange_that_ended_before_its_cancellation_counts(self):
         async with exchange_races.open_race() as race:
-            await race.start(FIRST, self.answer)
-            await race.start(SECOND, self.hang)
-            await curio.sleep(0.01)
-            await race.keep_last()
+            await self.keep_second(race, self.answer)
             self.assertEqual(2, race.running)
             finished = await race.wait(5.0)
             self.assertEqual(FIRST, finished.endpoint)
@@ -73,10 +77,7 @@
 
     async def test_cancelled_exchange_does_not_count(self):
         async with exchange_races.open_race() as race:
-            await race.start(FIRST, self.hang)
-            await race.start(SECOND, self.hang)
-            await curio.sleep(0.01)
-            await race.keep_last()
+            await self.keep_second(race, self.hang)
             self.assertEqual(1, race.running)
             self.assertEqual(["e1"], self.cancelled)
 
--- a/tests/test_item_routing.py
+++ b/tests/test_item_routing.py
@@ -7,7 +7,6 @@
 from samphirevale import (
     batch_dispatch,
     batching,
-    cluster_state,
     endpoint_notices,
     item_routing,
     messages,
@@ -53,9 +52,7 @@
 
     def setUp(self):
         self.clock = proxy_fakes.FakeClock()
-        self.cluster = cluster_state.ClusterState(
-            5.0, ownership.Member("me", "a")
-        )
+        self.cluster = proxy_fakes.build_cluster_state()
         self.cluster.table = proxy_fakes.build_table([])
         self.endpoint = proxy_fakes.build_endpoint(data_centre="b")
         self.cluster.catalogue.put(self.endpoint)
--- a/tests/test_notice_handler.py
+++ b/tests/test_notice_handler.py
@@ -1,12 +1,9 @@
 """Tests of what an entry does with notices of endpoints."""
 
 from samphirevale import (
-    cluster_state,
     endpoint_notices,
     messages,
-    metrics,
     notice_handler,
-    ownership,
 )
 from samphirevale.ports import proxies
 from tests import base, proxy_fakes
@@ -24,9 +21,7 @@
 
     def setUp(self):
         self.clock = proxy_fakes.FakeClock(NOW)
-        self.cluster = cluster_state.ClusterState(
-            5.0, ownership.Member("me", "a")
-        )
+        self.cluster = proxy_fakes.build_cluster_state()
         self.cluster.catalogue.put(ENDPOINT)
         self.journal = proxy_fakes.FakeJournal()
         self.withdrawn = []
@@ -46,11 +41,7 @@
         self.told.append(message)
 
     def count(self, name):
-        labels = '{service="stage"}'
-        for line in metrics.render().decode().splitlines():
-            if line.startswith(f"samphirevale_{name}_total{labels}"):
-                return float(line.split()[-1])
-        return 0.0
+        return base.read_counter(name, service="stage")
 
     async def test_leaving_is_told_once_and_ends_what_is_queued(self):
         before = self.count("endpoints_leaving")
--- a/tests/test_proxying.py
+++ b/tests/test_proxying.py
@@ -3,11 +3,9 @@
 import random
 
 from samphirevale import (
-    cluster_state,
     endpoint_notices,
     errors,
     input_fingerprints,
-    ownership,
     placement,
     proxy_context,
     proxy_requests,
@@ -67,9 +65,7 @@
 
     def setUp(self):
         self.clock = proxy_fakes.FakeClock(NOW)
-        self.cluster = cluster_state.ClusterState(
-            5.0, ownership.Member("me", "a")
-        )
+        self.cluster = proxy_fakes.build_cluster_state()
         self.cluster.routes_age.confirm(NOW)
         self.cluster.catalogue.replace(
             [
@@ -94,6 +90,16 @@
     def use_route(self, route):
         self.cluster.table = proxy_fakes.build_table([route])
 
+    def use_stream_route(self, **changes):
+        self.use_route(
+            proxy_fakes.build_route(
+                repeatable=False, streamed=True, resumable=True, **changes
+            )
+        )
+
+    def build_stream(self, *parts):
+        return proxy_fakes.FakeAnswer(parts, streamed=True)
+
     async def answer(self, *script, **changes):
         proxy = self.build_proxy(*script)
         return await proxy.answer(proxy_fakes.build_request(**changes))
@@ -435,17 +441,11 @@
         )
 
     async def test_broken_stream_goes_on_where_nothing_pauses(self):
-        self.use_route(
-            proxy_fakes.build_route(
-                repeatable=False, streamed=True, resumable=True
-            )
-        )
+        self.use_stream_route()
         self.cluster.catalogue.put(proxy_fakes.build_endpoint("p3", "plain"))
         answer = await self.answer(
-            proxy_fakes.FakeAnswer(
-                [b"id: 1\n\n", proxy_fakes.LOST_ANSWER], streamed=True
-            ),
-            proxy_fakes.FakeAnswer([b"id: 2\n\n"], streamed=True),
+            self.build_stream(b"id: 1\n\n", proxy_fakes.LOST_ANSWER),
+            self.build_stream(b"id: 2\n\n"),
         )
         first = self.endpoints.sends[0][0]
         paused, free = sorted({"p1", "p2", "p3"} - {first})
@@ -459,18 +459,11 @@
 
     def setUp(self):
         super().setUp()
-        self.use_route(
-            proxy_fakes.build_route(
-                repeatable=False, streamed=True, resumable=True
-            )
-        )
+        self.use_stream_route()
 
     async def read_stream(self, answer):
         return b"".join([chunk async for chunk in answer.chunks])
 
-    def build_stream(self, *parts):
-        return proxy_fakes.FakeAnswer(parts, streamed=True)
-
     async def test_events_are_joined_across_chunks(self):
         answer = await self.answer(
             self.build_stream(b"id: 1\nda", b"ta: x\n\nid: 2\n", b"\n")
@@ -532,13 +525,8 @@
     async def test_stream_of_a_silent_endpoint_is_not_cut_by_a_failed_stage(
         self,
     ):
-        self.use_route(
-            proxy_fakes.build_route(
-                repeatable=False,
-                streamed=True,
-                resumable=True,
-                stages=(routes.Stage("stage", (), 100),),
-            )
+        self.use_stream_route(
+            stages=(routes.Stage("stage", (), 100),),
         )
         answer = await self.answer(
             self.build_stream(
@@ -655,13 +643,8 @@
         self.assertEqual(b"id: 2\n\n", await self.read_stream(answer))
 
     async def test_stream_whose_version_has_gone_is_refused_before_stages(self):
-        self.use_route(
-            proxy_fakes.build_route(
-                repeatable=False,
-                streamed=True,
-                resumable=True,
-                stages=(routes.Stage("stage", (), 100),),
-            )
+        self.use_stream_route(
+            stages=(routes.Stage("stage", (), 100),),
         )
         self.links.known["a1"] = stream_origins.StreamOrigin("plain", "v0")
         answer = await self.take_up(item_counts=(1,))
@@ -684,16 +667,11 @@
         )
 
     async def test_stream_stays_at_its_service_of_several(self):
-        self.use_route(
-            proxy_fakes.build_route(
-                repeatable=False,
-                streamed=True,
-                resumable=True,
-                splits=(
-                    routes.Split("canary", 99.0),
-                    routes.Split("plain", 1.0),
-                ),
-            )
+        self.use_stream_route(
+            splits=(
+                routes.Split("canary", 99.0),
+                routes.Split("plain", 1.0),
+            ),
         )
         self.cluster.catalogue.put(proxy_fakes.build_endpoint("c1", "canary"))
         self.assertEqual("unknown_version", (await self.take_up()).reason)
--- a/tests/test_routes_freshness.py
+++ b/tests/test_routes_freshness.py
@@ -209,6 +209,59 @@
         self.assertEqual((0, []), (self.reads, self.sources.asked))
 
 
+def build_steps(*kinds):
+    """Returns a strategy of steps of three entries, each with two delays."""
+    return strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(kinds),
+            strategies.integers(0, 2),
+            strategies.integers(0, 2),
+            strategies.floats(0.0, 2.0),
+            strategies.floats(0.0, 2.0),
+        ),
+        max_size=40,
+    )
+
+
+async def ask(clock, state, eras, source_state, delays):
+    """Lets an entry ask a source.
+
+    Args:
+        clock: the clock of all entries.
+        state: what the asking entry knows.
+        eras: the eras that it has seen.
+        source_state: what the source knows.
+        delays: the delays before and after the answer is made, in seconds.
+    """
+    before, after = delays
+
+    class Sources(FakeSources):
+        async def ask_routes_age(self, name):
+            clock.seconds += before
+            answer = routes_freshness.Confirmation(
+                source_state.table.version,
+                source_state.routes_age.compute_age(clock.now()),
+                source_state.routes_era,
+            )
+            clock.seconds += after
+            return answer
+
+    async def read_nothing():
+        raise errors.StoreUnavailableError("cut off")
+
+    freshness = routes_freshness.RoutesFreshness(
+        "asker",
+        state,
+        Sources(clock),
+        read_nothing,
+        eras,
+        clock,
+        random.Random(1),
+        proxy_fakes.FakeJournal(),
+    )
+    await freshness.ask("source")
+
+
 class SoundnessTest(base.TestCase):
     """Walks through orders of changes, reads, questions, pauses and losses.
 
@@ -217,18 +270,7 @@
     """
 
     @hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
-    @hypothesis.given(
-        strategies.lists(
-            strategies.tuples(
-                strategies.sampled_from(["change", "read", "ask"]),
-                strategies.integers(0, 2),
-                strategies.integers(0, 2),
-                strategies.floats(0.0, 2.0),
-                strategies.floats(0.0, 2.0),
-            ),
-            max_size=40,
-        )
-    )
+    @hypothesis.given(build_steps("change", "read", "ask"))
     def test_believed_age_is_never_too_low(self, steps):
         curio.run(self.walk, steps)
 
@@ -259,40 +301,15 @@
                 state.adopt_table(proxy_fakes.build_table([], version=version))
                 state.routes_age.confirm(started_at)
             elif asker != source:
-                await self.ask(
-                    clock, states[asker], states[source], before, after
+                state = states[asker]
+                eras = store_eras.StoreEras(
+                    state.start_era, proxy_fakes.FakeJournal()
                 )
+                delays = (before, after)
+                await ask(clock, state, eras, states[source], delays)
             for state in states:
                 self.assert_sound(state, history)
 
-    async def ask(self, clock, asker, source, before, after):
-        """Asks with delays before and after the answer is made."""
-
-        class Sources(FakeSources):
-            async def ask_routes_age(self, name):
-                clock.seconds += before
-                answer = routes_freshness.Confirmation(
-                    source.table.version,
-                    source.routes_age.compute_age(clock.now()),
-                )
-                clock.seconds += after
-                return answer
-
-        async def read_nothing():
-            raise errors.StoreUnavailableError("cut off")
-
-        freshness = routes_freshness.RoutesFreshness(
-            "asker",
-            asker,
-            Sources(clock),
-            read_nothing,
-            store_eras.StoreEras(asker.start_era, proxy_fakes.FakeJournal()),
-            clock,
-            random.Random(1),
-            proxy_fakes.FakeJournal(),
-        )
-        await freshness.ask("source")
-
     def assert_sound(self, state, history):
         current = max(
             version
@@ -345,20 +362,7 @@
     LIMIT_SECONDS = 5.0
 
     @hypothesis.settings(derandomize=True, deadline=None, max_examples=500)
-    @hypothesis.given(
-        strategies.lists(
-            strategies.tuples(
-                strategies.sampled_from(
-                    ["change", "return", "read", "ask", "report"]
-                ),
-                strategies.integers(0, 2),
-                strategies.integers(0, 2),
-                strategies.floats(0.0, 2.0),
-                strategies.floats(0.0, 2.0),
-            ),
-            max_size=40,
-        )
-    )
+    @hypothesis.given(build_steps("change", "return", "read", "ask", "report"))
     def test_replaced_routes_are_not_used_after_the_limit(self, steps):
         curio.run(self.walk, steps)
 
@@ -381,7 +385,10 @@
             elif kind == "read":
                 await self.read(self.entries[asker], before, after)
             elif kind == "ask" and asker != source:
-                await self.ask(asker, source, before, after)
+                state, eras, _ = self.entries[asker]
+                source_state, _, _ = self.entries[source]
+                delays = (before, after)
+                await ask(self.clock, state, eras, source_state, delays)
             elif kind == "report":
                 await self.report(asker, source)
             for state, _, _ in self.entries:
@@ -426,38 +433,6 @@
         with contextlib.suppress(errors.StoreEraPassedError):
             await entry[2].read_now()
 
-    async def ask(self, asker, source, before, after):
-        """Asks with delays before and after the answer is made."""
-        case = self
-        source_state, _, _ = self.entries[source]
-        state, eras, _ = self.entries[asker]
-
-        class Sources(FakeSources):
-            async def ask_routes_age(self, name):
-                case.clock.seconds += before
-                answer = routes_freshness.Confirmation(
-                    source_state.table.version,
-                    source_state.routes_age.compute_age(case.clock.now()),
-                    source_state.routes_era,
-                )
-                case.clock.seconds += after
-                return answer
-
-        async def read_nothing():
-            raise errors.StoreUnavailableError("cut off")
-
-        freshness = routes_freshness.RoutesFreshness(
-            "asker",
-            state,
-            Sources(self.clock),
-            read_nothing,
-            eras,
-            self.clock,
-            random.Random(1),
-            proxy_fakes.FakeJournal(),
-        )
-        await freshness.ask("source")
-
     async def report(self, receiver, sender):
         state, eras, _ = self.entries[receiver]
         sender_state, sender_eras, _ = self.entries[sender]
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -4,7 +4,6 @@
 
 from samphirevale import (
     batch_dispatch,
-    cluster_state,
     errors,
     ownership,
     routes,
@@ -56,9 +55,7 @@
     """Tests runs of stages with scripted outcomes of items."""
 
     def setUp(self):
-        self.cluster = cluster_state.ClusterState(
-            5.0, ownership.Member("me", "a")
-        )
+        self.cluster = proxy_fakes.build_cluster_state()
         self.cluster.table = proxy_fakes.build_table([])
         for name in ("s1", "s2"):
             self.cluster.catalogue.put(proxy_fakes.build_endpoint(name))
@@ -192,7 +189,7 @@
 
     def count_most_chosen(self, entries):
         """Returns how many entries choose the same endpoint at most."""
-        cluster = cluster_state.ClusterState(5.0, ownership.Member("me", "a"))
+        cluster = proxy_fakes.build_cluster_state()
         cluster.table = proxy_fakes.build_table([])
         cluster.adopt_members(
             ownership.Member(f"entry{i}", "a") for i in range(entries - 1)
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -4,7 +4,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from samphirevale import metrics, store_eras
+from samphirevale import store_eras
 from tests import base, proxy_fakes
 
 
@@ -26,7 +26,7 @@
 
     async def test_newer_era_is_logged_counted_and_announced(self):
         await self.observe(3)
-        counted = read_changes()
+        counted = base.read_counter("store_era_changes")
         self.assertEqual(
             store_eras.Relation.NEWER, await self.eras.observe(4, "b", 107.0)
         )
@@ -35,7 +35,7 @@
         self.assertEqual(
             [("change", "store_era_changed", fields)], self.journal.lines
         )
-        self.assertEqual(counted + 1, read_changes())
+        self.assertEqual(counted + 1, base.read_counter("store_era_changes"))
 
     async def test_older_era_changes_nothing(self):
         await self.observe(4)
@@ -94,13 +94,3 @@
         rises = 3 in stated and 4 in stated[stated.index(3) :]
         starts_with_older = bool(stated) and stated[0] == 3
         self.assertEqual(int(rises and starts_with_older), len(changed_at))
-
-
-def read_changes():
-    text = metrics.render().decode()
-    (line,) = [
-        line
-        for line in text.splitlines()
-        if line.startswith("samphirevale_store_era_changes_total")
-    ]
-    return float(line.split()[-1])
