--- a/tests/base.py
+++ b/tests/base.py
@@ -10,6 +10,8 @@
 
 import curio
 
+from samphirevale import metrics
+
 # The timeout of an asynchronous test, in seconds.
 TEST_TIMEOUT_SECONDS = 60.0
 
@@ -19,10 +21,29 @@
 PORTS = range(20000, 32000)
 PORT_STRIDE = 401
 
+# The methods of unittest.TestCase that tests may override.
+OVERRIDDEN_METHODS = {"setUp", "tearDown", "setUpClass", "tearDownClass"}
+
 
 class TestCase(unittest.TestCase):
     """Runs coroutine test methods on curio with a timeout."""
 
+    def __init_subclass__(cls, **arguments: Any) -> None:
+        """Checks that a helper does not replace a method of unittest.
+
+        An assertion calls `fail` and would pass with a coroutine of that name.
+        """
+        super().__init_subclass__(**arguments)
+        replaced = [
+            name
+            for name in vars(cls)
+            if callable(getattr(unittest.TestCase, name, None))
+            and not name.startswith("_")
+            and name not in OVERRIDDEN_METHODS
+        ]
+        if replaced:
+            raise TypeError(f"{cls.__name__} replaces {', '.join(replaced)}")
+
     def _callTestMethod(self, method: Any) -> None:  # noqa: N802
         if inspect.iscoroutinefunction(method):
             curio.run(self._run_limited, method)
@@ -34,6 +55,25 @@
             await method()
 
 
+def read_counter(name: str, **labels: str) -> float:
+    """Returns the value of a counter; 0 if it has no such labels yet.
+
+    Args:
+        name: the name without the prefix and the suffix of all counters.
+        **labels: the labels, in the order in which they are rendered.
+    """
+    sample = f"samphirevale_{name}_total"
+    if labels:
+        pairs = (f'{key}="{value}"' for key, value in labels.items())
+        sample += f"{{{','.join(pairs)}}}"
+    sample += " "
+    return sum(
+        float(line.removeprefix(sample))
+        for line in metrics.render().decode().splitlines()
+        if line.startswith(sample)
+    )
+
+
 def _iterate_ports() -> Iterator[int]:
     """Yields the ports in a cycle whose start depends on the process id."""
     start = os.getpid() * PORT_STRIDE % len(PORTS)
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -36,12 +36,13 @@
         """Runs a server that gives the same answer to all calls."""
         self.targets = []
         self.connected = 0
+        self.headers = list(headers)
         self.listener = FakeListener()
         self.endpoints = endpoints.PlatformEndpoints(self.listener)
 
         async def answer(request):
             self.targets.append(request.path)
-            return web.Response(status, b'{"free_mb": 3}', headers)
+            return web.Response(status, b'{"free_mb": 3}', tuple(self.headers))
 
         port = base.find_free_port()
         task = await curio.spawn(
@@ -116,6 +117,16 @@
             await self.endpoints.read_free_memory(self.endpoint)
             self.assertEqual(1, len(self.endpoints._idle))
 
+    async def test_idle_connections_to_an_endpoint_that_leaves_are_closed(self):
+        async with self.run_server(200):
+            await self.endpoints.read_free_memory(self.endpoint)
+            idle = self.endpoints._idle
+            self.assertEqual(1, len(idle))
+            self.headers.append(LEAVING)
+            with self.assertRaises(errors.ProtocolError):
+                await self.list_calls()[0]()
+            self.assertEqual({}, idle)
+
 
 class SilentConnectionsTest(base.TestCase):
     """Tests kept connections that fall silent for good."""
--- a/tests/test_cluster_state.py
+++ b/tests/test_cluster_state.py
@@ -5,7 +5,6 @@
 
 from samphirevale import (
     catalogue,
-    cluster_state,
     copy_guard,
     endpoint_notices,
     ownership,
@@ -19,9 +18,7 @@
     """Tests versions of routes and owners of endpoints."""
 
     def setUp(self):
-        self.cluster = cluster_state.ClusterState(
-            5.0, ownership.Member("me", "a")
-        )
+        self.cluster = proxy_fakes.build_cluster_state()
 
     def test_older_version_is_not_adopted(self):
         self.assertTrue(
@@ -68,9 +65,7 @@
     """Tests which endpoints of a plain and of a batched service are usable."""
 
     def setUp(self):
-        self.cluster = cluster_state.ClusterState(
-            5.0, ownership.Member("me", "a")
-        )
+        self.cluster = proxy_fakes.build_cluster_state()
         self.cluster.adopt_table(proxy_fakes.build_table([]))
         self.notices = self.cluster.notices
         for service in ("plain", "stage"):
@@ -270,9 +265,7 @@
     @hypothesis.given(strategies.lists(_steps, max_size=30))
     def test_no_order_brings_an_endpoint_back(self, steps):
         self.fleet = Fleet()
-        self.cluster = cluster_state.ClusterState(
-            5.0, ownership.Member("me", "a")
-        )
+        self.cluster = proxy_fakes.build_cluster_state()
         self.left, self.drained, self.paused_until = set(), set(), {}
         self.last_started = {}
         for step in steps:
--- a/tests/test_exchange_races.py
+++ b/tests/test_exchange_races.py
@@ -39,7 +39,7 @@
     async def answer(self, endpoint):
         return build_answer(endpoint)
 
-    async def fail(self, endpoint):
+    async def refuse_connection(self, endpoint):
         raise errors.ConnectError("down")
 
     async def test_answer_of_the_later_endpoint_may_come_first(self):
@@ -55,7 +55,7 @@
     async def test_error_of_one_endpoint_leaves_the_other(self):
         async with exchange_races.open_race() as race:
             await race.start(FIRST, self.hang)
-            await race.start(SECOND, self.fail)
+            await race.start(SECOND, self.refuse_connection)
             finished = await race.wait(5.0)
             self.assertIsInstance(finished.outcome, errors.ConnectError)
             self.assertEqual([], self.cancelled)
@@ -80,6 +80,27 @@
                 with self.assertRaises(type(error)):
                     await race.wait(5.0)
 
+    async def keep_second(self, race, send):
+        """Starts two exchanges, and keeps the second one, which hangs."""
+        await race.start(FIRST, send)
+        await race.start(SECOND, self.hang)
+        await curio.sleep(0.01)
+        await race.keep_last()
+
+    async def test_exchange_that_ended_before_its_cancellation_counts(self):
+        async with exchange_races.open_race() as race:
+            await self.keep_second(race, self.answer)
+            self.assertEqual(2, race.running)
+            finished = await race.wait(5.0)
+            self.assertEqual(FIRST, finished.endpoint)
+            self.assertEqual(1, race.running)
+
+    async def test_cancelled_exchange_does_not_count(self):
+        async with exchange_races.open_race() as race:
+            await self.keep_second(race, self.hang)
+            self.assertEqual(1, race.running)
+            self.assertEqual(["e1"], self.cancelled)
+
     async def test_stream_that_nobody_reads_is_closed(self):
         chunks = FakeChunks()
 
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -9,7 +9,6 @@
 
 from samphirevale import (
     batch_dispatch,
-    cluster_state,
     endpoint_notices,
     errors,
     ownership,
@@ -78,9 +77,7 @@
     """Sets up two endpoints that can run the items of stages."""
 
     def setUp(self):
-        self.cluster = cluster_state.ClusterState(
-            5.0, ownership.Member("me", "a")
-        )
+        self.cluster = proxy_fakes.build_cluster_state()
         self.cluster.table = proxy_fakes.build_table([])
         for name in ("s1", "s2"):
             self.cluster.catalogue.put(proxy_fakes.build_endpoint(name))
@@ -456,7 +453,7 @@
 
     def count_most_chosen(self, entries):
         """Returns how many entries choose the same endpoint at most."""
-        cluster = cluster_state.ClusterState(5.0, ownership.Member("me", "a"))
+        cluster = proxy_fakes.build_cluster_state()
         cluster.table = proxy_fakes.build_table([])
         cluster.adopt_members(
             ownership.Member(f"entry{i}", "a") for i in range(entries - 1)
