--- a/samphirevale/stages.py
+++ b/samphirevale/stages.py
@@ -35,6 +35,12 @@
 # The failure reason of items whose inputs are no longer stored.
 INPUTS_GONE = "gone"
 
+# The reasons of calls that need no retry when they are made again, and that of
+# calls without a failure.
+NOT_SENT = frozenset(
+    {"", NO_ENDPOINT, batch_dispatch.OVERDUE, batch_dispatch.UNSENT}
+)
+
 # Entries that decide on the same reports would all choose the same endpoint.
 # To prevent this, each entry above FEW_ENTRIES adds JITTER_SHARE of a call's
 # fixed time to the range of the random jitter on the endpoints' costs, up to
@@ -342,35 +348,37 @@
         """
         self._results.setdefault(index, {})
         stage = self._route.stages[index]
+        attempts = 0
         reason = ""
-        for _ in range(1 + RETRIES_LIMIT):
+        while attempts <= RETRIES_LIMIT:
             await self._complete_inputs(stage)
             items = self._build_missing_items(index)
-            reason = await self._run_items_once(index, items)
+            reasons = await self._run_items_once(index, items)
             if not self._list_missing(index):
                 return
+            reason = _choose_reason(reasons)
+            if reason == batch_dispatch.OVERDUE:
+                # The penalty of that endpoint favours others, if any are left.
+                continue
+            attempts += 1
             if reason in ("late", NO_ENDPOINT):
                 break
             if reason == INPUTS_GONE:
                 if not stage.after:
                     break
                 await self._drop_lost_inputs(stage, items[0].inputs)
-            if reason != batch_dispatch.UNSENT:
-                self._take_stage_retry(index)
+            calls = sum(failure not in NOT_SENT for failure in reasons)
+            self._take_retries(stage, calls)
         raise errors.EarlierStageError(f"stage {index}: {reason}")
 
-    def _take_stage_retry(self, index: int) -> None:
-        """Takes a retry for each call that the items of a stage need.
+    def _take_retries(self, stage: routes.Stage, calls: int) -> None:
+        """Takes a retry for each call that is made again.
 
         Raises:
             errors.EarlierStageError: too few are left.
         """
-        service = self._route.stages[index].service
-        limits = self._cluster.find_batch_limits(service)
-        if limits is None:
-            raise errors.EarlierStageError(f"stage {index}: no such service")
-        for _ in split_items(self._build_missing_items(index), limits):
-            if not self._take_retry(service):
+        for _ in range(calls):
+            if not self._take_retry(stage.service):
                 raise errors.EarlierStageError("no repeats are left")
 
     async def _complete_inputs(self, stage: routes.Stage) -> None:
@@ -388,12 +396,11 @@
         """
         stage = self._route.stages[index]
         items = self._build_missing_items(index)
-        limits = self._cluster.find_batch_limits(stage.service)
-        if limits is not None:
-            seconds = stage_times.estimate_call_seconds(limits, len(items))
-            if self._clock.now() + seconds > items[0].deadline_at:
-                raise errors.EarlierStageError(f"stage {index}: results lost")
-        self._take_stage_retry(index)
+        limits = self._find_limits(index)
+        seconds = stage_times.estimate_call_seconds(limits, len(items))
+        if self._clock.now() + seconds > items[0].deadline_at:
+            raise errors.EarlierStageError(f"stage {index}: results lost")
+        self._take_retries(stage, len(split_items(items, limits)))
         await self._run_stage(index)
 
     async def _drop_lost_inputs(
@@ -430,32 +437,37 @@
         self,
         index: int,
         items: list[batching.Item],
-    ) -> str:
+    ) -> list[str]:
         """Runs items once, without retries.
 
         Items that do not fit into one call go to several endpoints
         concurrently.
 
         Returns:
-            The reason of the first failure; empty if all items are done.
+            The reason of a failure of each call; empty if its items are done.
         """
-        limits = self._cluster.find_batch_limits(
-            self._route.stages[index].service
-        )
-        if limits is None:
-            raise errors.EarlierStageError(f"stage {index}: no such service")
+        limits = self._find_limits(index)
         chunks = split_items(items, limits)
         if len(chunks) == 1:
-            return await self._run_chunk(index, limits, items)
+            return [await self._run_chunk(index, limits, items)]
         async with curio.TaskGroup() as group:
             tasks = [
                 await group.spawn(self._run_chunk, index, limits, chunk)
                 for chunk in chunks
             ]
-        reasons = [task.result for task in tasks if task.result]
-        # Items that were sent take a retry, also beside others that were not.
-        reasons.sort(key=batch_dispatch.UNSENT.__eq__)
-        return reasons[0] if reasons else ""
+        return [task.result for task in tasks]
+
+    def _find_limits(self, index: int) -> routes.BatchLimits:
+        """Returns the batch limits of a stage's service.
+
+        Raises:
+            errors.EarlierStageError: there is no such service.
+        """
+        service = self._route.stages[index].service
+        limits = self._cluster.find_batch_limits(service)
+        if limits is None:
+            raise errors.EarlierStageError(f"stage {index}: no such service")
+        return limits
 
     async def _run_chunk(
         self,
@@ -466,7 +478,7 @@
         """Runs items at one endpoint.
 
         Returns:
-            The reason of the last failure; empty if all items are done.
+            The reason of a failure; empty if all items are done.
         """
         chosen = choose_endpoint(
             self._runner,
@@ -483,11 +495,9 @@
             return NO_ENDPOINT
         endpoint = chosen[0]
         outcomes = await self._runner.run_items(endpoint, limits, items)
-        reason = ""
         for item, result in zip(items, outcomes, strict=True):
             if not result.result:
-                reason = result.reason
-                if reason == batch_dispatch.UNSENT:
+                if result.reason == batch_dispatch.UNSENT:
                     self._refusing.add(result.endpoint or endpoint.name)
                 continue
             stored_at = self._cluster.catalogue.find(result.endpoint)
@@ -495,7 +505,7 @@
             results[item.index] = batch_dispatch.StageResult(
                 result.result, stored_at or endpoint, item.result_bytes
             )
-        return reason
+        return _choose_reason([result.reason for result in outcomes])
 
     def _list_transfers(self, index: int, items: int) -> list[tuple[str, int]]:
         """Returns the data centres and byte counts of the items' transfers.
@@ -604,7 +614,7 @@
         """Releases every result that is still held."""
         for index in list(self._results):
             results = self._list_results(index)
-            del self._results[index]
+            self._results.pop(index, None)
             await self._release(results)
 
     async def _release(self, results: list[batch_dispatch.StageResult]) -> None:
@@ -620,6 +630,20 @@
             )
 
 
+def _choose_reason(reasons: Sequence[str]) -> str:
+    """Returns the reason that decides on a retry of several items.
+
+    It is that of items that were sent, if there are any. It is empty if all
+    items are done.
+    """
+    failures = [reason for reason in reasons if reason]
+    unsent = (batch_dispatch.OVERDUE, batch_dispatch.UNSENT)
+    return next(
+        (reason for reason in failures if reason not in unsent),
+        failures[-1] if failures else "",
+    )
+
+
 @contextlib.asynccontextmanager
 async def release_on_error(
     run: StageSequenceRun,
--- a/tests/adapters/test_web.py
+++ b/tests/adapters/test_web.py
@@ -3,6 +3,8 @@
 import contextlib
 import os
 import resource
+import socket
+import time
 
 import curio
 
@@ -17,6 +19,11 @@
 
 LIMITS = web.Limits(write_seconds=0.2)
 
+GET = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+# The head of a request with a body of three bytes.
+POST = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n"
+
 
 class EndlessAnswer:
     """A handler with an endless answer that records the answer's end."""
@@ -151,6 +158,290 @@
             await curio.sleep(0.01)
 
 
+class ServedTestCase(base.TestCase):
+    """A server and its reports of closed connections."""
+
+    def setUp(self):
+        self.closed = []
+        self.port = base.find_free_port()
+
+    @contextlib.asynccontextmanager
+    async def serve(self, limits=LIMITS, handler=None):
+        async def answer(_):
+            return web.Response(200)
+
+        state = web.ServerState(self.closed.append)
+        serving = await curio.spawn(
+            web.serve, handler or answer, "127.0.0.1", self.port, limits, state
+        )
+        try:
+            yield state
+        finally:
+            await serving.cancel()
+
+    async def connect(self):
+        while True:
+            with contextlib.suppress(OSError):
+                return await curio.open_connection("127.0.0.1", self.port)
+            await curio.sleep(0.01)
+
+    async def send(self, data):
+        """Sends data on a new connection; returns what the server reports."""
+        stream = await self.connect()
+        try:
+            await stream.sendall(data)
+            return await self.wait_for_report()
+        finally:
+            await stream.close()
+
+    async def wait_for_report(self):
+        while not self.closed:
+            await curio.sleep(0.01)
+        return self.closed.pop()
+
+
+class ClosedConnectionTest(ServedTestCase):
+    """What a server reports of each connection that has ended."""
+
+    async def test_idle_timeout(self):
+        async with self.serve(web.Limits(idle_seconds=0.1)):
+            closed = await self.send(GET)
+        self.assertEqual((web.IDLE_TIMEOUT, 0, 1, 1), closed[:4])
+        self.assertEqual(0.1, closed.idle_seconds)
+        self.assertRegex(closed.address, r"^127\.0\.0\.1:\d+$")
+
+    async def test_head_timeout(self):
+        async with self.serve(web.Limits(head_seconds=0.1)):
+            closed = await self.send(GET + b"GET / HTT")
+        self.assertEqual((web.HEAD_TIMEOUT, 9, 1, 1), closed[:4])
+
+    async def test_body_timeout(self):
+        async with self.serve(web.Limits(idle_seconds=0.1)):
+            closed = await self.send(POST + b"b")
+        self.assertEqual((web.BODY_TIMEOUT, len(POST) + 1, 0, 0), closed[:4])
+
+    async def test_refused_head(self):
+        async with self.serve():
+            closed = await self.send(b"GET\r\n\r\n")
+        self.assertEqual((web.HEAD_REFUSED, 7, 0, 0), closed[:4])
+
+    async def test_refused_body(self):
+        async with self.serve(web.Limits(body_bytes=1)):
+            closed = await self.send(POST + b"bb")
+        self.assertEqual(web.BODY_REFUSED, closed.reason)
+
+    async def test_connection_limit(self):
+        async with self.serve(web.Limits(connections=0)):
+            closed = await self.send(b"")
+        self.assertEqual((web.CONNECTION_LIMIT, 0, 0, 0), closed[:4])
+
+    async def test_last_answer(self):
+        async with self.serve():
+            closed = await self.send(
+                b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+            )
+        self.assertEqual((web.LAST_ANSWER, 0, 1, 1), closed[:4])
+
+    async def test_draining(self):
+        async with self.serve() as state:
+            state.draining = True
+            closed = await self.send(GET)
+        self.assertEqual((web.DRAINING, 0, 1, 1), closed[:4])
+
+    async def test_broken_answer(self):
+        async def answer(_):
+            return web.StreamedResponse(200, produce())
+
+        async def produce():
+            yield b"a"
+            raise errors.AnswerLostError("broken")
+
+        async with self.serve(handler=answer):
+            closed = await self.send(GET)
+        self.assertEqual((web.ANSWER_BROKEN, 0, 1, 0), closed[:4])
+
+    async def test_write_timeout(self):
+        async with self.serve(handler=EndlessAnswer().handle):
+            closed = await self.send(GET)
+        self.assertEqual((web.WRITE_TIMEOUT, 0, 1, 0), closed[:4])
+
+    async def test_caller_that_leaves(self):
+        async with self.serve():
+            await (await self.connect()).close()
+            closed = await self.wait_for_report()
+        self.assertEqual((web.CALLER_LEFT, 0, 0, 0), closed[:4])
+
+    async def test_end_of_the_server(self):
+        entered = curio.Event()
+
+        async def wait(_):
+            await entered.set()
+            await curio.sleep(60)
+
+        async with self.serve(handler=wait):
+            stream = await self.connect()
+            await stream.sendall(GET)
+            await entered.wait()
+        await stream.close()
+        closed = await self.wait_for_report()
+        self.assertEqual((web.CANCELLED, 0, 1, 0), closed[:4])
+
+    async def test_unexpected_error_is_named_and_logged(self):
+        async def fail(_):
+            raise OSError("odd")
+
+        with self.assertLogs("curio", "ERROR"):
+            async with self.serve(handler=fail):
+                closed = await self.send(GET)
+        self.assertEqual((web.UNEXPECTED_ERROR, 0, 1, 0), closed[:4])
+        self.assertEqual("OSError: odd", closed.error)
+
+    async def test_bytes_that_were_never_read(self):
+        released = curio.Event()
+
+        async def wait(_):
+            await released.wait()
+            return web.Response(200, b"", (("Connection", "close"),))
+
+        async with self.serve(handler=wait):
+            stream = await self.connect()
+            await stream.sendall(GET)
+            await curio.sleep(0.1)
+            await stream.sendall(GET)
+            await curio.sleep(0.1)
+            await released.set()
+            closed = await self.wait_for_report()
+            await stream.close()
+        self.assertEqual((web.LAST_ANSWER, len(GET), 1, 1), closed[:4])
+
+
+class FailedHandlerTest(ServedTestCase):
+    """A handler that fails still leads to an answer."""
+
+    async def check_answered(self, handler, error):
+        async with self.serve(handler=handler):
+            stream = await self.connect()
+            await stream.sendall(GET)
+            self.assertIn(b" 500 ", await stream.recv(1000))
+            await stream.close()
+            self.assertIn(error, (await self.wait_for_report()).error)
+
+    async def test_timeout_that_escapes_a_handler_is_answered(self):
+        async def fail(_):
+            raise curio.TaskTimeout(1.0)
+
+        await self.check_answered(fail, "TaskTimeout")
+
+    async def test_response_with_illegal_header_is_answered(self):
+        async def answer(_):
+            return web.Response(200, b"", (("A", "b\nc"),))
+
+        with self.assertLogs("curio", "ERROR"):
+            await self.check_answered(answer, "Illegal header")
+
+    async def test_stream_with_illegal_header_is_answered(self):
+        async def answer(request):
+            response = await EndlessAnswer().handle(request)
+            return response._replace(headers=(("A", "b\nc"),))
+
+        with self.assertLogs("curio", "ERROR"):
+            await self.check_answered(answer, "Illegal header")
+
+
+class IdleTimeoutTest(ServedTestCase):
+    """Requests on connections that have been idle."""
+
+    LIMITS = web.Limits(idle_seconds=0.3)
+
+    async def test_raised_timeout_holds_for_a_connection_that_is_idle(self):
+        async with self.serve(self.LIMITS) as state:
+            stream = await self.connect()
+            await stream.sendall(GET)
+            await stream.recv(1000)
+            await curio.sleep(0.1)
+            state.limits = web.Limits(idle_seconds=5.0)
+            await curio.sleep(0.4)
+            await stream.sendall(GET)
+            self.assertIn(b" 200 ", await stream.recv(1000))
+            await stream.close()
+
+    async def test_request_that_arrives_as_the_timeout_fires_is_answered(self):
+        async with self.serve(self.LIMITS):
+            await (await self.connect()).close()
+            stream = socket.create_connection(("127.0.0.1", self.port))
+            stream.settimeout(1.0)
+            await curio.sleep(0.1)
+            sending = await curio.spawn(self.send_late, stream)
+            await curio.sleep(0)
+            # Both timers expire in one pass of the loop, that of `sending`
+            # first.
+            time.sleep(0.4)
+            await sending.join()
+            await curio.sleep(0.1)
+            with contextlib.closing(stream):
+                self.assertIn(b" 200 ", stream.recv(1000))
+
+    async def send_late(self, stream):
+        await curio.sleep(0.01)
+        stream.sendall(GET)
+
+
+class LingeringTest(ServedTestCase):
+    """Refusals reach callers who have sent more than the server has read."""
+
+    async def read_all(self, stream):
+        data = b""
+        while part := await stream.recv(web.READ_BYTES):
+            data += part
+        await stream.close()
+        return data
+
+    async def test_refusal_of_a_body_that_is_still_being_sent(self):
+        size = 4 * 1024 * 1024
+        async with self.serve(web.Limits(body_bytes=1000)):
+            stream = await self.connect()
+            await stream.sendall(
+                b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
+                % size
+                + bytes(size)
+            )
+            self.assertIn(b" 413 ", await self.read_all(stream))
+
+    async def test_refusal_of_a_body_that_arrives_late(self):
+        async with self.serve(web.Limits(idle_seconds=0.1)):
+            stream = await self.connect()
+            await stream.sendall(POST)
+            await self.wait_for_report()
+            for part in (b"b", b"b", b"b"):
+                await stream.sendall(part)
+                await curio.sleep(0.05)
+            self.assertIn(b" 408 ", await self.read_all(stream))
+
+    async def test_refusal_at_the_connection_limit(self):
+        async with self.serve(web.Limits(connections=0)):
+            stream = await self.connect()
+            await self.wait_for_report()
+            for _ in range(3):
+                await stream.sendall(GET)
+                await curio.sleep(0.05)
+            self.assertIn(b" 503 ", await self.read_all(stream))
+
+    async def test_refused_connections_that_linger_are_bounded(self):
+        async with self.serve(web.Limits(connections=0)):
+            streams = [
+                await self.connect()
+                for _ in range(web.LINGERING_REFUSED_LIMIT + 1)
+            ]
+            for stream in streams:
+                self.assertIn(b" 503 ", await stream.recv(1000))
+            await streams[-1].sendall(GET)
+            with self.assertRaises(OSError):
+                await curio.sleep(0.1)
+                await streams[-1].sendall(GET)
+            for stream in streams:
+                await stream.close()
+
+
 class JsonTest(base.TestCase):
     """Data that is not JSON or is nested too deeply."""
 
--- a/tests/test_proxying.py
+++ b/tests/test_proxying.py
@@ -312,11 +312,43 @@
         )
         self.assertEqual((500, b"2"), (answer.status, answer.body))
 
+    async def test_failure_is_not_given_up_for_an_endpoint_that_is_down(self):
+        answer = await self.answer(
+            proxy_fakes.FakeAnswer([b"1"], 500), errors.ConnectError("down")
+        )
+        self.assertEqual((500, b"1"), (answer.status, answer.body))
+
     async def test_failure_is_returned_without_another_endpoint(self):
         self.cluster.catalogue.remove("p2", NOW)
         answer = await self.answer(proxy_fakes.FakeAnswer([b"1"], 500))
         self.assertEqual(500, answer.status)
 
+    async def test_only_endpoint_is_connected_to_again_after_a_silence(self):
+        self.cluster.catalogue.remove("p2", NOW)
+        silent = errors.ConnectTimeoutError("no connection")
+        for changes in ({}, {"repeatable": False}):
+            self.use_route(proxy_fakes.build_route(**changes))
+            answer = await self.answer(
+                silent, silent, proxy_fakes.FakeAnswer([b"x"])
+            )
+            self.assertEqual(200, answer.status)
+        answer = await self.answer(silent, silent, silent)
+        self.assertEqual((503, "unreachable"), (answer.status, answer.reason))
+
+    async def test_endpoint_that_has_the_request_is_not_connected_to_again(
+        self,
+    ):
+        self.cluster.catalogue.remove("p2", NOW)
+        silent = errors.ConnectTimeoutError("no connection")
+        answer = await self.answer(silent, proxy_fakes.LOST_ANSWER)
+        self.assertEqual((502, 2), (answer.status, len(self.endpoints.sends)))
+
+    async def test_endpoint_that_is_down_is_not_connected_to_again(self):
+        self.cluster.catalogue.remove("p2", NOW)
+        answer = await self.answer(errors.ConnectError("refused"))
+        self.assertEqual(503, answer.status)
+        self.assertEqual(1, len(self.endpoints.sends))
+
     async def test_draining_endpoint_gets_no_requests(self):
         for name in ("p1", "p2"):
             endpoint = self.cluster.catalogue.find(name)
@@ -549,6 +581,29 @@
         )
         self.assertEqual(1, self.endpoints.sends[1][2].last_event)
 
+    async def test_events_before_a_gap_are_not_lost(self):
+        answer = await self.answer(
+            self.build_stream(b"id: 1\n\n", b"id: 2\n\nid: 4\n\n"),
+            self.build_stream(b"id: 2\n\nid: 3\n\n"),
+        )
+        self.assertEqual(
+            b"id: 1\n\nid: 2\n\nid: 3\n\n", await self.read_stream(answer)
+        )
+
+    async def test_stream_that_ends_inside_an_event_is_resumed(self):
+        answer = await self.answer(
+            self.build_stream(b"id: 1\n\nid: 2\nda"),
+            self.build_stream(b"id: 2\n\n"),
+        )
+        self.assertEqual(b"id: 1\n\nid: 2\n\n", await self.read_stream(answer))
+        self.assertEqual(1, self.endpoints.sends[1][2].last_event)
+
+    async def test_stream_that_ends_inside_its_first_event_is_sent_again(self):
+        answer = await self.answer(
+            self.build_stream(b"id: 1\nda"), self.build_stream(b"id: 1\n\n")
+        )
+        self.assertEqual(b"id: 1\n\n", await self.read_stream(answer))
+
     async def test_stream_that_may_not_be_resumed_ends_with_an_error(self):
         self.use_route(proxy_fakes.build_route(repeatable=False, streamed=True))
         answer = await self.answer(
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -180,10 +180,17 @@
         await self.build_run((1,), CHAIN[:1]).run()
         self.assertEqual(["s1", "s2"], [name for name, _ in self.runner.calls])
 
-    async def test_failed_items_take_a_retry_beside_unsent_ones(self):
-        self.runner.reasons = [batch_dispatch.UNSENT, "error"]
-        await self.build_run((6,), CHAIN[:1]).run()
-        self.assertLess(self.retries_left, 9)
+    async def test_items_behind_overdue_calls_are_never_given_up(self):
+        self.runner.reasons = [batch_dispatch.OVERDUE] * 9
+        self.retries_left = 0
+        self.assertEqual(1, len(await self.build_run((1,), CHAIN[:1]).run()))
+
+    async def test_failure_beside_unsent_items_takes_a_retry(self):
+        for unsent in (batch_dispatch.UNSENT, batch_dispatch.OVERDUE):
+            self.retries_left = 1
+            self.runner.reasons = [unsent, "error"]
+            await self.build_run((6,), CHAIN[:1]).run()
+            self.assertEqual(0, self.retries_left)
 
     async def test_run_fails_without_retry_budget(self):
         self.runner.reasons = ["error"]
