End a run of stages whose results were released

The results of all runs of the stages are released when an answer begins; one of them may run for another exchange, which is cancelled a moment later. In that moment it took the released inputs for lost, and could begin to compute them again; before, it sent its next items without any. The new test failed, as the run went on to the end.

--- a/samphirevale/stages.py
+++ b/samphirevale/stages.py
@@ -279,6 +279,7 @@
         self._rng = rng
         # The results of each stage by the index of the item.
         self._results: dict[int, dict[int, batch_dispatch.StageResult]] = {}
+        self._released = False
         # Held while items of a stage run again whose results were lost.
         self._repeat_locks = [curio.Lock() for _ in route.stages]
         # Endpoints whose owners could not send them anything. This entry may
@@ -352,6 +353,8 @@
         reason = ""
         while attempts <= RETRIES_LIMIT:
             await self._complete_inputs(stage)
+            if self._released:
+                raise errors.EarlierStageError("the results were released")
             items = self._build_missing_items(index)
             reasons = await self._run_items_once(index, items)
             if not self._list_missing(index):
@@ -383,7 +386,9 @@
 
     async def _complete_inputs(self, stage: routes.Stage) -> None:
         """Runs the items of the preceding stages whose results were lost."""
-        while incomplete := [i for i in stage.after if self._list_missing(i)]:
+        while not self._released and (
+            incomplete := [i for i in stage.after if self._list_missing(i)]
+        ):
             async with self._repeat_locks[incomplete[0]]:
                 if self._list_missing(incomplete[0]):
                     await self._repeat_stage(incomplete[0])
@@ -611,7 +616,8 @@
                 await self._release(results)
 
     async def release_all(self) -> None:
-        """Releases every result that is still held."""
+        """Releases every result that is still held, and ends the run."""
+        self._released = True
         for index in list(self._results):
             results = self._list_results(index)
             self._results.pop(index, None)
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -304,6 +304,22 @@
             await self.build_run((1, 1), deadline_at=NOW + 0.3).run()
         self.assertEqual(2, len(self.runner.calls))
 
+    async def test_run_whose_results_were_released_makes_no_more_calls(self):
+        run = self.build_run((1, 1))
+        run_items = self.runner.run_items
+
+        async def run_items_and_release(*arguments):
+            results = await run_items(*arguments)
+            await run.release_all()
+            return results
+
+        self.runner.run_items = run_items_and_release
+        with self.assertRaises(errors.EarlierStageError):
+            async with stages.release_on_error(run):
+                await run.run()
+        self.assertEqual(1, len(self.runner.calls))
+        self.assertEqual(["s1.0.0"], self.runner.released)
+
     async def test_all_results_are_released_at_the_end(self):
         run = self.build_run((2, 1))
         results = await run.run()
