--- a/samphirevale/stages.py
+++ b/samphirevale/stages.py
@@ -280,6 +280,7 @@
         self._rng = rng
         # The results of each stage by the index of the item.
         self._results: dict[int, dict[int, batch_dispatch.StageResult]] = {}
+        self._released = False
         # The indices of each stage's items that endpoints have had.
         self._sent: list[set[int]] = [set() for _ in route.stages]
         # Held while items of a stage run again whose results were lost.
@@ -356,6 +357,8 @@
         attempts = 0
         while attempts <= RETRIES_LIMIT:
             await self._complete_inputs(stage)
+            if self._released:
+                raise errors.EarlierStageError("the results were released")
             items = self._build_missing_items(index)
             reason = await self._run_items_once(index, items)
             if not self._list_missing(index):
@@ -392,7 +395,9 @@
 
     async def _complete_inputs(self, stage: routes.Stage) -> None:
         """Runs the items of the preceding stages whose results were lost."""
-        while incomplete := [i for i in stage.after if self._list_missing(i)]:
+        while not self._released and (
+            incomplete := [i for i in stage.after if self._list_missing(i)]
+        ):
             async with self._repeat_locks[incomplete[0]]:
                 if self._list_missing(incomplete[0]):
                     await self._repeat_stage(incomplete[0])
@@ -616,7 +621,8 @@
                 await self._release(results)
 
     async def release_all(self) -> None:
-        """Releases every result that is still held."""
+        """Releases every result that is still held, and ends the run."""
+        self._released = True
         for index in list(self._results):
             results = self._list_results(index)
             del self._results[index]
--- a/tests/test_stream_waits.py
+++ b/tests/test_stream_waits.py
@@ -265,6 +265,7 @@
         self.assertEqual(200, answer.status)
         self.assertEqual(NOW + 1.0, self.clock.now())
         self.assertEqual(3, len(self.endpoints.sends))
+        await answer.chunks.aclose()
 
     async def test_stream_that_may_come_back_is_refused_at_once(self):
         answer = await self.answer_after_loss(
