Close both exchanges of a request whose deadline passes

What callers saw: nothing; one of two endpoints that had a request worked on for it after the deadline, and the request counted towards its load until then, for good if it was a stream.

Cause: the race ends at the deadline and cancels its exchanges one after the other. The timeout of the whole request expired at the same moment and interrupted the first of these waits, so that the second exchange went on.

Why it works: the race is closed as a whole; a timeout or cancellation that comes meanwhile takes effect after that, and each exchange ends at once.

--- a/samphirevale/exchange_races.py
+++ b/samphirevale/exchange_races.py
@@ -90,13 +90,17 @@
         return cancelled
 
     async def close(self) -> None:
-        """Cancels what is in progress, and closes streams nobody reads."""
-        for _, task in self._tasks:
-            await task.cancel()
-        while not self._finished.empty():
-            outcome = (await self._finished.get()).outcome
-            if isinstance(outcome, proxy_requests.StreamedAnswer):
-                await outcome.chunks.aclose()
+        """Cancels what is in progress, and closes streams nobody reads.
+
+        A deadline that passes meanwhile takes effect afterwards.
+        """
+        async with curio.disable_cancellation():
+            for _, task in self._tasks:
+                await task.cancel()
+            while not self._finished.empty():
+                outcome = (await self._finished.get()).outcome
+                if isinstance(outcome, proxy_requests.StreamedAnswer):
+                    await outcome.chunks.aclose()
 
 
 @contextlib.asynccontextmanager
--- a/tests/test_event_streams.py
+++ b/tests/test_event_streams.py
@@ -151,6 +151,56 @@
         self.assertEqual((200, 2), (answer.status, self.runner.item_count))
 
 
+class EndedRaceTest(SilenceTestCase):
+    """Tests requests that end while two endpoints have them."""
+
+    def setUp(self):
+        super().setUp()
+        stage = routes.Stage("stage", (), 100)
+        self.use_route(
+            proxy_fakes.build_route(
+                target_seconds=0.15, stages=(stage,), attempts_limit=2
+            )
+        )
+        self.add_endpoint("p3")
+        self.answers = [
+            proxy_fakes.FakeAnswer([proxy_fakes.Silence(50.0)])
+            for _ in range(2)
+        ]
+
+    def check_end(self):
+        """Checks that nothing of the request is left."""
+        self.assertEqual([True] * 2, [a.closed for a in self.answers])
+        self.assertEqual(2, len(self.endpoints.sends))
+        self.assertEqual(["r0"], self.runner.released)
+        for name in ("p1", "p2", "p3"):
+            self.assertEqual(0, self.selector.count_running(name))
+
+    async def test_deadline_ends_both_exchanges(self):
+        answer = await self.answer(
+            *self.answers, item_counts=(1,), wait_seconds=0.8
+        )
+        self.assertEqual(504, answer.status)
+        self.check_end()
+
+    async def test_caller_that_leaves_ends_both_exchanges(self):
+        proxy = self.build_proxy(*self.answers)
+        request = proxy_fakes.build_request(item_counts=(1,))
+        answering = await curio.spawn(proxy.answer, request, daemon=True)
+        await curio.sleep(0.6)
+        await answering.cancel()
+        self.check_end()
+
+    async def test_request_that_runs_once_waits_for_its_silent_endpoint(self):
+        self.use_route(
+            proxy_fakes.build_route(repeatable=False, target_seconds=0.15)
+        )
+        answer = await self.answer(
+            proxy_fakes.FakeAnswer([proxy_fakes.Silence(1.4), b"x"])
+        )
+        self.assertEqual((200, 1), (answer.status, len(self.endpoints.sends)))
+
+
 class SilentFirstEventTest(SilenceTestCase):
     """Tests streams whose endpoint is silent before the first event."""
 
@@ -289,6 +339,36 @@
         self.add_endpoint("p3")
         self.assertEqual(b"id: 1\n\nid: 2\n\n", await reading.join())
 
+    async def test_stream_that_may_not_be_resumed_outlasts_a_silence(self):
+        self.use_route(proxy_fakes.build_route(repeatable=False, streamed=True))
+        answer = await self.answer(
+            self.build_stream(
+                b"id: 1\n\n", proxy_fakes.Silence(LONG_SILENCE), b"id: 2\n\n"
+            )
+        )
+        self.assertEqual(b"id: 1\n\nid: 2\n\n", await self.read_stream(answer))
+        self.assertEqual(1, len(self.endpoints.sends))
+
+    async def test_caller_that_leaves_during_a_silence_ends_both_exchanges(
+        self,
+    ):
+        self.use_stream_route(stages=(routes.Stage("stage", (), 100),))
+        old = self.build_stream(b"id: 1\n\n", proxy_fakes.Silence(50.0))
+        answer = await self.answer(old, item_counts=(1,))
+
+        async def hang(endpoint, request, send, on_connected):
+            on_connected()
+            await curio.sleep(50.0)
+
+        self.endpoints.send = hang
+        reader = await curio.spawn(self.read_stream, answer, daemon=True)
+        await curio.sleep(2.15)
+        await reader.cancel()
+        self.assertTrue(old.closed)
+        self.assertEqual(2, len(self.runner.released))
+        for name in ("p1", "p2"):
+            self.assertEqual(0, self.selector.count_running(name))
+
     async def test_silent_stream_is_not_cut_by_a_late_refusal(self):
         answer = await self.answer(
             self.build_stream(
