Eject an endpoint no longer for attempts that fail together

What callers saw, in the project's own world: an endpoint at which a dozen attempts failed at one moment got no work for sixteen seconds.

Each failure after the third ejected the endpoint again and doubled the time, though all attempts had been sent before the first ejection.

Evidence: test_attempts_that_fail_together_do_not_prolong_the_ejection failed before (not chosen after the first ejection).

Why it works: a failure during an ejection does not count. A probe that fails after it ejects again, for twice as long, as before.

--- a/samphirevale/routing.py
+++ b/samphirevale/routing.py
@@ -256,6 +256,9 @@
             self._ejection_count = 0
 
     def _record_failure(self, now: float) -> None:
+        if now < self.ejected_until:
+            # Most of these attempts were sent before the ejection.
+            return
         self._consecutive_failures += 1
         if (
             self._consecutive_failures >= CONSECUTIVE_FAILURES_LIMIT
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -154,6 +154,17 @@
         router.record_sent("x", "probe", later)
         self.assertEqual(count_choices(router, later)["x"], 0)
 
+    def test_attempts_that_fail_together_do_not_prolong_the_ejection(self):
+        router = build_router()
+        attempts = [f"x{number}" for number in range(12)]
+        for attempt in attempts:
+            router.record_sent("x", attempt, 0.0)
+        for attempt in attempts:
+            router.record_end("x", attempt, 0.1, None, "failed")
+        self.assertEqual(count_choices(router)["x"], 0)
+        later = 0.2 + routing.EJECTION_SECONDS
+        self.assertGreater(count_choices(router, later)["x"], 0)
+
     def test_only_one_probe_at_a_time(self):
         # Round robin ignores the load, so only the probation rule can keep
         # work away from the endpoint.
