Keep no connections to a store that has not answered a read

What callers saw: requests refused with "routes_outdated" for seconds after the open channels of an entry fell silent for good, though new ones worked.

Cause: a read that timed out closed its own connection only. The next one took another connection that was kept, of which there are up to four, and waited for its whole timeout again; four of 1.2 s take longer than the routes stay usable. It is the fault of the kept connections to endpoints in another place.

Evidence: test_read_after_a_silent_one_takes_a_new_connection failed before (no answer, twice).

Why it works: after a timeout the idle connections are closed, so that the next read opens a new one.

--- a/samphirevale/adapters/store_client.py
+++ b/samphirevale/adapters/store_client.py
@@ -64,6 +64,9 @@
     async def read(self, target: str, seconds: float | None = None) -> Reply:
         """Reads on an idle connection if there is one, or on a new one.
 
+        After a timeout no idle connection is used any more, as all may have
+        fallen silent.
+
         Args:
             target: path and query.
             seconds: timeout; None for the store's read timeout.
@@ -76,6 +79,7 @@
             async with curio.timeout_after(timeout_seconds):
                 return await self._read_with_retry(target)
         except curio.TaskTimeout as error:
+            await self.close()
             raise errors.StoreUnavailableError(
                 f"no answer in {timeout_seconds} s"
             ) from error
