End the penalty of a batching endpoint that answers again

What callers saw: requests refused as overload ("stages_overloaded") for up to a second after the only endpoint of a stage had gone on and answered calls.

Cause: after a call that failed or timed out an endpoint is penalized for a second. A call that was answered meanwhile ended only the penalty of its own being overdue.

Evidence: test_endpoint_that_answers_again_is_not_penalized failed before.

Why it works: an answered call shows that the endpoint works, and ends its penalty.

--- a/samphirevale/batch_dispatch.py
+++ b/samphirevale/batch_dispatch.py
@@ -463,8 +463,8 @@
             yield
         finally:
             await watcher.cancel()
-        if self._penalized_until.get(name) == penalized_until:
-            del self._penalized_until[name]
+        # The endpoint has answered.
+        self._penalized_until.pop(name, None)
 
     async def _refresh_free_memory(
         self, endpoint: catalogue.Endpoint, queue: batching.BatchQueue
--- a/tests/test_batch_dispatch.py
+++ b/tests/test_batch_dispatch.py
@@ -130,6 +130,14 @@
         self.assertTrue(self.is_penalized())
         self.assertEqual("a1/0/0", (await first.join())[0].result)
 
+    async def test_endpoint_that_answers_again_is_not_penalized(self):
+        self.endpoints.run_items = lambda _: proxy_fakes.LOST_ANSWER
+        await self.run_items(proxy_fakes.build_item())
+        self.assertTrue(self.is_penalized())
+        self.endpoints.run_items = self.endpoints.succeed_all
+        await self.run_items(proxy_fakes.build_item())
+        self.assertFalse(self.is_penalized())
+
     async def test_items_stay_behind_an_overdue_call_of_the_only_endpoint(self):
         self.availability.has_other = False
         make_silent(self.endpoints, 1.4)
