Show over sockets that items at another entry outlast a silence

With two entries one owns the endpoint and the other one asks it; the streams of both are complete. A request that comes before the report that tells the other entry of the endpoint's return may still be refused as overload, as the penalty of an overdue endpoint counts in the estimate of the admission; that is open.

--- a/tests/platform/test_silences.py
+++ b/tests/platform/test_silences.py
@@ -2,6 +2,7 @@
 
 import curio
 
+from samphirevale import reports
 from tests.platform import sessions
 
 # The duration of a silence, in seconds.
@@ -59,6 +60,19 @@
             for number in range(0, 12, 3):
                 self.assertEqual(1, attempts.count(f"a{number}"))
 
+    async def test_items_at_another_entry_outlast_a_silence(self):
+        async with (
+            self.run_all(("model1", "first1")),
+            self.run_second_entry() as second_port,
+        ):
+            # One of the entries owns the server, and the other one asks it.
+            for port in (self.port, second_port):
+                self.port = port
+                self.plan_silence("first1", "silent")
+                await self.check_stream()
+                # The other entry learns by a report that the server works.
+                await curio.sleep(3 * reports.REPORT_SECONDS)
+
     async def send_counted(self, path, number):
         """Sends a request with an id of its own and returns the status."""
         headers = {"Samphirevale-Attempt-Id": f"a{number}"}
