--- a/samphirevale/batch_dispatch.py
+++ b/samphirevale/batch_dispatch.py
@@ -467,8 +467,8 @@
         finally:
             if call in self._watched_calls:
                 self._watched_calls.remove(call)
-        if self._penalized_until.get(endpoint.name) == times_out_at:
-            del self._penalized_until[endpoint.name]
+        # The endpoint has answered.
+        self._penalized_until.pop(endpoint.name, None)
 
     async def handle_overdue_calls(self, now: float) -> None:
         """Spares other items the wait for calls that are overdue."""
