Log the end of a connection only if something may be missing

They are only counted now, as are connections that end with the process and have no request without an answer.

--- a/samphirevale/adapters/web.py
+++ b/samphirevale/adapters/web.py
@@ -117,7 +117,8 @@
     error: str = ""
 
 
-# Reasons why a connection ends. Those without a failure are expected.
+# Reasons why a connection ends. The expected ones are no failures if all
+# requests have been answered.
 CALLER_LEFT = "caller_left"
 IDLE_TIMEOUT = "idle_timeout"
 HEAD_TIMEOUT = "head_timeout"
@@ -132,7 +133,9 @@
 CANCELLED = "cancelled"
 UNEXPECTED_ERROR = "unexpected_error"
 
-EXPECTED_REASONS = frozenset({CALLER_LEFT, IDLE_TIMEOUT, LAST_ANSWER, DRAINING})
+EXPECTED_REASONS = frozenset(
+    {CALLER_LEFT, IDLE_TIMEOUT, LAST_ANSWER, DRAINING, CANCELLED}
+)
 
 # Reasons after which the caller may still be sending, and has an answer to
 # read.
--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -265,15 +265,21 @@
             self._journal.record_event("queue", endpoint=name, **fields)
 
     def _record_closed(self, closed: web.ClosedConnection) -> None:
-        """Counts a connection that has ended, and logs it.
+        """Counts a connection that has ended; logs it unless all is answered.
 
-        A caller who leaves between two requests is only counted.
+        An idle timeout is logged in any case, as a request may just have been
+        on its way.
         """
         metrics.CONNECTIONS_CLOSED.labels(reason=closed.reason).inc()
-        if closed.reason == web.CALLER_LEFT and not closed.unread_bytes:
+        complete = (
+            closed.reason in web.EXPECTED_REASONS
+            and not closed.unread_bytes
+            and closed.answered == closed.requests
+        )
+        if complete and closed.reason != web.IDLE_TIMEOUT:
             return
         write_line = self._journal.record_failure
-        if closed.reason in web.EXPECTED_REASONS and not closed.unread_bytes:
+        if complete:
             write_line = self._journal.record_request
         write_line("connection_closed", **closed._asdict())
 
