Name the idle reason without a name of the platform

The reason idle_timeout contained a name of the platform's limits, which only platform/ may know (test_deploy), and the ablation of the time limit of heads named a line that had changed (test_ablations).

--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -749,8 +749,8 @@
         "time limit for request heads",
         LIMITS,
         "adapters/web",
-        "async with curio.timeout_after(self._limits.head_seconds):",
-        "async with curio.timeout_after(60):",
+        "async with _refuse_after(self._limits.head_seconds, HEAD_TIMEOUT):",
+        "async with _refuse_after(60, HEAD_TIMEOUT):",
         f"{_SESSION}.test_an_incomplete_head_times_out",
     ),
     _ablate(
--- a/samphirevale/adapters/web.py
+++ b/samphirevale/adapters/web.py
@@ -120,7 +120,7 @@
 # Reasons why a connection ends. The expected ones are no failures if all
 # requests have been answered.
 CALLER_LEFT = "caller_left"
-IDLE_TIMEOUT = "idle_timeout"
+IDLE = "idle"
 HEAD_TIMEOUT = "head_timeout"
 BODY_TIMEOUT = "body_timeout"
 WRITE_TIMEOUT = "write_timeout"
@@ -134,7 +134,7 @@
 UNEXPECTED_ERROR = "unexpected_error"
 
 EXPECTED_REASONS = frozenset(
-    {CALLER_LEFT, IDLE_TIMEOUT, LAST_ANSWER, DRAINING, CANCELLED}
+    {CALLER_LEFT, IDLE, LAST_ANSWER, DRAINING, CANCELLED}
 )
 
 # Reasons after which the caller may still be sending, and has an answer to
@@ -414,7 +414,7 @@
             await self._refuse(error.error_status_hint, str(error))
             return CALLER_LEFT if self._caller_left else HEAD_REFUSED
         if request is None:
-            return CALLER_LEFT if self._caller_left else IDLE_TIMEOUT
+            return CALLER_LEFT if self._caller_left else IDLE
         self._requests += 1
         self._request_bytes = self._received_bytes - self._count_buffered()
         self._state.busy += 1
--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -276,7 +276,7 @@
             and not closed.unread_bytes
             and closed.answered == closed.requests
         )
-        if complete and closed.reason != web.IDLE_TIMEOUT:
+        if complete and closed.reason != web.IDLE:
             return
         write_line = self._journal.record_failure
         if complete:
--- a/tests/adapters/test_web.py
+++ b/tests/adapters/test_web.py
@@ -206,7 +206,7 @@
     async def test_idle_timeout(self):
         async with self.serve(web.Limits(idle_seconds=0.1)):
             closed = await self.send(GET)
-        self.assertEqual((web.IDLE_TIMEOUT, 0, 1, 1), closed[:4])
+        self.assertEqual((web.IDLE, 0, 1, 1), closed[:4])
         self.assertEqual(0.1, closed.idle_seconds)
         self.assertRegex(closed.address, r"^127\.0\.0\.1:\d+$")
 
