Refuse requests that arrive on idle connections as the process ends

What callers saw: a connection closed with neither an answer nor a refusal to a whole request, beside a planned stop.

Cause: after the last check for requests in progress the tasks of connections were cancelled and their sockets closed, whatever had arrived. Class: a close that is not checked against what has arrived, as for the idle timeout.

The test failed before with a reset connection. A request still on the network at that moment is lost as before; its caller sees that it was not read.

--- a/samphirevale/adapters/web.py
+++ b/samphirevale/adapters/web.py
@@ -131,6 +131,7 @@
 DRAINING = "draining"
 ANSWER_BROKEN = "answer_broken"
 CANCELLED = "cancelled"
+REFUSED_AT_END = "refused_at_end"
 UNEXPECTED_ERROR = "unexpected_error"
 
 EXPECTED_REASONS = frozenset(
@@ -295,8 +296,8 @@
 _FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 
 
-# Value of Retry-After when the memory for bodies is exhausted, in seconds.
-MEMORY_RETRY_SECONDS = 1
+# Value of Retry-After of the server's own refusals, in seconds.
+RETRY_SECONDS = 1
 
 
 class _RefusedError(Exception):
@@ -362,7 +363,9 @@
         except errors.AnswerLostError:
             reason = ANSWER_BROKEN
         except curio.TaskCancelled:
-            reason = CALLER_LEFT if self._caller_left else CANCELLED
+            reason = CALLER_LEFT
+            if not self._caller_left:
+                reason = await self._refuse_last()
             raise
         except BaseException as error:
             unexpected = f"{type(error).__name__}: {error}"
@@ -372,6 +375,23 @@
         if reason in _LINGERING_REASONS:
             await _linger(self._client)
 
+    async def _refuse_last(self) -> str:
+        """Refuses a request that arrives while the server ends.
+
+        Returns:
+            The reason why the connection ends.
+        """
+        if self._requests > self._answered:
+            return CANCELLED
+        try:
+            await self._read_ahead(LAST_READ_SECONDS)
+            if self._received_bytes == self._request_bytes:
+                return CALLER_LEFT if self._caller_left else CANCELLED
+            await self._refuse(503, "the server ends")
+        except _EndedError as error:
+            return error.reason
+        return REFUSED_AT_END
+
     def _report_closed(self, reason: str, error: str) -> None:
         unread = self._received_bytes - self._request_bytes
         self._state.report_closed(
@@ -603,7 +623,7 @@
             return
         headers = [("Connection", "close")]
         if status == 503:
-            headers.append(("Retry-After", str(MEMORY_RETRY_SECONDS)))
+            headers.append(("Retry-After", str(RETRY_SECONDS)))
         problem = build_json(
             status, {"status": status, "title": text}, *headers
         )
--- a/tests/adapters/test_web.py
+++ b/tests/adapters/test_web.py
@@ -442,6 +442,52 @@
                 await stream.close()
 
 
+class EndOfServerTest(ServedTestCase):
+    """Requests that arrive while the server ends."""
+
+    async def end_after(self, data):
+        """Sends data as the server ends; returns what the caller receives."""
+        async with self.serve():
+            await (await self.connect()).close()
+            await self.wait_for_report()
+            stream = socket.create_connection(("127.0.0.1", self.port))
+            stream.settimeout(1.0)
+            stream.sendall(GET)
+            await curio.sleep(0.1)
+            self.assertIn(b" 200 ", stream.recv(1000))
+            # Sends in the pass of the loop in which the server is cancelled.
+            await curio.spawn(self.send_now, stream, data, daemon=True)
+        with contextlib.closing(stream):
+            return stream.recv(1000)
+
+    async def send_now(self, stream, data):
+        stream.sendall(data)
+
+    async def test_request_that_arrives_on_an_idle_connection_is_refused(self):
+        received = await self.end_after(GET)
+        self.assertIn(b" 503 ", received)
+        self.assertIn(b"retry-after", received.lower())
+        self.assertEqual(web.REFUSED_AT_END, self.closed.pop().reason)
+
+    async def test_idle_connection_is_closed_without_an_answer(self):
+        self.assertEqual(b"", await self.end_after(b""))
+        self.assertEqual((web.CANCELLED, 0, 1, 1), self.closed.pop()[:4])
+
+    async def test_request_in_progress_is_not_refused(self):
+        entered = curio.Event()
+
+        async def wait(_):
+            await entered.set()
+            await curio.sleep(60)
+
+        async with self.serve(handler=wait):
+            stream = await self.connect()
+            await stream.sendall(GET)
+            await entered.wait()
+        self.assertEqual(b"", await stream.recv(1000))
+        await stream.close()
+
+
 class JsonTest(base.TestCase):
     """Data that is not JSON or is nested too deeply."""
 
