--- a/samphirevale/adapters/web.py
+++ b/samphirevale/adapters/web.py
@@ -117,9 +117,10 @@
     error: str = ""
 
 
-# Reasons why a connection ends. Those without a failure are expected.
+# Reasons why a connection ends. The expected ones are no failures if all
+# requests have been answered.
 CALLER_LEFT = "caller_left"
-IDLE_TIMEOUT = "idle_timeout"
+IDLE = "idle"
 HEAD_TIMEOUT = "head_timeout"
 BODY_TIMEOUT = "body_timeout"
 WRITE_TIMEOUT = "write_timeout"
@@ -130,9 +131,12 @@
 DRAINING = "draining"
 ANSWER_BROKEN = "answer_broken"
 CANCELLED = "cancelled"
+REFUSED_AT_END = "refused_at_end"
 UNEXPECTED_ERROR = "unexpected_error"
 
-EXPECTED_REASONS = frozenset({CALLER_LEFT, IDLE_TIMEOUT, LAST_ANSWER, DRAINING})
+EXPECTED_REASONS = frozenset(
+    {CALLER_LEFT, IDLE, LAST_ANSWER, DRAINING, CANCELLED}
+)
 
 # Reasons after which the caller may still be sending, and has an answer to
 # read.
@@ -292,8 +296,8 @@
 _FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 
 
-# Value of Retry-After when the memory for bodies is exhausted, in seconds.
-MEMORY_RETRY_SECONDS = 1
+# Value of Retry-After of the server's own refusals, in seconds.
+RETRY_SECONDS = 1
 
 
 class _RefusedError(Exception):
@@ -359,7 +363,9 @@
         except errors.AnswerLostError:
             reason = ANSWER_BROKEN
         except curio.TaskCancelled:
-            reason = CALLER_LEFT if self._caller_left else CANCELLED
+            reason = CALLER_LEFT
+            if not self._caller_left:
+                reason = await self._refuse_last()
             raise
         except BaseException as error:
             unexpected = f"{type(error).__name__}: {error}"
@@ -369,6 +375,23 @@
         if reason in _LINGERING_REASONS:
             await _linger(self._client)
 
+    async def _refuse_last(self) -> str:
+        """Refuses a request that arrives while the server ends.
+
+        Returns:
+            The reason why the connection ends.
+        """
+        if self._requests > self._answered:
+            return CANCELLED
+        try:
+            await self._read_ahead(LAST_READ_SECONDS)
+            if self._received_bytes == self._request_bytes:
+                return CALLER_LEFT if self._caller_left else CANCELLED
+            await self._refuse(503, "the server ends")
+        except _EndedError as error:
+            return error.reason
+        return REFUSED_AT_END
+
     def _report_closed(self, reason: str, error: str) -> None:
         unread = self._received_bytes - self._request_bytes
         self._state.report_closed(
@@ -411,7 +434,7 @@
             await self._refuse(error.error_status_hint, str(error))
             return CALLER_LEFT if self._caller_left else HEAD_REFUSED
         if request is None:
-            return CALLER_LEFT if self._caller_left else IDLE_TIMEOUT
+            return CALLER_LEFT if self._caller_left else IDLE
         self._requests += 1
         self._request_bytes = self._received_bytes - self._count_buffered()
         self._state.busy += 1
@@ -600,7 +623,7 @@
             return
         headers = [("Connection", "close")]
         if status == 503:
-            headers.append(("Retry-After", str(MEMORY_RETRY_SECONDS)))
+            headers.append(("Retry-After", str(RETRY_SECONDS)))
         problem = build_json(
             status, {"status": status, "title": text}, *headers
         )
