Show that a refusal ends the time in which two endpoints have a stream

The new test has a further endpoint, whose stages take long after the refusal: without the mechanism the silent endpoint is left for nothing and the stream ends; with it the stream goes on. No code has changed.

--- a/lab/stream_mechanisms.py
+++ b/lab/stream_mechanisms.py
@@ -256,7 +256,7 @@
         "                self._newest = None\n",
         "",
         f"{_SILENT_STREAM}"
-        ".test_silent_stream_is_not_cut_by_a_refusal_of_the_next_endpoint",
+        ".test_silent_stream_is_not_left_for_one_that_has_refused",
     ),
     _ablate(
         "resumption goes on at a further endpoint after a refusal",
--- a/tests/test_event_streams.py
+++ b/tests/test_event_streams.py
@@ -309,6 +309,28 @@
         )
         self.assertEqual(b"id: 1\n\nid: 2\n\n", await self.read_stream(answer))
 
+    async def test_silent_stream_is_not_left_for_one_that_has_refused(self):
+        self.use_stream_route(
+            attempts_limit=3, stages=(routes.Stage("stage", (), 100),)
+        )
+        self.add_endpoint("p3")
+        answer = await self.answer(
+            self.build_stream(
+                b"id: 1\n\n", proxy_fakes.Silence(LONG_SILENCE), b"id: 2\n\n"
+            ),
+            errors.NotExecutedError("status 409", lacks_results=True),
+            item_counts=(1,),
+        )
+        run_items = self.runner.run_items
+
+        async def run_slowly_after_the_refusal(*arguments):
+            if len(self.endpoints.sends) > 1:
+                await curio.sleep(50.0)
+            return await run_items(*arguments)
+
+        self.runner.run_items = run_slowly_after_the_refusal
+        self.assertEqual(b"id: 1\n\nid: 2\n\n", await self.read_stream(answer))
+
     async def test_silent_stream_is_not_cut_during_the_next_connect(self):
         answer = await self.answer(
             self.build_stream(
