Remove both guards against older routes in their ablation

A run of all ablations found two that were not noticed.

"newer routes of another entry do not confirm older ones" passed its test without the mechanism, also at: since the eras, confirm_routes refuses older routes too, so the check in RoutesFreshness.ask alone only causes the read of the newer ones. Both are removed together now, and SoundnessTest fails; the read has an ablation of its own.

"pause not ended by a shorter one" was noticed by AnyOrderTest only by the luck of its draw: a derandomised test draws anew when its source changes, and after the change of its set-up 300 examples no longer found it.

--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -370,6 +370,8 @@
         "max(before, now + min(seconds, PAUSE_SECONDS_LIMIT))",
         "now + min(seconds, PAUSE_SECONDS_LIMIT)",
         f"{_NOTICES}.AnyOrderTest",
+        f"{_NOTICES}.EndpointNoticesTest"
+        ".test_shorter_pause_does_not_end_a_longer_one",
     ),
     _ablate(
         "length of pauses limited",
@@ -571,12 +573,30 @@
         "tests.test_routes_freshness.SoundnessTest",
     ),
     _ablate(
-        "newer routes of another entry do not confirm older ones",
+        "newer routes of another entry read from the store",
         ROUTES_AND_KEYS,
         "routes_freshness",
         "if answer.version > self._cluster.table.version:",
         "if False:",
-        "tests.test_routes_freshness.SoundnessTest",
+        "tests.test_routes_freshness.RoutesFreshnessTest"
+        ".test_newer_version_elsewhere_is_read_from_the_store",
+    ),
+    Ablation(
+        "newer routes of another entry do not confirm older ones",
+        ROUTES_AND_KEYS,
+        (
+            Edit(
+                "samphirevale/routes_freshness.py",
+                "if answer.version > self._cluster.table.version:",
+                "if False:",
+            ),
+            Edit(
+                "samphirevale/cluster_state.py",
+                "if not self.has_newest_routes():",
+                "if False:",
+            ),
+        ),
+        ("tests.test_routes_freshness.SoundnessTest",),
     ),
     _ablate(
         "objects listed again when the watch history is gone",
--- a/tests/test_endpoint_notices.py
+++ b/tests/test_endpoint_notices.py
@@ -159,7 +159,7 @@
         ]
         return max(min(ends, default=0.0) - model.now, 0.0)
 
-    @hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=1000)
     @hypothesis.given(strategies.lists(_steps, max_size=25))
     def test_no_order_makes_an_endpoint_usable_too_early(self, steps):
         self.model = NoticesModel()
