--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -22,12 +22,14 @@
 RECOVERY = "a process recovers its state from the store"
 ERAS = "a store that returns from a copy brings nothing back"
 LIMITS = "callers' input is limited in size and time"
+CONNECTIONS = "a connection does not end before its request is answered"
 
 _PROXYING = "tests.test_proxying"
 _NOTICES = "tests.test_endpoint_notices"
 _CALLS = "tests.platform.test_endpoints"
 _DISPATCH = "tests.test_batch_dispatch.BatchDispatcherTest"
 _SESSION = "tests.platform.test_session.SessionTest"
+_WEB = "tests.adapters.test_web"
 _DRILL = "tests.platform.test_store_drills.StoreDrillTest"
 
 
@@ -542,6 +544,15 @@
         "        and known.catalogue.list_accepting(stage.service)\n",
         f"{_PROXYING}.PauseTest.test_paused_stage_refuses_at_once",
     ),
+    _ablate(
+        "request refused that arrives as the process ends",
+        GRACEFUL_SHUTDOWN,
+        "adapters/web",
+        "reason = await self._refuse_last()",
+        "reason = CANCELLED",
+        f"{_WEB}.EndOfServerTest"
+        ".test_request_that_arrives_on_an_idle_connection_is_refused",
+    ),
     _ablate(
         "requests refused late in a graceful shutdown",
         GRACEFUL_SHUTDOWN,
@@ -745,6 +756,51 @@
         "tests.test_registrar.RegistrarTest",
         f"{_DRILL}.test_entry_registers_again_in_a_new_era",
     ),
+    _ablate(
+        "raised idle timeout held for idle connections",
+        CONNECTIONS,
+        "adapters/web",
+        "            # The timeout may have been raised meanwhile.\n"
+        "            self._adopt_limits()\n",
+        "",
+        f"{_WEB}.IdleTimeoutTest"
+        ".test_raised_timeout_holds_for_a_connection_that_is_idle",
+    ),
+    _ablate(
+        "idle connection read once more",
+        CONNECTIONS,
+        "adapters/web",
+        "self._read_ahead(LAST_READ_SECONDS) and not self._caller_left",
+        "self._read_ahead(-1.0) and False",
+        f"{_WEB}.IdleTimeoutTest"
+        ".test_request_that_arrives_as_the_timeout_fires_is_answered",
+    ),
+    _ablate(
+        "input read on after the last answer",
+        CONNECTIONS,
+        "adapters/web",
+        "if reason in _LINGERING_REASONS:",
+        "if False:",
+        f"{_WEB}.LingeringTest.test_refusal_of_a_body_that_arrives_late",
+    ),
+    _ablate(
+        "answer to a request whose handler times out",
+        CONNECTIONS,
+        "adapters/web",
+        "except (Exception, curio.TaskTimeout) as error:",
+        "except Exception as error:",
+        f"{_WEB}.FailedHandlerTest"
+        ".test_timeout_that_escapes_a_handler_is_answered",
+    ),
+    _ablate(
+        "error of an exchange raised where its request waits",
+        CONNECTIONS,
+        "exchange_races",
+        "except (Exception, curio.TaskTimeout) as error:",
+        "except (errors.TransportError, TimeoutError) as error:",
+        "tests.test_exchange_races.ExchangeRaceTest"
+        ".test_unexpected_error_does_not_leave_the_request_waiting",
+    ),
     _ablate(
         "time limit for request heads",
         LIMITS,
