Split the choice of endpoints and the results off the run of stages

- stage_placement chooses the endpoints of items and estimates the times of all stages;
- stage_results holds the results of a request's stages, tells which are missing or lost, and releases them;
- item_runners says what the stages need of those that run their items;

--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -599,7 +599,7 @@
     _ablate(
         "stages refused at once if their endpoints pause",
         PAUSES,
-        "stages",
+        "stage_placement",
         "        and known.list_usable(stage.service, now)\n",
         "        and known.catalogue.list_accepting(stage.service)\n",
         f"{_PROXYING}.PauseTest.test_paused_stage_refuses_at_once",
--- a/samphirevale/item_routing.py
+++ b/samphirevale/item_routing.py
@@ -24,7 +24,7 @@
 
 
 class RoutedItemRunner:
-    """Implements stages.ItemRunner and entries.ItemServer.
+    """Implements item_runners.ItemRunner and entries.ItemServer.
 
     Attributes:
         table: the links to other entries; None until the table is created.
--- a/samphirevale/proxy_context.py
+++ b/samphirevale/proxy_context.py
@@ -5,12 +5,12 @@
 
 from samphirevale import (
     cluster_state,
+    item_runners,
     journal,
     placement,
     quarantine,
     retry_budgets,
     return_times,
-    stages,
     stream_origins,
 )
 from samphirevale.ports import clock as clocks
@@ -36,7 +36,7 @@
 
     cluster_state: cluster_state.ClusterState
     selector: placement.EndpointSelector
-    item_runner: stages.ItemRunner
+    item_runner: item_runners.ItemRunner
     budget: retry_budgets.RetryBudget
     quarantine: quarantine.Quarantine
     endpoints: proxies.ProxyEndpoints
--- a/samphirevale/proxy_runs.py
+++ b/samphirevale/proxy_runs.py
@@ -18,6 +18,7 @@
     proxy_context,
     proxy_requests,
     stage_admission,
+    stage_placement,
     stage_times,
     stages,
     stream_bindings,
@@ -179,7 +180,7 @@
         now = self._context.clock.now()
         bare_seconds = self._compute_bare_seconds()
         return (
-            stages.has_endpoints(
+            stage_placement.has_endpoints(
                 cluster, self._route, self._request.item_counts, now
             )
             and self._endpoints.compute_pause() <= bare_seconds
@@ -195,7 +196,7 @@
 
     def _estimate_stages(self, late: bool) -> stage_admission.StagesEstimate:
         """Estimates the completion time of the stages and their queues."""
-        return stages.estimate_stages(
+        return stage_placement.estimate_stages(
             self._context.item_runner,
             self._context.cluster_state,
             self._route,
--- a/samphirevale/stages.py
+++ b/samphirevale/stages.py
@@ -1,34 +1,29 @@
 """Runs the batched stages that precede a request to the back end."""
 
 import contextlib
-import math
 import random
-from collections.abc import AsyncIterator, Callable, Collection, Sequence
-from typing import NamedTuple, Protocol
+from collections.abc import AsyncIterator, Callable, Sequence
+from typing import NamedTuple
 
 import curio
 
 from samphirevale import (
     batch_dispatch,
     batching,
-    catalogue,
     cluster_state,
     errors,
+    item_runners,
     proxy_requests,
     routes,
-    stage_admission,
+    stage_placement,
+    stage_results,
     stage_times,
 )
 from samphirevale.ports import clock as clocks
-from samphirevale.ports import proxies
 
 # The largest number of retries of the items of a stage.
 RETRIES_LIMIT = 2
 
-# Cost of transfers between data centres when an endpoint is chosen, in seconds
-# per megabyte.
-REMOTE_SECONDS_PER_MB = 0.06
-
 # The failure reason of items for which there is no endpoint.
 NO_ENDPOINT = "no endpoint"
 
@@ -42,18 +37,6 @@
     batch_dispatch.UNSENT,
 )
 
-# Entries that decide on the same reports would all choose the same endpoint.
-# To prevent this, each entry above FEW_ENTRIES adds JITTER_SHARE of a call's
-# fixed time to the range of the random jitter on the endpoints' costs, up to
-# JITTER_CALLS calls.
-FEW_ENTRIES = 4
-JITTER_SHARE = 0.1
-JITTER_CALLS = 1.0
-
-# The cost of an endpoint in another data centre than that of the entry, in
-# seconds. Entries of different data centres then prefer different endpoints.
-REMOTE_SECONDS = 0.05
-
 # The later stages of a late request are due within this share of the time for
 # which results are stored. They then follow the items of requests on time, but
 # do not hold memory for long.
@@ -64,32 +47,6 @@
 MEMORY_SHARE = 0.6
 
 
-class ItemRunner(Protocol):
-    """Runs items at an endpoint, directly or through the entry that owns it."""
-
-    async def run_items(
-        self,
-        endpoint: catalogue.Endpoint,
-        limits: routes.BatchLimits,
-        items: Sequence[batching.Item],
-    ) -> list[proxies.ItemResult]:
-        """Runs items and returns their results in the same order."""
-
-    async def release(
-        self, endpoint: catalogue.Endpoint, names: Sequence[str]
-    ) -> None:
-        """Starts the release of results and returns without waiting for it."""
-
-    def estimate_seconds(
-        self,
-        endpoint: catalogue.Endpoint,
-        limits: routes.BatchLimits,
-        work: batching.NewItems,
-        now: float,
-    ) -> float:
-        """Returns the estimated completion time, in seconds from now."""
-
-
 class StageConstraints(NamedTuple):
     """Scheduling parameters that all stages of one request share.
 
@@ -111,127 +68,6 @@
     late: bool = False
 
 
-def choose_endpoint(
-    runner: ItemRunner,
-    known: cluster_state.ClusterState,
-    stage: routes.Stage,
-    items: int,
-    transfers: Sequence[tuple[str, int]],
-    late: bool,
-    now: float,
-    rng: random.Random | None = None,
-    excluded: Collection[str] = (),
-) -> tuple[catalogue.Endpoint, float] | None:
-    """Chooses the endpoint with the lowest cost.
-
-    The cost is the estimated completion time plus the cost of transfers
-    between data centres.
-
-    Args:
-        runner: estimates completion times at the endpoints.
-        known: provides the endpoints and their limits.
-        stage: the stage to run.
-        items: the number of items to run.
-        transfers: pairs of a data centre and the number of bytes that are
-            fetched from there or sent there.
-        late: whether the items are queued behind those that can still meet
-            their target.
-        now: the present time.
-        rng: adds jitter, so that several entries do not all choose the same
-            endpoint; None for no jitter.
-        excluded: names of endpoints that are not chosen.
-
-    Returns:
-        The endpoint and its estimated completion time in seconds from now;
-        None if no endpoint accepts work.
-    """
-    limits = known.find_batch_limits(stage.service)
-    if limits is None:
-        return None
-    work = batching.NewItems(items, items * stage.result_bytes, late)
-    jitter_range = 0.0
-    if rng is not None:
-        jitter_range = compute_jitter_range(limits, len(known.members))
-    best = None
-    best_cost = 0.0
-    for endpoint in known.list_usable(stage.service, now):
-        if endpoint.name in excluded:
-            continue
-        seconds = runner.estimate_seconds(endpoint, limits, work, now)
-        remote_bytes = sum(
-            moved_bytes
-            for data_centre, moved_bytes in transfers
-            if data_centre != endpoint.data_centre
-        )
-        cost = seconds + remote_bytes / 1e6 * REMOTE_SECONDS_PER_MB
-        if endpoint.data_centre != known.data_centre:
-            cost += REMOTE_SECONDS
-        if jitter_range:
-            cost += rng.uniform(0, jitter_range)
-        if best is None or cost < best_cost:
-            best, best_cost = (endpoint, seconds), cost
-    return best
-
-
-def compute_jitter_range(limits: routes.BatchLimits, entries: int) -> float:
-    """Returns the range of the jitter on endpoint costs, in seconds."""
-    excess = max(entries - FEW_ENTRIES, 0)
-    return min(excess * JITTER_SHARE, JITTER_CALLS) * limits.call_seconds
-
-
-def has_endpoints(
-    known: cluster_state.ClusterState,
-    route: routes.Route,
-    counts: Sequence[int],
-    now: float,
-) -> bool:
-    """Returns whether each stage with items has an endpoint."""
-    return all(
-        known.find_batch_limits(stage.service) is not None
-        and known.list_usable(stage.service, now)
-        for index, stage in enumerate(route.stages)
-        if stage_times.get_item_count(counts, index)
-    )
-
-
-def estimate_stages(
-    runner: ItemRunner,
-    known: cluster_state.ClusterState,
-    route: routes.Route,
-    counts: Sequence[int],
-    late: bool,
-    now: float,
-) -> stage_admission.StagesEstimate:
-    """Returns the estimated completion time of all stages and their queues.
-
-    The time is relative to now, and infinite if a stage has no endpoint. A late
-    request is queued behind others only in its first stages. Later stages are
-    not delayed, as the results that they take occupy memory.
-    """
-    ends: list[float] = []
-    waits: list[stage_admission.StageWait] = []
-    for index, stage in enumerate(route.stages):
-        start = max((ends[i] for i in stage.after), default=0.0)
-        count = stage_times.get_item_count(counts, index)
-        if not count:
-            ends.append(start)
-            continue
-        chosen = choose_endpoint(
-            runner, known, stage, count, (), late and not stage.after, now
-        )
-        if chosen is None:
-            return stage_admission.StagesEstimate(math.inf, ())
-        ends.append(start + chosen[1])
-        limits = known.find_batch_limits(stage.service)
-        call_seconds = stage_times.estimate_call_seconds(limits, count)
-        waits.append(
-            stage_admission.StageWait(
-                stage.service, chosen[1] - call_seconds, bool(stage.after)
-            )
-        )
-    return stage_admission.StagesEstimate(max(ends, default=0.0), tuple(waits))
-
-
 def split_items(
     items: list[batching.Item], limits: routes.BatchLimits
 ) -> list[list[batching.Item]]:
@@ -248,7 +84,7 @@
 
     def __init__(
         self,
-        runner: ItemRunner,
+        runner: item_runners.ItemRunner,
         known: cluster_state.ClusterState,
         clock: clocks.Clock,
         request: proxy_requests.ProxiedRequest,
@@ -278,9 +114,9 @@
         self._constraints = constraints
         self._take_retry = take_retry
         self._rng = rng
-        # The results of each stage by the index of the item.
-        self._results: dict[int, dict[int, batch_dispatch.StageResult]] = {}
-        self._released = False
+        self._results = stage_results.StageResults(
+            runner, known, route, request.item_counts
+        )
         # The indices of each stage's items that endpoints have had.
         self._sent: list[set[int]] = [set() for _ in route.stages]
         # Held while items of a stage run again whose results were lost.
@@ -298,7 +134,7 @@
         levels = self._group_by_level()
         for stage_indices in levels:
             await self._run_level(stage_indices)
-        return self.list_final_results()
+        return self._results.list_final()
 
     def _group_by_level(self) -> list[list[int]]:
         """Returns the stages in levels that run one after the other.
@@ -334,7 +170,7 @@
             for task in tasks:
                 if task.result is not None:
                     raise task.result
-        await self._release_consumed()
+        await self._results.release_consumed()
 
     async def _run_stage_caught(
         self, index: int
@@ -351,17 +187,17 @@
 
         Items that fail are retried, and inputs that were lost run again.
         """
-        self._results.setdefault(index, {})
+        self._results.begin(index)
         stage = self._route.stages[index]
         reason = ""
         attempts = 0
         while attempts <= RETRIES_LIMIT:
             await self._complete_inputs(stage)
-            if self._released:
+            if self._results.released:
                 raise errors.EarlierStageError("the results were released")
             items = self._build_missing_items(index)
             reason = await self._run_items_once(index, items)
-            if not self._list_missing(index):
+            if not self._results.list_missing(index):
                 return
             if reason == batch_dispatch.OVERDUE:
                 # The penalty of that endpoint favours others, if any are left.
@@ -372,7 +208,7 @@
             if reason == INPUTS_GONE:
                 if not stage.after:
                     break
-                await self._drop_lost_inputs(stage, items[0].inputs)
+                await self._results.drop_lost(stage, items[0].inputs)
             self._take_stage_retry(index)
         raise errors.EarlierStageError(f"stage {index}: {reason}")
 
@@ -395,11 +231,13 @@
 
     async def _complete_inputs(self, stage: routes.Stage) -> None:
         """Runs the items of the preceding stages whose results were lost."""
-        while not self._released and (
-            incomplete := [i for i in stage.after if self._list_missing(i)]
+        while not self._results.released and (
+            incomplete := [
+                i for i in stage.after if self._results.list_missing(i)
+            ]
         ):
             async with self._repeat_locks[incomplete[0]]:
-                if self._list_missing(incomplete[0]):
+                if self._results.list_missing(incomplete[0]):
                     await self._repeat_stage(incomplete[0])
 
     async def _repeat_stage(self, index: int) -> None:
@@ -418,36 +256,6 @@
         self._take_stage_retry(index)
         await self._run_stage(index)
 
-    async def _drop_lost_inputs(
-        self, stage: routes.Stage, used: Collection[str]
-    ) -> None:
-        """Drops the inputs of a stage that are no longer stored.
-
-        These are the ones at endpoints that leave or are not registered any
-        more. Without any such endpoint it is unknown which inputs are lost.
-
-        Args:
-            stage: the stage whose items lacked an input.
-            used: the names of the inputs of these items.
-        """
-        held = [
-            stage_result
-            for i in stage.after
-            for stage_result in self._list_results(i)
-        ]
-        lost = [
-            stage_result
-            for stage_result in held
-            if not self._cluster.keeps_results(stage_result.endpoint)
-        ]
-        if not lost and {stage_result.name for stage_result in held} >= {*used}:
-            lost = held
-        for i in stage.after:
-            results = self._results.get(i, {})
-            for key in [key for key in results if results[key] in lost]:
-                del results[key]
-        await self._release(lost)
-
     async def _run_items_once(
         self,
         index: int,
@@ -488,7 +296,7 @@
         Returns:
             The reason of a failure; empty if all items are done.
         """
-        chosen = choose_endpoint(
+        chosen = stage_placement.choose_endpoint(
             self._runner,
             self._cluster,
             self._route.stages[index],
@@ -511,10 +319,10 @@
                     self._refusing.add(result.endpoint or endpoint.name)
                 continue
             stored_at = self._cluster.catalogue.find(result.endpoint)
-            results = self._results.setdefault(index, {})
-            results[item.index] = batch_dispatch.StageResult(
+            stage_result = batch_dispatch.StageResult(
                 result.result, stored_at or endpoint, item.result_bytes
             )
+            self._results.add(index, item.index, stage_result)
         return _choose_reason([result.reason for result in outcomes])
 
     def _list_transfers(self, index: int, items: int) -> list[tuple[str, int]]:
@@ -525,10 +333,10 @@
         stage = self._route.stages[index]
         transfers = [
             (stage_result.endpoint.data_centre, stage_result.size * items)
-            for i in stage.after
-            for stage_result in self._list_results(i)
+            for stage_result in self._results.list_inputs(stage)
         ]
-        if self._constraints.data_centre and not self._list_dependents(index):
+        is_last = not self._results.list_dependents(index)
+        if self._constraints.data_centre and is_last:
             final_transfer = (
                 self._constraints.data_centre,
                 stage.result_bytes * items,
@@ -536,25 +344,6 @@
             transfers.append(final_transfer)
         return transfers
 
-    def _list_dependents(self, index: int) -> list[int]:
-        """Returns the stages that depend on a stage."""
-        return [
-            i
-            for i, stage in enumerate(self._route.stages)
-            if index in stage.after
-        ]
-
-    def _list_results(self, index: int) -> list[batch_dispatch.StageResult]:
-        """Returns the results of a stage in the order of its items."""
-        results = self._results.get(index, {})
-        return [results[key] for key in sorted(results)]
-
-    def _list_missing(self, index: int) -> list[int]:
-        """Returns the items of a stage that have no result."""
-        count = stage_times.get_item_count(self._request.item_counts, index)
-        results = self._results.get(index, {})
-        return [key for key in range(count) if key not in results]
-
     def _build_missing_items(self, index: int) -> list[batching.Item]:
         """Returns the items of a stage that have no result."""
         stage = self._route.stages[index]
@@ -566,8 +355,7 @@
             due_at = self._clock.now() + held_seconds
         inputs = tuple(
             stage_result.name
-            for i in stage.after
-            for stage_result in self._list_results(i)
+            for stage_result in self._results.list_inputs(stage)
         )
         return [
             batching.Item(
@@ -582,7 +370,7 @@
                 rank=self._constraints.rank,
                 ticket=None,
             )
-            for item_index in self._list_missing(index)
+            for item_index in self._results.list_missing(index)
         ]
 
     def _estimate_after(self, index: int) -> float:
@@ -601,44 +389,9 @@
         """Returns the data centre where the results will be used."""
         return self._constraints.data_centre
 
-    def list_final_results(self) -> list[batch_dispatch.StageResult]:
-        """Returns the results that are not inputs of another stage."""
-        consumed = {i for stage in self._route.stages for i in stage.after}
-        return [
-            stage_result
-            for index in sorted(self._results)
-            if index not in consumed
-            for stage_result in self._list_results(index)
-        ]
-
-    async def _release_consumed(self) -> None:
-        """Releases results whose dependent stages are all done."""
-        for index in list(self._results):
-            dependents = self._list_dependents(index)
-            if dependents and all(i in self._results for i in dependents):
-                results = self._list_results(index)
-                self._results[index] = {}
-                await self._release(results)
-
     async def release_all(self) -> None:
         """Releases every result that is still held, and ends the run."""
-        self._released = True
-        for index in list(self._results):
-            results = self._list_results(index)
-            del self._results[index]
-            await self._release(results)
-
-    async def _release(self, results: list[batch_dispatch.StageResult]) -> None:
-        by_endpoint: dict[str, list[batch_dispatch.StageResult]] = {}
-        for stage_result in results:
-            by_endpoint.setdefault(stage_result.endpoint.name, []).append(
-                stage_result
-            )
-        for endpoint_results in by_endpoint.values():
-            await self._runner.release(
-                endpoint_results[0].endpoint,
-                [stage_result.name for stage_result in endpoint_results],
-            )
+        await self._results.release_all()
 
 
 def _choose_reason(reasons: Sequence[str]) -> str:
