Play brief silences of sound endpoints in the randomised proof

The lab had endpoints that are frozen for 1 to 4 s among many other faults, but nothing showed that a silence of about a second costs no request. New are the fault `silence_endpoint` (0.4 to 1.5 s), and a phase of 15 s without other faults in which three pools at a time have a silent endpoint. The invariant `silence_ends_nothing` says that no request of that phase fails before its deadline of 5 s, and that no sidecar gives its endpoint up.

So the phase has deadlines of 5 s, and none is silent twice in a row.

--- a/lab/callers.py
+++ b/lab/callers.py
@@ -73,12 +73,12 @@
     return sorted(sends, key=lambda send: (send.at, send.number))
 
 
-def plan_replacement_sends(
-    seed: int, seconds: float, entries: list[str]
+def plan_phase_sends(
+    seed: int, phase: str, seconds: float, entries: list[str]
 ) -> list[evidence.Send]:
-    """Returns the requests for the phase in which all nodes are replaced."""
-    rng = random.Random(f"calm sends {seed}")
-    sends = _plan_requests(rng, f"{seed}-calm", seconds, entries)
+    """Returns the requests for a phase that has one kind of fault only."""
+    rng = random.Random(f"{phase} sends {seed}")
+    sends = _plan_requests(rng, f"{seed}-{phase}", seconds, entries)
     return sorted(sends, key=lambda send: (send.at, send.number))
 
 
--- a/lab/evidence.py
+++ b/lab/evidence.py
@@ -121,8 +121,9 @@
     Attributes:
         kind: `down` (from the exit until the process is ready again),
             `frozen` (suspended), `stopping` (from the request to stop until
-            the exit) or `calm` (graceful replacements and no other faults;
-            has no target).
+            the exit), `calm` (graceful replacements and no other faults) or
+            `silences` (brief silences of endpoints and no other faults); the
+            last two have no target.
         target: the process's name.
         began: the start.
         ended: the end; infinity until the span ends.
@@ -177,7 +178,8 @@
         runs: the runs in the endpoints' journals.
         orders: the answers that operators got.
         spans: the intervals in which processes were down, frozen or
-            stopping, or all nodes were replaced gracefully.
+            stopping, all nodes were replaced gracefully, or endpoints were
+            briefly silent.
         samples: the sampled revisions of the nodes.
         exits: the exits of processes other than endpoints.
         outcomes: the final answer of an entry about each idempotency key;
@@ -189,6 +191,8 @@
         pools: the pool of each endpoint.
         unreachable: pairs of an entry and an endpoint that the entry could
             not use long after the faults.
+        given_up: log lines of sidecars that gave up an endpoint although it was
+            only briefly silent.
     """
 
     answers: list[Answer]
@@ -204,6 +208,7 @@
     batches: dict[str, tuple[str, str, str]]
     pools: dict[str, str]
     unreachable: list[tuple[str, str]]
+    given_up: list[str]
 
 
 class EventLog:
--- a/lab/faults.py
+++ b/lab/faults.py
@@ -5,7 +5,6 @@
 """
 
 import contextlib
-import pathlib
 import random
 import time
 from collections.abc import Awaitable, Callable
@@ -260,18 +259,9 @@
     async with _Reservation(trial, names, fault.choice) as name:
         if not name:
             return False
-        process = trial.find_process(name)
-        if process.exit_status is not None:
+        if trial.find_process(name).exit_status is not None:
             return False
-        span = trial.begin_span("frozen", name)
-        process.freeze()
-        try:
-            await curio.sleep(fault.seconds)
-            status = pathlib.Path(f"/proc/{process.pid}/stat").read_text()
-        finally:
-            process.resume()
-            trial.end_span(span)
-        return status.rpartition(")")[2].split()[0] == "T"
+        return await trial.freeze(name, fault.seconds)
 
 
 @register("freeze_entry", 1.0, 4.0)
@@ -298,6 +288,12 @@
     return await _freeze(trial, fault, _list_endpoints(trial))
 
 
+@register("silence_endpoint", *trials.SILENCE_SECONDS)
+async def silence_endpoint(trial: trials.Trial, fault: Fault) -> bool:
+    """Makes an endpoint that works fall silent for a moment and go on."""
+    return await _freeze(trial, fault, _list_endpoints(trial))
+
+
 async def _stop_and_start(
     trial: trials.Trial, fault: Fault, names: list[str]
 ) -> bool:
--- a/lab/invariant_checks.py
+++ b/lab/invariant_checks.py
@@ -331,16 +331,49 @@
     record: evidence.Evidence,
 ) -> Iterator[dict[str, Any]]:
     """Finds requests that failed while nodes were replaced gracefully."""
-    calm = [span for span in record.spans if span.kind == "calm"]
-    for answer in record.answers:
-        if not any(s.began <= answer.sent_at <= s.ended for s in calm):
-            continue
-        running = (answer.value or {}).get("title") == "running"
-        failed = answer.outcome in ("cut", "not_completed", "none")
-        if failed or (answer.outcome == "unknown" and not running):
+    for answer in _list_answers_during(record, "calm"):
+        if _has_failed(answer):
             yield {**_describe(answer), "during": "graceful replacements"}
 
 
+def _list_answers_during(
+    record: evidence.Evidence, kind: str
+) -> list[evidence.Answer]:
+    """Returns the answers to requests that were sent in spans of a kind."""
+    spans = [span for span in record.spans if span.kind == kind]
+    return [
+        answer
+        for answer in record.answers
+        if any(span.began <= answer.sent_at <= span.ended for span in spans)
+    ]
+
+
+def _has_failed(answer: evidence.Answer) -> bool:
+    """Returns whether an answer is neither whole nor true that it has not run.
+
+    A key that is still running has not failed.
+    """
+    running = (answer.value or {}).get("title") == "running"
+    return answer.outcome in ("cut", "not_completed", "none") or (
+        answer.outcome == "unknown" and not running
+    )
+
+
+@register("silence_ends_nothing")
+def find_ended_by_silence(
+    record: evidence.Evidence,
+) -> Iterator[dict[str, Any]]:
+    """Checks that a brief silence ends no request and gives up no endpoint.
+
+    A request may still fail at its deadline.
+    """
+    for answer in _list_answers_during(record, "silences"):
+        deadline_at = answer.sent_at + answer.send.deadline_ms / 1000
+        if _has_failed(answer) and answer.ended_at < deadline_at:
+            yield _describe(answer)
+    yield from ({"line": line} for line in record.given_up)
+
+
 @register("final_answer")
 def find_missing_answers(record: evidence.Evidence) -> Iterator[dict[str, Any]]:
     """Checks that a request gets a final answer in time.
--- a/lab/mechanisms.py
+++ b/lab/mechanisms.py
@@ -106,6 +106,11 @@
     'outcome = "not_run"',
 )
 
+# Lets sidecars give up an endpoint after one probe without an answer.
+_GIVE_UP_SILENT = _edit(
+    "monitors", "UNANSWERED_PROBES_LIMIT = 2", "UNANSWERED_PROBES_LIMIT = 1"
+)
+
 _CHOOSE_DRAINED = _edit(
     "candidates", 'if peer.endpoint not in value["draining"]', "if True"
 )
@@ -789,13 +794,11 @@
         ),
         ("tests.test_dump",),
     ),
-    ablate_module(
-        "brief silence of an engine loses no batches",
-        RECALL,
-        "monitors",
-        "UNANSWERED_PROBES_LIMIT = 2",
-        "UNANSWERED_PROBES_LIMIT = 1",
-        "tests.test_monitors.SilentEndpointTest",
+    Ablation(
+        "briefly silent endpoint not given up",
+        DEADLINES,
+        (_GIVE_UP_SILENT,),
+        ("tests.test_monitors.SilentEndpointTest",),
     ),
     ablate_module(
         "suspected sidecar kept without another endpoint",
@@ -864,4 +867,11 @@
         seed=1,
         invariant="not_run_is_true",
     ),
+    Ablation(
+        "briefly silent endpoint not given up",
+        DEADLINES,
+        (_GIVE_UP_SILENT,),
+        seed=1,
+        invariant="silence_ends_nothing",
+    ),
 )
--- a/lab/prove.py
+++ b/lab/prove.py
@@ -10,6 +10,7 @@
 import collections
 import json
 import pathlib
+import random
 import shutil
 import sys
 import time
@@ -40,6 +41,9 @@
 # The duration of the load under which all nodes are replaced, in seconds.
 REPLACEMENT_SECONDS = 15.0
 
+# The duration of the load under which endpoints are briefly silent, in seconds.
+SILENCES_SECONDS = 15.0
+
 # The timeout of a graceful process shutdown, in seconds.
 STOP_SECONDS = 45.0
 
@@ -172,10 +176,19 @@
         self._sends = callers.plan_sends(
             seed, seconds, list(trial.deployment.entries)
         )
-        self._calm_sends = callers.plan_replacement_sends(
-            seed, REPLACEMENT_SECONDS, list(trial.deployment.entries)
+        entries = list(trial.deployment.entries)
+        self._calm_sends = callers.plan_phase_sends(
+            seed, "calm", REPLACEMENT_SECONDS, entries
         )
+        # A request may meet a silent endpoint at each of its stages.
+        self._silence_sends = [
+            send._replace(deadline_ms=callers.DEADLINE_MOST_MS)
+            for send in callers.plan_phase_sends(
+                seed, "silences", SILENCES_SECONDS, entries
+            )
+        ]
         self._plan = faults.plan_faults(seed, seconds)
+        self._given_up: list[str] = []
 
     async def run(self) -> Result:
         """Runs the load and the faults, and checks all invariants."""
@@ -193,6 +206,8 @@
         await curio.sleep(invariant_checks.IN_FORCE_SECONDS)
         await self._replace_all()
         await curio.sleep(SETTLE_SECONDS)
+        await self._silence_all()
+        await curio.sleep(SETTLE_SECONDS)
         outcomes = await self._query_outcomes()
         configuration = await trial.read_configuration()
         engines = await trial.read_engines()
@@ -211,11 +226,29 @@
             await group.spawn(self._trial.replace_all)
         self._trial.end_span(span)
 
+    async def _silence_all(self) -> None:
+        """Makes endpoints briefly silent under load, with no other faults."""
+        rng = random.Random(f"silences {self._seed}")
+        before = trials.read_unreachable(self._directory)
+        span = self._trial.begin_span("silences", "")
+        async with curio.TaskGroup() as group:
+            await group.spawn(self._callers.run, self._silence_sends)
+            await group.spawn(
+                self._trial.silence_endpoints, rng, SILENCES_SECONDS
+            )
+        self._trial.end_span(span)
+        after = trials.read_unreachable(self._directory)
+        self._given_up = [line for line in after if line not in before]
+
     async def _query_outcomes(self) -> dict[str, Any]:
         """Returns the outcome that an entry reports for each key."""
         owners = {
             send.key: send.account
-            for send in (*self._sends, *self._calm_sends)
+            for send in (
+                *self._sends,
+                *self._calm_sends,
+                *self._silence_sends,
+            )
             if send.key
         }
         urls = [node.process.url for node in self._deployment.entries.values()]
@@ -283,6 +316,7 @@
             },
             pools=trial.pools,
             unreachable=trial.unreachable,
+            given_up=self._given_up,
         )
 
     def _build_result(
--- a/lab/trials.py
+++ b/lab/trials.py
@@ -1,6 +1,7 @@
 """Runs a deployment under faults, and records what happens to it."""
 
 import pathlib
+import random
 import time
 from typing import Any
 
@@ -45,6 +46,14 @@
     "start": "start pipeline {pipeline}",
 }
 
+# The bounds of the silence of an endpoint that works and goes on, and the
+# pause before the next ones, in seconds.
+SILENCE_SECONDS = (0.4, 1.5)
+SILENCE_PAUSE_SECONDS = 0.2
+
+# The number of pools that have a silent endpoint at the same time.
+SILENT_POOLS = 3
+
 # An endpoint counts as used if it has run something within this time, in
 # seconds.
 USED_SECONDS = 1.0
@@ -64,7 +73,8 @@
         log: the event log of the run.
         reserved: the names of the processes on which a fault currently acts.
         spans: the intervals in which processes were down, frozen or
-            stopping, or all nodes were replaced gracefully.
+            stopping, all nodes were replaced gracefully, or endpoints were
+            briefly silent.
         exits: the exits of processes other than endpoints.
         orders: the answers that operators got.
         samples: the sampled revisions of the nodes.
@@ -172,6 +182,51 @@
             await self.set_crash_text(name)
         return ready
 
+    async def freeze(self, name: str, seconds: float) -> bool:
+        """Suspends a process (SIGSTOP) for a time, and resumes it.
+
+        Returns:
+            Whether it was suspended at the end of that time.
+        """
+        process = self.find_process(name)
+        span = self.begin_span("frozen", name)
+        process.freeze()
+        try:
+            await curio.sleep(seconds)
+            status = pathlib.Path(f"/proc/{process.pid}/stat").read_text()
+        finally:
+            process.resume()
+            self.end_span(span)
+        return status.rpartition(")")[2].split()[0] == "T"
+
+    async def silence_endpoints(
+        self, rng: random.Random, seconds: float
+    ) -> None:
+        """Makes endpoints of different pools fall silent and go on.
+
+        None is silent twice in a row, which could be one long silence.
+        """
+        ends_at = time.monotonic() + seconds
+        silent: list[str] = []
+        while time.monotonic() < ends_at:
+            pools = rng.sample(sorted(set(self.pools.values())), SILENT_POOLS)
+            silent = [
+                rng.choice(
+                    [
+                        name
+                        for name, own_pool in self.pools.items()
+                        if own_pool == pool and name not in silent
+                    ]
+                )
+                for pool in pools
+            ]
+            async with curio.TaskGroup() as group:
+                for name in silent:
+                    await group.spawn(
+                        self.freeze, name, rng.uniform(*SILENCE_SECONDS)
+                    )
+            await curio.sleep(SILENCE_PAUSE_SECONDS)
+
     async def replace(self, name: str) -> None:
         """Stops an entry or a sidecar gracefully and restarts it."""
         process = self.find_process(name)
@@ -469,9 +524,18 @@
 
 def read_violations(directory: pathlib.Path) -> list[str]:
     """Returns the log lines that report a violated invariant."""
-    lines = []
-    for path in sorted(directory.glob("*.log")):
-        for line in path.read_text(errors="replace").splitlines():
-            if "is violated" in line:
-                lines.append(f"{path.name}: {line}")
-    return lines
+    return _find_log_lines(directory, "is violated")
+
+
+def read_unreachable(directory: pathlib.Path) -> list[str]:
+    """Returns the log lines of sidecars that gave up their endpoint."""
+    return _find_log_lines(directory, "event=endpoint_unreachable")
+
+
+def _find_log_lines(directory: pathlib.Path, text: str) -> list[str]:
+    return [
+        f"{path.name}: {line}"
+        for path in sorted(directory.glob("*.log"))
+        for line in path.read_text(errors="replace").splitlines()
+        if text in line
+    ]
--- a/tests/lab/test_invariant_checks.py
+++ b/tests/lab/test_invariant_checks.py
@@ -116,6 +116,7 @@
         batches=BATCHES,
         pools={"booking-0": "booking"},
         unreachable=[],
+        given_up=[],
     )
     return record._replace(**changes)
 
@@ -245,15 +246,26 @@
             answers=[build_answer("cut")],
         )
 
-    def test_request_that_graceful_replacements_fail(self):
-        span = evidence.Span("calm", "", 9.0, 12.0)
+    def check_phase(self, kind, invariant):
+        """Checks which outcomes violate an invariant in a phase."""
+        span = evidence.Span(kind, "", 9.0, 12.0)
         for outcome in ("not_completed", "unknown"):
             answers = [build_answer(outcome)]
-            self.check({"graceful_stop"}, spans=[span], answers=answers)
+            self.check({invariant}, spans=[span], answers=answers)
         running = {"request": "r1", "title": "running"}
         answers = [build_answer("unknown", running), build_answer("not_run")]
         self.check(set(), spans=[span], answers=answers)
 
+    def test_request_that_graceful_replacements_fail(self):
+        self.check_phase("calm", "graceful_stop")
+
+    def test_request_that_a_brief_silence_ends(self):
+        self.check_phase("silences", "silence_ends_nothing")
+        span = evidence.Span("silences", "", 9.0, 12.0)
+        late = build_answer("not_completed", ended_at=12.0)
+        self.check(set(), spans=[span], answers=[late])
+        self.check({"silence_ends_nothing"}, given_up=["sidecar: unreachable"])
+
     def test_graceful_stop_with_another_status(self):
         self.check({"graceful_stop"}, exits=[build_exit(1, "stopped")])
 
@@ -399,6 +411,7 @@
                 "outcome_has_run",
                 "leaving_gets_no_work",
                 "graceful_stop",
+                "silence_ends_nothing",
                 "final_answer",
                 "configuration_in_force",
                 "configuration_never_reverts",
