--- a/tests/test_proxying.py
+++ b/tests/test_proxying.py
@@ -357,6 +357,10 @@
         self.cluster.catalogue.remove("p2", NOW)
         answer = await self.answer(proxy_fakes.FakeAnswer([b"1"], 500))
         self.assertEqual(500, answer.status)
+        self.assertGreater(
+            self.count_retries_left(),
+            retry_budgets.USED_SHARE * self.budget.limits.allowance,
+        )
 
     async def test_only_endpoint_is_connected_to_again_after_a_silence(self):
         self.cluster.catalogue.remove("p2", NOW)
