--- a/lab/fake_peers.py
+++ b/lab/fake_peers.py
@@ -17,7 +17,7 @@
 
 from samphirevale import errors, messages, prefixes, token_buffers
 from samphirevale.adapters import link as links
-from samphirevale.adapters import web
+from samphirevale.adapters import web, web_server
 
 HOST = "127.0.0.1"
 
@@ -312,7 +312,7 @@
 
     async def serve(self) -> None:
         """Serves until cancelled."""
-        await web.serve(self._answer, HOST, self._port)
+        await web_server.serve(self._answer, HOST, self._port)
 
     async def _answer(
         self, request: web.Request
--- a/lab/mechanisms.py
+++ b/lab/mechanisms.py
@@ -750,7 +750,7 @@
         INPUT,
         (
             _edit(
-                "adapters/web",
+                "adapters/web_connections",
                 "if len(body) > limits.body_bytes:",
                 "if False:",
             ),
@@ -762,7 +762,7 @@
         INPUT,
         (
             _edit(
-                "adapters/web",
+                "adapters/web_connections",
                 "if size > self._limits.head_bytes:",
                 "if False:",
             ),
--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -31,7 +31,7 @@
 _SILENCES = "tests.test_event_streams"
 _DISPATCH = "tests.test_batch_dispatch.BatchDispatcherTest"
 _SESSION = "tests.platform.test_session.SessionTest"
-_WEB = "tests.adapters.test_web"
+_WEB = "tests.adapters.test_web_connections"
 _DRILL = "tests.platform.test_store_drills.StoreDrillTest"
 
 TEST_ABLATIONS = (
@@ -309,7 +309,7 @@
     _ablate(
         "task cancelled when its caller disconnects",
         DISCONNECTED_CALLERS,
-        "adapters/web",
+        "adapters/web_connections",
         "                await task.cancel(blocking=False)\n",
         "",
         f"{_SESSION}.test_a_disconnected_callers_request_is_cancelled_at_once",
@@ -620,7 +620,7 @@
     _ablate(
         "request refused that arrives as the process ends",
         GRACEFUL_SHUTDOWN,
-        "adapters/web",
+        "adapters/web_connections",
         "reason = await self._refuse_last()",
         "reason = CANCELLED",
         f"{_WEB}.EndOfServerTest"
@@ -1192,15 +1192,15 @@
     _ablate(
         "heads read up to the operator's limit from the start",
         LIMITS,
-        "adapters/web",
+        "adapters/web_connections",
         "self._limits = state.limits or limits",
         "self._limits = limits",
-        "tests.adapters.test_web",
+        "tests.adapters.test_web_connections",
     ),
     _ablate(
         "raised idle timeout held for idle connections",
         CONNECTIONS,
-        "adapters/web",
+        "adapters/web_connections",
         "            # The timeout may have been raised meanwhile.\n"
         "            self._adopt_limits()\n",
         "",
@@ -1210,7 +1210,7 @@
     _ablate(
         "idle connection read once more",
         CONNECTIONS,
-        "adapters/web",
+        "adapters/web_connections",
         "self._read_ahead(LAST_READ_SECONDS) and not self._caller_left",
         "self._read_ahead(-1.0) and False",
         f"{_WEB}.IdleTimeoutTest"
@@ -1219,7 +1219,7 @@
     _ablate(
         "input read on after the last answer",
         CONNECTIONS,
-        "adapters/web",
+        "adapters/web_connections",
         "if reason in _LINGERING_REASONS:",
         "if False:",
         f"{_WEB}.LingeringTest.test_refusal_of_a_body_that_arrives_late",
@@ -1227,7 +1227,7 @@
     _ablate(
         "answer to a request whose handler times out",
         CONNECTIONS,
-        "adapters/web",
+        "adapters/web_connections",
         "except (Exception, curio.TaskTimeout) as error:",
         "except Exception as error:",
         f"{_WEB}.FailedHandlerTest"
@@ -1245,18 +1245,19 @@
     _ablate(
         "time limit for request heads",
         LIMITS,
-        "adapters/web",
-        "async with _refuse_after(self._limits.head_seconds, HEAD_TIMEOUT):",
-        "async with _refuse_after(60, HEAD_TIMEOUT):",
+        "adapters/web_connections",
+        "async with _refuse_after("
+        "self._limits.head_seconds, web.HEAD_TIMEOUT):",
+        "async with _refuse_after(60, web.HEAD_TIMEOUT):",
         f"{_SESSION}.test_an_incomplete_head_times_out",
     ),
     _ablate(
         "total memory of request bodies limited",
         LIMITS,
-        "adapters/web",
+        "adapters/web_connections",
         "if self._state.body_bytes > limits.all_bodies_bytes:",
         "if False:",
-        "tests.adapters.test_web.ServerTest"
+        "tests.adapters.test_web_connections.ServerTest"
         ".test_bodies_over_the_shared_memory_limit_are_refused",
     ),
     _ablate(
--- a/samphirevale/admin.py
+++ b/samphirevale/admin.py
@@ -21,7 +21,7 @@
     settings,
     tables,
 )
-from samphirevale.adapters import web
+from samphirevale.adapters import web, web_server
 from samphirevale.ports import operators as ports
 
 # The pattern of a valid order id.
@@ -85,7 +85,7 @@
     life: lifecycle.Lifecycle,
     operators: ports.Operators | None = None,
 ) -> web.Handler:
-    """Returns the handler of the admin port, for adapters.web.serve."""
+    """Returns the handler of the admin port, for adapters.web_server.serve."""
     admin = Admin(process_settings, life, operators)
 
     async def handle(request: web.Request) -> web.Response:
@@ -111,7 +111,7 @@
     """Serves the admin port until cancelled."""
     common = process_settings.common
     handler = build_handler(process_settings, life, operators)
-    await web.serve(handler, common.host, common.admin_port, LIMITS)
+    await web_server.serve(handler, common.host, common.admin_port, LIMITS)
 
 
 def _is_authorized(admin: Admin, request: web.Request) -> bool:
--- a/samphirevale/entry.py
+++ b/samphirevale/entry.py
@@ -37,7 +37,7 @@
     statistics,
     statuses,
 )
-from samphirevale.adapters import caller_api, clock, objects, web
+from samphirevale.adapters import caller_api, clock, objects, web, web_server
 from samphirevale.ports import objects as object_port
 
 # Timeout of one watch call to the store.
@@ -330,7 +330,7 @@
             idle_seconds=self._settings.idle_seconds,
         )
         api = caller_api.CallerApi(self)
-        await web.serve(
+        await web_server.serve(
             api.handle,
             self._settings.common.host,
             self._settings.caller_port,
--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -35,7 +35,7 @@
     routes_freshness,
     stream_origins,
 )
-from samphirevale.adapters import web
+from samphirevale.adapters import web, web_server
 from samphirevale.ports import clock as clocks
 from samphirevale.ports import platforms
 
@@ -292,7 +292,7 @@
     async def serve_callers(self) -> None:
         """Serves callers until cancelled."""
         handler = self._adapters.build_handler(self._proxy.answer, self._clock)
-        await web.serve(
+        await web_server.serve(
             handler.handle,
             self.settings.caller_host,
             self.settings.caller_port,
@@ -306,7 +306,7 @@
         async def answer(_: web.Request) -> web.Response:
             return web.Response(200 if self.is_ready() else 503)
 
-        await web.serve(
+        await web_server.serve(
             answer, self.settings.ready_host, self.settings.ready_port
         )
 
@@ -332,7 +332,7 @@
             text = prometheus_client.generate_latest(metrics.REGISTRY)
             return web.Response(200, text, METRICS_HEADERS)
 
-        await web.serve(
+        await web_server.serve(
             answer, self.settings.peer_host, self.settings.metrics_port
         )
 
--- a/standins/programs.py
+++ b/standins/programs.py
@@ -13,7 +13,7 @@
 import defopt
 
 from samphirevale import errors
-from samphirevale.adapters import web, web_client
+from samphirevale.adapters import web, web_client, web_server
 from standins import faults
 
 # The polling interval until the server listens, in seconds.
@@ -26,9 +26,9 @@
 
 
 class AnswerDroppedError(curio.TaskCancelled):
-    """Makes web.serve close the connection without sending an answer.
+    """Makes web_server.serve close the connection without sending an answer.
 
-    web.serve handles it like the end of the server.
+    web_server.serve handles it like the end of the server.
     """
 
 
@@ -212,7 +212,7 @@
 async def _serve(program: Program, host: str, port: int) -> None:
     with receive_signals(signal.SIGTERM, signal.SIGINT) as signals:
         server = await curio.spawn(
-            web.serve, program.handle, host, port, LIMITS
+            web_server.serve, program.handle, host, port, LIMITS
         )
         await _wait_until_listening(server, host, port)
         print("ready", flush=True)
--- a/tests/adapters/test_endpoints.py
+++ b/tests/adapters/test_endpoints.py
@@ -4,7 +4,7 @@
 
 import curio
 
-from samphirevale.adapters import endpoints, web, web_client
+from samphirevale.adapters import endpoints, web, web_client, web_server
 from samphirevale.ports import endpoints as ports
 from tests import base
 
@@ -29,7 +29,7 @@
             return web.build_json(200, {"result": "done"})
 
         port = base.find_free_port()
-        server = await curio.spawn(web.serve, handle, "127.0.0.1", port)
+        server = await curio.spawn(web_server.serve, handle, "127.0.0.1", port)
         await curio.sleep(0.05)
         service = endpoints.build_endpoint(
             "service", f"http://127.0.0.1:{port}", 1.0
--- a/tests/adapters/test_objects.py
+++ b/tests/adapters/test_objects.py
@@ -3,7 +3,7 @@
 import curio
 
 from samphirevale import errors
-from samphirevale.adapters import clock, objects, web
+from samphirevale.adapters import clock, objects, web, web_server
 from tests import base
 
 OBJECT = {"kind": "k", "name": "a/b", "version": 3, "value": {"x": 1}}
@@ -20,7 +20,7 @@
             return answer
 
         port = base.find_free_port()
-        server = await curio.spawn(web.serve, handle, "127.0.0.1", port)
+        server = await curio.spawn(web_server.serve, handle, "127.0.0.1", port)
         self.store = objects.HttpObjectStore(f"http://127.0.0.1:{port}")
         await curio.sleep(0.05)
         return server
@@ -107,7 +107,7 @@
             await curio.sleep(100)
 
         port = base.find_free_port()
-        server = await curio.spawn(web.serve, hang, "127.0.0.1", port)
+        server = await curio.spawn(web_server.serve, hang, "127.0.0.1", port)
         await curio.sleep(0.05)
         store = objects.HttpObjectStore(f"http://127.0.0.1:{port}")
         monotonic = clock.MonotonicClock()
--- a/tests/adapters/test_web.py
+++ b/tests/adapters/test_web_connections.py
@@ -9,7 +9,7 @@
 import curio
 
 from samphirevale import errors
-from samphirevale.adapters import web, web_client
+from samphirevale.adapters import web, web_client, web_server
 from tests import base
 
 CHUNK_BYTES = 64 * 1024
@@ -51,7 +51,7 @@
         answer = EndlessAnswer()
         port = base.find_free_port()
         serving = await curio.spawn(
-            web.serve, answer.handle, "127.0.0.1", port, LIMITS
+            web_server.serve, answer.handle, "127.0.0.1", port, LIMITS
         )
         connection = await self.connect(port)
         try:
@@ -70,7 +70,7 @@
         state = web.ServerState()
         state.limits = web.Limits(head_bytes=64 * 1024)
         serving = await curio.spawn(
-            web.serve, answer, "127.0.0.1", port, web.Limits(), state
+            web_server.serve, answer, "127.0.0.1", port, web.Limits(), state
         )
         await (await self.connect(port)).close()
         stream = await curio.open_connection("127.0.0.1", port)
@@ -98,7 +98,7 @@
         limits = web.Limits(body_bytes=100, all_bodies_bytes=150)
         state = web.ServerState()
         serving = await curio.spawn(
-            web.serve, wait, "127.0.0.1", port, limits, state
+            web_server.serve, wait, "127.0.0.1", port, limits, state
         )
         connections = [await self.connect(port) for _ in range(2)]
         try:
@@ -124,7 +124,7 @@
         port = base.find_free_port()
         answer = EndlessAnswer()
         serving = await curio.spawn(
-            web.serve, answer.handle, "127.0.0.1", port, LIMITS
+            web_server.serve, answer.handle, "127.0.0.1", port, LIMITS
         )
         await (await self.connect(port)).close()
         with self.without_free_files():
@@ -172,7 +172,12 @@
 
         state = web.ServerState(self.closed.append)
         serving = await curio.spawn(
-            web.serve, handler or answer, "127.0.0.1", self.port, limits, state
+            web_server.serve,
+            handler or answer,
+            "127.0.0.1",
+            self.port,
+            limits,
+            state,
         )
         try:
             yield state
@@ -430,7 +435,7 @@
         async with self.serve(web.Limits(connections=0)):
             streams = [
                 await self.connect()
-                for _ in range(web.LINGERING_REFUSED_LIMIT + 1)
+                for _ in range(web_server.LINGERING_REFUSED_LIMIT + 1)
             ]
             for stream in streams:
                 self.assertIn(b" 503 ", await stream.recv(1000))
--- a/tests/platform/sessions.py
+++ b/tests/platform/sessions.py
@@ -13,7 +13,7 @@
     log_schema,
     retry_budgets,
 )
-from samphirevale.adapters import clock, web, web_client
+from samphirevale.adapters import clock, web_client, web_server
 from samphirevale.platform import __main__ as program
 from samphirevale.platform import node_file
 from standins import metadata_store, servers
@@ -131,7 +131,7 @@
     async def serve(self, stack, handle):
         port = base.find_free_port()
         task = await curio.spawn(
-            web.serve, handle, "127.0.0.1", port, daemon=True
+            web_server.serve, handle, "127.0.0.1", port, daemon=True
         )
         stack.push_async_callback(task.cancel)
         return port
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -5,7 +5,7 @@
 import curio
 
 from samphirevale import errors
-from samphirevale.adapters import web
+from samphirevale.adapters import web, web_server
 from samphirevale.platform import endpoints
 from samphirevale.ports import proxies
 from tests import base, proxy_fakes
@@ -46,7 +46,7 @@
 
         port = base.find_free_port()
         task = await curio.spawn(
-            web.serve, answer, "127.0.0.1", port, daemon=True
+            web_server.serve, answer, "127.0.0.1", port, daemon=True
         )
         self.endpoint = proxy_fakes.build_endpoint(host="127.0.0.1", port=port)
         try:
--- a/tests/platform/test_session.py
+++ b/tests/platform/test_session.py
@@ -5,7 +5,7 @@
 import curio
 
 from samphirevale import gateway
-from samphirevale.adapters import web, web_client
+from samphirevale.adapters import web_client, web_server
 from standins import metadata_store
 from tests import base
 from tests.platform import sessions
@@ -236,7 +236,11 @@
             store = metadata_store.MetadataStore()
             store.put("config", "main", sessions.build_manifest())
             serving = await curio.spawn(
-                web.serve, store.handle, "127.0.0.1", store_port, daemon=True
+                web_server.serve,
+                store.handle,
+                "127.0.0.1",
+                store_port,
+                daemon=True,
             )
             stack.push_async_callback(serving.cancel)
             await self.wait_until(self.gateway.is_ready)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -5,7 +5,7 @@
 import curio
 
 from samphirevale import errors
-from samphirevale.adapters import web
+from samphirevale.adapters import web_server
 from samphirevale.platform import store
 from standins import metadata_store
 from tests import base
@@ -20,7 +20,7 @@
         self.returns_after_each_answer = False
         port = base.find_free_port()
         task = await curio.spawn(
-            web.serve, self.handle, "127.0.0.1", port, daemon=True
+            web_server.serve, self.handle, "127.0.0.1", port, daemon=True
         )
         await curio.sleep(0.05)
         self.client = store.PlatformStore(f"http://127.0.0.1:{port}")
--- a/tests/test_cmdline.py
+++ b/tests/test_cmdline.py
@@ -15,7 +15,7 @@
 import curio
 
 from samphirevale import client, cmdline, token_buffers
-from samphirevale.adapters import web
+from samphirevale.adapters import web, web_server
 from tests import base, test_settings
 
 TOKENS = ["ripe", " grapes", " in", " row", " 4"]
@@ -95,7 +95,7 @@
     stop = curio.UniversalEvent()
 
     async def run() -> None:
-        task = await curio.spawn(web.serve, handler, "127.0.0.1", port)
+        task = await curio.spawn(web_server.serve, handler, "127.0.0.1", port)
         await stop.wait()
         await task.cancel()
 
--- a/tests/test_monitors.py
+++ b/tests/test_monitors.py
@@ -6,7 +6,7 @@
 
 from samphirevale import monitors, stage_runs
 from samphirevale.adapters import endpoints as http_endpoints
-from samphirevale.adapters import web
+from samphirevale.adapters import web, web_server
 from samphirevale.ports import endpoints
 from standins import generation
 from tests import base
@@ -73,7 +73,7 @@
         self.silent_until = 0.0
         port = base.find_free_port()
         server = await curio.spawn(
-            web.serve, self.answer, "127.0.0.1", port, daemon=True
+            web_server.serve, self.answer, "127.0.0.1", port, daemon=True
         )
         await curio.sleep(0.1)
         monitor = monitors.EndpointMonitor(
--- a/tests/test_reconciler.py
+++ b/tests/test_reconciler.py
@@ -15,7 +15,7 @@
     reconciler,
     settings,
 )
-from samphirevale.adapters import clock, endpoints, objects, web
+from samphirevale.adapters import clock, endpoints, objects, web_server
 from standins import engine, platform
 from tests import base
 
@@ -45,7 +45,7 @@
     async def _serve(self, program):
         port = base.find_free_port()
         task = await curio.spawn(
-            web.serve, program.handle, "127.0.0.1", port, daemon=True
+            web_server.serve, program.handle, "127.0.0.1", port, daemon=True
         )
         self._servers = [*getattr(self, "_servers", []), task]
         return f"http://127.0.0.1:{port}"
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -16,7 +16,7 @@
     settings,
     sidecar,
 )
-from samphirevale.adapters import link, web
+from samphirevale.adapters import link, web, web_server
 from tests import base, fakes
 
 SECRET = "a-secret-between-processes"
@@ -64,7 +64,7 @@
 
     async def start(self):
         self.task = await curio.spawn(
-            web.serve, self.answer, "127.0.0.1", self.port
+            web_server.serve, self.answer, "127.0.0.1", self.port
         )
 
     async def stop(self):
