--- a/standins/servers.py
+++ b/standins/servers.py
@@ -72,6 +72,10 @@
         seen_headers: the headers of each request that was run.
         items: all items that were run.
         freed: the results that were freed.
+        crashing_part: the part of a prompt that crashes the server when it
+            begins to answer; empty for none. The last part never does.
+        starts: the number of times that the server has started. A crash ends
+            all its streams and is followed by a start.
     """
 
     def __init__(self, name: str, version: str = ""):
@@ -87,6 +91,8 @@
         self.seen_headers: list[dict[str, str]] = []
         self.items: list[dict] = []
         self.freed: list[str] = []
+        self.crashing_part = ""
+        self.starts = 1
         self._silent_until = 0.0
 
     def begin_pause(
@@ -181,17 +187,21 @@
             status = 500 if fault == "error" else 200
             return web.Response(status, request.body, tuple(headers))
         headers.append(("Content-Type", "text/event-stream"))
-        first = int(request.headers.get("last-event-id", "0")) + 1
-        return web.StreamedResponse(
-            200, self._stream_events(first, fault), tuple(headers)
-        )
+        events = self._stream_events(request.headers, fault)
+        return web.StreamedResponse(200, events, tuple(headers))
 
     async def _stream_events(
-        self, first: int, fault: str
+        self, request_headers: dict[str, str], fault: str
     ) -> AsyncIterator[bytes]:
+        start = self.starts
+        first = int(request_headers.get("last-event-id", "0")) + 1
         if fault == "late":
             await self._fall_silent()
+        if self.crashing_part in _list_shared_parts(request_headers):
+            self.starts += 1
         for number in range(first, EVENTS + 1):
+            if self.starts != start:
+                raise errors.AnswerLostError("the server has crashed")
             if fault == "cut" and number == 3:
                 yield b"id: 3\nda"
                 raise errors.AnswerLostError("cut by a fault")
@@ -210,6 +220,12 @@
             await curio.sleep(left)
 
 
+def _list_shared_parts(request_headers: dict[str, str]) -> list[str]:
+    """Returns the parts of a request's prompt but the last one."""
+    prompt = request_headers.get("samphirevale-prefix-hash", "")
+    return [part.partition(":")[0] for part in prompt.split(",")[:-1]]
+
+
 def build_event(number: int, version: str = "") -> bytes:
     """Returns an event of a stream as written by a server of that version."""
     text = f"e{number} {version}".rstrip()
--- /dev/null
+++ b/tests/platform/test_crashing_parts.py
@@ -0,0 +1,108 @@
+"""Tests of sessions in which one part of the prompts crashes servers."""
+
+import contextlib
+import itertools
+
+import curio
+
+from tests.platform import sessions
+
+SERVERS = (*sessions.SERVERS, "model3", "model4")
+
+# How long a crashed server is gone, in seconds.
+RESTART_SECONDS = 0.1
+
+# The number of crashes after which the part must be known.
+CRASHES = 5
+
+# The time in which entries tell each other what they have learnt, in seconds.
+TELLING_SECONDS = 1.0
+
+# The largest number of requests with the part that may reach servers later.
+LATE_LIMIT = 3
+
+REQUESTS = 10
+
+
+class CrashingPartTest(sessions.SessionTestCase):
+    """Two entries; each server crashes as it begins to answer on part `x`."""
+
+    def setUp(self):
+        self.numbers = itertools.count(1)
+
+    @contextlib.asynccontextmanager
+    async def run_crashing(self):
+        """Runs two entries and the servers; yields the entries' ports."""
+        async with self.run_all(SERVERS):
+            for name, server in self.servers.items():
+                if name.startswith("model"):
+                    server.crashing_part = "x"
+            restarter = await curio.spawn(self.restart_crashed, daemon=True)
+            try:
+                async with self.run_second_entry() as port:
+                    yield self.port, port
+            finally:
+                await restarter.cancel()
+
+    async def restart_crashed(self):
+        """Registers each crashed server again, as a new start."""
+        starts = dict.fromkeys(self.servers, 1)
+        while True:
+            await curio.sleep(0.01)
+            for name, server in self.servers.items():
+                if server.starts != starts[name]:
+                    starts[name] = server.starts
+                    self.store.remove("servers", name)
+                    await curio.sleep(RESTART_SECONDS)
+                    self.change_server(name, born=server.starts)
+
+    async def write_at(self, port, prompt):
+        """Sends a request that no other one equals; returns the status."""
+        self.port, port = port, self.port
+        number = next(self.numbers)
+        changes = {
+            "Samphirevale-Attempt-Id": f"a{number}",
+            "Samphirevale-Prefix-Hash": f"{prompt},q{number}:5",
+        }
+        try:
+            status, _, _ = await self.write(**changes)
+        finally:
+            self.port = port
+        return status
+
+    def count_crashes(self):
+        return sum(server.starts - 1 for server in self.servers.values())
+
+    def count_runs(self):
+        return sum(
+            "x:5" in headers["samphirevale-prefix-hash"]
+            for headers in self.list_received_headers("model")
+        )
+
+    async def crash_servers(self, ports):
+        """Sends requests with the part until the servers have crashed."""
+        for port in itertools.cycle(ports):
+            if self.count_crashes() >= CRASHES:
+                break
+            await self.write_at(port, "p:10,x:5")
+            await self.write_at(port, "p:10,s:5")
+
+    async def check_refused(self, ports):
+        """Checks that requests with the part reach servers no more."""
+        await curio.sleep(TELLING_SECONDS)
+        known = self.count_runs()
+        for port in itertools.islice(itertools.cycle(ports), REQUESTS):
+            await self.write_at(port, "p:10,x:5")
+        self.assertLessEqual(self.count_runs() - known, LATE_LIMIT)
+
+    async def check_served(self, ports):
+        """Checks that sound requests get their answer at the first attempt."""
+        for port in itertools.islice(itertools.cycle(ports), REQUESTS):
+            status = await self.write_at(port, "p:10,s:5")
+            self.assertEqual(200, status)
+
+    async def test_part_that_crashes_servers_reaches_them_in_new_requests(self):
+        async with self.run_crashing() as ports:
+            await self.crash_servers(ports)
+            await self.check_refused(ports)
+            await self.check_served(ports)
