Refuse the part of prompts that crashes engines, at all entries

Sound requests broke off, or were refused while engines were down.

Cause: an entry knew a request that crashes endpoints only as a whole, by a fingerprint of its path, prompt and body. No two of these requests are alike, so none was ever recognised. Class: a fault of a shared part is looked for in the whole. Ruled out: repeats of one request (two sends each at most), and lost messages alone (one entry saw the first four crashes and went on).

Each start of an endpoint that closes a connection at the begin of an answer accuses the parts of the requests that it had not answered; an answer that has gone on for half a second clears its parts for half a minute, and an endpoint that is heard again has not crashed. What three crashes, one after the other, have in common is refused: a request must have all parts of the group, so that requests that share some are served and clear those. Entries tell each other crashes and answers in bounded messages that may come in any order and more than once, and all of it when a link opens. The refused groups also lie in one object of the store, for restarts of all entries, for entries that are cut off from the others, and across drills of the store.

--- a/lab/ablations.py
+++ b/lab/ablations.py
@@ -20,7 +20,12 @@
 from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
-from lab import mechanisms, proxy_mechanisms, stream_mechanisms
+from lab import (
+    crash_mechanisms,
+    mechanisms,
+    proxy_mechanisms,
+    stream_mechanisms,
+)
 from samphirevale import tables
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -47,6 +52,7 @@
     mechanisms.TEST_ABLATIONS
     + proxy_mechanisms.TEST_ABLATIONS
     + stream_mechanisms.TEST_ABLATIONS
+    + crash_mechanisms.TEST_ABLATIONS
 )
 
 HEADERS = ["mechanism", "proof", "with it", "without it"]
--- a/samphirevale/cluster_watch.py
+++ b/samphirevale/cluster_watch.py
@@ -2,10 +2,12 @@
 
 import random
 from collections.abc import Callable, Iterable
+from typing import Any
 
 from samphirevale import (
     catalogue,
     cluster_state,
+    crashing_part_store,
     entries,
     freshness,
     gateway_settings,
@@ -52,6 +54,7 @@
         table: entries.EntryTable,
         on_routes_adopted: Callable[[routes.RouteTable], None],
         on_endpoint_ended: Callable[[catalogue.Endpoint], None],
+        on_parts_stored: Callable[[Any], None],
         clock: clocks.Clock,
         rng: random.Random,
         log: journal.Journal,
@@ -66,6 +69,8 @@
             on_routes_adopted: called with each new route table.
             on_endpoint_ended: called with an endpoint that is gone or has
                 started again.
+            on_parts_stored: called with the stored parts of prompts that crash
+                endpoints; None if there are none.
             clock: a clock that includes time while the machine is suspended.
             rng: the source of jitter.
             log: the log of changes.
@@ -76,6 +81,7 @@
         self._table = table
         self._on_routes_adopted = on_routes_adopted
         self._on_endpoint_ended = on_endpoint_ended
+        self._on_parts_stored = on_parts_stored
         self._clock = clock
         self._rng = rng
         self._journal = log
@@ -229,7 +235,10 @@
     def _replace_entries(
         self, stored: Iterable[objects.StoredObject], now: float
     ) -> None:
-        found = map(registrations.decode_registration, stored)
+        by_name = {item.name: item for item in stored}
+        parts = by_name.pop(crashing_part_store.NAME, None)
+        self._on_parts_stored(parts.value if parts else None)
+        found = map(registrations.decode_registration, by_name.values())
         # A copy of the store may lack entries until they register again.
         self._table.adopt(
             [registration for registration in found if registration],
@@ -240,6 +249,9 @@
         self, stored: Iterable[objects.StoredObject], now: float
     ) -> None:
         for stored_object in stored:
+            if stored_object.name == crashing_part_store.NAME:
+                self._on_parts_stored(stored_object.value)
+                continue
             found = registrations.decode_registration(stored_object)
             if found is None:
                 self._table.remove(stored_object.name)
--- a/samphirevale/entries.py
+++ b/samphirevale/entries.py
@@ -81,6 +81,18 @@
         """Adopts the pauses that another entry reports."""
 
 
+class CrashListener(Protocol):
+    """Learns what other entries know of requests that crash endpoints."""
+
+    def build_evidence(self) -> messages.CrashEvidence:
+        """Returns all that is known, for an entry that connects."""
+
+    def adopt_evidence(
+        self, entry: str, message: messages.CrashEvidence
+    ) -> None:
+        """Adopts what another entry knows of crashes and answers."""
+
+
 class Entry:
     """Another entry with an open link.
 
@@ -157,6 +169,7 @@
         data_centre: str,
         server: ItemServer,
         notices: NoticeListener,
+        crashes: CrashListener,
         build_report: Callable[[float], messages.EntryReport],
         on_members_changed: Callable[[Iterable[ownership.Member]], None],
         on_crashes_reported: Callable[[list[list[str]]], None],
@@ -176,6 +189,7 @@
             data_centre: the data centre of this entry.
             server: runs items for other entries.
             notices: learns of endpoints that leave or pause.
+            crashes: learns of requests that crash endpoints.
             build_report: builds the report for the other entries.
             on_members_changed: called with the linked entries.
             on_crashes_reported: called with the crashes that an entry reports.
@@ -196,6 +210,7 @@
         )
         self._server = server
         self._notices = notices
+        self._crashes = crashes
         self._reporter = reports.Reporter(build_report)
         self._on_members_changed = on_members_changed
         self._on_crashes_reported = on_crashes_reported
@@ -291,6 +306,7 @@
         self._journal.record_event("entry_up", entry=entry.hello.instance)
         self._notify_members()
         await entry.link.send(self._notices.build_leaving(), 0)
+        await entry.link.send(self._crashes.build_evidence(), 0)
 
     async def _detach(self, entry: Entry) -> None:
         name = entry.hello.instance
@@ -345,6 +361,8 @@
             self._notices.adopt_pauses(message.pauses)
         elif isinstance(message, messages.EndpointsLeaving):
             await self._notices.adopt_leaving(entry.hello.instance, message)
+        elif isinstance(message, messages.CrashEvidence):
+            self._crashes.adopt_evidence(entry.hello.instance, message)
         elif isinstance(message, messages.ItemsRequest):
             entry.serving[message.exchange] = await curio.spawn(
                 self._serve_items, entry, message, daemon=True
--- a/samphirevale/errors.py
+++ b/samphirevale/errors.py
@@ -58,6 +58,10 @@
     """The connection broke after bytes were sent, which may have been read."""
 
 
+class InputRefusedError(TransportError):
+    """The request was not sent, as endpoints crash under parts of it."""
+
+
 class NotExecutedError(TransportError):
     """The endpoint reported that it has not run the request and will not.
 
@@ -160,7 +164,7 @@
     """Returns whether the error of a send tells against the endpoint."""
     if isinstance(error, NotExecutedError):
         return not error.asks_pause
-    if isinstance(error, NotAcceptingError):
+    if isinstance(error, NotAcceptingError | InputRefusedError):
         return False
     return isinstance(error, Exception)
 
--- a/samphirevale/event_streams.py
+++ b/samphirevale/event_streams.py
@@ -115,6 +115,7 @@
             chunk = await self._read_or_resume()
             if chunk:
                 return chunk
+        self._exchange.record_answered()
         self._run.log_stream_end("complete", self._order.last)
         await self._exchange.close(failed=False)
         raise StopAsyncIteration
@@ -237,6 +238,7 @@
 
     async def _close_broken(self, error: errors.TransportError) -> str:
         """Closes an exchange that broke; returns a description of the error."""
+        self._exchange.record_broken(error)
         self._run.record_crash(self._exchange.endpoint)
         await self._close_exchange()
         return f"{type(error).__name__}: {error}"
@@ -284,7 +286,7 @@
         if not part:
             return b""
         self._begun = True
-        self._exchange.record_first_event()
+        self._exchange.record_event()
         self._run.record_events()
         await self._run.release_results()
         new_events = self._order.accept_all(self._splitter.feed(part))
--- a/samphirevale/exchanges.py
+++ b/samphirevale/exchanges.py
@@ -2,7 +2,13 @@
 
 import contextlib
 
-from samphirevale import catalogue, errors, proxy_context, proxy_requests
+from samphirevale import (
+    catalogue,
+    crash_reports,
+    errors,
+    proxy_context,
+    proxy_requests,
+)
 from samphirevale.ports import proxies
 
 # The largest answer that is buffered as a whole, in bytes.
@@ -28,6 +34,10 @@
         # When the request was sent, and the prompt tokens ahead of its own.
         self._sent_at = 0.0
         self._tokens_ahead = 0
+        # The request that was sent, and when its first event arrived.
+        self._request: proxy_requests.ProxiedRequest | None = None
+        self._first_event_at: float | None = None
+        self._has_gone_on = False
         self.answer: proxies.EndpointAnswer | None = None
 
     async def open(
@@ -36,6 +46,7 @@
         send: proxy_requests.SendParameters,
     ) -> None:
         """Sends the request and reads the head of the answer."""
+        self._request = request
         self._counted_in_load = self._prompt_unread = True
         self._sent_at = self._context.clock.now()
         self._tokens_ahead = self._context.selector.count_unread(
@@ -47,6 +58,7 @@
         self.answer = await self._context.endpoints.send(
             self.endpoint, request, send, self._record_connected
         )
+        self._context.crashes.record_heard(self.endpoint)
 
     def _record_connected(self) -> None:
         self._connected_at = self._context.clock.now()
@@ -74,11 +86,36 @@
                     raise errors.ProtocolError("the answer is too large")
         return bytes(body)
 
-    def record_first_event(self) -> None:
-        """Records that the endpoint has read the prompt and begun to answer.
+    def record_event(self) -> None:
+        """Records that the endpoint has sent an event of its answer."""
+        now = self._context.clock.now()
+        self._record_first_event()
+        self._context.crashes.record_heard(self.endpoint)
+        if self._first_event_at is None:
+            self._first_event_at = now
+        if now >= self._first_event_at + crash_reports.GOES_ON_SECONDS:
+            self.record_answered()
+
+    def record_answered(self) -> None:
+        """Records that the endpoint has not crashed under the request.
 
         Further calls have no effect.
         """
+        if not self._has_gone_on:
+            self._has_gone_on = True
+            self._context.crashes.record_answer(self._request)
+
+    def record_broken(self, error: BaseException) -> None:
+        """Records that the exchange has failed, maybe by a crash."""
+        if not isinstance(error, errors.AnswerLostError):
+            return
+        if self.may_have_sent() and not self._has_gone_on:
+            self._context.crashes.record_crash(
+                self.endpoint, self._request, self._sent_at
+            )
+
+    def _record_first_event(self) -> None:
+        """Records that the endpoint has read the prompt."""
         if self._prompt_unread and self._prompt_tokens:
             self._context.selector.prompt_speed.record(
                 self._tokens_ahead + self._prompt_tokens,
--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -14,6 +14,8 @@
     catalogue,
     cluster_state,
     cluster_watch,
+    crash_reports,
+    crashing_part_store,
     entries,
     gateway_settings,
     input_fingerprints,
@@ -103,6 +105,9 @@
             clock,
             log,
         )
+        self._crashes = crash_reports.CrashReports(
+            lambda message: self.table.broadcast(message), clock, log
+        )
         endpoints = adapter_set.build_endpoints(self._notices)
         self._dispatcher = batch_dispatch.BatchDispatcher(
             endpoints, clock, log, self.cluster_state
@@ -122,6 +127,7 @@
             settings.data_centre,
             self.item_runner,
             self._notices,
+            self._crashes,
             self._build_report,
             self._adopt_members,
             self._adopt_crashes,
@@ -140,6 +146,7 @@
             self.table,
             self._adopt_limits,
             self._forget_endpoint,
+            lambda value: self.crashing_part_store.adopt_object(value),
             clock,
             self._rng,
             log,
@@ -152,6 +159,9 @@
             self._rng,
             log,
         )
+        self.crashing_part_store = crashing_part_store.CrashingPartStore(
+            adapter_set.store, self._crashes, clock, self._rng, log
+        )
         self._proxy = proxying.Proxy(
             proxy_context.ProxyContext(
                 self.cluster_state,
@@ -159,6 +169,7 @@
                 self.item_runner,
                 self._budget,
                 self._quarantine,
+                self._crashes,
                 endpoints,
                 stream_origins.OriginDirectory(
                     self._origins, self.table, clock
@@ -257,6 +268,8 @@
             self.cluster_watch.release_held(now)
             self._origins.remove_expired(now)
             self._notices.remove_expired(now)
+            self._crashes.update()
+            await self._crashes.send_pending()
             await self._dispatcher.handle_overdue_calls(now)
             metrics.ROUTES_AGE.set(
                 self.cluster_state.routes_age.compute_age(now)
@@ -381,6 +394,7 @@
         gateway.serve_readiness,
         gateway.serve_metrics,
         gateway.registrar.run,
+        gateway.crashing_part_store.run,
         gateway.table.serve,
         gateway.table.connect_to_entries,
     ]
--- a/samphirevale/log_schema.py
+++ b/samphirevale/log_schema.py
@@ -31,6 +31,13 @@
             "started",
             "gone",
         },
+        "endpoint_crashed": {
+            "request",
+            "endpoint",
+            "service",
+            "started",
+            "parts",
+        },
         "endpoint_leaving": {"endpoint", "service", "started", "source"},
         "endpoint_paused": {"endpoint", "service", "seconds"},
         "endpoint_silent": {*_REQUEST, "exchanges"},
@@ -42,6 +49,9 @@
         "message": {"level", "logger", "text"},
         "not_registered": {"error"},
         "notice_malformed": {"endpoint", "text"},
+        "parts_accepted": {"parts", "source"},
+        "parts_not_stored": {"error"},
+        "parts_refused": {"parts", "source"},
         "pieces_not_made": {
             "endpoint",
             "service",
--- a/samphirevale/messages.py
+++ b/samphirevale/messages.py
@@ -19,7 +19,7 @@
 from samphirevale.ports import objects
 
 # Must be increased when a field is added, removed or changes its meaning.
-PROTOCOL_VERSION = 8
+PROTOCOL_VERSION = 9
 
 # Maximum size of a frame, in bytes.
 FRAME_BYTES_LIMIT = 4 * 1024 * 1024
@@ -329,6 +329,25 @@
     starts: list[int]
 
 
+@register("crash_evidence")
+class CrashEvidence(NamedTuple):
+    """Tells another entry what crashes and answers show about prompts.
+
+    Attributes:
+        crashes: the endpoints that may have crashed, each as its name, its
+            start, the age of the crash in milliseconds, the parts of prompts
+            that it accuses, and the age of the newest request with each part.
+        answered: accused parts that were answered, each with the age of the
+            newest answer in milliseconds.
+        heard: endpoints that had not crashed after all, each as its name, its
+            start and the age of what was heard last in milliseconds.
+    """
+
+    crashes: list[list]
+    answered: list[list]
+    heard: list[list]
+
+
 @register("pieces")
 class ItemsRequest(NamedTuple):
     """Asks the owner of a batching endpoint to run items of a stage.
--- a/samphirevale/metrics.py
+++ b/samphirevale/metrics.py
@@ -219,6 +219,15 @@
 ENDPOINT_PAUSES = _count(
     "endpoint_pauses", "Answers that asked for a pause.", "service"
 )
+ENDPOINT_CRASHES = _count(
+    "endpoint_crashes",
+    "Connections closed by endpoints that accuse parts of prompts.",
+    "service",
+)
+CRASHING_PARTS = _gauge(
+    "crashing_parts",
+    "Groups of parts of prompts that are refused, as endpoints crash.",
+)
 NOTICES_MALFORMED = _count(
     "notices_malformed",
     "Headers about leaving or a pause that were ignored or capped.",
--- a/samphirevale/proxy_context.py
+++ b/samphirevale/proxy_context.py
@@ -5,6 +5,7 @@
 
 from samphirevale import (
     cluster_state,
+    crash_reports,
     item_runners,
     journal,
     placement,
@@ -26,6 +27,7 @@
         item_runner: runs the items of stages.
         budget: the retry budget.
         quarantine: the inputs that have crashed endpoints at any entry.
+        crashes: the parts of prompts that have crashed endpoints.
         endpoints: makes the calls to endpoints.
         origins: knows where streams began.
         returns: when the callers come back that were refused in pauses.
@@ -39,6 +41,7 @@
     item_runner: item_runners.ItemRunner
     budget: retry_budgets.RetryBudget
     quarantine: quarantine.Quarantine
+    crashes: crash_reports.CrashReports
     endpoints: proxies.ProxyEndpoints
     origins: stream_origins.OriginDirectory
     returns: return_times.ReturnSchedule
--- a/samphirevale/proxy_runs.py
+++ b/samphirevale/proxy_runs.py
@@ -290,6 +290,7 @@
                 self._context.selector.record_unreachable(
                     endpoint.name, self._context.clock.now()
                 )
+            exchange.record_broken(error)
             await exchange.close(failed=self._is_failure(endpoint, error))
             raise
 
@@ -319,6 +320,8 @@
                 answer.status, answer.headers, stream
             )
         body = await exchange.read_body()
+        if answer.status < 500:
+            exchange.record_answered()
         await exchange.close(failed=answer.status >= 500)
         return proxy_requests.CompleteAnswer(
             answer.status, answer.headers, body
--- a/samphirevale/proxying.py
+++ b/samphirevale/proxying.py
@@ -3,6 +3,7 @@
 import curio
 
 from samphirevale import (
+    crash_reports,
     input_fingerprints,
     metrics,
     proxy_context,
@@ -146,6 +147,8 @@
             >= input_fingerprints.CRASHES_LIMIT
         ):
             return proxy_requests.Refusal(503, "input_crashes_endpoints")
+        if self._context.crashes.refuses(request):
+            return proxy_requests.Refusal(503, crash_reports.REASON)
         wait_seconds = min(request.wait_seconds, route.timeout_seconds)
         retried = self._wait_history.record_wait(
             route.name, request.wait_seconds
--- a/samphirevale/request_sends.py
+++ b/samphirevale/request_sends.py
@@ -60,6 +60,7 @@
                 resumed; None otherwise.
 
         Raises:
+            errors.InputRefusedError: endpoints crash under the request.
             errors.TransportError: the endpoint does not answer.
             TimeoutError: the request's deadline has passed.
         """
@@ -71,6 +72,8 @@
             raise errors.NotAcceptingError(
                 f"{endpoint.name} accepts no new work"
             )
+        if self._context.crashes.refuses(self._request):
+            raise errors.InputRefusedError("endpoints crash under its parts")
         parameters = proxy_requests.SendParameters(
             self._accepted.account,
             remaining,
--- a/samphirevale/resends.py
+++ b/samphirevale/resends.py
@@ -2,6 +2,7 @@
 
 from samphirevale import (
     catalogue,
+    crash_reports,
     input_fingerprints,
     request_context,
     request_sends,
@@ -47,6 +48,8 @@
         )
         if crashes >= input_fingerprints.CRASHES_LIMIT:
             return "input_crashes_endpoints"
+        if self._context.crashes.refuses(self._request):
+            return crash_reports.REASON
         if not self._has_retry(self._endpoints.service):
             return "no_retry_left"
         return ""
--- a/samphirevale/send_failures.py
+++ b/samphirevale/send_failures.py
@@ -2,6 +2,7 @@
 
 from samphirevale import (
     catalogue,
+    crash_reports,
     errors,
     exchange_races,
     paused_refusals,
@@ -66,6 +67,9 @@
         """Returns the refusal after an error; None to send again."""
         if isinstance(error, errors.NotAcceptingError):
             return None
+        if isinstance(error, errors.InputRefusedError):
+            status = 502 if self._sends.runs else 503
+            return proxy_requests.Refusal(status, crash_reports.REASON)
         if isinstance(error, errors.ConnectError):
             self._connection_failures += 1
             if (
--- a/samphirevale/stream_resumptions.py
+++ b/samphirevale/stream_resumptions.py
@@ -144,6 +144,7 @@
                     f"status {exchange.answer.status}, not a stream"
                 )
         except BaseException as error:
+            exchange.record_broken(error)
             await exchange.close(failed=errors.is_endpoint_failure(error))
             raise
         return exchange
--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -2,9 +2,16 @@
 
 import contextlib
 import itertools
+from unittest import mock
 
 import curio
 
+from samphirevale import (
+    crashing_part_store,
+    entries,
+    gateway,
+    registrations,
+)
 from tests.platform import sessions
 
 SERVERS = (*sessions.SERVERS, "model3", "model4")
@@ -24,6 +31,11 @@
 REQUESTS = 10
 
 
+async def wait_forever(*arguments):
+    """Replaces a function that links entries."""
+    await curio.sleep(1000)
+
+
 class CrashingPartTest(sessions.SessionTestCase):
     """Two entries; each server crashes as it begins to answer on part `x`."""
 
@@ -56,6 +68,23 @@
                     await curio.sleep(RESTART_SECONDS)
                     self.change_server(name, born=server.starts)
 
+    @contextlib.asynccontextmanager
+    async def run_alone(self):
+        """Runs another entry that is linked to none; yields its port."""
+        links = mock.patch.object(entries.EntryTable, "run_link", wait_forever)
+        with links:
+            first_port, first_log = self.port, self.log
+            other = self.build_gateway(self.store_port, "entry3")
+            port, self.port = self.port, first_port
+            self.log = first_log
+            task = await curio.spawn(gateway.run, other)
+            try:
+                await self.wait_until(other.is_ready)
+                await curio.sleep(TELLING_SECONDS)
+                yield port
+            finally:
+                await task.cancel()
+
     async def write_at(self, port, prompt):
         """Sends a request that no other one equals; returns the status."""
         self.port, port = port, self.port
@@ -101,6 +130,32 @@
             status = await self.write_at(port, "p:10,s:5")
             self.assertEqual(200, status)
 
+    async def test_part_is_known_to_an_entry_that_is_linked_to_none(self):
+        async with self.run_crashing() as ports:
+            await self.crash_servers(ports)
+            await self.wait_until(self.is_stored)
+            async with self.run_alone() as port:
+                await self.check_refused([port])
+                await self.check_served([port])
+
+    def is_stored(self):
+        kind = registrations.KIND
+        return crashing_part_store.NAME in self.store.list_names(kind)
+
+    async def test_part_is_known_after_a_store_drill(self):
+        async with self.run_crashing() as ports:
+            await self.wait_until(lambda: len(self.list_entries()) == 2)
+            copy = self.store.take_copy()
+            await self.crash_servers(ports)
+            await self.wait_until(self.is_stored)
+            self.store.restore_copy(copy)
+            self.assertFalse(self.is_stored())
+            await self.wait_until(self.is_stored)
+            await self.check_refused(ports)
+
+    def list_entries(self):
+        return self.store.list_names(registrations.KIND)
+
     async def test_part_that_crashes_servers_reaches_them_in_new_requests(self):
         async with self.run_crashing() as ports:
             await self.crash_servers(ports)
--- a/tests/proxy_fakes.py
+++ b/tests/proxy_fakes.py
@@ -154,6 +154,17 @@
         await curio.sleep(max(self._ends_at - now, 0))
 
 
+class Pause:
+    """A part of an answer: a time passes on a fake clock, in seconds."""
+
+    def __init__(self, fake_clock, seconds):
+        self._clock = fake_clock
+        self._seconds = seconds
+
+    def wait(self):
+        self._clock.seconds += self._seconds
+
+
 class FakeAvailability:
     """Implements batch_dispatch.Availability with preset values."""
 
@@ -193,6 +204,8 @@
             if isinstance(part, Silence):
                 await part.wait()
             del self._parts[0]
+            if isinstance(part, Pause):
+                part.wait()
             if isinstance(part, Exception):
                 raise part
             if isinstance(part, bytes):
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -7,6 +7,7 @@
 
 from samphirevale import (
     batching,
+    crash_reports,
     entries,
     errors,
     load_totals,
@@ -73,6 +74,9 @@
     def __init__(self, name):
         self.server = FakeServer()
         self.notices = FakeNotices()
+        self.crashes = crash_reports.CrashReports(
+            None, clock.BootClock(), proxy_fakes.FakeJournal()
+        )
         self.members = []
         self.crashed = []
         self.store_reports = set()
@@ -85,6 +89,7 @@
             "a",
             self.server,
             self.notices,
+            self.crashes,
             lambda now: messages.EntryReport(
                 [["e1", *STATE]],
                 [["e2", 3, 500]],
--- a/tests/test_proxying.py
+++ b/tests/test_proxying.py
@@ -3,6 +3,7 @@
 import random
 
 from samphirevale import (
+    crash_reports,
     endpoint_notices,
     errors,
     input_fingerprints,
@@ -92,6 +93,9 @@
         self.quarantine = quarantine.Quarantine(
             input_fingerprints.CRASHES_SECONDS
         )
+        self.crashes = crash_reports.CrashReports(
+            None, self.clock, self.journal
+        )
 
     def use_route(self, route):
         self.cluster.table = proxy_fakes.build_table([route])
@@ -119,6 +123,7 @@
             self.runner,
             self.budget,
             self.quarantine,
+            self.crashes,
             self.endpoints,
             stream_origins.OriginDirectory(
                 self.origins, self.links, self.clock
