--- a/standins/servers.py
+++ b/standins/servers.py
@@ -57,6 +57,8 @@
         version: the version of the server's software, which it registers and
             writes in each event; empty for none.
         leaving: whether all answers say that the server leaves.
+        limit: the requests a second that all answers say the server takes, as
+            the text of the header; empty for none.
         pause: the latest pause; None if there was none.
         faults: the faults of the next runs and stage calls, in order: `full`,
             `cut`, `other` (the answer to another request), `error`, `mute`,
@@ -82,6 +84,7 @@
         self.name = name
         self.version = version
         self.leaving = False
+        self.limit = ""
         self.pause: Pause | None = None
         self.faults: list[str] = []
         self.silence_seconds = 1.2
@@ -122,11 +125,12 @@
         response = self._refuse(request, time.monotonic())
         if response is None:
             response = await self._answer(request)
-        if not self.leaving:
-            return response
-        return response._replace(
-            headers=(*response.headers, ("Server-Leaving", "1"))
-        )
+        notices = []
+        if self.leaving:
+            notices.append(("Server-Leaving", "1"))
+        if self.limit:
+            notices.append(("Server-Limit", self.limit))
+        return response._replace(headers=(*response.headers, *notices))
 
     def _refuse(self, request: web.Request, now: float) -> web.Response | None:
         expected = request.headers.get("samphirevale-expect-instance")
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -40,6 +40,7 @@
     async def test_new_request_with_the_part_is_refused_as_not_run(self):
         self.crash(3)
         self.assertEqual(REFUSED, (await self.send())[:2])
+        self.assertNotIn("request_accepted", self.journal.list_events())
 
     async def test_request_is_not_sent_once_its_part_is_known(self):
         refuses = mock.patch.object(
