Divide the limit that an engine names among the entries it has told

Cause: the header Server-Limit was not read at all; and what an entry knows of an endpoint's wishes it keeps alone, which for a limit on all entries together would allow as many times the limit as there are entries. Class: a bound on a sum is kept by each part alone.

The adapter decodes the limit; each entry's report has the limits that it was told, with their ages. The newest answer decides on the limit. Those told within half a minute share it: one call at a time, then a wait of the share's interval, as in a pause, so that choice, refusal, streams and stage calls follow. A limit that is too low for all goes to the first entries in the hash order, as each may make one call at any moment. Each call is counted as it is sent, once its connection is open.

The id of a start of an endpoint moves to catalogue, as three modules use it.

--- a/lab/ablations.py
+++ b/lab/ablations.py
@@ -22,6 +22,7 @@
 
 from lab import (
     crash_mechanisms,
+    limit_mechanisms,
     mechanisms,
     proxy_mechanisms,
     stream_mechanisms,
@@ -53,6 +54,7 @@
     + proxy_mechanisms.TEST_ABLATIONS
     + stream_mechanisms.TEST_ABLATIONS
     + crash_mechanisms.TEST_ABLATIONS
+    + limit_mechanisms.TEST_ABLATIONS
 )
 
 HEADERS = ["mechanism", "proof", "with it", "without it"]
--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -364,7 +364,7 @@
     _ablate(
         "leaving ends with a restart",
         LEAVING,
-        "endpoint_notices",
+        "catalogue",
         "return EndpointStart(endpoint.name, endpoint.started)",
         "return EndpointStart(endpoint.name, 1)",
         f"{_NOTICES}.AnyOrderTest",
@@ -390,7 +390,7 @@
         "leaving not told to callers",
         LEAVING,
         "platform/headers",
-        "NOT_FOR_CALLERS = HOP_BY_HOP | {LEAVING}",
+        "NOT_FOR_CALLERS = HOP_BY_HOP | {LEAVING, LIMIT}",
         "NOT_FOR_CALLERS = HOP_BY_HOP",
         f"{_CALLS}.PlatformEndpointsTest"
         ".test_callers_do_not_learn_that_an_endpoint_leaves",
@@ -433,8 +433,8 @@
         "endpoint not used until the end of its pause",
         PAUSES,
         "endpoint_notices",
-        "until = self._paused_until.get(get_start(endpoint), now)",
-        "until = now",
+        "pause = self._paused_until.get(start, now) - now",
+        "pause = 0.0",
         f"{_NOTICES}.AnyOrderTest",
     ),
     _ablate(
@@ -478,8 +478,8 @@
         "malformed pause ignored",
         PAUSES,
         "platform/notices",
-        "if _SECONDS.fullmatch(pause):",
-        "if pause:",
+        "if _DECIMAL.fullmatch(text):",
+        "if text:",
         "tests.platform.test_notices",
     ),
     _ablate(
@@ -1067,8 +1067,8 @@
         "leaving of an earlier start ends nothing of the present one",
         LEAVING,
         "notice_handler",
-        "            and endpoint_notices.get_start(endpoint) == start\n",
-        "",
+        "if endpoint is not None and catalogue.get_start(endpoint) == start:",
+        "if endpoint is not None:",
         "tests.test_notice_handler.NoticeHandlerTest"
         ".test_leaving_of_an_earlier_start_leaves_the_present_one",
     ),
--- a/samphirevale/catalogue.py
+++ b/samphirevale/catalogue.py
@@ -51,6 +51,23 @@
     after: Endpoint | None
 
 
+class EndpointStart(NamedTuple):
+    """One start of an endpoint.
+
+    Attributes:
+        name: the id of the endpoint.
+        started: identifies the start among those under the same id.
+    """
+
+    name: str
+    started: int
+
+
+def get_start(endpoint: Endpoint) -> EndpointStart:
+    """Returns the present start of an endpoint."""
+    return EndpointStart(endpoint.name, endpoint.started)
+
+
 class Catalogue:
     """The known endpoints by name and by service."""
 
--- a/samphirevale/cluster_state.py
+++ b/samphirevale/cluster_state.py
@@ -47,7 +47,7 @@
         self.catalogue = catalogue.Catalogue()
         self.copy_guard = copy_guard.CopyGuard()
         self.versions = service_versions.ServiceVersions()
-        self.notices = endpoint_notices.EndpointNotices()
+        self.notices = endpoint_notices.EndpointNotices(me.name)
         self.members: tuple[ownership.Member, ...] = (me,)
         self.data_centre = me.data_centre
         self._me = me
@@ -136,7 +136,7 @@
             for endpoint in self.catalogue.list_accepting(service.name)
         ]
 
-    def is_registered(self, start: endpoint_notices.EndpointStart) -> bool:
+    def is_registered(self, start: catalogue.EndpointStart) -> bool:
         """Returns whether this start of an endpoint is registered."""
         endpoint = self.catalogue.find(start.name)
         return endpoint is not None and endpoint.started == start.started
--- a/samphirevale/crash_reports.py
+++ b/samphirevale/crash_reports.py
@@ -9,7 +9,6 @@
 from samphirevale import (
     catalogue,
     crashing_parts,
-    endpoint_notices,
     journal,
     messages,
     metrics,
@@ -82,7 +81,7 @@
             request: the request, of which no answer has gone on.
             sent_at: when the request was sent.
         """
-        start = endpoint_notices.get_start(endpoint)
+        start = catalogue.get_start(endpoint)
         parts = list_shared_parts(request)
         sent = dict.fromkeys(parts, sent_at)
         if not self.parts.record_crash(start, self._clock.now(), sent):
@@ -111,7 +110,7 @@
 
     def record_heard(self, endpoint: catalogue.Endpoint) -> None:
         """Records that something arrived from an endpoint."""
-        start = endpoint_notices.get_start(endpoint)
+        start = catalogue.get_start(endpoint)
         if self.parts.record_heard(start, self._clock.now()):
             self._untold_heard.add(start)
             self._untold_crashes.discard(start)
--- a/samphirevale/crashing_parts.py
+++ b/samphirevale/crashing_parts.py
@@ -14,7 +14,7 @@
 from collections.abc import Collection, Iterable, Mapping
 from typing import NamedTuple
 
-from samphirevale import endpoint_notices
+from samphirevale import catalogue
 
 # The number of crashes of endpoints after which a part is refused.
 CRASHES_LIMIT = 3
@@ -46,7 +46,7 @@
 # How often expired crashes are searched for, in seconds.
 EXPIRY_SECONDS = 1.0
 
-Start = endpoint_notices.EndpointStart
+Start = catalogue.EndpointStart
 Group = frozenset[str]
 
 
--- a/samphirevale/endpoint_notices.py
+++ b/samphirevale/endpoint_notices.py
@@ -1,4 +1,4 @@
-"""Remembers which endpoints leave or have asked for a pause.
+"""Remembers which endpoints leave, ask for a pause or name a limit.
 
 Endpoints say so in their answers, often before the store does. A notice holds
 for one start of an endpoint, so that it ends with a restart. It goes before
@@ -7,9 +7,8 @@
 """
 
 from collections.abc import Callable
-from typing import NamedTuple
 
-from samphirevale import catalogue
+from samphirevale import catalogue, endpoint_limits
 
 # Longer pauses are shortened to this, in seconds. No queue takes so long to
 # become shorter, so a longer pause is a mistake of the endpoint.
@@ -20,33 +19,33 @@
 LEAVING_SECONDS = 60.0
 
 
-class EndpointStart(NamedTuple):
-    """One start of an endpoint.
-
-    Attributes:
-        name: the id of the endpoint.
-        started: identifies the start among those under the same id.
-    """
-
-    name: str
-    started: int
-
-
 class EndpointNotices:
     """The notices of all endpoints, to this entry and to others.
 
     A pause that an endpoint has asked of this entry is binding. One that it
-    has asked of another entry only shows that it is full.
+    has asked of another entry only shows that it is full. The wait for the next
+    call to an endpoint that names a limit is a pause as well.
+
+    Attributes:
+        limits: the limits that endpoints name.
     """
 
-    def __init__(self):
+    def __init__(self, me: str):
+        """Initializes notices without any.
+
+        Args:
+            me: the name of this entry.
+        """
+        self.limits = endpoint_limits.EndpointLimits(me)
         # When each endpoint that leaves was last known to be registered.
-        self._leaving: dict[EndpointStart, float] = {}
+        self._leaving: dict[catalogue.EndpointStart, float] = {}
         # The ends of the pauses that were asked of this entry and of others.
-        self._paused_until: dict[EndpointStart, float] = {}
-        self._paused_elsewhere_until: dict[EndpointStart, float] = {}
+        self._paused_until: dict[catalogue.EndpointStart, float] = {}
+        self._paused_elsewhere_until: dict[catalogue.EndpointStart, float] = {}
 
-    def record_leaving(self, start: EndpointStart, now: float) -> bool:
+    def record_leaving(
+        self, start: catalogue.EndpointStart, now: float
+    ) -> bool:
         """Records that an endpoint leaves; returns whether this is new."""
         if start in self._leaving:
             return False
@@ -54,7 +53,7 @@
         return True
 
     def record_pause(
-        self, start: EndpointStart, seconds: float, now: float
+        self, start: catalogue.EndpointStart, seconds: float, now: float
     ) -> bool:
         """Records a pause that an endpoint has asked of this entry.
 
@@ -64,7 +63,7 @@
         return _prolong(self._paused_until, start, seconds, now)
 
     def record_pause_elsewhere(
-        self, start: EndpointStart, seconds: float, now: float
+        self, start: catalogue.EndpointStart, seconds: float, now: float
     ) -> None:
         """Records a pause that an endpoint has asked of another entry."""
         _prolong(self._paused_elsewhere_until, start, seconds, now)
@@ -72,7 +71,7 @@
     def is_available(self, endpoint: catalogue.Endpoint, now: float) -> bool:
         """Returns whether this entry may send something to an endpoint."""
         return (
-            get_start(endpoint) not in self._leaving
+            catalogue.get_start(endpoint) not in self._leaving
             and self.compute_pause(endpoint, now) <= 0
         )
 
@@ -80,7 +79,7 @@
         self, endpoints: list[catalogue.Endpoint], now: float
     ) -> list[catalogue.Endpoint]:
         """Returns the endpoints that this entry may send something to."""
-        if not self._leaving and not self._paused_until:
+        if not (self._leaving or self._paused_until or self.limits):
             return endpoints
         return [
             endpoint
@@ -102,25 +101,30 @@
 
     def is_leaving(self, endpoint: catalogue.Endpoint) -> bool:
         """Returns whether an endpoint has said that it leaves."""
-        return get_start(endpoint) in self._leaving
+        return catalogue.get_start(endpoint) in self._leaving
 
     def compute_pause(self, endpoint: catalogue.Endpoint, now: float) -> float:
         """Returns the rest of a pause asked of this entry, in seconds."""
-        until = self._paused_until.get(get_start(endpoint), now)
-        return max(until - now, 0.0)
+        start = catalogue.get_start(endpoint)
+        pause = self._paused_until.get(start, now) - now
+        return max(pause, self.limits.compute_wait(start, now), 0.0)
 
     def compute_pause_elsewhere(
         self, endpoint: catalogue.Endpoint, now: float
     ) -> float:
         """Returns the rest of a pause asked of other entries, in seconds."""
-        until = self._paused_elsewhere_until.get(get_start(endpoint), now)
+        until = self._paused_elsewhere_until.get(
+            catalogue.get_start(endpoint), now
+        )
         return max(until - now, 0.0)
 
-    def list_leaving(self) -> list[EndpointStart]:
+    def list_leaving(self) -> list[catalogue.EndpointStart]:
         """Returns the endpoints that leave."""
         return list(self._leaving)
 
-    def list_pauses(self, now: float) -> list[tuple[EndpointStart, float]]:
+    def list_pauses(
+        self, now: float
+    ) -> list[tuple[catalogue.EndpointStart, float]]:
         """Returns the pauses asked of this entry and their rest in seconds."""
         return [
             (start, until - now)
@@ -129,9 +133,12 @@
         ]
 
     def remove_expired(
-        self, is_registered: Callable[[EndpointStart], bool], now: float
+        self,
+        is_registered: Callable[[catalogue.EndpointStart], bool],
+        now: float,
     ) -> None:
         """Removes pauses that are over and endpoints that have long gone."""
+        self.limits.remove_expired(now)
         for ends in (self._paused_until, self._paused_elsewhere_until):
             for start in [start for start, end in ends.items() if end <= now]:
                 del ends[start]
@@ -142,14 +149,9 @@
                 del self._leaving[start]
 
 
-def get_start(endpoint: catalogue.Endpoint) -> EndpointStart:
-    """Returns the present start of an endpoint."""
-    return EndpointStart(endpoint.name, endpoint.started)
-
-
 def _prolong(
-    ends: dict[EndpointStart, float],
-    start: EndpointStart,
+    ends: dict[catalogue.EndpointStart, float],
+    start: catalogue.EndpointStart,
     seconds: float,
     now: float,
 ) -> bool:
--- a/samphirevale/entries.py
+++ b/samphirevale/entries.py
@@ -67,7 +67,7 @@
 
 
 class NoticeListener(Protocol):
-    """Learns what other entries know of endpoints that leave or pause."""
+    """Learns what other entries know of endpoints that ask for less."""
 
     def build_leaving(self) -> messages.EndpointsLeaving:
         """Returns all endpoints that leave, for an entry that connects."""
@@ -80,6 +80,9 @@
     def adopt_pauses(self, pauses: Iterable[list]) -> None:
         """Adopts the pauses that another entry reports."""
 
+    def adopt_limits(self, entry: str, limits: Iterable[list]) -> None:
+        """Adopts the limits that another entry reports."""
+
 
 class CrashListener(Protocol):
     """Learns what other entries know of requests that crash endpoints."""
@@ -359,6 +362,7 @@
                 ),
             )
             self._notices.adopt_pauses(message.pauses)
+            self._notices.adopt_limits(entry.hello.instance, message.limits)
         elif isinstance(message, messages.EndpointsLeaving):
             await self._notices.adopt_leaving(entry.hello.instance, message)
         elif isinstance(message, messages.CrashEvidence):
--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -202,6 +202,7 @@
             self._selector.describe_loads(),
             [[name, *attempts] for name, attempts in crashed],
             self._notices.describe_pauses(now),
+            self._notices.describe_limits(now),
             messages.encode_era(self.cluster_watch.eras.newest),
             self.cluster_state.get_routes_version(),
         )
--- a/samphirevale/log_schema.py
+++ b/samphirevale/log_schema.py
@@ -39,6 +39,7 @@
             "parts",
         },
         "endpoint_leaving": {"endpoint", "service", "started", "source"},
+        "endpoint_limited": {"endpoint", "service", "limit"},
         "endpoint_paused": {"endpoint", "service", "seconds"},
         "endpoint_silent": {*_REQUEST, "exchanges"},
         "entries_changed": {"count", "joined", "left"},
--- a/samphirevale/messages.py
+++ b/samphirevale/messages.py
@@ -303,6 +303,9 @@
             ids of the attempts.
         pauses: the endpoints that have asked the sender for a pause, each as
             its name, its start and the rest of the pause in milliseconds.
+        limits: the endpoints that have named a limit to the sender, each as
+            its name, its start, the calls a second (0 if it names none any
+            more) and the age of what it said last in milliseconds.
         store_era: the newest era of the store that the sender has seen, or
             NO_ERA.
         routes_version: the version of the sender's routes, or NO_ROUTES.
@@ -312,6 +315,7 @@
     loads: list[list]
     crashed: list[list]
     pauses: list[list]
+    limits: list[list]
     store_era: int = NO_ERA
     routes_version: int = NO_ROUTES
 
--- a/samphirevale/metrics.py
+++ b/samphirevale/metrics.py
@@ -228,9 +228,12 @@
     "crashing_parts",
     "Groups of parts of prompts that are refused, as endpoints crash.",
 )
+ENDPOINT_LIMITS = _count(
+    "endpoint_limits", "Answers that named a limit on calls.", "service"
+)
 NOTICES_MALFORMED = _count(
     "notices_malformed",
-    "Headers about leaving or a pause that were ignored or capped.",
+    "Headers about leaving, a pause or a limit, ignored or capped.",
     "service",
 )
 ROUTES_AGE = _gauge(
--- a/samphirevale/notice_handler.py
+++ b/samphirevale/notice_handler.py
@@ -5,6 +5,7 @@
 from samphirevale import (
     catalogue,
     cluster_state,
+    endpoint_limits,
     endpoint_notices,
     journal,
     log_limits,
@@ -47,16 +48,24 @@
         now = self._clock.now()
         return self._cluster.notices.is_available(endpoint, now)
 
+    def record_call(self, endpoint: catalogue.Endpoint) -> None:
+        """Records that a call is sent to an endpoint now."""
+        self._cluster.notices.limits.record_call(
+            catalogue.get_start(endpoint), self._clock.now()
+        )
+
     async def handle_notice(
         self, endpoint: catalogue.Endpoint, notice: proxies.EndpointNotice
     ) -> None:
         """Applies the notice of an answer as soon as its head is read."""
         for text in notice.malformed:
             self._record_malformed(endpoint, text.partition(":")[0], text)
+        if not notice.limit_malformed:
+            self._handle_limit(endpoint, notice.limit)
         if notice.pause_seconds > 0:
             await self._handle_pause(endpoint, notice.pause_seconds)
         if notice.leaving:
-            start = endpoint_notices.get_start(endpoint)
+            start = catalogue.get_start(endpoint)
             if await self._handle_leaving(start, ""):
                 await self._broadcast(_build_message([start]))
 
@@ -88,7 +97,7 @@
             seconds = limit
         metrics.ENDPOINT_PAUSES.labels(service=endpoint.service).inc()
         begins = self._cluster.notices.record_pause(
-            endpoint_notices.get_start(endpoint), seconds, self._clock.now()
+            catalogue.get_start(endpoint), seconds, self._clock.now()
         )
         if begins:
             self._journal.record_event(
@@ -99,8 +108,23 @@
             )
             await self._withdraw_items(endpoint)
 
+    def _handle_limit(
+        self, endpoint: catalogue.Endpoint, limit: float | None
+    ) -> None:
+        if limit is not None:
+            metrics.ENDPOINT_LIMITS.labels(service=endpoint.service).inc()
+        start = catalogue.get_start(endpoint)
+        limits = self._cluster.notices.limits
+        if limits.record_answer(start, limit, self._clock.now()):
+            self._journal.record_event(
+                "endpoint_limited",
+                endpoint=endpoint.name,
+                service=endpoint.service,
+                limit=limit,
+            )
+
     async def _handle_leaving(
-        self, start: endpoint_notices.EndpointStart, source: str
+        self, start: catalogue.EndpointStart, source: str
     ) -> bool:
         """Records that an endpoint leaves; returns whether this is new.
 
@@ -120,10 +144,7 @@
             started=start.started,
             source=source,
         )
-        if (
-            endpoint is not None
-            and endpoint_notices.get_start(endpoint) == start
-        ):
+        if endpoint is not None and catalogue.get_start(endpoint) == start:
             await self._withdraw_items(endpoint)
         return True
 
@@ -136,7 +157,7 @@
     ) -> None:
         """Adopts the endpoints that leave according to another entry."""
         for name, started in zip(message.names, message.starts, strict=False):
-            start = endpoint_notices.EndpointStart(name, started)
+            start = catalogue.EndpointStart(name, started)
             await self._handle_leaving(start, entry)
 
     def describe_pauses(self, now: float) -> list[list]:
@@ -151,18 +172,37 @@
         now = self._clock.now()
         for name, started, milliseconds in pauses:
             self._cluster.notices.record_pause_elsewhere(
-                endpoint_notices.EndpointStart(name, started),
+                catalogue.EndpointStart(name, started),
                 milliseconds / 1000,
                 now,
             )
 
+    def describe_limits(self, now: float) -> list[list]:
+        """Returns the limits that this entry was told, for its report."""
+        return [
+            [*start, told.limit, messages.round_ms((now - told.at) * 1000)]
+            for start, told in self._cluster.notices.limits.list_told(now)
+        ]
+
+    def adopt_limits(self, entry: str, limits: Iterable[list]) -> None:
+        """Adopts the limits that another entry reports."""
+        now = self._clock.now()
+        told = [
+            (
+                catalogue.EndpointStart(name, started),
+                endpoint_limits.Told(limit, now - age_ms / 1000),
+            )
+            for name, started, limit, age_ms in limits
+        ]
+        self._cluster.notices.limits.adopt_report(entry, told, now)
+
     def remove_expired(self, now: float) -> None:
         """Removes notices that are over."""
         self._cluster.notices.remove_expired(self._cluster.is_registered, now)
 
 
 def _build_message(
-    starts: Iterable[endpoint_notices.EndpointStart],
+    starts: Iterable[catalogue.EndpointStart],
 ) -> messages.EndpointsLeaving:
     starts = list(starts)
     return messages.EndpointsLeaving(
--- a/samphirevale/platform/endpoints.py
+++ b/samphirevale/platform/endpoints.py
@@ -162,19 +162,20 @@
                 await self.close_idle(endpoint)
 
     def _check_allowed(self, endpoint: catalogue.Endpoint) -> None:
-        """Raises an error if nothing may be sent to an endpoint.
+        """Records a call; raises an error if nothing may be sent.
 
         Called once the connection is open, which takes long enough for the
         endpoint to ask for a pause meanwhile.
         """
         if not self._listener.may_call(endpoint):
             raise errors.NotAcceptingError(f"{endpoint.name} leaves or pauses")
+        self._listener.record_call(endpoint)
 
     async def _handle_notice(
         self, endpoint: catalogue.Endpoint, answer: web_client.Answer
     ) -> proxies.EndpointNotice:
         notice = notices.decode_notice(answer.status, answer.headers)
-        if notice == proxies.NO_NOTICE:
+        if answer.status == notices.MISDIRECTED:
             return notice
         await self._listener.handle_notice(endpoint, notice)
         if notice.leaving:
--- a/samphirevale/platform/headers.py
+++ b/samphirevale/platform/headers.py
@@ -17,6 +17,7 @@
 # The attempt that brought the first event of the stream that is taken up.
 RESUMES = "resumes"
 LEAVING = "server-leaving"
+LIMIT = "server-limit"
 RETRY_AFTER = "retry-after"
 
 # Headers that apply to one connection only and are not forwarded.
@@ -35,7 +36,7 @@
 )
 
 # Headers of answers that callers do not get.
-NOT_FOR_CALLERS = HOP_BY_HOP | {LEAVING}
+NOT_FOR_CALLERS = HOP_BY_HOP | {LEAVING, LIMIT}
 
 # Headers that the proxy sets itself. A caller's values are removed.
 SYSTEM_SET = frozenset(
--- a/samphirevale/platform/notices.py
+++ b/samphirevale/platform/notices.py
@@ -15,7 +15,7 @@
 # The longest description of a malformed header, in characters.
 DESCRIPTION_LIMIT = 80
 
-_SECONDS = re.compile(r"[0-9]+(\.[0-9]*)?")
+_DECIMAL = re.compile(r"[0-9]+(\.[0-9]*)?")
 
 
 def decode_notice(
@@ -28,20 +28,37 @@
     pause = ""
     if status == UNAVAILABLE:
         pause = answer_headers.get(headers.RETRY_AFTER, "").strip()
-    if not leaving and not pause:
+    limit = answer_headers.get(headers.LIMIT, "").strip()
+    if not leaving and not pause and not limit:
         return proxies.NO_NOTICE
     malformed = []
     if leaving not in ("", "1"):
         malformed.append(_describe(headers.LEAVING, leaving))
-    pause_seconds = 0.0
-    if _SECONDS.fullmatch(pause):
-        pause_seconds = float(pause)
-    elif pause:
-        malformed.append(_describe(headers.RETRY_AFTER, pause))
+    pause_seconds = _parse_decimal(headers.RETRY_AFTER, pause, malformed)
+    calls = _parse_decimal(headers.LIMIT, limit, malformed)
     return proxies.EndpointNotice(
-        leaving == "1", pause_seconds, tuple(malformed)
+        leaving == "1",
+        pause_seconds or 0.0,
+        tuple(malformed),
+        calls,
+        limit_malformed=bool(limit) and calls is None,
     )
 
 
+def _parse_decimal(name: str, text: str, malformed: list[str]) -> float | None:
+    """Returns the number in a header; None if it is absent or malformed.
+
+    Args:
+        name: the header's name.
+        text: its text; empty if it is absent.
+        malformed: gets a description of a malformed header.
+    """
+    if _DECIMAL.fullmatch(text):
+        return float(text)
+    if text:
+        malformed.append(_describe(name, text))
+    return None
+
+
 def _describe(name: str, value: str) -> str:
     return f"{name}: {value}"[:DESCRIPTION_LIMIT]
--- a/samphirevale/ports/proxies.py
+++ b/samphirevale/ports/proxies.py
@@ -57,11 +57,16 @@
         pause_seconds: the time for which the endpoint wants no calls from this
             entry; 0 if it does not ask for a pause.
         malformed: descriptions of headers that were ignored.
+        limit: the calls a second that the endpoint takes from all entries;
+            None if it names no limit, or a malformed one.
+        limit_malformed: whether it names a malformed limit.
     """
 
     leaving: bool = False
     pause_seconds: float = 0.0
     malformed: tuple[str, ...] = ()
+    limit: float | None = None
+    limit_malformed: bool = False
 
 
 NO_NOTICE = EndpointNotice()
@@ -73,6 +78,9 @@
     def may_call(self, endpoint: catalogue.Endpoint) -> bool:
         """Returns whether anything may be sent to an endpoint now."""
 
+    def record_call(self, endpoint: catalogue.Endpoint) -> None:
+        """Records that a call is sent to an endpoint now."""
+
     async def handle_notice(
         self, endpoint: catalogue.Endpoint, notice: EndpointNotice
     ) -> None:
--- a/tests/platform/sessions.py
+++ b/tests/platform/sessions.py
@@ -190,15 +190,24 @@
             while not condition():
                 await curio.sleep(0.01)
 
-    async def call(self, path, body=b"", key="k1", **extra_headers):
-        """Sends a request and returns status, headers and body."""
+    async def call(self, path, body=b"", key="k1", port=None, **extra_headers):
+        """Sends a request and returns status, headers and body.
+
+        Args:
+            path: the path.
+            body: the body.
+            key: the caller's key.
+            port: the port of the entry; None for the first entry.
+            extra_headers: further headers.
+        """
         headers = {
             "Samphirevale-Attempt-Id": "a1",
             "Samphirevale-Deadline-Ms": "3000",
             "Samphirevale-Key": key,
             **extra_headers,
         }
-        async with web_client.connect("127.0.0.1", self.port) as connection:
+        entry_port = port or self.port
+        async with web_client.connect("127.0.0.1", entry_port) as connection:
             answer = await connection.request(
                 "POST", path, body, tuple(headers.items()), "h.example"
             )
--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -87,16 +87,12 @@
 
     async def write_at(self, port, prompt):
         """Sends a request that no other one equals; returns the status."""
-        self.port, port = port, self.port
         number = next(self.numbers)
         changes = {
             "Samphirevale-Attempt-Id": f"a{number}",
             "Samphirevale-Prefix-Hash": f"{prompt},q{number}:5",
         }
-        try:
-            status, _, _ = await self.write(**changes)
-        finally:
-            self.port = port
+        status, _, _ = await self.write(port=port, **changes)
         return status
 
     def count_crashes(self):
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -20,10 +20,14 @@
     def __init__(self):
         self.allowed = True
         self.notices = []
+        self.calls = []
 
     def may_call(self, endpoint):
         return self.allowed
 
+    def record_call(self, endpoint):
+        self.calls.append(endpoint.name)
+
     async def handle_notice(self, endpoint, notice):
         self.notices.append((endpoint.name, notice))
 
@@ -74,6 +78,16 @@
             lambda: self.endpoints.read_free_memory(self.endpoint),
         ]
 
+    async def test_call_is_recorded_before_it_is_sent(self):
+        async with self.run_server(200):
+            self.listener.allowed = False
+            with self.assertRaises(errors.NotAcceptingError):
+                await self.endpoints.read_free_memory(self.endpoint)
+            self.assertEqual([], self.listener.calls)
+            self.listener.allowed = True
+            await self.endpoints.read_free_memory(self.endpoint)
+            self.assertEqual(["e1"], self.listener.calls)
+
     async def test_nothing_is_sent_if_a_pause_begins_during_the_connect(self):
         async with self.run_server(200):
             self.listener.allowed = False
--- a/tests/platform/test_notices.py
+++ b/tests/platform/test_notices.py
@@ -41,6 +41,19 @@
         (description,) = self.decode(200, server_leaving="x" * 999).malformed
         self.assertEqual(notices.DESCRIPTION_LIMIT, len(description))
 
+    def test_every_answer_may_name_a_limit(self):
+        for status in (200, 409, 500, 503):
+            notice = self.decode(status, server_limit="1.5")
+            self.assertEqual(proxies.EndpointNotice(limit=1.5), notice)
+        self.assertIsNone(self.decode(200, server_limit="").limit)
+
+    def test_malformed_limit_is_described_and_told_apart_from_none(self):
+        for text in ("-1", "many", "nan", "1e3", "1,5"):
+            expected = proxies.EndpointNotice(
+                malformed=(f"server-limit: {text}",), limit_malformed=True
+            )
+            self.assertEqual(expected, self.decode(200, server_limit=text))
+
     def test_huge_pause_is_decoded(self):
         notice = self.decode(503, retry_after="9" * 400)
         self.assertEqual(float("inf"), notice.pause_seconds)
--- a/tests/test_cluster_state.py
+++ b/tests/test_cluster_state.py
@@ -6,7 +6,6 @@
 from samphirevale import (
     catalogue,
     copy_guard,
-    endpoint_notices,
     ownership,
 )
 from tests import base, proxy_fakes
@@ -80,15 +79,15 @@
         ]
 
     def pause(self, name, seconds):
-        start = endpoint_notices.EndpointStart(name, 1)
+        start = catalogue.EndpointStart(name, 1)
         self.notices.record_pause(start, seconds, NOW)
 
     def pause_elsewhere(self, name, seconds=1.0):
-        start = endpoint_notices.EndpointStart(name, 1)
+        start = catalogue.EndpointStart(name, 1)
         self.notices.record_pause_elsewhere(start, seconds, NOW)
 
     def leave(self, name):
-        start = endpoint_notices.EndpointStart(name, 1)
+        start = catalogue.EndpointStart(name, 1)
         self.notices.record_leaving(start, NOW)
 
     def test_endpoints_that_leave_or_pause_are_not_usable(self):
@@ -152,7 +151,7 @@
 
 
 def get_start(endpoint):
-    return endpoint_notices.EndpointStart(endpoint.name, endpoint.started)
+    return catalogue.EndpointStart(endpoint.name, endpoint.started)
 
 
 class Fleet:
--- a/tests/test_endpoint_notices.py
+++ b/tests/test_endpoint_notices.py
@@ -3,7 +3,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from samphirevale import endpoint_notices
+from samphirevale import catalogue, endpoint_notices
 from tests import base, proxy_fakes
 
 NOW = 100.0
@@ -12,7 +12,7 @@
 STARTS = (1, 2)
 
 ENDPOINT = proxy_fakes.build_endpoint("e1")
-START = endpoint_notices.get_start(ENDPOINT)
+START = catalogue.get_start(ENDPOINT)
 RESTARTED = ENDPOINT._replace(started=2)
 
 
@@ -20,7 +20,7 @@
     """Tests the notices of single endpoints."""
 
     def setUp(self):
-        self.notices = endpoint_notices.EndpointNotices()
+        self.notices = endpoint_notices.EndpointNotices("me")
 
     def is_available(self, endpoint, seconds=0.0):
         return self.notices.is_available(endpoint, NOW + seconds)
@@ -105,14 +105,14 @@
         model = self.model
         if kind == "leave":
             model.left.add(values)
-            start = endpoint_notices.EndpointStart(*values)
+            start = catalogue.EndpointStart(*values)
             self.cluster.notices.record_leaving(start, model.now)
         elif kind == "pause":
             *start, seconds = values
             before = model.paused_until.get(tuple(start), 0.0)
             model.paused_until[tuple(start)] = max(before, model.now + seconds)
             self.cluster.notices.record_pause(
-                endpoint_notices.EndpointStart(*start), seconds, model.now
+                catalogue.EndpointStart(*start), seconds, model.now
             )
         elif kind == "list":
             (model.registered,) = values
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -57,6 +57,7 @@
         self.leaving = messages.EndpointsLeaving(["e7"], [5])
         self.adopted = []
         self.pauses = []
+        self.limits = None
 
     def build_leaving(self):
         return self.leaving
@@ -67,6 +68,9 @@
     def adopt_pauses(self, pauses):
         self.pauses = pauses
 
+    def adopt_limits(self, entry, limits):
+        self.limits = entry, limits
+
 
 class Side:
     """The table of one entry, with the notifications that it received."""
@@ -95,6 +99,7 @@
                 [["e2", 3, 500]],
                 [["f", name]],
                 [["e3", 1, 700]],
+                [["e4", 1, 1.5, 20]],
                 4,
                 7,
             ),
@@ -196,6 +201,11 @@
             await self.wait_until(lambda: self.second.notices.adopted)
             self.assertEqual([("a", message)], self.second.notices.adopted)
 
+    async def test_limits_are_reported(self):
+        async with self.run_both():
+            expected = ("b", [["e4", 1, 1.5, 20]])
+            await self.wait_until(lambda: self.first.notices.limits == expected)
+
     async def test_pauses_are_reported(self):
         async with self.run_both():
             self.assertEqual([["e3", 1, 700]], self.first.notices.pauses)
--- a/tests/test_item_routing.py
+++ b/tests/test_item_routing.py
@@ -7,7 +7,7 @@
 from samphirevale import (
     batch_dispatch,
     batching,
-    endpoint_notices,
+    catalogue,
     item_routing,
     messages,
     ownership,
@@ -141,7 +141,7 @@
         )
         for paused, expected in (("e1", ("e2", "")), ("e2", ("", "unsent"))):
             self.cluster.notices.record_pause(
-                endpoint_notices.EndpointStart(paused, 1),
+                catalogue.EndpointStart(paused, 1),
                 2.0,
                 self.clock.now(),
             )
--- a/tests/test_notice_handler.py
+++ b/tests/test_notice_handler.py
@@ -17,6 +17,7 @@
 
 ENDPOINT = proxy_fakes.build_endpoint("e1")
 LEAVING = proxies.EndpointNotice(leaving=True)
+LIMIT = proxies.EndpointNotice(limit=2.0)
 PAUSE = proxies.EndpointNotice(pause_seconds=2.0)
 MESSAGE = messages.EndpointsLeaving(["e1"], [1])
 
@@ -77,6 +78,33 @@
         self.assertTrue(self.handler.may_call(restarted))
         self.assertEqual([], self.withdrawn)
 
+    async def test_limit_is_logged_once_counted_and_reported(self):
+        before = self.count("endpoint_limits")
+        for _ in range(2):
+            await self.handler.handle_notice(ENDPOINT, LIMIT)
+        self.assertEqual(["endpoint_limited"], self.journal.list_events())
+        self.assertEqual(before + 2, self.count("endpoint_limits"))
+        self.assertFalse(self.handler.may_call(ENDPOINT))
+        report = self.handler.describe_limits(NOW)
+        self.assertEqual([["e1", 1, 2.0, 0]], report)
+
+    async def test_limit_ends_with_an_answer_that_names_none(self):
+        await self.handler.handle_notice(ENDPOINT, LIMIT)
+        malformed = proxies.EndpointNotice(limit_malformed=True)
+        await self.handler.handle_notice(ENDPOINT, malformed)
+        self.assertFalse(self.handler.may_call(ENDPOINT))
+        await self.handler.handle_notice(ENDPOINT, proxies.NO_NOTICE)
+        self.assertTrue(self.handler.may_call(ENDPOINT))
+
+    async def test_limit_of_another_entry_holds_here(self):
+        self.handler.adopt_limits("other", [["e1", 1, 2.0, 0]])
+        self.assertFalse(self.handler.may_call(ENDPOINT))
+        self.clock.seconds += 1.0
+        self.assertTrue(self.handler.may_call(ENDPOINT))
+        self.handler.record_call(ENDPOINT)
+        self.assertFalse(self.handler.may_call(ENDPOINT))
+        self.assertEqual([], self.handler.describe_limits(NOW))
+
     async def test_pause_is_counted_and_reported(self):
         before = self.count("endpoint_pauses")
         for _ in range(2):
--- a/tests/test_proxying.py
+++ b/tests/test_proxying.py
@@ -3,8 +3,8 @@
 import random
 
 from samphirevale import (
+    catalogue,
     crash_reports,
-    endpoint_notices,
     errors,
     input_fingerprints,
     placement,
@@ -140,7 +140,7 @@
     def pause(self, name, seconds):
         """Records a pause that an endpoint asks for."""
         self.cluster.notices.record_pause(
-            endpoint_notices.EndpointStart(name, 1), seconds, NOW
+            catalogue.EndpointStart(name, 1), seconds, NOW
         )
 
     def check_told(self, answer, pause_seconds, place_seconds=PLACE_SECONDS):
@@ -413,7 +413,7 @@
     async def test_endpoint_that_leaves_gets_no_requests(self):
         for name in ("p1", "p2"):
             self.cluster.notices.record_leaving(
-                endpoint_notices.EndpointStart(name, 1), NOW
+                catalogue.EndpointStart(name, 1), NOW
             )
         answer = await self.answer()
         self.assertEqual((503, "no_endpoint"), (answer.status, answer.reason))
@@ -562,7 +562,7 @@
         self.assertEqual(200, answer.status)
 
     async def test_endpoint_that_pauses_for_others_is_the_last_choice(self):
-        start = endpoint_notices.EndpointStart("p1", 1)
+        start = catalogue.EndpointStart("p1", 1)
         self.cluster.notices.record_pause_elsewhere(start, 2.0, NOW)
         refusal = errors.NotExecutedError("full")
         await self.answer(refusal, proxy_fakes.FakeAnswer([b"x"]))
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -9,7 +9,7 @@
 
 from samphirevale import (
     batch_dispatch,
-    endpoint_notices,
+    catalogue,
     errors,
     routes,
     stages,
@@ -257,7 +257,7 @@
 
     def end_endpoint(self, name):
         endpoint = self.cluster.catalogue.find(name)
-        start = endpoint_notices.get_start(endpoint)
+        start = catalogue.get_start(endpoint)
         self.cluster.notices.record_leaving(start, NOW)
         self.runner.ended.add(name)
 
--- a/tests/test_stream_waits.py
+++ b/tests/test_stream_waits.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies
 
 from samphirevale import (
-    endpoint_notices,
+    catalogue,
     errors,
     retry_budgets,
     routes,
@@ -94,7 +94,7 @@
         return self.build_stream(FIRST_EVENT, proxy_fakes.LOST_ANSWER)
 
     def pause(self, name, seconds):
-        start = endpoint_notices.EndpointStart(name, 1)
+        start = catalogue.EndpointStart(name, 1)
         self.cluster.notices.record_pause(start, seconds, self.clock.now())
 
     async def begin(self, *script, **changes):
@@ -198,7 +198,7 @@
     async def test_stream_does_not_wait_for_an_endpoint_that_leaves(self):
         answer, other = await self.begin(self.build_broken())
         self.pause(other, 1.0)
-        start = endpoint_notices.EndpointStart(other, 1)
+        start = catalogue.EndpointStart(other, 1)
         self.cluster.notices.record_leaving(start, NOW)
         await self.check_ends(answer, "no_endpoint")
 
