Answer the last requests in time before the process ends

What callers saw (users' run with real processes): around SIGTERM, streams with long deadlines ended without a whole answer, after stage calls.

Reproduced in a process of its own with SIGKILL at the end of its grace period. Cause: requests whose answers had not begun were ended 0.6 s before SIGKILL, and 0.1 s was left for their answers; with hundreds of them that is too little. And a stream that broke was resumed, with its stages, though the process ended before it could go on. Class: work is begun without regard to the time that the process has left.

Requests are ended a second before SIGKILL; streams go on as long as before. A request that is accepted after SIGTERM is given no more time than the process has. A broken stream goes on only if it can do so in time.

Whether this is what the users saw is suspected, not shown.

--- a/lab/stream_mechanisms.py
+++ b/lab/stream_mechanisms.py
@@ -8,6 +8,7 @@
 
 VERSIONS = "a stream goes on only at the version that began it"
 SILENCES = "nothing is given up for a brief silence of an endpoint"
+STOPS = "no request is left without an answer as the process ends"
 SILENT_LIMITS = "silent endpoints take no work, time or retries of others"
 
 _EVENT_STREAMS = "tests.test_event_streams"
@@ -478,4 +479,30 @@
         "                pass\n",
         f"{_ENTRIES}.test_results_that_cross_a_cancellation_are_released",
     ),
+    _ablate(
+        "broken stream given up that cannot go on before the process ends",
+        STOPS,
+        "stream_resumptions",
+        "if self._context.clock.now() + needed > self._context.process_end.at:",
+        "if False:",
+        "tests.test_stopping_streams.StoppingStreamTest"
+        ".test_stream_that_cannot_go_on_before_the_end_breaks_at_once",
+    ),
+    _ablate(
+        "new request given no more time than the process has",
+        STOPS,
+        "proxying",
+        "                self._context.process_end.at,\n",
+        "                float('inf'),\n",
+        "tests.test_stopping_streams.StoppingStreamTest"
+        ".test_new_request_is_given_no_more_time_than_the_process_has",
+    ),
+    _ablate(
+        "requests ended while there is time for their answers",
+        STOPS,
+        "gateway",
+        "drain_ends_at = process_ends_at - LAST_ANSWERS_SECONDS",
+        "drain_ends_at = process_ends_at",
+        "tests.platform.test_last_answers",
+    ),
 )
--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -26,6 +26,7 @@
     notice_handler,
     ownership,
     placement,
+    process_end,
     proxy_context,
     proxying,
     quarantine,
@@ -49,10 +50,11 @@
 LINGER_SECONDS = 2.8
 
 # The part of the grace period that is reserved for process exit, in seconds.
-GRACE_MARGIN_SECONDS = 0.6
+GRACE_MARGIN_SECONDS = 0.5
 
-# How long the last answers may take at the end of the grace period, in seconds.
-LAST_ANSWERS_SECONDS = 0.1
+# How long before that requests are ended whose answers have not begun, in
+# seconds.
+LAST_ANSWERS_SECONDS = 0.5
 
 # The largest number of open files other than connections of callers and
 # connections to endpoints.
@@ -94,6 +96,7 @@
         self._quarantine = quarantine.Quarantine(
             input_fingerprints.CRASHES_SECONDS
         )
+        self._process_end = process_end.ProcessEnd()
         self._budget = retry_budgets.RetryBudget(settings.budget)
         self._selector = placement.EndpointSelector(
             self._rng, lambda name: self.table.loads.get(name)
@@ -170,6 +173,7 @@
                 self._budget,
                 self._quarantine,
                 self._crashes,
+                self._process_end,
                 endpoints,
                 stream_origins.OriginDirectory(
                     self._origins, self.table, clock
@@ -355,11 +359,13 @@
         drain_started_at = self._clock.now()
         self._server.draining = True
         self._journal.record_event("stopping", busy=self._server.busy)
-        drain_ends_at = (
+        process_ends_at = (
             drain_started_at
             + self.settings.grace_seconds
             - GRACE_MARGIN_SECONDS
         )
+        self._process_end.at = process_ends_at
+        drain_ends_at = process_ends_at - LAST_ANSWERS_SECONDS
         while True:
             now = self._clock.now()
             linger_is_over = now >= drain_started_at + LINGER_SECONDS
@@ -368,10 +374,16 @@
                 break
             await curio.sleep(CHECK_SECONDS / 2)
         if self.is_busy():
-            await self._proxy.end_requests()
-            await curio.sleep(LAST_ANSWERS_SECONDS)
+            await self._end_requests(process_ends_at)
         self._journal.record_event("stopped", busy=self._server.busy)
 
+    async def _end_requests(self, ends_at: float) -> None:
+        """Answers the last requests; streams go on until the process ends."""
+        self._proxy.closed = True
+        await self._proxy.end_requests()
+        while self.is_busy() and self._clock.now() < ends_at:
+            await curio.sleep(CHECK_SECONDS / 4)
+
 
 def compute_limits(settings: gateway_settings.GatewaySettings) -> web.Limits:
     """Returns the server limits that follow from the machine's resources.
--- a/samphirevale/proxy_context.py
+++ b/samphirevale/proxy_context.py
@@ -9,6 +9,7 @@
     item_runners,
     journal,
     placement,
+    process_end,
     quarantine,
     retry_budgets,
     return_times,
@@ -28,6 +29,7 @@
         budget: the retry budget.
         quarantine: the inputs that have crashed endpoints at any entry.
         crashes: the parts of prompts that have crashed endpoints.
+        process_end: when the process ends.
         endpoints: makes the calls to endpoints.
         origins: knows where streams began.
         returns: when the callers come back that were refused in pauses.
@@ -42,6 +44,7 @@
     budget: retry_budgets.RetryBudget
     quarantine: quarantine.Quarantine
     crashes: crash_reports.CrashReports
+    process_end: process_end.ProcessEnd
     endpoints: proxies.ProxyEndpoints
     origins: stream_origins.OriginDirectory
     returns: return_times.ReturnSchedule
--- a/samphirevale/proxying.py
+++ b/samphirevale/proxying.py
@@ -159,7 +159,10 @@
             routes.choose_service(route, self._context.rng.random()),
             name,
             cluster.table.compute_rank(route, account),
-            request.received_at + wait_seconds,
+            min(
+                request.received_at + wait_seconds,
+                self._context.process_end.at,
+            ),
             fingerprint,
             retried and not (route.streamed and request.last_event),
         )
--- a/samphirevale/stream_resumptions.py
+++ b/samphirevale/stream_resumptions.py
@@ -12,6 +12,12 @@
     stream_waits,
 )
 
+# A stream that breaks as the process is about to end goes on only if there is
+# this multiple of the time to its next event, and a time for the others, in
+# seconds. Its caller can take it up at another entry.
+END_FACTOR = 2.0
+END_SECONDS = 1.0
+
 
 class StreamResumption:
     """Implements event_streams.StreamRun."""
@@ -50,7 +56,7 @@
         connection_failures = 0
         retry_taken = False
         while True:
-            obstacle = "" if retry_taken else self._resends.find_obstacle()
+            obstacle = self._find_obstacle(results is None, retry_taken)
             if obstacle:
                 raise errors.AnswerLostError(obstacle)
             endpoint = await self.wait_for_endpoint(results is None)
@@ -74,6 +80,14 @@
                 if getattr(error, "lacks_results", False):
                     results = None
 
+    def _find_obstacle(self, needs_stages: bool, retry_taken: bool) -> str:
+        """Returns why the stream may not go on; empty if it may."""
+        stream = self._build_broken_stream(needs_stages)
+        needed = END_FACTOR * stream.resumption_seconds + END_SECONDS
+        if self._context.clock.now() + needed > self._context.process_end.at:
+            return "process_ends"
+        return "" if retry_taken else self._resends.find_obstacle()
+
     async def wait_for_endpoint(self, needs_stages: bool) -> catalogue.Endpoint:
         """Returns an endpoint that goes on, after a pause of all if need be.
 
--- a/standins/servers.py
+++ b/standins/servers.py
@@ -68,6 +68,9 @@
             calls.
         silence_seconds: the duration of a silence, in which none of the
             server's calls and streams goes on.
+        event_seconds: the time to make an event of a stream.
+        call_seconds: the time that a stage call takes.
+        item_faults: the reasons of the next items that are not made, in order.
         free_mb: the free memory for results that the server reports.
         ended: the names of servers whose results are gone.
         arrivals: all calls that reached the server, in order.
@@ -88,6 +91,9 @@
         self.pause: Pause | None = None
         self.faults: list[str] = []
         self.silence_seconds = 1.2
+        self.event_seconds = 0.0
+        self.call_seconds = 0.0
+        self.item_faults: list[str] = []
         self.free_mb = 100.0
         self.ended: set[str] = set()
         self.arrivals: list[Arrival] = []
@@ -161,6 +167,7 @@
         if request.path == "/stage-run":
             if fault == "full":
                 return web.Response(503, b"", (NOT_EXECUTED,))
+            await curio.sleep(self.call_seconds)
             return self._run_items(json.loads(request.body)["items"])
         return self._run(request, fault)
 
@@ -169,6 +176,8 @@
         return web.build_json(200, {"items": list(map(self._run_item, items))})
 
     def _run_item(self, item: dict) -> dict[str, str]:
+        if self.item_faults:
+            return {"reason": self.item_faults.pop(0)}
         inputs = item.get("inputs", ())
         if self.ended & {name.partition("/")[0] for name in inputs}:
             return {"reason": "gone"}
@@ -211,6 +220,7 @@
                 raise errors.AnswerLostError("cut by a fault")
             if fault == "stall" and number == 3:
                 await self._fall_silent()
+            await curio.sleep(self.event_seconds)
             await self._wait_for_silence_end()
             yield build_event(number, self.version)
 
--- a/tests/platform/sessions.py
+++ b/tests/platform/sessions.py
@@ -95,6 +95,31 @@
     }
 
 
+async def serve(stack, handle):
+    """Serves HTTP until the end of a stack; returns the port."""
+    port = base.find_free_port()
+    task = await curio.spawn(
+        web_server.serve, handle, "127.0.0.1", port, daemon=True
+    )
+    stack.push_async_callback(task.cancel)
+    return port
+
+
+def build_registration(name, port, **changes):
+    """Returns the registration of a server."""
+    return {
+        "service": name[:-1],
+        "address": f"127.0.0.1:{port}",
+        "zone": "a",
+        "version": "",
+        "slots": 4,
+        "state": "ready",
+        "sequence": 1,
+        "born": 1,
+        **changes,
+    }
+
+
 class SessionTestCase(base.TestCase):
     """One entry, some servers per service, and the store."""
 
@@ -115,11 +140,11 @@
         self.sequences = itertools.count(2)
         async with contextlib.AsyncExitStack() as stack:
             for name, server in self.servers.items():
-                port = await self.serve(stack, server.handle)
+                port = await serve(stack, server.handle)
                 self.ports[name] = port
                 self.register_server(name, port)
             self.store.put("config", "main", build_manifest())
-            self.store_port = await self.serve(stack, self.store.handle)
+            self.store_port = await serve(stack, self.store.handle)
             self.gateway = self.build_gateway(self.store_port)
             task = await curio.spawn(gateway.run, self.gateway)
             stack.push_async_callback(task.cancel)
@@ -128,29 +153,15 @@
             yield
         self.assertEqual([], self.log.faults)
 
-    async def serve(self, stack, handle):
-        port = base.find_free_port()
-        task = await curio.spawn(
-            web_server.serve, handle, "127.0.0.1", port, daemon=True
-        )
-        stack.push_async_callback(task.cancel)
-        return port
-
     def register_server(self, name, port, **changes):
         self.store.put(
             "servers",
             name,
-            {
-                "service": name[:-1],
-                "address": f"127.0.0.1:{port}",
-                "zone": "a",
-                "version": self.servers[name].version,
-                "slots": 4,
-                "state": "ready",
-                "sequence": 1,
-                "born": 1,
-                **changes,
-            },
+            build_registration(
+                name,
+                port,
+                **{"version": self.servers[name].version, **changes},
+            ),
         )
 
     def build_gateway(self, store_port, instance="entry1"):
--- a/tests/platform/test_session.py
+++ b/tests/platform/test_session.py
@@ -349,7 +349,7 @@
     async def test_not_ready_before_the_first_routes(self):
         async with contextlib.AsyncExitStack() as stack:
             store = metadata_store.MetadataStore()
-            store_port = await self.serve(stack, store.handle)
+            store_port = await sessions.serve(stack, store.handle)
             self.gateway = self.build_gateway(store_port)
             task = await curio.spawn(gateway.run, self.gateway)
             stack.push_async_callback(task.cancel)
--- a/tests/test_proxying.py
+++ b/tests/test_proxying.py
@@ -8,6 +8,7 @@
     errors,
     input_fingerprints,
     placement,
+    process_end,
     proxy_context,
     proxy_requests,
     proxying,
@@ -85,6 +86,7 @@
         self.runner = FakeItemRunner()
         self.journal = proxy_fakes.FakeJournal()
         self.closed = False
+        self.process_end = process_end.ProcessEnd()
         self.origins = stream_origins.StreamOrigins()
         self.links = FakeOriginLinks()
         self.returns = return_times.ReturnSchedule()
@@ -124,6 +126,7 @@
             self.budget,
             self.quarantine,
             self.crashes,
+            self.process_end,
             self.endpoints,
             stream_origins.OriginDirectory(
                 self.origins, self.links, self.clock
