Survive bytes without end that are no answer

Cause: curio's recv returns at once while there is more to read, so a sender that is faster than the entry keeps its one task running: no other task, no timeout and no deadline takes effect. Besides, interim answers were unlimited, a number of an event of over 4,300 digits raised an error of the program, events without numbers were passed on for ever, a stream that still sent was read on past its deadline, and each of many answers could take 8 MB.

Other tasks run after each full read and after each eighth one.

--- a/samphirevale/adapters/web_client.py
+++ b/samphirevale/adapters/web_client.py
@@ -22,6 +22,12 @@
 # Default timeout for opening a connection, in seconds.
 CONNECT_SECONDS = 1.0
 
+# The largest number of interim answers (status 1xx) before an answer.
+INTERIM_ANSWERS_LIMIT = 16
+
+# After this number of reads other tasks run, also if there is more to read.
+READS_IN_A_ROW = 8
+
 
 def split_address(url: str) -> tuple[str, int]:
     """Returns host and port of an `http://host:port` URL."""
@@ -87,6 +93,9 @@
         self._stream = stream
         self._authority = f"{host}:{port}"
         self._protocol = h11.Connection(h11.CLIENT)
+        self._reads = 0
+        # Whether there may be more to read at once.
+        self._has_more = False
 
     async def request(
         self,
@@ -126,13 +135,19 @@
             await self._stream.sendall(data)
         except OSError as error:
             raise errors.AnswerLostError(str(error)) from error
-        event = await self.read_event()
-        while isinstance(event, h11.InformationalResponse):
-            event = await self.read_event()
+        event = await self._read_final_head()
         if not isinstance(event, h11.Response):
             raise errors.AnswerLostError("closed before an answer")
         return Answer(self, event)
 
+    async def _read_final_head(self) -> Any:
+        """Returns the first event that is no interim answer."""
+        for _ in range(INTERIM_ANSWERS_LIMIT):
+            event = await self.read_event()
+            if not isinstance(event, h11.InformationalResponse):
+                return event
+        raise errors.ProtocolError("too many interim answers")
+
     async def read_event(self) -> Any:
         """Returns the next h11 event of the answer.
 
@@ -151,11 +166,23 @@
                 raise errors.ProtocolError(str(error)) from error
             if event is not h11.NEED_DATA:
                 return event
-            try:
-                data = await self._stream.recv(web.READ_BYTES)
-            except OSError as error:
-                raise errors.AnswerLostError(str(error)) from error
-            self._protocol.receive_data(data)
+            self._protocol.receive_data(await self._receive())
+
+    async def _receive(self) -> bytes:
+        """Returns the next bytes, and lets other tasks run now and then.
+
+        A read returns at once while the other side sends faster than this one
+        reads, so that not even a timeout would take effect.
+        """
+        self._reads += 1
+        if self._has_more or self._reads % READS_IN_A_ROW == 0:
+            await curio.sleep(0)
+        try:
+            data = await self._stream.recv(web.READ_BYTES)
+        except OSError as error:
+            raise errors.AnswerLostError(str(error)) from error
+        self._has_more = len(data) == web.READ_BYTES
+        return data
 
     def is_stale(self) -> bool:
         """Returns whether the server has closed the idle connection.
--- a/samphirevale/event_streams.py
+++ b/samphirevale/event_streams.py
@@ -22,6 +22,12 @@
 # a request in less.
 OVERLAP_SECONDS = 0.3
 
+# How long a stream that still sends is read after its deadline, in seconds.
+LATE_SECONDS = 0.25
+
+# Why a stream ends whose endpoint sends on after the deadline.
+ENDLESS = "sending after the deadline"
+
 # Why a stream ends whose endpoint has sent nothing for too long.
 SILENT = "silent for too long"
 
@@ -99,8 +105,12 @@
 
     async def read_first(self) -> None:
         """Reads the first event, or the end of a stream without events."""
-        while not self._first and not self._ended:
-            self._first = await self._accept_part(await self._read_part())
+        try:
+            while not self._first and not self._ended:
+                self._first = await self._accept_part(await self._read_part())
+        except BaseException:
+            await self._parts.aclose()
+            raise
 
     def __aiter__(self) -> "EventStream":
         """Returns the stream itself."""
@@ -122,6 +132,8 @@
 
     async def _read_or_resume(self) -> bytes:
         """Returns the next events; empty if there are none yet."""
+        if self._run.compute_remaining_seconds() < -LATE_SECONDS:
+            self._end(ENDLESS)
         timeout = self._run.compute_event_timeout(self._begun)
         try:
             async with curio.timeout_after(max(timeout, 0)):
--- a/samphirevale/events.py
+++ b/samphirevale/events.py
@@ -9,6 +9,14 @@
 EVENT_BYTES_LIMIT = 1024 * 1024
 
 
+# The largest number of digits of an event's number.
+NUMBER_DIGITS_LIMIT = 18
+
+
+# The largest number of events without a number, one after the other.
+UNNUMBERED_LIMIT = 64
+
+
 class Event(NamedTuple):
     """One complete event as received.
 
@@ -31,7 +39,7 @@
         """Adds a part and returns the events that it completes.
 
         Raises:
-            errors.ProtocolError: an event is too large.
+            errors.ProtocolError: an event or its number is too large.
         """
         self._incomplete += part
         if b"\n\n" not in self._incomplete:
@@ -49,8 +57,11 @@
 def _build_event(data: bytes) -> Event:
     for line in data.split(b"\n"):
         name, _, value = line.partition(b":")
-        if name == b"id" and value.strip().isdigit():
-            return Event(data, int(value))
+        digits = value.strip()
+        if name == b"id" and digits.isdigit():
+            if len(digits) > NUMBER_DIGITS_LIMIT:
+                raise errors.ProtocolError("the number of an event is too long")
+            return Event(data, int(digits))
     return Event(data, None)
 
 
@@ -64,6 +75,7 @@
 
     def __init__(self, last: int | None = None):
         self.last = last
+        self._unnumbered = 0
 
     def accept_all(self, events: Sequence[Event]) -> list[Event]:
         """Returns the new ones of several events.
@@ -83,10 +95,15 @@
         """Returns whether the event is new; False for a repeated event.
 
         Raises:
-            errors.ProtocolError: an event before it is missing.
+            errors.ProtocolError: an event before it is missing, or too many
+                events have no number.
         """
         if event.number is None:
+            self._unnumbered += 1
+            if self._unnumbered > UNNUMBERED_LIMIT:
+                raise errors.ProtocolError("too many events without a number")
             return True
+        self._unnumbered = 0
         if self.last is not None and event.number <= self.last:
             return False
         if self.last is not None and event.number != self.last + 1:
--- a/samphirevale/exchanges.py
+++ b/samphirevale/exchanges.py
@@ -11,9 +11,6 @@
 )
 from samphirevale.ports import proxies
 
-# The largest answer that is buffered as a whole, in bytes.
-ANSWER_BYTES_LIMIT = 8 * 1024 * 1024
-
 
 class Exchange:
     """One exchange, which counts towards the endpoint's load until it ends."""
@@ -79,12 +76,15 @@
     async def read_body(self) -> bytes:
         """Reads and returns the whole body of the answer."""
         body = bytearray()
-        async with contextlib.aclosing(self.answer.read_parts()) as parts:
-            async for part in parts:
-                body += part
-                if len(body) > ANSWER_BYTES_LIMIT:
-                    raise errors.ProtocolError("the answer is too large")
-        return bytes(body)
+        memory = self._context.answer_memory
+        try:
+            async with contextlib.aclosing(self.answer.read_parts()) as parts:
+                async for part in parts:
+                    body += part
+                    memory.add(len(part), len(body))
+            return bytes(body)
+        finally:
+            memory.remove(len(body))
 
     def record_event(self) -> None:
         """Records that the endpoint has sent an event of its answer."""
--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -9,6 +9,7 @@
 import prometheus_client
 
 from samphirevale import (
+    answer_memory,
     batch_dispatch,
     batching,
     catalogue,
@@ -63,6 +64,9 @@
 # The share of the machine's memory that request bodies may occupy.
 BODY_MEMORY_SHARE = 0.2
 
+# The share of the machine's memory for answers that are read whole.
+ANSWER_MEMORY_SHARE = 0.1
+
 # The largest number of quarantined inputs in a report.
 REPORTED_CRASHES_LIMIT = 20
 
@@ -174,6 +178,9 @@
                 self._quarantine,
                 self._crashes,
                 self._process_end,
+                answer_memory.AnswerMemory(
+                    int(settings.memory_bytes * ANSWER_MEMORY_SHARE)
+                ),
                 endpoints,
                 stream_origins.OriginDirectory(
                     self._origins, self.table, clock
--- a/samphirevale/platform/endpoints.py
+++ b/samphirevale/platform/endpoints.py
@@ -15,6 +15,9 @@
 # Maximum number of idle connections kept to one stage engine.
 IDLE_LIMIT = 4
 
+# The largest answer to a call other than a request, in bytes.
+CALL_BYTES_LIMIT = 1024 * 1024
+
 # Status if a result named by the request no longer exists.
 RESULT_GONE = 409
 
@@ -146,7 +149,7 @@
                 ),
             )
             notice = await self._handle_notice(endpoint, answer)
-            data = await answer.read_body()
+            data = await answer.read_body(CALL_BYTES_LIMIT)
             unanswered = False
             kept = connection.is_reusable() and not notice.leaving
             _check_executed(answer, notice)
--- a/samphirevale/proxy_context.py
+++ b/samphirevale/proxy_context.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from samphirevale import (
+    answer_memory,
     cluster_state,
     crash_reports,
     item_runners,
@@ -30,6 +31,7 @@
         quarantine: the inputs that have crashed endpoints at any entry.
         crashes: the parts of prompts that have crashed endpoints.
         process_end: when the process ends.
+        answer_memory: the memory for answers that are read whole.
         endpoints: makes the calls to endpoints.
         origins: knows where streams began.
         returns: when the callers come back that were refused in pauses.
@@ -45,6 +47,7 @@
     quarantine: quarantine.Quarantine
     crashes: crash_reports.CrashReports
     process_end: process_end.ProcessEnd
+    answer_memory: answer_memory.AnswerMemory
     endpoints: proxies.ProxyEndpoints
     origins: stream_origins.OriginDirectory
     returns: return_times.ReturnSchedule
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -34,6 +34,12 @@
         with self.assertRaises(errors.ProtocolError):
             splitter.feed(bytes(events.EVENT_BYTES_LIMIT + 1))
 
+    def test_number_over_the_limit_is_refused(self):
+        splitter = events.EventSplitter()
+        digits = b"9" * (events.NUMBER_DIGITS_LIMIT + 1)
+        with self.assertRaises(errors.ProtocolError):
+            splitter.feed(b"id: " + digits + b"\n\n")
+
 
 class EventOrderTest(base.TestCase):
     """Tests the order of events when a stream is resumed."""
@@ -56,3 +62,9 @@
         order = events.EventOrder(5)
         with self.assertRaises(errors.ProtocolError):
             self.accept(order, 7)
+
+    def test_events_without_numbers_are_limited(self):
+        order = events.EventOrder(5)
+        self.accept(order, *[None] * events.UNNUMBERED_LIMIT)
+        with self.assertRaises(errors.ProtocolError):
+            self.accept(order, None)
--- a/tests/test_proxying.py
+++ b/tests/test_proxying.py
@@ -3,6 +3,7 @@
 import random
 
 from samphirevale import (
+    answer_memory,
     catalogue,
     crash_reports,
     errors,
@@ -127,6 +128,7 @@
             self.quarantine,
             self.crashes,
             self.process_end,
+            answer_memory.AnswerMemory(10_000_000),
             self.endpoints,
             stream_origins.OriginDirectory(
                 self.origins, self.links, self.clock
