Treat a stream that ends with its connection before an event as broken

What callers would see: an engine that crashes as it begins an answer without a length and without chunks closes the connection, which was taken for a complete stream without events: the caller got an empty answer as a whole one, and the part of the prompt was cleared that had crashed the engine.

Such a stream is broken off, accuses the parts, and may be sent elsewhere.

--- a/samphirevale/event_streams.py
+++ b/samphirevale/event_streams.py
@@ -125,7 +125,8 @@
             chunk = await self._read_or_resume()
             if chunk:
                 return chunk
-        self._exchange.record_answered()
+        if self._exchange.answer.framed:
+            self._exchange.record_answered()
         self._run.log_stream_end("complete", self._order.last)
         await self._exchange.close(failed=False)
         raise StopAsyncIteration
@@ -290,6 +291,10 @@
                 raise errors.AnswerLostError(
                     "the stream ended inside an event"
                 ) from None
+            if not self._begun and not self._exchange.answer.framed:
+                raise errors.AnswerLostError(
+                    "the stream ended before an event"
+                ) from None
             self._ended = True
             return b""
 
--- a/samphirevale/platform/endpoints.py
+++ b/samphirevale/platform/endpoints.py
@@ -41,6 +41,10 @@
             "text/event-stream"
         )
 
+        self.framed = not answer.headers.keys().isdisjoint(
+            ("content-length", "transfer-encoding")
+        )
+
     def read_parts(self) -> AsyncIterator[bytes]:
         """Yields the body; raises errors.TransportError if it is cut off."""
         return self._answer.read_parts()
--- a/samphirevale/ports/proxies.py
+++ b/samphirevale/ports/proxies.py
@@ -14,11 +14,14 @@
         status: the HTTP status.
         headers: the headers to pass on to the caller.
         streamed: whether the body is an event stream.
+        framed: whether its end is told, by a length or in chunks. Otherwise it
+            ends with the connection.
     """
 
     status: int
     headers: web.RawHeaders
     streamed: bool
+    framed: bool
 
     def read_parts(self) -> AsyncIterator[bytes]:
         """Yields the parts of the body.
--- a/tests/proxy_fakes.py
+++ b/tests/proxy_fakes.py
@@ -195,6 +195,7 @@
         self.status = status
         self.headers = ((b"X-Seal", b"s"),)
         self.streamed = streamed
+        self.framed = True
         self.closed = False
         self._parts = list(parts)
 
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -76,6 +76,26 @@
             self.crashes.refuses(proxy_fakes.build_request(prompt=PROMPT))
         )
 
+    def build_unframed(self, *parts):
+        stream = self.build_stream(*parts)
+        stream.framed = False
+        return stream
+
+    async def test_stream_that_ends_with_its_connection_before_an_event_broke(
+        self,
+    ):
+        answer = await self.send(self.build_unframed(), self.build_unframed())
+        self.assertEqual((502, "answer_lost"), answer[:2])
+        self.assertEqual({"p", "x"}, self.list_accused())
+
+    async def test_end_of_a_connection_clears_no_part(self):
+        self.crash(1)
+        answer = await self.send(self.build_unframed(EVENTS[0]))
+        self.assertEqual(EVENTS[0], await self.read_stream(answer))
+        self.assertEqual({"p", "x"}, self.list_accused())
+        self.crash(3)
+        self.assertEqual(REFUSED, (await self.send())[:2])
+
     async def test_error_that_is_no_crash_accuses_no_part(self):
         error = errors.ProtocolError("no answer")
         await self.send(error, error)
