Write the lines of the endless stand-in at once

Traced: the stand-in's threads print their lines in two writes, so that lines of two threads join (`openclosed`) and the count stays above 0. The check itself is as strict as before.

The entry of test_stopping_process has a host of its own for each run, as its port for metrics is fixed.

--- a/standins/endless.py
+++ b/standins/endless.py
@@ -4,6 +4,7 @@
 connection that begins or ends.
 """
 
+import os
 import re
 import socketserver
 import sys
@@ -32,6 +33,11 @@
 }
 
 
+def _write_line(text: str) -> None:
+    """Writes a line at once, which lines of other threads do not break."""
+    os.write(sys.stdout.fileno(), f"{text}\n".encode())
+
+
 class Handler(socketserver.BaseRequestHandler):
     """Sends one kind until the caller closes the connection."""
 
@@ -39,7 +45,7 @@
 
     def handle(self) -> None:
         """Handles one connection."""
-        print("open", flush=True)
+        _write_line("open")
         first, rest = KINDS[self.kind]
         try:
             request = self.request.recv(CHUNK_BYTES)
@@ -50,7 +56,7 @@
             while True:
                 self.request.sendall(rest)
         except OSError:
-            print("closed", flush=True)
+            _write_line("closed")
 
 
 class Server(socketserver.ThreadingTCPServer):
--- a/tests/platform/test_stopping_process.py
+++ b/tests/platform/test_stopping_process.py
@@ -24,8 +24,9 @@
 
 SERVERS = ("model1", "model2", "first1", "first2", "plain1")
 
-# The host of the entry. The port of its metrics is fixed.
-HOST = "127.0.0.41"
+# The host of the entry. The port of its metrics is fixed, and several runs may
+# go on at once.
+HOST = f"127.0.1.{1 + os.getpid() % 250}"
 
 # The grace period, and how long callers send requests before and after the
 # signal, in seconds.
