--- a/lab/ablations.py
+++ b/lab/ablations.py
@@ -21,6 +21,7 @@
 from typing import NamedTuple
 
 from lab import (
+    availability_mechanisms,
     crash_mechanisms,
     limit_mechanisms,
     mechanisms,
@@ -55,6 +56,7 @@
     + stream_mechanisms.TEST_ABLATIONS
     + crash_mechanisms.TEST_ABLATIONS
     + limit_mechanisms.TEST_ABLATIONS
+    + availability_mechanisms.TEST_ABLATIONS
 )
 
 HEADERS = ["mechanism", "proof", "with it", "without it"]
--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -227,9 +227,9 @@
     _ablate(
         "streams resumed only at the version that began them",
         STREAMS,
-        "cluster_state",
-        "endpoint for endpoint in accepting if endpoint.version == version",
-        "endpoint for endpoint in accepting",
+        "availability/eligibility",
+        "self.version is not None and endpoint.version != self.version",
+        "False",
         f"{_PROXYING}.StreamTest"
         ".test_broken_stream_is_not_resumed_at_another_version",
     ),
@@ -325,10 +325,8 @@
             ),
             Edit(
                 "samphirevale/cluster_state.py",
-                "return self.catalogue.is_accepting(\n"
-                "            endpoint\n"
-                "        ) and self.notices",
-                "return self.notices",
+                "self.catalogue.is_accepting(endpoint) and self.may_call",
+                "self.may_call",
             ),
         ),
         (
@@ -390,7 +388,7 @@
         "leaving not told to callers",
         LEAVING,
         "platform/headers",
-        "NOT_FOR_CALLERS = HOP_BY_HOP | {LEAVING, LIMIT}",
+        "NOT_FOR_CALLERS = HOP_BY_HOP | {LEAVING, LIMIT, COLD_MS}",
         "NOT_FOR_CALLERS = HOP_BY_HOP",
         f"{_CALLS}.PlatformEndpointsTest"
         ".test_callers_do_not_learn_that_an_endpoint_leaves",
@@ -602,7 +600,7 @@
         "stages refused at once if their endpoints pause",
         PAUSES,
         "stage_placement",
-        "        and known.list_usable(stage.service, now)\n",
+        "        and known.list_usable(stage.service, now, wanted)\n",
         "        and known.catalogue.list_accepting(stage.service)\n",
         f"{_PROXYING}.PauseTest.test_paused_stage_refuses_at_once",
     ),
--- a/samphirevale/adapters/web_client.py
+++ b/samphirevale/adapters/web_client.py
@@ -241,6 +241,8 @@
         raise errors.ConnectTimeoutError(
             f"{host}:{port}: no connection in {timeout_seconds} s"
         ) from error
+    except ConnectionRefusedError as error:
+        raise errors.ConnectRefusedError(f"{host}:{port}: {error}") from error
     except OSError as error:
         raise errors.ConnectError(f"{host}:{port}: {error}") from error
     stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- /dev/null
+++ b/samphirevale/availability/__init__.py
@@ -0,0 +1,1 @@
+"""Decides which endpoints may get work: cordons, cold times, eligibility."""
--- a/samphirevale/cluster_state.py
+++ b/samphirevale/cluster_state.py
@@ -1,6 +1,6 @@
 """The copy of routes, endpoints and entries that a proxying entry holds."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 
 from samphirevale import (
     catalogue,
@@ -14,6 +14,7 @@
     stage_times,
     store_eras,
 )
+from samphirevale.availability import cordons, eligibility, warm_ups
 from samphirevale.ports import objects
 
 
@@ -32,13 +33,34 @@
         copy_guard: the endpoints that a copy of the store may not bring back.
         versions: the versions of the endpoints' software.
         notices: which endpoints leave or have asked for a pause.
+        cordons: the data centres that get no new work.
+        warm_ups: the endpoints that are cold.
         data_centre: the data centre of this entry.
         members: the entries that are alive, including this one.
+        registered: the names of the entries that are registered, alive or not;
+            None until they are known.
         shared_queueing: the shortest queueing time that the routes with a
             service leave, in seconds, by service.
     """
 
-    def __init__(self, keys_seconds: float, me: ownership.Member):
+    def __init__(
+        self,
+        keys_seconds: float,
+        me: ownership.Member,
+        cordons_required: bool = False,
+        cold_bound: warm_ups.ColdBound | None = None,
+        regions: Mapping[str, str] = {},
+    ):
+        """Initializes what an entry knows when it starts.
+
+        Args:
+            keys_seconds: the time within which a revoked key must be refused.
+            me: this entry.
+            cordons_required: whether no request may be accepted before the
+                cordons are known.
+            cold_bound: what a cold endpoint may get; None for no bound.
+            regions: the region of each data centre.
+        """
         self.table: routes.RouteTable | None = None
         self.routes_age = freshness.Freshness(keys_seconds)
         self.routes_era: objects.StoreEra | None = None
@@ -47,10 +69,16 @@
         self.catalogue = catalogue.Catalogue()
         self.copy_guard = copy_guard.CopyGuard()
         self.versions = service_versions.ServiceVersions()
-        self.notices = endpoint_notices.EndpointNotices(me.name)
+        self.cordons = cordons.Cordons(cordons_required)
+        self.warm_ups = warm_ups.WarmUps(
+            me.name, cold_bound, self._find_cold_limit, self._list_sharers
+        )
+        self.notices = endpoint_notices.EndpointNotices(me.name, self.warm_ups)
+        self.registered: frozenset[str] | None = None
         self.members: tuple[ownership.Member, ...] = (me,)
         self.data_centre = me.data_centre
         self._me = me
+        self._regions = regions
         self._owners: dict[str, str] | None = None
         self.shared_queueing: dict[str, float] = {}
 
@@ -60,7 +88,7 @@
             return False
         self.table = table
         self.note_routes_version(table.version)
-        self._owners = None
+        self.invalidate_owners()
         self.shared_queueing = stage_times.compute_shared_queueing(table)
         return True
 
@@ -99,6 +127,7 @@
 
     def start_era(self, now: float) -> None:
         """Records that the store has returned from a copy of itself."""
+        self.cordons.start_era(now)
         self.catalogue.start_grace_period(now)
         self.copy_guard.start_era(self.catalogue.list_all(), now)
         self.routes_age.start_grace_period(now + store_eras.REWRITE_SECONDS)
@@ -111,12 +140,41 @@
         if ordered == self.members:
             return False
         self.members = ordered
-        self._owners = None
+        self.invalidate_owners()
         return True
 
+    def adopt_registered(self, names: Collection[str]) -> None:
+        """Adopts the names of the entries that are registered."""
+        registered = frozenset(names) | {self._me.name}
+        if registered != self.registered:
+            self.registered = registered
+            self.warm_ups.invalidate_shares()
+
     def invalidate_owners(self) -> None:
         """Discards the assignment of owners; the next query recomputes it."""
         self._owners = None
+        self.warm_ups.invalidate_shares()
+
+    def _find_cold_limit(self, service: str) -> routes.ColdLimit | None:
+        if self.table is None or service not in self.table.services:
+            return None
+        return self.table.services[service].cold
+
+    def _list_sharers(self, endpoint: catalogue.Endpoint) -> Collection[str]:
+        """Returns the entries that may call a cold endpoint."""
+        if self.find_batch_limits(endpoint.service) is not None:
+            return {self.find_owner(endpoint)}
+        return self.registered or ()
+
+    def find_data_centres(
+        self, regions: frozenset[str] | None
+    ) -> frozenset[str] | None:
+        """Returns the data centres in some regions; None for all."""
+        if regions is None:
+            return None
+        return frozenset(
+            name for name, region in self._regions.items() if region in regions
+        )
 
     def find_owner(self, endpoint: catalogue.Endpoint) -> str:
         """Returns the name of the entry that owns a batching endpoint."""
@@ -143,8 +201,14 @@
 
     def is_usable(self, endpoint: catalogue.Endpoint, now: float) -> bool:
         """Returns whether new work may be sent to an endpoint now."""
-        return self.catalogue.is_accepting(
-            endpoint
+        return self.catalogue.is_accepting(endpoint) and self.may_call(
+            endpoint, now
+        )
+
+    def may_call(self, endpoint: catalogue.Endpoint, now: float) -> bool:
+        """Returns whether anything may be sent to an endpoint now."""
+        return not self.cordons.is_cordoned(
+            endpoint.data_centre, now
         ) and self.notices.is_available(endpoint, now)
 
     def keeps_results(self, endpoint: catalogue.Endpoint) -> bool:
@@ -170,12 +234,17 @@
         Returns:
             The time in seconds; None if the endpoint leaves.
         """
-        if self.notices.is_leaving(endpoint):
+        if self.notices.is_leaving(endpoint) or self.cordons.is_cordoned(
+            endpoint.data_centre, now
+        ):
             return None
         return self.notices.compute_pause(endpoint, now)
 
     def list_usable(
-        self, service: str, now: float, version: str | None = None
+        self,
+        service: str,
+        now: float,
+        wanted: eligibility.Eligibility = eligibility.ANY,
     ) -> list[catalogue.Endpoint]:
         """Returns the endpoints of a service that new work may be sent to.
 
@@ -186,34 +255,65 @@
         Args:
             service: the service.
             now: the present time.
-            version: the version of their software; None for any.
+            wanted: the conditions of the request.
         """
-        available = self.list_available(service, now, version)
+        available = self.list_available(service, now, wanted)
         not_full = self.notices.exclude_paused_elsewhere(available, now)
         if not_full or self.find_batch_limits(service) is not None:
             return not_full
         return available
 
     def list_available(
-        self, service: str, now: float, version: str | None = None
+        self,
+        service: str,
+        now: float,
+        wanted: eligibility.Eligibility = eligibility.ANY,
     ) -> list[catalogue.Endpoint]:
         """Returns all endpoints of a service that this entry may send to."""
         return self.notices.list_available(
-            self._list_accepting(service, version), now
+            self._list_accepting(service, now, wanted), now
         )
 
     def _list_accepting(
-        self, service: str, version: str | None
+        self, service: str, now: float, wanted: eligibility.Eligibility
     ) -> list[catalogue.Endpoint]:
+        """Returns the endpoints of a service that are not cordoned."""
         accepting = self.catalogue.list_accepting(service)
-        if version is None:
+        cordoned = self.cordons.list_cordoned(now)
+        if wanted == eligibility.ANY and not cordoned:
             return accepting
         return [
-            endpoint for endpoint in accepting if endpoint.version == version
+            endpoint
+            for endpoint in accepting
+            if endpoint.data_centre not in cordoned and wanted.permits(endpoint)
+        ]
+
+    def list_cordoned_batching(self, now: float) -> list[catalogue.Endpoint]:
+        """Returns the batching endpoints in cordoned data centres."""
+        if not self.cordons.list_cordoned(now):
+            return []
+        return [
+            endpoint
+            for endpoint in self._list_batching_endpoints()
+            if self.cordons.is_cordoned(endpoint.data_centre, now)
+        ]
+
+    def list_cordoned(
+        self, service: str, now: float
+    ) -> list[catalogue.Endpoint]:
+        """Returns the endpoints of a service in cordoned data centres."""
+        cordoned = self.cordons.list_cordoned(now)
+        return [
+            endpoint
+            for endpoint in self.catalogue.list_service(service)
+            if endpoint.data_centre in cordoned
         ]
 
     def compute_pause(
-        self, service: str, now: float, version: str | None = None
+        self,
+        service: str,
+        now: float,
+        wanted: eligibility.Eligibility = eligibility.ANY,
     ) -> float:
         """Returns when the first endpoint of a service ends its pause.
 
@@ -221,11 +321,14 @@
             The time in seconds from now; 0 if one is usable now, or if all
             leave.
         """
-        pauses = self.list_pauses(service, now, version)
+        pauses = self.list_pauses(service, now, wanted)
         return min((seconds for _, seconds in pauses), default=0.0)
 
     def list_pauses(
-        self, service: str, now: float, version: str | None = None
+        self,
+        service: str,
+        now: float,
+        wanted: eligibility.Eligibility = eligibility.ANY,
     ) -> list[tuple[catalogue.Endpoint, float]]:
         """Returns the endpoints of a service if all of them pause.
 
@@ -233,7 +336,7 @@
             Pairs of an endpoint and the rest of its pause in seconds; none if
             one is usable now, or if all leave.
         """
-        if self.list_usable(service, now, version):
+        if self.list_usable(service, now, wanted):
             return []
         return [
             (
@@ -243,12 +346,15 @@
                     self.notices.compute_pause_elsewhere(endpoint, now),
                 ),
             )
-            for endpoint in self._list_accepting(service, version)
+            for endpoint in self._list_accepting(service, now, wanted)
             if not self.notices.is_leaving(endpoint)
         ]
 
     def compute_pauses(
-        self, service: str, now: float, version: str | None = None
+        self,
+        service: str,
+        now: float,
+        wanted: eligibility.Eligibility = eligibility.ANY,
     ) -> dict[str, float]:
         """Returns the pauses that endpoints of a service ask of this entry.
 
@@ -257,7 +363,7 @@
         """
         pauses = {
             endpoint.name: self.notices.compute_pause(endpoint, now)
-            for endpoint in self._list_accepting(service, version)
+            for endpoint in self._list_accepting(service, now, wanted)
             if not self.notices.is_leaving(endpoint)
         }
         return {name: rest for name, rest in pauses.items() if rest > 0}
--- a/samphirevale/cluster_watch.py
+++ b/samphirevale/cluster_watch.py
@@ -12,12 +12,14 @@
     freshness,
     gateway_settings,
     journal,
+    notice_handler,
     registrations,
     routes,
     routes_freshness,
     store_eras,
     watchers,
 )
+from samphirevale.availability import cordon_watch
 from samphirevale.ports import clock as clocks
 from samphirevale.ports import objects, platforms
 
@@ -43,6 +45,7 @@
 
     Attributes:
         eras: the eras of the store.
+        cordon_watch: keeps the cordoned data centres up to date.
         routes_freshness: confirms the routes through other entries.
     """
 
@@ -86,6 +89,8 @@
         self._rng = rng
         self._journal = log
         self.eras = store_eras.StoreEras(known.start_era, log)
+        self.cordon_watch = cordon_watch.CordonWatch(known.cordons, clock, log)
+        self._has_endpoints = False
         self._routes_watcher = self._build_routes_watcher()
         self.routes_freshness = routes_freshness.RoutesFreshness(
             settings.instance,
@@ -101,16 +106,23 @@
     def adopt_members(self) -> None:
         """Adapts the watches to the entries that are alive."""
         self.routes_freshness.adopt_members(self._cluster.members)
+        is_source = self.routes_freshness.is_source
         self._routes_watcher.times = compute_routes_watch(
-            self._settings, self.routes_freshness.is_source
+            self._settings, is_source
         )
+        if self.cordon_watch.watcher is not None:
+            self.cordon_watch.watcher.times = cordon_watch.compute_watch(
+                self._settings.contact_seconds, quiet=not is_source
+            )
 
     async def adopt_report(
         self, entry: str, known: routes_freshness.StoreKnowledge
     ) -> None:
         """Adopts what another entry reports of the store."""
-        await self.eras.observe(known.era, entry, self._clock.now())
+        relation = await self.eras.observe(known.era, entry, self._clock.now())
         self._cluster.note_routes_version(known.version)
+        if relation is not store_eras.Relation.OLDER:
+            self.cordon_watch.adopt_report(entry, known.cordoned)
 
     def build_watchers(self) -> list[watchers.Watcher]:
         """Builds the watchers of routes, endpoints and other entries."""
@@ -127,6 +139,7 @@
             _ignore_time,
         )
         return [
+            *self._build_cordon_watchers(),
             self._routes_watcher,
             self._build_watcher(
                 self._adapters.endpoints_kind,
@@ -138,6 +151,19 @@
             ),
         ]
 
+    def _build_cordon_watchers(self) -> list[watchers.Watcher]:
+        """Builds the watcher of the cordons, if the settings call for it."""
+        if not self._settings.cordon_seconds:
+            return []
+        self.cordon_watch.watcher = self._build_watcher(
+            self._adapters.cordons_kind,
+            self.cordon_watch.build_callbacks(_ignore_time),
+            cordon_watch.compute_watch(
+                self._settings.contact_seconds, quiet=False
+            ),
+        )
+        return [self.cordon_watch.watcher]
+
     def _build_routes_watcher(self) -> watchers.Watcher:
         callbacks = watchers.WatchCallbacks(
             self._adopt_stored_routes,
@@ -206,12 +232,14 @@
     def _replace_endpoints(
         self, stored: Iterable[objects.StoredObject], now: float
     ) -> None:
-        decoded = [
-            self._adapters.decode_endpoint(stored_object)
-            for stored_object in stored
-        ]
+        listed = list(stored)
+        decoded = list(map(self._adapters.decode_endpoint, listed))
         found = [endpoint for endpoint in decoded if endpoint is not None]
         current = self._cluster.copy_guard.filter_listed(found, now)
+        for stored_object, endpoint in zip(listed, decoded, strict=True):
+            if endpoint is not None:
+                self._record_cold(stored_object, endpoint, now)
+        self._has_endpoints = True
         self._handle_endpoint_changes(
             self._cluster.catalogue.replace(current, now), now
         )
@@ -229,9 +257,31 @@
                     stored_object.name, now
                 )
             else:
+                self._record_cold(stored_object, endpoint, now)
                 changes = self._cluster.catalogue.put(endpoint)
             self._handle_endpoint_changes(changes, now)
 
+    def _record_cold(
+        self,
+        stored: objects.StoredObject,
+        endpoint: catalogue.Endpoint,
+        now: float,
+    ) -> None:
+        """Records what a registration tells of an endpoint's cold time."""
+        cold = self._cluster.warm_ups
+        turns_cold = cold.record_registered(
+            endpoint, not self._has_endpoints, now
+        )
+        stated = self._adapters.decode_cold_seconds(stored)
+        turns_cold |= cold.record_cold(endpoint, stated, now)
+        if turns_cold:
+            notice_handler.record_cold(
+                self._journal,
+                endpoint,
+                cold.compute_rest(endpoint, now),
+                "registration",
+            )
+
     def _replace_entries(
         self, stored: Iterable[objects.StoredObject], now: float
     ) -> None:
@@ -244,6 +294,7 @@
             [registration for registration in found if registration],
             whole=now >= self.eras.get_rewrite_end(),
         )
+        self._cluster.adopt_registered(self._table.list_registered())
 
     def _apply_entry_changes(
         self, stored: Iterable[objects.StoredObject], now: float
@@ -257,9 +308,11 @@
                 self._table.remove(stored_object.name)
             else:
                 self._table.adopt([found], whole=False)
+        self._cluster.adopt_registered(self._table.list_registered())
 
     def remove_expired(self, now: float) -> None:
-        """Removes the endpoints whose grace period is over."""
+        """Removes the endpoints and cordons whose grace period is over."""
+        self.cordon_watch.log_changes()
         self._handle_endpoint_changes(
             self._cluster.catalogue.remove_expired(now), now
         )
--- a/samphirevale/endpoint_choice.py
+++ b/samphirevale/endpoint_choice.py
@@ -1,6 +1,7 @@
 """Chooses among the endpoints that may get one proxied request."""
 
 from samphirevale import catalogue, placement, proxy_context, proxy_requests
+from samphirevale.availability import eligibility
 
 
 class EndpointChoice:
@@ -8,8 +9,8 @@
 
     Attributes:
         service: the service to which the request is sent.
-        version: the version of the endpoints' software that has begun the
-            request's stream; None if any may answer.
+        wanted: the conditions for the endpoints: the version of their software
+            that has begun the request's stream, and its home regions.
         tried: the names of the endpoints to which it was sent.
     """
 
@@ -18,9 +19,18 @@
         context: proxy_context.ProxyContext,
         request: proxy_requests.ProxiedRequest,
         service: str,
+        data_centres: frozenset[str] | None = None,
     ):
+        """Initializes it for a request that was not sent yet.
+
+        Args:
+            context: knows the endpoints.
+            request: the request.
+            service: the service to which it is sent.
+            data_centres: the data centres in its home regions; None for any.
+        """
         self.service = service
-        self.version: str | None = None
+        self.wanted = eligibility.Eligibility(None, data_centres)
         self.tried: set[str] = set()
         # Those among them that were silent: they did not answer the connect, or
         # were left for another endpoint. They are the last choice.
@@ -57,11 +67,15 @@
             cluster.find_connections_limit(self.service),
         )
         choose = self._context.selector.choose
-        usable = cluster.list_usable(self.service, now, self.version)
+        usable = cluster.list_usable(self.service, now, self.wanted)
         return choose(usable, request, now) or choose(
             self.list_available(), request, now
         )
 
+    def bind_version(self, version: str) -> None:
+        """Limits the choice to endpoints with a version of their software."""
+        self.wanted = self.wanted._replace(version=version)
+
     def record_send(self, endpoint: catalogue.Endpoint) -> None:
         """Records that the request is sent to an endpoint."""
         self.tried.add(endpoint.name)
@@ -74,7 +88,7 @@
     def list_available(self) -> list[catalogue.Endpoint]:
         """Returns the endpoints to which this entry may send the request."""
         return self._context.cluster_state.list_available(
-            self.service, self._context.clock.now(), self.version
+            self.service, self._context.clock.now(), self.wanted
         )
 
     def compute_pause(self) -> float:
@@ -85,7 +99,7 @@
             leave.
         """
         return self._context.cluster_state.compute_pause(
-            self.service, self._context.clock.now(), self.version
+            self.service, self._context.clock.now(), self.wanted
         )
 
     def compute_wait(self) -> float:
@@ -101,7 +115,7 @@
         if self.choose() is not None:
             return 0.0
         pauses = self._context.cluster_state.compute_pauses(
-            self.service, self._context.clock.now(), self.version
+            self.service, self._context.clock.now(), self.wanted
         )
         self.tried -= pauses.keys()
         return min(pauses.values(), default=0.0)
@@ -114,8 +128,19 @@
         """Returns why there is no endpoint, as words joined by `_`."""
         if self.all_pause():
             return "endpoints_paused"
-        if all(
-            endpoint.name in self.tried for endpoint in self.list_available()
-        ):
+        available = self.list_available()
+        if not available:
+            return self._explain_none_available()
+        if all(endpoint.name in self.tried for endpoint in available):
             return "no_endpoint"
         return "no_connection_left"
+
+    def _explain_none_available(self) -> str:
+        """Returns why nothing may be sent to any endpoint."""
+        cluster = self._context.cluster_state
+        if cluster.list_cordoned(self.service, self._context.clock.now()):
+            return "endpoints_cordoned"
+        accepting = cluster.catalogue.list_accepting(self.service)
+        if accepting and self.wanted.data_centres is not None:
+            return "no_endpoint_at_home"
+        return "no_endpoint"
--- a/samphirevale/endpoint_limits.py
+++ b/samphirevale/endpoint_limits.py
@@ -10,7 +10,8 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from samphirevale import catalogue, hash_order
+from samphirevale import catalogue
+from samphirevale.availability import call_shares
 
 # An entry shares a limit for this time after it was told, in seconds.
 SHARING_SECONDS = 30.0
@@ -48,17 +49,10 @@
     at: float
 
 
-class _Share(NamedTuple):
-    """This entry's share of a limit.
+class _DatedShare(NamedTuple):
+    """This entry's share of a limit, and when it was computed."""
 
-    Attributes:
-        interval: the time between two calls, in seconds.
-        included: whether this entry may make calls at all.
-        computed_at: when it was computed.
-    """
-
-    interval: float
-    included: bool
+    share: call_shares.CallShare
     computed_at: float
 
 
@@ -76,7 +70,7 @@
         self._told: dict[catalogue.EndpointStart, dict[str, Told]] = {}
         # When this entry made its last call to each endpoint with a limit.
         self._called_at: dict[catalogue.EndpointStart, float] = {}
-        self._shares: dict[catalogue.EndpointStart, _Share] = {}
+        self._shares: dict[catalogue.EndpointStart, _DatedShare] = {}
 
     def __bool__(self) -> bool:
         """Returns whether any endpoint has or had a limit lately."""
@@ -147,20 +141,20 @@
         if start not in self._told or not self.get_limit(start, now):
             return 0.0
         share = self._get_share(start, now)
-        if not share.included:
-            return share.interval
-        return max(self._called_at[start] + share.interval - now, 0.0)
+        return share.compute_wait(self._called_at[start], now)
 
-    def _get_share(self, start: catalogue.EndpointStart, now: float) -> _Share:
-        share = self._shares.get(start)
-        if share is None or now >= share.computed_at + SHARE_SECONDS:
-            share = self._compute_share(start, now)
-            self._shares[start] = share
-        return share
+    def _get_share(
+        self, start: catalogue.EndpointStart, now: float
+    ) -> call_shares.CallShare:
+        dated = self._shares.get(start)
+        if dated is None or now >= dated.computed_at + SHARE_SECONDS:
+            dated = _DatedShare(self._compute_share(start, now), now)
+            self._shares[start] = dated
+        return dated.share
 
     def _compute_share(
         self, start: catalogue.EndpointStart, now: float
-    ) -> _Share:
+    ) -> call_shares.CallShare:
         limit = self.get_limit(start, now)
         names = {
             entry
@@ -169,8 +163,7 @@
         }
         names.add(self._me)
         most = LEAST_SHARERS + int(SHARERS_PER_CALL * limit)
-        sharers = hash_order.order_by_hash(start.name, names)[:most]
-        return _Share(len(sharers) / limit, self._me in sharers, now)
+        return call_shares.divide_rate(start.name, names, self._me, limit, most)
 
     def record_call(self, start: catalogue.EndpointStart, now: float) -> None:
         """Records that this entry makes a call to an endpoint."""
--- a/samphirevale/endpoint_notices.py
+++ b/samphirevale/endpoint_notices.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 from samphirevale import catalogue, endpoint_limits
+from samphirevale.availability import warm_ups
 
 # Longer pauses are shortened to this, in seconds. No queue takes so long to
 # become shorter, so a longer pause is a mistake of the endpoint.
@@ -24,19 +25,21 @@
 
     A pause that an endpoint has asked of this entry is binding. One that it
     has asked of another entry only shows that it is full. The wait for the next
-    call to an endpoint that names a limit is a pause as well.
+    call to an endpoint that names a limit or is cold is a pause as well.
 
     Attributes:
         limits: the limits that endpoints name.
     """
 
-    def __init__(self, me: str):
+    def __init__(self, me: str, cold: warm_ups.WarmUps):
         """Initializes notices without any.
 
         Args:
             me: the name of this entry.
+            cold: the endpoints that are cold.
         """
         self.limits = endpoint_limits.EndpointLimits(me)
+        self._warm_ups = cold
         # When each endpoint that leaves was last known to be registered.
         self._leaving: dict[catalogue.EndpointStart, float] = {}
         # The ends of the pauses that were asked of this entry and of others.
@@ -79,7 +82,9 @@
         self, endpoints: list[catalogue.Endpoint], now: float
     ) -> list[catalogue.Endpoint]:
         """Returns the endpoints that this entry may send something to."""
-        if not (self._leaving or self._paused_until or self.limits):
+        if not (
+            self._leaving or self._paused_until or self.limits or self._warm_ups
+        ):
             return endpoints
         return [
             endpoint
@@ -107,7 +112,12 @@
         """Returns the rest of a pause asked of this entry, in seconds."""
         start = catalogue.get_start(endpoint)
         pause = self._paused_until.get(start, now) - now
-        return max(pause, self.limits.compute_wait(start, now), 0.0)
+        return max(
+            pause,
+            self.limits.compute_wait(start, now),
+            self._warm_ups.compute_wait(endpoint, now),
+            0.0,
+        )
 
     def compute_pause_elsewhere(
         self, endpoint: catalogue.Endpoint, now: float
@@ -139,6 +149,7 @@
     ) -> None:
         """Removes pauses that are over and endpoints that have long gone."""
         self.limits.remove_expired(now)
+        self._warm_ups.remove_expired(now)
         for ends in (self._paused_until, self._paused_elsewhere_until):
             for start in [start for start, end in ends.items() if end <= now]:
                 del ends[start]
--- a/samphirevale/entries.py
+++ b/samphirevale/entries.py
@@ -29,6 +29,7 @@
     stream_origins,
 )
 from samphirevale.adapters import link as links
+from samphirevale.availability import cordons
 from samphirevale.ports import clock as clocks
 from samphirevale.ports import proxies
 
@@ -241,6 +242,10 @@
         """Removes the registration of an entry that no longer exists."""
         self._registrations.pop(name, None)
 
+    def list_registered(self) -> list[str]:
+        """Returns the names of the other entries that are registered."""
+        return list(self._registrations)
+
     async def connect_to_entries(self) -> None:
         """Connects to the entries whose names sort after this one's.
 
@@ -359,6 +364,9 @@
                 routes_freshness.StoreKnowledge(
                     messages.decode_era(message.store_era),
                     message.routes_version,
+                    cordons.CordonList(
+                        message.cordons_version, frozenset(message.cordoned)
+                    ),
                 ),
             )
             self._notices.adopt_pauses(message.pauses)
--- a/samphirevale/errors.py
+++ b/samphirevale/errors.py
@@ -50,6 +50,10 @@
     """The remote side did not answer the connect; it may be silent."""
 
 
+class ConnectRefusedError(ConnectError):
+    """No process listens at the address of the remote side."""
+
+
 class NotAcceptingError(ConnectError):
     """The endpoint leaves or pauses, so nothing was sent to it."""
 
--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -96,6 +96,9 @@
         self.cluster_state = cluster_state.ClusterState(
             settings.keys_seconds,
             ownership.Member(settings.instance, settings.data_centre),
+            cordons_required=settings.cordon_seconds > 0,
+            cold_bound=settings.cold_bound,
+            regions=settings.regions,
         )
         self._quarantine = quarantine.Quarantine(
             input_fingerprints.CRASHES_SECONDS
@@ -200,6 +203,7 @@
             and self.cluster_state.table is not None
             and self.cluster_state.routes_age.is_usable(now)
             and self.cluster_state.endpoints_age.confirmed_at is not None
+            and self.cluster_state.cordons.is_known()
         )
 
     def is_busy(self) -> bool:
@@ -216,6 +220,8 @@
             self._notices.describe_limits(now),
             messages.encode_era(self.cluster_watch.eras.newest),
             self.cluster_state.get_routes_version(),
+            sorted(self.cluster_state.cordons.newest.names),
+            self.cluster_state.cordons.newest.version,
         )
 
     def _adopt_crashes(self, crashed: list[list[str]]) -> None:
@@ -280,6 +286,7 @@
             self.cluster_watch.release_held(now)
             self._origins.remove_expired(now)
             self._notices.remove_expired(now)
+            await self._withdraw_cordoned(now)
             self._crashes.update()
             await self._crashes.send_pending()
             await self._dispatcher.handle_overdue_calls(now)
@@ -289,6 +296,11 @@
             metrics.ENTRIES_LINKED.set(len(self.table.linked))
             metrics.LINES_LEFT_OUT.set(self._journal.dropped_lines)
 
+    async def _withdraw_cordoned(self, now: float) -> None:
+        """Hands back the items that are queued in cordoned data centres."""
+        for endpoint in self.cluster_state.list_cordoned_batching(now):
+            await self._dispatcher.withdraw_items(endpoint)
+
     def _log_queues(self, now: float) -> None:
         """Logs the state of the queues that this entry owns."""
         for name, *state in self.item_runner.describe_queues(now):
--- a/samphirevale/gateway_settings.py
+++ b/samphirevale/gateway_settings.py
@@ -1,8 +1,10 @@
 """The settings of a proxying entry."""
 
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from samphirevale import retry_budgets
+from samphirevale.availability import warm_ups
 
 
 class GatewaySettings(NamedTuple):
@@ -27,6 +29,10 @@
             more work.
         grace_seconds: the time from the order to stop to the kill.
         budget: the retry budget, shared by all entries.
+        cordon_seconds: the time after which a cordoned data centre gets no
+            more work; 0 if data centres are not cordoned here.
+        cold_bound: what a cold endpoint may get; None for no bound.
+        regions: the region of each data centre.
     """
 
     instance: str
@@ -45,3 +51,6 @@
     drain_seconds: float
     grace_seconds: float
     budget: retry_budgets.RetryBudgetLimits
+    cordon_seconds: float = 0.0
+    cold_bound: warm_ups.ColdBound | None = None
+    regions: Mapping[str, str] = {}
--- a/samphirevale/log_schema.py
+++ b/samphirevale/log_schema.py
@@ -31,6 +31,8 @@
             "started",
             "gone",
         },
+        "cordons_changed": {"data_centres", "version", "source"},
+        "endpoint_cold": {"endpoint", "service", "seconds", "source"},
         "endpoint_crashed": {
             "request",
             "endpoint",
--- a/samphirevale/messages.py
+++ b/samphirevale/messages.py
@@ -19,7 +19,7 @@
 from samphirevale.ports import objects
 
 # Must be increased when a field is added, removed or changes its meaning.
-PROTOCOL_VERSION = 9
+PROTOCOL_VERSION = 10
 
 # Maximum size of a frame, in bytes.
 FRAME_BYTES_LIMIT = 4 * 1024 * 1024
@@ -34,6 +34,9 @@
 NO_ERA = -1
 NO_ROUTES = -1
 
+# The version of the cordons in a report of an entry that knows none.
+NO_CORDONS = -1
+
 _types: dict[str, type] = {}
 
 
@@ -309,6 +312,9 @@
         store_era: the newest era of the store that the sender has seen, or
             NO_ERA.
         routes_version: the version of the sender's routes, or NO_ROUTES.
+        cordoned: the names of the cordoned data centres.
+        cordons_version: the version of the store at which they were cordoned,
+            in the era `store_era`, or NO_CORDONS.
     """
 
     queues: list[list]
@@ -318,6 +324,8 @@
     limits: list[list]
     store_era: int = NO_ERA
     routes_version: int = NO_ROUTES
+    cordoned: list[str] = []
+    cordons_version: int = NO_CORDONS
 
 
 @register("endpoints_leaving")
--- a/samphirevale/metrics.py
+++ b/samphirevale/metrics.py
@@ -216,6 +216,12 @@
 ENDPOINTS_LEAVING = _count(
     "endpoints_leaving", "Endpoints that said that they leave.", "service"
 )
+ENDPOINTS_COLD = _count(
+    "endpoints_cold", "Times that an endpoint turned cold.", "service"
+)
+DATA_CENTRES_CORDONED = _gauge(
+    "data_centres_cordoned", "Data centres that get no new work."
+)
 ENDPOINT_PAUSES = _count(
     "endpoint_pauses", "Answers that asked for a pause.", "service"
 )
--- a/samphirevale/notice_handler.py
+++ b/samphirevale/notice_handler.py
@@ -45,14 +45,25 @@
 
     def may_call(self, endpoint: catalogue.Endpoint) -> bool:
         """Returns whether anything may be sent to an endpoint now."""
-        now = self._clock.now()
-        return self._cluster.notices.is_available(endpoint, now)
+        return self._cluster.may_call(endpoint, self._clock.now())
 
     def record_call(self, endpoint: catalogue.Endpoint) -> None:
         """Records that a call is sent to an endpoint now."""
+        now = self._clock.now()
         self._cluster.notices.limits.record_call(
-            catalogue.get_start(endpoint), self._clock.now()
+            catalogue.get_start(endpoint), now
         )
+        self._cluster.warm_ups.record_call(endpoint, now)
+
+    def handle_refused_connect(self, endpoint: catalogue.Endpoint) -> None:
+        """Applies that no process listens at an endpoint's address."""
+        now = self._clock.now()
+        if self._cluster.warm_ups.record_refused(endpoint, now):
+            self._record_cold(endpoint, "connect_refused")
+
+    def _record_cold(self, endpoint: catalogue.Endpoint, source: str) -> None:
+        rest = self._cluster.warm_ups.compute_rest(endpoint, self._clock.now())
+        record_cold(self._journal, endpoint, rest, source)
 
     async def handle_notice(
         self, endpoint: catalogue.Endpoint, notice: proxies.EndpointNotice
@@ -64,6 +75,10 @@
             self._handle_limit(endpoint, notice.limit)
         if notice.pause_seconds > 0:
             await self._handle_pause(endpoint, notice.pause_seconds)
+        if self._cluster.warm_ups.record_cold(
+            endpoint, notice.cold_seconds, self._clock.now()
+        ):
+            self._record_cold(endpoint, "answer")
         if notice.leaving:
             start = catalogue.get_start(endpoint)
             if await self._handle_leaving(start, ""):
@@ -201,6 +216,30 @@
         self._cluster.notices.remove_expired(self._cluster.is_registered, now)
 
 
+def record_cold(
+    log: journal.Journal,
+    endpoint: catalogue.Endpoint,
+    rest_seconds: float,
+    source: str,
+) -> None:
+    """Logs and counts that an endpoint turns cold.
+
+    Args:
+        log: the log.
+        endpoint: the endpoint.
+        rest_seconds: how long it stays cold.
+        source: from what this is known.
+    """
+    metrics.ENDPOINTS_COLD.labels(service=endpoint.service).inc()
+    log.record_event(
+        "endpoint_cold",
+        endpoint=endpoint.name,
+        service=endpoint.service,
+        seconds=round(rest_seconds, 3),
+        source=source,
+    )
+
+
 def _build_message(
     starts: Iterable[catalogue.EndpointStart],
 ) -> messages.EndpointsLeaving:
--- a/samphirevale/paused_refusals.py
+++ b/samphirevale/paused_refusals.py
@@ -55,14 +55,15 @@
     """Yields each service of a request whose endpoints all pause."""
     cluster = context.cluster_state
     now = context.clock.now()
-    needed = [(endpoints.service, endpoints.version, 1)]
+    needed = [(endpoints.service, endpoints.wanted, 1)]
+    stages_wanted = endpoints.wanted.without_version()
     for index, stage in enumerate(accepted.route.stages):
         counts = accepted.request.item_counts
         items = stage_times.get_item_count(counts, index)
         if items:
-            needed.append((stage.service, None, items))
-    for service, version, items in needed:
-        pauses = cluster.list_pauses(service, now, version)
+            needed.append((stage.service, stages_wanted, items))
+    for service, wanted, items in needed:
+        pauses = cluster.list_pauses(service, now, wanted)
         if pauses:
             yield (
                 service,
--- a/samphirevale/platform/__main__.py
+++ b/samphirevale/platform/__main__.py
@@ -15,6 +15,7 @@
 from samphirevale.adapters import clock
 from samphirevale.platform import (
     callers,
+    cordon_objects,
     endpoint_objects,
     endpoints,
     manifest,
@@ -72,6 +73,8 @@
         routes_name=manifest.NAME,
         decode_routes=manifest.decode_manifest,
         endpoints_kind=endpoint_objects.KIND,
+        decode_cold_seconds=endpoint_objects.decode_cold_seconds,
+        cordons_kind=cordon_objects.KIND,
         decode_endpoint=endpoint_objects.decode_endpoint,
         build_endpoints=endpoints.PlatformEndpoints,
         build_handler=callers.CallerHandler,
--- a/samphirevale/platform/endpoint_objects.py
+++ b/samphirevale/platform/endpoint_objects.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from samphirevale import catalogue
+from samphirevale.platform import notices
 from samphirevale.ports import objects
 
 # Kind of the endpoints' objects in the store.
@@ -47,5 +48,17 @@
     )
 
 
+def decode_cold_seconds(stored: objects.StoredObject) -> float:
+    """Returns how much longer an endpoint is cold, as it says itself.
+
+    The time counts from when the object was written; 0 if it states none.
+    """
+    value = stored.value
+    cold_ms = value.get("cold_remaining_ms") if isinstance(value, dict) else 0
+    if not _is_integer(cold_ms) and not isinstance(cold_ms, float):
+        return 0.0
+    return min(max(cold_ms / 1000, 0.0), notices.COLD_SECONDS_LIMIT)
+
+
 def _is_integer(value: Any) -> bool:
     return isinstance(value, int) and not isinstance(value, bool)
--- a/samphirevale/platform/endpoints.py
+++ b/samphirevale/platform/endpoints.py
@@ -76,9 +76,7 @@
         on_connected: Callable[[], None],
     ) -> PlatformAnswer:
         """Sends a request and returns when the answer's head has been read."""
-        connection = await web_client.open_connection(
-            endpoint.host, endpoint.port, CONNECT_SECONDS
-        )
+        connection = await self._open_connection(endpoint)
         try:
             self._check_allowed(endpoint)
             on_connected()
@@ -198,9 +196,18 @@
             if not connection.is_stale():
                 return connection
             await connection.close()
-        return await web_client.open_connection(
-            endpoint.host, endpoint.port, CONNECT_SECONDS
-        )
+        return await self._open_connection(endpoint)
+
+    async def _open_connection(
+        self, endpoint: catalogue.Endpoint
+    ) -> web_client.ClientConnection:
+        try:
+            return await web_client.open_connection(
+                endpoint.host, endpoint.port, CONNECT_SECONDS
+            )
+        except errors.ConnectRefusedError:
+            self._listener.handle_refused_connect(endpoint)
+            raise
 
     def _return_to_idle(
         self,
--- a/samphirevale/platform/headers.py
+++ b/samphirevale/platform/headers.py
@@ -19,6 +19,7 @@
 LEAVING = "server-leaving"
 LIMIT = "server-limit"
 RETRY_AFTER = "retry-after"
+COLD_MS = "samphirevale-cold-ms"
 
 # Headers that apply to one connection only and are not forwarded.
 HOP_BY_HOP = frozenset(
@@ -36,7 +37,7 @@
 )
 
 # Headers of answers that callers do not get.
-NOT_FOR_CALLERS = HOP_BY_HOP | {LEAVING, LIMIT}
+NOT_FOR_CALLERS = HOP_BY_HOP | {LEAVING, LIMIT, COLD_MS}
 
 # Headers that the proxy sets itself. A caller's values are removed.
 SYSTEM_SET = frozenset(
--- a/samphirevale/platform/manifest.py
+++ b/samphirevale/platform/manifest.py
@@ -66,18 +66,32 @@
         ),
         anonymous=bool(value.get("anonymous", False)),
         event_target_seconds=float(value.get("itl_target_ms") or 0) / 1000,
+        regions=_decode_regions(value),
     )
 
 
+def _decode_regions(value: Mapping[str, Any]) -> frozenset[str] | None:
+    """Returns the homes of a route or tenant; None if it names none."""
+    homes = value.get("allowed_regions")
+    return frozenset(homes) if homes else None
+
+
 def _decode_service(value: Mapping[str, Any]) -> routes.Service:
     batch = value.get("segments")
     return routes.Service(
         name=value["name"],
         connections_limit=int(value.get("max_connections", 0)),
         batch=_decode_batch(batch) if batch else None,
+        cold=_decode_cold_limit(value),
     )
 
 
+def _decode_cold_limit(value: Mapping[str, Any]) -> routes.ColdLimit | None:
+    seconds = float(value.get("cold_start_s") or 0)
+    rate = float(value.get("cold_per_s") or 0)
+    return routes.ColdLimit(seconds, rate) if rate > 0 else None
+
+
 def _decode_batch(value: Mapping[str, Any]) -> routes.BatchLimits:
     return routes.BatchLimits(
         # Here a slot is a concurrent call, not an item.
@@ -98,7 +112,9 @@
         return None
     accounts = {}
     for item in value:
-        account = routes.Account(item["name"], item.get("priority"))
+        account = routes.Account(
+            item["name"], item.get("priority"), _decode_regions(item)
+        )
         accounts |= dict.fromkeys(item.get("api_keys") or (), account)
     return accounts
 
--- a/samphirevale/platform/node_file.py
+++ b/samphirevale/platform/node_file.py
@@ -5,6 +5,7 @@
 from typing import Any, NamedTuple
 
 from samphirevale import errors, gateway_settings, retry_budgets
+from samphirevale.availability import warm_ups
 
 # The environment variable that holds the file's path.
 PATH_VARIABLE = "SAMPHIREVALE_NODE_FILE"
@@ -52,6 +53,20 @@
         value = self.read(place, int, float)
         return 0.0 if value is None else float(value)
 
+    def read_optional_number(self, place: str) -> float | None:
+        """Returns the number at a dotted path; None if there is none."""
+        section, _, name = place.rpartition(".")
+        if name not in (self._value.get(section) or {}):
+            return None
+        return self.read_number(place)
+
+    def read_optional_texts(self, place: str) -> dict[str, str]:
+        """Returns the texts by name at a place; empty if there are none."""
+        if place not in self._value:
+            return {}
+        found = self.read(place, dict) or {}
+        return {name: str(text) for name, text in found.items()}
+
     def read_address(self, place: str) -> tuple[str, int]:
         """Returns the host and port at a dotted path.
 
@@ -103,8 +118,23 @@
             reader.read_number("bounds.retry_allowance"),
             reader.read_number("bounds.retry_window_s"),
         ),
+        cordon_seconds=(
+            reader.read_optional_number("bounds.evacuation_ms") or 0.0
+        )
+        / 1000,
+        cold_bound=_read_cold_bound(reader),
+        regions=reader.read_optional_texts("zones"),
     )
     store = reader.read("platform.address", str)
     if reader.findings:
         raise errors.InvalidInputError(reader.findings)
     return NodeFile(settings, f"http://{store}")
+
+
+def _read_cold_bound(reader: _Reader) -> warm_ups.ColdBound | None:
+    """Returns the bound on calls to cold endpoints; None without one."""
+    factor = reader.read_optional_number("bounds.cold_overshoot")
+    allowance = reader.read_optional_number("bounds.cold_allowance")
+    if factor is None or allowance is None:
+        return None
+    return warm_ups.ColdBound(factor, allowance)
--- a/samphirevale/platform/notices.py
+++ b/samphirevale/platform/notices.py
@@ -12,6 +12,9 @@
 # The status with which an endpoint may ask for a pause.
 UNAVAILABLE = 503
 
+# The longest remaining cold time that is believed, in seconds.
+COLD_SECONDS_LIMIT = 600.0
+
 # The longest description of a malformed header, in characters.
 DESCRIPTION_LIMIT = 80
 
@@ -29,19 +32,22 @@
     if status == UNAVAILABLE:
         pause = answer_headers.get(headers.RETRY_AFTER, "").strip()
     limit = answer_headers.get(headers.LIMIT, "").strip()
-    if not leaving and not pause and not limit:
+    cold_ms = answer_headers.get(headers.COLD_MS, "").strip()
+    if not (leaving or pause or limit or cold_ms):
         return proxies.NO_NOTICE
     malformed = []
     if leaving not in ("", "1"):
         malformed.append(_describe(headers.LEAVING, leaving))
     pause_seconds = _parse_decimal(headers.RETRY_AFTER, pause, malformed)
     calls = _parse_decimal(headers.LIMIT, limit, malformed)
+    cold = _parse_decimal(headers.COLD_MS, cold_ms, malformed) or 0.0
     return proxies.EndpointNotice(
         leaving == "1",
         pause_seconds or 0.0,
         tuple(malformed),
         calls,
         limit_malformed=bool(limit) and calls is None,
+        cold_seconds=min(cold / 1000, COLD_SECONDS_LIMIT),
     )
 
 
--- a/samphirevale/ports/platforms.py
+++ b/samphirevale/ports/platforms.py
@@ -17,6 +17,10 @@
         routes_name: the name of that object.
         decode_routes: decodes the value of that object as a route table.
         endpoints_kind: the kind of the stored objects of endpoints.
+        decode_cold_seconds: returns how much longer such an object says that
+            its endpoint is cold, in seconds; 0 if it does not say so.
+        cordons_kind: the kind of the stored objects that cordon data centres,
+            each under the name of one.
         decode_endpoint: decodes such an object; returns None if it does not
             describe an endpoint.
         build_endpoints: builds what makes the calls to endpoints, from a
@@ -30,6 +34,8 @@
     routes_name: str
     decode_routes: Callable[[Any], routes.RouteTable]
     endpoints_kind: str
+    decode_cold_seconds: Callable[[objects.StoredObject], float]
+    cordons_kind: str
     decode_endpoint: Callable[[objects.StoredObject], catalogue.Endpoint | None]
     build_endpoints: Callable[
         [proxies.EndpointListener], proxies.ProxyEndpoints
--- a/samphirevale/ports/proxies.py
+++ b/samphirevale/ports/proxies.py
@@ -63,6 +63,8 @@
         limit: the calls a second that the endpoint takes from all entries;
             None if it names no limit, or a malformed one.
         limit_malformed: whether it names a malformed limit.
+        cold_seconds: how much longer the endpoint is cold; 0 if it does not
+            say so.
     """
 
     leaving: bool = False
@@ -70,6 +72,7 @@
     malformed: tuple[str, ...] = ()
     limit: float | None = None
     limit_malformed: bool = False
+    cold_seconds: float = 0.0
 
 
 NO_NOTICE = EndpointNotice()
@@ -84,6 +87,9 @@
     def record_call(self, endpoint: catalogue.Endpoint) -> None:
         """Records that a call is sent to an endpoint now."""
 
+    def handle_refused_connect(self, endpoint: catalogue.Endpoint) -> None:
+        """Applies that no process listens at an endpoint's address."""
+
     async def handle_notice(
         self, endpoint: catalogue.Endpoint, notice: EndpointNotice
     ) -> None:
--- a/samphirevale/proxy_requests.py
+++ b/samphirevale/proxy_requests.py
@@ -76,6 +76,8 @@
         fingerprint: identifies the input across retries.
         returned: whether the caller retries after a refusal. A stream that
             its caller takes up has not been refused.
+        data_centres: the data centres of the regions that may serve it; None
+            for any.
     """
 
     request: ProxiedRequest
@@ -86,6 +88,7 @@
     deadline_at: float
     fingerprint: str
     returned: bool
+    data_centres: frozenset[str] | None = None
 
 
 class SendParameters(NamedTuple):
--- a/samphirevale/proxy_runs.py
+++ b/samphirevale/proxy_runs.py
@@ -271,7 +271,7 @@
             self._shared.log_step("request_answered", status=answer.status)
         else:
             self._stream = answer
-            self._endpoints.version = finished.endpoint.version
+            self._endpoints.bind_version(finished.endpoint.version)
             await stream_bindings.record_origin(
                 self._context, self._accepted, finished.endpoint
             )
--- a/samphirevale/proxying.py
+++ b/samphirevale/proxying.py
@@ -128,6 +128,10 @@
             return proxy_requests.Refusal(
                 503, "no_routes", proxy_requests.RETRY_AFTER_SECONDS
             )
+        if not cluster.cordons.is_known():
+            return proxy_requests.Refusal(
+                503, "cordons_unknown", proxy_requests.RETRY_AFTER_SECONDS
+            )
         if not cluster.routes_age.is_usable(now):
             return proxy_requests.Refusal(
                 503, "routes_outdated", proxy_requests.RETRY_AFTER_SECONDS
@@ -165,4 +169,5 @@
             ),
             fingerprint,
             retried and not (route.streamed and request.last_event),
+            cluster.find_data_centres(routes.find_regions(route, account)),
         )
--- a/samphirevale/request_context.py
+++ b/samphirevale/request_context.py
@@ -25,7 +25,7 @@
         self.request = accepted.request
         self.route = accepted.route
         self.endpoints = endpoint_choice.EndpointChoice(
-            proxy, accepted.request, accepted.service
+            proxy, accepted.request, accepted.service, accepted.data_centres
         )
         self.prompt_tokens = sum(part.tokens for part in self.request.prompt)
 
--- a/samphirevale/request_sends.py
+++ b/samphirevale/request_sends.py
@@ -72,6 +72,10 @@
             raise errors.NotAcceptingError(
                 f"{endpoint.name} accepts no new work"
             )
+        if not self._endpoints.wanted.permits(endpoint):
+            raise errors.NotAcceptingError(
+                f"{endpoint.name} may not serve the request"
+            )
         if self._context.crashes.refuses(self._request):
             raise errors.InputRefusedError("endpoints crash under its parts")
         parameters = proxy_requests.SendParameters(
--- a/samphirevale/request_stages.py
+++ b/samphirevale/request_stages.py
@@ -41,6 +41,7 @@
         self._request = shared.request
         self._route = shared.route
         self._endpoints = shared.endpoints
+        self._wanted = shared.endpoints.wanted.without_version()
 
     def refuse_overload(self) -> proxy_requests.Refusal | None:
         """Returns a refusal if the stages would take too long.
@@ -104,7 +105,11 @@
         bare_seconds = self.compute_bare_seconds()
         return (
             stage_placement.has_endpoints(
-                cluster, self._route, self._request.item_counts, now
+                cluster,
+                self._route,
+                self._request.item_counts,
+                now,
+                self._wanted,
             )
             and self._endpoints.compute_pause() <= bare_seconds
         )
@@ -126,6 +131,7 @@
             self._request.item_counts,
             late,
             self._context.clock.now(),
+            self._wanted,
         )
 
     def _estimate_model_seconds(self) -> float:
@@ -155,6 +161,7 @@
             rank=self._accepted.rank,
             data_centre=self._choose_data_centre(),
             late=self._late,
+            wanted=self._wanted,
         )
         return stages.StageSequenceRun(
             self._context.item_runner,
@@ -182,7 +189,10 @@
         ]
         cluster = self._context.cluster_state
         return max(
-            (cluster.compute_pause(service, now) for service in services),
+            (
+                cluster.compute_pause(service, now, self._wanted)
+                for service in services
+            ),
             default=0.0,
         )
 
--- a/samphirevale/routes.py
+++ b/samphirevale/routes.py
@@ -45,6 +45,7 @@
         anonymous: whether requests need no key.
         event_target_seconds: the target time between two events of a stream;
             0 if there is none.
+        regions: the regions that may serve requests; None for any.
     """
 
     name: str
@@ -61,6 +62,7 @@
     stages: tuple[Stage, ...]
     anonymous: bool
     event_target_seconds: float = 0.0
+    regions: frozenset[str] | None = None
 
     def get_kind(self) -> str:
         """Returns the kind of the route's requests, as used in metrics."""
@@ -95,6 +97,18 @@
     result_seconds: float
 
 
+class ColdLimit(NamedTuple):
+    """The limit on calls to the endpoints of a service that are cold.
+
+    Attributes:
+        seconds: how long an endpoint is cold after its start.
+        rate: the calls a second that a cold endpoint bears from all entries.
+    """
+
+    seconds: float
+    rate: float
+
+
 class Service(NamedTuple):
     """The operator's configuration of a service.
 
@@ -103,11 +117,14 @@
         connections_limit: the largest number of connections to one endpoint
             over all callers; 0 for no limit.
         batch: the limits of batches; None if the service takes no batches.
+        cold: the limit on calls to endpoints that have just started; None for
+            no limit.
     """
 
     name: str
     connections_limit: int
     batch: BatchLimits | None
+    cold: ColdLimit | None = None
 
 
 class InputLimits(NamedTuple):
@@ -133,10 +150,12 @@
         name: the name that is sent to endpoints.
         priority: raises or lowers the rank of its requests; None if the
             account has no priority.
+        regions: the regions that may serve its requests; None for any.
     """
 
     name: str
     priority: int | None
+    regions: frozenset[str] | None = None
 
 
 class RouteTable(NamedTuple):
@@ -211,3 +230,18 @@
         if remaining < 0:
             return split.service
     return route.splits[-1].service
+
+
+def find_regions(
+    route: Route, account: Account | None
+) -> frozenset[str] | None:
+    """Returns the regions that may serve a request; None for any.
+
+    If both the route and the account name regions, both bind.
+    """
+    account_regions = account.regions if account is not None else None
+    if route.regions is None:
+        return account_regions
+    if account_regions is None:
+        return route.regions
+    return route.regions & account_regions
--- a/samphirevale/routes_freshness.py
+++ b/samphirevale/routes_freshness.py
@@ -27,6 +27,7 @@
     ownership,
     store_eras,
 )
+from samphirevale.availability import cordons
 from samphirevale.ports import clock as clocks
 from samphirevale.ports import objects
 
@@ -75,10 +76,12 @@
     Attributes:
         era: the newest era that it has seen; None if it has seen none.
         version: the version of its routes, or messages.NO_ROUTES.
+        cordoned: the cordoned data centres.
     """
 
     era: objects.StoreEra | None
     version: int
+    cordoned: cordons.CordonList = cordons.UNKNOWN_LIST
 
 
 class Sources(Protocol):
--- a/samphirevale/stage_placement.py
+++ b/samphirevale/stage_placement.py
@@ -13,6 +13,7 @@
     stage_admission,
     stage_times,
 )
+from samphirevale.availability import eligibility
 
 # Cost of transfers between data centres when an endpoint is chosen, in seconds
 # per megabyte.
@@ -41,6 +42,7 @@
     now: float,
     rng: random.Random | None = None,
     excluded: Collection[str] = (),
+    wanted: eligibility.Eligibility = eligibility.ANY,
 ) -> tuple[catalogue.Endpoint, float] | None:
     """Chooses the endpoint with the lowest cost.
 
@@ -60,6 +62,7 @@
         rng: adds jitter, so that several entries do not all choose the same
             endpoint; None for no jitter.
         excluded: names of endpoints that are not chosen.
+        wanted: the conditions of the request for the endpoints of its stages.
 
     Returns:
         The endpoint and its estimated completion time in seconds from now;
@@ -74,7 +77,7 @@
         jitter_range = compute_jitter_range(limits, len(known.members))
     best = None
     best_cost = 0.0
-    for endpoint in known.list_usable(stage.service, now):
+    for endpoint in known.list_usable(stage.service, now, wanted):
         if endpoint.name in excluded:
             continue
         seconds = runner.estimate_seconds(endpoint, limits, work, now)
@@ -104,11 +107,12 @@
     route: routes.Route,
     counts: Sequence[int],
     now: float,
+    wanted: eligibility.Eligibility = eligibility.ANY,
 ) -> bool:
     """Returns whether each stage with items has an endpoint."""
     return all(
         known.find_batch_limits(stage.service) is not None
-        and known.list_usable(stage.service, now)
+        and known.list_usable(stage.service, now, wanted)
         for index, stage in enumerate(route.stages)
         if stage_times.get_item_count(counts, index)
     )
@@ -121,6 +125,7 @@
     counts: Sequence[int],
     late: bool,
     now: float,
+    wanted: eligibility.Eligibility = eligibility.ANY,
 ) -> stage_admission.StagesEstimate:
     """Returns the estimated completion time of all stages and their queues.
 
@@ -137,7 +142,14 @@
             ends.append(start)
             continue
         chosen = choose_endpoint(
-            runner, known, stage, count, (), late and not stage.after, now
+            runner,
+            known,
+            stage,
+            count,
+            (),
+            late and not stage.after,
+            now,
+            wanted=wanted,
         )
         if chosen is None:
             return stage_admission.StagesEstimate(math.inf, ())
--- a/samphirevale/stages.py
+++ b/samphirevale/stages.py
@@ -19,6 +19,7 @@
     stage_results,
     stage_times,
 )
+from samphirevale.availability import eligibility
 from samphirevale.ports import clock as clocks
 
 # The largest number of retries of the items of a stage.
@@ -59,6 +60,7 @@
         data_centre: where the results will be used; empty for anywhere.
         late: whether the request is queued behind those that can still meet
             their target.
+        wanted: the conditions for the endpoints.
     """
 
     due_at: float
@@ -66,6 +68,7 @@
     rank: int
     data_centre: str
     late: bool = False
+    wanted: eligibility.Eligibility = eligibility.ANY
 
 
 def split_items(
@@ -306,6 +309,7 @@
             self._clock.now(),
             self._rng,
             self._refusing,
+            self._constraints.wanted,
         )
         if chosen is None:
             return NO_ENDPOINT
--- a/samphirevale/stream_bindings.py
+++ b/samphirevale/stream_bindings.py
@@ -37,7 +37,7 @@
     if origin.service not in services:
         return proxy_requests.Refusal(503, "service_replaced")
     endpoints.service = origin.service
-    endpoints.version = origin.version
+    endpoints.bind_version(origin.version)
     if endpoints.all_pause():
         seconds = endpoints.compute_pause()
         seconds += paused_refusals.compute_spread(context, accepted, endpoints)
--- a/samphirevale/watchers.py
+++ b/samphirevale/watchers.py
@@ -80,6 +80,8 @@
 
     Attributes:
         times: how often the objects are read; may change while it runs.
+        version: the version of the store at which the copy was listed or
+            changed last; None before the first list.
     """
 
     def __init__(
@@ -101,6 +103,7 @@
         self._rng = rng
         self._journal = log
         self.times = times
+        self.version: int | None = None
         # The era of the list from which the watch continues.
         self._era: objects.StoreEra | None = None
         # The start of the latest call that was answered.
@@ -152,6 +155,7 @@
         listing = await self._store.list_at(self._kind)
         await self._adopt_era(listing.era)
         self._record_answer()
+        self.version = listing.version
         self._callbacks.replace_all(listing.objects, self._clock.now())
         self._confirm(started_at)
         return listing.version, self._eras.newest
@@ -176,6 +180,7 @@
         await self._adopt_era(events.era)
         self._check_era()
         self._record_answer()
+        self.version = events.version
         if events.objects:
             self._callbacks.apply_changes(events.objects, self._clock.now())
         self._confirm(started_at)
--- a/standins/servers.py
+++ b/standins/servers.py
@@ -48,6 +48,20 @@
     retry_after: str
 
 
+class ColdTime(NamedTuple):
+    """A time during which a server bears few calls.
+
+    Attributes:
+        ends_at: the end of the time, monotonic, in seconds.
+        most_calls: the largest number of calls in a second.
+        stated: whether all answers state the rest of the time.
+    """
+
+    ends_at: float
+    most_calls: int
+    stated: bool
+
+
 class Server:
     """A server that records its requests.
 
@@ -59,6 +73,8 @@
         leaving: whether all answers say that the server leaves.
         limit: the requests a second that all answers say the server takes, as
             the text of the header; empty for none.
+        cold: the cold time; None if the server is not cold. More calls in a
+            second than it bears crash the server.
         pause: the latest pause; None if there was none.
         faults: the faults of the next runs and stage calls, in order: `full`,
             `cut`, `other` (the answer to another request), `error`, `mute`,
@@ -88,6 +104,7 @@
         self.version = version
         self.leaving = False
         self.limit = ""
+        self.cold: ColdTime | None = None
         self.pause: Pause | None = None
         self.faults: list[str] = []
         self.silence_seconds = 1.2
@@ -126,7 +143,14 @@
     ) -> web.Response | web.StreamedResponse:
         """Handles one call."""
         attempt = request.headers.get("samphirevale-attempt-id", "")
-        self.arrivals.append(Arrival(time.monotonic(), request.path, attempt))
+        now = time.monotonic()
+        self.arrivals.append(Arrival(now, request.path, attempt))
+        cold_rest = self.cold.ends_at - now if self.cold else 0.0
+        if cold_rest > 0 and (
+            len(self.list_arrivals(now - 1.0, now)) >= self.cold.most_calls
+        ):
+            self.starts += 1
+            raise errors.AnswerLostError("the cold server has crashed")
         await self._wait_for_silence_end()
         response = self._refuse(request, time.monotonic())
         if response is None:
@@ -136,6 +160,9 @@
             notices.append(("Server-Leaving", "1"))
         if self.limit:
             notices.append(("Server-Limit", self.limit))
+        if cold_rest > 0 and self.cold.stated:
+            rest_ms = str(int(cold_rest * 1000))
+            notices.append(("Samphirevale-Cold-Ms", rest_ms))
         return response._replace(headers=(*response.headers, *notices))
 
     def _refuse(self, request: web.Request, now: float) -> web.Response | None:
--- /dev/null
+++ b/tests/availability/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions which endpoints may get work."""
--- a/tests/platform/sessions.py
+++ b/tests/platform/sessions.py
@@ -121,7 +121,13 @@
 
 
 class SessionTestCase(base.TestCase):
-    """One entry, some servers per service, and the store."""
+    """One entry, some servers per service, and the store.
+
+    Attributes:
+        settings: changes of the settings of entries.
+    """
+
+    settings = {}
 
     @contextlib.asynccontextmanager
     async def run_all(self, names=SERVERS, versions=None):
@@ -183,7 +189,7 @@
             2.0,
             8.0,
             retry_budgets.RetryBudgetLimits(0.2, 50, 10.0),
-        )
+        )._replace(**self.settings)
         file = node_file.NodeFile(settings, f"http://127.0.0.1:{store_port}")
         machine_clock = clock.BootClock()
         self.log = RecordingJournal(
--- a/tests/test_cluster_state.py
+++ b/tests/test_cluster_state.py
@@ -8,6 +8,7 @@
     copy_guard,
     ownership,
 )
+from samphirevale.availability import cordons, eligibility
 from tests import base, proxy_fakes
 
 NOW = 100.0
@@ -73,6 +74,30 @@
                     proxy_fakes.build_endpoint(f"{service}{number}", service)
                 )
 
+    def test_endpoints_in_cordoned_data_centres_are_in_no_list(self):
+        elsewhere = proxy_fakes.build_endpoint(
+            "plain3", "plain", data_centre="b"
+        )
+        self.cluster.catalogue.put(elsewhere)
+        self.cluster.cordons.adopt(cordons.CordonList(1, frozenset("a")))
+        self.assertEqual(["plain3"], self.list_names("plain"))
+        self.assertEqual([elsewhere], self.cluster.list_available("plain", NOW))
+        self.pause("plain3", 2.0)
+        pauses = self.cluster.list_pauses("plain", NOW)
+        self.assertEqual([(elsewhere, 2.0)], pauses)
+        cordoned = proxy_fakes.build_endpoint("plain1", "plain")
+        self.assertFalse(self.cluster.is_usable(cordoned, NOW))
+        self.assertIsNone(self.cluster.compute_call_delay(cordoned, NOW))
+
+    def test_endpoints_outside_the_home_regions_are_in_no_list(self):
+        elsewhere = proxy_fakes.build_endpoint(
+            "plain3", "plain", data_centre="b"
+        )
+        self.cluster.catalogue.put(elsewhere)
+        wanted = eligibility.Eligibility(None, frozenset("b"))
+        usable = self.cluster.list_usable("plain", NOW, wanted)
+        self.assertEqual([elsewhere], usable)
+
     def list_names(self, service):
         return [
             endpoint.name for endpoint in self.cluster.list_usable(service, NOW)
--- a/tests/test_endpoint_notices.py
+++ b/tests/test_endpoint_notices.py
@@ -20,7 +20,7 @@
     """Tests the notices of single endpoints."""
 
     def setUp(self):
-        self.notices = endpoint_notices.EndpointNotices("me")
+        self.notices = proxy_fakes.build_cluster_state().notices
 
     def is_available(self, endpoint, seconds=0.0):
         return self.notices.is_available(endpoint, NOW + seconds)
