Let operators cordon a data centre in our own world

Our own interface could drain single endpoints only, and what waited at a sidecar stayed there.

Change: orders `cordon` and `uncordon`, kept in the configuration (a value from before has no such field and stays valid); entries leave the data centre's sidecars out, sidecars refuse new handovers and, unlike for a drained endpoint, those that still wait when their turn comes, as another data centre takes them. `show endpoints` has state `cordoned`.

Ruled out: draining each endpoint of the data centre by one order (an endpoint that comes later would be used).

--- a/samphirevale/candidates.py
+++ b/samphirevale/candidates.py
@@ -12,11 +12,16 @@
     pool: str,
     now: float,
 ) -> list[sidecars.Peer]:
-    """Returns the peers of a pool that accept work and are not draining."""
+    """Returns the peers of a pool that accept work.
+
+    Those that are draining or in a cordoned data centre do not.
+    """
+    cordoned = configuration.list_cordoned(value)
     return [
         peer
         for peer in table.list_ready(pool, now)
         if peer.endpoint not in value["draining"]
+        and peer.hello.data_centre not in cordoned
     ]
 
 
--- a/samphirevale/configuration.py
+++ b/samphirevale/configuration.py
@@ -9,7 +9,7 @@
 import math
 import re
 from collections.abc import Callable
-from typing import Any, NamedTuple, TypedDict
+from typing import Any, NamedTuple, NotRequired, TypedDict
 
 from samphirevale import errors, invariants
 
@@ -118,6 +118,8 @@
         revision: the revision, which each accepted order increments.
         pipelines, accounts, batches: the objects by name or id.
         draining: the names of endpoints that take no new work.
+        cordoned: the names of data centres whose endpoints take no new work;
+            missing before the first order on one.
         orders: the latest orders, newest last.
     """
 
@@ -126,6 +128,7 @@
     accounts: dict[str, AccountConfiguration]
     batches: dict[str, BatchConfiguration]
     draining: list[str]
+    cordoned: NotRequired[list[str]]
     orders: list[OrderRecord]
 
 
@@ -190,6 +193,11 @@
     )
 
 
+def list_cordoned(value: ConfigurationValue) -> list[str]:
+    """Returns the names of the data centres that take no new work."""
+    return value.get("cordoned", [])
+
+
 class _Rule(NamedTuple):
     """The rule for one field: a test and its human-readable description."""
 
@@ -239,6 +247,7 @@
     "draining": _LIST,
     "orders": _LIST,
 }
+_OPTIONAL_VALUE_RULES = {"cordoned": _LIST}
 _STAGE_RULES = {
     "name": _NAME_RULE,
     "pool": _NAME_RULE,
@@ -293,14 +302,20 @@
     `pipelines.harvest.stages[2].pool`.
     """
     findings: list[errors.Finding] = []
-    _check_fields(findings, "", value, _VALUE_RULES)
+    optional = {
+        name: rule
+        for name, rule in _OPTIONAL_VALUE_RULES.items()
+        if isinstance(value, dict) and name in value
+    }
+    _check_fields(findings, "", value, _VALUE_RULES | optional)
     if not isinstance(value, dict):
         return findings
     revision = value.get("revision")
     _check_pipelines(findings, _get(value, "pipelines", dict))
     _check_accounts(findings, _get(value, "accounts", dict))
     _check_batches(findings, _get(value, "batches", dict), revision)
-    _check_draining(findings, _get(value, "draining", list))
+    for field in ("draining", "cordoned"):
+        _check_names(findings, field, _get(value, field, list))
     _check_orders(findings, _get(value, "orders", list), revision)
     return findings
 
@@ -372,10 +387,13 @@
             )
 
 
-def _check_draining(findings: list[errors.Finding], draining: list) -> None:
+def _check_names(
+    findings: list[errors.Finding], field: str, listed: list
+) -> None:
+    """Checks a list of names that may not contain any of them twice."""
     names: set[str] = set()
-    for number, name in enumerate(draining):
-        place = f"draining[{number}]"
+    for number, name in enumerate(listed):
+        place = f"{field}[{number}]"
         if _check_rule(findings, place, name, _NAME_RULE):
             _check_unique(findings, place, name, names)
 
--- a/samphirevale/configuration_holder.py
+++ b/samphirevale/configuration_holder.py
@@ -72,6 +72,12 @@
             return False
         return endpoint in self.held.value["draining"]
 
+    def is_cordoned(self, data_centre: str) -> bool:
+        """Returns whether a data centre is cordoned and gets no new work."""
+        if self.held.value is None:
+            return False
+        return data_centre in configuration.list_cordoned(self.held.value)
+
     def _get_batches(self) -> dict[str, configuration.BatchConfiguration]:
         if self.held.value is None:
             return {}
--- a/samphirevale/executors.py
+++ b/samphirevale/executors.py
@@ -85,6 +85,7 @@
         peer_set: peers.PeerSet,
     ):
         self._endpoint_name = sidecar_settings.endpoint
+        self._data_centre = sidecar_settings.common.data_centre
         self._concurrency_limit = sidecar_settings.concurrency_limit
         self._endpoint = endpoint
         self._monitor = monitor
@@ -265,6 +266,7 @@
     ) -> messages.Refusal | None:
         context = handover_checks.HandoverContext(
             endpoint=self._endpoint_name,
+            data_centre=self._data_centre,
             leaving=self.leaving_at is not None,
             healthy=self._monitor.healthy,
             batches=self._monitor.batches,
--- a/samphirevale/handover_checks.py
+++ b/samphirevale/handover_checks.py
@@ -17,12 +17,14 @@
 
     Attributes:
         endpoint: the endpoint's name.
+        data_centre: the data centre of this sidecar.
         leaving: whether this sidecar is stopping.
         healthy: whether the endpoint's last probe succeeded.
         batches: the batches loaded at the endpoint.
     """
 
     endpoint: str
+    data_centre: str
     leaving: bool
     healthy: bool
     batches: frozenset[str]
@@ -65,8 +67,13 @@
     """Returns the refusal of an accepted attempt, or None if it may start.
 
     Drain and stop are not checked here: attempts accepted before either still
-    start.
+    start. Those of a cordoned data centre start elsewhere, as there is another
+    one to take them.
     """
+    if holder.is_cordoned(context.data_centre):
+        return HandoverRefusal(
+            "leaving", f"{context.data_centre} takes no new work"
+        )
     if handover.batch:
         reason = batches.find_refusal(holder.held.value, handover.batch)
         if reason:
--- a/samphirevale/language.py
+++ b/samphirevale/language.py
@@ -4,6 +4,7 @@
     show recall BATCH [where ...]
     roll out MODEL VERSION [adapter ADAPTER] as BATCH to POOL
     recall BATCH    drain ENDPOINT    resume ENDPOINT
+    cordon DATA_CENTRE    uncordon DATA_CENTRE
     stop pipeline PIPELINE    start pipeline PIPELINE
 
 Statements are separated by `;`. Keywords are case-insensitive. A value that
@@ -32,11 +33,13 @@
     *("show", "by", "where", "and"),
     *("roll", "out", "adapter", "as", "to"),
     *("recall", "drain", "resume", "stop", "start", "pipeline"),
+    *("cordon", "uncordon"),
 )
 
 GRAMMAR = r"""
 statement: (show | show_recall
-           | roll_out | recall | drain | resume | stop | start)
+           | roll_out | recall | drain | resume | cordon | uncordon
+           | stop | start)
 
 show: _SHOW WORD clause*
 show_recall: _SHOW _RECALL name clause*
@@ -49,6 +52,8 @@
 recall: _RECALL name
 drain: _DRAIN name
 resume: _RESUME name
+cordon: _CORDON name
+uncordon: _UNCORDON name
 stop: _STOP _PIPELINE name
 start: _START _PIPELINE name
 
@@ -215,6 +220,20 @@
     endpoint: str
 
 
+@_register("cordon")
+class Cordon(NamedTuple):
+    """Stops giving new work to the endpoints of a data centre."""
+
+    data_centre: str
+
+
+@_register("uncordon")
+class Uncordon(NamedTuple):
+    """Gives the endpoints of a cordoned data centre new work again."""
+
+    data_centre: str
+
+
 @_register("stop")
 class StopPipeline(NamedTuple):
     """Refuses new requests of a pipeline."""
--- a/samphirevale/observations.py
+++ b/samphirevale/observations.py
@@ -48,6 +48,7 @@
         is_fresh: whether the state is recent enough to be current.
         leaving: whether the instance takes no new work.
         draining: whether an order drains its endpoint.
+        cordoned: whether an order cordons its data centre.
         sidecar: the sidecar's status; None for an entry.
     """
 
@@ -59,6 +60,7 @@
     is_fresh: bool
     leaving: bool
     draining: bool
+    cordoned: bool
     sidecar: statuses.SidecarStatus | None
 
     @property
@@ -66,9 +68,11 @@
         """The instance's state as operators see it."""
         if not self.is_fresh:
             return NOT_HEARD
-        # A draining sidecar also reports that it is leaving.
+        # A draining or cordoned sidecar also reports that it is leaving.
         if self.draining:
             return "draining"
+        if self.cordoned:
+            return "cordoned"
         if self.leaving:
             return "leaving"
         if self.sidecar is not None and not self.sidecar["healthy"]:
@@ -111,13 +115,14 @@
         is_fresh,
         status["leaving"],
         False,
+        False,
         None,
     )
 
 
 def _build_unknown_entries() -> Observation:
     return Observation(
-        OTHER_ENTRIES, "entry", "", None, None, False, False, False, None
+        OTHER_ENTRIES, "entry", "", None, None, False, False, False, False, None
     )
 
 
@@ -158,6 +163,7 @@
         is_fresh and is_heard and sidecar["connected"],
         sidecar["leaving"],
         sidecar["endpoint"] in sources.value["draining"],
+        sidecar["data_centre"] in configuration.list_cordoned(sources.value),
         sidecar,
     )
 
--- a/samphirevale/orders.py
+++ b/samphirevale/orders.py
@@ -237,6 +237,32 @@
     return []
 
 
+@register("cordon", "data_centre", target="data_centres.{data_centre}")
+def _cordon(
+    value: configuration.ConfigurationValue, arguments: dict[str, Any]
+) -> list[errors.Finding]:
+    name = arguments["data_centre"]
+    cordoned = configuration.list_cordoned(value)
+    if name in cordoned:
+        expected = "a data centre that is not cordoned"
+        return [errors.Finding("data_centre", expected, name)]
+    value["cordoned"] = [*cordoned, name]
+    return []
+
+
+@register("uncordon", "data_centre", target="data_centres.{data_centre}")
+def _uncordon(
+    value: configuration.ConfigurationValue, arguments: dict[str, Any]
+) -> list[errors.Finding]:
+    name = arguments["data_centre"]
+    cordoned = configuration.list_cordoned(value)
+    if name not in cordoned:
+        expected = "a data centre that is cordoned"
+        return [errors.Finding("data_centre", expected, name)]
+    value["cordoned"] = [other for other in cordoned if other != name]
+    return []
+
+
 @register("stop", "pipeline", target="pipelines.{pipeline}")
 def _stop(
     value: configuration.ConfigurationValue, arguments: dict[str, Any]
--- a/samphirevale/sidecar.py
+++ b/samphirevale/sidecar.py
@@ -298,6 +298,7 @@
         return (
             self._executor.leaving_at is not None
             or self._holder.is_draining(self._settings.endpoint)
+            or self._holder.is_cordoned(self._settings.common.data_centre)
         )
 
     def _read_revision(self) -> int:
--- a/samphirevale/views.py
+++ b/samphirevale/views.py
@@ -246,6 +246,7 @@
         ("accounts", sorted(value["accounts"])),
         ("batches", sorted(value["batches"])),
         ("draining", sorted(value["draining"])),
+        ("cordoned", sorted(configuration.list_cordoned(value))),
     ]
 
 
--- a/tests/test_candidates.py
+++ b/tests/test_candidates.py
@@ -47,6 +47,9 @@
         value["draining"].append("encoders-0")
         self.assertEqual([], list_names())
         value["draining"].clear()
+        value["cordoned"] = [sidecar.peer.hello.data_centre]
+        self.assertEqual([], list_names())
+        value["cordoned"].clear()
         heartbeat = sidecar.peer.heartbeat
         for change in ({"healthy": False}, {"leaving": True}):
             changed = heartbeat._replace(**change)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -66,6 +66,7 @@
             value["accounts"]["farm"]["share"] = float("nan")
             del value["batches"]["b1"]["state"]
             value["draining"].append("e1")
+            value["cordoned"] = ["a", "b", "a"]
             value["extra"] = 1
 
         self.assertEqual(
@@ -77,6 +78,7 @@
                 "accounts.farm.share",
                 "batches.b1.state",
                 "draining[1]",
+                "cordoned[2]",
             ],
         )
 
--- a/tests/test_language.py
+++ b/tests/test_language.py
@@ -10,12 +10,12 @@
     "": ["column 1: expected a statement"],
     " ; ;": ["column 1: expected a statement"],
     "hello": [
-        "column 1: expected 'drain' or 'recall' or 'resume' or 'roll' or "
-        "'show' or 'start' or 'stop', got hello"
+        "column 1: expected 'cordon' or 'drain' or 'recall' or 'resume' or "
+        "'roll' or 'show' or 'start' or 'stop' or 'uncordon', got hello"
     ],
     "drainx": [
-        "column 1: expected 'drain' or 'recall' or 'resume' or 'roll' or "
-        "'show' or 'start' or 'stop', got drainx"
+        "column 1: expected 'cordon' or 'drain' or 'recall' or 'resume' or "
+        "'roll' or 'show' or 'start' or 'stop' or 'uncordon', got drainx"
     ],
     "drain": [
         "column 6: expected a name or a quoted text, got the end",
@@ -66,6 +66,8 @@
             "recall b7": language.Recall("b7"),
             "drain engine-1": language.Drain("engine-1"),
             "resume drain": language.Resume("drain"),
+            "cordon sul-a": language.Cordon("sul-a"),
+            "uncordon sul-a": language.Uncordon("sul-a"),
             "stop pipeline harvest": language.StopPipeline("harvest"),
             "start pipeline harvest": language.StartPipeline("harvest"),
         }.items():
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -47,6 +47,7 @@
             ),
             (build("o1", "drain", endpoint="e2"), ("draining", 1), "e2"),
             (build("o1", "resume", endpoint="e1"), ("draining",), []),
+            (build("o1", "cordon", data_centre="a"), ("cordoned",), ["a"]),
             (
                 build("o1", "stop", pipeline="harvest"),
                 ("pipelines", "harvest", "stopped"),
@@ -81,6 +82,8 @@
             (build("o1", "explode"), ["verb"]),
             (build("o1", "drain", what="x"), ["endpoint", "what"]),
             (build("o1", "drain", endpoint="e1"), ["endpoint"]),
+            (build("o1", "uncordon", data_centre="a"), ["data_centre"]),
+            (build("o1", "cordon", data_centre="?"), ["cordoned[0]"]),
             (build("o1", "recall", batch="b9"), ["batch"]),
             (build_roll_out("o1", "b1"), ["batch"]),
             (
@@ -94,6 +97,15 @@
         ):
             self.assertEqual(self.find_places(order), places)
 
+    def test_cordon_is_taken_back_once(self):
+        cordoned = self.apply(build("o1", "cordon", data_centre="a"))
+        with self.assertRaises(errors.InvalidInputError):
+            orders.apply_order(cordoned, build("o2", "cordon", data_centre="a"))
+        after = orders.apply_order(
+            cordoned, build("o3", "uncordon", data_centre="a")
+        )
+        self.assertEqual([], after["cordoned"])
+
     def test_recalled_batch_id_cannot_be_reused(self):
         after = self.apply(build("o1", "recall", batch="b1"))
         with self.assertRaises(errors.InvalidInputError):
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -578,6 +578,26 @@
             heartbeat = await self.receive(entry, messages.Heartbeat)
             self.assertTrue(heartbeat.leaving)
 
+    async def test_queued_work_of_a_cordoned_data_centre_is_not_run(self):
+        async with self.running(), self.connected() as entry:
+            self.endpoint.gate.clear()
+            limit = self.sidecar._queue.limit
+            for number in range(limit + 1):
+                await self.hand_over(entry, attempt=f"a{number}")
+            await self.wait_for_runs(limit)
+            value = self.build_configuration(2)
+            value["cordoned"] = [self.settings.common.data_centre]
+            await entry.send(messages.Snapshot(2, value), 2)
+            await self.hand_over(entry, attempt="new")
+            refused = [await self.receive(entry, messages.Refusal)]
+            await self.endpoint.gate.set()
+            refused.append(await self.receive(entry, messages.Refusal))
+            self.assertEqual(
+                {("new", "leaving"), (f"a{limit}", "leaving")},
+                {(refusal.attempt, refusal.reason) for refusal in refused},
+            )
+            self.assertEqual(limit, len(self.endpoint.runs))
+
     async def test_a_stop_waits_for_a_disconnected_entry_to_fetch_an_outcome(
         self,
     ):
