Give the stage endpoints of a service in a region one owner, and learn slowness

Each data centre had its own owner; the others chose between them by reports 0.4 s old, with random jitter.

Change: `ownership` groups the endpoints of a service by region (16 at most for one owner, by whole data centres), and chooses owners by the processor time that entries register. Items tell where they fetch from and where their result is wanted, so the owner weighs transfers against the wait. The state that an owner sends back with results was stored under another endpoint than it was of: mended.

Second: calls teach the owner how slow each endpoint is (moving average, forgotten within seconds; an overdue call no longer counts as done); the figure is in the state that reports carry, so placing and admission use it.

Ruled out: more frequent reports (four times the messages), stealing between owners, one queue of all endpoints (large results would cross data centres).

--- a/lab/availability_mechanisms.py
+++ b/lab/availability_mechanisms.py
@@ -7,12 +7,15 @@
 
 CORDONS = "cordoned data centres get no new work"
 COLD = "cold endpoints get no more calls than they bear"
+DEMAND = "no item waits while an endpoint of its region is idle"
+SLOW = "items avoid endpoints that have turned slow"
 HOMES = "requests stay in their home regions"
 
 _CORDONS = "tests.availability.test_cordons.CordonsTest"
 _CORDON_SESSIONS = "tests.platform.test_cordons"
 _WARM_UPS = "tests.availability.test_warm_ups"
 _COLD_SESSIONS = "tests.platform.test_cold_servers.ColdServerTest"
+_ROUTING = "tests.test_item_routing.RoutedItemRunnerTest"
 _HOMES = "tests.platform.test_homes.HomesTest"
 
 TEST_ABLATIONS = (
@@ -138,4 +141,65 @@
         "return Eligibility(None, None)",
         f"{_HOMES}.test_requests_and_their_stages_stay_in_the_homes_of_a_route",
     ),
+    _ablate(
+        "owner chooses among the endpoints of a region",
+        DEMAND,
+        "cluster_state",
+        "return self._regions.get(place, place) == self._regions.get(\n"
+        "            other_place, other_place\n"
+        "        )",
+        "return place == other_place",
+        f"{_ROUTING}.test_owner_uses_an_idle_endpoint_of_another_data_centre",
+    ),
+    _ablate(
+        "items kept in their region",
+        HOMES,
+        "item_routing",
+        "and self._cluster.are_in_one_region(candidate, endpoint)",
+        "",
+        f"{_ROUTING}.test_items_stay_in_the_region_of_their_endpoint",
+    ),
+    _ablate(
+        "transfers weighed by the owner",
+        DEMAND,
+        "item_routing",
+        "* stage_placement.compute_transfer_cost(",
+        "* 0 * stage_placement.compute_transfer_cost(",
+        f"{_ROUTING}.test_owner_weighs_transfers_against_the_wait",
+    ),
+    _ablate(
+        "owners chosen by their processor time",
+        DEMAND,
+        "ownership",
+        "(owned[member.name] + count) / member.processor",
+        "owned[member.name]",
+        "tests.test_ownership.OwnersTest.test_stronger_entries_own_more",
+    ),
+    _ablate(
+        "slowness of calls learned",
+        SLOW,
+        "batch_dispatch",
+        "queue.slowness.record_call(configured, now - started_at, now)",
+        "pass",
+        "tests.test_batch_dispatch.BatchDispatcherTest"
+        ".test_slow_endpoint_is_expected_to_stay_slow",
+    ),
+    _ablate(
+        "slowness in the estimates",
+        SLOW,
+        "batching",
+        "    busy *= state.slowness\n",
+        "",
+        "tests.endpoint_load.test_slowness.SlowEndpointTest"
+        ".test_more_requests_are_on_time_than_by_the_configured_speed",
+    ),
+    _ablate(
+        "running call that is overdue not taken as done",
+        SLOW,
+        "endpoint_load/slowness",
+        "return abs(expected_end - now)",
+        "return max(expected_end - now, 0.0)",
+        "tests.endpoint_load.test_slowness.SlownessTest"
+        ".test_overdue_call_is_expected_to_last_as_long_again",
+    ),
 )
--- a/samphirevale/batch_dispatch.py
+++ b/samphirevale/batch_dispatch.py
@@ -27,6 +27,10 @@
 OVERDUE_FACTOR = 3.0
 OVERDUE_MARGIN_SECONDS = 0.3
 
+# The largest slowness that the expected duration of a call allows for. A silent
+# endpoint that was slow before is then noticed in time.
+OVERDUE_SLOWNESS = 2.0
+
 # How long after it is overdue a call times out, in seconds. An endpoint that
 # works may be silent for about a second.
 SILENCE_SECONDS = 1.0
@@ -356,7 +360,11 @@
     ) -> None:
         """Makes one call and distributes its results."""
         started_at = self._clock.now()
-        expected = stage_times.estimate_call_seconds(queue.limits, len(batch))
+        configured = stage_times.estimate_call_seconds(queue.limits, len(batch))
+        expected = min(
+            queue.estimate_call_seconds(batch, started_at),
+            OVERDUE_SLOWNESS * configured,
+        )
         overdue = OVERDUE_FACTOR * expected + OVERDUE_MARGIN_SECONDS
         timeout = overdue + SILENCE_SECONDS
         results = [proxies.ItemResult("", "error")] * len(batch)
@@ -391,6 +399,9 @@
                 requests=_list_requests(batch),
                 error=f"{type(error).__name__}: {error}",
             )
+        else:
+            now = self._clock.now()
+            queue.slowness.record_call(configured, now - started_at, now)
         now = self._clock.now()
         metrics.BATCH_SECONDS.observe(now - started_at)
         for outcome in results:
--- a/samphirevale/batching.py
+++ b/samphirevale/batching.py
@@ -9,6 +9,7 @@
 from typing import Any, NamedTuple
 
 from samphirevale import routes, stage_times
+from samphirevale.endpoint_load import slowness
 
 # Initial estimate of how long a result stays at its endpoint, in seconds.
 INITIAL_RETENTION_SECONDS = 0.6
@@ -65,6 +66,8 @@
         deadline_at: the latest completion time at which the request can still
             be answered before its deadline.
         rank: the request's priority; 0 is the most urgent.
+        transfers: pairs of a data centre and the bytes that the item fetches
+            from there, or that are fetched from its result to there.
         ticket: identifies the task that waits for the item; only its identity
             matters here.
     """
@@ -79,6 +82,7 @@
     deadline_at: float
     rank: int
     ticket: Any
+    transfers: tuple[tuple[str, int], ...] = ()
 
 
 class _HeldResult(NamedTuple):
@@ -99,6 +103,7 @@
         busy_seconds: the estimated time until the next call can start, which
             depends on the call in flight and on the backoff.
         kept_seconds: the moving average of how long results stay in memory.
+        slowness: the time of a call as a multiple of the configured one.
     """
 
     waiting: int
@@ -108,6 +113,7 @@
     room_bytes: int
     busy_seconds: float
     kept_seconds: float
+    slowness: float = slowness.NOMINAL
 
 
 class NewItems(NamedTuple):
@@ -139,6 +145,7 @@
         total_bytes += state.late_bytes
     calls = -(-total // limits.items)
     busy = calls * limits.call_seconds + total * limits.item_seconds
+    busy *= state.slowness
     missing_bytes = total_bytes - state.room_bytes
     memory_wait = 0.0
     if missing_bytes > 0:
@@ -152,6 +159,7 @@
     Attributes:
         limits: the endpoint's limits on calls, items and memory.
         running: the number of calls in flight.
+        slowness: how much slower than configured calls are.
     """
 
     def __init__(self, limits: routes.BatchLimits):
@@ -162,6 +170,7 @@
         self._reserved_bytes = 0
         self._busy_until = 0.0
         self.running = 0
+        self.slowness = slowness.Slowness()
         # Ratio of the actual size of results to the configured size.
         self._size_factor = 1.0
         # The (attempt, stage) pairs of which some items have been sent while
@@ -188,7 +197,7 @@
 
     def take_expired(self, now: float) -> list[Item]:
         """Removes and returns items that would miss their deadline."""
-        earliest_end = now + self.limits.call_seconds
+        earliest_end = now + self.limits.call_seconds * self.slowness.get(now)
         expired = [i for i in self._waiting if i.deadline_at <= earliest_end]
         if expired:
             self._waiting = [
@@ -212,10 +221,14 @@
         if batch:
             self.running += 1
             self._reserved_bytes += sum(item.result_bytes for item in batch)
-            seconds = stage_times.estimate_call_seconds(self.limits, len(batch))
-            self._busy_until = now + seconds
+            self._busy_until = now + self.estimate_call_seconds(batch, now)
         return batch
 
+    def estimate_call_seconds(self, batch: list[Item], now: float) -> float:
+        """Returns the expected duration of a call that begins now."""
+        seconds = stage_times.estimate_call_seconds(self.limits, len(batch))
+        return seconds * self.slowness.get(now)
+
     def _is_late(self, item: Item, now: float) -> bool:
         earliest_end = now + self.limits.call_seconds + self.limits.item_seconds
         return item.due_at < earliest_end and not item.inputs
@@ -364,10 +377,10 @@
 
     def build_state(self, now: float) -> QueueState:
         """Returns a snapshot of the queue for estimates."""
-        busy_until = self._backoff_until
+        busy = max(self._backoff_until - now, 0.0)
         if self.running:
-            busy_until = max(busy_until, self._busy_until)
-        busy = max(busy_until - now, 0.0)
+            rest = slowness.estimate_rest(self._busy_until, now)
+            busy = max(busy, rest)
         late = [i.result_bytes for i in self._waiting if self._is_late(i, now)]
         waiting_bytes = sum(item.result_bytes for item in self._waiting)
         return QueueState(
@@ -378,4 +391,5 @@
             self.compute_free_memory(now),
             busy,
             self._retention_seconds,
+            self.slowness.get(now),
         )
--- a/samphirevale/cluster_state.py
+++ b/samphirevale/cluster_state.py
@@ -180,10 +180,19 @@
         """Returns the name of the entry that owns a batching endpoint."""
         if self._owners is None:
             self._owners = ownership.assign_owners(
-                self._list_batching_endpoints(), self.members
+                self._list_batching_endpoints(), self.members, self._regions
             )
         return self._owners.get(endpoint.name, self._me.name)
 
+    def are_in_one_region(
+        self, endpoint: catalogue.Endpoint, other: catalogue.Endpoint
+    ) -> bool:
+        """Returns whether the data centres of two endpoints share a region."""
+        place, other_place = endpoint.data_centre, other.data_centre
+        return self._regions.get(place, place) == self._regions.get(
+            other_place, other_place
+        )
+
     def _list_batching_endpoints(self) -> list[catalogue.Endpoint]:
         if self.table is None:
             return []
--- /dev/null
+++ b/samphirevale/endpoint_load/__init__.py
@@ -0,0 +1,1 @@
+"""Learns what endpoints can do at the moment."""
--- a/samphirevale/entries.py
+++ b/samphirevale/entries.py
@@ -331,10 +331,19 @@
 
     def _notify_members(self) -> None:
         self._on_members_changed(
-            ownership.Member(entry.hello.instance, entry.hello.data_centre)
+            ownership.Member(
+                entry.hello.instance,
+                entry.hello.data_centre,
+                self._find_processor(entry.hello.instance),
+            )
             for entry in self.linked.values()
         )
 
+    def _find_processor(self, name: str) -> float:
+        """Returns the processor time of an entry, in cores."""
+        registration = self._registrations.get(name)
+        return registration.processor if registration is not None else 1.0
+
     async def _report(self, entry: Entry) -> None:
         """Sends reports on a link until it closes."""
         with contextlib.suppress(errors.PeerClosedError):
@@ -540,7 +549,7 @@
                 endpoint,
                 [outcome.result for outcome in results],
                 [outcome.reason for outcome in results],
-                self._server.describe_queue(pieces.endpoint, self._clock.now()),
+                self._server.describe_queue(endpoint, self._clock.now()),
             )
             with contextlib.suppress(errors.PeerClosedError):
                 await entry.link.send(answer, 0)
@@ -572,6 +581,7 @@
             int((first.due_at - now) * 1000),
             int((first.deadline_at - now) * 1000),
             first.rank,
+            [list(transfer) for transfer in first.transfers],
         )
         failed = [proxies.ItemResult("", "error")] * len(items)
         entry.count_sent(
--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -95,7 +95,9 @@
         self.stop = curio.Event()
         self.cluster_state = cluster_state.ClusterState(
             settings.keys_seconds,
-            ownership.Member(settings.instance, settings.data_centre),
+            ownership.Member(
+                settings.instance, settings.data_centre, settings.processor
+            ),
             cordons_required=settings.cordon_seconds > 0,
             cold_bound=settings.cold_bound,
             regions=settings.regions,
@@ -130,6 +132,7 @@
             settings.peer_host,
             settings.peer_port,
             secrets.token_hex(16),
+            settings.processor,
         )
         self._origins = stream_origins.StreamOrigins()
         self.table = entries.EntryTable(
--- a/samphirevale/gateway_settings.py
+++ b/samphirevale/gateway_settings.py
@@ -33,6 +33,7 @@
             more work; 0 if data centres are not cordoned here.
         cold_bound: what a cold endpoint may get; None for no bound.
         regions: the region of each data centre.
+        processor: the processor time of the machine, in cores.
     """
 
     instance: str
@@ -54,3 +55,4 @@
     cordon_seconds: float = 0.0
     cold_bound: warm_ups.ColdBound | None = None
     regions: Mapping[str, str] = {}
+    processor: float = 1.0
--- a/samphirevale/item_routing.py
+++ b/samphirevale/item_routing.py
@@ -11,6 +11,7 @@
     errors,
     messages,
     routes,
+    stage_placement,
 )
 from samphirevale.ports import clock as clocks
 from samphirevale.ports import proxies
@@ -69,7 +70,7 @@
         )
         in_time = items[0].due_at > started_at
         if owner is None:
-            results = await self._dispatcher.run_items(endpoint, limits, items)
+            results = await self._run_owned(endpoint, limits, items)
         else:
             results = await self.table.run_items(owner, endpoint, items)
         if in_time:
@@ -195,12 +196,24 @@
                 now + pieces.remaining_ms / 1000,
                 pieces.rank,
                 None,
+                tuple((place, size) for place, size in pieces.transfers),
             )
             for index in pieces.indices
         ]
+        return await self._run_owned(endpoint, limits, items)
+
+    async def _run_owned(
+        self,
+        endpoint: catalogue.Endpoint,
+        limits: routes.BatchLimits,
+        items: Sequence[batching.Item],
+    ) -> list[proxies.ItemResult]:
+        """Runs items at the best endpoint with the same owner as this one."""
+        now = self._clock.now()
         chosen = self._choose_owned(endpoint, limits, items, now)
         if chosen is None:
-            return unsent
+            unsent = proxies.ItemResult("", batch_dispatch.UNSENT)
+            return [unsent] * len(items)
         results = await self._dispatcher.run_items(chosen, limits, items)
         return [result._replace(endpoint=chosen.name) for result in results]
 
@@ -211,10 +224,11 @@
         items: Sequence[batching.Item],
         now: float,
     ) -> catalogue.Endpoint | None:
-        """Chooses among the owned endpoints that are like the requested one.
+        """Chooses among the endpoints with the same owner as this one.
 
-        The other entry has chosen by reports, which may be old; this one knows
-        the queues exactly.
+        Another entry has chosen by reports, which may be old; this one knows
+        the queues exactly. All these endpoints are in one region, so an item
+        stays in the home regions of its request.
 
         Returns:
             None if no such endpoint is usable.
@@ -223,8 +237,8 @@
         candidates = [
             candidate
             for candidate in self._cluster.list_usable(endpoint.service, now)
-            if candidate.data_centre == endpoint.data_centre
-            and self._cluster.find_owner(candidate) == owner
+            if self._cluster.find_owner(candidate) == owner
+            and self._cluster.are_in_one_region(candidate, endpoint)
         ]
         work = batching.NewItems(
             len(items),
@@ -238,6 +252,10 @@
                     self._dispatcher.build_state(candidate, limits, now),
                     limits,
                     work,
+                )
+                + len(items)
+                * stage_placement.compute_transfer_cost(
+                    candidate, items[0].transfers
                 ),
                 candidate.name != endpoint.name,
             ),
--- a/samphirevale/messages.py
+++ b/samphirevale/messages.py
@@ -377,6 +377,8 @@
             its deadline.
         remaining_ms: time until the items' results become useless.
         rank: the request's rank; 0 is the most urgent.
+        transfers: pairs of a data centre and the bytes that each item fetches
+            from there or sends there.
     """
 
     exchange: int
@@ -390,6 +392,7 @@
     due_ms: int
     remaining_ms: int
     rank: int
+    transfers: list[list]
 
 
 @register("pieces_done")
@@ -399,7 +402,7 @@
     Attributes:
         exchange: id of the request.
         endpoint: the endpoint that ran the items, which may be another one of
-            the same service and data centre.
+            the same service and region.
         results: the results' names; empty for an item without a result.
         reasons: why there is no result; empty for an item with a result.
         queue: the state of the endpoint's queue afterwards, with the fields of
--- a/samphirevale/platform/node_file.py
+++ b/samphirevale/platform/node_file.py
@@ -124,6 +124,8 @@
         / 1000,
         cold_bound=_read_cold_bound(reader),
         regions=reader.read_optional_texts("zones"),
+        processor=(reader.read_optional_number("limits.cpu_share") or 1.0)
+        * (reader.read_optional_number("limits.cores") or 1.0),
     )
     store = reader.read("platform.address", str)
     if reader.findings:
--- a/samphirevale/registrations.py
+++ b/samphirevale/registrations.py
@@ -17,12 +17,14 @@
         port: the port for other entries.
         token: the token that connecting entries must present; it changes at
             each start.
+        processor: the processor time that the entry has, in cores.
     """
 
     name: str
     host: str
     port: int
     token: str
+    processor: float = 1.0
 
 
 def decode_registration(stored: objects.StoredObject) -> Registration | None:
@@ -35,9 +37,10 @@
         value.get("host"),
         value.get("port"),
         value.get("token"),
+        value.get("processor", 1.0),
     )
-    types = (str, str, int, str)
-    if all(map(isinstance, found, types)):
+    types = (str, str, int, str, int | float)
+    if all(map(isinstance, found, types)) and found.processor > 0:
         return found
     return None
 
@@ -48,4 +51,5 @@
         "host": registration.host,
         "port": registration.port,
         "token": registration.token,
+        "processor": registration.processor,
     }
--- a/samphirevale/stage_placement.py
+++ b/samphirevale/stage_placement.py
@@ -54,8 +54,8 @@
         known: provides the endpoints and their limits.
         stage: the stage to run.
         items: the number of items to run.
-        transfers: pairs of a data centre and the number of bytes that are
-            fetched from there or sent there.
+        transfers: pairs of a data centre and the number of bytes that each
+            item fetches from there or sends there.
         late: whether the items are queued behind those that can still meet
             their target.
         now: the present time.
@@ -81,12 +81,7 @@
         if endpoint.name in excluded:
             continue
         seconds = runner.estimate_seconds(endpoint, limits, work, now)
-        remote_bytes = sum(
-            moved_bytes
-            for data_centre, moved_bytes in transfers
-            if data_centre != endpoint.data_centre
-        )
-        cost = seconds + remote_bytes / 1e6 * REMOTE_SECONDS_PER_MB
+        cost = seconds + items * compute_transfer_cost(endpoint, transfers)
         if endpoint.data_centre != known.data_centre:
             cost += REMOTE_SECONDS
         if jitter_range:
@@ -96,6 +91,18 @@
     return best
 
 
+def compute_transfer_cost(
+    endpoint: catalogue.Endpoint, transfers: Sequence[tuple[str, int]]
+) -> float:
+    """Returns the cost of one item's transfers, in seconds."""
+    remote_bytes = sum(
+        moved_bytes
+        for data_centre, moved_bytes in transfers
+        if data_centre != endpoint.data_centre
+    )
+    return remote_bytes / 1e6 * REMOTE_SECONDS_PER_MB
+
+
 def compute_jitter_range(limits: routes.BatchLimits, entries: int) -> float:
     """Returns the range of the jitter on endpoint costs, in seconds."""
     excess = max(entries - FEW_ENTRIES, 0)
--- a/samphirevale/stages.py
+++ b/samphirevale/stages.py
@@ -304,7 +304,7 @@
             self._cluster,
             self._route.stages[index],
             len(items),
-            self._list_transfers(index, len(items)),
+            items[0].transfers,
             self._constraints.late and not items[0].inputs,
             self._clock.now(),
             self._rng,
@@ -329,24 +329,22 @@
             self._results.add(index, item.index, stage_result)
         return _choose_reason([result.reason for result in outcomes])
 
-    def _list_transfers(self, index: int, items: int) -> list[tuple[str, int]]:
-        """Returns the data centres and byte counts of the items' transfers.
+    def _list_transfers(self, index: int) -> tuple[tuple[str, int], ...]:
+        """Returns the data centres and byte counts of each item's transfers.
 
         Each item fetches all results of the preceding stages separately.
         """
         stage = self._route.stages[index]
         transfers = [
-            (stage_result.endpoint.data_centre, stage_result.size * items)
+            (stage_result.endpoint.data_centre, stage_result.size)
             for stage_result in self._results.list_inputs(stage)
         ]
         is_last = not self._results.list_dependents(index)
         if self._constraints.data_centre and is_last:
-            final_transfer = (
-                self._constraints.data_centre,
-                stage.result_bytes * items,
+            transfers.append(
+                (self._constraints.data_centre, stage.result_bytes)
             )
-            transfers.append(final_transfer)
-        return transfers
+        return tuple(transfers)
 
     def _build_missing_items(self, index: int) -> list[batching.Item]:
         """Returns the items of a stage that have no result."""
@@ -361,6 +359,7 @@
             stage_result.name
             for stage_result in self._results.list_inputs(stage)
         )
+        transfers = self._list_transfers(index)
         return [
             batching.Item(
                 attempt=self._request.attempt,
@@ -373,6 +372,7 @@
                 deadline_at=self._constraints.deadline_at - seconds_after,
                 rank=self._constraints.rank,
                 ticket=None,
+                transfers=transfers,
             )
             for item_index in self._results.list_missing(index)
         ]
--- /dev/null
+++ b/tests/endpoint_load/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what is learned of the load of endpoints."""
--- a/tests/test_batch_dispatch.py
+++ b/tests/test_batch_dispatch.py
@@ -231,6 +231,23 @@
             self.endpoint, LIMITS, self.clock.now()
         )
 
+    async def test_slow_endpoint_is_expected_to_stay_slow(self):
+        async def run_slowly(endpoint, items, now):
+            self.clock.seconds += 4 * (
+                LIMITS.call_seconds + len(items) * LIMITS.item_seconds
+            )
+            return self.endpoints.succeed_all(items)
+
+        self.endpoints.run_batch = run_slowly
+        for _ in range(3):
+            now = self.clock.now()
+            item = proxy_fakes.build_item(due_at=now + 10, deadline_at=now + 20)
+            await self.run_items(item)
+        state = self.dispatcher.build_state(
+            self.endpoint, LIMITS, self.clock.now()
+        )
+        self.assertGreater(state.slowness, 3.0)
+
     async def test_queued_items_can_go_elsewhere_at_once(self):
         call_started, call_may_end = self.hold_calls()
         running = await curio.spawn(self.run_items, proxy_fakes.build_item())
--- a/tests/test_item_routing.py
+++ b/tests/test_item_routing.py
@@ -127,17 +127,50 @@
         for index in range(9):
             queue.add(proxy_fakes.build_item(index, "other", due_at=now + 1))
         request = messages.ItemsRequest(
-            1, "e1", "a1", 0, [0, 1], "k", [], 100, 900, 5000, 0
+            1, "e1", "a1", 0, [0, 1], "k", [], 100, 900, 5000, 0, []
         )
         results = await self.runner.serve_items(request)
         self.assertEqual(["e2", "e2"], [result.endpoint for result in results])
 
+    async def serve(self, regions, transfers):
+        """Serves items for `e1` in `b`, beside an idle `e3` in `c`."""
+        self.cluster._regions = regions
+        self.cluster.catalogue.put(
+            proxy_fakes.build_endpoint("e3", data_centre="c")
+        )
+        self.cluster.invalidate_owners()
+        queue = self.dispatcher.find_queue(self.endpoint, LIMITS)
+        for index in range(9):
+            queue.add(
+                proxy_fakes.build_item(
+                    index, "other", due_at=self.clock.now() + 1
+                )
+            )
+        request = messages.ItemsRequest(
+            1, "e1", "a1", 0, [0], "k", [], 100, 900, 5000, 0, transfers
+        )
+        (result,) = await self.runner.serve_items(request)
+        return result.endpoint
+
+    async def test_owner_uses_an_idle_endpoint_of_another_data_centre(self):
+        regions = {"b": "north", "c": "north"}
+        self.assertEqual("e3", await self.serve(regions, []))
+
+    async def test_owner_weighs_transfers_against_the_wait(self):
+        regions = {"b": "north", "c": "north"}
+        transfers = [["b", 50_000_000]]
+        self.assertEqual("e1", await self.serve(regions, transfers))
+
+    async def test_items_stay_in_the_region_of_their_endpoint(self):
+        regions = {"b": "north", "c": "south"}
+        self.assertEqual("e1", await self.serve(regions, []))
+
     async def test_items_for_a_pausing_endpoint_go_to_another_owned_one(self):
         self.cluster.catalogue.put(
             proxy_fakes.build_endpoint("e2", data_centre="b")
         )
         request = messages.ItemsRequest(
-            1, "e1", "a1", 0, [0], "k", [], 100, 900, 5000, 0
+            1, "e1", "a1", 0, [0], "k", [], 100, 900, 5000, 0, []
         )
         for paused, expected in (("e1", ("e2", "")), ("e2", ("", "unsent"))):
             self.cluster.notices.record_pause(
@@ -164,7 +197,7 @@
 
     async def test_items_are_run_for_another_entry(self):
         request = messages.ItemsRequest(
-            1, "e1", "a1", 0, [0, 1], "k", [], 100, 900, 5000, 0
+            1, "e1", "a1", 0, [0, 1], "k", [], 100, 900, 5000, 0, []
         )
         results = await self.runner.serve_items(request)
         self.assertEqual(
--- a/tests/test_quarantine_trials.py
+++ b/tests/test_quarantine_trials.py
@@ -19,6 +19,7 @@
     endpoint = ENDPOINT
     heartbeat = None
     pool = "encoders"
+    hello = types.SimpleNamespace(data_centre="dc1")
 
     def __init__(self):
         self.ready = True
