Refuse accounts above their max-min share first when stages are full

Cause: nobody kept what each account uses over all entries, so under a burst all accounts were refused alike, however much they sent.

Ruled out: quotas (none are configured, idle room would be lost); refusing at the owner (the stages before are spent by then).

--- a/lab/availability_mechanisms.py
+++ b/lab/availability_mechanisms.py
@@ -8,6 +8,7 @@
 CORDONS = "cordoned data centres get no new work"
 COLD = "cold endpoints get no more calls than they bear"
 DEMAND = "no item waits while an endpoint of its region is idle"
+SHARES = "accounts get their fair shares of what is scarce"
 SLOW = "items avoid endpoints that have turned slow"
 HOMES = "requests stay in their home regions"
 
@@ -202,4 +203,22 @@
         "tests.endpoint_load.test_slowness.SlownessTest"
         ".test_overdue_call_is_expected_to_last_as_long_again",
     ),
+    _ablate(
+        "accounts above their share refused first",
+        SHARES,
+        "stage_admission",
+        "    share *= request.standing\n",
+        "",
+        "tests.fair_shares.test_standing.AccountBurstTest"
+        ".test_other_accounts_are_served_though_one_sends_most",
+    ),
+    _ablate(
+        "usage of other entries counted",
+        SHARES,
+        "fair_shares/usage",
+        "        self._reported[entry] = list(reported)\n",
+        "        self._reported[entry] = []\n",
+        "tests.fair_shares.test_usage.ServiceUsageTest"
+        ".test_usage_of_other_entries_counts_until_they_are_gone",
+    ),
 )
--- a/samphirevale/cluster_state.py
+++ b/samphirevale/cluster_state.py
@@ -377,6 +377,12 @@
         }
         return {name: rest for name, rest in pauses.items() if rest > 0}
 
+    def compute_capacity(self, service: str) -> float:
+        """Returns the calls that all endpoints of a service run at once."""
+        limits = self.find_batch_limits(service)
+        concurrency = limits.concurrency if limits is not None else 0
+        return concurrency * len(self.catalogue.list_accepting(service))
+
     def find_connections_limit(self, service: str) -> int:
         """Returns the connection limit of each endpoint; 0 for no limit."""
         if self.table is None or service not in self.table.services:
--- /dev/null
+++ b/samphirevale/fair_shares/__init__.py
@@ -0,0 +1,1 @@
+"""Divides what is scarce fairly among accounts."""
--- a/samphirevale/metrics.py
+++ b/samphirevale/metrics.py
@@ -213,6 +213,10 @@
 BATCH_SECONDS = _histogram(
     "batch_seconds", "Time of one call to a batching endpoint."
 )
+REFUSED_ABOVE_SHARE = _count(
+    "refused_above_share",
+    "Requests refused for full stages whose account uses above its share.",
+)
 ENDPOINTS_LEAVING = _count(
     "endpoints_leaving", "Endpoints that said that they leave.", "service"
 )
--- a/samphirevale/proxy_context.py
+++ b/samphirevale/proxy_context.py
@@ -16,6 +16,7 @@
     return_times,
     stream_origins,
 )
+from samphirevale.fair_shares import usage
 from samphirevale.ports import clock as clocks
 from samphirevale.ports import proxies
 
@@ -35,6 +36,7 @@
         endpoints: makes the calls to endpoints.
         origins: knows where streams began.
         returns: when the callers come back that were refused in pauses.
+        usage: what accounts have used of each service lately.
         clock: a clock that includes time while the machine is suspended.
         rng: the source of all random numbers.
         journal: the log of decisions.
@@ -51,6 +53,7 @@
     endpoints: proxies.ProxyEndpoints
     origins: stream_origins.OriginDirectory
     returns: return_times.ReturnSchedule
+    usage: usage.ServiceUsage
     clock: clocks.Clock
     rng: random.Random
     journal: journal.Journal
--- a/samphirevale/request_stages.py
+++ b/samphirevale/request_stages.py
@@ -2,6 +2,7 @@
 
 from samphirevale import (
     batch_dispatch,
+    metrics,
     proxy_requests,
     request_context,
     resends,
@@ -10,6 +11,7 @@
     stage_times,
     stages,
 )
+from samphirevale.fair_shares import standing, usage
 
 
 class RequestStages:
@@ -57,6 +59,7 @@
                 model_seconds=self._estimate_model_seconds(),
                 rank=self._accepted.rank,
                 returned=self._accepted.returned,
+                standing=self._compute_standing(),
             ),
             self._estimate_stages,
         )
@@ -65,8 +68,11 @@
         }
         if decision.admitted:
             self._late = decision.late
+            self._record_usage()
             self._shared.log_step("stages_begun", **fields)
             return None
+        if decision.standing < standing.FULL_STANDING:
+            metrics.REFUSED_ABOVE_SHARE.inc()
         self._context.journal.record_failure(
             "stages_overloaded",
             request=self._request.attempt,
@@ -78,6 +84,42 @@
             503, "stages_overloaded", decision.compute_retry_seconds()
         )
 
+    def _list_services(self) -> list[tuple[str, int]]:
+        """Returns the services of the stages and the number of their items."""
+        counts = self._request.item_counts
+        found = [
+            (stage.service, stage_times.get_item_count(counts, index))
+            for index, stage in enumerate(self._route.stages)
+        ]
+        return [(service, items) for service, items in found if items]
+
+    def _compute_standing(self) -> float:
+        """Returns the lowest standing of the account at its services."""
+        cluster = self._context.cluster_state
+        now = self._context.clock.now()
+        return min(
+            (
+                standing.compute_standing(
+                    self._context.usage.sum_up(service, now),
+                    self._accepted.account,
+                    cluster.compute_capacity(service) * usage.DECAY_SECONDS,
+                )
+                for service in {name for name, _ in self._list_services()}
+            ),
+            default=standing.FULL_STANDING,
+        )
+
+    def _record_usage(self) -> None:
+        """Records what the account is given of each service."""
+        now = self._context.clock.now()
+        for service, items in self._list_services():
+            limits = self._context.cluster_state.find_batch_limits(service)
+            if limits is not None:
+                seconds = items * stage_times.compute_item_cost(limits)
+                self._context.usage.record(
+                    service, self._accepted.account, seconds, now
+                )
+
     async def run(self) -> list[batch_dispatch.StageResult]:
         """Runs the stages and returns the results that the request needs.
 
--- a/samphirevale/stage_admission.py
+++ b/samphirevale/stage_admission.py
@@ -21,6 +21,8 @@
 from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple
 
+from samphirevale.fair_shares import standing
+
 # The least queueing time that is allowed at rank 0, in seconds.
 MIN_QUEUEING_SECONDS = 0.2
 
@@ -81,6 +83,8 @@
             the answer.
         rank: the priority; 0 is the most urgent.
         returned: whether the request was refused before and is already late.
+        standing: the part of the allowed queueing time that its account may
+            use.
     """
 
     bare_seconds: float
@@ -90,6 +94,7 @@
     model_seconds: float
     rank: int
     returned: bool
+    standing: float = standing.FULL_STANDING
 
 
 class Decision(NamedTuple):
@@ -104,6 +109,8 @@
         bare_seconds: the duration of all stages at idle endpoints.
         excess_wait_seconds: how much the queue of the worst stage exceeds what
             is admitted; negative if none does.
+        standing: the part of the allowed queueing time that the account of the
+            request may use.
     """
 
     admitted: bool
@@ -112,6 +119,7 @@
     allowed_seconds: float
     bare_seconds: float
     excess_wait_seconds: float
+    standing: float = standing.FULL_STANDING
 
     def compute_retry_seconds(self) -> float:
         """Returns when a refused request should come back, in seconds.
@@ -149,6 +157,7 @@
     request: AdmissionRequest, estimate: StagesEstimate
 ) -> Decision:
     share = max(RANK_FACTOR**request.rank, RANK_FACTOR_FLOOR)
+    share *= request.standing
     own_seconds = max(
         request.target_seconds - request.model_seconds - request.bare_seconds,
         MIN_QUEUEING_SECONDS,
@@ -168,8 +177,8 @@
         request,
         True,
         estimate,
-        max(spare_seconds, 0.0) * LATE_SHARE,
-        LATE_STAGE_SHARE,
+        max(spare_seconds, 0.0) * LATE_SHARE * request.standing,
+        LATE_STAGE_SHARE * request.standing,
         [wait for wait in estimate.waits if wait.later],
     )
 
@@ -209,6 +218,7 @@
         allowed,
         request.bare_seconds,
         excess,
+        request.standing,
     )
 
 
--- a/samphirevale/stage_times.py
+++ b/samphirevale/stage_times.py
@@ -15,6 +15,11 @@
     return limits.call_seconds + items * limits.item_seconds
 
 
+def compute_item_cost(limits: routes.BatchLimits) -> float:
+    """Returns an endpoint's time for one item of a full call, in seconds."""
+    return limits.call_seconds / limits.items + limits.item_seconds
+
+
 def compute_bare_seconds(
     table: routes.RouteTable, route: routes.Route, counts: Sequence[int]
 ) -> float:
--- /dev/null
+++ b/tests/fair_shares/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the division of what is scarce among accounts."""
