Let shares act only where more is asked than there is; move waiting items

Cause: the max-min share divided 0.8 of what was given at the moment, so the largest accounts were above it at any load. Now what is asked, refused or not, is held against what the service can do in full calls.

An endpoint that is free now takes the tickets that would wait longest elsewhere, if they are done earlier by more than their transfers cost. They move to an endpoint that starts them at once only, so none moves back and forth.

Ruled out for the moves: one queue of all endpoints of an owner (large results would be made far from where they are wanted).

--- a/lab/availability_mechanisms.py
+++ b/lab/availability_mechanisms.py
@@ -164,8 +164,8 @@
         "transfers weighed by the owner",
         DEMAND,
         "item_routing",
-        "* stage_placement.compute_transfer_cost(",
-        "* 0 * stage_placement.compute_transfer_cost(",
+        "* stage_times.compute_transfer_cost(",
+        "* 0 * stage_times.compute_transfer_cost(",
         f"{_ROUTING}.test_owner_weighs_transfers_against_the_wait",
     ),
     _ablate(
@@ -215,10 +215,37 @@
     _ablate(
         "usage of other entries counted",
         SHARES,
-        "fair_shares/usage",
+        "fair_shares/demands",
         "        self._reported[entry] = list(reported)\n",
         "        self._reported[entry] = []\n",
-        "tests.fair_shares.test_usage.ServiceUsageTest"
-        ".test_usage_of_other_entries_counts_until_they_are_gone",
+        "tests.fair_shares.test_demands.ServiceDemandsTest"
+        ".test_demands_at_other_entries_count_until_they_are_gone",
+    ),
+    _ablate(
+        "items moved to an idle endpoint",
+        DEMAND,
+        "batch_dispatch",
+        "        await self._wake_idle(endpoint)\n",
+        "",
+        "tests.test_batch_dispatch.MovedItemsTest"
+        ".test_idle_endpoint_takes_what_would_wait_longest",
+    ),
+    _ablate(
+        "items moved only if they gain more than their transfers",
+        DEMAND,
+        "batch_dispatch",
+        "gained = seconds_there - seconds_here - len(group) * cost",
+        "gained = seconds_there - seconds_here",
+        "tests.test_batch_dispatch.MovedItemsTest"
+        ".test_items_stay_where_their_transfers_cost_more",
+    ),
+    _ablate(
+        "moved items released where they ran",
+        DEMAND,
+        "batch_dispatch",
+        "            group[0].ticket.endpoint = target\n",
+        "",
+        "tests.test_batch_dispatch.MovedItemsTest"
+        ".test_idle_endpoint_takes_what_would_wait_longest",
     ),
 )
--- a/samphirevale/batch_dispatch.py
+++ b/samphirevale/batch_dispatch.py
@@ -46,6 +46,10 @@
 # How long an endpoint is penalized after a failed call, in seconds.
 PENALTY_DURATION_SECONDS = 1.0
 
+# Items move to another endpoint if they are done earlier by this share of a
+# call's fixed time.
+MOVE_GAIN_CALLS = 0.25
+
 # The penalty that is added to the estimated completion time of such an endpoint
 # when endpoints are compared, in seconds.
 PENALTY_SECONDS = 2.0
@@ -105,6 +109,11 @@
     ) -> bool:
         """Returns whether another endpoint of the service is usable now."""
 
+    def are_interchangeable(
+        self, endpoint: catalogue.Endpoint, other: catalogue.Endpoint
+    ) -> bool:
+        """Returns whether this entry may move items from one to the other."""
+
     def compute_call_delay(
         self, endpoint: catalogue.Endpoint, now: float
     ) -> float | None:
@@ -119,11 +128,13 @@
     """Collects the results of a group of items and wakes the waiting task.
 
     Attributes:
+        endpoint: the endpoint at which the items are queued or were run.
         abandoned: whether the waiting task has been cancelled.
         results: the results so far, by the index of the item in its stage.
     """
 
-    def __init__(self, items: int):
+    def __init__(self, items: int, endpoint: catalogue.Endpoint):
+        self.endpoint = endpoint
         self._pending = items
         self._done = curio.Event()
         self.abandoned = False
@@ -164,6 +175,7 @@
         self._clock = clock
         self._log = log
         self._queues: dict[str, batching.BatchQueue] = {}
+        self._queued_endpoints: dict[str, catalogue.Endpoint] = {}
         self._queue_tasks: dict[str, curio.Task] = {}
         self._penalized_until: dict[str, float] = {}
         self._pending_releases: dict[str, list[str]] = {}
@@ -176,6 +188,7 @@
         key = _build_key(endpoint)
         if key not in self._queues:
             self._queues[key] = batching.BatchQueue(limits)
+            self._queued_endpoints[key] = endpoint
         return self._queues[key]
 
     def build_states(self, now: float) -> dict[str, batching.QueueState]:
@@ -216,6 +229,7 @@
         key = _build_key(endpoint)
         if key in self._queues and not self._queues[key].running:
             del self._queues[key]
+            del self._queued_endpoints[key]
             self._queue_tasks.pop(key, None)
         self._penalized_until.pop(endpoint.name, None)
 
@@ -242,28 +256,30 @@
                 replaced.
         """
         queue = self.find_queue(endpoint, limits)
-        ticket = Ticket(len(items))
+        ticket = Ticket(len(items), endpoint)
         for item in items:
             queue.add(item._replace(ticket=ticket))
         await self._start_queue_task(endpoint, queue)
+        await self._wake_idle(endpoint)
         try:
             await ticket.wait()
         except curio.CancelledError:
             ticket.abandoned = True
-            queue.withdraw(ticket)
-            await self._release_results(endpoint, ticket)
+            self.find_queue(ticket.endpoint, limits).withdraw(ticket)
+            await self._release_results(ticket)
             raise
-        return [ticket.results[item.index] for item in items]
+        return [
+            ticket.results[item.index]._replace(endpoint=ticket.endpoint.name)
+            for item in items
+        ]
 
-    async def _release_results(
-        self, endpoint: catalogue.Endpoint, ticket: Ticket
-    ) -> None:
+    async def _release_results(self, ticket: Ticket) -> None:
         names = [
             outcome.result
             for outcome in ticket.results.values()
             if outcome.result
         ]
-        await self.release(endpoint, names)
+        await self.release(ticket.endpoint, names)
 
     async def release(
         self, endpoint: catalogue.Endpoint, names: Sequence[str]
@@ -335,8 +351,11 @@
         self, endpoint: catalogue.Endpoint, queue: batching.BatchQueue
     ) -> None:
         """Starts calls while items are queued."""
-        while len(queue):
+        while True:
             now = self._clock.now()
+            self._pull_items(endpoint, queue, now)
+            if not len(queue):
+                return
             if not self._availability.is_usable(endpoint, now):
                 await _resolve_all(queue.take_all(), UNSENT)
                 return
@@ -352,6 +371,96 @@
             elif len(queue):
                 await self._clock.sleep(POLL_SECONDS)
 
+    def _list_siblings(
+        self, endpoint: catalogue.Endpoint
+    ) -> list[tuple[catalogue.Endpoint, batching.BatchQueue]]:
+        """Returns the endpoints that an endpoint's items could run at."""
+        return [
+            (other, self._queues[key])
+            for key, other in self._queued_endpoints.items()
+            if key in self._queues
+            and other.name != endpoint.name
+            and self._availability.are_interchangeable(other, endpoint)
+        ]
+
+    async def _wake_idle(self, endpoint: catalogue.Endpoint) -> None:
+        """Lets idle endpoints take items that wait at another one."""
+        for other, queue in self._list_siblings(endpoint):
+            if not queue.running and not len(queue):
+                await self._start_queue_task(other, queue)
+
+    def _pull_items(
+        self,
+        endpoint: catalogue.Endpoint,
+        queue: batching.BatchQueue,
+        now: float,
+    ) -> None:
+        """Moves items to an endpoint that can start them at once.
+
+        They come from the endpoint at which they would wait longest, and only
+        if they are done earlier by more than their transfers cost. An item
+        moves to an endpoint that is free only, so none moves back and forth.
+        """
+        if queue.running or not self._availability.is_usable(endpoint, now):
+            return
+        siblings = self._list_siblings(endpoint)
+        while len(queue) < queue.limits.items and siblings:
+            waits = [
+                (_estimate_all(other_queue, now), index)
+                for index, (_, other_queue) in enumerate(siblings)
+            ]
+            seconds, index = max(waits)
+            _, other_queue = siblings[index]
+            group = other_queue.take_last_group(
+                queue.limits.items - len(queue),
+                queue.compute_free_memory(now) - queue.count_waiting_bytes(),
+                now,
+            )
+            if not group:
+                del siblings[index]
+                continue
+            target = endpoint
+            if not self._gains(group, endpoint, queue, seconds, now):
+                target, queue_of_target = siblings[index]
+                del siblings[index]
+            else:
+                queue_of_target = queue
+            for item in group:
+                queue_of_target.add(item)
+            group[0].ticket.endpoint = target
+
+    def _gains(
+        self,
+        group: Sequence[batching.Item],
+        endpoint: catalogue.Endpoint,
+        queue: batching.BatchQueue,
+        seconds_there: float,
+        now: float,
+    ) -> bool:
+        """Returns whether items should move to an endpoint.
+
+        Args:
+            group: the items of one ticket.
+            endpoint: the endpoint that is free.
+            queue: its queue.
+            seconds_there: when they are done where they wait, from now.
+            now: the present time.
+        """
+        work = batching.NewItems(
+            len(group), sum(item.result_bytes for item in group), True
+        )
+        seconds_here = batching.estimate_seconds(
+            queue.build_state(now), queue.limits, work
+        )
+        transfers = group[0].transfers
+        cost = stage_times.compute_transfer_cost(
+            endpoint, transfers
+        ) - stage_times.compute_transfer_cost(
+            group[0].ticket.endpoint, transfers
+        )
+        gained = seconds_there - seconds_here - len(group) * cost
+        return gained > queue.limits.call_seconds * MOVE_GAIN_CALLS
+
     async def _call(
         self,
         endpoint: catalogue.Endpoint,
@@ -445,8 +554,7 @@
         for item in short_items:
             if not item.ticket.abandoned:
                 queue.add(item)
-        if len(queue):
-            await self._start_queue_task(endpoint, queue)
+        await self._start_queue_task(endpoint, queue)
 
     async def _resolve_items(
         self,
@@ -523,6 +631,17 @@
         )
 
 
+def _estimate_all(queue: batching.BatchQueue, now: float) -> float:
+    """Returns when all queued items are done, in seconds from now.
+
+    It is 0 if none is queued.
+    """
+    if not len(queue):
+        return 0.0
+    work = batching.NewItems(0, 0, True)
+    return batching.estimate_seconds(queue.build_state(now), queue.limits, work)
+
+
 async def _resolve_all(items: Sequence[batching.Item], reason: str) -> None:
     for item in items:
         await item.ticket.resolve(item.index, proxies.ItemResult("", reason))
--- a/samphirevale/batching.py
+++ b/samphirevale/batching.py
@@ -195,6 +195,42 @@
             item for item in self._waiting if item.ticket is not ticket
         ]
 
+    def take_last_group(
+        self, items_limit: int, bytes_limit: int, now: float
+    ) -> list[Item]:
+        """Removes and returns the items of one ticket that would wait longest.
+
+        A ticket of which an item has been sent stays here.
+
+        Args:
+            items_limit: the largest number of items.
+            bytes_limit: the largest size of their results.
+            now: the present time.
+
+        Returns:
+            None of them if no ticket fits.
+        """
+        groups: dict[int, list[Item]] = {}
+        for item in self._waiting:
+            if (item.attempt, item.stage) not in self._started_groups:
+                groups.setdefault(id(item.ticket), []).append(item)
+        fitting = [
+            group
+            for group in groups.values()
+            if len(group) <= items_limit
+            and sum(item.result_bytes for item in group) <= bytes_limit
+        ]
+        if not fitting:
+            return []
+        last = max(
+            fitting,
+            key=lambda group: max(
+                self._compute_sort_time(item, now) for item in group
+            ),
+        )
+        self.withdraw(last[0].ticket)
+        return last
+
     def take_expired(self, now: float) -> list[Item]:
         """Removes and returns items that would miss their deadline."""
         earliest_end = now + self.limits.call_seconds * self.slowness.get(now)
@@ -364,6 +400,10 @@
                 seconds - self._retention_seconds
             )
 
+    def count_waiting_bytes(self) -> int:
+        """Returns the size of the results of all queued items."""
+        return sum(item.result_bytes for item in self._waiting)
+
     def compute_free_memory(self, now: float) -> int:
         """Returns the free memory for new results, in bytes."""
         expired_names = [
--- a/samphirevale/cluster_state.py
+++ b/samphirevale/cluster_state.py
@@ -184,6 +184,20 @@
             )
         return self._owners.get(endpoint.name, self._me.name)
 
+    def are_interchangeable(
+        self, endpoint: catalogue.Endpoint, other: catalogue.Endpoint
+    ) -> bool:
+        """Returns whether items may move from one endpoint to the other.
+
+        They may if this entry owns both, and they share service and region.
+        """
+        return (
+            endpoint.service == other.service
+            and self.are_in_one_region(endpoint, other)
+            and self.find_owner(endpoint) == self._me.name
+            and self.find_owner(other) == self._me.name
+        )
+
     def are_in_one_region(
         self, endpoint: catalogue.Endpoint, other: catalogue.Endpoint
     ) -> bool:
--- a/samphirevale/entries.py
+++ b/samphirevale/entries.py
@@ -30,7 +30,7 @@
 )
 from samphirevale.adapters import link as links
 from samphirevale.availability import cordons
-from samphirevale.fair_shares import usage
+from samphirevale.fair_shares import demands
 from samphirevale.ports import clock as clocks
 from samphirevale.ports import proxies
 
@@ -183,7 +183,7 @@
         ],
         get_routes_age: Callable[[float], routes_freshness.Confirmation | None],
         origins: stream_origins.StreamOrigins,
-        service_usage: usage.ServiceUsage,
+        service_demands: demands.ServiceDemands,
         clock: clocks.Clock,
         rng: random.Random,
         log: journal.Journal,
@@ -204,7 +204,7 @@
             get_routes_age: returns how recent the routes of this entry are;
                 None if it has none.
             origins: the streams of which this entry knows where they began.
-            service_usage: what accounts have used of each service lately.
+            service_demands: what accounts have asked of each service lately.
             clock: a clock that includes time while the machine is suspended.
             rng: the source of jitter.
             log: the log of links.
@@ -224,7 +224,7 @@
         self._on_store_reported = on_store_reported
         self._get_routes_age = get_routes_age
         self._origins = origins
-        self._usage = service_usage
+        self._demands = service_demands
         self._clock = clock
         self._rng = rng
         self._journal = log
@@ -326,7 +326,7 @@
         entry.loads = {}
         if self.linked.get(name) is entry:
             del self.linked[name]
-            self._usage.remove_entry(name)
+            self._demands.remove_entry(name)
             self._journal.record_event("entry_down", entry=name)
             self._notify_members()
         for queue in entry.waiting.values():
@@ -387,7 +387,7 @@
                     ),
                 ),
             )
-            self._adopt_usage(entry.hello.instance, message.usage)
+            self._adopt_demands(entry.hello.instance, message.demands)
             self._notices.adopt_pauses(message.pauses)
             self._notices.adopt_limits(entry.hello.instance, message.limits)
         elif isinstance(message, messages.EndpointsLeaving):
@@ -417,11 +417,11 @@
         elif isinstance(message, messages.ResultsReleased):
             await self._server.release_results(message)
 
-    def _adopt_usage(self, name: str, reported: Iterable[list]) -> None:
-        self._usage.adopt_report(
+    def _adopt_demands(self, name: str, reported: Iterable[list]) -> None:
+        self._demands.adopt_report(
             name,
             [
-                usage.ReportedUsage(service, account, milliseconds / 1000)
+                demands.ReportedDemand(service, account, milliseconds / 1000)
                 for service, account, milliseconds in reported
             ],
             self._clock.now(),
--- a/samphirevale/fair_shares/usage.py
+++ b/samphirevale/fair_shares/demands.py
@@ -1,6 +1,6 @@
-"""Sums up what accounts have used of each service lately, over all entries.
+"""Sums up what accounts have asked of each service lately, over all entries.
 
-Usage decays with a time constant, so that it is a rate: what an account does
+Demands decay with a time constant, so that they are rates: what an account does
 not ask for any more is free for others within that time. Each entry reports the
 largest accounts of each service and the sum of the rest.
 """
@@ -15,19 +15,19 @@
 # The largest number of accounts of a service in a report.
 REPORTED_ACCOUNTS = 16
 
-# Usage below this many seconds is forgotten.
+# Demands below this many seconds are forgotten.
 LEAST_SECONDS = 1e-3
 
-# How long a sum over all entries is used, in seconds.
+# How long a sum over all entries is asked, in seconds.
 SUM_SECONDS = 0.1
 
-# Under this name the usage of all other accounts is reported. No account has an
-# empty name.
+# Under this name the demands of all other accounts are reported. No account has
+# an empty name.
 OTHERS = ""
 
 
-class ReportedUsage(NamedTuple):
-    """What one entry has given an account of a service.
+class ReportedDemand(NamedTuple):
+    """What an account has asked of a service at one entry.
 
     Attributes:
         service: the service.
@@ -56,17 +56,17 @@
         return self._value * math.exp(-age / DECAY_SECONDS)
 
 
-class ServiceUsage:
-    """The usage of all services by accounts.
+class ServiceDemands:
+    """The demands of accounts for all services.
 
-    Usage that other entries have reported decays until their next report.
+    What other entries have reported decays until their next report.
     """
 
     def __init__(self):
         # By service and account.
         self._own: dict[tuple[str, str], _Decaying] = {}
         # By entry.
-        self._reported: dict[str, list[ReportedUsage]] = {}
+        self._reported: dict[str, list[ReportedDemand]] = {}
         self._reported_at: dict[str, float] = {}
         # The newest sums by service, and when they were computed.
         self._sums: dict[str, tuple[float, dict[str, float]]] = {}
@@ -74,13 +74,13 @@
     def record(
         self, service: str, account: str, seconds: float, now: float
     ) -> None:
-        """Records that this entry gives an account time of a service."""
+        """Records that an account asks this entry for time of a service."""
         key = (service, account)
         self._own.setdefault(key, _Decaying()).add(seconds, now)
         self._sums.pop(service, None)
 
     def adopt_report(
-        self, entry: str, reported: Iterable[ReportedUsage], now: float
+        self, entry: str, reported: Iterable[ReportedDemand], now: float
     ) -> None:
         """Adopts what another entry reports."""
         self._reported[entry] = list(reported)
@@ -91,27 +91,27 @@
         self._reported.pop(entry, None)
         self._reported_at.pop(entry, None)
 
-    def list_largest(self, now: float) -> list[ReportedUsage]:
-        """Returns the usage of this entry, for its report."""
-        by_service: dict[str, list[ReportedUsage]] = {}
-        for (service, account), used in list(self._own.items()):
-            seconds = used.get(now)
+    def list_largest(self, now: float) -> list[ReportedDemand]:
+        """Returns the demands at this entry, for its report."""
+        by_service: dict[str, list[ReportedDemand]] = {}
+        for (service, account), asked in list(self._own.items()):
+            seconds = asked.get(now)
             if seconds < LEAST_SECONDS:
                 del self._own[service, account]
                 continue
             found = by_service.setdefault(service, [])
-            found.append(ReportedUsage(service, account, seconds))
+            found.append(ReportedDemand(service, account, seconds))
         largest = []
         for service, found in by_service.items():
-            found.sort(key=lambda used: -used.seconds)
+            found.sort(key=lambda asked: -asked.seconds)
             largest += found[:REPORTED_ACCOUNTS]
-            rest = sum(used.seconds for used in found[REPORTED_ACCOUNTS:])
+            rest = sum(asked.seconds for asked in found[REPORTED_ACCOUNTS:])
             if rest:
-                largest.append(ReportedUsage(service, OTHERS, rest))
+                largest.append(ReportedDemand(service, OTHERS, rest))
         return largest
 
     def sum_up(self, service: str, now: float) -> dict[str, float]:
-        """Returns the usage of a service by account, over all entries.
+        """Returns the demands for a service by account, over all entries.
 
         Returns:
             The decayed time in seconds; OTHERS stands for the accounts that
@@ -125,14 +125,14 @@
 
     def _compute_sum(self, service: str, now: float) -> dict[str, float]:
         totals: dict[str, float] = {}
-        for (name, account), used in self._own.items():
+        for (name, account), asked in self._own.items():
             if name == service:
-                totals[account] = totals.get(account, 0.0) + used.get(now)
+                totals[account] = totals.get(account, 0.0) + asked.get(now)
         for entry, reported in self._reported.items():
             age = max(now - self._reported_at[entry], 0.0)
             weight = math.exp(-age / DECAY_SECONDS)
-            for used in reported:
-                if used.service == service:
-                    before = totals.get(used.account, 0.0)
-                    totals[used.account] = before + used.seconds * weight
+            for asked in reported:
+                if asked.service == service:
+                    before = totals.get(asked.account, 0.0)
+                    totals[asked.account] = before + asked.seconds * weight
         return totals
--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -40,7 +40,7 @@
     stream_origins,
 )
 from samphirevale.adapters import web, web_server
-from samphirevale.fair_shares import usage
+from samphirevale.fair_shares import demands
 from samphirevale.ports import clock as clocks
 from samphirevale.ports import platforms
 
@@ -108,7 +108,7 @@
         )
         self._process_end = process_end.ProcessEnd()
         self._budget = retry_budgets.RetryBudget(settings.budget)
-        self._usage = usage.ServiceUsage()
+        self._demands = demands.ServiceDemands()
         self._selector = placement.EndpointSelector(
             self._rng, lambda name: self.table.loads.get(name)
         )
@@ -149,7 +149,7 @@
             self._adopt_store_report,
             self._get_routes_age,
             self._origins,
-            self._usage,
+            self._demands,
             clock,
             self._rng,
             log,
@@ -195,7 +195,7 @@
                     self._origins, self.table, clock
                 ),
                 return_times.ReturnSchedule(),
-                self._usage,
+                self._demands,
                 clock,
                 self._rng,
                 log,
@@ -229,7 +229,7 @@
             self.cluster_state.get_routes_version(),
             [
                 [service, account, messages.round_ms(seconds * 1000)]
-                for service, account, seconds in self._usage.list_largest(now)
+                for service, account, seconds in self._demands.list_largest(now)
             ],
             sorted(self.cluster_state.cordons.newest.names),
             self.cluster_state.cordons.newest.version,
--- a/samphirevale/item_routing.py
+++ b/samphirevale/item_routing.py
@@ -11,7 +11,7 @@
     errors,
     messages,
     routes,
-    stage_placement,
+    stage_times,
 )
 from samphirevale.ports import clock as clocks
 from samphirevale.ports import proxies
@@ -214,8 +214,7 @@
         if chosen is None:
             unsent = proxies.ItemResult("", batch_dispatch.UNSENT)
             return [unsent] * len(items)
-        results = await self._dispatcher.run_items(chosen, limits, items)
-        return [result._replace(endpoint=chosen.name) for result in results]
+        return await self._dispatcher.run_items(chosen, limits, items)
 
     def _choose_owned(
         self,
@@ -254,7 +253,7 @@
                     work,
                 )
                 + len(items)
-                * stage_placement.compute_transfer_cost(
+                * stage_times.compute_transfer_cost(
                     candidate, items[0].transfers
                 ),
                 candidate.name != endpoint.name,
--- a/samphirevale/messages.py
+++ b/samphirevale/messages.py
@@ -312,9 +312,9 @@
         store_era: the newest era of the store that the sender has seen, or
             NO_ERA.
         routes_version: the version of the sender's routes, or NO_ROUTES.
-        usage: the accounts that the sender has given most of each service, each
+        demands: the accounts that have asked most of each service, each
             as the service, the account and the time in milliseconds, with the
-            fields of fair_shares.usage.ReportedUsage.
+            fields of fair_shares.demands.ReportedDemand.
         cordoned: the names of the cordoned data centres.
         cordons_version: the version of the store at which they were cordoned,
             in the era `store_era`, or NO_CORDONS.
@@ -327,7 +327,7 @@
     limits: list[list]
     store_era: int = NO_ERA
     routes_version: int = NO_ROUTES
-    usage: list[list] = []
+    demands: list[list] = []
     cordoned: list[str] = []
     cordons_version: int = NO_CORDONS
 
--- a/samphirevale/metrics.py
+++ b/samphirevale/metrics.py
@@ -215,7 +215,7 @@
 )
 REFUSED_ABOVE_SHARE = _count(
     "refused_above_share",
-    "Requests refused for full stages whose account uses above its share.",
+    "Requests refused for full stages whose account asks above its share.",
 )
 ENDPOINTS_LEAVING = _count(
     "endpoints_leaving", "Endpoints that said that they leave.", "service"
--- a/samphirevale/proxy_context.py
+++ b/samphirevale/proxy_context.py
@@ -16,7 +16,7 @@
     return_times,
     stream_origins,
 )
-from samphirevale.fair_shares import usage
+from samphirevale.fair_shares import demands
 from samphirevale.ports import clock as clocks
 from samphirevale.ports import proxies
 
@@ -36,7 +36,7 @@
         endpoints: makes the calls to endpoints.
         origins: knows where streams began.
         returns: when the callers come back that were refused in pauses.
-        usage: what accounts have used of each service lately.
+        demands: what accounts have asked of each service lately.
         clock: a clock that includes time while the machine is suspended.
         rng: the source of all random numbers.
         journal: the log of decisions.
@@ -53,7 +53,7 @@
     endpoints: proxies.ProxyEndpoints
     origins: stream_origins.OriginDirectory
     returns: return_times.ReturnSchedule
-    usage: usage.ServiceUsage
+    demands: demands.ServiceDemands
     clock: clocks.Clock
     rng: random.Random
     journal: journal.Journal
--- a/samphirevale/request_stages.py
+++ b/samphirevale/request_stages.py
@@ -11,7 +11,7 @@
     stage_times,
     stages,
 )
-from samphirevale.fair_shares import standing, usage
+from samphirevale.fair_shares import demands, standing
 
 
 class RequestStages:
@@ -50,6 +50,7 @@
 
         Otherwise sets whether the request is queued as a late one.
         """
+        self._record_demand()
         decision = stage_admission.decide(
             stage_admission.AdmissionRequest(
                 bare_seconds=self.compute_bare_seconds(),
@@ -68,7 +69,6 @@
         }
         if decision.admitted:
             self._late = decision.late
-            self._record_usage()
             self._shared.log_step("stages_begun", **fields)
             return None
         if decision.standing < standing.FULL_STANDING:
@@ -100,23 +100,23 @@
         return min(
             (
                 standing.compute_standing(
-                    self._context.usage.sum_up(service, now),
+                    self._context.demands.sum_up(service, now),
                     self._accepted.account,
-                    cluster.compute_capacity(service) * usage.DECAY_SECONDS,
+                    cluster.compute_capacity(service) * demands.DECAY_SECONDS,
                 )
                 for service in {name for name, _ in self._list_services()}
             ),
             default=standing.FULL_STANDING,
         )
 
-    def _record_usage(self) -> None:
-        """Records what the account is given of each service."""
+    def _record_demand(self) -> None:
+        """Records what the account asks of each service."""
         now = self._context.clock.now()
         for service, items in self._list_services():
             limits = self._context.cluster_state.find_batch_limits(service)
             if limits is not None:
                 seconds = items * stage_times.compute_item_cost(limits)
-                self._context.usage.record(
+                self._context.demands.record(
                     service, self._accepted.account, seconds, now
                 )
 
--- a/samphirevale/stage_placement.py
+++ b/samphirevale/stage_placement.py
@@ -15,10 +15,6 @@
 )
 from samphirevale.availability import eligibility
 
-# Cost of transfers between data centres when an endpoint is chosen, in seconds
-# per megabyte.
-REMOTE_SECONDS_PER_MB = 0.06
-
 # Entries that decide on the same reports would all choose the same endpoint.
 # To prevent this, each entry above FEW_ENTRIES adds JITTER_SHARE of a call's
 # fixed time to the range of the random jitter on the endpoints' costs, up to
@@ -81,7 +77,9 @@
         if endpoint.name in excluded:
             continue
         seconds = runner.estimate_seconds(endpoint, limits, work, now)
-        cost = seconds + items * compute_transfer_cost(endpoint, transfers)
+        cost = seconds + items * stage_times.compute_transfer_cost(
+            endpoint, transfers
+        )
         if endpoint.data_centre != known.data_centre:
             cost += REMOTE_SECONDS
         if jitter_range:
@@ -91,18 +89,6 @@
     return best
 
 
-def compute_transfer_cost(
-    endpoint: catalogue.Endpoint, transfers: Sequence[tuple[str, int]]
-) -> float:
-    """Returns the cost of one item's transfers, in seconds."""
-    remote_bytes = sum(
-        moved_bytes
-        for data_centre, moved_bytes in transfers
-        if data_centre != endpoint.data_centre
-    )
-    return remote_bytes / 1e6 * REMOTE_SECONDS_PER_MB
-
-
 def compute_jitter_range(limits: routes.BatchLimits, entries: int) -> float:
     """Returns the range of the jitter on endpoint costs, in seconds."""
     excess = max(entries - FEW_ENTRIES, 0)
--- a/samphirevale/stage_times.py
+++ b/samphirevale/stage_times.py
@@ -2,7 +2,11 @@
 
 from collections.abc import Sequence
 
-from samphirevale import routes
+from samphirevale import catalogue, routes
+
+# Cost of transfers between data centres when an endpoint is chosen, in seconds
+# per megabyte.
+REMOTE_SECONDS_PER_MB = 0.06
 
 
 def get_item_count(counts: Sequence[int], index: int) -> int:
@@ -53,3 +57,15 @@
                 before = shortest.get(stage.service, seconds)
                 shortest[stage.service] = min(before, seconds)
     return shortest
+
+
+def compute_transfer_cost(
+    endpoint: catalogue.Endpoint, transfers: Sequence[tuple[str, int]]
+) -> float:
+    """Returns the cost of one item's transfers, in seconds."""
+    remote_bytes = sum(
+        moved_bytes
+        for data_centre, moved_bytes in transfers
+        if data_centre != endpoint.data_centre
+    )
+    return remote_bytes / 1e6 * REMOTE_SECONDS_PER_MB
--- a/tests/proxy_fakes.py
+++ b/tests/proxy_fakes.py
@@ -173,6 +173,7 @@
         self.has_other = True
         self.leaving = False
         self.paused_until = 0.0
+        self.interchangeable = True
 
     def is_usable(self, endpoint, now):
         return self.usable
@@ -180,6 +181,9 @@
     def has_other_endpoint(self, endpoint, now):
         return self.has_other
 
+    def are_interchangeable(self, endpoint, other):
+        return self.interchangeable
+
     def compute_call_delay(self, endpoint, now):
         return None if self.leaving else max(self.paused_until - now, 0.0)
 
--- a/tests/test_batch_dispatch.py
+++ b/tests/test_batch_dispatch.py
@@ -548,3 +548,124 @@
         await waiting.join()
         self.assertFalse(limit.expired)
         self.assertEqual(["a3/0/0"], [outcome.result for outcome in results])
+
+
+class MovedItemsTest(base.TestCase):
+    """Tests items that wait at one endpoint while another one is idle."""
+
+    def setUp(self):
+        self.clock = proxy_fakes.FakeClock()
+        self.endpoints = proxy_fakes.FakeEndpoints()
+        self.busy = proxy_fakes.build_endpoint("busy", data_centre="a")
+        self.idle = proxy_fakes.build_endpoint("idle", data_centre="b")
+        self.availability = proxy_fakes.FakeAvailability()
+        self.dispatcher = batch_dispatch.BatchDispatcher(
+            self.endpoints,
+            self.clock,
+            proxy_fakes.FakeJournal(),
+            self.availability,
+        )
+        self.gate = curio.Event()
+        self.endpoints.run_batch = self.run_batch
+
+    async def run_batch(self, endpoint, items, now):
+        self.endpoints.batches.append((endpoint.name, list(items)))
+        if endpoint.name == "busy":
+            await self.gate.wait()
+        return self.endpoints.succeed_all(items)
+
+    def build_items(self, attempt, count=1, **changes):
+        now = self.clock.now()
+        changes = {"due_at": now + 5, "deadline_at": now + 50, **changes}
+        return [
+            proxy_fakes.build_item(index, attempt, **changes)
+            for index in range(count)
+        ]
+
+    async def start(self, attempt, **changes):
+        """Runs items at the busy endpoint; returns their task."""
+        task = await curio.spawn(
+            self.dispatcher.run_items,
+            self.busy,
+            LIMITS,
+            self.build_items(attempt, **changes),
+        )
+        await curio.sleep(0.01)
+        return task
+
+    async def fill(self):
+        """Occupies the busy endpoint with a call and a full batch."""
+        tasks = [await self.start("running")]
+        for number in range(LIMITS.items):
+            tasks.append(await self.start(f"waiting{number}"))
+        return tasks
+
+    def list_batches(self, name):
+        return [
+            sorted({item.attempt for item in items})
+            for endpoint, items in self.endpoints.batches
+            if endpoint == name
+        ]
+
+    async def finish(self, tasks):
+        """Ends all calls; returns the endpoints of the results."""
+        await self.gate.set()
+        results = [await task.join() for task in tasks]
+        return [result.endpoint for group in results for result in group]
+
+    async def test_idle_endpoint_takes_what_would_wait_longest(self):
+        tasks = await self.fill()
+        self.dispatcher.find_queue(self.idle, LIMITS)
+        tasks.append(await self.start("last", due_at=self.clock.now() + 9))
+        self.assertIn("last", self.list_batches("idle")[0])
+        self.assertEqual("idle", (await self.finish(tasks))[-1])
+
+    async def test_items_stay_where_their_transfers_cost_more(self):
+        tasks = await self.fill()
+        self.dispatcher.find_queue(self.idle, LIMITS)
+        transfers = (("a", 100_000_000),)
+        tasks.append(await self.start("last", transfers=transfers))
+        moved = sum(self.list_batches("idle"), [])
+        self.assertNotIn("last", moved)
+        self.assertEqual("busy", (await self.finish(tasks))[-1])
+
+    async def test_items_stay_at_the_endpoints_of_another_owner(self):
+        self.availability.interchangeable = False
+        tasks = await self.fill()
+        self.dispatcher.find_queue(self.idle, LIMITS)
+        tasks.append(await self.start("last"))
+        self.assertEqual([], self.list_batches("idle"))
+        await self.finish(tasks)
+
+    async def test_moved_items_that_are_cancelled_are_released(self):
+        tasks = await self.fill()
+        self.dispatcher.find_queue(self.idle, LIMITS)
+        idle_gate = curio.Event()
+        run_batch = self.run_batch
+
+        async def run_held(endpoint, items, now):
+            if endpoint.name == "idle":
+                await idle_gate.wait()
+            return await run_batch(endpoint, items, now)
+
+        self.endpoints.run_batch = run_held
+        moved = await self.start("last", due_at=self.clock.now() + 9)
+        await moved.cancel()
+        await idle_gate.set()
+        await self.finish(tasks)
+        await curio.sleep(0.01)
+        self.assertIn("last/0/0", self.endpoints.released)
+
+    async def test_each_item_runs_once(self):
+        tasks = await self.fill()
+        self.dispatcher.find_queue(self.idle, LIMITS)
+        for number in range(12):
+            tasks.append(await self.start(f"more{number}", count=2))
+        await self.finish(tasks)
+        ran = [
+            (item.attempt, item.index)
+            for _, items in self.endpoints.batches
+            for item in items
+        ]
+        self.assertEqual(len(set(ran)), len(ran))
+        self.assertEqual(1 + LIMITS.items + 24, len(ran))
