--- a/samphirevale/cluster_watch.py
+++ b/samphirevale/cluster_watch.py
@@ -12,14 +12,13 @@
     freshness,
     gateway_settings,
     journal,
-    notice_handler,
     registrations,
     routes,
     routes_freshness,
     store_eras,
     watchers,
 )
-from samphirevale.availability import cordon_watch
+from samphirevale.availability import cold_log, cordon_watch
 from samphirevale.ports import clock as clocks
 from samphirevale.ports import objects, platforms
 
@@ -275,7 +274,7 @@
         stated = self._adapters.decode_cold_seconds(stored)
         turns_cold |= cold.record_cold(endpoint, stated, now)
         if turns_cold:
-            notice_handler.record_cold(
+            cold_log.record_cold(
                 self._journal,
                 endpoint,
                 cold.compute_rest(endpoint, now),
--- a/samphirevale/notice_handler.py
+++ b/samphirevale/notice_handler.py
@@ -12,6 +12,7 @@
     messages,
     metrics,
 )
+from samphirevale.availability import cold_log
 from samphirevale.ports import clock as clocks
 from samphirevale.ports import proxies
 
@@ -63,7 +64,7 @@
 
     def _record_cold(self, endpoint: catalogue.Endpoint, source: str) -> None:
         rest = self._cluster.warm_ups.compute_rest(endpoint, self._clock.now())
-        record_cold(self._journal, endpoint, rest, source)
+        cold_log.record_cold(self._journal, endpoint, rest, source)
 
     async def handle_notice(
         self, endpoint: catalogue.Endpoint, notice: proxies.EndpointNotice
@@ -216,30 +217,6 @@
         self._cluster.notices.remove_expired(self._cluster.is_registered, now)
 
 
-def record_cold(
-    log: journal.Journal,
-    endpoint: catalogue.Endpoint,
-    rest_seconds: float,
-    source: str,
-) -> None:
-    """Logs and counts that an endpoint turns cold.
-
-    Args:
-        log: the log.
-        endpoint: the endpoint.
-        rest_seconds: how long it stays cold.
-        source: from what this is known.
-    """
-    metrics.ENDPOINTS_COLD.labels(service=endpoint.service).inc()
-    log.record_event(
-        "endpoint_cold",
-        endpoint=endpoint.name,
-        service=endpoint.service,
-        seconds=round(rest_seconds, 3),
-        source=source,
-    )
-
-
 def _build_message(
     starts: Iterable[catalogue.EndpointStart],
 ) -> messages.EndpointsLeaving:
