Test the decoders of cold times, bounds and homes, and the watch of cordons

Found by the tests: a remaining cold time that is no number made an endpoint cold for ever in the eyes of one entry (max(nan, x) is nan). It counts as none now.

--- a/samphirevale/platform/endpoint_objects.py
+++ b/samphirevale/platform/endpoint_objects.py
@@ -1,5 +1,6 @@
 """Decodes the endpoints registered in the platform's store."""
 
+import math
 from typing import Any
 
 from samphirevale import catalogue
@@ -57,6 +58,8 @@
     cold_ms = value.get("cold_remaining_ms") if isinstance(value, dict) else 0
     if not _is_integer(cold_ms) and not isinstance(cold_ms, float):
         return 0.0
+    if math.isnan(cold_ms):
+        return 0.0
     return min(max(cold_ms / 1000, 0.0), notices.COLD_SECONDS_LIMIT)
 
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -1,12 +1,13 @@
 """Tests of decoding the platform's data formats."""
 
-from samphirevale import errors, proxy_requests
+from samphirevale import errors, proxy_requests, routes
 from samphirevale.adapters import web
 from samphirevale.platform import (
     callers,
     endpoint_objects,
     manifest,
     node_file,
+    notices,
 )
 from samphirevale.ports import objects
 from tests import base
@@ -80,6 +81,27 @@
         self.assertIsNone(self.decode("text"))
 
 
+class ColdSecondsTest(base.TestCase):
+    """What the objects of registered servers tell of their cold time."""
+
+    def decode(self, value):
+        stored = objects.StoredObject("servers", "i-1", 3, value)
+        return endpoint_objects.decode_cold_seconds(stored)
+
+    def test_rest_of_the_cold_time(self):
+        self.assertEqual(1.5, self.decode({"cold_remaining_ms": 1500}))
+        self.assertEqual(0.0, self.decode(ENTRY))
+
+    def test_absurd_values_are_ignored_or_capped(self):
+        for value in (-5, "9", True, None, [], float("nan")):
+            self.assertEqual(0.0, self.decode({"cold_remaining_ms": value}))
+        self.assertEqual(0.0, self.decode(None))
+        self.assertEqual(
+            notices.COLD_SECONDS_LIMIT,
+            self.decode({"cold_remaining_ms": 1e300}),
+        )
+
+
 class NodeFileTest(base.TestCase):
     """The platform's settings file."""
 
@@ -99,6 +121,21 @@
             [finding.place for finding in caught.exception.findings],
         )
 
+    def test_bounds_that_not_all_deployments_have(self):
+        gateway = node_file.read_node_file(SETTINGS).gateway
+        self.assertEqual(0.0, gateway.cordon_seconds)
+        self.assertIsNone(gateway.cold_bound)
+        self.assertEqual({}, gateway.regions)
+        bounds = "[bounds]\nevacuation_ms = 5000\ncold_overshoot = 1.5"
+        limits = '[zones]\na = "north"\n[limits]\ncpu_share = 0.5\ncores = 3'
+        text = SETTINGS.replace("[bounds]", bounds + "\ncold_allowance = 5")
+        text = text.replace("[limits]", limits)
+        gateway = node_file.read_node_file(text).gateway
+        self.assertEqual(5.0, gateway.cordon_seconds)
+        self.assertEqual((1.5, 5.0), gateway.cold_bound)
+        self.assertEqual({"a": "north"}, gateway.regions)
+        self.assertEqual(1.5, gateway.processor)
+
     def test_a_file_that_is_not_toml(self):
         with self.assertRaises(errors.InvalidInputError):
             node_file.read_node_file("=")
@@ -179,6 +216,24 @@
         self.assertEqual(7, table.limits.body_bytes)
         self.assertIsNone(table.accounts)
 
+    def test_cold_limits_and_homes(self):
+        value = sessions.build_manifest()
+        value["services"][0] |= {"cold_start_s": 3.0, "cold_per_s": 8.0}
+        value["services"][1] |= {"cold_start_s": 3.0, "cold_per_s": 0.0}
+        value["routes"][0]["allowed_regions"] = ["north", "south"]
+        value["routes"][1]["allowed_regions"] = []
+        value["tenants"][0]["allowed_regions"] = ["south"]
+        table = manifest.decode_manifest(value)
+        self.assertEqual((3.0, 8.0), table.services["plain"].cold)
+        self.assertIsNone(table.services["model"].cold)
+        account = table.accounts["k1"]
+        read = table.find_route("h.example", "/read/x")
+        once = table.find_route("h.example", "/once/x")
+        self.assertEqual({"south"}, routes.find_regions(read, account))
+        self.assertEqual({"south"}, routes.find_regions(once, account))
+        self.assertEqual({"north", "south"}, routes.find_regions(read, None))
+        self.assertIsNone(routes.find_regions(once, None))
+
     def test_target_between_events(self):
         value = sessions.build_manifest()
         value["routes"][2]["itl_target_ms"] = 40
--- a/tests/platform/test_notices.py
+++ b/tests/platform/test_notices.py
@@ -28,6 +28,13 @@
             )
         self.assertEqual(proxies.NO_NOTICE, self.decode(429, retry_after="3"))
 
+    def test_answer_may_state_how_long_its_endpoint_is_cold(self):
+        notice = self.decode(200, samphirevale_cold_ms="1500")
+        self.assertEqual(proxies.EndpointNotice(cold_seconds=1.5), notice)
+        notice = self.decode(200, samphirevale_cold_ms="soon")
+        self.assertEqual(0.0, notice.cold_seconds)
+        self.assertEqual(1, len(notice.malformed))
+
     def test_malformed_headers_are_described(self):
         for text in (
             *("-1", "soon", "nan", "inf", "-inf", "1e3", "1_0", "0x1", "1,5"),
--- a/tests/test_registrations.py
+++ b/tests/test_registrations.py
@@ -8,6 +8,22 @@
 class RegistrationTest(base.TestCase):
     """Tests the decoding of stored registrations."""
 
+    def test_registration_is_decoded_as_it_was_encoded(self):
+        registration = registrations.Registration("n", "h", 2, "x", 0.3)
+        value = registrations.encode_registration(registration)
+        stored = objects.StoredObject(registrations.KIND, "n", 1, value)
+        found = registrations.decode_registration(stored)
+        self.assertEqual(registration, found)
+
+    def test_processor_of_a_registration_may_be_missing_but_not_absurd(self):
+        value = {"host": "h", "port": 2, "token": "x"}
+        stored = objects.StoredObject(registrations.KIND, "n", 1, value)
+        found = registrations.decode_registration(stored)
+        self.assertEqual(1.0, found.processor)
+        for processor in (0, -1, "2", None, float("nan")):
+            wrong = stored._replace(value=value | {"processor": processor})
+            self.assertIsNone(registrations.decode_registration(wrong))
+
     def test_malformed_registration_is_none(self):
         for value in (None, [], {}, {"host": 1, "port": 2, "token": "x"}):
             stored = objects.StoredObject(registrations.KIND, "n", 1, value)
