--- a/samphirevale/stage_admission.py
+++ b/samphirevale/stage_admission.py
@@ -7,8 +7,9 @@
 - On time: the request is expected to meet its target. The target leaves it a
   certain queueing time. Where kinds of requests share a service, none may use
   more of it than the kind with the least: longer queues would not serve more
-  requests, and those that can wait would displace those that cannot. Requests
-  of lower priority may use a little less.
+  requests, and those that can wait would displace those that cannot. Other
+  rules are registered to be measured against. Requests of lower priority may
+  use a little less.
 - Late: the request cannot meet its target any more, or was refused before. It
   is queued behind those on time, so it is admitted if even then a margin
   remains until its deadline.
@@ -21,6 +22,7 @@
 from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple
 
+from samphirevale import registry
 from samphirevale.fair_shares import standing
 
 # The least queueing time that is allowed at rank 0, in seconds.
@@ -134,9 +136,37 @@
         return min(max(excess, low), high)
 
 
+# Takes the shortest queueing time that the routes with a service leave, and the
+# one that the request's own target leaves, and returns the one that it may use.
+QueueingRule = Callable[[float, float], float]
+
+queueing_rules: registry.Registry[QueueingRule] = registry.Registry(
+    "rule for queueing times"
+)
+
+
+@queueing_rules.register("shared")
+def use_shared(shared_seconds: float, own_seconds: float) -> float:
+    """Lets all kinds of requests queue equally long."""
+    return shared_seconds
+
+
+@queueing_rules.register("own")
+def use_own(shared_seconds: float, own_seconds: float) -> float:
+    """Lets each kind queue as long as its target allows; a baseline."""
+    return own_seconds
+
+
+@queueing_rules.register("blended")
+def use_blended(shared_seconds: float, own_seconds: float) -> float:
+    """Lets kinds that can wait use half of their longer time; a baseline."""
+    return (shared_seconds + max(own_seconds, shared_seconds)) / 2
+
+
 def decide(
     request: AdmissionRequest,
     estimate_stages: Callable[[bool], StagesEstimate],
+    rule: str = "shared",
 ) -> Decision:
     """Decides whether to admit a request to its stages, and whether as late.
 
@@ -145,16 +175,17 @@
         estimate_stages: returns the estimated times of all stages; the
             argument tells whether the request is queued behind those that are
             on time.
+        rule: the name of a registered rule for queueing times.
     """
     if not request.returned:
-        decision = _decide_on_time(request, estimate_stages(False))
+        decision = _decide_on_time(request, estimate_stages(False), rule)
         if decision.admitted:
             return decision
     return _decide_late(request, estimate_stages(True))
 
 
 def _decide_on_time(
-    request: AdmissionRequest, estimate: StagesEstimate
+    request: AdmissionRequest, estimate: StagesEstimate, rule: str
 ) -> Decision:
     share = max(RANK_FACTOR**request.rank, RANK_FACTOR_FLOOR)
     share *= request.standing
@@ -163,7 +194,13 @@
         MIN_QUEUEING_SECONDS,
     )
     return _build_decision(
-        request, False, estimate, own_seconds * share, share, estimate.waits
+        request,
+        False,
+        estimate,
+        own_seconds * share,
+        share,
+        estimate.waits,
+        queueing_rules.get(rule),
     )
 
 
@@ -190,6 +227,7 @@
     queueing_seconds: float,
     stage_share: float,
     waits: Sequence[StageWait],
+    rule: QueueingRule = use_shared,
 ) -> Decision:
     """Builds a decision.
 
@@ -201,11 +239,12 @@
         stage_share: the share of the shared queueing time of a service that
             the queue of a stage may take.
         waits: the queues to which that limit applies.
+        rule: returns the queueing time of which that is a share.
     """
     excess = max(
         (
             wait.seconds
-            - stage_share * _compute_shared_queueing(request, wait.service)
+            - stage_share * _compute_queueing(request, wait.service, rule)
             for wait in waits
         ),
         default=0.0,
@@ -222,6 +261,11 @@
     )
 
 
-def _compute_shared_queueing(request: AdmissionRequest, service: str) -> float:
-    seconds = request.shared_queueing.get(service, math.inf)
-    return max(seconds - request.model_seconds, MIN_QUEUEING_SECONDS)
+def _compute_queueing(
+    request: AdmissionRequest, service: str, rule: QueueingRule
+) -> float:
+    """Returns the queueing time that a request may use at a service."""
+    shared = request.shared_queueing.get(service, math.inf)
+    own = request.target_seconds - request.bare_seconds
+    seconds = rule(shared, own) - request.model_seconds
+    return max(seconds, MIN_QUEUEING_SECONDS)
--- a/tests/test_stage_admission.py
+++ b/tests/test_stage_admission.py
@@ -275,6 +275,34 @@
         self.assertLess(len(missed), len(baseline_missed) / 4)
         self.assertGreater(ranks.count(2), 0)
 
+    def measure_kinds(self, rule):
+        """Returns the share in time of each of three kinds in an overload."""
+        targets = (1.0, 2.0, 2.5)
+        rng = random.Random(7)
+        arrivals = [
+            Arrival(rng.uniform(0, 12), 0, rng.choice(targets), 0.8)
+            for _ in range(340)
+        ]
+        in_time, _ = self.simulate_burst(
+            arrivals, functools.partial(stage_admission.decide, rule=rule)
+        )
+        return [
+            sum(arrival.target_seconds == target for arrival in in_time)
+            / sum(arrival.target_seconds == target for arrival in arrivals)
+            for target in targets
+        ]
+
+    def test_shared_queueing_time_starves_no_kind_unlike_other_rules(self):
+        shares = {
+            rule: self.measure_kinds(rule)
+            for rule in stage_admission.queueing_rules.list_names()
+        }
+        worst = {rule: min(found) for rule, found in shares.items()}
+        self.assertEqual("shared", max(worst, key=worst.__getitem__), shares)
+        self.assertGreater(worst["shared"], 1.5 * worst["own"], shares)
+        total = {rule: sum(found) for rule, found in shares.items()}
+        self.assertGreater(total["shared"], 0.9 * max(total.values()), shares)
+
     def test_kinds_that_share_a_service_are_served_alike(self):
         def simulate(shared_queueing_seconds):
             rng = random.Random(5)
