Read how long endpoints say that work takes at the moment

It now counts as a call that took so long, so an owner avoids an endpoint whose machine is busy from its first answer on.

--- a/lab/availability_mechanisms.py
+++ b/lab/availability_mechanisms.py
@@ -248,4 +248,13 @@
         "tests.test_batch_dispatch.MovedItemsTest"
         ".test_idle_endpoint_takes_what_would_wait_longest",
     ),
+    _ablate(
+        "slowness that endpoints state adopted",
+        SLOW,
+        "notice_handler",
+        "            self._record_slowness(endpoint, notice.slowness)\n",
+        "            pass\n",
+        "tests.test_notice_handler.NoticeHandlerTest"
+        ".test_stated_slowness_and_cold_time_are_applied",
+    ),
 )
--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -388,7 +388,7 @@
         "leaving not told to callers",
         LEAVING,
         "platform/headers",
-        "NOT_FOR_CALLERS = HOP_BY_HOP | {LEAVING, LIMIT, COLD_MS}",
+        "NOT_FOR_CALLERS = HOP_BY_HOP | {LEAVING, LIMIT, COLD_MS, LOAD}",
         "NOT_FOR_CALLERS = HOP_BY_HOP",
         f"{_CALLS}.PlatformEndpointsTest"
         ".test_callers_do_not_learn_that_an_endpoint_leaves",
--- a/samphirevale/batch_dispatch.py
+++ b/samphirevale/batch_dispatch.py
@@ -233,6 +233,14 @@
             self._queue_tasks.pop(key, None)
         self._penalized_until.pop(endpoint.name, None)
 
+    def record_slowness(
+        self, endpoint: catalogue.Endpoint, stated: float
+    ) -> None:
+        """Records how slow an endpoint says that it is at this moment."""
+        queue = self._queues.get(_build_key(endpoint))
+        if queue is not None:
+            queue.slowness.record(stated, self._clock.now())
+
     async def withdraw_items(
         self, endpoint: catalogue.Endpoint, reason: str = UNSENT
     ) -> None:
--- a/samphirevale/endpoint_load/slowness.py
+++ b/samphirevale/endpoint_load/slowness.py
@@ -6,7 +6,8 @@
 
 The slowness is the time of a call as a multiple of the configured one. A call
 that is still running counts as well once it takes longer than expected: its end
-is then as far away as it is overdue.
+is then as far away as it is overdue. What an endpoint states of the time that
+work takes at this moment counts as a call that took so long.
 """
 
 import math
@@ -77,8 +78,12 @@
             seconds: its duration.
             now: the present time.
         """
+        self.record(seconds / expected_seconds, now)
+
+    def record(self, observed: float, now: float) -> None:
+        """Records a slowness that was observed, or stated by the endpoint."""
         low, high = OBSERVATION_BOUNDS
-        observed = min(max(seconds / expected_seconds, low), high)
+        observed = min(max(observed, low), high)
         self._value = self._estimate(self.get(now), observed)
         self._learned_at = now
 
--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -115,6 +115,9 @@
         self._notices = notice_handler.NoticeHandler(
             self.cluster_state,
             lambda endpoint: self._dispatcher.withdraw_items(endpoint),
+            lambda endpoint, slowness: self._dispatcher.record_slowness(
+                endpoint, slowness
+            ),
             lambda message: self.table.broadcast(message),
             clock,
             log,
--- a/samphirevale/notice_handler.py
+++ b/samphirevale/notice_handler.py
@@ -24,6 +24,7 @@
         self,
         known: cluster_state.ClusterState,
         withdraw_items: Callable[[catalogue.Endpoint], Awaitable[None]],
+        record_slowness: Callable[[catalogue.Endpoint, float], None],
         broadcast: Callable[[messages.EndpointsLeaving], Awaitable[None]],
         clock: clocks.Clock,
         log: journal.Journal,
@@ -33,12 +34,14 @@
         Args:
             known: keeps the notices.
             withdraw_items: takes back the items queued for an endpoint.
+            record_slowness: records how slow an endpoint says that it is.
             broadcast: sends a message to all linked entries.
             clock: a clock that includes time while the machine is suspended.
             log: the log of notices.
         """
         self._cluster = known
         self._withdraw_items = withdraw_items
+        self._record_slowness = record_slowness
         self._broadcast = broadcast
         self._clock = clock
         self._journal = log
@@ -76,6 +79,8 @@
             self._handle_limit(endpoint, notice.limit)
         if notice.pause_seconds > 0:
             await self._handle_pause(endpoint, notice.pause_seconds)
+        if notice.slowness is not None:
+            self._record_slowness(endpoint, notice.slowness)
         if self._cluster.warm_ups.record_cold(
             endpoint, notice.cold_seconds, self._clock.now()
         ):
--- a/samphirevale/platform/headers.py
+++ b/samphirevale/platform/headers.py
@@ -20,6 +20,8 @@
 LIMIT = "server-limit"
 RETRY_AFTER = "retry-after"
 COLD_MS = "samphirevale-cold-ms"
+# Running and waiting requests, slots and the time of work in percent.
+LOAD = "samphirevale-backend-load"
 
 # Headers that apply to one connection only and are not forwarded.
 HOP_BY_HOP = frozenset(
@@ -37,7 +39,7 @@
 )
 
 # Headers of answers that callers do not get.
-NOT_FOR_CALLERS = HOP_BY_HOP | {LEAVING, LIMIT, COLD_MS}
+NOT_FOR_CALLERS = HOP_BY_HOP | {LEAVING, LIMIT, COLD_MS, LOAD}
 
 # Headers that the proxy sets itself. A caller's values are removed.
 SYSTEM_SET = frozenset(
--- a/samphirevale/platform/notices.py
+++ b/samphirevale/platform/notices.py
@@ -33,7 +33,8 @@
         pause = answer_headers.get(headers.RETRY_AFTER, "").strip()
     limit = answer_headers.get(headers.LIMIT, "").strip()
     cold_ms = answer_headers.get(headers.COLD_MS, "").strip()
-    if not (leaving or pause or limit or cold_ms):
+    load = answer_headers.get(headers.LOAD, "").strip()
+    if not (leaving or pause or limit or cold_ms or load):
         return proxies.NO_NOTICE
     malformed = []
     if leaving not in ("", "1"):
@@ -48,9 +49,18 @@
         calls,
         limit_malformed=bool(limit) and calls is None,
         cold_seconds=min(cold / 1000, COLD_SECONDS_LIMIT),
+        slowness=_parse_slowness(load),
     )
 
 
+def _parse_slowness(text: str) -> float | None:
+    """Returns the last of four figures, which not all endpoints state."""
+    figures = [figure.strip() for figure in text.split(",")]
+    if len(figures) < 4 or not _DECIMAL.fullmatch(figures[3]):
+        return None
+    return float(figures[3]) / 100 or None
+
+
 def _parse_decimal(name: str, text: str, malformed: list[str]) -> float | None:
     """Returns the number in a header; None if it is absent or malformed.
 
--- a/samphirevale/ports/proxies.py
+++ b/samphirevale/ports/proxies.py
@@ -65,6 +65,8 @@
         limit_malformed: whether it names a malformed limit.
         cold_seconds: how much longer the endpoint is cold; 0 if it does not
             say so.
+        slowness: how long work takes at the endpoint at this moment, as a
+            multiple of the usual time; None if it does not say so.
     """
 
     leaving: bool = False
@@ -73,6 +75,7 @@
     limit: float | None = None
     limit_malformed: bool = False
     cold_seconds: float = 0.0
+    slowness: float | None = None
 
 
 NO_NOTICE = EndpointNotice()
--- a/tests/endpoint_load/test_slowness.py
+++ b/tests/endpoint_load/test_slowness.py
@@ -53,6 +53,10 @@
             self.record(1.0)
         self.assertLess(self.get(), 1.2)
 
+    def test_statement_counts_as_a_call(self):
+        self.slowness.record(4.0, NOW)
+        self.assertEqual(2.5, self.get())
+
     def test_one_observation_is_bounded(self):
         self.record(1e9)
         self.assertLess(self.get(), slowness.OBSERVATION_BOUNDS[1])
--- a/tests/platform/test_notices.py
+++ b/tests/platform/test_notices.py
@@ -35,6 +35,20 @@
         self.assertEqual(0.0, notice.cold_seconds)
         self.assertEqual(1, len(notice.malformed))
 
+    def test_answer_may_state_how_slow_its_endpoint_is(self):
+        for text, slowness in (
+            ("3,0,8,250", 2.5),
+            ("3, 0, 8, 87.5", 0.875),
+            ("3,0,8", None),
+            ("", None),
+            ("3,0,8,", None),
+            ("3,0,8,nan", None),
+            ("3,0,8,0", None),
+            ("3,0,8,-5", None),
+        ):
+            notice = self.decode(200, samphirevale_backend_load=text)
+            self.assertEqual(slowness, notice.slowness, text)
+
     def test_malformed_headers_are_described(self):
         for text in (
             *("-1", "soon", "nan", "inf", "-inf", "1e3", "1_0", "0x1", "1,5"),
--- a/tests/test_notice_handler.py
+++ b/tests/test_notice_handler.py
@@ -36,14 +36,23 @@
         self.journal = proxy_fakes.FakeJournal()
         self.withdrawn = []
         self.told = []
+        self.stated = []
         self.handler = notice_handler.NoticeHandler(
             self.cluster,
             self.record_withdrawn,
+            lambda endpoint, slowness: self.stated.append(slowness),
             self.record_told,
             self.clock,
             self.journal,
         )
 
+    async def test_stated_slowness_and_cold_time_are_applied(self):
+        endpoint = proxy_fakes.build_endpoint()
+        notice = proxies.EndpointNotice(slowness=2.5, cold_seconds=3.0)
+        await self.handler.handle_notice(endpoint, notice)
+        self.assertEqual([2.5], self.stated)
+        self.assertNotIn("endpoint_cold", self.journal.list_events())
+
     async def record_withdrawn(self, endpoint):
         self.withdrawn.append(endpoint)
 
@@ -194,6 +203,7 @@
                 notice_handler.NoticeHandler(
                     cluster,
                     ignore_withdrawn,
+                    lambda endpoint, slowness: None,
                     record_told,
                     self.clock,
                     self.journal,
