Decide which items move in a module of its own, without a network

The decision is the same; it is tested by itself now (any queues: nothing lost, doubled or divided).

--- a/lab/availability_mechanisms.py
+++ b/lab/availability_mechanisms.py
@@ -233,17 +233,17 @@
     _ablate(
         "items moved only if they gain more than their transfers",
         DEMAND,
-        "batch_dispatch",
-        "gained = seconds_there - seconds_here - len(group) * cost",
-        "gained = seconds_there - seconds_here",
+        "item_moves",
+        "- seconds_here - len(group) * cost",
+        "- seconds_here",
         "tests.test_batch_dispatch.MovedItemsTest"
         ".test_items_stay_where_their_transfers_cost_more",
     ),
     _ablate(
         "moved items released where they ran",
         DEMAND,
-        "batch_dispatch",
-        "            group[0].ticket.endpoint = target\n",
+        "item_moves",
+        "            ticket.endpoint = free.endpoint\n",
         "",
         "tests.test_batch_dispatch.MovedItemsTest"
         ".test_idle_endpoint_takes_what_would_wait_longest",
--- a/samphirevale/batch_dispatch.py
+++ b/samphirevale/batch_dispatch.py
@@ -10,6 +10,7 @@
     batching,
     catalogue,
     errors,
+    item_moves,
     journal,
     metrics,
     routes,
@@ -46,10 +47,6 @@
 # How long an endpoint is penalized after a failed call, in seconds.
 PENALTY_DURATION_SECONDS = 1.0
 
-# Items move to another endpoint if they are done earlier by this share of a
-# call's fixed time.
-MOVE_GAIN_CALLS = 0.25
-
 # The penalty that is added to the estimated completion time of such an endpoint
 # when endpoints are compared, in seconds.
 PENALTY_SECONDS = 2.0
@@ -379,21 +376,20 @@
             elif len(queue):
                 await self._clock.sleep(POLL_SECONDS)
 
-    def _list_siblings(
+    def _list_others(
         self, endpoint: catalogue.Endpoint
-    ) -> list[tuple[catalogue.Endpoint, batching.BatchQueue]]:
-        """Returns the endpoints that an endpoint's items could run at."""
+    ) -> list[item_moves.QueuedEndpoint]:
+        """Returns the other endpoints at which its items could run."""
         return [
-            (other, self._queues[key])
+            item_moves.QueuedEndpoint(other, self._queues[key])
             for key, other in self._queued_endpoints.items()
-            if key in self._queues
-            and other.name != endpoint.name
+            if other.name != endpoint.name
             and self._availability.are_interchangeable(other, endpoint)
         ]
 
     async def _wake_idle(self, endpoint: catalogue.Endpoint) -> None:
         """Lets idle endpoints take items that wait at another one."""
-        for other, queue in self._list_siblings(endpoint):
+        for other, queue in self._list_others(endpoint):
             if not queue.running and not len(queue):
                 await self._start_queue_task(other, queue)
 
@@ -403,71 +399,10 @@
         queue: batching.BatchQueue,
         now: float,
     ) -> None:
-        """Moves items to an endpoint that can start them at once.
-
-        They come from the endpoint at which they would wait longest, and only
-        if they are done earlier by more than their transfers cost. An item
-        moves to an endpoint that is free only, so none moves back and forth.
-        """
-        if queue.running or not self._availability.is_usable(endpoint, now):
-            return
-        siblings = self._list_siblings(endpoint)
-        while len(queue) < queue.limits.items and siblings:
-            waits = [
-                (_estimate_all(other_queue, now), index)
-                for index, (_, other_queue) in enumerate(siblings)
-            ]
-            seconds, index = max(waits)
-            _, other_queue = siblings[index]
-            group = other_queue.take_last_group(
-                queue.limits.items - len(queue),
-                queue.compute_free_memory(now) - queue.count_waiting_bytes(),
-                now,
-            )
-            if not group:
-                del siblings[index]
-                continue
-            target = endpoint
-            if not self._gains(group, endpoint, queue, seconds, now):
-                target, queue_of_target = siblings[index]
-                del siblings[index]
-            else:
-                queue_of_target = queue
-            for item in group:
-                queue_of_target.add(item)
-            group[0].ticket.endpoint = target
-
-    def _gains(
-        self,
-        group: Sequence[batching.Item],
-        endpoint: catalogue.Endpoint,
-        queue: batching.BatchQueue,
-        seconds_there: float,
-        now: float,
-    ) -> bool:
-        """Returns whether items should move to an endpoint.
-
-        Args:
-            group: the items of one ticket.
-            endpoint: the endpoint that is free.
-            queue: its queue.
-            seconds_there: when they are done where they wait, from now.
-            now: the present time.
-        """
-        work = batching.NewItems(
-            len(group), sum(item.result_bytes for item in group), True
-        )
-        seconds_here = batching.estimate_seconds(
-            queue.build_state(now), queue.limits, work
-        )
-        transfers = group[0].transfers
-        cost = stage_times.compute_transfer_cost(
-            endpoint, transfers
-        ) - stage_times.compute_transfer_cost(
-            group[0].ticket.endpoint, transfers
-        )
-        gained = seconds_there - seconds_here - len(group) * cost
-        return gained > queue.limits.call_seconds * MOVE_GAIN_CALLS
+        """Moves items here that would wait longer elsewhere, if it is free."""
+        if not queue.running and self._availability.is_usable(endpoint, now):
+            free = item_moves.QueuedEndpoint(endpoint, queue)
+            item_moves.pull_items(free, self._list_others(endpoint), now)
 
     async def _call(
         self,
@@ -639,17 +574,6 @@
         )
 
 
-def _estimate_all(queue: batching.BatchQueue, now: float) -> float:
-    """Returns when all queued items are done, in seconds from now.
-
-    It is 0 if none is queued.
-    """
-    if not len(queue):
-        return 0.0
-    work = batching.NewItems(0, 0, True)
-    return batching.estimate_seconds(queue.build_state(now), queue.limits, work)
-
-
 async def _resolve_all(items: Sequence[batching.Item], reason: str) -> None:
     for item in items:
         await item.ticket.resolve(item.index, proxies.ItemResult("", reason))
--- a/samphirevale/batching.py
+++ b/samphirevale/batching.py
@@ -195,10 +195,10 @@
             item for item in self._waiting if item.ticket is not ticket
         ]
 
-    def take_last_group(
+    def find_last_group(
         self, items_limit: int, bytes_limit: int, now: float
     ) -> list[Item]:
-        """Removes and returns the items of one ticket that would wait longest.
+        """Returns the items of the ticket that would wait longest here.
 
         A ticket of which an item has been sent stays here.
 
@@ -222,14 +222,12 @@
         ]
         if not fitting:
             return []
-        last = max(
+        return max(
             fitting,
             key=lambda group: max(
                 self._compute_sort_time(item, now) for item in group
             ),
         )
-        self.withdraw(last[0].ticket)
-        return last
 
     def take_expired(self, now: float) -> list[Item]:
         """Removes and returns items that would miss their deadline."""
