Heed the registration of an entry that comes after its link

The processor time of an entry decides which endpoints it owns, and stands in its registration. An entry that was linked before its registration was read counted as one core until any link changed, so two entries could compute other owners for that long.

--- a/samphirevale/entries.py
+++ b/samphirevale/entries.py
@@ -241,6 +241,9 @@
         for registration in found:
             if registration.name != self._me.name:
                 self._registrations[registration.name] = registration
+        if not self.linked.keys().isdisjoint(self._registrations):
+            # An entry may be linked before its registration is known.
+            self._notify_members()
 
     def remove(self, name: str) -> None:
         """Removes the registration of an entry that no longer exists."""
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -164,6 +164,13 @@
             [proxy_fakes.build_item(0), proxy_fakes.build_item(1)],
         )
 
+    async def test_registration_that_comes_after_the_link_is_heeded(self):
+        async with self.run_both():
+            changed = self.second.registration._replace(processor=2.0)
+            self.first.table.adopt([changed], whole=False)
+            (member,) = self.first.members
+            self.assertEqual(2.0, member.processor)
+
     async def test_reports_and_members_are_received(self):
         async with self.run_both():
             second = self.find_second()
