Let the limited server be the first choice in its test

Cause: both servers were equal, and the first by name was chosen; an owner now learns from calls of some ms which of the two is a little slower, and may choose the other for seconds. The other one is clearly slower now, so the limited server is the first choice and its limit is tested in every run; the bounds are as they were.

--- a/tests/platform/test_limited_servers.py
+++ b/tests/platform/test_limited_servers.py
@@ -26,6 +26,10 @@
 LIMIT_EXCESS = 5
 
 
+# The time of a stage call that makes a server clearly slower, in seconds.
+SLOW_SECONDS = 0.15
+
+
 class LimitedServerTest(sessions.SessionTestCase):
     """Two entries and three servers of a service, one of them in need."""
 
@@ -89,6 +93,8 @@
 
     async def test_stage_calls_keep_within_a_limit(self):
         async with self.run_all(SERVERS):
+            # The other server is the second choice.
+            self.servers["first2"].call_seconds = SLOW_SECONDS
             await self.check_stream()
             self.servers["first1"].limit = "2"
             begin = time.monotonic()
