Count how often each entry fits its calls into a second of a cold endpoint

Cause: k was chosen for fleets larger than it; with fewer entries than that, each made two calls a second. The number of sharers follows from the number of entries now: the largest for which each one's calls, one more than fit at its interval, stay within three quarters of the bound. The example is kept in the test. For 31 entries and a rate of 8 a second nothing changes (12 share).

Also: the settings file of a test process is built in one place.

--- a/lab/availability_mechanisms.py
+++ b/lab/availability_mechanisms.py
@@ -96,7 +96,7 @@
         "number of entries that share a cold rate limited",
         COLD,
         "availability/warm_ups",
-        "return max(most, 1)",
+        "return max(fitting, default=1)",
         "return 1000",
         f"{_WARM_UPS}.FleetTest.test_no_second_brings_more_than_the_bound",
     ),
--- a/samphirevale/availability/call_shares.py
+++ b/samphirevale/availability/call_shares.py
@@ -2,8 +2,7 @@
 
 The entries that share are the first ones in the hash order of the endpoint.
 Each of them makes one call and then waits until its next one is due. In any
-second, k entries together make at most the rate plus k calls, and at most k
-calls if they are more than the rate.
+second, each makes one call more, at most, than fit into it at that interval.
 """
 
 from collections.abc import Collection
--- a/samphirevale/availability/warm_ups.py
+++ b/samphirevale/availability/warm_ups.py
@@ -35,17 +35,23 @@
     factor: float
     allowance: float
 
-    def count_sharers(self, rate: float) -> int:
-        """Returns how many entries may share a rate.
+    def count_sharers(self, rate: float, entries: int) -> int:
+        """Returns how many entries may share a rate, at least one.
 
-        More entries than the rate make one call each in any second at most;
-        fewer make one more than their part of the rate.
+        Each of k entries makes one call more in any second, at most, than fit
+        into it at an interval of k / rate.
+
+        Args:
+            rate: the calls a second.
+            entries: the number of entries.
         """
-        bound = rate * self.factor + self.allowance
-        most = int(bound * SHARERS_SHARE)
-        if most <= rate:
-            most = int((bound - rate) * SHARERS_SHARE)
-        return max(most, 1)
+        most = (rate * self.factor + self.allowance) * SHARERS_SHARE
+        fitting = [
+            count
+            for count in range(1, entries + 1)
+            if count * (int(rate / count) + 1) <= most
+        ]
+        return max(fitting, default=1)
 
 
 class WarmUps:
@@ -173,7 +179,7 @@
         names = self._list_sharers(endpoint)
         if not names or rate <= 0:
             return call_shares.CallShare(float("inf"), False)
-        most = self._bound.count_sharers(rate)
+        most = self._bound.count_sharers(rate, len(names))
         return call_shares.divide_rate(
             endpoint.name, names, self._me, rate, most
         )
--- a/tests/availability/test_warm_ups.py
+++ b/tests/availability/test_warm_ups.py
@@ -132,9 +132,28 @@
     return [(at, rng.randrange(entries)) for at in times]
 
 
+class ColdBoundTest(base.TestCase):
+    """Tests how many entries may share a rate."""
+
+    def test_number_of_sharers(self):
+        for entries, rate, sharers in (
+            (31, 8.0, 12),
+            (4, 8.0, 4),
+            (31, 100.0, 29),
+            (31, 0.5, 4),
+        ):
+            found = BOUND.count_sharers(rate, entries)
+            self.assertEqual(sharers, found, (entries, rate))
+
+    def test_few_entries_share_less_than_all_of_them_could(self):
+        bound = warm_ups.ColdBound(1.25, 3.0)
+        self.assertEqual(5, bound.count_sharers(9.0, 8))
+
+
 class FleetTest(base.TestCase):
     """Entries that all prefer an endpoint that has just started."""
 
+    @hypothesis.example(8, 9.0, 1.25, 3, 1)
     @hypothesis.given(
         strategies.integers(1, 60),
         strategies.floats(0.5, 20.0),
--- a/tests/platform/test_paused_entry.py
+++ b/tests/platform/test_paused_entry.py
@@ -16,11 +16,7 @@
 from samphirevale.platform import node_file
 from standins import metadata_store, servers
 from tests import base
-from tests.platform import sessions, test_cordons
-
-# The host of the entry. The port of its metrics is fixed, and several runs may
-# go on at once.
-HOST = f"127.0.2.{1 + os.getpid() % 250}"
+from tests.platform import sessions, test_cordons, test_stopping_process
 
 # The time that the process may take to become ready, and how long it is paused,
 # in seconds.
@@ -36,37 +32,21 @@
 MOST_CALLS = 17
 
 
-def build_node_file(ports, store_port):
-    """Returns the text of the settings file of a process."""
-    port, ready_port, peer_port = ports
-    return f"""
-node_name = "entry1"
-zone = "a"
-ip = "{HOST}"
-port_range = [{peer_port}, {peer_port}]
-[zones]
-a = "north"
-b = "north"
-[listen]
-frontend = "{HOST}:{port}"
-readiness = "{HOST}:{ready_port}"
-[limits]
-file_descriptors = 4100
-memory_mb = 300
-[bounds]
-revoke_ms = 5000
-contact_ms = 3000
-drain_ms = 2000
-grace_s = 4
-retry_ratio = 0.2
-retry_allowance = 500
-retry_window_s = 10
+BOUNDS = """[bounds]
 evacuation_ms = 5000
 cold_overshoot = 1.5
 cold_allowance = 5
-[platform]
-address = "127.0.0.1:{store_port}"
 """
+REGIONS = """[zones]
+a = "north"
+b = "north"
+"""
+
+
+def build_node_file(ports, store_port):
+    """Returns the text of the settings file of a process."""
+    text = test_stopping_process.build_node_file(*ports, store_port)
+    return text.replace("[bounds]\n", REGIONS + BOUNDS)
 
 
 class OneEntryTest(base.TestCase):
@@ -126,7 +106,9 @@
             ("Samphirevale-Key", "k1"),
         )
         with contextlib.suppress(errors.TransportError):
-            async with web_client.connect(HOST, port) as connection:
+            async with web_client.connect(
+                test_stopping_process.HOST, port
+            ) as connection:
                 answer = await connection.request(
                     method, path, b"", headers[1:], "h.example"
                 )
