--- a/tests/test_item_routing.py
+++ b/tests/test_item_routing.py
@@ -124,8 +124,13 @@
         )
         now = self.clock.now()
         queue = self.dispatcher.find_queue(self.endpoint, LIMITS)
+        ticket = batch_dispatch.Ticket(9, self.endpoint)
         for index in range(9):
-            queue.add(proxy_fakes.build_item(index, "other", due_at=now + 1))
+            queue.add(
+                proxy_fakes.build_item(
+                    index, "other", due_at=now + 1, ticket=ticket
+                )
+            )
         request = messages.ItemsRequest(
             1, "e1", "a1", 0, [0, 1], "k", [], 100, 900, 5000, 0, []
         )
@@ -140,16 +145,19 @@
         )
         self.cluster.invalidate_owners()
         queue = self.dispatcher.find_queue(self.endpoint, LIMITS)
+        ticket = batch_dispatch.Ticket(9, self.endpoint)
         for index in range(9):
             queue.add(
                 proxy_fakes.build_item(
-                    index, "other", due_at=self.clock.now() + 1
+                    index, "other", due_at=self.clock.now() + 1, ticket=ticket
                 )
             )
         request = messages.ItemsRequest(
             1, "e1", "a1", 0, [0], "k", [], 100, 900, 5000, 0, transfers
         )
         (result,) = await self.runner.serve_items(request)
+        queue.take_all()
+        await curio.sleep(0.01)
         return result.endpoint
 
     async def test_owner_uses_an_idle_endpoint_of_another_data_centre(self):
