Draw different ports for a process of the review's cases

One run of case 1 could not play (exit 2): a process was ready and then served nothing for 60 s. The rig drew each port by itself before.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -71,7 +71,7 @@
     ]
     ends: dict[str, list[int]] = {entry.name: [] for entry in entries}
     statuses: list[int] = []
-    async with rig.ending(*entries):
+    async with rig.ending(record, *entries):
         for entry in entries:
             await entry.start()
         for entry in entries:
--- a/review/rig.py
+++ b/review/rig.py
@@ -476,9 +476,7 @@
     ):
         self.name = name
         self.host = host
-        self.port = find_free_port(host)
-        self._ready_port = find_free_port(host)
-        peer_port = find_free_port(host)
+        self.port, self._ready_port, peer_port = find_free_ports(host, 3)
         self._path = folder / f"{name}.toml"
         self._log_path = folder / f"{name}.log"
         self._process: asyncio.subprocess.Process | None = None
@@ -603,8 +601,8 @@
         self._process.send_signal(number)
 
     def get_status(self) -> int | None:
-        """Returns the exit status; None while the process runs."""
-        return self._process.returncode
+        """Returns the exit status; None before and while the process runs."""
+        return self._process.returncode if self._process else None
 
     async def wait(self) -> int:
         """Waits until the process has ended."""
@@ -750,11 +748,13 @@
     }
 
 
-def find_free_port(host: str) -> int:
-    """Returns a port that is free at a loopback address."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
+def find_free_ports(host: str, count: int) -> list[int]:
+    """Returns different ports that are free at a loopback address."""
+    with contextlib.ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind((host, 0))
+        return [probe.getsockname()[1] for probe in probes]
 
 
 def choose_hosts(count: int) -> list[str]:
@@ -792,12 +792,17 @@
 
 
 @contextlib.asynccontextmanager
-async def ending(*entries: Entry) -> AsyncIterator[None]:
-    """Kills the processes after the block."""
+async def ending(record: Record, *entries: Entry) -> AsyncIterator[None]:
+    """Kills the processes after the block, and records which had ended."""
     try:
         yield
     finally:
         for entry in entries:
+            if entry.get_status() is not None:
+                record.add(
+                    f"{entry.name} had ended: {entry.get_status()}"
+                    f" {entry.read_log(400)!r}"
+                )
             await entry.kill()
 
 
