Use a registration only if every reader can use what it says

Other values gave 500 to half of the requests of a route, or named an endpoint that nobody can connect to.

Cause: the decoder tested the type of a field and not that its value can be used. str.isdigit() is true for a superscript two, which int() refuses; a whole number may be too large for a float; a text may be one that no header, hash or message takes.

Change: stored_values reads fields with type, range and use in mind; the decoder of endpoints is built on it, so that nothing after it has to test again. `registration_malformed` tells in the log what was left out; nothing did before.

--- a/samphirevale/cluster_watch.py
+++ b/samphirevale/cluster_watch.py
@@ -38,6 +38,9 @@
 # an endpoint that leaves gets no more work.
 ENDPOINTS_PAUSE_SHARE = 0.15
 
+# The largest number of characters of a malformed object's name in the log.
+NAME_LOGGED_LIMIT = 80
+
 
 class ClusterWatch:
     """Watches the store and adopts what has changed.
@@ -232,7 +235,7 @@
         self, stored: Iterable[objects.StoredObject], now: float
     ) -> None:
         listed = list(stored)
-        decoded = list(map(self._adapters.decode_endpoint, listed))
+        decoded = list(map(self._decode_endpoint, listed))
         found = [endpoint for endpoint in decoded if endpoint is not None]
         current = self._cluster.copy_guard.filter_listed(found, now)
         for stored_object, endpoint in zip(listed, decoded, strict=True):
@@ -243,6 +246,19 @@
             self._cluster.catalogue.replace(current, now), now
         )
 
+    def _decode_endpoint(
+        self, stored: objects.StoredObject
+    ) -> catalogue.Endpoint | None:
+        """Returns the endpoint; logs a registration that names none."""
+        endpoint = self._adapters.decode_endpoint(stored)
+        if endpoint is None:
+            self._journal.record_failure(
+                "registration_malformed",
+                name=stored.name[:NAME_LOGGED_LIMIT],
+                revision=stored.version,
+            )
+        return endpoint
+
     def _apply_endpoint_changes(
         self, stored: Iterable[objects.StoredObject], now: float
     ) -> None:
@@ -250,7 +266,7 @@
             self._cluster.copy_guard.record_write(stored_object.name)
             endpoint = None
             if stored_object.value is not None:
-                endpoint = self._adapters.decode_endpoint(stored_object)
+                endpoint = self._decode_endpoint(stored_object)
             if endpoint is None:
                 changes = self._cluster.catalogue.remove(
                     stored_object.name, now
--- a/samphirevale/errors.py
+++ b/samphirevale/errors.py
@@ -34,6 +34,10 @@
         self.findings = findings
 
 
+class MalformedValueError(SamphirevaleError):
+    """A value from outside has another form than it should have."""
+
+
 class InvariantError(SamphirevaleError):
     """An invariant of the program is violated."""
 
--- a/samphirevale/log_schema.py
+++ b/samphirevale/log_schema.py
@@ -68,6 +68,7 @@
             "wanted_bytes",
         },
         "queue": {"endpoint", *batching.QueueState._fields},
+        "registration_malformed": {"name", "revision"},
         "release_failed": {"endpoint", "error"},
         "reload_failed": {"error"},
         "reloaded": set(),
--- a/samphirevale/platform/endpoint_objects.py
+++ b/samphirevale/platform/endpoint_objects.py
@@ -1,9 +1,8 @@
 """Decodes the endpoints registered in the platform's store."""
 
 import math
-from typing import Any
 
-from samphirevale import catalogue
+from samphirevale import catalogue, errors, stored_values
 from samphirevale.platform import notices
 from samphirevale.ports import objects
 
@@ -16,36 +15,35 @@
 
 def decode_endpoint(stored: objects.StoredObject) -> catalogue.Endpoint | None:
     """Returns the endpoint, or None if the object is not a valid one."""
-    value: Any = stored.value
-    if not isinstance(value, dict):
-        return None
-    state = value.get("state")
-    if not isinstance(state, str) or state not in _ACCEPTS_WORK:
-        return None
-    service, address = value.get("service"), value.get("address")
-    if not isinstance(service, str) or not isinstance(address, str):
-        return None
-    host, _, port = address.rpartition(":")
-    zone = value.get("zone")
-    slots = value.get("slots")
-    version = value.get("version")
-    started = value.get("born", 0)
-    if not host or not port.isdigit() or not isinstance(zone, str):
-        return None
-    if not _is_integer(slots) or not _is_integer(started):
-        return None
-    if not isinstance(version, str):
+    try:
+        return _read_endpoint(stored)
+    except errors.MalformedValueError:
         return None
+
+
+def _read_endpoint(stored: objects.StoredObject) -> catalogue.Endpoint:
+    """Returns the endpoint.
+
+    Raises:
+        errors.MalformedValueError: the object is not a valid one.
+    """
+    if not stored_values.is_token(stored.name):
+        raise errors.MalformedValueError("the name is no token")
+    fields = stored_values.Fields(stored.value)
+    state = fields.read_text("state")
+    if state not in _ACCEPTS_WORK:
+        raise errors.MalformedValueError("the state is unknown")
+    host, port = fields.read_address("address")
     return catalogue.Endpoint(
         name=stored.name,
-        service=service,
+        service=fields.read_text("service"),
         host=host,
-        port=int(port),
-        data_centre=zone,
+        port=port,
+        data_centre=fields.read_text("zone"),
         accepting=_ACCEPTS_WORK[state],
-        slots=slots,
-        started=started,
-        version=version,
+        slots=fields.read_integer("slots"),
+        started=fields.read_integer("born", default=0),
+        version=fields.read_text("version"),
     )
 
 
@@ -56,12 +54,9 @@
     """
     value = stored.value
     cold_ms = value.get("cold_remaining_ms") if isinstance(value, dict) else 0
-    if not _is_integer(cold_ms) and not isinstance(cold_ms, float):
+    if isinstance(cold_ms, float):
+        cold_ms = 0 if math.isnan(cold_ms) else cold_ms
+    elif not stored_values.is_integer(cold_ms):
         return 0.0
-    if math.isnan(cold_ms):
-        return 0.0
-    return min(max(cold_ms / 1000, 0.0), notices.COLD_SECONDS_LIMIT)
-
-
-def _is_integer(value: Any) -> bool:
-    return isinstance(value, int) and not isinstance(value, bool)
+    # A whole number may be too large for a division.
+    return min(max(cold_ms, 0), 1000 * notices.COLD_SECONDS_LIMIT) / 1000
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -25,6 +25,15 @@
     stored: dict
 
 
+class RawText(NamedTuple):
+    """The contents of an object, as the text that its writer has left.
+
+    The store hands it out as it is, whether it can be read or not.
+    """
+
+    data: bytes
+
+
 class Copy(NamedTuple):
     """The state of the store at one revision.
 
@@ -151,7 +160,7 @@
             "more_pages": len(names) > PAGE_SIZE,
             "at": self._revision,
         }
-        return web.build_json(200, page)
+        return _build_response(page)
 
     async def _watch(self, kind: str, query: dict[str, str]) -> web.Response:
         since = int(query["watch"])
@@ -169,7 +178,7 @@
             ]
             if events or waited * 1000 >= int(query["wait_ms"]):
                 value = {"events": events, "at": self._revision}
-                return web.build_json(200, value)
+                return _build_response(value)
             await curio.sleep(POLL_SECONDS)
             waited += POLL_SECONDS
 
@@ -193,3 +202,25 @@
         else:
             self.put(kind, name, value["spec"])
         return web.build_json(200, self._objects.get((kind, name), {}))
+
+
+def _build_response(value: dict) -> web.Response:
+    """Returns an answer in which raw texts stand as they were written."""
+    texts: dict[bytes, bytes] = {}
+
+    def replace(part: object) -> object:
+        if isinstance(part, RawText):
+            placeholder = f"raw-{len(texts)}"
+            texts[json.dumps(placeholder).encode()] = part.data
+            return placeholder
+        if isinstance(part, dict):
+            return {name: replace(item) for name, item in part.items()}
+        if isinstance(part, list):
+            return list(map(replace, part))
+        return part
+
+    response = web.build_json(200, replace(value))
+    body = response.body
+    for placeholder, text in texts.items():
+        body = body.replace(placeholder, text)
+    return response._replace(body=body)
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -1,5 +1,11 @@
 """Tests of decoding the platform's data formats."""
 
+import socket
+import struct
+
+import hypothesis
+from hypothesis import strategies
+
 from samphirevale import errors, proxy_requests, routes
 from samphirevale.adapters import web
 from samphirevale.platform import (
@@ -10,9 +16,12 @@
     notices,
 )
 from samphirevale.ports import objects
-from tests import base
+from tests import base, odd_values
 from tests.platform import sessions
 
+# The field of an endpoint's cold time.
+COLD = "cold_remaining_ms"
+
 ENTRY = {
     "service": "s",
     "address": "10.0.0.1:80",
@@ -76,9 +85,42 @@
             {"slots": True},
             {"born": "x"},
             {"version": None},
+            {"address": "10.0.0.1:8\u00b2"},
+            {"address": "10.0.0.1:" + "9" * 5000},
+            {"address": "10.0.0.1:65536"},
+            {"address": "10.0.0.1:0"},
+            {"address": "a b:80"},
+            {"zone": "\ud800"},
+            {"version": "v" * 1000},
+            {"slots": 10**400},
+            {"born": -1},
         ):
             self.assertIsNone(self.decode(ENTRY | change), change)
         self.assertIsNone(self.decode("text"))
+        odd = objects.StoredObject("servers", "i\r\n1", 3, ENTRY)
+        self.assertIsNone(endpoint_objects.decode_endpoint(odd))
+
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=500)
+    @hypothesis.given(
+        strategies.fixed_dictionaries(
+            {}, optional=dict.fromkeys([*ENTRY, COLD], odd_values.VALUES)
+        ),
+        odd_values.TEXTS,
+    )
+    def test_what_is_decoded_can_be_used_by_all_readers(self, change, name):
+        stored = objects.StoredObject("servers", name, 3, ENTRY | change)
+        seconds = endpoint_objects.decode_cold_seconds(stored)
+        self.assertLessEqual(0.0, seconds)
+        self.assertLessEqual(seconds, notices.COLD_SECONDS_LIMIT)
+        endpoint = endpoint_objects.decode_endpoint(stored)
+        if endpoint is None:
+            return
+        socket.inet_pton(socket.AF_INET, endpoint.host)
+        struct.pack("!H", endpoint.port)
+        struct.pack("!qq", endpoint.slots, endpoint.started)
+        endpoint.name.encode("ascii")
+        for text in (endpoint.service, endpoint.data_centre, endpoint.version):
+            text.encode()
 
 
 class ColdSecondsTest(base.TestCase):
@@ -100,6 +142,11 @@
             notices.COLD_SECONDS_LIMIT,
             self.decode({"cold_remaining_ms": 1e300}),
         )
+        for value in (10**400, float("inf")):
+            self.assertEqual(
+                notices.COLD_SECONDS_LIMIT,
+                self.decode({"cold_remaining_ms": value}),
+            )
 
 
 class NodeFileTest(base.TestCase):
--- /dev/null
+++ b/tests/platform/test_odd_objects.py
@@ -0,0 +1,124 @@
+"""Tests of sessions while another writer leaves odd objects in the store."""
+
+import json
+
+import curio
+
+from standins import metadata_store
+from tests.platform import sessions
+
+# The longest time from a change to its effect, in seconds: the bound within
+# which an endpoint that leaves gets no more requests.
+EFFECT_SECONDS = 2.0
+
+# The number of digits of the longest numbers.
+DIGITS = 5_000
+
+# The number of requests of each kind beside an odd registration.
+REQUESTS = 3
+
+SOUND = {
+    "service": "plain",
+    "address": "127.0.0.1:9",
+    "zone": "a",
+    "version": "",
+    "slots": 4,
+    "state": "ready",
+    "sequence": 1,
+    "born": 1,
+}
+
+
+def nest(depth):
+    """Returns a text that nests arrays."""
+    return "[" * depth + "]" * depth
+
+
+def build_raw(**fields):
+    """Returns a registration with some fields written as raw texts."""
+    members = {name: json.dumps(value) for name, value in SOUND.items()}
+    members |= fields
+    texts = [f'"{name}": {text}' for name, text in members.items()]
+    text = "{" + ", ".join(texts) + "}"
+    return metadata_store.RawText(text.encode("utf-8", "surrogateescape"))
+
+
+MANY_DIGITS = "9" * DIGITS
+
+ODD_FIELDS = {
+    "port with a superscript": build_raw(address='"127.0.0.1:874\\u00b2"'),
+    "port with foreign digits": build_raw(address='"127.0.0.1:\\u0668\\u0660"'),
+    "port of many digits": build_raw(address=f'"127.0.0.1:{MANY_DIGITS}"'),
+    "port out of range": build_raw(address='"127.0.0.1:70000"'),
+    "port 0": build_raw(address='"127.0.0.1:0"'),
+    "host with a lone surrogate": build_raw(address='"\\ud800:80"'),
+    "host that is no address": build_raw(address='"a b\\r\\nc:80"'),
+    "data centre with a lone surrogate": build_raw(zone='"\\ud800"'),
+    "service with a lone surrogate": build_raw(service='"\\udfff"'),
+    "stage service in an odd data centre": build_raw(
+        service='"first"', zone='"\\ud800"'
+    ),
+    "version with a lone surrogate": build_raw(
+        service='"model"', version='"\\ud800"'
+    ),
+    "version of a megabyte": build_raw(
+        service='"model"', version=json.dumps("v" * 900_000)
+    ),
+    "slots of 400 digits": build_raw(slots="9" * 400),
+    "start of many digits": build_raw(born="9" * 400),
+    "nested deeply but readable": build_raw(version=nest(700)),
+    "number with a huge exponent": build_raw(slots="1e400"),
+    "not a number": build_raw(slots="NaN"),
+    "negative slots": build_raw(slots="-1"),
+    "negative start": build_raw(born="-1"),
+    "no fields": metadata_store.RawText(b"{}"),
+    "nothing": metadata_store.RawText(b"null"),
+}
+
+
+class OddRegistrationTest(sessions.SessionTestCase):
+    """One odd registration names nothing to use, and the others hold."""
+
+    async def check_followed(self):
+        """Checks that a change to another server takes effect in time."""
+        async with curio.timeout_after(EFFECT_SECONDS):
+            self.change_server("plain2", state="draining")
+            await self.wait_until_accepting("plain1")
+        async with curio.timeout_after(EFFECT_SECONDS):
+            self.change_server("plain2")
+            await self.wait_until_accepting("plain1", "plain2")
+
+    async def check_held(self, case, odd):
+        """Checks what an odd registration does to a running entry.
+
+        Args:
+            case: what is odd.
+            odd: the registration.
+        """
+        with self.subTest(case):
+            self.store.put("servers", "odd1", odd)
+            await self.check_followed()
+            self.assertFalse(self.task.terminated)
+            found = self.gateway.cluster_state.catalogue.find("odd1")
+            self.assertIsNone(found)
+            self.assertIn("registration_malformed", self.log.list_events())
+            for _ in range(REQUESTS):
+                await self.read()
+                await self.check_stream()
+        self.store.remove("servers", "odd1")
+
+    async def test_odd_field_ends_no_process_and_names_nothing(self):
+        """A field of a port or number that no code can use ends no process."""
+        async with self.run_all():
+            for case, odd in ODD_FIELDS.items():
+                await self.check_held(case, odd)
+
+    async def test_process_starts_beside_odd_registrations(self):
+        """An entry that starts lists what is odd, and serves."""
+        async with self.run_all():
+            for number, odd in enumerate(ODD_FIELDS.values()):
+                self.store.put("servers", f"odd{number}", odd)
+            await self.kill_entry()
+            await self.start_entry()
+            await self.check_followed()
+            await self.check_stream()
