Follow a list of the store beside an object that cannot be read

What callers saw: nothing at once. While an object that no parser takes was among those of the endpoints (nested 100,000 deep, a number of 5,000 digits, bytes that are no text), every process lived and was ready, and none learned of a change any more: an endpoint that drained went on getting requests. An entry that started meanwhile did not become ready.

Cause: an answer holds objects of many writers and was parsed as one text; one odd part made the whole answer, and each repetition of the call, unusable.

Ruled out: that the process ends in the parser (read_json turns its errors into an unanswered call), and that the neighbours are skipped alone.

Change: what cannot be parsed whole is divided by brackets and commas and parsed in parts; an object that stays unreadable is told to the decoders as such, so that one that was sound before is no longer used. A watch that cannot read the name of what has changed lists again. Same cause on related paths: a page without a single name ended the list; a name with a lone surrogate ended the process when the next page was asked for; null in a watch counted as a deletion; a write's answer with an odd object counted as lost.

--- a/samphirevale/adapters/store_client.py
+++ b/samphirevale/adapters/store_client.py
@@ -14,7 +14,8 @@
 import curio
 
 from samphirevale import errors
-from samphirevale.adapters import web_client
+from samphirevale.adapters import json_parts, web_client
+from samphirevale.ports import objects
 
 # Maximum number of idle connections kept for reads.
 IDLE_CONNECTIONS_LIMIT = 4
@@ -23,6 +24,10 @@
 CALL_SECONDS = 2.0
 
 
+# The level of nesting of an object's members in the answer to a write.
+WRITTEN_LEVELS = 1
+
+
 class Reply(NamedTuple):
     """A complete answer of the store."""
 
@@ -61,7 +66,12 @@
         while self._idle:
             await self._idle.pop().close()
 
-    async def read(self, target: str, seconds: float | None = None) -> Reply:
+    async def read(
+        self,
+        target: str,
+        seconds: float | None = None,
+        levels: int = 0,
+    ) -> Reply:
         """Reads on an idle connection if there is one, or on a new one.
 
         After a timeout no idle connection is used any more, as all may have
@@ -70,6 +80,8 @@
         Args:
             target: path and query.
             seconds: timeout; None for the store's read timeout.
+            levels: down to which level of its nesting a body is parsed in parts
+                if it cannot be parsed whole (json_parts.parse_parts).
 
         Raises:
             errors.StoreUnavailableError: no complete answer was received.
@@ -77,7 +89,7 @@
         timeout_seconds = self._read_seconds if seconds is None else seconds
         try:
             async with curio.timeout_after(timeout_seconds):
-                return await self._read_with_retry(target)
+                return await self._read_with_retry(target, levels)
         except curio.TaskTimeout as error:
             await self.close()
             raise errors.StoreUnavailableError(
@@ -86,21 +98,26 @@
         except errors.TransportError as error:
             raise errors.StoreUnavailableError(str(error)) from error
 
-    async def _read_with_retry(self, target: str) -> Reply:
+    async def _read_with_retry(self, target: str, levels: int) -> Reply:
         """Reads, and retries on a new connection if an idle one was closed."""
         if self._idle:
             with contextlib.suppress(errors.AnswerLostError):
-                return await self._read_on_connection(self._idle.pop(), target)
+                return await self._read_on_connection(
+                    self._idle.pop(), target, levels
+                )
         connection = await web_client.open_connection(self._host, self._port)
-        return await self._read_on_connection(connection, target)
+        return await self._read_on_connection(connection, target, levels)
 
     async def _read_on_connection(
-        self, connection: web_client.ClientConnection, target: str
+        self,
+        connection: web_client.ClientConnection,
+        target: str,
+        levels: int,
     ) -> Reply:
         async with self._returning_to_idle(connection):
             answer = await connection.request("GET", target)
             data = await answer.read_body()
-        return Reply(answer.status, web_client.read_json(data), answer.headers)
+        return Reply(answer.status, _parse(data, levels), answer.headers)
 
     @contextlib.asynccontextmanager
     async def _returning_to_idle(
@@ -143,9 +160,8 @@
             async with curio.timeout_after(self._write_seconds):
                 answer = await connection.request(method, target, body, headers)
                 data = await answer.read_body()
-            return Reply(
-                answer.status, web_client.read_json(data), answer.headers
-            )
+            value = _parse(data, WRITTEN_LEVELS)
+            return Reply(answer.status, value, answer.headers)
         except curio.TaskTimeout as error:
             raise errors.StoreUnknownError(
                 f"no answer in {self._write_seconds} s"
@@ -154,3 +170,15 @@
             raise errors.StoreUnknownError(str(error)) from error
         finally:
             await connection.close()
+
+
+def _parse(data: bytes, levels: int) -> Any:
+    """Returns the value of a body, or None if it is empty.
+
+    Raises:
+        errors.ProtocolError: the body cannot be parsed, not even in parts.
+    """
+    value = json_parts.parse_parts(data, levels) if data else None
+    if value is objects.UNREADABLE:
+        raise errors.ProtocolError("not JSON")
+    return value
--- a/samphirevale/platform/store.py
+++ b/samphirevale/platform/store.py
@@ -25,6 +25,10 @@
 # The largest number of characters of a malformed era that are logged.
 ERA_LOGGED_LIMIT = 40
 
+# The level of nesting of an object's members in the answers of the store.
+LIST_LEVELS = 3
+WATCH_LEVELS = 4
+
 CONTENT_TYPE = ("Content-Type", "application/json")
 
 
@@ -42,30 +46,37 @@
 
         The pages may be read at different versions. The listing has the
         version of the first page, so a watch from it repeats the changes made
-        while the pages were read.
+        while the pages were read. Objects that cannot be read are listed as
+        objects.UNREADABLE; those whose names cannot be read are left out.
 
         Raises:
-            errors.StoreUnavailableError: the era changed between two pages,
-                among other reasons.
+            errors.StoreUnavailableError: the era changed between two pages, or
+                the list cannot be continued, among other reasons.
         """
         found: list[objects.StoredObject] = []
         version = None
         era = None
         after = ""
         while True:
-            query = f"?after={urllib.parse.quote(after)}" if after else ""
-            reply = await self.read(f"{_build_path(kind)}{query}")
+            query = f"?after={_quote(after)}" if after else ""
+            reply = await self.read(
+                f"{_build_path(kind)}{query}", levels=LIST_LEVELS
+            )
             _check_status(reply)
             era = _combine_eras(era, self._decode_era(reply))
             with _converting_parse_errors():
-                page = _read_objects(kind, reply.value["items"])
+                items = reply.value["items"]
+                page = [_read_object(kind, item) for item in items]
                 has_more = reply.value.get("more_pages", False)
                 if version is None:
                     version = int(reply.value["at"])
-            found += page
+            named = [stored for stored in page if stored is not None]
+            found += [stored for stored in named if stored.name.isprintable()]
             if not has_more or not page:
                 return objects.Listing(found, version, era)
-            after = page[-1].name
+            if not named:
+                raise errors.StoreUnavailableError("a page without a name")
+            after = named[-1].name
 
     @store_metrics.measure_calls("watch")
     async def watch(
@@ -74,25 +85,27 @@
         """Waits for changes to a kind after `version`.
 
         Raises:
-            errors.StoreWatchExpiredError: `version` is too old.
+            errors.StoreWatchExpiredError: `version` is too old, or it is
+                unknown what has changed.
         """
         wait_ms = int(timeout_seconds * 1000)
         reply = await self.read(
             f"{_build_path(kind)}?watch={version}&wait_ms={wait_ms}",
             timeout_seconds + WATCH_MARGIN_SECONDS,
+            WATCH_LEVELS,
         )
         if reply.status == 410:
             raise errors.StoreWatchExpiredError(f"{kind} from {version}")
         _check_status(reply)
         with _converting_parse_errors():
-            changed = []
-            for event in reply.value["events"]:
-                for stored in _read_objects(kind, [event["object"]]):
-                    is_deleted = event.get("deleted", False)
-                    value = None if is_deleted else stored.value
-                    changed.append(stored._replace(value=value))
+            events = reply.value["events"]
+            changed = [_read_change(kind, event) for event in events]
+            if None in changed:
+                raise errors.StoreWatchExpiredError(f"{kind}: an unknown name")
             return objects.WatchEvents(
-                changed, int(reply.value["at"]), self._decode_era(reply)
+                [stored for stored in changed if stored.name.isprintable()],
+                int(reply.value["at"]),
+                self._decode_era(reply),
             )
 
     @store_metrics.measure_calls("create")
@@ -169,8 +182,7 @@
 
 
 def _build_path(*parts: str) -> str:
-    quoted = (urllib.parse.quote(part, safe="") for part in parts)
-    return "/objects/" + "/".join(quoted)
+    return "/objects/" + "/".join(map(_quote, parts))
 
 
 def _check_status(reply: store_client.Reply) -> None:
@@ -209,22 +221,31 @@
         ) from error
 
 
-def _read_objects(kind: str, items: list[Any]) -> list[objects.StoredObject]:
-    """Returns the objects that have a name; others are skipped.
+def _read_object(kind: str, item: Any) -> objects.StoredObject | None:
+    """Returns a listed object, or None if its name cannot be read.
 
-    The values are not checked here but by their decoders.
+    The value is not checked here but by its decoder.
     """
-    found = []
-    for item in items:
-        metadata = item.get("metadata") if isinstance(item, dict) else None
-        if not isinstance(metadata, dict) or "name" not in metadata:
-            continue
-        found.append(
-            objects.StoredObject(
-                kind,
-                str(metadata["name"]),
-                metadata.get("revision", 0),
-                item.get("spec"),
-            )
-        )
-    return found
+    metadata = item.get("metadata") if isinstance(item, dict) else None
+    name = metadata.get("name") if isinstance(metadata, dict) else None
+    if not isinstance(name, str):
+        return None
+    value = item.get("spec")
+    # None stands for an object that was deleted.
+    value = {} if value is None else value
+    return objects.StoredObject(kind, name, metadata.get("revision", 0), value)
+
+
+def _read_change(kind: str, event: Any) -> objects.StoredObject | None:
+    """Returns a changed object, or None if its name cannot be read."""
+    if not isinstance(event, dict):
+        return None
+    stored = _read_object(kind, event.get("object"))
+    if stored is not None and event.get("deleted", False):
+        return stored._replace(value=None)
+    return stored
+
+
+def _quote(name: str) -> str:
+    """Returns a name for a query, as the store has written it."""
+    return urllib.parse.quote(name, safe="", errors="surrogatepass")
--- a/samphirevale/ports/objects.py
+++ b/samphirevale/ports/objects.py
@@ -1,5 +1,6 @@
 """Protocols for the platform's object stores."""
 
+import enum
 from typing import Any, NamedTuple, NewType, Protocol
 
 # How often a store has returned from a copy of itself. Versions of objects
@@ -7,6 +8,16 @@
 StoreEra = NewType("StoreEra", int)
 
 
+class _Unreadable(enum.Enum):
+    """The type of UNREADABLE."""
+
+    UNREADABLE = "unreadable"
+
+
+# The value of an object that is in the store but cannot be read.
+UNREADABLE = _Unreadable.UNREADABLE
+
+
 class StoredObject(NamedTuple):
     """An object in the store.
 
@@ -16,7 +27,7 @@
         name: the object's name, unique within the kind.
         version: version of the object's last write; every write to any object
             of the store gets a higher version.
-        value: the JSON value.
+        value: the JSON value, or UNREADABLE.
     """
 
     kind: str
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -81,6 +81,10 @@
         self._objects[kind, name] = stored
         self._history.append(Change(self._revision, kind, False, stored))
 
+    def change_metadata(self, kind: str, name: str, metadata: object) -> None:
+        """Replaces the metadata of an object, without a change of it."""
+        self._objects[kind, name]["metadata"] = metadata
+
     def read(self, kind: str, name: str) -> object:
         """Returns what an object contains."""
         return self._objects[kind, name]["spec"]
--- a/tests/platform/test_odd_objects.py
+++ b/tests/platform/test_odd_objects.py
@@ -11,8 +11,9 @@
 # which an endpoint that leaves gets no more requests.
 EFFECT_SECONDS = 2.0
 
-# The number of digits of the longest numbers.
+# The number of digits of the longest numbers, and the deepest nesting.
 DIGITS = 5_000
+DEPTH = 100_000
 
 # The number of requests of each kind beside an odd registration.
 REQUESTS = 3
@@ -75,6 +76,15 @@
     "nothing": metadata_store.RawText(b"null"),
 }
 
+# What makes a parser give up on the whole text around it.
+UNREADABLE = {
+    "slots of many digits": build_raw(slots=MANY_DIGITS),
+    "nested fields": build_raw(other=nest(DEPTH)),
+    "bytes that are no text": build_raw(zone='"\udcff\udcfe"'),
+    "nested array": metadata_store.RawText(nest(DEPTH).encode()),
+    "number": metadata_store.RawText(MANY_DIGITS.encode()),
+}
+
 
 class OddRegistrationTest(sessions.SessionTestCase):
     """One odd registration names nothing to use, and the others hold."""
@@ -122,3 +132,26 @@
             await self.start_entry()
             await self.check_followed()
             await self.check_stream()
+
+    async def test_list_is_followed_beside_an_unreadable_object(self):
+        """The changes of other objects in the same answer are in force."""
+        async with self.run_all():
+            for case, odd in UNREADABLE.items():
+                await self.check_held(case, odd)
+
+    async def test_an_object_that_has_become_unreadable_is_not_used(self):
+        async with self.run_all():
+            self.store.put("servers", "plain1", UNREADABLE["nested fields"])
+            await self.wait_until_accepting("plain2")
+            self.change_server("plain1")
+            await self.wait_until_accepting("plain1", "plain2")
+
+    async def test_process_starts_beside_unreadable_objects(self):
+        """An entry that starts lists them, also where they fill a page."""
+        async with self.run_all():
+            for number, odd in enumerate(UNREADABLE.values()):
+                self.store.put("servers", f"odd{number}", odd)
+            await self.kill_entry()
+            await self.start_entry()
+            await self.check_followed()
+            await self.check_stream()
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,6 +7,7 @@
 from samphirevale import errors
 from samphirevale.adapters import web_server
 from samphirevale.platform import store
+from samphirevale.ports import objects
 from standins import metadata_store
 from tests import base
 
@@ -52,6 +53,75 @@
             self.assertEqual((2, second), (stored.value, stored.version))
 
 
+class OddObjectTest(StoreTestCase):
+    """Tests answers with objects that another writer has left."""
+
+    # What no parser takes.
+    odd = metadata_store.RawText(b"9" * 5000)
+
+    async def test_list_holds_all_others(self):
+        async with self.run_store():
+            for name in ("a", "b", "c", "d"):
+                self.store.put("k", name, {"x": name})
+            self.store.put("k", "b", self.odd)
+            listed = (await self.client.list_at("k")).objects
+            self.assertEqual(
+                [
+                    ("a", {"x": "a"}),
+                    ("b", objects.UNREADABLE),
+                    ("c", {"x": "c"}),
+                    ("d", {"x": "d"}),
+                ],
+                [(stored.name, stored.value) for stored in listed],
+            )
+
+    async def test_list_goes_on_after_names_that_are_no_names(self):
+        async with self.run_store():
+            for name in ("a", "b\ud800", "c", "d\n", "e"):
+                self.store.put("k", name, 1)
+            listed = (await self.client.list_at("k")).objects
+            self.assertEqual(
+                ["a", "c", "e"], [stored.name for stored in listed]
+            )
+
+    async def test_page_without_a_name_is_no_end_of_the_list(self):
+        async with self.run_store():
+            for name in ("a", "b", "c", "d", "e"):
+                self.store.put("k", name, 1)
+            for name in ("c", "d"):
+                self.store.change_metadata("k", name, self.odd)
+            with self.assertRaises(errors.StoreUnavailableError):
+                await self.client.list_at("k")
+
+    async def test_watch_tells_that_an_object_has_become_unreadable(self):
+        async with self.run_store():
+            version = (await self.client.list_at("k")).version
+            self.store.put("k", "a", self.odd)
+            self.store.put("k", "b", 1)
+            self.store.remove("k", "a")
+            events = await self.client.watch("k", version, 0)
+            self.assertEqual(
+                [("a", objects.UNREADABLE), ("b", 1), ("a", None)],
+                [(stored.name, stored.value) for stored in events.objects],
+            )
+
+    async def test_change_of_an_unknown_object_asks_for_a_list(self):
+        async with self.run_store():
+            self.store.put("k", "a", 1)
+            version = (await self.client.list_at("k")).version
+            self.store.put("k", "b", 1)
+            self.store.change_metadata("k", "b", self.odd)
+            with self.assertRaises(errors.StoreWatchExpiredError):
+                await self.client.watch("k", version, 0)
+
+    async def test_object_without_a_value_is_not_deleted(self):
+        async with self.run_store():
+            version = (await self.client.list_at("k")).version
+            self.store.put("k", "a", None)
+            (stored,) = (await self.client.watch("k", version, 0)).objects
+            self.assertIsNotNone(stored.value)
+
+
 class EraTest(StoreTestCase):
     """Tests the era in answers of a store."""
 
