Read the entries' own objects with the same care as registrations

What callers would have seen: every process ends that lists a group of refused parts whose end is a number of 400 digits, again after each start; and a stream goes on at another version if a record names it by a number below 0. Nobody has seen it; an object of these kinds that another writer has left is the same case as that of the endpoints.

Change: registrations of entries, refused parts and records of origins are read through stored_values. Left without a limit of length: texts that come from callers, as a record that holds one must stay readable to all (weighed: a limit there would make a long attempt id hide the whole record, and a stream could be joined). A manifest with an infinite number is malformed and no longer an error of the program.

The tests failed before: platform.test_odd_objects.OddOwnObjectTest (the process ended), test_crashing_part_store, test_registrations (two), origins.test_records (five values).

--- a/samphirevale/cluster_watch.py
+++ b/samphirevale/cluster_watch.py
@@ -215,6 +215,7 @@
         except (
             AttributeError,
             KeyError,
+            OverflowError,
             TypeError,
             ValueError,
         ) as error:
--- a/samphirevale/crashing_part_store.py
+++ b/samphirevale/crashing_part_store.py
@@ -6,6 +6,7 @@
 registrations of entries, so that its changes need no further watch.
 """
 
+import contextlib
 import random
 import time
 from collections.abc import Mapping
@@ -17,6 +18,7 @@
     errors,
     journal,
     registrations,
+    stored_values,
 )
 from samphirevale.ports import clock as clocks
 from samphirevale.ports import objects
@@ -31,11 +33,13 @@
 # fleet, so that most entries find the object written.
 SPREAD_SECONDS = 0.5
 
-
 # The shortest time between two writes of one entry, in seconds. Entries that
 # are cut off from each other may disagree for long.
 WRITE_SECONDS = 2.0
 
+# The last end of a group that is read, in wall-clock seconds.
+LAST_END = float(stored_values.INTEGER_LIMIT)
+
 
 class CrashingPartStore:
     """Writes the refused groups to the store, and adopts those found there."""
@@ -124,19 +128,17 @@
 
 def decode_groups(value: Any) -> dict[crashing_parts.Group, float]:
     """Returns the groups of a stored object; malformed ones are left out."""
-    found = value.get("groups") if isinstance(value, dict) else None
-    if not isinstance(found, list):
+    try:
+        found = stored_values.Fields(value).read_list("groups")
+    except errors.MalformedValueError:
         return {}
     groups = {}
     for item in found:
-        if not isinstance(item, dict):
-            continue
-        parts, ends_at = item.get("parts"), item.get("ends_at")
-        if (
-            isinstance(parts, list)
-            and parts
-            and all(isinstance(part, str) for part in parts)
-            and isinstance(ends_at, int | float)
-        ):
-            groups[frozenset(parts)] = float(ends_at)
+        with contextlib.suppress(errors.MalformedValueError):
+            fields = stored_values.Fields(item)
+            parts = fields.read_list("parts")
+            group = frozenset(map(stored_values.check_string, parts))
+            ends_at = fields.read_number("ends_at", 0.0, LAST_END)
+            if group:
+                groups[group] = ends_at
     return groups
--- a/samphirevale/origins/records.py
+++ b/samphirevale/origins/records.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Mapping
 from typing import Any, NamedTuple
 
-from samphirevale import stream_origins
+from samphirevale import errors, stored_values, stream_origins
 
 # The kind of the records in the store, each under the name of its entry.
 KIND = "samphirevale-streams"
@@ -43,25 +43,43 @@
 def decode_record(value: Any) -> OriginRecord | None:
     """Returns the record; None if it is malformed."""
     try:
-        origins = [
-            stream_origins.StreamOrigin(str(service), str(version))
-            for service, version in value["origins"]
-        ]
+        fields = stored_values.Fields(value)
+        origins = list(map(_decode_origin, fields.read_list("origins")))
         return OriginRecord(
             frozenset(origins),
             {
-                str(route): frozenset(map(str, services))
-                for route, services in value["moved"].items()
+                route: _decode_services(services)
+                for route, services in fields.read_items("moved")
             },
             {
-                str(attempt): origins[number]
-                for attempt, number in value["streams"].items()
+                attempt: _find_origin(origins, number)
+                for attempt, number in fields.read_items("streams")
             },
         )
-    except (AttributeError, IndexError, KeyError, TypeError, ValueError):
+    except errors.MalformedValueError:
         return None
 
 
+def _decode_origin(value: Any) -> stream_origins.StreamOrigin:
+    if not isinstance(value, list) or len(value) != 2:
+        raise errors.MalformedValueError("no service and version")
+    return stream_origins.StreamOrigin(*map(stored_values.check_string, value))
+
+
+def _decode_services(value: Any) -> frozenset[str]:
+    if not isinstance(value, list):
+        raise errors.MalformedValueError("no list of services")
+    return frozenset(map(stored_values.check_string, value))
+
+
+def _find_origin(
+    origins: list[stream_origins.StreamOrigin], number: Any
+) -> stream_origins.StreamOrigin:
+    if stored_values.is_integer(number) and 0 <= number < len(origins):
+        return origins[number]
+    raise errors.MalformedValueError("no number of an origin")
+
+
 def find_stream(
     known: Iterable[OriginRecord], attempt: str
 ) -> stream_origins.StreamOrigin | None:
--- a/samphirevale/platform/manifest.py
+++ b/samphirevale/platform/manifest.py
@@ -17,8 +17,8 @@
     """Returns the decoded manifest.
 
     Raises:
-        KeyError, TypeError, ValueError: the manifest is malformed, although
-            the store accepts only valid ones.
+        AttributeError, KeyError, OverflowError, TypeError, ValueError: the
+            manifest is malformed, although the store accepts only valid ones.
     """
     services = [_decode_service(item) for item in value["services"]]
     return routes.RouteTable(
--- a/samphirevale/registrations.py
+++ b/samphirevale/registrations.py
@@ -2,11 +2,16 @@
 
 from typing import Any, NamedTuple
 
+from samphirevale import errors, stored_values
 from samphirevale.ports import objects
 
 # The kind of the entries' registrations in the store.
 KIND = "samphirevale-entries"
 
+# The processor time that an entry may state, in cores.
+LEAST_PROCESSOR = 0.001
+PROCESSOR_LIMIT = 10_000.0
+
 
 class Registration(NamedTuple):
     """The address at which other entries connect to an entry.
@@ -29,20 +34,19 @@
 
 def decode_registration(stored: objects.StoredObject) -> Registration | None:
     """Returns the decoded registration, or None if it is malformed."""
-    value = stored.value
-    if not isinstance(value, dict):
+    try:
+        fields = stored_values.Fields(stored.value)
+        return Registration(
+            stored.name,
+            fields.read_token("host"),
+            fields.read_integer("port", 1, stored_values.LAST_PORT),
+            fields.read_token("token"),
+            fields.read_number(
+                "processor", LEAST_PROCESSOR, PROCESSOR_LIMIT, default=1.0
+            ),
+        )
+    except errors.MalformedValueError:
         return None
-    found = Registration(
-        stored.name,
-        value.get("host"),
-        value.get("port"),
-        value.get("token"),
-        value.get("processor", 1.0),
-    )
-    types = (str, str, int, str, int | float)
-    if all(map(isinstance, found, types)) and found.processor > 0:
-        return found
-    return None
 
 
 def encode_registration(registration: Registration) -> dict[str, Any]:
--- a/samphirevale/stored_values.py
+++ b/samphirevale/stored_values.py
@@ -5,7 +5,7 @@
 """
 
 import ipaddress
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from typing import Any
 
 from samphirevale import errors
@@ -71,6 +71,34 @@
             return number
         raise errors.MalformedValueError(f"{name} is no number in its range")
 
+    def read_number(
+        self,
+        name: str,
+        lowest: float,
+        highest: float,
+        default: float | None = None,
+    ) -> float:
+        """Returns a number in a range; the arguments are as of an integer."""
+        number = self._value.get(name, default)
+        if is_number(number) and lowest <= number <= highest:
+            return float(number)
+        raise errors.MalformedValueError(f"{name} is no number in its range")
+
+    def read_list(self, name: str) -> list[Any]:
+        """Returns a list, whose items are not checked."""
+        items = self._value.get(name)
+        if isinstance(items, list):
+            return items
+        raise errors.MalformedValueError(f"{name} is no list")
+
+    def read_items(self, name: str) -> Iterator[tuple[str, Any]]:
+        """Yields the names and values of an object."""
+        items = self._value.get(name)
+        if not isinstance(items, Mapping):
+            raise errors.MalformedValueError(f"{name} is no object")
+        for key, value in items.items():
+            yield check_string(key), value
+
     def read_address(self, name: str) -> tuple[str, int]:
         """Returns the IPv4 address and the port of a `host:port` text."""
         host, _, port = self.read_token(name).rpartition(":")
@@ -87,6 +115,26 @@
     return isinstance(value, int) and not isinstance(value, bool)
 
 
+def is_number(value: Any) -> bool:
+    """Returns whether a value is a number; true and false are none."""
+    return is_integer(value) or isinstance(value, float)
+
+
+def check_string(value: Any) -> str:
+    """Returns a value that is a string of any characters and any length.
+
+    Raises:
+        errors.MalformedValueError: it is none, or it cannot be encoded.
+    """
+    if not isinstance(value, str):
+        raise errors.MalformedValueError("not a string")
+    try:
+        value.encode()
+    except UnicodeEncodeError as error:
+        raise errors.MalformedValueError("not a string") from error
+    return value
+
+
 def is_text(value: Any) -> bool:
     """Returns whether a value is a printable text of a usual length."""
     return (
--- a/tests/origins/test_records.py
+++ b/tests/origins/test_records.py
@@ -1,14 +1,22 @@
 """Tests the stored form of records and what follows from them."""
 
+import cbor2
+import hypothesis
+from hypothesis import strategies
+
 from samphirevale import stream_origins
 from samphirevale.origins import records
-from tests import base
+from tests import base, odd_values
 
 OLD = stream_origins.StreamOrigin("lm", "v1")
 NEW = stream_origins.StreamOrigin("lm", "v2")
 OTHER = stream_origins.StreamOrigin("other", "v1")
 
 
+def _nest(depth):
+    return [] if depth == 0 else [_nest(depth - 1)]
+
+
 class EncodingTest(base.TestCase):
     """Tests encoding and decoding."""
 
@@ -21,6 +29,31 @@
         decoded = records.decode_record(records.encode_record(record))
         self.assertEqual(record, decoded)
 
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=300)
+    @hypothesis.given(
+        strategies.fixed_dictionaries(
+            {},
+            optional={
+                "origins": strategies.lists(
+                    strategies.lists(odd_values.VALUES, max_size=3)
+                ),
+                "moved": strategies.dictionaries(
+                    odd_values.TEXTS, odd_values.VALUES, max_size=2
+                ),
+                "streams": strategies.dictionaries(
+                    odd_values.TEXTS, odd_values.VALUES, max_size=2
+                ),
+            },
+        )
+    )
+    def test_what_is_decoded_can_be_encoded(self, change):
+        good = records.encode_record(
+            records.OriginRecord(frozenset({OLD, NEW}), {}, {"a1": OLD})
+        )
+        decoded = records.decode_record({**good, **change})
+        if decoded is not None:
+            cbor2.dumps(records.encode_record(decoded))
+
     def test_malformed_records_are_none(self):
         good = records.encode_record(
             records.OriginRecord(frozenset({OLD}), {}, {"a1": OLD})
@@ -34,6 +67,12 @@
             {"moved": {"r": 7}},
             {"streams": {"a1": "x"}},
             {"streams": 7},
+            {"streams": {"a1": -1}},
+            {"streams": {"a1": False}},
+            {"streams": {"a1": 10**400}},
+            {"origins": [["lm", _nest(700)]]},
+            {"origins": [["lm", "\ud800"]]},
+            {"moved": {"r": "lm"}},
         ):
             with self.subTest(change):
                 self.assertIsNone(records.decode_record({**good, **change}))
--- a/tests/platform/test_odd_objects.py
+++ b/tests/platform/test_odd_objects.py
@@ -4,6 +4,8 @@
 
 import curio
 
+from samphirevale import crashing_part_store, registrations
+from samphirevale.origins import records
 from standins import metadata_store
 from tests.platform import sessions
 
@@ -155,3 +157,35 @@
             await self.start_entry()
             await self.check_followed()
             await self.check_stream()
+
+
+class OddOwnObjectTest(sessions.SessionTestCase):
+    """Odd objects among those that entries write themselves."""
+
+    async def test_entry_goes_on_and_starts_beside_odd_objects(self):
+        """A number too large for a float, among others, ends no process."""
+        parts = {"parts": ["x"], "ends_at": 10**400}
+        async with self.run_all():
+            self.store.put(
+                registrations.KIND,
+                crashing_part_store.NAME,
+                {"groups": [parts]},
+            )
+            odd = {"host": "\ud800", "port": 10**9, "token": "\n"}
+            self.store.put(registrations.KIND, "odd1", odd)
+            odd = {"origins": [["plain", 5]], "moved": {}, "streams": {"a": -1}}
+            self.store.put(records.KIND, "odd1", odd)
+            await self.check_entries_followed("entry8")
+            await self.kill_entry()
+            await self.start_entry()
+            await self.check_entries_followed("entry9")
+            await self.check_stream()
+
+    async def check_entries_followed(self, name):
+        """Checks that a registration that is written now is read."""
+        other = registrations.Registration(name, "127.0.0.1", 9, "x")
+        value = registrations.encode_registration(other)
+        self.store.put(registrations.KIND, name, value)
+        await self.wait_until(
+            lambda: name in self.gateway.table.list_registered()
+        )
--- a/tests/test_crashing_part_store.py
+++ b/tests/test_crashing_part_store.py
@@ -12,6 +12,7 @@
     proxy_requests,
     registrations,
 )
+from samphirevale.ports import objects
 from tests import base, proxy_fakes
 
 GROUP = frozenset({"x"})
@@ -124,5 +125,10 @@
             {"groups": [3, {}, {"parts": [1], "ends_at": 2}]},
             {"groups": [{"parts": [], "ends_at": 2}]},
             {"groups": [{"parts": ["x"], "ends_at": "soon"}]},
+            {"groups": [{"parts": ["x"], "ends_at": 10**400}]},
+            {"groups": [{"parts": ["x"], "ends_at": float("nan")}]},
+            {"groups": [{"parts": ["x"], "ends_at": True}]},
+            {"groups": [{"parts": ["\ud800"], "ends_at": 2}]},
+            objects.UNREADABLE,
         ):
             self.assertEqual({}, crashing_part_store.decode_groups(value))
--- a/tests/test_registrations.py
+++ b/tests/test_registrations.py
@@ -20,11 +20,23 @@
         stored = objects.StoredObject(registrations.KIND, "n", 1, value)
         found = registrations.decode_registration(stored)
         self.assertEqual(1.0, found.processor)
-        for processor in (0, -1, "2", None, float("nan")):
+        for processor in (
+            *(0, -1, "2", None, True),
+            *(float("nan"), float("inf"), 10**400, 5e-324),
+        ):
             wrong = stored._replace(value=value | {"processor": processor})
             self.assertIsNone(registrations.decode_registration(wrong))
 
     def test_malformed_registration_is_none(self):
-        for value in (None, [], {}, {"host": 1, "port": 2, "token": "x"}):
+        sound = {"host": "h", "port": 2, "token": "x"}
+        for value in (
+            *(None, [], {}, objects.UNREADABLE),
+            sound | {"host": 1},
+            sound | {"host": "\ud800"},
+            sound | {"port": True},
+            sound | {"port": 0},
+            sound | {"port": 65536},
+            sound | {"token": "x\r\nOther: y"},
+        ):
             stored = objects.StoredObject(registrations.KIND, "n", 1, value)
             self.assertIsNone(registrations.decode_registration(stored))
