Believe a refusal only if it is the request's own

Cause: PlatformEndpoints.send looked for Samphirevale-Not-Executed before it looked whose answer it had.

Change: an answer that names another request is no answer, so the request may have run. A refusal that names none still counts: each request has a connection of its own, on which nothing came before, and an endpoint that refuses early may not have read the id. Of requests that are refused by an answer without an id nothing changes.

--- a/samphirevale/platform/endpoints.py
+++ b/samphirevale/platform/endpoints.py
@@ -87,10 +87,14 @@
                 request.headers + _build_headers(endpoint, send),
                 request.host,
             )
+            # An answer to another request promises nothing about this one.
+            attempt = answer.headers.get(headers.ATTEMPT)
+            if attempt not in (None, request.attempt):
+                raise errors.ProtocolError("the answer is not the request's")
             notice = await self._handle_notice(endpoint, answer)
             _check_executed(answer, notice)
-            if answer.headers.get(headers.ATTEMPT) != request.attempt:
-                raise errors.ProtocolError("the answer is not the request's")
+            if attempt is None:
+                raise errors.ProtocolError("the answer names no request")
             if "content-encoding" in answer.headers:
                 raise errors.ProtocolError("the answer is encoded")
             if answer.status < 300 and headers.SEAL not in answer.headers:
--- a/standins/servers.py
+++ b/standins/servers.py
@@ -77,7 +77,8 @@
             second than it bears crash the server.
         pause: the latest pause; None if there was none.
         faults: the faults of the next runs and stage calls, in order: `full`,
-            `cut`, `other` (the answer to another request), `error`, `mute`,
+            `cut`, `other` (the answer to another request), `other refused` (a
+            run, and the refusal of another request), `error`, `mute`,
             `silent` (a silence before the answer), `late` (a silence before
             the first event), `stall` (a silence in the middle of a stream) or
             empty. Of these, only `full`, `mute` and `silent` affect stage
@@ -216,13 +217,18 @@
     ) -> web.Response | web.StreamedResponse:
         attempt = request.headers["samphirevale-attempt-id"]
         headers = [
-            ("Samphirevale-Attempt-Id", "x" if fault == "other" else attempt),
+            (
+                "Samphirevale-Attempt-Id",
+                "x" if fault.startswith("other") else attempt,
+            ),
             ("Samphirevale-Response-Seal", f"seal-of-{self.name}"),
         ]
         if fault == "full":
             headers.append(NOT_EXECUTED)
             return web.Response(503, b"", tuple(headers))
         self.seen_headers.append(request.headers)
+        if fault == "other refused":
+            return web.Response(503, b"", (*headers, NOT_EXECUTED))
         if "samphirevale-prefix-hash" not in request.headers:
             status = 500 if fault == "error" else 200
             return web.Response(status, request.body, tuple(headers))
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -113,6 +113,16 @@
             notice = proxies.EndpointNotice(leaving=True, pause_seconds=0.5)
             self.assertEqual([("e1", notice)] * 4, self.listener.notices)
 
+    async def test_refusal_of_another_request_promises_nothing(self):
+        """An earlier refusal, written once more, is not this request's."""
+        other = ("Samphirevale-Attempt-Id", "other")
+        async with self.run_server(503, NOT_EXECUTED, other):
+            with self.assertRaises(errors.ProtocolError):
+                await self.list_calls()[0]()
+        async with self.run_server(503, NOT_EXECUTED):
+            with self.assertRaises(errors.NotExecutedError):
+                await self.list_calls()[0]()
+
     async def test_callers_do_not_learn_that_an_endpoint_leaves(self):
         attempt = ("Samphirevale-Attempt-Id", "a1")
         seal = ("Samphirevale-Response-Seal", "s")
--- a/tests/platform/test_session.py
+++ b/tests/platform/test_session.py
@@ -161,6 +161,15 @@
             self.assertEqual(502, status)
             self.assertNotIn("samphirevale-response-seal", headers)
 
+    async def test_a_refusal_of_another_request_refuses_nothing(self):
+        """A request that runs gets no promise that it has not run."""
+        async with self.run_all():
+            for name in ("plain1", "plain2"):
+                self.servers[name].faults = ["other refused"]
+            status, _, _ = await self.call("/once/x")
+            self.assertEqual(1, len(self.list_received_headers("plain")))
+            self.assertEqual(502, status)
+
     async def test_a_request_to_a_silent_server_is_retried_elsewhere(self):
         async with self.run_all():
             self.servers["plain1"].faults = ["mute"] * 9
