Give each call of a stage a connection of its own

What callers saw: streams made from the pieces of other callers' requests.

Cause: calls of stages shared kept connections, and their answers name no call. What an endpoint writes behind an answer was read as the answer to the next call, and each later one as that of the call before, until two calls had different numbers of items.

Change: run_batch opens a connection. Releases and reports go on sharing those that runs leave behind. A connection with bytes behind its answer is not kept by any client of web_client: the same cause on the calls of the store and of the sidecars' reports.

Why it works: nothing can come before the answer on a new connection, and what comes after it meets no call whose answer matters; so both orders are covered, at once and after the next call went out.

--- a/samphirevale/adapters/web_client.py
+++ b/samphirevale/adapters/web_client.py
@@ -185,10 +185,11 @@
         return data
 
     def is_stale(self) -> bool:
-        """Returns whether the server has closed the idle connection.
+        """Returns whether an idle connection cannot be used any more.
 
         The server sends nothing between two exchanges, so a readable socket
-        means that the connection has ended.
+        means that the connection has ended, or that what is there belongs to no
+        request.
         """
         poll = select.poll()
         poll.register(self._stream.fileno(), select.POLLIN)
@@ -197,8 +198,12 @@
     def is_reusable(self) -> bool:
         """Returns whether the connection can carry another request.
 
-        If so, prepares the protocol state for it.
+        It cannot if bytes have come behind the answer, which belong to none.
+        If it can, prepares the protocol state for it.
         """
+        data, _ = self._protocol.trailing_data
+        if data:
+            return False
         if self._protocol.our_state is not h11.DONE:
             return False
         if self._protocol.their_state is not h11.DONE:
--- a/samphirevale/platform/endpoints.py
+++ b/samphirevale/platform/endpoints.py
@@ -59,7 +59,10 @@
 
     Each request opens a new connection. If the endpoint closed a kept
     connection during a request, it would be unknown whether the request ran.
-    Batch calls and releases may be repeated, so they reuse connections.
+    So does each batch call: its answer names no call, and what a faulty
+    endpoint writes once more, at once or later, could be taken for it. Releases
+    and reports reuse connections, as nothing follows from the answer to a
+    release, and a report that is not the newest does no harm.
     """
 
     def __init__(self, listener: proxies.EndpointListener):
@@ -112,7 +115,8 @@
     ) -> list[proxies.ItemResult]:
         """Runs several items in one call and returns their results."""
         body = {"items": [_encode_item(item, now) for item in items]}
-        value = await self._call(endpoint, "/stage-run", body)
+        connection = await self._open_connection(endpoint)
+        value = await self._call(endpoint, connection, "/stage-run", body)
         results = value.get("items") if isinstance(value, dict) else None
         if not isinstance(results, list) or len(results) != len(items):
             raise errors.ProtocolError("not the items that were asked for")
@@ -122,25 +126,31 @@
         self, endpoint: catalogue.Endpoint, results: Sequence[str]
     ) -> None:
         """Frees the memory that results occupy."""
-        await self._call(endpoint, "/stage-free", {"handles": list(results)})
+        connection = await self._get_connection(endpoint)
+        value = {"handles": list(results)}
+        await self._call(endpoint, connection, "/stage-free", value)
 
     async def read_free_memory(self, endpoint: catalogue.Endpoint) -> int:
         """Returns the endpoint's free memory for results, in bytes."""
-        value = await self._call(endpoint, "/report", None)
+        connection = await self._get_connection(endpoint)
+        value = await self._call(endpoint, connection, "/report", None)
         try:
             return int(float(value["free_mb"]) * manifest.MEGABYTE)
         except (KeyError, TypeError, ValueError) as error:
             raise errors.ProtocolError("no free_mb in the report") from error
 
     async def _call(
-        self, endpoint: catalogue.Endpoint, target: str, value: object
+        self,
+        endpoint: catalogue.Endpoint,
+        connection: web_client.ClientConnection,
+        target: str,
+        value: object,
     ) -> object:
         """Posts a value as JSON, or sends a GET if it is None.
 
         Returns the parsed answer. Without an answer no kept connection is used
         any more, as all may have fallen silent.
         """
-        connection = await self._get_connection(endpoint)
         kept = unanswered = False
         try:
             self._check_allowed(endpoint)
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -1,6 +1,7 @@
 """Tests of calls to the platform's endpoints over sockets."""
 
 import contextlib
+import json
 
 import curio
 
@@ -152,6 +153,101 @@
             self.assertEqual({}, idle)
 
 
+def encode_answer(status, value, *headers):
+    """Returns the bytes of a whole answer."""
+    body = json.dumps(value).encode()
+    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
+    lines += [f"{name}: {text}" for name, text in headers]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+REFUSAL = encode_answer(503, {}, NOT_EXECUTED)
+
+
+class RepeatedAnswersTest(base.TestCase):
+    """An endpoint writes an earlier answer of a connection once more.
+
+    Guards against an answer, or a promise that a call has not run, that is
+    handed to another call.
+    """
+
+    @contextlib.asynccontextmanager
+    async def run_server(self, first, at_once):
+        """Runs a server that repeats its first answer on each connection.
+
+        Args:
+            first: the answer to the first call.
+            at_once: whether the copy follows that answer; otherwise it comes
+                once the next call has been read.
+        """
+        self.answers = iter([first])
+        self.ran = 0
+
+        async def serve(client, address):
+            copy = b""
+            async with client:
+                while await client.recv(65536):
+                    answer = next(self.answers, None)
+                    if answer is None:
+                        self.ran += 1
+                        answer = build_results(self.ran)
+                    await client.sendall(copy + answer)
+                    copy = b"" if copy else first
+                    if at_once:
+                        await client.sendall(copy)
+                        copy = b""
+
+        port = base.find_free_port()
+        server = await curio.spawn(
+            curio.tcp_server, "127.0.0.1", port, serve, daemon=True
+        )
+        await curio.sleep(0.05)
+        self.calls = endpoints.PlatformEndpoints(FakeListener())
+        self.endpoint = proxy_fakes.build_endpoint(host="127.0.0.1", port=port)
+        try:
+            yield
+        finally:
+            await self.calls.close_idle(self.endpoint)
+            await server.cancel()
+
+    async def run_batch(self):
+        items = [proxy_fakes.build_item()]
+        (result,) = await self.calls.run_batch(self.endpoint, items, 100.0)
+        return result.result
+
+    async def test_refusal_written_twice_refuses_one_call(self):
+        """A call that runs does not count as refused."""
+        for at_once in (True, False):
+            with self.subTest(at_once=at_once):
+                async with self.run_server(REFUSAL, at_once):
+                    with self.assertRaises(errors.NotExecutedError):
+                        await self.run_batch()
+                    self.assertEqual("h1", await self.run_batch())
+                    self.assertEqual("h2", await self.run_batch())
+
+    async def test_results_written_twice_are_those_of_one_call(self):
+        """The results of a call are not handed to the next one."""
+        for at_once in (True, False):
+            with self.subTest(at_once=at_once):
+                async with self.run_server(build_results(0), at_once):
+                    self.assertEqual("h0", await self.run_batch())
+                    self.assertEqual("h1", await self.run_batch())
+                    self.assertEqual("h2", await self.run_batch())
+
+    async def test_results_written_twice_are_no_results_after_a_release(self):
+        for at_once in (True, False):
+            with self.subTest(at_once=at_once):
+                async with self.run_server(build_results(0), at_once):
+                    self.assertEqual("h0", await self.run_batch())
+                    await self.calls.release(self.endpoint, ["h0"])
+                    self.assertNotEqual("h0", await self.run_batch())
+
+
+def build_results(number):
+    """Returns the answer to a call of one item."""
+    return encode_answer(200, {"items": [{"handle": f"h{number}"}]})
+
+
 class SilentConnectionsTest(base.TestCase):
     """Tests kept connections that fall silent for good."""
 
