Give each attempt of a sidecar a connection of its own

What callers could see: the result of one request as the answer to another.

Cause: attempts that may be repeated used kept connections, and the answers of endpoints name no attempt. An endpoint that writes a result once more gave it to the next attempt (0, 0, 2 for three attempts where 0, 1, 2 are right).

Change: every attempt opens a connection, as those that may not be repeated always have; reports go on using kept ones.

test_unrepeatable_calls_open_a_new_connection held that a second repeatable call opens no connection. That is what was wrong, so its successor holds that each attempt opens one, the repeatable ones as well; the check on unrepeatable calls is kept as it was.

The tests failed before: adapters.test_endpoints (both).

--- a/lab/mechanisms.py
+++ b/lab/mechanisms.py
@@ -202,13 +202,25 @@
         ("tests.test_stage_runs", "tests.test_execution"),
     ),
     Ablation(
-        "fresh connection for what may not be repeated",
+        "connection of its own for each attempt",
         AT_MOST_ONCE,
         (
             _edit(
                 "adapters/endpoints",
-                "while repeatable and self._idle:",
-                "while self._idle:",
+                "            connection = await self._open_connection()\n"
+                "        except",
+                "            connection = await self._get_connection()\n"
+                "        except",
+            ),
+            _edit(
+                "adapters/endpoints",
+                '            yield endpoints.Failed("lost", str(error))\n'
+                "        finally:\n"
+                "            await connection.close()\n",
+                '            yield endpoints.Failed("lost", str(error))\n'
+                "        finally:\n"
+                "            if not self._return_to_idle(connection):\n"
+                "                await connection.close()\n",
             ),
         ),
         ("tests.adapters.test_endpoints",),
--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -39,9 +39,28 @@
         "attempt id compared with the answer's",
         ANSWERS,
         "platform/endpoints",
-        "if answer.headers.get(headers.ATTEMPT) != request.attempt:",
+        "if attempt not in (None, request.attempt):",
         "if False:",
         f"{_SESSION}.test_an_answer_of_another_request_is_not_forwarded",
+        f"{_SESSION}.test_a_refusal_of_another_request_refuses_nothing",
+    ),
+    _ablate(
+        "connection of its own for each call of a stage",
+        ANSWERS,
+        "platform/endpoints",
+        "        connection = await self._open_connection(endpoint)\n"
+        "        value =",
+        "        connection = await self._get_connection(endpoint)\n"
+        "        value =",
+        f"{_CALLS}.RepeatedAnswersTest",
+    ),
+    _ablate(
+        "connection with bytes behind its answer closed",
+        ANSWERS,
+        "adapters/web_client",
+        "        if data:\n            return False\n",
+        "",
+        "tests.adapters.test_web_client.KeptConnectionTest",
     ),
     _ablate(
         "end of stream inside an event detected",
--- a/samphirevale/adapters/endpoints.py
+++ b/samphirevale/adapters/endpoints.py
@@ -1,8 +1,9 @@
 """HTTP clients for the kinds of endpoint.
 
-Repeatable calls may use a kept-alive connection. A call that may not be
-repeated always opens a new connection: if it went over a kept connection that
-the endpoint has just closed, its outcome would be unknown.
+Each attempt opens a new connection. On a kept one, the endpoint might just
+close it, so that the outcome of the attempt is unknown, and what a faulty
+endpoint writes once more could be taken for the answer, which names no attempt.
+Reports use kept-alive connections.
 """
 
 import contextlib
@@ -66,11 +67,10 @@
         Failed.
         """
         try:
-            connection = await self._get_connection(call.repeatable)
+            connection = await self._open_connection()
         except errors.ConnectError as error:
             yield endpoints.Failed("nothing_sent", str(error))
             return
-        kept = False
         try:
             answer = await connection.request(
                 "POST", self.target, _encode(self._build_body(call))
@@ -83,12 +83,10 @@
                 ) as items:
                     async for item in items:
                         yield item
-            kept = self._return_to_idle(connection)
         except (errors.AnswerLostError, errors.ProtocolError) as error:
             yield endpoints.Failed("lost", str(error))
         finally:
-            if not kept:
-                await connection.close()
+            await connection.close()
 
     async def cancel(self, attempt: str) -> None:
         """Does nothing, as only engines can cancel an attempt."""
@@ -149,17 +147,19 @@
             detail += f": {body[:200].decode('utf-8', 'replace')}"
         return endpoints.Failed(phase, detail, retry_after_ms)
 
-    async def _get_connection(
-        self, repeatable: bool
-    ) -> web_client.ClientConnection:
-        while repeatable and self._idle:
+    async def _open_connection(self) -> web_client.ClientConnection:
+        return await web_client.open_connection(
+            *web_client.split_address(self._url)
+        )
+
+    async def _get_connection(self) -> web_client.ClientConnection:
+        """Returns a kept connection, or a new one."""
+        while self._idle:
             connection = self._idle.pop()
             if not connection.is_stale():
                 return connection
             await connection.close()
-        return await web_client.open_connection(
-            *web_client.split_address(self._url)
-        )
+        return await self._open_connection()
 
     def _return_to_idle(self, connection: web_client.ClientConnection) -> bool:
         if len(self._idle) >= IDLE_CONNECTIONS_LIMIT:
@@ -171,7 +171,7 @@
 
     async def _read_report(self, target: str) -> tuple[int, Any]:
         """Reads a report, over a kept-alive connection if there is one."""
-        connection = await self._get_connection(repeatable=True)
+        connection = await self._get_connection()
         kept = False
         try:
             async with curio.timeout_after(REPORT_SECONDS):
@@ -282,7 +282,7 @@
         self, answer: web_client.Answer
     ) -> AsyncIterator[Any]:
         ending = None
-        # Reads to the end of the body so that the connection can be reused.
+        # Only the end of the body shows that the answer is whole.
         async with contextlib.aclosing(answer.read_parts()) as parts:
             partial_line = b""
             async for part in parts:
--- a/tests/adapters/test_endpoints.py
+++ b/tests/adapters/test_endpoints.py
@@ -1,5 +1,6 @@
 """Tests of the connections used for calls to an endpoint."""
 
+import itertools
 from unittest import mock
 
 import curio
@@ -24,7 +25,7 @@
 class ConnectionTest(base.TestCase):
     """Calls to a service that keeps connections alive."""
 
-    async def test_unrepeatable_calls_open_a_new_connection(self):
+    async def test_each_attempt_opens_a_connection(self):
         async def handle(_):
             return web.build_json(200, {"result": "done"})
 
@@ -38,9 +39,35 @@
             web_client, "open_connection", wraps=web_client.open_connection
         )
         with opened as open_connection:
-            for repeatable, connections in ((True, 1), (True, 1), (False, 2)):
+            for number, repeatable in enumerate((True, True, False), 1):
                 call = CALL._replace(repeatable=repeatable)
                 (item,) = [item async for item in service.run(call)]
                 self.assertEqual("done", item.payload)
-                self.assertEqual(connections, open_connection.call_count)
+                self.assertEqual(number, open_connection.call_count)
         await server.cancel()
+
+    async def test_result_written_twice_is_that_of_one_attempt(self):
+        """The result of an attempt is not handed to the next one."""
+
+        async def serve(client, address):
+            copy = b""
+            async with client:
+                while await client.recv(65536):
+                    body = b'{"result": %d}' % next(numbers)
+                    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
+                    answer = head % len(body) + body
+                    await client.sendall(copy + answer)
+                    copy = answer
+
+        numbers = itertools.count()
+        port = base.find_free_port()
+        server = await curio.spawn(curio.tcp_server, "127.0.0.1", port, serve)
+        await curio.sleep(0.05)
+        service = endpoints.build_endpoint(
+            "service", f"http://127.0.0.1:{port}", 1.0
+        )
+        results = [
+            item.payload for _ in range(3) async for item in service.run(CALL)
+        ]
+        await server.cancel()
+        self.assertEqual([0, 1, 2], results)
--- a/tests/adapters/test_web_client.py
+++ b/tests/adapters/test_web_client.py
@@ -3,6 +3,8 @@
 import contextlib
 import socket
 
+import curio
+
 from samphirevale import errors
 from samphirevale.adapters import web_client
 from tests import base
@@ -34,3 +36,18 @@
     async def test_server_that_is_down_refuses_connections(self):
         error = await self.check_failure(base.find_free_port())
         self.assertNotIsInstance(error, errors.ConnectTimeoutError)
+
+
+class KeptConnectionTest(base.TestCase):
+    """Tests which connections can carry another request."""
+
+    async def test_connection_with_bytes_behind_the_answer_cannot(self):
+        """What comes behind an answer is not read as the next one."""
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+        for extra, reusable in ((b"", True), (answer, False), (b"\r\n", False)):
+            near, far = curio.socket.socketpair()
+            async with near, far:
+                connection = web_client.ClientConnection(near, "h", 80)
+                await far.sendall(answer + extra)
+                await (await connection.request("GET", "/")).read_body()
+                self.assertEqual(reusable, connection.is_reusable())
