Infer no version while a record of origins may be missing

What callers would have seen: a stream of a new version goes on at the old one (ORDER), taken up at an entry that has not learned of the new version.

Cause: at a take-up that no record names, an entry goes by the versions in all records, and took those that it could read for all there are. A copy of the store lacks what was written last, until its writer has written it again; and the answer's era was not looked at, so that an entry did not know that it read a copy.

Change: the recorder observes the era of what it reads. It infers nothing before the store has again what its copy lacked, or while a record that counts cannot be read (for a time, as records of entries without a link). Streams that a record names go on as before.

test_a_malformed_record_is_left_out held that a record which nobody can read counts as none. That is this fault. Its successor holds that nothing is inferred while the streams of such a record may run, to the second, and the inference afterwards.

--- a/lab/origin_mechanisms.py
+++ b/lab/origin_mechanisms.py
@@ -55,6 +55,15 @@
         "        pass\n",
         f"{_CANDIDATES}.test_services_that_a_route_had_count",
     ),
+    _ablate(
+        "nothing inferred while a record may be missing",
+        RECORDS,
+        "origins/recorder",
+        "if found is not None or not listing.whole:",
+        "if found is not None:",
+        f"{_RECORDER}.test_a_copy_of_the_store_may_lack_a_version",
+        f"{_RECORDER}.test_a_malformed_record_may_hide_any_version",
+    ),
     _ablate(
         "record of an earlier process adopted",
         RECORDS,
--- a/samphirevale/origins/recorder.py
+++ b/samphirevale/origins/recorder.py
@@ -54,10 +54,13 @@
     Attributes:
         read_at: when the read began.
         by_name: the records by the entry's name.
+        whole: whether no record is missing: none that counts is malformed, and
+            the store has again what its latest copy lacked.
     """
 
     read_at: float
     by_name: dict[str, records.OriginRecord]
+    whole: bool
 
 
 class OriginRecorder:
@@ -191,9 +194,12 @@
             self._own.remove_expired(now)
             self._pending = True
         if self._eras.newest != self._era:
+            # The first era is none that could lack the record.
+            is_first = self._era is None and self._has_read_own
             self._era = self._eras.newest
-            self._has_read_own = False
-            self._rewriting = True
+            if not is_first:
+                self._has_read_own = False
+                self._rewriting = True
 
     def _needs_write(self) -> bool:
         """Returns whether the own record must be written."""
@@ -229,7 +235,11 @@
     async def _read(self) -> _Listing:
         """Reads all records, and adopts that of an earlier process."""
         now = self._clock.now()
-        stored = (await self._store.list_at(records.KIND)).objects
+        listing = await self._store.list_at(records.KIND)
+        await self._eras.observe(listing.era, store_eras.STORE, now)
+        if listing.era is not None and self._eras.is_outdated(listing.era):
+            raise errors.StoreEraPassedError(f"records of era {listing.era}")
+        stored = listing.objects
         found = {
             item.name: records.decode_record(item.value) for item in stored
         }
@@ -244,9 +254,16 @@
         lasting = {
             name: record
             for name, record in found.items()
-            if record is not None and self._is_lasting(name, now)
+            if self._is_lasting(name, now)
+        }
+        known = {
+            name: record
+            for name, record in lasting.items()
+            if record is not None
         }
-        return _Listing(now, lasting)
+        is_whole = len(known) == len(lasting)
+        is_whole = is_whole and now >= self._eras.get_rewrite_end()
+        return _Listing(now, known, is_whole)
 
     def _note_unlinked(self, versions: dict[str, int], now: float) -> None:
         linked = set(self._list_linked())
@@ -290,7 +307,7 @@
             return None
         known = [*listing.by_name.values(), self._own.build()]
         found = records.find_stream(known, attempt)
-        if found is not None:
+        if found is not None or not listing.whole:
             return found
         candidates = records.list_candidates(known, route, services)
         return candidates.pop() if len(candidates) == 1 else None
