Ask an endpoint whether it is still the known one before a stream goes on

It can happen here where an endpoint starts again under its id: an entry that has not learned of it sends a stream of v1 there, and the endpoint goes on with v2.

Cause: an entry identified an endpoint by its id, and its version by the list that it has; the engine checks the id alone. An entry that has lost the store, or has just woken, has an old list.

Change: before a stream goes on at an endpoint, whether its caller or the entry takes it up, the endpoint is asked for its start (`born` in its report) on the connection that the request takes next, so that no other process can answer the one and run the other. A stream that begins is asked for only while the entry's list is older than its watch allows, since it will be known by its version. A pause that the report's answer asks for is heeded.

test_leaving_servers counted two calls at a pausing endpoint; it now holds that of three (the question, the question again, the request) only the first comes within the pause. The stand-in's report names its start.

--- a/lab/stream_mechanisms.py
+++ b/lab/stream_mechanisms.py
@@ -23,6 +23,24 @@
 _DISPATCH = "tests.test_batch_dispatch"
 
 TEST_ABLATIONS = (
+    _ablate(
+        "endpoint asked for its start before a stream goes on",
+        VERSIONS,
+        "platform/endpoints",
+        "            if send.asks_start:\n",
+        "            if False:\n",
+        "tests.platform.test_out_of_step.OutOfStepTest"
+        ".test_stream_does_not_go_on_at_a_server_that_has_changed",
+    ),
+    _ablate(
+        "endpoint asked for its start before a stream begins on an old list",
+        VERSIONS,
+        "request_sends",
+        "return wanted.recorded and not age.is_usable(now)",
+        "return False",
+        "tests.test_proxying.StreamTest"
+        ".test_endpoint_is_asked_for_its_start_if_its_version_matters",
+    ),
     _ablate(
         "version of the endpoint that begins a stream kept",
         VERSIONS,
--- a/samphirevale/cluster_watch.py
+++ b/samphirevale/cluster_watch.py
@@ -390,6 +390,19 @@
     )
 
 
+def compute_endpoints_limit(
+    settings: gateway_settings.GatewaySettings,
+) -> float:
+    """Returns how long the copy of the endpoints may be unconfirmed.
+
+    A copy that its watch follows is never older than one watch and the pause
+    before the next, with the margin that a copy is used with.
+    """
+    times = compute_endpoints_watch(settings)
+    longest_age = times.wait_seconds + times.pause_seconds
+    return longest_age + 2 * freshness.MARGIN_SECONDS
+
+
 def _ignore_time(now: float) -> None:
     """Ignores the time of a confirmation or recovery of a copy.
 
--- a/samphirevale/platform/endpoints.py
+++ b/samphirevale/platform/endpoints.py
@@ -4,7 +4,15 @@
 import json
 from collections.abc import AsyncIterator, Callable, Sequence
 
-from samphirevale import batching, catalogue, errors, proxy_requests
+import curio
+
+from samphirevale import (
+    batching,
+    catalogue,
+    errors,
+    proxy_requests,
+    stored_values,
+)
 from samphirevale.adapters import web_client
 from samphirevale.platform import headers, manifest, notices
 from samphirevale.ports import proxies
@@ -81,6 +89,8 @@
         """Sends a request and returns when the answer's head has been read."""
         connection = await self._open_connection(endpoint)
         try:
+            if send.asks_start:
+                connection = await self._ask_start(connection, endpoint)
             self._check_allowed(endpoint)
             on_connected()
             answer = await connection.request(
@@ -107,6 +117,49 @@
             raise
         return PlatformAnswer(connection, answer)
 
+    async def _ask_start(
+        self,
+        connection: web_client.ClientConnection,
+        endpoint: catalogue.Endpoint,
+    ) -> web_client.ClientConnection:
+        """Asks an endpoint for its start on the connection of a request.
+
+        The connection would end with the endpoint, so that the request that
+        follows reaches the one that has answered. An endpoint that does not say
+        when it started counts as the one that is known.
+
+        Returns:
+            The connection for the request, a new one if this cannot be kept.
+
+        Raises:
+            errors.NotAcceptingError: the endpoint has started again.
+            errors.ConnectError: it has not answered.
+        """
+        self._check_allowed(endpoint)
+        try:
+            async with curio.timeout_after(CONNECT_SECONDS):
+                answer = await connection.request(
+                    "GET", "/report", b"", (_expect(endpoint),)
+                )
+                data = await answer.read_body(CALL_BYTES_LIMIT)
+        except curio.TaskTimeout as error:
+            raise errors.ConnectTimeoutError(
+                f"{endpoint.name}: no report in {CONNECT_SECONDS} s"
+            ) from error
+        except errors.TransportError as error:
+            raise errors.ConnectError(f"no report: {error}") from error
+        await self._handle_notice(endpoint, answer)
+        started = _decode_start(answer.status, data)
+        if answer.status == notices.MISDIRECTED or (
+            started is not None and started != endpoint.started
+        ):
+            raise errors.NotAcceptingError(f"{endpoint.name} has started again")
+        # A refusal that is written once more could be taken for the request's.
+        if answer.status == 200 and connection.is_reusable():
+            return connection
+        await connection.close()
+        return await self._open_connection(endpoint)
+
     async def run_batch(
         self,
         endpoint: catalogue.Endpoint,
@@ -159,10 +212,7 @@
                 "GET" if value is None else "POST",
                 target,
                 b"" if value is None else json.dumps(value).encode(),
-                (
-                    ("Content-Type", "application/json"),
-                    ("Samphirevale-Expect-Instance", endpoint.name),
-                ),
+                (("Content-Type", "application/json"), _expect(endpoint)),
             )
             notice = await self._handle_notice(endpoint, answer)
             data = await answer.read_body(CALL_BYTES_LIMIT)
@@ -239,13 +289,30 @@
                 await connection.close()
 
 
+def _expect(endpoint: catalogue.Endpoint) -> tuple[str, str]:
+    """Returns the header upon which another endpoint runs nothing."""
+    return "Samphirevale-Expect-Instance", endpoint.name
+
+
+def _decode_start(status: int, data: bytes) -> int | None:
+    """Returns the start that a report names; None if it names none."""
+    if status != 200:
+        return None
+    try:
+        value = web_client.read_json(data)
+    except errors.ProtocolError:
+        return None
+    started = value.get("born") if isinstance(value, dict) else None
+    return started if stored_values.is_integer(started) else None
+
+
 def _build_headers(
     endpoint: catalogue.Endpoint, send: proxy_requests.SendParameters
 ) -> tuple[tuple[str, str], ...]:
     milliseconds = max(int(send.wait_seconds * 1000), 1)
     request_headers = [
         ("Samphirevale-Deadline-Ms", str(milliseconds)),
-        ("Samphirevale-Expect-Instance", endpoint.name),
+        _expect(endpoint),
     ]
     if send.account:
         request_headers.append(("Samphirevale-Tenant-Name", send.account))
--- a/samphirevale/request_sends.py
+++ b/samphirevale/request_sends.py
@@ -83,6 +83,7 @@
             remaining,
             self._request.last_event if last_event is None else last_event,
             results,
+            self._depends_on_version(now),
         )
         # It counts while the endpoint is connected to, as another exchange may
         # begin meanwhile. One that is cancelled after that may have run.
@@ -106,6 +107,20 @@
             last_event=last_event,
         )
 
+    def _depends_on_version(self, now: float) -> bool:
+        """Returns whether the endpoint's version must be certain.
+
+        An endpoint may have started again under its name, with another version.
+        That matters to a stream that goes on. One that begins is known by its
+        version later on; it is certain as long as the list of endpoints is
+        confirmed again and again.
+        """
+        wanted = self._endpoints.wanted
+        if wanted.version is not None:
+            return True
+        age = self._context.cluster_state.endpoints_age
+        return wanted.recorded and not age.is_usable(now)
+
     def compute_overlap(self, exchange: exchanges.Exchange | None) -> float:
         """Returns how long a further endpoint has had the request.
 
--- a/standins/servers.py
+++ b/standins/servers.py
@@ -70,6 +70,7 @@
             status 421.
         version: the version of the server's software, which it registers and
             writes in each event; empty for none.
+        born: identifies the server's start; None if its reports do not say it.
         leaving: whether all answers say that the server leaves.
         limit: the requests a second that all answers say the server takes, as
             the text of the header; empty for none.
@@ -103,6 +104,7 @@
     def __init__(self, name: str, version: str = ""):
         self.name = name
         self.version = version
+        self.born: int | None = 1
         self.leaving = False
         self.limit = ""
         self.cold: ColdTime | None = None
@@ -183,6 +185,8 @@
     ) -> web.Response | web.StreamedResponse:
         if request.path == "/report":
             report = {"queued": 0, "busy": False, "free_mb": self.free_mb}
+            if self.born is not None:
+                report["born"] = self.born
             return web.build_json(200, report)
         if request.path == "/stage-free":
             self.freed += json.loads(request.body)["handles"]
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -124,6 +124,67 @@
             with self.assertRaises(errors.NotExecutedError):
                 await self.list_calls()[0]()
 
+    async def ask_start(self, status, value):
+        """Sends a request to an endpoint that gives a report beforehand.
+
+        Returns:
+            The paths of the calls on each connection.
+        """
+        connections = []
+
+        async def serve(client, address):
+            paths = []
+            connections.append(paths)
+            async with client:
+                while data := await client.recv(65536):
+                    paths.append(data.split(b" ")[1].decode())
+                    answer = encode_answer(status, value)
+                    if paths[-1] != "/report":
+                        attempt = ("Samphirevale-Attempt-Id", "a1")
+                        seal = ("Samphirevale-Response-Seal", "s")
+                        answer = encode_answer(200, {}, attempt, seal)
+                    await client.sendall(answer)
+
+        port = base.find_free_port()
+        server = await curio.spawn(curio.tcp_server, "127.0.0.1", port, serve)
+        await curio.sleep(0.05)
+        calls = endpoints.PlatformEndpoints(FakeListener())
+        try:
+            answer = await calls.send(
+                proxy_fakes.build_endpoint(
+                    host="127.0.0.1", port=port, started=7
+                ),
+                proxy_fakes.build_request(),
+                proxy_fakes.build_send_parameters(asks_start=True),
+                lambda: None,
+            )
+            await answer.close()
+        finally:
+            await server.cancel()
+        return connections
+
+    async def test_endpoint_is_asked_on_the_connection_of_the_request(self):
+        """It cannot be another one by the time the request arrives."""
+        connections = await self.ask_start(200, {"born": 7})
+        self.assertEqual([["/report", "/p/x"]], connections)
+
+    async def test_endpoint_that_has_started_again_gets_nothing(self):
+        for value in ({"born": 8}, {"born": 0}):
+            with self.assertRaises(errors.NotAcceptingError):
+                await self.ask_start(200, value)
+        with self.assertRaises(errors.NotAcceptingError):
+            await self.ask_start(421, {})
+
+    async def test_endpoint_that_does_not_say_its_start_gets_the_request(self):
+        for value in ({}, {"born": "x"}, {"born": True}, [], None):
+            connections = await self.ask_start(200, value)
+            self.assertEqual([["/report", "/p/x"]], connections)
+
+    async def test_refused_report_leaves_a_new_connection(self):
+        """Its refusal, written once more, could be taken for the request's."""
+        connections = await self.ask_start(503, {})
+        self.assertEqual([["/report"], ["/p/x"]], connections)
+
     async def test_callers_do_not_learn_that_an_endpoint_leaves(self):
         attempt = ("Samphirevale-Attempt-Id", "a1")
         seal = ("Samphirevale-Response-Seal", "s")
--- a/tests/platform/test_leaving_servers.py
+++ b/tests/platform/test_leaving_servers.py
@@ -202,9 +202,14 @@
             pausing = self.servers["model2"]
             pausing.begin_pause(1.0, time.monotonic())
             await self.check_stream()
-            first, second = pausing.arrivals
+            # It is asked for its start before the stream goes on there.
+            first, *later = pausing.arrivals
             self.assertLess(first.at, pausing.pause.ends_at)
-            self.assertGreaterEqual(second.at, pausing.pause.ends_at)
+            self.assertEqual(
+                ["/report", "/write/x"], [call.path for call in later]
+            )
+            for call in later:
+                self.assertGreaterEqual(call.at, pausing.pause.ends_at)
 
     async def test_a_malformed_pause_is_ignored(self):
         async with self.run_all():
--- a/tests/standins/test_servers.py
+++ b/tests/standins/test_servers.py
@@ -142,4 +142,5 @@
     async def test_report_states_the_free_memory(self):
         self.server.free_mb = 2.5
         report = json.loads((await self.call("/report")).body)
-        self.assertEqual({"queued": 0, "busy": False, "free_mb": 2.5}, report)
+        expected = {"queued": 0, "busy": False, "free_mb": 2.5, "born": 1}
+        self.assertEqual(expected, report)
--- a/tests/test_proxying.py
+++ b/tests/test_proxying.py
@@ -630,6 +630,26 @@
         )
         self.assertEqual(1, self.endpoints.sends[1][2].last_event)
 
+    async def test_endpoint_is_asked_for_its_start_if_its_version_matters(self):
+        """An endpoint that has started again may have another version."""
+        self.cluster.endpoints_age.limit_seconds = 5.0
+        self.cluster.endpoints_age.confirm(NOW)
+        answer = await self.answer(
+            self.build_stream(b"id: 1\n\nid: 2", proxy_fakes.LOST_ANSWER),
+            self.build_stream(b"id: 2\n\n"),
+        )
+        await self.read_stream(answer)
+        sends = self.endpoints.sends
+        self.assertEqual(
+            [False, True], [parameters.asks_start for *_, parameters in sends]
+        )
+        self.clock.seconds += 5.0
+        self.cluster.routes_age.confirm(self.clock.seconds)
+        await self.answer(
+            self.build_stream(b"id: 1\n\n"), received_at=self.clock.seconds
+        )
+        self.assertTrue(self.endpoints.sends[0][2].asks_start)
+
     async def test_events_before_a_gap_are_not_lost(self):
         answer = await self.answer(
             self.build_stream(b"id: 1\n\n", b"id: 2\n\nid: 4\n\n"),
