Do not pass on a failure after a run as a promise that nothing ran

Cause: an endpoint's status was passed on whatever it says to callers. "No other response states this" (PROTOCOL, Engines): without Samphirevale-Not-Executed a 503 says nothing about the run, while 408, 421, 429 and 503 promise it to callers.

Change: platform.notices.NOT_RUN is the one table of these statuses. An answer with one of them that does not state it is the error UnconfirmedRefusalError: a request or stream that may run again goes on elsewhere, another one gets 502. It is no crash of the endpoint, so that the input is not suspected.

--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -44,6 +44,14 @@
         f"{_SESSION}.test_an_answer_of_another_request_is_not_forwarded",
         f"{_SESSION}.test_a_refusal_of_another_request_refuses_nothing",
     ),
+    _ablate(
+        "status that promises not passed on without the endpoint's word",
+        ANSWERS,
+        "platform/endpoints",
+        "if answer.status in notices.NOT_RUN:",
+        "if False:",
+        f"{_SESSION}.test_a_request_that_has_run_is_not_answered_as_not_run",
+    ),
     _ablate(
         "connection of its own for each call of a stage",
         ANSWERS,
--- a/samphirevale/errors.py
+++ b/samphirevale/errors.py
@@ -92,6 +92,13 @@
         self.asks_pause = asks_pause
 
 
+class UnconfirmedRefusalError(TransportError):
+    """The endpoint's answer means "not run" to callers, but does not state it.
+
+    The request has run, or may have.
+    """
+
+
 class PeerClosedError(TransportError):
     """The connection to another entry or sidecar has ended."""
 
--- a/samphirevale/platform/endpoints.py
+++ b/samphirevale/platform/endpoints.py
@@ -108,6 +108,8 @@
             _check_executed(answer, notice)
             if attempt is None:
                 raise errors.ProtocolError("the answer names no request")
+            if answer.status in notices.NOT_RUN:
+                raise errors.UnconfirmedRefusalError(f"status {answer.status}")
             if "content-encoding" in answer.headers:
                 raise errors.ProtocolError("the answer is encoded")
             if answer.status < 300 and headers.SEAL not in answer.headers:
--- a/samphirevale/platform/notices.py
+++ b/samphirevale/platform/notices.py
@@ -12,6 +12,10 @@
 # The status with which an endpoint may ask for a pause.
 UNAVAILABLE = 503
 
+# The statuses that promise a caller that its request has not run and will not.
+# An endpoint's own answer promises it only if it says so in a header as well.
+NOT_RUN = frozenset({408, MISDIRECTED, 429, UNAVAILABLE})
+
 # The longest remaining cold time that is believed, in seconds.
 COLD_SECONDS_LIMIT = 600.0
 
--- a/samphirevale/send_failures.py
+++ b/samphirevale/send_failures.py
@@ -80,9 +80,12 @@
             return None
         if isinstance(error, errors.NotExecutedError):
             return self._find_rejection_refusal(error)
-        self._resends.record_crash(endpoint)
+        reason = "refusal_unconfirmed"
+        if not isinstance(error, errors.UnconfirmedRefusalError):
+            reason = "answer_lost"
+            self._resends.record_crash(endpoint)
         if not self._resends.may_send_again():
-            return proxy_requests.Refusal(502, "answer_lost")
+            return proxy_requests.Refusal(502, reason)
         return None
 
     def _find_rejection_refusal(
--- a/standins/servers.py
+++ b/standins/servers.py
@@ -79,7 +79,8 @@
         pause: the latest pause; None if there was none.
         faults: the faults of the next runs and stage calls, in order: `full`,
             `cut`, `other` (the answer to another request), `other refused` (a
-            run, and the refusal of another request), `error`, `mute`,
+            run, and the refusal of another request), `claimed 503` and the
+            like (a run, and that status), `error`, `mute`,
             `silent` (a silence before the answer), `late` (a silence before
             the first event), `stall` (a silence in the middle of a stream) or
             empty. Of these, only `full`, `mute` and `silent` affect stage
@@ -231,6 +232,9 @@
             headers.append(NOT_EXECUTED)
             return web.Response(503, b"", tuple(headers))
         self.seen_headers.append(request.headers)
+        if fault.startswith("claimed"):
+            status = int(fault.split()[-1])
+            return web.Response(status, request.body, tuple(headers))
         if fault == "other refused":
             return web.Response(503, b"", (*headers, NOT_EXECUTED))
         if "samphirevale-prefix-hash" not in request.headers:
--- a/tests/platform/test_session.py
+++ b/tests/platform/test_session.py
@@ -170,6 +170,39 @@
             self.assertEqual(1, len(self.list_received_headers("plain")))
             self.assertEqual(502, status)
 
+    async def check_claimed(self, path, runs):
+        """Checks the answer to a request that has run and is refused.
+
+        Args:
+            path: the path of the request.
+            runs: the number of its runs.
+        """
+        for status in (408, 429, 503):
+            for name in ("plain1", "plain2", "model1", "model2"):
+                self.servers[name].faults = [f"claimed {status}"]
+                self.servers[name].seen_headers.clear()
+            answer = self.write() if path == "/write/x" else self.call(path)
+            answered, headers, _ = await answer
+            self.assertEqual(502, answered)
+            self.assertNotIn("samphirevale-response-seal", headers)
+            service = "model" if path == "/write/x" else "plain"
+            self.assertEqual(runs, len(self.list_received_headers(service)))
+
+    async def test_a_request_that_has_run_is_not_answered_as_not_run(self):
+        """Its caller would send it once more, and it would run twice."""
+        async with self.run_all():
+            await self.check_claimed("/once/x", 1)
+
+    async def test_a_request_that_may_run_again_is_not_answered_as_not_run(
+        self,
+    ):
+        async with self.run_all():
+            await self.check_claimed("/read/x", 2)
+
+    async def test_a_stream_that_has_run_is_not_answered_as_not_run(self):
+        async with self.run_all():
+            await self.check_claimed("/write/x", 2)
+
     async def test_a_request_to_a_silent_server_is_retried_elsewhere(self):
         async with self.run_all():
             self.servers["plain1"].faults = ["mute"] * 9
