Notice a silent connection to the store within the time of contact

Cause: the watch waited for the whole of contact_ms, its answer had 0.8 s more, and the pause before it and the next call came on top.

Change: compute_wait leaves the wait what the bound has after these; used for endpoints, cordons and routes. An idle watch of endpoints ends after 1.7 s in place of 3.0 s (contact 3 s, drain 2 s), 2.55 s in place of 4.0 s (4 s, 3 s): that many more calls to the store when nothing changes.

test_entries_that_others_tell_wait_longer held that the watch of the cordons waits for the whole of contact_ms, which is the fault; it now holds that the wait and what comes after it are just that.

--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -44,6 +44,14 @@
         f"{_SESSION}.test_an_answer_of_another_request_is_not_forwarded",
         f"{_SESSION}.test_a_refusal_of_another_request_refuses_nothing",
     ),
+    _ablate(
+        "wait of a watch leaves time for its answer and the next call",
+        "an endpoint that drains is known to within the time of contact",
+        "watchers",
+        "    wait_seconds -= LATE_ANSWER_SECONDS + RECOVERY_SECONDS\n",
+        "",
+        "tests.platform.test_silent_store",
+    ),
     _ablate(
         "status that promises not passed on without the endpoint's word",
         ANSWERS,
--- a/samphirevale/availability/cordon_watch.py
+++ b/samphirevale/availability/cordon_watch.py
@@ -28,7 +28,7 @@
     """
     if quiet:
         return watchers.WatchTimes(QUIET_WAIT_SECONDS, QUIET_BACKOFF_SECONDS)
-    return watchers.WatchTimes(contact_seconds)
+    return watchers.WatchTimes(watchers.compute_wait(contact_seconds))
 
 
 class CordonWatch:
--- a/samphirevale/cluster_watch.py
+++ b/samphirevale/cluster_watch.py
@@ -377,16 +377,22 @@
     if not is_source:
         return LONG_WATCH
     usable_seconds = settings.keys_seconds - freshness.MARGIN_SECONDS
-    return watchers.WatchTimes(usable_seconds * ROUTES_WAIT_SHARE)
+    return watchers.WatchTimes(
+        min(
+            usable_seconds * ROUTES_WAIT_SHARE,
+            watchers.compute_wait(settings.contact_seconds),
+        )
+    )
 
 
 def compute_endpoints_watch(
     settings: gateway_settings.GatewaySettings,
 ) -> watchers.WatchTimes:
     """Returns the times of the watch of the endpoints."""
+    pause_seconds = settings.drain_seconds * ENDPOINTS_PAUSE_SHARE
     return watchers.WatchTimes(
-        wait_seconds=settings.contact_seconds,
-        pause_seconds=settings.drain_seconds * ENDPOINTS_PAUSE_SHARE,
+        watchers.compute_wait(settings.contact_seconds, pause_seconds),
+        pause_seconds=pause_seconds,
     )
 
 
--- a/samphirevale/platform/store.py
+++ b/samphirevale/platform/store.py
@@ -7,15 +7,11 @@
 from collections.abc import Iterator
 from typing import Any
 
-from samphirevale import errors, log_limits, metrics
+from samphirevale import errors, log_limits, metrics, watchers
 from samphirevale.adapters import store_client, store_metrics
 from samphirevale.platform import headers
 from samphirevale.ports import objects
 
-# How much longer than the server-side timeout of a watch the client waits,
-# in seconds.
-WATCH_MARGIN_SECONDS = 0.8
-
 # Timeout of any other call, in seconds.
 CALL_SECONDS = 1.2
 
@@ -91,7 +87,7 @@
         wait_ms = int(timeout_seconds * 1000)
         reply = await self.read(
             f"{_build_path(kind)}?watch={version}&wait_ms={wait_ms}",
-            timeout_seconds + WATCH_MARGIN_SECONDS,
+            timeout_seconds + watchers.LATE_ANSWER_SECONDS,
             WATCH_LEVELS,
         )
         if reply.status == 410:
--- a/samphirevale/watchers.py
+++ b/samphirevale/watchers.py
@@ -19,6 +19,16 @@
 # How long a watch waits for a change by default, in seconds.
 WATCH_SECONDS = 1.5
 
+# How much longer than its wait the answer to a watch may take, in seconds.
+LATE_ANSWER_SECONDS = 0.8
+
+# The time from a watch that has failed to the answer of the next one, if the
+# store is there, in seconds.
+RECOVERY_SECONDS = 0.2
+
+# The shortest wait of a watch, in seconds.
+LEAST_WATCH_SECONDS = 0.25
+
 # How long a watch waits after a failed call and while the store is unreachable,
 # in seconds.
 OUTAGE_WATCH_SECONDS = 0.05
@@ -75,6 +85,21 @@
 DEFAULT_TIMES = WatchTimes()
 
 
+def compute_wait(noticed_seconds: float, pause_seconds: float = 0.0) -> float:
+    """Returns how long a watch may wait, in seconds.
+
+    A connection may fall silent for good just before a watch is sent on it. The
+    wait is such that a copy is current again within a time from then on.
+
+    Args:
+        noticed_seconds: that time.
+        pause_seconds: the pause before a watch.
+    """
+    wait_seconds = noticed_seconds - pause_seconds
+    wait_seconds -= LATE_ANSWER_SECONDS + RECOVERY_SECONDS
+    return max(wait_seconds, LEAST_WATCH_SECONDS)
+
+
 class Watcher:
     """Keeps the copy of one kind of stored object.
 
--- a/tests/availability/test_cordon_watch.py
+++ b/tests/availability/test_cordon_watch.py
@@ -73,6 +73,11 @@
 
     def test_entries_that_others_tell_wait_longer(self):
         often = cordon_watch.compute_watch(4.0, quiet=False)
-        self.assertEqual(watchers.WatchTimes(4.0), often)
+        self.assertEqual(
+            4.0,
+            often.wait_seconds
+            + watchers.LATE_ANSWER_SECONDS
+            + watchers.RECOVERY_SECONDS,
+        )
         quiet = cordon_watch.compute_watch(4.0, quiet=True)
         self.assertGreater(quiet.wait_seconds, often.wait_seconds)
--- a/tests/test_watchers.py
+++ b/tests/test_watchers.py
@@ -7,9 +7,10 @@
 import hypothesis
 from hypothesis import strategies
 
-from samphirevale import errors, store_eras, watchers
+from samphirevale import cluster_watch, errors, store_eras, watchers
+from samphirevale.availability import cordon_watch
 from samphirevale.ports import objects
-from tests import base, proxy_fakes
+from tests import base, proxy_fakes, test_gateway_settings
 
 # How long a silent store takes for an answer, in seconds.
 SILENT_SECONDS = 2.0
@@ -50,6 +51,34 @@
     return objects.StoredObject("kind", name, version, value)
 
 
+class WaitTest(base.TestCase):
+    """Tests how long watches wait, by the bounds in the settings."""
+
+    def test_silence_is_noticed_within_the_time_of_contact(self):
+        """Also one that begins just before the watch, or in its pause."""
+        for contact, drain, keys in ((3, 2, 5), (5, 4, 5), (2, 1, 30)):
+            settings = test_gateway_settings.SETTINGS._replace(
+                contact_seconds=contact, drain_seconds=drain, keys_seconds=keys
+            )
+            for times in (
+                cluster_watch.compute_endpoints_watch(settings),
+                cluster_watch.compute_routes_watch(settings, is_source=True),
+                cordon_watch.compute_watch(contact, quiet=False),
+            ):
+                noticed = (
+                    times.pause_seconds
+                    + times.wait_seconds
+                    + watchers.LATE_ANSWER_SECONDS
+                    + watchers.RECOVERY_SECONDS
+                )
+                self.assertLessEqual(noticed, contact + 1e-9)
+
+    def test_watch_waits_a_little_also_if_the_bound_is_short(self):
+        self.assertEqual(
+            watchers.LEAST_WATCH_SECONDS, watchers.compute_wait(0.1)
+        )
+
+
 class WatcherTest(base.TestCase):
     """Tests a watcher with scripted answers of the store."""
 
