Count an entry as settled only by a record of all that it knows

Cause: the answer to a write set is_settled, although endpoints had become known while the write was on its way and were not in it. The first write of a process, which a new era asks for, may begin before the list of endpoints has come.

Change: after a write the recorder looks again at what is known, and is settled only if the store has all of it.

The test failed before: origins.test_recorder, endpoints learned during a write.

--- a/samphirevale/origins/recorder.py
+++ b/samphirevale/origins/recorder.py
@@ -230,7 +230,10 @@
             self._version,
         )
         self._own.record_written(record)
-        self._note_written()
+        # More may have become known while the record was written.
+        self._adopt_changes()
+        if self._own.is_written():
+            self._note_written()
 
     async def _read(self) -> _Listing:
         """Reads all records, and adopts that of an earlier process."""
--- a/tests/origins/test_recorder.py
+++ b/tests/origins/test_recorder.py
@@ -237,6 +237,32 @@
         self.assertFalse(await entry.recorder.update())
         self.assertFalse(entry.recorder.is_settled)
 
+    async def test_an_entry_is_not_settled_by_a_record_that_lacks_endpoints(
+        self,
+    ):
+        """Its first streams would be refused as of a version not recorded."""
+        fleet = FakeFleet(["entry0"], versions=())
+        entry = fleet.entries["entry0"]
+        entry.cluster.endpoints_age.confirmed_at = None
+        # A new era asks for a write in any case.
+        for fleet.store.era in (1, 2):
+            fleet.clock.seconds += 0.1
+            await entry.recorder.find("", "r", {"plain"})
+        replace_version = fleet.store.replace_version
+
+        async def learn_meanwhile(*arguments):
+            version = await replace_version(*arguments)
+            fleet.versions.add("v1")
+            entry.learn()
+            return version
+
+        fleet.store.replace_version = learn_meanwhile
+        self.assertTrue(await entry.recorder.update())
+        self.assertFalse(entry.recorder.is_settled)
+        self.assertTrue(await entry.recorder.update())
+        self.assertTrue(entry.recorder.is_settled)
+        self.assertTrue(await entry.begin("a1", "v1"))
+
     async def test_an_entry_is_settled_once_its_record_is_written(self):
         fleet = FakeFleet(["entry0"])
         entry = fleet.entries["entry0"]
