Take a report of an impossible amount of free memory for none

What would have been seen: an endpoint of a stage whose report names a number that no float or integer holds (1e999, 400 digits) raised an error of the program in the queue of that endpoint.

Cause: int(float(...)) raises OverflowError, which the decoder did not expect.

The test failed before (OverflowError for two of five values). Limits, pauses, cold times and shares of slowness of any size were looked at and are bounded already.

--- a/samphirevale/platform/endpoints.py
+++ b/samphirevale/platform/endpoints.py
@@ -191,7 +191,7 @@
         value = await self._call(endpoint, connection, "/report", None)
         try:
             return int(float(value["free_mb"]) * manifest.MEGABYTE)
-        except (KeyError, TypeError, ValueError) as error:
+        except (KeyError, OverflowError, TypeError, ValueError) as error:
             raise errors.ProtocolError("no free_mb in the report") from error
 
     async def _call(
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -37,7 +37,7 @@
     """Tests which calls are made, and what is learnt from their answers."""
 
     @contextlib.asynccontextmanager
-    async def run_server(self, status, *headers):
+    async def run_server(self, status, *headers, body=b'{"free_mb": 3}'):
         """Runs a server that gives the same answer to all calls."""
         self.targets = []
         self.connected = 0
@@ -47,7 +47,7 @@
 
         async def answer(request):
             self.targets.append(request.path)
-            return web.Response(status, b'{"free_mb": 3}', tuple(self.headers))
+            return web.Response(status, body, tuple(self.headers))
 
         port = base.find_free_port()
         task = await curio.spawn(
@@ -195,6 +195,13 @@
             self.assertIn(b"samphirevale-response-seal", names)
             self.assertNotIn(b"server-leaving", names)
 
+    async def test_report_of_an_impossible_size_is_no_report(self):
+        """A number too large is an error of the endpoint, not of the entry."""
+        for text in (b"1e999", b"9" * 400, b"9" * 5000, b"NaN", b"[]"):
+            async with self.run_server(200, body=b'{"free_mb": %s}' % text):
+                with self.assertRaises(errors.ProtocolError):
+                    await self.endpoints.read_free_memory(self.endpoint)
+
     async def test_connection_to_an_endpoint_that_leaves_is_not_kept(self):
         async with self.run_server(200, LEAVING):
             await self.endpoints.read_free_memory(self.endpoint)
