Adopt shared objects by their names, and read an error's two outcomes side by side

No behaviour changes. ClusterWatch named the objects that entries share in two places each, and the third of them would have made it three; a table by name serves the list and the watch. In send_failures the reason and whether the input is suspected stand together for each kind of error. Tests of both parts pass as they were.

--- a/samphirevale/cluster_watch.py
+++ b/samphirevale/cluster_watch.py
@@ -88,7 +88,6 @@
         self._table = table
         self._on_routes_adopted = on_routes_adopted
         self._on_endpoint_ended = on_endpoint_ended
-        self._on_parts_stored = on_parts_stored
         self._clock = clock
         self._rng = rng
         self._journal = log
@@ -98,6 +97,12 @@
         self.settled_era = settled_era.SettledEra(
             adapters.store, self.eras, clock, rng, log
         )
+        # What adopts the objects that entries share, which lie among their
+        # registrations, by name.
+        self._adopt_shared = {
+            crashing_part_store.NAME: on_parts_stored,
+            settled_era.NAME: self.settled_era.adopt_object,
+        }
         self.cordon_watch = cordon_watch.CordonWatch(known.cordons, clock, log)
         self._has_endpoints = False
         self._routes_watcher = self._build_routes_watcher()
@@ -309,10 +314,9 @@
         self, stored: Iterable[objects.StoredObject], now: float
     ) -> None:
         by_name = {item.name: item for item in stored}
-        parts = by_name.pop(crashing_part_store.NAME, None)
-        self._on_parts_stored(parts.value if parts else None)
-        settled = by_name.pop(settled_era.NAME, None)
-        self.settled_era.adopt_object(settled.value if settled else None)
+        for name, adopt in self._adopt_shared.items():
+            shared = by_name.pop(name, None)
+            adopt(shared.value if shared else None)
         found = map(registrations.decode_registration, by_name.values())
         # A copy of the store may lack entries until they register again.
         self._table.adopt(
@@ -325,11 +329,8 @@
         self, stored: Iterable[objects.StoredObject], now: float
     ) -> None:
         for stored_object in stored:
-            if stored_object.name == crashing_part_store.NAME:
-                self._on_parts_stored(stored_object.value)
-                continue
-            if stored_object.name == settled_era.NAME:
-                self.settled_era.adopt_object(stored_object.value)
+            if stored_object.name in self._adopt_shared:
+                self._adopt_shared[stored_object.name](stored_object.value)
                 continue
             found = registrations.decode_registration(stored_object)
             if found is None:
--- a/samphirevale/send_failures.py
+++ b/samphirevale/send_failures.py
@@ -80,8 +80,9 @@
             return None
         if isinstance(error, errors.NotExecutedError):
             return self._find_rejection_refusal(error)
-        reason = "refusal_unconfirmed"
-        if not isinstance(error, errors.UnconfirmedRefusalError):
+        if isinstance(error, errors.UnconfirmedRefusalError):
+            reason = "refusal_unconfirmed"
+        else:
             reason = "answer_lost"
             self._resends.record_crash(endpoint)
         if not self._resends.may_send_again():
