--- a/tests/platform/test_odd_objects.py
+++ b/tests/platform/test_odd_objects.py
@@ -20,16 +20,7 @@
 # The number of requests of each kind beside an odd registration.
 REQUESTS = 3
 
-SOUND = {
-    "service": "plain",
-    "address": "127.0.0.1:9",
-    "zone": "a",
-    "version": "",
-    "slots": 4,
-    "state": "ready",
-    "sequence": 1,
-    "born": 1,
-}
+SOUND = sessions.build_registration("plain1", 9)
 
 
 def nest(depth):
