Refuse settings that nothing can use, and go on with those that are in force

What an operator would have seen: a settings file with an odd value, read again after SIGHUP, ends the process with a traceback (inf or nan as a limit, a port with a superscript digit, a number of 5,000 digits, deep nesting, a section that is none), or is adopted (a negative time, no range of ports, an address of the store without a port).

Cause: values were tested for their type and converted, and only errors of TOML were expected.

Change: numbers lie in a range, ports are ports, the store's address has one, and any text that cannot be read is a finding. Bytes that are no UTF-8 are replaced, so that they matter only where they stand.

--- a/samphirevale/platform/__main__.py
+++ b/samphirevale/platform/__main__.py
@@ -57,8 +57,10 @@
 
 def load_settings() -> node_file.NodeFile:
     """Returns the settings from the environment and the file named there."""
-    with open(os.environ[node_file.PATH_VARIABLE], encoding="utf-8") as file:
-        settings = node_file.read_node_file(file.read())
+    with open(os.environ[node_file.PATH_VARIABLE], "rb") as file:
+        settings = node_file.read_node_file(
+            file.read().decode("utf-8", "replace")
+        )
     return settings._replace(
         gateway=gateway_settings.read_environment(settings.gateway, os.environ)
     )
--- a/samphirevale/platform/node_file.py
+++ b/samphirevale/platform/node_file.py
@@ -4,7 +4,12 @@
 from collections.abc import Mapping
 from typing import Any, NamedTuple
 
-from samphirevale import errors, gateway_settings, retry_budgets
+from samphirevale import (
+    errors,
+    gateway_settings,
+    retry_budgets,
+    stored_values,
+)
 from samphirevale.availability import warm_ups
 
 # The environment variable that holds the file's path.
@@ -16,6 +21,9 @@
 # Bytes per megabyte of memory.
 MEGABYTE = 1_000_000
 
+# The largest number of a setting.
+NUMBER_LIMIT = 1e9
+
 
 class NodeFile(NamedTuple):
     """The decoded settings file.
@@ -44,19 +52,27 @@
         if isinstance(value, types) and not isinstance(value, bool):
             return value
         names = " or ".join(item.__name__ for item in types)
-        got = "" if value is None else repr(value)[:40]
+        # A number may be too long to be written.
+        got = repr(value)[:40] if isinstance(value, str) else ""
         self.findings.append(errors.Finding(place, names, got))
         return None
 
     def read_number(self, place: str) -> float:
         """Returns the number at a dotted path, or 0 if it is invalid."""
         value = self.read(place, int, float)
-        return 0.0 if value is None else float(value)
+        if value is None:
+            return 0.0
+        if 0 <= value <= NUMBER_LIMIT:
+            return float(value)
+        expected = f"a number from 0 to {NUMBER_LIMIT:.0e}"
+        self.findings.append(errors.Finding(place, expected))
+        return 0.0
 
     def read_optional_number(self, place: str) -> float | None:
         """Returns the number at a dotted path; None if there is none."""
         section, _, name = place.rpartition(".")
-        if name not in (self._value.get(section) or {}):
+        found = self._value.get(section)
+        if not isinstance(found, Mapping) or name not in found:
             return None
         return self.read_number(place)
 
@@ -65,19 +81,32 @@
         if place not in self._value:
             return {}
         found = self.read(place, dict) or {}
-        return {name: str(text) for name, text in found.items()}
+        for name, text in found.items():
+            if not isinstance(text, str):
+                self.findings.append(errors.Finding(f"{place}.{name}", "str"))
+        return found
 
     def read_address(self, place: str) -> tuple[str, int]:
         """Returns the host and port at a dotted path.
 
-        An invalid value gives a finding; its host may be empty and its port
-        is 0 if it is not a number.
+        An invalid value gives a finding; its host may be empty, and its port
+        is 0 if it is none.
         """
         text = self.read(place, str)
-        host, _, port = (text or "").rpartition(":")
-        if text is not None and not (host and port.isdigit()):
-            self.findings.append(errors.Finding(place, "host:port", text))
-        return host, int(port) if port.isdigit() else 0
+        host, _, port_text = (text or "").rpartition(":")
+        port = stored_values.parse_port(port_text)
+        if text is not None and not (host and port):
+            self.findings.append(errors.Finding(place, "host:port", text[:40]))
+        return host, port or 0
+
+    def read_first_port(self, place: str) -> int:
+        """Returns the first port of a range, or 0 if it is invalid."""
+        ports = self.read(place, list)
+        if ports and stored_values.is_port(ports[0]):
+            return ports[0]
+        if ports is not None:
+            self.findings.append(errors.Finding(place, "a range of ports"))
+        return 0
 
 
 def read_node_file(text: str) -> NodeFile:
@@ -88,15 +117,15 @@
     """
     try:
         value = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
+    except (ValueError, RecursionError) as error:
+        # tomllib.TOMLDecodeError, and errors of nesting and of long numbers.
         raise errors.InvalidInputError(
-            [errors.Finding("settings file", "TOML", str(error))]
+            [errors.Finding("settings file", "TOML", str(error)[:80])]
         ) from error
     reader = _Reader(value)
     frontend = reader.read_address("listen.frontend")
     readiness = reader.read_address("listen.readiness")
-    ports = reader.read("port_range", list) or [0, 0]
-    first_port = ports[0] if isinstance(ports[0], int) else 0
+    first_port = reader.read_first_port("port_range")
     settings = gateway_settings.GatewaySettings(
         instance=reader.read("node_name", str) or "",
         data_centre=reader.read("zone", str) or "",
@@ -129,10 +158,10 @@
         store_writes=reader.read_optional_number("platform.writes_per_s")
         or 0.0,
     )
-    store = reader.read("platform.address", str)
+    store_host, store_port = reader.read_address("platform.address")
     if reader.findings:
         raise errors.InvalidInputError(reader.findings)
-    return NodeFile(settings, f"http://{store}")
+    return NodeFile(settings, f"http://{store_host}:{store_port}")
 
 
 def _read_cold_bound(reader: _Reader) -> warm_ups.ColdBound | None:
--- a/samphirevale/stored_values.py
+++ b/samphirevale/stored_values.py
@@ -1,7 +1,7 @@
-"""Reads the fields of stored objects, which any writer may have written.
+"""Reads the fields of values that another writer may have left.
 
-A field counts only if it has its type, lies within its range and can be passed
-on to other entries, to endpoints and to the log.
+A field of a stored object counts only if it has its type, lies within its range
+and can be passed on to other entries, to endpoints and to the log.
 """
 
 import ipaddress
@@ -101,12 +101,10 @@
 
     def read_address(self, name: str) -> tuple[str, int]:
         """Returns the IPv4 address and the port of a `host:port` text."""
-        host, _, port = self.read_token(name).rpartition(":")
-        # The token is ASCII, so that these are digits that `int` reads.
-        if port.isdigit() and len(port) <= len(str(LAST_PORT)):
-            number = int(port)
-            if is_address(host) and 0 < number <= LAST_PORT:
-                return host, number
+        host, _, text = self.read_token(name).rpartition(":")
+        port = parse_port(text)
+        if port is not None and is_address(host):
+            return host, port
         raise errors.MalformedValueError(f"{name} is no address")
 
 
@@ -151,6 +149,20 @@
     )
 
 
+def parse_port(text: str) -> int | None:
+    """Returns the port that a text names, or None if it names none."""
+    if not (text.isascii() and text.isdigit()):
+        return None
+    if len(text) > len(str(LAST_PORT)):
+        return None
+    return int(text) if is_port(int(text)) else None
+
+
+def is_port(value: Any) -> bool:
+    """Returns whether a value is the number of a port to connect to."""
+    return is_integer(value) and 0 < value <= LAST_PORT
+
+
 def is_address(text: str) -> bool:
     """Returns whether a text is an IPv4 address."""
     try:
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -183,6 +183,31 @@
         self.assertEqual({"a": "north"}, gateway.regions)
         self.assertEqual(1.5, gateway.processor)
 
+    def test_values_that_nothing_can_use_are_findings(self):
+        """A process that reads the file again while it runs must go on."""
+        for name, value in (
+            ("frontend", '"10.0.0.1:8\u00b2"'),
+            ("frontend", '"10.0.0.1:65536"'),
+            ("file_descriptors", "inf"),
+            ("memory_mb", "nan"),
+            ("grace_s", "-1"),
+            ("port_range", "[]"),
+            ("port_range", '["x"]'),
+            ("address", '"10.0.0.2"'),
+            ("grace_s", "9" * 5000),
+            ("zone", "[" * 3000 + "]" * 3000),
+        ):
+            lines = [
+                f"{name} = {value}" if line.startswith(f"{name} = ") else line
+                for line in SETTINGS.splitlines()
+            ]
+            with self.subTest(f"{name} = {value[:20]}"):
+                with self.assertRaises(errors.InvalidInputError) as caught:
+                    node_file.read_node_file("\n".join(lines))
+                self.assertEqual(1, len(caught.exception.findings))
+        with self.assertRaises(errors.InvalidInputError):
+            node_file.read_node_file("bounds = true")
+
     def test_a_file_that_is_not_toml(self):
         with self.assertRaises(errors.InvalidInputError):
             node_file.read_node_file("=")
