Take numbers of any length in a caller's headers for very large ones

What callers saw: 500 with the text of an error of the program, where a number in a header has hundreds or thousands of digits; the task of the connection ended with a traceback. Such a deadline is now the route's own, such a count of items or tokens is refused as overload, which it is.

Cause: digits were converted without a limit; int() refuses 4,300 digits, and a float holds 308.

--- a/samphirevale/platform/callers.py
+++ b/samphirevale/platform/callers.py
@@ -11,6 +11,9 @@
 # Time to the deadline of a request without a deadline header, in seconds.
 DEFAULT_DEADLINE_SECONDS = 30.0
 
+# The largest number in a header. A larger one means the same: too much.
+COUNT_LIMIT = 10**12
+
 
 class CallerHandler:
     """An HTTP request handler that proxies every request."""
@@ -98,7 +101,13 @@
 
 
 def _parse_count(text: str) -> int | None:
-    return int(text) if text.isascii() and text.isdigit() else None
+    """Returns the number in digits, or COUNT_LIMIT if it is larger."""
+    if not (text.isascii() and text.isdigit()):
+        return None
+    digits = text.lstrip("0") or "0"
+    if len(digits) > len(str(COUNT_LIMIT)):
+        return COUNT_LIMIT
+    return min(int(digits), COUNT_LIMIT)
 
 
 def _parse_wait(text: str) -> float:
--- a/tests/platform/test_session.py
+++ b/tests/platform/test_session.py
@@ -4,7 +4,7 @@
 
 import curio
 
-from samphirevale import gateway
+from samphirevale import errors, gateway
 from samphirevale.adapters import web_client, web_server
 from standins import metadata_store
 from tests import base
@@ -210,6 +210,21 @@
                 self.assertEqual(200, (await self.call("/read/x"))[0])
             self.assertEqual([], self.servers["plain1"].seen_headers)
 
+    async def test_numbers_of_any_length_are_no_error_of_the_program(self):
+        """A caller gets an answer to what it asks, however much that is."""
+        async with self.run_all():
+            for name, prefix, statuses in (
+                ("Samphirevale-Chunk-Count", "", {503}),
+                ("Samphirevale-Deadline-Ms", "", {200}),
+                ("Samphirevale-Prefix-Hash", "p:", {503}),
+                ("Last-Event-Id", "", {200, 503}),
+            ):
+                for digits in ("9" * 400, "9" * 5000, "0" * 5000 + "9" * 20):
+                    headers = {name: prefix + digits}
+                    with contextlib.suppress(errors.TransportError):
+                        status, *_ = await self.write(**headers)
+                        self.assertIn(status, statuses, name)
+
     async def test_a_full_server_leads_to_a_refusal_with_retry_after(self):
         async with self.run_all():
             for name in ("plain1", "plain2"):
