Ask about streams that begin only where the list of endpoints is old

Cause: the answer to a watch confirms the time at which the watch began, so that a list that its watch follows is up to two watches and a pause old before the next answer; the limit allowed for one.

Streams that go on are asked about as before, always.

The test failed before: test_watchers.WaitTest.

--- a/samphirevale/cluster_watch.py
+++ b/samphirevale/cluster_watch.py
@@ -414,12 +414,13 @@
 ) -> float:
     """Returns how long the copy of the endpoints may be unconfirmed.
 
-    A copy that its watch follows is never older than one watch and the pause
-    before the next, with the margin that a copy is used with.
+    The answer to a watch confirms the time at which the watch began, and the
+    next answer comes a pause and a watch later.
     """
     times = compute_endpoints_watch(settings)
-    longest_age = times.wait_seconds + times.pause_seconds
-    return longest_age + 2 * freshness.MARGIN_SECONDS
+    longest_age = 2 * times.wait_seconds + times.pause_seconds
+    longest_age += watchers.RECOVERY_SECONDS
+    return longest_age + freshness.MARGIN_SECONDS
 
 
 def _ignore_time(now: float) -> None:
