Show with processes that an entry which stood still joins no stream

Three entries as processes; one stands still (SIGSTOP) while two of three servers start again under their ids with another version. Streams begun before and meanwhile at the other entries are taken up at the one that stood still; the requests wait in its socket as it wakes, before what it has missed. Each stream is of one version or refused, and all go on once the entry has learned of the release.

--- a/tests/platform/test_killed_entries.py
+++ b/tests/platform/test_killed_entries.py
@@ -3,6 +3,7 @@
 import contextlib
 import os
 import pathlib
+import signal
 import subprocess
 import sys
 import tempfile
@@ -41,6 +42,7 @@
         """Runs the store, servers of two versions and the entries."""
         self.store = metadata_store.MetadataStore()
         names = ("first1", *MODELS)
+        self.server_ports = {}
         self.servers = {
             name: servers.Server(name, MODELS.get(name, "")) for name in names
         }
@@ -48,11 +50,10 @@
             self.stack = stack
             for name, server in self.servers.items():
                 server.event_seconds = EVENT_SECONDS
-                port = await sessions.serve(stack, server.handle)
-                registration = sessions.build_registration(
-                    name, port, version=server.version, slots=CALLERS
+                self.server_ports[name] = await sessions.serve(
+                    stack, server.handle
                 )
-                self.store.put("servers", name, registration)
+                self.register(name)
             manifest = sessions.build_manifest()
             for route in manifest["routes"]:
                 route["timeout_ms"] = 20000
@@ -69,6 +70,18 @@
             await self.start_entries()
             yield
 
+    def register(self, name):
+        """Registers a server as it is now."""
+        server = self.servers[name]
+        registration = sessions.build_registration(
+            name,
+            self.server_ports[name],
+            version=server.version,
+            slots=CALLERS,
+            born=server.born,
+        )
+        self.store.put("servers", name, registration)
+
     async def start_entries(self):
         self.processes = []
         for number, host in enumerate(HOSTS):
@@ -99,8 +112,14 @@
                 return answer.status == 200
         return False
 
-    async def write(self, number, **headers):
-        """Sends a request; returns its status and the events that came."""
+    async def write(self, number, events=servers.EVENTS, **headers):
+        """Sends a request; returns its status and the events that came.
+
+        Args:
+            number: the number of the prompt, which tells the entry.
+            events: the number of events after which the caller leaves.
+            headers: further headers.
+        """
         host = HOSTS[number % len(HOSTS)]
         headers = {
             "Samphirevale-Deadline-Ms": "20000",
@@ -118,8 +137,11 @@
                     "POST", "/write/x", b"", tuple(headers.items()), "h.example"
                 )
                 status = answer.status
-                async for part in answer.read_parts():
-                    body += part
+                async with contextlib.aclosing(answer.read_parts()) as parts:
+                    async for part in parts:
+                        body += part
+                        if body.count(b"id:") >= events:
+                            break
         return status, body[: body.rfind(b"\n\n") + 2]
 
     async def begin(self, number):
@@ -164,3 +186,76 @@
                 self.assertEqual(1, len(versions), events + rest)
                 self.assertEqual(servers.EVENTS, (events + rest).count(b"id:"))
             self.assertEqual({"v1", "v2"}, began_at)
+
+    async def begin_elsewhere(self, number):
+        """Begins a stream at an entry that goes on, and leaves it."""
+        status, events = await self.write(
+            number,
+            2,
+            **{
+                "Samphirevale-Attempt-Id": f"a{number}",
+                "Samphirevale-Prefix-Hash": f"p{number}:10,q:5",
+            },
+        )
+        self.assertEqual(200, status)
+        return events
+
+    async def take_up_at_last(self, number, events):
+        """Takes a stream up at the entry that has stood still."""
+        return await self.write(
+            len(HOSTS) - 1,
+            **{
+                "Samphirevale-Attempt-Id": f"b{number}",
+                "Samphirevale-Prefix-Hash": f"p{number}:10,q:5",
+                "Last-Event-Id": str(events.count(b"id:")),
+                "Resumes": f"a{number}",
+            },
+        )
+
+    async def test_entry_that_stood_still_during_a_release_joins_nothing(self):
+        """Servers start again under their ids, with a version unknown to it."""
+        numbers = [n for n in range(CALLERS) if n % len(HOSTS) != 2]
+        async with self.run_all():
+            for server in self.servers.values():
+                server.event_seconds = 0.02
+            self.servers["model3"].version = "v1"
+            self.register("model3")
+            await curio.sleep(1.0)
+            before = [await self.begin_elsewhere(n) for n in numbers]
+            self.processes[-1].send_signal(signal.SIGSTOP)
+            for name in ("model2", "model3"):
+                self.servers[name].version = "v2"
+                self.servers[name].born = 2
+                self.register(name)
+            await curio.sleep(1.0)
+            after = [await self.begin_elsewhere(n + CALLERS) for n in numbers]
+            began = dict(zip(numbers, before, strict=True))
+            began |= {
+                n + CALLERS: events
+                for n, events in zip(numbers, after, strict=True)
+            }
+            # The requests are there as it wakes, before what it has missed.
+            async with curio.TaskGroup() as callers:
+                for number, events in began.items():
+                    await callers.spawn(self.take_up_at_last, number, events)
+                await curio.sleep(0.2)
+                self.processes[-1].send_signal(signal.SIGCONT)
+            refused = {}
+            for (status, rest), (number, events) in zip(
+                callers.results, began.items(), strict=True
+            ):
+                self.assertIn(status, (200, 503))
+                if status == 200:
+                    self.check_one_version(events + rest)
+                else:
+                    refused[number] = events
+            # Once it has learned of the release, all of them go on.
+            await curio.sleep(1.0)
+            for number, events in refused.items():
+                status, rest = await self.take_up_at_last(number, events)
+                self.assertEqual(200, status)
+                self.check_one_version(events + rest)
+
+    def check_one_version(self, events):
+        self.assertEqual(1, len(test_versions.list_versions(events)), events)
+        self.assertEqual(servers.EVENTS, events.count(b"id:"))
