Read no answer of the store from what came on an idle connection

What could be seen: an entry takes a copy of an earlier answer for that of its next call to the store, and each later answer for the call after, so that it confirms a list that it has not read.

Cause: the client of the store took the last idle connection without a look at whether anything had come on it, which the calls to endpoints do.

Change: a connection on which something has come, or that has ended, is closed, and the next one is taken. A copy that comes only after the next call was sent is still read as its answer, once: what follows it is there before the call after.

adapters.test_store_client failed before ('/a' for '/b').

--- a/samphirevale/adapters/store_client.py
+++ b/samphirevale/adapters/store_client.py
@@ -100,14 +100,26 @@
 
     async def _read_with_retry(self, target: str, levels: int) -> Reply:
         """Reads, and retries on a new connection if an idle one was closed."""
-        if self._idle:
+        idle = await self._pop_idle()
+        if idle is not None:
             with contextlib.suppress(errors.AnswerLostError):
-                return await self._read_on_connection(
-                    self._idle.pop(), target, levels
-                )
+                return await self._read_on_connection(idle, target, levels)
         connection = await web_client.open_connection(self._host, self._port)
         return await self._read_on_connection(connection, target, levels)
 
+    async def _pop_idle(self) -> web_client.ClientConnection | None:
+        """Returns an idle connection on which nothing has come; None if none.
+
+        What comes on an idle connection belongs to no call, and would be read
+        as the answer to the next one.
+        """
+        while self._idle:
+            connection = self._idle.pop()
+            if not connection.is_stale():
+                return connection
+            await connection.close()
+        return None
+
     async def _read_on_connection(
         self,
         connection: web_client.ClientConnection,
--- a/tests/adapters/test_store_client.py
+++ b/tests/adapters/test_store_client.py
@@ -9,6 +9,37 @@
 READ_SECONDS = 0.3
 
 
+class RepeatedAnswersTest(base.TestCase):
+    """Tests a store that writes an answer once more.
+
+    Guards against an answer that is taken for that of the next call.
+    """
+
+    async def serve(self, connection, address):
+        """Answers each request with its target, and once more a bit later."""
+        async with connection:
+            while data := await connection.recv(65536):
+                body = b'"%s"' % data.split(b" ")[1]
+                head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
+                answer = head % len(body) + body
+                await connection.sendall(answer)
+                await curio.sleep(0.02)
+                await connection.sendall(answer)
+
+    async def test_copy_that_comes_between_two_calls_is_no_answer(self):
+        port = base.find_free_port()
+        server = await curio.spawn(
+            curio.tcp_server, "127.0.0.1", port, self.serve, daemon=True
+        )
+        client = store_client.StoreClient(f"http://127.0.0.1:{port}")
+        await curio.sleep(0.05)
+        for target in ("/a", "/b", "/c"):
+            self.assertEqual(target, (await client.read(target)).value)
+            await curio.sleep(0.1)
+        await client.close()
+        await server.cancel()
+
+
 class SilentConnectionsTest(base.TestCase):
     """Tests kept connections that fall silent for good."""
 
