Let a test pause the stage server that would get the next call

Traced: the test paused the server that was called first. If its first call takes longer than the 12 ms that are configured, the second stage runs at the other one, which is then known to be faster and gets all calls; the paused one gets none, as it should.

The test now pauses the server that was called last, which is the one that the entry prefers; exactly one call may reach it, as before.

--- a/tests/platform/test_leaving_servers.py
+++ b/tests/platform/test_leaving_servers.py
@@ -172,8 +172,13 @@
     async def test_a_stage_server_gets_no_calls_until_its_pause_ends(self):
         async with self.run_all(SERVERS):
             await self.check_stream()
-            pausing = self.find_reached("first")
-            await self.wait_until(lambda: len(pausing.freed) == 3)
+            first = [self.servers["first1"], self.servers["first2"]]
+            await self.wait_until(
+                lambda: sum(len(server.freed) for server in first) == 3
+            )
+            # The one that was called last is the faster one, so that it would
+            # get the next call.
+            pausing = max(first, key=self.find_last_run)
             pausing.arrivals.clear()
             pausing.begin_pause(2.5, time.monotonic())
             while time.monotonic() < pausing.pause.ends_at - 0.1:
@@ -181,6 +186,11 @@
                 await curio.sleep(0.02)
             self.assertEqual(1, len(pausing.arrivals))
 
+    def find_last_run(self, server):
+        """Returns when a stage call last reached a server; 0 if none has."""
+        runs = [c.at for c in server.arrivals if c.path == "/stage-run"]
+        return max(runs, default=0.0)
+
     async def test_callers_are_refused_at_once_while_all_servers_pause(self):
         async with self.run_all():
             now = time.monotonic()
