Log on which start of an endpoint a stream relies, and how its origin was found

Now request_sent has the start that the entry relies on and whether the endpoint has confirmed it; stream_bound says where a stream that is taken up began, and if an entry remembered it; origin_read what the records in the store tell. (1) is seen as a remembered origin whose start had ended before, (2) as one that is not remembered, (3) as one that was asked.

--- a/samphirevale/origins/recorder.py
+++ b/samphirevale/origins/recorder.py
@@ -310,9 +310,16 @@
             return None
         known = [*listing.by_name.values(), self._own.build()]
         found = records.find_stream(known, attempt)
+        candidates = records.list_candidates(known, route, services)
+        self._journal.record_request(
+            "origin_read",
+            first_attempt=attempt,
+            recorded=found is not None,
+            candidates=sorted(candidates),
+            whole=listing.whole,
+        )
         if found is not None or not listing.whole:
             return found
-        candidates = records.list_candidates(known, route, services)
         return candidates.pop() if len(candidates) == 1 else None
 
     async def _read_since(self, asked_at: float) -> _Listing:
--- a/samphirevale/request_sends.py
+++ b/samphirevale/request_sends.py
@@ -103,6 +103,8 @@
             endpoint=endpoint.name,
             service=endpoint.service,
             version=endpoint.version,
+            started=endpoint.started,
+            asked=parameters.asks_start,
             status=exchange.answer.status,
             last_event=last_event,
         )
--- a/samphirevale/stream_bindings.py
+++ b/samphirevale/stream_bindings.py
@@ -29,7 +29,8 @@
     services = {split.service for split in accepted.route.splits}
     first_attempt = accepted.request.first_attempt
     origin = await context.origins.find(first_attempt)
-    if origin is None:
+    remembered = origin is not None
+    if not remembered:
         origin = await context.recorder.find(
             first_attempt, accepted.route.name, services
         )
@@ -37,6 +38,14 @@
         return proxy_requests.Refusal(
             503, "unknown_version", proxy_requests.RETRY_AFTER_SECONDS
         )
+    context.journal.record_request(
+        "stream_bound",
+        request=accepted.request.attempt,
+        first_attempt=first_attempt,
+        service=origin.service,
+        version=origin.version,
+        remembered=remembered,
+    )
     if origin.service not in services:
         return proxy_requests.Refusal(503, "service_replaced")
     endpoints.service = origin.service
--- a/tests/test_proxying.py
+++ b/tests/test_proxying.py
@@ -820,6 +820,16 @@
         answer = await self.take_up(self.build_stream(b"id: 2\n\n"))
         self.assertEqual(b"id: 2\n\n", await self.read_stream(answer))
         self.assertEqual("p2", self.endpoints.sends[0][0])
+        (bound,) = self.list_fields("stream_bound")
+        self.assertEqual(("v2", True), (bound["version"], bound["remembered"]))
+        (sent,) = self.list_fields("request_sent")
+        self.assertEqual((1, True), (sent["started"], sent["asked"]))
+
+    def list_fields(self, event):
+        """Returns the fields of the log's lines of one kind."""
+        return [
+            fields for _, name, fields in self.journal.lines if name == event
+        ]
 
     async def test_stream_of_unknown_version_is_refused(self):
         self.register_versions(p1="v1", p2="v2")
@@ -848,6 +858,8 @@
     async def test_stream_of_unknown_version_goes_on_if_there_is_only_one(self):
         answer = await self.take_up(self.build_stream(b"id: 2\n\n"))
         self.assertEqual(b"id: 2\n\n", await self.read_stream(answer))
+        (bound,) = self.list_fields("stream_bound")
+        self.assertFalse(bound["remembered"])
 
     async def test_stream_whose_version_has_gone_is_refused_before_stages(self):
         self.use_stream_route(
