Ask an endpoint which start it is before a stream begins there

Cause: an entry took its list's word for who is at the other end of a new connection. An endpoint that starts again under its id and address serves before it is registered, and the list is behind by the pause between two watches and whatever load adds.

Change: every send of a stream that may go on asks the endpoint for its start on the connection of the request, which cannot outlive that start. When a stream begins the question has no time limit of its own: an endpoint that is silent is left as if it had the request (a limit of 0.5 s made test_silences fail: streams that had been served after a silence were refused). What the question takes is not handed to the endpoint as time that is left, an endpoint that has left meanwhile gets nothing, and the question takes no part of what a cold endpoint bears.

Ruled out: asking only near known releases (the first endpoint of a release is known to nobody); a shorter pause between watches (the window stays); refusing take-ups of endpoints that changed (LOST, in every release with ids kept).

Tests that changed: asks_start had to be False for a stream that begins, which was the fault; now both timeouts are checked. test_watchers' limit of old lists goes with that limit. test_cordons and test_leaving_servers counted calls, and now compare their paths; the case of a notice on a stream's head is kept beside a new one of a notice on a report. test_crashing_parts: the stand-in's reports name the same start as its registration; the servers crashed five times only because requests reached starts that were not listed, now the part is refused after three.

--- a/lab/stream_mechanisms.py
+++ b/lab/stream_mechanisms.py
@@ -27,19 +27,32 @@
         "endpoint asked for its start before a stream goes on",
         VERSIONS,
         "platform/endpoints",
-        "            if send.asks_start:\n",
+        "            if send.ask_seconds is not None:\n",
         "            if False:\n",
         "tests.platform.test_out_of_step.OutOfStepTest"
         ".test_stream_does_not_go_on_at_a_server_that_has_changed",
     ),
     _ablate(
-        "endpoint asked for its start before a stream begins on an old list",
+        "endpoint asked for its start before a stream begins",
         VERSIONS,
         "request_sends",
-        "return wanted.recorded and not age.is_usable(now)",
-        "return False",
+        "return remaining if wanted.recorded else None",
+        "return None",
         "tests.test_proxying.StreamTest"
         ".test_endpoint_is_asked_for_its_start_if_its_version_matters",
+        "tests.platform.test_versions.VersionTest"
+        ".test_no_stream_is_joined_that_began_before_a_registration",
+        "tests.platform.test_versions.VersionTest"
+        ".test_broken_stream_is_not_joined_before_a_registration",
+    ),
+    _ablate(
+        "nothing sent to an endpoint that has left during the question",
+        VERSIONS,
+        "exchanges",
+        "            raise errors.NotAcceptingError(\n",
+        "            errors.NotAcceptingError(\n",
+        "tests.test_proxying.StreamTest"
+        ".test_nothing_is_sent_to_an_endpoint_that_left_during_the_question",
     ),
     _ablate(
         "version of the endpoint that begins a stream kept",
--- a/samphirevale/cluster_state.py
+++ b/samphirevale/cluster_state.py
@@ -54,7 +54,6 @@
         cold_bound: warm_ups.ColdBound | None = None,
         regions: Mapping[str, str] = {},
         own_record: own_records.OwnRecord | None = None,
-        endpoints_seconds: float = math.inf,
     ):
         """Initializes what an entry knows when it starts.
 
@@ -67,14 +66,12 @@
             regions: the region of each data centre.
             own_record: what this entry writes of where its streams began; None
                 if they may begin without a record.
-            endpoints_seconds: how long the catalogue may be unconfirmed before
-                it counts as outdated.
         """
         self.table: routes.RouteTable | None = None
         self.routes_age = freshness.Freshness(keys_seconds)
         self.routes_era: objects.StoreEra | None = None
         self.newest_routes = entry_messages.NO_ROUTES
-        self.endpoints_age = freshness.Freshness(endpoints_seconds)
+        self.endpoints_age = freshness.Freshness(math.inf)
         self.catalogue = catalogue.Catalogue()
         self.copy_guard = copy_guard.CopyGuard()
         self.own_record = own_record
--- a/samphirevale/cluster_watch.py
+++ b/samphirevale/cluster_watch.py
@@ -409,20 +409,6 @@
     )
 
 
-def compute_endpoints_limit(
-    settings: gateway_settings.GatewaySettings,
-) -> float:
-    """Returns how long the copy of the endpoints may be unconfirmed.
-
-    The answer to a watch confirms the time at which the watch began, and the
-    next answer comes a pause and a watch later.
-    """
-    times = compute_endpoints_watch(settings)
-    longest_age = 2 * times.wait_seconds + times.pause_seconds
-    longest_age += watchers.RECOVERY_SECONDS
-    return longest_age + freshness.MARGIN_SECONDS
-
-
 def _ignore_time(now: float) -> None:
     """Ignores the time of a confirmation or recovery of a copy.
 
--- a/samphirevale/exchanges.py
+++ b/samphirevale/exchanges.py
@@ -58,6 +58,18 @@
         self._context.crashes.record_heard(self.endpoint)
 
     def _record_connected(self) -> None:
+        """Records that the request is sent.
+
+        Raises:
+            errors.NotAcceptingError: the endpoint has turned out meanwhile to
+                leave, or to have started again.
+        """
+        if not self._context.cluster_state.catalogue.is_accepting(
+            self.endpoint
+        ):
+            raise errors.NotAcceptingError(
+                f"{self.endpoint.name} accepts no more work"
+            )
         self._connected_at = self._context.clock.now()
 
     def may_have_sent(self) -> bool:
--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -107,7 +107,6 @@
             cold_bound=settings.cold_bound,
             regions=settings.regions,
             own_record=self._own_record,
-            endpoints_seconds=cluster_watch.compute_endpoints_limit(settings),
         )
         self._quarantine = quarantine.Quarantine(
             input_fingerprints.CRASHES_SECONDS
--- a/samphirevale/platform/endpoints.py
+++ b/samphirevale/platform/endpoints.py
@@ -87,17 +87,21 @@
         on_connected: Callable[[], None],
     ) -> PlatformAnswer:
         """Sends a request and returns when the answer's head has been read."""
+        began_at = await curio.clock()
         connection = await self._open_connection(endpoint)
         try:
-            if send.asks_start:
-                connection = await self._ask_start(connection, endpoint)
-            self._check_allowed(endpoint)
+            if send.ask_seconds is not None:
+                connection = await self._ask_start(
+                    connection, endpoint, send.ask_seconds
+                )
+            waited = await curio.clock() - began_at
+            self._begin_call(endpoint)
             on_connected()
             answer = await connection.request(
                 request.method,
                 request.target,
                 request.body,
-                request.headers + _build_headers(endpoint, send),
+                request.headers + _build_headers(endpoint, send, waited),
                 request.host,
             )
             # An answer to another request promises nothing about this one.
@@ -123,12 +127,14 @@
         self,
         connection: web_client.ClientConnection,
         endpoint: catalogue.Endpoint,
+        seconds: float,
     ) -> web_client.ClientConnection:
         """Asks an endpoint for its start on the connection of a request.
 
         The connection would end with the endpoint, so that the request that
         follows reaches the one that has answered. An endpoint that does not say
-        when it started counts as the one that is known.
+        when it started counts as the one that is known. The question takes no
+        part of what an endpoint bears, as that is counted in requests.
 
         Returns:
             The connection for the request, a new one if this cannot be kept.
@@ -139,14 +145,14 @@
         """
         self._check_allowed(endpoint)
         try:
-            async with curio.timeout_after(CONNECT_SECONDS):
+            async with curio.timeout_after(seconds):
                 answer = await connection.request(
                     "GET", "/report", b"", (_expect(endpoint),)
                 )
                 data = await answer.read_body(CALL_BYTES_LIMIT)
         except curio.TaskTimeout as error:
             raise errors.ConnectTimeoutError(
-                f"{endpoint.name}: no report in {CONNECT_SECONDS} s"
+                f"{endpoint.name}: no report in {seconds:.1f} s"
             ) from error
         except errors.TransportError as error:
             raise errors.ConnectError(f"no report: {error}") from error
@@ -208,7 +214,7 @@
         """
         kept = unanswered = False
         try:
-            self._check_allowed(endpoint)
+            self._begin_call(endpoint)
             unanswered = True
             answer = await connection.request(
                 "GET" if value is None else "POST",
@@ -232,15 +238,18 @@
             if unanswered:
                 await self.close_idle(endpoint)
 
-    def _check_allowed(self, endpoint: catalogue.Endpoint) -> None:
+    def _begin_call(self, endpoint: catalogue.Endpoint) -> None:
         """Records a call; raises an error if nothing may be sent.
 
         Called once the connection is open, which takes long enough for the
         endpoint to ask for a pause meanwhile.
         """
+        self._check_allowed(endpoint)
+        self._listener.record_call(endpoint)
+
+    def _check_allowed(self, endpoint: catalogue.Endpoint) -> None:
         if not self._listener.may_call(endpoint):
             raise errors.NotAcceptingError(f"{endpoint.name} leaves or pauses")
-        self._listener.record_call(endpoint)
 
     async def _handle_notice(
         self, endpoint: catalogue.Endpoint, answer: web_client.Answer
@@ -309,9 +318,18 @@
 
 
 def _build_headers(
-    endpoint: catalogue.Endpoint, send: proxy_requests.SendParameters
+    endpoint: catalogue.Endpoint,
+    send: proxy_requests.SendParameters,
+    waited: float,
 ) -> tuple[tuple[str, str], ...]:
-    milliseconds = max(int(send.wait_seconds * 1000), 1)
+    """Returns the headers that the system sets.
+
+    Args:
+        endpoint: the endpoint that the request is meant for.
+        send: the parameters of the send.
+        waited: the part of its timeout that has passed, in seconds.
+    """
+    milliseconds = max(int((send.wait_seconds - waited) * 1000), 1)
     request_headers = [
         ("Samphirevale-Deadline-Ms", str(milliseconds)),
         _expect(endpoint),
--- a/samphirevale/ports/proxies.py
+++ b/samphirevale/ports/proxies.py
@@ -121,7 +121,8 @@
             endpoint: the endpoint to send to.
             request: the request to send.
             send: the parameters that the system sets.
-            on_connected: called just before anything is sent.
+            on_connected: called just before the request is sent; an error that
+                it raises keeps it from being sent.
         """
 
     async def run_batch(
--- a/samphirevale/proxy_requests.py
+++ b/samphirevale/proxy_requests.py
@@ -101,15 +101,16 @@
             None to start with the first event.
         results: the names of the results of the last stages; empty if the
             route has no stages.
-        asks_start: whether the endpoint is asked beforehand if it is still the
-            one that is known, and gets nothing otherwise.
+        ask_seconds: the timeout of the question beforehand whether the endpoint
+            is still the one that is known, which gets nothing otherwise; None
+            to ask nothing.
     """
 
     account: str
     wait_seconds: float
     last_event: int | None
     results: tuple[str, ...]
-    asks_start: bool = False
+    ask_seconds: float | None = None
 
 
 class CompleteAnswer(NamedTuple):
--- a/samphirevale/request_sends.py
+++ b/samphirevale/request_sends.py
@@ -12,6 +12,10 @@
 # against the retry budget, as a failed connection hands nothing over.
 CONNECT_FAILURES_LIMIT = 3
 
+# How long an endpoint may take to confirm its version before a stream goes on
+# there, in seconds.
+GOING_ON_ASK_SECONDS = 0.5
+
 
 class RequestSends:
     """The sends of one request.
@@ -83,7 +87,7 @@
             remaining,
             self._request.last_event if last_event is None else last_event,
             results,
-            self._depends_on_version(now),
+            self._compute_ask_timeout(remaining),
         )
         # It counts while the endpoint is connected to, as another exchange may
         # begin meanwhile. One that is cancelled after that may have run.
@@ -104,24 +108,29 @@
             service=endpoint.service,
             version=endpoint.version,
             started=endpoint.started,
-            asked=parameters.asks_start,
+            asked=parameters.ask_seconds is not None,
             status=exchange.answer.status,
             last_event=last_event,
         )
 
-    def _depends_on_version(self, now: float) -> bool:
-        """Returns whether the endpoint's version must be certain.
+    def _compute_ask_timeout(self, remaining: float) -> float | None:
+        """Returns how long an endpoint may take to confirm its version.
+
+        An endpoint may have started again under its name, with another version,
+        and be listed as before. That matters to a stream that goes on, and to
+        one that begins and may go on later. A silent endpoint is left for
+        another one as if it had the request.
 
-        An endpoint may have started again under its name, with another version.
-        That matters to a stream that goes on. One that begins is known by its
-        version later on; it is certain as long as the list of endpoints is
-        confirmed again and again.
+        Args:
+            remaining: the time until the request's deadline, in seconds.
+
+        Returns:
+            The time in seconds; None if the version does not matter.
         """
         wanted = self._endpoints.wanted
         if wanted.version is not None:
-            return True
-        age = self._context.cluster_state.endpoints_age
-        return wanted.recorded and not age.is_usable(now)
+            return min(GOING_ON_ASK_SECONDS, remaining)
+        return remaining if wanted.recorded else None
 
     def compute_overlap(self, exchange: exchanges.Exchange | None) -> float:
         """Returns how long a further endpoint has had the request.
--- a/standins/servers.py
+++ b/standins/servers.py
@@ -153,7 +153,7 @@
         if cold_rest > 0 and (
             len(self.list_arrivals(now - 1.0, now)) >= self.cold.most_calls
         ):
-            self.starts += 1
+            self._start_again()
             raise errors.AnswerLostError("the cold server has crashed")
         await self._wait_for_silence_end()
         response = self._refuse(request, time.monotonic())
@@ -252,7 +252,7 @@
         if fault == "late":
             await self._fall_silent()
         if self.crashing_part in _list_shared_parts(request_headers):
-            self.starts += 1
+            self._start_again()
         for number in range(first, EVENTS + 1):
             if self.starts != start:
                 raise errors.AnswerLostError("the server has crashed")
@@ -265,6 +265,12 @@
             await self._wait_for_silence_end()
             yield build_event(number, self.version)
 
+    def _start_again(self) -> None:
+        """Ends all streams; the reports say another start from now on."""
+        self.starts += 1
+        if self.born is not None:
+            self.born += 1
+
     async def _fall_silent(self) -> None:
         self._silent_until = time.monotonic() + self.silence_seconds
         await self._wait_for_silence_end()
--- a/tests/platform/sessions.py
+++ b/tests/platform/sessions.py
@@ -176,6 +176,9 @@
         await self.task.cancel()
 
     def register_server(self, name, port, **changes):
+        """Registers a server, whose reports name the same start."""
+        self.servers[name].born = changes.get("born", self.servers[name].born)
+        changes = {"born": self.servers[name].born, **changes}
         self.store.put(
             "servers",
             name,
--- a/tests/platform/test_cordons.py
+++ b/tests/platform/test_cordons.py
@@ -105,7 +105,8 @@
                 self.store.put(KIND, "a", {})
                 self.store.remove(KIND, "b")
                 await self.wait_until_cordoned("a")
-            self.assertEqual(1, len(model.arrivals))
+            paths = [arrival.path for arrival in model.arrivals]
+            self.assertEqual(["/report", "/write/x"], paths)
             self.assertEqual(1, len(self.servers["model2"].seen_headers))
 
     async def test_queued_items_move_to_another_data_centre(self):
--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -8,6 +8,7 @@
 
 from samphirevale import (
     crashing_part_store,
+    crashing_parts,
     entries,
     gateway,
     registrations,
@@ -67,7 +68,7 @@
                     starts[name] = server.starts
                     self.store.remove("servers", name)
                     await curio.sleep(RESTART_SECONDS)
-                    self.change_server(name, born=server.starts)
+                    self.change_server(name)
 
     @contextlib.asynccontextmanager
     async def run_alone(self):
@@ -106,12 +107,19 @@
         )
 
     async def crash_servers(self, ports):
-        """Sends requests with the part until the servers have crashed."""
-        for port in itertools.cycle(ports):
-            if self.count_crashes() >= CRASHES:
+        """Sends requests with the part until the servers have crashed.
+
+        No more are sent once none of the entries passes it on.
+        """
+        crashes, known = 0, -1
+        while crashes < crashing_parts.CRASHES_LIMIT or known < crashes:
+            if crashes >= CRASHES:
                 break
-            await self.write_at(port, "p:10,x:5")
-            await self.write_at(port, "p:10,s:5")
+            known = crashes
+            for port in ports:
+                await self.write_at(port, "p:10,x:5")
+                await self.write_at(port, "p:10,s:5")
+            crashes = self.count_crashes()
 
     async def check_refused(self, ports):
         """Checks that requests with the part reach servers no more."""
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -124,13 +124,20 @@
             with self.assertRaises(errors.NotExecutedError):
                 await self.list_calls()[0]()
 
-    async def ask_start(self, status, value):
+    async def ask_start(self, status, value, delay=0.0, seconds=0.5):
         """Sends a request to an endpoint that gives a report beforehand.
 
+        Args:
+            status: the status of the report.
+            value: the value of the report.
+            delay: the time that the endpoint takes for it, in seconds.
+            seconds: the timeout of the question.
+
         Returns:
             The paths of the calls on each connection.
         """
         connections = []
+        self.asked_heads = []
 
         async def serve(client, address):
             paths = []
@@ -138,6 +145,9 @@
             async with client:
                 while data := await client.recv(65536):
                     paths.append(data.split(b" ")[1].decode())
+                    self.asked_heads.append(data)
+                    if paths[-1] == "/report":
+                        await curio.sleep(delay)
                     answer = encode_answer(status, value)
                     if paths[-1] != "/report":
                         attempt = ("Samphirevale-Attempt-Id", "a1")
@@ -148,14 +158,15 @@
         port = base.find_free_port()
         server = await curio.spawn(curio.tcp_server, "127.0.0.1", port, serve)
         await curio.sleep(0.05)
-        calls = endpoints.PlatformEndpoints(FakeListener())
+        self.asked_listener = FakeListener()
+        calls = endpoints.PlatformEndpoints(self.asked_listener)
         try:
             answer = await calls.send(
                 proxy_fakes.build_endpoint(
                     host="127.0.0.1", port=port, started=7
                 ),
                 proxy_fakes.build_request(),
-                proxy_fakes.build_send_parameters(asks_start=True),
+                proxy_fakes.build_send_parameters(ask_seconds=seconds),
                 lambda: None,
             )
             await answer.close()
@@ -168,6 +179,26 @@
         connections = await self.ask_start(200, {"born": 7})
         self.assertEqual([["/report", "/p/x"]], connections)
 
+    async def test_time_of_the_question_is_not_handed_to_the_endpoint(self):
+        """The endpoint would go on after the caller has left."""
+        await self.ask_start(200, {"born": 7}, delay=0.3)
+        _, head = self.asked_heads
+        (line,) = [
+            line for line in head.split(b"\r\n") if b"Deadline-Ms" in line
+        ]
+        seconds = proxy_fakes.build_send_parameters().wait_seconds - 0.3
+        self.assertLessEqual(int(line.split()[1]), 1000 * seconds)
+
+    async def test_endpoint_that_confirms_nothing_in_time_gets_nothing(self):
+        with self.assertRaises(errors.ConnectTimeoutError):
+            await self.ask_start(200, {"born": 7}, delay=0.3, seconds=0.1)
+        self.assertEqual(1, len(self.asked_heads))
+
+    async def test_question_for_the_start_takes_no_part_of_a_limit(self):
+        """The request would wait for the next time that it may be sent."""
+        await self.ask_start(200, {"born": 7})
+        self.assertEqual(["e1"], self.asked_listener.calls)
+
     async def test_endpoint_that_has_started_again_gets_nothing(self):
         for value in ({"born": 8}, {"born": 0}):
             with self.assertRaises(errors.NotAcceptingError):
--- a/tests/platform/test_leaving_servers.py
+++ b/tests/platform/test_leaving_servers.py
@@ -47,13 +47,30 @@
             await self.check_unused("plain1")
 
     async def test_a_server_that_leaves_with_a_stream_is_not_used(self):
+        async with self.run_all():
+            await self.check_stream()
+            leaving = self.find_reached("model")
+            run = leaving._run
+
+            def run_and_leave(request, fault):
+                leaving.leaving = True
+                return run(request, fault)
+
+            leaving._run = run_and_leave
+            for _ in range(sessions.REQUESTS):
+                await self.check_stream()
+            paths = [arrival.path for arrival in leaving.arrivals]
+            self.assertEqual(["/report", "/write/x"] * 2, paths)
+
+    async def test_a_server_that_leaves_with_a_report_is_not_used(self):
         async with self.run_all():
             await self.check_stream()
             leaving = self.find_reached("model")
             leaving.leaving = True
             for _ in range(sessions.REQUESTS):
                 await self.check_stream()
-            self.assertEqual(2, len(leaving.arrivals))
+            paths = [arrival.path for arrival in leaving.arrivals]
+            self.assertEqual(["/report", "/write/x", "/report"], paths)
 
     async def test_a_server_that_leaves_with_a_stage_call_is_not_used(self):
         async with self.run_all(SERVERS):
--- a/tests/platform/test_versions.py
+++ b/tests/platform/test_versions.py
@@ -9,6 +9,8 @@
 SERVERS = (*sessions.SERVERS, "model3")
 MODELS = {"model1": "v1", "model2": "v2", "model3": "v1"}
 
+ALIKE = dict.fromkeys(MODELS, "v1")
+
 # The number of prompts, which are spread over the servers.
 PROMPTS = 24
 
@@ -98,6 +100,35 @@
                     await self.write(**self.build_headers(number))
             self.assertEqual([], faults)
 
+    def restart_before_registering(self, name, version):
+        """Starts a server again under its id; its registration is to come."""
+        self.servers[name].version = version
+        self.servers[name].born += 1
+
+    async def test_no_stream_is_joined_that_began_before_a_registration(self):
+        """An endpoint's registration may be older than its present start."""
+        async with self.run_all(SERVERS, ALIKE):
+            self.restart_before_registering("model1", "v2")
+            begun = [await self.begin(number) for number in range(PROMPTS)]
+            self.change_server("model1", born=self.servers["model1"].born)
+            self.change_server("model1", state="draining")
+            await self.wait_until_accepting("model2", "model3")
+            for number, version in enumerate(begun):
+                status, _, body = await self.take_up(number)
+                self.assertIn(status, (200, 503))
+                if status == 200:
+                    self.assertEqual({version}, list_versions(body))
+
+    async def test_broken_stream_is_not_joined_before_a_registration(self):
+        """The entry itself goes on with it at another endpoint."""
+        async with self.run_all(SERVERS, ALIKE):
+            self.restart_before_registering("model1", "v2")
+            for number in range(PROMPTS):
+                self.servers["model1"].faults = ["cut"]
+                _, _, body = await self.write(**self.build_headers(number))
+                self.assertEqual(servers.EVENTS, body.count(b"data:"))
+                self.assertEqual(1, len(list_versions(body)), body)
+
     async def test_a_caller_resumes_only_at_the_version_that_began(self):
         async with self.run_all(SERVERS, MODELS):
             versions = [await self.begin(number) for number in range(PROMPTS)]
--- a/tests/test_proxying.py
+++ b/tests/test_proxying.py
@@ -14,6 +14,7 @@
     proxy_requests,
     proxying,
     quarantine,
+    request_sends,
     retry_budgets,
     return_times,
     routes,
@@ -632,23 +633,42 @@
 
     async def test_endpoint_is_asked_for_its_start_if_its_version_matters(self):
         """An endpoint that has started again may have another version."""
-        self.cluster.endpoints_age.limit_seconds = 5.0
-        self.cluster.endpoints_age.confirm(NOW)
         answer = await self.answer(
             self.build_stream(b"id: 1\n\nid: 2", proxy_fakes.LOST_ANSWER),
             self.build_stream(b"id: 2\n\n"),
         )
         await self.read_stream(answer)
+        begin_seconds, go_on_seconds = self.list_asked()
+        self.assertEqual(self.endpoints.sends[0][2].wait_seconds, begin_seconds)
+        self.assertEqual(request_sends.GOING_ON_ASK_SECONDS, go_on_seconds)
+
+    def list_asked(self):
+        """Returns the timeout of the question to the endpoint of each send."""
         sends = self.endpoints.sends
-        self.assertEqual(
-            [False, True], [parameters.asks_start for *_, parameters in sends]
-        )
-        self.clock.seconds += 5.0
-        self.cluster.routes_age.confirm(self.clock.seconds)
-        await self.answer(
-            self.build_stream(b"id: 1\n\n"), received_at=self.clock.seconds
-        )
-        self.assertTrue(self.endpoints.sends[0][2].asks_start)
+        return [parameters.ask_seconds for *_, parameters in sends]
+
+    async def test_endpoint_is_not_asked_if_no_stream_can_go_on(self):
+        self.use_route(proxy_fakes.build_route(repeatable=False, streamed=True))
+        answer = await self.answer(self.build_stream(b"id: 1\n\n"))
+        await self.read_stream(answer)
+        self.assertEqual([None], self.list_asked())
+
+    async def test_nothing_is_sent_to_an_endpoint_that_left_during_the_question(
+        self,
+    ):
+        """The question may take longer than an endpoint that leaves serves."""
+        self.use_stream_route()
+        proxy = self.build_proxy(self.build_stream(b"id: 1\n\n"))
+        send = self.endpoints.send
+
+        async def ask_slowly(endpoint, request, parameters, on_connected):
+            for item in self.cluster.catalogue.list_all():
+                self.cluster.catalogue.put(item._replace(accepting=False))
+            return await send(endpoint, request, parameters, on_connected)
+
+        self.endpoints.send = ask_slowly
+        answer = await proxy.answer(proxy_fakes.build_request())
+        self.assertEqual((503, "no_endpoint"), (answer.status, answer.reason))
 
     async def test_events_before_a_gap_are_not_lost(self):
         answer = await self.answer(
--- a/tests/test_watchers.py
+++ b/tests/test_watchers.py
@@ -10,7 +10,6 @@
 from samphirevale import (
     cluster_watch,
     errors,
-    freshness,
     store_eras,
     watchers,
 )
@@ -79,22 +78,6 @@
                 )
                 self.assertLessEqual(noticed, contact + 1e-9)
 
-    def test_endpoints_that_a_watch_follows_never_count_as_outdated(self):
-        """Streams that begin would be asked about for nothing."""
-        settings = test_gateway_settings.SETTINGS
-        times = cluster_watch.compute_endpoints_watch(settings)
-        age = freshness.Freshness(
-            cluster_watch.compute_endpoints_limit(settings)
-        )
-        now = 100.0
-        for _ in range(3):
-            began_at, now = now, now + times.wait_seconds
-            self.assertTrue(age.is_usable(now) or age.confirmed_at is None)
-            age.confirm(began_at)
-            now += times.pause_seconds
-        self.assertTrue(age.is_usable(now + times.wait_seconds))
-        self.assertFalse(age.is_usable(now + 2 * times.wait_seconds))
-
     def test_watch_waits_a_little_also_if_the_bound_is_short(self):
         self.assertEqual(
             watchers.LEAST_WATCH_SECONDS, watchers.compute_wait(0.1)
