Send a stream only on the connection on which its endpoint has confirmed its start

What could be seen: an endpoint that closes the connection behind its report, or refuses the report, got the stream on a second connection, on which nobody had asked. If it had started again in between, with another version, the stream was joined.

Change: such an endpoint is asked once more on the new connection; one that closes or refuses again gets nothing of the stream, which goes to another endpoint. An endpoint that answers 404 gives no reports, and counts as the one that is known, as one whose report names no start.

test_endpoints: a closing answer and a refusal, both of which sent the request on an unasked connection before (the former expectation of the refused report, a request on a new connection, was the fault).

Ruled out: trusting one answer for some milliseconds (a process may start again in less).

--- a/lab/stream_mechanisms.py
+++ b/lab/stream_mechanisms.py
@@ -27,8 +27,8 @@
         "endpoint asked for its start before a stream goes on",
         VERSIONS,
         "platform/endpoints",
-        "            if send.ask_seconds is not None:\n",
-        "            if False:\n",
+        "        if send.ask_seconds is None:\n",
+        "        if True:\n",
         "tests.platform.test_out_of_step.OutOfStepTest"
         ".test_stream_does_not_go_on_at_a_server_that_has_changed",
     ),
@@ -45,6 +45,17 @@
         "tests.platform.test_versions.VersionTest"
         ".test_broken_stream_is_not_joined_before_a_registration",
     ),
+    _ablate(
+        "start of an endpoint confirmed on the request's own connection",
+        VERSIONS,
+        "platform/endpoints",
+        '        raise errors.ConnectError(f"report status {status}")\n',
+        "        return await self._open_connection(endpoint)\n",
+        "tests.platform.test_endpoints.PlatformEndpointsTest"
+        ".test_start_is_asked_for_on_each_connection",
+        "tests.platform.test_endpoints.PlatformEndpointsTest"
+        ".test_refused_report_confirms_no_start",
+    ),
     _ablate(
         "nothing sent to an endpoint that has left during the question",
         VERSIONS,
--- a/samphirevale/platform/endpoints.py
+++ b/samphirevale/platform/endpoints.py
@@ -20,12 +20,19 @@
 # Timeout for connecting to an endpoint, in seconds.
 CONNECT_SECONDS = 0.5
 
+# The number of connections on which an endpoint is asked for its start before a
+# request is sent elsewhere.
+ASK_ATTEMPTS = 2
+
 # Maximum number of idle connections kept to one stage engine.
 IDLE_LIMIT = 4
 
 # The largest answer to a call other than a request, in bytes.
 CALL_BYTES_LIMIT = 1024 * 1024
 
+# Status of an endpoint that gives no reports.
+NO_REPORTS = 404
+
 # Status if a result named by the request no longer exists.
 RESULT_GONE = 409
 
@@ -88,12 +95,11 @@
     ) -> PlatformAnswer:
         """Sends a request and returns when the answer's head has been read."""
         began_at = await curio.clock()
-        connection = await self._open_connection(endpoint)
+        if send.ask_seconds is None:
+            connection = await self._open_connection(endpoint)
+        else:
+            connection = await self._open_asked(endpoint, send.ask_seconds)
         try:
-            if send.ask_seconds is not None:
-                connection = await self._ask_start(
-                    connection, endpoint, send.ask_seconds
-                )
             waited = await curio.clock() - began_at
             self._begin_call(endpoint)
             on_connected()
@@ -123,21 +129,48 @@
             raise
         return PlatformAnswer(connection, answer)
 
+    async def _open_asked(
+        self, endpoint: catalogue.Endpoint, seconds: float
+    ) -> web_client.ClientConnection:
+        """Opens a connection on which an endpoint has confirmed its start.
+
+        The connection would end with the endpoint, so that the request that
+        follows reaches the one that has answered. What the endpoint says on a
+        connection that it closes behind its answer counts for no other one.
+
+        Args:
+            endpoint: the endpoint.
+            seconds: the timeout of an answer.
+
+        Raises:
+            errors.NotAcceptingError: the endpoint has started again.
+            errors.ConnectError: it has not confirmed its start.
+        """
+        for _ in range(ASK_ATTEMPTS):
+            connection = await self._open_connection(endpoint)
+            try:
+                status = await self._ask_start(connection, endpoint, seconds)
+            except BaseException:
+                await connection.close()
+                raise
+            # A refusal that is written once more could be taken for the
+            # request's.
+            if status in (200, NO_REPORTS) and connection.is_reusable():
+                return connection
+            await connection.close()
+        raise errors.ConnectError(f"report status {status}")
+
     async def _ask_start(
         self,
         connection: web_client.ClientConnection,
         endpoint: catalogue.Endpoint,
         seconds: float,
-    ) -> web_client.ClientConnection:
-        """Asks an endpoint for its start on the connection of a request.
+    ) -> int:
+        """Asks an endpoint for its start; returns the status of its report.
 
-        The connection would end with the endpoint, so that the request that
-        follows reaches the one that has answered. An endpoint that does not say
-        when it started counts as the one that is known. The question takes no
-        part of what an endpoint bears, as that is counted in requests.
-
-        Returns:
-            The connection for the request, a new one if this cannot be kept.
+        An endpoint that does not say when it started counts as the one that is
+        known. The question takes no part of what an endpoint bears, as that is
+        counted in requests.
 
         Raises:
             errors.NotAcceptingError: the endpoint has started again.
@@ -162,11 +195,7 @@
             started is not None and started != endpoint.started
         ):
             raise errors.NotAcceptingError(f"{endpoint.name} has started again")
-        # A refusal that is written once more could be taken for the request's.
-        if answer.status == 200 and connection.is_reusable():
-            return connection
-        await connection.close()
-        return await self._open_connection(endpoint)
+        return answer.status
 
     async def run_batch(
         self,
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -124,19 +124,20 @@
             with self.assertRaises(errors.NotExecutedError):
                 await self.list_calls()[0]()
 
-    async def ask_start(self, status, value, delay=0.0, seconds=0.5):
+    async def ask_start(self, status, value, *headers, delay=0.0, seconds=0.5):
         """Sends a request to an endpoint that gives a report beforehand.
 
         Args:
             status: the status of the report.
             value: the value of the report.
+            headers: the headers of the report.
             delay: the time that the endpoint takes for it, in seconds.
             seconds: the timeout of the question.
 
         Returns:
             The paths of the calls on each connection.
         """
-        connections = []
+        connections = self.asked_on = []
         self.asked_heads = []
 
         async def serve(client, address):
@@ -148,7 +149,7 @@
                     self.asked_heads.append(data)
                     if paths[-1] == "/report":
                         await curio.sleep(delay)
-                    answer = encode_answer(status, value)
+                    answer = encode_answer(status, value, *headers)
                     if paths[-1] != "/report":
                         attempt = ("Samphirevale-Attempt-Id", "a1")
                         seal = ("Samphirevale-Response-Seal", "s")
@@ -210,11 +211,21 @@
         for value in ({}, {"born": "x"}, {"born": True}, [], None):
             connections = await self.ask_start(200, value)
             self.assertEqual([["/report", "/p/x"]], connections)
+        connections = await self.ask_start(404, {})
+        self.assertEqual([["/report", "/p/x"]], connections)
 
-    async def test_refused_report_leaves_a_new_connection(self):
-        """Its refusal, written once more, could be taken for the request's."""
-        connections = await self.ask_start(503, {})
-        self.assertEqual([["/report"], ["/p/x"]], connections)
+    async def test_refused_report_confirms_no_start(self):
+        """Another start may answer on the next connection."""
+        with self.assertRaises(errors.ConnectError):
+            await self.ask_start(503, {})
+        self.assertEqual([["/report"]] * 2, self.asked_on)
+
+    async def test_start_is_asked_for_on_each_connection(self):
+        """Another start may answer on the next connection."""
+        closing = ("Connection", "close")
+        with self.assertRaises(errors.ConnectError):
+            await self.ask_start(200, {"born": 7}, closing)
+        self.assertEqual([["/report"]] * 2, self.asked_on)
 
     async def test_callers_do_not_learn_that_an_endpoint_leaves(self):
         attempt = ("Samphirevale-Attempt-Id", "a1")
