Let the end of the unanswered requests touch no answer that has begun

What callers saw: late in the grace period, at the moment at which requests without an answer are ended, a stream broke off that had just begun, half a second before its time. A caller that left after that moment was not noticed.

Cause: the unanswered requests were ended with Task.cancel() and a TimeoutError. curio delivers it at the task's next blocking operation. If the answer is there already (the task is ready to run, or closes the other exchanges, which cannot be cancelled), that is the next read of the stream or a write to the caller. A TimeoutError is an OSError, so the connection to the endpoint or to the caller was taken for broken. And curio cancels a task only once: neither the caller's leaving nor the end of the server could end the task afterwards.

Ruled out: that the endpoint broke off (its run was cancelled by the process) and that the process's end came early (the streams beside it went on).

The end is now an error of its own, no OSError. It is taken back as soon as there is an answer, and the task can be cancelled again.

--- a/samphirevale/proxying.py
+++ b/samphirevale/proxying.py
@@ -1,5 +1,8 @@
 """Accepts or refuses proxied requests and returns one answer to each."""
 
+import contextlib
+from collections.abc import AsyncIterator
+
 import curio
 
 from samphirevale import (
@@ -18,6 +21,13 @@
 SHUTDOWN_RETRY_SECONDS = 0.05
 
 
+class _EndedError(curio.CancelledError):
+    """The process ends, and so does the wait for an answer.
+
+    It is no OSError, which would count as one of a connection.
+    """
+
+
 class Proxy:
     """Answers proxied requests.
 
@@ -32,13 +42,17 @@
         self._wait_history = retry_detection.WaitHistory()
         # The tasks of the requests whose answers have not begun.
         self._unanswered: set[curio.Task] = set()
+        # Those of them that were ended.
+        self._ended: set[curio.Task] = set()
 
     async def end_requests(self) -> None:
         """Ends the requests whose answers have not begun, as at a deadline."""
         for task in list(self._unanswered):
-            await task.cancel(
-                exc=TimeoutError("the process ends"), blocking=False
-            )
+            if not task.cancelled:
+                self._ended.add(task)
+                await task.cancel(
+                    exc=_EndedError("the process ends"), blocking=False
+                )
 
     async def answer(
         self, request: proxy_requests.ProxiedRequest
@@ -63,18 +77,34 @@
         )
         run = proxy_runs.ProxyRun(self._context, accepted)
         timeout = accepted.deadline_at - self._context.clock.now()
-        task = await curio.current_task()
-        self._unanswered.add(task)
         try:
-            async with self._context.clock.timeout(timeout):
+            async with (
+                self._waiting_for_answer(),
+                self._context.clock.timeout(timeout),
+            ):
                 answer = await run.run()
-        except TimeoutError:
+        except (TimeoutError, _EndedError):
             answer = run.build_timeout_refusal()
-        finally:
-            self._unanswered.discard(task)
         self._record_answer(request, accepted.route.get_kind(), answer)
         return answer
 
+    @contextlib.asynccontextmanager
+    async def _waiting_for_answer(self) -> AsyncIterator[None]:
+        """Lets end_requests() end the block, and nothing after it."""
+        task = await curio.current_task()
+        self._unanswered.add(task)
+        try:
+            yield
+        finally:
+            self._unanswered.discard(task)
+            if task in self._ended:
+                self._ended.discard(task)
+                # An end that is still to come would break off the answer.
+                with contextlib.suppress(_EndedError):
+                    await curio.check_cancellation(_EndedError)
+                # The caller may still leave; curio cancels a task only once.
+                task.cancelled = False
+
     def _record_answer(
         self,
         request: proxy_requests.ProxiedRequest,
