Take no request any more as the tasks of a stopped process end

What callers would see: with a grace period of up to 3.8 s, a request that comes as the process ends is accepted, passed on and cut without an answer.

Cause: requests were refused only once the time for the last connections (2.8 s) was over, or if there were unanswered ones to end. A process with a short grace period that was idle at its end did neither. Its tasks were then cancelled in turn, those of the callers among the last, so that requests were taken for as long as the others took to end.

Evidence: the new test of platform.test_last_answers fails on the code before: the request has reached an endpoint, with 375 ms to its deadline.

Ruled out: the platform's 8 s, where requests are refused from 2.8 s on.

Requests are now refused in any case, and the connections of callers are ended first, before what their requests need.

--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -428,13 +428,13 @@
             if (linger_is_over and not self.is_busy()) or now >= drain_ends_at:
                 break
             await curio.sleep(CHECK_SECONDS / 2)
+        self._proxy.closed = True
         if self.is_busy():
             await self._end_requests(process_ends_at)
         self._journal.record_event("stopped", busy=self._server.busy)
 
     async def _end_requests(self, ends_at: float) -> None:
         """Answers the last requests; streams go on until the process ends."""
-        self._proxy.closed = True
         await self._proxy.end_requests()
         while self.is_busy() and self._clock.now() < ends_at:
             await curio.sleep(CHECK_SECONDS / 4)
@@ -458,7 +458,6 @@
         *(watcher.run for watcher in gateway.cluster_watch.build_watchers()),
         gateway.run_periodic_checks,
         gateway.cluster_watch.routes_freshness.run,
-        gateway.serve_callers,
         gateway.serve_readiness,
         gateway.serve_metrics,
         gateway.registrar.run,
@@ -467,6 +466,8 @@
         gateway.origin_recorder.run,
         gateway.table.serve,
         gateway.table.connect_to_entries,
+        # The last one is cancelled first, before what its requests need.
+        gateway.serve_callers,
     ]
     async with contextlib.AsyncExitStack() as stack:
         tasks = []
--- a/tests/platform/test_last_answers.py
+++ b/tests/platform/test_last_answers.py
@@ -1,11 +1,13 @@
 """Tests of the requests that are unanswered as an entry ends."""
 
+import contextlib
 import time
 from unittest import mock
 
 import curio
 
-from samphirevale import stages
+from samphirevale import errors, registrar, stages
+from samphirevale.adapters import web_client
 from tests.platform import sessions
 
 REQUESTS = 10
@@ -44,3 +46,43 @@
                     self.assertLess(time.monotonic() - begin, GRACE_SECONDS)
                 statuses = {status for status, _, _ in group.results}
                 self.assertLessEqual(statuses, {503, 504})
+
+    async def test_request_that_comes_as_the_tasks_end_is_passed_on_and_cut(
+        self,
+    ):
+        async def end_slowly(_):
+            try:
+                await curio.sleep(100.0)
+            finally:
+                await curio.sleep(END_SECONDS)
+
+        async def send(connection):
+            with contextlib.suppress(errors.AnswerLostError):
+                await connection.request(
+                    "POST",
+                    "/once/x",
+                    b"",
+                    (
+                        ("Samphirevale-Attempt-Id", "a1"),
+                        ("Samphirevale-Key", "k1"),
+                    ),
+                    "h.example",
+                )
+
+        slow = mock.patch.object(registrar.Registrar, "run", end_slowly)
+        with slow:
+            async with self.run_all():
+                self.gateway.adopt_settings(
+                    self.gateway.settings._replace(grace_seconds=GRACE_SECONDS)
+                )
+                connection = await web_client.open_connection(
+                    "127.0.0.1", self.port
+                )
+                await self.gateway.stop.set()
+                await self.wait_until(
+                    lambda: "stopped" in self.log.list_events()
+                )
+                await curio.sleep(0.1)
+                await send(connection)
+                await connection.close()
+                self.assertEqual([], self.list_received_headers("plain"))
