Count the grace period from the signal, not from when it is seen

What callers would see: a busy process that is told to stop ends its last requests too late, so that SIGKILL comes before their answers.

Cause: the grace period was counted from the moment at which the task for signals and then that of the gateway ran. Each waits for its turn behind all other tasks that are ready.

The new test of platform.test_last_answers, where the entry does something else for 1.2 s as the order comes, fails on the code before.

The signal's handler, which Python runs between any two steps of the main thread, now records when each signal was received first.

--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -1,6 +1,7 @@
 """The proxying entry, which serves callers of routes without sidecars."""
 
 import contextlib
+import math
 import random
 import secrets
 from collections.abc import Iterable
@@ -81,7 +82,13 @@
 
 
 class Gateway:
-    """A proxying entry with its state and its tasks."""
+    """A proxying entry with its state and its tasks.
+
+    Attributes:
+        settings: the settings in force.
+        clock: a clock that includes time while the machine is suspended.
+        stop: set when the process is told to stop.
+    """
 
     def __init__(
         self,
@@ -92,11 +99,13 @@
     ):
         self.settings = settings
         self._adapters = adapter_set
-        self._clock = clock
+        self.clock = clock
         self._journal = log
         self._rng = random.Random(secrets.randbits(64))
         self._server = web.ServerState(self._record_closed)
         self.stop = curio.Event()
+        # When the process was told to stop.
+        self._stopped_at = math.inf
         self._own_record = own_record.OwnRecord()
         self.cluster_state = cluster_state.ClusterState(
             settings.keys_seconds,
@@ -227,7 +236,7 @@
 
     def is_ready(self) -> bool:
         """Returns whether the balancer should send callers to this entry."""
-        now = self._clock.now()
+        now = self.clock.now()
         return (
             not self.stop.is_set()
             and self.cluster_state.table is not None
@@ -261,7 +270,7 @@
 
     def _adopt_crashes(self, crashed: list[list[str]]) -> None:
         """Adopts the crashes that another entry reports, by fingerprint."""
-        now = self._clock.now()
+        now = self.clock.now()
         for fingerprint, *attempts in crashed:
             self._quarantine.add_crashes(fingerprint, attempts, now)
 
@@ -313,7 +322,7 @@
         logged_at = 0.0
         while True:
             await curio.sleep(CHECK_SECONDS)
-            now = self._clock.now()
+            now = self.clock.now()
             if now >= logged_at + QUEUE_LOG_SECONDS:
                 logged_at = now
                 self._log_queues(now)
@@ -364,7 +373,7 @@
 
     async def serve_callers(self) -> None:
         """Serves callers until cancelled."""
-        handler = self._adapters.build_handler(self._proxy.answer, self._clock)
+        handler = self._adapters.build_handler(self._proxy.answer, self.clock)
         await web_server.serve(
             handler.handle,
             self.settings.caller_host,
@@ -409,9 +418,18 @@
             answer, self.settings.peer_host, self.settings.metrics_port
         )
 
+    async def request_stop(self, at: float) -> None:
+        """Starts the graceful stop.
+
+        Args:
+            at: when the process was told to, from which its grace period runs.
+        """
+        self._stopped_at = min(self._stopped_at, at)
+        await self.stop.set()
+
     async def drain(self) -> None:
         """Finishes the requests in flight after the order to stop."""
-        drain_started_at = self._clock.now()
+        drain_started_at = min(self._stopped_at, self.clock.now())
         self._server.draining = True
         self._journal.record_event("stopping", busy=self._server.busy)
         process_ends_at = (
@@ -422,7 +440,7 @@
         self._process_end.at = process_ends_at
         drain_ends_at = process_ends_at - LAST_ANSWERS_SECONDS
         while True:
-            now = self._clock.now()
+            now = self.clock.now()
             linger_is_over = now >= drain_started_at + LINGER_SECONDS
             self._proxy.closed = linger_is_over
             if (linger_is_over and not self.is_busy()) or now >= drain_ends_at:
@@ -436,7 +454,7 @@
     async def _end_requests(self, ends_at: float) -> None:
         """Answers the last requests; streams go on until the process ends."""
         await self._proxy.end_requests()
-        while self.is_busy() and self._clock.now() < ends_at:
+        while self.is_busy() and self.clock.now() < ends_at:
             await curio.sleep(CHECK_SECONDS / 4)
 
 
--- a/samphirevale/platform/__main__.py
+++ b/samphirevale/platform/__main__.py
@@ -90,7 +90,8 @@
     proxy: gateway.Gateway, log: journal.Journal
 ) -> None:
     """Runs the entry while handling the stop and reload signals."""
-    async with signals.open_signals(STOP_SIGNALS | {signal.SIGHUP}) as stream:
+    numbers = STOP_SIGNALS | {signal.SIGHUP}
+    async with signals.open_signals(numbers, proxy.clock.now) as stream:
         reader = await curio.spawn(
             process_signals, stream, proxy, log, daemon=True
         )
@@ -106,7 +107,7 @@
     """Handles stop and reload signals until cancelled."""
     async for number in stream:
         if number in STOP_SIGNALS:
-            await proxy.stop.set()
+            await proxy.request_stop(stream.first_at[number])
         else:
             reload_settings(proxy, log)
 
--- a/samphirevale/signals.py
+++ b/samphirevale/signals.py
@@ -8,7 +8,8 @@
 import contextlib
 import signal
 import socket
-from collections.abc import AsyncIterator, Iterable
+import time
+from collections.abc import AsyncIterator, Callable, Iterable
 
 from curio import io
 
@@ -17,9 +18,20 @@
 
 
 class SignalStream:
-    """An asynchronous iterator over received signals."""
+    """An asynchronous iterator over received signals.
 
-    def __init__(self, stream: io.Socket, numbers: frozenset[signal.Signals]):
+    Attributes:
+        first_at: when each signal was received first, in seconds. The iterator
+            may be late if other tasks run for long.
+    """
+
+    def __init__(
+        self,
+        stream: io.Socket,
+        numbers: frozenset[signal.Signals],
+        first_at: dict[signal.Signals, float],
+    ):
+        self.first_at = first_at
         self._stream = stream
         self._numbers = numbers
         self._pending: list[signal.Signals] = []
@@ -43,27 +55,33 @@
 @contextlib.asynccontextmanager
 async def open_signals(
     numbers: Iterable[signal.Signals],
+    now: Callable[[], float] = time.monotonic,
 ) -> AsyncIterator[SignalStream]:
     """Opens a stream of the signals in `numbers`; for the main thread only.
 
     The previous handlers are restored at the end of the block.
+
+    Args:
+        numbers: the signals.
+        now: returns the time in seconds.
     """
+    first_at: dict[signal.Signals, float] = {}
+
+    def record(number: int, frame: object) -> None:
+        first_at.setdefault(signal.Signals(number), now())
+
     receiver, sender = socket.socketpair()
     sender.setblocking(False)
     # Without a handler, the signal would keep its default action.
-    previous = {number: signal.signal(number, _ignore) for number in numbers}
+    previous = {number: signal.signal(number, record) for number in numbers}
     previous_descriptor = signal.set_wakeup_fd(
         sender.fileno(), warn_on_full_buffer=False
     )
     async with io.Socket(receiver) as stream:
         try:
-            yield SignalStream(stream, frozenset(previous))
+            yield SignalStream(stream, frozenset(previous), first_at)
         finally:
             signal.set_wakeup_fd(previous_descriptor)
             for number, handler in previous.items():
                 signal.signal(number, handler)
             sender.close()
-
-
-def _ignore(number: int, frame: object) -> None:
-    """Does nothing, as the wake-up descriptor delivers the signal."""
--- a/tests/platform/test_last_answers.py
+++ b/tests/platform/test_last_answers.py
@@ -1,13 +1,16 @@
 """Tests of the requests that are unanswered as an entry ends."""
 
 import contextlib
+import os
+import signal
 import time
 from unittest import mock
 
 import curio
 
-from samphirevale import errors, registrar, stages
+from samphirevale import errors, registrar, signals, stages
 from samphirevale.adapters import web_client
+from samphirevale.platform import __main__ as program
 from tests.platform import sessions
 
 REQUESTS = 10
@@ -17,6 +20,9 @@
 
 GRACE_SECONDS = 2.0
 
+# How long the entry does something else as the order to stop comes, in seconds.
+BUSY_SECONDS = 1.2
+
 
 class LastAnswersTest(sessions.SessionTestCase):
     """Requests are in their stages when the order to stop comes."""
@@ -86,3 +92,34 @@
                 await send(connection)
                 await connection.close()
                 self.assertEqual([], self.list_received_headers("plain"))
+
+    async def test_busy_entry_that_sees_the_order_late_outlasts_its_grace(self):
+        number = signal.SIGUSR1
+        orders = mock.patch.object(program, "STOP_SIGNALS", {number})
+        with orders:
+            async with (
+                self.run_all(),
+                signals.open_signals(
+                    {number}, self.gateway.clock.now
+                ) as stream,
+            ):
+                self.gateway.adopt_settings(
+                    self.gateway.settings._replace(grace_seconds=GRACE_SECONDS)
+                )
+                await curio.spawn(
+                    program.process_signals,
+                    stream,
+                    self.gateway,
+                    self.log,
+                    daemon=True,
+                )
+                self.servers["first1"].call_seconds = 2 * GRACE_SECONDS
+                writing = await curio.spawn(self.write)
+                await curio.sleep(0.2)
+                begin = time.monotonic()
+                os.kill(os.getpid(), number)
+                time.sleep(BUSY_SECONDS)
+                await self.task.join()
+                self.assertLess(time.monotonic() - begin, GRACE_SECONDS)
+                status, *_ = await writing.join()
+                self.assertIn(status, {503, 504})
