Answer a request in progress as the server ends, instead of cutting it

What callers see: a request that was read, and perhaps passed on, and whose answer is not ready as the process ends, is cut without an answer. This holds for an entry of either kind: in the own world all requests that outlast drain_seconds, on the platform those that take too long to end (a link or an endpoint's connection that closes slowly).

Cause: as the server ended, a connection answered only a request that had just arrived (503); one in progress was left out, since it may have run.

Evidence: test_request_in_progress_is_cut_or_refused gets no byte on the code before. It replaces test_request_in_progress_is_not_refused, which asked for no byte at all so that no 503 could come; the new test asks for a whole 504, so that neither a 503 nor a cut passes. test_end_of_the_server counts the answer that is now sent. A third test asks that a stream in progress is still cut visibly: it passes before and after.

504 promises nothing, so that it is true for any request. The log names the reason answered_at_end.

--- a/samphirevale/adapters/web.py
+++ b/samphirevale/adapters/web.py
@@ -117,6 +117,7 @@
 ANSWER_BROKEN = "answer_broken"
 CANCELLED = "cancelled"
 REFUSED_AT_END = "refused_at_end"
+ANSWERED_AT_END = "answered_at_end"
 UNEXPECTED_ERROR = "unexpected_error"
 
 EXPECTED_REASONS = frozenset(
--- a/samphirevale/adapters/web_connections.py
+++ b/samphirevale/adapters/web_connections.py
@@ -148,14 +148,21 @@
             await linger(self._client, seconds)
 
     async def _refuse_last(self) -> str:
-        """Refuses a request that arrives while the server ends.
+        """Answers the last request while the server ends.
+
+        One that has just arrived is refused. One in progress may have run, so
+        that its answer must promise nothing.
 
         Returns:
             The reason why the connection ends.
         """
-        if self._requests > self._answered:
-            return web.CANCELLED
         try:
+            if self._requests > self._answered:
+                if self._protocol.our_state is not h11.SEND_RESPONSE:
+                    return web.CANCELLED
+                await self._refuse(504, "the server ends")
+                self._answered += 1
+                return web.ANSWERED_AT_END
             await self._read_ahead(LAST_READ_SECONDS)
             if self._received_bytes == self._request_bytes:
                 return web.CALLER_LEFT if self._caller_left else web.CANCELLED
--- a/tests/adapters/test_web_connections.py
+++ b/tests/adapters/test_web_connections.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP server: slow readers, memory, descriptors and JSON."""
 
 import contextlib
+import json
 import os
 import resource
 import socket
@@ -289,7 +290,7 @@
             await entered.wait()
         await stream.close()
         closed = await self.wait_for_report()
-        self.assertEqual((web.CANCELLED, 0, 1, 0), closed[:4])
+        self.assertEqual((web.ANSWERED_AT_END, 0, 1, 1), closed[:4])
 
     async def test_unexpected_error_is_named_and_logged(self):
         async def fail(_):
@@ -508,19 +509,48 @@
         self.assertEqual(b"", self.receive(self.stream))
         self.assertEqual((web.CANCELLED, 0, 1, 1), self.closed.pop()[:4])
 
-    async def test_request_in_progress_is_not_refused(self):
+    async def end_in_progress(self, handler):
+        """Ends a server whose handler is at work; returns what was sent."""
         entered = curio.Event()
 
-        async def wait(_):
+        async def handle(request):
             await entered.set()
-            await curio.sleep(60)
+            return await handler(request)
 
-        async with self.serve(handler=wait):
+        async with self.serve(handler=handle):
             stream = await self.connect()
             await stream.sendall(GET)
             await entered.wait()
-        self.assertEqual(b"", await stream.recv(1000))
+            await curio.sleep(0.05)
+        received = b""
+        while data := await stream.recv(1000):
+            received += data
         await stream.close()
+        return received
+
+    async def test_request_in_progress_is_cut_or_refused(self):
+        async def wait(_):
+            await curio.sleep(60)
+
+        head, _, body = (await self.end_in_progress(wait)).partition(
+            b"\r\n\r\n"
+        )
+        # A 503 would say that it has not run.
+        self.assertTrue(head.startswith(b"HTTP/1.1 504 "), head)
+        self.assertIn(b"Content-Length: %d" % len(body), head)
+        self.assertEqual(504, json.loads(body)["status"])
+
+    async def test_stream_in_progress_looks_complete(self):
+        async def produce():
+            yield b"x"
+            await curio.sleep(60)
+
+        async def stream(_):
+            return web.StreamedResponse(200, produce())
+
+        received = await self.end_in_progress(stream)
+        self.assertTrue(received.startswith(b"HTTP/1.1 200 "), received)
+        self.assertTrue(received.endswith(b"\r\n1\r\nx\r\n"), received)
 
 
 class JsonTest(base.TestCase):
