Leave a short grace period to the requests that are still at work

What callers see, with a grace period of 2 s: streams are cut 0.5 s before its end though their endpoint is at work, that is before its last sixth; and requests are taken and passed on until 1 s before the end, so that one that may run once only, and takes a second, ends with 504.

The new test of test_last_answers gets 504 for 503 on the code before.

The reserve is now an eighth of the grace period at most, and requests are accepted in the first two fifths at most; the listener stays open as long as before, and refuses. At 8 s nothing changes.

--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -58,9 +58,17 @@
 # The part of the grace period that is reserved for process exit, in seconds.
 GRACE_MARGIN_SECONDS = 0.5
 
-# How long before that requests are ended whose answers have not begun, in
-# seconds.
-LAST_ANSWERS_SECONDS = 0.5
+# The largest share of the grace period that this may be. Streams that are at
+# work go on at least until then.
+GRACE_MARGIN_SHARE = 1 / 8
+
+# How long before the end of the grace period requests are ended whose answers
+# have not begun, in seconds.
+LAST_ANSWERS_SECONDS = 1.0
+
+# The share of the grace period in which requests are accepted. The rest is left
+# for their answers.
+ACCEPTING_SHARE = 0.4
 
 # The largest number of open files other than connections of callers and
 # connections to endpoints.
@@ -432,17 +440,18 @@
         drain_started_at = min(self._stopped_at, self.clock.now())
         self._server.draining = True
         self._journal.record_event("stopping", busy=self._server.busy)
-        process_ends_at = (
-            drain_started_at
-            + self.settings.grace_seconds
-            - GRACE_MARGIN_SECONDS
+        grace_seconds = self.settings.grace_seconds
+        grace_ends_at = drain_started_at + grace_seconds
+        process_ends_at = grace_ends_at - min(
+            GRACE_MARGIN_SECONDS, grace_seconds * GRACE_MARGIN_SHARE
         )
         self._process_end.at = process_ends_at
-        drain_ends_at = process_ends_at - LAST_ANSWERS_SECONDS
+        drain_ends_at = grace_ends_at - LAST_ANSWERS_SECONDS
+        accepting_seconds = min(LINGER_SECONDS, grace_seconds * ACCEPTING_SHARE)
         while True:
             now = self.clock.now()
             linger_is_over = now >= drain_started_at + LINGER_SECONDS
-            self._proxy.closed = linger_is_over
+            self._proxy.closed = now >= drain_started_at + accepting_seconds
             if (linger_is_over and not self.is_busy()) or now >= drain_ends_at:
                 break
             await curio.sleep(CHECK_SECONDS / 2)
--- a/tests/platform/test_last_answers.py
+++ b/tests/platform/test_last_answers.py
@@ -123,3 +123,19 @@
                 self.assertLess(time.monotonic() - begin, GRACE_SECONDS)
                 status, *_ = await writing.join()
                 self.assertIn(status, {503, 504})
+
+    async def test_request_that_cannot_be_answered_in_a_short_grace_is_run(
+        self,
+    ):
+        async with self.run_all():
+            self.gateway.adopt_settings(
+                self.gateway.settings._replace(grace_seconds=GRACE_SECONDS)
+            )
+            for name in ("plain1", "plain2"):
+                self.servers[name].faults = ["silent"]
+            await self.gateway.stop.set()
+            await curio.sleep(GRACE_SECONDS * 0.45)
+            status, headers, _ = await self.call("/once/x")
+            self.assertEqual(503, status)
+            self.assertIn("retry-after", headers)
+            self.assertEqual([], self.list_received_headers("plain"))
