Give the last answers their turn before connections that come back

Cause: the listener accepts every established connection at once, one task each, and all tasks that are ready run in turn. With 400 connections a turn takes up to 0.7 s, and an answer needs several.

The new test of test_last_answers fails on the code before: a request that comes as others are ended is refused 0.4 s before these have their answers.

From the moment at which all requests are refused, 32 connections more than there were may be open at once; the others wait in the listener's queue. None is accepted while requests are ended that have no answer yet, which takes some milliseconds on an idle machine.

--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -655,7 +655,7 @@
         "established connections accepted as the process ends",
         GRACEFUL_SHUTDOWN,
         "adapters/listener",
-        "await _accept_queued(listening, group, run_connection)",
+        "await _accept_queued(listening, group, gate, run_and_close)",
         "pass",
         f"{_WEB}.EndOfServerTest.test_request_on_a_new_connection_is_answered",
     ),
--- a/samphirevale/adapters/web.py
+++ b/samphirevale/adapters/web.py
@@ -4,6 +4,8 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any, NamedTuple
 
+from samphirevale.adapters import listener
+
 # Maximum number of bytes per socket read.
 READ_BYTES = 65536
 
@@ -143,6 +145,7 @@
         limits: the limits from the next request on; None to keep those that
             the server was started with. A raised idle timeout also holds for
             connections that are idle.
+        gate: bounds the connections that are open at once.
         report_closed: called at the end of each connection.
     """
 
@@ -154,4 +157,5 @@
         self.busy = 0
         self.body_bytes = 0
         self.limits: Limits | None = None
+        self.gate = listener.Gate()
         self.report_closed = report_closed
--- a/samphirevale/adapters/web_server.py
+++ b/samphirevale/adapters/web_server.py
@@ -56,7 +56,7 @@
         finally:
             connections -= 1
 
-    await listener.serve(run_connection, host, port)
+    await listener.serve(run_connection, host, port, server_state.gate)
 
 
 def _format_address(address: Any) -> str:
--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -66,6 +66,10 @@
 # have not begun, in seconds.
 LAST_ANSWERS_SECONDS = 1.0
 
+# The number of connections that an entry opens at once while it refuses all
+# requests. It lets the requests that are in flight run in between.
+REFUSING_CONNECTIONS = 32
+
 # The share of the grace period in which requests are accepted. The rest is left
 # for their answers.
 ACCEPTING_SHARE = 0.4
@@ -451,19 +455,34 @@
         while True:
             now = self.clock.now()
             linger_is_over = now >= drain_started_at + LINGER_SECONDS
-            self._proxy.closed = now >= drain_started_at + accepting_seconds
+            if now >= drain_started_at + accepting_seconds:
+                self._refuse_requests()
             if (linger_is_over and not self.is_busy()) or now >= drain_ends_at:
                 break
             await curio.sleep(CHECK_SECONDS / 2)
-        self._proxy.closed = True
+        self._refuse_requests()
         if self.is_busy():
             await self._end_requests(process_ends_at)
         self._journal.record_event("stopped", busy=self._server.busy)
 
+    def _refuse_requests(self) -> None:
+        """Refuses all further requests, a few connections at a time."""
+        if not self._proxy.closed:
+            gate = self._server.gate
+            gate.limit = gate.open + REFUSING_CONNECTIONS
+        self._proxy.closed = True
+
     async def _end_requests(self, ends_at: float) -> None:
-        """Answers the last requests; streams go on until the process ends."""
+        """Answers the last requests; streams go on until the process ends.
+
+        No connection is accepted before these answers.
+        """
+        gate = self._server.gate
+        limit, gate.limit = gate.limit, 0
         await self._proxy.end_requests()
         while self.is_busy() and self.clock.now() < ends_at:
+            if not self._proxy.has_unanswered():
+                gate.limit = limit
             await curio.sleep(CHECK_SECONDS / 4)
 
 
--- a/samphirevale/proxying.py
+++ b/samphirevale/proxying.py
@@ -54,6 +54,10 @@
                     exc=_EndedError("the process ends"), blocking=False
                 )
 
+    def has_unanswered(self) -> bool:
+        """Returns whether there are requests whose answers have not begun."""
+        return bool(self._unanswered)
+
     async def answer(
         self, request: proxy_requests.ProxiedRequest
     ) -> proxy_requests.Answer:
--- a/tests/platform/test_last_answers.py
+++ b/tests/platform/test_last_answers.py
@@ -139,3 +139,35 @@
             self.assertEqual(503, status)
             self.assertIn("retry-after", headers)
             self.assertEqual([], self.list_received_headers("plain"))
+
+    async def test_new_connections_are_served_before_the_last_answers(self):
+        async def release_slowly(run):
+            await curio.sleep(END_SECONDS)
+
+        async def call_last():
+            await curio.sleep(GRACE_SECONDS / 2 + 0.3)
+            # The entry waits for one connection when it stops to accept them.
+            async with web_client.connect("127.0.0.1", self.port):
+                with contextlib.suppress(errors.TransportError):
+                    status, *_ = await self.call("/once/x")
+                    self.assertEqual(503, status)
+            return time.monotonic()
+
+        async def write():
+            await self.write()
+            return time.monotonic()
+
+        slow = mock.patch.object(
+            stages.StageSequenceRun, "release_all", release_slowly
+        )
+        with slow:
+            async with self.run_all():
+                self.gateway.adopt_settings(
+                    self.gateway.settings._replace(grace_seconds=GRACE_SECONDS)
+                )
+                self.servers["first1"].call_seconds = 2 * GRACE_SECONDS
+                writing = await curio.spawn(write)
+                await curio.sleep(0.2)
+                calling = await curio.spawn(call_last)
+                await self.gateway.stop.set()
+                self.assertGreater(await calling.join(), await writing.join())
