--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -1,6 +1,7 @@
 """The proxying entry, which serves callers of routes without sidecars."""
 
 import contextlib
+import math
 import random
 import secrets
 from collections.abc import Iterable
@@ -57,9 +58,21 @@
 # The part of the grace period that is reserved for process exit, in seconds.
 GRACE_MARGIN_SECONDS = 0.5
 
-# How long before that requests are ended whose answers have not begun, in
-# seconds.
-LAST_ANSWERS_SECONDS = 0.5
+# The largest share of the grace period that this may be. Streams that are at
+# work go on at least until then.
+GRACE_MARGIN_SHARE = 1 / 8
+
+# How long before the end of the grace period requests are ended whose answers
+# have not begun, in seconds.
+LAST_ANSWERS_SECONDS = 1.0
+
+# The number of connections that an entry opens at once while it refuses all
+# requests. It lets the requests that are in flight run in between.
+REFUSING_CONNECTIONS = 32
+
+# The share of the grace period in which requests are accepted. The rest is left
+# for their answers.
+ACCEPTING_SHARE = 0.4
 
 # The largest number of open files other than connections of callers and
 # connections to endpoints.
@@ -81,7 +94,13 @@
 
 
 class Gateway:
-    """A proxying entry with its state and its tasks."""
+    """A proxying entry with its state and its tasks.
+
+    Attributes:
+        settings: the settings in force.
+        clock: a clock that includes time while the machine is suspended.
+        stop: set when the process is told to stop.
+    """
 
     def __init__(
         self,
@@ -92,11 +111,13 @@
     ):
         self.settings = settings
         self._adapters = adapter_set
-        self._clock = clock
+        self.clock = clock
         self._journal = log
         self._rng = random.Random(secrets.randbits(64))
         self._server = web.ServerState(self._record_closed)
         self.stop = curio.Event()
+        # When the process was told to stop.
+        self._stopped_at = math.inf
         self._own_record = own_record.OwnRecord()
         self.cluster_state = cluster_state.ClusterState(
             settings.keys_seconds,
@@ -226,7 +247,7 @@
 
     def is_ready(self) -> bool:
         """Returns whether the balancer should send callers to this entry."""
-        now = self._clock.now()
+        now = self.clock.now()
         return (
             not self.stop.is_set()
             and self.cluster_state.table is not None
@@ -260,7 +281,7 @@
 
     def _adopt_crashes(self, crashed: list[list[str]]) -> None:
         """Adopts the crashes that another entry reports, by fingerprint."""
-        now = self._clock.now()
+        now = self.clock.now()
         for fingerprint, *attempts in crashed:
             self._quarantine.add_crashes(fingerprint, attempts, now)
 
@@ -312,7 +333,7 @@
         logged_at = 0.0
         while True:
             await curio.sleep(CHECK_SECONDS)
-            now = self._clock.now()
+            now = self.clock.now()
             if now >= logged_at + QUEUE_LOG_SECONDS:
                 logged_at = now
                 self._log_queues(now)
@@ -363,7 +384,7 @@
 
     async def serve_callers(self) -> None:
         """Serves callers until cancelled."""
-        handler = self._adapters.build_handler(self._proxy.answer, self._clock)
+        handler = self._adapters.build_handler(self._proxy.answer, self.clock)
         await web_server.serve(
             handler.handle,
             self.settings.caller_host,
@@ -408,34 +429,59 @@
             answer, self.settings.peer_host, self.settings.metrics_port
         )
 
+    async def request_stop(self, at: float) -> None:
+        """Starts the graceful stop.
+
+        Args:
+            at: when the process was told to, from which its grace period runs.
+        """
+        self._stopped_at = min(self._stopped_at, at)
+        await self.stop.set()
+
     async def drain(self) -> None:
         """Finishes the requests in flight after the order to stop."""
-        drain_started_at = self._clock.now()
+        drain_started_at = min(self._stopped_at, self.clock.now())
         self._server.draining = True
         self._journal.record_event("stopping", busy=self._server.busy)
-        process_ends_at = (
-            drain_started_at
-            + self.settings.grace_seconds
-            - GRACE_MARGIN_SECONDS
+        grace_seconds = self.settings.grace_seconds
+        grace_ends_at = drain_started_at + grace_seconds
+        process_ends_at = grace_ends_at - min(
+            GRACE_MARGIN_SECONDS, grace_seconds * GRACE_MARGIN_SHARE
         )
         self._process_end.at = process_ends_at
-        drain_ends_at = process_ends_at - LAST_ANSWERS_SECONDS
+        drain_ends_at = grace_ends_at - LAST_ANSWERS_SECONDS
+        accepting_seconds = min(LINGER_SECONDS, grace_seconds * ACCEPTING_SHARE)
         while True:
-            now = self._clock.now()
+            now = self.clock.now()
             linger_is_over = now >= drain_started_at + LINGER_SECONDS
-            self._proxy.closed = linger_is_over
+            if now >= drain_started_at + accepting_seconds:
+                self._refuse_requests()
             if (linger_is_over and not self.is_busy()) or now >= drain_ends_at:
                 break
             await curio.sleep(CHECK_SECONDS / 2)
+        self._refuse_requests()
         if self.is_busy():
             await self._end_requests(process_ends_at)
         self._journal.record_event("stopped", busy=self._server.busy)
 
-    async def _end_requests(self, ends_at: float) -> None:
-        """Answers the last requests; streams go on until the process ends."""
+    def _refuse_requests(self) -> None:
+        """Refuses all further requests, a few connections at a time."""
+        if not self._proxy.closed:
+            gate = self._server.gate
+            gate.limit = gate.open + REFUSING_CONNECTIONS
         self._proxy.closed = True
+
+    async def _end_requests(self, ends_at: float) -> None:
+        """Answers the last requests; streams go on until the process ends.
+
+        No connection is accepted before these answers.
+        """
+        gate = self._server.gate
+        limit, gate.limit = gate.limit, 0
         await self._proxy.end_requests()
-        while self.is_busy() and self._clock.now() < ends_at:
+        while self.is_busy() and self.clock.now() < ends_at:
+            if not self._proxy.has_unanswered():
+                gate.limit = limit
             await curio.sleep(CHECK_SECONDS / 4)
 
 
@@ -457,7 +503,6 @@
         *(watcher.run for watcher in gateway.cluster_watch.build_watchers()),
         gateway.run_periodic_checks,
         gateway.cluster_watch.routes_freshness.run,
-        gateway.serve_callers,
         gateway.serve_readiness,
         gateway.serve_metrics,
         gateway.registrar.run,
@@ -466,6 +511,8 @@
         gateway.origin_recorder.run,
         gateway.table.serve,
         gateway.table.connect_to_entries,
+        # The last one is cancelled first, before what its requests need.
+        gateway.serve_callers,
     ]
     async with contextlib.AsyncExitStack() as stack:
         tasks = []
