Treat the text of an error inside a stream as a broken stream

The caller gets that text between its events, and the stream ends as complete, or goes on behind it.

Cause: EventSplitter looked for the empty line between events only, and took whatever lies before one for an event. What has no number was passed on without a look, and the number of an event was also found in the last line of text that is glued to it. Class: what is not understood is passed on.

Ruled out: an answer with a status of its own.

Comments and streams without any number are passed on as before. A line of the form `error: x` just before a sound event's own lines is still taken for a field of it.

--- a/samphirevale/events.py
+++ b/samphirevale/events.py
@@ -1,5 +1,6 @@
 """Splits a proxied stream into server-sent events and checks their order."""
 
+import re
 from collections.abc import Sequence
 from typing import NamedTuple
 
@@ -16,6 +17,10 @@
 # The largest number of events without a number, one after the other.
 UNNUMBERED_LIMIT = 64
 
+# A line of an event: empty, a comment, a field with its value, or one of the
+# standard fields without a value.
+_LINE = re.compile(rb"(?::.*|[a-z][a-z0-9_-]*:.*|data|event|id|retry|)", re.S)
+
 
 class Event(NamedTuple):
     """One complete event as received.
@@ -23,10 +28,12 @@
     Attributes:
         data: the bytes of the event including the empty line at its end.
         number: the id of the event; None if it has no numeric id.
+        has_fields: whether there is more in it than comments.
     """
 
     data: bytes
     number: int | None
+    has_fields: bool = False
 
 
 class EventSplitter:
@@ -39,7 +46,8 @@
         """Adds a part and returns the events that it completes.
 
         Raises:
-            errors.ProtocolError: an event or its number is too large.
+            errors.ProtocolError: an event or its number is too large, or it
+                is no event.
         """
         self._incomplete += part
         if b"\n\n" not in self._incomplete:
@@ -55,14 +63,19 @@
 
 
 def _build_event(data: bytes) -> Event:
-    for line in data.split(b"\n"):
+    number = None
+    has_fields = False
+    for line in data.removesuffix(b"\n\n").split(b"\n"):
+        if _LINE.fullmatch(line) is None:
+            raise errors.ProtocolError(f"no line of an event: {line[:40]!r}")
         name, _, value = line.partition(b":")
+        has_fields = has_fields or bool(name)
         digits = value.strip()
-        if name == b"id" and digits.isdigit():
+        if number is None and name == b"id" and digits.isdigit():
             if len(digits) > NUMBER_DIGITS_LIMIT:
                 raise errors.ProtocolError("the number of an event is too long")
-            return Event(data, int(digits))
-    return Event(data, None)
+            number = int(digits)
+    return Event(data, number, has_fields)
 
 
 class EventOrder:
@@ -95,10 +108,14 @@
         """Returns whether the event is new; False for a repeated event.
 
         Raises:
-            errors.ProtocolError: an event before it is missing, or too many
-                events have no number.
+            errors.ProtocolError: an event before it is missing, it has no
+                number while others have, or too many have none.
         """
         if event.number is None:
+            if event.has_fields and self.last is not None:
+                raise errors.ProtocolError(
+                    f"an event without a number follows {self.last}"
+                )
             self._unnumbered += 1
             if self._unnumbered > UNNUMBERED_LIMIT:
                 raise errors.ProtocolError("too many events without a number")
--- /dev/null
+++ b/tests/platform/test_broken_streams.py
@@ -0,0 +1,168 @@
+"""Tests of streams that break off, and of what the next endpoint answers.
+
+The endpoints write raw bytes, and so does the caller.
+"""
+
+import contextlib
+import itertools
+
+from samphirevale import retry_budgets
+from standins import servers
+from tests import raw_answers
+from tests.platform import sessions
+
+SEAL = b"Samphirevale-Response-Seal: s\r\n"
+EVENTS = b"Content-Type: text/event-stream\r\n"
+TEXT = b"Content-Type: text/plain\r\n"
+NOT_EXECUTED = b"Samphirevale-Not-Executed: 1\r\n"
+
+# What callers have of a stream when it breaks off.
+BEGIN = servers.build_event(1) + servers.build_event(2)
+THIRD = servers.build_event(3)
+REST = sessions.REST_OF_STREAM
+
+# The texts of errors, as an endpoint might write them in place of an event.
+ERROR_TEXTS = {
+    "text": b"engine failed\n\n",
+    "head": b"HTTP/1.1 500 X\r\nContent-Length: 4\r\n\r\nno\n\n",
+    "head before an event": b"HTTP/1.1 500 X\r\nContent-Length: 3\r\n\r\nno\n",
+    "json": b'{"error": "x"}\n\n',
+    "json before an event": b'{"error": "x"}\n',
+    "data": b'data: {"error": "x"}\n\n',
+    "event": b"event: error\ndata: x\n\n",
+}
+
+
+def build_stream(body, framing, headers=EVENTS):
+    return raw_answers.build_answer(body, framing, 200, SEAL + headers)
+
+
+def build_broken(framing="length"):
+    """Returns an answer that is broken off inside its third event."""
+    whole = build_stream(BEGIN + THIRD + REST, framing)
+    return whole[: whole.index(THIRD) + 9]
+
+
+class BrokenStreamTestCase(sessions.SessionTestCase):
+    """One entry, and four endpoints of raw bytes."""
+
+    settings = {"budget": retry_budgets.RetryBudgetLimits(1.0, 1e6, 10.0)}
+
+    @contextlib.asynccontextmanager
+    async def run_raw(self):
+        """Runs all during the block."""
+        self.numbers = itertools.count()
+        names = [f"model{number}" for number in range(1, 5)]
+        async with (
+            raw_answers.run_server(len(names)) as self.raw,
+            self.run_all(("plain1", *names)),
+        ):
+            for name, port in zip(names, self.raw.ports, strict=True):
+                self.ports[name] = port
+                self.change_server(name, born=raw_answers.BORN)
+            manifest = sessions.build_manifest(2)
+            *others, stream = manifest["routes"]
+            stream = {**stream, "phases": [], "max_attempts": 4}
+            manifest["routes"] = [
+                *others,
+                stream,
+                {**stream, "path_prefix": "/twice/", "max_attempts": 2},
+                {**stream, "path_prefix": "/single/", "resumable": False},
+            ]
+            self.store.put("config", "main", manifest)
+            catalogue = self.gateway.cluster_state.catalogue
+            await self.wait_until(
+                lambda: (
+                    {catalogue.find(name).port for name in names}
+                    == {*self.raw.ports}
+                )
+            )
+            await self.wait_until(
+                lambda: self.gateway.cluster_state.table.version == 2
+            )
+            yield
+
+    async def send(self, script, path="/write/x", version="1.1"):
+        """Sends a request; returns what the caller reads.
+
+        Args:
+            script: the answers of the endpoints in order, as bytes or as raw
+                answers.
+            path: the path.
+            version: the version of HTTP.
+        """
+        self.raw.requests.clear()
+        self.raw.script = [
+            step
+            if isinstance(step, raw_answers.RawAnswer)
+            else raw_answers.RawAnswer(step)
+            for step in script
+        ]
+        number = next(self.numbers)
+        lines = [
+            f"POST {path} HTTP/{version}",
+            "Host: h.example",
+            f"Samphirevale-Attempt-Id: b{number}",
+            "Samphirevale-Deadline-Ms: 3000",
+            "Samphirevale-Key: k1",
+            f"Samphirevale-Prefix-Hash: p{number}:10,q{number}:5",
+            "Content-Length: 0",
+            "Connection: close",
+        ]
+        request = "\r\n".join([*lines, "", ""]).encode()
+        return await raw_answers.read_answer(self.port, request)
+
+    async def check_goes_on(self, answer, name):
+        """Checks a stream that breaks off and is resumed twice.
+
+        Args:
+            answer: the first resumption's answer.
+            name: the name of the case.
+        """
+        rest = build_stream(THIRD + REST, "chunks")
+        with self.subTest(name):
+            read = await self.send([build_broken(), answer, rest])
+            self.assertEqual(
+                (200, sessions.STREAM, True),
+                (read.status, read.body, read.complete),
+            )
+            self.assertEqual(3, len(self.raw.requests))
+
+    async def check_broken(self, answer, name, bodies=(BEGIN,)):
+        """Checks a stream that breaks off and cannot be resumed twice.
+
+        Args:
+            answer: the first resumption's answer.
+            name: the name of the case.
+            bodies: what callers may get.
+        """
+        with self.subTest(name):
+            read = await self.send([build_broken(), answer], "/twice/x")
+            self.assertEqual((200, False), (read.status, read.complete))
+            self.assertIn(read.body, bodies)
+            self.assertEqual(2, len(self.raw.requests))
+
+
+class ErrorInStreamTest(BrokenStreamTestCase):
+    """Guards against an error of the next endpoint inside a stream."""
+
+    async def check_texts(self, before, after):
+        """Checks each text of an error behind and before some events."""
+        async with self.run_raw():
+            for (name, text), framing in itertools.product(
+                ERROR_TEXTS.items(), raw_answers.FRAMINGS
+            ):
+                answer = build_stream(before + text + after, framing)
+                await self.check_goes_on(answer, (name, framing))
+                await self.check_broken(
+                    answer, (name, framing), (BEGIN, BEGIN + before)
+                )
+
+    async def test_text_of_an_error_is_no_event(self):
+        await self.check_texts(b"", b"")
+
+    async def test_text_of_an_error_behind_an_event_is_no_event(self):
+        await self.check_texts(THIRD, b"")
+
+    async def test_text_of_an_error_between_events_is_no_event(self):
+        await self.check_texts(THIRD, REST)
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -40,6 +40,31 @@
         with self.assertRaises(errors.ProtocolError):
             splitter.feed(b"id: " + digits + b"\n\n")
 
+    def test_lines_of_events(self):
+        for event in (
+            b": ping",
+            b"id: 1\ndata",
+            b"data:x: y\nid:1",
+            b"service-versions: 3\nid: 1\ndata: \xff\r",
+            b"\nid: 1\n: ping\nretry: 5",
+        ):
+            (found,) = events.EventSplitter().feed(event + b"\n\n")
+            self.assertEqual(event + b"\n\n", found.data)
+            self.assertEqual(1 if b"id" in event else None, found.number)
+            self.assertEqual(b"id" in event, found.has_fields)
+
+    def test_text_that_is_no_event_is_refused(self):
+        for text in (
+            b"HTTP/1.1 500 X\r\nServer: x\r\n\r\nid: 2",
+            b"id: 2\nHTTP/1.1 500 X\r",
+            b'{"error": 1}',
+            b"Internal Server Error",
+            b"datas\nid: 2",
+            b"<html>: x",
+        ):
+            with self.assertRaises(errors.ProtocolError):
+                events.EventSplitter().feed(text + b"\n\n")
+
 
 class EventOrderTest(base.TestCase):
     """Tests the order of events when a stream is resumed."""
@@ -63,6 +88,14 @@
         with self.assertRaises(errors.ProtocolError):
             self.accept(order, 7)
 
+    def test_event_without_a_number_among_numbered_ones_is_an_error(self):
+        unnumbered = events.Event(b"data: x\n\n", None, True)
+        order = events.EventOrder()
+        self.assertTrue(order.accept(unnumbered))
+        self.accept(order, 1)
+        with self.assertRaises(errors.ProtocolError):
+            order.accept(unnumbered)
+
     def test_events_without_numbers_are_limited(self):
         order = events.EventOrder(5)
         self.accept(order, *[None] * events.UNNUMBERED_LIMIT)
