Take comments for no begin of a stream that ends with its connection

Cause: treats a stream without a length as broken if it ends with its connection before an event, but any byte counted as an event. Class: something has come, so it has begun.

Evidence: platform.test_broken_streams.EndOfStreamTest, with nothing, a comment, empty lines and a comment without its end before the connection closes, at the begin of a stream, of one that may run once, and of one that is resumed.

Now an event is what has a field. A caller's answer begins with the first event and what stands before it, so that a stream that breaks before can be sent to another engine, or refused. What is held back is limited to the size of an event.

Unchanged, and tested: a stream with a length or in chunks that brings no event is whole by the word of its engine, as it is after the last event.

--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -148,6 +148,22 @@
         "tests.test_events.EventOrderTest",
         "tests.platform.test_broken_streams.ErrorInStreamTest",
     ),
+    _ablate(
+        "comments are no begin of a stream that ends with its connection",
+        STREAMS,
+        "event_streams",
+        "if not self._splitter.has_events and not framed:",
+        "if not self._begun and not framed:",
+        "tests.platform.test_broken_streams.EndOfStreamTest",
+    ),
+    _ablate(
+        "caller's answer begins with an event, not with a comment",
+        STREAMS,
+        "event_streams",
+        "return bool(self._first) and self._splitter.has_events",
+        "return bool(self._first)",
+        "tests.platform.test_broken_streams.EndOfStreamTest",
+    ),
     _ablate(
         "streams of silent endpoints read until another can take over",
         STREAMS,
--- a/samphirevale/event_streams.py
+++ b/samphirevale/event_streams.py
@@ -106,12 +106,18 @@
     async def read_first(self) -> None:
         """Reads the first event, or the end of a stream without events."""
         try:
-            while not self._first and not self._ended:
-                self._first = await self._accept_part(await self._read_part())
+            while not self._has_first() and not self._ended:
+                if len(self._first) > events.EVENT_BYTES_LIMIT:
+                    raise errors.ProtocolError("too long a comment")
+                self._first += await self._accept_part(await self._read_part())
         except BaseException:
             await self._parts.aclose()
             raise
 
+    def _has_first(self) -> bool:
+        """Returns whether there is more for the caller than comments."""
+        return bool(self._first) and self._splitter.has_events
+
     def __aiter__(self) -> "EventStream":
         """Returns the stream itself."""
         return self
@@ -291,7 +297,8 @@
                 raise errors.AnswerLostError(
                     "the stream ended inside an event"
                 ) from None
-            if not self._begun and not self._exchange.answer.framed:
+            framed = self._exchange.answer.framed
+            if not self._splitter.has_events and not framed:
                 raise errors.AnswerLostError(
                     "the stream ended before an event"
                 ) from None
--- a/samphirevale/events.py
+++ b/samphirevale/events.py
@@ -37,9 +37,14 @@
 
 
 class EventSplitter:
-    """Splits the parts of a stream into whole events."""
+    """Splits the parts of a stream into whole events.
+
+    Attributes:
+        has_events: whether an event has come, not only comments.
+    """
 
     def __init__(self):
+        self.has_events = False
         self._incomplete = b""
 
     def feed(self, part: bytes) -> list[Event]:
@@ -55,7 +60,9 @@
                 raise errors.ProtocolError("an event is too large")
             return []
         *complete, self._incomplete = self._incomplete.split(b"\n\n")
-        return [_build_event(data + b"\n\n") for data in complete]
+        found = [_build_event(data + b"\n\n") for data in complete]
+        self.has_events |= any(event.has_fields for event in found)
+        return found
 
     def has_incomplete_event(self) -> bool:
         """Returns whether the last event is incomplete."""
--- a/tests/platform/test_broken_streams.py
+++ b/tests/platform/test_broken_streams.py
@@ -112,18 +112,19 @@
         request = "\r\n".join([*lines, "", ""]).encode()
         return await raw_answers.read_answer(self.port, request)
 
-    async def check_goes_on(self, answer, name):
+    async def check_goes_on(self, answer, name, comments=b""):
         """Checks a stream that breaks off and is resumed twice.
 
         Args:
             answer: the first resumption's answer.
             name: the name of the case.
+            comments: the comments of that answer, which callers get.
         """
         rest = build_stream(THIRD + REST, "chunks")
         with self.subTest(name):
             read = await self.send([build_broken(), answer, rest])
             self.assertEqual(
-                (200, sessions.STREAM, True),
+                (200, BEGIN + comments + THIRD + REST, True),
                 (read.status, read.body, read.complete),
             )
             self.assertEqual(3, len(self.raw.requests))
@@ -166,3 +167,43 @@
 
     async def test_text_of_an_error_between_events_is_no_event(self):
         await self.check_texts(THIRD, REST)
+
+
+class EndOfStreamTest(BrokenStreamTestCase):
+    """Guards against a stream that ends as complete before its last event."""
+
+    async def check_begins_again(self, answer, name):
+        """Checks an answer that ends before its first event."""
+        with self.subTest(name):
+            whole = build_stream(sessions.STREAM, "chunks")
+            read = await self.send([answer, whole])
+            self.assertEqual(
+                (sessions.STREAM, True), (read.body, read.complete)
+            )
+            read = await self.send([answer], "/single/x")
+            self.assertEqual((502, True), (read.status, read.complete))
+            self.assertNotIn(b"samphirevale-response-seal", read.headers)
+
+    async def test_comments_before_the_end_of_a_connection_are_no_stream(self):
+        async with self.run_raw():
+            for body in (b"", b": ping\n\n", b"\n\n", b"\n", b": ping\n" * 3):
+                answer = build_stream(body, "none")
+                comments = body if body.endswith(b"\n\n") else b""
+                await self.check_goes_on(answer, body, comments)
+                await self.check_broken(answer, body, (BEGIN + comments,))
+                await self.check_begins_again(answer, body)
+
+    async def test_stream_that_breaks_off_after_its_last_event_has_ended(self):
+        """The next endpoint says that there is no further event."""
+        broken = build_stream(sessions.STREAM, "chunks")[: -len("0\r\n\r\n")]
+        async with self.run_raw():
+            for framing in ("length", "chunks"):
+                for body in (b"", b": ping\n\n", servers.build_event(5)):
+                    answer = build_stream(body, framing)
+                    read = await self.send([broken, answer])
+                    rest = body if body.startswith(b":") else b""
+                    self.assertEqual(
+                        (sessions.STREAM + rest, True),
+                        (read.body, read.complete),
+                    )
+                    self.assertEqual(2, len(self.raw.requests))
