Treat a stream that ends before the caller's last event as broken

What callers would see (nobody has seen it): a stream breaks off after its second event, the next engine sends the first event once more and ends its answer, and the caller's stream ends as complete after the second.

Cause: the end of an engine's answer was taken for the end of the stream without a look at how far that answer had come.

Now an answer that has brought events, but none up to the last that the caller has, is broken. One that brings none, with a length or in chunks, still says that nothing follows: that is how an engine answers behind its last event.

--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -164,6 +164,14 @@
         "return bool(self._first)",
         "tests.platform.test_broken_streams.EndOfStreamTest",
     ),
+    _ablate(
+        "stream that ends before the caller's last event treated as broken",
+        STREAMS,
+        "event_streams",
+        "if highest is not None and highest < self._order.last:",
+        "if False:",
+        "tests.platform.test_broken_streams.EndOfStreamTest",
+    ),
     _ablate(
         "streams of silent endpoints read until another can take over",
         STREAMS,
--- a/samphirevale/event_streams.py
+++ b/samphirevale/event_streams.py
@@ -293,18 +293,26 @@
             self._parts = self._exchange.answer.read_parts()
             raise
         except StopAsyncIteration:
-            if self._splitter.has_incomplete_event():
+            lack = self._find_lack()
+            if lack:
                 raise errors.AnswerLostError(
-                    "the stream ended inside an event"
-                ) from None
-            framed = self._exchange.answer.framed
-            if not self._splitter.has_events and not framed:
-                raise errors.AnswerLostError(
-                    "the stream ended before an event"
+                    f"the stream ended {lack}"
                 ) from None
             self._ended = True
             return b""
 
+    def _find_lack(self) -> str:
+        """Returns where a stream ended that is not whole; empty if it is."""
+        if self._splitter.has_incomplete_event():
+            return "inside an event"
+        framed = self._exchange.answer.framed
+        if not self._splitter.has_events and not framed:
+            return "before an event"
+        highest = self._splitter.highest
+        if highest is not None and highest < self._order.last:
+            return f"at event {highest}, before {self._order.last}"
+        return ""
+
     async def _accept_part(self, part: bytes) -> bytes:
         """Returns the whole events that a part completes."""
         if not part:
--- a/samphirevale/events.py
+++ b/samphirevale/events.py
@@ -41,10 +41,12 @@
 
     Attributes:
         has_events: whether an event has come, not only comments.
+        highest: the highest number of an event; None before.
     """
 
     def __init__(self):
         self.has_events = False
+        self.highest: int | None = None
         self._incomplete = b""
 
     def feed(self, part: bytes) -> list[Event]:
@@ -61,7 +63,10 @@
             return []
         *complete, self._incomplete = self._incomplete.split(b"\n\n")
         found = [_build_event(data + b"\n\n") for data in complete]
-        self.has_events |= any(event.has_fields for event in found)
+        for event in found:
+            self.has_events |= event.has_fields
+            if event.number is not None:
+                self.highest = max(self.highest or 0, event.number)
         return found
 
     def has_incomplete_event(self) -> bool:
--- a/tests/platform/test_broken_streams.py
+++ b/tests/platform/test_broken_streams.py
@@ -193,6 +193,15 @@
                 await self.check_broken(answer, body, (BEGIN + comments,))
                 await self.check_begins_again(answer, body)
 
+    async def test_stream_that_ends_before_the_callers_last_event_is_broken(
+        self,
+    ):
+        async with self.run_raw():
+            for framing in raw_answers.FRAMINGS:
+                answer = build_stream(servers.build_event(1), framing)
+                await self.check_goes_on(answer, framing)
+                await self.check_broken(answer, framing)
+
     async def test_stream_that_breaks_off_after_its_last_event_has_ended(self):
         """The next endpoint says that there is no further event."""
         broken = build_stream(sessions.STREAM, "chunks")[: -len("0\r\n\r\n")]
