Reset the connection of an HTTP/1.0 caller whose stream ends early

What callers would see (nobody has seen it; the clients of the pages speak HTTP/1.1): a stream that breaks off and cannot go on looks complete to a caller with HTTP/1.0.

Cause: a streamed body is sent in chunks, and its last chunk is left out if it breaks off. HTTP/1.0 knows no chunks, so that h11 ends the body with the connection, and the server closed a broken one in the same way as a whole one. Class: an end that is told by the connection is not told apart from a failure. It also concerns the callers of the system with sidecars.

Evidence: platform.test_broken_streams.CallerFramingTest reads raw bytes. All six cases with HTTP/1.0 failed before (closed or reset by the engine, three framings), none of those with HTTP/1.1, and whole streams look complete to both.

Now the connection is reset if it ends inside such a body, for whatever reason the server ends it. Chunked bodies end as before, as a reset could cost the caller events that are on the way. A process that is killed cannot do so.

--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -172,6 +172,14 @@
         "if False:",
         "tests.platform.test_broken_streams.EndOfStreamTest",
     ),
+    _ablate(
+        "body without framing that ends early resets its connection",
+        STREAMS,
+        "adapters/web_connections",
+        "if self._ends_inside_unframed():",
+        "if False:",
+        "tests.platform.test_broken_streams.CallerFramingTest",
+    ),
     _ablate(
         "streams of silent endpoints read until another can take over",
         STREAMS,
--- a/samphirevale/adapters/web_connections.py
+++ b/samphirevale/adapters/web_connections.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import fcntl
+import struct
 import sys
 import termios
 import urllib.parse
@@ -51,6 +52,14 @@
                 continue
 
 
+def reset_at_close(client: Any) -> None:
+    """Makes the close of a socket reset its connection."""
+    with contextlib.suppress(OSError):
+        client.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+
+
 def count_unread(client: Any) -> int:
     """Returns the number of bytes in the receive buffer of a socket."""
     try:
@@ -120,7 +129,8 @@
         """Serves requests until the connection ends.
 
         If the source of a streamed body fails, the connection is closed in
-        the middle of the body, so the client does not take it for complete.
+        the middle of the body, so the client does not take it for complete. If
+        the body has no framing, the connection is reset.
         """
         self._client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         reason = web.UNEXPECTED_ERROR
@@ -141,12 +151,23 @@
             raise
         finally:
             self._report_closed(reason, unexpected)
+            if self._ends_inside_unframed():
+                reset_at_close(self._client)
         if reason in _LINGERING_REASONS:
             seconds = LINGER_SECONDS
             if self._state.draining:
                 seconds = DRAINING_LINGER_SECONDS
             await linger(self._client, seconds)
 
+    def _ends_inside_unframed(self) -> bool:
+        """Returns whether a body is unfinished whose end is the connection's.
+
+        That is so for callers with HTTP/1.0, which knows no chunks.
+        """
+        return self._protocol.their_http_version == b"1.0" and (
+            self._protocol.our_state in (h11.SEND_BODY, h11.ERROR)
+        )
+
     async def _refuse_last(self) -> str:
         """Refuses a request that arrives while the server ends.
 
--- a/tests/platform/test_broken_streams.py
+++ b/tests/platform/test_broken_streams.py
@@ -216,3 +216,30 @@
                         (read.body, read.complete),
                     )
                     self.assertEqual(2, len(self.raw.requests))
+
+
+class CallerFramingTest(BrokenStreamTestCase):
+    """Guards against an answer that ends early and looks complete."""
+
+    async def test_broken_stream_does_not_look_complete(self):
+        async with self.run_raw():
+            for ends_by, framing, version in itertools.product(
+                ("close", "reset"), raw_answers.FRAMINGS, ("1.1", "1.0")
+            ):
+                broken = raw_answers.RawAnswer(build_broken(framing), ends_by)
+                with self.subTest((ends_by, framing, version)):
+                    read = await self.send([broken], "/single/x", version)
+                    self.assertEqual((200, False), (read.status, read.complete))
+                    self.assertTrue(BEGIN.startswith(read.body))
+
+    async def test_whole_stream_looks_complete(self):
+        async with self.run_raw():
+            for framing, version in itertools.product(
+                raw_answers.FRAMINGS, ("1.1", "1.0")
+            ):
+                whole = build_stream(sessions.STREAM, framing)
+                read = await self.send([whole], "/single/x", version)
+                self.assertEqual(
+                    (200, sessions.STREAM, True),
+                    (read.status, read.body, read.complete),
+                )
