--- a/tests/platform/test_broken_streams.py
+++ b/tests/platform/test_broken_streams.py
@@ -169,6 +169,113 @@
         await self.check_texts(THIRD, REST)
 
 
+class NextAnswerTest(BrokenStreamTestCase):
+    """Tests answers of the next endpoint that are no stream."""
+
+    def list_answers(self):
+        """Returns pairs of a name and the bytes of an answer."""
+        found = []
+        for status, framing, content, refusal, body in itertools.product(
+            (400, 404, 408, 409, 421, 429, 500, 503, 504),
+            raw_answers.FRAMINGS,
+            (TEXT, EVENTS),
+            (b"", NOT_EXECUTED),
+            (b"", b"engine failed\n\n"),
+        ):
+            name = (status, framing, content, refusal, body)
+            found.append(
+                (
+                    name,
+                    raw_answers.build_answer(
+                        body, framing, status, SEAL + content + refusal
+                    ),
+                )
+            )
+        return found
+
+    def list_odd_answers(self):
+        """Returns the same for answers that are no errors, and for none."""
+        found = [
+            ("nothing", b""),
+            ("interim", b"HTTP/1.1 100 Continue\r\n\r\n"),
+            ("no HTTP", b"engine failed\n\n"),
+            ("events alone", THIRD + REST),
+        ]
+        for framing in raw_answers.FRAMINGS:
+            for name, body, headers in (
+                ("text", b"engine failed\n\n", SEAL + TEXT),
+                ("events as text", THIRD + REST, SEAL + TEXT),
+                ("no seal", THIRD + REST, EVENTS),
+                ("encoded", THIRD, SEAL + EVENTS + b"Content-Encoding: x\r\n"),
+            ):
+                answer = raw_answers.build_answer(body, framing, 200, headers)
+                found.append(((name, framing), answer))
+            other = build_stream(THIRD, framing).replace(b"{attempt}", b"x")
+            found.append((("other request", framing), other))
+        for status in (201, 206):
+            answer = raw_answers.build_answer(
+                THIRD, "chunks", status, SEAL + EVENTS
+            )
+            found.append((status, answer))
+        return found
+
+    async def test_no_part_of_an_answer_that_is_no_stream_is_passed_on(self):
+        async with self.run_raw():
+            for name, answer in self.list_answers() + self.list_odd_answers():
+                await self.check_goes_on(answer, name)
+
+    async def test_stream_ends_early_after_an_answer_that_is_no_stream(self):
+        async with self.run_raw():
+            for name, answer in self.list_answers() + self.list_odd_answers():
+                with self.subTest(name):
+                    script = [build_broken(), *[answer] * 3]
+                    read = await self.send(script)
+                    self.assertEqual(
+                        (200, BEGIN, False),
+                        (read.status, read.body, read.complete),
+                    )
+
+    async def test_head_inside_a_chunked_stream_breaks_it(self):
+        """Only the bytes of chunks are the body."""
+        error = raw_answers.build_answer(b"engine failed\n\n", "length", 500)
+        for before in (BEGIN, BEGIN + THIRD[:5]):
+            whole = build_stream(before, "chunks")
+            answer = whole[: -len(b"0\r\n\r\n")] + error
+            rest = build_stream(THIRD + REST, "chunks")
+            async with self.run_raw():
+                read = await self.send([answer, rest])
+                self.assertEqual(
+                    (200, sessions.STREAM, True),
+                    (read.status, read.body, read.complete),
+                )
+                read = await self.send([answer], "/single/x")
+                self.assertEqual(
+                    (200, BEGIN, False), (read.status, read.body, read.complete)
+                )
+
+    async def test_answer_behind_a_whole_stream_is_not_passed_on(self):
+        error = raw_answers.build_answer(b"engine failed", "length", 500)
+        async with self.run_raw():
+            for framing in ("length", "chunks"):
+                whole = build_stream(sessions.STREAM, framing)
+                read = await self.send([whole + error])
+                self.assertEqual(
+                    (sessions.STREAM, True, b""),
+                    (read.body, read.complete, read.extra),
+                )
+
+    async def test_interim_answers_before_a_stream_are_not_passed_on(self):
+        interim = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+        async with self.run_raw():
+            for framing in raw_answers.FRAMINGS:
+                rest = interim * 3 + build_stream(THIRD + REST, framing)
+                read = await self.send([build_broken(), rest])
+                self.assertEqual(
+                    (200, sessions.STREAM, True),
+                    (read.status, read.body, read.complete),
+                )
+
+
 class EndOfStreamTest(BrokenStreamTestCase):
     """Guards against a stream that ends as complete before its last event."""
 
