Use no connection again that has ended with its answer

What callers would see (nobody has seen it): an engine that answers the question for its start with a report without a length closes the connection with it. The stream that was to go on there is sent on that connection, counts as run, breaks off, and takes a retry and one of the sends that its route allows.

Cause: is_reusable looked at the states of the protocol only. An answer without a length leaves both sides done, although its end was the end of the connection. The pools of the calls of stages, of sidecars and of the store also kept such a connection, which is_stale found before its next use; there it cost a descriptor.

--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -74,8 +74,16 @@
         "connection with bytes behind its answer closed",
         ANSWERS,
         "adapters/web_client",
-        "        if data:\n            return False\n",
-        "",
+        "        if data or ended:\n",
+        "        if ended:\n",
+        "tests.adapters.test_web_client.KeptConnectionTest",
+    ),
+    _ablate(
+        "connection that has ended with its answer not used again",
+        ANSWERS,
+        "adapters/web_client",
+        "        if data or ended:\n",
+        "        if data:\n",
         "tests.adapters.test_web_client.KeptConnectionTest",
     ),
     _ablate(
--- a/samphirevale/adapters/web_client.py
+++ b/samphirevale/adapters/web_client.py
@@ -198,11 +198,12 @@
     def is_reusable(self) -> bool:
         """Returns whether the connection can carry another request.
 
-        It cannot if bytes have come behind the answer, which belong to none.
-        If it can, prepares the protocol state for it.
+        It cannot if bytes have come behind the answer, which belong to none,
+        or if it has ended with the answer. If it can, prepares the protocol
+        state for it.
         """
-        data, _ = self._protocol.trailing_data
-        if data:
+        data, ended = self._protocol.trailing_data
+        if data or ended:
             return False
         if self._protocol.our_state is not h11.DONE:
             return False
--- a/tests/adapters/test_web_client.py
+++ b/tests/adapters/test_web_client.py
@@ -51,3 +51,12 @@
                 await far.sendall(answer + extra)
                 await (await connection.request("GET", "/")).read_body()
                 self.assertEqual(reusable, connection.is_reusable())
+
+    async def test_connection_that_has_ended_with_its_answer_cannot(self):
+        near, far = curio.socket.socketpair()
+        async with near, far:
+            connection = web_client.ClientConnection(near, "h", 80)
+            await far.sendall(b"HTTP/1.1 200 OK\r\n\r\n{}")
+            await far.shutdown(socket.SHUT_WR)
+            await (await connection.request("GET", "/")).read_body()
+            self.assertFalse(connection.is_reusable())
