Send no stream on to an endpoint whose report is cut off

What callers would see (nobody has seen it): the pieces of two versions of the software in one stream (ORDER). An endpoint that has started again with another version answers the question for its start with a report that is cut off; it counts as the one that is known, and the stream goes on there.

Class: "cannot be read" and "says nothing" are the same.

Evidence: tests.fuzz.test_cut_answers, the report without a length, cut before its body and closed: 'sent' is not None. A report that is JSON and names no start counts as before.

--- a/lab/stream_mechanisms.py
+++ b/lab/stream_mechanisms.py
@@ -32,6 +32,16 @@
         "tests.platform.test_out_of_step.OutOfStepTest"
         ".test_stream_does_not_go_on_at_a_server_that_has_changed",
     ),
+    _ablate(
+        "report that is cut off does not tell that an endpoint is the same",
+        VERSIONS,
+        "platform/endpoints",
+        '        raise errors.ConnectError(f"no report: {error}") from error\n'
+        "    started = value",
+        "        return None\n    started = value",
+        "tests.fuzz.test_cut_answers.CutAnswersTest"
+        ".test_reports_before_a_stream_goes_on",
+    ),
     _ablate(
         "endpoint asked for its start before a stream begins on an old list",
         VERSIONS,
--- a/samphirevale/platform/endpoints.py
+++ b/samphirevale/platform/endpoints.py
@@ -135,7 +135,8 @@
 
         Raises:
             errors.NotAcceptingError: the endpoint has started again.
-            errors.ConnectError: it has not answered.
+            errors.ConnectError: it has not answered, or its answer cannot be
+                read.
         """
         self._check_allowed(endpoint)
         try:
@@ -297,13 +298,19 @@
 
 
 def _decode_start(status: int, data: bytes) -> int | None:
-    """Returns the start that a report names; None if it names none."""
+    """Returns the start that a report names; None if it names none.
+
+    Raises:
+        errors.ConnectError: it is empty or cannot be read.
+    """
     if status != 200:
         return None
+    if not data:
+        raise errors.ConnectError("an empty report")
     try:
         value = web_client.read_json(data)
-    except errors.ProtocolError:
-        return None
+    except errors.ProtocolError as error:
+        raise errors.ConnectError(f"no report: {error}") from error
     started = value.get("born") if isinstance(value, dict) else None
     return started if stored_values.is_integer(started) else None
 
--- a/tests/fuzz/test_cut_answers.py
+++ b/tests/fuzz/test_cut_answers.py
@@ -136,6 +136,30 @@
 
         await self.check(raw_answers.REPORT, run)
 
+    async def test_reports_before_a_stream_goes_on(self):
+        """Nothing is sent to an endpoint that may have started again."""
+
+        async def run():
+            client = endpoints.PlatformEndpoints(test_endpoints.FakeListener())
+            self.raw.requests.clear()
+            self.raw.script = [raw_answers.RawAnswer(sound, "close")]
+            try:
+                answer = await client.send(
+                    self.build_endpoint(),
+                    proxy_fakes.build_request(attempt="a1"),
+                    proxy_fakes.build_send_parameters(asks_start=True),
+                    lambda: None,
+                )
+            except errors.ConnectError:
+                self.assertEqual([], self.raw.requests)
+                return None
+            await answer.close()
+            return "sent"
+
+        sound = raw_answers.build_answer(b"{}", "length", 200, HEADERS)
+        sound = sound.replace(b"{attempt}", b"a1")
+        await self.check(raw_answers.REPORT, run)
+
     def build_store(self, kind):
         return kind(f"http://127.0.0.1:{self.raw.ports[0]}", idle_limit=0)
 
