Resume no stream whose events have no numbers

Cause: a stream is resumed behind its last numbered event, and from its begin if there is none. What the caller has of events without numbers was not looked at.

Such a stream now ends without its end if it breaks off; one that is only silent is waited for. Comments do not matter.

--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -188,6 +188,15 @@
         "if False:",
         "tests.platform.test_broken_streams.CallerFramingTest",
     ),
+    _ablate(
+        "stream without numbers not resumed",
+        STREAMS,
+        "event_streams",
+        "if not self._order.all_numbered:",
+        "if False:",
+        "tests.test_proxying.StreamTest"
+        ".test_stream_without_numbers_is_not_resumed",
+    ),
     _ablate(
         "streams of silent endpoints read until another can take over",
         STREAMS,
--- a/samphirevale/event_streams.py
+++ b/samphirevale/event_streams.py
@@ -231,12 +231,23 @@
 
     async def _try_resume(self) -> exchanges.Exchange | None:
         try:
-            return await self._run.resume(self._order.last)
+            return await self._resume()
         except (errors.AnswerLostError, TimeoutError) as error:
             self._run.log_silence(self._order.last, str(error))
             await self._run.release_results()
             return None
 
+    async def _resume(self) -> exchanges.Exchange:
+        """Resumes the stream at another endpoint.
+
+        Raises:
+            errors.AnswerLostError: it cannot be resumed, or not without events
+                that the caller has.
+        """
+        if not self._order.all_numbered:
+            raise errors.AnswerLostError("events_without_numbers")
+        return await self._run.resume(self._order.last)
+
     async def _resume_broken(self, error: errors.TransportError) -> None:
         """Resumes the stream of an endpoint whose answer broke.
 
@@ -246,7 +257,7 @@
         reason = await self._close_broken(error)
         try:
             async with curio.timeout_after(self._compute_remaining()):
-                exchange = await self._run.resume(self._order.last)
+                exchange = await self._resume()
         except (
             errors.AnswerLostError,
             curio.TaskTimeout,
--- a/samphirevale/events.py
+++ b/samphirevale/events.py
@@ -96,10 +96,12 @@
     Attributes:
         last: the number of the last accepted event; None if no numbered event
             was accepted.
+        all_numbered: whether all accepted events but comments have numbers.
     """
 
     def __init__(self, last: int | None = None):
         self.last = last
+        self.all_numbered = True
         self._unnumbered = 0
 
     def accept_all(self, events: Sequence[Event]) -> list[Event]:
@@ -109,11 +111,12 @@
             errors.ProtocolError: an event before one of them is missing. None
                 of them is accepted.
         """
-        last = self.last
+        last, all_numbered = self.last, self.all_numbered
         try:
             return [event for event in events if self.accept(event)]
         except errors.ProtocolError:
             self.last = last
+            self.all_numbered = all_numbered
             raise
 
     def accept(self, event: Event) -> bool:
@@ -128,6 +131,7 @@
                 raise errors.ProtocolError(
                     f"an event without a number follows {self.last}"
                 )
+            self.all_numbered &= not event.has_fields
             self._unnumbered += 1
             if self._unnumbered > UNNUMBERED_LIMIT:
                 raise errors.ProtocolError("too many events without a number")
--- a/tests/test_proxying.py
+++ b/tests/test_proxying.py
@@ -682,6 +682,19 @@
             await self.read_stream(answer)
         self.assertEqual(1, len(self.endpoints.sends))
 
+    async def test_stream_without_numbers_is_not_resumed(self):
+        """It cannot be told which of its events the caller has."""
+        for silence in ((), (proxy_fakes.Silence(2.5),)):
+            answer = await self.answer(
+                self.build_stream(
+                    b"data: x\n\n", *silence, proxy_fakes.LOST_ANSWER
+                ),
+                self.build_stream(b"data: x\n\ndata: y\n\n"),
+            )
+            with self.assertRaises(errors.AnswerLostError):
+                await self.read_stream(answer)
+            self.assertEqual(1, len(self.endpoints.sends))
+
     async def test_stream_that_ends_inside_an_event_fails(self):
         self.use_route(proxy_fakes.build_route(repeatable=False, streamed=True))
         answer = await self.answer(self.build_stream(b"id: 1\n\nid: 2"))
