--- a/samphirevale/event_streams.py
+++ b/samphirevale/event_streams.py
@@ -106,12 +106,18 @@
     async def read_first(self) -> None:
         """Reads the first event, or the end of a stream without events."""
         try:
-            while not self._first and not self._ended:
-                self._first = await self._accept_part(await self._read_part())
+            while not self._has_first() and not self._ended:
+                if len(self._first) > events.EVENT_BYTES_LIMIT:
+                    raise errors.ProtocolError("too long a comment")
+                self._first += await self._accept_part(await self._read_part())
         except BaseException:
             await self._parts.aclose()
             raise
 
+    def _has_first(self) -> bool:
+        """Returns whether there is more for the caller than comments."""
+        return bool(self._first) and self._splitter.has_events
+
     def __aiter__(self) -> "EventStream":
         """Returns the stream itself."""
         return self
@@ -225,12 +231,23 @@
 
     async def _try_resume(self) -> exchanges.Exchange | None:
         try:
-            return await self._run.resume(self._order.last)
+            return await self._resume()
         except (errors.AnswerLostError, TimeoutError) as error:
             self._run.log_silence(self._order.last, str(error))
             await self._run.release_results()
             return None
 
+    async def _resume(self) -> exchanges.Exchange:
+        """Resumes the stream at another endpoint.
+
+        Raises:
+            errors.AnswerLostError: it cannot be resumed, or not without events
+                that the caller has.
+        """
+        if not self._order.all_numbered:
+            raise errors.AnswerLostError("events_without_numbers")
+        return await self._run.resume(self._order.last)
+
     async def _resume_broken(self, error: errors.TransportError) -> None:
         """Resumes the stream of an endpoint whose answer broke.
 
@@ -240,7 +257,7 @@
         reason = await self._close_broken(error)
         try:
             async with curio.timeout_after(self._compute_remaining()):
-                exchange = await self._run.resume(self._order.last)
+                exchange = await self._resume()
         except (
             errors.AnswerLostError,
             curio.TaskTimeout,
@@ -287,17 +304,26 @@
             self._parts = self._exchange.answer.read_parts()
             raise
         except StopAsyncIteration:
-            if self._splitter.has_incomplete_event():
-                raise errors.AnswerLostError(
-                    "the stream ended inside an event"
-                ) from None
-            if not self._begun and not self._exchange.answer.framed:
+            lack = self._find_lack()
+            if lack:
                 raise errors.AnswerLostError(
-                    "the stream ended before an event"
+                    f"the stream ended {lack}"
                 ) from None
             self._ended = True
             return b""
 
+    def _find_lack(self) -> str:
+        """Returns where a stream ended that is not whole; empty if it is."""
+        if self._splitter.has_incomplete_event():
+            return "inside an event"
+        framed = self._exchange.answer.framed
+        if not self._splitter.has_events and not framed:
+            return "before an event"
+        highest = self._splitter.highest
+        if highest is not None and highest < self._order.last:
+            return f"at event {highest}, before {self._order.last}"
+        return ""
+
     async def _accept_part(self, part: bytes) -> bytes:
         """Returns the whole events that a part completes."""
         if not part:
