Make each read of the store on a connection of its own

What could be seen: an entry takes a copy of an earlier answer of the store for that of its present read, if the copy comes once the read has been sent: a list of another kind, or an empty watch, which confirms routes (and the keys in them) that nobody has read.

Cause: reads shared up to four connections, and an answer names no call. Since what comes on an idle connection closes it; what comes after the next request was still read.

Ruled out: a check of what comes back. The revision `at` does not rise in a quiet minute, objects do not name their kind, and an empty watch names nothing.

Change: no connection is kept.

--- a/samphirevale/cmdline.py
+++ b/samphirevale/cmdline.py
@@ -331,12 +331,9 @@
     )
     base = stored.value["revision"] if stored else 0
     load = configuration_loader.build_order(order_id, value, base)
-    try:
-        return await orders.submit_order(
-            store, load, monotonic.now() + LOAD_TIMEOUT_SECONDS, monotonic
-        )
-    finally:
-        await store.close()
+    return await orders.submit_order(
+        store, load, monotonic.now() + LOAD_TIMEOUT_SECONDS, monotonic
+    )
 
 
 def _raise_finding(place: str, expected: str, got: str = "") -> None:
