Let a connection carry each kind of call to an endpoint once only

What could be seen: a release that an endpoint refused counts as done, so that its results lie there until they expire; an entry believes the free memory of a moment ago.

Cause: releases and reports shared connections, with each other and behind calls of stages. What a faulty endpoint writes once more behind an answer, after the next call has gone out, was read as the answer to that call, whatever its form.

Ruled out: an id (none is echoed, a report of these endpoints has no number); a connection for each call (has a price).

Change: on one connection each kind of call is made once at most, the results first and a release last, only while each was answered by 200 in the form of its kind. The forms differ, so that a copy of any earlier answer fails the call that reads it: a release is sent once more, a report is not adopted. The most recent idle connections are kept in place of the first ones. Calls of stages still open a new connection each.

Replaced: the test of silent connections made a third report on a shared connection, which no longer exists; it makes releases on the connections of the reports, with the same outcome. Releases after results written twice may now fail, and the results of the next call are checked as before.

--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -65,11 +65,35 @@
         ANSWERS,
         "platform/endpoints",
         "        connection = await self._open_connection(endpoint)\n"
-        "        value =",
-        "        connection = await self._get_connection(endpoint)\n"
-        "        value =",
+        "        decode =",
+        '        connection = await self._get_connection(endpoint, "")\n'
+        "        decode =",
         f"{_CALLS}.RepeatedAnswersTest",
     ),
+    _ablate(
+        "each kind of call once on a connection",
+        ANSWERS,
+        "platform/endpoints",
+        "                if target not in connection.targets\n",
+        "",
+        f"{_CALLS}.SharedConnectionsTest",
+    ),
+    _ablate(
+        "connection closed after a release",
+        ANSWERS,
+        "platform/endpoints",
+        "kept = target != FREE_TARGET and not notice.leaving",
+        "kept = not notice.leaving",
+        f"{_CALLS}.SharedConnectionsTest",
+    ),
+    _ablate(
+        "release not answered by the answer to another call",
+        ANSWERS,
+        "platform/endpoints",
+        '        raise errors.ProtocolError("not the answer to a release")\n',
+        "        pass\n",
+        f"{_CALLS}.SharedConnectionsTest",
+    ),
     _ablate(
         "connection with bytes behind its answer closed",
         ANSWERS,
@@ -432,8 +456,8 @@
         "connection to an endpoint that leaves not kept",
         LEAVING,
         "platform/endpoints",
-        "kept = connection.is_reusable() and not notice.leaving",
-        "kept = connection.is_reusable()",
+        "kept = target != FREE_TARGET and not notice.leaving",
+        "kept = target != FREE_TARGET",
         f"{_CALLS}.PlatformEndpointsTest"
         ".test_connection_to_an_endpoint_that_leaves_is_not_kept",
     ),
--- a/samphirevale/adapters/web_client.py
+++ b/samphirevale/adapters/web_client.py
@@ -87,9 +87,14 @@
 
 
 class ClientConnection:
-    """A connection to a server, for one request at a time."""
+    """A connection to a server, for one request at a time.
+
+    Attributes:
+        targets: the targets of all requests that it has carried.
+    """
 
     def __init__(self, stream: Any, host: str, port: int):
+        self.targets: set[str] = set()
         self._stream = stream
         self._authority = f"{host}:{port}"
         self._protocol = h11.Connection(h11.CLIENT)
@@ -128,6 +133,7 @@
                 *headers,
             ],
         )
+        self.targets.add(target)
         data = self._protocol.send(head)
         data += self._protocol.send(h11.Data(data=body))
         data += self._protocol.send(h11.EndOfMessage())
--- a/samphirevale/platform/endpoints.py
+++ b/samphirevale/platform/endpoints.py
@@ -1,8 +1,10 @@
 """HTTP calls to the platform's engines, stage engines and services."""
 
 import contextlib
+import functools
 import json
 from collections.abc import AsyncIterator, Callable, Sequence
+from typing import TypeVar
 
 import curio
 
@@ -29,6 +31,13 @@
 # Status if a result named by the request no longer exists.
 RESULT_GONE = 409
 
+# The paths of the calls that share connections. Their answers differ in form.
+RUN_TARGET = "/stage-run"
+FREE_TARGET = "/stage-free"
+REPORT_TARGET = "/report"
+
+_Value = TypeVar("_Value")
+
 
 class PlatformAnswer:
     """Implements ports.proxies.EndpointAnswer."""
@@ -67,10 +76,12 @@
 
     Each request opens a new connection. If the endpoint closed a kept
     connection during a request, it would be unknown whether the request ran.
-    So does each batch call: its answer names no call, and what a faulty
-    endpoint writes once more, at once or later, could be taken for it. Releases
-    and reports reuse connections, as nothing follows from the answer to a
-    release, and a report that is not the newest does no harm.
+
+    The answer to another call names no call, and what a faulty endpoint writes
+    once more, at once or later, could be taken for it. So a connection carries
+    each kind of call once at most, results first and a release last, and only
+    if all calls before were answered in the form of their kind. The form of an
+    answer then tells whose it is.
     """
 
     def __init__(self, listener: proxies.EndpointListener):
@@ -171,28 +182,25 @@
         """Runs several items in one call and returns their results."""
         body = {"items": [_encode_item(item, now) for item in items]}
         connection = await self._open_connection(endpoint)
-        value = await self._call(endpoint, connection, "/stage-run", body)
-        results = value.get("items") if isinstance(value, dict) else None
-        if not isinstance(results, list) or len(results) != len(items):
-            raise errors.ProtocolError("not the items that were asked for")
-        return [_decode_result(item) for item in results]
+        decode = functools.partial(_decode_results, count=len(items))
+        return await self._call(endpoint, connection, RUN_TARGET, body, decode)
 
     async def release(
         self, endpoint: catalogue.Endpoint, results: Sequence[str]
     ) -> None:
         """Frees the memory that results occupy."""
-        connection = await self._get_connection(endpoint)
+        connection = await self._get_connection(endpoint, FREE_TARGET)
         value = {"handles": list(results)}
-        await self._call(endpoint, connection, "/stage-free", value)
+        await self._call(
+            endpoint, connection, FREE_TARGET, value, _check_released
+        )
 
     async def read_free_memory(self, endpoint: catalogue.Endpoint) -> int:
         """Returns the endpoint's free memory for results, in bytes."""
-        connection = await self._get_connection(endpoint)
-        value = await self._call(endpoint, connection, "/report", None)
-        try:
-            return int(float(value["free_mb"]) * manifest.MEGABYTE)
-        except (KeyError, OverflowError, TypeError, ValueError) as error:
-            raise errors.ProtocolError("no free_mb in the report") from error
+        connection = await self._get_connection(endpoint, REPORT_TARGET)
+        return await self._call(
+            endpoint, connection, REPORT_TARGET, None, _decode_free_memory
+        )
 
     async def _call(
         self,
@@ -200,11 +208,18 @@
         connection: web_client.ClientConnection,
         target: str,
         value: object,
-    ) -> object:
+        decode: Callable[[object], _Value],
+    ) -> _Value:
         """Posts a value as JSON, or sends a GET if it is None.
 
-        Returns the parsed answer. Without an answer no kept connection is used
-        any more, as all may have fallen silent.
+        Without an answer no kept connection is used any more, as all may have
+        fallen silent.
+
+        Returns:
+            The decoded answer.
+
+        Raises:
+            errors.ProtocolError: the answer is not in the form of its kind.
         """
         kept = unanswered = False
         try:
@@ -219,14 +234,16 @@
             notice = await self._handle_notice(endpoint, answer)
             data = await answer.read_body(CALL_BYTES_LIMIT)
             unanswered = False
-            kept = connection.is_reusable() and not notice.leaving
             _check_executed(answer, notice)
             if answer.status != 200:
                 raise errors.ProtocolError(f"status {answer.status}")
-            return web_client.read_json(data)
+            decoded = decode(web_client.read_json(data))
+            kept = target != FREE_TARGET and not notice.leaving
+            kept = kept and connection.is_reusable()
+            return decoded
         finally:
             if kept:
-                self._return_to_idle(endpoint, connection)
+                await self._keep(endpoint, connection)
             else:
                 await connection.close()
             if unanswered:
@@ -254,15 +271,23 @@
         return notice
 
     async def _get_connection(
-        self, endpoint: catalogue.Endpoint
+        self, endpoint: catalogue.Endpoint, target: str
     ) -> web_client.ClientConnection:
-        idle = self._idle.get((endpoint.host, endpoint.port), [])
-        while idle:
-            connection = idle.pop()
+        """Returns a connection that has not carried a call of this kind."""
+        while True:
+            idle = self._idle.get((endpoint.host, endpoint.port), [])
+            unused = [
+                connection
+                for connection in idle
+                if target not in connection.targets
+            ]
+            if not unused:
+                return await self._open_connection(endpoint)
+            connection = unused[-1]
+            idle.remove(connection)
             if not connection.is_stale():
                 return connection
             await connection.close()
-        return await self._open_connection(endpoint)
 
     async def _open_connection(
         self, endpoint: catalogue.Endpoint
@@ -275,14 +300,16 @@
             self._listener.handle_refused_connect(endpoint)
             raise
 
-    def _return_to_idle(
+    async def _keep(
         self,
         endpoint: catalogue.Endpoint,
         connection: web_client.ClientConnection,
     ) -> None:
+        """Keeps a connection, and closes the oldest one of too many."""
         idle = self._idle.setdefault((endpoint.host, endpoint.port), [])
-        if len(idle) < IDLE_LIMIT:
-            idle.append(connection)
+        idle.append(connection)
+        if len(idle) > IDLE_LIMIT:
+            await idle.pop(0).close()
 
     async def close_idle(self, endpoint: catalogue.Endpoint) -> None:
         """Closes the idle connections to an endpoint."""
@@ -356,6 +383,28 @@
     return value
 
 
+def _decode_results(value: object, count: int) -> list[proxies.ItemResult]:
+    results = value.get("items") if isinstance(value, dict) else None
+    if not isinstance(results, list) or len(results) != count:
+        raise errors.ProtocolError("not the items that were asked for")
+    return [_decode_result(item) for item in results]
+
+
+def _decode_free_memory(value: object) -> int:
+    try:
+        return int(float(value["free_mb"]) * manifest.MEGABYTE)
+    except (KeyError, OverflowError, TypeError, ValueError) as error:
+        raise errors.ProtocolError("no free_mb in the report") from error
+
+
+def _check_released(value: object) -> None:
+    """Checks that an answer, whose body says nothing, is of no other call."""
+    if isinstance(value, dict) and not value.keys().isdisjoint(
+        ("items", "free_mb")
+    ):
+        raise errors.ProtocolError("not the answer to a release")
+
+
 def _decode_result(value: object) -> proxies.ItemResult:
     if isinstance(value, dict) and isinstance(value.get("handle"), str):
         return proxies.ItemResult(value["handle"], "")
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -1,13 +1,14 @@
 """Tests of calls to the platform's endpoints over sockets."""
 
 import contextlib
+import itertools
 import json
 
 import curio
 
 from samphirevale import errors
 from samphirevale.adapters import web, web_server
-from samphirevale.platform import endpoints
+from samphirevale.platform import endpoints, manifest
 from samphirevale.ports import proxies
 from tests import base, proxy_fakes
 
@@ -307,7 +308,8 @@
             with self.subTest(at_once=at_once):
                 async with self.run_server(build_results(0), at_once):
                     self.assertEqual("h0", await self.run_batch())
-                    await self.calls.release(self.endpoint, ["h0"])
+                    with contextlib.suppress(errors.ProtocolError):
+                        await self.calls.release(self.endpoint, ["h0"])
                     self.assertNotEqual("h0", await self.run_batch())
 
 
@@ -316,16 +318,110 @@
     return encode_answer(200, {"items": [{"handle": f"h{number}"}]})
 
 
+class SharedConnectionsTest(base.TestCase):
+    """Calls of different kinds to an endpoint that writes one answer twice.
+
+    Guards against an answer that is handed to another call: the free memory of
+    a moment ago, or a release that counts as done and was refused.
+    """
+
+    @contextlib.asynccontextmanager
+    async def run_server(self, at_once, copied=True):
+        """Runs a server that writes its first answer twice.
+
+        Args:
+            at_once: whether the copy follows that answer; otherwise it comes
+                once the next call on the connection has been read.
+            copied: whether there is a copy.
+        """
+        numbers = itertools.count()
+        self.connections = 0
+
+        async def serve(client, address):
+            self.connections += 1
+            copy = b""
+            async with client:
+                while data := await client.recv(65536):
+                    number = next(numbers) if copied else 0
+                    answer = build_answer(data, number)
+                    await client.sendall(copy + answer)
+                    copy = answer if copied and not number else b""
+                    if at_once:
+                        await client.sendall(copy)
+                        copy = b""
+
+        port = base.find_free_port()
+        server = await curio.spawn(
+            curio.tcp_server, "127.0.0.1", port, serve, daemon=True
+        )
+        await curio.sleep(0.05)
+        self.calls = endpoints.PlatformEndpoints(FakeListener())
+        self.endpoint = proxy_fakes.build_endpoint(host="127.0.0.1", port=port)
+        try:
+            yield
+        finally:
+            await self.calls.close_idle(self.endpoint)
+            await server.cancel()
+
+    async def call(self, kind):
+        """Makes a call; returns the number in its answer, if any."""
+        if kind == "report":
+            free_bytes = await self.calls.read_free_memory(self.endpoint)
+            return free_bytes // manifest.MEGABYTE
+        if kind == "release":
+            return await self.calls.release(self.endpoint, ["h0"])
+        items = [proxy_fakes.build_item()]
+        (result,) = await self.calls.run_batch(self.endpoint, items, 100.0)
+        return int(result.result[1:])
+
+    async def check_second(self, first, second, at_once):
+        """Checks that the second kind of call never gets the first answer."""
+        async with self.run_server(at_once):
+            await self.call(first)
+            for number in (1, 2):
+                if second == "release":
+                    with self.assertRaises(errors.TransportError):
+                        await self.call(second)
+                    continue
+                try:
+                    self.assertEqual(number, await self.call(second))
+                except errors.ProtocolError:
+                    self.assertEqual((1, False), (number, at_once))
+
+    async def test_answer_written_twice_is_that_of_one_call(self):
+        kinds = ("batch", "report", "release")
+        for first, second in itertools.product(kinds, kinds):
+            for at_once in (True, False):
+                with self.subTest(f"{first}, {second}", at_once=at_once):
+                    await self.check_second(first, second, at_once)
+
+    async def test_release_uses_the_connection_of_results(self):
+        """A release costs no connection where results have just come."""
+        async with self.run_server(at_once=False, copied=False):
+            for _ in range(3):
+                await self.call("batch")
+                await self.call("report")
+                await self.call("release")
+            self.assertEqual(3, self.connections)
+            self.assertEqual([], sum(self.calls._idle.values(), []))
+
+
+def build_answer(request, number):
+    """Returns the answer to a call; only the first release is executed."""
+    if b"/report" in request:
+        return encode_answer(200, {"free_mb": number})
+    if b"/stage-free" in request:
+        return REFUSAL if number else encode_answer(200, {})
+    return build_results(number)
+
+
 class SilentConnectionsTest(base.TestCase):
     """Tests kept connections that fall silent for good."""
 
     async def answer_once(self, client, address):
         """Answers one request of a connection, then nothing any more."""
         async with client:
-            await client.recv(65536)
-            await client.sendall(
-                b'HTTP/1.1 200 OK\r\nContent-Length: 14\r\n\r\n{"free_mb": 3}'
-            )
+            await client.sendall(build_answer(await client.recv(65536), 0))
             await curio.sleep(50.0)
 
     async def test_call_after_a_silent_one_takes_a_new_connection(self):
@@ -340,9 +436,9 @@
             for _ in range(2):
                 await group.spawn(calls.read_free_memory, endpoint)
         async with curio.ignore_after(0.3) as silent:
-            await calls.read_free_memory(endpoint)
+            await calls.release(endpoint, ["h0"])
         async with curio.ignore_after(0.3) as later:
-            await calls.read_free_memory(endpoint)
+            await calls.release(endpoint, ["h0"])
         await calls.close_idle(endpoint)
         await server.cancel()
         self.assertEqual([True, False], [silent.expired, later.expired])
