Check in the fuzzer whose answer a release or a report has got

The answers had all the same form, so that nothing was said of releases and reports. They have the form of their call now; a release that counts as done has run, and a report is its own.

--- a/tests/fuzz/test_answers.py
+++ b/tests/fuzz/test_answers.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies
 
 from samphirevale import errors
-from samphirevale.platform import endpoints
+from samphirevale.platform import endpoints, manifest
 from tests import base, odd_values, proxy_fakes
 from tests.fuzz import test_stored_objects
 from tests.platform import test_endpoints
@@ -74,6 +74,8 @@
     def __init__(self, steps):
         self._steps = list(steps)
         self.ran = set()
+        # The calls that were answered as calls of their kind are.
+        self.sound = set()
         self.number = 0
 
     async def serve(self, client, address):
@@ -112,8 +114,13 @@
             body = step["body"]
             head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
             return head + body
+        self.sound.add(number)
         seal = ("Samphirevale-Response-Seal", "s")
-        value = {"items": [{"handle": f"h{number}"}], "free_mb": number}
+        value = {"items": [{"handle": f"h{number}"}]}
+        if data.startswith(b"GET /report"):
+            value = {"free_mb": number}
+        elif data.startswith(b"POST /stage-free"):
+            value = {}
         return test_endpoints.encode_answer(200, value, attempt, seal)
 
 
@@ -145,14 +152,13 @@
     async def check_call(self, kind, number, faulty):
         try:
             async with curio.timeout_after(CALL_SECONDS):
-                await self.call(kind, number)
+                await self.call(kind, number, faulty)
         except errors.NotExecutedError:
-            if kind in ("batch", "send"):
-                self.assertNotIn(number, faulty.ran)
+            self.assertNotIn(number, faulty.ran)
         except (errors.TransportError, curio.TaskTimeout):
             pass
 
-    async def call(self, kind, number):
+    async def call(self, kind, number, faulty):
         """Makes a call, and checks that what comes back is its own."""
         if kind == "batch":
             items = [proxy_fakes.build_item()]
@@ -172,5 +178,9 @@
             self.assertIn(b'"h%d"' % number, body)
         elif kind == "free":
             await self.client.release(self.endpoint, ["h"])
+            self.assertIn(number, faulty.ran)
         else:
-            await self.client.read_free_memory(self.endpoint)
+            free_bytes = await self.client.read_free_memory(self.endpoint)
+            if number in faulty.sound:
+                self.assertEqual(number * manifest.MEGABYTE, free_bytes)
+            self.assertIn(number, faulty.ran)
