Read each report in a sidecar on a connection of its own

What could be seen: a sidecar takes the load, the loaded batches or the cached prefixes of a moment ago for those of now.

Cause: reports shared connections to the endpoint; a copy of a report that comes once the next one has been asked for was read as its answer.

Ruled out: a check of what comes back, as reports have no number of their own.

Change: each report opens a connection, over the loopback, as each attempt does. The ablation that lets attempts share connections keeps them by itself, since nothing in the product does any more.

Evidence: adapters.test_endpoints, both orders; before, in the later one [0, 0, 2] for [0, 1, 2].

--- a/lab/mechanisms.py
+++ b/lab/mechanisms.py
@@ -209,7 +209,9 @@
                 "adapters/endpoints",
                 "            connection = await self._open_connection()\n"
                 "        except",
-                "            connection = await self._get_connection()\n"
+                '            connection = self.__dict__.pop("kept", None)\n'
+                "            if connection is None:\n"
+                "                connection = await self._open_connection()\n"
                 "        except",
             ),
             _edit(
@@ -219,7 +221,9 @@
                 "            await connection.close()\n",
                 '            yield endpoints.Failed("lost", str(error))\n'
                 "        finally:\n"
-                "            if not self._return_to_idle(connection):\n"
+                "            if connection.is_reusable():\n"
+                "                self.kept = connection\n"
+                "            else:\n"
                 "                await connection.close()\n",
             ),
         ),
--- a/samphirevale/adapters/endpoints.py
+++ b/samphirevale/adapters/endpoints.py
@@ -1,9 +1,9 @@
 """HTTP clients for the kinds of endpoint.
 
-Each attempt opens a new connection. On a kept one, the endpoint might just
-close it, so that the outcome of the attempt is unknown, and what a faulty
-endpoint writes once more could be taken for the answer, which names no attempt.
-Reports use kept-alive connections.
+Each call opens a new connection. A kept one might just be closed by the
+endpoint, so that the outcome of an attempt is unknown, and what a faulty
+endpoint writes once more could be taken for the answer to the next call, as an
+answer names none.
 """
 
 import contextlib
@@ -17,9 +17,6 @@
 from samphirevale.adapters import web_client
 from samphirevale.ports import endpoints
 
-# Maximum number of idle connections kept to one endpoint.
-IDLE_CONNECTIONS_LIMIT = 16
-
 # Timeout of a health probe or a report, in seconds.
 REPORT_SECONDS = 1.0
 
@@ -54,7 +51,6 @@
     def __init__(self, url: str, order_seconds: float):
         self._url = url
         self._order_seconds = order_seconds
-        self._idle: list[web_client.ClientConnection] = []
 
     async def run(
         self, call: endpoints.Call
@@ -152,39 +148,19 @@
             *web_client.split_address(self._url)
         )
 
-    async def _get_connection(self) -> web_client.ClientConnection:
-        """Returns a kept connection, or a new one."""
-        while self._idle:
-            connection = self._idle.pop()
-            if not connection.is_stale():
-                return connection
-            await connection.close()
-        return await self._open_connection()
-
-    def _return_to_idle(self, connection: web_client.ClientConnection) -> bool:
-        if len(self._idle) >= IDLE_CONNECTIONS_LIMIT:
-            return False
-        if not connection.is_reusable():
-            return False
-        self._idle.append(connection)
-        return True
-
     async def _read_report(self, target: str) -> tuple[int, Any]:
-        """Reads a report, over a kept-alive connection if there is one."""
-        connection = await self._get_connection()
-        kept = False
+        """Returns the status and the value of a report."""
+        connection = await self._open_connection()
         try:
             async with curio.timeout_after(REPORT_SECONDS):
                 answer = await connection.request("GET", target)
                 data = await answer.read_body(RESULT_BYTES_LIMIT)
-            kept = self._return_to_idle(connection)
         except curio.TaskTimeout as error:
             raise errors.AnswerLostError(
                 f"no answer in {REPORT_SECONDS} s"
             ) from error
         finally:
-            if not kept:
-                await connection.close()
+            await connection.close()
         return answer.status, web_client.read_json(data)
 
 
--- a/tests/adapters/test_endpoints.py
+++ b/tests/adapters/test_endpoints.py
@@ -71,3 +71,43 @@
         ]
         await server.cancel()
         self.assertEqual([0, 1, 2], results)
+
+    async def test_report_written_twice_is_that_of_one_read(self):
+        """The report of a moment ago is not that of now, in either order."""
+
+        async def serve_at_once(client, address):
+            async with client:
+                while await client.recv(65536):
+                    await client.sendall(encode_load(next(numbers)) * 2)
+
+        async def serve_after_the_next(client, address):
+            copy = b""
+            async with client:
+                while await client.recv(65536):
+                    answer = encode_load(next(numbers))
+                    await client.sendall(copy + answer)
+                    copy = answer
+
+        for serve in (serve_at_once, serve_after_the_next):
+            with self.subTest(serve.__name__):
+                numbers = itertools.count()
+                port = base.find_free_port()
+                server = await curio.spawn(
+                    curio.tcp_server, "127.0.0.1", port, serve
+                )
+                await curio.sleep(0.05)
+                service = endpoints.build_endpoint(
+                    "service", f"http://127.0.0.1:{port}", 1.0
+                )
+                reports = [await service.read_load() for _ in range(3)]
+                await server.cancel()
+                self.assertEqual(
+                    [0, 1, 2], [report.running for report in reports]
+                )
+
+
+def encode_load(running):
+    """Returns the answer with a report of the load."""
+    body = b'{"running": %d, "waiting": 0}' % running
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
+    return head % len(body) + body
