--- a/tests/adapters/test_objects.py
+++ b/tests/adapters/test_objects.py
@@ -1,5 +1,6 @@
 """Tests of adapters.objects against a server with fixed answers."""
 
+import json
 from unittest import mock
 
 import curio
@@ -11,6 +12,23 @@
 OBJECT = {"kind": "k", "name": "a/b", "version": 3, "value": {"x": 1}}
 
 
+# A value that is nested too deeply for a parser.
+DEEP = b"[" * 99_999 + b"]" * 99_999
+
+# What another writer may leave in place of an object.
+ODD_ITEMS = (
+    b'{"kind":"k","name":"odd","version":3,"value":%s}' % (b"9" * 5000),
+    b'{"kind":"k","name":"odd","version":3,"value":%s}' % DEEP,
+    b'{"kind":"k","name":"odd","version":3,"value":"\xff"}',
+    b'{"kind":"k","name":7,"version":3,"value":1}',
+    b'{"kind":"k","name":"\\ud800","version":3,"value":1}',
+    b'{"kind":"k","name":"odd","version":"3","value":1}',
+    b'{"kind":"k","name":"odd","version":3}',
+    b"[]",
+    b"null",
+)
+
+
 class HttpObjectStoreTest(base.TestCase):
     """Results and errors for the store's answers and broken connections."""
 
@@ -68,6 +86,72 @@
             if expected is errors.StoreUnavailableError:
                 self.assertEqual(error.retry_after_seconds, 1.5)
 
+    async def list_beside(self, template, odd, call):
+        """Calls a store whose answer has an odd item between two sound ones."""
+        sound = [OBJECT | {"name": name} for name in ("a", "b")]
+        first, second = (json.dumps(item).encode() for item in sound)
+        body = template % b",".join([first, odd, second])
+        server = await self.start(web.Response(200, body))
+        found = await call()
+        await server.cancel()
+        return [item.name for item in found]
+
+    async def test_list_holds_all_but_the_object_that_cannot_be_read(self):
+        for odd in ODD_ITEMS:
+            with self.subTest(odd[:60]):
+                names = await self.list_beside(
+                    b'{"objects":[%s],"version":3}',
+                    odd,
+                    lambda: self.store.list_kind("k"),
+                )
+                self.assertEqual(["a", "b"], names)
+
+    async def test_watch_goes_on_beside_an_object_that_cannot_be_read(self):
+        async def watch():
+            events = await self.store.watch("k", 2, 0.1)
+            self.assertEqual(7, events.version)
+            return events.objects
+
+        for odd in ODD_ITEMS:
+            with self.subTest(odd[:60]):
+                template = b'{"objects":[%s],"version":7}'
+                names = await self.list_beside(template, odd, watch)
+                self.assertEqual(["a", "b"], names)
+
+    async def test_instances_are_listed_beside_one_that_cannot_be_read(self):
+        instance = {
+            "name": "a",
+            "host": "127.0.0.1",
+            "peer_port": 7,
+            "state": "live",
+        }
+        odd_values = [{"peer_port": 70000}, {"peer_port": "7"}, {"host": 1}]
+        odd_values += [{"host": "a b"}, {"name": None}, {"state": []}]
+        items = [json.dumps(instance | odd).encode() for odd in odd_values]
+        sound = json.dumps(instance).encode()
+        for odd in (*items, DEEP, b"null"):
+            with self.subTest(odd[:60]):
+                body = b'{"instances":[%s,%s]}' % (odd, sound)
+                server = await self.start(web.Response(200, body))
+                (listed,) = await self.store.list_instances()
+                await server.cancel()
+                self.assertEqual(7, listed.peer_port)
+
+    async def test_answer_without_objects_is_no_answer(self):
+        for body in (b"[]", b'{"objects":{}}', b'{"version":3}', b"9" * 5000):
+            with self.subTest(body[:60]):
+                for call in (
+                    lambda: self.store.list_kind("k"),
+                    lambda: self.store.watch("k", 2, 0.1),
+                    lambda: self.store.get("k", "a"),
+                    lambda: self.store.list_instances(),
+                ):
+                    await self.check_error(
+                        web.Response(200, body),
+                        errors.StoreUnavailableError,
+                        call,
+                    )
+
     async def test_a_watch_from_an_expired_version(self):
         await self.check_error(
             web.build_json(410, {}),
