--- a/samphirevale/expiry.py
+++ b/samphirevale/expiry.py
@@ -1,11 +1,14 @@
 """Deletes expired objects from the store.
 
-The value of every such object has `expires_at` in wall-clock seconds.
+The value of every such object has `expires_at` in wall-clock seconds. One that
+has not, which another writer has left, never expires.
 """
 
+import math
 from collections.abc import Iterable
+from typing import Any
 
-from samphirevale import errors
+from samphirevale import errors, stored_values
 from samphirevale.ports import clock as clocks
 from samphirevale.ports import objects
 
@@ -24,10 +27,15 @@
     return [
         stored_object
         for stored_object in stored
-        if stored_object.value["expires_at"] < limit
+        if _read_expiry(stored_object.value) < limit
     ]
 
 
+def _read_expiry(value: Any) -> float:
+    expires_at = value.get("expires_at") if isinstance(value, dict) else None
+    return expires_at if stored_values.is_number(expires_at) else math.inf
+
+
 async def sweep_expired(
     store: objects.ObjectStore,
     kind: str,
--- a/samphirevale/quarantine.py
+++ b/samphirevale/quarantine.py
@@ -155,9 +155,12 @@
             self._trials.discard(fingerprint)
 
     def adopt_record(self, stored: objects.StoredObject, now: float) -> None:
-        """Adopts a stored record from a list or a watch."""
-        if stored.value is not None:
-            self.add_crashes(stored.name, stored.value["attempts"], now)
+        """Adopts a stored record from a list or a watch, if it is one."""
+        value = stored.value
+        attempts = value.get("attempts") if isinstance(value, dict) else None
+        if isinstance(attempts, list):
+            found = [name for name in attempts if isinstance(name, str)]
+            self.add_crashes(stored.name, found, now)
 
     def count(self) -> int:
         """Returns the number of fingerprints in memory."""
--- a/tests/test_expiry.py
+++ b/tests/test_expiry.py
@@ -26,6 +26,15 @@
         self.assertEqual(self.sweep(last + 1), 1)
         self.assertEqual(self.store.objects, {})
 
+    def test_object_without_a_time_of_expiry_is_kept(self):
+        """Another writer's object does not keep the others from expiring."""
+        odd_values = (1, "x", [], {}, {"expires_at": "1"}, {"expires_at": []})
+        for number, value in enumerate(odd_values):
+            self.clock.call(self.store.create("claims", f"odd{number}", value))
+        sound = {"expires_at": EXPIRES_AT}
+        self.clock.call(self.store.create("claims", "sound", sound))
+        self.assertEqual(1, self.sweep(9000.0))
+
     def test_rate_is_limited(self):
         for name in range(40):
             value = {"expires_at": EXPIRES_AT}
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -4,6 +4,7 @@
 from hypothesis import strategies as st
 
 from samphirevale import quarantine
+from samphirevale.ports import objects
 from samphirevale.quarantine import Verdict
 from tests import base, fakes, test_claims
 
@@ -54,6 +55,17 @@
         other = quarantine.compute_fingerprint("b", {"x": 1, "y": 2})
         self.assertNotEqual(other, FINGERPRINT)
 
+    def test_record_of_another_form_is_no_record(self):
+        """Another writer's object does not end the watch of the others."""
+        for value in (None, 1, [], {}, {"attempts": 1}, {"attempts": [[], 2]}):
+            stored = objects.StoredObject(
+                quarantine.OBJECT_KIND, FINGERPRINT, 1, value
+            )
+            self.quarantine.adopt_record(stored, 0.0)
+        self.assertEqual(
+            Verdict.ALLOWED, self.quarantine.decide(FINGERPRINT, 0.0)
+        )
+
 
 class CrashRunTest(base.TestCase):
     """Simulates entries that retry an input which crashes every endpoint."""
