Release only those results of another entry that were cancelled

What could be seen: results of a request that is still under way are gone, so that its next stage or its model engine has nothing to fetch.

Cause: an answer with results that no question waits for was taken to have crossed the cancellation of its request, and its results were released. The copy of an answer that has been handed on is such an answer too.

Change: results are released if their exchange was cancelled here; the last 256 of a link are known, as not every cancelled exchange is answered.

That a copy is read as no other answer held before and holds now; with answers handed to the oldest question, the new tests fail.

--- a/samphirevale/entries.py
+++ b/samphirevale/entries.py
@@ -6,6 +6,7 @@
 too long is considered dead until it reports again.
 """
 
+import collections
 import contextlib
 import itertools
 import random
@@ -47,6 +48,10 @@
 # The longest backoff between two attempts to connect, in seconds.
 CONNECT_BACKOFF_LIMIT_SECONDS = 2.0
 
+# The largest number of cancelled exchanges of a link whose results are released
+# if they come.
+CANCELLED_LIMIT = 256
+
 
 # The messages that answer a request of this entry, by their exchange.
 _ANSWERS = (
@@ -117,6 +122,8 @@
             the exchange.
         serving: the tasks that run items for the entry, by the id of the
             exchange.
+        cancelled: the last exchanges that were cancelled here and may still be
+            answered.
     """
 
     def __init__(self, link: links.Link, hello: messages.Hello):
@@ -127,6 +134,9 @@
         self.sent: dict[str, tuple[int, int]] = {}
         self.waiting: dict[int, curio.Queue] = {}
         self.serving: dict[int, curio.Task] = {}
+        self.cancelled: collections.deque[int] = collections.deque(
+            maxlen=CANCELLED_LIMIT
+        )
 
     def adopt_report(self, report: entry_messages.EntryReport) -> None:
         """Adopts the state that the entry reports."""
@@ -438,7 +448,13 @@
     async def _release_unwanted(
         self, entry: Entry, answer: entry_messages.ItemsResult
     ) -> None:
-        """Releases results that crossed the cancellation of their request."""
+        """Releases results that crossed the cancellation of their request.
+
+        Those of another answer have been handed on, and may be in use.
+        """
+        if answer.exchange not in entry.cancelled:
+            return
+        entry.cancelled.remove(answer.exchange)
         names = [name for name in answer.results if name]
         if names:
             released = entry_messages.ResultsReleased(answer.endpoint, names)
@@ -626,6 +642,7 @@
         except errors.PeerClosedError:
             return failed
         except curio.CancelledError:
+            entry.cancelled.append(exchange)
             await self._cancel_items(entry, exchange)
             raise
         if answer is None or len(answer.results) != len(items):
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -1,7 +1,9 @@
 """Tests of links between entries: reports, items and disconnections."""
 
 import contextlib
+import itertools
 import random
+from unittest import mock
 
 import curio
 
@@ -34,6 +36,8 @@
         self.started = curio.Event()
         self.cancelled = False
         self.released = []
+        # What the results of each request begin with.
+        self.prefixes = itertools.repeat("")
 
     async def serve_items(self, pieces):
         await self.started.set()
@@ -42,7 +46,8 @@
         except curio.CancelledError:
             self.cancelled = True
             raise
-        return [proxies.ItemResult(f"r{i}", "") for i in pieces.indices]
+        prefix = next(self.prefixes)
+        return [proxies.ItemResult(f"{prefix}r{i}", "") for i in pieces.indices]
 
     async def release_results(self, released):
         self.released += released.results
@@ -268,6 +273,63 @@
             self.assertFalse(self.second.server.cancelled)
             self.assertEqual(["r0", "r1"], self.second.server.released)
 
+    @contextlib.asynccontextmanager
+    async def run_copying(self, at_once):
+        """Runs both; the second writes each answer to the first once more.
+
+        Args:
+            at_once: whether the copy follows its answer; otherwise it comes
+                before the next answer.
+        """
+        async with self.run_both():
+            link = self.second.table.linked["a"].link
+            send = link.send
+            copies = []
+
+            async def send_copies(message, revision):
+                if hasattr(message, "exchange"):
+                    copies.append(message)
+                    if not at_once:
+                        while len(copies) > 1:
+                            await send(copies.pop(0), revision)
+                await send(message, revision)
+                while at_once and copies:
+                    await send(copies.pop(0), revision)
+
+            with mock.patch.object(link, "send", send_copies):
+                yield
+
+    async def test_answer_written_twice_is_that_of_one_question(self):
+        """It is told by its exchange, in both orders."""
+        versions = itertools.count(7)
+        for at_once in (True, False):
+            with self.subTest(at_once=at_once):
+                async with self.run_copying(at_once):
+                    self.second.table._get_routes_age = lambda now: (
+                        routes_freshness.Confirmation(next(versions), 0.25, 4)
+                    )
+                    found = [
+                        (await self.first.table.ask_routes_age("b")).version
+                        for _ in range(3)
+                    ]
+                    self.assertEqual([found[0] + n for n in range(3)], found)
+
+    async def test_results_written_twice_are_those_of_one_request(self):
+        """Their copy is neither another's result nor to be released."""
+        for at_once in (True, False):
+            with self.subTest(at_once=at_once):
+                async with self.run_copying(at_once):
+                    await self.second.server.may_finish.set()
+                    self.second.server.prefixes = itertools.count()
+                    found = [await self.run_items() for _ in range(3)]
+                    await self.first.table.ask_routes_age("b")
+                    self.assertEqual(
+                        [["0r0", "0r1"], ["1r0", "1r1"], ["2r0", "2r1"]],
+                        [[item.result for item in items] for items in found],
+                    )
+                    await self.second.table.ask_routes_age("a")
+                    self.assertEqual([], self.second.server.released)
+
     async def test_items_of_a_lost_link_fail(self):
         async with self.run_both():
             task = await curio.spawn(self.run_items)
