Hand an answer of another entry only to a call that waits for its kind

An age of routes, or the origin of a stream, that names the exchange of a call of items was handed to that call. The request of the caller ended with an error of the program.

Cause: an answer was matched by the id of its exchange alone, whatever its type.

Evidence: EntryTableTest.test_answer_of_another_kind_is_handed_to_no_call failed before with "'RoutesAge' object has no attribute 'results'".

Ruled out: two calls with one id (all kinds draw from one counter), and an id of another link (calls are kept by link).

Why it works: each call keeps the type of its answer; a message of another type is handed to no call. What of it are results is released as before.

--- a/samphirevale/entries.py
+++ b/samphirevale/entries.py
@@ -10,7 +10,7 @@
 import itertools
 import random
 from collections.abc import Awaitable, Callable, Iterable, Sequence
-from typing import Any, Protocol
+from typing import Any, NamedTuple, Protocol
 
 import curio
 
@@ -48,12 +48,24 @@
 CONNECT_BACKOFF_LIMIT_SECONDS = 2.0
 
 
-# The messages that answer a request of this entry, by their exchange.
-_ANSWERS = (
-    entry_messages.ItemsResult
-    | entry_messages.RoutesAge
-    | entry_messages.StreamOriginAnswer
-)
+# The messages that answer a request of this entry, by its type.
+_ANSWERS = {
+    entry_messages.ItemsRequest: entry_messages.ItemsResult,
+    entry_messages.RoutesAgeRequest: entry_messages.RoutesAge,
+    entry_messages.StreamOriginRequest: entry_messages.StreamOriginAnswer,
+}
+
+
+class _WaitingCall(NamedTuple):
+    """A request of this entry that another entry has not answered.
+
+    Attributes:
+        answer_type: the type of the answer.
+        queue: receives the answer, or None without one.
+    """
+
+    answer_type: type
+    queue: curio.Queue
 
 
 class ItemServer(Protocol):
@@ -113,8 +125,8 @@
         loads: the load that the entry has placed, by endpoint.
         sent: the numbers of items and bytes that were handed over to the
             entry since its last report, by endpoint.
-        waiting: the queues that receive the answers of the entry, by the id of
-            the exchange.
+        waiting: the requests that the entry has not answered, by the id of the
+            exchange.
         serving: the tasks that run items for the entry, by the id of the
             exchange.
     """
@@ -125,7 +137,7 @@
         self.queues: dict[str, batching.QueueState] = {}
         self.loads: dict[str, load_totals.Load] = {}
         self.sent: dict[str, tuple[int, int]] = {}
-        self.waiting: dict[int, curio.Queue] = {}
+        self.waiting: dict[int, _WaitingCall] = {}
         self.serving: dict[int, curio.Task] = {}
 
     def adopt_report(self, report: entry_messages.EntryReport) -> None:
@@ -337,8 +349,8 @@
             self._demands.remove_entry(name)
             self._journal.record_event("entry_down", entry=name)
             self._notify_members()
-        for queue in entry.waiting.values():
-            await queue.put(None)
+        for call in entry.waiting.values():
+            await call.queue.put(None)
         for task in list(entry.serving.values()):
             await task.cancel(blocking=False)
 
@@ -412,10 +424,10 @@
             self._adopt_origin(message)
         elif isinstance(message, entry_messages.StreamOriginRequest):
             await self._send_origin(entry, message)
-        elif isinstance(message, _ANSWERS):
-            queue = entry.waiting.get(message.exchange)
-            if queue is not None:
-                await queue.put(message)
+        elif isinstance(message, tuple(_ANSWERS.values())):
+            call = entry.waiting.get(message.exchange)
+            if call is not None and isinstance(message, call.answer_type):
+                await call.queue.put(message)
             elif isinstance(message, entry_messages.ItemsResult):
                 await self._release_unwanted(entry, message)
         elif isinstance(message, entry_messages.ItemsCancelled):
@@ -565,10 +577,11 @@
 
     async def _exchange(self, entry: Entry, request: Any) -> Any:
         """Sends a request on a link; returns None if the link ends."""
-        queue = entry.waiting[request.exchange] = curio.Queue()
+        call = _WaitingCall(_ANSWERS[type(request)], curio.Queue())
+        entry.waiting[request.exchange] = call
         try:
             await entry.link.send(request, 0)
-            return await queue.get()
+            return await call.queue.get()
         finally:
             del entry.waiting[request.exchange]
 
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -251,6 +251,25 @@
             self.assertEqual((7, 0.25, 4), answer)
             self.assertIsNone(await self.first.table.ask_routes_age("c"))
 
+    async def test_answer_of_another_kind_is_handed_to_no_call(self):
+        """An age of routes with the id of a call of items ended the request."""
+        async with self.run_both():
+            task = await curio.spawn(self.run_items)
+            await self.second.server.started.wait()
+            (exchange,) = self.find_second().waiting
+            other = entry_messages.RoutesAge(exchange, 7, 0.25, 4)
+            await self.second.table.broadcast(other)
+            await self.second.table.broadcast(self.notice)
+            await self.wait_until(lambda: self.notice in self.list_adopted())
+            await self.second.server.may_finish.set()
+            results = await task.join()
+            self.assertEqual(["r0", "r1"], [found.result for found in results])
+
+    notice = entry_messages.EndpointsLeaving(["e8"], [6])
+
+    def list_adopted(self):
+        return [message for _, message in self.first.notices.adopted]
+
     async def test_cancelled_items_are_withdrawn(self):
         async with self.run_both():
             task = await curio.spawn(self.run_items)
