Leave out of another entry's messages what cannot be used

A message of another entry was decoded by the types of its fields, and its rows and numbers were used as they were. One row with a field too few ended the link, again at each report, so that the owners of endpoints changed every two seconds. A load that is no number stayed in the sum of all loads for good. An era or a version that no store reaches hid all later ones of the store. A negative age confirmed old routes in the future. A crash in the future was kept for ever, and told to others. Fewer reasons than results ended the request of a caller. A request of no items, or a time of 400 digits, got no answer. Names of a megabyte were sent on to entries that connect, up to frames that these refuse.

Weighed: an error of the protocol for the whole message (the link of an entry with one odd row would end with each report); checks in each reader (six readers, and what is sent on is not theirs).

Why it works: `message_checks` goes over each message before any reader. Rows that do not fit are left out, which is logged; a message of which nothing can be used ends its exchange, if it has one. An entry without a name, or with the name of this one, is not linked. What is left can be kept and sent on.

What remains: an era or version within the range of the store is believed, as nothing tells a false one from a new one.

--- a/samphirevale/entries.py
+++ b/samphirevale/entries.py
@@ -22,6 +22,8 @@
     errors,
     journal,
     load_totals,
+    log_limits,
+    message_checks,
     messages,
     ownership,
     registrations,
@@ -245,6 +247,7 @@
         self._clock = clock
         self._rng = rng
         self._journal = log
+        self._log_limiter = log_limits.LogLimiter()
         self._registrations: dict[str, registrations.Registration] = {}
         self._dial_tasks: dict[str, curio.Task] = {}
         self._exchange_ids = itertools.count()
@@ -324,7 +327,10 @@
             ) from error
         if not isinstance(frame.message, messages.Hello):
             raise errors.ProtocolError("the first message must be hello")
-        entry = Entry(link, frame.message)
+        hello = message_checks.check(frame.message)
+        if hello is None or hello.instance == self._me.name:
+            raise errors.ProtocolError("no name of another entry")
+        entry = Entry(link, hello)
         reporter = await curio.spawn(self._report, entry, daemon=True)
         try:
             await self._attach(entry)
@@ -389,7 +395,51 @@
                     frame = await entry.link.receive()
             except curio.TaskTimeout as error:
                 raise errors.PeerClosedError("silent") from error
-            await self._handle_message(entry, frame.message)
+            message = message_checks.check(frame.message)
+            if message is not frame.message:
+                self._record_malformed(entry, frame.message)
+            if message is None:
+                await self._refuse_message(entry, frame.message)
+            else:
+                await self._handle_message(entry, message)
+
+    def _record_malformed(self, entry: Entry, message: Any) -> None:
+        """Logs once in a while that a message cannot be used whole."""
+        name = entry.hello.instance
+        if self._log_limiter.permits((name, message.tag), self._clock.now()):
+            self._journal.record_failure(
+                "message_malformed", entry=name, message=message.tag
+            )
+
+    async def _refuse_message(self, entry: Entry, message: Any) -> None:
+        """Ends the exchange of a message that cannot be used."""
+        if isinstance(message, tuple(_ANSWERS.values())):
+            await self._end_exchange(entry, message, None)
+        elif isinstance(message, entry_messages.ItemsRequest):
+            answer = entry_messages.ItemsResult(
+                message.exchange, "", [], [], []
+            )
+            with contextlib.suppress(errors.PeerClosedError):
+                await entry.link.send(answer, 0)
+
+    async def _end_exchange(
+        self, entry: Entry, message: Any, answer: Any
+    ) -> bool:
+        """Hands an answer to the call that waits for it.
+
+        Args:
+            entry: the entry that has answered.
+            message: the message as it came.
+            answer: what of it can be used; None if nothing can.
+
+        Returns:
+            Whether a call waits for a message of this type.
+        """
+        call = entry.waiting.get(message.exchange)
+        if call is None or not isinstance(message, call.answer_type):
+            return False
+        await call.queue.put(answer)
+        return True
 
     async def _handle_message(self, entry: Entry, message: Any) -> None:
         if isinstance(message, entry_messages.EntryReport):
@@ -415,6 +465,8 @@
         elif isinstance(message, entry_messages.CrashEvidence):
             self._crashes.adopt_evidence(entry.hello.instance, message)
         elif isinstance(message, entry_messages.ItemsRequest):
+            if message.exchange in entry.serving:
+                raise errors.ProtocolError("the exchange is not over")
             entry.serving[message.exchange] = await curio.spawn(
                 self._serve_items, entry, message, daemon=True
             )
@@ -425,10 +477,8 @@
         elif isinstance(message, entry_messages.StreamOriginRequest):
             await self._send_origin(entry, message)
         elif isinstance(message, tuple(_ANSWERS.values())):
-            call = entry.waiting.get(message.exchange)
-            if call is not None and isinstance(message, call.answer_type):
-                await call.queue.put(message)
-            elif isinstance(message, entry_messages.ItemsResult):
+            taken = await self._end_exchange(entry, message, message)
+            if not taken and isinstance(message, entry_messages.ItemsResult):
                 await self._release_unwanted(entry, message)
         elif isinstance(message, entry_messages.ItemsCancelled):
             task = entry.serving.get(message.exchange)
--- a/samphirevale/log_schema.py
+++ b/samphirevale/log_schema.py
@@ -51,6 +51,7 @@
         "failed": {"error"},
         "history_gone": {"kind"},
         "message": {"level", "logger", "text"},
+        "message_malformed": {"entry", "message"},
         "not_registered": {"error"},
         "notice_malformed": {"endpoint", "text"},
         "origins_not_stored": {"error"},
--- /dev/null
+++ b/samphirevale/message_checks.py
@@ -0,0 +1,264 @@
+"""Leaves out of another entry's messages what cannot be used.
+
+A decoded message has fields of its types, but their rows and values are what
+the other entry sent. What `check` returns can be used, kept and sent on by all
+parts of the program: rows have their fields, names are short, numbers are
+finite and within the range that they are written in.
+"""
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from samphirevale import endpoint_limits, entry_messages, messages
+from samphirevale import stored_values as values
+from samphirevale.ports import objects
+
+# The largest number of rows of one kind in a message. The largest fleet has
+# fewer endpoints.
+ROWS_LIMIT = 4096
+
+# The largest number of attempts that a report names for one input.
+ATTEMPTS_LIMIT = 16
+
+# The largest number of parts of prompts that one crash accuses.
+PARTS_LIMIT = 64
+
+# The longest times, in seconds and in milliseconds.
+SECONDS_LIMIT = 1e9
+MILLISECONDS_LIMIT = 1e12
+
+Accept = Callable[[Any], bool]
+
+_checks: dict[type, Callable[[Any], Any]] = {}
+
+
+def check(message: Any) -> Any:
+    """Returns a message without what cannot be used.
+
+    Returns:
+        The message itself if all of it can be used; None if none of it can.
+    """
+    clean = _checks.get(type(message))
+    if clean is None:
+        return message
+    cleaned = clean(message)
+    return message if cleaned == message else cleaned
+
+
+def _register(
+    message_type: type,
+) -> Callable[[Callable[[Any], Any]], Callable[[Any], Any]]:
+    """Returns a decorator that registers the check of a message type."""
+
+    def add(clean: Callable[[Any], Any]) -> Callable[[Any], Any]:
+        _checks[message_type] = clean
+        return clean
+
+    return add
+
+
+def _is_text(value: Any) -> bool:
+    return isinstance(value, str) and len(value) <= values.TEXT_LIMIT
+
+
+def _is_count(value: Any) -> bool:
+    return values.is_integer(value) and 0 <= value <= values.INTEGER_LIMIT
+
+
+def _is_integer(value: Any) -> bool:
+    return values.is_integer(value) and abs(value) <= values.INTEGER_LIMIT
+
+
+def _is_seconds(value: Any) -> bool:
+    return values.is_number(value) and 0 <= value <= SECONDS_LIMIT
+
+
+def _is_age(value: Any) -> bool:
+    """Returns whether a value is a time in milliseconds."""
+    return values.is_number(value) and 0 <= value <= MILLISECONDS_LIMIT
+
+
+def _is_limit(value: Any) -> bool:
+    """Returns whether a value is a limit in calls a second, or 0 for none."""
+    return values.is_number(value) and (
+        value == 0
+        or endpoint_limits.LEAST_LIMIT <= value <= endpoint_limits.MOST_LIMIT
+    )
+
+
+def _is_version(value: int) -> bool:
+    """Returns whether a whole number is a version, or -1 without one."""
+    return -1 <= value <= values.INTEGER_LIMIT
+
+
+def _is_era(value: int) -> bool:
+    return entry_messages.NO_ERA <= value <= objects.LAST_ERA
+
+
+def _are(accepts: Accept, most: int) -> Accept:
+    """Returns the check of a list of some values."""
+    return lambda found: (
+        isinstance(found, list)
+        and len(found) <= most
+        and all(map(accepts, found))
+    )
+
+
+_QUEUE_STATE = (
+    *(_is_count, _is_count, _is_count, _is_count, _is_integer),
+    *(_is_seconds, _is_seconds, _is_seconds),
+)
+
+
+def _fits(row: Any, accepts: tuple[Accept, ...]) -> bool:
+    """Returns whether a row has exactly these fields."""
+    return len(row) == len(accepts) and all(
+        accept(value) for accept, value in zip(accepts, row, strict=True)
+    )
+
+
+def _keep(rows: Iterable[list], *accepts: Accept) -> list[list]:
+    """Returns the rows that have exactly these fields."""
+    return [row for row in rows if _fits(row, accepts)][:ROWS_LIMIT]
+
+
+def _are_crashes(row: list) -> bool:
+    """Returns whether a row has a fingerprint and the ids of attempts."""
+    return 2 <= len(row) <= 1 + ATTEMPTS_LIMIT and all(map(_is_text, row))
+
+
+@_register(entry_messages.EntryReport)
+def _check_report(report: entry_messages.EntryReport) -> Any:
+    knows_era = _is_era(report.store_era)
+    version = report.cordons_version
+    knows_cordons = knows_era and _is_version(version)
+    return report._replace(
+        queues=_keep(report.queues, values.is_token, *_QUEUE_STATE),
+        loads=_keep(report.loads, values.is_token, _is_count, _is_count),
+        crashed=list(filter(_are_crashes, report.crashed))[:ROWS_LIMIT],
+        pauses=_keep(report.pauses, values.is_token, _is_count, _is_age),
+        limits=_keep(
+            report.limits, values.is_token, _is_count, _is_limit, _is_age
+        ),
+        store_era=report.store_era if knows_era else entry_messages.NO_ERA,
+        routes_version=(
+            report.routes_version
+            if _is_version(report.routes_version)
+            else entry_messages.NO_ROUTES
+        ),
+        demands=_keep(report.demands, _is_text, _is_text, _is_age),
+        cordoned=list(filter(values.is_text, report.cordoned))[:ROWS_LIMIT],
+        cordons_version=version if knows_cordons else entry_messages.NO_CORDONS,
+    )
+
+
+@_register(entry_messages.EndpointsLeaving)
+def _check_leaving(message: entry_messages.EndpointsLeaving) -> Any:
+    if len(message.names) != len(message.starts):
+        return None
+    sound = [
+        (name, start)
+        for name, start in zip(message.names, message.starts, strict=True)
+        if values.is_token(name) and _is_count(start)
+    ][:ROWS_LIMIT]
+    return entry_messages.EndpointsLeaving(
+        [name for name, _ in sound], [start for _, start in sound]
+    )
+
+
+@_register(entry_messages.CrashEvidence)
+def _check_evidence(message: entry_messages.CrashEvidence) -> Any:
+    crashes = _keep(
+        message.crashes,
+        *(values.is_token, _is_count, _is_age),
+        *(_are(_is_text, PARTS_LIMIT), _are(_is_age, PARTS_LIMIT)),
+    )
+    return entry_messages.CrashEvidence(
+        [row for row in crashes if len(row[3]) == len(row[4])],
+        _keep(message.answered, _is_text, _is_age),
+        _keep(message.heard, values.is_token, _is_count, _is_age),
+    )
+
+
+@_register(entry_messages.ItemsRequest)
+def _check_items(request: entry_messages.ItemsRequest) -> Any:
+    sound = (
+        values.is_token(request.endpoint)
+        and request.indices
+        and len(request.indices) <= ROWS_LIMIT
+        and len(request.inputs) <= ROWS_LIMIT
+        and all(map(_is_count, request.indices))
+        and all(map(values.is_result, request.inputs))
+        and _is_count(request.stage)
+        and _is_count(request.result_bytes)
+        and _is_count(abs(request.due_ms))
+        and _is_count(abs(request.remaining_ms))
+        and _is_integer(request.rank)
+    )
+    transfers = _keep(request.transfers, values.is_text, _is_count)
+    return request._replace(transfers=transfers) if sound else None
+
+
+@_register(entry_messages.ItemsResult)
+def _check_results(message: entry_messages.ItemsResult) -> Any:
+    if len(message.results) != len(message.reasons):
+        return None
+    outcomes = [
+        _clean_outcome(result, reason)
+        for result, reason in zip(message.results, message.reasons, strict=True)
+    ]
+    return message._replace(
+        results=[result for result, _ in outcomes],
+        reasons=[reason for _, reason in outcomes],
+        endpoint=message.endpoint if values.is_token(message.endpoint) else "",
+        queue=message.queue if _fits(message.queue, _QUEUE_STATE) else [],
+    )
+
+
+def _clean_outcome(result: str, reason: str) -> tuple[str, str]:
+    """Returns an item's result, or why there is none."""
+    if values.is_result(result):
+        return result, ""
+    return "", reason if values.is_reason(reason) else "error"
+
+
+@_register(entry_messages.ResultsReleased)
+def _check_released(message: entry_messages.ResultsReleased) -> Any:
+    results = list(filter(values.is_result, message.results))[:ROWS_LIMIT]
+    return message._replace(results=results)
+
+
+@_register(entry_messages.RoutesAge)
+def _check_routes_age(message: entry_messages.RoutesAge) -> Any:
+    sound = (
+        _is_version(message.version)
+        and _is_seconds(message.age_seconds)
+        and _is_era(message.store_era)
+    )
+    return message if sound else None
+
+
+@_register(entry_messages.StreamOriginNotice)
+def _check_origin(message: entry_messages.StreamOriginNotice) -> Any:
+    sound = (
+        values.is_text(message.service)
+        and values.is_text(message.version)
+        and _is_age(message.remaining_ms)
+    )
+    return message if sound else None
+
+
+@_register(entry_messages.StreamOriginAnswer)
+def _check_origin_answer(message: entry_messages.StreamOriginAnswer) -> Any:
+    sound = values.is_text(message.service) and values.is_text(message.version)
+    return message if sound else None
+
+
+@_register(messages.Hello)
+def _check_hello(message: messages.Hello) -> Any:
+    sound = (
+        message.instance
+        and values.is_text(message.instance)
+        and values.is_text(message.data_centre)
+    )
+    return message if sound else None
--- a/samphirevale/platform/store.py
+++ b/samphirevale/platform/store.py
@@ -16,7 +16,7 @@
 CALL_SECONDS = 1.2
 
 # The largest number of digits of an era. A longer one is malformed.
-ERA_DIGITS_LIMIT = 9
+ERA_DIGITS_LIMIT = len(str(objects.LAST_ERA))
 
 # The largest number of characters of a malformed era that are logged.
 ERA_LOGGED_LIMIT = 40
--- a/samphirevale/ports/objects.py
+++ b/samphirevale/ports/objects.py
@@ -7,6 +7,9 @@
 # compare only within one era.
 StoreEra = NewType("StoreEra", int)
 
+# The last era that a store can state.
+LAST_ERA = 999_999_999
+
 
 class _Unreadable(enum.Enum):
     """The type of UNREADABLE."""
--- a/samphirevale/stored_values.py
+++ b/samphirevale/stored_values.py
@@ -19,6 +19,9 @@
 
 LAST_PORT = 65535
 
+# The longest reason of a failure, in characters.
+REASON_LIMIT = 32
+
 
 class Fields:
     """The fields of one stored value.
@@ -149,6 +152,16 @@
     )
 
 
+def is_result(value: Any) -> bool:
+    """Returns whether a value can name a result, in a list in a header."""
+    return is_token(value) and "," not in value
+
+
+def is_reason(value: Any) -> bool:
+    """Returns whether a value can be a reason in messages and metrics."""
+    return is_token(value) and len(value) <= REASON_LIMIT
+
+
 def parse_port(text: str) -> int | None:
     """Returns the port that a text names, or None if it names none."""
     if not (text.isascii() and text.isdigit()):
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -265,6 +265,18 @@
             results = await task.join()
             self.assertEqual(["r0", "r1"], [found.result for found in results])
 
+    async def test_odd_report_does_not_end_the_link(self):
+        """One row with a field too few ended the link, again and again."""
+        report = entry_messages.EntryReport(
+            [["e9"]], [["e5", 7, 70], ["e6", "x"]], [["f"]], [[]], [5 * [0]]
+        )
+        async with self.run_both():
+            linked = self.find_second()
+            await self.second.table.broadcast(report)
+            await self.second.table.broadcast(self.notice)
+            await self.wait_until(lambda: self.notice in self.list_adopted())
+            self.assertIs(linked, self.find_second())
+
     notice = entry_messages.EndpointsLeaving(["e8"], [6])
 
     def list_adopted(self):
