Take no result from an endpoint that no header can name

A stage endpoint that names its result with a line break, a comma or a character outside ASCII got its name into the header of the request to the model, which then failed or named other results. A reason of any text became a label of a metric, kept for the life of the process, and one with a lone surrogate could not be sent to the entry that had asked.

Cause: a name was checked for its type only.

Evidence: PlatformEndpointsTest.test_results_that_no_header_takes_are_none failed before (the result "a\nb" was returned); tests.fuzz.test_answers failed with a handle "10.0.0.1:²".

Why it works: what no header takes counts as an item that was not made, which is made again elsewhere; what is no short token counts as the reason "error".

--- a/samphirevale/platform/endpoints.py
+++ b/samphirevale/platform/endpoints.py
@@ -357,7 +357,11 @@
 
 
 def _decode_result(value: object) -> proxies.ItemResult:
-    if isinstance(value, dict) and isinstance(value.get("handle"), str):
+    if not isinstance(value, dict):
+        return proxies.ItemResult("", "error")
+    if stored_values.is_result(value.get("handle")):
         return proxies.ItemResult(value["handle"], "")
-    reason = value.get("reason", "error") if isinstance(value, dict) else ""
-    return proxies.ItemResult("", str(reason) or "error")
+    reason = value.get("reason")
+    if not stored_values.is_reason(reason):
+        reason = "error"
+    return proxies.ItemResult("", reason)
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -114,6 +114,21 @@
             notice = proxies.EndpointNotice(leaving=True, pause_seconds=0.5)
             self.assertEqual([("e1", notice)] * 4, self.listener.notices)
 
+    async def test_results_that_no_header_takes_are_none(self):
+        """A name with a line break or comma broke a later request's header."""
+        for item, reason in (
+            ({"handle": "a\nb"}, "error"),
+            ({"handle": "a,b"}, "error"),
+            ({"handle": "x" * 300}, "error"),
+            ({"reason": "\ud800"}, "error"),
+            ({"reason": ["x"] * 99}, "error"),
+            ({"reason": "gone"}, "gone"),
+        ):
+            body = json.dumps({"items": [item]}).encode()
+            async with self.run_server(200, body=body):
+                (found,) = await self.list_calls()[1]()
+            self.assertEqual(proxies.ItemResult("", reason), found)
+
     async def test_refusal_of_another_request_promises_nothing(self):
         """An earlier refusal, written once more, is not this request's."""
         other = ("Samphirevale-Attempt-Id", "other")
