Refuse a manifest by which no request can be decided

A stage that takes the results of a later one raised IndexError when the manifest was adopted, which nothing caught: each process ended, and again at each of its starts. A call of no items or no memory divided by zero, a time that is no number made all decisions no number, keys written as a text made each letter of it a key, and an empty key let requests without one in.

Cause: values were converted (`int`, `float`, `frozenset`), and only the errors of the conversion were expected.

Weighed: leaving out the odd route or account and adopting the rest. A route that is missing answers 404, and a key that is missing 401, where the manifest before still serves; so it is refused whole, as a malformed one was before.

Why it works: the manifest is read through `stored_values` like all other objects, with a range for each number; the one error that this raises is logged as routes_malformed, and the table before stays in force. Numbers may still be written as 3 or 3.0, and null is as good as a missing field.

--- a/samphirevale/cluster_watch.py
+++ b/samphirevale/cluster_watch.py
@@ -9,6 +9,7 @@
     cluster_state,
     crashing_part_store,
     entries,
+    errors,
     freshness,
     gateway_settings,
     journal,
@@ -224,13 +225,7 @@
     def _adopt_routes(self, stored: objects.StoredObject) -> None:
         try:
             table = self._adapters.decode_routes(stored.value)
-        except (
-            AttributeError,
-            KeyError,
-            OverflowError,
-            TypeError,
-            ValueError,
-        ) as error:
+        except errors.MalformedValueError as error:
             self._journal.record_failure(
                 "routes_malformed", revision=stored.version, error=repr(error)
             )
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -288,6 +288,33 @@
         self.assertEqual(7, table.limits.body_bytes)
         self.assertIsNone(table.accounts)
 
+    def test_manifest_that_no_decision_can_be_made_by_is_refused(self):
+        """A stage after a later one ended the process when it was adopted."""
+        stage = ("routes", 2, "phases", 1)
+        batch = ("services", 2, "segments")
+        for place, odd in (
+            ((*stage, "after"), [1]),
+            ((*stage, "after"), [-1]),
+            ((*stage, "after"), 5),
+            (("routes", 0, "timeout_ms"), float("nan")),
+            (("routes", 0, "timeout_ms"), 10**400),
+            (("routes", 0, "allowed_regions"), "north"),
+            (("routes", 0, "service"), [[]]),
+            ((*batch, "batch"), 0),
+            ((*batch, "headroom_mb"), 0),
+            (("tenants", 0, "api_keys"), "k1"),
+            (("tenants", 0, "api_keys"), [""]),
+            (("tenants", 0, "priority"), "x"),
+            (("version",), 2**63),
+        ):
+            value = sessions.build_manifest()
+            inner = value
+            for key in place[:-1]:
+                inner = inner[key]
+            inner[place[-1]] = odd
+            with self.assertRaises(errors.MalformedValueError, msg=place):
+                manifest.decode_manifest(value)
+
     def test_cold_limits_and_homes(self):
         value = sessions.build_manifest()
         value["services"][0] |= {"cold_start_s": 3.0, "cold_per_s": 8.0}
