Refuse a link also if odd bytes come behind its request

A handshake with a wrong secret and bytes behind it that are no frame ended its task with a failed assertion of the websockets library. The server of links went on; the client got no answer, and the log a traceback.

Cause: the library ends a connection whose bytes it cannot read, and cannot send a refusal after that.

Evidence: RefusedHandshakeTest failed before (no answer).

Why it works: a refusal is written without the protocol's state, which is not needed any more.

--- a/samphirevale/adapters/link.py
+++ b/samphirevale/adapters/link.py
@@ -311,9 +311,13 @@
             return None
         request = next(iter(protocol.events_received()), None)
     response = _choose_response(protocol, request, secret)
+    if response.status_code != 101:
+        # The protocol cannot send it if what came behind the request was odd.
+        await stream.sendall(response.serialize())
+        return None
     protocol.send_response(response)
     await stream.sendall(b"".join(protocol.data_to_send()))
-    return protocol if response.status_code == 101 else None
+    return protocol
 
 
 def _choose_response(
--- a/tests/adapters/test_link.py
+++ b/tests/adapters/test_link.py
@@ -46,6 +46,30 @@
         await server.cancel()
 
 
+class RefusedHandshakeTest(base.TestCase):
+    """A handshake that is refused, with bytes behind it."""
+
+    async def test_refusal_is_written_whatever_comes_behind_the_request(self):
+        """An odd frame behind a wrong secret raised an error of the program."""
+        request = (
+            b"GET / HTTP/1.1\r\nHost: h\r\nUpgrade: websocket\r\n"
+            b"Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
+            b"Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n"
+            b"Authorization: Bearer other\r\n\r\n"
+        )
+        port = base.find_free_port()
+        server = await curio.spawn(
+            link.serve, None, HOST, port, SECRET, daemon=True
+        )
+        await curio.sleep(0.05)
+        client = await curio.open_connection(HOST, port)
+        async with client:
+            await client.sendall(request + b"\x00\x00")
+            answer = await client.recv(65536)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 401 "), answer)
+        await server.cancel()
+
+
 class LimitTest(base.TestCase):
     """Connections over a server's limit."""
 
