--- a/tests/fuzz/test_answers.py
+++ b/tests/fuzz/test_answers.py
@@ -1,7 +1,8 @@
 """Fuzzes the answers of endpoints, and what comes behind, before and between.
 
 An answer is handed to its own call or to none; a promise that a call has not
-run is kept; no error but that of a transport reaches the caller.
+run is kept; no error but that of a transport reaches the caller; a result that
+is handed on can be named in a header.
 """
 
 import contextlib
@@ -14,7 +15,7 @@
 from samphirevale import errors
 from samphirevale.platform import endpoints
 from tests import base, odd_values, proxy_fakes
-from tests.fuzz import test_stored_objects
+from tests.fuzz import inputs, test_stored_objects
 from tests.platform import test_endpoints
 
 # The timeout of each call, in seconds; an endpoint may never answer.
@@ -41,17 +42,24 @@
     odd_values.VALUES.map(
         lambda value: json.dumps({"items": [value]}).encode()
     ),
+    strategies.tuples(
+        strategies.sampled_from(["handle", "reason"]), odd_values.VALUES
+    ).map(lambda item: json.dumps({"items": [dict([item])]}).encode()),
     test_stored_objects.RAW_TEXTS.map(lambda text: b'{"free_mb":%s}' % text),
 )
 
 # What an endpoint does with one call: what it writes before and behind the
-# answer, whether it writes an earlier answer once more, and what it answers.
+# answer, also before it has read the call, whether it writes an earlier answer
+# once more, what it answers, and where it cuts that off.
 STEPS = strategies.fixed_dictionaries(
     {
         "kind": strategies.sampled_from(
             ["run", "run", "refuse", "odd body", "odd bytes", "close"]
         ),
-        "before": strategies.sampled_from(["", "", "", "earlier"]),
+        "before": strategies.sampled_from(["", "", "", "earlier", "early"]),
+        "cut": strategies.one_of(
+            strategies.none(), strategies.integers(0, 300)
+        ),
         "behind": strategies.sampled_from(["", "", "copy", "odd"]),
         "odd": ODD_BYTES,
         "body": ODD_BODIES,
@@ -80,6 +88,8 @@
         earlier = b""
         with contextlib.suppress(OSError):
             async with client:
+                if self._steps and self._steps[0]["before"] == "early":
+                    await client.sendall(self._steps[0]["odd"])
                 while data := await client.recv(65536):
                     if not self._steps:
                         return
@@ -87,11 +97,12 @@
                     answer = self.build_answer(step, data)
                     if not answer:
                         return
-                    before = earlier if step["before"] else b""
+                    before = earlier if step["before"] == "earlier" else b""
                     behind = {"": b"", "copy": answer, "odd": step["odd"]}
-                    await client.sendall(
-                        before + answer + behind[step["behind"]]
-                    )
+                    written = before + answer + behind[step["behind"]]
+                    await client.sendall(written[: step["cut"]])
+                    if step["cut"] is not None:
+                        return
                     earlier = answer
 
     def build_answer(self, step, data):
@@ -120,7 +131,7 @@
 class AnswersTest(base.TestCase):
     """Tests calls of all kinds to one endpoint, one after the other."""
 
-    @test_stored_objects.limit_inputs
+    @inputs.limit_inputs
     @hypothesis.given(CALLS)
     def test_answers(self, calls):
         curio.run(self.check_calls, calls)
@@ -157,6 +168,11 @@
         if kind == "batch":
             items = [proxy_fakes.build_item()]
             (found,) = await self.client.run_batch(self.endpoint, items, 100.0)
+            self.assertEqual(bool(found.result), not found.reason)
+            text = found.result + found.reason
+            self.assertTrue(text.isascii() and text.isprintable(), text)
+            self.assertNotIn(",", found.result)
+            self.assertLessEqual(len(text), 256)
             if found.result.startswith("h") and found.result[1:].isdigit():
                 self.assertEqual(f"h{number}", found.result)
         elif kind == "send":
--- a/tests/fuzz/test_messages.py
+++ b/tests/fuzz/test_messages.py
@@ -10,7 +10,7 @@
 
 from samphirevale import entry_messages, errors, messages
 from tests import base, odd_values
-from tests.fuzz import test_stored_objects
+from tests.fuzz import inputs
 
 TAGS = strategies.sampled_from(
     [
@@ -48,7 +48,7 @@
 class MessagesTest(base.TestCase):
     """Tests the decoder of frames."""
 
-    @test_stored_objects.limit_inputs
+    @inputs.limit_inputs
     @hypothesis.given(FRAMES)
     def test_frames(self, data):
         try:
--- a/tests/fuzz/test_requests.py
+++ b/tests/fuzz/test_requests.py
@@ -11,7 +11,7 @@
 from samphirevale.platform import callers
 from samphirevale.platform import headers as names
 from tests import base
-from tests.fuzz import test_stored_objects
+from tests.fuzz import inputs
 
 DIGITS = strategies.one_of(
     strategies.integers().map(str),
@@ -44,7 +44,7 @@
 class RequestsTest(base.TestCase):
     """Tests the decoder of requests."""
 
-    @test_stored_objects.limit_inputs
+    @inputs.limit_inputs
     @hypothesis.given(
         strategies.dictionaries(strategies.sampled_from(NAMES), VALUES),
         strategies.text(max_size=20),
--- a/tests/fuzz/test_settings.py
+++ b/tests/fuzz/test_settings.py
@@ -12,7 +12,7 @@
 from samphirevale import errors
 from samphirevale.platform import node_file
 from tests import base
-from tests.fuzz import test_stored_objects
+from tests.fuzz import inputs
 from tests.platform import test_decoding
 
 LITERALS = strategies.one_of(
@@ -79,7 +79,7 @@
         for port in (gateway.caller_port, gateway.ready_port):
             self.assertIn(port, range(1, 65536))
 
-    @test_stored_objects.limit_inputs
+    @inputs.limit_inputs
     @hypothesis.given(
         strategies.dictionaries(
             strategies.sampled_from(LINES), LITERALS, min_size=1, max_size=3
@@ -88,7 +88,7 @@
     def test_values(self, values):
         self.check(replace_values(values))
 
-    @test_stored_objects.limit_inputs
+    @inputs.limit_inputs
     @hypothesis.given(strategies.sampled_from(SECTIONS), LITERALS)
     def test_sections(self, section, literal):
         text = test_decoding.SETTINGS
@@ -98,7 +98,7 @@
             text = before + (f"[{after}" if bracket else "")
         self.check(f"{section} = {literal}\n{text}")
 
-    @test_stored_objects.limit_inputs
+    @inputs.limit_inputs
     @hypothesis.given(strategies.text(max_size=40))
     def test_texts(self, text):
         self.check(text)
--- a/tests/fuzz/test_stored_objects.py
+++ b/tests/fuzz/test_stored_objects.py
@@ -2,22 +2,24 @@
 
 One odd object lies among sound ones. Seen from outside, it names nothing to
 use, and the others hold: they are known, and changes of them take effect.
-
-More inputs by hand, with fresh seeds:
-
-    SAMPHIREVALE_FUZZ_INPUTS=100000 python -m unittest \
-        tests.fuzz.test_stored_objects
 """
 
 import contextlib
 import json
-import os
 
 import curio
 import hypothesis
 from hypothesis import strategies
 
-from samphirevale import errors, gateway, registrations
+from samphirevale import (
+    crashing_part_store,
+    errors,
+    gateway,
+    messages,
+    registrations,
+    settled_era,
+    stored_values,
+)
 from samphirevale.adapters import json_parts, store_client
 from samphirevale.origins import records
 from samphirevale.platform import __main__ as program
@@ -25,19 +27,9 @@
 from samphirevale.platform import store as platform_store
 from samphirevale.ports import objects
 from tests import base, odd_values, proxy_fakes, test_gateway_settings
+from tests.fuzz import inputs
 from tests.platform import sessions
 
-# The number of inputs of each test; 0 for the seeded ones of CI.
-INPUTS = int(os.environ.get("SAMPHIREVALE_FUZZ_INPUTS", "0"))
-
-limit_inputs = hypothesis.settings(
-    derandomize=not INPUTS,
-    deadline=None,
-    max_examples=INPUTS or 60,
-    database=None,
-    suppress_health_check=list(hypothesis.HealthCheck),
-)
-
 SETTINGS = test_gateway_settings.SETTINGS._replace(cordon_seconds=5.0)
 
 ENDPOINT = sessions.build_registration("plain1", 80)
@@ -45,6 +37,12 @@
 RECORD = {"origins": [["plain", "v1"]], "moved": {}, "streams": {"a": 0}}
 
 
+PARTS = {"groups": [{"parts": ["p", "q"], "ends_at": 4e9}]}
+
+# The newest version that a manifest can have.
+LAST_VERSION = stored_values.INTEGER_LIMIT
+
+
 class StopError(curio.CancelledError):
     """Ends a watcher, which otherwise runs until cancelled."""
 
@@ -55,6 +53,7 @@
     def __init__(self, bodies):
         super().__init__("http://127.0.0.1:9")
         self._bodies = list(bodies)
+        self.written = []
 
     async def read(self, target, seconds=None, levels=0):
         if not self._bodies:
@@ -64,6 +63,10 @@
             raise errors.StoreUnavailableError("not JSON")
         return store_client.Reply(200, value, {})
 
+    async def write(self, method, target, value, request_headers=()):
+        self.written.append(value)
+        return store_client.Reply(200, {"metadata": {"revision": 6}}, {})
+
 
 def nest(depth):
     """Returns a text that nests objects."""
@@ -112,9 +115,9 @@
     return strategies.one_of(fields.map(join), texts)
 
 
-def build_object(name, text):
+def build_object(name, text, revision=5):
     """Returns the text of a stored object."""
-    metadata = encode({"name": name, "revision": 5})
+    metadata = encode({"name": name, "revision": revision})
     return b'{"metadata":' + metadata + b',"spec":' + text + b',"status":null}'
 
 
@@ -156,9 +159,11 @@
 class StoredObjectsTest(base.TestCase):
     """Tests each kind that is read with one odd object of it."""
 
-    @limit_inputs
-    @hypothesis.given(build_specs(ENDPOINT), build_specs(ENDPOINT))
-    def test_endpoints(self, odd, later):
+    @inputs.limit_inputs
+    @hypothesis.given(
+        build_specs(ENDPOINT), build_specs(ENDPOINT), odd_values.VALUES
+    )
+    def test_endpoints(self, odd, later, revision):
         sound = [
             build_object(name, encode(ENDPOINT | {"address": address}))
             for name, address in (("a", "10.0.0.1:80"), ("c", "10.0.0.2:80"))
@@ -167,7 +172,9 @@
         entry = curio.run(
             read(
                 endpoint_objects.KIND,
-                build_list(sound[0], build_object("b", odd), sound[1]),
+                build_list(
+                    sound[0], build_object("b", odd, revision), sound[1]
+                ),
                 build_events(build_object("b", later), drained),
             )
         )
@@ -180,7 +187,7 @@
             f"{endpoint}".encode()
             json.dumps(known.list_origins(), default=list)
 
-    @limit_inputs
+    @inputs.limit_inputs
     @hypothesis.given(build_specs(ENTRY), build_specs(ENTRY))
     def test_entries(self, odd, later):
         sound = encode(ENTRY)
@@ -195,7 +202,7 @@
         )
         self.assertLessEqual({"a", "c"}, set(entry.table.list_registered()))
 
-    @limit_inputs
+    @inputs.limit_inputs
     @hypothesis.given(build_specs({}), odd_values.TEXTS)
     def test_cordons(self, odd, name):
         entry = curio.run(
@@ -210,32 +217,70 @@
         for each in cordoned:
             each.encode()
 
-    @limit_inputs
+    @inputs.limit_inputs
     @hypothesis.given(build_specs(sessions.build_manifest()))
     def test_routes(self, odd):
-        table = encode(sessions.build_manifest(version=2**70))
+        table = encode(sessions.build_manifest(version=LAST_VERSION))
         entry = curio.run(
             read(
                 "config",
                 build_list(build_object("main", odd)),
-                build_events(build_object("main", table)),
+                build_events(
+                    build_object("other", odd), build_object("main", table)
+                ),
             )
         )
-        self.assertIn("routes_adopted", entry._journal.list_events())
-
-    @limit_inputs
-    @hypothesis.given(build_specs(RECORD))
-    def test_records(self, odd):
+        self.assertEqual(LAST_VERSION, entry.cluster_state.table.version)
+
+    @inputs.limit_inputs
+    @hypothesis.given(
+        build_specs(ENTRY),
+        build_specs(PARTS),
+        build_specs({"era": 4}),
+        strategies.sampled_from(["list", "watch"]),
+    )
+    def test_shared(self, own, parts, era, kind):
+        """Odd objects that all entries write lie beside a sound entry."""
+        odd = [
+            build_object(SETTINGS.instance, own),
+            build_object(crashing_part_store.NAME, parts),
+            build_object(settled_era.NAME, era),
+            build_object("a", encode(ENTRY)),
+        ]
+        found = build_list(*odd) if kind == "list" else build_list()
+        events = build_events(*(odd if kind == "watch" else odd[-1:]))
+        entry = curio.run(read(registrations.KIND, found, events))
+        self.assertEqual(["a"], entry.table.list_registered())
+        store = entry.crashing_part_store
+        groups = store._build_missing(0.0)
+        if groups is not None:
+            encode(crashing_part_store.encode_groups(groups))
+        messages.encode_frame(entry._crashes.build_evidence(), 0)
+        self.assertFalse(entry._crashes.refuses(proxy_fakes.build_request()))
+
+    @inputs.limit_inputs
+    @hypothesis.given(
+        build_specs(RECORD),
+        strategies.sampled_from(["x", SETTINGS.instance]),
+        odd_values.VALUES,
+    )
+    def test_records(self, odd, name, revision):
+        """An odd record, also an earlier process's, lies beside a sound one."""
         listed = build_list(
-            build_object("x", odd), build_object("y", encode(RECORD))
+            build_object(name, odd, revision),
+            build_object("y", encode(RECORD)),
         )
-        entry = build_gateway([listed])
-        table = sessions.build_manifest()
+        entry = build_gateway([listed, listed])
+        store = entry._adapters.store
         adapters = program.build_platform_adapters(
             node_file.NodeFile(SETTINGS, "http://127.0.0.1:9")
         )
-        entry.cluster_state.adopt_table(adapters.decode_routes(table))
+        table = adapters.decode_routes(sessions.build_manifest())
+        entry.cluster_state.adopt_table(table)
         find = entry.origin_recorder.find("a", "/write/", {"plain"})
         found = curio.run(find)
         if found is not None:
             records.encode_record(records.OriginRecord(frozenset({found})))
+        curio.run(entry.origin_recorder.update)
+        for written in store.written:
+            encode(written)
