Check the rows of a report by columns

Columns of the usual types are checked by their least, their greatest and their sum, which is no number if one value is none; only messages that fail there are checked by rows. What is left out is the same: tests.test_message_checks and tests.fuzz.test_entries pass unchanged.

--- a/samphirevale/message_checks.py
+++ b/samphirevale/message_checks.py
@@ -6,8 +6,10 @@
 finite and within the range that they are written in.
 """
 
-from collections.abc import Callable, Iterable
-from typing import Any
+import functools
+import math
+from collections.abc import Callable, Sequence
+from typing import Any, NamedTuple
 
 from samphirevale import endpoint_limits, entry_messages, messages
 from samphirevale import stored_values as values
@@ -104,22 +106,96 @@
     )
 
 
+class _Column(NamedTuple):
+    """The check of one field of all rows.
+
+    Attributes:
+        accept: returns whether a value is sound.
+        accept_all: returns True only if all values of a column are sound. It is
+            fast, as most messages are, and may return False nevertheless.
+    """
+
+    accept: Accept
+    accept_all: Callable[[Sequence[Any]], bool] = lambda column: False
+
+
+def _build_number_column(
+    accept: Accept, types: frozenset[type], lowest: float, highest: float
+) -> _Column:
+    """Returns the check of numbers in a range."""
+
+    def accept_all(column: Sequence[Any]) -> bool:
+        # The sum is no number if one of them is none, which the largest and
+        # the smallest one need not show.
+        return (
+            types.issuperset(map(type, column))
+            and lowest <= min(column)
+            and max(column) <= highest
+            and math.isfinite(sum(column))
+        )
+
+    return _Column(accept, accept_all)
+
+
+def _are_short(column: Sequence[Any]) -> bool:
+    """Returns whether all values of a column are texts of a usual length."""
+    return (
+        _STRING.issuperset(map(type, column))
+        and max(map(len, column)) <= values.TEXT_LIMIT
+    )
+
+
+# The names of endpoints come again in each message.
+_is_token_again = functools.lru_cache(ROWS_LIMIT)(values.is_token)
+
+
+def _are_tokens(column: Sequence[Any]) -> bool:
+    return _are_short(column) and all(map(_is_token_again, column))
+
+
+_STRING = frozenset({str})
+_WHOLE = frozenset({int})
+_NUMBER = frozenset({int, float})
+
+_NAME = _Column(values.is_token, _are_tokens)
+_TEXT = _Column(_is_text, _are_short)
+_COUNT = _build_number_column(_is_count, _WHOLE, 0, values.INTEGER_LIMIT)
+_INTEGER = _build_number_column(
+    _is_integer, _WHOLE, -values.INTEGER_LIMIT, values.INTEGER_LIMIT
+)
+_SECONDS = _build_number_column(_is_seconds, _NUMBER, 0, SECONDS_LIMIT)
+_AGE = _build_number_column(_is_age, _NUMBER, 0, MILLISECONDS_LIMIT)
+_LIMIT = _Column(_is_limit)
+
 _QUEUE_STATE = (
-    *(_is_count, _is_count, _is_count, _is_count, _is_integer),
-    *(_is_seconds, _is_seconds, _is_seconds),
+    *(_COUNT, _COUNT, _COUNT, _COUNT, _INTEGER),
+    *(_SECONDS, _SECONDS, _SECONDS),
 )
 
 
-def _fits(row: Any, accepts: tuple[Accept, ...]) -> bool:
+def _fits(row: list, columns: Sequence[_Column]) -> bool:
     """Returns whether a row has exactly these fields."""
-    return len(row) == len(accepts) and all(
-        accept(value) for accept, value in zip(accepts, row, strict=True)
+    return len(row) == len(columns) and all(
+        column.accept(value) for column, value in zip(columns, row, strict=True)
     )
 
 
-def _keep(rows: Iterable[list], *accepts: Accept) -> list[list]:
+def _keep(rows: list[list], *columns: _Column) -> list[list]:
     """Returns the rows that have exactly these fields."""
-    return [row for row in rows if _fits(row, accepts)][:ROWS_LIMIT]
+    if not rows:
+        return rows
+    if (
+        len(rows) <= ROWS_LIMIT
+        and set(map(len, rows)) == {len(columns)}
+        and all(
+            column.accept_all(found)
+            for column, found in zip(
+                columns, zip(*rows, strict=True), strict=True
+            )
+        )
+    ):
+        return rows
+    return [row for row in rows if _fits(row, columns)][:ROWS_LIMIT]
 
 
 def _are_crashes(row: list) -> bool:
@@ -133,20 +209,18 @@
     version = report.cordons_version
     knows_cordons = knows_era and _is_version(version)
     return report._replace(
-        queues=_keep(report.queues, values.is_token, *_QUEUE_STATE),
-        loads=_keep(report.loads, values.is_token, _is_count, _is_count),
+        queues=_keep(report.queues, _NAME, *_QUEUE_STATE),
+        loads=_keep(report.loads, _NAME, _COUNT, _COUNT),
         crashed=list(filter(_are_crashes, report.crashed))[:ROWS_LIMIT],
-        pauses=_keep(report.pauses, values.is_token, _is_count, _is_age),
-        limits=_keep(
-            report.limits, values.is_token, _is_count, _is_limit, _is_age
-        ),
+        pauses=_keep(report.pauses, _NAME, _COUNT, _AGE),
+        limits=_keep(report.limits, _NAME, _COUNT, _LIMIT, _AGE),
         store_era=report.store_era if knows_era else entry_messages.NO_ERA,
         routes_version=(
             report.routes_version
             if _is_version(report.routes_version)
             else entry_messages.NO_ROUTES
         ),
-        demands=_keep(report.demands, _is_text, _is_text, _is_age),
+        demands=_keep(report.demands, _TEXT, _TEXT, _AGE),
         cordoned=list(filter(values.is_text, report.cordoned))[:ROWS_LIMIT],
         cordons_version=version if knows_cordons else entry_messages.NO_CORDONS,
     )
@@ -170,13 +244,14 @@
 def _check_evidence(message: entry_messages.CrashEvidence) -> Any:
     crashes = _keep(
         message.crashes,
-        *(values.is_token, _is_count, _is_age),
-        *(_are(_is_text, PARTS_LIMIT), _are(_is_age, PARTS_LIMIT)),
+        *(_NAME, _COUNT, _AGE),
+        _Column(_are(_is_text, PARTS_LIMIT)),
+        _Column(_are(_is_age, PARTS_LIMIT)),
     )
     return entry_messages.CrashEvidence(
         [row for row in crashes if len(row[3]) == len(row[4])],
-        _keep(message.answered, _is_text, _is_age),
-        _keep(message.heard, values.is_token, _is_count, _is_age),
+        _keep(message.answered, _TEXT, _AGE),
+        _keep(message.heard, _NAME, _COUNT, _AGE),
     )
 
 
@@ -195,7 +270,7 @@
         and _is_count(abs(request.remaining_ms))
         and _is_integer(request.rank)
     )
-    transfers = _keep(request.transfers, values.is_text, _is_count)
+    transfers = _keep(request.transfers, _TEXT, _COUNT)
     return request._replace(transfers=transfers) if sound else None
 
 
