Begin no link with a client that writes before the answer

What callers saw: nothing; found by tests.fuzz.test_links (5,000 inputs). A close frame behind the request of a handshake, before its answer, ended the task of the connection with a failed assertion of the websockets library once the link was to be closed. Other connections were accepted.

Cause: the library reads frames behind the request at once, and still takes the connection for an open one when the answer is sent.

Evidence: OddHandshakeTest.test_no_link_begins_with_frames_before_the_answer failed before.

Why it works: a client may not send a frame before the answer, and ours do not; such a connection is closed.

--- a/samphirevale/adapters/link.py
+++ b/samphirevale/adapters/link.py
@@ -300,8 +300,8 @@
     protocol = websocket_server.ServerProtocol(
         max_size=messages.FRAME_BYTES_LIMIT
     )
-    request = None
-    while request is None:
+    events: list[Any] = []
+    while not events:
         data = await stream.recv(READ_BYTES)
         if not data:
             return None
@@ -309,12 +309,16 @@
         if protocol.handshake_exc is not None:
             await stream.sendall(b"".join(protocol.data_to_send()))
             return None
-        request = next(iter(protocol.events_received()), None)
+        events = protocol.events_received()
+    request, *early = events
     response = _choose_response(protocol, request, secret)
     if response.status_code != 101:
         # The protocol cannot send it if what came behind the request was odd.
         await stream.sendall(response.serialize())
         return None
+    # Frames before the answer, which may have ended the protocol already.
+    if early or protocol.eof_sent:
+        return None
     protocol.send_response(response)
     await stream.sendall(b"".join(protocol.data_to_send()))
     return protocol
--- a/tests/adapters/test_link.py
+++ b/tests/adapters/test_link.py
@@ -46,28 +46,49 @@
         await server.cancel()
 
 
-class RefusedHandshakeTest(base.TestCase):
-    """A handshake that is refused, with bytes behind it."""
+class OddHandshakeTest(base.TestCase):
+    """Bytes behind the request of a handshake."""
 
-    async def test_refusal_is_written_whatever_comes_behind_the_request(self):
-        """An odd frame behind a wrong secret raised an error of the program."""
+    async def ask(self, secret, behind):
+        """Returns the answer to a handshake with some bytes behind it."""
         request = (
             b"GET / HTTP/1.1\r\nHost: h\r\nUpgrade: websocket\r\n"
             b"Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
             b"Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n"
-            b"Authorization: Bearer other\r\n\r\n"
+            b"Authorization: Bearer " + secret + b"\r\n\r\n"
         )
+
+        async def read_all(connection):
+            with contextlib.suppress(errors.TransportError):
+                while True:
+                    await connection.receive()
+
         port = base.find_free_port()
         server = await curio.spawn(
-            link.serve, None, HOST, port, SECRET, daemon=True
+            link.serve, read_all, HOST, port, SECRET, daemon=True
         )
         await curio.sleep(0.05)
         client = await curio.open_connection(HOST, port)
         async with client:
-            await client.sendall(request + b"\x00\x00")
+            await client.sendall(request + behind)
             answer = await client.recv(65536)
-        self.assertTrue(answer.startswith(b"HTTP/1.1 401 "), answer)
         await server.cancel()
+        return answer
+
+    async def test_refusal_is_written_whatever_comes_behind_the_request(self):
+        """An odd frame behind a wrong secret raised an error of the program."""
+        answer = await self.ask(b"other", b"\x00\x00")
+        self.assertTrue(answer.startswith(b"HTTP/1.1 401 "), answer)
+
+    async def test_no_link_begins_with_frames_before_the_answer(self):
+        """A close before the answer raised an error of the program.
+
+        Seed 810001 of tests.fuzz.test_links with 5,000 inputs.
+        """
+        early_close = b"\x88\xfe\x00\x00\x00\x00\x00\x00"
+        with self.assertNoLogs("curio", "ERROR"):
+            answer = await self.ask(SECRET.encode(), early_close)
+        self.assertEqual(b"", answer)
 
 
 class LimitTest(base.TestCase):
