Tell other entries no text of a caller that they do not take

Parts of prompts and ids of attempts may be as long as a head, and went whole into the evidence of crashes and into reports: 64 crashes with 64 parts of 16 kB are far beyond the 4 MB of a frame, so that every entry that connects would have closed its link.

Cause: what comes from callers was bounded by the number of texts only.

Why it works: sender and receiver ask one function. A part or an attempt that is too long counts at the entry that saw it, and is not told; the others of the same crash are.

--- a/samphirevale/crash_reports.py
+++ b/samphirevale/crash_reports.py
@@ -11,6 +11,7 @@
     crashing_parts,
     entry_messages,
     journal,
+    message_checks,
     messages,
     metrics,
     proxy_requests,
@@ -192,13 +193,21 @@
         def compute_age(at: float) -> float:
             return messages.round_ms((now - at) * 1000)
 
+        def list_parts(parts: Iterable[str]) -> list[str]:
+            return message_checks.list_sendable(
+                parts, message_checks.PARTS_LIMIT
+            )
+
         return entry_messages.CrashEvidence(
             [
                 [
                     *start,
                     compute_age(crash.at),
-                    list(crash.sent),
-                    list(map(compute_age, crash.sent.values())),
+                    list_parts(crash.sent),
+                    [
+                        compute_age(crash.sent[part])
+                        for part in list_parts(crash.sent)
+                    ],
                 ]
                 for start, crash in self.parts.list_crashes()
                 if start in crashes
@@ -206,6 +215,7 @@
             [
                 [part, compute_age(at)]
                 for part, at in self.parts.list_answered(answers)
+                if message_checks.is_sendable(part)
             ],
             [
                 [*start, compute_age(at)]
--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -23,6 +23,7 @@
     input_fingerprints,
     item_routing,
     journal,
+    message_checks,
     messages,
     metrics,
     notice_handler,
@@ -246,7 +247,15 @@
         return entry_messages.EntryReport(
             self.item_runner.describe_queues(now),
             self._selector.describe_loads(),
-            [[name, *attempts] for name, attempts in crashed],
+            [
+                [
+                    name,
+                    *message_checks.list_sendable(
+                        sorted(attempts), message_checks.ATTEMPTS_LIMIT
+                    ),
+                ]
+                for name, attempts in crashed
+            ],
             self._notices.describe_pauses(now),
             self._notices.describe_limits(now),
             entry_messages.encode_era(self.cluster_watch.eras.newest),
--- a/samphirevale/message_checks.py
+++ b/samphirevale/message_checks.py
@@ -7,8 +7,9 @@
 """
 
 import functools
+import itertools
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import Any, NamedTuple
 
 from samphirevale import endpoint_limits, entry_messages, messages
@@ -59,10 +60,16 @@
     return add
 
 
-def _is_text(value: Any) -> bool:
+def is_sendable(value: Any) -> bool:
+    """Returns whether a value is a text that another entry takes."""
     return isinstance(value, str) and len(value) <= values.TEXT_LIMIT
 
 
+def list_sendable(texts: Iterable[str], most: int) -> list[str]:
+    """Returns texts of callers that another entry takes, at most so many."""
+    return list(itertools.islice(filter(is_sendable, texts), most))
+
+
 def _is_count(value: Any) -> bool:
     return values.is_integer(value) and 0 <= value <= values.INTEGER_LIMIT
 
@@ -158,7 +165,7 @@
 _NUMBER = frozenset({int, float})
 
 _NAME = _Column(values.is_token, _are_tokens)
-_TEXT = _Column(_is_text, _are_short)
+_TEXT = _Column(is_sendable, _are_short)
 _COUNT = _build_number_column(_is_count, _WHOLE, 0, values.INTEGER_LIMIT)
 _INTEGER = _build_number_column(
     _is_integer, _WHOLE, -values.INTEGER_LIMIT, values.INTEGER_LIMIT
@@ -200,7 +207,7 @@
 
 def _are_crashes(row: list) -> bool:
     """Returns whether a row has a fingerprint and the ids of attempts."""
-    return 2 <= len(row) <= 1 + ATTEMPTS_LIMIT and all(map(_is_text, row))
+    return 1 <= len(row) <= 1 + ATTEMPTS_LIMIT and all(map(is_sendable, row))
 
 
 @_register(entry_messages.EntryReport)
@@ -245,7 +252,7 @@
     crashes = _keep(
         message.crashes,
         *(_NAME, _COUNT, _AGE),
-        _Column(_are(_is_text, PARTS_LIMIT)),
+        _Column(_are(is_sendable, PARTS_LIMIT)),
         _Column(_are(_is_age, PARTS_LIMIT)),
     )
     return entry_messages.CrashEvidence(
--- a/tests/fuzz/test_entries.py
+++ b/tests/fuzz/test_entries.py
@@ -10,7 +10,12 @@
 import hypothesis
 from hypothesis import strategies
 
-from samphirevale import catalogue, entry_messages
+from samphirevale import (
+    catalogue,
+    entry_messages,
+    message_checks,
+    proxy_requests,
+)
 from samphirevale.platform import cordon_objects, endpoint_objects, manifest
 from tests import proxy_fakes
 from tests.fuzz import entry_links, entry_sessions, inputs, test_stored_objects
@@ -133,6 +138,41 @@
         self.assertFalse(notices.limits)
         self.assertFalse(notices._paused_elsewhere_until)
 
+    @inputs.limit_inputs
+    @hypothesis.given(
+        strategies.lists(
+            strategies.one_of(
+                entry_links.SCALARS[str], strategies.sampled_from("pqr")
+            ),
+            min_size=1,
+            max_size=6,
+        ),
+        strategies.integers(1, 40),
+    )
+    def test_callers(self, texts, crashes):
+        """What callers name is told only as far as other entries take it."""
+        curio.run(self.check_callers, texts, crashes)
+
+    async def check_callers(self, texts, crashes):
+        await self.start()
+        now = self.clock.now()
+        parts = tuple(proxy_requests.PromptPart(text, 1) for text in texts)
+        request = proxy_fakes.build_request(prompt=(*parts, parts[0]))
+        for number in range(crashes):
+            endpoint = proxy_fakes.build_endpoint(f"e{number}")
+            self.entry._crashes.record_crash(endpoint, request, now)
+            attempts = [f"{number}{text}" for text in texts]
+            self.entry._quarantine.add_crashes("f", attempts, now)
+        self.entry._crashes.record_answer(request)
+        for message in (
+            self.entry._crashes.build_evidence(),
+            self.entry._build_report(now),
+        ):
+            self.assertIs(message, message_checks.check(message))
+        await self.check_sent()
+        await self.sound.put(None)
+        await self.sound_task.join()
+
     @inputs.limit_inputs
     @hypothesis.given(strategies.data())
     def test_rows(self, data):
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -1,6 +1,12 @@
 """Tests of what entries tell each other of crashes."""
 
-from samphirevale import crash_reports, crashing_parts, messages, proxy_requests
+from samphirevale import (
+    crash_reports,
+    crashing_parts,
+    message_checks,
+    messages,
+    proxy_requests,
+)
 from tests import base, proxy_fakes
 
 NOW = 100.0
@@ -48,6 +54,19 @@
             target.adopt_evidence("source", message)
         self.told = []
 
+    async def test_a_part_too_long_to_be_told_hides_no_other(self):
+        """Parts of a caller's whole head made frames that others refuse."""
+        long = "x" * 300
+        self.crash(self.reports, build_request(long, "p", "q1"))
+        (row,) = self.reports.build_evidence().crashes
+        self.assertEqual((["p"], 1), (row[3], len(row[4])))
+        self.reports.record_answer(build_request(long, "p", "q2"))
+        self.assertEqual(
+            ["p"], [part for part, _ in self.reports.build_evidence().answered]
+        )
+        evidence = self.reports.build_evidence()
+        self.assertIs(evidence, message_checks.check(evidence))
+
     async def test_crashes_at_two_entries_refuse_a_part_at_both(self):
         self.reports.record_answer(SOUND)
         self.crash(self.reports)
