--- a/samphirevale/entries.py
+++ b/samphirevale/entries.py
@@ -11,7 +11,7 @@
 import itertools
 import random
 from collections.abc import Awaitable, Callable, Iterable, Sequence
-from typing import Any, Protocol
+from typing import Any, NamedTuple, Protocol
 
 import curio
 
@@ -23,6 +23,8 @@
     errors,
     journal,
     load_totals,
+    log_limits,
+    message_checks,
     messages,
     ownership,
     registrations,
@@ -53,12 +55,24 @@
 CANCELLED_LIMIT = 256
 
 
-# The messages that answer a request of this entry, by their exchange.
-_ANSWERS = (
-    entry_messages.ItemsResult
-    | entry_messages.RoutesAge
-    | entry_messages.StreamOriginAnswer
-)
+# The messages that answer a request of this entry, by its type.
+_ANSWERS = {
+    entry_messages.ItemsRequest: entry_messages.ItemsResult,
+    entry_messages.RoutesAgeRequest: entry_messages.RoutesAge,
+    entry_messages.StreamOriginRequest: entry_messages.StreamOriginAnswer,
+}
+
+
+class _WaitingCall(NamedTuple):
+    """A request of this entry that another entry has not answered.
+
+    Attributes:
+        answer_type: the type of the answer.
+        queue: receives the answer, or None without one.
+    """
+
+    answer_type: type
+    queue: curio.Queue
 
 
 class ItemServer(Protocol):
@@ -118,8 +132,8 @@
         loads: the load that the entry has placed, by endpoint.
         sent: the numbers of items and bytes that were handed over to the
             entry since its last report, by endpoint.
-        waiting: the queues that receive the answers of the entry, by the id of
-            the exchange.
+        waiting: the requests that the entry has not answered, by the id of the
+            exchange.
         serving: the tasks that run items for the entry, by the id of the
             exchange.
         cancelled: the last exchanges that were cancelled here and may still be
@@ -132,7 +146,7 @@
         self.queues: dict[str, batching.QueueState] = {}
         self.loads: dict[str, load_totals.Load] = {}
         self.sent: dict[str, tuple[int, int]] = {}
-        self.waiting: dict[int, curio.Queue] = {}
+        self.waiting: dict[int, _WaitingCall] = {}
         self.serving: dict[int, curio.Task] = {}
         self.cancelled: collections.deque[int] = collections.deque(
             maxlen=CANCELLED_LIMIT
@@ -243,6 +257,7 @@
         self._clock = clock
         self._rng = rng
         self._journal = log
+        self._log_limiter = log_limits.LogLimiter()
         self._registrations: dict[str, registrations.Registration] = {}
         self._dial_tasks: dict[str, curio.Task] = {}
         self._exchange_ids = itertools.count()
@@ -322,7 +337,10 @@
             ) from error
         if not isinstance(frame.message, messages.Hello):
             raise errors.ProtocolError("the first message must be hello")
-        entry = Entry(link, frame.message)
+        hello = message_checks.check(frame.message)
+        if hello is None or hello.instance == self._me.name:
+            raise errors.ProtocolError("no name of another entry")
+        entry = Entry(link, hello)
         reporter = await curio.spawn(self._report, entry, daemon=True)
         try:
             await self._attach(entry)
@@ -347,8 +365,8 @@
             self._demands.remove_entry(name)
             self._journal.record_event("entry_down", entry=name)
             self._notify_members()
-        for queue in entry.waiting.values():
-            await queue.put(None)
+        for call in entry.waiting.values():
+            await call.queue.put(None)
         for task in list(entry.serving.values()):
             await task.cancel(blocking=False)
 
@@ -387,7 +405,51 @@
                     frame = await entry.link.receive()
             except curio.TaskTimeout as error:
                 raise errors.PeerClosedError("silent") from error
-            await self._handle_message(entry, frame.message)
+            message = message_checks.check(frame.message)
+            if message is not frame.message:
+                self._record_malformed(entry, frame.message)
+            if message is None:
+                await self._refuse_message(entry, frame.message)
+            else:
+                await self._handle_message(entry, message)
+
+    def _record_malformed(self, entry: Entry, message: Any) -> None:
+        """Logs once in a while that a message cannot be used whole."""
+        name = entry.hello.instance
+        if self._log_limiter.permits((name, message.tag), self._clock.now()):
+            self._journal.record_failure(
+                "message_malformed", entry=name, message=message.tag
+            )
+
+    async def _refuse_message(self, entry: Entry, message: Any) -> None:
+        """Ends the exchange of a message that cannot be used."""
+        if isinstance(message, tuple(_ANSWERS.values())):
+            await self._end_exchange(entry, message, None)
+        elif isinstance(message, entry_messages.ItemsRequest):
+            answer = entry_messages.ItemsResult(
+                message.exchange, "", [], [], []
+            )
+            with contextlib.suppress(errors.PeerClosedError):
+                await entry.link.send(answer, 0)
+
+    async def _end_exchange(
+        self, entry: Entry, message: Any, answer: Any
+    ) -> bool:
+        """Hands an answer to the call that waits for it.
+
+        Args:
+            entry: the entry that has answered.
+            message: the message as it came.
+            answer: what of it can be used; None if nothing can.
+
+        Returns:
+            Whether a call waits for a message of this type.
+        """
+        call = entry.waiting.get(message.exchange)
+        if call is None or not isinstance(message, call.answer_type):
+            return False
+        await call.queue.put(answer)
+        return True
 
     async def _handle_message(self, entry: Entry, message: Any) -> None:
         if isinstance(message, entry_messages.EntryReport):
@@ -413,6 +475,8 @@
         elif isinstance(message, entry_messages.CrashEvidence):
             self._crashes.adopt_evidence(entry.hello.instance, message)
         elif isinstance(message, entry_messages.ItemsRequest):
+            if message.exchange in entry.serving:
+                raise errors.ProtocolError("the exchange is not over")
             entry.serving[message.exchange] = await curio.spawn(
                 self._serve_items, entry, message, daemon=True
             )
@@ -422,11 +486,9 @@
             self._adopt_origin(message)
         elif isinstance(message, entry_messages.StreamOriginRequest):
             await self._send_origin(entry, message)
-        elif isinstance(message, _ANSWERS):
-            queue = entry.waiting.get(message.exchange)
-            if queue is not None:
-                await queue.put(message)
-            elif isinstance(message, entry_messages.ItemsResult):
+        elif isinstance(message, tuple(_ANSWERS.values())):
+            taken = await self._end_exchange(entry, message, message)
+            if not taken and isinstance(message, entry_messages.ItemsResult):
                 await self._release_unwanted(entry, message)
         elif isinstance(message, entry_messages.ItemsCancelled):
             task = entry.serving.get(message.exchange)
@@ -581,10 +643,11 @@
 
     async def _exchange(self, entry: Entry, request: Any) -> Any:
         """Sends a request on a link; returns None if the link ends."""
-        queue = entry.waiting[request.exchange] = curio.Queue()
+        call = _WaitingCall(_ANSWERS[type(request)], curio.Queue())
+        entry.waiting[request.exchange] = call
         try:
             await entry.link.send(request, 0)
-            return await queue.get()
+            return await call.queue.get()
         finally:
             del entry.waiting[request.exchange]
 
