--- /dev/null
+++ b/lab/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A seeded play with real processes: releases, restarts, losses, pauses."""
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -1,5 +1,6 @@
 """A test double of the users' platform store: lists, watches and writes."""
 
+import itertools
 import json
 import urllib.parse
 from typing import NamedTuple
@@ -177,8 +178,8 @@
                 return web.Response(410)
             events = [
                 {"deleted": change.deleted, "object": change.stored}
-                for change in self._history
-                if change.kind == kind and change.revision > since
+                for change in self._list_since(since)
+                if change.kind == kind
             ]
             if events or waited * 1000 >= int(query["wait_ms"]):
                 value = {"events": events, "at": self._revision}
@@ -186,6 +187,13 @@
             await curio.sleep(POLL_SECONDS)
             waited += POLL_SECONDS
 
+    def _list_since(self, revision: int) -> list[Change]:
+        """Returns the changes after a revision, in order."""
+        newer = itertools.takewhile(
+            lambda change: change.revision > revision, reversed(self._history)
+        )
+        return [*newer][::-1]
+
     def _write(
         self, request: web.Request, kind: str, path_names: list[str]
     ) -> web.Response:
--- a/standins/servers.py
+++ b/standins/servers.py
@@ -10,7 +10,7 @@
 from samphirevale import errors
 from samphirevale.adapters import web
 
-# The number of events in a stream.
+# The number of events in a stream, if nothing else is said.
 EVENTS = 5
 
 # The delay of the fault `mute`, in seconds, longer than any test's timeout.
@@ -87,6 +87,7 @@
             calls.
         silence_seconds: the duration of a silence, in which none of the
             server's calls and streams goes on.
+        events: the number of events in a stream.
         event_seconds: the time to make an event of a stream.
         call_seconds: the time that a stage call takes.
         item_faults: the reasons of the next items that are not made, in order.
@@ -112,6 +113,7 @@
         self.pause: Pause | None = None
         self.faults: list[str] = []
         self.silence_seconds = 1.2
+        self.events = EVENTS
         self.event_seconds = 0.0
         self.call_seconds = 0.0
         self.item_faults: list[str] = []
@@ -253,7 +255,7 @@
             await self._fall_silent()
         if self.crashing_part in _list_shared_parts(request_headers):
             self.starts += 1
-        for number in range(first, EVENTS + 1):
+        for number in range(first, self.events + 1):
             if self.starts != start:
                 raise errors.AnswerLostError("the server has crashed")
             if fault == "cut" and number == 3:
--- /dev/null
+++ b/tests/lab/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the seeded play with real processes."""
