Answer a take-up whose origin is told as the time for it ends

Cause: one timeout for all questions was around the task group. If it ended while the group, with an answer, cancelled the other questions, curio raised it there, and the group's result could not be read: the origin was dropped, and questions were left running. Ruled out: a failing question (they end with None), the recorder (its timeout is around one lock and one read, and is caught).

Now each question has its own timeout. The test has an answer come while the asking process stands still; before the fix it failed with this error in three of three runs. test_stream_origins, test_ablations, test_proxying, test_entries, platform.test_versions, platform.test_out_of_step: pass.

--- a/samphirevale/stream_origins.py
+++ b/samphirevale/stream_origins.py
@@ -126,10 +126,17 @@
         if known is not None:
             return known
         names = hash_order.order_by_hash(attempt, self._links.list_linked())
-        async with (
-            curio.ignore_after(ASK_SECONDS),
-            curio.TaskGroup(wait=object) as group,
-        ):
+        async with curio.TaskGroup(wait=object) as group:
             for name in names[:ASKED]:
-                await group.spawn(self._links.ask_origin, name, attempt)
+                await group.spawn(self._ask, name, attempt)
         return group.result if group.completed else None
+
+    async def _ask(self, name: str, attempt: str) -> StreamOrigin | None:
+        """Asks one entry; returns None if it does not tell it in time.
+
+        Each question has its own timeout. One for all of them could end while
+        the group, with an answer, cancels the others.
+        """
+        async with curio.ignore_after(ASK_SECONDS):
+            return await self._links.ask_origin(name, attempt)
+        return None
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -1,5 +1,7 @@
 """Tests that entries know which version began a stream."""
 
+import time
+
 import curio
 import hypothesis
 from hypothesis import strategies
@@ -41,6 +43,10 @@
         self.clock = proxy_fakes.FakeClock()
         self.origins = {name: stream_origins.StreamOrigins() for name in names}
         self.silent = set()
+        # Entries whose answer comes while the asking process stands still.
+        self.stalling = set()
+        # The questions that have not ended.
+        self.open_questions = 0
 
     def build_directory(self, name):
         links = FakeLinks(self, [n for n in self.origins if n != name])
@@ -64,8 +70,18 @@
         self._fleet.origins[name].record(attempt, origin, until)
 
     async def ask_origin(self, name, attempt):
+        self._fleet.open_questions += 1
+        try:
+            return await self._answer(name, attempt)
+        finally:
+            self._fleet.open_questions -= 1
+
+    async def _answer(self, name, attempt):
         if name in self._fleet.silent:
             await curio.sleep(100)
+        if name in self._fleet.stalling:
+            await curio.sleep(0.01)
+            time.sleep(2 * stream_origins.ASK_SECONDS)
         return self._fleet.origins[name].find(attempt, self._fleet.clock.now())
 
 
@@ -112,6 +128,17 @@
         async with curio.timeout_after(4 * stream_origins.ASK_SECONDS):
             self.assertIsNone(await fleet.build_directory("entry0").find("a1"))
 
+    async def test_answer_that_came_while_the_process_stood_still_is_used(self):
+        fleet = FakeFleet(["entry0", "entry1", "entry2", "entry3"])
+        await fleet.build_directory("entry1").record("a1", ORIGIN, 110.0)
+        # The entry itself has forgotten it.
+        fleet.origins["entry0"] = stream_origins.StreamOrigins()
+        fleet.stalling = {"entry1"}
+        fleet.silent = {"entry2", "entry3"}
+        asking = fleet.build_directory("entry0")
+        self.assertEqual(ORIGIN, await asking.find("a1"))
+        self.assertEqual(0, fleet.open_questions)
+
     async def test_entry_without_links_knows_its_own_streams(self):
         fleet = FakeFleet(["entry0"])
         directory = fleet.build_directory("entry0")
