--- a/lab/soak/checks.py
+++ b/lab/soak/checks.py
@@ -20,6 +20,9 @@
     UNKNOWN: "lines are missing",
 }
 
+# The status of an unexpected error in an entry. No endpoint answers with it.
+INTERNAL_ERROR = 500
+
 # The largest error of the times of lines, in seconds.
 SLACK_SECONDS = 0.005
 
@@ -72,6 +75,11 @@
     for stream, legs in group_streams(seen.legs).items():
         findings += _check_stream(stream, legs, seen.events)
     findings += _check_once(seen)
+    findings += [
+        Finding("error", leg.attempt, leg.text)
+        for leg in seen.legs
+        if leg.status == INTERNAL_ERROR
+    ]
     findings += [Finding("dead", name, "ended by itself") for name in seen.dead]
     return findings
 
--- a/lab/soak/endpoints.py
+++ b/lab/soak/endpoints.py
@@ -26,6 +26,10 @@
 # The timeout of a call to the store, in seconds.
 STORE_SECONDS = 1.0
 
+# The faults of streams: they end within an event, fall silent in the middle or
+# before the first event, or are refused.
+FAULTS = ("cut", "stall", "late", "full")
+
 # The longest time that a plain request takes, in seconds.
 PLAIN_SECONDS = 0.1
 
@@ -40,6 +44,7 @@
         event_seconds: the time to make an event.
         slots: the requests that each endpoint says it runs at a time.
         closing: the share of reports behind which a connection is closed.
+        faults: the share of streams that have a fault.
         endpoint_host: the address of the endpoints.
         host: the address of the calls that control them.
     """
@@ -50,6 +55,7 @@
     event_seconds: float = 0.2
     slots: int = 16
     closing: float = 0.0
+    faults: float = 0.0
     endpoint_host: str = "127.0.0.1"
     host: str = "127.0.0.1"
 
@@ -58,11 +64,11 @@
     """One start of an endpoint, from its first connection to its last."""
 
     def __init__(
-        self, start: records.Start, server: servers.Server, closing: float
+        self, start: records.Start, server: servers.Server, settings: Settings
     ):
         self.start = start
         self._server = server
-        self._closing = closing
+        self._settings = settings
         self._rng = random.Random(start.number)
         self._clients: set[Any] = set()
         self._state = web.ServerState()
@@ -91,6 +97,9 @@
     async def _handle(
         self, request: web.Request
     ) -> web.Response | web.StreamedResponse:
+        is_stream = "samphirevale-prefix-hash" in request.headers
+        if is_stream and self._rng.random() < self._settings.faults:
+            self._server.faults = [self._rng.choice(FAULTS)]
         response = await self._server.handle(request)
         attempt = request.headers.get("samphirevale-attempt-id", "")
         if attempt and response.status == 200:
@@ -107,7 +116,7 @@
             if isinstance(response, web.Response):
                 await curio.sleep(self._rng.uniform(0, PLAIN_SECONDS))
         closes = request.path == "/report" and (
-            self._rng.random() < self._closing
+            self._rng.random() < self._settings.closing
         )
         if not closes:
             return response
@@ -193,7 +202,7 @@
         start = records.Start(
             len(self._lifetimes), name, born, version, time.time(), None, None
         )
-        lifetime = _Lifetime(start, server, self._settings.closing)
+        lifetime = _Lifetime(start, server, self._settings)
         self._lifetimes.append(lifetime)
         return lifetime
 
--- a/lab/soak/plans.py
+++ b/lab/soak/plans.py
@@ -49,6 +49,7 @@
         closing: the share of reports of endpoints behind which they close the
             connection.
         mass_kills: how often all entries are killed at once.
+        faults: the share of streams at endpoints that have a fault.
     """
 
     seed: int
@@ -61,6 +62,7 @@
     load: int = 0
     closing: float = 0.0
     mass_kills: int = 0
+    faults: float = 0.0
 
 
 class Event(NamedTuple):
--- a/lab/soak/system.py
+++ b/lab/soak/system.py
@@ -112,6 +112,8 @@
             str(self._store.port),
             "--closing",
             str(self._play.closing),
+            "--faults",
+            str(self._play.faults),
             "--endpoint-host",
             build_host(HOSTS_NUMBER),
         )
--- a/tests/lab/soak/test_checks.py
+++ b/tests/lab/soak/test_checks.py
@@ -101,6 +101,10 @@
         leg = build_leg("a", "", records.COMPLETE, path="/read/x")
         self.assertEqual([], self.list_kinds(leg, runs=[run, run]))
 
+    def test_unexpected_error_in_an_entry(self):
+        leg = build_leg("a", "", records.REFUSED, status=500)
+        self.assertEqual(["error"], self.list_kinds(leg))
+
     def test_entry_that_has_ended_by_itself(self):
         seen = build_seen([])._replace(dead=["entry1"])
         self.assertEqual("dead", checks.check_all(seen)[0].kind)
