--- a/lab/stream_mechanisms.py
+++ b/lab/stream_mechanisms.py
@@ -27,19 +27,43 @@
         "endpoint asked for its start before a stream goes on",
         VERSIONS,
         "platform/endpoints",
-        "            if send.asks_start:\n",
-        "            if False:\n",
+        "        if send.ask_seconds is None:\n",
+        "        if True:\n",
         "tests.platform.test_out_of_step.OutOfStepTest"
         ".test_stream_does_not_go_on_at_a_server_that_has_changed",
     ),
     _ablate(
-        "endpoint asked for its start before a stream begins on an old list",
+        "endpoint asked for its start before a stream begins",
         VERSIONS,
         "request_sends",
-        "return wanted.recorded and not age.is_usable(now)",
-        "return False",
+        "return remaining if wanted.recorded else None",
+        "return None",
         "tests.test_proxying.StreamTest"
         ".test_endpoint_is_asked_for_its_start_if_its_version_matters",
+        "tests.platform.test_versions.VersionTest"
+        ".test_no_stream_is_joined_that_began_before_a_registration",
+        "tests.platform.test_versions.VersionTest"
+        ".test_broken_stream_is_not_joined_before_a_registration",
+    ),
+    _ablate(
+        "start of an endpoint confirmed on the request's own connection",
+        VERSIONS,
+        "platform/endpoints",
+        '        raise errors.ConnectError(f"report status {status}")\n',
+        "        return await self._open_connection(endpoint)\n",
+        "tests.platform.test_endpoints.PlatformEndpointsTest"
+        ".test_start_is_asked_for_on_each_connection",
+        "tests.platform.test_endpoints.PlatformEndpointsTest"
+        ".test_refused_report_confirms_no_start",
+    ),
+    _ablate(
+        "nothing sent to an endpoint that has left during the question",
+        VERSIONS,
+        "exchanges",
+        "            raise errors.NotAcceptingError(\n",
+        "            errors.NotAcceptingError(\n",
+        "tests.test_proxying.StreamTest"
+        ".test_nothing_is_sent_to_an_endpoint_that_left_during_the_question",
     ),
     _ablate(
         "version of the endpoint that begins a stream kept",
@@ -493,7 +517,7 @@
         "requests ended while there is time for their answers",
         STOPS,
         "gateway",
-        "drain_ends_at = process_ends_at - LAST_ANSWERS_SECONDS",
+        "drain_ends_at = grace_ends_at - LAST_ANSWERS_SECONDS",
         "drain_ends_at = process_ends_at",
         "tests.platform.test_last_answers",
     ),
--- a/samphirevale/platform/endpoints.py
+++ b/samphirevale/platform/endpoints.py
@@ -20,12 +20,19 @@
 # Timeout for connecting to an endpoint, in seconds.
 CONNECT_SECONDS = 0.5
 
+# The number of connections on which an endpoint is asked for its start before a
+# request is sent elsewhere.
+ASK_ATTEMPTS = 2
+
 # Maximum number of idle connections kept to one stage engine.
 IDLE_LIMIT = 4
 
 # The largest answer to a call other than a request, in bytes.
 CALL_BYTES_LIMIT = 1024 * 1024
 
+# Status of an endpoint that gives no reports.
+NO_REPORTS = 404
+
 # Status if a result named by the request no longer exists.
 RESULT_GONE = 409
 
@@ -87,17 +94,20 @@
         on_connected: Callable[[], None],
     ) -> PlatformAnswer:
         """Sends a request and returns when the answer's head has been read."""
-        connection = await self._open_connection(endpoint)
+        began_at = await curio.clock()
+        if send.ask_seconds is None:
+            connection = await self._open_connection(endpoint)
+        else:
+            connection = await self._open_asked(endpoint, send.ask_seconds)
         try:
-            if send.asks_start:
-                connection = await self._ask_start(connection, endpoint)
-            self._check_allowed(endpoint)
+            waited = await curio.clock() - began_at
+            self._begin_call(endpoint)
             on_connected()
             answer = await connection.request(
                 request.method,
                 request.target,
                 request.body,
-                request.headers + _build_headers(endpoint, send),
+                request.headers + _build_headers(endpoint, send, waited),
                 request.host,
             )
             # An answer to another request promises nothing about this one.
@@ -119,19 +129,48 @@
             raise
         return PlatformAnswer(connection, answer)
 
+    async def _open_asked(
+        self, endpoint: catalogue.Endpoint, seconds: float
+    ) -> web_client.ClientConnection:
+        """Opens a connection on which an endpoint has confirmed its start.
+
+        The connection would end with the endpoint, so that the request that
+        follows reaches the one that has answered. What the endpoint says on a
+        connection that it closes behind its answer counts for no other one.
+
+        Args:
+            endpoint: the endpoint.
+            seconds: the timeout of an answer.
+
+        Raises:
+            errors.NotAcceptingError: the endpoint has started again.
+            errors.ConnectError: it has not confirmed its start.
+        """
+        for _ in range(ASK_ATTEMPTS):
+            connection = await self._open_connection(endpoint)
+            try:
+                status = await self._ask_start(connection, endpoint, seconds)
+            except BaseException:
+                await connection.close()
+                raise
+            # A refusal that is written once more could be taken for the
+            # request's.
+            if status in (200, NO_REPORTS) and connection.is_reusable():
+                return connection
+            await connection.close()
+        raise errors.ConnectError(f"report status {status}")
+
     async def _ask_start(
         self,
         connection: web_client.ClientConnection,
         endpoint: catalogue.Endpoint,
-    ) -> web_client.ClientConnection:
-        """Asks an endpoint for its start on the connection of a request.
-
-        The connection would end with the endpoint, so that the request that
-        follows reaches the one that has answered. An endpoint that does not say
-        when it started counts as the one that is known.
+        seconds: float,
+    ) -> int:
+        """Asks an endpoint for its start; returns the status of its report.
 
-        Returns:
-            The connection for the request, a new one if this cannot be kept.
+        An endpoint that does not say when it started counts as the one that is
+        known. The question takes no part of what an endpoint bears, as that is
+        counted in requests.
 
         Raises:
             errors.NotAcceptingError: the endpoint has started again.
@@ -139,14 +178,14 @@
         """
         self._check_allowed(endpoint)
         try:
-            async with curio.timeout_after(CONNECT_SECONDS):
+            async with curio.timeout_after(seconds):
                 answer = await connection.request(
                     "GET", "/report", b"", (_expect(endpoint),)
                 )
                 data = await answer.read_body(CALL_BYTES_LIMIT)
         except curio.TaskTimeout as error:
             raise errors.ConnectTimeoutError(
-                f"{endpoint.name}: no report in {CONNECT_SECONDS} s"
+                f"{endpoint.name}: no report in {seconds:.1f} s"
             ) from error
         except errors.TransportError as error:
             raise errors.ConnectError(f"no report: {error}") from error
@@ -156,11 +195,7 @@
             started is not None and started != endpoint.started
         ):
             raise errors.NotAcceptingError(f"{endpoint.name} has started again")
-        # A refusal that is written once more could be taken for the request's.
-        if answer.status == 200 and connection.is_reusable():
-            return connection
-        await connection.close()
-        return await self._open_connection(endpoint)
+        return answer.status
 
     async def run_batch(
         self,
@@ -208,7 +243,7 @@
         """
         kept = unanswered = False
         try:
-            self._check_allowed(endpoint)
+            self._begin_call(endpoint)
             unanswered = True
             answer = await connection.request(
                 "GET" if value is None else "POST",
@@ -232,15 +267,18 @@
             if unanswered:
                 await self.close_idle(endpoint)
 
-    def _check_allowed(self, endpoint: catalogue.Endpoint) -> None:
+    def _begin_call(self, endpoint: catalogue.Endpoint) -> None:
         """Records a call; raises an error if nothing may be sent.
 
         Called once the connection is open, which takes long enough for the
         endpoint to ask for a pause meanwhile.
         """
+        self._check_allowed(endpoint)
+        self._listener.record_call(endpoint)
+
+    def _check_allowed(self, endpoint: catalogue.Endpoint) -> None:
         if not self._listener.may_call(endpoint):
             raise errors.NotAcceptingError(f"{endpoint.name} leaves or pauses")
-        self._listener.record_call(endpoint)
 
     async def _handle_notice(
         self, endpoint: catalogue.Endpoint, answer: web_client.Answer
@@ -309,9 +347,18 @@
 
 
 def _build_headers(
-    endpoint: catalogue.Endpoint, send: proxy_requests.SendParameters
+    endpoint: catalogue.Endpoint,
+    send: proxy_requests.SendParameters,
+    waited: float,
 ) -> tuple[tuple[str, str], ...]:
-    milliseconds = max(int(send.wait_seconds * 1000), 1)
+    """Returns the headers that the system sets.
+
+    Args:
+        endpoint: the endpoint that the request is meant for.
+        send: the parameters of the send.
+        waited: the part of its timeout that has passed, in seconds.
+    """
+    milliseconds = max(int((send.wait_seconds - waited) * 1000), 1)
     request_headers = [
         ("Samphirevale-Deadline-Ms", str(milliseconds)),
         _expect(endpoint),
