--- a/tests/fuzz/entry_sessions.py
+++ b/tests/fuzz/entry_sessions.py
@@ -134,7 +134,7 @@
     async def start(self):
         self.endpoints = EncodingEndpoints()
         self.entry = build_gateway(self.endpoints)
-        self.clock = self.entry._clock
+        self.clock = self.entry.clock
         await read_store(self.entry, manifest.KIND, list_table(1))
         await read_store(self.entry, endpoint_objects.KIND, list_endpoints())
         self.entry.cluster_watch.eras.settle()
