End the tasks of a stopped process at the same time

What operators see: a busy process goes on for seconds after its last answer, until SIGKILL ends it.

Cause: at its end an entry cancelled its tasks one after the other and waited for each, which takes two or more turns of all tasks that are ready.

No caller loses an answer by it alone, as their connections have ended before.

The connections of callers are still ended first; all other tasks then end at the same time.

--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -1,6 +1,5 @@
 """The proxying entry, which serves callers of routes without sidecars."""
 
-import contextlib
 import math
 import random
 import secrets
@@ -450,8 +449,8 @@
             GRACE_MARGIN_SECONDS, grace_seconds * GRACE_MARGIN_SHARE
         )
         self._process_end.at = process_ends_at
-        drain_ends_at = grace_ends_at - LAST_ANSWERS_SECONDS
         accepting_seconds = min(LINGER_SECONDS, grace_seconds * ACCEPTING_SHARE)
+        drain_ends_at = grace_ends_at - LAST_ANSWERS_SECONDS
         while True:
             now = self.clock.now()
             linger_is_over = now >= drain_started_at + LINGER_SECONDS
@@ -512,17 +511,32 @@
         gateway.origin_recorder.run,
         gateway.table.serve,
         gateway.table.connect_to_entries,
-        # The last one is cancelled first, before what its requests need.
+        # It is ended before what its requests need.
         gateway.serve_callers,
     ]
-    async with contextlib.AsyncExitStack() as stack:
-        tasks = []
+    tasks: list[curio.Task] = []
+    try:
         for function in functions:
-            task = await curio.spawn(function, daemon=True)
-            stack.push_async_callback(task.cancel)
-            tasks.append(task)
+            tasks.append(await curio.spawn(function, daemon=True))
         await _wait_for_stop(gateway, tasks)
         await gateway.drain()
+    finally:
+        await _end_tasks(tasks)
+
+
+async def _end_tasks(tasks: list[curio.Task]) -> None:
+    """Ends all tasks, the last one before the others.
+
+    The others end at the same time, as the grace period may be over soon.
+    """
+    if not tasks:
+        return
+    *others, last = tasks
+    await last.cancel()
+    for task in others:
+        await task.cancel(blocking=False)
+    for task in others:
+        await task.wait()
 
 
 async def _wait_for_stop(gateway: Gateway, tasks: list[curio.Task]) -> None:
--- a/tests/platform/test_last_answers.py
+++ b/tests/platform/test_last_answers.py
@@ -20,6 +20,9 @@
 
 GRACE_SECONDS = 2.0
 
+# A longer grace period, in seconds.
+LONG_GRACE_SECONDS = 4.0
+
 # How long the entry does something else as the order to stop comes, in seconds.
 BUSY_SECONDS = 1.2
 
@@ -171,3 +174,43 @@
                 calling = await curio.spawn(call_last)
                 await self.gateway.stop.set()
                 self.assertGreater(await calling.join(), await writing.join())
+
+    async def stop_with_slow_turns(self, turn_seconds):
+        """Stops an entry with requests that are in their stages.
+
+        Args:
+            turn_seconds: how long a turn of all tasks takes.
+
+        Returns:
+            How long it took until all had their answers, and until the entry
+            had ended, in seconds.
+        """
+
+        async def block():
+            while True:
+                time.sleep(turn_seconds)
+                await curio.sleep(0)
+
+        async with self.run_all():
+            self.gateway.adopt_settings(
+                self.gateway.settings._replace(grace_seconds=LONG_GRACE_SECONDS)
+            )
+            self.servers["first1"].call_seconds = 2 * LONG_GRACE_SECONDS
+            async with curio.TaskGroup() as group:
+                for _ in range(REQUESTS):
+                    await group.spawn(self.write)
+                await curio.sleep(0.2)
+                blocking = await curio.spawn(block, daemon=True)
+                begin = time.monotonic()
+                await self.gateway.stop.set()
+            answered = time.monotonic() - begin
+            await self.task.join()
+            ended = time.monotonic() - begin
+            await blocking.cancel()
+            statuses = {status for status, _, _ in group.results}
+            self.assertLessEqual(statuses, {503, 504})
+            return answered, ended
+
+    async def test_tasks_that_end_in_turn_outlast_the_grace(self):
+        _, ended = await self.stop_with_slow_turns(0.03)
+        self.assertLess(ended, LONG_GRACE_SECONDS)
