Allow a busy process more time for its last answers

What callers see: a process whose tasks take long turns ends its unanswered requests a second before SIGKILL, and their answers come too late.

Cause: the second is fixed. An answer needs several turns of all tasks that are ready (the end of the exchange, the release of results, the write), and a turn takes 0.1 to 0.7 s beside several hundred connections on a busy machine.

The process now measures its longest turn since the order, and ends the requests six such turns before the end if that is more than a second, half of the grace period at most. On a machine with time nothing changes.

--- a/lab/stream_mechanisms.py
+++ b/lab/stream_mechanisms.py
@@ -493,7 +493,7 @@
         "requests ended while there is time for their answers",
         STOPS,
         "gateway",
-        "drain_ends_at = grace_ends_at - LAST_ANSWERS_SECONDS",
+        "drain_ends_at = grace_ends_at - last_seconds",
         "drain_ends_at = process_ends_at",
         "tests.platform.test_last_answers",
     ),
--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -65,6 +65,11 @@
 # have not begun, in seconds.
 LAST_ANSWERS_SECONDS = 1.0
 
+# The same in turns of all tasks that are ready, for a busy process, and the
+# largest share of the grace period that these may be.
+LAST_ANSWERS_TURNS = 6
+LAST_ANSWERS_SHARE = 1 / 2
+
 # The number of connections that an entry opens at once while it refuses all
 # requests. It lets the requests that are in flight run in between.
 REFUSING_CONNECTIONS = 32
@@ -450,15 +455,19 @@
         )
         self._process_end.at = process_ends_at
         accepting_seconds = min(LINGER_SECONDS, grace_seconds * ACCEPTING_SHARE)
-        drain_ends_at = grace_ends_at - LAST_ANSWERS_SECONDS
+        turn_seconds = 0.0
         while True:
             now = self.clock.now()
+            last_seconds = compute_last_seconds(grace_seconds, turn_seconds)
+            drain_ends_at = grace_ends_at - last_seconds
             linger_is_over = now >= drain_started_at + LINGER_SECONDS
             if now >= drain_started_at + accepting_seconds:
                 self._refuse_requests()
             if (linger_is_over and not self.is_busy()) or now >= drain_ends_at:
                 break
             await curio.sleep(CHECK_SECONDS / 2)
+            late_seconds = self.clock.now() - now - CHECK_SECONDS / 2
+            turn_seconds = max(turn_seconds, late_seconds)
         self._refuse_requests()
         if self.is_busy():
             await self._end_requests(process_ends_at)
@@ -485,6 +494,19 @@
             await curio.sleep(CHECK_SECONDS / 4)
 
 
+def compute_last_seconds(grace_seconds: float, turn_seconds: float) -> float:
+    """Returns how long before the end the unanswered requests are ended.
+
+    Args:
+        grace_seconds: the grace period.
+        turn_seconds: the longest turn of all tasks that are ready.
+    """
+    needed = min(
+        turn_seconds * LAST_ANSWERS_TURNS, grace_seconds * LAST_ANSWERS_SHARE
+    )
+    return max(LAST_ANSWERS_SECONDS, needed)
+
+
 def compute_limits(settings: gateway_settings.GatewaySettings) -> web.Limits:
     """Returns the server limits that follow from the machine's resources.
 
--- a/tests/platform/test_last_answers.py
+++ b/tests/platform/test_last_answers.py
@@ -214,3 +214,7 @@
     async def test_tasks_that_end_in_turn_outlast_the_grace(self):
         _, ended = await self.stop_with_slow_turns(0.03)
         self.assertLess(ended, LONG_GRACE_SECONDS)
+
+    async def test_last_answers_of_a_busy_entry_come_after_the_grace(self):
+        answered, _ = await self.stop_with_slow_turns(0.35)
+        self.assertLess(answered, LONG_GRACE_SECONDS)
