--- a/tests/adapters/test_endpoints.py
+++ b/tests/adapters/test_endpoints.py
@@ -7,7 +7,7 @@
 
 from samphirevale.adapters import endpoints, web, web_client, web_server
 from samphirevale.ports import endpoints as ports
-from tests import base
+from tests import base, raw_answers
 
 CALL = ports.Call(
     request="r",
@@ -71,3 +71,70 @@
         ]
         await server.cancel()
         self.assertEqual([0, 1, 2], results)
+
+
+TOKEN = b'{"sequence": 0, "tokens": ["a"]}\n'
+ENDING = b'{"done": true, "count": 1, "digest": "d", "busy_ms": 1}\n'
+ERROR_HEAD = b"HTTP/1.1 500 X\r\nContent-Length: 3\r\n\r\nno\n"
+
+
+class OddStreamTest(base.TestCase):
+    """Tests an engine that writes something else than its answer."""
+
+    async def run_engine(self, data):
+        """Returns the items of an attempt whose answer is these bytes."""
+        async with raw_answers.run_server() as server:
+            server.script = [raw_answers.RawAnswer(data)]
+            engine = endpoints.build_endpoint(
+                "engine", f"http://127.0.0.1:{server.ports[0]}", 1.0
+            )
+            return [item async for item in engine.run(CALL)]
+
+    async def test_error_inside_a_stream_is_neither_a_token_nor_its_end(self):
+        for text, framing in itertools.product(
+            (
+                ERROR_HEAD,
+                b"engine failed\n",
+                b'{"error": "x"}\n',
+                b"500\n",
+                b'"x"\n',
+                b"null\n",
+                b'{"cancelled": true}\n',
+                b'{"done": true}\n',
+            ),
+            raw_answers.FRAMINGS,
+        ):
+            for body in (TOKEN + text, text, TOKEN + text + TOKEN):
+                with self.subTest((body, framing)):
+                    data = raw_answers.build_answer(body, framing)
+                    *items, ending = await self.run_engine(data)
+                    self.assertIsInstance(ending, ports.Failed)
+                    self.assertIn(ending.phase, ("lost", "failed"))
+                    for item in items:
+                        self.assertEqual(ports.Tokens(0, ["a"]), item)
+
+    async def test_head_inside_chunks_is_neither_a_token_nor_the_end(self):
+        whole = raw_answers.build_answer(TOKEN, "chunks")
+        data = whole[: -len(b"0\r\n\r\n")] + ERROR_HEAD
+        tokens, ending = await self.run_engine(data)
+        self.assertEqual(ports.Tokens(0, ["a"]), tokens)
+        self.assertEqual("lost", ending.phase)
+
+    async def test_answer_without_its_ending_is_lost(self):
+        for body, framing in itertools.product(
+            (b"", TOKEN, TOKEN + ENDING[:-1], TOKEN + ENDING[:10]),
+            raw_answers.FRAMINGS,
+        ):
+            with self.subTest((body, framing)):
+                data = raw_answers.build_answer(body, framing)
+                *_, ending = await self.run_engine(data)
+                self.assertEqual("lost", ending.phase)
+
+    async def test_status_of_a_failure_counts_whatever_its_body_is(self):
+        phases = {400: "failed", 500: "failed", 503: "refused"}
+        for (status, phase), framing in itertools.product(
+            phases.items(), raw_answers.FRAMINGS
+        ):
+            data = raw_answers.build_answer(TOKEN + ENDING, framing, status)
+            (ending,) = await self.run_engine(data)
+            self.assertEqual(phase, ending.phase)
--- a/tests/platform/test_broken_streams.py
+++ b/tests/platform/test_broken_streams.py
@@ -44,7 +44,7 @@
 
 
 class BrokenStreamTestCase(sessions.SessionTestCase):
-    """One entry, and four endpoints of raw bytes."""
+    """One entry, with endpoints of raw bytes: four models and two others."""
 
     settings = {"budget": retry_budgets.RetryBudgetLimits(1.0, 1e6, 10.0)}
 
@@ -53,9 +53,10 @@
         """Runs all during the block."""
         self.numbers = itertools.count()
         names = [f"model{number}" for number in range(1, 5)]
+        names += ["plain1", "plain2"]
         async with (
             raw_answers.run_server(len(names)) as self.raw,
-            self.run_all(("plain1", *names)),
+            self.run_all(names),
         ):
             for name, port in zip(names, self.raw.ports, strict=True):
                 self.ports[name] = port
@@ -86,16 +87,14 @@
         """Sends a request; returns what the caller reads.
 
         Args:
-            script: the answers of the endpoints in order, as bytes or as raw
-                answers.
+            script: the answers of the endpoints in order, as bytes or as for
+                a raw server.
             path: the path.
             version: the version of HTTP.
         """
         self.raw.requests.clear()
         self.raw.script = [
-            step
-            if isinstance(step, raw_answers.RawAnswer)
-            else raw_answers.RawAnswer(step)
+            step if not isinstance(step, bytes) else raw_answers.RawAnswer(step)
             for step in script
         ]
         number = next(self.numbers)
@@ -325,6 +324,83 @@
                     self.assertEqual(2, len(self.raw.requests))
 
 
+class CutHeadTest(BrokenStreamTestCase):
+    """Guards against a success made of a head that was cut off."""
+
+    async def check_cuts(self, path, body, headers, check, before=()):
+        """Cuts the head of an answer at each byte.
+
+        Args:
+            path: the path of the requests.
+            body: the body of the whole answer.
+            headers: its further headers.
+            check: called with what the caller has read.
+            before: the answers that come before it.
+        """
+        whole = raw_answers.build_answer(body, "length", 200, headers)
+        sound = raw_answers.build_answer(body, "chunks", 200, headers)
+        async with self.run_raw():
+            for size in range(whole.index(b"\r\n\r\n") + 4):
+                for ends_by in ("close", "reset"):
+                    cut = raw_answers.RawAnswer(whole[:size], ends_by)
+                    with self.subTest((size, ends_by)):
+                        read = await self.send([*before, cut, sound], path)
+                        check(read)
+
+    def check_repeated(self, read, body):
+        self.assertEqual((200, body), (read.status, read.body))
+        self.assertTrue(read.complete)
+
+    def check_refused(self, read):
+        self.assertEqual((502, True), (read.status, read.complete))
+        self.assertNotIn(b"samphirevale-response-seal", read.headers)
+        self.assertEqual(1, len(self.raw.requests))
+
+    async def test_whole_answer_comes_from_another_endpoint(self):
+        def check(read):
+            self.check_repeated(read, b"whole")
+
+        await self.check_cuts("/read/x", b"whole", SEAL, check)
+
+    async def test_whole_answer_of_a_request_that_may_run_once_is_lost(self):
+        await self.check_cuts("/once/x", b"whole", SEAL, self.check_refused)
+
+    async def test_stream_begins_at_another_endpoint(self):
+        def check(read):
+            self.check_repeated(read, sessions.STREAM)
+
+        await self.check_cuts("/write/x", sessions.STREAM, SEAL + EVENTS, check)
+
+    async def test_stream_that_may_run_once_is_lost(self):
+        await self.check_cuts(
+            "/single/x", sessions.STREAM, SEAL + EVENTS, self.check_refused
+        )
+
+    async def test_connection_that_is_closed_at_once_brings_no_answer(self):
+        sound = raw_answers.build_answer(b"whole", "chunks", 200, SEAL)
+        stream = build_stream(sessions.STREAM, "chunks")
+        async with self.run_raw():
+            for path, answer, body in (
+                ("/read/x", sound, b"whole"),
+                ("/write/x", stream, sessions.STREAM),
+            ):
+                self.raw.closing = 1
+                self.check_repeated(await self.send([answer], path), body)
+            for path in ("/once/x", "/single/x"):
+                self.raw.closing = 1
+                read = await self.send([sound], path)
+                self.assertEqual((502, True), (read.status, read.complete))
+                self.assertEqual([], self.raw.requests)
+
+    async def test_stream_is_resumed_at_a_further_endpoint(self):
+        def check(read):
+            self.check_repeated(read, sessions.STREAM)
+
+        await self.check_cuts(
+            "/write/x", THIRD + REST, SEAL + EVENTS, check, (build_broken(),)
+        )
+
+
 class CallerFramingTest(BrokenStreamTestCase):
     """Guards against an answer that ends early and looks complete."""
 
--- a/tests/raw_answers.py
+++ b/tests/raw_answers.py
@@ -6,7 +6,7 @@
 import contextlib
 import re
 import struct
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any, NamedTuple
 
 import curio
@@ -20,6 +20,9 @@
 # The start that reports name.
 BORN = 2
 
+# How long a server waits between two writes, in seconds.
+MOMENT_SECONDS = 0.002
+
 REPORT = b'{"born": %d, "queued": 0, "free_mb": 3}' % BORN
 
 
@@ -29,10 +32,12 @@
     Attributes:
         data: the bytes, with a place for the id of the caller's attempt.
         ends_by: `close` or `reset` to end the connection; empty to keep it.
+        first_bytes: how many bytes are written a moment before the others.
     """
 
     data: bytes
     ends_by: str = "close"
+    first_bytes: int = 0
 
 
 def frame(body: bytes, framing: str) -> tuple[bytes, bytes]:
@@ -80,30 +85,38 @@
 
     Attributes:
         ports: the ports; all give answers of the same script.
-        script: the answers that are left.
+        script: the answers that are left, or functions that return one for a
+            request.
         requests: the requests that were read, as received.
         reports: answers to `/report` in place of a sound one.
+        closing: how many connections are closed before anything is read.
     """
 
     def __init__(self):
         self.ports: list[int] = []
-        self.script: list[RawAnswer] = []
+        self.script: list[RawAnswer | Callable[[bytes], RawAnswer]] = []
         self.requests: list[bytes] = []
         self.reports: list[RawAnswer] = []
+        self.closing = 0
 
     async def serve(self, client: Any, address: Any) -> None:
         """Serves one connection."""
         with contextlib.suppress(OSError):
             async with client:
+                if self.closing:
+                    self.closing -= 1
+                    return
                 while request := await self._read_request(client):
                     answer = self._find_answer(request)
                     found = re.search(
                         rb"samphirevale-attempt-id: *(\S+)", request, re.I
                     )
                     attempt = found[1] if found else b""
-                    await client.sendall(
-                        answer.data.replace(b"{attempt}", attempt)
-                    )
+                    data = answer.data.replace(b"{attempt}", attempt)
+                    if answer.first_bytes:
+                        await client.sendall(data[: answer.first_bytes])
+                        await curio.sleep(MOMENT_SECONDS)
+                    await client.sendall(data[answer.first_bytes :])
                     if answer.ends_by == "reset":
                         reset_at_close(client)
                     if answer.ends_by:
@@ -127,7 +140,8 @@
                 return self.reports.pop(0)
             return RawAnswer(build_answer(REPORT, "length"), "")
         self.requests.append(request)
-        return self.script.pop(0)
+        answer = self.script.pop(0)
+        return answer(request) if callable(answer) else answer
 
 
 @contextlib.asynccontextmanager
