Know an event stream by its type in any case

What callers would see (nobody has seen it): an engine that names its stream `Text/Event-Stream`, gives no length and breaks off. The caller gets a 200 whose body ends inside an event, framed as whole.

Cause: types of content have no case, but were compared with it. The answer counted as one without events: it was held until its end, not checked for whole events and not resumed.

Evidence: platform.test_broken_streams.ContentTypeTest failed before in all three framings: the body `id: 1 ... id: 3\ndat` as a whole one without a length; a second run from the begin, not from the last event, with one.

Beside it, heads of errors inside an event are tried at each byte of the event.

--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -197,6 +197,14 @@
         "tests.test_proxying.StreamTest"
         ".test_stream_without_numbers_is_not_resumed",
     ),
+    _ablate(
+        "type of a stream counts in any case",
+        STREAMS,
+        "platform/endpoints",
+        'answer.headers.get("content-type", "").lower()',
+        'answer.headers.get("content-type", "")',
+        "tests.platform.test_broken_streams.ContentTypeTest",
+    ),
     _ablate(
         "streams of silent endpoints read until another can take over",
         STREAMS,
--- a/samphirevale/platform/endpoints.py
+++ b/samphirevale/platform/endpoints.py
@@ -44,7 +44,7 @@
             for name, value in answer.raw_headers
             if name.decode("latin-1").lower() not in headers.NOT_FOR_CALLERS
         )
-        content = answer.headers.get("content-type", "")
+        content = answer.headers.get("content-type", "").lower()
         self.streamed = answer.status == 200 and content.startswith(
             "text/event-stream"
         )
--- a/tests/platform/test_broken_streams.py
+++ b/tests/platform/test_broken_streams.py
@@ -164,6 +164,17 @@
     async def test_text_of_an_error_behind_an_event_is_no_event(self):
         await self.check_texts(THIRD, b"")
 
+    async def test_head_inside_an_event_is_no_part_of_it(self):
+        heads = (
+            b"HTTP/1.1 500 X\r\nContent-Length: 4\r\n\r\nno\n\n",
+            b"http/1.1 500 x\r\ncontent-length: 4\r\n\r\nno\n\n",
+        )
+        async with self.run_raw():
+            for head, framing in itertools.product(heads, raw_answers.FRAMINGS):
+                for size in range(1, len(THIRD)):
+                    answer = build_stream(THIRD[:size] + head + REST, framing)
+                    await self.check_goes_on(answer, (head, framing, size))
+
     async def test_text_of_an_error_between_events_is_no_event(self):
         await self.check_texts(THIRD, REST)
 
@@ -324,6 +335,24 @@
                     self.assertEqual(2, len(self.raw.requests))
 
 
+class ContentTypeTest(BrokenStreamTestCase):
+    """Guards against a stream that is taken for a body without events."""
+
+    async def test_type_of_a_stream_counts_in_any_case(self):
+        headers = b"Content-Type: Text/Event-Stream; charset=utf-8\r\n"
+        async with self.run_raw():
+            rest = build_stream(THIRD + REST, "chunks", headers)
+            for framing in raw_answers.FRAMINGS:
+                whole = build_stream(sessions.STREAM, framing, headers)
+                cut = whole[: whole.index(THIRD) + 9]
+                with self.subTest(framing):
+                    read = await self.send([cut, rest])
+                    self.assertEqual(
+                        (200, sessions.STREAM, True),
+                        (read.status, read.body, read.complete),
+                    )
+
+
 class CutHeadTest(BrokenStreamTestCase):
     """Guards against a success made of a head that was cut off."""
 
