--- a/tests/platform/test_broken_streams.py
+++ b/tests/platform/test_broken_streams.py
@@ -44,7 +44,7 @@
 
 
 class BrokenStreamTestCase(sessions.SessionTestCase):
-    """One entry, and four endpoints of raw bytes."""
+    """One entry, with endpoints of raw bytes: four models and two others."""
 
     settings = {"budget": retry_budgets.RetryBudgetLimits(1.0, 1e6, 10.0)}
 
@@ -53,9 +53,10 @@
         """Runs all during the block."""
         self.numbers = itertools.count()
         names = [f"model{number}" for number in range(1, 5)]
+        names += ["plain1", "plain2"]
         async with (
             raw_answers.run_server(len(names)) as self.raw,
-            self.run_all(("plain1", *names)),
+            self.run_all(names),
         ):
             for name, port in zip(names, self.raw.ports, strict=True):
                 self.ports[name] = port
@@ -86,16 +87,14 @@
         """Sends a request; returns what the caller reads.
 
         Args:
-            script: the answers of the endpoints in order, as bytes or as raw
-                answers.
+            script: the answers of the endpoints in order, as bytes or as for
+                a raw server.
             path: the path.
             version: the version of HTTP.
         """
         self.raw.requests.clear()
         self.raw.script = [
-            step
-            if isinstance(step, raw_answers.RawAnswer)
-            else raw_answers.RawAnswer(step)
+            step if not isinstance(step, bytes) else raw_answers.RawAnswer(step)
             for step in script
         ]
         number = next(self.numbers)
@@ -165,6 +164,17 @@
     async def test_text_of_an_error_behind_an_event_is_no_event(self):
         await self.check_texts(THIRD, b"")
 
+    async def test_head_inside_an_event_is_no_part_of_it(self):
+        heads = (
+            b"HTTP/1.1 500 X\r\nContent-Length: 4\r\n\r\nno\n\n",
+            b"http/1.1 500 x\r\ncontent-length: 4\r\n\r\nno\n\n",
+        )
+        async with self.run_raw():
+            for head, framing in itertools.product(heads, raw_answers.FRAMINGS):
+                for size in range(1, len(THIRD)):
+                    answer = build_stream(THIRD[:size] + head + REST, framing)
+                    await self.check_goes_on(answer, (head, framing, size))
+
     async def test_text_of_an_error_between_events_is_no_event(self):
         await self.check_texts(THIRD, REST)
 
@@ -325,6 +335,101 @@
                     self.assertEqual(2, len(self.raw.requests))
 
 
+class ContentTypeTest(BrokenStreamTestCase):
+    """Guards against a stream that is taken for a body without events."""
+
+    async def test_type_of_a_stream_counts_in_any_case(self):
+        headers = b"Content-Type: Text/Event-Stream; charset=utf-8\r\n"
+        async with self.run_raw():
+            rest = build_stream(THIRD + REST, "chunks", headers)
+            for framing in raw_answers.FRAMINGS:
+                whole = build_stream(sessions.STREAM, framing, headers)
+                cut = whole[: whole.index(THIRD) + 9]
+                with self.subTest(framing):
+                    read = await self.send([cut, rest])
+                    self.assertEqual(
+                        (200, sessions.STREAM, True),
+                        (read.status, read.body, read.complete),
+                    )
+
+
+class CutHeadTest(BrokenStreamTestCase):
+    """Guards against a success made of a head that was cut off."""
+
+    async def check_cuts(self, path, body, headers, check, before=()):
+        """Cuts the head of an answer without a length at each byte.
+
+        Args:
+            path: the path of the requests.
+            body: the body of the whole answer.
+            headers: its further headers.
+            check: called with what the caller has read.
+            before: the answers that come before it.
+        """
+        whole = raw_answers.build_answer(body, "none", 200, headers)
+        sound = raw_answers.build_answer(body, "chunks", 200, headers)
+        async with self.run_raw():
+            for size in range(whole.index(b"\r\n\r\n") + 4):
+                for ends_by in ("close", "reset"):
+                    cut = raw_answers.RawAnswer(whole[:size], ends_by)
+                    with self.subTest((size, ends_by)):
+                        read = await self.send([*before, cut, sound], path)
+                        check(read)
+
+    def check_repeated(self, read, body):
+        self.assertEqual((200, body), (read.status, read.body))
+        self.assertTrue(read.complete)
+
+    def check_refused(self, read):
+        self.assertEqual((502, True), (read.status, read.complete))
+        self.assertNotIn(b"samphirevale-response-seal", read.headers)
+        self.assertEqual(1, len(self.raw.requests))
+
+    async def test_whole_answer_comes_from_another_endpoint(self):
+        def check(read):
+            self.check_repeated(read, b"whole")
+
+        await self.check_cuts("/read/x", b"whole", SEAL, check)
+
+    async def test_whole_answer_of_a_request_that_may_run_once_is_lost(self):
+        await self.check_cuts("/once/x", b"whole", SEAL, self.check_refused)
+
+    async def test_stream_begins_at_another_endpoint(self):
+        def check(read):
+            self.check_repeated(read, sessions.STREAM)
+
+        await self.check_cuts("/write/x", sessions.STREAM, SEAL + EVENTS, check)
+
+    async def test_stream_that_may_run_once_is_lost(self):
+        await self.check_cuts(
+            "/single/x", sessions.STREAM, SEAL + EVENTS, self.check_refused
+        )
+
+    async def test_connection_that_is_closed_at_once_brings_no_answer(self):
+        sound = raw_answers.build_answer(b"whole", "chunks", 200, SEAL)
+        stream = build_stream(sessions.STREAM, "chunks")
+        async with self.run_raw():
+            for path, answer, body in (
+                ("/read/x", sound, b"whole"),
+                ("/write/x", stream, sessions.STREAM),
+            ):
+                self.raw.closing = 1
+                self.check_repeated(await self.send([answer], path), body)
+            for path in ("/once/x", "/single/x"):
+                self.raw.closing = 1
+                read = await self.send([sound], path)
+                self.assertEqual((502, True), (read.status, read.complete))
+                self.assertEqual([], self.raw.requests)
+
+    async def test_stream_is_resumed_at_a_further_endpoint(self):
+        def check(read):
+            self.check_repeated(read, sessions.STREAM)
+
+        await self.check_cuts(
+            "/write/x", THIRD + REST, SEAL + EVENTS, check, (build_broken(),)
+        )
+
+
 class CallerFramingTest(BrokenStreamTestCase):
     """Guards against an answer that ends early and looks complete."""
 
