--- a/tests/fuzz/test_manifest.py
+++ b/tests/fuzz/test_manifest.py
@@ -80,6 +80,7 @@
         table = self.entry.cluster_state.table
         if table is not before:
             self.check_table(table)
+            self.check_keys(table, odd.get("tenants"))
         self.check_requests()
         if table.version < stored_values.INTEGER_LIMIT:
             later = encode_list(build_sound(stored_values.INTEGER_LIMIT))
@@ -93,10 +94,7 @@
         """Checks the decisions about requests that follow from a table."""
         self.check_numbers(table.limits)
         accounts = [None]
-        for key, account in (table.accounts or {}).items():
-            self.assertTrue(key)
-            self.assertGreater(len(key), 1, "a letter of a key")
-            accounts.append(account)
+        accounts += (table.accounts or {}).values()
         for service in table.services.values():
             if service.batch is not None:
                 self.check_numbers(service.batch)
@@ -115,6 +113,15 @@
             for split in route.splits:
                 self.assertTrue(0 <= split.weight < LARGEST)
 
+    def check_keys(self, table, tenants):
+        """Checks that keys are whole, as the manifest lists them."""
+        lists = [tenant.get("api_keys") or [] for tenant in tenants or []]
+        for keys in lists:
+            self.assertIsInstance(keys, list)
+        listed = {key for keys in lists for key in keys}
+        self.assertNotIn("", listed)
+        self.assertEqual(listed, set(table.accounts or ()))
+
     def check_numbers(self, fields):
         """Checks that the numbers among some fields can be used."""
         for value in fields:
