--- a/lab/soak/system.py
+++ b/lab/soak/system.py
@@ -74,7 +74,7 @@
     Attributes:
         name: its name in the log lines.
         host: its address.
-        process: the present process.
+        process: the present process; None while it is replaced.
     """
 
     def __init__(self, number: int):
@@ -231,6 +231,7 @@
             await curio.sleep(event.seconds)
             process.resume()
             return
+        entry.process = None
         if event.kind == plans.STOP:
             process.stop()
             async with curio.ignore_after(END_SECONDS):
@@ -258,7 +259,8 @@
         return [
             entry.name
             for entry in self.entries
-            if entry.process.exit_status is not None
+            if entry.process is not None
+            and entry.process.exit_status is not None
         ]
 
 
