--- a/lab/soak/store.py
+++ b/lab/soak/store.py
@@ -12,10 +12,12 @@
 
     Args:
         port: the port to listen on.
+        poll_seconds: the interval at which a watch looks for changes.
         host: the address to listen on.
     """
 
     port: int
+    poll_seconds: float = metadata_store.POLL_SECONDS
     host: str = "127.0.0.1"
 
 
@@ -26,9 +28,10 @@
     FAULTS.declare("away", faults.FLAG)
     FAULTS.declare("drops", faults.FLAG)
 
-    def __init__(self, _: Settings):
+    def __init__(self, settings: Settings):
         super().__init__()
         self._store = metadata_store.MetadataStore()
+        self._store.poll_seconds = settings.poll_seconds
 
     async def handle(
         self, request: web.Request
--- a/lab/soak/system.py
+++ b/lab/soak/system.py
@@ -14,7 +14,7 @@
 from samphirevale import errors
 from samphirevale.adapters import web_client
 from samphirevale.platform import node_file
-from standins import manifests
+from standins import manifests, metadata_store
 
 HOST = "h.example"
 KEY = "k1"
@@ -31,6 +31,10 @@
 END_SECONDS = 8.0
 POLL_SECONDS = 0.05
 
+# The interval at which the store looks for changes, in seconds for each entry,
+# so that the watches of a large fleet leave it time.
+POLL_RATIO = 0.0005
+
 # How long requests may last, in milliseconds.
 TIMEOUT_MS = 15_000
 
@@ -100,7 +104,12 @@
 
     async def start(self) -> None:
         """Starts all processes and waits until the entries are ready."""
-        self._store = self._start_program("store")
+        poll_seconds = max(
+            metadata_store.POLL_SECONDS, POLL_RATIO * self._play.entries
+        )
+        self._store = self._start_program(
+            "store", "--poll-seconds", str(poll_seconds)
+        )
         await self._call(
             self._store,
             "/objects/config",
