--- a/lab/soak/system.py
+++ b/lab/soak/system.py
@@ -14,7 +14,7 @@
 from samphirevale import errors
 from samphirevale.adapters import web_client
 from samphirevale.platform import node_file
-from standins import manifests
+from standins import manifests, metadata_store
 
 HOST = "h.example"
 KEY = "k1"
@@ -31,6 +31,10 @@
 END_SECONDS = 8.0
 POLL_SECONDS = 0.05
 
+# The interval at which the store looks for changes, in seconds for each entry,
+# so that the watches of a large fleet leave it time.
+POLL_RATIO = 0.0005
+
 # How long requests may last, in milliseconds.
 TIMEOUT_MS = 15_000
 
@@ -74,7 +78,7 @@
     Attributes:
         name: its name in the log lines.
         host: its address.
-        process: the present process.
+        process: the present process; None while it is replaced.
     """
 
     def __init__(self, number: int):
@@ -100,7 +104,12 @@
 
     async def start(self) -> None:
         """Starts all processes and waits until the entries are ready."""
-        self._store = self._start_program("store")
+        poll_seconds = max(
+            metadata_store.POLL_SECONDS, POLL_RATIO * self._play.entries
+        )
+        self._store = self._start_program(
+            "store", "--poll-seconds", str(poll_seconds)
+        )
         await self._call(
             self._store,
             "/objects/config",
@@ -231,6 +240,7 @@
             await curio.sleep(event.seconds)
             process.resume()
             return
+        entry.process = None
         if event.kind == plans.STOP:
             process.stop()
             async with curio.ignore_after(END_SECONDS):
@@ -258,7 +268,8 @@
         return [
             entry.name
             for entry in self.entries
-            if entry.process.exit_status is not None
+            if entry.process is not None
+            and entry.process.exit_status is not None
         ]
 
 
