Take what a report does not say for no confirmation of a start

A 404 with the word that nothing ran, written once more, was read as the answer to a stream that ran. A connection that ended behind its report took the request and a run. Notices of a start that is refused were applied to the listed one.

Cause: says nothing and says the same were one case, and the status 404, added with the question, kept the connection.

Now once any endpoint of a service has named its start, a report without one confirms nothing; 404 leads to a new connection, only where no report ever named a start; a start is compared as a number; an ended connection is not used; a notice counts only once the start has been compared.

test_versions, test_endpoints: the new cases failed before. The test of streams that begin before a registration accepted refusals of all; it asks for 200 now, and that the endpoint was asked.

--- a/samphirevale/platform/endpoints.py
+++ b/samphirevale/platform/endpoints.py
@@ -93,6 +93,8 @@
 
     def __init__(self, listener: proxies.EndpointListener):
         self._listener = listener
+        # The services whose endpoints say in reports when they started.
+        self._naming_starts: set[str] = set()
         self._idle: dict[
             tuple[str, int], list[web_client.ClientConnection]
         ] = {}
@@ -164,11 +166,16 @@
             except BaseException:
                 await connection.close()
                 raise
-            # A refusal that is written once more could be taken for the
-            # request's.
-            if status in (200, NO_REPORTS) and connection.is_reusable():
+            if (
+                status == 200
+                and connection.is_reusable()
+                and not connection.is_stale()
+            ):
                 return connection
+            # Its refusal, written once more, could be taken for the request's.
             await connection.close()
+            if status == NO_REPORTS:
+                return await self._open_connection(endpoint)
         raise errors.ConnectError(f"report status {status}")
 
     async def _ask_start(
@@ -179,14 +186,14 @@
     ) -> int:
         """Asks an endpoint for its start; returns the status of its report.
 
-        An endpoint that does not say when it started counts as the one that is
-        known. The question takes no part of what an endpoint bears, as that is
-        counted in requests.
+        If no endpoint of the service says when it started, each counts as the
+        one that is known. The question takes no part of what an endpoint bears,
+        as that is counted in requests.
 
         Raises:
             errors.NotAcceptingError: the endpoint has started again.
             errors.ConnectError: it has not answered, or its answer cannot be
-                read.
+                read or names no start.
         """
         self._check_allowed(endpoint)
         try:
@@ -201,12 +208,16 @@
             ) from error
         except errors.TransportError as error:
             raise errors.ConnectError(f"no report: {error}") from error
-        await self._handle_notice(endpoint, answer)
         started = _decode_start(answer.status, data)
         if answer.status == notices.MISDIRECTED or (
             started is not None and started != endpoint.started
         ):
             raise errors.NotAcceptingError(f"{endpoint.name} has started again")
+        await self._handle_notice(endpoint, answer)
+        if started is not None:
+            self._naming_starts.add(endpoint.service)
+        elif endpoint.service in self._naming_starts:
+            raise errors.ConnectError(f"{endpoint.name}: no start in a report")
         return answer.status
 
     async def run_batch(
@@ -377,6 +388,8 @@
     except errors.ProtocolError as error:
         raise errors.ConnectError(f"no report: {error}") from error
     started = value.get("born") if isinstance(value, dict) else None
+    if isinstance(started, float) and started.is_integer():
+        return int(started)
     return started if stored_values.is_integer(started) else None
 
 
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -228,7 +228,17 @@
             connections = await self.ask_start(200, value)
             self.assertEqual([["/report", "/p/x"]], connections)
         connections = await self.ask_start(404, {})
-        self.assertEqual([["/report", "/p/x"]], connections)
+        self.assertEqual([["/report"], ["/p/x"]], connections)
+
+    async def test_start_that_is_written_as_a_decimal_is_compared(self):
+        await self.ask_start(200, {"born": 7.0})
+        with self.assertRaises(errors.NotAcceptingError):
+            await self.ask_start(200, {"born": 8.0})
+
+    async def test_notice_of_another_start_is_not_that_of_the_known_one(self):
+        with self.assertRaises(errors.NotAcceptingError):
+            await self.ask_start(200, {"born": 8}, LEAVING)
+        self.assertEqual([], self.asked_listener.notices)
 
     async def test_refused_report_confirms_no_start(self):
         """Another start may answer on the next connection."""
--- a/tests/platform/test_versions.py
+++ b/tests/platform/test_versions.py
@@ -1,7 +1,7 @@
 """Tests of sessions with servers of several software versions."""
 
 from samphirevale import errors
-from samphirevale.adapters import web_client
+from samphirevale.adapters import web, web_client
 from samphirevale.origins import records
 from standins import servers
 from tests.platform import sessions
@@ -110,14 +110,38 @@
         async with self.run_all(SERVERS, ALIKE):
             self.restart_before_registering("model1", "v2")
             begun = [await self.begin(number) for number in range(PROMPTS)]
+            asked = [call.path for call in self.servers["model1"].arrivals]
+            self.assertIn("/report", asked)
             self.change_server("model1", born=self.servers["model1"].born)
             self.change_server("model1", state="draining")
             await self.wait_until_accepting("model2", "model3")
             for number, version in enumerate(begun):
                 status, _, body = await self.take_up(number)
-                self.assertIn(status, (200, 503))
-                if status == 200:
-                    self.assertEqual({version}, list_versions(body))
+                self.assertEqual(200, status)
+                self.assertEqual({version}, list_versions(body))
+
+    async def test_start_that_a_server_does_not_name_any_more_is_not_known(
+        self,
+    ):
+        """A new start may give other reports in its first moments."""
+        for report in (web.Response(404), web.build_json(200, {"queued": 0})):
+            async with self.run_all(SERVERS, ALIKE):
+                for number in range(PROMPTS):
+                    await self.write(**self.build_headers(number))
+                server = self.servers["model1"]
+                server.version = "v2"
+                answer = server._answer
+
+                async def answer_oddly(request, answer=answer, report=report):
+                    if request.path == "/report":
+                        return report
+                    return await answer(request)
+
+                server._answer = answer_oddly
+                server.faults = ["cut"] * PROMPTS
+                for number in range(PROMPTS):
+                    _, _, body = await self.write(**self.build_headers(number))
+                    self.assertEqual({"v1"}, list_versions(body))
 
     async def test_broken_stream_is_not_joined_before_a_registration(self):
         """The entry itself goes on with it at another endpoint."""
