Join no events of an answer whose route has no streams to resume

What could be seen: an endpoint answers a repeatable request with events and breaks off, and the answer goes on with those of another endpoint, also of another version, as nobody asked for its start.

Cause: a stream that broke was resumed wherever its request may run again. A request that may run again may be made anew, but only a resumable route says that parts of two runs fit together.

test_proxying.StreamTest.test_answer_with_events_of_another_route_is_not_joined failed before: the answer was joined of two.

--- a/samphirevale/stream_resumptions.py
+++ b/samphirevale/stream_resumptions.py
@@ -81,7 +81,13 @@
                     results = None
 
     def _find_obstacle(self, needs_stages: bool, retry_taken: bool) -> str:
-        """Returns why the stream may not go on; empty if it may."""
+        """Returns why the stream may not go on; empty if it may.
+
+        An answer of another route may be a stream too. It may be made once
+        more, but not be joined of two.
+        """
+        if not self._route.resumable:
+            return "not_resumable"
         stream = self._build_broken_stream(needs_stages)
         needed = END_FACTOR * stream.resumption_seconds + END_SECONDS
         if self._context.clock.now() + needed > self._context.process_end.at:
--- a/tests/test_proxying.py
+++ b/tests/test_proxying.py
@@ -670,6 +670,16 @@
         answer = await proxy.answer(proxy_fakes.build_request())
         self.assertEqual((503, "no_endpoint"), (answer.status, answer.reason))
 
+    async def test_answer_with_events_of_another_route_is_not_joined(self):
+        """A repeatable request may run again, but not go on elsewhere."""
+        self.use_route(proxy_fakes.build_route())
+        answer = await self.answer(
+            self.build_stream(b"id: 1\n\nid: 2", proxy_fakes.LOST_ANSWER),
+            self.build_stream(b"id: 2\n\n"),
+        )
+        with self.assertRaises(errors.AnswerLostError):
+            await self.read_stream(answer)
+
     async def test_events_before_a_gap_are_not_lost(self):
         answer = await self.answer(
             self.build_stream(b"id: 1\n\n", b"id: 2\n\nid: 4\n\n"),
