Look once more for crashes under a request after the question to its endpoint

What could be seen: a request whose part has crashed three endpoints while a silent one was asked for its start is sent all the same (BUDGET); and a crash counted as if the request had been sent when the question began, so that it could be missed.

Cause: put a question of any length between the check and the send. Both are looked at as the request is sent now. The learned duration of requests counts from the begin of the exchange, as before.

test_proxying.StreamTest.test_no_stream_is_sent_whose_part_crashed_endpoints_meanwhile failed before (the stream was sent).

--- a/samphirevale/exchanges.py
+++ b/samphirevale/exchanges.py
@@ -28,6 +28,8 @@
         self._counted_in_load = False
         # When the endpoint was connected to; None before.
         self._connected_at: float | None = None
+        # When the exchange began.
+        self._opened_at = 0.0
         # When the request was sent, and the prompt tokens ahead of its own.
         self._sent_at = 0.0
         self._tokens_ahead = 0
@@ -45,7 +47,7 @@
         """Sends the request and reads the head of the answer."""
         self._request = request
         self._counted_in_load = self._prompt_unread = True
-        self._sent_at = self._context.clock.now()
+        self._opened_at = self._sent_at = self._context.clock.now()
         self._tokens_ahead = self._context.selector.count_unread(
             self.endpoint.name
         )
@@ -60,9 +62,12 @@
     def _record_connected(self) -> None:
         """Records that the request is sent.
 
+        It may have taken a while to connect to the endpoint and to ask it.
+
         Raises:
             errors.NotAcceptingError: the endpoint has turned out meanwhile to
                 leave, or to have started again.
+            errors.InputRefusedError: endpoints have crashed under the request.
         """
         if not self._context.cluster_state.catalogue.is_accepting(
             self.endpoint
@@ -70,7 +75,9 @@
             raise errors.NotAcceptingError(
                 f"{self.endpoint.name} accepts no more work"
             )
-        self._connected_at = self._context.clock.now()
+        if self._context.crashes.refuses(self._request):
+            raise errors.InputRefusedError("endpoints crash under its parts")
+        self._connected_at = self._sent_at = self._context.clock.now()
 
     def may_have_sent(self) -> bool:
         """Returns whether the endpoint was connected to."""
@@ -151,7 +158,7 @@
             self._context.selector.record_end(self.endpoint.name, failed, now)
             if self.answer is not None and not failed:
                 self._context.returns.record_duration(
-                    self.endpoint.service, now - self._sent_at
+                    self.endpoint.service, now - self._opened_at
                 )
         if self.answer is not None:
             answer, self.answer = self.answer, None
--- a/tests/test_proxying.py
+++ b/tests/test_proxying.py
@@ -670,6 +670,34 @@
         answer = await proxy.answer(proxy_fakes.build_request())
         self.assertEqual((503, "no_endpoint"), (answer.status, answer.reason))
 
+    async def test_no_stream_is_sent_whose_part_crashed_endpoints_meanwhile(
+        self,
+    ):
+        """The question to the endpoint may take a while."""
+        self.use_stream_route()
+        proxy = self.build_proxy(self.build_stream(b"id: 1\n\n"))
+        send = self.endpoints.send
+        request = proxy_fakes.build_request(
+            prompt=(
+                proxy_requests.PromptPart("x", 10),
+                proxy_requests.PromptPart("q", 5),
+            )
+        )
+
+        async def ask_slowly(endpoint, request, parameters, on_connected):
+            for name in ("c1", "c2", "c3"):
+                crashed = proxy_fakes.build_endpoint(name, "plain")
+                now = self.clock.seconds
+                self.crashes.record_crash(crashed, request, now)
+                self.clock.seconds += 0.3
+            return await send(endpoint, request, parameters, on_connected)
+
+        self.endpoints.send = ask_slowly
+        answer = await proxy.answer(request)
+        self.assertEqual(
+            (503, crash_reports.REASON), (answer.status, answer.reason)
+        )
+
     async def test_answer_with_events_of_another_route_is_not_joined(self):
         """A repeatable request may run again, but not go on elsewhere."""
         self.use_route(proxy_fakes.build_route())
