--- a/tests/platform/test_broken_streams.py
+++ b/tests/platform/test_broken_streams.py
@@ -16,6 +16,9 @@
 TEXT = b"Content-Type: text/plain\r\n"
 NOT_EXECUTED = b"Samphirevale-Not-Executed: 1\r\n"
 
+# The time to the deadline of streams, in milliseconds, longer than a silence.
+DEADLINE_MS = 9000
+
 # What callers have of a stream when it breaks off.
 BEGIN = servers.build_event(1) + servers.build_event(2)
 THIRD = servers.build_event(3)
@@ -63,7 +66,12 @@
                 self.change_server(name, born=raw_answers.BORN)
             manifest = sessions.build_manifest(2)
             *others, stream = manifest["routes"]
-            stream = {**stream, "phases": [], "max_attempts": 4}
+            stream = {
+                **stream,
+                "phases": [],
+                "max_attempts": 4,
+                "timeout_ms": DEADLINE_MS,
+            }
             manifest["routes"] = [
                 *others,
                 stream,
@@ -102,7 +110,7 @@
             f"POST {path} HTTP/{version}",
             "Host: h.example",
             f"Samphirevale-Attempt-Id: b{number}",
-            "Samphirevale-Deadline-Ms: 3000",
+            f"Samphirevale-Deadline-Ms: {DEADLINE_MS}",
             "Samphirevale-Key: k1",
             f"Samphirevale-Prefix-Hash: p{number}:10,q{number}:5",
             "Content-Length: 0",
@@ -164,6 +172,27 @@
     async def test_text_of_an_error_behind_an_event_is_no_event(self):
         await self.check_texts(THIRD, b"")
 
+    async def test_error_after_a_silence_is_no_event(self):
+        """The endpoint before may still go on while the next one answers."""
+        rest = build_stream(THIRD + REST, "chunks")
+        whole = build_stream(sessions.STREAM, "chunks")
+        error = build_stream(ERROR_TEXTS["data"], "none")
+        refusal = raw_answers.build_answer(
+            b"no\n\n", "none", 500, SEAL + EVENTS
+        )
+        async with self.run_raw():
+            for before, answer, after in (
+                (build_broken(), error, rest),
+                (b"", refusal, whole),
+            ):
+                silent = raw_answers.RawAnswer(before, "")
+                read = await self.send([silent, answer, after])
+                self.assertEqual(
+                    (200, sessions.STREAM, True),
+                    (read.status, read.body, read.complete),
+                )
+                self.assertEqual(3, len(self.raw.requests))
+
     async def test_head_inside_an_event_is_no_part_of_it(self):
         heads = (
             b"HTTP/1.1 500 X\r\nContent-Length: 4\r\n\r\nno\n\n",
