Ask for the start also where a part of the prompt may be accused

Now requests with parts that others may share are asked as well. Plain requests and prompts without such parts are not; nothing follows from their answers for a part.

platform.test_crashing_parts.CrashEvidenceTest: with the question left out (an ablation) both tests fail, with it they pass.

--- a/lab/stream_mechanisms.py
+++ b/lab/stream_mechanisms.py
@@ -46,8 +46,8 @@
         "endpoint asked for its start before a stream begins",
         VERSIONS,
         "request_sends",
-        "return remaining if wanted.recorded else None",
-        "return None",
+        "return remaining if wanted.recorded or accused else None",
+        "return remaining if accused else None",
         "tests.test_proxying.StreamTest"
         ".test_endpoint_is_asked_for_its_start_if_its_version_matters",
         "tests.platform.test_versions.VersionTest"
@@ -66,6 +66,17 @@
         "tests.platform.test_endpoints.PlatformEndpointsTest"
         ".test_refused_report_confirms_no_start",
     ),
+    _ablate(
+        "endpoint asked for its start before a part may be accused",
+        VERSIONS,
+        "request_sends",
+        "return remaining if wanted.recorded or accused else None",
+        "return remaining if wanted.recorded else None",
+        "tests.platform.test_crashing_parts.CrashEvidenceTest"
+        ".test_crash_is_not_forgotten_as_the_next_start_answers",
+        "tests.platform.test_crashing_parts.CrashEvidenceTest"
+        ".test_crashes_of_starts_that_are_not_listed_do_not_count_as_one",
+    ),
     _ablate(
         "nothing sent to an endpoint that has left during the question",
         VERSIONS,
--- a/samphirevale/request_sends.py
+++ b/samphirevale/request_sends.py
@@ -2,6 +2,7 @@
 
 from samphirevale import (
     catalogue,
+    crash_reports,
     errors,
     exchanges,
     proxy_requests,
@@ -12,7 +13,7 @@
 # against the retry budget, as a failed connection hands nothing over.
 CONNECT_FAILURES_LIMIT = 3
 
-# How long an endpoint may take to confirm its version before a stream goes on
+# How long an endpoint may take to confirm its start before a stream goes on
 # there, in seconds.
 GOING_ON_ASK_SECONDS = 0.5
 
@@ -114,23 +115,25 @@
         )
 
     def _compute_ask_timeout(self, remaining: float) -> float | None:
-        """Returns how long an endpoint may take to confirm its version.
+        """Returns how long an endpoint may take to confirm its start.
 
         An endpoint may have started again under its name, with another version,
-        and be listed as before. That matters to a stream that goes on, and to
-        one that begins and may go on later. A silent endpoint is left for
-        another one as if it had the request.
+        and be listed as before. That matters to a stream that goes on, to one
+        that begins and may go on later, and to what follows from an answer or a
+        crash under the parts of a prompt. A silent endpoint is left for another
+        one as if it had the request.
 
         Args:
             remaining: the time until the request's deadline, in seconds.
 
         Returns:
-            The time in seconds; None if the version does not matter.
+            The time in seconds; None if the start does not matter.
         """
         wanted = self._endpoints.wanted
         if wanted.version is not None:
             return min(GOING_ON_ASK_SECONDS, remaining)
-        return remaining if wanted.recorded else None
+        accused = crash_reports.list_shared_parts(self._request)
+        return remaining if wanted.recorded or accused else None
 
     def compute_overlap(self, exchange: exchanges.Exchange | None) -> float:
         """Returns how long a further endpoint has had the request.
--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -10,6 +10,7 @@
     crashing_part_store,
     crashing_parts,
     entries,
+    errors,
     gateway,
     registrations,
     settled_era,
@@ -167,3 +168,58 @@
             await self.crash_servers(ports)
             await self.check_refused(ports)
             await self.check_served(ports)
+
+
+class CrashEvidenceTest(sessions.SessionTestCase):
+    """Each server that crashes is back before its entry is written again."""
+
+    @contextlib.asynccontextmanager
+    async def run_crashing(self, names):
+        """Runs the servers, and a route whose streams cannot be resumed."""
+        async with self.run_all(("plain1", "first1", *names)):
+            manifest = sessions.build_manifest(version=2)
+            say = {**manifest["routes"][2], "name": "/say/"}
+            say["path_prefix"] = "/say/"
+            del say["phases"], say["resumable"]
+            manifest["routes"].append(say)
+            self.store.put("config", "main", manifest)
+            cluster = self.gateway.cluster_state
+            await self.wait_until(lambda: cluster.table.version == 2)
+            models = [self.servers[name] for name in names]
+            for server in models:
+                server.crashing_part = "x"
+            yield models
+
+    async def test_crash_is_not_forgotten_as_the_next_start_answers(self):
+        async with self.run_crashing(("model1", "model2", "model3")) as models:
+            for number in range(40):
+                await self.try_call("/write/x", f"w{number}", "p:10,x:5")
+            self.assertEqual([2] * 3, [server.starts for server in models])
+            parts = self.gateway._crashes.parts
+            self.assertEqual(3, len(parts.list_crashes()))
+            for server in models:
+                server.crashing_part = ""
+            await curio.sleep(0.4)
+            for number in range(30):
+                await self.try_call("/say/x", f"s{number}", "o:10,s:5")
+            self.assertEqual(3, len(parts.list_crashes()))
+
+    async def test_crashes_of_starts_that_are_not_listed_do_not_count_as_one(
+        self,
+    ):
+        async with self.run_crashing(("model1", "model2")) as models:
+            for number in range(12):
+                await self.try_call("/say/x", f"s{number}", "p:10,x:5")
+            crashes = sum(server.starts - 1 for server in models)
+            self.assertLessEqual(crashes, crashing_parts.CRASHES_LIMIT + 1)
+
+    async def try_call(self, path, attempt, prompt):
+        """Sends a request, whose answer may break off."""
+        headers = {
+            "Samphirevale-Attempt-Id": attempt,
+            "Samphirevale-Prefix-Hash": f"{prompt},{attempt}:5",
+            "Samphirevale-Chunk-Count": "2,1",
+            "Samphirevale-Chunk-Key": "ck",
+        }
+        with contextlib.suppress(errors.TransportError):
+            await self.call(path, **headers)
