--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -647,7 +647,7 @@
         GRACEFUL_SHUTDOWN,
         "adapters/web_connections",
         "reason = await self._refuse_last()",
-        "reason = CANCELLED",
+        "reason = web.CANCELLED",
         f"{_WEB}.EndOfServerTest"
         ".test_request_that_arrives_on_an_idle_connection_is_answered",
     ),
--- a/lab/stream_mechanisms.py
+++ b/lab/stream_mechanisms.py
@@ -21,6 +21,7 @@
 _ORIGINS = "tests.test_stream_origins"
 _ENTRIES = "tests.test_entries.EntryTableTest"
 _DISPATCH = "tests.test_batch_dispatch"
+_LAST = "tests.platform.test_last_answers.LastAnswersTest"
 
 TEST_ABLATIONS = (
     _ablate(
@@ -497,4 +498,72 @@
         "drain_ends_at = process_ends_at",
         "tests.platform.test_last_answers",
     ),
+    _ablate(
+        "busy process given more time for its last answers",
+        STOPS,
+        "gateway",
+        "turn_seconds = max(turn_seconds, late_seconds)",
+        "pass",
+        f"{_LAST}.test_last_answers_of_a_busy_entry_come_after_the_grace",
+    ),
+    _ablate(
+        "last answers before new connections",
+        STOPS,
+        "gateway",
+        "limit, gate.limit = gate.limit, 0",
+        "limit = gate.limit",
+        f"{_LAST}.test_new_connections_are_served_before_the_last_answers",
+    ),
+    _ablate(
+        "grace period counted from the signal",
+        STOPS,
+        "gateway",
+        "drain_started_at = min(self._stopped_at, self.clock.now())",
+        "drain_started_at = self.clock.now()",
+        f"{_LAST}.test_busy_entry_that_sees_the_order_late_outlasts_its_grace",
+    ),
+    _ablate(
+        "requests accepted in a part of a short grace period only",
+        STOPS,
+        "gateway",
+        "min(LINGER_SECONDS, grace_seconds * ACCEPTING_SHARE)",
+        "LINGER_SECONDS",
+        f"{_LAST}.test_request_that_cannot_be_answered_in_a_short_grace_is_run",
+    ),
+    _ablate(
+        "streams at work go on until late in a short grace period",
+        STOPS,
+        "gateway",
+        "GRACE_MARGIN_SECONDS, grace_seconds * GRACE_MARGIN_SHARE",
+        "GRACE_MARGIN_SECONDS, grace_seconds",
+        "tests.platform.test_late_in_the_grace.LateRequestsTest"
+        ".test_request_that_comes_late_in_a_short_grace_is_cut",
+    ),
+    _ablate(
+        "end of a request taken back once there is an answer",
+        STOPS,
+        "proxying",
+        "await curio.check_cancellation(_EndedError)",
+        "pass",
+        "tests.test_stopping_streams.StoppingStreamTest"
+        ".test_stream_that_begins_as_requests_are_ended_breaks",
+    ),
+    _ablate(
+        "task of a request that was ended can be cancelled again",
+        STOPS,
+        "proxying",
+        "task.cancelled = False",
+        "pass",
+        "tests.test_stopping_streams.StoppingStreamTest"
+        ".test_caller_of_a_request_that_was_ended_leaves_unnoticed",
+    ),
+    _ablate(
+        "request in progress answered as the server ends",
+        STOPS,
+        "adapters/web_connections",
+        "if self._protocol.our_state is not h11.SEND_RESPONSE:",
+        "if True:",
+        "tests.adapters.test_web_connections.EndOfServerTest"
+        ".test_request_in_progress_is_cut_or_refused",
+    ),
 )
--- a/tests/platform/test_last_answers.py
+++ b/tests/platform/test_last_answers.py
@@ -20,8 +20,9 @@
 
 GRACE_SECONDS = 2.0
 
-# A longer grace period, in seconds.
+# Longer grace periods, in seconds.
 LONG_GRACE_SECONDS = 4.0
+LONGER_GRACE_SECONDS = 8.0
 
 # How long the entry does something else as the order to stop comes, in seconds.
 BUSY_SECONDS = 1.2
@@ -175,10 +176,11 @@
                 await self.gateway.stop.set()
                 self.assertGreater(await calling.join(), await writing.join())
 
-    async def stop_with_slow_turns(self, turn_seconds):
+    async def stop_with_slow_turns(self, grace_seconds, turn_seconds):
         """Stops an entry with requests that are in their stages.
 
         Args:
+            grace_seconds: the grace period.
             turn_seconds: how long a turn of all tasks takes.
 
         Returns:
@@ -191,14 +193,22 @@
                 time.sleep(turn_seconds)
                 await curio.sleep(0)
 
+        manifest = sessions.build_manifest(version=2)
+        for route in manifest["routes"]:
+            route["timeout_ms"] = 3000 * grace_seconds
+        deadline = {"Samphirevale-Deadline-Ms": str(int(3000 * grace_seconds))}
         async with self.run_all():
+            self.store.put("config", "main", manifest)
+            await self.wait_until(
+                lambda: self.gateway.cluster_state.table.version == 2
+            )
             self.gateway.adopt_settings(
-                self.gateway.settings._replace(grace_seconds=LONG_GRACE_SECONDS)
+                self.gateway.settings._replace(grace_seconds=grace_seconds)
             )
-            self.servers["first1"].call_seconds = 2 * LONG_GRACE_SECONDS
+            self.servers["first1"].call_seconds = 2 * grace_seconds
             async with curio.TaskGroup() as group:
                 for _ in range(REQUESTS):
-                    await group.spawn(self.write)
+                    await group.spawn(lambda: self.write(**deadline))
                 await curio.sleep(0.2)
                 blocking = await curio.spawn(block, daemon=True)
                 begin = time.monotonic()
@@ -212,9 +222,9 @@
             return answered, ended
 
     async def test_tasks_that_end_in_turn_outlast_the_grace(self):
-        _, ended = await self.stop_with_slow_turns(0.03)
+        _, ended = await self.stop_with_slow_turns(LONG_GRACE_SECONDS, 0.03)
         self.assertLess(ended, LONG_GRACE_SECONDS)
 
     async def test_last_answers_of_a_busy_entry_come_after_the_grace(self):
-        answered, _ = await self.stop_with_slow_turns(0.35)
-        self.assertLess(answered, LONG_GRACE_SECONDS)
+        answered, _ = await self.stop_with_slow_turns(LONGER_GRACE_SECONDS, 0.7)
+        self.assertLess(answered, LONGER_GRACE_SECONDS)
