--- a/lab/soak/callers.py
+++ b/lab/soak/callers.py
@@ -117,8 +117,11 @@
     async def send_plain(self, until: float) -> None:
         """Sends plain requests until a time."""
         while time.monotonic() < until:
-            path = self._rng.choice((system.REPEATABLE, system.ONCE)) + "x"
+            prefix = self._rng.choice((system.REPEATABLE, system.ONCE))
             attempt = f"{self._name}-{next(self._numbers)}"
+            # No two requests are the same, as those under which endpoints seem
+            # to crash are refused.
+            path = f"{prefix}{attempt}"
             await self._send(attempt, attempt, path, 0, {}, None)
             await self._pause(PAUSE_SECONDS)
         await self._close()
--- a/lab/soak/checks.py
+++ b/lab/soak/checks.py
@@ -138,7 +138,8 @@
         way = f"{leg.end} {leg.status}" if leg.status else leg.end
         if leg.end == records.BROKEN and leg.kept and not leg.status:
             way = "no answer on an open connection"
-        counts[f"{leg.path} {way}"] += 1
+        prefix, _, _ = leg.path.rpartition("/")
+        counts[f"{prefix}/ {way}"] += 1
     return dict(sorted(counts.items()))
 
 
--- a/lab/soak/plans.py
+++ b/lab/soak/plans.py
@@ -50,6 +50,7 @@
             connection.
         mass_kills: how often all entries are killed at once.
         faults: the share of streams at endpoints that have a fault.
+        others: how often endpoints of stages and plain services start again.
     """
 
     seed: int
@@ -63,6 +64,7 @@
     closing: float = 0.0
     mass_kills: int = 0
     faults: float = 0.0
+    others: int = 0
 
 
 class Event(NamedTuple):
@@ -71,8 +73,8 @@
     Attributes:
         at: when it begins, in seconds from the begin of the play.
         kind: one of the constants above.
-        target: the number of the entry or model endpoint, or the store's
-            switch.
+        target: the number of the entry or endpoint, model endpoints first, or
+            the store's switch.
         seconds: how long it lasts; of a restart, how long its port is closed.
         register_seconds: from the start of an endpoint to its registration.
         version: the version of a start; empty for that of the former one.
@@ -111,9 +113,18 @@
         for target in range(play.entries):
             seconds = rng.uniform(*KILLED_SECONDS)
             events.append(Event(at, KILL, target, seconds))
+    for _ in range(play.others):
+        at = rng.uniform(0.1, 0.9) * play.seconds
+        target = play.servers + rng.randrange(2 * count_others(play))
+        events.append(_draw_restart(rng, at, target, "", False))
     return sorted(events, key=lambda event: event.at)
 
 
+def count_others(play: Play) -> int:
+    """Returns the number of endpoints of each other service."""
+    return 1 + play.servers // 10
+
+
 def _draw_release(
     play: Play, rng: random.Random, begin: float, version: str
 ) -> list[Event]:
--- a/lab/soak/system.py
+++ b/lab/soak/system.py
@@ -44,9 +44,6 @@
 # The number of the endpoints' address, above those of the entries.
 HOSTS_NUMBER = 50_000
 
-# The number of endpoints of each other service, for each ten model endpoints.
-OTHERS_PER_TEN = 1
-
 
 def build_manifest() -> dict[str, Any]:
     """Returns routes of each kind, with stages for some of the streams."""
@@ -128,7 +125,7 @@
         )
         for number in range(1, self._play.servers + 1):
             await self._start_endpoint("model", number, "v1")
-        for number in range(1, 2 + self._play.servers * OTHERS_PER_TEN // 10):
+        for number in range(1, 1 + plans.count_others(self._play)):
             await self._start_endpoint("plain", number, "")
             await self._start_endpoint("first", number, "")
         for entry in self.entries:
--- a/tests/lab/soak/test_checks.py
+++ b/tests/lab/soak/test_checks.py
@@ -110,6 +110,28 @@
         self.assertEqual("dead", checks.check_all(seen)[0].kind)
 
 
+class CountsTest(base.TestCase):
+    """Tests how the ends of requests are counted."""
+
+    def test_ends_and_refused_take_ups(self):
+        refused = build_leg("b", "", records.REFUSED, status=503, text="full\n")
+        legs = [
+            build_leg("a", "1:v1", records.LEFT),
+            refused._replace(last_event=1),
+            refused,
+            build_leg("c", "", records.BROKEN, status=0, kept=True),
+        ]
+        self.assertEqual(
+            {
+                "/write/ left 200": 1,
+                "/write/ no answer on an open connection": 1,
+                "/write/ refused 503": 2,
+            },
+            checks.count_ends(legs),
+        )
+        self.assertEqual({"full": 1}, checks.count_refusals(legs))
+
+
 class CausesTest(base.TestCase):
     """Tests why a stream was joined: e0 and e1 are of v1, e2 of v2."""
 
--- a/tests/lab/soak/test_plans.py
+++ b/tests/lab/soak/test_plans.py
@@ -40,3 +40,10 @@
         self.assertEqual(len(events) + len(added), len(more))
         self.assertEqual(1, len({event.at for event in added}))
         self.assertEqual([0, 1, 2, 3], [event.target for event in added])
+
+    def test_endpoints_of_other_services_start_again(self):
+        play = plans.Play(5, servers=10)
+        events = plans.draw_events(play)
+        more = plans.draw_events(play._replace(others=40))
+        added = {event.target for event in more if event not in events}
+        self.assertEqual(set(range(10, 14)), added)
