--- a/samphirevale/adapters/web_connections.py
+++ b/samphirevale/adapters/web_connections.py
@@ -179,11 +179,10 @@
         """
         try:
             if self._requests > self._answered:
+                if self._protocol.our_state is not h11.SEND_RESPONSE:
+                    return web.CANCELLED
                 # A handler that gives up by itself has no answer.
-                ended = (await curio.current_task()).cancelled
-                if not ended or self._protocol.our_state is not (
-                    h11.SEND_RESPONSE
-                ):
+                if not (await curio.current_task()).cancelled:
                     return web.CANCELLED
                 await self._refuse(504, "the server ends")
                 self._answered += 1
