Count an endpoint that confirms no start as none that cannot be reached

Cause: an endpoint that ends while it is asked counted as a failed connection, of which a request bears three. They are limited for the half second that each costs; a question that breaks costs none, and nothing was sent.

Now it is an error of its own, which does not count to that limit and does not make the endpoint unreachable for others. A question without an answer in time still does.

test_proxying.StreamTest.test_endpoints_that_confirm_no_start_are_no_unreachable_ones fails if they are counted (a refusal in place of the stream).

--- a/lab/stream_mechanisms.py
+++ b/lab/stream_mechanisms.py
@@ -37,7 +37,8 @@
         "report that is cut off does not tell that an endpoint is the same",
         VERSIONS,
         "platform/endpoints",
-        '        raise errors.ConnectError(f"no report: {error}") from error\n'
+        "        raise errors.UnconfirmedStartError("
+        'f"no report: {error}") from error\n'
         "    started = value",
         "        return None\n    started = value",
         "tests.fuzz.test_cut_answers.CutAnswersTest"
@@ -60,7 +61,8 @@
         "start of an endpoint confirmed on the request's own connection",
         VERSIONS,
         "platform/endpoints",
-        '        raise errors.ConnectError(f"report status {status}")\n',
+        "        raise errors.UnconfirmedStartError("
+        'f"report status {status}")\n',
         "        return await self._open_connection(endpoint)\n",
         "tests.platform.test_endpoints.PlatformEndpointsTest"
         ".test_start_is_asked_for_on_each_connection",
--- a/samphirevale/errors.py
+++ b/samphirevale/errors.py
@@ -58,6 +58,10 @@
     """No process listens at the address of the remote side."""
 
 
+class UnconfirmedStartError(ConnectError):
+    """An endpoint has not confirmed its start, so that nothing was sent."""
+
+
 class NotAcceptingError(ConnectError):
     """The endpoint leaves or pauses, so nothing was sent to it."""
 
@@ -187,5 +191,5 @@
 def is_unreachable(error: BaseException) -> bool:
     """Returns whether an endpoint could not be connected to."""
     return isinstance(error, ConnectError) and not isinstance(
-        error, NotAcceptingError
+        error, NotAcceptingError | UnconfirmedStartError
     )
--- a/samphirevale/platform/endpoints.py
+++ b/samphirevale/platform/endpoints.py
@@ -157,7 +157,8 @@
 
         Raises:
             errors.NotAcceptingError: the endpoint has started again.
-            errors.ConnectError: it has not confirmed its start.
+            errors.ConnectError: it has not answered, or
+                errors.UnconfirmedStartError: not confirmed its start.
         """
         for _ in range(ASK_ATTEMPTS):
             connection = await self._open_connection(endpoint)
@@ -176,7 +177,7 @@
             await connection.close()
             if status == NO_REPORTS:
                 return await self._open_connection(endpoint)
-        raise errors.ConnectError(f"report status {status}")
+        raise errors.UnconfirmedStartError(f"report status {status}")
 
     async def _ask_start(
         self,
@@ -192,8 +193,9 @@
 
         Raises:
             errors.NotAcceptingError: the endpoint has started again.
-            errors.ConnectError: it has not answered, or its answer cannot be
-                read or names no start.
+            errors.ConnectTimeoutError: it has not answered in time.
+            errors.UnconfirmedStartError: its answer is cut off, cannot be read
+                or names no start.
         """
         self._check_allowed(endpoint)
         try:
@@ -207,7 +209,7 @@
                 f"{endpoint.name}: no report in {seconds:.1f} s"
             ) from error
         except errors.TransportError as error:
-            raise errors.ConnectError(f"no report: {error}") from error
+            raise errors.UnconfirmedStartError(f"no report: {error}") from error
         started = _decode_start(answer.status, data)
         if answer.status == notices.MISDIRECTED or (
             started is not None and started != endpoint.started
@@ -217,7 +219,9 @@
         if started is not None:
             self._naming_starts.add(endpoint.service)
         elif endpoint.service in self._naming_starts:
-            raise errors.ConnectError(f"{endpoint.name}: no start in a report")
+            raise errors.UnconfirmedStartError(
+                f"{endpoint.name}: no start in a report"
+            )
         return answer.status
 
     async def run_batch(
@@ -377,16 +381,16 @@
     """Returns the start that a report names; None if it names none.
 
     Raises:
-        errors.ConnectError: it is empty or cannot be read.
+        errors.UnconfirmedStartError: it is empty or cannot be read.
     """
     if status != 200:
         return None
     if not data:
-        raise errors.ConnectError("an empty report")
+        raise errors.UnconfirmedStartError("an empty report")
     try:
         value = web_client.read_json(data)
     except errors.ProtocolError as error:
-        raise errors.ConnectError(f"no report: {error}") from error
+        raise errors.UnconfirmedStartError(f"no report: {error}") from error
     started = value.get("born") if isinstance(value, dict) else None
     if isinstance(started, float) and started.is_integer():
         return int(started)
--- a/samphirevale/send_failures.py
+++ b/samphirevale/send_failures.py
@@ -65,13 +65,11 @@
         self, endpoint: catalogue.Endpoint, error: errors.TransportError
     ) -> proxy_requests.Refusal | None:
         """Returns the refusal after an error; None to send again."""
-        if isinstance(error, errors.NotAcceptingError):
-            return None
         if isinstance(error, errors.InputRefusedError):
             status = 502 if self._sends.runs else 503
             return proxy_requests.Refusal(status, crash_reports.REASON)
         if isinstance(error, errors.ConnectError):
-            self._connection_failures += 1
+            self._connection_failures += errors.is_unreachable(error)
             if (
                 self._connection_failures
                 >= request_sends.CONNECT_FAILURES_LIMIT
--- a/tests/test_proxying.py
+++ b/tests/test_proxying.py
@@ -670,6 +670,17 @@
         answer = await proxy.answer(proxy_fakes.build_request())
         self.assertEqual((503, "no_endpoint"), (answer.status, answer.reason))
 
+    async def test_endpoints_that_confirm_no_start_are_no_unreachable_ones(
+        self,
+    ):
+        """A release may end several endpoints while they are asked."""
+        self.register_versions(p1="v1", p2="v1", p3="v1", p4="v1", p5="v1")
+        unconfirmed = errors.UnconfirmedStartError("no report")
+        answer = await self.answer(
+            *[unconfirmed] * 4, self.build_stream(b"id: 1\n\n")
+        )
+        self.assertEqual(b"id: 1\n\n", await self.read_stream(answer))
+
     async def test_no_stream_is_sent_whose_part_crashed_endpoints_meanwhile(
         self,
     ):
