Count only runs that gave events in the causes of the soak

Where two endpoints had a stream before its first event, the later run was taken for the one that gave it.

--- a/lab/soak/checks.py
+++ b/lab/soak/checks.py
@@ -186,14 +186,17 @@
 
 
 def _list_fruitful(leg: records.Leg, seen: Seen) -> list[records.Run]:
-    """Returns the runs of a request that gave events, in order."""
-    runs = [run for run in seen.runs if run.attempt == leg.attempt]
-    reached = [run.last_event for run in runs[1:]]
-    reached += [number for number, _ in leg.events[-1:]]
+    """Returns the runs of a request that gave events, in order.
+
+    A run may break before its first event, or overlap with another one that
+    gives the events: its first one has its version then only by chance.
+    """
+    versions = dict(leg.events)
     return [
         run
-        for run, last in zip(runs, reached, strict=False)
-        if last > run.last_event
+        for run in seen.runs
+        if run.attempt == leg.attempt
+        and versions.get(run.last_event + 1) == seen.starts[run.start].version
     ]
 
 
--- a/tests/lab/soak/test_checks.py
+++ b/tests/lab/soak/test_checks.py
@@ -166,6 +166,20 @@
         ]
         self.assertEqual(checks.BEGIN, self.find_cause(legs, runs, *lines))
 
+    def test_run_that_overlaps_with_the_first_events_does_not_count(self):
+        legs = [
+            build_leg("a", "1:v1 2:v1", records.LEFT),
+            build_leg("b", "3:v2", records.LEFT),
+        ]
+        runs = [
+            build_run("a", 1.0, 0, 0),
+            build_run("a", 1.2, 0, 2),
+            build_run("b", 3.0, 2, 2),
+        ]
+        lines = [build_line("a", 1.0, "e0", "v1")]
+        lines.append(build_line("b", 3.0, "e2", "v1"))
+        self.assertEqual(checks.BETWEEN, self.find_cause(legs, runs, *lines))
+
     def test_origin_taken_for_one_of_another_version(self):
         legs = [
             build_leg("a", "1:v1", records.LEFT),
