--- a/samphirevale/adapters/web_connections.py
+++ b/samphirevale/adapters/web_connections.py
@@ -158,6 +158,9 @@
         """
         try:
             if self._requests > self._answered:
+                if not self._state.draining:
+                    # The server fails, and does not end in an orderly way.
+                    return web.CANCELLED
                 if self._protocol.our_state is not h11.SEND_RESPONSE:
                     return web.CANCELLED
                 await self._refuse(504, "the server ends")
