--- a/samphirevale/adapters/web_connections.py
+++ b/samphirevale/adapters/web_connections.py
@@ -184,9 +184,6 @@
                     return web.CANCELLED
                 if self._protocol.our_state is not h11.SEND_RESPONSE:
                     return web.CANCELLED
-                # A handler that gives up by itself has no answer.
-                if not (await curio.current_task()).cancelled:
-                    return web.CANCELLED
                 await self._refuse(504, "the server ends")
                 self._answered += 1
                 return web.ANSWERED_AT_END
