--- a/lab/soak/regressions.py
+++ b/lab/soak/regressions.py
@@ -39,6 +39,14 @@
         Regression(plans.Play(seed, seconds=15.0, mass_kills=2), UNKNOWN_START)
         for seed in (301, 302)
     ),
+    *(
+        Regression(plans.Play(seed, seconds=12.0), UNKNOWN_START)
+        for seed in (4, 8, 10)
+    ),
+    Regression(
+        plans.Play(703, entries=68, servers=39, seconds=8.0, callers=120),
+        UNKNOWN_START,
+    ),
     Regression(
         plans.Play(303, seconds=15.0, mass_kills=2),
         TIMEOUT_IN_JOIN,
