Fail items at once whose results fit in no memory

What callers saw: nothing yet; found by tests.fuzz.test_entries.test_messages (3,000 inputs). A request of another entry for items with results of 694 PB waited in the queue of an endpoint until its deadline, which it names itself. Until then the queue counted as 10^12 s long, here and in the reports to others, so that requests that need this service would have been refused.

Cause: the size of a result was bounded by what a number can be, and not by the memory of the endpoint.

Why it works: such an item can never run. It fails as one whose call failed, so that the entry that asked goes on. Items that fit wait as before.

--- a/samphirevale/item_routing.py
+++ b/samphirevale/item_routing.py
@@ -183,6 +183,9 @@
         )
         if limits is None:
             return unsent
+        if pieces.result_bytes > limits.memory_bytes:
+            # They would wait for memory in front of all others.
+            return [proxies.ItemResult("", "error")] * len(pieces.indices)
         now = self._clock.now()
         items = [
             batching.Item(
--- a/tests/fuzz/test_entries.py
+++ b/tests/fuzz/test_entries.py
@@ -52,6 +52,20 @@
     def test_messages(self, hello, told):
         curio.run(self.check_messages, hello, told)
 
+    async def test_items_that_fit_in_no_memory_hold_up_no_others(self):
+        """Seed 204000: one result of 694 PB made its queue the longest."""
+        await self.start()
+        odd = entry_links.SOUND[3]._replace(result_bytes=694444444444943481)
+        link = entry_links.ScriptedLink([entry_links.SOUND[-3], odd])
+        task = await curio.spawn(self.run_link, link)
+        await self.let_run()
+        self.check_requests()
+        await self.check_answered(link, [odd._replace(result_bytes=0)])
+        await link.put(None)
+        await task.join()
+        await self.sound.put(None)
+        await self.sound_task.join()
+
     async def check_messages(self, hello, told):
         await self.start()
         link = entry_links.ScriptedLink([hello, *told])
--- a/tests/test_message_checks.py
+++ b/tests/test_message_checks.py
@@ -50,7 +50,9 @@
 
     def test_no_more_rows_are_looked_at_than_a_fleet_has(self):
         """A message of the largest size took a second."""
-        odd = REPORT._replace(loads=[["x", 1, -1]] * 200_000, queues=REPORT.queues)
+        odd = REPORT._replace(
+            loads=[["x", 1, -1]] * 200_000, queues=REPORT.queues
+        )
         began_at = time.process_time()
         found = message_checks.check(odd)
         self.assertLess(time.process_time() - began_at, 0.05)
