--- a/tests/test_monitors.py
+++ b/tests/test_monitors.py
@@ -89,3 +89,32 @@
         await server.cancel()
         self.assertTrue(monitor.healthy)
         self.assertEqual({"b1"}, monitor.batches)
+
+
+class CrashTest(base.TestCase):
+    """What a broken call tells of an endpoint that has started again."""
+
+    async def test_start_before_a_call_is_no_crash_of_its_input(self):
+        """The endpoint has started again since the last probe."""
+        starts = ["one"]
+
+        async def answer(request):
+            return web.build_json(200, {"incarnation": starts[-1]})
+
+        port = base.find_free_port()
+        server = await curio.spawn(
+            web_server.serve, answer, "127.0.0.1", port, daemon=True
+        )
+        await curio.sleep(0.1)
+        monitor = monitors.EndpointMonitor(
+            http_endpoints.build_endpoint(
+                "service", f"http://127.0.0.1:{port}", 1.0
+            ),
+            1.0,
+        )
+        await monitor.probe()
+        starts.append("two")
+        # A call begins, as an executor has it, and breaks.
+        known = monitor.incarnation
+        self.assertFalse(await monitor.has_crashed(known))
+        await server.cancel()
