--- a/samphirevale/platform/endpoints.py
+++ b/samphirevale/platform/endpoints.py
@@ -83,6 +83,8 @@
 
     Each request opens a new connection. If the endpoint closed a kept
     connection during a request, it would be unknown whether the request ran.
+    Where the start of the endpoint matters, it is asked for it beforehand, on
+    that connection.
 
     The answer to another call names no call, and what a faulty endpoint writes
     once more, at once or later, could be taken for it. So a connection carries
@@ -201,7 +203,7 @@
         try:
             async with curio.timeout_after(seconds):
                 answer = await connection.request(
-                    "GET", "/report", b"", (_expect(endpoint),)
+                    "GET", REPORT_TARGET, b"", (_expect(endpoint),)
                 )
                 data = await answer.read_body(CALL_BYTES_LIMIT)
         except curio.TaskTimeout as error:
