Handle the messages of other entries in a module of its own

No behaviour changes.

The four ablations that lay in the moved text name their new places, and are noticed. test_entries builds the handler beside the table; no check changed.

--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -504,7 +504,7 @@
     _ablate(
         "leaving told to an entry that connects",
         LEAVING,
-        "entries",
+        "entry_handler",
         "        await entry.link.send(self._notices.build_leaving(), 0)\n",
         "",
         "tests.test_entries.EntryTableTest"
@@ -1264,8 +1264,8 @@
     _ablate(
         "pauses adopted from reports",
         PAUSES,
-        "entries",
-        "            self._notices.adopt_pauses(message.pauses)\n",
+        "entry_handler",
+        "        self._notices.adopt_pauses(message.pauses)\n",
         "",
         "tests.test_entries.EntryTableTest.test_pauses_are_reported",
     ),
--- a/lab/stream_mechanisms.py
+++ b/lab/stream_mechanisms.py
@@ -216,8 +216,8 @@
     _ablate(
         "told origins remembered",
         VERSIONS,
-        "entries",
-        "        self._origins.record(notice.attempt, origin, until)\n",
+        "entry_handler",
+        "        self._origins.record(message.attempt, origin, until)\n",
         "",
         f"{_ENTRIES}.test_origins_of_streams_are_told_and_asked",
     ),
@@ -514,9 +514,9 @@
     _ablate(
         "results that cross a cancellation released",
         SILENT_LIMITS,
-        "entries",
-        "                await self._release_unwanted(entry, message)\n",
-        "                pass\n",
+        "entry_handler",
+        "            await entry.release_unwanted(message)\n",
+        "            pass\n",
         f"{_ENTRIES}.test_results_that_cross_a_cancellation_are_released",
     ),
     _ablate(
--- a/samphirevale/crash_reports.py
+++ b/samphirevale/crash_reports.py
@@ -34,7 +34,7 @@
 
 
 class CrashReports:
-    """Implements entries.CrashListener for one entry.
+    """Implements entry_listeners.CrashListener for one entry.
 
     Attributes:
         parts: what is known of parts that crash endpoints.
--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -18,6 +18,7 @@
     crash_reports,
     crashing_part_store,
     entries,
+    entry_handler,
     entry_messages,
     gateway_settings,
     input_fingerprints,
@@ -171,20 +172,24 @@
             settings.processor,
         )
         self._origins = stream_origins.StreamOrigins()
-        self.table = entries.EntryTable(
-            registration,
-            settings.data_centre,
+        handler = entry_handler.MessageHandler(
             self.item_runner,
             self._notices,
             self._crashes,
-            self._build_report,
-            self._adopt_members,
             self._adopt_crashes,
             self._adopt_store_report,
             self._get_routes_age,
             self._origins,
             self._demands,
             clock,
+        )
+        self.table = entries.EntryTable(
+            registration,
+            settings.data_centre,
+            handler,
+            self._build_report,
+            self._adopt_members,
+            clock,
             self._rng,
             log,
         )
--- a/samphirevale/item_routing.py
+++ b/samphirevale/item_routing.py
@@ -10,6 +10,7 @@
     entries,
     entry_messages,
     errors,
+    linked_entry,
     routes,
     stage_times,
 )
@@ -25,7 +26,7 @@
 
 
 class RoutedItemRunner:
-    """Implements item_runners.ItemRunner and entries.ItemServer.
+    """Implements item_runners.ItemRunner and entry_listeners.ItemServer.
 
     Attributes:
         table: the links to other entries; None until the table is created.
@@ -46,7 +47,9 @@
         # Moving average of the ratio of actual to estimated time, by service.
         self._ratios: dict[str, float] = {}
 
-    def _find_owner(self, endpoint: catalogue.Endpoint) -> entries.Entry | None:
+    def _find_owner(
+        self, endpoint: catalogue.Endpoint
+    ) -> linked_entry.LinkedEntry | None:
         """Returns the linked entry that owns an endpoint, or None."""
         if self.table is None:
             return None
--- a/samphirevale/notice_handler.py
+++ b/samphirevale/notice_handler.py
@@ -19,7 +19,10 @@
 
 
 class NoticeHandler:
-    """Implements proxies.EndpointListener and entries.NoticeListener."""
+    """Adopts notices of endpoints, and tells and hears of other entries'.
+
+    Implements proxies.EndpointListener and entry_listeners.NoticeListener.
+    """
 
     def __init__(
         self,
--- a/tests/test_entries.py
+++ b/tests/test_entries.py
@@ -11,6 +11,7 @@
     batching,
     crash_reports,
     entries,
+    entry_handler,
     entry_messages,
     errors,
     load_totals,
@@ -95,12 +96,21 @@
         )
         self.origins = stream_origins.StreamOrigins()
         self.demands = demands.ServiceDemands()
-        self.table = entries.EntryTable(
-            self.registration,
-            "a",
+        self.handler = entry_handler.MessageHandler(
             self.server,
             self.notices,
             self.crashes,
+            self.crashed.extend,
+            self.adopt_store_report,
+            lambda now: routes_freshness.Confirmation(7, 0.25, 4),
+            self.origins,
+            self.demands,
+            clock.BootClock(),
+        )
+        self.table = entries.EntryTable(
+            self.registration,
+            "a",
+            self.handler,
             lambda now: entry_messages.EntryReport(
                 [["e1", *STATE]],
                 [["e2", 3, 500]],
@@ -111,11 +121,6 @@
                 7,
             ),
             lambda members: setattr(self, "members", list(members)),
-            self.crashed.extend,
-            self.adopt_store_report,
-            lambda now: routes_freshness.Confirmation(7, 0.25, 4),
-            self.origins,
-            self.demands,
             clock.BootClock(),
             random.Random(1),
             proxy_fakes.FakeJournal(),
@@ -261,7 +266,7 @@
         async with self.run_both():
             task = await curio.spawn(self.run_items)
             await self.second.server.started.wait()
-            (exchange,) = self.find_second().waiting
+            (exchange,) = self.find_second()._waiting
             other = entry_messages.RoutesAge(exchange, 7, 0.25, 4)
             await self.second.table.broadcast(other)
             await self.second.table.broadcast(self.notice)
@@ -336,7 +341,7 @@
         for at_once in (True, False):
             with self.subTest(at_once=at_once):
                 async with self.run_copying(at_once):
-                    self.second.table._get_routes_age = lambda now: (
+                    self.second.handler._get_routes_age = lambda now: (
                         routes_freshness.Confirmation(next(versions), 0.25, 4)
                     )
                     found = [
