Keep an endpoint healthy while a caller's session has it refuse a run

The session turns the switch `refuse` of the only encoder on for some 13 ms. It refuses health probes too. The sidecar probes every 500 ms; if a probe fell into these 13 ms, the sidecar took the encoder for unhealthy until its next probe and told the entry with its next heartbeat, up to 0.7 s after the switch was off. Until then every request was refused with 503 ("unreachable", "the endpoint is not reached"): that of slot-2, so that wait_for_outcome met a KeyError "state", and that of the second test. For callers nothing is wrong: an endpoint that refuses its probes is rightly left.

The session now uses a new switch of the stand-ins, `refuse_runs`, which refuses runs and answers probes, as a full endpoint does. The golden file is the same. set_faults checks that the endpoint is healthy whenever a switch is changed; with the switch `refuse` that check fails in each run ("GET /health: 503"). Switches are turned off after an error as well.

Ruled out: ports (a program that cannot bind its port fails the set-up, and no test is run), readiness (the set-up waits until the entry may send work to every sidecar), and a timeout of 1 s (it would have taken longer).

--- a/standins/endpoints.py
+++ b/standins/endpoints.py
@@ -86,6 +86,8 @@
     """An endpoint whose calls each occupy a worker."""
 
     ROUTES = programs.Routes(Endpoint.ROUTES)
+    FAULTS = faults.Registry(Endpoint.FAULTS)
+    FAULTS.declare("refuse_runs", faults.FLAG)
 
     def __init__(self, pool: PoolSettings):
         super().__init__(pool.journal)
@@ -98,7 +100,13 @@
         raise NotImplementedError
 
     async def run_call(self, request: web.Request) -> web.Response:
-        """Runs a call on a free worker; refuses it if the queue is full."""
+        """Runs a call on a free worker; refuses it if the queue is full.
+
+        The switch `refuse_runs` refuses it too, and leaves the other calls,
+        such as health probes, as they are.
+        """
+        if self.read_fault("refuse_runs"):
+            return programs.build_error(503, "refused by a fault switch")
         programs.read_fields(request, request=str, attempt=str)
         fields = web_client.read_json(request.body)
         if "input" not in fields:
--- a/tests/standins/test_endpoints.py
+++ b/tests/standins/test_endpoints.py
@@ -130,3 +130,13 @@
         self.assertEqual(statuses, [200, 200, 503])
         _, record = await self.call(stage, "GET", "/record")
         self.assertEqual(len(record["runs"]), 2)
+
+    async def test_stage_that_refuses_runs_is_healthy(self):
+        stage = self.group.start_standin("stage", "stage", "--kind", "encoder")
+        await self.call(stage, "POST", "/faults", {"refuse_runs": True})
+        status, _ = await self.call(stage, "POST", "/run", CALL)
+        self.assertEqual(status, 503)
+        status, _ = await self.call(stage, "GET", "/health")
+        self.assertEqual(status, 200)
+        _, record = await self.call(stage, "GET", "/record")
+        self.assertEqual(record["runs"], [])
--- a/tests/test_caller_session.py
+++ b/tests/test_caller_session.py
@@ -1,6 +1,8 @@
 """A complete session of a caller, compared with a golden file."""
 
+import contextlib
 import json
+from collections.abc import Iterator
 from typing import Any, NamedTuple
 
 import curio
@@ -43,6 +45,8 @@
         key: the idempotency key, or empty.
         token: the bearer token.
         faults: fault switches by endpoint, which are on during this step only.
+            They leave health probes as they are: a sidecar may probe during the
+            step, and what it finds would hold after it.
     """
 
     title: str
@@ -81,7 +85,7 @@
         "refused, not run",
         NOTICE,
         {"input": "Figs are ripe."},
-        faults={"encoder-0": {"refuse": True}},
+        faults={"encoder-0": {"refuse_runs": True}},
     ),
     Step(
         "refused before its stream, not completed",
@@ -137,9 +141,21 @@
             deployments.open_deployment(SIZES, plans=plan_endpoints())
         )
 
+    @contextlib.contextmanager
+    def faults_on(self, step: Step) -> Iterator[None]:
+        """Turns the step's switches on for the duration of the block."""
+        with contextlib.ExitStack() as stack:
+            for name, switches in step.faults.items():
+                off = dict.fromkeys(switches)
+                stack.callback(self.set_faults, name, off)
+                self.set_faults(name, switches)
+            yield
+
     def set_faults(self, name: str, switches: dict) -> None:
+        """Sets switches of an endpoint, and checks that probes succeed."""
         url = self.deployment.endpoints[name].url
         deployments.call(url, "POST", "/faults", switches)
+        deployments.call(url, "GET", "/health")
 
     async def send(self, step: Step) -> tuple[int, dict[str, str], str]:
         headers = [("Authorization", f"Bearer {step.token}")]
@@ -182,13 +198,10 @@
     def test_session(self):
         steps = []
         for step in STEPS:
-            for name, switches in step.faults.items():
-                self.set_faults(name, switches)
-            steps.append(curio.run(self.format_step, step))
-            if step.key:
-                curio.run(self.wait_for_outcome, step.key)
-            for name, switches in step.faults.items():
-                self.set_faults(name, dict.fromkeys(switches))
+            with self.faults_on(step):
+                steps.append(curio.run(self.format_step, step))
+                if step.key:
+                    curio.run(self.wait_for_outcome, step.key)
         text = goldens.mask("".join(steps), PLACEHOLDERS)
         goldens.check(self, "caller-session.txt", text)
 
