Tell what was answered where a check of a caller's session fails

The checks now expect status and content type before they read a body, and print status, headers and body if these differ; for an outcome that is not found they print the answer of the step before, too. An event of another form is printed.

Seen in a trial with the switch `refuse`, on for 0.45 s: "answered 404", after "503 not_run unreachable: the endpoint is not reached".

--- a/tests/test_caller_session.py
+++ b/tests/test_caller_session.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import re
 from collections.abc import Iterator
 from typing import Any, NamedTuple
 
@@ -19,6 +20,9 @@
 NOTICE = "/v1/pipelines/harvest-notice/requests"
 SLOT = "/v1/pipelines/slot-confirmation/requests"
 
+EVENTS_TYPE = "text/event-stream"
+JSON_TYPES = ("application/json", "application/problem+json")
+
 # The engines' time per token, in seconds. Their lines of four tokens are then
 # further apart than answer_reader.CHUNK_INTERVAL_SECONDS, so each line is one
 # chunk.
@@ -120,9 +124,10 @@
     """Returns the name and the value of each server-sent event."""
     events = []
     for block in text.removesuffix("\n\n").split("\n\n"):
-        name, data = block.split("\n")
-        value = json.loads(data.removeprefix("data: "))
-        events.append((name.removeprefix("event: "), value))
+        match = re.fullmatch("event: (.*)\ndata: (.*)", block)
+        if match is None:
+            raise AssertionError(f"no event: {block}")
+        events.append((match[1], json.loads(match[2])))
     return events
 
 
@@ -131,6 +136,29 @@
     return "".join(f"{name}: {json.dumps(value[name])}\n" for name in value)
 
 
+class Answer(NamedTuple):
+    """One answer.
+
+    Attributes:
+        status: the status.
+        headers: the headers, with names in lower case.
+        text: the body.
+    """
+
+    status: int
+    headers: dict[str, str]
+    text: str
+
+    def __str__(self) -> str:
+        """Returns all of the answer, for the messages of failed checks."""
+        return f"answered {self.status} {self.headers}\n{self.text}"
+
+    @property
+    def type(self) -> str:
+        """The type of the body; empty without the header."""
+        return self.headers.get("content-type", "")
+
+
 class CallerSessionTest(base.TestCase):
     """Real processes and a caller that sends requests sequentially."""
 
@@ -157,7 +185,7 @@
         deployments.call(url, "POST", "/faults", switches)
         deployments.call(url, "GET", "/health")
 
-    async def send(self, step: Step) -> tuple[int, dict[str, str], str]:
+    async def send(self, step: Step) -> Answer:
         headers = [("Authorization", f"Bearer {step.token}")]
         if step.key:
             headers.append(("Idempotency-Key", step.key))
@@ -169,29 +197,41 @@
                 method, step.target, body, tuple(headers)
             )
             text = (await answer.read_body()).decode()
-        return answer.status, answer.headers, text
+        return Answer(answer.status, answer.headers, text)
+
+    def read_object(self, answer: Answer) -> dict:
+        """Returns the body, which has to be a JSON object."""
+        self.assertIn(answer.type, JSON_TYPES, answer)
+        return json.loads(answer.text)
 
     async def format_step(self, step: Step) -> str:
-        status, headers, text = await self.send(step)
-        if headers["content-type"] != "text/event-stream":
-            text = format_members(json.loads(text))
+        answer = await self.send(step)
+        text = answer.text
+        if answer.type != EVENTS_TYPE:
+            text = format_members(self.read_object(answer))
         method = "GET" if step.body is None else "POST"
         lines = [f"### {step.title}", f"> {method} {step.target}"]
         if step.key:
             lines.append(f"> Idempotency-Key: {step.key}")
         if step.body is not None:
             lines.append(f"> {json.dumps(step.body)}")
-        lines.append(f"< {status}")
+        lines.append(f"< {answer.status}")
         for name in ("content-type", "retry-after", "www-authenticate"):
-            if name in headers:
-                lines.append(f"< {name}: {headers[name]}")
+            if name in answer.headers:
+                lines.append(f"< {name}: {answer.headers[name]}")
         return "\n".join([*lines, text.rstrip(), "", ""])
 
-    async def wait_for_outcome(self, key: str) -> None:
-        """Waits until the key's outcome, which is stored later, is stored."""
+    async def wait_for_outcome(self, key: str, asked: str) -> None:
+        """Waits until the key's outcome, which is stored later, is stored.
+
+        Args:
+            key: the idempotency key.
+            asked: the step that has used it, for the message of a failure.
+        """
         while True:
-            _, _, text = await self.send(Step("", f"/v1/requests/{key}"))
-            if json.loads(text)["state"] != "running":
+            answer = await self.send(Step("", f"/v1/requests/{key}"))
+            self.assertEqual(200, answer.status, f"{answer}\n\nafter\n{asked}")
+            if self.read_object(answer)["state"] != "running":
                 return
             await curio.sleep(POLL_SECONDS)
 
@@ -201,15 +241,18 @@
             with self.faults_on(step):
                 steps.append(curio.run(self.format_step, step))
                 if step.key:
-                    curio.run(self.wait_for_outcome, step.key)
+                    curio.run(self.wait_for_outcome, step.key, steps[-1])
         text = goldens.mask("".join(steps), PLACEHOLDERS)
         goldens.check(self, "caller-session.txt", text)
 
     def test_stream_matches_engine_record(self):
         step = Step("", NOTICE, {"input": "Persimmons.", "stream": True})
-        _, _, text = curio.run(self.send, step)
-        *chunks, (name, end) = read_events(text)
-        self.assertEqual("end", name)
+        answer = curio.run(self.send, step)
+        self.assertEqual(
+            (200, EVENTS_TYPE), (answer.status, answer.type), answer
+        )
+        *chunks, (name, end) = read_events(answer.text)
+        self.assertEqual("end", name, answer)
         tokens = []
         for _, chunk in chunks:
             self.assertEqual(len(tokens), chunk["sequence"])
