Hold the ports of programs and servers until they listen

tests.test_operator_session failed in one of two runs at once: filing-0 ended with "Address already in use".

choose_port and tests.base.find_free_port closed the socket that had shown a port to be free, and the program bound it up to seconds later. In between another process could be given the port: one that starts programs and whose process id is equal modulo 44 drew from the same block of 500 ports; tests.base gave servers ports of the same range, from 20000 on; and in two runs the workers of one number have the same ports for servers.

The socket now stays bound and gets SO_REUSEADDR once it is. It does not listen, so a server that sets this option, as all do, can bind the port, also a second time, and a connection without a server is refused. Who asks for a port tries to bind it without the option and is refused by the kernel while it is held or in use, in whatever process. Programs hold theirs until the process that has started them ends; tests.base holds its latest 200. Programs get ports from 10000 to 19999, servers in tests those above, so that a server's port beyond these 200 is no program's either.

Which process had taken the port of filing-0 remains unknown; each of the ways that are found is closed. Passing listening sockets on was not chosen: the programs would need a flag that only tests use.

--- a/lab/processes.py
+++ b/lab/processes.py
@@ -1,7 +1,6 @@
 """Starts and stops the project's programs as local processes."""
 
 import contextlib
-import os
 import pathlib
 import random
 import signal
@@ -24,12 +23,9 @@
 START_SECONDS = 20.0
 STOP_SECONDS = 20.0
 
-# The range of ports for programs; LAST_PORT is not included.
-FIRST_PORT = 10_000
-LAST_PORT = 32_000
-
-# The number of ports reserved for each process that starts programs.
-BLOCK_PORTS = 500
+# The ports for programs, below the ephemeral ports that the system assigns to
+# outgoing connections.
+PORTS = range(10_000, 20_000)
 
 # The interval at which a starting process is polled, in seconds.
 POLL_SECONDS = 0.01
@@ -223,27 +219,36 @@
         yield group
 
 
-_chosen_ports: set[int] = set()
-
-
 def choose_port() -> int:
-    """Returns a free TCP port of 127.0.0.1; each port only once.
+    """Returns a TCP port of 127.0.0.1 that is held until this process ends.
 
-    The port is below the range of ephemeral ports, so that no outgoing
-    connection takes it before the program listens. It is in a block that
-    depends on this process's id, so that other processes that start programs
-    at the same time do not take it, even while the program is down.
+    No other process is given it, not even while the program is down.
     """
-    blocks = (LAST_PORT - FIRST_PORT) // BLOCK_PORTS
-    first = FIRST_PORT + os.getpid() % blocks * BLOCK_PORTS
     while True:
-        port = random.randrange(first, first + BLOCK_PORTS)
-        if port in _chosen_ports:
-            continue
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        _chosen_ports.add(port)
-        return port
+        holder = hold_port(random.choice(PORTS))
+        if holder is not None:
+            port = holder.getsockname()[1]
+            # The socket stays open until this process ends.
+            holder.detach()
+            return port
+
+
+def hold_port(port: int) -> socket.socket | None:
+    """Holds a TCP port of 127.0.0.1 for a server of this or another process.
+
+    Servers set SO_REUSEADDR and can bind the port, as the returned socket does
+    too and never listens. This function does not hold a port that is held.
+
+    Returns:
+        The socket, which releases the port when it is closed; None if the
+        port is in use or held.
+    """
+    holder = socket.socket()
+    try:
+        holder.bind(("127.0.0.1", port))
+    except OSError:
+        holder.close()
+        return None
+    # Set only now: with this option, two sockets could hold the same port.
+    holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    return holder
--- a/tests/base.py
+++ b/tests/base.py
@@ -1,26 +1,32 @@
 """The base class of the tests and shared helpers."""
 
+import collections
 import inspect
 import itertools
 import os
-import socket
 import unittest
 from collections.abc import Iterator
 from typing import Any
 
 import curio
 
+from lab import processes
 from samphirevale import metrics
 
 # The timeout of an asynchronous test, in seconds.
 TEST_TIMEOUT_SECONDS = 60.0
 
 # The ports for servers in tests. They are below the ephemeral ports, which the
-# system assigns to outgoing connections. Each process starts at an offset of
-# its process id times PORT_STRIDE, to avoid collisions between processes.
-PORTS = range(20000, 32000)
+# system assigns to outgoing connections, and none of those for programs. Each
+# process starts at an offset of its process id times PORT_STRIDE, to avoid
+# collisions between processes.
+PORTS = range(processes.PORTS.stop, 32000)
 PORT_STRIDE = 401
 
+# The number of ports that are held for servers that do not listen yet, more
+# than a test starts.
+HELD_PORTS = 200
+
 # The methods of unittest.TestCase that tests may override.
 OVERRIDDEN_METHODS = {"setUp", "tearDown", "setUpClass", "tearDownClass"}
 
@@ -90,17 +96,23 @@
     _ports = _iterate_ports(PORTS[number::count])
 
 
+# The descriptors of the sockets that hold ports.
+_holders: collections.deque[int] = collections.deque()
+
+
 def find_free_port() -> int:
     """Returns a TCP port of 127.0.0.1 that is free now.
 
-    A port is not returned again before all others were, because a server may
-    bind its port only after the next call of this function.
+    A port is not returned again before all others were, and the latest
+    HELD_PORTS are held, because a server may bind its port only after the next
+    call of this function, in this process or another one.
     """
     for port in _ports:
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return port
+        holder = processes.hold_port(port)
+        if holder is None:
+            continue
+        _holders.append(holder.detach())
+        if len(_holders) > HELD_PORTS:
+            os.close(_holders.popleft())
+        return port
     raise AssertionError("the ports never end")
--- a/tests/test_base.py
+++ b/tests/test_base.py
@@ -1,5 +1,8 @@
 """Tests of the shared test helpers."""
 
+import socket
+
+from lab import processes
 from tests import base
 
 
@@ -10,6 +13,14 @@
         ports = [base.find_free_port() for _ in range(500)]
         self.assertEqual(500, len(set(ports)))
 
+    def test_port_is_held_for_its_server(self):
+        port = base.find_free_port()
+        with socket.socket() as other, self.assertRaises(OSError):
+            other.bind(("127.0.0.1", port))
+
+    def test_ports_of_programs_are_others(self):
+        self.assertFalse(set(base.PORTS) & set(processes.PORTS))
+
 
 class ReplacedMethodTest(base.TestCase):
     """Helpers of a test class keep the assertions of unittest."""
