Test that all entries may start at once while the store returns from a copy

What was missing: no test started all entries of a deployment in a drill, where nobody is left who has seen the newest manifest.

The test starts both entries of a deployment while the store is sound, as it goes away, while it is away and once its copy is in force, at once or one after the other, and asks them with a revoked key all the while: nothing but 401 and 503, and 503 before anybody can know. Each drill is played with and without the mark of the era before in the copy. The calls of a drill are judged after it, as a task group of curio does not pass on the failure of a task.

--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -1002,6 +1002,24 @@
         "            self._on_first(now)\n            return\n",
         "            return\n",
         "tests.platform.test_store_drills.StartDuringDrillTest",
+        "tests.platform.test_starts_in_drills.StartTogetherInDrillTest",
+    ),
+    _ablate(
+        "mark of an era before settles no era",
+        ERAS,
+        "settled_era",
+        "if self._stored is not None and self._stored == self._eras.newest:",
+        "if self._stored is not None:",
+        "tests.platform.test_starts_in_drills.StartTogetherInDrillTest"
+        ".test_copy_names_the_era_before_as_settled",
+    ),
+    _ablate(
+        "era named as settled only once it is",
+        ERAS,
+        "settled_era",
+        "            and self._clock.now() >= self._eras.get_rewrite_end()\n",
+        "",
+        "tests.platform.test_starts_in_drills.StartTogetherInDrillTest",
     ),
     _ablate(
         "settled era named in the store",
