Confirm no routes by a settled era that another entry knows to be old

What callers would see: requests run with a revoked key, at an entry that started in a drill, although another entry had told it of the manifest that revoked the key.

Cause: entries name an era of the store as settled 2 to 4.5 s after its return. The mark ends the grace period of an entry that has started, and that confirmed the routes directly, not through ClusterState.confirm_routes, which refuses routes older than another entry's. With an operator who writes again within the 2 s that the entries allow it could not happen.

Change: the end of the grace period goes through confirm_routes. Ruled out: asking for the newest version at each request, which would refuse requests at each change of the manifest until the own watch has brought it.

Tests: test_cluster_state and test_store_drills failed before (routes usable; 200 in place of 503); the first of the two new ones in test_cluster_state keeps what a settled era does confirm.

--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -1013,6 +1013,16 @@
         "tests.platform.test_starts_in_drills.StartTogetherInDrillTest"
         ".test_copy_names_the_era_before_as_settled",
     ),
+    _ablate(
+        "settled era confirms no routes older than another entry's",
+        ERAS,
+        "cluster_state",
+        "            self.confirm_routes(answered_at, self.routes_era)\n",
+        "            self.routes_age.confirm(answered_at)\n",
+        "tests.test_cluster_state.ClusterStateTest",
+        "tests.platform.test_store_drills.StartDuringDrillTest"
+        ".test_entry_that_starts_waits_for_what_another_one_knows",
+    ),
     _ablate(
         "era named as settled only once it is",
         ERAS,
--- a/samphirevale/cluster_state.py
+++ b/samphirevale/cluster_state.py
@@ -143,8 +143,14 @@
         self.routes_age.start_grace_period(now + store_eras.REWRITE_SECONDS)
 
     def settle_era(self) -> None:
-        """Records that the store lacks nothing in its newest era."""
-        self.routes_age.end_grace_period()
+        """Records that the store lacks nothing in its newest era.
+
+        What it has answered so far confirms the routes after all, unless
+        another entry has newer ones.
+        """
+        answered_at = self.routes_age.end_grace_period()
+        if answered_at is not None:
+            self.confirm_routes(answered_at, self.routes_era)
 
     def adopt_members(self, members: Collection[ownership.Member]) -> bool:
         """Adopts the other live entries; returns whether they changed."""
--- a/samphirevale/freshness.py
+++ b/samphirevale/freshness.py
@@ -35,11 +35,15 @@
         self._grace_ends_at = ends_at
         self._latest_at = None
 
-    def end_grace_period(self) -> None:
-        """Records that the store has lacked no changes since it began."""
+    def end_grace_period(self) -> float | None:
+        """Records that the store has lacked no changes since it began.
+
+        Returns:
+            The start of the latest call, which now proves that the copy was
+            current then; None without one.
+        """
         self._grace_ends_at = float("-inf")
-        if self._latest_at is not None:
-            self.confirm(self._latest_at)
+        return self._latest_at
 
     def confirm(self, started_at: float) -> None:
         """Records the answer to a call that began at this time.
--- a/tests/platform/test_store_drills.py
+++ b/tests/platform/test_store_drills.py
@@ -80,6 +80,29 @@
             await self.check_refused_while_starting(self.port)
             await task.cancel()
 
+    async def test_entry_that_starts_waits_for_what_another_one_knows(self):
+        """The operator takes longer than the entries take to settle the era."""
+        async with self.run_all():
+            copy = await self.revoke()
+            self.store.restore_copy(copy)
+            second = self.build_gateway(self.store_port, "entry2")
+            task = await curio.spawn(gateway.run, second)
+            await self.wait_until(
+                lambda: second.cluster_state.newest_routes == 2
+            )
+            sessions.put_settled_era(self.store)
+            eras = second.cluster_watch.eras
+            await self.wait_until(lambda: eras.get_rewrite_end() < 0.0)
+            status, *_ = await self.call("/read/x", port=self.port)
+            self.assertEqual(503, status)
+            self.assertFalse(second.is_ready())
+            manifest = sessions.build_manifest(2, ["k2"])
+            self.store.put("config", "main", manifest)
+            await self.wait_until(second.is_ready)
+            status, *_ = await self.call("/read/x", port=self.port)
+            self.assertEqual(401, status)
+            await task.cancel()
+
     async def test_entry_that_starts_on_a_calm_day_serves_at_once(self):
         async with self.run_all():
             await self.kill_entry()
--- a/tests/test_cluster_state.py
+++ b/tests/test_cluster_state.py
@@ -51,6 +51,25 @@
         self.assertEqual(102.0, self.cluster.routes_age.confirmed_at)
         self.assertEqual(4, self.cluster.routes_era)
 
+    def test_settled_era_confirms_the_routes(self):
+        self.cluster.start_first_era(100.0)
+        self.cluster.adopt_table(proxy_fakes.build_table([], 7))
+        self.cluster.confirm_routes(100.5, 4)
+        self.assertFalse(self.cluster.routes_age.is_usable(101.0))
+        self.cluster.settle_era()
+        self.assertEqual(100.5, self.cluster.routes_age.confirmed_at)
+
+    def test_settled_era_confirms_no_routes_older_than_another_entrys(self):
+        self.cluster.start_first_era(100.0)
+        self.cluster.adopt_table(proxy_fakes.build_table([], 7))
+        self.cluster.confirm_routes(100.5, 4)
+        self.cluster.note_routes_version(8)
+        self.cluster.settle_era()
+        self.assertFalse(self.cluster.routes_age.is_usable(101.0))
+        self.cluster.adopt_table(proxy_fakes.build_table([], 8))
+        self.cluster.confirm_routes(102.0, 4)
+        self.assertTrue(self.cluster.routes_age.is_usable(102.5))
+
     def test_endpoints_that_a_copy_lacks_stay_usable_for_a_while(self):
         endpoint = proxy_fakes.build_endpoint()
         self.cluster.catalogue.put(endpoint)
