Say why a status of 421 alone counts as not run

RULES, Words: an engine that rejects a request "says so (`Samphirevale-Not-Executed`, or status 421) and has not run it". No behaviour changes.

--- a/samphirevale/platform/endpoints.py
+++ b/samphirevale/platform/endpoints.py
@@ -430,7 +430,10 @@
 def _check_executed(
     answer: web_client.Answer, notice: proxies.EndpointNotice
 ) -> None:
+    """Raises errors.NotExecutedError if the endpoint has not run the call."""
     status = answer.status
+    # RULES: "says so (`Samphirevale-Not-Executed`, or status 421)"; whoever
+    # answers 421 is another engine than the expected one, header or not.
     if status != notices.MISDIRECTED and (
         headers.NOT_EXECUTED not in answer.headers
     ):
