Learn which start of its endpoint has a call as the call begins

What callers saw: an input that had crashed nothing ran as a trial, or was quarantined, where its call broke at an endpoint that had started again within the half second before it, as a sidecar counted that restart as a crash of the call's input.

Change: the connection of the last probe is kept open until the next one and ends with the endpoint. If it is still open once that of a call is, both reach the start that the probe has seen. If it has ended, /health is asked on a further connection, and the call is sent only if its own has outlived the answer; otherwise the endpoint has not run it.

One connection more is open at each endpoint.

Ruled out: asking on the call's own connection before each call (a round trip in each call's slot; a report written once more could be taken for the call's answer, for which each attempt has a connection of its own); from the answer (endpoints name no start there); asking beside the call (one connection a call, and unknown where it crashes at once).

The known red test restarts its endpoint for good now, as the end of the process is what the sidecar goes by, and checks also that a later restart is a crash. test_sidecar plays it with a whole sidecar: the restart before a call failed before this change (a CrashNotice in place of the refusal).

--- a/lab/mechanisms.py
+++ b/lab/mechanisms.py
@@ -708,6 +708,32 @@
         ),
         ("tests.test_sidecar.CrashTest",),
     ),
+    Ablation(
+        "start of the endpoint learnt with each call",
+        CRASHES,
+        (
+            _edit(
+                "executors",
+                "attempt.incarnation = await self._monitor.learn_incarnation()",
+                "attempt.incarnation = self._monitor.incarnation",
+            ),
+        ),
+        ("tests.test_sidecar.CrashTest",),
+    ),
+    Ablation(
+        "nothing sent on a connection that has ended",
+        CRASHES,
+        (
+            _edit(
+                "adapters/endpoints",
+                "if connection.is_stale():\n"
+                '                    yield endpoints.Failed("nothing_sent"',
+                "if False:\n"
+                '                    yield endpoints.Failed("nothing_sent"',
+            ),
+        ),
+        ("tests.adapters.test_endpoints.ConnectionTest",),
+    ),
     Ablation(
         "crash notices repeated to entries that connect later",
         CRASHES,
--- a/samphirevale/adapters/endpoints.py
+++ b/samphirevale/adapters/endpoints.py
@@ -8,7 +8,7 @@
 
 import contextlib
 import json
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
 
 import curio
@@ -51,9 +51,15 @@
     def __init__(self, url: str, order_seconds: float):
         self._url = url
         self._order_seconds = order_seconds
+        # The connection of the last probe, if it can carry another request, and
+        # the incarnation that the endpoint has told on it.
+        self._probed: web_client.ClientConnection | None = None
+        self._probed_incarnation = ""
 
     async def run(
-        self, call: endpoints.Call
+        self,
+        call: endpoints.Call,
+        on_connected: Callable[[], Awaitable[None]] | None = None,
     ) -> AsyncIterator[
         endpoints.Tokens | endpoints.Completed | endpoints.Failed
     ]:
@@ -68,6 +74,11 @@
             yield endpoints.Failed("nothing_sent", str(error))
             return
         try:
+            if on_connected is not None:
+                await on_connected()
+                if connection.is_stale():
+                    yield endpoints.Failed("nothing_sent", "it has ended")
+                    return
             answer = await connection.request(
                 "POST", self.target, _encode(self._build_body(call))
             )
@@ -88,15 +99,34 @@
         """Does nothing, as only engines can cancel an attempt."""
 
     async def read_health(self) -> endpoints.Health:
-        """Probes the endpoint on a new connection."""
-        status, value, _ = await web_client.call_json(
-            self._url, "GET", "/health", timeout_seconds=REPORT_SECONDS
-        )
+        """Probes the endpoint on a new connection.
+
+        The connection is kept open until the next probe.
+        """
+        connection = await self._open_connection()
+        try:
+            status, value = await self._request_report(connection, "/health")
+        except BaseException:
+            await connection.close()
+            raise
         incarnation = ""
         if isinstance(value, dict):
             incarnation = str(value.get("incarnation", ""))
+        before, self._probed = self._probed, connection
+        self._probed_incarnation = incarnation
+        if not connection.is_reusable():
+            self._probed = None
+            await connection.close()
+        if before is not None:
+            await before.close()
         return endpoints.Health(status == 200, incarnation)
 
+    def find_connected_incarnation(self) -> str | None:
+        """Returns what the last probe has told, if its connection lasts."""
+        if self._probed is None or self._probed.is_stale():
+            return None
+        return self._probed_incarnation
+
     async def read_load(self) -> endpoints.LoadReport | None:
         """Returns the endpoint's load, or None if it does not report it."""
         status, value = await self._read_report("/load")
@@ -151,6 +181,14 @@
     async def _read_report(self, target: str) -> tuple[int, Any]:
         """Returns the status and the value of a report."""
         connection = await self._open_connection()
+        try:
+            return await self._request_report(connection, target)
+        finally:
+            await connection.close()
+
+    async def _request_report(
+        self, connection: web_client.ClientConnection, target: str
+    ) -> tuple[int, Any]:
         try:
             async with curio.timeout_after(REPORT_SECONDS):
                 answer = await connection.request("GET", target)
@@ -159,8 +197,6 @@
             raise errors.AnswerLostError(
                 f"no answer in {REPORT_SECONDS} s"
             ) from error
-        finally:
-            await connection.close()
         return answer.status, web_client.read_json(data)
 
 
--- a/samphirevale/attempts.py
+++ b/samphirevale/attempts.py
@@ -47,6 +47,8 @@
             connected.
         started_at: when the call to the endpoint started, in monotonic
             seconds; 0 before.
+        incarnation: the endpoint's incarnation that has the call; None if it is
+            not known.
         ready_to_start: set when the queue starts or drops the attempt.
         queue_refusal: the queue's refusal if it dropped the attempt, or None.
         known_not_run: whether the call failed in a way that proves that the
@@ -65,6 +67,7 @@
         self.deadline_at = accepted_at + handover.remaining_ms / 1000
         self.phase = "waiting"
         self.started_at = 0.0
+        self.incarnation: str | None = None
         self.peer = peer
         self.detached_at: float | None = None
         self.ending: Ending | None = None
--- a/samphirevale/executors.py
+++ b/samphirevale/executors.py
@@ -5,6 +5,7 @@
 
 import collections
 import contextlib
+import functools
 import time
 from collections.abc import AsyncIterator, Callable
 
@@ -401,10 +402,10 @@
 
     async def _read_answer(self, attempt: attempts.Attempt) -> attempts.Ending:
         reader = answer_reader.AnswerReader(attempt, self._holder, self.counts)
-        incarnation = self._monitor.incarnation
         try:
             items = self._endpoint.run(
-                answer_reader.build_call(attempt.handover)
+                answer_reader.build_call(attempt.handover),
+                functools.partial(self._learn_incarnation, attempt),
             )
             async with contextlib.aclosing(items):
                 ending = await reader.read(items)
@@ -418,16 +419,16 @@
                     daemon=True,
                 )
         if isinstance(ending, endpoints.Failed):
-            return await self._classify_failure(attempt, ending, incarnation)
+            return await self._classify_failure(attempt, ending)
         if isinstance(ending, messages.Result):
             attempt.service_seconds = time.monotonic() - attempt.started_at
         return ending
 
+    async def _learn_incarnation(self, attempt: attempts.Attempt) -> None:
+        attempt.incarnation = await self._monitor.learn_incarnation()
+
     async def _classify_failure(
-        self,
-        attempt: attempts.Attempt,
-        failed: endpoints.Failed,
-        incarnation: str,
+        self, attempt: attempts.Attempt, failed: endpoints.Failed
     ) -> messages.Refusal:
         if failed.phase == "nothing_sent":
             self._monitor.mark_unreachable(failed.detail)
@@ -444,7 +445,7 @@
             return attempt.build_failure_refusal(
                 "endpoint_failed", failed.detail, busy_ms
             )
-        if not await self._monitor.has_crashed(incarnation):
+        if not await self._monitor.has_crashed(attempt.incarnation):
             return attempt.build_failure_refusal(
                 "endpoint_failed", failed.detail, busy_ms
             )
--- a/samphirevale/monitors.py
+++ b/samphirevale/monitors.py
@@ -1,6 +1,7 @@
 """Monitors an endpoint's health, load, cached prefixes and loaded batches."""
 
 import collections
+import contextlib
 import time
 
 import curio
@@ -125,11 +126,29 @@
         self.healthy = health.healthy
         return self.healthy
 
-    async def has_crashed(self, incarnation: str) -> bool:
+    async def learn_incarnation(self) -> str | None:
+        """Returns the incarnation that open connections reach.
+
+        That holds for a connection which is open before and after this: it
+        would have ended with an earlier incarnation. The endpoint is asked only
+        if the connection of the last probe has ended.
+
+        Returns:
+            The incarnation; None if the endpoint has not answered.
+        """
+        incarnation = self._endpoint.find_connected_incarnation()
+        if incarnation is None:
+            with contextlib.suppress(errors.TransportError):
+                health = await self._endpoint.read_health()
+                incarnation = health.incarnation
+        return incarnation
+
+    async def has_crashed(self, incarnation: str | None) -> bool:
         """Returns whether the endpoint crashed during a call.
 
         Args:
-            incarnation: the endpoint's incarnation when the call started.
+            incarnation: the endpoint's incarnation when the call was sent; None
+                if it is not known, so that another one tells nothing.
         """
         await curio.sleep(CRASH_PROBE_SECONDS)
         try:
@@ -141,7 +160,7 @@
             # The endpoint accepts connections but does not answer. It may
             # hang, which is not a crash.
             return False
-        return health.incarnation != incarnation
+        return incarnation is not None and health.incarnation != incarnation
 
     def mark_unreachable(self, detail: str) -> None:
         """Marks the endpoint as unreachable until a probe succeeds."""
--- a/samphirevale/ports/endpoints.py
+++ b/samphirevale/ports/endpoints.py
@@ -1,7 +1,7 @@
 """The protocol for endpoints: model engines, pipeline stages and services."""
 
 import json
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any, NamedTuple, Protocol
 
 
@@ -175,11 +175,20 @@
     streams: bool
     takes_orders: bool
 
-    def run(self, call: Call) -> AsyncIterator[Tokens | Completed | Failed]:
-        """Runs one attempt.
+    def run(
+        self,
+        call: Call,
+        on_connected: Callable[[], Awaitable[None]] | None = None,
+    ) -> AsyncIterator[Tokens | Completed | Failed]:
+        """Runs one attempt on a connection of its own.
 
         Yields tokens, if the endpoint streams, and then one Completed or
         Failed.
+
+        Args:
+            call: the attempt.
+            on_connected: awaited once the connection is open; if that has ended
+                meanwhile, nothing is sent.
         """
 
     async def cancel(self, attempt: str) -> None:
@@ -192,6 +201,14 @@
             errors.TransportError: the endpoint is unreachable.
         """
 
+    def find_connected_incarnation(self) -> str | None:
+        """Returns the incarnation that surely is there now.
+
+        Returns:
+            What the last probe has told, as long as its connection lasts, which
+            ends with the endpoint; None if it has ended.
+        """
+
     async def read_load(self) -> LoadReport | None:
         """Returns the endpoint's load, or None if it does not report it."""
 
--- a/tests/adapters/test_endpoints.py
+++ b/tests/adapters/test_endpoints.py
@@ -46,6 +46,19 @@
                 self.assertEqual(number, open_connection.call_count)
         await server.cancel()
 
+    async def test_endpoint_that_ends_before_a_call_has_not_run_it(self):
+        async def handle(_):
+            return web.build_json(200, {"result": "done"})
+
+        port = base.find_free_port()
+        server = await curio.spawn(web_server.serve, handle, "127.0.0.1", port)
+        await curio.sleep(0.05)
+        service = endpoints.build_endpoint(
+            "service", f"http://127.0.0.1:{port}", 1.0
+        )
+        (item,) = [item async for item in service.run(CALL, server.cancel)]
+        self.assertEqual("nothing_sent", item.phase)
+
     async def test_result_written_twice_is_that_of_one_attempt(self):
         """The result of an attempt is not handed to the next one."""
 
--- a/tests/test_monitors.py
+++ b/tests/test_monitors.py
@@ -94,27 +94,36 @@
 class CrashTest(base.TestCase):
     """What a broken call tells of an endpoint that has started again."""
 
-    async def test_start_before_a_call_is_no_crash_of_its_input(self):
-        """The endpoint has started again since the last probe."""
-        starts = ["one"]
+    async def start_endpoint(self, incarnation):
+        """Returns a task that serves until it is cancelled."""
 
         async def answer(request):
-            return web.build_json(200, {"incarnation": starts[-1]})
+            return web.build_json(200, {"incarnation": incarnation})
 
-        port = base.find_free_port()
         server = await curio.spawn(
-            web_server.serve, answer, "127.0.0.1", port, daemon=True
+            web_server.serve, answer, "127.0.0.1", self.port, daemon=True
         )
         await curio.sleep(0.1)
+        return server
+
+    async def test_start_before_a_call_is_no_crash_of_its_input(self):
+        """The endpoint has started again since the last probe."""
+        self.port = base.find_free_port()
+        server = await self.start_endpoint("one")
         monitor = monitors.EndpointMonitor(
             http_endpoints.build_endpoint(
-                "service", f"http://127.0.0.1:{port}", 1.0
+                "service", f"http://127.0.0.1:{self.port}", 1.0
             ),
             1.0,
         )
         await monitor.probe()
-        starts.append("two")
+        self.assertEqual("one", await monitor.learn_incarnation())
+        await server.cancel()
+        server = await self.start_endpoint("two")
         # A call begins, as an executor has it, and breaks.
-        known = monitor.incarnation
+        known = await monitor.learn_incarnation()
         self.assertFalse(await monitor.has_crashed(known))
         await server.cancel()
+        server = await self.start_endpoint("three")
+        self.assertTrue(await monitor.has_crashed(known))
+        await server.cancel()
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -9,14 +9,16 @@
 
 from samphirevale import (
     configuration,
+    errors,
     executors,
     invariants,
     lifecycle,
     messages,
+    monitors,
     settings,
     sidecar,
 )
-from samphirevale.adapters import link, web, web_server
+from samphirevale.adapters import endpoints, link, web, web_client, web_server
 from tests import base, fakes
 
 SECRET = "a-secret-between-processes"
@@ -60,6 +62,10 @@
         self.lines = build_lines(ANSWER)
         self.status = 200
         self.break_runs = False
+        self.incarnation = "one"
+        self.closes_probes = False
+        self.silent_probes = 0
+        self.probes = 0
         self.task = None
 
     async def start(self):
@@ -70,9 +76,29 @@
     async def stop(self):
         await self.task.cancel()
 
+    async def start_again(self, incarnation):
+        await self.stop()
+        self.incarnation = incarnation
+        await self.start()
+        await self.wait_until_listening()
+
+    async def wait_until_listening(self):
+        while True:
+            with contextlib.suppress(errors.ConnectError):
+                async with web_client.connect("127.0.0.1", self.port):
+                    return
+            await curio.sleep(0.005)
+
     async def answer(self, request):
+        if request.path == "/health":
+            self.probes += 1
+            if self.silent_probes:
+                self.silent_probes -= 1
+                await curio.sleep(0.3)
+            body = json.dumps({"incarnation": self.incarnation}).encode()
+            closing = (("Connection", "close"),) * self.closes_probes
+            return web.Response(200, body, closing)
         fixed = {
-            "/health": {"incarnation": "one"},
             "/load": {"running": 0, "waiting": 0, "slots": 4, "age_ms": 5},
             "/cache-events": {"events": []},
             "/state": {"batches": self.batches, "role": "", "fencing": 0},
@@ -690,6 +716,63 @@
                 (ending.outcome, ending.reason), ("failed", "endpoint_failed")
             )
 
+    async def break_call(self, entry):
+        """Returns what the entry is told of a call that breaks."""
+        self.endpoint.break_runs = True
+        await self.endpoint.gate.set()
+        await self.hand_over(entry, batch="")
+        return await self.receive(entry, messages.Refusal, messages.CrashNotice)
+
+    def stop_probes(self):
+        """Lets no regular probe follow the first one."""
+        self.enterContext(
+            mock.patch.object(monitors, "PROBE_INTERVAL_SECONDS", 60.0)
+        )
+
+    async def test_restart_before_a_call_is_no_crash_of_its_input(self):
+        self.stop_probes()
+        for closes_probes in (False, True):
+            async with self.running("service"), self.connected() as entry:
+                self.endpoint.closes_probes = closes_probes
+                await self.endpoint.start_again("two")
+                ending = await self.break_call(entry)
+                self.assertEqual(
+                    (ending.outcome, ending.reason),
+                    ("failed", "endpoint_failed"),
+                )
+
+    async def test_restart_during_a_call_is_a_crash_of_its_input(self):
+        self.stop_probes()
+        async with self.running("service"), self.connected() as entry:
+            await self.endpoint.start_again("two")
+            await self.hand_over(entry, batch="")
+            await self.wait_for_runs(1)
+            await self.endpoint.start_again("three")
+            notice = await self.receive(entry, messages.CrashNotice)
+            self.assertEqual(notice, messages.CrashNotice("f1", "a1"))
+
+    async def test_call_to_an_endpoint_that_goes_on_asks_for_nothing(self):
+        self.stop_probes()
+        async with self.running("service"), self.connected() as entry:
+            probes = self.endpoint.probes
+            await self.endpoint.gate.set()
+            for attempt in ("a1", "a2", "a3"):
+                await self.hand_over(entry, attempt=attempt, batch="")
+                await self.receive(entry, messages.Result)
+            self.assertEqual(probes, self.endpoint.probes)
+
+    async def test_call_to_an_endpoint_that_tells_no_start_is_no_crash(self):
+        """It does not answer in time when it is asked before the call."""
+        self.stop_probes()
+        self.enterContext(mock.patch.object(endpoints, "REPORT_SECONDS", 0.1))
+        async with self.running("service"), self.connected() as entry:
+            await self.endpoint.start_again("two")
+            self.endpoint.silent_probes = 1
+            ending = await self.break_call(entry)
+            self.assertEqual(
+                (ending.outcome, ending.reason), ("failed", "endpoint_failed")
+            )
+
 
 class ChunkTest(SidecarTestCase):
     """Chunks reach the entry once, in order and without gaps."""
