Count an endpoint as cold whose report names a start not listed yet

What callers saw: broken answers of an endpoint that had started again under its id, where its service states a cold rate and gets streams and other requests. The latter were sent at the full rate until the list named the new start, and could crash it again.

Cause: the question before a stream learned of the new start and told nobody.

Change: a start that a report names is recorded as one that the list names. The list that names it later begins no second cold time, and further questions prolong none. An answer that is read after the list has moved on counts for nothing. What is asked, and when, is as before.

Left: a status of 421 marks nothing, as another endpoint has the address. If the whole list is read again while it still names the former start, both starts count as new once more, which prolongs the cold time by the age of the list.

--- a/lab/availability_mechanisms.py
+++ b/lab/availability_mechanisms.py
@@ -119,6 +119,14 @@
         f"{_WARM_UPS}.WarmUpsTest"
         ".test_entry_that_knows_no_entries_has_no_share",
     ),
+    _ablate(
+        "start that a report names taken as cold",
+        COLD,
+        "notice_handler",
+        "if self._cluster.warm_ups.record_named(endpoint, started, now):",
+        "if False:",
+        f"{_COLD_SESSIONS}.test_start_that_a_report_names_is_cold",
+    ),
     _ablate(
         "stated cold time of a registration adopted",
         COLD,
--- a/samphirevale/availability/warm_ups.py
+++ b/samphirevale/availability/warm_ups.py
@@ -110,6 +110,22 @@
             return False
         return self._record_start(endpoint, now)
 
+    def record_named(
+        self, endpoint: catalogue.Endpoint, started: int, now: float
+    ) -> bool:
+        """Records a start that an endpoint has named before its registration.
+
+        Args:
+            endpoint: the endpoint as it is registered.
+            started: the start that it has named.
+            now: the present time.
+
+        Returns:
+            Whether the endpoint turns cold.
+        """
+        named = endpoint._replace(started=started)
+        return self.record_registered(named, False, now)
+
     def record_refused(self, endpoint: catalogue.Endpoint, now: float) -> bool:
         """Records a refused connect, as no process listens there now.
 
--- a/samphirevale/notice_handler.py
+++ b/samphirevale/notice_handler.py
@@ -66,6 +66,16 @@
         if self._cluster.warm_ups.record_refused(endpoint, now):
             self._record_cold(endpoint, "connect_refused")
 
+    def handle_other_start(
+        self, endpoint: catalogue.Endpoint, started: int
+    ) -> None:
+        """Applies that an endpoint has named another start than the known."""
+        if not self._cluster.is_registered(catalogue.get_start(endpoint)):
+            return
+        now = self._clock.now()
+        if self._cluster.warm_ups.record_named(endpoint, started, now):
+            self._record_cold(endpoint, "report")
+
     def _record_cold(self, endpoint: catalogue.Endpoint, source: str) -> None:
         rest = self._cluster.warm_ups.compute_rest(endpoint, self._clock.now())
         cold_log.record_cold(self._journal, endpoint, rest, source)
--- a/samphirevale/ports/proxies.py
+++ b/samphirevale/ports/proxies.py
@@ -93,6 +93,11 @@
     def handle_refused_connect(self, endpoint: catalogue.Endpoint) -> None:
         """Applies that no process listens at an endpoint's address."""
 
+    def handle_other_start(
+        self, endpoint: catalogue.Endpoint, started: int
+    ) -> None:
+        """Applies that an endpoint has named another start than the known."""
+
     async def handle_notice(
         self, endpoint: catalogue.Endpoint, notice: EndpointNotice
     ) -> None:
--- a/tests/availability/test_warm_ups.py
+++ b/tests/availability/test_warm_ups.py
@@ -44,6 +44,14 @@
         self.assertTrue(self.cold.is_cold(RESTARTED, NOW + 2.9))
         self.assertFalse(self.cold.is_cold(RESTARTED, NOW + 3.0))
 
+    def test_start_that_is_named_before_its_registration_is_cold_once(self):
+        self.cold.record_registered(ENDPOINT, True, NOW)
+        self.assertTrue(self.cold.record_named(ENDPOINT, 2, NOW))
+        self.assertFalse(self.cold.record_named(ENDPOINT, 2, NOW + 1.0))
+        registered_at = NOW + 2.0
+        self.cold.record_registered(RESTARTED, False, registered_at)
+        self.assertFalse(self.cold.is_cold(RESTARTED, NOW + 3.0))
+
     def test_endpoint_that_is_back_after_an_outage_is_not_cold(self):
         self.cold.record_registered(ENDPOINT, False, NOW)
         later = NOW + 60.0
--- a/tests/platform/test_cold_servers.py
+++ b/tests/platform/test_cold_servers.py
@@ -26,9 +26,14 @@
     def build_manifest(self, version=1, cold_seconds=COLD_SECONDS):
         manifest = sessions.build_manifest(version)
         for service in manifest["services"]:
-            if service["name"] == "plain":
+            if service["name"] in ("plain", "model"):
                 service["cold_start_s"] = cold_seconds
                 service["cold_per_s"] = RATE
+        (plain, *_) = manifest["routes"]
+        manifest["routes"].append(
+            {**plain, "name": "/ask/", "path_prefix": "/ask/"}
+            | {"service": "model"}
+        )
         return manifest
 
     async def adopt_cold_limits(self):
@@ -41,14 +46,14 @@
             time.monotonic() + seconds, MOST_CALLS, stated
         )
 
-    async def call_for(self, seconds, *ports):
+    async def call_for(self, seconds, *ports, path="/read/x"):
         """Sends requests without a pause; returns the statuses."""
         statuses = []
         ends_at = time.monotonic() + seconds
 
         async def call_again(port):
             while time.monotonic() < ends_at:
-                status, *_ = await self.call("/read/x", port=port)
+                status, *_ = await self.call(path, port=port)
                 statuses.append(status)
 
         async with curio.TaskGroup() as group:
@@ -94,6 +99,19 @@
             await self.call_for(1.0)
             self.assertEqual(1, self.servers["plain1"].starts)
 
+    async def test_start_that_a_report_names_is_cold(self):
+        """The server has started again and is registered as before."""
+        async with self.run_all():
+            await self.adopt_cold_limits()
+            self.start_cold("model1")
+            self.servers["model1"].born += 1
+            while not self.servers["model1"].arrivals:
+                await self.check_stream()
+            statuses = await self.call_for(1.0, path="/ask/x")
+            self.assertEqual({200}, set(statuses))
+            self.assertEqual(1, self.servers["model1"].starts)
+            self.assertIn("endpoint_cold", self.log.list_events())
+
     async def test_callers_are_told_when_to_return_if_all_are_cold(self):
         async with self.run_all():
             await self.adopt_cold_limits()
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -23,6 +23,7 @@
         self.allowed = True
         self.notices = []
         self.calls = []
+        self.other_starts = []
 
     def may_call(self, endpoint):
         return self.allowed
@@ -30,6 +31,9 @@
     def record_call(self, endpoint):
         self.calls.append(endpoint.name)
 
+    def handle_other_start(self, endpoint, started):
+        self.other_starts.append((endpoint.name, started))
+
     async def handle_notice(self, endpoint, notice):
         self.notices.append((endpoint.name, notice))
 
@@ -217,11 +221,15 @@
         self.assertEqual(["e1"], self.asked_listener.calls)
 
     async def test_endpoint_that_has_started_again_gets_nothing(self):
-        for value in ({"born": 8}, {"born": 0}):
+        for started in (8, 0):
             with self.assertRaises(errors.NotAcceptingError):
-                await self.ask_start(200, value)
+                await self.ask_start(200, {"born": started})
+            self.assertEqual(
+                [("e1", started)], self.asked_listener.other_starts
+            )
         with self.assertRaises(errors.NotAcceptingError):
             await self.ask_start(421, {})
+        self.assertEqual([], self.asked_listener.other_starts)
 
     async def test_endpoint_that_does_not_say_its_start_gets_the_request(self):
         for value in ({}, {"born": "x"}, {"born": True}, [], None):
--- a/tests/test_notice_handler.py
+++ b/tests/test_notice_handler.py
@@ -9,7 +9,9 @@
     entry_messages,
     log_limits,
     notice_handler,
+    routes,
 )
+from samphirevale.availability import warm_ups
 from samphirevale.ports import proxies
 from tests import base, proxy_fakes
 
@@ -53,6 +55,22 @@
         self.assertEqual([2.5], self.stated)
         self.assertNotIn("endpoint_cold", self.journal.list_events())
 
+    def test_start_that_was_known_before_the_list_changed_tells_nothing(self):
+        """The answer to a question may be read after the list has changed."""
+        self.cluster.warm_ups = warm_ups.WarmUps(
+            "me",
+            warm_ups.ColdBound(1.5, 5.0),
+            lambda service: routes.ColdLimit(3.0, 8.0),
+            lambda endpoint: ("me",),
+        )
+        self.cluster.catalogue.put(ENDPOINT._replace(started=3))
+        self.handler.handle_other_start(ENDPOINT, 2)
+        self.assertFalse(self.cluster.warm_ups)
+        self.cluster.catalogue.put(ENDPOINT)
+        self.handler.handle_other_start(ENDPOINT, 2)
+        self.assertTrue(self.cluster.warm_ups.is_cold(ENDPOINT, NOW))
+        self.assertIn("endpoint_cold", self.journal.list_events())
+
     async def record_withdrawn(self, endpoint):
         self.withdrawn.append(endpoint)
 
