Remember that a listed start is over, and ask it no more

What callers saw: a stream that came while an endpoint was back under its id and not listed yet lost a connection and a round trip there before it went elsewhere, each stream anew, in an outage of the store as long as it lasted.

Cause: what the question learned was forgotten with its request, so that the endpoint stayed a candidate.

Change: the listed start counts as over for two seconds at most, in this entry. It is no candidate for requests whose start matters (a version, a record of where they begin, shared parts of a prompt), also if it was chosen just before; it stays one for all others and for items of stages. The condition has one place now (Eligibility.needs_start), by which an endpoint is chosen and asked; what is asked, and when, is as before. If all endpoints are such ones, the reason is start_not_listed in place of no_endpoint.

What is remembered is kept by start, so that it ends as the list names another one, and has a bound in time, as a start that is over does not come back but a report may be wrong: an endpoint that answers one question wrongly would get no streams any more. After two seconds, the time in which a live endpoint renews its registration, it is asked again. There is one entry for each listed endpoint at most.

Ruled out: to forget it as a later question confirms the start (none is asked meanwhile); to keep it among the notices (those bind plain requests as well).

--- a/lab/availability_mechanisms.py
+++ b/lab/availability_mechanisms.py
@@ -123,8 +123,8 @@
         "start that a report names taken as cold",
         COLD,
         "notice_handler",
-        "if self._cluster.warm_ups.record_named(endpoint, started, now):",
-        "if False:",
+        "if started is not None and self._cluster.warm_ups.record_named(",
+        "if None and self._cluster.warm_ups.record_named(",
         f"{_COLD_SESSIONS}.test_start_that_a_report_names_is_cold",
     ),
     _ablate(
--- a/samphirevale/availability/eligibility.py
+++ b/samphirevale/availability/eligibility.py
@@ -14,11 +14,14 @@
             it may be served anywhere.
         recorded: whether the store must know beforehand that streams may begin
             at their version.
+        shared_parts: whether other requests may share parts of its prompt,
+            which an endpoint's crash would accuse.
     """
 
     version: str | None = None
     data_centres: frozenset[str] | None = None
     recorded: bool = False
+    shared_parts: bool = False
 
     def permits(self, endpoint: catalogue.Endpoint) -> bool:
         """Returns whether an endpoint fulfils the conditions."""
@@ -29,6 +32,16 @@
             or endpoint.data_centre in self.data_centres
         )
 
+    def needs_start(self) -> bool:
+        """Returns whether it matters which start of an endpoint gets it.
+
+        An endpoint may have started again under its name, with another version,
+        and be listed as before. That matters to a stream that goes on, to one
+        that begins and may go on later, and to what follows from an answer or a
+        crash under the parts of a prompt.
+        """
+        return self.version is not None or self.recorded or self.shared_parts
+
     def without_version(self) -> "Eligibility":
         """Returns the conditions for the stages of the request."""
         return Eligibility(None, self.data_centres)
--- a/samphirevale/cluster_state.py
+++ b/samphirevale/cluster_state.py
@@ -15,7 +15,12 @@
     store_eras,
     stream_origins,
 )
-from samphirevale.availability import cordons, eligibility, warm_ups
+from samphirevale.availability import (
+    cordons,
+    eligibility,
+    ended_starts,
+    warm_ups,
+)
 from samphirevale.origins import own_record as own_records
 from samphirevale.ports import objects
 
@@ -38,6 +43,7 @@
         notices: which endpoints leave or have asked for a pause.
         cordons: the data centres that get no new work.
         warm_ups: the endpoints that are cold.
+        ended_starts: the listed starts of endpoints that are over.
         data_centre: the data centre of this entry.
         members: the entries that are alive, including this one.
         registered: the names of the entries that are registered, alive or not;
@@ -79,6 +85,7 @@
         self.warm_ups = warm_ups.WarmUps(
             me.name, cold_bound, self._find_cold_limit, self._list_sharers
         )
+        self.ended_starts = ended_starts.EndedStarts()
         self.notices = endpoint_notices.EndpointNotices(me.name, self.warm_ups)
         self.registered: frozenset[str] | None = None
         self.members: tuple[ownership.Member, ...] = (me,)
@@ -319,14 +326,27 @@
         cordoned = self.cordons.list_cordoned(now)
         if wanted == eligibility.ANY and not cordoned:
             return accepting
+        needs_start = self.ended_starts and wanted.needs_start()
         return [
             endpoint
             for endpoint in accepting
             if endpoint.data_centre not in cordoned
             and wanted.permits(endpoint)
             and (not wanted.recorded or self.is_recorded(endpoint))
+            and not (needs_start and self.ended_starts.is_over(endpoint, now))
         ]
 
+    def permits(
+        self,
+        endpoint: catalogue.Endpoint,
+        wanted: eligibility.Eligibility,
+        now: float,
+    ) -> bool:
+        """Returns whether a listed endpoint is what a request wants now."""
+        return wanted.permits(endpoint) and not (
+            wanted.needs_start() and self.ended_starts.is_over(endpoint, now)
+        )
+
     def list_origins(self) -> set[stream_origins.StreamOrigin]:
         """Returns where streams may run at the present endpoints."""
         return {
--- a/samphirevale/endpoint_choice.py
+++ b/samphirevale/endpoint_choice.py
@@ -1,6 +1,12 @@
 """Chooses among the endpoints that may get one proxied request."""
 
-from samphirevale import catalogue, placement, proxy_context, proxy_requests
+from samphirevale import (
+    catalogue,
+    crash_reports,
+    placement,
+    proxy_context,
+    proxy_requests,
+)
 from samphirevale.availability import eligibility
 
 
@@ -33,7 +39,12 @@
                 begins.
         """
         self.service = service
-        self.wanted = eligibility.Eligibility(None, data_centres, recorded)
+        self.wanted = eligibility.Eligibility(
+            None,
+            data_centres,
+            recorded,
+            bool(crash_reports.list_shared_parts(request)),
+        )
         self.tried: set[str] = set()
         # Those among them that were silent: they did not answer the connect, or
         # were left for another endpoint. They are the last choice.
@@ -141,14 +152,20 @@
     def _explain_none_available(self) -> str:
         """Returns why nothing may be sent to any endpoint."""
         cluster = self._context.cluster_state
-        if cluster.list_cordoned(self.service, self._context.clock.now()):
+        now = self._context.clock.now()
+        if cluster.list_cordoned(self.service, now):
             return "endpoints_cordoned"
         accepting = cluster.catalogue.list_accepting(self.service)
+        permitted = list(filter(self.wanted.permits, accepting))
         if self.wanted.recorded and any(
-            not cluster.is_recorded(endpoint)
-            for endpoint in filter(self.wanted.permits, accepting)
+            not cluster.is_recorded(endpoint) for endpoint in permitted
         ):
             return "version_not_recorded"
+        if permitted and not any(
+            cluster.permits(endpoint, self.wanted, now)
+            for endpoint in permitted
+        ):
+            return "start_not_listed"
         if accepting and self.wanted.data_centres is not None:
             return "no_endpoint_at_home"
         return "no_endpoint"
--- a/samphirevale/log_schema.py
+++ b/samphirevale/log_schema.py
@@ -42,6 +42,7 @@
         },
         "endpoint_leaving": {"endpoint", "service", "started", "source"},
         "endpoint_limited": {"endpoint", "service", "limit"},
+        "endpoint_not_listed": {"endpoint", "service", "started", "named"},
         "endpoint_paused": {"endpoint", "service", "seconds"},
         "endpoint_silent": {*_REQUEST, "exchanges"},
         "entries_changed": {"count", "joined", "left"},
--- a/samphirevale/notice_handler.py
+++ b/samphirevale/notice_handler.py
@@ -67,13 +67,24 @@
             self._record_cold(endpoint, "connect_refused")
 
     def handle_other_start(
-        self, endpoint: catalogue.Endpoint, started: int
+        self, endpoint: catalogue.Endpoint, started: int | None
     ) -> None:
-        """Applies that an endpoint has named another start than the known."""
-        if not self._cluster.is_registered(catalogue.get_start(endpoint)):
+        """Applies that the known start of an endpoint is over."""
+        start = catalogue.get_start(endpoint)
+        if not self._cluster.is_registered(start):
             return
         now = self._clock.now()
-        if self._cluster.warm_ups.record_named(endpoint, started, now):
+        if self._cluster.ended_starts.record(start, now):
+            self._journal.record_event(
+                "endpoint_not_listed",
+                endpoint=endpoint.name,
+                service=endpoint.service,
+                started=endpoint.started,
+                named=started,
+            )
+        if started is not None and self._cluster.warm_ups.record_named(
+            endpoint, started, now
+        ):
             self._record_cold(endpoint, "report")
 
     def _record_cold(self, endpoint: catalogue.Endpoint, source: str) -> None:
@@ -234,7 +245,9 @@
 
     def remove_expired(self, now: float) -> None:
         """Removes notices that are over."""
-        self._cluster.notices.remove_expired(self._cluster.is_registered, now)
+        known = self._cluster
+        known.notices.remove_expired(known.is_registered, now)
+        known.ended_starts.remove_expired(known.is_registered, now)
 
 
 def _build_message(
--- a/samphirevale/platform/endpoints.py
+++ b/samphirevale/platform/endpoints.py
@@ -213,10 +213,10 @@
         except errors.TransportError as error:
             raise errors.UnconfirmedStartError(f"no report: {error}") from error
         started = _decode_start(answer.status, data)
-        has_restarted = started is not None and started != endpoint.started
-        if has_restarted:
+        if answer.status == notices.MISDIRECTED or (
+            started is not None and started != endpoint.started
+        ):
             self._listener.handle_other_start(endpoint, started)
-        if has_restarted or answer.status == notices.MISDIRECTED:
             raise errors.NotAcceptingError(f"{endpoint.name} has started again")
         await self._handle_notice(endpoint, answer)
         if started is not None:
--- a/samphirevale/ports/proxies.py
+++ b/samphirevale/ports/proxies.py
@@ -94,9 +94,15 @@
         """Applies that no process listens at an endpoint's address."""
 
     def handle_other_start(
-        self, endpoint: catalogue.Endpoint, started: int
+        self, endpoint: catalogue.Endpoint, started: int | None
     ) -> None:
-        """Applies that an endpoint has named another start than the known."""
+        """Applies that the known start of an endpoint is over.
+
+        Args:
+            endpoint: the endpoint as it is known.
+            started: the start that it has named; None if another endpoint has
+                answered.
+        """
 
     async def handle_notice(
         self, endpoint: catalogue.Endpoint, notice: EndpointNotice
--- a/samphirevale/request_sends.py
+++ b/samphirevale/request_sends.py
@@ -2,7 +2,6 @@
 
 from samphirevale import (
     catalogue,
-    crash_reports,
     errors,
     exchanges,
     proxy_requests,
@@ -77,7 +76,9 @@
             raise errors.NotAcceptingError(
                 f"{endpoint.name} accepts no new work"
             )
-        if not self._endpoints.wanted.permits(endpoint):
+        if not self._context.cluster_state.permits(
+            endpoint, self._endpoints.wanted, now
+        ):
             raise errors.NotAcceptingError(
                 f"{endpoint.name} may not serve the request"
             )
@@ -117,11 +118,7 @@
     def _compute_ask_timeout(self, remaining: float) -> float | None:
         """Returns how long an endpoint may take to confirm its start.
 
-        An endpoint may have started again under its name, with another version,
-        and be listed as before. That matters to a stream that goes on, to one
-        that begins and may go on later, and to what follows from an answer or a
-        crash under the parts of a prompt. A silent endpoint is left for another
-        one as if it had the request.
+        A silent endpoint is left for another one as if it had the request.
 
         Args:
             remaining: the time until the request's deadline, in seconds.
@@ -132,8 +129,7 @@
         wanted = self._endpoints.wanted
         if wanted.version is not None:
             return min(GOING_ON_ASK_SECONDS, remaining)
-        accused = crash_reports.list_shared_parts(self._request)
-        return remaining if wanted.recorded or accused else None
+        return remaining if wanted.needs_start() else None
 
     def compute_overlap(self, exchange: exchanges.Exchange | None) -> float:
         """Returns how long a further endpoint has had the request.
--- a/tests/platform/test_versions.py
+++ b/tests/platform/test_versions.py
@@ -1,7 +1,10 @@
 """Tests of sessions with servers of several software versions."""
 
+from unittest import mock
+
 from samphirevale import errors
 from samphirevale.adapters import web, web_client
+from samphirevale.availability import ended_starts
 from samphirevale.origins import records
 from standins import servers
 from tests.platform import sessions
@@ -120,6 +123,48 @@
                 self.assertEqual(200, status)
                 self.assertEqual({version}, list_versions(body))
 
+    def count_reports(self, name):
+        """Returns how often a server was asked for its start."""
+        paths = [call.path for call in self.servers[name].arrivals]
+        return paths.count("/report")
+
+    def never_ask_again(self):
+        """Remembers a start as over until the list names another one."""
+        self.enterContext(
+            mock.patch.object(ended_starts, "ENDED_SECONDS", 60.0)
+        )
+
+    async def test_server_whose_start_is_not_listed_is_asked_once(self):
+        """Streams go elsewhere at once until the list names the new start."""
+        self.never_ask_again()
+        async with self.run_all(SERVERS, ALIKE):
+            self.restart_before_registering("model1", "v1")
+            for number in range(PROMPTS):
+                status, *_ = await self.write(**self.build_headers(number))
+                self.assertEqual(200, status)
+            self.assertEqual(1, self.count_reports("model1"))
+            self.assertIn("endpoint_not_listed", self.log.list_events())
+            self.change_server("model1", born=self.servers["model1"].born)
+            cluster = self.gateway.cluster_state
+            await self.wait_until(
+                lambda: cluster.catalogue.find("model1").started == 2
+            )
+            for number in range(PROMPTS):
+                await self.write(**self.build_headers(number))
+            self.assertGreater(self.count_reports("model1"), 1)
+            await self.wait_until(lambda: not cluster.ended_starts)
+
+    async def test_streams_are_refused_while_no_start_is_listed(self):
+        self.never_ask_again()
+        async with self.run_all(SERVERS, ALIKE):
+            for name in ALIKE:
+                self.restart_before_registering(name, "v2")
+            for number in range(3):
+                status, *_ = await self.write(**self.build_headers(number))
+                self.assertEqual(503, status)
+            for name in ALIKE:
+                self.assertEqual(1, self.count_reports(name))
+
     async def test_start_that_a_server_does_not_name_any_more_is_not_known(
         self,
     ):
--- a/tests/test_cluster_state.py
+++ b/tests/test_cluster_state.py
@@ -98,6 +98,29 @@
         usable = self.cluster.list_usable("plain", NOW, wanted)
         self.assertEqual([elsewhere], usable)
 
+    def test_endpoint_that_has_started_again_gets_only_plain_requests(self):
+        (endpoint, other) = self.cluster.list_usable("plain", NOW)
+        start = catalogue.get_start(endpoint)
+        self.cluster.ended_starts.record(start, NOW)
+        for wanted in (
+            eligibility.Eligibility("v1"),
+            eligibility.Eligibility(recorded=True),
+            eligibility.Eligibility(shared_parts=True),
+        ):
+            usable = self.cluster.list_usable("plain", NOW, wanted)
+            self.assertEqual([other], usable)
+            self.assertFalse(self.cluster.permits(endpoint, wanted, NOW))
+            self.assertTrue(self.cluster.permits(other, wanted, NOW))
+            listed = endpoint._replace(started=2)
+            self.assertTrue(self.cluster.permits(listed, wanted, NOW))
+        for wanted in (
+            eligibility.ANY,
+            eligibility.Eligibility(None, frozenset("a")),
+            eligibility.Eligibility("v1").without_version(),
+        ):
+            usable = self.cluster.list_usable("plain", NOW, wanted)
+            self.assertEqual([endpoint, other], usable)
+
     def list_names(self, service):
         return [
             endpoint.name for endpoint in self.cluster.list_usable(service, NOW)
--- a/tests/test_proxying.py
+++ b/tests/test_proxying.py
@@ -1,11 +1,13 @@
 """Tests of proxied requests: their sends, retries and answers."""
 
 import random
+from unittest import mock
 
 from samphirevale import (
     answer_memory,
     catalogue,
     crash_reports,
+    endpoint_choice,
     errors,
     input_fingerprints,
     placement,
@@ -921,6 +923,43 @@
         )
         self.assertIsNotNone(answer.retry_seconds)
 
+    async def test_no_stream_begins_while_no_start_is_listed(self):
+        self.use_stream_route()
+        for endpoint in self.cluster.catalogue.list_all():
+            start = catalogue.get_start(endpoint)
+            self.cluster.ended_starts.record(start, self.clock.now())
+        answer = await self.answer()
+        self.assertEqual(
+            (503, "start_not_listed"), (answer.status, answer.reason)
+        )
+        self.assertEqual([], self.endpoints.sends)
+
+    async def test_endpoint_whose_start_ended_after_the_choice_gets_nothing(
+        self,
+    ):
+        """The stages may run again between the choice and the send."""
+        chosen = []
+        record_send = endpoint_choice.EndpointChoice.record_send
+
+        def end_first_start(choice, endpoint):
+            record_send(choice, endpoint)
+            if not chosen:
+                start = catalogue.get_start(endpoint)
+                self.cluster.ended_starts.record(start, self.clock.now())
+            chosen.append(endpoint.name)
+
+        self.enterContext(
+            mock.patch.object(
+                endpoint_choice.EndpointChoice, "record_send", end_first_start
+            )
+        )
+        answer = await self.answer(self.build_stream(b"id: 1\n\n"))
+        await self.read_stream(answer)
+        self.assertEqual(2, len(chosen))
+        self.assertEqual(
+            chosen[1:], [name for name, *_ in self.endpoints.sends]
+        )
+
     async def test_no_stream_begins_at_a_version_that_is_not_recorded(self):
         self.use_stream_route()
         self.cluster.own_record = self.own_record
