--- a/samphirevale/platform/endpoints.py
+++ b/samphirevale/platform/endpoints.py
@@ -216,6 +216,7 @@
         if answer.status == notices.MISDIRECTED or (
             started is not None and started != endpoint.started
         ):
+            self._listener.handle_other_start(endpoint, started)
             raise errors.NotAcceptingError(f"{endpoint.name} has started again")
         await self._handle_notice(endpoint, answer)
         if started is not None:
