Play each seed of the late requests from the beginning

The fields that tell when the signal was sent, and which requests had which outcome, were set in setUp() only. In a further seed the time since the signal was that of the seed before, so the disturbance, which sends further SIGTERMs after the signal, sent the first one itself. The process stopped 1.28 s and 0.42 s before the time from which the test counts (line "stopping" and the time of the signal, seeds 8 and 10, grace period of 2 s), and it ended the streams in its last eighth, as it should.

Each play now begins from setUp(). The requests of earlier seeds, which were checked in their own play, are no longer checked against the times of a later one. Nothing that is checked is left out.

--- a/tests/platform/test_late_in_the_grace.py
+++ b/tests/platform/test_late_in_the_grace.py
@@ -276,6 +276,7 @@
 
     async def play_seed(self, seed):
         """Plays a stop; returns the requests with what is wrong with them."""
+        self.setUp()
         self.rng = random.Random(seed)
         async with self.run_process():
             disturbance = await curio.spawn(self.disturb, daemon=True)
