Log the steps of a stop

It now tells when a stopping entry begins to refuse, when it ends the requests without an answer and what it took for the longest turn, and how long the tasks of the callers and all others took to end.

test_requests_in_their_stages_are_answered_as_the_process_ends asks for the steps in their order.

--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -478,12 +478,39 @@
             turn_seconds = max(turn_seconds, late_seconds)
         self._refuse_requests()
         if self.is_busy():
+            self._journal.record_event(
+                "requests_ending",
+                busy=self._server.busy,
+                turn_seconds=round(turn_seconds, 3),
+            )
             await self._end_requests(process_ends_at)
         self._journal.record_event("stopped", busy=self._server.busy)
 
+    async def end_tasks(self, tasks: list[curio.Task]) -> None:
+        """Ends all tasks, the last one before the others.
+
+        The others end at the same time, as the grace period may be over soon.
+        """
+        if not tasks:
+            return
+        began_at = self.clock.now()
+        *others, last = tasks
+        await last.cancel()
+        last_ended_at = self.clock.now()
+        for task in others:
+            await task.cancel(blocking=False)
+        for task in others:
+            await task.wait()
+        self._journal.record_event(
+            "tasks_ended",
+            callers_seconds=round(last_ended_at - began_at, 3),
+            seconds=round(self.clock.now() - began_at, 3),
+        )
+
     def _refuse_requests(self) -> None:
         """Refuses all further requests, a few connections at a time."""
         if not self._proxy.closed:
+            self._journal.record_event("refusing", busy=self._server.busy)
             gate = self._server.gate
             gate.limit = gate.open + REFUSING_CONNECTIONS
         self._proxy.closed = True
@@ -551,22 +578,7 @@
         await _wait_for_stop(gateway, tasks)
         await gateway.drain()
     finally:
-        await _end_tasks(tasks)
-
-
-async def _end_tasks(tasks: list[curio.Task]) -> None:
-    """Ends all tasks, the last one before the others.
-
-    The others end at the same time, as the grace period may be over soon.
-    """
-    if not tasks:
-        return
-    *others, last = tasks
-    await last.cancel()
-    for task in others:
-        await task.cancel(blocking=False)
-    for task in others:
-        await task.wait()
+        await gateway.end_tasks(tasks)
 
 
 async def _wait_for_stop(gateway: Gateway, tasks: list[curio.Task]) -> None:
--- a/samphirevale/log_schema.py
+++ b/samphirevale/log_schema.py
@@ -71,6 +71,7 @@
             "wanted_bytes",
         },
         "queue": {"endpoint", *batching.QueueState._fields},
+        "refusing": {"busy"},
         "registration_malformed": {"name", "revision"},
         "release_failed": {"endpoint", "error"},
         "reload_failed": {"error"},
@@ -104,6 +105,7 @@
             "status",
             "last_event",
         },
+        "requests_ending": {"busy", "turn_seconds"},
         "room_adopted": {"endpoint", "believed_bytes", "room_bytes"},
         "room_unknown": {"endpoint", "error"},
         "routes_adopted": {"version", "revision", "hosts"},
@@ -134,6 +136,7 @@
         "stream_ended": {*_REQUEST, "outcome", "last_event"},
         "stream_silent": {*_REQUEST, "outcome", "last_event"},
         "stream_waits": {*_REQUEST, "wait_seconds"},
+        "tasks_ended": {"callers_seconds", "seconds"},
     }.items()
 }
 
--- a/tests/platform/test_stopping_process.py
+++ b/tests/platform/test_stopping_process.py
@@ -2,6 +2,9 @@
 
 from tests.platform import stopping_processes
 
+# The steps in the log that each stop has.
+STEPS = ("stopping", "refusing", "stopped", "tasks_ended")
+
 
 class StoppingProcessTest(stopping_processes.StoppingProcessTestCase):
     """Callers keep their connections until the process has gone."""
@@ -17,3 +20,5 @@
             statuses = {outcome.status for outcome in self.outcomes}
             self.assertLessEqual(statuses, {0, 200, 503, 504})
             self.assertEqual(0, self.process.returncode)
+            steps = [line["event"] for line in lines if line["event"] in STEPS]
+            self.assertEqual(STEPS, tuple(steps))
