End the process without the shutdown of its interpreter

No close and no queue took that time: from the handlers called at exit on it was the interpreter's own shutdown, which frees all that the process holds. The signal handlers are no longer there by then, so that SIGHUP and SIGTERM end it: codes -1 and -15.

The process now flushes its streams and ends as soon as its tasks have ended. Nothing in it waits for the end of the interpreter.

--- a/lab/stream_mechanisms.py
+++ b/lab/stream_mechanisms.py
@@ -586,6 +586,15 @@
         "tests.platform.test_late_in_the_grace.LateRequestsTest"
         ".test_request_that_comes_late_in_a_short_grace_is_cut",
     ),
+    _ablate(
+        "process ended without the shutdown of its interpreter",
+        STOPS,
+        "platform/__main__",
+        "    os._exit(code)\n",
+        "    sys.exit(code)\n",
+        "tests.platform.test_stopping_process.SlowShutdownTest"
+        ".test_process_that_shuts_down_slowly_is_killed_at_its_end",
+    ),
     _ablate(
         "end of a request taken back once there is an answer",
         STOPS,
--- a/samphirevale/platform/__main__.py
+++ b/samphirevale/platform/__main__.py
@@ -4,10 +4,12 @@
 environment. The exit codes are those of `samphirevaled`.
 """
 
+import contextlib
 import logging
 import os
 import signal
 import sys
+from typing import NoReturn
 
 import curio
 
@@ -122,5 +124,17 @@
     log.record_event("reloaded")
 
 
+def end_process(code: int) -> NoReturn:
+    """Ends the process at once.
+
+    The shutdown of the interpreter would take a part of the grace period, and
+    a signal during it would end the process with another exit code.
+    """
+    for stream in (sys.stdout, sys.stderr):
+        with contextlib.suppress(OSError):
+            stream.flush()
+    os._exit(code)
+
+
 if __name__ == "__main__":
-    sys.exit(main())
+    end_process(main())
--- a/tests/platform/stopping_processes.py
+++ b/tests/platform/stopping_processes.py
@@ -97,10 +97,12 @@
     Attributes:
         grace_seconds: the time from SIGTERM to SIGKILL.
         caller_count: the number of callers.
+        command: the arguments of the interpreter that run the process.
     """
 
     grace_seconds = 4.0
     caller_count = 24
+    command = ("-m", "samphirevale.platform")
 
     def setUp(self):
         self.rng = random.Random(1)
@@ -142,7 +144,7 @@
             self.log_path = pathlib.Path(folder, "log")
             log = stack.enter_context(self.log_path.open("wb"))
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "samphirevale.platform"],
+                [sys.executable, *self.command],
                 env=os.environ | {node_file.PATH_VARIABLE: str(path)},
                 stdout=log,
             )
--- a/tests/platform/test_stopping_process.py
+++ b/tests/platform/test_stopping_process.py
@@ -22,3 +22,23 @@
             self.assertEqual(0, self.process.returncode)
             steps = [line["event"] for line in lines if line["event"] in STEPS]
             self.assertEqual(STEPS, tuple(steps))
+
+
+# Runs the process in an interpreter that takes long to shut down.
+SLOW_SHUTDOWN = """
+import atexit, runpy, time
+atexit.register(time.sleep, 10.0)
+runpy.run_module("samphirevale.platform", run_name="__main__")
+"""
+
+
+class SlowShutdownTest(stopping_processes.StoppingProcessTestCase):
+    """The interpreter of the process takes long to shut down."""
+
+    caller_count = 4
+    command = ("-c", SLOW_SHUTDOWN)
+
+    async def test_process_that_shuts_down_slowly_is_killed_at_its_end(self):
+        async with self.run_process():
+            await self.play()
+            self.assertEqual(0, self.process.returncode)
