--- a/samphirevale/entries.py
+++ b/samphirevale/entries.py
@@ -77,7 +77,7 @@
         Args:
             me: the registration of this entry.
             data_centre: the data centre of this entry.
-            handler: handles the messages of other entries.
+            handler: acts on the messages of other entries.
             build_report: builds the report for the other entries.
             on_members_changed: called with the linked entries.
             clock: a clock that includes time while the machine is suspended.
--- a/samphirevale/entry_handler.py
+++ b/samphirevale/entry_handler.py
@@ -1,4 +1,4 @@
-"""Handles what other entries report and ask for."""
+"""Acts on what other entries report and ask for."""
 
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -33,7 +33,7 @@
 
 
 class MessageHandler:
-    """Handles the messages of all linked entries.
+    """Acts on the messages of all linked entries.
 
     Attributes:
         loads: the load that all of them have placed.
@@ -114,7 +114,7 @@
     async def handle(
         self, entry: linked_entry.LinkedEntry, message: Any
     ) -> None:
-        """Handles a checked message of another entry."""
+        """Acts on a checked message of another entry."""
         handle = _HANDLERS.get(type(message))
         if handle is not None:
             await handle(self, entry, message)
--- a/samphirevale/platform/endpoints.py
+++ b/samphirevale/platform/endpoints.py
@@ -434,7 +434,7 @@
     """Raises errors.NotExecutedError if the endpoint has not run the call."""
     status = answer.status
     # RULES: "says so (`Samphirevale-Not-Executed`, or status 421)"; whoever
-    # answers 421 is another engine than the expected one, header or not.
+    # answers 421 is another endpoint than the expected one, header or not.
     if status != notices.MISDIRECTED and (
         headers.NOT_EXECUTED not in answer.headers
     ):
