Open connections to addresses without a thread

Each connection was opened by curio.open_connection(), which looks up the host in a worker thread, also if it is an address. A thread that holds the interpreter's lock and then waits for a processor stops the thread of all tasks, which sleeps until the lock is free. So tasks stood still, and the entry did not read, did not send and saw neither deadlines nor signals.

test_connection_to_an_address_takes_a_thread failed before.

--- a/samphirevale/adapters/link.py
+++ b/samphirevale/adapters/link.py
@@ -19,7 +19,7 @@
 from websockets import uri as websocket_uri
 
 from samphirevale import errors, messages
-from samphirevale.adapters import listener
+from samphirevale.adapters import connecting, listener
 
 # Maximum number of bytes per socket read.
 READ_BYTES = 65536
@@ -210,7 +210,7 @@
     """
     try:
         async with curio.timeout_after(HANDSHAKE_SECONDS):
-            stream = await curio.open_connection(host, port)
+            stream = await connecting.open_stream(host, port)
             try:
                 protocol, initial_events = await _perform_handshake(
                     stream, host, port, secret
--- a/samphirevale/adapters/web_client.py
+++ b/samphirevale/adapters/web_client.py
@@ -17,7 +17,7 @@
 from curio import socket
 
 from samphirevale import errors
-from samphirevale.adapters import web
+from samphirevale.adapters import connecting, web
 
 # Default timeout for opening a connection, in seconds.
 CONNECT_SECONDS = 1.0
@@ -248,7 +248,7 @@
     """
     try:
         async with curio.timeout_after(timeout_seconds):
-            stream = await curio.open_connection(host, port)
+            stream = await connecting.open_stream(host, port)
     except curio.TaskTimeout as error:
         raise errors.ConnectTimeoutError(
             f"{host}:{port}: no connection in {timeout_seconds} s"
--- a/tests/adapters/test_web_client.py
+++ b/tests/adapters/test_web_client.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+import threading
 
 import curio
 
@@ -33,6 +34,13 @@
             error = await self.check_failure(server.getsockname()[1])
         self.assertIsInstance(error, errors.ConnectTimeoutError)
 
+    async def test_connection_to_an_address_takes_a_thread(self):
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            before = threading.active_count()
+            port = server.getsockname()[1]
+            async with web_client.connect("127.0.0.1", port):
+                self.assertEqual(before, threading.active_count())
+
     async def test_server_that_is_down_refuses_connections(self):
         error = await self.check_failure(base.find_free_port())
         self.assertNotIsInstance(error, errors.ConnectTimeoutError)
