Tell how long a stopped process and its test waited to run

When test_late_in_the_grace reports a late answer or a process that was killed, its message now tells for how long the process has waited for a processor in all, and by how much the test's own tasks were late.

The bounds stay as they are.

--- a/tests/platform/stopping_processes.py
+++ b/tests/platform/stopping_processes.py
@@ -40,6 +40,9 @@
 
 DEADLINE_MS = 12000
 
+# The interval at which the delays of a play are recorded, in seconds.
+WATCH_SECONDS = 0.02
+
 
 class Outcome(NamedTuple):
     """What a caller saw of one request.
@@ -109,6 +112,8 @@
         self.attempts = itertools.count(1)
         self.outcomes = []
         self.signalled_at = float("inf")
+        self.longest_delay = 0.0
+        self.waited = 0.0
 
     def build_server(self, name):
         """Returns the stand-in of a server."""
@@ -236,8 +241,38 @@
             bytes(data),
         )
 
+    def read_waited(self):
+        """Returns the seconds for which the process has waited to run."""
+        path = pathlib.Path(f"/proc/{self.process.pid}/schedstat")
+        with contextlib.suppress(OSError):
+            return int(path.read_text().split()[1]) / 1e9
+        return self.waited
+
+    async def watch_delays(self):
+        """Records how late the tasks of the test itself get their turn."""
+        while True:
+            begun_at = time.monotonic()
+            await curio.sleep(WATCH_SECONDS)
+            late = time.monotonic() - begun_at - WATCH_SECONDS
+            self.longest_delay = max(self.longest_delay, late)
+            self.waited = self.read_waited()
+
+    def describe_delays(self):
+        """Returns how far other processes may have caused a late answer."""
+        return (
+            f"the process has waited {self.waited:.2f} s in all to run, "
+            f"a task of the test up to {self.longest_delay:.2f} s at a time"
+        )
+
     async def play(self):
         """Sends requests, and SIGTERM while they run; returns the lines."""
+        watch = await curio.spawn(self.watch_delays, daemon=True)
+        try:
+            return await self._play()
+        finally:
+            await watch.cancel()
+
+    async def _play(self):
         async with curio.TaskGroup() as group:
             for _ in range(self.caller_count):
                 await group.spawn(self.send_until_gone)
--- a/tests/platform/test_late_in_the_grace.py
+++ b/tests/platform/test_late_in_the_grace.py
@@ -331,10 +331,10 @@
                 check(await self.play_seed(int(seed)))
 
     def check_requests(self, faults):
-        self.assertEqual([], faults)
+        self.assertEqual([], faults, self.describe_delays())
 
     def check_end(self, faults):
-        self.assertIn(self.process.returncode, ENDED)
+        self.assertIn(self.process.returncode, ENDED, self.describe_delays())
 
     async def test_request_that_comes_late_in_the_grace_is_cut(self):
         def check(faults):
