Tell other entries no age of routes that are not confirmed

What operators saw: message_malformed in the log of an entry whose link to another one is sound, while that one has just started and waits until the store's era is settled. Callers saw nothing: the answer counted as none.

Cause: asked how recent its routes are, such an entry answered with an infinite age, which no message may have. It had a table, and its routes were never confirmed; before entries waited at a start, the first had nearly always meant the second.

Change: the answer is that it has no routes to vouch for.

The test in test_store_drills failed before (message_malformed in the log). Found by reading what the test of starts in drills lets run.

--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -307,12 +307,17 @@
     def _get_routes_age(
         self, now: float
     ) -> routes_freshness.Confirmation | None:
-        """Returns what this entry knows of the routes, for other entries."""
-        if self.cluster_state.table is None:
+        """Returns what this entry knows of the routes, for other entries.
+
+        Nothing is known before the routes are confirmed, as while an entry
+        that has started waits until the store's era is settled.
+        """
+        age_seconds = self.cluster_state.routes_age.compute_age(now)
+        if self.cluster_state.table is None or math.isinf(age_seconds):
             return None
         return routes_freshness.Confirmation(
             self.cluster_state.table.version,
-            self.cluster_state.routes_age.compute_age(now),
+            age_seconds,
             self.cluster_state.routes_era,
         )
 
--- a/tests/platform/test_store_drills.py
+++ b/tests/platform/test_store_drills.py
@@ -103,6 +103,24 @@
             self.assertEqual(401, status)
             await task.cancel()
 
+    @mock.patch("samphirevale.store_eras.REWRITE_SECONDS", 60.0)
+    async def test_entry_that_starts_tells_no_age_of_its_routes(self):
+        async with self.run_all():
+            self.store.restore_copy(self.store.take_copy())
+            log = self.log
+            second = self.build_gateway(self.store_port, "entry2")
+            task = await curio.spawn(gateway.run, second)
+            await self.wait_until(lambda: second.cluster_state.table)
+            table = self.gateway.table
+            await self.wait_until(lambda: table.is_linked("entry2"))
+            self.assertIsNone(await table.ask_routes_age("entry2"))
+            self.assertNotIn("message_malformed", log.list_events())
+            sessions.put_settled_era(self.store)
+            await self.wait_until(second.is_ready)
+            known = await table.ask_routes_age("entry2")
+            self.assertEqual(1, known.version)
+            await task.cancel()
+
     async def test_entry_that_starts_on_a_calm_day_serves_at_once(self):
         async with self.run_all():
             await self.kill_entry()
