Let servers of tests listen before they are called

Since connections to addresses take no thread, a test that spawns a server and calls it at once connects before the server has had its first turn: ten tests of tests.platform.test_endpoints and one of tests.test_reconciler got a refused connection. The worker thread of the lookup had left that turn to the server.

--- a/tests/platform/sessions.py
+++ b/tests/platform/sessions.py
@@ -51,6 +51,8 @@
     task = await curio.spawn(
         web_server.serve, handle, "127.0.0.1", port, daemon=True
     )
+    # The server listens from its first turn on.
+    await curio.sleep(0)
     stack.push_async_callback(task.cancel)
     return port
 
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -54,6 +54,8 @@
         task = await curio.spawn(
             web_server.serve, answer, "127.0.0.1", port, daemon=True
         )
+        # The server listens from its first turn on.
+        await curio.sleep(0)
         self.endpoint = proxy_fakes.build_endpoint(host="127.0.0.1", port=port)
         try:
             yield
--- a/tests/test_reconciler.py
+++ b/tests/test_reconciler.py
@@ -47,6 +47,8 @@
         task = await curio.spawn(
             web_server.serve, program.handle, "127.0.0.1", port, daemon=True
         )
+        # The server listens from its first turn on.
+        await curio.sleep(0)
         self._servers = [*getattr(self, "_servers", []), task]
         return f"http://127.0.0.1:{port}"
 
