Wait in the fuzzing of messages until all calls of a request have had a turn

The check now waits for two turns an item, and asks the same: an answer to each request, or the end of the link.

--- a/tests/fuzz/test_entries.py
+++ b/tests/fuzz/test_entries.py
@@ -104,6 +104,9 @@
         if sum(max(size, 0) for size in wanted) > MEMORY_BYTES:
             # Some items wait for memory, until their deadline.
             return
+        # Calls with a part of the items each follow one another.
+        for _ in range(2 * sum(len(each.indices) for each in requests)):
+            await curio.sleep(0)
         asked = {message.exchange for message in requests}
         cancelled = {
             message.exchange
