--- a/tests/platform/test_slow_readers.py
+++ b/tests/platform/test_slow_readers.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import signal
+import time
 
 import curio
 
@@ -55,9 +56,13 @@
                 )
                 self.assertEqual(200, answer.status)
                 await curio.sleep(WAIT_SECONDS)
+                signalled_at = time.monotonic()
                 self.process.send_signal(signal.SIGTERM)
                 while self.process.poll() is None:
                     await curio.sleep(0.02)
+                self.assertLess(
+                    time.monotonic() - signalled_at, self.grace_seconds
+                )
                 async with contextlib.aclosing(answer.read_parts()) as parts:
                     async for part in parts:
                         data += part
