--- a/tests/adapters/test_store_client.py
+++ b/tests/adapters/test_store_client.py
@@ -84,7 +84,7 @@
             await curio.sleep(50.0)
 
         async with self.run_store(answer_once):
-            async with curio.TaskGroup() as group:
+            async with base.open_group() as group:
                 for _ in range(3):
                     await group.spawn(self.client.read, "/objects")
             await self.check_own_answers(0)
--- a/tests/base.py
+++ b/tests/base.py
@@ -1,11 +1,12 @@
 """The base class of the tests and shared helpers."""
 
 import collections
+import contextlib
 import inspect
 import itertools
 import os
 import unittest
-from collections.abc import Iterator
+from collections.abc import AsyncIterator, Iterator
 from typing import Any
 
 import curio
@@ -96,6 +97,19 @@
     _ports = _iterate_ports(PORTS[number::count])
 
 
+@contextlib.asynccontextmanager
+async def open_group() -> AsyncIterator[curio.TaskGroup]:
+    """Waits for the tasks of a group, and raises the first error of one.
+
+    A group of curio alone cancels the others and keeps the error.
+    """
+    async with curio.TaskGroup() as group:
+        yield group
+    for error in group.exceptions:
+        if error is not None and not isinstance(error, curio.CancelledError):
+            raise error
+
+
 # The descriptors of the sockets that hold ports.
 _holders: collections.deque[int] = collections.deque()
 
--- a/tests/origins/test_recorder.py
+++ b/tests/origins/test_recorder.py
@@ -219,7 +219,7 @@
             return await list_at(kind)
 
         fleet.store.list_at = count
-        async with curio.TaskGroup() as group:
+        async with base.open_group() as group:
             for number in range(20):
                 await group.spawn(entry.find, f"a{number}")
         self.assertLessEqual(len(reads), 2)
--- a/tests/platform/stopping_processes.py
+++ b/tests/platform/stopping_processes.py
@@ -273,7 +273,7 @@
             await watch.cancel()
 
     async def _play(self):
-        async with curio.TaskGroup() as group:
+        async with base.open_group() as group:
             for _ in range(self.caller_count):
                 await group.spawn(self.send_until_gone)
             await curio.sleep(BEFORE_SECONDS)
--- a/tests/platform/test_changing_fleet.py
+++ b/tests/platform/test_changing_fleet.py
@@ -10,6 +10,7 @@
 
 from samphirevale import errors
 from samphirevale.adapters import web_client
+from tests import base
 from tests.platform import sessions
 
 SERVERS = (*sessions.SERVERS, "plain3", "model3", "first2")
@@ -148,7 +149,7 @@
                 lambda: self.gateway.cluster_state.get_routes_version() == 2
             )
             ends_at = time.monotonic() + PLAY_SECONDS
-            async with curio.TaskGroup() as group:
+            async with base.open_group() as group:
                 for _ in range(CALLERS):
                     await group.spawn(self.send_requests, ends_at)
                 await group.spawn(self.fall_silent, ends_at)
--- a/tests/platform/test_cold_servers.py
+++ b/tests/platform/test_cold_servers.py
@@ -2,10 +2,9 @@
 
 import time
 
-import curio
-
 from samphirevale.availability import warm_ups
 from standins import servers
+from tests import base
 from tests.platform import sessions
 
 RATE = 8.0
@@ -56,7 +55,7 @@
                 status, *_ = await self.call(path, port=port)
                 statuses.append(status)
 
-        async with curio.TaskGroup() as group:
+        async with base.open_group() as group:
             for _ in range(CALLERS):
                 for port in ports or (self.port,):
                     await group.spawn(call_again, port)
--- a/tests/platform/test_cordons.py
+++ b/tests/platform/test_cordons.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from tests import base
 from tests.platform import sessions
 
 KIND = "evacuations"
@@ -81,7 +82,7 @@
             self.store.put(KIND, "b", {})
             await self.wait_until_cordoned("b")
             self.servers["model1"].event_seconds = 0.2
-            async with curio.TaskGroup() as group:
+            async with base.open_group() as group:
                 await group.spawn(self.check_stream)
                 await self.wait_until(
                     lambda: self.servers["model1"].seen_headers
@@ -99,7 +100,7 @@
             model = self.servers["model1"]
             model.event_seconds = 0.2
             model.faults = ["cut"]
-            async with curio.TaskGroup() as group:
+            async with base.open_group() as group:
                 await group.spawn(self.check_stream)
                 await self.wait_until(lambda: model.seen_headers)
                 self.store.put(KIND, "a", {})
@@ -122,7 +123,7 @@
             await self.wait_until(lambda: known.table.version == 2)
             # The call is not overdue before it ends.
             first.call_seconds = 0.9
-            async with curio.TaskGroup() as group:
+            async with base.open_group() as group:
                 await group.spawn(self.check_stream)
                 await self.wait_until(lambda: first.arrivals)
                 await group.spawn(self.check_stream)
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -509,7 +509,7 @@
         calls = endpoints.PlatformEndpoints(FakeListener())
         endpoint = proxy_fakes.build_endpoint(host="127.0.0.1", port=port)
         await curio.sleep(0.05)
-        async with curio.TaskGroup() as group:
+        async with base.open_group() as group:
             for _ in range(2):
                 await group.spawn(calls.read_free_memory, endpoint)
         async with curio.ignore_after(0.3) as silent:
--- a/tests/platform/test_leaving_servers.py
+++ b/tests/platform/test_leaving_servers.py
@@ -5,6 +5,7 @@
 
 import curio
 
+from tests import base
 from tests.platform import sessions
 
 # The time in which entries tell each other what they have learnt, in seconds.
@@ -90,7 +91,7 @@
             for server in stage_servers:
                 server.silence_seconds = 0.2
                 server.faults = ["silent"]
-            async with curio.TaskGroup() as group:
+            async with base.open_group() as group:
                 await group.spawn(self.check_stream)
                 await self.wait_until(
                     lambda: any(server.arrivals for server in stage_servers)
--- a/tests/platform/test_paused_entry.py
+++ b/tests/platform/test_paused_entry.py
@@ -124,7 +124,7 @@
             while time.monotonic() < ends_at:
                 await self.call(self.ports[0], "POST", "/read/x")
 
-        async with curio.TaskGroup() as group:
+        async with base.open_group() as group:
             for _ in range(callers):
                 await group.spawn(read_again)
 
--- a/tests/platform/test_pausing_fleet.py
+++ b/tests/platform/test_pausing_fleet.py
@@ -7,6 +7,7 @@
 import curio
 
 from samphirevale import errors
+from tests import base
 from tests.platform import sessions
 
 SERVERS = (*sessions.SERVERS, "plain3", "model3", "first2")
@@ -73,7 +74,7 @@
     async def test_pausing_servers_get_no_late_requests(self):
         async with self.run_all(SERVERS):
             ends_at = time.monotonic() + PLAY_SECONDS
-            async with curio.TaskGroup() as group:
+            async with base.open_group() as group:
                 for _ in range(CALLERS):
                     await group.spawn(self.send_requests, ends_at)
                 await group.spawn(self.begin_pauses, ends_at - PAUSE_SECONDS[1])
--- a/tests/platform/test_starts_in_drills.py
+++ b/tests/platform/test_starts_in_drills.py
@@ -10,6 +10,7 @@
 
 from samphirevale import errors, gateway, store_eras
 from standins import metadata_store, servers
+from tests import base
 from tests.platform import sessions
 
 # How long the store is away, in seconds.
@@ -59,7 +60,7 @@
         async with contextlib.AsyncExitStack() as stack:
             server = servers.Server("plain1", "")
             server_port = await sessions.serve(stack, server.handle)
-            async with curio.TaskGroup() as group:
+            async with base.open_group() as group:
                 for starts in STARTS + STARTS_TOO_LATE:
                     await group.spawn(
                         self.play, server_port, starts, is_era_in_copy
@@ -90,7 +91,7 @@
         returns_at = time.monotonic() - min(starts) + 0.1
         async with contextlib.AsyncExitStack() as stack:
             store_port = await sessions.serve(stack, store.handle)
-            async with curio.TaskGroup() as group:
+            async with base.open_group() as group:
                 for number, start in enumerate(starts):
                     entry = self.build_gateway(store_port, f"entry{number}")
                     await group.spawn(
--- a/tests/test_base.py
+++ b/tests/test_base.py
@@ -2,6 +2,8 @@
 
 import socket
 
+import curio
+
 from lab import processes
 from tests import base
 
@@ -31,3 +33,16 @@
 
         with self.assertRaisesRegex(TypeError, "HelperTest replaces fail"):
             type("HelperTest", (base.TestCase,), {"fail": fail})
+
+
+class GroupTest(base.TestCase):
+    """Tasks of a group whose checks fail."""
+
+    async def test_failed_check_of_a_task_is_lost(self):
+        async def fail():
+            self.assertTrue(False)
+
+        with self.assertRaises(AssertionError):
+            async with base.open_group() as group:
+                await group.spawn(curio.sleep, 10.0)
+                await group.spawn(fail)
--- a/tests/test_event_streams.py
+++ b/tests/test_event_streams.py
@@ -11,7 +11,7 @@
     routes,
 )
 from samphirevale.adapters import clock
-from tests import proxy_fakes, test_proxying
+from tests import base, proxy_fakes, test_proxying
 
 NOW = test_proxying.NOW
 
@@ -536,7 +536,7 @@
 
     async def read_all(self, answers, seconds):
         """Reads the streams for a time."""
-        async with curio.TaskGroup() as group:
+        async with base.open_group() as group:
             for answer in answers:
                 await group.spawn(self.read_for, answer, seconds)
 
