--- a/tests/fuzz/test_answers.py
+++ b/tests/fuzz/test_answers.py
@@ -143,6 +143,13 @@
     def test_answers(self, calls):
         curio.run(self.check_calls, calls)
 
+    async def test_answer_before_a_release_is_taken_for_its_own(self):
+        """Seed 1600000: it has no body, and comes once the call is sent."""
+        step = {"kind": "close", "cut": None, "behind": "", "body": b""}
+        early = {**step, "before": "early", "odd": b"HTTP/0.0 200\n\n"}
+        late = {**step, "kind": "run", "before": "", "odd": b""}
+        await self.check_calls([("free", early), ("free", late)])
+
     async def check_calls(self, calls):
         faulty = FaultyEndpoint(step for _, step in calls)
         server = curio.network.tcp_server_socket("127.0.0.1", 0)
--- a/tests/fuzz/test_entries.py
+++ b/tests/fuzz/test_entries.py
@@ -52,6 +52,16 @@
     def test_messages(self, hello, told):
         curio.run(self.check_messages, hello, told)
 
+    async def test_last_of_many_items_are_not_answered(self):
+        """Seed 1770001: their calls follow one another."""
+        request = next(
+            message
+            for message in entry_links.SOUND
+            if isinstance(message, entry_messages.ItemsRequest)
+        )
+        many = request._replace(indices=[0, 1, *[0] * 102])
+        await self.check_messages(entry_links.SOUND[-3], [many])
+
     async def test_items_that_fit_in_no_memory_hold_up_no_others(self):
         """Seed 204000: one result of 694 PB made its queue the longest."""
         await self.start()
