Let streams begin at endpoints whose reports name no start

The trace: each send fails with UnconfirmedStartError, as the model engine of the case takes `GET /report` for a run, meets a KeyError and closes.

The question which start is there keeps streams from being joined; but whoever could not answer it got no stream at all, and one that was slow to answer held up each of them. Ways in which a report fails are many (refused, cut, closed, empty, unreadable, no start in it, closed behind, slow, silent), and none of them says that the endpoint cannot serve.

Change: such a stream begins at once, with no known version. That is told to holders and marked in the record of the entry in the store before its first event goes out, so that nobody infers a version for it; only its take-up is refused. One write marks all such streams of a service for as long as one may run, and is made while the endpoint reads the prompt. While the store takes no writes, the answer of another entry that it holds the stream is enough; if there is neither, it is refused before it is sent. The endpoint is asked again while the stream runs. If it names the listed start then, that start was there before the request and is there after it: the stream is of its version, and may be taken up. Beforehand a question takes 0.25 s at most, and an endpoint that has named no start is not asked before each stream for 2 s.

A report without a start, and 404, confirmed the listed start until an endpoint of the service had named one to this process; a fresh entry would have joined. They confirm nothing now.

--- a/lab/origin_mechanisms.py
+++ b/lab/origin_mechanisms.py
@@ -43,8 +43,8 @@
         "version counted after its last endpoint",
         RECORDS,
         "origins/own_record",
-        "self._origins[origin] = now + self.retention_seconds",
-        "self._origins[origin] = now",
+        "                self._origins[origin] = now + self.retention_seconds",
+        "                self._origins[origin] = now",
         f"{_OWN}.test_version_that_has_gone_counts_while_its_streams_may_run",
     ),
     _ablate(
--- a/lab/proxy_mechanisms.py
+++ b/lab/proxy_mechanisms.py
@@ -698,7 +698,8 @@
         PAUSES,
         "endpoint_choice",
         "return choose(usable, request, now) or choose(\n"
-        "            self.list_available(), request, now\n"
+        "            cluster.list_available(self.service, now, wanted), "
+        "request, now\n"
         "        )",
         "return choose(usable, request, now)",
         f"{_PROXYING}.PauseTest"
--- a/samphirevale/availability/eligibility.py
+++ b/samphirevale/availability/eligibility.py
@@ -16,12 +16,15 @@
             at their version.
         shared_parts: whether other requests may share parts of its prompt,
             which an endpoint's crash would accuse.
+        unlisted: whether it may get an endpoint that has started again since it
+            was listed, although its start matters.
     """
 
     version: str | None = None
     data_centres: frozenset[str] | None = None
     recorded: bool = False
     shared_parts: bool = False
+    unlisted: bool = False
 
     def permits(self, endpoint: catalogue.Endpoint) -> bool:
         """Returns whether an endpoint fulfils the conditions."""
@@ -42,6 +45,10 @@
         """
         return self.version is not None or self.recorded or self.shared_parts
 
+    def needs_listed(self) -> bool:
+        """Returns whether only the listed start of an endpoint may get it."""
+        return self.needs_start() and not self.unlisted
+
     def without_version(self) -> "Eligibility":
         """Returns the conditions for the stages of the request."""
         return Eligibility(None, self.data_centres)
--- a/samphirevale/cluster_state.py
+++ b/samphirevale/cluster_state.py
@@ -18,7 +18,7 @@
 from samphirevale.availability import (
     cordons,
     eligibility,
-    ended_starts,
+    start_marks,
     warm_ups,
 )
 from samphirevale.origins import own_record as own_records
@@ -44,6 +44,7 @@
         cordons: the data centres that get no new work.
         warm_ups: the endpoints that are cold.
         ended_starts: the listed starts of endpoints that are over.
+        unnamed_starts: those of endpoints that have named none when asked.
         data_centre: the data centre of this entry.
         members: the entries that are alive, including this one.
         registered: the names of the entries that are registered, alive or not;
@@ -85,7 +86,8 @@
         self.warm_ups = warm_ups.WarmUps(
             me.name, cold_bound, self._find_cold_limit, self._list_sharers
         )
-        self.ended_starts = ended_starts.EndedStarts()
+        self.ended_starts = start_marks.StartMarks()
+        self.unnamed_starts = start_marks.StartMarks()
         self.notices = endpoint_notices.EndpointNotices(me.name, self.warm_ups)
         self.registered: frozenset[str] | None = None
         self.members: tuple[ownership.Member, ...] = (me,)
@@ -332,14 +334,16 @@
         cordoned = self.cordons.list_cordoned(now)
         if wanted == eligibility.ANY and not cordoned:
             return accepting
-        needs_start = self.ended_starts and wanted.needs_start()
+        needs_listed = self.ended_starts and wanted.needs_listed()
         return [
             endpoint
             for endpoint in accepting
             if endpoint.data_centre not in cordoned
             and wanted.permits(endpoint)
             and (not wanted.recorded or self.is_recorded(endpoint))
-            and not (needs_start and self.ended_starts.is_over(endpoint, now))
+            and not (
+                needs_listed and self.ended_starts.is_marked(endpoint, now)
+            )
         ]
 
     def permits(
@@ -350,7 +354,7 @@
     ) -> bool:
         """Returns whether a listed endpoint is what a request wants now."""
         return wanted.permits(endpoint) and not (
-            wanted.needs_start() and self.ended_starts.is_over(endpoint, now)
+            wanted.needs_listed() and self.ended_starts.is_marked(endpoint, now)
         )
 
     def list_origins(self) -> set[stream_origins.StreamOrigin]:
--- a/samphirevale/endpoint_choice.py
+++ b/samphirevale/endpoint_choice.py
@@ -63,14 +63,34 @@
             result_bytes: pairs of a data centre and the bytes of a result that
                 is fetched from there.
         """
-        chosen = self._choose_except(self.tried, result_bytes)
+        return self._choose_wanted(self.wanted, result_bytes) or (
+            self._choose_wanted(self.widen(), result_bytes)
+        )
+
+    def widen(self) -> eligibility.Eligibility:
+        """Returns the conditions if no endpoint fulfils all that are wished.
+
+        A request that begins rather goes to an endpoint that has started again
+        since it was listed than to none.
+        """
+        return self.wanted._replace(unlisted=False)
+
+    def _choose_wanted(
+        self,
+        wanted: eligibility.Eligibility,
+        result_bytes: tuple[tuple[str, int], ...],
+    ) -> catalogue.Endpoint | None:
+        chosen = self._choose_except(self.tried, result_bytes, wanted)
         if chosen is None and self._silent:
             tried = self.tried - self._silent
-            chosen = self._choose_except(tried, result_bytes)
+            chosen = self._choose_except(tried, result_bytes, wanted)
         return chosen
 
     def _choose_except(
-        self, tried: set[str], result_bytes: tuple[tuple[str, int], ...]
+        self,
+        tried: set[str],
+        result_bytes: tuple[tuple[str, int], ...],
+        wanted: eligibility.Eligibility,
     ) -> catalogue.Endpoint | None:
         cluster = self._context.cluster_state
         now = self._context.clock.now()
@@ -81,9 +101,9 @@
             cluster.find_connections_limit(self.service),
         )
         choose = self._context.selector.choose
-        usable = cluster.list_usable(self.service, now, self.wanted)
+        usable = cluster.list_usable(self.service, now, wanted)
         return choose(usable, request, now) or choose(
-            self.list_available(), request, now
+            cluster.list_available(self.service, now, wanted), request, now
         )
 
     def bind_version(self, version: str) -> None:
--- a/samphirevale/entry_messages.py
+++ b/samphirevale/entry_messages.py
@@ -172,7 +172,8 @@
     Attributes:
         attempt: id of the caller's attempt that brought the first event.
         service: the service that began it.
-        version: the version of the endpoint's software.
+        version: the version of the endpoint's software;
+            stream_origins.UNKNOWN_VERSION if the sender does not know it.
         remaining_ms: how long to remember it.
     """
 
@@ -203,7 +204,8 @@
         exchange: id of the request.
         known: whether the sender knows the stream.
         service: the service that began it; empty if unknown.
-        version: the version of the endpoint's software; empty if unknown.
+        version: the version of the endpoint's software, as in a
+            StreamOriginNotice; empty if the stream is unknown.
     """
 
     exchange: int
--- a/samphirevale/errors.py
+++ b/samphirevale/errors.py
@@ -62,6 +62,10 @@
     """An endpoint has not confirmed its start, so that nothing was sent."""
 
 
+# What a question for the start of an endpoint that can be connected to raises.
+START_ERRORS = (ConnectTimeoutError, UnconfirmedStartError)
+
+
 class NotAcceptingError(ConnectError):
     """The endpoint leaves or pauses, so nothing was sent to it."""
 
--- a/samphirevale/exchanges.py
+++ b/samphirevale/exchanges.py
@@ -1,6 +1,7 @@
 """The exchange of one proxied request and its answer with one endpoint."""
 
 import contextlib
+from collections.abc import Callable
 
 from samphirevale import (
     catalogue,
@@ -11,9 +12,20 @@
 )
 from samphirevale.ports import proxies
 
+# Checks which start of an endpoint gets a request; None if that is not known.
+# An error that it raises keeps the request from being sent.
+StartCheck = Callable[[catalogue.Endpoint, int | None], None]
+
 
 class Exchange:
-    """One exchange, which counts towards the endpoint's load until it ends."""
+    """One exchange, which counts towards the endpoint's load until it ends.
+
+    Attributes:
+        endpoint: the endpoint as it was listed.
+        started: the start that it has named on the connection; None if it was
+            not asked or has named none.
+        answer: the answer, once its head has been read.
+    """
 
     def __init__(
         self,
@@ -23,6 +35,7 @@
     ):
         self._context = context
         self.endpoint = endpoint
+        self.started: int | None = None
         self._prompt_tokens = tokens
         self._prompt_unread = False
         self._counted_in_load = False
@@ -35,6 +48,7 @@
         self._tokens_ahead = 0
         # The request that was sent, and when its first event arrived.
         self._request: proxy_requests.ProxiedRequest | None = None
+        self._check_start: StartCheck | None = None
         self._first_event_at: float | None = None
         self._has_gone_on = False
         self.answer: proxies.EndpointAnswer | None = None
@@ -43,9 +57,11 @@
         self,
         request: proxy_requests.ProxiedRequest,
         send: proxy_requests.SendParameters,
+        check_start: StartCheck,
     ) -> None:
         """Sends the request and reads the head of the answer."""
         self._request = request
+        self._check_start = check_start
         self._counted_in_load = self._prompt_unread = True
         self._opened_at = self._sent_at = self._context.clock.now()
         self._tokens_ahead = self._context.selector.count_unread(
@@ -57,16 +73,32 @@
         self.answer = await self._context.endpoints.send(
             self.endpoint, request, send, self._record_connected
         )
-        self._context.crashes.record_heard(self.endpoint)
+        self._context.crashes.record_heard(self._get_reached())
+
+    def _get_reached(self) -> catalogue.Endpoint:
+        """Returns the endpoint with the start that has the request."""
+        if self.started is None:
+            return self.endpoint
+        return self.endpoint._replace(started=self.started)
+
+    def build_beginning(self) -> proxy_requests.StreamBeginning:
+        """Returns what is known of the start of the endpoint."""
+        return proxy_requests.StreamBeginning(
+            self.endpoint, self.started, self._sent_at
+        )
 
-    def _record_connected(self) -> None:
+    def _record_connected(self, started: int | None) -> None:
         """Records that the request is sent.
 
         It may have taken a while to connect to the endpoint and to ask it.
 
+        Args:
+            started: the start that the endpoint has named; None if it has
+                named none.
+
         Raises:
             errors.NotAcceptingError: the endpoint has turned out meanwhile to
-                leave, or to have started again.
+                leave, or may not get the request as it has started again.
             errors.InputRefusedError: endpoints have crashed under the request.
         """
         if not self._context.cluster_state.catalogue.is_accepting(
@@ -77,6 +109,8 @@
             )
         if self._context.crashes.refuses(self._request):
             raise errors.InputRefusedError("endpoints crash under its parts")
+        self._check_start(self.endpoint, started)
+        self.started = started
         self._connected_at = self._sent_at = self._context.clock.now()
 
     def may_have_sent(self) -> bool:
@@ -109,7 +143,7 @@
         """Records that the endpoint has sent an event of its answer."""
         now = self._context.clock.now()
         self._record_first_event()
-        self._context.crashes.record_heard(self.endpoint)
+        self._context.crashes.record_heard(self._get_reached())
         if self._first_event_at is None:
             self._first_event_at = now
         if now >= self._first_event_at + crash_reports.GOES_ON_SECONDS:
@@ -130,7 +164,7 @@
             return
         if self.may_have_sent() and not self._has_gone_on:
             self._context.crashes.record_crash(
-                self.endpoint, self._request, self._sent_at
+                self._get_reached(), self._request, self._sent_at
             )
 
     def _record_first_event(self) -> None:
--- a/samphirevale/gateway.py
+++ b/samphirevale/gateway.py
@@ -41,6 +41,7 @@
     routes,
     routes_freshness,
     stage_admission,
+    stream_beginnings,
     stream_origins,
 )
 from samphirevale.adapters import web, web_server
@@ -229,6 +230,17 @@
             self._rng,
             log,
         )
+        origins = stream_origins.OriginDirectory(
+            self._origins, self.table, clock
+        )
+        self._beginnings = stream_beginnings.StreamBeginnings(
+            self.cluster_state,
+            endpoints,
+            origins,
+            self.origin_recorder,
+            clock,
+            log,
+        )
         self._proxy = proxying.Proxy(
             proxy_context.ProxyContext(
                 self.cluster_state,
@@ -242,10 +254,9 @@
                     int(settings.memory_bytes * ANSWER_MEMORY_SHARE)
                 ),
                 endpoints,
-                stream_origins.OriginDirectory(
-                    self._origins, self.table, clock
-                ),
+                origins,
                 self.origin_recorder,
+                self._beginnings,
                 return_times.ReturnSchedule(),
                 self._demands,
                 stage_admission.policies.get(settings.admission)(),
@@ -367,6 +378,7 @@
             await self._withdraw_cordoned(now)
             self._crashes.update()
             await self._crashes.send_pending()
+            await self._beginnings.check(now)
             await self.origin_recorder.check()
             await self._dispatcher.handle_overdue_calls(now)
             metrics.ROUTES_AGE.set(
--- a/samphirevale/message_checks.py
+++ b/samphirevale/message_checks.py
@@ -15,6 +15,7 @@
     endpoint_limits,
     entry_messages,
     messages,
+    stream_origins,
     value_columns,
 )
 from samphirevale import stored_values as values
@@ -328,7 +329,7 @@
 def _check_origin(message: entry_messages.StreamOriginNotice) -> Any:
     sound = (
         values.is_text(message.service)
-        and values.is_text(message.version)
+        and _is_origin_version(message.version)
         and _is_age(message.remaining_ms)
     )
     return message if sound else None
@@ -336,10 +337,16 @@
 
 @_register(entry_messages.StreamOriginAnswer)
 def _check_origin_answer(message: entry_messages.StreamOriginAnswer) -> Any:
-    sound = values.is_text(message.service) and values.is_text(message.version)
+    sound = values.is_text(message.service) and _is_origin_version(
+        message.version
+    )
     return message if sound else None
 
 
+def _is_origin_version(value: Any) -> bool:
+    return values.is_text(value) or value == stream_origins.UNKNOWN_VERSION
+
+
 @_register(messages.Hello)
 def _check_hello(message: messages.Hello) -> Any:
     sound = (
--- a/samphirevale/metrics.py
+++ b/samphirevale/metrics.py
@@ -223,6 +223,11 @@
 ENDPOINTS_COLD = _count(
     "endpoints_cold", "Times that an endpoint turned cold.", "service"
 )
+STARTS_UNNAMED = _count(
+    "starts_unnamed",
+    "Times that an endpoint named no start when it was asked.",
+    "service",
+)
 DATA_CENTRES_CORDONED = _gauge(
     "data_centres_cordoned", "Data centres that get no new work."
 )
--- a/samphirevale/notice_handler.py
+++ b/samphirevale/notice_handler.py
@@ -90,6 +90,21 @@
         ):
             self._record_cold(endpoint, "report")
 
+    def handle_unnamed_start(
+        self, endpoint: catalogue.Endpoint, error: str
+    ) -> None:
+        """Applies that an endpoint has named no start when it was asked."""
+        metrics.STARTS_UNNAMED.labels(service=endpoint.service).inc()
+        start = catalogue.get_start(endpoint)
+        if self._cluster.unnamed_starts.record(start, self._clock.now()):
+            self._journal.record_failure(
+                "start_unnamed",
+                endpoint=endpoint.name,
+                service=endpoint.service,
+                started=endpoint.started,
+                error=error,
+            )
+
     def _record_cold(self, endpoint: catalogue.Endpoint, source: str) -> None:
         rest = self._cluster.warm_ups.compute_rest(endpoint, self._clock.now())
         cold_log.record_cold(self._journal, endpoint, rest, source)
@@ -250,7 +265,8 @@
         """Removes notices that are over."""
         known = self._cluster
         known.notices.remove_expired(known.is_registered, now)
-        known.ended_starts.remove_expired(known.is_registered, now)
+        for marks in (known.ended_starts, known.unnamed_starts):
+            marks.remove_expired(known.is_registered, now)
 
 
 def _build_message(
--- a/samphirevale/origins/own_record.py
+++ b/samphirevale/origins/own_record.py
@@ -83,6 +83,13 @@
             del self._streams[next(iter(self._streams))]
         self._streams[attempt] = origin, until
 
+    def expect_unknown(self, service: str, now: float) -> None:
+        """Adopts that streams of a service may begin at no known version."""
+        origin = stream_origins.StreamOrigin(
+            service, stream_origins.UNKNOWN_VERSION
+        )
+        self._origins[origin] = now + self.retention_seconds
+
     def remove_expired(self, now: float) -> None:
         """Forgets what cannot concern a stream any more."""
         self._origins = _keep_lasting(self._origins, now)
--- a/samphirevale/origins/recorder.py
+++ b/samphirevale/origins/recorder.py
@@ -114,6 +114,8 @@
         self._adopted_table: routes.RouteTable | None = None
         self._adopted_changes = 0
         self._expired_at = 0.0
+        # Whether the store has taken no write since it was tried last.
+        self._failing = False
         # Whether the own record may differ from that in the store.
         self._pending = True
         # Whether it is written again in any case, as the store may have lost
@@ -172,8 +174,9 @@
             await self._write()
         except errors.StoreError:
             self._has_read_own = False
-            self._pending = True
+            self._pending = self._failing = True
             raise
+        self._failing = False
         return True
 
     def _adopt_changes(self) -> None:
@@ -284,6 +287,31 @@
         _, since = self._unlinked[name]
         return now - since < self._own.retention_seconds
 
+    def expect_unknown(self, service: str) -> bool:
+        """Records that a stream of a service begins at no known version.
+
+        Returns:
+            Whether it may. Otherwise neither the store nor another entry would
+            know before its caller has an event.
+        """
+        if self._failing and not (
+            self.expects_unknown(service) or self._list_linked()
+        ):
+            return False
+        self._own.expect_unknown(service, self._clock.now())
+        self._pending = True
+        return True
+
+    def expects_unknown(self, service: str) -> bool:
+        """Returns whether the store has what expect_unknown() records."""
+        return self._own.may_begin(
+            stream_origins.StreamOrigin(service, stream_origins.UNKNOWN_VERSION)
+        )
+
+    def is_failing(self) -> bool:
+        """Returns whether the last write has failed."""
+        return self._failing
+
     async def record_stream(
         self, attempt: str, origin: stream_origins.StreamOrigin, until: float
     ) -> None:
--- a/samphirevale/platform/endpoints.py
+++ b/samphirevale/platform/endpoints.py
@@ -22,8 +22,7 @@
 # Timeout for connecting to an endpoint, in seconds.
 CONNECT_SECONDS = 0.5
 
-# The number of connections on which an endpoint is asked for its start before a
-# request is sent elsewhere.
+# The number of connections on which an endpoint is asked for its start.
 ASK_ATTEMPTS = 2
 
 # Maximum number of idle connections kept to one stage engine.
@@ -32,9 +31,6 @@
 # The largest answer to a call other than a request, in bytes.
 CALL_BYTES_LIMIT = 1024 * 1024
 
-# Status of an endpoint that gives no reports.
-NO_REPORTS = 404
-
 # Status if a result named by the request no longer exists.
 RESULT_GONE = 409
 
@@ -84,7 +80,8 @@
     Each request opens a new connection. If the endpoint closed a kept
     connection during a request, it would be unknown whether the request ran.
     Where the start of the endpoint matters, it is asked for it beforehand, on
-    that connection.
+    that connection. If it names none, a request that begins is sent all the
+    same.
 
     The answer to another call names no call, and what a faulty endpoint writes
     once more, at once or later, could be taken for it. So a connection carries
@@ -95,8 +92,6 @@
 
     def __init__(self, listener: proxies.EndpointListener):
         self._listener = listener
-        # The services whose endpoints say in reports when they started.
-        self._naming_starts: set[str] = set()
         self._idle: dict[
             tuple[str, int], list[web_client.ClientConnection]
         ] = {}
@@ -106,18 +101,15 @@
         endpoint: catalogue.Endpoint,
         request: proxy_requests.ProxiedRequest,
         send: proxy_requests.SendParameters,
-        on_connected: Callable[[], None],
+        on_connected: Callable[[int | None], None],
     ) -> PlatformAnswer:
         """Sends a request and returns when the answer's head has been read."""
         began_at = await curio.clock()
-        if send.ask_seconds is None:
-            connection = await self._open_connection(endpoint)
-        else:
-            connection = await self._open_asked(endpoint, send.ask_seconds)
+        connection, started = await self._open_for_request(endpoint, send)
         try:
             waited = await curio.clock() - began_at
             self._begin_call(endpoint)
-            on_connected()
+            on_connected(started)
             answer = await connection.request(
                 request.method,
                 request.target,
@@ -144,10 +136,40 @@
             raise
         return PlatformAnswer(connection, answer)
 
+    async def _open_for_request(
+        self,
+        endpoint: catalogue.Endpoint,
+        send: proxy_requests.SendParameters,
+    ) -> tuple[web_client.ClientConnection, int | None]:
+        """Opens a connection, on which an endpoint may have named its start.
+
+        Returns:
+            The connection and the start; None if it has named none there.
+
+        Raises:
+            errors.ConnectError: it has not named the listed start, which the
+                request needs.
+        """
+        if send.ask_seconds is None:
+            return await self._open_connection(endpoint), None
+        try:
+            connection, started = await self._open_asked(
+                endpoint, send.ask_seconds
+            )
+        except errors.START_ERRORS as error:
+            self._listener.handle_unnamed_start(endpoint, str(error))
+            if send.start_required:
+                raise
+            return await self._open_connection(endpoint), None
+        if send.start_required and started != endpoint.started:
+            await connection.close()
+            raise errors.NotAcceptingError(f"{endpoint.name} has started again")
+        return connection, started
+
     async def _open_asked(
         self, endpoint: catalogue.Endpoint, seconds: float
-    ) -> web_client.ClientConnection:
-        """Opens a connection on which an endpoint has confirmed its start.
+    ) -> tuple[web_client.ClientConnection, int]:
+        """Opens a connection on which an endpoint has named its start.
 
         The connection would end with the endpoint, so that the request that
         follows reaches the one that has answered. What the endpoint says on a
@@ -158,28 +180,35 @@
             seconds: the timeout of an answer.
 
         Raises:
-            errors.NotAcceptingError: the endpoint has started again.
-            errors.ConnectError: it has not answered, or
-                errors.UnconfirmedStartError: not confirmed its start.
+            errors.NotAcceptingError: the endpoint may not be called.
+            errors.ConnectTimeoutError: it has not answered, or
+                errors.UnconfirmedStartError: not named a start.
         """
+        failure = errors.UnconfirmedStartError("closed behind its report")
         for _ in range(ASK_ATTEMPTS):
             connection = await self._open_connection(endpoint)
             try:
-                status = await self._ask_start(connection, endpoint, seconds)
+                started = await self._ask_start(connection, endpoint, seconds)
+                if connection.is_reusable() and not connection.is_stale():
+                    return connection, started
+            except errors.UnconfirmedStartError as error:
+                failure = error
             except BaseException:
                 await connection.close()
                 raise
-            if (
-                status == 200
-                and connection.is_reusable()
-                and not connection.is_stale()
-            ):
-                return connection
             # Its refusal, written once more, could be taken for the request's.
             await connection.close()
-            if status == NO_REPORTS:
-                return await self._open_connection(endpoint)
-        raise errors.UnconfirmedStartError(f"report status {status}")
+        raise failure
+
+    async def ask_start(
+        self, endpoint: catalogue.Endpoint, seconds: float
+    ) -> int:
+        """Asks an endpoint for its start, on a connection of its own."""
+        connection = await self._open_connection(endpoint)
+        try:
+            return await self._ask_start(connection, endpoint, seconds)
+        finally:
+            await connection.close()
 
     async def _ask_start(
         self,
@@ -187,14 +216,13 @@
         endpoint: catalogue.Endpoint,
         seconds: float,
     ) -> int:
-        """Asks an endpoint for its start; returns the status of its report.
+        """Asks an endpoint for its start, and returns the one that it names.
 
-        If no endpoint of the service says when it started, each counts as the
-        one that is known. The question takes no part of what an endpoint bears,
-        as that is counted in requests.
+        The question takes no part of what an endpoint bears, as that is counted
+        in requests.
 
         Raises:
-            errors.NotAcceptingError: the endpoint has started again.
+            errors.NotAcceptingError: the endpoint may not be called.
             errors.ConnectTimeoutError: it has not answered in time.
             errors.UnconfirmedStartError: its answer is cut off, cannot be read
                 or names no start.
@@ -208,24 +236,24 @@
                 data = await answer.read_body(CALL_BYTES_LIMIT)
         except curio.TaskTimeout as error:
             raise errors.ConnectTimeoutError(
-                f"{endpoint.name}: no report in {seconds:.1f} s"
+                f"{endpoint.name}: no report in {seconds:.2f} s"
             ) from error
         except errors.TransportError as error:
             raise errors.UnconfirmedStartError(f"no report: {error}") from error
-        started = _decode_start(answer.status, data)
-        if answer.status == notices.MISDIRECTED or (
-            started is not None and started != endpoint.started
-        ):
+        if answer.status == notices.MISDIRECTED:
+            self._listener.handle_other_start(endpoint, None)
+            raise errors.UnconfirmedStartError("another endpoint has answered")
+        started = _decode_start(data) if answer.status == 200 else None
+        if started not in (None, endpoint.started):
+            # Its notices are not those of the start that is listed.
             self._listener.handle_other_start(endpoint, started)
-            raise errors.NotAcceptingError(f"{endpoint.name} has started again")
+            return started
         await self._handle_notice(endpoint, answer)
-        if started is not None:
-            self._naming_starts.add(endpoint.service)
-        elif endpoint.service in self._naming_starts:
+        if started is None:
             raise errors.UnconfirmedStartError(
-                f"{endpoint.name}: no start in a report"
+                f"no start in a report with status {answer.status}"
             )
-        return answer.status
+        return started
 
     async def run_batch(
         self,
@@ -380,14 +408,12 @@
     return "Samphirevale-Expect-Instance", endpoint.name
 
 
-def _decode_start(status: int, data: bytes) -> int | None:
+def _decode_start(data: bytes) -> int | None:
     """Returns the start that a report names; None if it names none.
 
     Raises:
         errors.UnconfirmedStartError: it is empty or cannot be read.
     """
-    if status != 200:
-        return None
     if not data:
         raise errors.UnconfirmedStartError("an empty report")
     try:
--- a/samphirevale/ports/proxies.py
+++ b/samphirevale/ports/proxies.py
@@ -104,6 +104,16 @@
                 answered.
         """
 
+    def handle_unnamed_start(
+        self, endpoint: catalogue.Endpoint, error: str
+    ) -> None:
+        """Applies that an endpoint has named no start when it was asked.
+
+        Args:
+            endpoint: the endpoint as it is known.
+            error: what was wrong with its report.
+        """
+
     async def handle_notice(
         self, endpoint: catalogue.Endpoint, notice: EndpointNotice
     ) -> None:
@@ -124,7 +134,7 @@
         endpoint: catalogue.Endpoint,
         request: proxy_requests.ProxiedRequest,
         send: proxy_requests.SendParameters,
-        on_connected: Callable[[], None],
+        on_connected: Callable[[int | None], None],
     ) -> EndpointAnswer:
         """Sends a request and returns once the answer's head is read.
 
@@ -132,8 +142,23 @@
             endpoint: the endpoint to send to.
             request: the request to send.
             send: the parameters that the system sets.
-            on_connected: called just before the request is sent; an error that
-                it raises keeps it from being sent.
+            on_connected: called just before the request is sent, with the
+                start that the endpoint has named on the connection; None if it
+                was not asked or has named none. An error that it raises keeps
+                the request from being sent.
+        """
+
+    async def ask_start(
+        self, endpoint: catalogue.Endpoint, seconds: float
+    ) -> int:
+        """Asks an endpoint for its start, and returns the one that it names.
+
+        Args:
+            endpoint: the endpoint as it is known.
+            seconds: the timeout of its answer.
+
+        Raises:
+            errors.ConnectError: it has named none.
         """
 
     async def run_batch(
--- a/samphirevale/proxy_context.py
+++ b/samphirevale/proxy_context.py
@@ -15,6 +15,7 @@
     retry_budgets,
     return_times,
     stage_admission,
+    stream_beginnings,
     stream_origins,
 )
 from samphirevale.fair_shares import demands
@@ -38,6 +39,7 @@
         endpoints: makes the calls to endpoints.
         origins: remembers where streams began.
         recorder: knows from the store where streams began.
+        beginnings: finds out which versions have begun streams.
         returns: when the callers come back that were refused in pauses.
         demands: what accounts have asked of each service lately.
         admission: the policy for requests whose stages would have to queue.
@@ -57,6 +59,7 @@
     endpoints: proxies.ProxyEndpoints
     origins: stream_origins.OriginDirectory
     recorder: recorder.OriginRecorder
+    beginnings: stream_beginnings.StreamBeginnings
     returns: return_times.ReturnSchedule
     demands: demands.ServiceDemands
     admission: stage_admission.AdmissionPolicy
--- a/samphirevale/proxy_requests.py
+++ b/samphirevale/proxy_requests.py
@@ -3,7 +3,7 @@
 from collections.abc import AsyncIterator
 from typing import NamedTuple
 
-from samphirevale import routes
+from samphirevale import catalogue, routes
 from samphirevale.adapters import web
 
 # The retry delay sent with a refusal whose cause should pass soon, in seconds.
@@ -101,9 +101,9 @@
             None to start with the first event.
         results: the names of the results of the last stages; empty if the
             route has no stages.
-        ask_seconds: the timeout of the question beforehand whether the endpoint
-            is still the one that is known, which gets nothing otherwise; None
-            to ask nothing.
+        ask_seconds: the timeout of the question beforehand which start of the
+            endpoint is there; None to ask nothing.
+        start_required: whether only the start that is known gets the request.
     """
 
     account: str
@@ -111,6 +111,7 @@
     last_event: int | None
     results: tuple[str, ...]
     ask_seconds: float | None = None
+    start_required: bool = False
 
 
 class CompleteAnswer(NamedTuple):
@@ -121,12 +122,28 @@
     body: bytes
 
 
+class StreamBeginning(NamedTuple):
+    """What is known of the start of an endpoint that began a stream.
+
+    Attributes:
+        endpoint: the endpoint as it was listed.
+        started: the start that it has named on the connection of the stream;
+            None if it has named none.
+        sent_at: when the request was sent.
+    """
+
+    endpoint: catalogue.Endpoint
+    started: int | None
+    sent_at: float
+
+
 class StreamedAnswer(NamedTuple):
     """An endpoint's event stream, after its first event."""
 
     status: int
     headers: web.RawHeaders
     chunks: AsyncIterator[bytes]
+    beginning: StreamBeginning
 
 
 class Refusal(NamedTuple):
--- a/samphirevale/proxy_runs.py
+++ b/samphirevale/proxy_runs.py
@@ -271,9 +271,9 @@
             self._shared.log_step("request_answered", status=answer.status)
         else:
             self._stream = answer
-            self._endpoints.bind_version(finished.endpoint.version)
+            self._shared.bind_beginning(answer.beginning)
             await stream_bindings.record_origin(
-                self._context, self._accepted, finished.endpoint
+                self._context, self._accepted, answer.beginning
             )
             await self._stages.release_results()
         return answer
@@ -317,7 +317,10 @@
             )
             await stream.read_first()
             return proxy_requests.StreamedAnswer(
-                answer.status, answer.headers, stream
+                answer.status,
+                answer.headers,
+                stream,
+                exchange.build_beginning(),
             )
         body = await exchange.read_body()
         if answer.status < 500:
--- a/samphirevale/request_sends.py
+++ b/samphirevale/request_sends.py
@@ -12,9 +12,10 @@
 # against the retry budget, as a failed connection hands nothing over.
 CONNECT_FAILURES_LIMIT = 3
 
-# How long an endpoint may take to confirm its start before a stream goes on
-# there, in seconds.
+# How long an endpoint may take to name its start before a stream goes on there,
+# and before a request begins there, which is sent all the same, in seconds.
 GOING_ON_ASK_SECONDS = 0.5
+BEGIN_ASK_SECONDS = 0.25
 
 
 class RequestSends:
@@ -77,11 +78,12 @@
                 f"{endpoint.name} accepts no new work"
             )
         if not self._context.cluster_state.permits(
-            endpoint, self._endpoints.wanted, now
+            endpoint, self._endpoints.widen(), now
         ):
             raise errors.NotAcceptingError(
                 f"{endpoint.name} may not serve the request"
             )
+        self._check_listed(endpoint)
         if self._context.crashes.refuses(self._request):
             raise errors.InputRefusedError("endpoints crash under its parts")
         parameters = proxy_requests.SendParameters(
@@ -89,14 +91,15 @@
             remaining,
             self._request.last_event if last_event is None else last_event,
             results,
-            self._compute_ask_timeout(remaining),
+            self._compute_ask_timeout(endpoint, now, remaining),
+            self._endpoints.wanted.version is not None,
         )
         # It counts while the endpoint is connected to, as another exchange may
         # begin meanwhile. One that is cancelled after that may have run.
         self.runs += 1
         self._newest = exchange
         try:
-            await exchange.open(self._request, parameters)
+            await exchange.open(self._request, parameters, self._check_start)
         except BaseException as error:
             if self._newest is exchange:
                 self._newest = None
@@ -111,25 +114,68 @@
             version=endpoint.version,
             started=endpoint.started,
             asked=parameters.ask_seconds is not None,
+            named=exchange.started,
             status=exchange.answer.status,
             last_event=last_event,
         )
 
-    def _compute_ask_timeout(self, remaining: float) -> float | None:
-        """Returns how long an endpoint may take to confirm its start.
-
-        A silent endpoint is left for another one as if it had the request.
+    def _compute_ask_timeout(
+        self, endpoint: catalogue.Endpoint, now: float, remaining: float
+    ) -> float | None:
+        """Returns how long an endpoint may take to name its start.
 
         Args:
+            endpoint: the endpoint.
+            now: the present time.
             remaining: the time until the request's deadline, in seconds.
 
         Returns:
-            The time in seconds; None if the start does not matter.
+            The time in seconds; None if the start does not matter, or if a
+            request begins that would only be held up.
         """
         wanted = self._endpoints.wanted
         if wanted.version is not None:
             return min(GOING_ON_ASK_SECONDS, remaining)
-        return remaining if wanted.needs_start() else None
+        unnamed = self._context.cluster_state.unnamed_starts
+        if not wanted.needs_start() or unnamed.is_marked(endpoint, now):
+            return None
+        return min(BEGIN_ASK_SECONDS, remaining)
+
+    def _check_listed(self, endpoint: catalogue.Endpoint) -> None:
+        """Checks that the listed start of an endpoint is not over.
+
+        Raises:
+            errors.NotAcceptingError: the endpoint has started again since it
+                was listed.
+        """
+        now = self._context.clock.now()
+        ended = self._context.cluster_state.ended_starts
+        if self._endpoints.wanted.needs_start() and ended.is_marked(
+            endpoint, now
+        ):
+            raise errors.NotAcceptingError(f"{endpoint.name} has started again")
+
+    def _check_start(
+        self, endpoint: catalogue.Endpoint, started: int | None
+    ) -> None:
+        """Checks that a request may begin at the start of an endpoint.
+
+        Args:
+            endpoint: the endpoint.
+            started: the start that it has named; None if it has named none.
+
+        Raises:
+            errors.NotAcceptingError: it is not the listed one, or the stream
+                could not be marked as one of no known version.
+        """
+        wanted = self._endpoints.wanted
+        if started == endpoint.started or not wanted.needs_start():
+            return
+        self._check_listed(endpoint)
+        if wanted.recorded and not self._context.recorder.expect_unknown(
+            endpoint.service
+        ):
+            raise errors.NotAcceptingError("the store takes no records")
 
     def compute_overlap(self, exchange: exchanges.Exchange | None) -> float:
         """Returns how long a further endpoint has had the request.
--- a/samphirevale/stream_bindings.py
+++ b/samphirevale/stream_bindings.py
@@ -1,7 +1,6 @@
 """Binds streams to the service and the version that began them."""
 
 from samphirevale import (
-    catalogue,
     endpoint_choice,
     paused_refusals,
     proxy_context,
@@ -9,6 +8,11 @@
     stream_origins,
 )
 
+# How long the store may take for a record before another entry's memory is
+# enough, and how often the record is looked at, in seconds.
+STORE_SECONDS = 0.5
+MARK_CHECK_SECONDS = 0.01
+
 
 async def bind_stream(
     context: proxy_context.ProxyContext,
@@ -34,7 +38,7 @@
         origin = await context.recorder.find(
             first_attempt, accepted.route.name, services
         )
-    if origin is None:
+    if origin is None or not origin.is_known():
         return proxy_requests.Refusal(
             503, "unknown_version", proxy_requests.RETRY_AFTER_SECONDS
         )
@@ -64,11 +68,12 @@
 async def record_origin(
     context: proxy_context.ProxyContext,
     accepted: proxy_requests.AcceptedRequest,
-    endpoint: catalogue.Endpoint,
+    beginning: proxy_requests.StreamBeginning,
 ) -> None:
     """Records where a stream began, before its caller has an event.
 
-    A stream that its caller has taken up is known by its first attempt.
+    A stream that its caller has taken up is known by its first attempt. One of
+    no known version is marked as such, so that nobody infers a version for it.
     """
     if not accepted.route.resumable:
         return
@@ -76,7 +81,32 @@
     first_attempt = request.attempt
     if request.last_event and request.first_attempt:
         first_attempt = request.first_attempt
-    origin = stream_origins.StreamOrigin(endpoint.service, endpoint.version)
+    service = beginning.endpoint.service
+    version = context.beginnings.find_version(beginning)
+    origin = stream_origins.StreamOrigin(service, version)
     until = request.received_at + request.wait_seconds
     await context.recorder.record_stream(first_attempt, origin, until)
     await context.origins.record(first_attempt, origin, until)
+    if origin.is_known():
+        return
+    context.beginnings.add(first_attempt, beginning, until)
+    await _wait_for_mark(context, first_attempt, service)
+
+
+async def _wait_for_mark(
+    context: proxy_context.ProxyContext, first_attempt: str, service: str
+) -> None:
+    """Waits until all entries could know that a stream has no known version.
+
+    The mark in the store is for all streams of a service, and mostly there.
+    While the store takes no writes, the word of another entry is enough.
+    """
+    recorder, clock = context.recorder, context.clock
+    store_until = clock.now() + STORE_SECONDS
+    while not recorder.expects_unknown(service):
+        store_is_late = recorder.is_failing() or clock.now() >= store_until
+        if store_is_late and await context.origins.find_elsewhere(
+            first_attempt
+        ):
+            return
+        await clock.sleep(MARK_CHECK_SECONDS)
--- a/samphirevale/stream_origins.py
+++ b/samphirevale/stream_origins.py
@@ -24,6 +24,10 @@
 # The timeout of the answers of the asked entries, in seconds.
 ASK_SECONDS = 0.25
 
+# The version of a stream that began at a start of an endpoint which nobody
+# knows. It may go on nowhere. As it is not printable, no endpoint registers it.
+UNKNOWN_VERSION = "\0"
+
 # The largest number of streams that an entry remembers.
 STREAMS_LIMIT = 20_000
 
@@ -33,12 +37,17 @@
 
     Attributes:
         service: the service of the endpoint that began it.
-        version: the version of that endpoint's software.
+        version: the version of that endpoint's software; UNKNOWN_VERSION if
+            nobody knows it.
     """
 
     service: str
     version: str
 
+    def is_known(self) -> bool:
+        """Returns whether the version is known."""
+        return self.version != UNKNOWN_VERSION
+
 
 class _Remembered(NamedTuple):
     origin: StreamOrigin
@@ -123,8 +132,10 @@
         if not attempt:
             return None
         known = self._origins.find(attempt, self._clock.now())
-        if known is not None:
-            return known
+        return known or await self.find_elsewhere(attempt)
+
+    async def find_elsewhere(self, attempt: str) -> StreamOrigin | None:
+        """Returns where a stream began; None if no other entry tells it."""
         names = hash_order.order_by_hash(attempt, self._links.list_linked())
         async with curio.TaskGroup(wait=object) as group:
             for name in names[:ASKED]:
--- a/samphirevale/stream_resumptions.py
+++ b/samphirevale/stream_resumptions.py
@@ -88,6 +88,8 @@
         """
         if not self._route.resumable:
             return "not_resumable"
+        if not self._shared.has_known_version():
+            return "unknown_version"
         stream = self._build_broken_stream(needs_stages)
         needed = END_FACTOR * stream.resumption_seconds + END_SECONDS
         if self._context.clock.now() + needed > self._context.process_end.at:
--- a/standins/servers.py
+++ b/standins/servers.py
@@ -2,7 +2,7 @@
 
 import json
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import NamedTuple
 
 import curio
@@ -16,10 +16,19 @@
 # The delay of the fault `mute`, in seconds, longer than any test's timeout.
 HANG_SECONDS = 100.0
 
+# The delay of a slow report, in seconds.
+SLOW_SECONDS = 0.6
+
 # The header that says that a request did not run and never will.
 NOT_EXECUTED = ("Samphirevale-Not-Executed", "1")
 
 
+# Answers a request for a report that is wrong in some way, given a sound one.
+ReportFault = Callable[
+    [dict[str, object]], Awaitable[web.Response | web.StreamedResponse]
+]
+
+
 class Arrival(NamedTuple):
     """A call that reached a server.
 
@@ -77,6 +86,8 @@
         cold: the cold time; None if the server is not cold. More calls in a
             second than it bears crash the server.
         pause: the latest pause; None if there was none.
+        report_fault: what is wrong with all reports, a name in REPORT_FAULTS;
+            empty if nothing is.
         faults: the faults of the next runs and stage calls, in order: `full`,
             `cut`, `other` (the answer to another request), `other refused` (a
             run, and the refusal of another request), `claimed 503` and the
@@ -111,6 +122,7 @@
         self.limit = ""
         self.cold: ColdTime | None = None
         self.pause: Pause | None = None
+        self.report_fault = ""
         self.faults: list[str] = []
         self.silence_seconds = 1.2
         self.events = EVENTS
@@ -190,7 +202,9 @@
             report = {"queued": 0, "busy": False, "free_mb": self.free_mb}
             if self.born is not None:
                 report["born"] = self.born
-            return web.build_json(200, report)
+            if not self.report_fault:
+                return web.build_json(200, report)
+            return await REPORT_FAULTS[self.report_fault](report)
         if request.path == "/stage-free":
             self.freed += json.loads(request.body)["handles"]
             return web.build_json(200, {})
@@ -283,6 +297,76 @@
             await curio.sleep(left)
 
 
+def _answer_with(*arguments: object, **options: object) -> ReportFault:
+    """Returns a fault that gives the same answer for each report."""
+
+    async def answer(report: dict[str, object]) -> web.Response:
+        return web.Response(*arguments, **options)
+
+    return answer
+
+
+def _change(**changes: object) -> ReportFault:
+    """Returns a fault that changes fields of a report; None removes one."""
+
+    async def answer(report: dict[str, object]) -> web.Response:
+        fields = {**report, **changes}
+        kept = {name: fields[name] for name in fields if fields[name]}
+        return web.build_json(200, kept)
+
+    return answer
+
+
+async def _break_off(report: dict[str, object]) -> web.StreamedResponse:
+    """Ends the connection within the answer."""
+
+    async def write() -> AsyncIterator[bytes]:
+        yield json.dumps(report).encode()[:-1]
+        raise errors.AnswerLostError("cut by a fault")
+
+    return web.StreamedResponse(200, write())
+
+
+async def _close(report: dict[str, object]) -> web.Response:
+    raise errors.AnswerLostError("closed by a fault")
+
+
+async def _close_behind(report: dict[str, object]) -> web.Response:
+    answer = web.build_json(200, report)
+    closing = ("Connection", "close")
+    return answer._replace(headers=(*answer.headers, closing))
+
+
+async def _delay(report: dict[str, object]) -> web.Response:
+    await curio.sleep(SLOW_SECONDS)
+    return web.build_json(200, report)
+
+
+async def _hang(report: dict[str, object]) -> web.Response:
+    await curio.sleep(HANG_SECONDS)
+    return web.build_json(200, report)
+
+
+# The faults of reports by name.
+REPORT_FAULTS: dict[str, ReportFault] = {
+    "refused": _answer_with(503, b"", (NOT_EXECUTED,)),
+    "failed": _answer_with(500),
+    "overloaded": _answer_with(429, b"", (NOT_EXECUTED,)),
+    "absent": _answer_with(404),
+    "not allowed": _answer_with(405),
+    "closed": _close,
+    "cut": _break_off,
+    "empty": _answer_with(200),
+    "unreadable": _answer_with(200, b"{\xff"),
+    "no object": _answer_with(200, b"[]"),
+    "no start": _change(born=None),
+    "odd start": _change(born="soon"),
+    "closing": _close_behind,
+    "silent": _hang,
+    "slow": _delay,
+}
+
+
 def _list_shared_parts(request_headers: dict[str, str]) -> list[str]:
     """Returns the parts of a request's prompt but the last one."""
     prompt = request_headers.get("samphirevale-prefix-hash", "")
--- a/tests/origins/test_recorder.py
+++ b/tests/origins/test_recorder.py
@@ -13,6 +13,7 @@
 OLD = stream_origins.StreamOrigin("plain", "v1")
 NEW = stream_origins.StreamOrigin("plain", "v2")
 NAMES = ["entry0", "entry1", "entry2"]
+UNKNOWN = stream_origins.StreamOrigin("plain", stream_origins.UNKNOWN_VERSION)
 VERSIONS = ["v1", "v2", "v3"]
 
 # The timeout of the streams' route, in seconds.
@@ -83,6 +84,15 @@
         await self.recorder.record_stream(attempt, origin, until)
         return True
 
+    async def begin_unknown(self, attempt):
+        """Begins a stream of no known version if the store has the mark."""
+        if not self.recorder.expect_unknown("plain"):
+            return False
+        await self.update()
+        until = self._fleet.clock.now() + STREAM_SECONDS
+        await self.recorder.record_stream(attempt, UNKNOWN, until)
+        return self.recorder.expects_unknown("plain")
+
     async def find(self, attempt):
         return await self.recorder.find(attempt, "r", {"plain"})
 
@@ -332,6 +342,7 @@
                     [
                         "begin",
                         "begin",
+                        "begin unknown",
                         "learn",
                         "update",
                         "kill",
@@ -375,6 +386,9 @@
             entry = fleet.entries[name]
             if action == "begin" and await entry.begin(attempt, version):
                 began[attempt] = version, fleet.clock.now() + STREAM_SECONDS
+            if action == "begin unknown" and await entry.begin_unknown(attempt):
+                until = fleet.clock.now() + STREAM_SECONDS
+                began[attempt] = stream_origins.UNKNOWN_VERSION, until
             if action == "update" and await entry.update():
                 written |= entry.own.build().streams.keys()
             await self.check_streams(fleet, began, written)
@@ -416,6 +430,52 @@
                 self.assertIn(found, (origin,) if known else (None, origin))
 
 
+class UnknownVersionTest(base.TestCase):
+    """Tests the mark of streams that began at a start that nobody knows."""
+
+    async def test_nothing_is_inferred_beside_streams_of_no_known_version(self):
+        """A stream of no known version would be joined with the only one."""
+        fleet = FakeFleet()
+        entry = fleet.entries["entry0"]
+        await entry.update()
+        self.assertFalse(entry.recorder.expects_unknown("plain"))
+        self.assertTrue(await entry.begin_unknown("a1"))
+        await entry.begin("a2", "v1")
+        await entry.update()
+        for name in NAMES:
+            fleet.start(name)
+        for entry in fleet.entries.values():
+            self.assertEqual(UNKNOWN, await entry.find("a1"))
+            self.assertEqual(OLD, await entry.find("a2"))
+            self.assertIsNone(await entry.find("a3"))
+
+    async def test_mark_counts_as_long_as_such_a_stream_may_run(self):
+        fleet = FakeFleet()
+        entry = fleet.entries["entry0"]
+        await entry.begin_unknown("a1")
+        fleet.clock.seconds += 2 * STREAM_SECONDS + 1
+        await entry.update()
+        self.assertFalse(entry.recorder.expects_unknown("plain"))
+        self.assertEqual(OLD, await entry.find("a3"))
+
+    async def test_no_such_stream_begins_if_neither_store_nor_entry_knows(self):
+        fleet = FakeFleet()
+        entry = fleet.entries["entry0"]
+        fleet.store.away = True
+        # That the store is away turns out as the mark is written.
+        self.assertTrue(entry.recorder.expect_unknown("plain"))
+        self.assertFalse(await entry.update())
+        self.assertTrue(entry.recorder.is_failing())
+        self.assertTrue(entry.recorder.expect_unknown("plain"))
+        entry.linked.clear()
+        self.assertFalse(entry.recorder.expect_unknown("plain"))
+        fleet.store.away = False
+        self.assertTrue(await entry.update())
+        self.assertTrue(entry.recorder.expect_unknown("plain"))
+        fleet.store.away = True
+        self.assertTrue(entry.recorder.expects_unknown("plain"))
+
+
 class SpacingTest(base.TestCase):
     """Tests the time between writes."""
 
