Let streams begin at endpoints that are back and not listed yet

An endpoint that names a start which is not listed was left out of the choice for each request whose start matters, so with no other one there was none.

Change: such an endpoint is the last choice of a request that begins. The stream goes out on the connection on which the start was named, so it is certain which start has it; its version is unknown until that start is listed, and then recorded. Until then its take-up is refused. A stream that goes on is still sent to listed starts only.

--- a/lab/stream_mechanisms.py
+++ b/lab/stream_mechanisms.py
@@ -137,6 +137,16 @@
         "        if not wanted.needs_start():\n",
         f"{_REPORTS}.test_all_streams_are_served_in_each_way_reports_go_wrong",
     ),
+    _ablate(
+        "stream begins at a start that is not listed if there is no other",
+        VERSIONS,
+        "endpoint_choice",
+        "unlisted=self.wanted.version is None",
+        "unlisted=False",
+        f"{_STREAM}.test_stream_begins_while_no_start_is_listed",
+        "tests.platform.test_versions.VersionTest"
+        ".test_streams_begin_while_no_start_is_listed",
+    ),
     _ablate(
         "endpoint asked for its start before a part may be accused",
         VERSIONS,
--- a/samphirevale/endpoint_choice.py
+++ b/samphirevale/endpoint_choice.py
@@ -73,7 +73,11 @@
         A request that begins rather goes to an endpoint that has started again
         since it was listed than to none.
         """
-        return self.wanted._replace(unlisted=False)
+        return self.wanted._replace(unlisted=self.wanted.version is None)
+
+    def has_listed(self) -> bool:
+        """Returns whether a further endpoint is not known to have ended."""
+        return self._choose_except(self.tried, (), self.wanted) is not None
 
     def _choose_wanted(
         self,
--- a/samphirevale/request_sends.py
+++ b/samphirevale/request_sends.py
@@ -142,17 +142,20 @@
         return min(BEGIN_ASK_SECONDS, remaining)
 
     def _check_listed(self, endpoint: catalogue.Endpoint) -> None:
-        """Checks that the listed start of an endpoint is not over.
+        """Checks that no other endpoint is better for a request that begins.
 
         Raises:
             errors.NotAcceptingError: the endpoint has started again since it
-                was listed.
+                was listed, and another one has not.
         """
         now = self._context.clock.now()
         ended = self._context.cluster_state.ended_starts
-        if self._endpoints.wanted.needs_start() and ended.is_marked(
-            endpoint, now
+        if (
+            self._endpoints.wanted.needs_start()
+            and ended.is_marked(endpoint, now)
+            and self._endpoints.has_listed()
         ):
+            self._endpoints.record_silent(endpoint)
             raise errors.NotAcceptingError(f"{endpoint.name} has started again")
 
     def _check_start(
@@ -165,7 +168,7 @@
             started: the start that it has named; None if it has named none.
 
         Raises:
-            errors.NotAcceptingError: it is not the listed one, or the stream
+            errors.NotAcceptingError: another endpoint is better, or the stream
                 could not be marked as one of no known version.
         """
         wanted = self._endpoints.wanted
--- a/tests/test_proxying.py
+++ b/tests/test_proxying.py
@@ -979,6 +979,13 @@
         self.endpoints.named_starts = {"p1": named, "p2": named}
         return await proxy.answer(proxy_fakes.build_request())
 
+    async def test_stream_begins_while_no_start_is_listed(self):
+        self.end_starts()
+        answer = await self.begin_unknown(b"id: 1\n\n", named=2)
+        self.assertEqual(b"id: 1\n\n", await self.read_stream(answer))
+        self.assertEqual(UNKNOWN, self.origins.find("a1", self.clock.now()))
+        self.assertEqual([UNKNOWN] * 2, [told for *_, told in self.links.told])
+
     async def test_stream_of_no_known_version_does_not_go_on(self):
         answer = await self.begin_unknown(
             b"id: 1\n\nid: 2", proxy_fakes.LOST_ANSWER
@@ -997,6 +1004,21 @@
         self.assertEqual("v1", self.origins.find("a1", NOW).version)
         self.assertEqual(b"id: 1\n\nid: 2\n\n", await self.read_stream(answer))
 
+    async def test_stream_goes_on_once_its_start_is_listed(self):
+        answer = await self.begin_unknown(
+            b"id: 1\n\nid: 2", proxy_fakes.LOST_ANSWER, named=2
+        )
+        for name in ("p1", "p2"):
+            self.cluster.catalogue.put(
+                proxy_fakes.build_endpoint(
+                    name, "plain", started=2, version="v2"
+                )
+            )
+        await self.check_beginnings()
+        self.assertEqual("v2", self.origins.find("a1", NOW).version)
+        self.endpoints.named_starts = {}
+        self.assertEqual(b"id: 1\n\nid: 2\n\n", await self.read_stream(answer))
+
     async def check_beginnings(self):
         """Lets the entry ask endpoints, and learn what they have said."""
         for _ in range(2):
