Let the soak play endpoints whose reports go wrong, and a longer outage

The summary tells which shares of the streams that begin and that are taken up were served, of all that were answered, and refusals are listed by reason for both.

--- a/lab/soak/__main__.py
+++ b/lab/soak/__main__.py
@@ -30,8 +30,10 @@
     findings = checks.check_all(seen)
     for way, count in checks.count_ends(seen.legs).items():
         print(f"{count:6} {way}")
-    for reason, count in checks.count_refusals(seen.legs).items():
-        print(f"{count:6} take-ups refused: {reason}")
+    for kind, taken_up in (("begins", False), ("take-ups", True)):
+        refusals = checks.count_refusals(seen.legs, taken_up)
+        for reason, count in refusals.items():
+            print(f"{count:6} {kind} refused: {reason}")
     lines = sessions.read_lines(folder)
     streams = checks.group_streams(seen.legs)
     causes: collections.Counter[str] = collections.Counter()
@@ -46,14 +48,10 @@
             print(f"  cause: {cause}: {checks.CAUSES[cause]}")
         if number < TRACES_LIMIT:
             print("  " + "\n  ".join(checks.build_trace(legs, seen, lines)))
-    taken_up = sum(
-        any(leg.last_event and leg.events for leg in legs)
-        for legs in streams.values()
-    )
     summary = {
         **play._asdict(),
         "streams": len(streams),
-        "taken_up": taken_up,
+        **checks.compute_served(seen.legs),
         "findings": dict(collections.Counter(f.kind for f in findings)),
         "causes": dict(causes),
     }
--- a/lab/soak/checks.py
+++ b/lab/soak/checks.py
@@ -143,13 +143,41 @@
     return dict(sorted(counts.items()))
 
 
-def count_refusals(legs: Iterable[records.Leg]) -> dict[str, int]:
-    """Returns how often take-ups were refused, by the reason told."""
+def compute_served(legs: Iterable[records.Leg]) -> dict[str, float]:
+    """Returns the shares of streams that were served, of all answered ones.
+
+    Those that begin and those that are taken up, with the numbers of both.
+    """
+    shares: dict[str, float] = {}
+    answered = [
+        leg
+        for stream in group_streams(legs).values()
+        for leg in stream
+        if leg.status
+    ]
+    for kind, taken_up in (("begun", False), ("taken_up", True)):
+        of_kind = [leg for leg in answered if bool(leg.last_event) == taken_up]
+        served = sum(leg.status == 200 for leg in of_kind)
+        shares[f"{kind}_share"] = round(served / max(len(of_kind), 1), 4)
+        shares[f"{kind}_answered"] = len(of_kind)
+    return shares
+
+
+def count_refusals(
+    legs: Iterable[records.Leg], taken_up: bool = True
+) -> dict[str, int]:
+    """Returns how often streams were refused, by the reason told.
+
+    Args:
+        legs: the requests of all streams.
+        taken_up: whether those that are taken up count, or those that begin.
+    """
     return dict(
         collections.Counter(
             leg.text.strip()
-            for leg in legs
-            if leg.end == records.REFUSED and leg.last_event
+            for stream in group_streams(legs).values()
+            for leg in stream
+            if leg.end == records.REFUSED and bool(leg.last_event) == taken_up
         )
     )
 
--- a/lab/soak/endpoints.py
+++ b/lab/soak/endpoints.py
@@ -30,6 +30,9 @@
 # before the first event, or are refused.
 FAULTS = ("cut", "stall", "late", "full")
 
+# The fault of reports that stands for any of them.
+ANY = "any"
+
 # The longest time that a plain request takes, in seconds.
 PLAIN_SECONDS = 0.1
 
@@ -45,6 +48,8 @@
         slots: the requests that each endpoint says it runs at a time.
         closing: the share of reports behind which a connection is closed.
         faults: the share of streams that have a fault.
+        wrong_reports: the share of starts whose reports are wrong.
+        report_fault: what is wrong with them; `any` for one fault each.
         endpoint_host: the address of the endpoints.
         host: the address of the calls that control them.
     """
@@ -56,6 +61,8 @@
     slots: int = 16
     closing: float = 0.0
     faults: float = 0.0
+    wrong_reports: float = 0.0
+    report_fault: str = ANY
     endpoint_host: str = "127.0.0.1"
     host: str = "127.0.0.1"
 
@@ -199,6 +206,7 @@
         server.born = born
         server.events = self._settings.events
         server.event_seconds = self._settings.event_seconds
+        server.report_fault = self._draw_report_fault()
         start = records.Start(
             len(self._lifetimes), name, born, version, time.time(), None, None
         )
@@ -206,6 +214,15 @@
         self._lifetimes.append(lifetime)
         return lifetime
 
+    def _draw_report_fault(self) -> str:
+        """Returns what is wrong with the reports of the next start."""
+        rng = random.Random(f"reports {len(self._lifetimes)}")
+        if rng.random() >= self._settings.wrong_reports:
+            return ""
+        if self._settings.report_fault != ANY:
+            return self._settings.report_fault
+        return rng.choice(list(servers.REPORT_FAULTS))
+
     async def _serve(self, place: _Place) -> None:
         place.task = await curio.spawn(
             place.lifetime.run,
--- a/lab/soak/plans.py
+++ b/lab/soak/plans.py
@@ -30,6 +30,9 @@
 BURST_SECONDS = (0.05, 1.0)
 ROLLING_SECONDS = (2.0, 6.0)
 
+# How long before the second release the store is away, in seconds.
+OUTAGE_LEAD_SECONDS = 1.0
+
 # The share of the endpoints that a release replaces.
 RELEASED_SHARE = (0.5, 1.0)
 
@@ -51,6 +54,11 @@
         mass_kills: how often all entries are killed at once.
         faults: the share of streams at endpoints that have a fault.
         others: how often endpoints of stages and plain services start again.
+        wrong_reports: the share of starts of endpoints whose reports are wrong.
+        report_fault: what is wrong with them, a name in servers.REPORT_FAULTS;
+            `any` for one of these each.
+        outage: how long the store is away in the second release, in seconds;
+            0 for not at all.
     """
 
     seed: int
@@ -65,6 +73,9 @@
     mass_kills: int = 0
     faults: float = 0.0
     others: int = 0
+    wrong_reports: float = 0.0
+    report_fault: str = "any"
+    outage: float = 0.0
 
 
 class Event(NamedTuple):
@@ -117,6 +128,9 @@
         at = rng.uniform(0.1, 0.9) * play.seconds
         target = play.servers + rng.randrange(2 * count_others(play))
         events.append(_draw_restart(rng, at, target, "", False))
+    if play.outage:
+        at = RELEASES_AT[1] * play.seconds - OUTAGE_LEAD_SECONDS
+        events.append(Event(at, STORE, "away", play.outage))
     return sorted(events, key=lambda event: event.at)
 
 
--- a/lab/soak/system.py
+++ b/lab/soak/system.py
@@ -120,6 +120,10 @@
             str(self._play.closing),
             "--faults",
             str(self._play.faults),
+            "--wrong-reports",
+            str(self._play.wrong_reports),
+            "--report-fault",
+            self._play.report_fault,
             "--endpoint-host",
             build_host(HOSTS_NUMBER),
         )
--- a/tests/lab/soak/test_checks.py
+++ b/tests/lab/soak/test_checks.py
@@ -130,6 +130,25 @@
             checks.count_ends(legs),
         )
         self.assertEqual({"full": 1}, checks.count_refusals(legs))
+        self.assertEqual({"full": 1}, checks.count_refusals(legs, False))
+
+    def test_shares_of_answered_streams_that_were_served(self):
+        refused = build_leg("b", "", records.REFUSED, status=503)
+        legs = [
+            build_leg("a", "1:v1", records.LEFT),
+            build_leg("a", "2:v1", records.LEFT)._replace(last_event=1),
+            refused,
+            refused._replace(last_event=1),
+            refused._replace(last_event=1),
+            build_leg("c", "", records.BROKEN, status=0),
+        ]
+        expected = {
+            "begun_share": 0.5,
+            "begun_answered": 2,
+            "taken_up_share": 0.3333,
+            "taken_up_answered": 3,
+        }
+        self.assertEqual(expected, checks.compute_served(legs))
 
 
 class CausesTest(base.TestCase):
--- a/tests/lab/soak/test_endpoints.py
+++ b/tests/lab/soak/test_endpoints.py
@@ -8,13 +8,16 @@
 from lab.soak import endpoints, records
 from samphirevale import errors
 from samphirevale.adapters import web, web_client
-from standins import metadata_store
+from standins import metadata_store, servers
 from tests import base
 from tests.platform import sessions
 
 DOWN_SECONDS = 0.6
 REGISTER_SECONDS = 0.6
 
+# The number of starts whose reports are drawn.
+STARTS = 200
+
 # The times of what is seen are this exact, in seconds.
 SLACK_SECONDS = 0.01
 
@@ -111,6 +114,24 @@
                 [(run.attempt, run.start) for run in runs],
             )
 
+    async def list_report_faults(self, **settings):
+        """Returns what is wrong with the reports of each of many starts."""
+        async with self.run_endpoint(**settings):
+            return [
+                self.host._build_lifetime("e", 1, "v1")._server.report_fault
+                for _ in range(STARTS)
+            ]
+
+    async def test_share_of_starts_has_wrong_reports(self):
+        found = await self.list_report_faults()
+        self.assertEqual({""}, {*found})
+        found = await self.list_report_faults(
+            wrong_reports=0.5, report_fault="cut"
+        )
+        self.assertEqual({"", "cut"}, {*found})
+        found = await self.list_report_faults(wrong_reports=1.0)
+        self.assertEqual(servers.REPORT_FAULTS.keys(), {*found})
+
     async def test_former_registration_stays_until_the_new_one(self):
         async with self.run_endpoint():
             await self.restart("e2")
--- a/tests/lab/soak/test_plans.py
+++ b/tests/lab/soak/test_plans.py
@@ -32,6 +32,19 @@
             self.assertEqual({"v2", "v3"}, {e.version for e in released})
             self.assertEqual(expected, {e.new_id for e in released})
 
+    def test_outage_lasts_into_the_second_release_and_changes_nothing_else(
+        self,
+    ):
+        play = plans.Play(5)
+        events = plans.draw_events(play)
+        more = plans.draw_events(play._replace(outage=3.0))
+        (added,) = [event for event in more if event not in events]
+        self.assertEqual(len(events) + 1, len(more))
+        self.assertEqual((plans.STORE, "away"), (added.kind, added.target))
+        released = [event.at for event in events if event.version == "v3"]
+        self.assertLess(added.at, released[0])
+        self.assertGreater(added.at + added.seconds, released[0])
+
     def test_mass_kill_is_of_all_entries_and_changes_nothing_else(self):
         play = plans.Play(5, entries=4)
         events = plans.draw_events(play)
