Connect once to an endpoint that cannot be reached before a stream begins

Cause: the time limit of a connect and that of the question for the start raised the same error, and after the latter a second connection is opened for the request. The question raises ReportTimeoutError now, which also counts as a silent endpoint.

Test: test_endpoint_that_cannot_be_reached_is_connected_to_once, two connects before.

--- a/samphirevale/errors.py
+++ b/samphirevale/errors.py
@@ -58,12 +58,16 @@
     """No process listens at the address of the remote side."""
 
 
+class ReportTimeoutError(ConnectTimeoutError):
+    """An endpoint has not said in time which start it is."""
+
+
 class UnconfirmedStartError(ConnectError):
     """An endpoint has not confirmed its start, so that nothing was sent."""
 
 
 # What a question for the start of an endpoint that can be connected to raises.
-START_ERRORS = (ConnectTimeoutError, UnconfirmedStartError)
+START_ERRORS = (ReportTimeoutError, UnconfirmedStartError)
 
 
 class NotAcceptingError(ConnectError):
--- a/samphirevale/platform/endpoints.py
+++ b/samphirevale/platform/endpoints.py
@@ -181,7 +181,7 @@
 
         Raises:
             errors.NotAcceptingError: the endpoint may not be called.
-            errors.ConnectTimeoutError: it has not answered, or
+            errors.ReportTimeoutError: it has not answered, or
                 errors.UnconfirmedStartError: not named a start.
         """
         failure = errors.UnconfirmedStartError("closed behind its report")
@@ -223,7 +223,7 @@
 
         Raises:
             errors.NotAcceptingError: the endpoint may not be called.
-            errors.ConnectTimeoutError: it has not answered in time.
+            errors.ReportTimeoutError: it has not answered in time.
             errors.UnconfirmedStartError: its answer is cut off, cannot be read
                 or names no start.
         """
@@ -235,7 +235,7 @@
                 )
                 data = await answer.read_body(CALL_BYTES_LIMIT)
         except curio.TaskTimeout as error:
-            raise errors.ConnectTimeoutError(
+            raise errors.ReportTimeoutError(
                 f"{endpoint.name}: no report in {seconds:.2f} s"
             ) from error
         except errors.TransportError as error:
--- a/tests/platform/test_endpoints.py
+++ b/tests/platform/test_endpoints.py
@@ -3,6 +3,7 @@
 import contextlib
 import itertools
 import json
+from unittest import mock
 
 import curio
 
@@ -35,6 +36,9 @@
     def handle_other_start(self, endpoint, started):
         self.other_starts.append((endpoint.name, started))
 
+    def handle_refused_connect(self, endpoint):
+        pass
+
     def handle_unnamed_start(self, endpoint, error):
         self.unnamed_starts.append(endpoint.name)
 
@@ -263,6 +267,29 @@
         await self.ask_start(200, {"born": 7})
         self.assertEqual(["e1"], self.asked_listener.calls)
 
+    async def test_endpoint_that_cannot_be_reached_is_connected_to_once(self):
+        """A second connect would hold the request up for as long again."""
+        for error in (errors.ConnectTimeoutError, errors.ConnectRefusedError):
+            opening = mock.AsyncMock(side_effect=error("no connection"))
+            with (
+                mock.patch.object(
+                    endpoints.web_client, "open_connection", opening
+                ),
+                self.assertRaises(error),
+            ):
+                await self.send_refused()
+            self.assertEqual(1, opening.await_count)
+            self.assertEqual([], self.asked_listener.unnamed_starts)
+
+    async def send_refused(self):
+        self.asked_listener = FakeListener()
+        await endpoints.PlatformEndpoints(self.asked_listener).send(
+            proxy_fakes.build_endpoint(),
+            proxy_fakes.build_request(),
+            proxy_fakes.build_send_parameters(ask_seconds=0.5),
+            lambda started: None,
+        )
+
     async def test_endpoint_that_has_started_again_gets_nothing(self):
         for started in (8, 0):
             with self.assertRaises(errors.NotAcceptingError):
