--- a/review/8/play.py
+++ b/review/8/play.py
@@ -1,6 +1,7 @@
-"""Clients send bodies as large as the manifest allows."""
+"""A request that crashes model engines comes again, beside sound ones."""
 
 import asyncio
+import itertools
 import pathlib
 import sys
 import time
@@ -11,130 +12,146 @@
 import rig2  # noqa: E402
 
 HOST = "pule25.example"
+POISON = b'{"notice":"row 7"}'
 KEY = "key1"
 
-# The limit of the manifest is 4,194,304 bytes. The other size is that of the
-# usual requests of the site file.
-LARGE_BODY = b"x" * 4_190_000
-USUAL_BODY = b"x" * 17_000
+# The last part of a prompt belongs to the request itself.
+OWN_PARTS = itertools.count(1)
 
-# The size of a write, in bytes.
-PIECE_BYTES = 262144
+CONTACT_SECONDS = 3.0
 
-# The clients of one entry, and the time from one request of a client to its
-# next one, in seconds: 22.6 requests a second at each of two entries, which is
-# the traffic of the sheet (43.8) with two of the four machines lost. Large
-# bodies then take 95 MB/s; the link takes 125 (link_mbps = 1000).
-CLIENTS = 14
-REQUEST_SECONDS = 0.62
+# How often the request comes again, at each machine, and how long, in seconds.
+COMES_SECONDS = 3.5
+PLAY_SECONDS = 30.0
 
-PLAY_SECONDS = 85.0
+# How long sound requests are served before it comes first, in seconds.
+BEFORE_SECONDS = 4.0
 
-# memory_mb of the settings, read generously; of the memory of the process only
-# what it shares with nobody is counted.
-MEMORY_BYTES = 300 * 1024 * 1024
+# How long an engine is away after a crash, in seconds.
+AWAY_SECONDS = 2.0
 
-# How long an ended process is away, in seconds.
-RESTART_SECONDS = 0.5
 
-# The rule "Fault": so often, on so many machines.
-ENDS = 3
-MACHINES = 2
+class CrashingEngine(rig2.Engine):
+    """An engine that one request crashes as it begins to run it."""
 
+    trouble = True
+    away = False
+    crash = None
+    crashes = []
 
-def read_memory(entry):
-    """Returns the anonymous resident memory of an entry, in bytes."""
-    status = pathlib.Path(f"/proc/{entry.process.pid}/status").read_text()
-    for line in status.splitlines():
-        if line.startswith("RssAnon:"):
-            return int(line.split()[1]) * 1024
-    return 0
-
-
-async def watch_memory(bed, entry, ends_at, ends):
-    """Ends a process that is over its memory, and starts it again."""
-    most = 0
-    while time.monotonic() < ends_at:
-        await asyncio.sleep(0.05)
-        used = read_memory(entry)
-        most = max(most, used)
-        if used <= MEMORY_BYTES:
-            continue
-        bed.record.write("over_its_memory", entry=entry.name, bytes=used)
-        ends.append(entry.name)
-        entry.kill()
-        await asyncio.sleep(RESTART_SECONDS)
-        entry.start()
-    bed.record.write("most_memory", entry=entry.name, bytes=most)
-
-
-async def upload(bed, entry, number, body, ends_at):
-    """Sends requests, one after the other, each at an even rate."""
-    await asyncio.sleep(REQUEST_SECONDS / CLIENTS * number)
-    rate = len(LARGE_BODY) / REQUEST_SECONDS
-    while time.monotonic() < ends_at:
-        next_at = time.monotonic() + REQUEST_SECONDS
-        headers = bed.build_headers(HOST, KEY, 6000)
-        try:
-            channel = await rig2.Channel(bed, entry).open()
-        except OSError:
-            await asyncio.sleep(0.3)
-            continue
-        answer = await channel.send(
-            "POST", "/bobo563/2f", headers, body, rate=rate, piece=PIECE_BYTES
+    async def answer(self, head, body, writer):
+        """Answers a request, or crashes."""
+        poison = body == POISON and head.first[1].startswith("/bobo563/")
+        if not (self.trouble and poison):
+            return await super().answer(head, body, writer)
+        attempt = head.headers["samphirevale-attempt-id"]
+        self.crashes.append((time.monotonic(), attempt))
+        self.bed.record.write(
+            "engine_crashes", engine=self.name, attempt=attempt
         )
+        if not self.away:
+            self.away = True
+            self.crash = asyncio.create_task(self._crash())
+        return False
+
+    async def _crash(self):
+        await self.close()
+        if self.bed.store.read("servers", self.name):
+            self.bed.store.remove("servers", self.name)
+        await asyncio.sleep(AWAY_SECONDS)
+        # Most restarts bring a new id (PROTOCOL, Engines).
+        self.name = f"i-{self.service}-{next(rig2.Engine.ids)}"
+        self.born = int(time.time() * 1000)
+        await self.open()
+        self.register()
+        self.away = False
+
+
+def build_headers(bed):
+    """Returns the headers of a request, whose last part is its own."""
+    own = f"e44{next(OWN_PARTS):05x}:250"
+    return bed.build_headers(
+        HOST,
+        KEY,
+        5000,
+        Samphirevale_Model_Name="m",
+        Samphirevale_Token_Counts="1050,50",
+        Samphirevale_Prefix_Hash=f"5c1e07a2:800,{own}",
+    )
+
+
+async def come_again(bed, entry, ends_at):
+    """Sends the same request at one machine, again and again."""
+    await asyncio.sleep(BEFORE_SECONDS)
+    next_at = time.monotonic()
+    while next_at < ends_at:
+        headers = build_headers(bed)
+        channel = await rig2.Channel(bed, entry).open()
+        await channel.send("POST", "/bobo563/lo7/2f", headers, POISON)
         channel.close()
-        if answer.status == 503:
-            await asyncio.sleep(float(answer.headers.get("retry-after", "0.5")))
+        next_at += COMES_SECONDS
         await asyncio.sleep(max(next_at - time.monotonic(), 0))
 
 
 async def work(bed, entry, ends_at, lost):
-    """Sends small requests that may run at most once."""
+    """Sends sound requests, which share the engines with the other one."""
     while time.monotonic() < ends_at:
-        headers = bed.build_headers(HOST, KEY, 2500)
-        try:
-            channel = await rig2.Channel(bed, entry).open()
-        except OSError:
-            await asyncio.sleep(0.3)
-            continue
-        answer = await channel.send("POST", "/once400/2f", headers, b"{}")
+        headers = build_headers(bed)
+        channel = await rig2.Channel(bed, entry).open()
+        answer = await channel.send(
+            "POST", "/once400/2f", headers, b'{"notice":"row 8"}'
+        )
         channel.close()
-        if not answer.complete:
+        broken_off = answer.status == 200 and not answer.complete
+        if broken_off or answer.status in (0, 500, 502, 504):
             lost.append(dict(headers)["Samphirevale-Attempt-Id"])
-        await asyncio.sleep(0.05)
+        await asyncio.sleep(0.2)
 
 
 async def play(bed, trouble):
     """Plays the case."""
-    for _ in range(4):
-        await bed.add_engine("desk", work_seconds=0.045)
+    CrashingEngine.trouble = trouble
+    for _ in range(6):
+        engine = CrashingEngine(
+            bed, f"{bed.prefix}.2", "pool", events=10, event_seconds=0.1
+        )
+        await engine.open()
+        engine.register()
+        bed.engines.append(engine)
     found = [
-        rig2.build_route("r-look", "/bobo563/", "idempotent", "desk"),
-        rig2.build_route("r-once", "/once400/", "non_idempotent", "desk"),
+        rig2.build_route(
+            "r-draft", "/bobo563/", "streaming", "pool", resumable=True
+        ),
+        rig2.build_route(
+            "r-review", "/once400/", "streaming", "pool", max_attempts=1
+        ),
     ]
-    bed.put_manifest(rig2.build_manifest(7, found, ["desk"]))
-    await bed.start_entries(MACHINES)
-    body = LARGE_BODY if trouble else USUAL_BODY
+    bed.put_manifest(rig2.build_manifest(7, found, ["pool"]))
+    await bed.start_entries(3)
+    await asyncio.sleep(CONTACT_SECONDS + 1.0)
     ends_at = time.monotonic() + PLAY_SECONDS
-    ends, lost = [], []
-    tasks = []
-    for entry in bed.entries:
-        tasks.append(watch_memory(bed, entry, ends_at, ends))
-        tasks.append(work(bed, entry, ends_at, lost))
-        tasks += [
-            upload(bed, entry, number, body, ends_at)
-            for number in range(CLIENTS)
-        ]
-    await asyncio.gather(*tasks)
-    counts = {entry.name: ends.count(entry.name) for entry in bed.entries}
-    bed.record.write("ends", counts=counts, accepted_and_lost=len(lost))
-    if sum(count >= ENDS for count in counts.values()) < MACHINES:
-        return []
-    return [
-        f"Fault: processes over their memory: {counts}; "
-        f"{len(lost)} requests that may run once got no answer"
-    ]
+    lost = []
+    await asyncio.gather(
+        *(come_again(bed, entry, ends_at) for entry in bed.entries),
+        *(work(bed, entry, ends_at, lost) for entry in bed.entries),
+    )
+    crashes = CrashingEngine.crashes
+    broken = []
+    if len(crashes) > 3:
+        third = crashes[2][0]
+        late = [at for at, _ in crashes if at > third + CONTACT_SECONDS]
+        bed.record.write(
+            "crashes",
+            number=len(crashes),
+            later=[round(at - third, 2) for at in late],
+            other_requests_lost=len(lost),
+        )
+        if len(late) > 3:
+            broken.append(
+                f"BUDGET: the request reached engines {len(late)} times later "
+                "than contact_ms after it had crashed the third"
+            )
+    return broken
 
 
 rig2.run(FOLDER, play)
