--- a/review/8/play.py
+++ b/review/8/play.py
@@ -30,13 +30,16 @@
 # How long an engine is away after a crash, in seconds.
 AWAY_SECONDS = 2.0
 
+# When the store removes its former entry: three intervals of heartbeat_ms.
+LAPSE_SECONDS = 3.6
+
 
 class CrashingEngine(rig2.Engine):
     """An engine that one request crashes as it begins to run it."""
 
     trouble = True
     away = False
-    crash = None
+    tasks = []
     crashes = []
 
     async def answer(self, head, body, writer):
@@ -51,13 +54,12 @@
         )
         if not self.away:
             self.away = True
-            self.crash = asyncio.create_task(self._crash())
+            self.tasks.append(asyncio.create_task(self._crash()))
         return False
 
     async def _crash(self):
+        former = self.name
         await self.close()
-        if self.bed.store.read("servers", self.name):
-            self.bed.store.remove("servers", self.name)
         await asyncio.sleep(AWAY_SECONDS)
         # Most restarts bring a new id (PROTOCOL, Engines).
         self.name = f"i-{self.service}-{next(rig2.Engine.ids)}"
@@ -65,6 +67,8 @@
         await self.open()
         self.register()
         self.away = False
+        await asyncio.sleep(LAPSE_SECONDS - AWAY_SECONDS)
+        self.bed.store.remove("servers", former)
 
 
 def build_headers(bed):
